--- /dev/null
+++ b/packages/agreement/src/core/repair.ts
@@ -0,0 +1,62 @@
+/**
+ * Changes of members, one at a time, worked out by the leader from the member list alone, so that a
+ * new leader goes on where the last one stopped.
+ *
+ * What can go wrong: a VM that lost its disk has forgotten votes and entries that it acknowledged.
+ * If it counted under its old name at once, a quorum could form that lacks a committed entry. So it
+ * returns under a new incarnation, first as a learner; the old copy is removed before the new one
+ * becomes a voter, since a swap in one step makes quorums that need not overlap.
+ */
+import { vmOfHolder } from '@lynxcourse/base'
+import type { HolderId, Millis } from '@lynxcourse/base'
+import type { Member } from '../types/log.js'
+import type { Output } from '../types/messages.js'
+import { appendOwn, broadcast } from './replication.js'
+import { isSettledLeader, lastIndex } from './replica.js'
+import type { Replica } from './replica.js'
+
+/** Proposes the next change of members, if one is due and none is under way. */
+export function repairMembers (replica: Replica, now: Millis, out: Output): void {
+  if (!isSettledLeader(replica)) return
+  const changeUnderWay = replica.membersIndex > replica.commit
+  if (changeUnderWay) return
+  const members = planMembers(replica, now)
+  if (members === undefined) return
+  appendOwn(replica, { type: 'members', members }, now, out)
+  broadcast(replica, now, out)
+}
+
+function planMembers (replica: Replica, now: Millis): readonly Member[] | undefined {
+  return planLearner(replica) ?? planPromotion(replica, now)
+}
+
+function planLearner (replica: Replica): readonly Member[] | undefined {
+  for (const id of replica.joining) {
+    replica.joining.delete(id)
+    if (replica.members.some(member => member.id === id)) continue
+    const vm = vmOfHolder(id)
+    // Learners count in no quorum, so an outdated one of the same VM may go in the same step.
+    const kept = replica.members.filter(member => member.voter || vmOfHolder(member.id) !== vm)
+    return [...kept, { id, voter: false }]
+  }
+  return undefined
+}
+
+function planPromotion (replica: Replica, now: Millis): readonly Member[] | undefined {
+  for (const learner of replica.members) {
+    if (learner.voter || !isCaughtUp(replica, learner.id, now)) continue
+    const vm = vmOfHolder(learner.id)
+    const outdated = replica.members.find(member => member.voter && vmOfHolder(member.id) === vm)
+    if (outdated !== undefined) return replica.members.filter(member => member !== outdated)
+    return replica.members.map(member => member === learner ? { id: member.id, voter: true } : member)
+  }
+  return undefined
+}
+
+/** Whether a learner has synced all that is in the leader's log and was heard just now. */
+function isCaughtUp (replica: Replica, id: HolderId, now: Millis): boolean {
+  const progress = replica.progress.get(id)
+  if (progress === undefined) return false
+  const heardNow = now - progress.heardAt < replica.times.electionMs
+  return heardNow && progress.match >= replica.commit && progress.match >= lastIndex(replica)
+}
--- /dev/null
+++ b/packages/base/src/utils/hash.ts
@@ -0,0 +1,37 @@
+/** Rendezvous hashing (highest random weight) over `xxhash-wasm`. */
+import createHasher from 'xxhash-wasm'
+
+const hasher = await createHasher()
+
+/** 32-bit xxHash of a text. */
+export function hashText (text: string): number {
+  return hasher.h32(text) >>> 0
+}
+
+/**
+ * Orders candidates for a key so that each key spreads evenly and the loss of one candidate moves
+ * only the keys that it held.
+ *
+ * @param key what is to be placed
+ * @param candidates names of the places
+ * @returns the candidates, the owner first
+ */
+export function rankByHash<Name extends string> (key: string, candidates: readonly Name[]): Name[] {
+  const scored = candidates.map(name => ({ name, score: hashText(`${key}|${name}`) }))
+  scored.sort((a, b) => b.score - a.score || (a.name < b.name ? -1 : 1))
+  return scored.map(entry => entry.name)
+}
+
+/** The first of `rankByHash`, without sorting; undefined without candidates. */
+export function ownerByHash<Name extends string> (key: string, candidates: readonly Name[]): Name | undefined {
+  let owner: Name | undefined
+  let best = -1
+  for (const name of candidates) {
+    const score = hashText(`${key}|${name}`)
+    if (score > best || (score === best && owner !== undefined && name < owner)) {
+      owner = name
+      best = score
+    }
+  }
+  return owner
+}
--- /dev/null
+++ b/packages/cli/src/cli.ts
@@ -0,0 +1,2 @@
+/** The command line as a library, for tests. */
+export * from './internal.js'
--- /dev/null
+++ b/packages/cli/src/core/session.ts
@@ -0,0 +1,98 @@
+/** One run of the command line: where the VMs are, who asks, and how calls go to whichever answers. */
+import { readFileSync } from 'node:fs'
+import { homedir, userInfo } from 'node:os'
+import { join } from 'node:path'
+import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
+import { addressSchema, callPeer, createRpcClient } from '@lynxcourse/daemon'
+import type { RpcClient } from '@lynxcourse/daemon'
+import { parse } from 'yaml'
+import { z } from 'zod'
+import type { OutputFormat } from '../utils/printing.js'
+
+/** Options that every command takes. */
+export interface GlobalOptions {
+  readonly addresses?: string
+  readonly clientConfig?: string
+  readonly output: OutputFormat
+  readonly operator?: string
+}
+
+export interface Session extends AsyncDisposable {
+  readonly addresses: readonly string[]
+  readonly operator: string
+  readonly output: OutputFormat
+  readonly client: RpcClient
+}
+
+const callTimeoutMs = 5000
+const defaultConfigName = '.lynxcourse.yaml'
+
+const clientSchema = z.strictObject({
+  /** RPC addresses of VMs, asked in order. */
+  addresses: z.array(addressSchema).min(1),
+  operator: z.string().min(1).max(64).optional(),
+  tls: z.strictObject({ certFile: z.string(), keyFile: z.string(), caFile: z.string() }).optional()
+})
+
+type ClientConfig = z.output<typeof clientSchema>
+
+/** Opens a session from options, environment and the client's file, in this order. */
+export function openSession (options: GlobalOptions): Session {
+  const file = readClientFile(options)
+  const text = options.addresses ?? process.env['LYNXCOURSE_ADDRESSES']
+  const addresses = text === undefined ? file?.addresses ?? [] : text.split(',').map(address => checkAddress(address.trim()))
+  if (addresses.length === 0) {
+    throw new LynxError('badRequest', 'no addresses: give --addresses, LYNXCOURSE_ADDRESSES or ~/.lynxcourse.yaml', { step: 'start', field: 'addresses' })
+  }
+  const tls = file?.tls === undefined ? undefined : readTls(file.tls)
+  const client = createRpcClient({ timeoutMs: callTimeoutMs, localAddress: '', tls: () => tls, metrics: undefined })
+  return {
+    addresses,
+    operator: options.operator ?? file?.operator ?? userInfo().username,
+    output: options.output,
+    client,
+    [Symbol.asyncDispose]: async () => await client[Symbol.asyncDispose]()
+  }
+}
+
+function checkAddress (address: string): string {
+  if (addressSchema.safeParse(address).success) return address
+  throw new LynxError('badRequest', `addresses: '${address}' is no IPv4:port`, { step: 'start', field: 'addresses' })
+}
+
+function readClientFile (options: GlobalOptions): ClientConfig | undefined {
+  const path = options.clientConfig ?? process.env['LYNXCOURSE_CONFIG'] ?? join(homedir(), defaultConfigName)
+  let text: string
+  try {
+    text = readFileSync(path, 'utf8')
+  } catch (err) {
+    if (options.clientConfig === undefined) return undefined
+    throw new LynxError('badSettings', messageOf(err), { step: 'start', cause: err })
+  }
+  const checked = clientSchema.safeParse(parse(text))
+  if (checked.success) return checked.data
+  const issue = checked.error.issues[0]
+  throw new LynxError('badSettings', `${path}: ${issue?.path.join('.')}: ${issue?.message}`, { step: 'start' })
+}
+
+function readTls (files: NonNullable<ClientConfig['tls']>): { cert: string, key: string, ca: string } {
+  return { cert: readFileSync(files.certFile, 'utf8'), key: readFileSync(files.keyFile, 'utf8'), ca: readFileSync(files.caFile, 'utf8') }
+}
+
+/**
+ * Calls a method at the first VM that can answer. Only errors that another VM may not have lead on to
+ * the next; a change is safe to send again, since it carries its change id.
+ */
+export async function call<Result> (session: Session, method: string, params: object = {}): Promise<Result> {
+  let last: unknown
+  for (const address of session.addresses) {
+    try {
+      return await callPeer<Result>(session.client, address, method, params)
+    } catch (err) {
+      const isLocal = isLynxError(err, 'peerFailed') || isLynxError(err, 'notLeader') || isLynxError(err, 'noQuorum')
+      if (!isLocal) throw err
+      last = err
+    }
+  }
+  throw last
+}
--- /dev/null
+++ b/packages/cli/src/internal.ts
@@ -0,0 +1,8 @@
+/** Fixes the order in which the modules of this package load. */
+export * from './utils/exitCodes.js'
+export * from './utils/printing.js'
+export * from './core/session.js'
+export * from './core/changing.js'
+export * from './core/completion.js'
+export * from './core/commands/profiles.js'
+export * from './core/program.js'
--- /dev/null
+++ b/packages/daemon/src/core/control/joining.ts
@@ -0,0 +1,108 @@
+/** How a blank control VM finds the cluster that it is to join, and becomes a member. */
+import type { Envelope } from '@lynxcourse/agreement'
+import { LynxError, vmOfHolder } from '@lynxcourse/base'
+import type { HolderId } from '@lynxcourse/base'
+import { z } from 'zod'
+import { log } from '../../utils/logging.js'
+import { repeat } from '../node/timers.js'
+import { seedAddress } from '../node/node.js'
+import type { Node } from '../node/node.js'
+import { callPeer } from '../rpc/rpcClient.js'
+import { addMethod } from '../rpc/rpcServer.js'
+import type { RpcServer } from '../rpc/rpcServer.js'
+import { feed, initCluster, isBlank, joinCluster, leads } from './controlHost.js'
+import type { ControlHost } from './controlHost.js'
+
+const joinEveryMs = 1000
+const holderSchema = z.string().regex(/^[a-z0-9.-]+\/[a-z0-9-]+$/, 'must be VM/INCARNATION') as unknown as z.ZodType<HolderId>
+
+/** What a control VM says of its cluster. */
+export interface ClusterInfo {
+  readonly id: HolderId
+  readonly cluster: string | undefined
+}
+
+/** Adds the methods that found a cluster and let members in. */
+export function addClusterMethods (rpc: RpcServer, host: ControlHost): void {
+  addMethod(rpc, 'cluster.info', ['vm', 'operator'], z.strictObject({}), (): ClusterInfo => ({ id: host.id, cluster: host.cluster }))
+  addMethod(rpc, 'cluster.init', ['operator'], z.strictObject({ cluster: z.string().min(8), voters: z.array(holderSchema).min(1).max(7) }), async params => {
+    await initCluster(host, params.cluster, params.voters)
+    return { id: host.id }
+  })
+  addMethod(rpc, 'cluster.join', ['vm'], z.strictObject({ id: holderSchema }), params => {
+    if (seedAddress(host.node, vmOfHolder(params.id)) === undefined) {
+      throw new LynxError('notAllowed', `${params.id} is no control VM by the seeds`, { step: 'join', field: 'id' })
+    }
+    if (!leads(host)) throw new LynxError('notLeader', 'join the leader', { step: 'join' })
+    feed(host, { type: 'join', id: params.id })
+    return {}
+  })
+  addMethod(rpc, 'log.message', ['vm'], envelopeSchema, (envelope, caller) => {
+    if (caller.role === 'vm' && caller.name !== vmOfHolder(envelope.from)) {
+      throw new LynxError('notAllowed', `vm:${caller.name} sends as ${envelope.from}`, { step: 'log.message', field: 'from' })
+    }
+    feed(host, { type: 'receive', envelope: envelope as Envelope })
+    return {}
+  })
+}
+
+const natural = z.number().int().min(0)
+
+const memberSchema = z.object({ id: holderSchema, voter: z.boolean() })
+
+const entrySchema = z.object({
+  index: natural,
+  term: natural,
+  at: z.number(),
+  body: z.union([
+    z.object({ type: z.literal('noop') }),
+    z.object({ type: z.literal('members'), members: z.array(memberSchema) }),
+    z.object({ type: z.literal('command'), command: z.looseObject({ type: z.string() }) })
+  ])
+})
+
+const snapshotSchema = z.object({ index: natural, term: natural, at: z.number(), members: z.array(memberSchema), data: z.string() })
+
+const envelopeSchema = z.strictObject({
+  cluster: z.string(),
+  from: holderSchema,
+  to: holderSchema,
+  message: z.discriminatedUnion('type', [
+    z.strictObject({ type: z.literal('vote'), pre: z.boolean(), term: natural, lastIndex: natural, lastTerm: natural }),
+    z.strictObject({ type: z.literal('voteAnswer'), pre: z.boolean(), term: natural, granted: z.boolean() }),
+    z.strictObject({ type: z.literal('append'), term: natural, prevIndex: natural, prevTerm: natural, entries: z.array(entrySchema), commit: natural, round: natural }),
+    z.strictObject({ type: z.literal('snapshot'), term: natural, snapshot: snapshotSchema, round: natural }),
+    z.strictObject({ type: z.literal('appendAnswer'), term: natural, ok: z.boolean(), index: z.number().int(), round: natural })
+  ])
+})
+
+/** Keeps asking to be let in until this VM's copy is a member. */
+export function keepJoining (host: ControlHost): AsyncDisposable {
+  return repeat(joinEveryMs, async () => await tryJoin(host), () => undefined)
+}
+
+async function tryJoin (host: ControlHost): Promise<void> {
+  const { node } = host
+  if (host.failed !== undefined) return
+  if (isBlank(host)) {
+    const cluster = await findCluster(node)
+    if (cluster === undefined) return
+    log(node.logs, 'member', 'info', 'Empty disk joins a running cluster.', { cluster, id: host.id })
+    await joinCluster(host, cluster)
+  }
+  const isMember = host.replica?.members.some(member => member.id === host.id) ?? false
+  if (isMember) return
+  for (const seed of node.cfg.seeds) {
+    if (seed.vm === node.cfg.vm) continue
+    await callPeer(node.client, seed.rpc, 'cluster.join', { id: host.id }).catch(() => undefined)
+  }
+}
+
+async function findCluster (node: Node): Promise<string | undefined> {
+  for (const seed of node.cfg.seeds) {
+    if (seed.vm === node.cfg.vm) continue
+    const info = await callPeer<ClusterInfo>(node.client, seed.rpc, 'cluster.info', {}).catch(() => undefined)
+    if (info?.cluster !== undefined) return info.cluster
+  }
+  return undefined
+}
--- /dev/null
+++ b/packages/daemon/src/core/daemon.ts
@@ -0,0 +1,138 @@
+/** Joins the parts of a daemon and stops them in order. */
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import { messageOf, nextState } from '@lynxcourse/base'
+import type { Millis } from '@lynxcourse/base'
+import { isCurrent } from '@lynxcourse/membership'
+import type { CallerBlock } from '@lynxcourse/routing'
+import { listItems } from '@lynxcourse/state'
+import { openTlsFiles } from '../plugins/tlsFiles.js'
+import type { Settings } from '../types/settings.js'
+import { presentTime } from '../utils/clock.js'
+import { closeServer, listen } from '../utils/httpServer.js'
+import { log } from '../utils/logging.js'
+import { createOwned, moveOwned, own } from '../utils/owned.js'
+import type { Owned } from '../utils/owned.js'
+import { feed, openControl } from './control/controlHost.js'
+import type { ControlHost } from './control/controlHost.js'
+import { addClusterMethods, keepJoining } from './control/joining.js'
+import { addReportMethod, startDuties } from './control/leaderDuties.js'
+import type { LeaderDuties } from './control/leaderDuties.js'
+import { createCallerServer } from './entry/callerServer.js'
+import { createClaiming } from './entry/claiming.js'
+import { sweepConnections } from './entry/connectionPool.js'
+import { createEntry } from './entry/entry.js'
+import type { Entry } from './entry/entry.js'
+import { startPolling } from './entry/polling.js'
+import { addChangeMethod } from './node/changes.js'
+import { addClaimMethod } from './node/claimService.js'
+import { createNode, isControl, isEntry } from './node/node.js'
+import type { Node, NodeDeps } from './node/node.js'
+import { addQueryMethods } from './node/queries.js'
+import { startReporting } from './node/reporting.js'
+import { addSyncMethod, renewSelf, startSyncing } from './node/syncing.js'
+import type { Syncing } from './node/syncing.js'
+import { delay, repeat } from './node/timers.js'
+import { createRpcServer, listenRpc } from './rpc/rpcServer.js'
+import type { RpcServer } from './rpc/rpcServer.js'
+
+/** A running daemon. */
+export interface Daemon extends AsyncDisposable {
+  readonly node: Node
+  readonly control: ControlHost | undefined
+  readonly duties: LeaderDuties | undefined
+  readonly entry: Entry | undefined
+  readonly syncing: Syncing
+  readonly servers: readonly Server[]
+}
+
+const tickMs = 20
+const sweepMs = 250
+const drainPollMs = 50
+
+/** Starts a daemon. */
+export async function startDaemon (cfg: Settings, blocks: readonly CallerBlock[], deps: NodeDeps = {}): Promise<Daemon> {
+  await using stack = createOwned()
+  const tls = cfg.tls === undefined ? undefined : own(stack, openTlsFiles(cfg.tls, err => log(node.logs, 'rpc', 'error', 'TLS files not taken over.', { error: messageOf(err) })))
+  const node = createNode(cfg, tls === undefined ? deps : { ...deps, tls }, presentTime())
+  own(stack, node.client)
+  if (tls === undefined) log(node.logs, 'rpc', 'warn', 'No TLS: peers are not checked, so only loopback addresses are used.')
+  const control = isControl(node) ? own(stack, await openControl(node)) : undefined
+  const rpc = createRpcServer(cfg.limits.maxRpcBytes, node.metrics, tls)
+  const syncing = own(stack, startSyncing(node, control))
+  const entry = isEntry(node) ? createEntry(node, blocks, createClaiming(node)) : undefined
+  const duties = control === undefined ? undefined : startControlParts(stack, node, control, rpc)
+  addSyncMethod(rpc, syncing)
+  addChangeMethod(rpc, node, control)
+  addQueryMethods(rpc, { node, control, duties, entry })
+  const metricsServer = createMetricsServer(node)
+  const servers = [rpc.server, metricsServer]
+  if (entry !== undefined) servers.push(startEntryParts(stack, entry, syncing))
+  await listenRpc(rpc, cfg.listen.rpc)
+  await listen(metricsServer, cfg.listen.metrics)
+  if (entry !== undefined) await listen(servers[2] as Server, cfg.listen.http)
+  for (const server of servers) own(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
+  log(node.logs, 'daemon', 'info', 'Started.', { vm: cfg.vm, region: cfg.region, roles: cfg.roles.join(), http: cfg.listen.http, rpc: cfg.listen.rpc })
+  const owned = moveOwned(stack)
+  return { node, control, duties, entry, syncing, servers, [Symbol.asyncDispose]: async () => await owned[Symbol.asyncDispose]() }
+}
+
+function startControlParts (stack: Owned, node: Node, control: ControlHost, rpc: RpcServer): LeaderDuties {
+  const duties = own(stack, startDuties(node, control))
+  addClusterMethods(rpc, control)
+  addClaimMethod(rpc, control)
+  addReportMethod(rpc, duties)
+  own(stack, repeat(tickMs, () => feed(control, { type: 'tick' }), () => undefined))
+  own(stack, keepJoining(control))
+  return duties
+}
+
+function startEntryParts (stack: Owned, entry: Entry, syncing: Syncing): Server {
+  own(stack, entry.pool)
+  own(stack, startReporting(entry.node, entry))
+  own(stack, startPolling(entry))
+  own(stack, repeat(sweepMs, () => sweepConnections(entry.pool, presentTime()), () => undefined))
+  return createCallerServer(entry, syncing)
+}
+
+/** `/metrics`, `/healthz` (the process lives) and `/readyz` (it has read the present state). */
+function createMetricsServer (node: Node): Server {
+  return createServer((req, res) => {
+    if (req.url === '/healthz') {
+      res.end('ok\n')
+    } else if (req.url === '/readyz') {
+      const isReady = isCurrent(node.currency, presentTime())
+      res.writeHead(isReady ? 200 : 503).end(isReady ? 'ready\n' : 'the present state is not known\n')
+    } else if (req.url === '/metrics') {
+      node.metrics.registry.metrics().then(text => {
+        res.setHeader('content-type', node.metrics.registry.contentType)
+        res.end(text)
+      }).catch(() => res.destroy())
+    } else {
+      res.writeHead(404).end()
+    }
+  })
+}
+
+/**
+ * Lets the VM go without cutting a request: look-ups stop naming it, answers that callers have cached
+ * run out, requests in flight end.
+ */
+export async function leaveGracefully (daemon: Daemon): Promise<void> {
+  const { node, entry, syncing } = daemon
+  log(node.logs, 'daemon', 'info', 'Leaving.', { open: entry?.open ?? 0 })
+  node.self = { ...node.self, state: nextState(node.directory.vmChart, node.self.state, 'leave') }
+  renewSelf(node, presentTime())
+  syncing.urge()
+  if (entry !== undefined) await drainEntry(entry, node)
+  log(node.logs, 'daemon', 'info', 'Left.', { open: entry?.open ?? 0 })
+}
+
+async function drainEntry (entry: Entry, node: Node): Promise<void> {
+  entry.leaving = true
+  const ttls = listItems(node.config, 'profile').map(item => item.profile.lookupTtlS * 1000)
+  const spreadMs = node.cfg.times.syncMs * 3
+  await delay(Math.max(0, ...ttls) + spreadMs)
+  const until: Millis = presentTime() + node.cfg.times.stopMs
+  while (entry.open > 0 && presentTime() < until) await delay(drainPollMs)
+}
--- /dev/null
+++ b/packages/daemon/src/core/entry/announcements.ts
@@ -0,0 +1,115 @@
+/** Takes backend servers' announcements of themselves. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
+import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { findServer, putRecord } from '@lynxcourse/membership'
+import type { ServerRecord } from '@lynxcourse/membership'
+import { noteReportedLoad } from '@lynxcourse/routing'
+import { nameSchema } from '@lynxcourse/state'
+import { z } from 'zod'
+import { addressSchema } from '../../types/settings.js'
+import { presentTime } from '../../utils/clock.js'
+import { readBody, splitAddress } from '../../utils/httpServer.js'
+import { log } from '../../utils/logging.js'
+import { notifyChange } from '../node/node.js'
+import type { Node } from '../node/node.js'
+import type { Syncing } from '../node/syncing.js'
+import type { Entry } from './entry.js'
+
+export const announcePath = '/v1/announce'
+
+const maxAnnouncementBytes = 4096
+const announcementsPerLifetime = 3
+
+const announcementSchema = z.strictObject({
+  server: nameSchema<ServerId>(),
+  service: nameSchema<ServiceId>(),
+  /** Where this system reaches the server. */
+  address: addressSchema,
+  failureDomain: nameSchema<FailureDomainId>(),
+  slots: z.number().int().min(1).max(10_000),
+  connections: z.number().int().min(1).max(1_000_000),
+  /** Requests that the server works on now. */
+  load: z.number().min(0).max(1_000_000).default(0),
+  state: z.enum(['starting', 'serving', 'leaving']),
+  /** Grows with each start of the server; its start time in Unix milliseconds will do. */
+  incarnation: z.number().int().min(1),
+  /** Grows with each announcement. */
+  seq: z.number().int().min(0)
+})
+
+type Announcement = z.output<typeof announcementSchema>
+
+/** Answers an announcement. */
+export async function answerAnnouncement (entry: Entry, syncing: Syncing, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  const { node } = entry
+  try {
+    const body = await readBody(req, maxAnnouncementBytes)
+    const announcement = parseAnnouncement(body.toString('utf8'))
+    const record = recordOf(node, announcement, req.socket.remoteAddress ?? '')
+    takeAnnouncement(entry, syncing, announcement, record)
+    const { announceMs } = node.cfg.times
+    res.writeHead(200, { 'content-type': 'application/json' })
+      .end(JSON.stringify({ lifetimeMs: announceMs, againAfterMs: Math.floor(announceMs / announcementsPerLifetime) }))
+  } catch (err) {
+    const status = isLynxError(err, 'notAllowed') ? 403 : isLynxError(err, 'tooLarge') ? 413 : 400
+    node.metrics.refusals.inc({ reason: isLynxError(err) ? err.code : 'badRequest' })
+    log(node.logs, 'announce', 'warn', 'Announcement refused.', { peer: req.socket.remoteAddress, error: messageOf(err) })
+    const field = isLynxError(err) ? err.field : undefined
+    res.writeHead(status, { 'content-type': 'application/json', connection: 'close' }).end(`${JSON.stringify({ detail: messageOf(err), field })}\n`)
+  }
+}
+
+/**
+ * Checks the text of an announcement.
+ *
+ * @throws LynxError naming the field
+ */
+export function parseAnnouncement (text: string): Announcement {
+  let raw: unknown
+  try {
+    raw = JSON.parse(text)
+  } catch (err) {
+    throw new LynxError('badRequest', `body: ${messageOf(err)}`, { step: 'announce', field: 'body', cause: err })
+  }
+  const checked = announcementSchema.safeParse(raw)
+  if (checked.success) return checked.data
+  const issue = checked.error.issues[0]
+  const field = issue?.path.join('.') ?? ''
+  throw new LynxError('badRequest', `${field}: ${issue?.message}`, { step: 'announce', field })
+}
+
+function recordOf (node: Node, announcement: Announcement, peer: string): ServerRecord {
+  const { host } = splitAddress(announcement.address)
+  const from = peer.replace('::ffff:', '')
+  if (host !== from) {
+    throw new LynxError('notAllowed', `address: ${host} was announced from ${from}`, { step: 'announce', field: 'address', peer: from })
+  }
+  const region = regionOfDomain(node, announcement.failureDomain)
+  if (region === undefined) {
+    throw new LynxError('badRequest', `failureDomain: no '${announcement.failureDomain}'`, { step: 'announce', field: 'failureDomain' })
+  }
+  const { server, service, address, failureDomain, slots, connections, state, incarnation, seq } = announcement
+  return { kind: 'server', key: server, incarnation, seq, state, service, region, failureDomain, address, slots, maxConnections: connections }
+}
+
+function regionOfDomain (node: Node, domain: FailureDomainId): RegionId | undefined {
+  const regions = Object.entries(node.cfg.topology.regions)
+  return regions.find(([, domains]) => (domains as readonly string[]).includes(domain))?.[0] as RegionId | undefined
+}
+
+function takeAnnouncement (entry: Entry, syncing: Syncing, announcement: Announcement, record: ServerRecord): void {
+  const { node } = entry
+  const before = findServer(node.directory, record.key)
+  const isLive = before !== undefined && before.state !== 'gone'
+  if (isLive && before.address !== record.address && before.incarnation >= record.incarnation) {
+    throw new LynxError('notAllowed', `server: '${record.key}' is announced from ${before.address}`, { step: 'announce', field: 'server' })
+  }
+  const changed = putRecord(node.directory, record, 'direct', presentTime())
+  const observed = entry.router.backends.byId.get(record.key)
+  if (observed !== undefined) noteReportedLoad(observed, announcement.load, presentTime())
+  if (!changed) return
+  log(node.logs, 'announce', 'info', 'Server announced itself.', { server: record.key, service: record.service, state: record.state, address: record.address, slots: record.slots })
+  notifyChange(node)
+  syncing.urge()
+}
--- /dev/null
+++ b/packages/daemon/src/core/entry/attempts.ts
@@ -0,0 +1,148 @@
+/** One attempt: sends a request to a backend server over one connection and reads its answer. */
+import type { Readable } from 'node:stream'
+import type { Dispatcher } from 'undici'
+import { messageOf } from '@lynxcourse/base'
+import type { Millis } from '@lynxcourse/base'
+import { noteReportedLoad } from '@lynxcourse/routing'
+import { presentTime } from '../../utils/clock.js'
+import { deadlineHeader, loadHeader, notStartedHeader, requestIdHeader } from '../../types/answers.js'
+import type { HeaderMap } from '../../types/answers.js'
+import { dropConnection, progressConnection, releaseConnection, takeConnection } from './connectionPool.js'
+import type { Connection } from './connectionPool.js'
+import type { Entry } from './entry.js'
+import type { ForwardRequest } from './forwardRequest.js'
+import type { Slot } from './slots.js'
+
+/** Answers up to this are read whole before the caller gets any of it. */
+const wholeAnswerBytes = 65_536
+
+/** How an attempt ended. */
+export type AttemptResult =
+  | { readonly type: 'answered', readonly status: number, readonly headers: HeaderMap, readonly body: Buffer | Readable }
+  /** The server says that it did not start. */
+  | { readonly type: 'shed', readonly retryAfterMs: Millis | undefined }
+  /** No byte was handed to a connection. */
+  | { readonly type: 'notSent', readonly detail: string }
+  /** Sent, and no whole answer came. */
+  | { readonly type: 'lost', readonly detail: string, readonly reason: 'failed' | 'deadline' | 'gone' | 'silent' }
+
+const hopByHop = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length'])
+
+/**
+ * Runs an attempt. The slot is still held when it resolves, unless the body streams on: then the
+ * caller of this function releases it at the body's end.
+ *
+ * @param signal aborted when the caller is gone or another attempt won
+ */
+export async function runAttempt (entry: Entry, request: ForwardRequest, slot: Slot, signal: AbortSignal): Promise<AttemptResult> {
+  const now = presentTime()
+  const connection = takeConnection(entry.pool, slot.observed.backend.address, !request.isIdempotent, now)
+  const watch = watchAttempt(entry, request, connection, signal, now)
+  try {
+    const res = await connection.client.request({ ...requestOptions(request, now), signal: watch.signal })
+    watch.gotHeaders()
+    progressConnection(entry.pool, connection, presentTime())
+    const load = Number(res.headers[loadHeader])
+    if (res.headers[loadHeader] !== undefined) noteReportedLoad(slot.observed, load, presentTime())
+    if (isShed(res)) {
+      await res.body.dump()
+      releaseConnection(entry.pool, connection, presentTime())
+      return { type: 'shed', retryAfterMs: retryAfterOf(res) }
+    }
+    return await readAnswer(entry, connection, res, watch)
+  } catch (err) {
+    const wasSent = !isConnectError(err)
+    dropConnection(entry.pool, connection, watch.reason() === 'silent' ? 'silent' : 'close')
+    if (!wasSent) return { type: 'notSent', detail: messageOf(err) }
+    return { type: 'lost', detail: messageOf(err), reason: watch.reason() }
+  } finally {
+    watch.stop()
+  }
+}
+
+function requestOptions (request: ForwardRequest, now: Millis): Dispatcher.RequestOptions {
+  const headers: HeaderMap = { ...request.headers, [deadlineHeader]: String(Math.max(1, Math.floor(request.deadline - now))) }
+  if (request.id !== undefined) headers[requestIdHeader] = request.id
+  return { method: request.method as Dispatcher.HttpMethod, path: request.path, headers, body: request.body ?? null }
+}
+
+function isShed (res: Dispatcher.ResponseData): boolean {
+  return res.statusCode === 503 && res.headers[notStartedHeader] === 'true'
+}
+
+function retryAfterOf (res: Dispatcher.ResponseData): Millis | undefined {
+  const seconds = Number(res.headers['retry-after'])
+  return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : undefined
+}
+
+/** Errors from opening a connection: the request was not handed to it. */
+function isConnectError (err: unknown): boolean {
+  const { code, syscall } = err as NodeJS.ErrnoException
+  return code === 'UND_ERR_CONNECT_TIMEOUT' || syscall === 'connect'
+}
+
+interface Watch {
+  readonly signal: AbortSignal
+  gotHeaders: () => void
+  reason: () => 'failed' | 'deadline' | 'gone' | 'silent'
+  stop: () => void
+}
+
+/** Ends an attempt at its deadline, when the caller goes, or when a used connection stays silent. */
+function watchAttempt (entry: Entry, request: ForwardRequest, connection: Connection, outer: AbortSignal, now: Millis): Watch {
+  const controller = new AbortController()
+  let reason: ReturnType<Watch['reason']> = 'failed'
+  const end = (why: typeof reason) => (): void => {
+    reason = why
+    controller.abort()
+  }
+  const goneNow = end('gone')
+  outer.addEventListener('abort', goneNow)
+  if (outer.aborted) goneNow()
+  const deadlineTimer = setTimeout(end('deadline'), Math.max(1, request.deadline - now))
+  // Only a connection that carried requests before can have been lost track of; a new one that is
+  // slow tells of a slow server, and a second attempt would only add to its load.
+  const mayBeSilent = connection.reused && request.isIdempotent
+  const silentTimer = mayBeSilent ? setTimeout(end('silent'), entry.pool.cfg.silentMs) : undefined
+  return {
+    signal: controller.signal,
+    gotHeaders: () => clearTimeout(silentTimer),
+    reason: () => reason,
+    stop: () => {
+      clearTimeout(silentTimer)
+      clearTimeout(deadlineTimer)
+      outer.removeEventListener('abort', goneNow)
+    }
+  }
+}
+
+async function readAnswer (entry: Entry, connection: Connection, res: Dispatcher.ResponseData, watch: Watch): Promise<AttemptResult> {
+  const headers = passedHeaders(res.headers)
+  const length = Number(res.headers['content-length'] ?? NaN)
+  if (length <= wholeAnswerBytes) {
+    const body = Buffer.from(await res.body.arrayBuffer())
+    releaseConnection(entry.pool, connection, presentTime())
+    return { type: 'answered', status: res.statusCode, headers, body }
+  }
+  return { type: 'answered', status: res.statusCode, headers, body: streamBody(entry, connection, res, watch) }
+}
+
+function streamBody (entry: Entry, connection: Connection, res: Dispatcher.ResponseData, watch: Watch): Readable {
+  const body = res.body
+  body.on('data', () => progressConnection(entry.pool, connection, presentTime()))
+  body.pause()
+  body.once('close', () => {
+    if (body.readableEnded) releaseConnection(entry.pool, connection, presentTime())
+    else dropConnection(entry.pool, connection, 'close')
+    watch.stop()
+  })
+  return body
+}
+
+function passedHeaders (raw: Dispatcher.ResponseData['headers']): HeaderMap {
+  const headers: HeaderMap = {}
+  for (const [name, value] of Object.entries(raw)) {
+    if (value !== undefined && !hopByHop.has(name)) headers[name] = value
+  }
+  return headers
+}
--- /dev/null
+++ b/packages/daemon/src/core/entry/callerPlaces.ts
@@ -0,0 +1,33 @@
+/** The order of regions for one caller at this VM. */
+import { blockHash, orderPlaces, parseIpv4, regionOfAddress } from '@lynxcourse/routing'
+import type { Place } from '@lynxcourse/routing'
+import type { RegionId, ServiceId } from '@lynxcourse/base'
+import type { Profile } from '@lynxcourse/state'
+import type { Entry } from './entry.js'
+
+/** A caller by its address block. */
+export interface CallerBlockInfo {
+  readonly hash: number
+  /** Region of the block; undefined if no block is known. */
+  readonly region: RegionId | undefined
+}
+
+/** What is known of a caller from its address. */
+export function callerInfo (entry: Entry, address: string): CallerBlockInfo {
+  const number = parseIpv4(address)
+  if (number === undefined) return { hash: 0, region: undefined }
+  return { hash: blockHash(number), region: regionOfAddress(entry.blocks, number) }
+}
+
+/** Regions to try for a caller; where its block is unknown, as seen from this VM. */
+export function placesFor (entry: Entry, service: ServiceId, profile: Profile, caller: CallerBlockInfo): Place[] {
+  return orderPlaces({
+    service,
+    places: profile.places,
+    callerRegion: caller.region ?? entry.node.cfg.region,
+    drained: entry.drained,
+    shifts: entry.shifts,
+    callerHash: caller.hash,
+    latencies: entry.router.setup.latencies
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -0,0 +1,102 @@
+/** Connections to backend servers, one `undici` client each, judged by their chart. */
+import { Client } from 'undici'
+import { createConnectionState, mayCarry, noteProgress, takeConnectionEvent } from '@lynxcourse/routing'
+import type { ConnectionCfg, ConnectionState } from '@lynxcourse/routing'
+import type { Chart, Millis } from '@lynxcourse/base'
+
+/** One connection. */
+export interface Connection {
+  readonly client: Client
+  readonly state: ConnectionState
+  readonly address: string
+  /** Whether it has carried a request before. */
+  reused: boolean
+}
+
+export interface ConnectionPool extends AsyncDisposable {
+  readonly cfg: ConnectionCfg
+  readonly chart: Chart
+  readonly connectTimeoutMs: Millis
+  /** Connections to each server, the one used last at the end. */
+  readonly byAddress: Map<string, Connection[]>
+}
+
+export function createPool (cfg: ConnectionCfg, chart: Chart, connectTimeoutMs: Millis): ConnectionPool {
+  const pool: ConnectionPool = {
+    cfg,
+    chart,
+    connectTimeoutMs,
+    byAddress: new Map(),
+    [Symbol.asyncDispose]: async () => {
+      const all = [...pool.byAddress.values()].flat()
+      await Promise.all(all.map(async connection => await connection.client.destroy()))
+    }
+  }
+  return pool
+}
+
+/**
+ * Takes a connection that may carry a request, or opens one; give it back with `releaseConnection`.
+ *
+ * @param mustNotRepeat only a connection that showed life just now will do, or a new one
+ */
+export function takeConnection (pool: ConnectionPool, address: string, mustNotRepeat: boolean, now: Millis): Connection {
+  const held = pool.byAddress.get(address) ?? []
+  for (let place = held.length - 1; place >= 0; place--) {
+    const connection = held[place] as Connection
+    if (!mayCarry(pool.cfg, connection.state, mustNotRepeat, now)) continue
+    takeConnectionEvent(pool.chart, connection.state, 'take')
+    connection.reused = true
+    return connection
+  }
+  const connection = openConnection(pool, address, now)
+  pool.byAddress.set(address, [...held, connection])
+  return connection
+}
+
+function openConnection (pool: ConnectionPool, address: string, now: Millis): Connection {
+  const client = new Client(`http://${address}`, {
+    pipelining: 1,
+    connect: { timeout: pool.connectTimeoutMs },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    // Idle connections are closed by this pool's own judgement, never under its hands.
+    keepAliveTimeout: 600_000,
+    keepAliveMaxTimeout: 600_000,
+    keepAliveTimeoutThreshold: 0
+  })
+  client.on('connectionError', () => undefined)
+  const state = createConnectionState(pool.chart, now)
+  takeConnectionEvent(pool.chart, state, 'take')
+  return { client, state, address, reused: false }
+}
+
+/** Notes that bytes came. */
+export function progressConnection (pool: ConnectionPool, connection: Connection, now: Millis): void {
+  if (connection.state.state === 'busy') noteProgress(pool.chart, connection.state, now)
+}
+
+/** Gives a connection back whose answer was read to its end. */
+export function releaseConnection (pool: ConnectionPool, connection: Connection, now: Millis): void {
+  if (connection.state.state !== 'busy') return
+  noteProgress(pool.chart, connection.state, now)
+  takeConnectionEvent(pool.chart, connection.state, 'release')
+}
+
+/** Closes a connection for good: it failed, went silent, or its answer was not read to the end. */
+export function dropConnection (pool: ConnectionPool, connection: Connection, event: 'silent' | 'close' | 'quiet'): void {
+  if (connection.state.state === 'closed') return
+  takeConnectionEvent(pool.chart, connection.state, event)
+  const left = (pool.byAddress.get(connection.address) ?? []).filter(held => held !== connection)
+  if (left.length === 0) pool.byAddress.delete(connection.address)
+  else pool.byAddress.set(connection.address, left)
+  connection.client.destroy().catch(() => undefined)
+}
+
+/** Closes idle connections that were quiet too long. */
+export function sweepConnections (pool: ConnectionPool, now: Millis): void {
+  for (const connection of [...pool.byAddress.values()].flat()) {
+    const isQuiet = now - connection.state.progressAt >= pool.cfg.staleMs
+    if (connection.state.state === 'idle' && isQuiet) dropConnection(pool, connection, 'quiet')
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/core/entry/entry.ts
@@ -0,0 +1,174 @@
+/** State of the entry role: what routing sees, kept up to date with directory and configuration. */
+import { loadChart } from '@lynxcourse/base'
+import type { Chart, Millis, RegionId, ServiceId, ShiftId, VmId } from '@lynxcourse/base'
+import { isTombstone, listServers, listVms } from '@lynxcourse/membership'
+import type { ServerRecord, VmRecord } from '@lynxcourse/membership'
+import {
+  buildBlockTable, buildLookupIndex, createRouter, defaultObservation, makePolicy, setBackends
+} from '@lynxcourse/routing'
+import type { ActiveShift, Backend, BlockTable, CallerBlock, EntryVm, LookupIndex, RetryBudget, Router } from '@lynxcourse/routing'
+import { activeDrains, activeShifts, listCaps } from '@lynxcourse/state'
+import type { DrainItem } from '@lynxcourse/state'
+import { presentTime } from '../../utils/clock.js'
+import type { DrainRemaining, RegionLoad, ReportSource } from '../node/reporting.js'
+import type { Node } from '../node/node.js'
+import { createPool } from './connectionPool.js'
+import type { ConnectionPool } from './connectionPool.js'
+import type { Claiming } from './claiming.js'
+import type { ServiceQueue } from './slots.js'
+
+/** A request in this VM, for counting. */
+export interface OpenRequest {
+  readonly id: number
+}
+
+/** State of the entry role. */
+export interface Entry extends ReportSource {
+  readonly node: Node
+  readonly router: Router
+  readonly blocks: BlockTable
+  readonly pool: ConnectionPool
+  readonly attemptChart: Chart
+  readonly claiming: Claiming
+  lookupIndex: LookupIndex
+  /** Answers to look-ups, by service, region and caller bucket; void when the view changes. */
+  lookupCache: Map<string, Buffer>
+  drained: ReadonlySet<RegionId>
+  shifts: readonly ActiveShift[]
+  capped: ReadonlySet<string>
+  queues: Map<ServiceId, ServiceQueue>
+  budgets: Map<ServiceId, RetryBudget>
+  open: number
+  nextRequest: number
+  leaving: boolean
+  viewDirty: boolean
+}
+
+/** Makes the entry part. */
+export function createEntry (node: Node, blocks: readonly CallerBlock[], claiming: Claiming): Entry {
+  const { times } = node.cfg
+  const latencies = new Map(Object.entries(node.cfg.topology.latenciesMs))
+  const router = createRouter({
+    self: node.cfg.vm,
+    region: node.cfg.region,
+    policy: makePolicy(node.cfg.serverPolicy),
+    observation: defaultObservation,
+    chart: loadChart('server'),
+    random: node.random,
+    latencies
+  })
+  const entry: Entry = {
+    node,
+    router,
+    blocks: buildBlockTable(blocks),
+    pool: createPool({ staleMs: times.staleConnectionMs, silentMs: times.silentConnectionMs }, loadChart('connection'), times.connectTimeoutMs),
+    attemptChart: loadChart('attempt'),
+    claiming,
+    lookupIndex: buildLookupIndex([]),
+    lookupCache: new Map(),
+    drained: new Set(),
+    shifts: [],
+    capped: new Set(),
+    queues: new Map(),
+    budgets: new Map(),
+    open: 0,
+    nextRequest: 1,
+    leaving: false,
+    viewDirty: true,
+    remaining: () => remainingByDrain(entry),
+    loads: () => loadsByRegion(entry)
+  }
+  node.onChange.push(() => { entry.viewDirty = true })
+  return entry
+}
+
+/** Brings the view up to date if directory or configuration changed; every decision starts here. */
+export function refreshView (entry: Entry, now: Millis): void {
+  if (!entry.viewDirty) return
+  entry.viewDirty = false
+  const { node } = entry
+  const drains = activeDrains(node.config)
+  const regions = drains.filter(drain => drain.target.kind === 'region')
+  entry.drained = new Set(regions.map(drain => drain.target.name as RegionId))
+  entry.shifts = activeShifts(node.config).map(shift => ({ id: shift.key, service: shift.service, from: shift.from, to: shift.to, percent: shift.percent }))
+  entry.capped = new Set(listCaps(node.config).keys())
+  const vms = listVms(node.directory).filter(vm => isOpenToCallers(vm, drains))
+  entry.lookupIndex = buildLookupIndex(vms.map(entryVmOf))
+  entry.lookupCache = new Map()
+  entry.router.peers = peersByRegion(vms)
+  setBackends(entry.router.backends, listServers(node.directory).filter(server => !isTombstone(server)).map(server => backendOf(server, drains)), now)
+  node.metrics.records.set({ kind: 'vm' }, vms.length)
+  node.metrics.records.set({ kind: 'server' }, entry.router.backends.byId.size)
+}
+
+function isOpenToCallers (vm: VmRecord, drains: readonly DrainItem[]): boolean {
+  if (!vm.roles.includes('entry') || isTombstone(vm)) return false
+  return !drains.some(drain => coversVm(drain, vm))
+}
+
+function coversVm (drain: DrainItem, vm: VmRecord): boolean {
+  const { kind, name } = drain.target
+  if (kind === 'vm') return vm.key === name
+  if (kind === 'failureDomain') return vm.failureDomain === name
+  return kind === 'region' && vm.region === name
+}
+
+function coversBackend (drain: DrainItem, backend: Backend | ServerRecord, id: string): boolean {
+  const { kind, name } = drain.target
+  if (kind === 'server') return id === name
+  if (kind === 'failureDomain') return backend.failureDomain === name
+  return kind === 'region' && backend.region === name
+}
+
+function entryVmOf (vm: VmRecord): EntryVm {
+  return { vm: vm.key, region: vm.region, failureDomain: vm.failureDomain, http: vm.http, suspected: vm.state === 'suspected' }
+}
+
+function backendOf (server: ServerRecord, drains: readonly DrainItem[]): Backend {
+  return {
+    id: server.key,
+    service: server.service,
+    region: server.region,
+    failureDomain: server.failureDomain,
+    address: server.address,
+    slots: server.slots,
+    maxConnections: server.maxConnections,
+    leaving: server.state === 'leaving' || drains.some(drain => coversBackend(drain, server, server.key)),
+    starting: server.state === 'starting'
+  }
+}
+
+function peersByRegion (vms: readonly VmRecord[]): Map<RegionId, readonly VmId[]> {
+  const peers = new Map<RegionId, VmId[]>()
+  for (const vm of vms) peers.set(vm.region, [...peers.get(vm.region) ?? [], vm.key].sort())
+  return peers
+}
+
+function remainingByDrain (entry: Entry): DrainRemaining[] {
+  return activeDrains(entry.node.config).map(drain => {
+    let count = coversVm(drain, entry.node.self) ? entry.open : 0
+    if (count === 0) {
+      for (const observed of entry.router.backends.byId.values()) {
+        if (coversBackend(drain, observed.backend, observed.backend.id)) count += observed.inFlight
+      }
+    }
+    return { drain: drain.key, count }
+  })
+}
+
+function loadsByRegion (entry: Entry): RegionLoad[] {
+  const loads = new Map<string, RegionLoad>()
+  for (const { backend, inFlight } of entry.router.backends.byId.values()) {
+    const key = `${backend.service} ${backend.region}`
+    const sum = (loads.get(key)?.inFlight ?? 0) + inFlight
+    loads.set(key, { service: backend.service, region: backend.region, inFlight: sum })
+  }
+  return [...loads.values()]
+}
+
+/** The view as of now, for callers that hold no time of their own. */
+export function refreshViewNow (entry: Entry): void {
+  refreshView(entry, presentTime())
+}
+
+export type { ShiftId }
--- /dev/null
+++ b/packages/daemon/src/core/entry/finalAnswers.ts
@@ -0,0 +1,78 @@
+/** Makes and writes final answers. */
+import type { ServerResponse } from 'node:http'
+import { pipeline } from 'node:stream/promises'
+import { isLynxError, messageOf } from '@lynxcourse/base'
+import type { LynxError, Millis } from '@lynxcourse/base'
+import type { KeptAnswer } from '@lynxcourse/state'
+import { outcomeHeader, serverHeader, vmHeader } from '../../types/answers.js'
+import type { FinalAnswer, Outcome } from '../../types/answers.js'
+import type { Node } from '../node/node.js'
+
+const statusOf: Record<Exclude<Outcome, 'done'>, number> = {
+  'not-run': 503,
+  unknown: 502,
+  'too-late': 504,
+  refused: 400
+}
+
+/** An answer of this system's own. */
+export function ownAnswer (outcome: Exclude<Outcome, 'done'>, detail: string, retryAfterMs?: Millis, status: number = statusOf[outcome]): FinalAnswer {
+  const body = Buffer.from(`${JSON.stringify({ outcome, detail })}\n`)
+  return { outcome, status, headers: { 'content-type': 'application/json' }, body, retryAfterMs, server: undefined, detail }
+}
+
+/** The answer kept from a request that was done before. */
+export function keptAnswer (answer: KeptAnswer | undefined): FinalAnswer {
+  if (answer?.body === undefined) {
+    const body = Buffer.from(`${JSON.stringify({ outcome: 'done', detail: 'done before; its answer was too large to be kept' })}\n`)
+    return { outcome: 'done', status: answer?.status ?? 200, headers: { 'content-type': 'application/json' }, body, retryAfterMs: undefined, server: undefined, detail: 'done before' }
+  }
+  return {
+    outcome: 'done',
+    status: answer.status,
+    headers: { 'content-type': answer.contentType },
+    body: Buffer.from(answer.body, 'base64'),
+    retryAfterMs: undefined,
+    server: undefined,
+    detail: 'done before'
+  }
+}
+
+const refusalStatus: Partial<Record<LynxError['code'], number>> = {
+  badRequest: 400,
+  badRequestId: 400,
+  unknownService: 404,
+  notFound: 404,
+  notAllowed: 403,
+  tooLarge: 413,
+  tooLate: 400,
+  overCapacity: 503
+}
+
+/** The answer to a request that could not be taken. */
+export function refusalAnswer (err: unknown): FinalAnswer {
+  const status = isLynxError(err) ? refusalStatus[err.code] ?? 500 : 500
+  return ownAnswer('refused', messageOf(err), undefined, status)
+}
+
+/** Writes an answer; resolves when it is written or the caller is gone. */
+export async function writeAnswer (node: Node, res: ServerResponse, answer: FinalAnswer): Promise<void> {
+  if (res.destroyed) return
+  res.statusCode = answer.status
+  for (const [name, value] of Object.entries(answer.headers)) res.setHeader(name, value)
+  res.setHeader(outcomeHeader, answer.outcome)
+  res.setHeader(vmHeader, node.cfg.vm)
+  if (answer.server !== undefined) res.setHeader(serverHeader, answer.server)
+  if (answer.retryAfterMs !== undefined) {
+    res.setHeader('retry-after', Math.max(1, Math.ceil(answer.retryAfterMs / 1000)))
+    res.setHeader('lynx-retry-after-ms', Math.ceil(answer.retryAfterMs))
+  }
+  if (Buffer.isBuffer(answer.body)) {
+    res.setHeader('content-length', answer.body.length)
+    res.end(answer.body)
+    return
+  }
+  // A body that breaks off half-way closes the connection, so that the caller sees a cut answer as
+  // one and does not take it for the whole.
+  await pipeline(answer.body, res).catch(() => res.destroy())
+}
--- /dev/null
+++ b/packages/daemon/src/core/entry/forwarding.ts
@@ -0,0 +1,113 @@
+/** Serves a caller's request to a service, from its head to its one final answer. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { isCurrent } from '@lynxcourse/membership'
+import { canFinish, createBudget, earnRetry, retryAfter, roundTripTo, serviceTime, slotsOpenTo } from '@lynxcourse/routing'
+import type { AdmissionInput, Place, RetryBudget } from '@lynxcourse/routing'
+import type { Millis, ServiceId } from '@lynxcourse/base'
+import { presentTime } from '../../utils/clock.js'
+import type { FinalAnswer } from '../../types/answers.js'
+import { callerInfo, placesFor } from './callerPlaces.js'
+import { refreshView } from './entry.js'
+import type { Entry } from './entry.js'
+import { ownAnswer, refusalAnswer, writeAnswer } from './finalAnswers.js'
+import { readForwardRequest } from './forwardRequest.js'
+import type { ForwardRequest } from './forwardRequest.js'
+import { serveOnce } from './serveOnce.js'
+import { serveRepeatable } from './serveRepeatable.js'
+import { waitingFor } from './slots.js'
+
+/** A request on its way, with all that its service needs. */
+export interface Serving {
+  readonly entry: Entry
+  readonly request: ForwardRequest
+  readonly places: readonly Place[]
+  /** Aborted when the caller is gone. */
+  readonly signal: AbortSignal
+  readonly admission: AdmissionInput
+}
+
+const busyRetryMs = 1000
+
+/** Serves a request. Exactly one final answer is written, unless the caller is gone. */
+export async function forward (entry: Entry, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  const startedAt = presentTime()
+  const { node } = entry
+  if (entry.open >= node.cfg.limits.maxRequests) {
+    await writeAnswer(node, res, ownAnswer('refused', 'this VM is full; nothing was tried', busyRetryMs, 503))
+    return
+  }
+  entry.open += 1
+  node.metrics.inFlight.set(entry.open)
+  const gone = new AbortController()
+  res.once('close', () => gone.abort())
+  let service = 'none'
+  try {
+    const request = await readForwardRequest(entry, req, startedAt)
+    service = request.service
+    const answer = await serve(entry, request, req.socket.remoteAddress ?? '', gone.signal)
+    node.metrics.requests.inc({ service, outcome: answer.outcome })
+    await writeAnswer(node, res, answer)
+  } catch (err) {
+    node.metrics.requests.inc({ service, outcome: 'refused' })
+    // The rest of a refused body is not read: the connection can't be used again.
+    res.setHeader('connection', 'close')
+    await writeAnswer(node, res, refusalAnswer(err))
+  } finally {
+    entry.open -= 1
+    node.metrics.inFlight.set(entry.open)
+    node.metrics.requestSeconds.observe({ service }, (presentTime() - startedAt) / 1000)
+  }
+}
+
+async function serve (entry: Entry, request: ForwardRequest, address: string, signal: AbortSignal): Promise<FinalAnswer> {
+  const now = presentTime()
+  refreshView(entry, now)
+  earnRetry(budgetOf(entry, request.service), request.profile.retryBudget)
+  const places = openPlaces(entry, request, address, now)
+  const serving: Serving = { entry, request, places, signal, admission: admissionOf(entry, request, places, now) }
+  return request.isIdempotent ? await serveRepeatable(serving) : await serveOnce(serving)
+}
+
+/**
+ * Places open to a request. A VM without a lease on being current can't know of drains and shifts: it
+ * has none, or for reads its own region if the profile says `local`.
+ */
+function openPlaces (entry: Entry, request: ForwardRequest, address: string, now: Millis): readonly Place[] {
+  const places = placesFor(entry, request.service, request.profile, callerInfo(entry, address))
+  if (isCurrent(entry.node.currency, now)) return places
+  const mayServeLocally = request.profile.whenIsolated === 'local' && request.isIdempotent
+  return mayServeLocally ? places.filter(place => place.region === entry.node.cfg.region && place.shift === undefined) : []
+}
+
+function admissionOf (entry: Entry, request: ForwardRequest, places: readonly Place[], now: Millis): AdmissionInput {
+  const first = places[0]
+  const tripMs = first === undefined ? 0 : roundTripTo(entry.router, first.region)
+  const route = { service: request.service, places, tried: new Set<string>() }
+  return {
+    deadline: request.deadline,
+    slots: slotsOpenTo(entry.router, route, now),
+    waiting: waitingFor(entry, request.service),
+    serviceMs: serviceTime(entry.router, request.service),
+    overheadMs: tripMs
+  }
+}
+
+/** Whether a request can be served in time, as far as can be told now. */
+export function isAdmitted (serving: Serving): boolean {
+  return serving.places.length > 0 && canFinish(serving.admission, presentTime())
+}
+
+/** When a refused caller should come back. */
+export function comeBackAfter (serving: Serving): Millis {
+  return retryAfter(serving.admission)
+}
+
+/** The retry budget of a service. */
+export function budgetOf (entry: Entry, service: ServiceId): RetryBudget {
+  let budget = entry.budgets.get(service)
+  if (budget === undefined) {
+    budget = createBudget()
+    entry.budgets.set(service, budget)
+  }
+  return budget
+}
--- /dev/null
+++ b/packages/daemon/src/core/entry/polling.ts
@@ -0,0 +1,52 @@
+/**
+ * Polls backend servers' own `/health` and `/load`. They lag or mislead, so they only add to what this
+ * VM sees itself: a failed poll counts as one failure among others, a reported load as one report.
+ */
+import { request } from 'undici'
+import type { Millis } from '@lynxcourse/base'
+import { noteEnded, noteReportedLoad, noteSent } from '@lynxcourse/routing'
+import type { Observed } from '@lynxcourse/routing'
+import { presentTime } from '../../utils/clock.js'
+import { repeat } from '../node/timers.js'
+import { refreshViewNow } from './entry.js'
+import type { Entry } from './entry.js'
+
+const pollEveryMs = 2000
+const pollTimeoutMs = 1000
+
+/** A report younger than this makes a poll needless. */
+const freshReportMs = 2000
+
+/** Most polls at once. */
+const maxPolls = 16
+
+/** Starts to poll the servers of this VM's own region. */
+export function startPolling (entry: Entry): AsyncDisposable {
+  return repeat(pollEveryMs, async () => await pollAll(entry), () => undefined)
+}
+
+async function pollAll (entry: Entry): Promise<void> {
+  refreshViewNow(entry)
+  const now = presentTime()
+  const due = [...entry.router.backends.byId.values()].filter(observed => isDue(entry, observed, now))
+  for (let first = 0; first < due.length; first += maxPolls) {
+    await Promise.all(due.slice(first, first + maxPolls).map(async observed => await pollOne(entry, observed)))
+  }
+}
+
+function isDue (entry: Entry, observed: Observed, now: Millis): boolean {
+  const isNear = observed.backend.region === entry.node.cfg.region
+  return isNear && observed.state !== 'gone' && now - observed.reportedAt > freshReportMs
+}
+
+async function pollOne (entry: Entry, observed: Observed): Promise<void> {
+  try {
+    const res = await request(`http://${observed.backend.address}/load`, { signal: AbortSignal.timeout(pollTimeoutMs) })
+    const report = await res.body.json() as { inFlight?: unknown }
+    if (typeof report.inFlight === 'number') noteReportedLoad(observed, report.inFlight, presentTime())
+  } catch {
+    const now = presentTime()
+    noteSent(observed)
+    noteEnded(entry.router.backends, observed, 'failed', 0, now)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/core/entry/serveRepeatable.ts
@@ -0,0 +1,120 @@
+/** Serves requests that may run twice: tries elsewhere, within a budget, and hedges if told to. */
+import { spendRetry } from '@lynxcourse/routing'
+import { presentTime } from '../../utils/clock.js'
+import type { FinalAnswer } from '../../types/answers.js'
+import { answerFrom, attemptIn, getSlot, isEnded, logRefused, takeAttemptEvent } from './attemptSteps.js'
+import type { RequestLife } from './attemptSteps.js'
+import type { AttemptResult } from './attempts.js'
+import { ownAnswer } from './finalAnswers.js'
+import { budgetOf, comeBackAfter, isAdmitted } from './forwarding.js'
+import type { Serving } from './forwarding.js'
+import type { Slot } from './slots.js'
+
+interface Run {
+  readonly serving: Serving
+  readonly life: RequestLife
+  readonly tried: Set<string>
+  attempts: number
+  sent: boolean
+}
+
+interface Finished {
+  readonly slot: Slot
+  readonly result: AttemptResult
+}
+
+/** Serves an idempotent request. */
+export async function serveRepeatable (serving: Serving): Promise<FinalAnswer> {
+  const life = { state: serving.entry.attemptChart.initial }
+  const run: Run = { serving, life, tried: new Set(), attempts: 0, sent: false }
+  if (!isAdmitted(serving)) return giveUp(run, 'no capacity in time')
+  while (!isEnded(serving, life)) {
+    const slot = await getSlot(serving, run.tried)
+    if (typeof slot === 'string') return giveUp(run, slot === 'full' ? 'queue is full' : 'no slot in time')
+    takeAttemptEvent(serving, life, 'send')
+    const finished = await attemptOrHedge(run, slot)
+    if (finished.result.type === 'answered') {
+      takeAttemptEvent(serving, life, 'answer')
+      return answerFrom(finished.slot, finished.result)
+    }
+    const last = noteFailed(run, finished.result)
+    if (last !== undefined) return last
+  }
+  return giveUp(run, 'ended')
+}
+
+/** Notes a failed attempt; an answer if there is to be no other. */
+function noteFailed (run: Run, result: Exclude<AttemptResult, { type: 'answered' }>): FinalAnswer | undefined {
+  const { serving } = run
+  takeAttemptEvent(serving, run.life, result.type === 'shed' ? 'shed' : 'fail')
+  if (result.type === 'lost') run.sent = true
+  const isOver = result.type === 'lost' && (result.reason === 'deadline' || result.reason === 'gone')
+  if (isOver || presentTime() >= serving.request.deadline) return giveUp(run, 'deadline passed')
+  const mayRetry = run.attempts < serving.request.profile.maxAttempts && serving.request.isReplayable
+  // A shed costs the server nothing, so it takes nothing from the budget.
+  const hasBudget = result.type === 'shed' || spendRetry(budgetOf(serving.entry, serving.request.service))
+  if (!mayRetry || !hasBudget) return giveUp(run, result.type === 'shed' ? 'servers shed' : 'attempts failed')
+  return undefined
+}
+
+function giveUp (run: Run, reason: string): FinalAnswer {
+  const { serving } = run
+  logRefused(serving, reason)
+  const isLate = presentTime() >= serving.request.deadline || run.sent
+  return ownAnswer(isLate ? 'too-late' : 'not-run', reason, comeBackAfter(serving))
+}
+
+async function startAttempt (run: Run, slot: Slot, signal: AbortSignal): Promise<Finished> {
+  run.attempts += 1
+  run.tried.add(slot.observed.backend.id)
+  return { slot, result: await attemptIn(run.serving, slot, signal) }
+}
+
+/** Runs an attempt; if it is slow and the budget allows, a second one beside it. The first answer wins. */
+async function attemptOrHedge (run: Run, slot: Slot): Promise<Finished> {
+  const { serving } = run
+  const { hedgeAfterMs, maxAttempts } = serving.request.profile
+  const firstStop = linkedAbort(serving.signal)
+  const first = startAttempt(run, slot, firstStop.signal)
+  if (hedgeAfterMs === 0 || run.attempts >= maxAttempts || !serving.request.isReplayable) return await first
+  const early = await orAfter(first, hedgeAfterMs)
+  if (early !== undefined) return early
+  if (!spendRetry(budgetOf(serving.entry, serving.request.service))) return await first
+  const secondSlot = await getSlot(serving, run.tried)
+  if (typeof secondSlot === 'string') return await first
+  const secondStop = linkedAbort(serving.signal)
+  const second = startAttempt(run, secondSlot, secondStop.signal)
+  return await firstAnswer(first, second, firstStop, secondStop)
+}
+
+async function firstAnswer (first: Promise<Finished>, second: Promise<Finished>, firstStop: AbortController, secondStop: AbortController): Promise<Finished> {
+  const winner = await Promise.race([first, second])
+  const other = winner === await orAfter(first, 0) ? second : first
+  if (winner.result.type !== 'answered') return await other
+  const loserStop = other === first ? firstStop : secondStop
+  loserStop.abort()
+  other.then(loser => { discard(loser) }).catch(() => undefined)
+  return winner
+}
+
+/** A loser that answered all the same: its streamed body is closed, which gives its slot back. */
+function discard (loser: Finished): void {
+  if (loser.result.type === 'answered' && !Buffer.isBuffer(loser.result.body)) loser.result.body.destroy()
+}
+
+function linkedAbort (outer: AbortSignal): AbortController {
+  const controller = new AbortController()
+  if (outer.aborted) controller.abort()
+  else outer.addEventListener('abort', () => controller.abort(), { once: true, signal: controller.signal })
+  return controller
+}
+
+async function orAfter<Value> (work: Promise<Value>, ms: number): Promise<Value | undefined> {
+  let timer: NodeJS.Timeout | undefined
+  const timeout = new Promise<undefined>(resolve => { timer = setTimeout(() => resolve(undefined), ms) })
+  try {
+    return await Promise.race([work, timeout])
+  } finally {
+    clearTimeout(timer)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/core/entry/slots.ts
@@ -0,0 +1,183 @@
+/** Waiting for a slot: requests stand by deadline and are given up as soon as they can't be served in time. */
+import type { Millis, ResourceId, ServiceId } from '@lynxcourse/base'
+import { enterLimits, leaveLimits, mayEnter, noteWanted } from '@lynxcourse/limits'
+import {
+  createQueue, dequeue, enqueue, enterAttempt, leaveAttempt, peekFirst, removeItem, routeRequest, serviceTime
+} from '@lynxcourse/routing'
+import type { AttemptEnd, DeadlineQueue, LimitGate, Observed, PassedOver, Place, RouteRequest, Waiting } from '@lynxcourse/routing'
+import { linkResource, profileOf, regionResource, shiftResource } from '@lynxcourse/state'
+import type { Profile } from '@lynxcourse/state'
+import { presentTime } from '../../utils/clock.js'
+import { refreshView } from './entry.js'
+import type { Entry } from './entry.js'
+
+/** A slot at a backend server, held for one attempt. */
+export interface Slot {
+  readonly observed: Observed
+  readonly place: Place
+  readonly resources: readonly ResourceId[]
+  readonly passedOver: readonly PassedOver[]
+  readonly startedAt: Millis
+}
+
+/** Why no slot came. */
+export type NoSlot = 'full' | 'late' | 'gone'
+
+interface Waiter extends Waiting {
+  readonly request: RouteRequest
+  readonly gate: LimitGate
+  readonly resolve: (result: Slot | NoSlot) => void
+}
+
+/** Requests of one service that wait at this VM. */
+export interface ServiceQueue {
+  readonly queue: DeadlineQueue<Waiter>
+  timer: NodeJS.Timeout | undefined
+}
+
+/** How many of the first waiters are tried when a slot comes free; the places of later ones may differ. */
+const maxTried = 8
+
+/** Waiters are looked at again after this, since pauses and grants end without a message. */
+const pumpEveryMs = 10
+
+/** Limits of a profile as routing asks them. */
+export function limitGate (entry: Entry, profile: Profile, now: () => Millis): LimitGate {
+  const { node } = entry
+  return {
+    resourcesOf: place => {
+      const resources = [regionResource(profile, place.region)]
+      if (place.region !== node.cfg.region) resources.push(linkResource(profile, node.cfg.region, place.region))
+      if (place.shift !== undefined) resources.push(shiftResource(place.shift))
+      return resources.filter(resource => entry.capped.has(resource))
+    },
+    mayEnter: resources => {
+      const isOpen = mayEnter(node.limits, resources, now())
+      if (!isOpen) for (const resource of resources) noteWanted(node.limits, resource, 1)
+      return isOpen
+    }
+  }
+}
+
+function queueOf (entry: Entry, service: ServiceId): ServiceQueue {
+  const known = entry.queues.get(service)
+  if (known !== undefined) return known
+  const limit = profileOf(entry.node.config, service)?.queueLimit ?? 0
+  const made: ServiceQueue = { queue: createQueue(limit), timer: undefined }
+  entry.queues.set(service, made)
+  return made
+}
+
+/** Requests of a service that wait. */
+export function waitingFor (entry: Entry, service: ServiceId): number {
+  return entry.queues.get(service)?.queue.heap.length ?? 0
+}
+
+/**
+ * Gets a slot, waiting for one if need be.
+ *
+ * @param signal ends the wait when the caller is gone
+ */
+export async function acquireSlot (entry: Entry, request: RouteRequest, gate: LimitGate, deadline: Millis, signal: AbortSignal): Promise<Slot | NoSlot> {
+  const now = presentTime()
+  refreshView(entry, now)
+  const service = queueOf(entry, request.service)
+  // Those who wait already go first.
+  const slot = service.queue.heap.length === 0 ? trySlot(entry, request, gate, now) : undefined
+  if (slot !== undefined) return slot
+  return await waitForSlot(entry, service, { request, gate, deadline, signal })
+}
+
+interface WaitInput {
+  readonly request: RouteRequest
+  readonly gate: LimitGate
+  readonly deadline: Millis
+  readonly signal: AbortSignal
+}
+
+async function waitForSlot (entry: Entry, service: ServiceQueue, input: WaitInput): Promise<Slot | NoSlot> {
+  const { request, gate, deadline, signal } = input
+  return await new Promise(resolve => {
+    const waiter: Waiter = {
+      deadline,
+      order: entry.nextRequest++,
+      request,
+      gate,
+      resolve: result => {
+        signal.removeEventListener('abort', leave)
+        resolve(result)
+      }
+    }
+    function leave (): void {
+      if (removeItem(service.queue, waiter)) waiter.resolve('gone')
+    }
+    if (signal.aborted) {
+      resolve('gone')
+      return
+    }
+    if (!enqueue(service.queue, waiter)) {
+      resolve('full')
+      return
+    }
+    signal.addEventListener('abort', leave)
+    pumpQueue(entry, request.service)
+  })
+}
+
+function trySlot (entry: Entry, request: RouteRequest, gate: LimitGate, now: Millis): Slot | undefined {
+  const decision = routeRequest(entry.router, request, gate, now)
+  if (decision.type === 'wait') return undefined
+  enterAttempt(decision.observed)
+  enterLimits(entry.node.limits, decision.resources)
+  const { observed, place, resources, passedOver } = decision
+  return { observed, place, resources, passedOver, startedAt: now }
+}
+
+/** Gives a slot back and serves those who wait. */
+export function releaseSlot (entry: Entry, slot: Slot, end: AttemptEnd): void {
+  const now = presentTime()
+  leaveAttempt(entry.router, slot.observed, end, now - slot.startedAt, now)
+  leaveLimits(entry.node.limits, slot.resources)
+  entry.node.metrics.attempts.inc({ end })
+  pumpQueue(entry, slot.observed.backend.service)
+}
+
+/** Serves those who wait, by deadline; gives up those who can't be served in time any more. */
+export function pumpQueue (entry: Entry, name: ServiceId): void {
+  const service = entry.queues.get(name)
+  if (service === undefined) return
+  const now = presentTime()
+  refreshView(entry, now)
+  dropLate(entry, service, name, now)
+  serveFirst(entry, service, now)
+  keepPumping(entry, service, name)
+}
+
+function dropLate (entry: Entry, service: ServiceQueue, name: ServiceId, now: Millis): void {
+  const leastMs = serviceTime(entry.router, name) / 2
+  for (let first = peekFirst(service.queue); first !== undefined && first.deadline < now + leastMs; first = peekFirst(service.queue)) {
+    dequeue(service.queue)
+    first.resolve('late')
+  }
+}
+
+function serveFirst (entry: Entry, service: ServiceQueue, now: Millis): void {
+  const passed: Waiter[] = []
+  while (passed.length < maxTried) {
+    const waiter = dequeue(service.queue)
+    if (waiter === undefined) break
+    const slot = trySlot(entry, waiter.request, waiter.gate, now)
+    if (slot === undefined) passed.push(waiter)
+    else waiter.resolve(slot)
+  }
+  for (const waiter of passed) enqueue(service.queue, waiter)
+}
+
+function keepPumping (entry: Entry, service: ServiceQueue, name: ServiceId): void {
+  const isEmpty = service.queue.heap.length === 0
+  if (isEmpty || service.timer !== undefined) return
+  service.timer = setTimeout(() => {
+    service.timer = undefined
+    pumpQueue(entry, name)
+  }, pumpEveryMs)
+}
--- /dev/null
+++ b/packages/daemon/src/core/rpc/rpcServer.ts
@@ -0,0 +1,110 @@
+/** JSON-RPC 2.0 over HTTP for other VMs and operators. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
+import { createServer as createTlsServer } from 'node:https'
+import type { TLSSocket } from 'node:tls'
+import { JSONRPCErrorCode, JSONRPCServer, createJSONRPCErrorResponse } from 'json-rpc-2.0'
+import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
+import type { z } from 'zod'
+import type { Metrics } from '../../utils/metrics.js'
+import { listen, readBody } from '../../utils/httpServer.js'
+import type { TlsFiles } from '../../plugins/tlsFiles.js'
+
+/** Who calls, by the certificate's name: `vm:NAME`, `operator:NAME` or `server:NAME`. */
+export interface RpcCaller {
+  readonly role: 'vm' | 'operator' | 'server' | 'loopback'
+  readonly name: string
+  readonly address: string
+}
+
+export type RpcHandler<Params> = (params: Params, caller: RpcCaller) => unknown
+
+export interface RpcServer {
+  readonly server: Server
+  readonly methods: JSONRPCServer<RpcCaller>
+  readonly metrics: Metrics
+}
+
+/** Error code of JSON-RPC for errors of this system; the detail is in `data`. */
+const applicationErrorCode = -32000
+const maxHeaderBytes = 16_384
+
+/** Makes the server; add its methods before it listens. */
+export function createRpcServer (maxBytes: number, metrics: Metrics, tls: TlsFiles | undefined): RpcServer {
+  const methods = new JSONRPCServer<RpcCaller>({ errorListener: () => undefined })
+  methods.mapErrorToJSONRPCErrorResponse = (id, err) => {
+    const data = isLynxError(err) ? { code: err.code, step: err.step, field: err.field, peer: err.peer } : undefined
+    const code = data === undefined ? JSONRPCErrorCode.InternalError : applicationErrorCode
+    return createJSONRPCErrorResponse(id, code, messageOf(err), data)
+  }
+  const listener: RequestListener = (req, res) => {
+    answerRpc(methods, maxBytes, req, res).catch((err: unknown) => refuse(res, metrics, err))
+  }
+  const options = { maxHeaderSize: maxHeaderBytes, requestTimeout: 30_000, headersTimeout: 10_000 }
+  const server = tls === undefined
+    ? createServer(options, listener)
+    : createTlsServer({ ...options, ...tls.current, requestCert: true, rejectUnauthorized: true }, listener)
+  if (tls !== undefined) tls.onChange(files => (server as unknown as { setSecureContext: (o: object) => void }).setSecureContext(files))
+  return { server, methods, metrics }
+}
+
+function refuse (res: ServerResponse, metrics: Metrics, err: unknown): void {
+  metrics.refusals.inc({ reason: isLynxError(err) ? err.code : 'badRpc' })
+  if (res.headersSent) {
+    res.destroy()
+    return
+  }
+  const status = isLynxError(err, 'tooLarge') ? 413 : isLynxError(err, 'notAllowed') ? 403 : 400
+  const body = createJSONRPCErrorResponse(null, JSONRPCErrorCode.ParseError, messageOf(err))
+  res.writeHead(status, { 'content-type': 'application/json', connection: 'close' }).end(JSON.stringify(body))
+}
+
+async function answerRpc (methods: JSONRPCServer<RpcCaller>, maxBytes: number, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  if (req.method !== 'POST' || req.url !== '/rpc') throw new LynxError('badRpc', 'expected POST /rpc', { step: 'receive' })
+  const body = await readBody(req, maxBytes)
+  const answer = await methods.receiveJSON(body.toString('utf8'), callerOf(req))
+  res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(answer ?? null))
+}
+
+/** Tells callers apart by certificate; without TLS the daemon only listens on loopback. */
+function callerOf (req: IncomingMessage): RpcCaller {
+  const address = req.socket.remoteAddress ?? ''
+  const socket = req.socket as TLSSocket
+  if (socket.encrypted !== true) return { role: 'loopback', name: address, address }
+  const [role, name] = String(socket.getPeerCertificate().subject?.CN ?? '').split(':')
+  if ((role !== 'vm' && role !== 'operator' && role !== 'server') || name === undefined || name === '') {
+    throw new LynxError('notAllowed', 'certificate names no vm:, operator: or server:', { step: 'receive', peer: address })
+  }
+  return { role, name, address }
+}
+
+/**
+ * Adds a method.
+ *
+ * @param roles who may call it; callers on loopback without TLS may call all
+ * @param schema checks the parameters, so that an error names the field
+ */
+export function addMethod<Schema extends z.ZodType> (
+  rpc: RpcServer, name: string, roles: ReadonlyArray<RpcCaller['role']>, schema: Schema, handler: RpcHandler<z.output<Schema>>
+): void {
+  rpc.methods.addMethod(name, async (params: unknown, caller: RpcCaller) => {
+    rpc.metrics.rpc.inc({ method: name, side: 'in' })
+    if (caller.role !== 'loopback' && !roles.includes(caller.role)) {
+      rpc.metrics.refusals.inc({ reason: 'notAllowed' })
+      throw new LynxError('notAllowed', `${caller.role}:${caller.name} may not call ${name}`, { step: name, peer: caller.name })
+    }
+    const checked = schema.safeParse(params ?? {})
+    if (!checked.success) {
+      const issue = checked.error.issues[0]
+      const field = issue?.path.join('.') ?? ''
+      rpc.metrics.refusals.inc({ reason: 'badRequest' })
+      throw new LynxError('badRequest', `${field}: ${issue?.message}`, { step: name, field })
+    }
+    return await handler(checked.data, caller)
+  })
+}
+
+/** Starts to listen. */
+export async function listenRpc (rpc: RpcServer, address: string): Promise<void> {
+  await listen(rpc.server, address)
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,2 @@
+/** The daemon as a library, for tests and benches: settings, storage, and starting and stopping. */
+export * from './internal.js'
--- /dev/null
+++ b/packages/daemon/src/internal.ts
@@ -0,0 +1,10 @@
+/** Fixes the order in which the modules of this package load. */
+export * from './types/settings.js'
+export * from './types/answers.js'
+export * from './utils/clock.js'
+export * from './utils/readSettings.js'
+export * from './utils/logging.js'
+export * from './utils/metrics.js'
+export * from './plugins/logStorage.js'
+export * from './core/rpc/rpcClient.js'
+export * from './core/daemon.js'
--- /dev/null
+++ b/packages/daemon/src/utils/clock.ts
@@ -0,0 +1,11 @@
+/** The one place where the daemon reads the time; everything that decides gets it as an argument. */
+import { performance } from 'node:perf_hooks'
+import type { Millis } from '@lynxcourse/base'
+
+/**
+ * Unix milliseconds that never go back while the process lives: the wall clock at start plus what a
+ * monotonic clock counted since. A stepped wall clock can so neither end nor stretch a lease.
+ */
+export function presentTime (): Millis {
+  return performance.timeOrigin + performance.now()
+}
--- /dev/null
+++ b/packages/daemon/src/utils/httpServer.ts
@@ -0,0 +1,54 @@
+/** Small helpers around Node's HTTP server. */
+import type { IncomingMessage, Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { LynxError, messageOf } from '@lynxcourse/base'
+
+/** Host and port of `IP:port`. */
+export function splitAddress (address: string): { host: string, port: number } {
+  const colon = address.lastIndexOf(':')
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
+}
+
+/** Listens on `IP:port`; port 0 takes a free one. */
+export async function listen (server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address)
+  await new Promise<void>((resolve, reject) => {
+    const fail = (err: Error): void => reject(new LynxError('badSettings', `listen on ${address}: ${messageOf(err)}`, { step: 'listen', cause: err }))
+    server.once('error', fail)
+    server.listen(port, host, () => {
+      server.off('error', fail)
+      resolve()
+    })
+  })
+}
+
+/** The address that a server listens on. */
+export function addressOf (server: Server): string {
+  const info = server.address() as AddressInfo
+  return `${info.address}:${info.port}`
+}
+
+/** Closes a server and the connections that carry nothing. */
+export async function closeServer (server: Server): Promise<void> {
+  if (!server.listening) return
+  await new Promise<void>(resolve => {
+    server.close(() => resolve())
+    server.closeAllConnections()
+  })
+}
+
+/**
+ * Reads a whole body.
+ *
+ * @throws LynxError `tooLarge` over `maxBytes`
+ */
+export async function readBody (req: IncomingMessage, maxBytes: number): Promise<Buffer> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length
+    if (size > maxBytes) throw new LynxError('tooLarge', `body over ${maxBytes} bytes`, { step: 'read body', field: 'body' })
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks)
+}
--- /dev/null
+++ b/packages/daemon/src/utils/metrics.ts
@@ -0,0 +1,47 @@
+/** Metrics by `prom-client`; label sets are bounded. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+const latencyBuckets = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30]
+
+/** All metrics of one daemon. */
+export interface Metrics {
+  readonly registry: Registry
+  readonly requests: Counter<'service' | 'outcome'>
+  readonly requestSeconds: Histogram<'service'>
+  readonly attempts: Counter<'end'>
+  readonly lookups: Counter<'result'>
+  readonly claims: Counter<'result'>
+  readonly claimSeconds: Histogram
+  readonly refusals: Counter<'reason'>
+  readonly rpc: Counter<'method' | 'side'>
+  readonly rpcBytes: Counter<'direction'>
+  readonly inFlight: Gauge
+  readonly waiting: Gauge
+  readonly configVersion: Gauge
+  readonly current: Gauge
+  readonly records: Gauge<'kind'>
+  readonly diskSyncs: Counter
+}
+
+export function createMetrics (): Metrics {
+  const registry = new Registry()
+  const registers = [registry]
+  return {
+    registry,
+    requests: new Counter({ name: 'lynxcourse_requests_total', help: 'Requests by final answer.', labelNames: ['service', 'outcome'], registers }),
+    requestSeconds: new Histogram({ name: 'lynxcourse_request_duration_seconds', help: 'Time to the final answer.', labelNames: ['service'], buckets: latencyBuckets, registers }),
+    attempts: new Counter({ name: 'lynxcourse_attempts_total', help: 'Attempts at backend servers by end.', labelNames: ['end'], registers }),
+    lookups: new Counter({ name: 'lynxcourse_lookups_total', help: 'Look-ups by result.', labelNames: ['result'], registers }),
+    claims: new Counter({ name: 'lynxcourse_claims_total', help: 'Claims by result.', labelNames: ['result'], registers }),
+    claimSeconds: new Histogram({ name: 'lynxcourse_claim_duration_seconds', help: 'Time to an answer from the register.', buckets: latencyBuckets, registers }),
+    refusals: new Counter({ name: 'lynxcourse_refusals_total', help: 'Messages refused, by reason.', labelNames: ['reason'], registers }),
+    rpc: new Counter({ name: 'lynxcourse_rpc_total', help: 'RPC calls by method and side.', labelNames: ['method', 'side'], registers }),
+    rpcBytes: new Counter({ name: 'lynxcourse_rpc_bytes_total', help: 'Bytes of RPC bodies.', labelNames: ['direction'], registers }),
+    inFlight: new Gauge({ name: 'lynxcourse_requests_in_flight', help: 'Requests in this VM.', registers }),
+    waiting: new Gauge({ name: 'lynxcourse_requests_waiting', help: 'Requests that wait for a slot.', registers }),
+    configVersion: new Gauge({ name: 'lynxcourse_config_version', help: 'Version of the configuration in force.', registers }),
+    current: new Gauge({ name: 'lynxcourse_current', help: 'Whether this VM holds a lease on being current.', registers }),
+    records: new Gauge({ name: 'lynxcourse_directory_records', help: 'Records in the directory.', labelNames: ['kind'], registers }),
+    diskSyncs: new Counter({ name: 'lynxcourse_disk_syncs_total', help: 'Times that a file was synced.', registers })
+  }
+}
--- /dev/null
+++ b/packages/state/src/internal.ts
@@ -0,0 +1,10 @@
+/** Fixes the order in which the modules of this package load. */
+export * from './types/profile.js'
+export * from './types/commands.js'
+export * from './types/items.js'
+export * from './core/config.js'
+export * from './core/caps.js'
+export * from './core/claims.js'
+export * from './core/allocations.js'
+export * from './core/changes.js'
+export * from './core/machine.js'
--- /dev/null
+++ b/packages/state/src/types/items.ts
@@ -0,0 +1,71 @@
+/** The configuration as items, each with the version at which it last changed. */
+import type { ChangeId, DrainId, Millis, ProfileName, RegionId, ServiceId, ShiftId } from '@lynxcourse/base'
+import type { DrainTarget } from './commands.js'
+import type { Profile } from './profile.js'
+
+/** Who changed an item, and when by the log's time. */
+export interface Origin {
+  readonly changeId: ChangeId
+  readonly operator: string
+  readonly at: Millis
+}
+
+export interface ProfileItem {
+  readonly kind: 'profile'
+  readonly key: ProfileName
+  readonly profile: Profile
+  /** Counts this profile's own changes, from 1. */
+  readonly itemVersion: number
+  readonly retired: boolean
+  readonly origin: Origin
+}
+
+export interface ServiceItem {
+  readonly kind: 'service'
+  readonly key: ServiceId
+  readonly profile: ProfileName
+  readonly origin: Origin
+}
+
+export interface DrainItem {
+  readonly kind: 'drain'
+  readonly key: DrainId
+  readonly target: DrainTarget
+  readonly at: Millis
+  readonly state: string
+  readonly origin: Origin
+}
+
+export interface ShiftItem {
+  readonly kind: 'shift'
+  readonly key: ShiftId
+  readonly service: ServiceId
+  readonly from: RegionId
+  readonly to: RegionId
+  readonly targetPercent: number
+  readonly stepPercent: number
+  readonly cap: number
+  /** Share moved by now. */
+  readonly percent: number
+  readonly state: string
+  /** Log time of the last step. */
+  readonly steppedAt: Millis
+  readonly origin: Origin
+}
+
+export type ConfigItem = ProfileItem | ServiceItem | DrainItem | ShiftItem
+
+/** An item with the configuration version at which it last changed. */
+export interface VersionedItem {
+  readonly version: number
+  readonly item: ConfigItem
+}
+
+/** What brings a copy of the configuration from one version to a higher one. */
+export interface ConfigDelta {
+  /** Whether `items` is all there is; else only what changed since `from`. */
+  readonly full: boolean
+  readonly from: number
+  readonly version: number
+  readonly items: readonly VersionedItem[]
+}
--- /dev/null
+++ b/scripts/support/system.ts
@@ -0,0 +1,54 @@
+/** A small system of daemons as processes: started, founded and stopped. */
+import type { SettingsInput } from '@lynxcourse/daemon'
+import { answers, ended, mustCli, startDaemonProcess, until } from './processes.js'
+import type { DaemonProcess } from './processes.js'
+import { planVms, settingsOf } from './topology.js'
+import type { VmPlan } from './topology.js'
+
+export interface SmallSystem {
+  readonly plans: readonly VmPlan[]
+  readonly daemons: DaemonProcess[]
+  /** Where callers reach the VMs. */
+  readonly http: readonly string[]
+  /** Where operators reach the VMs, control VMs first. */
+  readonly rpc: readonly string[]
+  readonly folder: string
+  readonly extra: Partial<SettingsInput>
+}
+
+/** Starts daemons, founds the cluster and waits until all are ready. */
+export async function startSystem (count: number, folder: string, extra: Partial<SettingsInput> = {}): Promise<SmallSystem> {
+  const plans = await planVms(count)
+  const daemons = plans.map(plan => startDaemonProcess(plan, settingsOf(plan, plans, folder, extra), folder))
+  const control = plans.filter(plan => plan.isControl)
+  const others = plans.filter(plan => !plan.isControl)
+  const system: SmallSystem = {
+    plans,
+    daemons,
+    http: plans.map(plan => plan.http),
+    rpc: [...control, ...others].map(plan => plan.rpc),
+    folder,
+    extra
+  }
+  try {
+    for (const plan of plans) await until(`${plan.vm} answers`, async () => await answers(plan, '/healthz'))
+    await mustCli(control.map(plan => plan.rpc), ['cluster', 'init'])
+    for (const plan of plans) await until(`${plan.vm} is ready`, async () => await answers(plan, '/readyz'))
+  } catch (err) {
+    await stopSystem(system)
+    throw err
+  }
+  return system
+}
+
+/** Starts one daemon again. */
+export function restartVm (system: SmallSystem, daemon: DaemonProcess): void {
+  const settings = settingsOf(daemon.plan, system.plans, system.folder, system.extra)
+  daemon.child = startDaemonProcess(daemon.plan, settings, system.folder).child
+}
+
+/** Ends all daemons at once. */
+export async function stopSystem (system: SmallSystem): Promise<void> {
+  for (const { child } of system.daemons) child.kill('SIGKILL')
+  await Promise.all(system.daemons.map(async ({ child }) => await ended(child)))
+}
