Prove the promises by a fault matrix over the decision modules

Change: a package that drives the project's own modules (agreement, state machine, leases, grants, drains, shifts, the once-only flow) on a small in-memory network with seeded faults; 16 faults at 9 steps, a generator for pairs, and `npm run faults`, which writes docs/FAULTS.md.

Ruled out on the way: "ran 2 times" under doubled messages came from the model doubling a request on its way to a server, which TCP does not do; that one link is now a stream. Two disks of three lost within one repair can't be live and is reported as standing still.

--- /dev/null
+++ b/packages/faults/src/internal.ts
@@ -0,0 +1,11 @@
+/** Fixes the order in which the modules of this package load. */
+export * from './types/world.js'
+export * from './core/network.js'
+export * from './core/times.js'
+export * from './core/checks.js'
+export * from './core/controlModel.js'
+export * from './core/entryModel.js'
+export * from './core/operators.js'
+export * from './core/world.js'
+export * from './core/faultKinds.js'
+export * from './core/matrix.js'
