Give up silent connections without giving up their server

Cause: a read over a connection that went silent was cut off after its patience, but the server counted as tried, so with one server left the request waited for a slot until its deadline (504 after 8 s).

Ruled out: the patience itself, which fired after 200 ms; the server, which answered on a new connection.

Change: a silent connection closes the idle ones beside it, counts neither as a try nor as a failure of the server, and the request goes again over a new connection.

Two more found by new tests, red first: an oversized announcement was cut off before its 413 could be written (the body's iterator destroyed the request), and a damaged log leaked its file handle.

--- /dev/null
+++ b/packages/daemon/__tests__/storage.test.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict'
+import { appendFile, mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { firstSnapshot } from '@lynxcourse/agreement'
+import type { Entry, Output } from '@lynxcourse/agreement'
+import { brandId, isLynxError } from '@lynxcourse/base'
+import type { HolderId } from '@lynxcourse/base'
+import { openStorage, parseLog, parseSnapshot, saveOutput, writeSnapshot } from '@lynxcourse/daemon'
+
+const seed = 41
+console.log(`seed ${seed}`)
+
+const voter = brandId<HolderId>('v/1')
+
+function entry (index: number, term = 1): Entry {
+  return { index, term, at: 5, body: { type: 'command', command: { n: index } } }
+}
+
+function output (fields: Partial<Output>): Output {
+  return { hardState: undefined, entries: [], snapshot: undefined, install: false, messages: [], committed: [], reads: [], failedReads: [], proposed: [], ...fields }
+}
+
+async function inFolder (work: (folder: string) => Promise<void>): Promise<void> {
+  const folder = await mkdtemp(join(tmpdir(), 'lynxcourse-log-'))
+  try {
+    await work(folder)
+  } finally {
+    await rm(folder, { recursive: true, force: true })
+  }
+}
+
+/** A log with entries 1 to 3 of term 1, of which 3 was replaced in term 2. */
+async function writeLog (folder: string): Promise<void> {
+  const { storage } = await openStorage(folder)
+  await writeSnapshot(storage, firstSnapshot([voter], ''))
+  await saveOutput(storage, output({ hardState: { term: 1, votedFor: voter }, entries: [entry(1), entry(2), entry(3)] }), [])
+  await saveOutput(storage, output({ hardState: { term: 2, votedFor: undefined }, entries: [entry(3, 2)] }), [])
+  await storage[Symbol.asyncDispose]()
+}
+
+async function indexesIn (folder: string): Promise<Array<[number, number]> | undefined> {
+  const { storage, stored } = await openStorage(folder)
+  await storage[Symbol.asyncDispose]()
+  return stored?.entries.map(one => [one.index, one.term])
+}
+
+test('what was saved is read back, the later of two entries at one index', async () => {
+  await inFolder(async folder => {
+    await writeLog(folder)
+    assert.deepEqual(await indexesIn(folder), [[1, 1], [2, 1], [3, 2]])
+    const { storage, stored } = await openStorage(folder)
+    assert.deepEqual(stored?.hardState, { term: 2 })
+    await storage[Symbol.asyncDispose]()
+  })
+})
+
+test('a torn last record is cut off, and the log goes on after it', async () => {
+  // Symptom: the VM does not start after a power cut. Sequence: power fails in the middle of a write.
+  // Cause: the last record is not whole; it was never synced, so nobody was told of it.
+  await inFolder(async folder => {
+    await writeLog(folder)
+    const whole = await readFile(join(folder, 'log'))
+    for (const cut of [1, 5, 20]) {
+      await writeFile(join(folder, 'log'), whole.subarray(0, whole.length - cut))
+      assert.deepEqual(await indexesIn(folder), [[1, 1], [2, 1], [3, 1]])
+    }
+    const { storage } = await openStorage(folder)
+    await saveOutput(storage, output({ entries: [entry(4, 3)] }), [])
+    await storage[Symbol.asyncDispose]()
+    assert.deepEqual(await indexesIn(folder), [[1, 1], [2, 1], [3, 1], [4, 3]])
+  })
+})
+
+test('damage in the middle is not passed over', async () => {
+  // Symptom: committed entries vanish. Sequence: a sector of synced data goes bad. Cause: the reader takes
+  // the rest of the file for a torn tail.
+  await inFolder(async folder => {
+    await writeLog(folder)
+    const bytes = await readFile(join(folder, 'log'))
+    bytes[20] = (bytes[20] ?? 0) ^ 255
+    await writeFile(join(folder, 'log'), bytes)
+    await assert.rejects(openStorage(folder), err => isLynxError(err, 'corruptLog'))
+  })
+})
+
+test('a snapshot replaces the entries that it covers', async () => {
+  await inFolder(async folder => {
+    await writeLog(folder)
+    const { storage } = await openStorage(folder)
+    const snapshot = { ...firstSnapshot([voter], 'state'), index: 2, term: 1 }
+    await saveOutput(storage, output({ snapshot }), [entry(3, 2)])
+    await storage[Symbol.asyncDispose]()
+    assert.deepEqual(await indexesIn(folder), [[3, 2]])
+    await appendFile(join(folder, 'snapshot'), 'x')
+    await assert.rejects(openStorage(folder), err => isLynxError(err, 'corruptLog'))
+  })
+})
+
+test('any bytes are a log, a torn log or a clear error', () => {
+  const bytes = fc.uint8Array({ maxLength: 300 })
+  fc.assert(fc.property(bytes, raw => {
+    for (const parse of [parseLog, parseSnapshot]) {
+      try {
+        parse(Buffer.from(raw))
+      } catch (err) {
+        assert.ok(isLynxError(err, 'corruptLog'))
+      }
+    }
+  }), { seed, numRuns: 500 })
+})
+
+test('a log cut off anywhere gives a prefix of its entries', async () => {
+  await inFolder(async folder => {
+    await writeLog(folder)
+    const whole = await readFile(join(folder, 'log'))
+    const all = parseLog(whole).records
+    for (let length = 0; length <= whole.length; length++) {
+      const { records } = parseLog(whole.subarray(0, length))
+      assert.deepEqual(records, all.slice(0, records.length))
+    }
+  })
+})
--- /dev/null
+++ b/packages/daemon/__tests__/support/rig.ts
@@ -0,0 +1,122 @@
+/** One daemon with both roles in this process, and small stand-in backend servers. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { mkdtemp, rm } from 'node:fs/promises'
+import { createServer as createTcpServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { callPeer, createRpcClient, settingsSchema, silentLogs, startDaemon } from '@lynxcourse/daemon'
+import type { Daemon, RpcClient, SettingsInput } from '@lynxcourse/daemon'
+import { request } from 'undici'
+
+export const testSeed = 31
+
+/** Short times, so that tests end soon. */
+export const testTimes = { electionMs: 300, heartbeatMs: 50, syncMs: 100, reportMs: 100, slowStartMs: 1 }
+
+export async function freePort (): Promise<number> {
+  const server = createTcpServer()
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise<void>(resolve => server.close(() => resolve()))
+  return port
+}
+
+export async function soon (what: string, test: () => Promise<boolean> | boolean): Promise<void> {
+  const end = Date.now() + 15_000
+  while (Date.now() < end) {
+    if (await Promise.resolve().then(test).catch(() => false)) return
+    await new Promise(resolve => setTimeout(resolve, 20))
+  }
+  throw new Error(`did not happen: ${what}`)
+}
+
+export interface Rig extends AsyncDisposable {
+  readonly daemon: Daemon
+  readonly http: string
+  readonly rpc: string
+  readonly client: RpcClient
+  change: (fields: object, changeId?: string) => Promise<{ ok: boolean }>
+}
+
+let changes = 0
+
+/** A settings object for one VM on loopback. */
+export async function oneVmSettings (folder: string, extra: Partial<SettingsInput> = {}): Promise<SettingsInput> {
+  const [http, rpc, metrics] = [await freePort(), await freePort(), await freePort()].map(port => `127.0.0.1:${port}`) as [string, string, string]
+  return {
+    vm: 'vm-1', region: 'kochi', failureDomain: 'kochi-a', roles: ['entry', 'control'], listen: { http, rpc, metrics }, dataFolder: folder,
+    seeds: [{ vm: 'vm-1', region: 'kochi', rpc }], topology: { regions: { kochi: ['kochi-a'], chennai: ['chennai-a'] } }, ...extra
+  } as SettingsInput
+}
+
+/** Starts a daemon that is its own cluster, with a profile for the service `offers`. */
+export async function startRig (extra: Partial<SettingsInput> = {}, profile: object = {}): Promise<Rig> {
+  const folder = await mkdtemp(join(tmpdir(), 'lynxcourse-test-'))
+  const cfg = settingsSchema.parse(await oneVmSettings(folder, { times: testTimes, ...extra }))
+  const daemon = await startDaemon(cfg, cfg.callerBlocks, { logs: silentLogs(), seed: testSeed })
+  const client = createRpcClient({ timeoutMs: 3000, localAddress: '', tls: () => undefined, metrics: undefined })
+  const { rpc, http } = cfg.listen
+  const rig: Rig = {
+    daemon,
+    http: `http://${http}`,
+    rpc,
+    client,
+    change: async (fields, changeId) => await callPeer(client, rpc, 'change.submit', { change: { changeId: changeId ?? `change-${testSeed}-${changes++}`, operator: 'test', ...fields } }),
+    [Symbol.asyncDispose]: async () => {
+      await client[Symbol.asyncDispose]()
+      await daemon[Symbol.asyncDispose]()
+      await rm(folder, { recursive: true, force: true })
+    }
+  }
+  const info = await callPeer<{ id: string }>(client, rpc, 'cluster.info', {})
+  await callPeer(client, rpc, 'cluster.init', { cluster: 'test-cluster', voters: [info.id] })
+  await soon('the VM leads', async () => (await callPeer<{ current: boolean }>(client, rpc, 'query.status', {})).current)
+  await rig.change({ type: 'publishProfile', expectedVersion: 0, profile: { name: 'desk', places: ['kochi', 'chennai'], ...profile } })
+  await rig.change({ type: 'pickProfile', service: 'offers', profile: 'desk' })
+  return rig
+}
+
+export interface Backend extends AsyncDisposable {
+  readonly address: string
+  readonly name: string
+  /** How often each id ran. */
+  readonly runs: Map<string, number>
+  handler: (req: IncomingMessage, res: ServerResponse) => void
+  announce: (fields?: object) => Promise<number>
+}
+
+let backends = 0
+
+/** Starts a stand-in server that echoes a header, and announces it. */
+export async function startBackend (rig: Rig, fields: object = {}): Promise<Backend> {
+  const runs = new Map<string, number>()
+  const server = createServer((req, res) => {
+    const id = req.headers['idempotency-key']
+    if (req.url !== '/load' && typeof id === 'string') runs.set(id, (runs.get(id) ?? 0) + 1)
+    backend.handler(req, res)
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  const name = `offers-${backends++}`
+  let seq = 0
+  const backend: Backend = {
+    address,
+    name,
+    runs,
+    handler: (req, res) => { res.end(`echo ${String(req.headers['x-echo'])}`) },
+    announce: async (more = {}) => {
+      const body = { server: name, service: 'offers', address, failureDomain: 'kochi-a', slots: 3, connections: 330, state: 'serving', incarnation: 1, seq: seq++, ...fields, ...more }
+      const res = await request(`${rig.http}/v1/announce`, { method: 'POST', body: JSON.stringify(body) })
+      await res.body.dump()
+      return res.statusCode
+    },
+    [Symbol.asyncDispose]: async () => {
+      server.closeAllConnections()
+      await new Promise<void>(resolve => server.close(() => resolve()))
+    }
+  }
+  await backend.announce()
+  return backend
+}
--- a/packages/daemon/src/core/entry/attemptSteps.ts
+++ b/packages/daemon/src/core/entry/attemptSteps.ts
@@ -63,7 +63,7 @@
     case 'answered': return result.status >= firstServerError ? 'failed' : 'answered'
     case 'shed': return 'shed'
     case 'notSent': return 'failed'
-    case 'lost': return result.reason === 'gone' ? 'cancelled' : 'failed'
+    case 'lost': return result.reason === 'gone' || result.reason === 'silent' ? 'cancelled' : 'failed'
   }
 }
 
--- a/packages/daemon/src/core/entry/attempts.ts
+++ b/packages/daemon/src/core/entry/attempts.ts
@@ -7,7 +7,7 @@
 import { presentTime } from '../../utils/clock.js'
 import { deadlineHeader, loadHeader, notStartedHeader, requestIdHeader } from '../../types/answers.js'
 import type { HeaderMap } from '../../types/answers.js'
-import { dropConnection, progressConnection, releaseConnection, takeConnection } from './connectionPool.js'
+import { dropConnection, dropSilent, progressConnection, releaseConnection, takeConnection } from './connectionPool.js'
 import type { Connection } from './connectionPool.js'
 import type { Entry } from './entry.js'
 import type { ForwardRequest } from './forwardRequest.js'
@@ -52,7 +52,8 @@
     return await readAnswer(entry, connection, res, watch)
   } catch (err) {
     const wasSent = !isConnectError(err)
-    dropConnection(entry.pool, connection, watch.reason() === 'silent' ? 'silent' : 'close')
+    if (watch.reason() === 'silent') dropSilent(entry.pool, connection)
+    else dropConnection(entry.pool, connection, 'close')
     if (!wasSent) return { type: 'notSent', detail: messageOf(err) }
     return { type: 'lost', detail: messageOf(err), reason: watch.reason() }
   } finally {
--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -93,6 +93,17 @@
   connection.client.destroy().catch(() => undefined)
 }
 
+/**
+ * Closes a connection that went silent and the idle ones beside it: whatever lost track of one may have
+ * lost track of all, and new ones cost a millisecond.
+ */
+export function dropSilent (pool: ConnectionPool, connection: Connection): void {
+  dropConnection(pool, connection, 'silent')
+  for (const other of [...pool.byAddress.get(connection.address) ?? []]) {
+    if (other.state.state === 'idle') dropConnection(pool, other, 'close')
+  }
+}
+
 /** Closes idle connections that were quiet too long. */
 export function sweepConnections (pool: ConnectionPool, now: Millis): void {
   for (const connection of [...pool.byAddress.values()].flat()) {
--- a/packages/daemon/src/core/entry/entry.ts
+++ b/packages/daemon/src/core/entry/entry.ts
@@ -52,7 +52,7 @@
     self: node.cfg.vm,
     region: node.cfg.region,
     policy: makePolicy(node.cfg.serverPolicy),
-    observation: defaultObservation,
+    observation: { ...defaultObservation, slowStartMs: times.slowStartMs },
     chart: loadChart('server'),
     random: node.random,
     latencies
--- a/packages/daemon/src/core/entry/serveRepeatable.ts
+++ b/packages/daemon/src/core/entry/serveRepeatable.ts
@@ -65,9 +65,13 @@
 }
 
 async function startAttempt (run: Run, slot: Slot, signal: AbortSignal): Promise<Finished> {
+  const { id } = slot.observed.backend
   run.attempts += 1
-  run.tried.add(slot.observed.backend.id)
-  return { slot, result: await attemptIn(run.serving, slot, signal) }
+  run.tried.add(id)
+  const result = await attemptIn(run.serving, slot, signal)
+  // The connection was at fault, not the server: a new one to the same server may well do.
+  if (result.type === 'lost' && result.reason === 'silent') run.tried.delete(id)
+  return { slot, result }
 }
 
 /** Runs an attempt; if it is slow and the budget allows, a second one beside it. The first answer wins. */
--- a/packages/daemon/src/plugins/logStorage.ts
+++ b/packages/daemon/src/plugins/logStorage.ts
@@ -86,8 +86,8 @@
     await mkdir(folder, { recursive: true })
     const snapshot = await readSnapshot(folder)
     const path = join(folder, logName)
+    const parsed = parseLog(await readIfThere(path) ?? Buffer.alloc(0))
     const file = await open(path, 'a+')
-    const parsed = parseLog(await readFile(path))
     await file.truncate(parsed.soundBytes)
     const stored = snapshot === undefined ? undefined : replay(snapshot, parsed.records)
     const hardState = stored?.hardState ?? { term: 0, votedFor: undefined }
@@ -100,14 +100,17 @@
 }
 
 async function readSnapshot (folder: string): Promise<Snapshot | undefined> {
-  let bytes: Buffer
+  const bytes = await readIfThere(join(folder, snapshotName))
+  return bytes === undefined ? undefined : parseSnapshot(bytes)
+}
+
+async function readIfThere (path: string): Promise<Buffer | undefined> {
   try {
-    bytes = await readFile(join(folder, snapshotName))
+    return await readFile(path)
   } catch (err) {
     if ((err as NodeJS.ErrnoException).code === 'ENOENT') return undefined
     throw err
   }
-  return parseSnapshot(bytes)
 }
 
 /**
@@ -218,10 +221,11 @@
 
 /** Reads the disk's identity; undefined on an empty disk. */
 export async function readIdentity (folder: string): Promise<DiskIdentity | undefined> {
+  const bytes = await readIfThere(join(folder, identityName))
+  if (bytes === undefined) return undefined
   try {
-    return JSON.parse(await readFile(join(folder, identityName), 'utf8')) as DiskIdentity
+    return JSON.parse(bytes.toString('utf8')) as DiskIdentity
   } catch (err) {
-    if ((err as NodeJS.ErrnoException).code === 'ENOENT') return undefined
     throw new LynxError('corruptLog', `${identityName}: ${messageOf(err)}`, { step: 'read identity', cause: err })
   }
 }
--- a/packages/daemon/src/types/settings.ts
+++ b/packages/daemon/src/types/settings.ts
@@ -38,6 +38,7 @@
   connectTimeoutMs: millis.default(500),
   staleConnectionMs: millis.default(1000),
   silentConnectionMs: millis.default(1500),
+  slowStartMs: millis.default(5000),
   stopMs: millis.default(60_000)
 }).prefault({})
 
--- a/packages/daemon/src/utils/httpServer.ts
+++ b/packages/daemon/src/utils/httpServer.ts
@@ -45,7 +45,8 @@
 export async function readBody (req: IncomingMessage, maxBytes: number): Promise<Buffer> {
   const chunks: Buffer[] = []
   let size = 0
-  for await (const chunk of req as AsyncIterable<Buffer>) {
+  // Left undestroyed on an error: a destroyed request takes its connection, and the answer, with it.
+  for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
     size += chunk.length
     if (size > maxBytes) throw new LynxError('tooLarge', `body over ${maxBytes} bytes`, { step: 'read body', field: 'body' })
     chunks.push(chunk)
