Check peers by certificate, and end calls that get an answer to nobody

Cause: a peer whose certificate names no role was refused with an answer that carries no id; the caller waited for its own id without end.

Ruled out: the handshake (a missing certificate failed in 5 ms) and the time-out of the request (it had ended well, with status 403).

Change: the client takes any status but 200, and any other id, as an error.

--- a/packages/daemon/__tests__/support/rig.ts
+++ b/packages/daemon/__tests__/support/rig.ts
@@ -46,8 +46,15 @@
 export async function oneVmSettings (folder: string, extra: Partial<SettingsInput> = {}): Promise<SettingsInput> {
   const [http, rpc, metrics] = [await freePort(), await freePort(), await freePort()].map(port => `127.0.0.1:${port}`) as [string, string, string]
   return {
-    vm: 'vm-1', region: 'kochi', failureDomain: 'kochi-a', roles: ['entry', 'control'], listen: { http, rpc, metrics }, dataFolder: folder,
-    seeds: [{ vm: 'vm-1', region: 'kochi', rpc }], topology: { regions: { kochi: ['kochi-a'], chennai: ['chennai-a'] } }, ...extra
+    vm: 'vm-1',
+    region: 'kochi',
+    failureDomain: 'kochi-a',
+    roles: ['entry', 'control'],
+    listen: { http, rpc, metrics },
+    dataFolder: folder,
+    seeds: [{ vm: 'vm-1', region: 'kochi', rpc }],
+    topology: { regions: { kochi: ['kochi-a'], chennai: ['chennai-a'] } },
+    ...extra
   } as SettingsInput
 }
 
--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -18,6 +18,7 @@
 import { addClusterMethods, keepJoining } from './control/joining.js'
 import { addReportMethod, startDuties } from './control/leaderDuties.js'
 import type { LeaderDuties } from './control/leaderDuties.js'
+import { addAnnounceMethod } from './entry/announcements.js'
 import { createCallerServer } from './entry/callerServer.js'
 import { createClaiming } from './entry/claiming.js'
 import { sweepConnections } from './entry/connectionPool.js'
@@ -58,7 +59,7 @@
   own(stack, node.client)
   if (tls === undefined) log(node.logs, 'rpc', 'warn', 'No TLS: peers are not checked, so only loopback addresses are used.')
   const control = isControl(node) ? own(stack, await openControl(node)) : undefined
-  const rpc = createRpcServer(cfg.limits.maxRpcBytes, node.metrics, tls)
+  const rpc = createRpcServer({ maxBytes: cfg.limits.maxRpcBytes, perSecond: cfg.limits.rpcPerSecond }, node.metrics, tls)
   const syncing = own(stack, startSyncing(node, control))
   const entry = isEntry(node) ? createEntry(node, blocks, createClaiming(node)) : undefined
   const duties = control === undefined ? undefined : startControlParts(stack, node, control, rpc)
@@ -67,7 +68,10 @@
   addQueryMethods(rpc, { node, control, duties, entry })
   const metricsServer = createMetricsServer(node)
   const servers = [rpc.server, metricsServer]
-  if (entry !== undefined) servers.push(startEntryParts(stack, entry, syncing))
+  if (entry !== undefined) {
+    addAnnounceMethod(rpc, entry, syncing)
+    servers.push(startEntryParts(stack, entry, syncing))
+  }
   await listenRpc(rpc, cfg.listen.rpc)
   await listen(metricsServer, cfg.listen.metrics)
   if (entry !== undefined) await listen(servers[2] as Server, cfg.listen.http)
--- a/packages/daemon/src/core/entry/announcements.ts
+++ b/packages/daemon/src/core/entry/announcements.ts
@@ -1,7 +1,7 @@
 /** Takes backend servers' announcements of themselves. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
-import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import type { FailureDomainId, Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import { findServer, putRecord } from '@lynxcourse/membership'
 import type { ServerRecord } from '@lynxcourse/membership'
 import { noteReportedLoad } from '@lynxcourse/routing'
@@ -14,6 +14,9 @@
 import { notifyChange } from '../node/node.js'
 import type { Node } from '../node/node.js'
 import type { Syncing } from '../node/syncing.js'
+import { addMethod } from '../rpc/rpcServer.js'
+import type { RpcServer } from '../rpc/rpcServer.js'
+import { takeToken } from '../../utils/rateLimit.js'
 import type { Entry } from './entry.js'
 
 export const announcePath = '/v1/announce'
@@ -40,19 +43,24 @@
 
 type Announcement = z.output<typeof announcementSchema>
 
-/** Answers an announcement. */
+/** What a server is told of its announcement. */
+export interface AnnouncementReply {
+  readonly lifetimeMs: Millis
+  readonly againAfterMs: Millis
+}
+
+/** Answers an announcement that comes by HTTP, where the sender's address is all that tells who it is. */
 export async function answerAnnouncement (entry: Entry, syncing: Syncing, req: IncomingMessage, res: ServerResponse): Promise<void> {
   const { node } = entry
   try {
+    if (node.cfg.tls !== undefined) {
+      throw new LynxError('notAllowed', 'with TLS, servers announce themselves by the RPC method server.announce', { step: 'announce' })
+    }
     const body = await readBody(req, maxAnnouncementBytes)
-    const announcement = parseAnnouncement(body.toString('utf8'))
-    const record = recordOf(node, announcement, req.socket.remoteAddress ?? '')
-    takeAnnouncement(entry, syncing, announcement, record)
-    const { announceMs } = node.cfg.times
-    res.writeHead(200, { 'content-type': 'application/json' })
-      .end(JSON.stringify({ lifetimeMs: announceMs, againAfterMs: Math.floor(announceMs / announcementsPerLifetime) }))
+    const reply = announce(entry, syncing, parseAnnouncement(body.toString('utf8')), req.socket.remoteAddress ?? '')
+    res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(reply))
   } catch (err) {
-    const status = isLynxError(err, 'notAllowed') ? 403 : isLynxError(err, 'tooLarge') ? 413 : 400
+    const status = isLynxError(err, 'notAllowed') ? 403 : isLynxError(err, 'tooLarge') ? 413 : isLynxError(err, 'overCapacity') ? 429 : 400
     node.metrics.refusals.inc({ reason: isLynxError(err) ? err.code : 'badRequest' })
     log(node.logs, 'announce', 'warn', 'Announcement refused.', { peer: req.socket.remoteAddress, error: messageOf(err) })
     const field = isLynxError(err) ? err.field : undefined
@@ -60,6 +68,25 @@
   }
 }
 
+/** Adds the method by which servers announce themselves over mutual TLS, under the name in their certificate. */
+export function addAnnounceMethod (rpc: RpcServer, entry: Entry, syncing: Syncing): void {
+  addMethod(rpc, 'server.announce', ['server'], announcementSchema, (announcement, caller) => {
+    if (caller.role === 'server' && caller.name !== announcement.server) {
+      throw new LynxError('notAllowed', `server:${caller.name} announces ${announcement.server}`, { step: 'announce', field: 'server', peer: caller.name })
+    }
+    return announce(entry, syncing, announcement, caller.address)
+  })
+}
+
+function announce (entry: Entry, syncing: Syncing, announcement: Announcement, peer: string): AnnouncementReply {
+  const { announceMs } = entry.node.cfg.times
+  if (!takeToken(entry.announceRate, peer, presentTime())) {
+    throw new LynxError('overCapacity', `more than ${entry.announceRate.perSecond} announcements a second`, { step: 'announce', peer })
+  }
+  takeAnnouncement(entry, syncing, announcement, recordOf(entry.node, announcement, peer))
+  return { lifetimeMs: announceMs, againAfterMs: Math.floor(announceMs / announcementsPerLifetime) }
+}
+
 /**
  * Checks the text of an announcement.
  *
--- a/packages/daemon/src/core/entry/entry.ts
+++ b/packages/daemon/src/core/entry/entry.ts
@@ -10,6 +10,8 @@
 import { activeDrains, activeShifts, listCaps } from '@lynxcourse/state'
 import type { DrainItem } from '@lynxcourse/state'
 import { presentTime } from '../../utils/clock.js'
+import { createRateLimit } from '../../utils/rateLimit.js'
+import type { RateLimit } from '../../utils/rateLimit.js'
 import type { DrainRemaining, RegionLoad, ReportSource } from '../node/reporting.js'
 import type { Node } from '../node/node.js'
 import { createPool } from './connectionPool.js'
@@ -41,6 +43,7 @@
   open: number
   nextRequest: number
   leaving: boolean
+  readonly announceRate: RateLimit
   viewDirty: boolean
 }
 
@@ -74,6 +77,7 @@
     open: 0,
     nextRequest: 1,
     leaving: false,
+    announceRate: createRateLimit(node.cfg.limits.announcementsPerSecond),
     viewDirty: true,
     remaining: () => remainingByDrain(entry),
     loads: () => loadsByRegion(entry)
--- a/packages/daemon/src/core/rpc/rpcClient.ts
+++ b/packages/daemon/src/core/rpc/rpcClient.ts
@@ -78,7 +78,10 @@
     client.cfg.metrics?.rpcBytes.inc({ direction: 'out' }, body.length)
     const text = await post(pool, body, timeoutMs ?? client.cfg.timeoutMs)
     client.cfg.metrics?.rpcBytes.inc({ direction: 'in' }, text.length)
-    rpc.receive(JSON.parse(text) as JSONRPCResponse)
+    const response = JSON.parse(text) as JSONRPCResponse
+    // An answer to nobody would leave the caller waiting for ever.
+    if (response.id !== request.id) throw new LynxError('peerFailed', messageOf(response.error), { step: method, peer: address })
+    rpc.receive(response)
   })
   try {
     return await rpc.request(method, params) as Result
@@ -96,7 +99,15 @@
     signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)))
   }
   const res = await pool.request(options)
-  return await res.body.text()
+  const text = await res.body.text()
+  if (res.statusCode !== 200) throw refusalOf(res.statusCode, text)
+  return text
+}
+
+/** The error behind a message that the peer did not take as RPC at all. */
+function refusalOf (status: number, text: string): LynxError {
+  const code = status === 403 ? 'notAllowed' : status === 413 ? 'tooLarge' : status === 429 ? 'overCapacity' : 'peerFailed'
+  return new LynxError(code, `status ${status}: ${text.slice(0, 300)}`, { step: 'send' })
 }
 
 interface RemoteError { readonly data?: { readonly code?: string, readonly field?: string } }
--- a/packages/daemon/src/core/rpc/rpcServer.ts
+++ b/packages/daemon/src/core/rpc/rpcServer.ts
@@ -7,7 +7,10 @@
 import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
 import type { z } from 'zod'
 import type { Metrics } from '../../utils/metrics.js'
+import { presentTime } from '../../utils/clock.js'
 import { listen, readBody } from '../../utils/httpServer.js'
+import { createRateLimit, takeToken } from '../../utils/rateLimit.js'
+import type { RateLimit } from '../../utils/rateLimit.js'
 import type { TlsFiles } from '../../plugins/tlsFiles.js'
 
 /** Who calls, by the certificate's name: `vm:NAME`, `operator:NAME` or `server:NAME`. */
@@ -29,16 +32,24 @@
 const applicationErrorCode = -32000
 const maxHeaderBytes = 16_384
 
+/** Bounds of what the server takes. */
+export interface RpcLimits {
+  readonly maxBytes: number
+  /** From one address. */
+  readonly perSecond: number
+}
+
 /** Makes the server; add its methods before it listens. */
-export function createRpcServer (maxBytes: number, metrics: Metrics, tls: TlsFiles | undefined): RpcServer {
+export function createRpcServer (limits: RpcLimits, metrics: Metrics, tls: TlsFiles | undefined): RpcServer {
   const methods = new JSONRPCServer<RpcCaller>({ errorListener: () => undefined })
   methods.mapErrorToJSONRPCErrorResponse = (id, err) => {
     const data = isLynxError(err) ? { code: err.code, step: err.step, field: err.field, peer: err.peer } : undefined
     const code = data === undefined ? JSONRPCErrorCode.InternalError : applicationErrorCode
     return createJSONRPCErrorResponse(id, code, messageOf(err), data)
   }
+  const rate = createRateLimit(limits.perSecond)
   const listener: RequestListener = (req, res) => {
-    answerRpc(methods, maxBytes, req, res).catch((err: unknown) => refuse(res, metrics, err))
+    answerRpc(methods, limits.maxBytes, rate, req, res).catch((err: unknown) => refuse(res, metrics, err))
   }
   const options = { maxHeaderSize: maxHeaderBytes, requestTimeout: 30_000, headersTimeout: 10_000 }
   const server = tls === undefined
@@ -54,15 +65,19 @@
     res.destroy()
     return
   }
-  const status = isLynxError(err, 'tooLarge') ? 413 : isLynxError(err, 'notAllowed') ? 403 : 400
+  const status = isLynxError(err, 'tooLarge') ? 413 : isLynxError(err, 'notAllowed') ? 403 : isLynxError(err, 'overCapacity') ? 429 : 400
   const body = createJSONRPCErrorResponse(null, JSONRPCErrorCode.ParseError, messageOf(err))
   res.writeHead(status, { 'content-type': 'application/json', connection: 'close' }).end(JSON.stringify(body))
 }
 
-async function answerRpc (methods: JSONRPCServer<RpcCaller>, maxBytes: number, req: IncomingMessage, res: ServerResponse): Promise<void> {
+async function answerRpc (methods: JSONRPCServer<RpcCaller>, maxBytes: number, rate: RateLimit, req: IncomingMessage, res: ServerResponse): Promise<void> {
   if (req.method !== 'POST' || req.url !== '/rpc') throw new LynxError('badRpc', 'expected POST /rpc', { step: 'receive' })
+  const caller = callerOf(req)
+  if (!takeToken(rate, caller.address, presentTime())) {
+    throw new LynxError('overCapacity', `more than ${rate.perSecond} messages a second`, { step: 'receive', peer: caller.address })
+  }
   const body = await readBody(req, maxBytes)
-  const answer = await methods.receiveJSON(body.toString('utf8'), callerOf(req))
+  const answer = await methods.receiveJSON(body.toString('utf8'), caller)
   res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(answer ?? null))
 }
 
--- a/packages/daemon/src/types/settings.ts
+++ b/packages/daemon/src/types/settings.ts
@@ -53,6 +53,10 @@
   maxHeaderBytes: z.number().int().min(1024).default(16_384),
   /** Largest RPC message. */
   maxRpcBytes: z.number().int().min(65_536).default(33_554_432),
+  /** Most RPC messages a second from one address. */
+  rpcPerSecond: z.number().int().min(1).default(5000),
+  /** Most announcements a second from one address. */
+  announcementsPerSecond: z.number().int().min(1).default(100),
   /** Requests in this VM at once. */
   maxRequests: z.number().int().min(1).default(2000),
   /** Open connections from callers. */
