Prove kills, freezes, lost disks and racing operators on real daemons

Cause: the fault matrix drives the decision modules; the daemon's own disk, sockets and signals were only seen in the demo.

Change: scripts/__tests__/realFaults.test.ts runs four daemons as processes: the leader killed, frozen past its lease and woken, a data folder removed with a second loss right after the repair, operators racing and resending by the command line, the holder of a claim killed while the server works, SIGTERM under load.

--- /dev/null
+++ b/scripts/__tests__/realFaults.test.ts
@@ -0,0 +1,244 @@
+/** A few faults on real daemons, each a process: kills, freezes, lost disks, racing operators. */
+import assert from 'node:assert/strict'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { after, before, test } from 'node:test'
+import { makeRandom, makeRequestId } from '@lynxcourse/base'
+import { Client, request } from 'undici'
+import { stringify } from 'yaml'
+import { answers, ended, kill, mustCli, runCli, sleep, until } from '../support/processes.js'
+import type { DaemonProcess } from '../support/processes.js'
+import { restartVm, startSystem, stopSystem } from '../support/system.js'
+import type { SmallSystem } from '../support/system.js'
+
+const seed = 43
+const random = makeRandom(seed)
+console.log(`seed ${seed}`)
+
+const serverIp = '127.20.9.1'
+const serviceMs = 400
+
+let system: SmallSystem
+let folder: string
+let announcing: NodeJS.Timeout
+let serverAddress = ''
+const runs = new Map<string, number>()
+const server = createServer((req, res) => {
+  const id = req.headers['idempotency-key']
+  if (typeof id === 'string') runs.set(id, (runs.get(id) ?? 0) + 1)
+  setTimeout(() => res.end('whole'), req.url === '/slow' ? serviceMs : 1)
+})
+
+let seq = 0
+
+/** Announces the stand-in server to all VMs that live. */
+async function announce (): Promise<void> {
+  seq += 1
+  const body = JSON.stringify({ server: 'offers-1', service: 'offers', address: serverAddress, failureDomain: 'kochi-a', slots: 50, connections: 330, state: 'serving', incarnation: 1, seq })
+  for (const vm of system.http) {
+    const client = new Client(`http://${vm}`, { localAddress: serverIp, connect: { timeout: 300 } })
+    await client.request({ method: 'POST', path: '/v1/announce', body, headersTimeout: 500 }).then(async res => await res.body.dump(), () => undefined)
+    client.destroy().catch(() => undefined)
+  }
+}
+
+before(async () => {
+  folder = mkdtempSync(join(tmpdir(), 'lynxcourse-real-'))
+  await new Promise<void>(resolve => server.listen(0, serverIp, resolve))
+  serverAddress = `${serverIp}:${(server.address() as AddressInfo).port}`
+  system = await startSystem(4, folder, { log: { level: 'warn' }, times: { slowStartMs: 1 } }, true)
+  await publish('desk', {}, 0)
+  await mustCli(system.rpc, ['service', 'pick', 'offers', 'desk', '--wait'])
+  await announce()
+  announcing = setInterval(() => { announce().catch(() => undefined) }, 1500)
+  for (const daemon of system.daemons) await until(`${daemon.plan.vm} serves`, async () => (await call(daemon)).status === 200)
+})
+
+after(async () => {
+  clearInterval(announcing)
+  await stopSystem(system)
+  server.closeAllConnections()
+  await new Promise<void>(resolve => server.close(() => resolve()))
+  rmSync(folder, { recursive: true, force: true })
+})
+
+async function publish (name: string, fields: object, expectedVersion: number): Promise<void> {
+  const file = join(folder, 'profile.yaml')
+  writeFileSync(file, stringify({ name, places: ['kochi', 'chennai', 'mumbai'], lookupTtlS: 1, ...fields }))
+  await mustCli(living(), ['profile', 'publish', file, '--expected-version', String(expectedVersion)])
+}
+
+function living (): string[] {
+  return system.daemons.filter(daemon => daemon.child.exitCode === null && daemon.child.signalCode === null).sort((a, b) => Number(b.plan.isControl) - Number(a.plan.isControl)).map(daemon => daemon.plan.rpc)
+}
+
+async function versionOf (name: string): Promise<number> {
+  const { stdout } = await mustCli(living(), ['profile', 'get', name])
+  return (JSON.parse(stdout) as { itemVersion: number }).itemVersion
+}
+
+async function call (daemon: DaemonProcess, id?: string, path = '/x'): Promise<{ status: number, outcome: unknown }> {
+  const headers: Record<string, string> = { 'lynx-deadline-ms': '4000' }
+  if (id !== undefined) headers['idempotency-key'] = id
+  const res = await request(`http://${daemon.plan.http}/s/offers${path}`, { method: id === undefined ? 'GET' : 'POST', headers })
+  await res.body.dump()
+  return { status: res.statusCode, outcome: res.headers['lynx-outcome'] }
+}
+
+async function findLeader (): Promise<DaemonProcess> {
+  let leader: DaemonProcess | undefined
+  await until('somebody leads', async () => {
+    const { stdout } = await runCli(living(), ['status'])
+    const rows = JSON.parse(stdout) as Array<{ vm: string, log: { role: string } | null }>
+    leader = system.daemons.find(daemon => daemon.plan.vm === rows.find(row => row.log?.role === 'leader')?.vm)
+    return leader !== undefined
+  })
+  return leader as DaemonProcess
+}
+
+function newId (): string {
+  return makeRequestId(Date.now(), random)
+}
+
+const ready = async (daemon: DaemonProcess): Promise<void> => await until(`${daemon.plan.vm} is ready`, async () => await answers(daemon.plan, '/readyz'))
+
+test('the leader is killed: what it acknowledged stays, changes and claims go on', async () => {
+  // Symptom: an accepted change is gone. Sequence: the leader acknowledges a change and dies. Cause: the
+  // acknowledgement came before a quorum had it on disk.
+  const leader = await findLeader()
+  const before = await versionOf('desk')
+  await publish('desk', { queueLimit: 111 }, before)
+  await kill(leader.child)
+  await findLeader()
+  assert.equal(await versionOf('desk'), before + 1)
+  await publish('desk', { queueLimit: 112 }, before + 1)
+  const other = system.daemons.find(daemon => daemon !== leader) as DaemonProcess
+  await until('a claim is granted', async () => (await call(other, newId())).outcome === 'done')
+  restartVm(system, leader)
+  await ready(leader)
+  assert.equal((await call(leader)).status, 200)
+})
+
+test('the leader is frozen past its lease: when it wakes it decides nothing on what it remembered', async () => {
+  // Symptom: a VM goes by replaced configuration. Sequence: it is frozen, another leads and changes are
+  // made, it wakes. Cause: it believes itself current and leading until it hears otherwise.
+  const leader = await findLeader()
+  const before = await versionOf('desk')
+  leader.child.kill('SIGSTOP')
+  const others = system.daemons.filter(daemon => daemon !== leader)
+  await until('another leads', async () => {
+    const { stdout } = await runCli(others.filter(daemon => daemon.plan.isControl).map(daemon => daemon.plan.rpc), ['status'])
+    return (JSON.parse(stdout) as Array<{ log: { role: string } | null }>).some(row => row.log?.role === 'leader')
+  })
+  const file = join(folder, 'frozen.yaml')
+  writeFileSync(file, stringify({ name: 'desk', places: ['kochi', 'chennai'], lookupTtlS: 1 }))
+  await mustCli(others.map(daemon => daemon.plan.rpc), ['profile', 'publish', file, '--expected-version', String(before)])
+  await sleep(5000)
+  leader.child.kill('SIGCONT')
+  const seen = await request(`http://${leader.plan.http}/v1/lookup?service=offers`)
+  const body = await seen.body.json() as { version?: number }
+  // Either it says that it does not know, or it has learned the change by now.
+  const { stdout } = await mustCli(others.map(daemon => daemon.plan.rpc), ['profile', 'list'])
+  const changed = (JSON.parse(stdout) as Array<{ name: string, version: number }>).find(row => row.name === 'desk')?.version
+  assert.equal(changed, before + 1)
+  if (seen.statusCode === 200) assert.ok((body.version ?? 0) > before)
+  else assert.equal(seen.statusCode, 503)
+  await ready(leader)
+  assert.equal(await versionOf('desk'), before + 1)
+})
+
+test('a data folder is removed: the VM returns as a new member, and a second loss right after does no harm', async () => {
+  // Symptom: accepted changes are gone. Sequence: one VM loses its disk and is repaired; another is lost
+  // at once. Cause: the repaired VM counted before it held everything.
+  const leader = await findLeader()
+  const [first, second] = system.daemons.filter(daemon => daemon.plan.isControl && daemon !== leader) as [DaemonProcess, DaemonProcess]
+  const before = await versionOf('desk')
+  await publish('desk', { queueLimit: 120 }, before)
+  await kill(first.child)
+  rmSync(join(folder, first.plan.vm), { recursive: true, force: true })
+  restartVm(system, first)
+  await until('the VM votes under a new incarnation', async () => {
+    const { stdout } = await runCli([first.plan.rpc], ['status'])
+    const log = (JSON.parse(stdout) as Array<{ log: { id: string, members: Array<{ id: string, voter: boolean }> } | null }>)[0]?.log
+    return log?.members.some(member => member.id === log.id && member.voter) ?? false
+  })
+  await kill(second.child)
+  rmSync(join(folder, second.plan.vm), { recursive: true, force: true })
+  assert.equal(await versionOf('desk'), before + 1)
+  await publish('desk', { queueLimit: 121 }, before + 1)
+  restartVm(system, second)
+  await ready(second)
+  assert.equal(await versionOf('desk'), before + 2)
+})
+
+test('operators race with equal versions and resend: one wins, each hears the same answer again', async () => {
+  const version = await versionOf('desk')
+  const files = ['a', 'b'].map(name => {
+    const file = join(folder, `race-${name}.yaml`)
+    writeFileSync(file, stringify({ name: 'desk', places: ['kochi', 'chennai'], lookupTtlS: 1, queueLimit: name === 'a' ? 130 : 140 }))
+    return file
+  })
+  const race = async (): Promise<Array<{ code: number | null, stderr: string }>> => await Promise.all(files.map(async (file, place) =>
+    await runCli(living(), ['profile', 'publish', file, '--expected-version', String(version), '--change-id', `race-${seed}-${place}`])))
+  const first = await race()
+  assert.deepEqual(first.map(result => result.code).sort(), [0, 3])
+  assert.match(first.find(result => result.code === 3)?.stderr ?? '', /by demo, change race-/)
+  const again = await race()
+  assert.deepEqual(again.map(result => result.code), first.map(result => result.code))
+  assert.equal(await versionOf('desk'), version + 1)
+})
+
+test('the VM that holds a claim is killed while the server works: the id stays spent and runs once', async () => {
+  // Symptom: an offer is lodged twice. Sequence: a VM sends a claimed request and dies; the caller resends
+  // to another VM. Cause: the second VM takes the dead holder's claim for free.
+  const holder = system.daemons.find(daemon => !daemon.plan.isControl) as DaemonProcess
+  const other = system.daemons.find(daemon => daemon.plan.isControl) as DaemonProcess
+  const id = newId()
+  const lost = call(holder, id, '/slow').then(() => 'answered', () => 'lost')
+  await until('the server works on it', async () => runs.get(id) === 1)
+  await kill(holder.child)
+  assert.equal(await lost, 'lost')
+  for (let tries = 0; tries < 3; tries++) assert.equal((await call(other, id)).outcome, 'unknown')
+  assert.equal(runs.get(id), 1)
+  restartVm(system, holder)
+  await ready(holder)
+  assert.equal((await call(holder, id)).outcome, 'unknown')
+  assert.equal(runs.get(id), 1)
+})
+
+test('SIGTERM ends a VM without cutting a request, with exit code 0', async () => {
+  const leaver = system.daemons.find(daemon => !daemon.plan.isControl) as DaemonProcess
+  const open = Promise.all(Array.from({ length: 5 }, async () => await call(leaver, newId(), '/slow')))
+  await sleep(50)
+  leaver.child.kill('SIGTERM')
+  for (const reply of await open) assert.equal(reply.outcome, 'done')
+  assert.equal(await ended(leaver.child), 0)
+  restartVm(system, leaver)
+  await ready(leaver)
+})
+
+test('bad settings end the daemon with exit code 2 and name the key', async () => {
+  const file = join(folder, 'bad.yaml')
+  writeFileSync(file, readFileSync(join(folder, `${system.plans[0]?.vm}.yaml`), 'utf8').replace('roles:', 'roles: [king]\nrolls:'))
+  const { spawnSync } = await import('node:child_process')
+  const program = new URL('../../../packages/daemon/dist/src/main.js', import.meta.url).pathname
+  const result = spawnSync(process.execPath, [program, '--check-config', file], { encoding: 'utf8' })
+  assert.equal(result.status, 2)
+  assert.match(result.stderr, /bad\.yaml: roles\.0/)
+})
+
+test('the command line refuses bad input with exit code 2 and unknown things with 4', async () => {
+  assert.equal((await runCli(living(), ['drain', 'start', 'planet', 'x'])).code, 2)
+  assert.equal((await runCli(living(), ['drain', 'start', 'region', 'delhi'])).code, 2)
+  assert.equal((await runCli(living(), ['profile', 'get', 'none'])).code, 4)
+  assert.equal((await runCli(['nowhere'], ['status'])).code, 2)
+  assert.equal((await runCli(living(), ['nonsense'])).code, 2)
+  const bad = join(folder, 'bad-profile.yaml')
+  writeFileSync(bad, stringify({ name: 'desk', places: ['kochi'], regionCaps: { kochi: -3 } }))
+  const refused = await runCli(living(), ['profile', 'publish', bad])
+  assert.equal(refused.code, 2)
+  assert.match(refused.stderr, /regionCaps\.kochi/)
+})
--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -1,6 +1,7 @@
 /** `npm run bench -- path | policy | capacity [--quick]`. */
 import { parseArgs } from 'node:util'
 import { benchCapacity } from './bench/capacity.js'
+import { benchPolicy } from './bench/policy.js'
 import { benchPath } from './bench/path.js'
 
 const { values, positionals } = parseArgs({ allowPositionals: true, options: { quick: { type: 'boolean', default: false } } })
@@ -13,6 +14,9 @@
   case 'capacity':
     await benchCapacity(values.quick)
     break
+  case 'policy':
+    await benchPolicy(positionals[1], values.quick)
+    break
   default:
     process.stderr.write('bench: expected path, policy or capacity\n')
     process.exitCode = 2
--- a/scripts/bench/capacity.ts
+++ b/scripts/bench/capacity.ts
@@ -15,7 +15,7 @@
 import { applyEntry, createMachine, writeMachine } from '@lynxcourse/state'
 import type { Machine } from '@lynxcourse/state'
 import { forkScript, kill, mustCli, sleep, startDaemonProcess, until, answers } from '../support/processes.js'
-import { settingsOf } from '../support/topology.js'
+import { planVms, settingsOf } from '../support/topology.js'
 import { startSystem, stopSystem } from '../support/system.js'
 import type { SmallSystem } from '../support/system.js'
 import { percentile, printTable } from '../support/tables.js'
@@ -223,6 +223,21 @@
   for (const host of hosts) await kill(host)
 }
 
+/** Memory of a whole entry daemon and of a bare HTTP server, as processes of their own. */
+async function measureProcesses (figures: CapacityFigures, system: SmallSystem): Promise<void> {
+  const [entryPlan] = (await planVms(6)).filter(plan => !plan.isControl)
+  if (entryPlan === undefined) return
+  const entry = startDaemonProcess(entryPlan, settingsOf(entryPlan, [...system.plans, entryPlan], '', { log: { level: 'error' } }), system.folder)
+  await until('the entry VM is ready', async () => await answers(entryPlan, '/readyz'))
+  const bare = forkScript('../bench/bareServers.js', [])
+  await askChild(bare, { kind: 'fixed', ip: '127.0.90.1', bytes: 10, target: '' })
+  await sleep(5000)
+  figures.single['entryProcessMb'] = round(residentMb(entry.child.pid ?? 0))
+  figures.single['bareProcessMb'] = round(residentMb(bare.pid ?? 0))
+  await kill(entry.child)
+  await kill(bare)
+}
+
 /** Time until a change has reached every member, and what it costs in bytes. */
 async function measureSpread (figures: CapacityFigures, system: SmallSystem, hosts: ReadonlyArray<ReturnType<typeof forkScript>>, quick: boolean): Promise<void> {
   const client = createRpcClient({ timeoutMs: 5000, localAddress: '', tls: () => undefined, metrics: undefined })
@@ -370,6 +385,7 @@
   try {
     await measureMembers(figures, system, quick)
     await measureClaims(figures, system, quick)
+    await measureProcesses(figures, system)
   } finally {
     await stopSystem(system)
     rmSync(folder, { recursive: true, force: true })
--- a/scripts/bench/memberHost.ts
+++ b/scripts/bench/memberHost.ts
@@ -75,4 +75,3 @@
   obey(order).then(answer => process.send?.(answer), (err: unknown) => process.send?.({ error: String(err) }))
 })
 process.on('disconnect', () => process.exit(0))
-
