Let a request look for a slot longer where nobody else waits

With thirty sheds allowed, those at twice the load heard too late that they would not be served.

Change: eight sheds while others wait at this VM, sixty otherwise.

--- a/packages/daemon/src/core/entry/serveOnce.ts
+++ b/packages/daemon/src/core/entry/serveOnce.ts
@@ -1,5 +1,5 @@
 /** Serves requests that must not run twice, by the steps of `onceFlow`. */
-import { afterAttempt, afterClaim, afterRecord, afterSlot, createOnceFlow, startOnce } from '@lynxcourse/routing'
+import { afterAttempt, afterClaim, afterRecord, afterSlot, createOnceFlow, mayTryAfterSheds, startOnce } from '@lynxcourse/routing'
 import type { OnceEffect, OnceFlow } from '@lynxcourse/routing'
 import type { ClaimAnswer, KeptAnswer } from '@lynxcourse/state'
 import type { RequestId } from '@lynxcourse/base'
@@ -11,6 +11,7 @@
 import { comeBackAfter, isAdmitted } from './forwarding.js'
 import type { Serving } from './forwarding.js'
 import type { AttemptResult } from './attempts.js'
+import { waitingFor } from './slots.js'
 import type { Slot } from './slots.js'
 
 /** How long a refusal waits for the register before the caller hears `unknown` instead. */
@@ -19,9 +20,6 @@
 /** When to ask again after an id whose first copy is still under way. */
 const underWayRetryMs = 1000
 
-/** Most sheds of one request. */
-const maxSheds = 30
-
 interface Once {
   readonly serving: Serving
   readonly flow: OnceFlow
@@ -92,7 +90,7 @@
 
 function mayTryAgain (once: Once): boolean {
   const { request } = once.serving
-  const hasTries = once.tried.size < request.profile.maxAttempts && once.sheds < maxSheds
+  const hasTries = once.tried.size < request.profile.maxAttempts && mayTryAfterSheds(once.sheds, waitingFor(once.serving.entry, request.service))
   return request.isReplayable && hasTries && presentTime() < request.deadline
 }
 
--- a/packages/daemon/src/core/entry/serveRepeatable.ts
+++ b/packages/daemon/src/core/entry/serveRepeatable.ts
@@ -1,5 +1,5 @@
 /** Serves requests that may run twice: tries elsewhere, within a budget, and hedges if told to. */
-import { spendRetry } from '@lynxcourse/routing'
+import { mayTryAfterSheds, spendRetry } from '@lynxcourse/routing'
 import { Cancel, linkCancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
 import type { FinalAnswer } from '../../types/answers.js'
@@ -9,11 +9,9 @@
 import { ownAnswer } from './finalAnswers.js'
 import { budgetOf, comeBackAfter, isAdmitted } from './forwarding.js'
 import type { Serving } from './forwarding.js'
+import { waitingFor } from './slots.js'
 import type { Slot } from './slots.js'
 
-/** Most sheds of one request: each costs a message, and servers that shed so often have no room. */
-const maxSheds = 30
-
 interface Run {
   readonly serving: Serving
   readonly life: RequestLife
@@ -55,7 +53,7 @@
   if (result.type === 'lost') run.sent = true
   const isOver = result.type === 'lost' && (result.reason === 'deadline' || result.reason === 'gone')
   if (isOver || presentTime() >= serving.request.deadline) return giveUp(run, 'deadline passed')
-  const mayRetry = run.attempts < serving.request.profile.maxAttempts && run.sheds < maxSheds && serving.request.isReplayable
+  const mayRetry = run.attempts < serving.request.profile.maxAttempts && mayTryAfterSheds(run.sheds, waitingFor(serving.entry, serving.request.service)) && serving.request.isReplayable
   // A shed costs the server nothing, so it takes nothing from the budget.
   const hasBudget = result.type === 'shed' || spendRetry(budgetOf(serving.entry, serving.request.service))
   if (!mayRetry || !hasBudget) return giveUp(run, result.type === 'shed' ? 'servers shed' : 'attempts failed')
--- a/packages/routing/src/core/admission.ts
+++ b/packages/routing/src/core/admission.ts
@@ -46,6 +46,17 @@
   return input.slots > 0 && expectedEnd(input, now) <= input.deadline
 }
 
+/** Most sheds of one request while others wait for the same service: then there is no room, and it hears so. */
+const maxShedsInQueue = 8
+
+/** Most sheds of one request at all; each costs a message. */
+const maxSheds = 60
+
+/** Whether a request that was shed so often may go on looking for a slot. */
+export function mayTryAfterSheds (sheds: number, waiting: number): boolean {
+  return sheds < (waiting > 0 ? maxShedsInQueue : maxSheds)
+}
+
 /** When a refused caller should come back: when the present queue will have been served. */
 export function retryAfter (input: AdmissionInput): Millis {
   return Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, Math.ceil(expectedWait(input))))
