Spare requests without a body a timer, and write heads in one call

Change: only requests with a body race their deadline; the head is one object. A connection's silence is judged by the function that the tests know; a queue function that nothing called any more is gone.

--- a/packages/daemon/src/core/entry/attempts.ts
+++ b/packages/daemon/src/core/entry/attempts.ts
@@ -3,7 +3,7 @@
 import type { Dispatcher } from 'undici'
 import { messageOf } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { noteReportedLoad } from '@lynxcourse/routing'
+import { isSilent, noteReportedLoad } from '@lynxcourse/routing'
 import { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
 import { deadlineHeader, loadHeader, notStartedHeader, requestIdHeader } from '../../types/answers.js'
@@ -105,7 +105,9 @@
   // Only a connection that carried requests before can have been lost track of; a new one that is
   // slow tells of a slow server, and a second attempt would only add to its load.
   const mayBeSilent = connection.reused && request.isIdempotent
-  const silentTimer = mayBeSilent ? setTimeout(end('silent'), entry.pool.cfg.silentMs) : undefined
+  const endSilent = end('silent')
+  const checkSilent = (): void => { if (isSilent(entry.pool.cfg, connection.state, presentTime())) endSilent() }
+  const silentTimer = mayBeSilent ? setTimeout(checkSilent, entry.pool.cfg.silentMs + 1) : undefined
   return {
     signal: inner,
     gotHeaders: () => clearTimeout(silentTimer),
--- a/packages/daemon/src/core/entry/finalAnswers.ts
+++ b/packages/daemon/src/core/entry/finalAnswers.ts
@@ -55,20 +55,22 @@
   return ownAnswer('refused', messageOf(err), undefined, status)
 }
 
+function headersOf (node: Node, answer: FinalAnswer): Record<string, string | string[] | number> {
+  const headers: Record<string, string | string[] | number> = { ...answer.headers, [outcomeHeader]: answer.outcome, [vmHeader]: node.cfg.vm }
+  if (answer.server !== undefined) headers[serverHeader] = answer.server
+  if (answer.retryAfterMs !== undefined) {
+    headers['retry-after'] = Math.max(1, Math.ceil(answer.retryAfterMs / 1000))
+    headers['lynx-retry-after-ms'] = Math.ceil(answer.retryAfterMs)
+  }
+  if (Buffer.isBuffer(answer.body)) headers['content-length'] = answer.body.length
+  return headers
+}
+
 /** Writes an answer; resolves when it is written or the caller is gone. */
 export async function writeAnswer (node: Node, res: ServerResponse, answer: FinalAnswer): Promise<void> {
   if (res.destroyed) return
-  res.statusCode = answer.status
-  for (const [name, value] of Object.entries(answer.headers)) res.setHeader(name, value)
-  res.setHeader(outcomeHeader, answer.outcome)
-  res.setHeader(vmHeader, node.cfg.vm)
-  if (answer.server !== undefined) res.setHeader(serverHeader, answer.server)
-  if (answer.retryAfterMs !== undefined) {
-    res.setHeader('retry-after', Math.max(1, Math.ceil(answer.retryAfterMs / 1000)))
-    res.setHeader('lynx-retry-after-ms', Math.ceil(answer.retryAfterMs))
-  }
+  res.writeHead(answer.status, headersOf(node, answer))
   if (Buffer.isBuffer(answer.body)) {
-    res.setHeader('content-length', answer.body.length)
     res.end(answer.body)
     return
   }
--- a/packages/daemon/src/core/entry/forwardRequest.ts
+++ b/packages/daemon/src/core/entry/forwardRequest.ts
@@ -48,7 +48,7 @@
   const isIdempotent = idempotentMethods.has(method)
   const deadline = now + readDeadline(req, profile)
   const id = isIdempotent ? undefined : readId(req)
-  const { body, isReplayable } = await beforeDeadline(readCallerBody(entry, req), deadline - now)
+  const { body, isReplayable } = hasBody(req) ? await beforeDeadline(readCallerBody(entry, req), deadline - now) : noBody
   return { service, profile, method, path, headers: passedOn(req), isIdempotent, id, arrivedAt: now, deadline, body, isReplayable }
 }
 
@@ -108,11 +108,15 @@
   readonly isReplayable: boolean
 }
 
+const noBody: CallerBody = { body: undefined, isReplayable: true }
+
+function hasBody (req: IncomingMessage): boolean {
+  return Number(req.headers['content-length'] ?? 0) > 0 || req.headers['transfer-encoding'] !== undefined
+}
+
 async function readCallerBody (entry: Entry, req: IncomingMessage): Promise<CallerBody> {
   const { maxBodyBytes, bufferBytes } = entry.node.cfg.limits
   const announced = Number(req.headers['content-length'] ?? 0)
-  const hasBody = announced > 0 || req.headers['transfer-encoding'] !== undefined
-  if (!hasBody) return { body: undefined, isReplayable: true }
   if (announced > maxBodyBytes) throw tooLarge(maxBodyBytes)
   const iterator = (req as AsyncIterable<Buffer>)[Symbol.asyncIterator]()
   const chunks: Buffer[] = []
--- a/packages/routing/src/core/deadlineQueue.ts
+++ b/packages/routing/src/core/deadlineQueue.ts
@@ -29,11 +29,6 @@
   return true
 }
 
-/** The request with the earliest deadline, left in the queue. */
-export function peekFirst<Item extends Waiting> (queue: DeadlineQueue<Item>): Item | undefined {
-  return queue.heap[0]
-}
-
 /** Takes out the request with the earliest deadline. */
 export function dequeue<Item extends Waiting> (queue: DeadlineQueue<Item>): Item | undefined {
   return removeAt(queue.heap, 0)
