Watch a deadline to the last byte, and renew the client's TLS files

Cause 1: the watch of an attempt ended with the answer's head. A server that stopped in the middle of a body over 64 KB held its slot, and its part of a cap, for ever; the caller hung. Grants rely on requests ending by their deadlines, so the wait for lowered shares rested on what was not so. Change: the watch ends where the answer ends; a stalled body is cut then.

Cause 2: changed TLS files reached the server only. The client kept its pools, whose new connections failed under a new authority ("certificate signature failure"). refreshPools was there and nobody called it. Change: it is called when the files change.

Ruled out: undici's body time-out as the fix of the first; it knows no deadline. Also: one way to link cancels instead of two, an unused function and an outdated comment gone.

--- a/packages/daemon/__tests__/forwarding.test.ts
+++ b/packages/daemon/__tests__/forwarding.test.ts
@@ -141,6 +141,17 @@
   }, 2, { hedgeAfterMs: 50, retryBudget: 1 })
 })
 
+test('an answer that stops half-way is cut at the deadline, and its slot comes back', async () => {
+  // Symptom: a slot, and its part of a cap, is held for ever. Sequence: a server sends the head and a part of
+  // a long body, then nothing. Cause: the deadline is watched only until the head has come.
+  await withRig(async (rig, [backend]) => {
+    if (backend !== undefined) backend.handler = (_, res) => { res.writeHead(200, { 'content-length': 200_000 }).write('x'.repeat(70_000)) }
+    await assert.rejects(call(rig, { deadlineMs: 300 }))
+    await soon('no slot is held', () => [...rig.daemon.entry?.router.backends.byId.values() ?? []].every(observed => observed.inFlight === 0))
+    assert.equal(rig.daemon.entry?.open, 0)
+  })
+})
+
 test('a drained server gets no new work, and what it has is ended', async () => {
   await withRig(async (rig, [first, second]) => {
     const slow: Backend['handler'] = (_, res) => { setTimeout(() => res.end('whole'), 300) }
--- a/packages/daemon/__tests__/tls.test.ts
+++ b/packages/daemon/__tests__/tls.test.ts
@@ -109,4 +109,6 @@
     return await outcome(newOperator, 'query.status') === 'done'
   })
   assert.equal(await outcome(operator, 'query.status'), 'done', 'the open connection serves on')
+  // Enough calls at once that the VM's own client has to open connections, which the new authority judges.
+  await Promise.all(Array.from({ length: 12 }, async () => await callPeer(daemon.node.client, rpc, 'query.status', {})))
 })
--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -34,6 +34,7 @@
 import { addSyncMethod, renewSelf, startSyncing } from './node/syncing.js'
 import type { Syncing } from './node/syncing.js'
 import { delay, repeat } from './node/timers.js'
+import { refreshPools } from './rpc/rpcClient.js'
 import { createRpcServer, listenRpc } from './rpc/rpcServer.js'
 import type { RpcServer } from './rpc/rpcServer.js'
 
@@ -58,6 +59,7 @@
   const tls = cfg.tls === undefined ? undefined : own(stack, openTlsFiles(cfg.tls, err => log(node.logs, 'rpc', 'error', 'TLS files not taken over.', { error: messageOf(err) })))
   const node = createNode(cfg, tls === undefined ? deps : { ...deps, tls }, presentTime())
   own(stack, node.client)
+  tls?.onChange(() => refreshPools(node.client))
   if (tls === undefined) log(node.logs, 'rpc', 'warn', 'No TLS: peers are not checked, so only loopback addresses are used.')
   const control = isControl(node) ? own(stack, await openControl(node)) : undefined
   const rpc = createRpcServer({ maxBytes: cfg.limits.maxRpcBytes, perSecond: cfg.limits.rpcPerSecond }, node.metrics, tls)
--- a/packages/daemon/src/core/entry/attempts.ts
+++ b/packages/daemon/src/core/entry/attempts.ts
@@ -47,18 +47,18 @@
     if (res.headers[loadHeader] !== undefined) noteReportedLoad(slot.observed, load, presentTime())
     if (isShed(res)) {
       await res.body.dump()
+      watch.stop()
       releaseConnection(entry.pool, connection, presentTime())
       return { type: 'shed', retryAfterMs: retryAfterOf(res) }
     }
     return await readAnswer(entry, connection, res, watch)
   } catch (err) {
+    watch.stop()
     const wasSent = !isConnectError(err)
     if (watch.reason() === 'silent') dropSilent(entry.pool, connection)
     else dropConnection(entry.pool, connection, 'close')
     if (!wasSent) return { type: 'notSent', detail: messageOf(err) }
     return { type: 'lost', detail: messageOf(err), reason: watch.reason() }
-  } finally {
-    watch.stop()
   }
 }
 
@@ -90,7 +90,11 @@
   stop: () => void
 }
 
-/** Ends an attempt at its deadline, when the caller goes, or when a used connection stays silent. */
+/**
+ * Ends an attempt at its deadline, when the caller goes, or when a used connection stays silent. It
+ * goes on until the answer's last byte: a body that stops half-way would else hold its slot, and its
+ * part of a cap, beyond the deadline that grants rely on.
+ */
 function watchAttempt (entry: Entry, request: ForwardRequest, connection: Connection, outer: Cancel, now: Millis): Watch {
   const inner = new Cancel()
   let reason: ReturnType<Watch['reason']> = 'failed'
@@ -125,6 +129,7 @@
   const length = Number(res.headers['content-length'] ?? NaN)
   if (length <= wholeAnswerBytes) {
     const body = Buffer.from(await res.body.arrayBuffer())
+    watch.stop()
     releaseConnection(entry.pool, connection, presentTime())
     return { type: 'answered', status: res.statusCode, headers, body }
   }
--- a/packages/daemon/src/core/entry/serveRepeatable.ts
+++ b/packages/daemon/src/core/entry/serveRepeatable.ts
@@ -1,6 +1,7 @@
 /** Serves requests that may run twice: tries elsewhere, within a budget, and hedges if told to. */
 import { mayTryAfterSheds, spendRetry } from '@lynxcourse/routing'
-import { Cancel, linkCancel } from '../../utils/cancel.js'
+import { linkedCancel } from '../../utils/cancel.js'
+import type { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
 import type { FinalAnswer } from '../../types/answers.js'
 import { answerFrom, attemptIn, getSlot, isEnded, logRefused, takeAttemptEvent } from './attemptSteps.js'
@@ -117,12 +118,6 @@
   if (loser.result.type === 'answered' && !Buffer.isBuffer(loser.result.body)) loser.result.body.destroy()
 }
 
-function linkedCancel (outer: Cancel): Cancel {
-  const inner = new Cancel()
-  linkCancel(outer, inner)
-  return inner
-}
-
 async function orAfter<Value> (work: Promise<Value>, ms: number): Promise<Value | undefined> {
   let timer: NodeJS.Timeout | undefined
   const timeout = new Promise<undefined>(resolve => { timer = setTimeout(() => resolve(undefined), ms) })
--- a/packages/daemon/src/core/entry/slots.ts
+++ b/packages/daemon/src/core/entry/slots.ts
@@ -83,7 +83,7 @@
   return entry.queues.get(service)?.queue.heap.length ?? 0
 }
 
-/** Smoothed time between two slots for those who wait for a service. */
+/** Smoothed time between two requests of a service that ended while others waited. */
 export function paceOf (entry: Entry, service: ServiceId): Millis {
   return entry.queues.get(service)?.pace.intervalMs ?? 0
 }
--- a/packages/daemon/src/utils/cancel.ts
+++ b/packages/daemon/src/utils/cancel.ts
@@ -16,10 +16,10 @@
   }
 }
 
-/** A cancel that follows another one; end the link with the returned function. */
-export function linkCancel (outer: Cancel, inner: Cancel): () => void {
+/** A cancel that follows another one. */
+export function linkedCancel (outer: Cancel): Cancel {
+  const inner = new Cancel()
   if (outer.aborted) inner.abort()
-  const follow = (): void => inner.abort()
-  outer.on('abort', follow)
-  return () => { outer.off('abort', follow) }
+  outer.on('abort', () => inner.abort())
+  return inner
 }
--- a/packages/daemon/src/utils/httpServer.ts
+++ b/packages/daemon/src/utils/httpServer.ts
@@ -1,6 +1,5 @@
 /** Small helpers around Node's HTTP server. */
 import type { IncomingMessage, Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
 import { LynxError, messageOf } from '@lynxcourse/base'
 
 /** Host and port of `IP:port`. */
@@ -22,12 +21,6 @@
   })
 }
 
-/** The address that a server listens on. */
-export function addressOf (server: Server): string {
-  const info = server.address() as AddressInfo
-  return `${info.address}:${info.port}`
-}
-
 /** Closes a server and the connections that carry nothing. */
 export async function closeServer (server: Server): Promise<void> {
   if (!server.listening) return
