--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'target/**', 'journal/**', '**/node_modules/**'] }),
   {
     files: ['**/*.ts'],
     plugins: { '@typescript-eslint': tseslint.plugin },
--- a/packages/agreement/src/core/following.ts
+++ b/packages/agreement/src/core/following.ts
@@ -22,6 +22,8 @@
   for (const entry of request.entries) takeEntry(replica, entry, out)
   const matched = request.prevIndex + request.entries.length
   commitTo(replica, Math.min(request.commit, matched), out)
+  // A heartbeat that stands in for a snapshot carries no commit index, so it tells nothing of freshness.
+  if (request.commit > 0 && replica.commit >= request.commit) replica.freshAt = now
   answer(replica, from, true, matched, request.round, out)
 }
 
--- a/packages/agreement/src/core/replica.ts
+++ b/packages/agreement/src/core/replica.ts
@@ -42,6 +42,8 @@
   synced: number
   electionAt: Millis
   leaderHeardAt: Millis
+  /** When this follower last held all that the leader knew to be committed. */
+  freshAt: Millis
   votes: Set<HolderId>
   progress: Map<HolderId, Progress>
   heartbeatAt: Millis
@@ -89,6 +91,7 @@
     synced: 0,
     electionAt: 0,
     leaderHeardAt: -Infinity,
+    freshAt: -Infinity,
     votes: new Set(),
     progress: new Map(),
     heartbeatAt: 0,
--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -2,71 +2,34 @@
  * Hosts one copy of the replicated log: feeds it events one after the other, saves and syncs what it
  * asks for, then sends and applies. Proposals that arrive during a sync share the next one.
  */
-import { join } from 'node:path'
 import { LynxError, holderOf, isLynxError, loadChart, messageOf, vmOfHolder } from '@lynxcourse/base'
-import type { HolderId, Incarnation } from '@lynxcourse/base'
-import { isSettledLeader, stepReplica } from '@lynxcourse/agreement'
+import type { Incarnation } from '@lynxcourse/base'
+import { stepReplica } from '@lynxcourse/agreement'
 import type { Envelope, Output, Replica, ReplicaEvent } from '@lynxcourse/agreement'
 import { applyEntry, createMachine, readMachine, writeMachine } from '@lynxcourse/state'
-import type { Answer, Command, Machine, MachineCharts } from '@lynxcourse/state'
 import { randomUUID } from 'node:crypto'
 import { openStorage, readIdentity, saveOutput, writeIdentity } from '../../plugins/logStorage.js'
-import type { LogStorage } from '../../plugins/logStorage.js'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
-import { seedAddress } from '../node/node.js'
-import type { Node } from '../node/node.js'
 import { callPeer } from '../rpc/rpcClient.js'
-import { answerPlaced, failAll, finishRead, notLeader } from './proposing.js'
+import { answerPlaced, failAll, finishRead, notLeader } from './hostState.js'
+import type { ControlEnv, ControlHost } from './hostState.js'
 import { startReplica } from './membership.js'
 
-interface Pending {
-  readonly command: Command
-  readonly resolve: (answer: Answer) => void
-  readonly reject: (err: LynxError) => void
-}
-
-interface Placed extends Pending {
-  readonly term: number
-}
-
-/** A control VM's part of the daemon. */
-export interface ControlHost extends AsyncDisposable {
-  readonly node: Node
-  readonly storage: LogStorage
-  readonly charts: MachineCharts
-  /** Id of this disk's copy. */
-  readonly id: HolderId
-  incarnation: Incarnation
-  cluster: string | undefined
-  replica: Replica | undefined
-  machine: Machine
-  events: ReplicaEvent[]
-  proposals: Pending[]
-  placed: Map<number, Placed>
-  readers: Map<number, { resolve: () => void, reject: (err: LynxError) => void }>
-  nextToken: number
-  busy: Promise<void> | undefined
-  failed: LynxError | undefined
-  /** Called after entries were applied or the lead may have changed. */
-  readonly onProgress: Array<() => void>
-}
-
 /** Entries kept in the log before it is replaced by a snapshot. */
 const snapshotEvery = 5000
 
 /** Opens the data folder and starts the copy that it holds, if any. */
-export async function openControl (node: Node): Promise<ControlHost> {
-  const folder = join(node.cfg.dataFolder ?? '.', node.cfg.vm)
-  const { storage, stored } = await openStorage(folder)
-  const identity = await readIdentity(folder)
-  const incarnation = (identity?.incarnation ?? randomUUID().slice(0, 8)) as Incarnation
+export async function openControl (env: ControlEnv): Promise<ControlHost> {
+  const { storage, stored } = await openStorage(env.folder)
+  const identity = await readIdentity(env.folder)
+  const incarnation = (identity?.incarnation ?? env.firstIncarnation ?? randomUUID().slice(0, 8)) as Incarnation
   const charts = { claim: loadChart('claim'), drain: loadChart('drain'), shift: loadChart('shift') }
   const host: ControlHost = {
-    node,
+    env,
     storage,
     charts,
-    id: holderOf(node.cfg.vm, incarnation),
+    id: holderOf(env.vm, incarnation),
     incarnation,
     cluster: identity?.cluster,
     replica: undefined,
@@ -117,7 +80,7 @@
   host.failed = isLynxError(err) ? err : new LynxError('diskFailed', messageOf(err), { step: 'save', cause: err })
   host.replica = undefined
   host.events = []
-  log(host.node.logs, 'agree', 'error', 'Copy of the log stopped.', { error: host.failed.message, step: host.failed.step })
+  log(host.env.logs, 'agree', 'error', 'Copy of the log stopped.', { error: host.failed.message, step: host.failed.step })
   failAll(host, host.failed)
 }
 
@@ -146,7 +109,7 @@
   const out = stepReplica(replica, event, presentTime())
   await carryOut(host, replica, out)
   if (replica.role !== roleBefore) {
-    log(host.node.logs, 'agree', 'info', 'Role changed.', { from: roleBefore, to: replica.role, term: replica.term })
+    log(host.env.logs, 'agree', 'info', 'Role changed.', { from: roleBefore, to: replica.role, term: replica.term })
     for (const listener of host.onProgress) listener()
   }
 }
@@ -155,7 +118,7 @@
   const needsSync = out.hardState !== undefined || out.entries.length > 0 || out.snapshot !== undefined
   if (needsSync) {
     await saveOutput(host.storage, out, replica.entries)
-    host.node.metrics.diskSyncs.inc()
+    host.env.metrics.diskSyncs.inc()
   }
   sendAll(host, out.messages)
   if (out.install && out.snapshot !== undefined) host.machine = readMachine(host.charts, out.snapshot.data)
@@ -169,9 +132,9 @@
 
 function sendAll (host: ControlHost, messages: readonly Envelope[]): void {
   for (const envelope of messages) {
-    const address = seedAddress(host.node, vmOfHolder(envelope.to))
+    const address = host.env.addressOf(vmOfHolder(envelope.to))
     // Messages may be lost: the log's own rounds repeat whatever matters.
-    if (address !== undefined) callPeer(host.node.client, address, 'log.message', envelope).catch(() => undefined)
+    if (address !== undefined) callPeer(host.env.client, address, 'log.message', envelope).catch(() => undefined)
   }
 }
 
@@ -190,10 +153,5 @@
   const out = stepReplica(replica, { type: 'compact', index: host.machine.applied, data: writeMachine(host.machine) }, presentTime())
   if (out.snapshot === undefined) return
   await saveOutput(host.storage, out, replica.entries)
-  log(host.node.logs, 'agree', 'info', 'Snapshot written.', { index: out.snapshot.index, bytes: out.snapshot.data.length })
-}
-
-/** Whether this VM leads and knows all that is committed. */
-export function leads (host: ControlHost | undefined): boolean {
-  return host?.replica !== undefined && isSettledLeader(host.replica)
+  log(host.env.logs, 'agree', 'info', 'Snapshot written.', { index: out.snapshot.index, bytes: out.snapshot.data.length })
 }
--- a/packages/daemon/src/core/control/joining.ts
+++ b/packages/daemon/src/core/control/joining.ts
@@ -5,17 +5,16 @@
 import { z } from 'zod'
 import { log } from '../../utils/logging.js'
 import { repeat } from '../node/timers.js'
-import { seedAddress } from '../node/node.js'
-import type { Node } from '../node/node.js'
 import { callPeer } from '../rpc/rpcClient.js'
 import { addMethod } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
 import { initCluster, isBlank, joinCluster } from './membership.js'
-import { feed, leads } from './controlHost.js'
-import type { ControlHost } from './controlHost.js'
+import { feed } from './controlHost.js'
+import { leads } from './hostState.js'
+import type { ControlEnv, ControlHost } from './hostState.js'
 
 const joinEveryMs = 1000
-const holderSchema = z.string().regex(/^[a-z0-9.-]+\/[a-z0-9-]+$/, 'must be VM/INCARNATION') as unknown as z.ZodType<HolderId>
+const holderSchema = z.string().regex(/^[a-z0-9.:-]+\/[a-z0-9-]+$/, 'must be VM/INCARNATION') as unknown as z.ZodType<HolderId>
 
 /** What a control VM says of its cluster. */
 export interface ClusterInfo {
@@ -31,7 +30,7 @@
     return { id: host.id }
   })
   addMethod(rpc, 'cluster.join', ['vm'], z.strictObject({ id: holderSchema }), params => {
-    if (seedAddress(host.node, vmOfHolder(params.id)) === undefined) {
+    if (host.env.addressOf(vmOfHolder(params.id)) === undefined) {
       throw new LynxError('notAllowed', `${params.id} is no control VM by the seeds`, { step: 'join', field: 'id' })
     }
     if (!leads(host)) throw new LynxError('notLeader', 'join the leader', { step: 'join' })
@@ -83,26 +82,24 @@
 }
 
 async function tryJoin (host: ControlHost): Promise<void> {
-  const { node } = host
+  const { env } = host
   if (host.failed !== undefined) return
   if (isBlank(host)) {
-    const cluster = await findCluster(node)
+    const cluster = await findCluster(env)
     if (cluster === undefined) return
-    log(node.logs, 'member', 'info', 'Empty disk joins a running cluster.', { cluster, id: host.id })
+    log(env.logs, 'member', 'info', 'Empty disk joins a running cluster.', { cluster, id: host.id })
     await joinCluster(host, cluster)
   }
   const isMember = host.replica?.members.some(member => member.id === host.id) ?? false
   if (isMember) return
-  for (const seed of node.cfg.seeds) {
-    if (seed.vm === node.cfg.vm) continue
-    await callPeer(node.client, seed.rpc, 'cluster.join', { id: host.id }).catch(() => undefined)
+  for (const address of env.peers()) {
+    await callPeer(env.client, address, 'cluster.join', { id: host.id }).catch(() => undefined)
   }
 }
 
-async function findCluster (node: Node): Promise<string | undefined> {
-  for (const seed of node.cfg.seeds) {
-    if (seed.vm === node.cfg.vm) continue
-    const info = await callPeer<ClusterInfo>(node.client, seed.rpc, 'cluster.info', {}).catch(() => undefined)
+async function findCluster (env: ControlEnv): Promise<string | undefined> {
+  for (const address of env.peers()) {
+    const info = await callPeer<ClusterInfo>(env.client, address, 'cluster.info', {}).catch(() => undefined)
     if (info?.cluster !== undefined) return info.cluster
   }
   return undefined
--- a/packages/daemon/src/core/control/leaderDuties.ts
+++ b/packages/daemon/src/core/control/leaderDuties.ts
@@ -17,8 +17,8 @@
 import { addMethod } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
 import { submitHere } from './proposing.js'
-import { leads } from './controlHost.js'
-import type { ControlHost } from './controlHost.js'
+import { leads } from './hostState.js'
+import type { ControlHost } from './hostState.js'
 
 interface HeldReport {
   readonly at: Millis
--- a/packages/daemon/src/core/control/membership.ts
+++ b/packages/daemon/src/core/control/membership.ts
@@ -7,20 +7,20 @@
 import { writeIdentity, writeSnapshot } from '../../plugins/logStorage.js'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
-import type { ControlHost } from './controlHost.js'
+import type { ControlHost } from './hostState.js'
 
 export function startReplica (host: ControlHost, snapshot: Snapshot, hardState: HardState, entries: readonly Entry[]): void {
-  const { heartbeatMs, electionMs } = host.node.cfg.times
+  const { heartbeatMs, electionMs } = host.env.times
   host.machine = readMachine(host.charts, snapshot.data)
   host.replica = createReplica({
     id: host.id,
     cluster: host.cluster ?? '',
     chart: loadChart('agreementRole'),
     times: { heartbeatMs, electionMs },
-    random: host.node.random,
+    random: host.env.random,
     stored: { hardState, snapshot, entries }
   }, presentTime())
-  log(host.node.logs, 'agree', 'info', 'Copy of the log started.', { id: host.id, cluster: host.cluster, entries: entries.length, snapshot: snapshot.index })
+  log(host.env.logs, 'agree', 'info', 'Copy of the log started.', { id: host.id, cluster: host.cluster, entries: entries.length, snapshot: snapshot.index })
 }
 
 /** Whether this disk belongs to no cluster yet. */
--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -14,7 +14,7 @@
 import { createOwned, moveOwned, own } from '../utils/owned.js'
 import type { Owned } from '../utils/owned.js'
 import { feed, openControl } from './control/controlHost.js'
-import type { ControlHost } from './control/controlHost.js'
+import type { ControlHost } from './control/hostState.js'
 import { addClusterMethods, keepJoining } from './control/joining.js'
 import { addReportMethod, startDuties } from './control/leaderDuties.js'
 import type { LeaderDuties } from './control/leaderDuties.js'
@@ -27,7 +27,7 @@
 import { startPolling } from './entry/polling.js'
 import { addChangeMethod } from './node/changes.js'
 import { addClaimMethod } from './node/claimService.js'
-import { createNode, isControl, isEntry } from './node/node.js'
+import { controlEnv, createNode, isControl, isEntry } from './node/node.js'
 import type { Node, NodeDeps } from './node/node.js'
 import { addQueryMethods } from './node/queries.js'
 import { startReporting } from './node/reporting.js'
@@ -61,7 +61,7 @@
   own(stack, node.client)
   tls?.onChange(() => refreshPools(node.client))
   if (tls === undefined) log(node.logs, 'rpc', 'warn', 'No TLS: peers are not checked, so only loopback addresses are used.')
-  const control = isControl(node) ? own(stack, await openControl(node)) : undefined
+  const control = isControl(node) ? own(stack, await openControl(controlEnv(node))) : undefined
   const rpc = createRpcServer({ maxBytes: cfg.limits.maxRpcBytes, perSecond: cfg.limits.rpcPerSecond }, node.metrics, tls)
   const syncing = own(stack, startSyncing(node, control))
   const entry = isEntry(node) ? createEntry(node, blocks, createClaiming(node)) : undefined
--- /dev/null
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -0,0 +1,157 @@
+/** A control VM of a fleet: its copy of the log, and changes and reads that any control VM takes. */
+import { join } from 'node:path'
+import { LynxError, brandId, hashText, holderOf, isLynxError, vmOfHolder } from '@lynxcourse/base'
+import type { HolderId, Incarnation, Millis, ServerId, VmId } from '@lynxcourse/base'
+import { routeSetOf, routesVersionOf } from '@lynxcourse/state'
+import type { BackendFacts, ChangeAnswer, RouteCommand, RouteSet } from '@lynxcourse/state'
+import { isNews } from '@lynxcourse/state'
+import { log } from '../../utils/logging.js'
+import { openControl } from '../control/controlHost.js'
+import { leads } from '../control/hostState.js'
+import type { ControlEnv, ControlHost } from '../control/hostState.js'
+import { initCluster, isBlank } from '../control/membership.js'
+import { confirmRead, submitHere } from '../control/proposing.js'
+import { callPeer } from '../rpc/rpcClient.js'
+import { controlAddresses } from './fleetNode.js'
+import type { FleetNode } from './fleetNode.js'
+import { createPresence } from './presence.js'
+import type { Presence } from './presence.js'
+
+/** A control VM's part. */
+export interface FleetControl {
+  readonly node: FleetNode
+  readonly host: ControlHost
+  readonly presence: Presence
+}
+
+/** The routes as a read gives them. */
+export interface RoutesRead {
+  readonly routesVersion: number
+  readonly set: RouteSet | undefined
+}
+
+/** Incarnation of the disks that found the group, so that each seed can name the others' copies. */
+const founding = brandId<Incarnation>('first')
+
+/** A change waits this long for the leader and its quorum, then its outcome is unknown to the sender. */
+const submitTimeoutMs: Millis = 900
+
+/** Opens the copy; on the fleet's first start the seeds found the group. */
+export async function openFleetControl (node: FleetNode): Promise<FleetControl> {
+  const { cfg } = node
+  const isFounder = cfg.isFirstStart && cfg.seeds.includes(cfg.rpc)
+  const host = await openControl(envOf(node, isFounder))
+  if (isFounder && isBlank(host)) {
+    const voters: HolderId[] = cfg.seeds.map(seed => holderOf(brandId<VmId>(seed), founding))
+    const cluster = `fleet-${hashText([...cfg.seeds].sort().join()).toString(16)}`
+    await initCluster(host, cluster, [...voters].sort())
+  }
+  return { node, host, presence: createPresence() }
+}
+
+function envOf (node: FleetNode, isFounder: boolean): ControlEnv {
+  const { cfg, logs, metrics, random, client } = node
+  return {
+    vm: brandId<VmId>(cfg.rpc),
+    folder: join(cfg.dataFolder ?? '.', 'control'),
+    times: cfg.times,
+    logs,
+    metrics,
+    random,
+    client,
+    firstIncarnation: isFounder ? founding : undefined,
+    // A control VM's name is its address, so that a new one needs no list to be found by.
+    addressOf: vm => vm,
+    peers: () => controlAddresses(node)
+  }
+}
+
+/** RPC address of the leader, if this VM knows one. */
+export function leaderOf (control: FleetControl): string | undefined {
+  const leader = control.host.replica?.leader
+  return leader === undefined ? undefined : vmOfHolder(leader)
+}
+
+/**
+ * Has the leader apply a command, and waits until it is committed.
+ *
+ * @throws LynxError when the outcome is not known
+ */
+export async function submitRouteCommand (control: FleetControl, command: RouteCommand, isRelayed = false): Promise<ChangeAnswer> {
+  const { host, node } = control
+  if (leads(host)) {
+    const answer = await submitHere(host, command)
+    if (answer.type !== 'change') throw new LynxError('badRpc', 'no answer to a change', { step: 'submit' })
+    logChange(control, command, answer.change)
+    return answer.change
+  }
+  const leader = leaderOf(control)
+  if (leader === undefined || leader === node.cfg.rpc || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step: 'submit' })
+  return await callPeer<ChangeAnswer>(node.client, leader, 'fleet.submit', { command }, submitTimeoutMs)
+}
+
+function logChange (control: FleetControl, command: RouteCommand, answer: ChangeAnswer): void {
+  const { logs } = control.node
+  const outcome = answer.ok ? 'applied' : answer.detail
+  switch (command.type) {
+    case 'announce':
+      log(logs, 'announce', 'info', 'Server announced itself.', { server: command.facts.id, service: command.facts.service, draining: command.facts.isDraining, seq: command.facts.seq, coldMs: command.facts.coldMs, version: control.host.machine.config.version })
+      break
+    case 'dismiss':
+    case 'miss':
+      log(logs, 'member', 'info', command.type === 'miss' ? 'Servers fell silent.' : 'Servers ended.', { servers: command.ids.join(), version: control.host.machine.config.version })
+      break
+    case 'evacuate':
+      log(logs, 'drain', 'info', 'Evacuation changed.', { failureDomain: command.failureDomain, active: command.isActive, version: control.host.machine.config.version })
+      break
+    default:
+      log(logs, 'agree', 'info', 'Routes change judged.', { type: command.type, order: command.order, base: command.baseVersion, routesVersion: command.routesVersion, ok: answer.ok, outcome })
+  }
+}
+
+/**
+ * Reads the routes as of now, confirmed by a quorum.
+ *
+ * @throws LynxError when this VM can't be sure that they are the newest
+ */
+export async function readRoutes (control: FleetControl, isRelayed = false): Promise<RoutesRead> {
+  const { host, node } = control
+  if (leads(host)) {
+    await confirmRead(host)
+    return { routesVersion: routesVersionOf(host.machine.config), set: routeSetOf(host.machine.config) }
+  }
+  const leader = leaderOf(control)
+  if (leader === undefined || leader === node.cfg.rpc || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step: 'read' })
+  return await callPeer<RoutesRead>(node.client, leader, 'fleet.read', {}, submitTimeoutMs)
+}
+
+/**
+ * Takes a server's announcement. What is news is committed before the server hears of it, so that a
+ * server told that its leaving is known gets no new work from any VM in touch.
+ *
+ * @throws LynxError when news could not be committed
+ */
+export async function takeAnnouncement (control: FleetControl, facts: BackendFacts): Promise<void> {
+  control.presence.heard.add(facts.id)
+  if (!isNews(control.host.machine.config, facts)) return
+  await submitRouteCommand(control, { type: 'announce', facts })
+}
+
+/** Takes a server's word that it has ended or ends now. */
+export async function dismissServer (control: FleetControl, id: ServerId): Promise<void> {
+  const held = control.host.machine.config.items.get(`backend ${id}`)?.item
+  if (held?.kind === 'backend' && held.state === 'gone') return
+  await submitRouteCommand(control, { type: 'dismiss', ids: [id] })
+}
+
+/** Whether the copy is known to be the present state, as of some milliseconds ago. */
+export function stateAge (control: FleetControl, now: Millis): Millis {
+  const { replica } = control.host
+  if (replica === undefined) return Infinity
+  return now - (leads(control.host) ? replica.confirmedAt : replica.freshAt)
+}
+
+/** Whether an error says only that another VM should be asked. */
+export function isElsewhere (err: unknown): boolean {
+  return isLynxError(err, 'notLeader') || isLynxError(err, 'noQuorum') || isLynxError(err, 'peerFailed') || isLynxError(err, 'overCapacity')
+}
--- /dev/null
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -0,0 +1,138 @@
+/** Joins the parts of one VM of a fleet and stops them in order. */
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import type { Millis } from '@lynxcourse/base'
+import type { EntryPresence } from '@lynxcourse/routing'
+import { presentTime } from '../../utils/clock.js'
+import { closeServer, listen } from '../../utils/httpServer.js'
+import { log } from '../../utils/logging.js'
+import { createOwned, moveOwned, own } from '../../utils/owned.js'
+import type { Owned } from '../../utils/owned.js'
+import type { FleetSettings } from '../../types/fleetSettings.js'
+import { feed } from '../control/controlHost.js'
+import { addClusterMethods, keepJoining } from '../control/joining.js'
+import { sweepConnections } from '../entry/connectionPool.js'
+import { applyLimits, createCallerFront } from '../gateway/callerFront.js'
+import type { CallerDialect, ServerDialect } from '../gateway/dialects.js'
+import { refreshGateway } from '../gateway/fleetView.js'
+import { createGateway, isGatewayReady } from '../gateway/gateway.js'
+import type { Gateway } from '../gateway/gateway.js'
+import { delay, repeat } from '../node/timers.js'
+import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
+import type { RpcServer } from '../rpc/rpcServer.js'
+import { openFleetControl } from './fleetControl.js'
+import type { FleetControl } from './fleetControl.js'
+import { addFleetMethods } from './fleetMethods.js'
+import { createFleetNode } from './fleetNode.js'
+import type { FleetDeps, FleetNode } from './fleetNode.js'
+import { startPresence } from './presenceLoop.js'
+import { startWatching, tellPresence } from './watching.js'
+import type { Watching } from './watching.js'
+
+/** How callers and servers speak to this VM. */
+export interface Dialects {
+  readonly callers: CallerDialect
+  readonly servers: ServerDialect
+}
+
+/** A running VM. */
+export interface FleetDaemon extends AsyncDisposable {
+  readonly node: FleetNode
+  readonly control: FleetControl | undefined
+  readonly gateway: Gateway | undefined
+  readonly watching: Watching | undefined
+  readonly callerServer: Server | undefined
+}
+
+const tickMs: Millis = 30
+const sweepMs: Millis = 500
+const drainPollMs: Millis = 20
+/** New callers may still come for this long after the signal to stop: look-ups that named this VM run out. */
+const acceptAfterStopMs: Millis = 3500
+const maxRpcBytes = 33_554_432
+const rpcPerSecond = 20_000
+
+/** Starts a VM. */
+export async function startFleetDaemon (cfg: FleetSettings, dialects: Dialects, deps: FleetDeps = {}): Promise<FleetDaemon> {
+  await using stack = createOwned()
+  const node = createFleetNode(cfg, deps, presentTime())
+  own(stack, node.client)
+  const rpc = createRpcServer({ maxBytes: maxRpcBytes, perSecond: rpcPerSecond }, node.metrics, undefined)
+  const control = cfg.roles.includes('control') ? await startControl(stack, node, rpc) : undefined
+  const gateway = cfg.roles.includes('entry') ? createGateway(node, dialects.callers, dialects.servers) : undefined
+  await listenRpc(rpc, cfg.rpc)
+  const metricsServer = createMetricsServer(node)
+  await listen(metricsServer, cfg.metrics)
+  for (const server of [rpc.server, metricsServer]) own(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
+  const callerServer = gateway === undefined ? undefined : await startCallers(stack, gateway)
+  const watching = gateway === undefined ? undefined : own(stack, startWatching(node, () => presenceOf(node)))
+  log(node.logs, 'daemon', 'info', 'Started.', { vm: cfg.name, region: cfg.region, failureDomain: cfg.failureDomain, roles: cfg.roles.join(), rpc: cfg.rpc, callers: cfg.callers, firstStart: cfg.isFirstStart })
+  const owned = moveOwned(stack)
+  return { node, control, gateway, watching, callerServer, [Symbol.asyncDispose]: async () => await owned[Symbol.asyncDispose]() }
+}
+
+async function startControl (stack: Owned, node: FleetNode, rpc: RpcServer): Promise<FleetControl> {
+  const control = await openFleetControl(node)
+  own(stack, control.host)
+  const loop = own(stack, startPresence(control))
+  addClusterMethods(rpc, control.host)
+  addFleetMethods(rpc, control, loop)
+  own(stack, repeat(tickMs, () => feed(control.host, { type: 'tick' }), () => undefined))
+  own(stack, keepJoining(control.host))
+  return control
+}
+
+async function startCallers (stack: Owned, gateway: Gateway): Promise<Server> {
+  const { node } = gateway
+  const server = createCallerFront(gateway)
+  applyLimits(gateway, server)
+  node.onChange.push(() => {
+    refreshGateway(gateway, presentTime())
+    applyLimits(gateway, server)
+  })
+  own(stack, gateway.pool)
+  own(stack, repeat(sweepMs, () => sweepConnections(gateway.pool, presentTime()), () => undefined))
+  await listen(server, node.cfg.callers ?? '')
+  own(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
+  return server
+}
+
+function presenceOf (node: FleetNode): EntryPresence {
+  const { cfg } = node
+  const isReady = node.freshAt > -Infinity && !node.isLeaving
+  return { name: cfg.name, address: cfg.callers ?? '', failureDomain: cfg.failureDomain, region: cfg.region, isReady }
+}
+
+function createMetricsServer (node: FleetNode): Server {
+  return createServer((_req, res) => {
+    node.metrics.registry.metrics().then(text => {
+      res.setHeader('content-type', node.metrics.registry.contentType)
+      res.end(text)
+    }).catch(() => res.destroy())
+  })
+}
+
+/** Whether callers may be sent to this VM. */
+export function isFleetReady (daemon: FleetDaemon): boolean {
+  return daemon.gateway !== undefined && isGatewayReady(daemon.gateway)
+}
+
+/** Lets the VM go without cutting a request: look-ups stop naming it, and requests in flight end. */
+export async function leaveFleet (daemon: FleetDaemon): Promise<void> {
+  const { node, gateway, watching, callerServer } = daemon
+  const startedAt = presentTime()
+  node.isLeaving = true
+  log(node.logs, 'daemon', 'info', 'Leaving.', { open: gateway?.open ?? 0 })
+  if (gateway !== undefined && watching !== undefined && callerServer !== undefined) {
+    await Promise.all([tellPresence(watching), drainCallers(gateway, callerServer, startedAt)])
+  }
+  log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0 })
+}
+
+async function drainCallers (gateway: Gateway, server: Server, startedAt: Millis): Promise<void> {
+  const { stopMs } = gateway.node.cfg.times
+  await delay(Math.min(acceptAfterStopMs, stopMs / 2))
+  server.close()
+  server.closeIdleConnections()
+  while (gateway.open > 0 && presentTime() - startedAt < stopMs) await delay(drainPollMs)
+}
--- /dev/null
+++ b/packages/daemon/src/core/fleet/presence.ts
@@ -0,0 +1,93 @@
+/** Which entry VMs and backend servers were heard of late: kept in memory, exchanged through the leader. */
+import type { Millis, ServerId } from '@lynxcourse/base'
+import type { EntryPresence, HeardEntry } from '@lynxcourse/routing'
+import type { ControlPlace } from './fleetNode.js'
+
+/** What one control VM holds. */
+export interface Presence {
+  /** Entry VMs by name. */
+  readonly entries: Map<string, HeardEntry>
+  /** Control VMs by RPC address. */
+  readonly controls: Map<string, { readonly place: ControlPlace, readonly heardAt: Millis }>
+  /** Backend servers heard since the last exchange. */
+  readonly heard: Set<ServerId>
+  /** At the leader: when each server was last heard by any control VM. */
+  readonly heardAt: Map<ServerId, Millis>
+  /** Since when this VM leads; undefined while it does not. */
+  leadingSince: Millis | undefined
+}
+
+/** An entry VM in an exchange; times travel as ages, since clocks differ. */
+export interface AgedEntry {
+  readonly presence: EntryPresence
+  readonly ageMs: Millis
+}
+
+/** What a control VM tells the leader. */
+export interface PresenceReport {
+  readonly from: ControlPlace
+  readonly entries: readonly AgedEntry[]
+  readonly heard: readonly ServerId[]
+}
+
+/** What the leader tells back. */
+export interface PresenceReply {
+  readonly entries: readonly AgedEntry[]
+  readonly controls: readonly ControlPlace[]
+}
+
+/** Older news of an entry VM is not passed on. */
+const maxAgeMs = 5000
+/** A control VM not heard for this long is no longer named. */
+const controlStaleMs = 6000
+
+export function createPresence (): Presence {
+  return { entries: new Map(), controls: new Map(), heard: new Set(), heardAt: new Map(), leadingSince: undefined }
+}
+
+/** Notes an entry VM; older news never replaces newer. */
+export function noteEntry (presence: Presence, entry: EntryPresence, heardAt: Millis): boolean {
+  const held = presence.entries.get(entry.name)
+  if (held !== undefined && held.heardAt >= heardAt) return false
+  presence.entries.set(entry.name, { presence: entry, heardAt })
+  return held === undefined || held.presence.isReady !== entry.isReady || held.presence.address !== entry.address
+}
+
+/** Entry VMs with the age of the news. */
+export function agedEntries (presence: Presence, now: Millis): AgedEntry[] {
+  const fresh = [...presence.entries.values()].filter(entry => now - entry.heardAt < maxAgeMs)
+  return fresh.map(entry => ({ presence: entry.presence, ageMs: Math.max(0, now - entry.heardAt) }))
+}
+
+/** Drops what is too old to matter. */
+export function prunePresence (presence: Presence, now: Millis): void {
+  for (const [name, entry] of presence.entries) {
+    if (now - entry.heardAt > maxAgeMs) presence.entries.delete(name)
+  }
+  for (const [rpc, control] of presence.controls) {
+    if (now - control.heardAt > controlStaleMs) presence.controls.delete(rpc)
+  }
+}
+
+/** Takes a report at the leader. */
+export function takePresenceReport (presence: Presence, report: PresenceReport, now: Millis): PresenceReply {
+  presence.controls.set(report.from.rpc, { place: report.from, heardAt: now })
+  for (const { presence: entry, ageMs } of report.entries) noteEntry(presence, entry, now - ageMs)
+  for (const id of report.heard) presence.heardAt.set(id, now)
+  return { entries: agedEntries(presence, now), controls: [...presence.controls.values()].map(control => control.place) }
+}
+
+/** Servers that count as present and were not heard for too long. */
+export function missedServers (presence: Presence, present: readonly ServerId[], missMs: Millis, now: Millis): ServerId[] {
+  const known = new Set(present)
+  for (const id of presence.heardAt.keys()) {
+    if (!known.has(id)) presence.heardAt.delete(id)
+  }
+  const missed: ServerId[] = []
+  for (const id of present) {
+    const heardAt = presence.heardAt.get(id)
+    if (heardAt === undefined) presence.heardAt.set(id, now)
+    else if (now - heardAt > missMs) missed.push(id)
+  }
+  return missed
+}
--- /dev/null
+++ b/packages/daemon/src/core/fleet/presenceLoop.ts
@@ -0,0 +1,83 @@
+/** Exchanges presence with the leader, and at the leader notes servers that fell silent. */
+import { messageOf } from '@lynxcourse/base'
+import { presentBackends } from '@lynxcourse/state'
+import { presentTime } from '../../utils/clock.js'
+import { log } from '../../utils/logging.js'
+import { leads } from '../control/hostState.js'
+import { delay } from '../node/timers.js'
+import { callPeer } from '../rpc/rpcClient.js'
+import { leaderOf, submitRouteCommand } from './fleetControl.js'
+import type { FleetControl } from './fleetControl.js'
+import { agedEntries, missedServers, noteEntry, prunePresence, takePresenceReport } from './presence.js'
+import type { PresenceReply, PresenceReport } from './presence.js'
+
+/** Least time between two exchanges when something new makes one urgent. */
+const urgentMs = 60
+
+/** The running exchange. */
+export interface PresenceLoop extends AsyncDisposable {
+  /** Exchanges soon, since an entry VM came or leaves. */
+  urge: () => void
+}
+
+export function startPresence (control: FleetControl): PresenceLoop {
+  const { presenceMs } = control.node.cfg.times
+  const state = { stopped: false }
+  let wake: (() => void) | undefined
+  const pause = async (): Promise<void> => await new Promise(resolve => {
+    const timer = setTimeout(resolve, presenceMs)
+    wake = () => { clearTimeout(timer); setTimeout(resolve, urgentMs) }
+  })
+  const run = async (): Promise<void> => {
+    while (!state.stopped) {
+      await exchange(control).catch((err: unknown) => log(control.node.logs, 'member', 'debug', 'Presence not exchanged.', { error: messageOf(err) }))
+      await pause()
+    }
+  }
+  const running = run()
+  return {
+    urge: () => wake?.(),
+    [Symbol.asyncDispose]: async () => {
+      state.stopped = true
+      wake?.()
+      await Promise.race([running, delay(presenceMs)])
+    }
+  }
+}
+
+async function exchange (control: FleetControl): Promise<void> {
+  const { node, host, presence } = control
+  const now = presentTime()
+  prunePresence(presence, now)
+  const report: PresenceReport = { from: { rpc: node.cfg.rpc, region: node.cfg.region }, entries: agedEntries(presence, now), heard: [...presence.heard] }
+  if (leads(host)) {
+    presence.heard.clear()
+    takeReply(control, takePresenceReport(presence, report, now))
+    await noteMissed(control, now)
+    return
+  }
+  presence.leadingSince = undefined
+  const leader = leaderOf(control)
+  if (leader === undefined || leader === node.cfg.rpc) return
+  const reply = await callPeer<PresenceReply>(node.client, leader, 'fleet.presence', report)
+  for (const id of report.heard) presence.heard.delete(id)
+  takeReply(control, reply)
+}
+
+function takeReply (control: FleetControl, reply: PresenceReply): void {
+  const { node, presence } = control
+  const now = presentTime()
+  for (const { presence: entry, ageMs } of reply.entries) noteEntry(presence, entry, now - ageMs)
+  node.controls = reply.controls
+}
+
+/** A new leader has heard of nobody yet: it starts to count only now. */
+async function noteMissed (control: FleetControl, now: number): Promise<void> {
+  const { node, host, presence } = control
+  if (presence.leadingSince === undefined) {
+    presence.leadingSince = now
+    presence.heardAt.clear()
+  }
+  const missed = missedServers(presence, presentBackends(host.machine.config), node.cfg.times.missMs, now)
+  if (missed.length > 0) await submitRouteCommand(control, { type: 'miss', ids: missed })
+}
--- /dev/null
+++ b/packages/daemon/src/core/gateway/call.ts
@@ -0,0 +1,31 @@
+/** One caller's request on its way through the gateway, and its final answer. */
+import type { Millis, ServiceId } from '@lynxcourse/base'
+import type { FleetServer } from '@lynxcourse/routing'
+import type { Route } from '@lynxcourse/state'
+import type { HeaderMap } from '../../types/answers.js'
+import type { Cancel } from '../../utils/cancel.js'
+import type { CallFacts } from './dialects.js'
+
+export interface Call {
+  readonly facts: CallFacts
+  readonly route: Route
+  readonly service: ServiceId
+  readonly method: string
+  readonly path: string
+  /** Headers that are passed on. */
+  readonly headers: HeaderMap
+  readonly body: Buffer | null
+  readonly arrivedAt: Millis
+  /** By the caller's own time limit or the route's, whichever ends first. */
+  readonly deadline: Millis
+  /** Aborted when the caller has closed its connection. */
+  readonly gone: Cancel
+  readonly onReport: (server: FleetServer, ahead: number, now: Millis) => void
+}
+
+/** What the caller is told. */
+export interface CallAnswer {
+  readonly status: number
+  readonly headers: HeaderMap
+  readonly body: Buffer
+}
--- /dev/null
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -0,0 +1,133 @@
+/** The HTTP server that callers reach: reads requests, has them served, writes answers. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
+import type { Millis } from '@lynxcourse/base'
+import { matchRoute, pickService } from '@lynxcourse/routing'
+import type { HeaderMap } from '../../types/answers.js'
+import { Cancel } from '../../utils/cancel.js'
+import { presentTime } from '../../utils/clock.js'
+import { readBody } from '../../utils/httpServer.js'
+import { log } from '../../utils/logging.js'
+import type { Call, CallAnswer } from './call.js'
+import type { Gateway } from './gateway.js'
+import { serveCall, takeReport } from './serving.js'
+
+/** Largest head that the parser takes; the routes' own limit may be lower. */
+const maxHeaderBytes = 65_536
+/** Bodies held at once; beyond it new requests are turned away, since memory over the VM's limit ends the process. */
+const maxHeldBytes = 67_108_864
+/** Idle connections stay open this much longer than promised, so that a request just in time finds them open. */
+const idleSlackMs: Millis = 2000
+/** When to come back to a VM that does not know the present state yet. */
+const notReadyRetryMs: Millis = 300
+
+const hopByHop = new Set(['connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length', 'expect'])
+
+/** Makes the server; it does not listen yet. */
+export function createCallerFront (gateway: Gateway): Server {
+  const server = createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0, keepAliveTimeout: gateway.limits.idleTimeoutMs, keepAliveTimeoutBuffer: 0 } as object, (req, res) => {
+    answerCall(gateway, req, res).catch((err: unknown) => {
+      log(gateway.node.logs, 'route', 'error', 'Request not served.', { error: messageOf(err) })
+      res.destroy()
+    })
+  })
+  return server
+}
+
+/** Takes changed limits over. */
+export function applyLimits (gateway: Gateway, server: Server): void {
+  server.keepAliveTimeout = gateway.limits.idleTimeoutMs + idleSlackMs
+  server.headersTimeout = gateway.limits.headerTimeoutMs + idleSlackMs
+}
+
+async function answerCall (gateway: Gateway, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  const arrivedAt = presentTime()
+  const gone = new Cancel()
+  res.once('close', () => { if (!res.writableFinished) gone.abort() })
+  gateway.open += 1
+  gateway.node.metrics.inFlight.set(gateway.open)
+  try {
+    const answer = await serveRequest(gateway, req, gone, arrivedAt)
+    if (answer !== undefined && !gone.aborted) writeAnswer(gateway, res, answer)
+    gateway.node.metrics.requests.inc({ service: 'all', outcome: answer === undefined ? 'gone' : String(answer.status) })
+    gateway.node.metrics.requestSeconds.observe({ service: 'all' }, (presentTime() - arrivedAt) / 1000)
+  } finally {
+    gateway.open -= 1
+  }
+}
+
+async function serveRequest (gateway: Gateway, req: IncomingMessage, gone: Cancel, arrivedAt: Millis): Promise<CallAnswer | undefined> {
+  const path = req.url ?? '/'
+  const route = matchRoute(gateway.table, req.headers.host ?? '', path)
+  if (route === undefined) return noRoute(gateway, req)
+  const facts = gateway.callers.readCall(req.headers)
+  const body = await readCallBody(gateway, req, gone)
+  if (body === undefined) return undefined
+  if (!Buffer.isBuffer(body)) return body
+  const call: Call = {
+    facts,
+    route,
+    service: pickService(gateway.splits, route),
+    method: req.method ?? 'GET',
+    path,
+    headers: forwardedHeaders(gateway, req),
+    body: body.length === 0 ? null : body,
+    arrivedAt,
+    deadline: arrivedAt + Math.min(facts.remainingMs ?? Infinity, route.timeoutMs),
+    gone,
+    onReport: takeReport
+  }
+  gateway.heldBytes += body.length
+  try {
+    return await serveCall(gateway, call)
+  } finally {
+    gateway.heldBytes -= body.length
+  }
+}
+
+function noRoute (gateway: Gateway, req: IncomingMessage): CallAnswer {
+  req.resume()
+  // A VM that does not know the present routes can't say that there is none.
+  if (gateway.node.freshAt === -Infinity || gateway.table.size === 0) return refusal(gateway, 'the routes are not known yet', notReadyRetryMs)
+  log(gateway.node.logs, 'route', 'info', 'No route.', { host: req.headers.host, path: req.url, stateVersion: gateway.node.config.version })
+  return ownAnswer(404, 'no route')
+}
+
+function refusal (gateway: Gateway, detail: string, retryAfterMs: Millis): CallAnswer {
+  return { status: 503, headers: gateway.callers.refusalHeaders(retryAfterMs), body: Buffer.from(`not run: ${detail}\n`) }
+}
+
+function ownAnswer (status: number, detail: string): CallAnswer {
+  return { status, headers: {}, body: Buffer.from(`${detail}\n`) }
+}
+
+/** Reads the body; an answer if it can't be taken, undefined if the caller went away. */
+async function readCallBody (gateway: Gateway, req: IncomingMessage, gone: Cancel): Promise<Buffer | CallAnswer | undefined> {
+  if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) return Buffer.alloc(0)
+  if (gateway.heldBytes > maxHeldBytes) return refusal(gateway, 'too many bodies are held', notReadyRetryMs)
+  try {
+    return await readBody(req, gateway.limits.maxBodyBytes)
+  } catch (err) {
+    if (isLynxError(err, 'tooLarge')) return ownAnswer(413, `body over ${gateway.limits.maxBodyBytes} bytes`)
+    if (gone.aborted || req.destroyed) return undefined
+    throw new LynxError('badRequest', messageOf(err), { step: 'read body', cause: err })
+  }
+}
+
+function forwardedHeaders (gateway: Gateway, req: IncomingMessage): HeaderMap {
+  const listed = new Set(String(req.headers.connection ?? '').toLowerCase().split(',').map(name => name.trim()))
+  const headers: HeaderMap = {}
+  for (const [name, value] of Object.entries(req.headers)) {
+    if (value !== undefined && !hopByHop.has(name) && !listed.has(name) && !gateway.callers.ownHeaders.has(name)) headers[name] = value
+  }
+  return headers
+}
+
+function writeAnswer (gateway: Gateway, res: ServerResponse, answer: CallAnswer): void {
+  const headers: HeaderMap = { ...answer.headers, 'content-length': String(answer.body.length) }
+  // A VM that leaves says so, so that the caller's next request goes elsewhere instead of crossing the close.
+  if (gateway.node.isLeaving) headers.connection = 'close'
+  res.writeHead(answer.status, headers)
+  res.end(answer.body)
+}
--- /dev/null
+++ b/packages/daemon/src/core/gateway/fleetView.ts
@@ -0,0 +1,85 @@
+/** Keeps the gateway's routes and servers up to date with the VM's copy of the state. */
+import type { Millis, ServiceId } from '@lynxcourse/base'
+import { buildRouteTable, createFleetServer, dropRanks, forgetServer } from '@lynxcourse/routing'
+import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/routing'
+import { listItems, routeSetOf } from '@lynxcourse/state'
+import type { BackendItem, Config, RouteSet } from '@lynxcourse/state'
+import type { FleetNode } from '../fleet/fleetNode.js'
+import type { Gateway } from './gateway.js'
+
+/** A server whose failure domain takes work again may have become cold while it had none. */
+const defaultWarmupMs = 3000
+
+/** Takes the present state over. */
+export function refreshGateway (gateway: Gateway, now: Millis): void {
+  const { node, fleet } = gateway
+  const set = routeSetOf(node.config)
+  gateway.table = buildRouteTable(set?.routes ?? [])
+  if (set !== undefined) {
+    gateway.limits = set.limits
+    for (const upstream of set.upstreams) fleet.coldRates.set(upstream.name, upstream.warmupPerSecond)
+  }
+  fleet.vms = node.entryNames
+  refreshServers(fleet, node, set, now)
+}
+
+function refreshServers (fleet: Fleet, node: FleetNode, set: RouteSet | undefined, now: Millis): void {
+  const warmups = new Map<ServiceId, Millis>(set?.upstreams.map(upstream => [upstream.name, upstream.warmupMs]))
+  const evacuated = evacuatedDomains(node.config)
+  const present = new Set<string>()
+  for (const item of listItems(node.config, 'backend')) {
+    if (item.state === 'gone') continue
+    present.add(item.key)
+    refreshServer(fleet, node, item, evacuated.has(item.facts.failureDomain), warmups, now)
+  }
+  for (const id of fleet.byId.keys()) {
+    if (present.has(id)) continue
+    fleet.byId.delete(id)
+    forgetServer(fleet.warmth, id)
+  }
+  fleet.byService = groupByService(fleet)
+  dropRanks(fleet.warmth)
+}
+
+function evacuatedDomains (config: Config): Set<string> {
+  return new Set(listItems(config, 'evacuation').filter(item => item.isActive).map(item => item.key))
+}
+
+function refreshServer (fleet: Fleet, node: FleetNode, item: BackendItem, isEvacuated: boolean, warmups: ReadonlyMap<ServiceId, Millis>, now: Millis): void {
+  const { facts, key } = item
+  const warmupMs = warmups.get(facts.service) ?? defaultWarmupMs
+  const next: ServerFacts = {
+    id: key,
+    service: facts.service,
+    address: facts.address,
+    failureDomain: facts.failureDomain,
+    region: node.cfg.regions.get(facts.failureDomain) ?? node.cfg.region,
+    slots: Math.max(1, facts.slots),
+    isClosed: item.state !== 'serving' || isEvacuated
+  }
+  const held = fleet.byId.get(key)
+  if (held === undefined) {
+    fleet.byId.set(key, createFleetServer(next, now + Math.max(warmupMs, facts.coldMs)))
+    return
+  }
+  const isBack = held.facts.isClosed && !next.isClosed
+  const turnedCold = facts.coldMs > 0 && held.facts !== next && held.coldUntil < now
+  if (isBack || turnedCold) makeCold(fleet, held, now + Math.max(warmupMs, facts.coldMs))
+  held.facts = next
+}
+
+function makeCold (fleet: Fleet, server: FleetServer, until: Millis): void {
+  server.coldUntil = until
+  server.strikes = 0
+  forgetServer(fleet.warmth, server.facts.id)
+}
+
+function groupByService (fleet: Fleet): Map<ServiceId, FleetServer[]> {
+  const groups = new Map<ServiceId, FleetServer[]>()
+  for (const server of fleet.byId.values()) {
+    const group = groups.get(server.facts.service)
+    if (group === undefined) groups.set(server.facts.service, [server])
+    else group.push(server)
+  }
+  return groups
+}
--- /dev/null
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -0,0 +1,61 @@
+/** State of the gateway: the entry part of a fleet's VM, which forwards requests by route. */
+import { loadChart } from '@lynxcourse/base'
+import type { Millis, RegionId } from '@lynxcourse/base'
+import { buildRouteTable, createWarmth } from '@lynxcourse/routing'
+import type { Fleet, RetryShare, RouteTable, SplitPicker } from '@lynxcourse/routing'
+import { defaultCallerLimits } from '@lynxcourse/state'
+import type { CallerLimits } from '@lynxcourse/state'
+import type { FleetNode } from '../fleet/fleetNode.js'
+import { createPool } from '../entry/connectionPool.js'
+import type { ConnectionPool } from '../entry/connectionPool.js'
+import type { CallerDialect, ServerDialect } from './dialects.js'
+
+export interface Gateway {
+  readonly node: FleetNode
+  readonly callers: CallerDialect
+  readonly servers: ServerDialect
+  readonly pool: ConnectionPool
+  readonly fleet: Fleet
+  readonly splits: SplitPicker
+  readonly retries: RetryShare
+  table: RouteTable
+  limits: CallerLimits
+  /** Requests in this VM. */
+  open: number
+  /** Bytes of request bodies held. */
+  heldBytes: number
+}
+
+export function createGateway (node: FleetNode, callers: CallerDialect, servers: ServerDialect): Gateway {
+  const { connectTimeoutMs, staleConnectionMs } = node.cfg.times
+  const travel = new Map<RegionId, Millis>()
+  const fleet: Fleet = {
+    setup: { self: node.cfg.name, region: node.cfg.region, random: node.random },
+    byId: new Map(),
+    byService: new Map(),
+    warmth: createWarmth(),
+    work: new Map(),
+    meanWork: new Map(),
+    travel,
+    coldRates: new Map(),
+    vms: node.entryNames
+  }
+  return {
+    node,
+    callers,
+    servers,
+    pool: createPool({ staleMs: staleConnectionMs, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs),
+    fleet,
+    splits: new Map(),
+    retries: new Map(),
+    table: buildRouteTable([]),
+    limits: defaultCallerLimits,
+    open: 0,
+    heldBytes: 0
+  }
+}
+
+/** Whether callers may be sent here. */
+export function isGatewayReady (gateway: Gateway): boolean {
+  return gateway.node.freshAt > -Infinity && !gateway.node.isLeaving
+}
--- /dev/null
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -0,0 +1,120 @@
+/** Sends one request to one backend server and reads its whole answer. */
+import type { Dispatcher } from 'undici'
+import { messageOf } from '@lynxcourse/base'
+import type { Millis } from '@lynxcourse/base'
+import type { Placed } from '@lynxcourse/routing'
+import type { HeaderMap } from '../../types/answers.js'
+import { Cancel } from '../../utils/cancel.js'
+import { presentTime } from '../../utils/clock.js'
+import { dropConnection, progressConnection, releaseConnection, takeConnection } from '../entry/connectionPool.js'
+import type { Connection } from '../entry/connectionPool.js'
+import type { Call } from './call.js'
+import type { Gateway } from './gateway.js'
+
+/** How sending ended. */
+export type SendResult =
+  | { readonly type: 'answered', readonly status: number, readonly headers: HeaderMap, readonly body: Buffer }
+  /** The server says that the request did not run there; `elsewhere` means it is not the server that was named. */
+  | { readonly type: 'notRun', readonly reason: 'full' | 'elsewhere' | 'unreached', readonly status: number | undefined }
+  /** It may have run. */
+  | { readonly type: 'lost', readonly reason: 'failed' | 'spoiled' | 'deadline' | 'slow' | 'gone', readonly detail: string }
+
+/** Largest answer that is held in memory; whole answers are checked before a caller gets any of them. */
+const maxAnswerBytes = 16_777_216
+
+const hopByHop = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length'])
+
+/**
+ * Sends a request.
+ *
+ * @param giveUpAt when to stop waiting although the caller still waits; Infinity to wait for the deadline
+ */
+export async function sendOnce (gateway: Gateway, call: Call, placed: Placed, giveUpAt: Millis): Promise<SendResult> {
+  const now = presentTime()
+  const { facts } = placed.server
+  const connection = takeConnection(gateway.pool, facts.address, !call.route.isIdempotent, now)
+  const stop = watchSend(call, giveUpAt, now)
+  try {
+    const leftMs = Math.max(1, Math.floor(call.deadline - now))
+    const headers = { ...call.headers, ...gateway.servers.requestHeaders(call.facts, facts.id, leftMs) }
+    const res = await connection.client.request({ method: call.method as Dispatcher.HttpMethod, path: call.path, headers, body: call.body, signal: stop.signal })
+    progressConnection(gateway.pool, connection, presentTime())
+    return await readAnswer(gateway, call, placed, connection, res)
+  } catch (err) {
+    dropConnection(gateway.pool, connection, 'close')
+    if (isConnectError(err)) return { type: 'notRun', reason: 'unreached', status: undefined }
+    return { type: 'lost', reason: stop.reason(), detail: messageOf(err) }
+  } finally {
+    stop.end()
+  }
+}
+
+async function readAnswer (gateway: Gateway, call: Call, placed: Placed, connection: Connection, res: Dispatcher.ResponseData): Promise<SendResult> {
+  const raw = res.headers as HeaderMap
+  const kind = gateway.servers.judge(call.facts, res.statusCode, raw)
+  const body = await readWhole(res)
+  if (body === undefined || kind === 'spoiled') {
+    // An answer to another request, or one that is not the server's own: what follows on this connection can't be trusted either.
+    dropConnection(gateway.pool, connection, 'close')
+    return { type: 'lost', reason: 'spoiled', detail: body === undefined ? 'answer is too large' : 'answer does not belong to the request' }
+  }
+  releaseConnection(gateway.pool, connection, presentTime())
+  const ahead = gateway.servers.readAhead(raw)
+  if (ahead !== undefined) call.onReport(placed.server, ahead, presentTime())
+  if (kind === 'elsewhere' || kind === 'notRun') return { type: 'notRun', reason: kind === 'elsewhere' ? 'elsewhere' : 'full', status: res.statusCode }
+  return { type: 'answered', status: res.statusCode, headers: passedHeaders(raw), body }
+}
+
+async function readWhole (res: Dispatcher.ResponseData): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of res.body as AsyncIterable<Buffer>) {
+    size += chunk.length
+    if (size > maxAnswerBytes) return undefined
+    chunks.push(chunk)
+  }
+  return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)
+}
+
+function passedHeaders (raw: HeaderMap): HeaderMap {
+  const headers: HeaderMap = {}
+  for (const [name, value] of Object.entries(raw)) {
+    if (value !== undefined && !hopByHop.has(name)) headers[name] = value
+  }
+  return headers
+}
+
+/** Errors from opening a connection: no byte of the request was handed to it. */
+function isConnectError (err: unknown): boolean {
+  const { code, syscall } = err as NodeJS.ErrnoException
+  return code === 'UND_ERR_CONNECT_TIMEOUT' || syscall === 'connect'
+}
+
+interface SendWatch {
+  readonly signal: Cancel
+  readonly reason: () => Extract<SendResult, { type: 'lost' }>['reason']
+  readonly end: () => void
+}
+
+/** Ends sending at the deadline, when the caller goes, or when it is time to try elsewhere. */
+function watchSend (call: Call, giveUpAt: Millis, now: Millis): SendWatch {
+  const signal = new Cancel()
+  let reason: ReturnType<SendWatch['reason']> = 'failed'
+  const stop = (why: typeof reason) => (): void => {
+    reason = why
+    signal.abort()
+  }
+  const onGone = stop('gone')
+  call.gone.on('abort', onGone)
+  if (call.gone.aborted) onGone()
+  const endsAt = Math.min(call.deadline, giveUpAt)
+  const timer = setTimeout(stop(giveUpAt < call.deadline ? 'slow' : 'deadline'), Math.max(1, endsAt - now))
+  return {
+    signal,
+    reason: () => reason,
+    end: () => {
+      clearTimeout(timer)
+      call.gone.off('abort', onGone)
+    }
+  }
+}
--- a/packages/daemon/src/core/node/claimService.ts
+++ b/packages/daemon/src/core/node/claimService.ts
@@ -4,7 +4,7 @@
 import type { ClaimAnswer, ClaimCommand, SettleAnswer, SettleCommand } from '@lynxcourse/state'
 import { z } from 'zod'
 import { submitHere } from '../control/proposing.js'
-import type { ControlHost } from '../control/controlHost.js'
+import type { ControlHost } from '../control/hostState.js'
 import { addMethod } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
 
--- a/packages/daemon/src/core/node/node.ts
+++ b/packages/daemon/src/core/node/node.ts
@@ -8,6 +8,7 @@
 import { createConfig } from '@lynxcourse/state'
 import type { Config } from '@lynxcourse/state'
 import { randomInt } from 'node:crypto'
+import { join } from 'node:path'
 import type { Settings } from '../../types/settings.js'
 import { openLogs } from '../../utils/logging.js'
 import type { Logs } from '../../utils/logging.js'
@@ -15,6 +16,7 @@
 import type { Metrics } from '../../utils/metrics.js'
 import { createRpcClient } from '../rpc/rpcClient.js'
 import type { RpcClient } from '../rpc/rpcClient.js'
+import type { ControlEnv } from '../control/hostState.js'
 import type { TlsFiles } from '../../plugins/tlsFiles.js'
 
 /** State of one daemon; its parts take it first. */
@@ -100,6 +102,23 @@
   return node.cfg.seeds.find(seed => seed.vm === vm)?.rpc
 }
 
+/** What the host of this VM's copy of the log needs. */
+export function controlEnv (node: Node): ControlEnv {
+  const { cfg, logs, metrics, random, client } = node
+  return {
+    vm: cfg.vm,
+    folder: join(cfg.dataFolder ?? '.', cfg.vm),
+    times: cfg.times,
+    logs,
+    metrics,
+    random,
+    client,
+    firstIncarnation: undefined,
+    addressOf: vm => seedAddress(node, vm),
+    peers: () => cfg.seeds.filter(seed => seed.vm !== cfg.vm).map(seed => seed.rpc)
+  }
+}
+
 /** Where the leader takes RPC; empty if unknown. */
 export function leaderAddress (node: Node): string {
   return node.leader === undefined ? '' : seedAddress(node, node.leader) ?? ''
--- a/packages/daemon/src/utils/logStream.ts
+++ b/packages/daemon/src/utils/logStream.ts
@@ -1,44 +1,70 @@
 /**
- * Standard output in batches. A line for each routing decision, written by itself, costs a system call
- * for each request; lines of a few milliseconds share one. What is left is written when the process ends.
+ * Standard output in batches, bounded and never waited for.
+ *
+ * What can go wrong: whoever reads the log stands still, the pipe fills up, and a process that writes
+ * to it stands still as well. So lines gather in memory, one asynchronous write is under way at a
+ * time, and lines over the bound are dropped and counted; the next line that fits says how many.
  */
-import { writeSync } from 'node:fs'
+import { write, writeSync } from 'node:fs'
 import { Writable } from 'node:stream'
 
-const flushMs = 20
-const flushBytes = 65_536
+const flushMs = 50
+/** Lines beyond this are dropped; about two seconds of a busy VM's log. */
+const maxHeldBytes = 1_048_576
 const standardOutput = 1
 
 /** Opens the stream. */
 export function openLogStream (): Writable {
   let lines: Buffer[] = []
   let size = 0
+  let dropped = 0
+  let isWriting = false
   let timer: NodeJS.Timeout | undefined
-  const flush = (): void => {
-    clearTimeout(timer)
-    timer = undefined
+  const take = (): Buffer => {
     const bytes = Buffer.concat(lines)
     lines = []
     size = 0
-    writeAll(bytes)
+    return bytes
+  }
+  const flush = (): void => {
+    timer = undefined
+    if (isWriting || size === 0) return
+    isWriting = true
+    writeAll(take(), () => {
+      isWriting = false
+      if (size > 0) timer ??= setTimeout(flush, flushMs)
+    })
   }
-  process.on('exit', flush)
+  process.on('exit', () => writeLast(take()))
   return new Writable({
     write: (chunk: Buffer, _, done) => {
-      lines.push(chunk)
-      size += chunk.length
-      if (size >= flushBytes) flush()
-      else timer ??= setTimeout(flush, flushMs)
+      if (size + chunk.length > maxHeldBytes) dropped += 1
+      else {
+        if (dropped > 0) {
+          lines.push(Buffer.from(`${JSON.stringify({ level: 'warn', part: 'log', message: 'Lines were dropped.', dropped })}\n`))
+          dropped = 0
+        }
+        lines.push(chunk)
+        size += chunk.length
+        timer ??= setTimeout(flush, flushMs)
+      }
       done()
     }
   })
 }
 
-function writeAll (bytes: Buffer): void {
-  let at = 0
+function writeAll (bytes: Buffer, done: () => void): void {
+  write(standardOutput, bytes, 0, bytes.length, null, (err, written) => {
+    // A reader that is gone must not stop the daemon: these lines are lost.
+    if (err !== null || written >= bytes.length) done()
+    else writeAll(bytes.subarray(written), done)
+  })
+}
+
+function writeLast (bytes: Buffer): void {
   try {
-    while (at < bytes.length) at += writeSync(standardOutput, bytes, at)
+    writeSync(standardOutput, bytes)
   } catch {
-    // A reader that is gone or full must not stop the daemon: these lines are lost.
+    // Nobody is left to tell: the process ends and its output is closed or full.
   }
 }
--- a/packages/daemon/src/utils/logging.ts
+++ b/packages/daemon/src/utils/logging.ts
@@ -2,7 +2,6 @@
 import { Writable } from 'node:stream'
 import winston from 'winston'
 import { openLogStream } from './logStream.js'
-import type { Settings } from '../types/settings.js'
 
 /** Parts that log, by their prefix. */
 export type LogPart = 'agree' | 'announce' | 'claim' | 'daemon' | 'drain' | 'limit' | 'lookup' | 'member' | 'route' | 'rpc' | 'shift' | 'sync'
@@ -22,6 +21,14 @@
   readonly parts: Readonly<Record<string, LogLevel>>
 }
 
+/** How to log. */
+export interface LogSettings {
+  readonly format: 'text' | 'json'
+  readonly level: LogLevel
+  /** Levels of single parts, by their prefix. */
+  readonly parts: Readonly<Record<string, LogLevel>>
+}
+
 /** Keys under which winston's formats keep the level and the finished line. */
 const levelKey = Symbol.for('level')
 const lineKey = Symbol.for('message')
@@ -34,10 +41,10 @@
 }
 
 /** Opens the log on standard output. */
-export function openLogs (cfg: Settings['log']): Logs {
+export function openLogs (cfg: LogSettings): Logs {
   const { combine, timestamp, json, printf } = winston.format
   const format = cfg.format === 'json' ? combine(timestamp(), json()) : combine(timestamp(), printf(textOf))
-  return { format, stream: openLogStream(), level: cfg.level, parts: cfg.parts as Record<string, LogLevel> }
+  return { format, stream: openLogStream(), level: cfg.level, parts: cfg.parts }
 }
 
 /** Logs that go nowhere, for tests. */
--- /dev/null
+++ b/packages/routing/src/core/fleetServer.ts
@@ -0,0 +1,154 @@
+/**
+ * One backend server as one entry VM judges it: work ahead of a new request, how slow it is against
+ * its peers, whether it can be trusted now, and what it may get while it is cold.
+ */
+import type { FailureDomainId, Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+
+/** What the directory says of a server. */
+export interface ServerFacts {
+  readonly id: ServerId
+  readonly service: ServiceId
+  readonly address: string
+  readonly failureDomain: FailureDomainId
+  readonly region: RegionId
+  readonly slots: number
+  /** Takes no new work: it leaves, fell silent, or its failure domain is evacuated. */
+  readonly isClosed: boolean
+}
+
+/** A request that a server works on for this VM. */
+export interface Running {
+  readonly startedAt: Millis
+  readonly expectedMs: Millis
+}
+
+export interface FleetServer {
+  facts: ServerFacts
+  readonly running: Set<Running>
+  /** Requests running and waiting by the server's last report, of all VMs together. */
+  reportedAhead: number
+  reportedAt: Millis
+  /** Requests that this VM sent since that report. */
+  sentSince: number
+  /** Smoothed ratio of the time it took to the time that was expected of it. */
+  slowness: number
+  /** Failures in a row. */
+  strikes: number
+  /** Gets no work before this, for failures. */
+  suspectUntil: Millis
+  /** Gets no work before this, since it had no room. */
+  pausedUntil: Millis
+  coldUntil: Millis
+  /** Requests that this VM may send it now while it is cold. */
+  coldTokens: number
+  coldTokensAt: Millis
+}
+
+/** Smoothing of the slowness; a server five times slower shows after about four answers. */
+const slownessSmoothing = 0.25
+/** Bounds of the slowness, so that one freak answer can't shut a server out for good. */
+const minSlowness = 0.5
+const maxSlowness = 20
+/** First time without work after failures; doubles with each further strike. */
+const firstSuspicionMs = 400
+const maxSuspicionMs = 5000
+/** Strikes before a server is left alone: one failure may be the connection's. */
+const strikesToSuspect = 2
+/** A request that runs for this many times what was expected, and this much more, marks a stall. */
+const stallFactor = 3
+const stallSlackMs = 250
+/** How long a server that had no room is left alone; about the time in which one slot comes free. */
+const fullPauseMs = 40
+/** Slowness drifts back to 1 with this half-life, so that a recovered server is tried again. */
+const slownessHalfLifeMs = 4000
+
+export function createFleetServer (facts: ServerFacts, coldUntil: Millis): FleetServer {
+  return {
+    facts,
+    running: new Set(),
+    reportedAhead: 0,
+    reportedAt: -Infinity,
+    sentSince: 0,
+    slowness: 1,
+    strikes: 0,
+    suspectUntil: -Infinity,
+    pausedUntil: -Infinity,
+    coldUntil,
+    coldTokens: 1,
+    coldTokensAt: -Infinity
+  }
+}
+
+/**
+ * Requests that stand before a new one. The last report ages: what it counted is worked off at the
+ * pace of the slots, while this VM's own requests are known exactly.
+ */
+export function aheadOf (server: FleetServer, workMs: Millis, now: Millis): number {
+  const { slots } = server.facts
+  const age = now - server.reportedAt
+  if (!Number.isFinite(age) || workMs <= 0) return server.running.size
+  const done = age / workMs * Math.min(slots, server.reportedAhead)
+  return Math.max(server.running.size, server.reportedAhead - done + server.sentSince)
+}
+
+/** Whether a server may be given work at all. */
+export function isOpen (server: FleetServer, now: Millis): boolean {
+  return !server.facts.isClosed && now >= server.pausedUntil && now >= server.suspectUntil && !isStalled(server, now)
+}
+
+/** Whether one of this VM's requests runs for far longer there than it should. */
+export function isStalled (server: FleetServer, now: Millis): boolean {
+  for (const { startedAt, expectedMs } of server.running) {
+    if (now - startedAt > expectedMs * stallFactor + stallSlackMs) return true
+  }
+  return false
+}
+
+/** Slowness as it counts now. */
+export function slownessOf (server: FleetServer, now: Millis): number {
+  const age = now - server.reportedAt
+  if (!Number.isFinite(age)) return server.slowness
+  return 1 + (server.slowness - 1) * 2 ** (-age / slownessHalfLifeMs)
+}
+
+/** Counts a request in. */
+export function noteStart (server: FleetServer, expectedMs: Millis, now: Millis): Running {
+  const running = { startedAt: now, expectedMs }
+  server.running.add(running)
+  server.sentSince += 1
+  return running
+}
+
+/** Counts a request out. */
+export function noteStop (server: FleetServer, running: Running): void {
+  server.running.delete(running)
+}
+
+/** Takes a server's own report of its load. */
+export function noteReport (server: FleetServer, ahead: number, now: Millis): void {
+  server.reportedAhead = ahead
+  server.reportedAt = now
+  server.sentSince = 0
+}
+
+/** Notes a good answer and how its time compares with what was expected. */
+export function noteGood (server: FleetServer, ratio: number, now: Millis): void {
+  server.strikes = 0
+  server.suspectUntil = -Infinity
+  const bounded = Math.min(maxSlowness, Math.max(minSlowness, ratio))
+  const present = slownessOf(server, now)
+  server.slowness = present + (bounded - present) * slownessSmoothing
+}
+
+/** Notes that a server failed; after some in a row it is left alone for a time that doubles. */
+export function noteBad (server: FleetServer, isCertain: boolean, now: Millis): void {
+  server.strikes += isCertain ? strikesToSuspect : 1
+  const over = server.strikes - strikesToSuspect
+  if (over < 0) return
+  server.suspectUntil = now + Math.min(maxSuspicionMs, firstSuspicionMs * 2 ** Math.min(over, 8))
+}
+
+/** Notes that a server had no room. */
+export function noteFull (server: FleetServer, now: Millis): void {
+  server.pausedUntil = Math.max(server.pausedUntil, now + fullPauseMs)
+}
--- a/packages/state/src/core/config.ts
+++ b/packages/state/src/core/config.ts
@@ -6,7 +6,7 @@
 import type { ConfigDelta, ConfigItem, DrainItem, ProfileItem, ShiftItem, VersionedItem } from '../types/items.js'
 import type { Profile } from '../types/profile.js'
 
-/** Most finished drains and shifts kept; older ones go. */
+/** Most finished items kept of each kind (drains, shifts, removed routes, servers that ended); older ones go. */
 export const maxFinished = 64
 
 export interface Config {
@@ -34,8 +34,15 @@
 }
 
 function isFinished (item: ConfigItem): boolean {
-  if (item.kind !== 'drain' && item.kind !== 'shift') return false
-  return item.state === 'cancelled' || item.state === 'complete'
+  switch (item.kind) {
+    case 'drain':
+    case 'shift': return item.state === 'cancelled' || item.state === 'complete'
+    case 'route': return item.route === undefined
+    case 'upstream': return item.upstream === undefined
+    case 'backend': return item.state === 'gone'
+    case 'evacuation': return !item.isActive
+    default: return false
+  }
 }
 
 function pruneFinished (config: Config, kind: ConfigItem['kind']): void {
--- a/packages/state/src/core/machine.ts
+++ b/packages/state/src/core/machine.ts
@@ -3,6 +3,7 @@
 import type { Chart, ChangeId, Millis, RequestId, ResourceId } from '@lynxcourse/base'
 import type { Answer, Change, ChangeAnswer, Command } from '../types/commands.js'
 import type { ProfileItem, VersionedItem } from '../types/items.js'
+import type { OrderId } from '../types/routes.js'
 import { allocate, createAllocations } from './allocations.js'
 import type { Allocation, Allocations } from './allocations.js'
 import { capOf } from './caps.js'
@@ -12,6 +13,8 @@
 import type { ClaimRecord, Claims } from './claims.js'
 import { createConfig, findItem } from './config.js'
 import type { Config } from './config.js'
+import { applyRouteCommand, isRouteCommand } from './routeChanges.js'
+import type { AcceptedOrders } from './routeChanges.js'
 
 /** Most answers to changes that are kept for resends; two days at 9,800 changes a day. */
 export const maxKeptAnswers = 20_000
@@ -31,6 +34,7 @@
   claims: Claims
   allocations: Allocations
   answers: Map<ChangeId, ChangeAnswer>
+  orders: AcceptedOrders
   history: Map<string, ProfileItem[]>
 }
 
@@ -42,6 +46,7 @@
     claims: createClaims(charts.claim),
     allocations: createAllocations(),
     answers: new Map(),
+    orders: new Map(),
     history: new Map()
   }
 }
@@ -54,6 +59,9 @@
 }
 
 function applyCommand (machine: Machine, command: Command, version: number, at: Millis): Answer {
+  if (isRouteCommand(command)) {
+    return { type: 'change', change: applyRouteCommand(machine.config, machine.orders, command, version) }
+  }
   switch (command.type) {
     case 'claim': return { type: 'claim', claim: claim(machine.claims, command, at) }
     case 'settle': return { type: 'settle', settle: settle(machine.claims, command, at) }
@@ -103,6 +111,7 @@
   readonly claims: ReadonlyArray<readonly [RequestId, ClaimRecord]>
   readonly allocations: ReadonlyArray<readonly [ResourceId, ReadonlyArray<readonly [string, Allocation]>]>
   readonly answers: ReadonlyArray<readonly [ChangeId, ChangeAnswer]>
+  readonly orders: ReadonlyArray<readonly [OrderId, number]>
   readonly history: ReadonlyArray<readonly [string, ProfileItem[]]>
 }
 
@@ -117,6 +126,7 @@
     claims: [...machine.claims.records],
     allocations,
     answers: [...machine.answers],
+    orders: [...machine.orders],
     history: [...machine.history]
   }
   return JSON.stringify(data)
@@ -134,6 +144,7 @@
     machine.allocations.byResource.set(id, new Map(shares) as never)
   }
   machine.answers = new Map(data.answers)
+  machine.orders = new Map(data.orders)
   machine.history = new Map(data.history)
   return machine
 }
--- a/packages/state/src/internal.ts
+++ b/packages/state/src/internal.ts
@@ -1,5 +1,6 @@
 /** Fixes the order in which the modules of this package load. */
 export * from './types/profile.js'
+export * from './types/routes.js'
 export * from './types/commands.js'
 export * from './types/items.js'
 export * from './core/config.js'
@@ -7,4 +8,5 @@
 export * from './core/claims.js'
 export * from './core/allocations.js'
 export * from './core/changes.js'
+export * from './core/routeChanges.js'
 export * from './core/machine.js'
--- a/packages/state/src/types/commands.ts
+++ b/packages/state/src/types/commands.ts
@@ -4,6 +4,7 @@
 } from '@lynxcourse/base'
 import { z } from 'zod'
 import { nameSchema, profileSchema } from './profile.js'
+import type { RouteCommand } from './routes.js'
 
 /** What a drain empties. */
 export type DrainKind = 'server' | 'vm' | 'failureDomain' | 'region'
@@ -123,6 +124,7 @@
   | AllocateCommand
   | AdvanceShiftCommand
   | AdvanceDrainCommand
+  | RouteCommand
 
 /** Who made the version that another change ran into. */
 export interface Winner {
--- a/packages/state/src/types/items.ts
+++ b/packages/state/src/types/items.ts
@@ -2,6 +2,7 @@
 import type { ChangeId, DrainId, Millis, ProfileName, RegionId, ServiceId, ShiftId } from '@lynxcourse/base'
 import type { DrainTarget } from './commands.js'
 import type { Profile } from './profile.js'
+import type { BackendItem, EvacuationItem, RouteItem, RoutingItem, UpstreamItem } from './routes.js'
 
 /** Who changed an item, and when by the log's time. */
 export interface Origin {
@@ -53,7 +54,9 @@
   readonly origin: Origin
 }
 
-export type ConfigItem = ProfileItem | ServiceItem | DrainItem | ShiftItem
+export type ConfigItem =
+  | ProfileItem | ServiceItem | DrainItem | ShiftItem
+  | RouteItem | UpstreamItem | RoutingItem | EvacuationItem | BackendItem
 
 /** An item with the configuration version at which it last changed. */
 export interface VersionedItem {
