--- /dev/null
+++ b/packages/daemon/__tests__/fleet.test.ts
@@ -0,0 +1,162 @@
+/** A fleet's VMs on loopback: founding, changes, forwarding by route, and what must not run twice. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { connect } from 'node:net'
+import { rm } from 'node:fs/promises'
+import type { FailureDomainId, ServerId } from '@lynxcourse/base'
+import { brandId } from '@lynxcourse/base'
+import { isFleetReady, leaveFleet, readRoutes } from '@lynxcourse/daemon'
+import type { FleetDaemon } from '@lynxcourse/daemon'
+import { findItem } from '@lynxcourse/state'
+import { ask, controlOf, publish, replaceOrder, routeTo, startRig, startServer, startVm, submit, until } from './support/fleetRig.js'
+
+test('seeds found the group; a change is in force at the entry VM; requests reach servers by route', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (req, res) => res.end(`${req.method} ${req.url}`))
+  await publish(rig, [server], [routeTo('read'), routeTo('write', { isIdempotent: false })])
+  assert.deepEqual([(await ask(rig, '/read/1?x=2')).body, (await ask(rig, '/write/1', 'POST')).body], ['GET /read/1?x=2', 'POST /write/1'])
+  assert.equal((await ask(rig, '/none/1')).status, 404)
+  assert.equal(server.requests[0]?.headers['lynx-expect-server'], 's1')
+  const read = await readRoutes(controlOf(rig, 1))
+  assert.deepEqual([read.routesVersion, read.set?.routes.length], [1, 2])
+})
+
+test('an evacuated failure domain and a server that leaves get nothing more; callers hear when to come back', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await publish(rig, [server], [routeTo('read')])
+  const domain = brandId<FailureDomainId>('kochi-a')
+  await submit(rig, { type: 'evacuate', failureDomain: domain, isActive: true })
+  await until(async () => (await ask(rig, '/read/1')).status === 503)
+  const refused = await ask(rig, '/read/1')
+  assert.ok(Number(refused.headers['retry-after']) > 0)
+  await submit(rig, { type: 'evacuate', failureDomain: domain, isActive: false })
+  await until(async () => (await ask(rig, '/read/1')).status === 200)
+  await submit(rig, { type: 'announce', facts: { ...server.facts, isDraining: true, seq: 2 } })
+  await until(async () => (await ask(rig, '/read/1')).status === 503)
+})
+
+/*
+ * Symptom: a firm offer binds an owner twice. Sequence: a server takes the request and closes the
+ * connection without an answer; the VM sends it elsewhere. Cause: silence was taken for proof that it had not run.
+ */
+test('a request that must not repeat is not sent again after its connection was lost, and the caller is promised nothing', async () => {
+  await using rig = await startRig(1)
+  await using first = await startServer('s1', req => req.socket.destroy())
+  await using second = await startServer('s2', req => req.socket.destroy())
+  await publish(rig, [first, second], [routeTo('write', { isIdempotent: false, maxAttempts: 3 }), routeTo('read', { maxAttempts: 2 })])
+  assert.equal((await ask(rig, '/write/1', 'POST')).status, 502)
+  assert.equal(first.requests.length + second.requests.length, 1)
+  assert.equal((await ask(rig, '/read/1')).status, 502)
+  assert.equal(first.requests.length + second.requests.length, 3, 'a repeatable one goes to a second server')
+})
+
+test('a request that a server proves it did not run goes to another one, also when it must not repeat', async () => {
+  await using rig = await startRig(1)
+  await using full = await startServer('s1', (_req, res) => res.writeHead(503, { 'lynx-not-started': '1' }).end())
+  await using free = await startServer('s2', (_req, res) => res.end('ran'))
+  await publish(rig, [full, free], [routeTo('write', { isIdempotent: false })])
+  for (let sent = 0; sent < 4; sent++) assert.equal((await ask(rig, '/write/1', 'POST')).body, 'ran')
+})
+
+/*
+ * Symptom: a caller gets half an answer that looks whole. Sequence: the server's connection breaks in the
+ * middle of the body. Cause: the head was passed on before the body's end was known.
+ */
+test('an answer that breaks off on its way is never passed on as whole', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (req, res) => {
+    res.writeHead(200, { 'content-length': '100' })
+    res.write('half')
+    setTimeout(() => req.socket.destroy(), 20)
+  })
+  await publish(rig, [server], [routeTo('write', { isIdempotent: false })])
+  const got = await ask(rig, '/write/1', 'POST')
+  assert.deepEqual([got.status, got.body.includes('half')], [502, false])
+})
+
+test('a caller that closes its connection ends the work at the server', async () => {
+  await using rig = await startRig(1)
+  let closed = 0
+  await using server = await startServer('s1', (_req, res) => { res.once('close', () => { closed += 1 }) })
+  await publish(rig, [server], [routeTo('read')])
+  const port = Number(rig.settings.at(-1)?.callers?.split(':')[1])
+  const socket = connect(port, '127.0.0.1')
+  socket.write('GET /read/1 HTTP/1.1\r\nHost: a.example\r\n\r\n')
+  await until(() => server.requests.length === 1)
+  socket.destroy()
+  await until(() => closed === 1)
+})
+
+test('at the route\'s time-out the caller has its final answer', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', () => undefined)
+  await publish(rig, [server], [routeTo('write', { isIdempotent: false, timeoutMs: 300 })])
+  assert.equal((await ask(rig, '/write/1', 'POST')).status, 504)
+})
+
+/*
+ * Symptom: after a restart a VM sends work to a server that has left. Sequence: a VM starts while the one
+ * control VM that it finds was cut off from the others. Cause: the first state heard was taken for the present one.
+ */
+test('a VM that starts serves only once a control VM vouches that its state is the present one', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await publish(rig, [server], [routeTo('read')])
+  const entry = rig.daemons.pop() as FleetDaemon
+  await entry[Symbol.asyncDispose]()
+  for (const place of [0, 1]) {
+    await rig.daemons[place]?.[Symbol.asyncDispose]()
+    rig.daemons[place] = undefined
+  }
+  const { staleMs } = rig.settings[3]?.times ?? { staleMs: 0 }
+  await new Promise(resolve => setTimeout(resolve, staleMs + 500))
+  const back = await startVm(rig.settings[3] as (typeof rig.settings)[number])
+  rig.daemons.push(back)
+  await new Promise(resolve => setTimeout(resolve, 1500))
+  assert.equal(isFleetReady(back), false)
+  assert.equal((await ask(rig, '/read/1')).status, 503)
+  rig.daemons[0] = await startVm({ ...rig.settings[0] as (typeof rig.settings)[number], isFirstStart: false })
+  await until(() => isFleetReady(back))
+  assert.equal((await ask(rig, '/read/1')).status, 200)
+})
+
+test('a control VM that lost its disk returns as a new member and the group bears the next loss', async () => {
+  await using rig = await startRig(0)
+  assert.equal((await submit(rig, replaceOrder('one', 0, 1, [routeTo('read')]))).ok, true)
+  const cfg = rig.settings[2] as (typeof rig.settings)[number]
+  await rig.daemons[2]?.[Symbol.asyncDispose]()
+  await rm(cfg.dataFolder ?? '', { recursive: true, force: true })
+  rig.daemons[2] = await startVm({ ...cfg, isFirstStart: false })
+  await until(() => controlOf(rig, 2).host.replica?.members.some(member => member.id === controlOf(rig, 2).host.id && member.voter) ?? false)
+  await rig.daemons[0]?.[Symbol.asyncDispose]()
+  rig.daemons[0] = undefined
+  assert.equal((await submit(rig, replaceOrder('two', 1, 2, [routeTo('other')]))).ok, true)
+  assert.equal((await readRoutes(controlOf(rig, 2))).routesVersion, 2)
+})
+
+test('a server that falls silent is noted by the leader and taken back by its next announcement', async () => {
+  await using rig = await startRig(0)
+  await submit(rig, replaceOrder('one', 0, 1, [routeTo('read')]))
+  await using server = await startServer('s1', (_req, res) => res.end())
+  const id: ServerId = server.facts.id
+  await submit(rig, { type: 'announce', facts: server.facts })
+  await until(() => findItem(controlOf(rig, 1).host.machine.config, 'backend', id)?.state === 'lost')
+  await submit(rig, { type: 'announce', facts: { ...server.facts, seq: 2 } })
+  await until(() => findItem(controlOf(rig, 1).host.machine.config, 'backend', id)?.state === 'serving')
+})
+
+test('a VM that leaves is not ready, answers what it has, and says that it closes', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => setTimeout(() => res.end('whole'), 300))
+  await publish(rig, [server], [routeTo('read')])
+  const entry = rig.daemons.at(-1) as FleetDaemon
+  const answer = ask(rig, '/read/1')
+  await until(() => server.requests.length === 1)
+  const left = leaveFleet(entry)
+  assert.equal(isFleetReady(entry), false)
+  const got = await answer
+  assert.deepEqual([got.body, got.headers.connection], ['whole', 'close'])
+  await left
+  await until(() => controlOf(rig, 0).presence.entries.get('vm-3')?.presence.isReady !== true)
+})
--- /dev/null
+++ b/packages/daemon/__tests__/support/fleetRig.ts
@@ -0,0 +1,178 @@
+/** A small fleet in one process, with backend servers that tests steer. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createServer as createTcpServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { request } from 'undici'
+import { brandId } from '@lynxcourse/base'
+import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import {
+  OwnCallerDialect, OwnServerDialect, defaultFleetTimes, isFleetReady, silentLogs, startFleetDaemon, submitRouteCommand, takeAnnouncement
+} from '@lynxcourse/daemon'
+import type { FleetControl, FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
+import type { BackendFacts, ChangeAnswer, OrderId, Route, RouteCommand } from '@lynxcourse/state'
+
+export const desk = brandId<ServiceId>('desk')
+const region = brandId<RegionId>('kochi')
+const domain = brandId<FailureDomainId>('kochi-a')
+const pollMs = 20
+const settleMs = 15_000
+
+/** Free ports, found by listening for a moment. */
+async function freePorts (count: number): Promise<number[]> {
+  const holders = await Promise.all(Array.from({ length: count }, async () => await new Promise<ReturnType<typeof createTcpServer>>(resolve => {
+    const holder = createTcpServer().listen(0, '127.0.0.1', () => resolve(holder))
+  })))
+  const ports = holders.map(holder => (holder.address() as AddressInfo).port)
+  await Promise.all(holders.map(async holder => await new Promise(resolve => holder.close(resolve))))
+  return ports
+}
+
+export interface FleetRig extends AsyncDisposable {
+  readonly folder: string
+  readonly settings: readonly FleetSettings[]
+  readonly daemons: Array<FleetDaemon | undefined>
+}
+
+/** Starts three control VMs that found the group, and so many entry VMs after them. */
+export async function startRig (entries: number): Promise<FleetRig> {
+  const controls = 3
+  const ports = await freePorts((controls + entries) * 3)
+  const folder = await mkdtemp(join(tmpdir(), 'lynx-fleet-'))
+  const at = (place: number): string => `127.0.0.1:${ports[place]}`
+  const seeds = Array.from({ length: controls }, (_, place) => at(place * 3))
+  const settings = Array.from({ length: controls + entries }, (_, place): FleetSettings => ({
+    name: `vm-${place}`,
+    roles: place < controls ? ['control'] : ['entry'],
+    region,
+    failureDomain: domain,
+    regions: new Map([[domain, region]]),
+    rpc: at(place * 3),
+    callers: place < controls ? undefined : at(place * 3 + 1),
+    metrics: at(place * 3 + 2),
+    seeds,
+    isFirstStart: true,
+    dataFolder: join(folder, `vm-${place}`),
+    retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 50 },
+    times: { ...defaultFleetTimes, stopMs: 2000 },
+    log: { format: 'json', level: 'error', parts: {} }
+  }))
+  const rig: FleetRig = {
+    folder,
+    settings,
+    daemons: [],
+    [Symbol.asyncDispose]: async () => {
+      for (const daemon of rig.daemons) await daemon?.[Symbol.asyncDispose]()
+      await rm(folder, { recursive: true, force: true })
+    }
+  }
+  for (const cfg of settings) rig.daemons.push(await startVm(cfg))
+  return rig
+}
+
+export async function startVm (cfg: FleetSettings): Promise<FleetDaemon> {
+  return await startFleetDaemon(cfg, { callers: new OwnCallerDialect(), servers: new OwnServerDialect() }, { logs: silentLogs() })
+}
+
+export function controlOf (rig: FleetRig, place: number): FleetControl {
+  return rig.daemons[place]?.control as FleetControl
+}
+
+/** Waits until a question is answered with yes. */
+export async function until (ask: () => boolean | Promise<boolean>): Promise<void> {
+  const end = Date.now() + settleMs
+  while (!await ask()) {
+    if (Date.now() > end) throw new Error('did not come true in time')
+    await new Promise(resolve => setTimeout(resolve, pollMs))
+  }
+}
+
+/** Submits a command at any control VM until it is judged. */
+export async function submit (rig: FleetRig, command: RouteCommand): Promise<ChangeAnswer> {
+  let answer: ChangeAnswer | undefined
+  await until(async () => {
+    for (const daemon of rig.daemons) {
+      if (daemon?.control === undefined) continue
+      answer = await submitRouteCommand(daemon.control, command).catch(() => undefined)
+      if (answer !== undefined) return true
+    }
+    return false
+  })
+  return answer as ChangeAnswer
+}
+
+export function routeTo (name: string, parts: Partial<Route> = {}): Route {
+  return {
+    name,
+    host: 'a.example',
+    pathPrefix: `/${name}/`,
+    isIdempotent: true,
+    timeoutMs: 1500,
+    aimMs: 250,
+    rank: 0,
+    service: desk,
+    split: [],
+    maxAttempts: 2,
+    isSticky: false,
+    homes: [],
+    annotations: {},
+    ...parts
+  }
+}
+
+export function replaceOrder (order: string, baseVersion: number, routesVersion: number, routes: readonly Route[]): RouteCommand {
+  const upstream = { name: desk, healthPath: '/health', maxConnections: 100, warmupMs: 0, warmupPerSecond: 1000, annotations: {} }
+  const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
+  return { type: 'replaceRoutes', order: order as OrderId, baseVersion, routesVersion, set: { routes, upstreams: [upstream], limits } }
+}
+
+/** A backend server whose answers the test writes. */
+export interface FakeServer extends AsyncDisposable {
+  readonly facts: BackendFacts
+  readonly requests: IncomingMessage[]
+  readonly server: Server
+}
+
+export async function startServer (id: string, answer: (req: IncomingMessage, res: ServerResponse) => void): Promise<FakeServer> {
+  const requests: IncomingMessage[] = []
+  const server = createServer((req, res) => {
+    requests.push(req)
+    answer(req, res)
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  const facts: BackendFacts = { id: brandId<ServerId>(id), service: desk, address, failureDomain: domain, slots: 3, software: 'v1', isDraining: false, seq: 1, coldMs: 0 }
+  return {
+    facts,
+    requests,
+    server,
+    [Symbol.asyncDispose]: async () => {
+      server.closeAllConnections()
+      await new Promise(resolve => server.close(resolve))
+    }
+  }
+}
+
+/** Announces servers and publishes routes, then waits for the entry VM to know them. */
+export async function publish (rig: FleetRig, servers: readonly FakeServer[], routes: readonly Route[]): Promise<void> {
+  await submit(rig, replaceOrder('first', 0, 1, routes))
+  for (const { facts } of servers) await until(async () => await takeAnnouncement(controlOf(rig, 0), facts).then(() => true, () => false))
+  const entry = rig.daemons.at(-1) as FleetDaemon
+  await until(() => isFleetReady(entry) && entry.gateway?.fleet.byId.size === servers.length && entry.gateway.table.size > 0)
+}
+
+export interface Got {
+  readonly status: number
+  readonly body: string
+  readonly headers: Record<string, string | string[] | undefined>
+}
+
+/** Sends a request to the last VM, an entry VM. */
+export async function ask (rig: FleetRig, path: string, method: 'GET' | 'POST' = 'GET', headers: Record<string, string> = {}): Promise<Got> {
+  const address = rig.settings.at(-1)?.callers ?? ''
+  const res = await request(`http://${address}${path}`, { method, headers: { host: 'a.example', ...headers }, body: method === 'POST' ? 'offer' : null })
+  return { status: res.statusCode, body: await res.body.text(), headers: res.headers }
+}
