Weigh work by load and keep objects at their homes; see resets of bodies without a length

Change: work is weighed by up to four times its time as slots fill; only the two first servers by hash in each region, and those seen warm, are candidates; slowness counts against the service's mean; the chance that a home is warm is learned; the way to a region is learned from connecting. A reset is noted at the socket.

Test: an answer without a length whose connection is reset (failed before).

--- a/packages/daemon/__tests__/fleet.test.ts
+++ b/packages/daemon/__tests__/fleet.test.ts
@@ -75,6 +75,26 @@
   assert.deepEqual([got.status, got.body.includes('half')], [502, false])
 })
 
+/*
+ * Symptom: a caller gets half an answer that looks whole. Sequence: the server's answer has no length and
+ * ends with its connection; the connection is reset on the way. Cause: the HTTP client takes a reset for
+ * the end of such a body.
+ */
+test('an answer without a length whose connection is reset is not passed on; one whose connection ends is', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (req, res) => {
+    req.socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf')
+    const isWhole = req.url === '/write/whole'
+    setTimeout(() => { if (isWhole) req.socket.end(); else req.socket.resetAndDestroy() }, 30)
+    res.detachSocket(req.socket)
+  })
+  await publish(rig, [server], [routeTo('write', { isIdempotent: false })])
+  const whole = await ask(rig, '/write/whole', 'POST')
+  assert.deepEqual([whole.status, whole.body], [200, 'half'])
+  const got = await ask(rig, '/write/reset', 'POST')
+  assert.deepEqual([got.status, got.body.includes('half')], [502, false])
+})
+
 test('a caller that closes its connection ends the work at the server', async () => {
   await using rig = await startRig(1)
   let closed = 0
--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -1,5 +1,5 @@
 /** Connections to backend servers, one `undici` client each, judged by their chart. */
-import { Client } from 'undici'
+import { Client, buildConnector } from 'undici'
 import { createConnectionState, mayCarry, noteProgress, takeConnectionEvent } from '@lynxcourse/routing'
 import type { ConnectionCfg, ConnectionState } from '@lynxcourse/routing'
 import type { Chart, Millis } from '@lynxcourse/base'
@@ -11,21 +11,29 @@
   readonly address: string
   /** Whether it has carried a request before. */
   reused: boolean
+  /** Whether the peer reset it: `undici` takes a reset for the end of a body that has no length. */
+  wasReset: boolean
 }
 
 export interface ConnectionPool extends AsyncDisposable {
   readonly cfg: ConnectionCfg
   readonly chart: Chart
   readonly connectTimeoutMs: Millis
+  /** Called when a connection is open, with the time at which it was asked for. */
+  onConnect: ((address: string, startedAt: Millis) => void) | undefined
   /** Connections to each server, the one used last at the end. */
   readonly byAddress: Map<string, Connection[]>
 }
 
+/** A connection is closed this long before its server would, so that no request crosses the close. */
+const closeBeforeServerMs: Millis = 1000
+
 export function createPool (cfg: ConnectionCfg, chart: Chart, connectTimeoutMs: Millis): ConnectionPool {
   const pool: ConnectionPool = {
     cfg,
     chart,
     connectTimeoutMs,
+    onConnect: undefined,
     byAddress: new Map(),
     [Symbol.asyncDispose]: async () => {
       const all = [...pool.byAddress.values()].flat()
@@ -55,20 +63,37 @@
 }
 
 function openConnection (pool: ConnectionPool, address: string, now: Millis): Connection {
+  const startedAt = now
   const client = new Client(`http://${address}`, {
     pipelining: 1,
-    connect: { timeout: pool.connectTimeoutMs },
+    connect: watchedConnector(pool, () => connection, startedAt),
     headersTimeout: 0,
     bodyTimeout: 0,
     // Idle connections are closed by this pool's own judgement, never under its hands.
     keepAliveTimeout: 600_000,
     keepAliveMaxTimeout: 600_000,
-    keepAliveTimeoutThreshold: 0
+    keepAliveTimeoutThreshold: closeBeforeServerMs
   })
   client.on('connectionError', () => undefined)
   const state = createConnectionState(pool.chart, now)
   takeConnectionEvent(pool.chart, state, 'take')
-  return { client, state, address, reused: false }
+  const connection: Connection = { client, state, address, reused: false, wasReset: false }
+  return connection
+}
+
+type Connector = ReturnType<typeof buildConnector>
+
+/** Opens connections and notes what only the socket tells: how long opening took, and whether it was reset. */
+function watchedConnector (pool: ConnectionPool, connection: () => Connection, startedAt: Millis): Connector {
+  const connect = buildConnector({ timeout: pool.connectTimeoutMs })
+  return (options, callback) => connect(options, (...result) => {
+    const [err, socket] = result
+    if (err === null) {
+      pool.onConnect?.(connection().address, startedAt)
+      socket.on('error', failure => { if ((failure as NodeJS.ErrnoException).code === 'ECONNRESET') connection().wasReset = true })
+    }
+    callback(...result)
+  })
 }
 
 /** Notes that bytes came. */
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -14,7 +14,7 @@
 import { sweepConnections } from '../entry/connectionPool.js'
 import { applyLimits, createCallerFront } from '../gateway/callerFront.js'
 import type { CallerDialect, ServerDialect } from '../gateway/dialects.js'
-import { refreshGateway } from '../gateway/fleetView.js'
+import { noteConnected, refreshGateway } from '../gateway/fleetView.js'
 import { createGateway, isGatewayReady } from '../gateway/gateway.js'
 import type { Gateway } from '../gateway/gateway.js'
 import { delay, repeat } from '../node/timers.js'
@@ -90,6 +90,7 @@
     refreshGateway(gateway, presentTime())
     applyLimits(gateway, server)
   })
+  gateway.pool.onConnect = (address, startedAt) => noteConnected(gateway, address, presentTime() - startedAt)
   own(stack, gateway.pool)
   own(stack, repeat(sweepMs, () => sweepConnections(gateway.pool, presentTime()), () => undefined))
   await listen(server, node.cfg.callers ?? '')
--- a/packages/daemon/src/core/gateway/fleetView.ts
+++ b/packages/daemon/src/core/gateway/fleetView.ts
@@ -41,6 +41,18 @@
   dropRanks(fleet.warmth)
 }
 
+/** The least time to open a connection counts, and creeps up by this part with each, so that a longer way shows. */
+const travelCreep = 1.01
+
+/** Learns the way to a region from how long a connection to one of its servers took to open. */
+export function noteConnected (gateway: Gateway, address: string, tookMs: Millis): void {
+  const { fleet } = gateway
+  const region = [...fleet.byId.values()].find(server => server.facts.address === address)?.facts.region
+  if (region === undefined) return
+  const held = fleet.travel.get(region)
+  fleet.travel.set(region, held === undefined ? tookMs : Math.min(tookMs, held * travelCreep))
+}
+
 function evacuatedDomains (config: Config): Set<string> {
   return new Set(listItems(config, 'evacuation').filter(item => item.isActive).map(item => item.key))
 }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -38,7 +38,9 @@
     meanWork: new Map(),
     travel,
     coldRates: new Map(),
-    vms: node.entryNames
+    vms: node.entryNames,
+    homeWarm: new Map(),
+    meanSlowness: new Map()
   }
   return {
     node,
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -6,7 +6,7 @@
 import type { HeaderMap } from '../../types/answers.js'
 import { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
-import { dropConnection, progressConnection, releaseConnection, takeConnection } from '../entry/connectionPool.js'
+import { dropConnection, dropSilent, progressConnection, releaseConnection, takeConnection } from '../entry/connectionPool.js'
 import type { Connection } from '../entry/connectionPool.js'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
@@ -41,7 +41,9 @@
     progressConnection(gateway.pool, connection, presentTime())
     return await readAnswer(gateway, call, placed, connection, res)
   } catch (err) {
-    dropConnection(gateway.pool, connection, 'close')
+    const wentSilent = connection.reused && (stop.reason() === 'slow' || stop.reason() === 'deadline')
+    if (wentSilent) dropSilent(gateway.pool, connection)
+    else dropConnection(gateway.pool, connection, 'close')
     if (isConnectError(err)) return { type: 'notRun', reason: 'unreached', status: undefined }
     return { type: 'lost', reason: stop.reason(), detail: messageOf(err) }
   } finally {
@@ -53,10 +55,11 @@
   const raw = res.headers as HeaderMap
   const kind = gateway.servers.judge(call.facts, res.statusCode, raw)
   const body = await readWhole(res)
-  if (body === undefined || kind === 'spoiled') {
+  const isCut = connection.wasReset && !isFramed(raw)
+  if (body === undefined || isCut || kind === 'spoiled') {
     // An answer to another request, or one that is not the server's own: what follows on this connection can't be trusted either.
     dropConnection(gateway.pool, connection, 'close')
-    return { type: 'lost', reason: 'spoiled', detail: body === undefined ? 'answer is too large' : 'answer does not belong to the request' }
+    return { type: 'lost', reason: 'spoiled', detail: body === undefined ? 'answer is too large' : isCut ? 'connection was reset in the body' : 'answer does not belong to the request' }
   }
   releaseConnection(gateway.pool, connection, presentTime())
   const ahead = gateway.servers.readAhead(raw)
@@ -65,6 +68,11 @@
   return { type: 'answered', status: res.statusCode, headers: passedHeaders(raw), body }
 }
 
+/** Whether the head tells where the body ends. */
+function isFramed (headers: HeaderMap): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 async function readWhole (res: Dispatcher.ResponseData): Promise<Buffer | undefined> {
   const chunks: Buffer[] = []
   let size = 0
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -5,7 +5,7 @@
  */
 import type { Millis, ServerId } from '@lynxcourse/base'
 import {
-  isCold, learnWork, noteBad, noteFull, noteGood, noteHandled, noteReport, noteRequest, noteStart, noteStop, placeRequest, spendRepeat,
+  isCold, learnHomeWarmth, learnSlowness, learnWork, noteBad, noteFull, noteGood, noteHandled, noteReport, noteRequest, noteStart, noteStop, placeRequest, spendRepeat,
   takeColdToken, travelTo, workKey, workOf
 } from '@lynxcourse/routing'
 import type { Placed, Refused } from '@lynxcourse/routing'
@@ -115,6 +115,8 @@
   const expected = (wasWarm ? times.warmMs : times.coldMs) + waitMs
   const ratio = inServer / expected
   noteGood(server, ratio < leastSlowRatio ? 1 : ratio, now)
+  learnSlowness(fleet, call.service, ratio < leastSlowRatio ? 1 : ratio)
+  if (placed.isHome && !wasWarm) learnHomeWarmth(fleet, call, server.facts.region !== fleet.setup.region, inServer - waitMs < (times.warmMs + times.coldMs) / 2)
   if (!placed.isCold && waitMs === 0) learnWork(times, wasWarm, inServer)
   const mean = fleet.meanWork.get(call.service) ?? times.coldMs
   fleet.meanWork.set(call.service, mean + (Math.min(inServer, times.coldMs) - mean) * meanSmoothing)
--- a/packages/routing/__tests__/placement.test.ts
+++ b/packages/routing/__tests__/placement.test.ts
@@ -52,7 +52,9 @@
     meanWork: new Map([[desk, 100]]),
     travel: new Map([[mumbai, 70]]),
     coldRates: new Map([[desk, 10]]),
-    vms: ['vm-1']
+    vms: ['vm-1'],
+    homeWarm: new Map(),
+    meanSlowness: new Map()
   }
 }
 
--- a/packages/routing/src/core/placement.ts
+++ b/packages/routing/src/core/placement.ts
@@ -34,6 +34,10 @@
   /** Requests a second that a cold server of a service bears. */
   readonly coldRates: Map<ServiceId, number>
   vms: readonly string[]
+  /** Chance that an object is warm at its home by hash, in this region and elsewhere, by route and service. */
+  readonly homeWarm: Map<string, number>
+  /** Smoothed ratio of real to expected times, by service; a server is slow only against its peers. */
+  readonly meanSlowness: Map<ServiceId, number>
 }
 
 /** A request to be placed. */
@@ -52,6 +56,8 @@
   readonly type: 'send'
   readonly server: FleetServer
   readonly wasWarm: boolean
+  /** Whether hashing names the server for the object in its region. */
+  readonly isHome: boolean
   readonly isCold: boolean
   readonly waitMs: Millis
   readonly travelMs: Millis
@@ -69,11 +75,16 @@
 const unknownTravelMs = 80
 /** Extra for leaving the region: the time that its bytes and its longer exposure to faults are worth. */
 const awayMs = 15
-/** Chance that an object is warm at the server that hashing names, if this VM has not seen it there. */
-const hashedWarmChance = 0.6
-/** Cold servers of equal cost are taken in the order of the hash, so that VMs warm the same one. */
-const rankMs = 2
-const maxRankCounted = 10
+/** Chance that an object is warm at the server that hashing names, before this VM has seen any there. */
+const firstWarmChance = 0.6
+/** Smoothing of that chance as answers show it. */
+const chanceSmoothing = 0.03
+/** Servers of a region, in the order of the hash, that may be warmed for one object. */
+const homesPerRegion = 2
+/** Part of all slots in use from which work is weighed beyond its own time, and how fast that grows. */
+const freeFill = 0.3
+const fillWeight = 4
+const maxFillWeight = 3
 /** Weight of a server's fill, so that equals share. */
 const fillMs = 6
 /** Waits that are accepted beyond the aim, in parts of the work, by rank: the most urgent wait longest. */
@@ -84,18 +95,18 @@
 /** Without any server, those that announce themselves come about this often. */
 const noServerRetryMs = 500
 
-interface Scored { server: FleetServer, cost: number, waitMs: Millis, travelMs: Millis, workMs: Millis, wasWarm: boolean }
+interface Scored { server: FleetServer, cost: number, waitMs: Millis, travelMs: Millis, workMs: Millis, wasWarm: boolean, isHome: boolean }
 
 /** Chooses a server for a request, or says when to come back. */
 export function placeRequest (fleet: Fleet, request: PlaceRequest, now: Millis): Placed | Refused {
   const best = findBest(fleet, request, now)
   if (best === undefined) return { type: 'refuse', reason: 'noServer', retryAfterMs: noServerRetryMs }
-  const { server, waitMs, travelMs, workMs, wasWarm } = best
+  const { server, waitMs, travelMs, workMs, wasWarm, isHome } = best
   const endsAt = now + travelMs + waitMs + workMs
   if (endsAt > request.deadline) return refuse(fleet, 'noTime', endsAt - request.deadline)
   const tooLong = waitMs - allowedWait(request, travelMs + workMs, now)
   if (tooLong > 0) return refuse(fleet, 'busy', tooLong)
-  return { type: 'send', server, wasWarm, isCold: isCold(server, now), waitMs, travelMs, workMs }
+  return { type: 'send', server, wasWarm, isHome, isCold: isCold(server, now), waitMs, travelMs, workMs }
 }
 
 /**
@@ -116,18 +127,39 @@
 }
 
 function findBest (fleet: Fleet, request: PlaceRequest, now: Millis): Scored | undefined {
-  const candidates = candidatesOf(fleet, request, now)
+  const open = candidatesOf(fleet, request, now)
   const times = workOf(fleet.work, workKey(request), request.route.aimMs)
-  const ranks = request.object === '' ? undefined : ranksFor(fleet, request)
-  const homes = ranks === undefined ? new Map<RegionId, ServerId>() : homesOf(candidates, ranks)
+  const isKeyed = request.route.isSticky && request.object !== ''
+  const homes = isKeyed ? homesOf(open, ranksFor(fleet, request)) : undefined
+  const candidates = homes === undefined ? open : open.filter(server => homes.has(server.facts.id) || isWarm(fleet.warmth, server.facts.id, request.object, now))
+  const workWeight = 1 + loadWeight(fleet, request.service, times, now)
   let best: Scored | undefined
   for (const server of candidates) {
-    const scored = score(fleet, request, server, times, ranks, homes, now)
+    const scored = score(fleet, request, server, { times, homes, workWeight }, now)
     if (best === undefined || scored.cost < best.cost) best = scored
   }
   return best
 }
 
+/**
+ * How much more than its own time work counts. Where most slots are busy, work at a server that is not
+ * warm for the object takes several times the slot time from those who wait: unweighed, a little wait
+ * at the warm server sends requests to cold ones, all servers turn cold for all objects, and the fleet
+ * serves a third of what it could without ever finding back.
+ */
+function loadWeight (fleet: Fleet, service: ServiceId, times: WorkTimes, now: Millis): number {
+  const meanMs = fleet.meanWork.get(service) ?? times.coldMs
+  let ahead = 0
+  let slots = 0
+  for (const server of fleet.byService.get(service) ?? []) {
+    if (server.facts.isClosed) continue
+    ahead += aheadOf(server, meanMs, now)
+    slots += server.facts.slots
+  }
+  if (slots === 0) return 0
+  return Math.min(maxFillWeight, Math.max(0, ahead / slots - freeFill) * fillWeight)
+}
+
 /** Key of a request's learned times. */
 export function workKey (request: { readonly route: Route, readonly service: ServiceId }): string {
   return `${request.route.name} ${request.service}`
@@ -138,13 +170,16 @@
   return ranksOf(fleet.warmth, `${request.service} ${request.object}`, all.map(server => server.facts.id))
 }
 
-/** The first server by hash in each region. */
-function homesOf (servers: readonly FleetServer[], ranks: ReadonlyMap<ServerId, number>): Map<RegionId, ServerId> {
-  const homes = new Map<RegionId, ServerId>()
-  const rankOf = (id: ServerId): number => ranks.get(id) ?? Infinity
-  for (const { facts } of servers) {
-    const held = homes.get(facts.region)
-    if (held === undefined || rankOf(facts.id) < rankOf(held)) homes.set(facts.region, facts.id)
+/** The first servers by hash in each region, with their place there. */
+function homesOf (servers: readonly FleetServer[], ranks: ReadonlyMap<ServerId, number>): Map<ServerId, number> {
+  const inOrder = [...servers].sort((a, b) => (ranks.get(a.facts.id) ?? Infinity) - (ranks.get(b.facts.id) ?? Infinity))
+  const taken = new Map<RegionId, number>()
+  const homes = new Map<ServerId, number>()
+  for (const { facts } of inOrder) {
+    const place = taken.get(facts.region) ?? 0
+    if (place >= homesPerRegion) continue
+    taken.set(facts.region, place + 1)
+    homes.set(facts.id, place)
   }
   return homes
 }
@@ -165,26 +200,50 @@
   return isWarmingVm(server, fleet.setup.self, fleet.vms) && hasColdToken(server, fleet.coldRates.get(service) ?? 0, now)
 }
 
-function score (
-  fleet: Fleet, request: PlaceRequest, server: FleetServer, times: WorkTimes, ranks: ReadonlyMap<ServerId, number> | undefined,
-  homes: ReadonlyMap<RegionId, ServerId>, now: Millis
-): Scored {
+interface ScoreInput {
+  readonly times: WorkTimes
+  readonly homes: ReadonlyMap<ServerId, number> | undefined
+  readonly workWeight: number
+}
+
+function score (fleet: Fleet, request: PlaceRequest, server: FleetServer, input: ScoreInput, now: Millis): Scored {
   const { facts } = server
-  const wasWarm = request.object !== '' && isWarm(fleet.warmth, facts.id, request.object, now)
-  const isHome = homes.get(facts.region) === facts.id
-  const warmChance = !request.route.isSticky ? 0 : wasWarm ? 1 : isHome ? hashedWarmChance : 0
-  const slowness = slownessOf(server, now)
+  const { times, homes, workWeight } = input
+  const isAway = facts.region !== fleet.setup.region
+  const wasWarm = homes !== undefined && isWarm(fleet.warmth, facts.id, request.object, now)
+  const isHome = homes?.get(facts.id) === 0
+  const warmChance = wasWarm ? 1 : isHome ? fleet.homeWarm.get(chanceKey(request, isAway)) ?? firstWarmChance : 0
+  const slowness = Math.max(1, slownessOf(server, now) / (fleet.meanSlowness.get(facts.service) ?? 1))
   const workMs = (times.coldMs + (times.warmMs - times.coldMs) * warmChance) * slowness
   const meanMs = (fleet.meanWork.get(facts.service) ?? times.coldMs) * slowness
   const ahead = aheadOf(server, meanMs, now)
   const waitMs = ahead < facts.slots ? 0 : (ahead - facts.slots + 1) * meanMs / facts.slots
-  const isAway = facts.region !== fleet.setup.region
   const travelMs = travelTo(fleet, facts.region)
-  const rank = Math.min(maxRankCounted, ranks?.get(facts.id) ?? 0)
-  const cost = travelMs + waitMs + workMs + (isAway ? awayMs : 0) + rank * rankMs * (1 - warmChance) + ahead / facts.slots * fillMs + fleet.setup.random()
-  return { server, cost, waitMs, travelMs, workMs, wasWarm }
+  const cost = travelMs + waitMs + workMs * workWeight + (isAway ? awayMs : 0) + ahead / facts.slots * fillMs + fleet.setup.random()
+  return { server, cost, waitMs, travelMs, workMs, wasWarm, isHome }
+}
+
+function chanceKey (request: { readonly route: Route, readonly service: ServiceId }, isAway: boolean): string {
+  return `${workKey(request)} ${isAway ? 'away' : 'near'}`
+}
+
+/** Learns whether an object was warm at its home, from an answer of a server where this VM had not seen it. */
+export function learnHomeWarmth (fleet: Fleet, request: { readonly route: Route, readonly service: ServiceId }, isAway: boolean, wasWarm: boolean): void {
+  const key = chanceKey(request, isAway)
+  const chance = fleet.homeWarm.get(key) ?? firstWarmChance
+  fleet.homeWarm.set(key, chance + ((wasWarm ? 1 : 0) - chance) * chanceSmoothing)
+}
+
+/** Takes a server's ratio of real to expected time into its service's mean. */
+export function learnSlowness (fleet: Fleet, service: ServiceId, ratio: number): void {
+  const mean = fleet.meanSlowness.get(service) ?? 1
+  fleet.meanSlowness.set(service, Math.max(1, mean + (Math.min(ratio, maxRatioLearned) - mean) * slownessMeanSmoothing))
 }
 
+/** One freak answer must not make all servers look fast. */
+const maxRatioLearned = 10
+const slownessMeanSmoothing = 0.02
+
 /** Two-way travel to a region's servers. */
 export function travelTo (fleet: Fleet, region: RegionId): Millis {
   return fleet.travel.get(region) ?? (region === fleet.setup.region ? 0 : unknownTravelMs)
