Trust servers that don't say they are cold, and ask for votes soon after a start

Change: only a server's own word makes it cold; a copy asks for votes two heartbeats after its start at the earliest.

--- a/packages/agreement/src/core/replica.ts
+++ b/packages/agreement/src/core/replica.ts
@@ -70,6 +70,9 @@
   readonly stored: StoredLog
 }
 
+/** Heartbeats that a copy waits for a leader after its start; the way between regions takes most of one. */
+const firstElectionHeartbeats = 2
+
 /** Makes a copy of the log from what its disk holds. */
 export function createReplica (setup: ReplicaSetup, now: Millis): Replica {
   const { stored } = setup
@@ -106,7 +109,9 @@
   }
   replica.synced = lastIndex(replica)
   refreshMembers(replica)
-  resetElection(replica, now)
+  // A copy that starts asks for votes soon: a leader that lives shows itself within two heartbeats, and where
+  // all copies start together nobody has anything to wait for. A pre-vote disturbs no leader.
+  replica.electionAt = now + setup.times.heartbeatMs * firstElectionHeartbeats + Math.floor(replica.random() * setup.times.electionMs / 2)
   return replica
 }
 
--- a/packages/daemon/__tests__/fleet.test.ts
+++ b/packages/daemon/__tests__/fleet.test.ts
@@ -180,3 +180,21 @@
   await left
   await until(() => controlOf(rig, 0).presence.entries.get('vm-3')?.presence.isReady !== true)
 })
+
+/*
+ * Symptom: after a restart of all VMs nearly all requests are refused for seconds. Sequence: an entry VM
+ * starts, reads the directory, and takes servers that have run for hours for cold. Cause: a server was
+ * taken for cold when this VM first saw it, not when it said so.
+ */
+test('a VM that starts anew trusts servers that do not say they are cold', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  const slowToWarm = replaceOrder('first', 0, 1, [routeTo('read')])
+  if (slowToWarm.type === 'replaceRoutes') {
+    const upstreams = slowToWarm.set.upstreams.map(upstream => ({ ...upstream, warmupMs: 60_000, warmupPerSecond: 1 }))
+    await submit(rig, { ...slowToWarm, set: { ...slowToWarm.set, upstreams } })
+  }
+  await submit(rig, { type: 'announce', facts: server.facts })
+  await until(async () => (await ask(rig, '/read/1')).status === 200)
+  for (let sent = 0; sent < 10; sent++) assert.equal((await ask(rig, '/read/1')).status, 200)
+})
--- a/packages/daemon/src/core/gateway/fleetView.ts
+++ b/packages/daemon/src/core/gateway/fleetView.ts
@@ -71,7 +71,9 @@
   }
   const held = fleet.byId.get(key)
   if (held === undefined) {
-    fleet.byId.set(key, createFleetServer(next, now + Math.max(warmupMs, facts.coldMs)))
+    // A server tells how long it stays cold; one that says nothing is warm. A VM that started anew and took all
+    // servers for cold would refuse nearly all requests for the length of a warm-up.
+    fleet.byId.set(key, createFleetServer(next, facts.coldMs > 0 ? now + facts.coldMs : -Infinity))
     return
   }
   const isBack = held.facts.isClosed && !next.isClosed
