Bound the log's lines, write one for each send, and replace voters that are gone for good

Cause: sends were logged at debug only, so an answered request left no line; failing servers' calls and refusals had no bound. A voter that went for good stayed beside its successor. Change: a budget of lines by part and level, the next line says how many it stands for; lines carry the state's version and age and what was left of the deadline; a silent voter goes once a successor holds the log, or where voters are even. Test: two VMs replaced in a row leave five voters.

--- a/packages/agreement/__tests__/agreement.test.ts
+++ b/packages/agreement/__tests__/agreement.test.ts
@@ -225,3 +225,21 @@
   assert.deepEqual(out.messages, [])
   assert.equal(copy?.replica?.term, 0)
 })
+
+test('a copy at a new address takes the place of one that is gone for good', () => {
+  // Symptom: after some replaced VMs the group stands still at a loss that it should bear. Sequence: a VM goes
+  // for good, another comes at a new address, and again. Cause: the dead stayed voters beside their successors.
+  const group = buildGroup(5)
+  settle(group, 30)
+  for (const name of ['new-1', 'new-2']) {
+    const leader = leaderOf(group)
+    const gone = group.copies.find(copy => copy !== leader) as Copy
+    const fresh: Copy = { id: brandId<HolderId>(`${name}/i1`), disk: { hardState: { term: 0, votedFor: undefined }, snapshot: firstSnapshot([], ''), entries: [] }, replica: undefined }
+    group.copies = group.copies.map(copy => copy === gone ? fresh : copy)
+    start(group, fresh)
+    step(group, leader, { type: 'join', id: fresh.id })
+    settle(group, 160)
+    const names = voters(leaderOf(group).replica as Replica)
+    assert.deepEqual([names.length, names.includes(fresh.id), names.includes(gone.id)], [5, true, false])
+  }
+})
--- a/packages/agreement/src/core/repair.ts
+++ b/packages/agreement/src/core/repair.ts
@@ -15,6 +15,9 @@
 import { isSettledLeader, lastIndex } from './replica.js'
 import type { Replica } from './replica.js'
 
+/** More voters make commits slower and bear more losses than failure domains are planned for. */
+const mostVoters = 7
+
 /** Proposes the next change of members, if one is due and none is under way. */
 export function repairMembers (replica: Replica, now: Millis, out: Output): void {
   if (!isSettledLeader(replica)) return
@@ -27,7 +30,32 @@
 }
 
 function planMembers (replica: Replica, now: Millis): readonly Member[] | undefined {
-  return planLearner(replica) ?? planPromotion(replica, now)
+  return planLearner(replica) ?? planPromotion(replica, now) ?? planRemoval(replica, now)
+}
+
+/** A voter silent for this many election time-outs may be replaced by a copy that holds the log; some seconds, longer than a restart takes. */
+const silentTimeouts = 8
+/** Below this the group bears no loss at all, so nobody is removed. */
+const leastVoters = 3
+
+/**
+ * Removes a voter that fell silent for good. One of an even number adds nothing to the losses that the
+ * group bears, and makes each quorum wait for one copy more; one of an odd number goes only when a
+ * learner that holds the log is ready to take its place. A copy that was only cut off asks to be let in
+ * again as a learner.
+ */
+function planRemoval (replica: Replica, now: Millis): readonly Member[] | undefined {
+  const voters = replica.members.filter(member => member.voter)
+  if (voters.length <= leastVoters) return undefined
+  const hasSuccessor = replica.members.some(member => !member.voter && isCaughtUp(replica, member.id, now))
+  if (voters.length % 2 === 1 && !hasSuccessor) return undefined
+  const silent = voters.find(member => member.id !== replica.id && isSilent(replica, member.id, now))
+  return silent === undefined ? undefined : replica.members.filter(member => member !== silent)
+}
+
+function isSilent (replica: Replica, id: HolderId, now: Millis): boolean {
+  const progress = replica.progress.get(id)
+  return progress !== undefined && now - progress.heardAt > replica.times.electionMs * silentTimeouts
 }
 
 function planLearner (replica: Replica): readonly Member[] | undefined {
@@ -48,6 +76,7 @@
     const vm = vmOfHolder(learner.id)
     const outdated = replica.members.find(member => member.voter && vmOfHolder(member.id) === vm)
     if (outdated !== undefined) return replica.members.filter(member => member !== outdated)
+    if (replica.members.filter(member => member.voter).length >= mostVoters) continue
     return replica.members.map(member => member === learner ? { id: member.id, voter: true } : member)
   }
   return undefined
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -11,6 +11,7 @@
 import type { Placed, Refused } from '@lynxcourse/routing'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
+import type { LogFields } from '../../utils/logging.js'
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
 import { sendOnce } from './sending.js'
@@ -178,7 +179,7 @@
   const { facts, reportedAt } = placed.server
   const reportAge = presentTime() - reportedAt
   const outcome = result.type === 'answered' ? String(result.status) : result.reason
-  const level = result.type === 'answered' && result.status < firstServerError ? 'debug' : 'info'
+  const level = result.type === 'answered' && result.status < firstServerError ? 'info' : 'warn'
   log(gateway.node.logs, 'route', level, 'Sent.', {
     id: call.facts.id,
     route: call.route.name,
@@ -190,12 +191,19 @@
     expectedMs: Math.round(placed.travelMs + placed.waitMs + placed.workMs),
     waitMs: Math.round(placed.waitMs),
     reportAgeMs: Number.isFinite(reportAge) ? Math.round(reportAge) : undefined,
-    stateVersion: gateway.node.config.version,
+    ...stateFields(gateway),
+    leftMs: Math.round(call.deadline - presentTime()),
     outcome,
     tookMs: Math.round(tookMs)
   })
 }
 
+/** Version of the state that decided, and how long ago it was known to be the present one. */
+function stateFields (gateway: Gateway): LogFields {
+  const { node } = gateway
+  return { stateVersion: node.config.version, stateAgeMs: Math.round(presentTime() - node.freshAt) }
+}
+
 function logRefusal (gateway: Gateway, run: Run, refused: Refused): void {
   const { call } = run
   log(gateway.node.logs, 'route', 'info', 'Refused.', {
@@ -206,6 +214,6 @@
     retryAfterMs: Math.round(refused.retryAfterMs),
     sends: run.sends,
     leftMs: Math.round(call.deadline - presentTime()),
-    stateVersion: gateway.node.config.version
+    ...stateFields(gateway)
   })
 }
--- a/packages/daemon/src/utils/logging.ts
+++ b/packages/daemon/src/utils/logging.ts
@@ -1,6 +1,9 @@
 /** Logs: winston, one fixed prefix for each part, short sentences, fields after them. */
 import { Writable } from 'node:stream'
 import winston from 'winston'
+import { presentTime } from './clock.js'
+import { takeLine } from './lineBudget.js'
+import type { LineBudget } from './lineBudget.js'
 import { openLogStream } from './logStream.js'
 
 /** Parts that log, by their prefix. */
@@ -19,6 +22,7 @@
   readonly stream: Writable
   readonly level: LogLevel
   readonly parts: Readonly<Record<string, LogLevel>>
+  readonly budget: LineBudget
 }
 
 /** How to log. */
@@ -44,12 +48,12 @@
 export function openLogs (cfg: LogSettings): Logs {
   const { combine, timestamp, json, printf } = winston.format
   const format = cfg.format === 'json' ? combine(timestamp(), json()) : combine(timestamp(), printf(textOf))
-  return { format, stream: openLogStream(), level: cfg.level, parts: cfg.parts }
+  return { format, stream: openLogStream(), level: cfg.level, parts: cfg.parts, budget: new Map() }
 }
 
 /** Logs that go nowhere, for tests. */
 export function silentLogs (): Logs {
-  return { format: winston.format.simple(), stream: new Writable({ write: (_chunk, _encoding, done) => done() }), level: 'error', parts: {} }
+  return { format: winston.format.simple(), stream: new Writable({ write: (_chunk, _encoding, done) => done() }), level: 'error', parts: {}, budget: new Map() }
 }
 
 /** Whether a part logs at a level; ask first where making the fields costs. */
@@ -63,6 +67,9 @@
  */
 export function log (logs: Logs, part: LogPart, level: LogLevel, message: string, fields: LogFields = {}): void {
   if (!isLogged(logs, part, level)) return
-  const info = logs.format.transform({ level, message, part, ...fields, [levelKey]: level }, logs.format.options)
+  const skipped = takeLine(logs.budget, `${part} ${level}`, presentTime())
+  if (skipped === undefined) return
+  const counted = skipped === 0 ? fields : { ...fields, skipped }
+  const info = logs.format.transform({ level, message, part, ...counted, [levelKey]: level }, logs.format.options)
   if (typeof info === 'object') logs.stream.write(`${String(info[lineKey])}\n`)
 }
