Keep watches open past the pool's time-out, and give up no work where all servers are slow

Cause: found in the logs of both sites' incidents: every watch without news ended after 800 ms by the connection pool's own time-out, so each entry VM lost its control VM every second and went round all of them; 138 repeatable requests in nine seconds of overload were given up half done; callers were told to return after 60 ms to VMs that stayed full. Change: calls end by their own time-out alone; work is given up only while the service answers as expected; Retry-After of a full VM is the time in which what is under way ends.

--- a/packages/daemon/__tests__/fleet.test.ts
+++ b/packages/daemon/__tests__/fleet.test.ts
@@ -5,7 +5,7 @@
 import { rm } from 'node:fs/promises'
 import type { FailureDomainId, ServerId } from '@lynxcourse/base'
 import { brandId } from '@lynxcourse/base'
-import { isFleetReady, leaveFleet, readRoutes } from '@lynxcourse/daemon'
+import { isFleetReady, leaveFleet, presentTime, readRoutes } from '@lynxcourse/daemon'
 import type { FleetDaemon } from '@lynxcourse/daemon'
 import { findItem } from '@lynxcourse/state'
 import { ask, controlOf, publish, replaceOrder, routeTo, startRig, startServer, startVm, submit, until } from './support/fleetRig.js'
@@ -216,3 +216,21 @@
   await until(async () => (await ask(rig, '/read/1')).status === 200)
   for (let sent = 0; sent < 10; sent++) assert.equal((await ask(rig, '/read/1')).status, 200)
 })
+
+/*
+ * Symptom: entry VMs lose their control VM every second and go round all of them. Sequence: a watch is open
+ * without news. Cause: the connection pool's own time-out was shorter than the watch may be open.
+ */
+test('a watch without news stays with its control VM', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await publish(rig, [server], [routeTo('read')])
+  const watching = (rig.daemons.at(-1) as FleetDaemon).watching
+  await until(() => watching?.parent !== undefined)
+  await new Promise(resolve => setTimeout(resolve, 2200))
+  const { parent } = watching ?? {}
+  await new Promise(resolve => setTimeout(resolve, 2500))
+  assert.equal(watching?.parent, parent)
+  const isAvoided = [...watching?.avoided.values() ?? []].some(until => until > presentTime())
+  assert.equal(isAvoided, false)
+})
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -5,7 +5,7 @@
  */
 import type { Millis, ServerId } from '@lynxcourse/base'
 import {
-  concurrencyOf, isCold, learnConcurrency, learnHomeWarmth, learnSlowness, learnWork, noteAsked, noteBad, noteFull, noteGood, noteHandled, noteReport, noteRequest, noteStart, noteStop, placeRequest, slotShare,
+  concurrencyOf, isCalm, isCold, learnConcurrency, learnHomeWarmth, learnSlowness, learnWork, noteAsked, noteBad, noteFull, noteGood, noteHandled, noteReport, noteRequest, noteStart, noteStop, placeRequest, slotShare,
   spendRepeat, takeColdToken, travelTo, workKey, workOf
 } from '@lynxcourse/routing'
 import type { Placed, Refused } from '@lynxcourse/routing'
@@ -80,9 +80,10 @@
   if (isCold(server, now)) takeColdToken(server)
   const expectedMs = placed.travelMs + placed.waitMs + placed.workMs
   const running = noteStart(server, expectedMs, now)
-  const mayLeave = call.route.isIdempotent && run.runs + 1 < call.route.maxAttempts
-  const giveUpAt = mayLeave ? now + expectedMs * slowFactor + slowSlackMs : Infinity
   const concurrency = concurrencyOf(gateway.fleet, call.service)
+  // Where all servers are slow, work given up half done only adds to the load of the next one.
+  const mayLeave = call.route.isIdempotent && run.runs + 1 < call.route.maxAttempts && isCalm(concurrency)
+  const giveUpAt = mayLeave ? now + expectedMs * slowFactor + slowSlackMs : Infinity
   concurrency.underWay += 1
   const result = await sendOnce(gateway, call, placed, giveUpAt)
   concurrency.underWay -= 1
--- a/packages/daemon/src/core/rpc/rpcClient.ts
+++ b/packages/daemon/src/core/rpc/rpcClient.ts
@@ -44,8 +44,9 @@
     connections: maxConnectionsPerPeer,
     ...local,
     connect: { ...tls, timeout: client.cfg.timeoutMs, checkServerIdentity: () => undefined },
-    headersTimeout: client.cfg.timeoutMs,
-    bodyTimeout: client.cfg.timeoutMs
+    // Each call ends by its own time-out: one of the pool's would cut calls that may take longer.
+    headersTimeout: 0,
+    bodyTimeout: 0
   })
   client.pools.set(address, pool)
   return pool
--- a/packages/routing/src/core/concurrency.ts
+++ b/packages/routing/src/core/concurrency.ts
@@ -41,6 +41,11 @@
   return { limit: Math.max(1, share * firstPart), underWay: 0, meanRatio: 1, loweredAt: -Infinity }
 }
 
+/** Whether answers come about when they are expected, so that one that doesn't tells of its server. */
+export function isCalm (concurrency: Concurrency): boolean {
+  return concurrency.meanRatio < calmRatio
+}
+
 /** Whether a request of a rank may go now. */
 export function mayStart (concurrency: Concurrency, rank: number): boolean {
   const part = rankParts[Math.min(rank, rankParts.length - 1)] ?? 1
--- a/packages/routing/src/core/placement.ts
+++ b/packages/routing/src/core/placement.ts
@@ -109,7 +109,7 @@
 /** Waits that are accepted beyond the aim, in parts of the work, by rank: the most urgent wait longest. */
 const patience = [1.5, 0.8, 0.5]
 /** Least and longest time that a refused caller is told to stay away. */
-const minRetryAfterMs = 60
+const minRetryAfterMs = 100
 const maxRetryAfterMs = 5000
 /** Without any server, those that announce themselves come about this often. */
 const noServerRetryMs = 500
@@ -118,7 +118,8 @@
 
 /** Chooses a server for a request, or says when to come back. */
 export function placeRequest (fleet: Fleet, request: PlaceRequest, now: Millis): Placed | Refused {
-  if (!mayStart(concurrencyOf(fleet, request.service), request.route.rank)) return refuse(fleet, 'busy', fleet.meanWork.get(request.service) ?? minRetryAfterMs)
+  const concurrency = concurrencyOf(fleet, request.service)
+  if (!mayStart(concurrency, request.route.rank)) return refuse(fleet, 'busy', timeToRoom(fleet, request.service, concurrency))
   const best = findBest(fleet, request, now)
   if (best === undefined) return { type: 'refuse', reason: 'noServer', retryAfterMs: noServerRetryMs }
   const { server, waitMs, travelMs, workMs, wasWarm, isHome } = best
@@ -129,6 +130,11 @@
   return { type: 'send', server, wasWarm, isHome, isCold: isCold(server, now), waitMs, travelMs, workMs }
 }
 
+/** About the time in which what is under way now ends, at the pace at which answers come now. */
+function timeToRoom (fleet: Fleet, service: ServiceId, concurrency: Concurrency): Millis {
+  return (fleet.meanWork.get(service) ?? minRetryAfterMs) * Math.max(1, concurrency.meanRatio)
+}
+
 /** The requests of a service under way at this VM. */
 export function concurrencyOf (fleet: Fleet, service: ServiceId): Concurrency {
   const known = fleet.concurrency.get(service)
