--- a/packages/daemon/src/core/entry/attemptSteps.ts
+++ b/packages/daemon/src/core/entry/attemptSteps.ts
@@ -8,9 +8,9 @@
 import type { FinalAnswer } from '../../types/answers.js'
 import { runAttempt } from './attempts.js'
 import type { AttemptResult } from './attempts.js'
-import type { Serving } from './forwarding.js'
+import type { Serving } from './serving.js'
 import { acquireSlot, limitGate, releaseSlot } from './slots.js'
-import type { NoSlot, Slot } from './slots.js'
+import type { NoSlot, Slot } from './serviceQueue.js'
 
 /** Life of one request by the `attempt` chart. */
 export interface RequestLife {
--- a/packages/daemon/src/core/entry/attempts.ts
+++ b/packages/daemon/src/core/entry/attempts.ts
@@ -12,7 +12,7 @@
 import type { Connection } from './connectionPool.js'
 import type { Entry } from './entry.js'
 import type { ForwardRequest } from './forwardRequest.js'
-import type { Slot } from './slots.js'
+import type { Slot } from './serviceQueue.js'
 
 /** Answers up to this are read whole before the caller gets any of it. */
 const wholeAnswerBytes = 65_536
--- a/packages/daemon/src/core/entry/entry.ts
+++ b/packages/daemon/src/core/entry/entry.ts
@@ -16,8 +16,8 @@
 import { createPool } from './connectionPool.js'
 import type { ConnectionPool } from './connectionPool.js'
 import type { Claiming } from './claiming.js'
-import type { LookupAnswer } from './lookups.js'
-import type { ServiceQueue } from './slots.js'
+import type { LookupAnswer } from './lookupAnswer.js'
+import type { ServiceQueue } from './serviceQueue.js'
 
 /** A request in this VM, for counting. */
 export interface OpenRequest {
--- a/packages/daemon/src/core/entry/forwarding.ts
+++ b/packages/daemon/src/core/entry/forwarding.ts
@@ -1,9 +1,9 @@
 /** Serves a caller's request to a service, from its head to its one final answer. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { isCurrent } from '@lynxcourse/membership'
-import { canFinish, createBudget, earnRetry, retryAfter, roundTripTo, serviceTime, slotsOpenTo } from '@lynxcourse/routing'
-import type { AdmissionInput, Place, RetryBudget } from '@lynxcourse/routing'
-import type { Millis, ServiceId } from '@lynxcourse/base'
+import { earnRetry, roundTripTo, serviceTime, slotsOpenTo } from '@lynxcourse/routing'
+import type { AdmissionInput, Place } from '@lynxcourse/routing'
+import type { Millis } from '@lynxcourse/base'
 import { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
 import type { FinalAnswer } from '../../types/answers.js'
@@ -15,18 +15,10 @@
 import type { ForwardRequest } from './forwardRequest.js'
 import { serveOnce } from './serveOnce.js'
 import { serveRepeatable } from './serveRepeatable.js'
+import { budgetOf } from './serving.js'
+import type { Serving } from './serving.js'
 import { paceOf, waitingFor } from './slots.js'
 
-/** A request on its way, with all that its service needs. */
-export interface Serving {
-  readonly entry: Entry
-  readonly request: ForwardRequest
-  readonly places: readonly Place[]
-  /** Aborted when the caller is gone. */
-  readonly signal: Cancel
-  readonly admission: AdmissionInput
-}
-
 const busyRetryMs = 1000
 
 /** Serves a request. Exactly one final answer is written, unless the caller is gone. */
@@ -93,23 +85,3 @@
     overheadMs: tripMs
   }
 }
-
-/** Whether a request can be served in time, as far as can be told now. */
-export function isAdmitted (serving: Serving): boolean {
-  return serving.places.length > 0 && canFinish(serving.admission, presentTime())
-}
-
-/** When a refused caller should come back. */
-export function comeBackAfter (serving: Serving): Millis {
-  return retryAfter(serving.admission)
-}
-
-/** The retry budget of a service. */
-export function budgetOf (entry: Entry, service: ServiceId): RetryBudget {
-  let budget = entry.budgets.get(service)
-  if (budget === undefined) {
-    budget = createBudget()
-    entry.budgets.set(service, budget)
-  }
-  return budget
-}
--- a/packages/daemon/src/core/entry/lookups.ts
+++ b/packages/daemon/src/core/entry/lookups.ts
@@ -11,6 +11,7 @@
 import type { CallerBlockInfo } from './callerPlaces.js'
 import { profileFor, refreshView } from './entry.js'
 import type { Entry } from './entry.js'
+import type { LookupAnswer } from './lookupAnswer.js'
 
 export const lookupPath = '/v1/lookup'
 
@@ -27,12 +28,6 @@
 
 const queries = new Map<string, LookupQuery>()
 
-/** An answer ready to be written. */
-export interface LookupAnswer {
-  readonly body: Buffer
-  readonly headers: Readonly<Record<string, string | number>>
-}
-
 /** Body of an answer to a look-up. */
 export interface LookupBody {
   readonly service: string
--- a/packages/daemon/src/core/entry/serveOnce.ts
+++ b/packages/daemon/src/core/entry/serveOnce.ts
@@ -8,11 +8,11 @@
 import { answerFrom, attemptIn, getSlot, logRefused } from './attemptSteps.js'
 import { claimId, settleId, settleLater } from './claiming.js'
 import { keptAnswer, ownAnswer } from './finalAnswers.js'
-import { comeBackAfter, isAdmitted } from './forwarding.js'
-import type { Serving } from './forwarding.js'
+import { comeBackAfter, isAdmitted } from './serving.js'
+import type { Serving } from './serving.js'
 import type { AttemptResult } from './attempts.js'
 import { waitingFor } from './slots.js'
-import type { Slot } from './slots.js'
+import type { Slot } from './serviceQueue.js'
 
 /** How long a refusal waits for the register before the caller hears `unknown` instead. */
 const refusalMs = 1000
--- a/packages/daemon/src/core/entry/serveRepeatable.ts
+++ b/packages/daemon/src/core/entry/serveRepeatable.ts
@@ -8,10 +8,10 @@
 import type { RequestLife } from './attemptSteps.js'
 import type { AttemptResult } from './attempts.js'
 import { ownAnswer } from './finalAnswers.js'
-import { budgetOf, comeBackAfter, isAdmitted } from './forwarding.js'
-import type { Serving } from './forwarding.js'
+import { budgetOf, comeBackAfter, isAdmitted } from './serving.js'
+import type { Serving } from './serving.js'
 import { waitingFor } from './slots.js'
-import type { Slot } from './slots.js'
+import type { Slot } from './serviceQueue.js'
 
 interface Run {
   readonly serving: Serving
--- /dev/null
+++ b/packages/daemon/src/core/entry/serving.ts
@@ -0,0 +1,38 @@
+/** One request being served: what the ways of serving it share. */
+import { canFinish, createBudget, retryAfter } from '@lynxcourse/routing'
+import type { AdmissionInput, Place, RetryBudget } from '@lynxcourse/routing'
+import type { Millis, ServiceId } from '@lynxcourse/base'
+import type { Cancel } from '../../utils/cancel.js'
+import { presentTime } from '../../utils/clock.js'
+import type { Entry } from './entry.js'
+import type { ForwardRequest } from './forwardRequest.js'
+
+/** A request on its way, with all that its service needs. */
+export interface Serving {
+  readonly entry: Entry
+  readonly request: ForwardRequest
+  readonly places: readonly Place[]
+  /** Aborted when the caller is gone. */
+  readonly signal: Cancel
+  readonly admission: AdmissionInput
+}
+
+/** Whether a request can be served in time, as far as can be told now. */
+export function isAdmitted (serving: Serving): boolean {
+  return serving.places.length > 0 && canFinish(serving.admission, presentTime())
+}
+
+/** When a refused caller should come back. */
+export function comeBackAfter (serving: Serving): Millis {
+  return retryAfter(serving.admission)
+}
+
+/** The retry budget of a service. */
+export function budgetOf (entry: Entry, service: ServiceId): RetryBudget {
+  let budget = entry.budgets.get(service)
+  if (budget === undefined) {
+    budget = createBudget()
+    entry.budgets.set(service, budget)
+  }
+  return budget
+}
--- a/packages/daemon/src/core/entry/slots.ts
+++ b/packages/daemon/src/core/entry/slots.ts
@@ -1,44 +1,18 @@
 /** Waiting for a slot: requests stand by deadline and are given up as soon as they can't be served in time. */
-import type { Millis, ResourceId, ServiceId } from '@lynxcourse/base'
+import type { Millis, ServiceId } from '@lynxcourse/base'
 import { enterLimits, leaveLimits, mayEnter, noteWanted } from '@lynxcourse/limits'
 import {
   createPace, createQueue, dequeue, enqueue, enterAttempt, findHopeless, leaveAttempt, notePace, pausePace, removeItem, routeRequest,
   serviceTime
 } from '@lynxcourse/routing'
-import type { AttemptEnd, DeadlineQueue, LimitGate, Observed, Pace, PassedOver, Place, RouteRequest, Waiting } from '@lynxcourse/routing'
+import type { AttemptEnd, LimitGate, RouteRequest } from '@lynxcourse/routing'
 import { linkResource, profileOf, regionResource, shiftResource } from '@lynxcourse/state'
 import type { Profile } from '@lynxcourse/state'
 import type { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
 import { refreshView } from './entry.js'
 import type { Entry } from './entry.js'
-
-/** A slot at a backend server, held for one attempt. */
-export interface Slot {
-  readonly observed: Observed
-  readonly place: Place
-  readonly resources: readonly ResourceId[]
-  readonly passedOver: readonly PassedOver[]
-  readonly startedAt: Millis
-}
-
-/** Why no slot came. */
-export type NoSlot = 'full' | 'late' | 'gone'
-
-interface Waiter extends Waiting {
-  readonly request: RouteRequest
-  readonly gate: LimitGate
-  readonly resolve: (result: Slot | NoSlot) => void
-}
-
-/** Requests of one service that wait at this VM. */
-export interface ServiceQueue {
-  readonly queue: DeadlineQueue<Waiter>
-  readonly pace: Pace
-  /** When those who can't be served in time were last looked for. */
-  prunedAt: Millis
-  timer: NodeJS.Timeout | undefined
-}
+import type { NoSlot, ServiceQueue, Slot, Waiter } from './serviceQueue.js'
 
 /** How many of the first waiters are tried when a slot comes free; the places of later ones may differ. */
 const maxTried = 8
--- a/packages/faults/src/core/controlDuties.ts
+++ b/packages/faults/src/core/controlDuties.ts
@@ -12,7 +12,7 @@
 import { passStep } from './checks.js'
 import { times } from './times.js'
 import type { ControlModel, World } from '../types/world.js'
-import { leadsNow, propose } from './controlModel.js'
+import { leadsNow, propose } from './controlLog.js'
 
 function mayGrant (control: ControlModel, now: Millis): boolean {
   return leadsNow(control) && control.replica !== undefined && now - control.replica.confirmedAt < times.electionMs
--- a/packages/faults/src/core/faultKinds.ts
+++ b/packages/faults/src/core/faultKinds.ts
@@ -1,7 +1,8 @@
 /** The faults that the brief names: what strikes, and what heals afterwards. */
 import { voters } from '@lynxcourse/agreement'
 import type { HolderId } from '@lynxcourse/base'
-import { leadsNow, idOf } from './controlModel.js'
+import { leadsNow } from './controlLog.js'
+import { idOf } from './controlModel.js'
 import { cutOff, plan, thaw } from './network.js'
 import type { Host } from './network.js'
 import { publishCap } from './operators.js'
--- a/packages/faults/src/core/requestModel.ts
+++ b/packages/faults/src/core/requestModel.ts
@@ -7,7 +7,7 @@
 import { listCaps } from '@lynxcourse/state'
 import type { Answer, ClaimCommand, SettleCommand } from '@lynxcourse/state'
 import { checkDispatch, checkLoad, checkRun, checkTold, passStep } from './checks.js'
-import { propose } from './controlModel.js'
+import { propose } from './controlLog.js'
 import { plan, planAt, send, sendOverStream } from './network.js'
 import { times } from './times.js'
 import type { EntryModel, ServerModel, World } from '../types/world.js'
