Split placement, share what stood twice, and count by service and outcome

Change: fleet.ts (what is known), scoring.ts (costs), placement.ts (send or refuse); utils/headers.ts and checkedBody.ts; counters by service, outcome of a send, reason of a refusal.

--- a/packages/daemon/src/core/entry/announcements.ts
+++ b/packages/daemon/src/core/entry/announcements.ts
@@ -8,6 +8,7 @@
 import { nameSchema } from '@lynxcourse/state'
 import { z } from 'zod'
 import { addressSchema } from '../../types/settings.js'
+import { checkBody } from '../../utils/checkedBody.js'
 import { presentTime } from '../../utils/clock.js'
 import { readBody, splitAddress } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
@@ -93,17 +94,7 @@
  * @throws LynxError naming the field
  */
 export function parseAnnouncement (text: string): Announcement {
-  let raw: unknown
-  try {
-    raw = JSON.parse(text)
-  } catch (err) {
-    throw new LynxError('badRequest', `body: ${messageOf(err)}`, { step: 'announce', field: 'body', cause: err })
-  }
-  const checked = announcementSchema.safeParse(raw)
-  if (checked.success) return checked.data
-  const issue = checked.error.issues[0]
-  const field = issue?.path.join('.') ?? ''
-  throw new LynxError('badRequest', `${field}: ${issue?.message}`, { step: 'announce', field })
+  return checkBody(announcementSchema, text, 'announce')
 }
 
 function recordOf (node: Node, announcement: Announcement, peer: string): ServerRecord {
--- a/packages/daemon/src/core/entry/attempts.ts
+++ b/packages/daemon/src/core/entry/attempts.ts
@@ -6,9 +6,10 @@
 import { isSilent, noteReportedLoad } from '@lynxcourse/routing'
 import { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
+import { passedHeaders } from '../../utils/headers.js'
 import { deadlineHeader, loadHeader, notStartedHeader, requestIdHeader } from '../../types/answers.js'
 import type { HeaderMap } from '../../types/answers.js'
-import { dropConnection, dropSilent, progressConnection, releaseConnection, takeConnection } from './connectionPool.js'
+import { dropConnection, dropSilent, isConnectError, progressConnection, releaseConnection, takeConnection } from './connectionPool.js'
 import type { Connection } from './connectionPool.js'
 import type { Entry } from './entry.js'
 import type { ForwardRequest } from './forwardRequest.js'
@@ -27,8 +28,6 @@
   /** Sent, and no whole answer came. */
   | { readonly type: 'lost', readonly detail: string, readonly reason: 'failed' | 'deadline' | 'gone' | 'silent' }
 
-const hopByHop = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length'])
-
 /**
  * Runs an attempt. The slot is still held when it resolves, unless the body streams on: then the
  * caller of this function releases it at the body's end.
@@ -77,12 +76,6 @@
   return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : undefined
 }
 
-/** Errors from opening a connection: the request was not handed to it. */
-function isConnectError (err: unknown): boolean {
-  const { code, syscall } = err as NodeJS.ErrnoException
-  return code === 'UND_ERR_CONNECT_TIMEOUT' || syscall === 'connect'
-}
-
 interface Watch {
   readonly signal: Cancel
   gotHeaders: () => void
@@ -147,11 +140,3 @@
   })
   return body
 }
-
-function passedHeaders (raw: Dispatcher.ResponseData['headers']): HeaderMap {
-  const headers: HeaderMap = {}
-  for (const [name, value] of Object.entries(raw)) {
-    if (value !== undefined && !hopByHop.has(name)) headers[name] = value
-  }
-  return headers
-}
--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -139,3 +139,9 @@
     if (connection.state.state === 'idle' && isQuiet) dropConnection(pool, connection, 'quiet')
   }
 }
+
+/** Whether an error is from opening a connection: no byte of the request was handed to it, so the request did not run. */
+export function isConnectError (err: unknown): boolean {
+  const { code, syscall } = err as NodeJS.ErrnoException
+  return code === 'UND_ERR_CONNECT_TIMEOUT' || syscall === 'connect'
+}
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -4,9 +4,11 @@
 import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { matchRoute, pickService } from '@lynxcourse/routing'
+import type { RoutedService } from '@lynxcourse/routing'
 import type { HeaderMap } from '../../types/answers.js'
 import { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
+import { isHopByHop } from '../../utils/headers.js'
 import { readBody } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
 import type { Call, CallAnswer } from './call.js'
@@ -22,8 +24,6 @@
 /** When to come back to a VM that does not know the present state yet. */
 const notReadyRetryMs: Millis = 300
 
-const hopByHop = new Set(['connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length', 'expect'])
-
 /** Makes the server; it does not listen yet. */
 export function createCallerFront (gateway: Gateway): Server {
   const server = createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0, keepAliveTimeout: gateway.limits.idleTimeoutMs, keepAliveTimeoutBuffer: 0 } as object, (req, res) => {
@@ -45,22 +45,30 @@
   const arrivedAt = presentTime()
   const gone = new Cancel()
   res.once('close', () => { if (!res.writableFinished) gone.abort() })
+  const { metrics } = gateway.node
+  const target = targetOf(gateway, req)
+  const service = target?.service ?? 'none'
   gateway.open += 1
-  gateway.node.metrics.inFlight.set(gateway.open)
+  metrics.inFlight.set(gateway.open)
   try {
-    const answer = await serveRequest(gateway, req, gone, arrivedAt)
+    const answer = target === undefined ? noRoute(gateway, req) : await serveRequest(gateway, req, target, gone, arrivedAt)
     if (answer !== undefined && !gone.aborted) writeAnswer(gateway, res, answer)
-    gateway.node.metrics.requests.inc({ service: 'all', outcome: answer === undefined ? 'gone' : String(answer.status) })
-    gateway.node.metrics.requestSeconds.observe({ service: 'all' }, (presentTime() - arrivedAt) / 1000)
+    metrics.requests.inc({ service, outcome: answer === undefined ? 'gone' : String(answer.status) })
+    metrics.requestSeconds.observe({ service }, (presentTime() - arrivedAt) / 1000)
   } finally {
     gateway.open -= 1
+    metrics.inFlight.set(gateway.open)
   }
 }
 
-async function serveRequest (gateway: Gateway, req: IncomingMessage, gone: Cancel, arrivedAt: Millis): Promise<CallAnswer | undefined> {
-  const path = req.url ?? '/'
-  const route = matchRoute(gateway.table, req.headers.host ?? '', path)
-  if (route === undefined) return noRoute(gateway, req)
+/** The route of a request, and the service that its split gives it; undefined without a route. */
+function targetOf (gateway: Gateway, req: IncomingMessage): RoutedService | undefined {
+  const route = matchRoute(gateway.table, req.headers.host ?? '', req.url ?? '/')
+  return route === undefined ? undefined : { route, service: pickService(gateway.splits, route) }
+}
+
+async function serveRequest (gateway: Gateway, req: IncomingMessage, target: RoutedService, gone: Cancel, arrivedAt: Millis): Promise<CallAnswer | undefined> {
+  const { route, service } = target
   const facts = gateway.callers.readCall(req.headers)
   const body = await readCallBody(gateway, req, gone)
   if (body === undefined) return undefined
@@ -68,9 +76,9 @@
   const call: Call = {
     facts,
     route,
-    service: pickService(gateway.splits, route),
+    service,
     method: req.method ?? 'GET',
-    path,
+    path: req.url ?? '/',
     headers: forwardedHeaders(gateway, req),
     body: body.length === 0 ? null : body,
     arrivedAt,
@@ -119,7 +127,7 @@
   const listed = new Set(String(req.headers.connection ?? '').toLowerCase().split(',').map(name => name.trim()))
   const headers: HeaderMap = {}
   for (const [name, value] of Object.entries(req.headers)) {
-    if (value !== undefined && !hopByHop.has(name) && !listed.has(name) && !gateway.callers.ownHeaders.has(name)) headers[name] = value
+    if (value !== undefined && !isHopByHop(name) && !listed.has(name) && !gateway.callers.ownHeaders.has(name)) headers[name] = value
   }
   return headers
 }
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -6,7 +6,8 @@
 import type { HeaderMap } from '../../types/answers.js'
 import { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
-import { dropConnection, dropSilent, progressConnection, releaseConnection, takeConnection } from '../entry/connectionPool.js'
+import { passedHeaders } from '../../utils/headers.js'
+import { dropConnection, dropSilent, isConnectError, progressConnection, releaseConnection, takeConnection } from '../entry/connectionPool.js'
 import type { Connection } from '../entry/connectionPool.js'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
@@ -22,8 +23,6 @@
 /** Largest answer that is held in memory; whole answers are checked before a caller gets any of them. */
 const maxAnswerBytes = 16_777_216
 
-const hopByHop = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'content-length'])
-
 /**
  * Sends a request.
  *
@@ -84,20 +83,6 @@
   return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)
 }
 
-function passedHeaders (raw: HeaderMap): HeaderMap {
-  const headers: HeaderMap = {}
-  for (const [name, value] of Object.entries(raw)) {
-    if (value !== undefined && !hopByHop.has(name)) headers[name] = value
-  }
-  return headers
-}
-
-/** Errors from opening a connection: no byte of the request was handed to it. */
-function isConnectError (err: unknown): boolean {
-  const { code, syscall } = err as NodeJS.ErrnoException
-  return code === 'UND_ERR_CONNECT_TIMEOUT' || syscall === 'connect'
-}
-
 interface SendWatch {
   readonly signal: Cancel
   readonly reason: () => Extract<SendResult, { type: 'lost' }>['reason']
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -5,7 +5,7 @@
  */
 import type { Millis, ServerId } from '@lynxcourse/base'
 import {
-  concurrencyOf, isCalm, isCold, learnConcurrency, learnHomeWarmth, learnSlowness, learnWork, noteAsked, noteBad, noteFull, noteGood, noteHandled, noteReport, noteRequest, noteStart, noteStop, placeRequest, slotShare,
+  concurrencyOf, isCalm, isCold, learnConcurrency, learnHomeWarmth, learnSlowness, learnWork, noteBad, noteFull, noteGood, noteHandled, noteReport, noteRequest, noteStart, noteStop, placeRequest, slotShare,
   spendRepeat, takeColdToken, travelTo, workKey, workOf
 } from '@lynxcourse/routing'
 import type { Placed, Refused } from '@lynxcourse/routing'
@@ -42,7 +42,6 @@
 /** Serves a request to its final answer; undefined when the caller is gone. */
 export async function serveCall (gateway: Gateway, call: Call): Promise<CallAnswer | undefined> {
   noteRequest(gateway.retries, gateway.node.cfg.retryBudget, call.service, presentTime())
-  if (call.facts.object !== '') noteAsked(gateway.fleet.warmth, call.service, objectOf(call), presentTime())
   const run: Run = { call, tried: new Set(), runs: 0, full: 0, sends: 0, last: undefined }
   for (;;) {
     const now = presentTime()
@@ -211,6 +210,7 @@
   const { facts, reportedAt } = placed.server
   const reportAge = presentTime() - reportedAt
   const outcome = result.type === 'answered' ? String(result.status) : result.reason
+  gateway.node.metrics.attempts.inc({ end: outcome })
   const level = result.type === 'answered' && result.status < firstServerError ? 'info' : 'warn'
   log(gateway.node.logs, 'route', level, 'Sent.', {
     id: call.facts.id,
@@ -238,6 +238,7 @@
 
 function logRefusal (gateway: Gateway, run: Run, refused: Refused): void {
   const { call } = run
+  gateway.node.metrics.refusals.inc({ reason: refused.reason })
   log(gateway.node.logs, 'route', 'info', 'Refused.', {
     id: call.facts.id,
     route: call.route.name,
--- /dev/null
+++ b/packages/routing/src/core/fleet.ts
@@ -0,0 +1,103 @@
+/** What one entry VM knows of a fleet: its servers, and what it learned of their work and of the ways to them. */
+import type { Millis, Random, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import type { Route } from '@lynxcourse/state'
+import { createConcurrency } from './concurrency.js'
+import type { Concurrency } from './concurrency.js'
+import type { FleetServer } from './fleetServer.js'
+import type { Warmth } from './warmth.js'
+import type { WorkModel } from './workModel.js'
+
+/** What placement needs for its whole life. */
+export interface FleetSetup {
+  readonly self: string
+  readonly region: RegionId
+  readonly random: Random
+}
+
+/** Servers, what was learned of them, and the VMs beside this one. */
+export interface Fleet {
+  readonly setup: FleetSetup
+  readonly byId: Map<ServerId, FleetServer>
+  byService: Map<ServiceId, FleetServer[]>
+  readonly warmth: Warmth
+  readonly work: WorkModel
+  /** Smoothed time in a slot, by service. */
+  readonly meanWork: Map<ServiceId, Millis>
+  /** Smoothed two-way travel to other regions; learned from connecting. */
+  readonly travel: Map<RegionId, Millis>
+  /** Requests a second that a cold server of a service bears. */
+  readonly coldRates: Map<ServiceId, number>
+  vms: readonly string[]
+  /** Chance that an object is warm at its home by hash, in this region and elsewhere, by route and service. */
+  readonly homeWarm: Map<string, number>
+  /** Smoothed ratio of real to expected times, by service; a server is slow only against its peers. */
+  readonly meanSlowness: Map<ServiceId, number>
+  /** Requests under way and how many there may be, by service. */
+  readonly concurrency: Map<ServiceId, Concurrency>
+}
+
+/** A route's requests to one of its services; what is learned is learned for each pair. */
+export interface RoutedService {
+  readonly route: Route
+  readonly service: ServiceId
+}
+
+/** Travel assumed to a region that was not reached yet, two-way. */
+const unknownTravelMs = 80
+/** Chance that an object is warm at the server that hashing names, before this VM has seen any there. */
+const firstWarmChance = 0.6
+/** Smoothing of that chance as answers show it. */
+const chanceSmoothing = 0.03
+/** One freak answer must not make all servers look fast. */
+const maxRatioLearned = 10
+const slownessMeanSmoothing = 0.02
+
+/** The requests of a service under way at this VM. */
+export function concurrencyOf (fleet: Fleet, service: ServiceId): Concurrency {
+  const known = fleet.concurrency.get(service)
+  if (known !== undefined) return known
+  const made = createConcurrency(slotShare(fleet, service))
+  fleet.concurrency.set(service, made)
+  return made
+}
+
+/** This VM's equal share of a service's open slots. */
+export function slotShare (fleet: Fleet, service: ServiceId): number {
+  let slots = 0
+  for (const { facts } of fleet.byService.get(service) ?? []) {
+    if (!facts.isClosed) slots += facts.slots
+  }
+  return slots / Math.max(1, fleet.vms.length)
+}
+
+/** Key of a request's learned times. */
+export function workKey (request: RoutedService): string {
+  return `${request.route.name} ${request.service}`
+}
+
+/** Chance that an object which this VM has not seen there is warm at its home. */
+export function homeWarmChance (fleet: Fleet, request: RoutedService, isAway: boolean): number {
+  return fleet.homeWarm.get(chanceKey(request, isAway)) ?? firstWarmChance
+}
+
+function chanceKey (request: RoutedService, isAway: boolean): string {
+  return `${workKey(request)} ${isAway ? 'away' : 'near'}`
+}
+
+/** Learns whether an object was warm at its home, from an answer of a server where this VM had not seen it. */
+export function learnHomeWarmth (fleet: Fleet, request: RoutedService, isAway: boolean, wasWarm: boolean): void {
+  const key = chanceKey(request, isAway)
+  const chance = homeWarmChance(fleet, request, isAway)
+  fleet.homeWarm.set(key, chance + ((wasWarm ? 1 : 0) - chance) * chanceSmoothing)
+}
+
+/** Takes a server's ratio of real to expected time into its service's mean. */
+export function learnSlowness (fleet: Fleet, service: ServiceId, ratio: number): void {
+  const mean = fleet.meanSlowness.get(service) ?? 1
+  fleet.meanSlowness.set(service, Math.max(1, mean + (Math.min(ratio, maxRatioLearned) - mean) * slownessMeanSmoothing))
+}
+
+/** Two-way travel to a region's servers. */
+export function travelTo (fleet: Fleet, region: RegionId): Millis {
+  return fleet.travel.get(region) ?? (region === fleet.setup.region ? 0 : unknownTravelMs)
+}
--- a/packages/routing/src/core/warmth.ts
+++ b/packages/routing/src/core/warmth.ts
@@ -1,6 +1,6 @@
 /** Which servers handled which objects lately, so that requests for one object meet a warm server. */
 import { hashText } from '@lynxcourse/base'
-import type { Millis, ServerId, ServiceId } from '@lynxcourse/base'
+import type { Millis, ServerId } from '@lynxcourse/base'
 
 /** What one VM remembers of its own requests. */
 export interface Warmth {
@@ -8,18 +8,16 @@
   readonly byServer: Map<ServerId, Map<string, Millis>>
   /** Hash ranks of an object's servers; dropped when the servers change. */
   readonly ranks: Map<string, ReadonlyMap<ServerId, number>>
-  /** By service, the objects asked for lately, the latest last. */
-  readonly active: Map<ServiceId, Map<string, Millis>>
 }
 
 /** Objects that a server is taken to keep warm; beyond it the one used longest ago is forgotten. */
-export const objectsPerServer = 40
+const objectsPerServer = 40
 /** A server is taken to be warm for an object for this long after its last use. */
 const warmForMs = 20_000
 const maxRanks = 4000
 
 export function createWarmth (): Warmth {
-  return { byServer: new Map(), ranks: new Map(), active: new Map() }
+  return { byServer: new Map(), ranks: new Map() }
 }
 
 /** Notes that a server handled an object. */
@@ -32,23 +30,6 @@
   warmth.byServer.set(server, objects)
 }
 
-/** Notes that an object was asked for. */
-export function noteAsked (warmth: Warmth, service: ServiceId, object: string, now: Millis): void {
-  const active = warmth.active.get(service) ?? new Map<string, Millis>()
-  active.delete(object)
-  active.set(object, now)
-  for (const [oldest, at] of active) {
-    if (now - at < warmForMs) break
-    active.delete(oldest)
-  }
-  warmth.active.set(service, active)
-}
-
-/** Objects of a service that were asked for lately. */
-export function activeObjects (warmth: Warmth, service: ServiceId): number {
-  return warmth.active.get(service)?.size ?? 0
-}
-
 /** Whether this VM saw a server handle an object lately. */
 export function isWarm (warmth: Warmth, server: ServerId, object: string, now: Millis): boolean {
   const at = warmth.byServer.get(server)?.get(object)
