Show a fleet's routes on the command line

Cause: route explain knows services only; an operator of a fleet could not ask which route a request takes. Change: fleet routes and fleet match HOST PATH, read through a quorum. Test: a match names the route, its shares and what fits less well.

--- a/packages/cli/__tests__/cli.test.ts
+++ b/packages/cli/__tests__/cli.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { LynxError } from '@lynxcourse/base'
-import { bashCompletion, diffProfiles, exitCodeOf, formatTable, makeProgram, openSession } from '@lynxcourse/cli'
+import { LynxError, brandId, isLynxError } from '@lynxcourse/base'
+import type { ServiceId } from '@lynxcourse/base'
+import { bashCompletion, diffProfiles, exitCodeOf, explainMatch, formatTable, makeProgram, openSession } from '@lynxcourse/cli'
 import { profileSchema } from '@lynxcourse/state'
 
 test('errors have the exit codes that the help names', () => {
@@ -29,3 +30,15 @@
 test('an address that is none is refused with its name', () => {
   assert.throws(() => openSession({ addresses: '127.0.0.1:1,nowhere', output: 'table' }), /'nowhere' is no IPv4:port/)
 })
+
+test('a match names the route, its shares, and what fits less well', () => {
+  const [desk, ledger] = ['desk', 'ledger'].map(name => brandId<ServiceId>(name)) as [ServiceId, ServiceId]
+  const common = { host: 'a.example', isIdempotent: true, timeoutMs: 1000, aimMs: 250, rank: 0, maxAttempts: 2, isSticky: false, homes: [], annotations: {} }
+  const wide = { ...common, name: 'wide', pathPrefix: '/', service: desk, split: [] }
+  const narrow = { ...common, name: 'narrow', pathPrefix: '/offers/', service: undefined, split: [{ service: desk, weight: 3 }, { service: ledger, weight: 1 }] }
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+  const read = { routesVersion: 7, set: { routes: [wide, narrow], upstreams: [], limits } }
+  const match = explainMatch(read, 'a.example:80', '/offers/7')
+  assert.deepEqual([match['name'], match['services'], match['passedOver'], match['version']], ['narrow', 'desk=75%,ledger=25%', ['wide /'], 7])
+  assert.throws(() => explainMatch(read, 'b.example', '/'), err => isLynxError(err, 'notFound'))
+})
--- a/packages/cli/src/core/program.ts
+++ b/packages/cli/src/core/program.ts
@@ -2,6 +2,7 @@
 import { Command, Option } from 'commander'
 import { exitCodes } from '../utils/exitCodes.js'
 import { addDrainCommands, addShiftCommands } from './commands/moves.js'
+import { addFleetCommands } from './commands/fleets.js'
 import { addProfileCommands } from './commands/profiles.js'
 import { addViewCommands } from './commands/views.js'
 import { bashCompletion } from './completion.js'
@@ -15,6 +16,7 @@
   lynxcourse profile publish desk.yaml --wait
   lynxcourse drain start domain kochi-a
   lynxcourse route explain offers 10.1.2.3
+  lynxcourse fleet match desk.example /offers/7
 `
 
 /** Makes the program. */
@@ -31,6 +33,7 @@
   addDrainCommands(program)
   addShiftCommands(program)
   addViewCommands(program)
+  addFleetCommands(program)
   program.command('completion').description('print a bash completion script: source <(lynxcourse completion)').action(() => {
     process.stdout.write(bashCompletion(program))
   })
