Give up work only where another server takes the request now, and never at a VM that stops

An entry VM had got its signal to stop; a position list that it had passed on took several times as long as expected; the VM closed the connection to try elsewhere, nobody else had room, and the caller got 502 in place of the answer under way. Ruled out: the end of the process (it ran on for seconds), the deadline (0.4 s were left). Change: when patience ends, the VM asks whether another server would take the request now, and whether it stops itself. Test: a slow server alone answers late and whole (502 before).

--- a/packages/daemon/__tests__/fleet.test.ts
+++ b/packages/daemon/__tests__/fleet.test.ts
@@ -235,3 +235,17 @@
   const isAvoided = [...watching?.avoided.values() ?? []].some(until => until > presentTime())
   assert.equal(isAvoided, false)
 })
+
+/*
+ * Symptom: a caller gets a failure in place of an answer that was nearly there; at a VM that stops, a planned
+ * stop cuts a request. Sequence: a server takes several times as long as expected; the VM closes the connection
+ * to try elsewhere; nobody else has room. Cause: work was given up before it was known who would take it over.
+ */
+test('work under way is given up only where another server takes the request now', async () => {
+  await using rig = await startRig(1)
+  await using slow = await startServer('s1', (_req, res) => setTimeout(() => res.end('late'), 1300))
+  await publish(rig, [slow], [routeTo('read', { timeoutMs: 3000 })])
+  const alone = await ask(rig, '/read/1')
+  assert.deepEqual([alone.status, alone.body], [200, 'late'])
+  assert.equal(slow.requests.length, 1)
+})
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -28,19 +28,26 @@
   return status >= firstServerError
 }
 
+/** How long to wait for one server while the caller still waits. */
+export interface Patience {
+  readonly until: Millis
+  /** Asked then; work goes on at the server unless this is so. */
+  readonly mayGiveUp: () => boolean
+}
+
 /** Largest answer that is held in memory; whole answers are checked before a caller gets any of them. */
 const maxAnswerBytes = 16_777_216
 
 /**
  * Sends a request.
  *
- * @param giveUpAt when to stop waiting although the caller still waits; Infinity to wait for the deadline
+ * @param patience when to stop waiting although the caller still waits; undefined to wait for the deadline
  */
-export async function sendOnce (gateway: Gateway, call: Call, placed: Placed, giveUpAt: Millis): Promise<SendResult> {
+export async function sendOnce (gateway: Gateway, call: Call, placed: Placed, patience: Patience | undefined): Promise<SendResult> {
   const now = presentTime()
   const { facts } = placed.server
   const connection = takeConnection(gateway.pool, facts.address, !call.route.isIdempotent, now)
-  const stop = watchSend(call, giveUpAt, now)
+  const stop = watchSend(call, patience, now)
   try {
     const leftMs = Math.max(1, Math.floor(call.deadline - now))
     const headers = { ...call.headers, ...gateway.servers.requestHeaders(call.facts, facts.id, leftMs) }
@@ -98,7 +105,7 @@
 }
 
 /** Ends sending at the deadline, when the caller goes, or when it is time to try elsewhere. */
-function watchSend (call: Call, giveUpAt: Millis, now: Millis): SendWatch {
+function watchSend (call: Call, patience: Patience | undefined, now: Millis): SendWatch {
   const signal = new Cancel()
   let reason: ReturnType<SendWatch['reason']> = 'failed'
   const stop = (why: typeof reason) => (): void => {
@@ -108,13 +115,15 @@
   const onGone = stop('gone')
   call.gone.on('abort', onGone)
   if (call.gone.aborted) onGone()
-  const endsAt = Math.min(call.deadline, giveUpAt)
-  const timer = setTimeout(stop(giveUpAt < call.deadline ? 'slow' : 'deadline'), Math.max(1, endsAt - now))
+  const deadlineTimer = setTimeout(stop('deadline'), Math.max(1, call.deadline - now))
+  const giveUp = (): void => { if (patience?.mayGiveUp() === true) stop('slow')() }
+  const patienceTimer = patience === undefined ? undefined : setTimeout(giveUp, Math.max(1, patience.until - now))
   return {
     signal,
     reason: () => reason,
     end: () => {
-      clearTimeout(timer)
+      clearTimeout(deadlineTimer)
+      clearTimeout(patienceTimer)
       call.gone.off('abort', onGone)
     }
   }
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -73,9 +73,9 @@
   const concurrency = concurrencyOf(gateway.fleet, call.service)
   // Where all servers are slow, work given up half done only adds to the load of the next one.
   const mayLeave = call.route.isIdempotent && run.runs + 1 < call.route.maxAttempts && isCalm(concurrency)
-  const giveUpAt = mayLeave ? now + expectedMs * slowFactor + slowSlackMs : Infinity
+  const patience = mayLeave ? { until: now + expectedMs * slowFactor + slowSlackMs, mayGiveUp: () => hasOtherServer(gateway, run) } : undefined
   concurrency.underWay += 1
-  const result = await sendOnce(gateway, call, placed, giveUpAt)
+  const result = await sendOnce(gateway, call, placed, patience)
   concurrency.underWay -= 1
   noteStop(server, running)
   const endedAt = presentTime()
@@ -87,6 +87,15 @@
   return result
 }
 
+/**
+ * Whether another server would take the request now. Work given up with nobody to take it over ends in a
+ * failure in place of a late answer; and a VM that stops must not break off what it has passed on.
+ */
+function hasOtherServer (gateway: Gateway, run: Run): boolean {
+  if (gateway.node.isLeaving) return false
+  return placeRequest(gateway.fleet, requestOf(run.call, run), presentTime()).type === 'send'
+}
+
 function isFinalResult (run: Run, result: SendResult): boolean {
   const { route } = run.call
   if (result.type === 'notRun') return run.full > maxFull
