Ask in one place whether a VM may get callers, and drop a condition that was always true

Cause: the second reading found the same question (present state known, not stopping) written three times: for the ready answer, for presence and for the daemon; and a comparison of a held record with one just made, which differ always. Change: isReadyForCallers in fleetNode.ts; the comparison is gone. Behaviour is as before.

--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -15,7 +15,7 @@
 import { applyLimits, createCallerFront } from '../gateway/callerFront.js'
 import type { CallerDialect, ServerDialect } from '../gateway/dialects.js'
 import { noteConnected, refreshGateway } from '../gateway/fleetView.js'
-import { createGateway, isGatewayReady } from '../gateway/gateway.js'
+import { createGateway } from '../gateway/gateway.js'
 import type { Gateway } from '../gateway/gateway.js'
 import { delay, repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
@@ -23,7 +23,7 @@
 import { openFleetControl } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
 import { addFleetMethods } from './fleetMethods.js'
-import { createFleetNode } from './fleetNode.js'
+import { createFleetNode, isReadyForCallers } from './fleetNode.js'
 import type { FleetDeps, FleetNode } from './fleetNode.js'
 import { startPresence } from './presenceLoop.js'
 import { startWatching, tellPresence } from './watching.js'
@@ -100,8 +100,7 @@
 
 function presenceOf (node: FleetNode): EntryPresence {
   const { cfg } = node
-  const isReady = node.freshAt > -Infinity && !node.isLeaving
-  return { name: cfg.name, address: cfg.callers ?? '', failureDomain: cfg.failureDomain, region: cfg.region, isReady }
+  return { name: cfg.name, address: cfg.callers ?? '', failureDomain: cfg.failureDomain, region: cfg.region, isReady: isReadyForCallers(node) }
 }
 
 function createMetricsServer (node: FleetNode): Server {
@@ -115,7 +114,7 @@
 
 /** Whether callers may be sent to this VM. */
 export function isFleetReady (daemon: FleetDaemon): boolean {
-  return daemon.gateway !== undefined && isGatewayReady(daemon.gateway)
+  return daemon.gateway !== undefined && isReadyForCallers(daemon.node)
 }
 
 /** Lets the VM go without cutting a request: look-ups stop naming it, and requests in flight end. */
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -59,6 +59,11 @@
   }
 }
 
+/** Whether callers may be sent to this VM: it knows the present state and does not stop. */
+export function isReadyForCallers (node: FleetNode): boolean {
+  return node.freshAt > -Infinity && !node.isLeaving
+}
+
 /** RPC addresses at which control VMs may be found: those heard of, then the seeds. */
 export function controlAddresses (node: FleetNode): string[] {
   const known = [...node.controls.map(place => place.rpc), ...node.cfg.seeds]
--- a/packages/daemon/src/core/gateway/fleetView.ts
+++ b/packages/daemon/src/core/gateway/fleetView.ts
@@ -77,7 +77,7 @@
     return
   }
   const isBack = held.facts.isClosed && !next.isClosed
-  const turnedCold = facts.coldMs > 0 && held.facts !== next && held.coldUntil < now
+  const turnedCold = facts.coldMs > 0 && held.coldUntil < now
   if (isBack || turnedCold) makeCold(fleet, held, now + Math.max(warmupMs, facts.coldMs))
   held.facts = next
 }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -57,8 +57,3 @@
     heldBytes: 0
   }
 }
-
-/** Whether callers may be sent here. */
-export function isGatewayReady (gateway: Gateway): boolean {
-  return gateway.node.freshAt > -Infinity && !gateway.node.isLeaving
-}
