Start fleet VMs from YAML by lynxcoursed, and soak them with faults from outside

A fleet could only be started by the platform's adapter or in code. A settings file with the key fleet now starts one; servers announce, leave and look up over RPC. The soak runs these daemons as processes behind forwarders that silence, cut one way, delay and reset, with signals, lost disks and torn logs, and holds what callers, servers and operators saw against the promises.

Found on the way, in the soak itself: a forwarder reset a socket that was being shut down, which Node then leaves open for ever; the test process did not end.

--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -1,5 +1,4 @@
 /** Joins the parts of a daemon and stops them in order. */
-import { createServer } from 'node:http'
 import type { Server } from 'node:http'
 import { messageOf, nextState } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
@@ -11,6 +10,7 @@
 import { presentTime } from '../utils/clock.js'
 import { closeServer, listen } from '../utils/httpServer.js'
 import { log } from '../utils/logging.js'
+import { createMetricsServer } from '../utils/metricsServer.js'
 import { createOwned, moveOwned, own } from '../utils/owned.js'
 import type { Owned } from '../utils/owned.js'
 import { feed, openControl } from './control/controlHost.js'
@@ -70,7 +70,7 @@
   addSyncMethod(rpc, syncing)
   addChangeMethod(rpc, node, control)
   addQueryMethods(rpc, { node, control, duties, entry })
-  const metricsServer = createMetricsServer(node)
+  const metricsServer = createMetricsServer(node.metrics, () => isCurrent(node.currency, presentTime()))
   const servers = [rpc.server, metricsServer]
   if (entry !== undefined) {
     addAnnounceMethod(rpc, entry, syncing)
@@ -109,25 +109,6 @@
   entry.lookupsAnswered = 0
 }
 
-/** `/metrics`, `/healthz` (the process lives) and `/readyz` (it has read the present state). */
-function createMetricsServer (node: Node): Server {
-  return createServer((req, res) => {
-    if (req.url === '/healthz') {
-      res.end('ok\n')
-    } else if (req.url === '/readyz') {
-      const isReady = isCurrent(node.currency, presentTime())
-      res.writeHead(isReady ? 200 : 503).end(isReady ? 'ready\n' : 'the present state is not known\n')
-    } else if (req.url === '/metrics') {
-      node.metrics.registry.metrics().then(text => {
-        res.setHeader('content-type', node.metrics.registry.contentType)
-        res.end(text)
-      }).catch(() => res.destroy())
-    } else {
-      res.writeHead(404).end()
-    }
-  })
-}
-
 /**
  * Lets the VM go without cutting a request: look-ups stop naming it, answers that callers have cached
  * run out, requests in flight end.
--- a/packages/daemon/src/types/settings.ts
+++ b/packages/daemon/src/types/settings.ts
@@ -3,7 +3,7 @@
 import { policyNames } from '@lynxcourse/routing'
 import { nameSchema } from '@lynxcourse/state'
 import type { FailureDomainId, RegionId, VmId } from '@lynxcourse/base'
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Schema of `IP:port`. */
 export const addressSchema = z.string().refine(isAddress, 'must be IPv4:port')
@@ -16,6 +16,15 @@
 
 const millis = z.number().int().min(1).max(3_600_000)
 const level = z.enum(['error', 'warn', 'info', 'debug'])
+
+/** Schema of how to log. */
+export const logSchema = z.strictObject({
+  format: z.enum(['text', 'json']).default('text'),
+  level: level.default('info'),
+  /** Levels of single parts, by their prefix. */
+  parts: z.record(z.string(), level).default({})
+}).prefault({})
+
 const linkName = z.string().regex(/^[a-z0-9.-]+>[a-z0-9.-]+$/, 'must be FROM>TO')
 
 const seedSchema = z.strictObject({
@@ -87,12 +96,7 @@
   stepRule: z.enum(['fixed', 'headroom']).default('headroom'),
   times: timesSchema,
   limits: limitsSchema,
-  log: z.strictObject({
-    format: z.enum(['text', 'json']).default('text'),
-    level: level.default('info'),
-    /** Levels of single parts, by their prefix. */
-    parts: z.record(z.string(), level).default({})
-  }).prefault({}),
+  log: logSchema,
   tls: z.strictObject({
     certFile: z.string().min(1),
     keyFile: z.string().min(1),
--- a/packages/daemon/src/utils/readSettings.ts
+++ b/packages/daemon/src/utils/readSettings.ts
@@ -5,6 +5,9 @@
 import type { CallerBlock } from '@lynxcourse/routing'
 import type { RegionId } from '@lynxcourse/base'
 import { parse } from 'yaml'
+import type { z } from 'zod'
+import { fleetFileSchema, fleetSettingsOf } from '../types/fleetFile.js'
+import type { FleetSettings } from '../types/fleetSettings.js'
 import { settingsSchema } from '../types/settings.js'
 import type { Settings } from '../types/settings.js'
 
@@ -15,19 +18,52 @@
  * @throws LynxError `badSettings`
  */
 export function parseSettings (text: string, file: string): Settings {
-  let raw: unknown
+  return check(settingsSchema, parseYaml(text, file), file, '')
+}
+
+function parseYaml (text: string, file: string): unknown {
   try {
-    raw = parse(text, { logLevel: 'error' })
+    return parse(text, { logLevel: 'error' })
   } catch (err) {
     throw new LynxError('badSettings', `${file}: ${messageOf(err)}`, { step: 'parse', cause: err })
   }
-  const checked = settingsSchema.safeParse(raw)
+}
+
+function check<Schema extends z.ZodType> (schema: Schema, raw: unknown, file: string, prefix: string): z.output<Schema> {
+  const checked = schema.safeParse(raw)
   if (checked.success) return checked.data
-  const problems = checked.error.issues.map(issue => `${issue.path.join('.') || '(top)'}: ${issue.message}`)
-  const field = checked.error.issues[0]?.path.join('.') ?? ''
+  const problems = checked.error.issues.map(issue => `${prefix}${issue.path.join('.') || '(top)'}: ${issue.message}`)
+  const field = `${prefix}${checked.error.issues[0]?.path.join('.') ?? ''}`
   throw new LynxError('badSettings', `${file}: ${problems.join('; ')}`, { step: 'check', field })
 }
 
+/** A settings file of either kind of VM. */
+export type AnySettings =
+  | { readonly kind: 'service', readonly cfg: Settings }
+  | { readonly kind: 'fleet', readonly cfg: FleetSettings }
+
+/**
+ * Checks the text of a settings file of either kind; a file whose top key is `fleet` is a fleet's.
+ *
+ * @throws LynxError `badSettings`
+ */
+export function parseAnySettings (text: string, file: string): AnySettings {
+  const raw = parseYaml(text, file)
+  if (!isFleetFile(raw)) return { kind: 'service', cfg: check(settingsSchema, raw, file, '') }
+  const other = Object.keys(raw).find(key => key !== 'fleet')
+  if (other !== undefined) throw new LynxError('badSettings', `${file}: ${other}: unknown beside fleet`, { step: 'check', field: other })
+  return { kind: 'fleet', cfg: fleetSettingsOf(check(fleetFileSchema, raw.fleet, file, 'fleet.')) }
+}
+
+function isFleetFile (raw: unknown): raw is { readonly fleet: unknown } {
+  return typeof raw === 'object' && raw !== null && 'fleet' in raw
+}
+
+/** Reads and checks a settings file of either kind. */
+export function readAnySettings (file: string): AnySettings {
+  return parseAnySettings(readText(file), file)
+}
+
 /** Reads and checks a settings file. */
 export function readSettings (file: string): Settings {
   return parseSettings(readText(file), file)
--- /dev/null
+++ b/scripts/__tests__/soak.test.ts
@@ -0,0 +1,107 @@
+/** The soak's own judgement on made-up histories, its plans, and a short run of the real daemons. */
+import assert from 'node:assert/strict'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { test } from 'node:test'
+import { planSoak } from '../soak/faultPlan.js'
+import { createLedger, findBroken, probePath } from '../soak/ledger.js'
+import type { Attempt, AttemptEnd, Ledger, Run } from '../soak/ledger.js'
+import { runSoak } from '../soak/soakRun.js'
+
+const size = { controls: 3, entries: 3, servers: 6, domains: 6 }
+
+function attempt (ledger: Ledger, id: string, parts: Partial<Attempt> = {}): void {
+  ledger.attempts.set(id, { id, entry: 'entry-0', path: '/offer/', isIdempotent: false, sentAt: 0, endedAt: 100, end: answered(200), ...parts })
+}
+
+function answered (status: number, isWhole = true): AttemptEnd {
+  return { type: 'answer', status, isWhole }
+}
+
+function run (ledger: Ledger, id: string, parts: Partial<Run> = {}): void {
+  ledger.runs.push({ id, path: '/offer/', body: id, server: 's-1', service: 'desk', failureDomain: 'kochi-a', at: 50, answeredAt: 90, ...parts })
+}
+
+function verdict (fill: (ledger: Ledger) => void): string[] {
+  const ledger = createLedger()
+  fill(ledger)
+  return findBroken(ledger).map(line => line.split(':')[0] ?? '')
+}
+
+test('a history that keeps every promise is clean', () => {
+  assert.deepEqual(verdict(ledger => { attempt(ledger, 'a'); run(ledger, 'a') }), [])
+})
+
+test('each broken promise is found', () => {
+  assert.deepEqual(verdict(ledger => { attempt(ledger, 'a'); run(ledger, 'a'); run(ledger, 'a') }), ['twice'])
+  assert.deepEqual(verdict(ledger => { attempt(ledger, 'a', { end: answered(503) }); run(ledger, 'a') }), ['refused'])
+  assert.deepEqual(verdict(ledger => { attempt(ledger, 'a', { end: answered(200, false) }) }), ['mixed'])
+  assert.deepEqual(verdict(ledger => { run(ledger, 'nobody') }), ['unasked'])
+  assert.deepEqual(verdict(ledger => { attempt(ledger, 'a'); run(ledger, 'a', { body: 'other' }) }), ['changed'])
+  assert.deepEqual(verdict(ledger => { attempt(ledger, 'a', { end: answered(404) }) }), ['denied'])
+  assert.deepEqual(verdict(ledger => {
+    ledger.confirmed.push({ type: 'change', subject: 'desk', at: 10, sentAt: 0, version: 4 })
+    ledger.reads.push({ sentAt: 20, version: 3 })
+  }), ['read'])
+})
+
+test('work after a confirmed drain or evacuation counts only where the VM was in touch and nothing took it back', () => {
+  const late = (ledger: Ledger): void => {
+    attempt(ledger, 'a', { sentAt: 20_000, endedAt: 20_100 })
+    run(ledger, 'a', { at: 20_050 })
+  }
+  const evacuated = { type: 'evacuate', subject: 'kochi-a', at: 10_000, sentAt: 9900, version: 0 } as const
+  assert.deepEqual(verdict(ledger => { late(ledger); ledger.confirmed.push({ ...evacuated, type: 'drain', subject: 's-1' }) }), ['drain'])
+  assert.deepEqual(verdict(ledger => { late(ledger); ledger.confirmed.push(evacuated) }), ['evacuate'])
+  assert.deepEqual(verdict(ledger => { late(ledger); ledger.confirmed.push(evacuated, { ...evacuated, type: 'readmit', sentAt: 15_000 }) }), [])
+  assert.deepEqual(verdict(ledger => {
+    late(ledger)
+    ledger.confirmed.push(evacuated)
+    ledger.disturbances.push({ subject: 'core', kind: 'kill', from: 15_000, until: 18_000 })
+  }), [])
+})
+
+test('a request sent after a confirmed change and served by the old one is found', () => {
+  const confirmed = { type: 'change', subject: 'ledger', at: 1000, sentAt: 900, version: 5 } as const
+  const probe = (ledger: Ledger, sentAt: number): void => {
+    attempt(ledger, 'a', { path: probePath, isIdempotent: true, sentAt })
+    run(ledger, 'a', { path: probePath, body: '', at: sentAt + 20 })
+  }
+  assert.deepEqual(verdict(ledger => { probe(ledger, 4000); ledger.confirmed.push(confirmed) }), ['change'])
+  assert.deepEqual(verdict(ledger => { probe(ledger, 3000); ledger.confirmed.push(confirmed) }), [])
+  assert.deepEqual(verdict(ledger => { probe(ledger, 4000); ledger.confirmed.push(confirmed, { ...confirmed, version: 6, sentAt: 3990, at: 4100, subject: 'desk' }) }), [])
+})
+
+test('a planned stop that cuts a request at work is found, one beside another disturbance is not', () => {
+  const cut = (ledger: Ledger): void => {
+    attempt(ledger, 'a', { sentAt: 9000, endedAt: 9500, end: { type: 'closed', detail: 'UND_ERR_SOCKET' } })
+    run(ledger, 'a', { at: 9100 })
+    ledger.disturbances.push({ subject: 'entry-0', kind: 'term', from: 8800, until: 14_000 })
+  }
+  assert.deepEqual(verdict(cut), ['cut'])
+  assert.deepEqual(verdict(ledger => { cut(ledger); ledger.disturbances.push({ subject: 's-1', kind: 'serverReset', from: 9400, until: 9400 }) }), [])
+})
+
+test('equal seeds draw equal plans, and a series loses one disk at most', () => {
+  assert.deepEqual(planSoak(5, size, 4), planSoak(5, size, 4))
+  assert.notDeepEqual(planSoak(5, size, 4), planSoak(6, size, 4))
+  for (let seed = 1; seed <= 200; seed++) {
+    const { steps } = planSoak(seed, size, 4)
+    for (let series = 0; series < 4; series++) {
+      const inSeries = steps.filter(step => step.kind === 'wipe' && Math.floor(step.at / 13_000) === series)
+      assert.ok(inSeries.length <= 1, `seed ${seed}`)
+    }
+  }
+})
+
+/** Drawn once; its faults: an evacuation, a frozen entry VM, a control VM that loses its disk and another that is killed. */
+const ciSeed = 5
+
+test('the real daemons keep every promise through a short soak', { timeout: 120_000 }, async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'lynx-soak-ci-'))
+  const result = await runSoak(planSoak(ciSeed, size, 1), size, folder)
+  console.log(`seed ${ciSeed}: ${result.steps} steps, ${result.requests} requests`)
+  assert.deepEqual(result.broken, [], `logs: ${folder}`)
+  rmSync(folder, { recursive: true, force: true })
+})
--- /dev/null
+++ b/scripts/soak/faultPlan.ts
@@ -0,0 +1,113 @@
+/** Draws the faults of a soak from its seed: in series with calm between them, overlapping within a series. */
+import { makeRandom } from '@lynxcourse/base'
+import type { Random } from '@lynxcourse/base'
+import type { LinkFault } from './faultProxy.js'
+
+/** A fault or a planned change, `at` milliseconds after the start of the traffic. */
+export type SoakStep = VmStep | { readonly at: number } & (
+  | { readonly kind: 'killCore', readonly forMs: number }
+  | { readonly kind: 'link', readonly vm: number, readonly side: 'rpc' | 'callers', readonly fault: Exclude<LinkFault, 'none'>, readonly forMs: number }
+  | { readonly kind: 'reset', readonly vm: number, readonly side: 'rpc' | 'callers' }
+  | { readonly kind: 'serverLink', readonly server: number, readonly fault: Exclude<LinkFault, 'none'>, readonly forMs: number }
+  | { readonly kind: 'serverReset' | 'serverCrash' | 'serverDrain', readonly server: number }
+  | { readonly kind: 'change' | 'race' }
+  | { readonly kind: 'evacuate', readonly domain: number, readonly forMs: number }
+)
+
+/** A fault of one VM's process; `wipe` empties a control VM's disk, `tear` leaves half a record at the end of its log. */
+export interface VmStep {
+  readonly at: number
+  readonly kind: 'kill' | 'term' | 'pause' | 'wipe' | 'tear'
+  readonly vm: number
+  readonly forMs: number
+}
+
+/** Sizes of the system that the plan is for; the control VMs come first. */
+export interface SoakSize {
+  readonly controls: number
+  readonly entries: number
+  readonly servers: number
+  readonly domains: number
+}
+
+export interface SoakPlan {
+  readonly seed: number
+  readonly steps: readonly SoakStep[]
+  /** Length of the traffic with faults. */
+  readonly lengthMs: number
+}
+
+/** A series of faults, then calm for longer than disturbed VMs may take to be in touch again. */
+const seriesMs = 6000
+const calmMs = 7000
+const mostInSeries = 4
+const shortestMs = 300
+const longestMs = 4000
+
+type StepKind = SoakStep['kind']
+
+/** Kinds with their weights. */
+const weights: ReadonlyArray<readonly [StepKind, number]> = [
+  ['kill', 3], ['term', 4], ['pause', 3], ['wipe', 1], ['tear', 1], ['killCore', 1], ['link', 4], ['reset', 2],
+  ['serverLink', 3], ['serverReset', 2], ['serverCrash', 2], ['serverDrain', 2], ['change', 3], ['race', 1], ['evacuate', 2]
+]
+const linkFaults: ReadonlyArray<Exclude<LinkFault, 'none'>> = ['silence', 'dropRequests', 'dropAnswers', 'delay']
+
+/** Draws the plan of a seed; equal seeds and sizes give equal plans. */
+export function planSoak (seed: number, size: SoakSize, series: number): SoakPlan {
+  const random = makeRandom(seed)
+  const steps: SoakStep[] = []
+  for (let number = 0; number < series; number++) {
+    const start = number * (seriesMs + calmMs)
+    const count = 1 + pick(random, mostInSeries)
+    let isDiskLost = false
+    for (let place = 0; place < count; place++) {
+      const kind = drawKind(random)
+      // One disk at a time: what is confirmed outlives the loss of a minority of disks, not of more.
+      if (kind === 'wipe' && isDiskLost) continue
+      isDiskLost ||= kind === 'wipe'
+      steps.push(drawStep(random, size, kind, start + pick(random, seriesMs)))
+    }
+  }
+  steps.sort((a, b) => a.at - b.at)
+  return { seed, steps, lengthMs: series * (seriesMs + calmMs) }
+}
+
+function pick (random: Random, below: number): number {
+  return Math.floor(random() * below)
+}
+
+function drawKind (random: Random): StepKind {
+  let left = random() * weights.reduce((sum, [, weight]) => sum + weight, 0)
+  for (const [kind, weight] of weights) {
+    left -= weight
+    if (left < 0) return kind
+  }
+  return 'change'
+}
+
+function drawStep (random: Random, size: SoakSize, kind: StepKind, at: number): SoakStep {
+  const forMs = shortestMs + pick(random, longestMs - shortestMs)
+  const vm = pick(random, size.controls + size.entries)
+  const control = pick(random, size.controls)
+  const server = pick(random, size.servers)
+  const fault = linkFaults[pick(random, linkFaults.length)] ?? 'silence'
+  const side = vm < size.controls || random() < 0.5 ? 'rpc' : 'callers'
+  switch (kind) {
+    case 'kill':
+    case 'term':
+    case 'pause': return { at, kind, vm, forMs }
+    case 'wipe':
+    case 'tear': return { at, kind, vm: control, forMs }
+    case 'killCore': return { at, kind, forMs: Math.min(forMs, 1000) }
+    case 'link': return { at, kind, vm, side, fault, forMs }
+    case 'reset': return { at, kind, vm, side }
+    case 'serverLink': return { at, kind, server, fault, forMs }
+    case 'serverReset':
+    case 'serverCrash':
+    case 'serverDrain': return { at, kind, server }
+    case 'change':
+    case 'race': return { at, kind }
+    case 'evacuate': return { at, kind, domain: pick(random, size.domains), forMs: forMs + calmMs }
+  }
+}
