--- a/packages/base/src/core/chart.ts
+++ b/packages/base/src/core/chart.ts
@@ -5,7 +5,7 @@
  */
 import { createMachine, getInitialSnapshot, transition } from 'xstate'
 import { parse } from 'yaml'
-import { z } from 'zod'
+import * as z from 'zod'
 import { LynxError, messageOf } from '../utils/errors.js'
 
 const chartSchema = z.strictObject({
--- a/packages/cli/src/core/session.ts
+++ b/packages/cli/src/core/session.ts
@@ -6,7 +6,7 @@
 import { addressSchema, callPeer, createRpcClient } from '@lynxcourse/daemon'
 import type { RpcClient } from '@lynxcourse/daemon'
 import { parse } from 'yaml'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { OutputFormat } from '../utils/printing.js'
 
 /** Options that every command takes. */
--- /dev/null
+++ b/packages/daemon/__tests__/loadBoard.test.ts
@@ -0,0 +1,98 @@
+/** What the entry VMs see of the load, put together at the leader. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { brandId } from '@lynxcourse/base'
+import type { RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { createLoadBoard, createLoadNotes, noteAhead, noteBusy, noteDigest, noteLoadReport, takeDigest, takeLoadReport, takeNews, updateBoard } from '@lynxcourse/daemon'
+import type { LoadBoard, ServerPlaces, ServiceSlots } from '@lynxcourse/daemon'
+
+const desk = brandId<ServiceId>('desk')
+const kochi = brandId<RegionId>('kochi')
+const chennai = brandId<RegionId>('chennai')
+const server = brandId<ServerId>('i-1')
+const places: ServerPlaces = new Map([[server, { service: desk, slots: 3 }]])
+const slots: ServiceSlots = new Map([[desk, new Map([[kochi, 300], [chennai, 30]])]])
+
+/** Lets entry VMs of Chennai report for some seconds; each has so many slots busy. */
+function play (board: LoadBoard, vms: number, busy: number, seconds: number, from = 0): number {
+  let now = from
+  for (; now < from + seconds * 1000; now += 400) {
+    for (let vm = 0; vm < vms; vm++) noteLoadReport(board, `vm-${vm}`, chennai, { servers: [[server, 6]], busy: [[desk, busy]] }, now)
+    noteDigest(board, 'control-1', takeDigest(board, now), now)
+    updateBoard(board, slots, places, now)
+  }
+  return now
+}
+
+function nearShare (board: LoadBoard): number {
+  const plan = board.news.plans.find(({ service }) => service === desk)?.shares ?? []
+  return new Map(plan.find(([region]) => region === chennai)?.[1]).get(chennai) ?? 0
+}
+
+/*
+ * Symptom: requests wait behind a full queue while servers beside it are idle. Sequence: 80 VMs send a server one
+ * request in ten seconds each. Cause: none of them knew of the others' requests.
+ */
+test('a server that is full by the answers of many VMs is named to all, and no longer once it is not', () => {
+  const board = createLoadBoard()
+  const now = play(board, 1, 2, 2)
+  assert.equal(board.news.full[0]?.[0], server)
+  assert.ok((board.news.full[0]?.[1] ?? 0) >= 5.9)
+  for (let step = 0; step < 8; step++) noteDigest(board, 'control-1', { servers: [[server, 0]], busy: [] }, now)
+  updateBoard(board, slots, places, now)
+  assert.deepEqual(board.news.full, [])
+})
+
+test('a server that is gone or silent is forgotten', () => {
+  const board = createLoadBoard()
+  const now = play(board, 1, 2, 2)
+  updateBoard(board, slots, places, now + 3000)
+  assert.deepEqual([board.news.full, board.smoothed.size], [[], 0])
+})
+
+test('demand over the region\'s slots moves its objects away, a little each second', () => {
+  const board = createLoadBoard()
+  const now = play(board, 5, 4, 45)
+  const before = nearShare(board)
+  play(board, 5, 8, 4, now)
+  const after = nearShare(board)
+  assert.ok(after < before && before - after <= 0.03 * 4.4, `${before} to ${after}`)
+})
+
+test('the next leader goes on from the plan that was in force', () => {
+  const board = createLoadBoard()
+  const now = play(board, 5, 4, 45)
+  const next = createLoadBoard()
+  takeNews(next, board.news)
+  noteDigest(next, 'control-1', takeDigest(board, now), now)
+  updateBoard(next, slots, places, now)
+  assert.ok(Math.abs(nearShare(next) - nearShare(board)) < 0.01)
+})
+
+/*
+ * Symptom: requests go on to a region that has lost its servers. Sequence: a failure domain is without power; the
+ * plan follows by 3 % a second. Cause: the bound that keeps objects warm also held where nothing was left to keep.
+ */
+test('where a region loses servers, its objects move at once', () => {
+  const board = createLoadBoard()
+  const now = play(board, 5, 4, 45)
+  const lost: ServiceSlots = new Map([[desk, new Map([[kochi, 300], [chennai, 3]])]])
+  const before = nearShare(board)
+  for (let step = 1; step <= 5; step++) {
+    noteLoadReport(board, 'vm-0', chennai, { servers: [], busy: [[desk, 10]] }, now + step * 400)
+    noteDigest(board, 'control-1', takeDigest(board, now + step * 400), now + step * 400)
+    updateBoard(board, lost, places, now + step * 400)
+  }
+  assert.ok(before - nearShare(board) > 0.2, `${before} to ${nearShare(board)}`)
+})
+
+test('an entry VM reports each answer\'s load once, and busy slots by the time that its requests took', () => {
+  const notes = createLoadNotes(0)
+  noteAhead(notes, server, 4)
+  noteAhead(notes, server, 5)
+  noteBusy(notes, desk, 600)
+  noteBusy(notes, desk, 900)
+  assert.equal(takeLoadReport(notes, 100), undefined)
+  assert.deepEqual(takeLoadReport(notes, 1000), { servers: [[server, 5]], busy: [[desk, 1.5]] })
+  assert.deepEqual(takeLoadReport(notes, 2000), { servers: [], busy: [] })
+})
--- a/packages/daemon/src/core/control/joining.ts
+++ b/packages/daemon/src/core/control/joining.ts
@@ -2,7 +2,7 @@
 import type { Envelope } from '@lynxcourse/agreement'
 import { LynxError, vmOfHolder } from '@lynxcourse/base'
 import type { HolderId } from '@lynxcourse/base'
-import { z } from 'zod'
+import * as z from 'zod'
 import { log } from '../../utils/logging.js'
 import { repeat } from '../node/timers.js'
 import { callPeer } from '../rpc/rpcClient.js'
--- a/packages/daemon/src/core/control/reports.ts
+++ b/packages/daemon/src/core/control/reports.ts
@@ -2,7 +2,7 @@
 import { LynxError, vmOfHolder } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { grantsFor, noteReport } from '@lynxcourse/limits'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { ReportReply, VmReport } from '../node/reporting.js'
 import { presentTime } from '../../utils/clock.js'
 import { addMethod } from '../rpc/rpcServer.js'
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -13,6 +13,8 @@
 import { callPeer } from '../rpc/rpcClient.js'
 import { controlAddresses } from './fleetNode.js'
 import type { FleetNode } from './fleetNode.js'
+import { createLoadBoard } from './loadBoard.js'
+import type { LoadBoard } from './loadBoard.js'
 import { createPresence } from './presence.js'
 import type { Presence } from './presence.js'
 
@@ -21,6 +23,7 @@
   readonly node: FleetNode
   readonly host: ControlHost
   readonly presence: Presence
+  readonly board: LoadBoard
 }
 
 /** The routes as a read gives them. */
@@ -45,7 +48,7 @@
     const cluster = `fleet-${hashText([...cfg.seeds].sort().join()).toString(16)}`
     await initCluster(host, cluster, [...voters].sort())
   }
-  return { node, host, presence: createPresence() }
+  return { node, host, presence: createPresence(), board: createLoadBoard() }
 }
 
 function envOf (node: FleetNode, isFounder: boolean): ControlEnv {
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -1,11 +1,11 @@
 /** Joins the parts of one VM of a fleet and stops them in order. */
-import { createServer } from 'node:http'
 import type { Server } from 'node:http'
 import type { Millis } from '@lynxcourse/base'
 import type { EntryPresence } from '@lynxcourse/routing'
 import { presentTime } from '../../utils/clock.js'
 import { closeServer, listen } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
+import { createMetricsServer } from '../../utils/metricsServer.js'
 import { createOwned, moveOwned, own } from '../../utils/owned.js'
 import type { Owned } from '../../utils/owned.js'
 import type { FleetSettings } from '../../types/fleetSettings.js'
@@ -14,13 +14,13 @@
 import { sweepConnections } from '../entry/connectionPool.js'
 import { applyLimits, createCallerFront } from '../gateway/callerFront.js'
 import type { CallerDialect, ServerDialect } from '../gateway/dialects.js'
-import { noteConnected, refreshGateway } from '../gateway/fleetView.js'
+import { noteConnected, refreshGateway, takeLoadNews } from '../gateway/fleetView.js'
 import { createGateway } from '../gateway/gateway.js'
 import type { Gateway } from '../gateway/gateway.js'
 import { delay, repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
-import { openFleetControl } from './fleetControl.js'
+import { openFleetControl, stateAge } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
 import { addFleetMethods } from './fleetMethods.js'
 import { createFleetNode, isReadyForCallers } from './fleetNode.js'
@@ -60,8 +60,8 @@
   const rpc = createRpcServer({ maxBytes: maxRpcBytes, perSecond: rpcPerSecond }, node.metrics, undefined)
   const control = cfg.roles.includes('control') ? await startControl(stack, node, rpc) : undefined
   const gateway = cfg.roles.includes('entry') ? createGateway(node, dialects.callers, dialects.servers) : undefined
-  await listenRpc(rpc, cfg.rpc)
-  const metricsServer = createMetricsServer(node)
+  await listenRpc(rpc, cfg.rpcListen ?? cfg.rpc)
+  const metricsServer = createMetricsServer(node.metrics, () => isServing(node, control))
   await listen(metricsServer, cfg.metrics)
   for (const server of [rpc.server, metricsServer]) own(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
   const callerServer = gateway === undefined ? undefined : await startCallers(stack, gateway)
@@ -90,6 +90,7 @@
     refreshGateway(gateway, presentTime())
     applyLimits(gateway, server)
   })
+  node.onLoad.push(() => takeLoadNews(gateway, presentTime()))
   gateway.pool.onConnect = (address, startedAt) => noteConnected(gateway, address, presentTime() - startedAt)
   own(stack, gateway.pool)
   own(stack, repeat(sweepMs, () => sweepConnections(gateway.pool, presentTime()), () => undefined))
@@ -103,13 +104,11 @@
   return { name: cfg.name, address: cfg.callers ?? '', failureDomain: cfg.failureDomain, region: cfg.region, isReady: isReadyForCallers(node) }
 }
 
-function createMetricsServer (node: FleetNode): Server {
-  return createServer((_req, res) => {
-    node.metrics.registry.metrics().then(text => {
-      res.setHeader('content-type', node.metrics.registry.contentType)
-      res.end(text)
-    }).catch(() => res.destroy())
-  })
+/** Whether a VM does its part: an entry VM may get callers, a control VM's copy of the log knows the present state. */
+function isServing (node: FleetNode, control: FleetControl | undefined): boolean {
+  if (node.isLeaving) return false
+  if (node.cfg.roles.includes('entry')) return isReadyForCallers(node)
+  return control !== undefined && stateAge(control, presentTime()) < node.cfg.times.staleMs
 }
 
 /** Whether callers may be sent to this VM. */
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -1,18 +1,22 @@
 /** The RPC methods of a fleet's control VMs. */
 import { deltaSince } from '@lynxcourse/state'
-import type { ConfigDelta, RouteCommand } from '@lynxcourse/state'
-import type { Millis } from '@lynxcourse/base'
+import type { BackendFacts, ConfigDelta, RouteCommand } from '@lynxcourse/state'
+import { brandId } from '@lynxcourse/base'
+import type { Millis, RegionId, ServerId } from '@lynxcourse/base'
+import { chooseEntries } from '@lynxcourse/routing'
 import type { EntryPresence } from '@lynxcourse/routing'
-import { z } from 'zod'
+import * as z from 'zod'
 import { presentTime } from '../../utils/clock.js'
 import { addressSchema } from '../../types/settings.js'
 import { addMethod } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
-import { readRoutes, stateAge, submitRouteCommand } from './fleetControl.js'
+import { dismissServer, readRoutes, stateAge, submitRouteCommand, takeAnnouncement } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
 import type { ControlPlace } from './fleetNode.js'
+import { noteDigest, noteLoadReport } from './loadBoard.js'
+import type { LoadNews, LoadReport } from './loadBoard.js'
 import { noteEntry, takePresenceReport } from './presence.js'
-import type { PresenceReport } from './presence.js'
+import type { PresenceReply, PresenceReport } from './presence.js'
 import type { PresenceLoop } from './presenceLoop.js'
 
 /** What an entry VM asks: news after a version, held open until there is some. */
@@ -20,6 +24,8 @@
   readonly version: number
   readonly waitMs: Millis
   readonly self: EntryPresence
+  /** What it saw of the load; left out where too little time has passed since the last report. */
+  readonly load?: LoadReport
 }
 
 export interface WatchReply {
@@ -29,30 +35,83 @@
   readonly controls: readonly ControlPlace[]
   /** Names of the entry VMs. */
   readonly entries: readonly string[]
+  readonly news: LoadNews
 }
 
 const text = z.string().min(1).max(200)
 const presenceSchema = z.strictObject({ name: text, address: addressSchema, failureDomain: text, region: text, isReady: z.boolean() })
-const watchSchema = z.strictObject({ version: z.number().int().min(0), waitMs: z.number().min(0).max(10_000), self: presenceSchema })
+const amount = z.number().min(0).max(1e9)
+const serverLoads = z.array(z.tuple([text, amount])).max(100_000)
+const loadSchema = z.strictObject({ servers: serverLoads, busy: z.array(z.tuple([text, amount])).max(10_000) })
+const watchSchema = z.strictObject({ version: z.number().int().min(0), waitMs: z.number().min(0).max(10_000), self: presenceSchema, load: loadSchema.optional() })
 const reportSchema = z.strictObject({
   from: z.strictObject({ rpc: addressSchema, region: text }),
   entries: z.array(z.strictObject({ presence: presenceSchema, ageMs: z.number().min(0) })).max(10_000),
-  heard: z.array(text).max(100_000)
+  heard: z.array(text).max(100_000),
+  load: z.strictObject({ servers: serverLoads, busy: z.array(z.tuple([text, text, amount])).max(100_000) })
 })
 /** Commands come from control VMs, which checked them where they entered. */
 const submitSchema = z.strictObject({ command: z.looseObject({ type: z.enum(['replaceRoutes', 'updateRoutes', 'evacuate', 'announce', 'dismiss', 'miss']) }) })
 
+const announceSchema = z.strictObject({
+  facts: z.strictObject({
+    id: text,
+    service: text,
+    address: addressSchema,
+    failureDomain: text,
+    slots: z.number().int().min(1),
+    software: z.string().max(200).default(''),
+    isDraining: z.boolean(),
+    seq: z.number().min(0),
+    coldMs: z.number().min(0).default(0)
+  })
+})
+const dismissSchema = z.strictObject({ server: text })
+const lookupSchema = z.strictObject({ region: text.optional() })
+
+/** What a look-up tells a caller. */
+export interface FleetLookup {
+  /** Addresses of entry VMs to use. */
+  readonly addresses: readonly string[]
+  /** How long the answer may be kept. */
+  readonly ttlMs: Millis
+}
+
 /** Adds the methods. */
 export function addFleetMethods (rpc: RpcServer, control: FleetControl, loop: PresenceLoop): void {
   addMethod(rpc, 'fleet.watch', ['vm'], watchSchema, async params => await answerWatch(control, loop, params as unknown as WatchRequest))
   addMethod(rpc, 'fleet.submit', ['vm', 'operator'], submitSchema, async params => await submitRouteCommand(control, params.command as unknown as RouteCommand, true))
   addMethod(rpc, 'fleet.read', ['vm', 'operator'], z.strictObject({}), async () => await readRoutes(control, true))
-  addMethod(rpc, 'fleet.presence', ['vm'], reportSchema, params => takePresenceReport(control.presence, params as unknown as PresenceReport, presentTime()))
+  addMethod(rpc, 'fleet.presence', ['vm'], reportSchema, params => answerPresence(control, params as unknown as PresenceReport))
+  addMethod(rpc, 'fleet.announce', ['server'], announceSchema, async ({ facts }) => {
+    await takeAnnouncement(control, facts as unknown as BackendFacts)
+    return {}
+  })
+  addMethod(rpc, 'fleet.dismiss', ['server', 'operator'], dismissSchema, async ({ server }) => {
+    await dismissServer(control, brandId<ServerId>(server))
+    return {}
+  })
+  addMethod(rpc, 'fleet.lookup', ['vm', 'operator', 'server'], lookupSchema, ({ region }) =>
+    lookUp(control, region === undefined ? undefined : brandId<RegionId>(region), presentTime()))
+}
+
+/** Which entry VMs a caller should use: those of its region where some are ready. */
+export function lookUp (control: FleetControl, region: RegionId | undefined, now: Millis): FleetLookup {
+  const { times } = control.node.cfg
+  const addresses = chooseEntries([...control.presence.entries.values()], region, times.presenceStaleMs, now)
+  return { addresses, ttlMs: times.lookupTtlMs }
+}
+
+function answerPresence (control: FleetControl, report: PresenceReport): PresenceReply {
+  const now = presentTime()
+  noteDigest(control.board, report.from.rpc, report.load, now)
+  return { ...takePresenceReport(control.presence, report, now), news: control.board.news }
 }
 
 async function answerWatch (control: FleetControl, loop: PresenceLoop, request: WatchRequest): Promise<WatchReply> {
   const isNews = noteEntry(control.presence, request.self, presentTime())
   if (isNews) loop.urge()
+  if (request.load !== undefined) noteLoadReport(control.board, request.self.name, request.self.region, request.load, presentTime())
   if (control.host.machine.config.version <= request.version) await waitForNews(control, request)
   const { config } = control.host.machine
   const age = stateAge(control, presentTime())
@@ -60,7 +119,8 @@
     delta: config.version > request.version ? deltaSince(config, request.version) : undefined,
     ageMs: Number.isFinite(age) ? age : null,
     controls: control.node.controls,
-    entries: [...control.presence.entries.keys()]
+    entries: [...control.presence.entries.keys()],
+    news: control.board.news
   }
 }
 
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -10,6 +10,9 @@
 import { createRpcClient } from '../rpc/rpcClient.js'
 import type { RpcClient } from '../rpc/rpcClient.js'
 import type { FleetSettings } from '../../types/fleetSettings.js'
+import type { LoadNews } from './loadBoard.js'
+import { createLoadNotes } from './loadReport.js'
+import type { LoadNotes } from './loadReport.js'
 
 /** A control VM as others find it. */
 export interface ControlPlace {
@@ -33,8 +36,14 @@
   /** When the copy was last known to be the present state; -Infinity before the first time. */
   freshAt: Millis
   isLeaving: boolean
+  /** What this VM has seen of the load since its last report. */
+  readonly load: LoadNotes
+  /** What all VMs together saw of the load, by the last word of it. */
+  loadNews: LoadNews
   /** Called when the copy changed. */
   readonly onChange: Array<() => void>
+  /** Called when there is news of the load. */
+  readonly onLoad: Array<() => void>
 }
 
 /** What tests give in place of the defaults. */
@@ -55,7 +64,10 @@
     entryNames: cfg.roles.includes('entry') ? [cfg.name] : [],
     freshAt: -Infinity,
     isLeaving: false,
-    onChange: []
+    load: createLoadNotes(now),
+    loadNews: { full: [], plans: [] },
+    onChange: [],
+    onLoad: []
   }
 }
 
--- /dev/null
+++ b/packages/daemon/src/core/fleet/loadBoard.ts
@@ -0,0 +1,237 @@
+/**
+ * What the entry VMs see of the load, put together at the leader and given back to all of them.
+ *
+ * What can go wrong: of 80 entry VMs each sends one request in ten seconds to a given server, so none of
+ * them knows of a queue that the others built there. It shows as requests that wait behind full queues
+ * while servers beside them are idle. Together the VMs hear of each server several times a second, since
+ * each answer tells its server's load; the leader smooths that and names the servers that are nearly full.
+ */
+import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { firstPlan, stepPlan, targetPlan } from '@lynxcourse/routing'
+import type { RegionLoad, RegionPlan } from '@lynxcourse/routing'
+
+/** What one entry VM has seen since its last report. */
+export interface LoadReport {
+  /** Requests ahead at each server, by its last answer. */
+  readonly servers: ReadonlyArray<readonly [ServerId, number]>
+  /** Slots that this VM's requests kept busy, by service. */
+  readonly busy: ReadonlyArray<readonly [ServiceId, number]>
+}
+
+/** Busy slots by the service and the region of the entry VMs. */
+export type BusySlots = ReadonlyArray<readonly [ServiceId, RegionId, number]>
+
+/** What a control VM hands on to the leader: the reports that it took since the last exchange. */
+export interface LoadDigest {
+  readonly servers: ReadonlyArray<readonly [ServerId, number]>
+  readonly busy: BusySlots
+}
+
+/** One service's plan as VMs are told of it. */
+export interface PlanNews {
+  readonly service: ServiceId
+  /** Whether it follows demand that was measured; until then it follows the slots alone. */
+  readonly isMeasured: boolean
+  /** Requests running and waiting for each open slot of the service. */
+  readonly fill: number
+  readonly shares: ReadonlyArray<readonly [RegionId, ReadonlyArray<readonly [RegionId, number]>]>
+}
+
+/** What every VM is told. */
+export interface LoadNews {
+  /** Nearly full servers with the smoothed number of requests ahead there. */
+  readonly full: ReadonlyArray<readonly [ServerId, number]>
+  readonly plans: readonly PlanNews[]
+}
+
+/** An entry VM's busy slots as a control VM remembers them. */
+interface VmBusy { readonly region: RegionId, readonly at: Millis, readonly busy: LoadReport['busy'] }
+
+/** Kept by each control VM; the smoothed values and the plans live at the leader. */
+export interface LoadBoard {
+  /** Reports taken since the last exchange; the last one of a server counts. */
+  readonly fresh: Map<ServerId, number>
+  readonly byVm: Map<string, VmBusy>
+  /** At the leader: smoothed requests ahead by server. */
+  readonly smoothed: Map<ServerId, { ahead: number, at: Millis }>
+  /** At the leader: busy slots by control VM. */
+  readonly byControl: Map<string, { readonly busy: BusySlots, readonly at: Millis }>
+  /** At the leader: smoothed demand by service and region. */
+  readonly demand: Map<string, number>
+  readonly plans: Map<ServiceId, RegionPlan>
+  /** Services whose plan follows measured demand. */
+  readonly measured: Set<ServiceId>
+  plannedAt: Millis
+  /** Slots of each region at the last plan, and until when a loss of some lets objects move fast. */
+  readonly slots: Map<string, number>
+  lossUntil: Millis
+  news: LoadNews
+}
+
+/** Slots of one service's open servers by region. */
+export type ServiceSlots = ReadonlyMap<ServiceId, ReadonlyMap<RegionId, number>>
+
+/** Service and slots of each server, by its id. */
+export type ServerPlaces = ReadonlyMap<ServerId, { readonly service: ServiceId, readonly slots: number }>
+
+/** A report counts until the next one; longer than the longest time between two watches. */
+const busyForMs: Millis = 3000
+/** Smoothing of a server's load by its reports, some five a second. */
+const aheadSmoothing = 0.35
+/** A server not heard of for this long has no queue that anybody feeds. */
+const aheadForMs: Millis = 2500
+/** Part of its slots from which a server is named; below it nobody waits there. */
+const namedFill = 0.75
+/** Most servers named at once, the fullest first: about 8 KB. */
+const maxNamed = 400
+/** Smoothing of the demand in a second: about three seconds of a wave of callers. */
+const demandSmoothingPerSecond = 0.3
+/** Demand below this part of the slots says nothing yet. */
+const leastFill = 0.05
+/** A region that lost this part of its slots lost servers; fewer are the planned changes of an ordinary day. */
+const lossPart = 0.15
+const lossForMs: Millis = 3000
+
+export function createLoadBoard (): LoadBoard {
+  return {
+    fresh: new Map(),
+    byVm: new Map(),
+    smoothed: new Map(),
+    byControl: new Map(),
+    demand: new Map(),
+    plans: new Map(),
+    measured: new Set(),
+    plannedAt: -Infinity,
+    slots: new Map(),
+    lossUntil: -Infinity,
+    news: { full: [], plans: [] }
+  }
+}
+
+/** Takes an entry VM's report. */
+export function noteLoadReport (board: LoadBoard, vm: string, region: RegionId, report: LoadReport, now: Millis): void {
+  for (const [server, ahead] of report.servers) board.fresh.set(server, ahead)
+  board.byVm.set(vm, { region, at: now, busy: report.busy })
+}
+
+/** What this control VM tells the leader; reports are handed on once. */
+export function takeDigest (board: LoadBoard, now: Millis): LoadDigest {
+  const servers = [...board.fresh]
+  board.fresh.clear()
+  const sums = new Map<string, [ServiceId, RegionId, number]>()
+  for (const [vm, { region, at, busy }] of board.byVm) {
+    if (now - at > busyForMs) {
+      board.byVm.delete(vm)
+      continue
+    }
+    for (const [service, slots] of busy) {
+      const key = `${service} ${region}`
+      const held = sums.get(key)
+      sums.set(key, [service, region, (held?.[2] ?? 0) + slots])
+    }
+  }
+  return { servers, busy: [...sums.values()] }
+}
+
+/** Takes a control VM's digest at the leader. */
+export function noteDigest (board: LoadBoard, control: string, digest: LoadDigest, now: Millis): void {
+  board.byControl.set(control, { busy: digest.busy, at: now })
+  for (const [server, ahead] of digest.servers) {
+    const held = board.smoothed.get(server)
+    const before = held === undefined || now - held.at > aheadForMs ? ahead : held.ahead
+    board.smoothed.set(server, { ahead: before + (ahead - before) * aheadSmoothing, at: now })
+  }
+}
+
+/** Smooths the demand, moves the plans on and names the full servers; at the leader, once an exchange. */
+export function updateBoard (board: LoadBoard, slots: ServiceSlots, places: ServerPlaces, now: Millis): void {
+  const passedMs = Number.isFinite(board.plannedAt) ? Math.min(1000, now - board.plannedAt) : 0
+  board.plannedAt = now
+  smoothDemand(board, passedMs, now)
+  if (noteSlots(board, slots)) board.lossUntil = now + lossForMs
+  for (const [service, byRegion] of slots) planService(board, service, byRegion, passedMs, now)
+  const full = fullServers(board, places, now)
+  board.news = { full, plans: encodePlans(board, fillsOf(board, places, slots)) }
+}
+
+function smoothDemand (board: LoadBoard, passedMs: Millis, now: Millis): void {
+  const present = new Map<string, number>()
+  for (const [control, { busy, at }] of board.byControl) {
+    if (now - at > busyForMs) board.byControl.delete(control)
+    else for (const [service, region, slots] of busy) present.set(`${service} ${region}`, (present.get(`${service} ${region}`) ?? 0) + slots)
+  }
+  const part = Math.min(1, demandSmoothingPerSecond * passedMs / 1000)
+  for (const key of new Set([...present.keys(), ...board.demand.keys()])) {
+    const held = board.demand.get(key) ?? 0
+    board.demand.set(key, held + ((present.get(key) ?? 0) - held) * part)
+  }
+}
+
+/** Remembers the slots; whether some region lost many at once. */
+function noteSlots (board: LoadBoard, slots: ServiceSlots): boolean {
+  let isLoss = false
+  for (const [service, byRegion] of slots) {
+    for (const [region, count] of byRegion) {
+      const key = `${service} ${region}`
+      if (count < (board.slots.get(key) ?? 0) * (1 - lossPart)) isLoss = true
+      board.slots.set(key, count)
+    }
+  }
+  return isLoss
+}
+
+function planService (board: LoadBoard, service: ServiceId, byRegion: ReadonlyMap<RegionId, number>, passedMs: Millis, now: Millis): void {
+  const loads: RegionLoad[] = [...byRegion].map(([region, slots]) => ({ region, slots, demand: board.demand.get(`${service} ${region}`) ?? 0 }))
+  const held = board.plans.get(service)
+  const demand = loads.reduce((sum, load) => sum + load.demand, 0)
+  const total = loads.reduce((sum, load) => sum + load.slots, 0)
+  if (demand >= total * leastFill) board.measured.add(service)
+  if (held === undefined || !board.measured.has(service)) {
+    board.plans.set(service, firstPlan(loads))
+    return
+  }
+  board.plans.set(service, stepPlan(held, targetPlan(loads), now < board.lossUntil, passedMs))
+}
+
+function fullServers (board: LoadBoard, places: ServerPlaces, now: Millis): LoadNews['full'] {
+  const named: Array<readonly [ServerId, number]> = []
+  for (const [server, { ahead, at }] of board.smoothed) {
+    const slots = places.get(server)?.slots
+    if (slots === undefined || now - at > aheadForMs) board.smoothed.delete(server)
+    else if (ahead >= slots * namedFill) named.push([server, Math.round(ahead * 10) / 10])
+  }
+  return named.sort((a, b) => b[1] - a[1]).slice(0, maxNamed)
+}
+
+/** Requests ahead for each slot, by service; a server that nobody reported lately counts as idle. */
+function fillsOf (board: LoadBoard, places: ServerPlaces, slots: ServiceSlots): Map<ServiceId, number> {
+  const ahead = new Map<ServiceId, number>()
+  for (const [server, held] of board.smoothed) {
+    const service = places.get(server)?.service
+    if (service !== undefined) ahead.set(service, (ahead.get(service) ?? 0) + held.ahead)
+  }
+  return new Map([...slots].map(([service, byRegion]) => {
+    const total = [...byRegion.values()].reduce((sum, count) => sum + count, 0)
+    return [service, total === 0 ? 0 : (ahead.get(service) ?? 0) / total]
+  }))
+}
+
+function encodePlans ({ plans, measured }: LoadBoard, fills: ReadonlyMap<ServiceId, number>): PlanNews[] {
+  const rounded = (shares: ReadonlyMap<RegionId, number>): Array<readonly [RegionId, number]> => [...shares].map(([region, share]) => [region, Math.round(share * 1000) / 1000])
+  return [...plans].map(([service, plan]) => ({
+    service,
+    isMeasured: measured.has(service),
+    fill: Math.round((fills.get(service) ?? 0) * 100) / 100,
+    shares: [...plan].map(([region, shares]) => [region, rounded(shares)])
+  }))
+}
+
+/** Takes the leader's news at another control VM, which may lead next and then goes on from these plans. */
+export function takeNews (board: LoadBoard, news: LoadNews): void {
+  board.news = news
+  board.plans.clear()
+  for (const { service, isMeasured, shares } of news.plans) {
+    board.plans.set(service, new Map(shares.map(([region, inRegion]) => [region, new Map(inRegion)])))
+    if (isMeasured) board.measured.add(service)
+  }
+}
--- a/packages/daemon/src/core/fleet/presence.ts
+++ b/packages/daemon/src/core/fleet/presence.ts
@@ -2,6 +2,7 @@
 import type { Millis, ServerId } from '@lynxcourse/base'
 import type { EntryPresence, HeardEntry } from '@lynxcourse/routing'
 import type { ControlPlace } from './fleetNode.js'
+import type { LoadDigest, LoadNews } from './loadBoard.js'
 
 /** What one control VM holds. */
 export interface Presence {
@@ -28,10 +29,16 @@
   readonly from: ControlPlace
   readonly entries: readonly AgedEntry[]
   readonly heard: readonly ServerId[]
+  readonly load: LoadDigest
 }
 
 /** What the leader tells back. */
-export interface PresenceReply {
+export interface PresenceReply extends PresenceNews {
+  readonly news: LoadNews
+}
+
+/** The part of it that tells who is there. */
+export interface PresenceNews {
   readonly entries: readonly AgedEntry[]
   readonly controls: readonly ControlPlace[]
 }
@@ -70,7 +77,7 @@
 }
 
 /** Takes a report at the leader. */
-export function takePresenceReport (presence: Presence, report: PresenceReport, now: Millis): PresenceReply {
+export function takePresenceReport (presence: Presence, report: PresenceReport, now: Millis): PresenceNews {
   presence.controls.set(report.from.rpc, { place: report.from, heardAt: now })
   for (const { presence: entry, ageMs } of report.entries) noteEntry(presence, entry, now - ageMs)
   for (const id of report.heard) presence.heardAt.set(id, now)
--- a/packages/daemon/src/core/fleet/watching.ts
+++ b/packages/daemon/src/core/fleet/watching.ts
@@ -9,6 +9,7 @@
 import { callPeer } from '../rpc/rpcClient.js'
 import { controlAddresses, notifyFleetChange } from './fleetNode.js'
 import type { FleetNode } from './fleetNode.js'
+import { takeLoadReport } from './loadReport.js'
 import type { WatchReply, WatchRequest } from './fleetMethods.js'
 
 /** A control VM that failed is passed over for this long. */
@@ -75,7 +76,8 @@
 
 async function watchOnce (watching: Watching, parent: string, waitMs: Millis): Promise<WatchReply> {
   const { node } = watching
-  const request: WatchRequest = { version: node.config.version, waitMs, self: watching.self() }
+  const load = takeLoadReport(node.load, presentTime())
+  const request: WatchRequest = { version: node.config.version, waitMs, self: watching.self(), ...(load === undefined ? {} : { load }) }
   return await callPeer<WatchReply>(node.client, parent, 'fleet.watch', request, waitMs + node.cfg.times.rpcTimeoutMs)
 }
 
@@ -95,6 +97,8 @@
 function takeWatchReply (watching: Watching, parent: string, reply: WatchReply, now: Millis): void {
   const { node } = watching
   if (reply.controls.length > 0) node.controls = reply.controls
+  node.loadNews = reply.news
+  for (const listener of node.onLoad) listener()
   for (const name of reply.entries) watching.namesAt.set(name, now)
   for (const [name, at] of watching.namesAt) if (now - at > namesKeptMs) watching.namesAt.delete(name)
   node.entryNames = [...new Set([node.cfg.name, ...watching.namesAt.keys()])].sort()
--- a/packages/daemon/src/core/gateway/dialects.ts
+++ b/packages/daemon/src/core/gateway/dialects.ts
@@ -72,7 +72,10 @@
     return headers[loadHeader] !== undefined && Number.isFinite(load) && load >= 0 ? load : undefined
   }
 
-  override judge (_call: CallFacts, status: number, headers: HeaderMap): AnswerKind {
+  override judge (call: CallFacts, status: number, headers: HeaderMap): AnswerKind {
+    const echoed = headers[requestIdHeader]
+    // A server may send an answer twice or late, so that it stands where the next request's answer is due.
+    if (echoed !== undefined && echoed !== call.id) return 'spoiled'
     if (status === statusMisdirected) return 'elsewhere'
     return headers[notStartedHeader] === undefined ? 'answered' : 'notRun'
   }
--- a/packages/daemon/src/core/gateway/fleetView.ts
+++ b/packages/daemon/src/core/gateway/fleetView.ts
@@ -1,6 +1,6 @@
 /** Keeps the gateway's routes and servers up to date with the VM's copy of the state. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { buildRouteTable, createFleetServer, dropRanks, forgetServer } from '@lynxcourse/routing'
+import { buildRouteTable, createFleetServer, dropRanks, forgetServer, noteShared } from '@lynxcourse/routing'
 import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/routing'
 import { listItems, routeSetOf } from '@lynxcourse/state'
 import type { BackendItem, Config, RouteSet } from '@lynxcourse/state'
@@ -41,6 +41,21 @@
   dropRanks(fleet.warmth)
 }
 
+/** Takes over what all VMs together saw of the load. */
+export function takeLoadNews (gateway: Gateway, now: Millis): void {
+  const { fleet, node } = gateway
+  for (const { service, shares, fill } of node.loadNews.plans) {
+    fleet.sharedFill.set(service, fill)
+    const own = shares.find(([region]) => region === node.cfg.region)?.[1]
+    if (own !== undefined) fleet.shares.set(service, new Map(own))
+  }
+  for (const server of fleet.byId.values()) noteShared(server, 0, now)
+  for (const [id, ahead] of node.loadNews.full) {
+    const server = fleet.byId.get(id)
+    if (server !== undefined) noteShared(server, ahead, now)
+  }
+}
+
 /** The least time to open a connection counts, and creeps up by this part with each, so that a longer way shows. */
 const travelCreep = 1.01
 
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -39,6 +39,8 @@
     travel,
     coldRates: new Map(),
     vms: node.entryNames,
+    shares: new Map(),
+    sharedFill: new Map(),
     homeWarm: new Map(),
     meanSlowness: new Map(),
     concurrency: new Map()
--- a/packages/daemon/src/core/gateway/learning.ts
+++ b/packages/daemon/src/core/gateway/learning.ts
@@ -1,10 +1,11 @@
 /** What the gateway learns from how a send ended: of the server, of the work, and of the load. */
 import type { Millis } from '@lynxcourse/base'
 import {
-  concurrencyOf, learnConcurrency, learnHomeWarmth, learnSlowness, learnWork, noteBad, noteFull, noteGood, noteHandled, slotShare, travelTo,
+  concurrencyOf, learnConcurrency, learnSlowness, learnWarmChance, learnWork, noteBad, noteFull, noteGood, noteHandled, slotShare, travelTo,
   workKey, workOf
 } from '@lynxcourse/routing'
 import type { Placed } from '@lynxcourse/routing'
+import { noteBusy } from '../fleet/loadReport.js'
 import { objectOf } from './call.js'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
@@ -64,10 +65,13 @@
   const inServer = inServerMs(gateway, placed, tookMs)
   const expected = expectedInServer(gateway, call, placed) + waitMs
   const ratio = inServer / expected
+  const wasFast = inServer - waitMs < (times.warmMs + times.coldMs) / 2
   noteGood(server, ratio < leastSlowRatio ? 1 : ratio, now)
   learnSlowness(fleet, call.service, ratio < leastSlowRatio ? 1 : ratio)
-  if (placed.isHome && !wasWarm) learnHomeWarmth(fleet, call, server.facts.region !== fleet.setup.region, inServer - waitMs < (times.warmMs + times.coldMs) / 2)
-  if (!placed.isCold && waitMs === 0) learnWork(times, wasWarm, inServer)
+  if (placed.place !== undefined && !wasWarm) learnWarmChance(fleet, call, placed.place, wasFast)
+  // What this VM has seen doesn't tell warm from cold: of many VMs, another one may have warmed the object.
+  if (!placed.isCold && waitMs === 0) learnWork(times, wasFast, inServer)
+  noteBusy(gateway.node.load, call.service, inServer)
   const mean = fleet.meanWork.get(call.service) ?? times.coldMs
   fleet.meanWork.set(call.service, mean + (Math.min(inServer, times.coldMs) - mean) * meanSmoothing)
   if (call.facts.object !== '') noteHandled(fleet.warmth, server.facts.id, objectOf(call), now)
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -10,6 +10,7 @@
 import { passedHeaders } from '../../utils/headers.js'
 import { dropConnection, dropSilent, isConnectError, progressConnection, releaseConnection, takeConnection } from '../entry/connectionPool.js'
 import type { Connection } from '../entry/connectionPool.js'
+import { noteAhead } from '../fleet/loadReport.js'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
 
@@ -77,7 +78,10 @@
   }
   releaseConnection(gateway.pool, connection, presentTime())
   const ahead = gateway.servers.readAhead(raw)
-  if (ahead !== undefined) noteReport(placed.server, ahead, presentTime())
+  if (ahead !== undefined) {
+    noteReport(placed.server, ahead, presentTime())
+    noteAhead(gateway.node.load, placed.server.facts.id, ahead)
+  }
   if (kind === 'elsewhere' || kind === 'notRun') return { type: 'notRun', reason: kind === 'elsewhere' ? 'elsewhere' : 'full', status: res.statusCode }
   return { type: 'answered', status: res.statusCode, headers: passedHeaders(raw), body }
 }
--- a/packages/daemon/src/core/node/changes.ts
+++ b/packages/daemon/src/core/node/changes.ts
@@ -13,7 +13,7 @@
 import type { RpcServer } from '../rpc/rpcServer.js'
 import { leaderAddress } from './node.js'
 import type { Node } from './node.js'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const submitSchema = z.strictObject({
   change: changeSchema,
--- a/packages/daemon/src/core/node/claimService.ts
+++ b/packages/daemon/src/core/node/claimService.ts
@@ -2,7 +2,7 @@
 import { LynxError, vmOfHolder } from '@lynxcourse/base'
 import type { HolderId, RequestId } from '@lynxcourse/base'
 import type { ClaimAnswer, ClaimCommand, SettleAnswer, SettleCommand } from '@lynxcourse/state'
-import { z } from 'zod'
+import * as z from 'zod'
 import { submitHere } from '../control/proposing.js'
 import type { ControlHost } from '../control/hostState.js'
 import { addMethod } from '../rpc/rpcServer.js'
--- a/packages/daemon/src/core/node/syncing.ts
+++ b/packages/daemon/src/core/node/syncing.ts
@@ -8,7 +8,7 @@
 import type { SyncAnswer, SyncRequest, VmRecord } from '@lynxcourse/membership'
 import { deltaSince, takeDelta } from '@lynxcourse/state'
 import type { ConfigDelta } from '@lynxcourse/state'
-import { z } from 'zod'
+import * as z from 'zod'
 import { leads } from '../control/hostState.js'
 import type { ControlHost } from '../control/hostState.js'
 import { presentTime } from '../../utils/clock.js'
--- a/packages/daemon/src/types/fleetSettings.ts
+++ b/packages/daemon/src/types/fleetSettings.ts
@@ -57,8 +57,10 @@
   readonly failureDomain: FailureDomainId
   /** Region of each failure domain. */
   readonly regions: ReadonlyMap<FailureDomainId, RegionId>
-  /** Where other VMs reach this one. */
+  /** Where other VMs reach this one; its name among the control VMs. */
   readonly rpc: string
+  /** Where it listens for them, if that differs; undefined for `rpc`. */
+  readonly rpcListen?: string | undefined
   /** Where callers reach it; undefined without the entry role. */
   readonly callers: string | undefined
   readonly metrics: string
--- a/packages/routing/__tests__/placement.test.ts
+++ b/packages/routing/__tests__/placement.test.ts
@@ -6,7 +6,7 @@
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import {
   buildRouteTable, chooseEntries, createFleetServer, createWarmth, hasColdToken, isStalled, isWarmingVm, matchRoute, noteBad, noteHandled,
-  noteReport, noteRequest, noteStart, pickService, placeRequest, spendRepeat, takeColdToken
+  noteReport, noteRequest, noteShared, noteStart, pickService, placeRequest, spendRepeat, takeColdToken
 } from '@lynxcourse/routing'
 import type { Fleet, FleetServer, PlaceRequest, RetryShare, ServerFacts } from '@lynxcourse/routing'
 import type { Route } from '@lynxcourse/state'
@@ -53,6 +53,8 @@
     travel: new Map([[mumbai, 70]]),
     coldRates: new Map([[desk, 10]]),
     vms: ['vm-1'],
+    shares: new Map(),
+    sharedFill: new Map(),
     homeWarm: new Map(),
     meanSlowness: new Map(),
     concurrency: new Map()
@@ -215,3 +217,26 @@
   assert.deepEqual(chooseEntries(entries, kochi, 2600, 1500), ['k1:80'])
   assert.deepEqual(chooseEntries(entries, brandId<RegionId>('chennai'), 2600, 1500), ['k1:80', 'm1:80'])
 })
+
+test('an object is served in the region that the plan gives it, by all VMs of its callers\' region alike', () => {
+  const servers = ['a', 'b', 'c'].map(id => server(id)).concat(['x', 'y', 'z'].map(id => server(id, mumbai)))
+  const fleet = fleetOf(...servers)
+  fleet.shares.set(desk, new Map([[kochi, 0], [mumbai, 1]]))
+  for (const object of ['read|1', 'read|2', 'read|3']) assert.ok(['x', 'y', 'z'].includes(sentTo(fleet, request({ object }))))
+  fleet.shares.set(desk, new Map([[kochi, 1], [mumbai, 0]]))
+  for (const object of ['read|1', 'read|2', 'read|3']) assert.ok(['a', 'b', 'c'].includes(sentTo(fleet, request({ object }))))
+})
+
+/*
+ * Symptom: requests wait behind the full queue of their object's server. Sequence: other VMs filled it; this one has
+ * not sent there for seconds. Cause: it went by its own last report, which was old. Load pattern: one home with twice its
+ * slots ahead, an idle server beside it.
+ */
+test('a server that all VMs together know to be full gets nothing while one beside it is free', () => {
+  const fleet = fleetOf(server('a'), server('b'))
+  const home = sentTo(fleet, request())
+  const held = fleet.byId.get(brandId<ServerId>(home)) as FleetServer
+  noteShared(held, 9, 900)
+  assert.notEqual(sentTo(fleet, request()), home)
+  assert.equal(sentTo(fleet, request({ arrivedAt: 4000, deadline: 5200 }), 4000), home)
+})
--- /dev/null
+++ b/packages/routing/__tests__/regionPlan.test.ts
@@ -0,0 +1,96 @@
+/** Which part of a region's objects is served where. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { brandId } from '@lynxcourse/base'
+import type { RegionId } from '@lynxcourse/base'
+import { firstPlan, lossStepPerSecond, regionOf, shareStepPerSecond, stepPlan, targetPlan } from '@lynxcourse/routing'
+import type { RegionLoad, RegionPlan, RegionShares } from '@lynxcourse/routing'
+
+const seed = 31
+console.log(`seed ${seed}`)
+
+const [kochi, chennai, mumbai] = ['kochi', 'chennai', 'mumbai'].map(name => brandId<RegionId>(name)) as [RegionId, RegionId, RegionId]
+
+function loads (...given: Array<[RegionId, number, number]>): RegionLoad[] {
+  return given.map(([region, slots, demand]) => ({ region, slots, demand }))
+}
+
+function shareOf (plan: RegionPlan, from: RegionId, at: RegionId): number {
+  return plan.get(from)?.get(at) ?? 0
+}
+
+const anyLoads = fc.tuple(fc.integer({ min: 0, max: 600 }), fc.integer({ min: 0, max: 600 }), fc.integer({ min: 0, max: 600 }), fc.float({ min: 0, max: 900, noNaN: true }), fc.float({ min: 0, max: 900, noNaN: true }), fc.float({ min: 0, max: 900, noNaN: true }))
+  .map(([a, b, c, x, y, z]) => loads([kochi, a, x], [chennai, b, y], [mumbai, c, z]))
+
+test('all objects of a region are served somewhere, and no region gets more than the others\' fill', () => {
+  fc.assert(fc.property(anyLoads, given => {
+    const plan = targetPlan(given)
+    const slots = given.reduce((sum, load) => sum + load.slots, 0)
+    const demand = given.reduce((sum, load) => sum + load.demand, 0)
+    if (slots === 0) return true
+    const fill = Math.max(0.55, demand / slots * 1.05)
+    return given.every(load => {
+      const total = [...plan.get(load.region)?.values() ?? []].reduce((sum, share) => sum + share, 0)
+      const arriving = given.reduce((sum, from) => sum + from.demand * shareOf(plan, from.region, load.region), 0)
+      return (load.demand === 0 || Math.abs(total - 1) < 1e-6) && arriving <= load.slots * fill + 1e-6
+    })
+  }), { seed })
+})
+
+test('with room at home everything stays at home', () => {
+  const plan = targetPlan(loads([kochi, 100, 50], [chennai, 100, 10], [mumbai, 100, 50]))
+  assert.deepEqual([shareOf(plan, kochi, kochi), shareOf(plan, chennai, chennai), shareOf(plan, mumbai, mumbai)], [1, 1, 1])
+})
+
+/*
+ * Symptom: a third of the callers is answered late all day. Sequence: their region has a tenth of the servers; its
+ * VMs send there until every slot is taken. Cause: each VM saw too few answers to notice. Load pattern: equal demand
+ * in three regions, a tenth of the slots in one.
+ */
+test('a region with a third of the demand and a tenth of the slots keeps what fits and no more', () => {
+  const plan = targetPlan(loads([kochi, 280, 100], [chennai, 60, 100], [mumbai, 280, 100]))
+  assert.ok(Math.abs(shareOf(plan, chennai, chennai) - 0.33) < 0.01)
+  assert.ok(Math.abs(shareOf(plan, chennai, kochi) - shareOf(plan, chennai, mumbai)) < 1e-9)
+  assert.equal(shareOf(plan, kochi, kochi), 1)
+})
+
+test('before any demand is known, a region with few servers already sends objects away', () => {
+  const plan = firstPlan(loads([kochi, 280, 0], [chennai, 60, 0], [mumbai, 280, 0]))
+  assert.ok(shareOf(plan, chennai, chennai) < 0.5)
+})
+
+/*
+ * Symptom: a third of a region's requests run in another region from one second to the next. Sequence: demand
+ * changes; the plan follows at once. Cause: nothing bounded its step.
+ */
+test('a plan moves no more of a region\'s objects in two seconds than callers are promised', () => {
+  fc.assert(fc.property(anyLoads, anyLoads, fc.integer({ min: 50, max: 1000 }), (before, after, passedMs) => {
+    let plan = targetPlan(before)
+    const first = plan
+    for (let now = 0; now < 2000; now += passedMs) plan = stepPlan(plan, targetPlan(after), false, Math.min(passedMs, 2000 - now))
+    return before.every(({ region }) => movedBetween(first.get(region) ?? new Map(), plan.get(region) ?? new Map()) <= shareStepPerSecond * 2 + 1e-6)
+  }), { seed })
+  assert.ok(lossStepPerSecond > shareStepPerSecond)
+})
+
+function movedBetween (from: RegionShares, to: RegionShares): number {
+  return [...to].reduce((sum, [region, share]) => sum + Math.max(0, share - (from.get(region) ?? 0)), 0)
+}
+
+test('objects follow the shares, and a changed share moves only that part of them', () => {
+  const objects = Array.from({ length: 4000 }, (_, number) => `read|${number}`)
+  const before: RegionShares = new Map([[kochi, 0.3], [chennai, 0.5], [mumbai, 0.2]])
+  const after: RegionShares = new Map([[kochi, 0.3], [chennai, 0.55], [mumbai, 0.15]])
+  const all = (): boolean => true
+  const inChennai = objects.filter(object => regionOf(before, chennai, object, all) === chennai).length
+  assert.ok(Math.abs(inChennai / objects.length - 0.5) < 0.03)
+  const moved = objects.filter(object => regionOf(before, chennai, object, all) !== regionOf(after, chennai, object, all)).length
+  assert.ok(moved / objects.length < 0.12)
+})
+
+test('a region that is not allowed gets nothing', () => {
+  const shares: RegionShares = new Map([[kochi, 0.9], [mumbai, 0.1]])
+  assert.equal(regionOf(shares, kochi, 'read|1', region => region === mumbai), mumbai)
+  assert.equal(regionOf(shares, kochi, 'read|1', () => false), undefined)
+})
--- a/packages/routing/src/core/fleet.ts
+++ b/packages/routing/src/core/fleet.ts
@@ -4,6 +4,7 @@
 import { createConcurrency } from './concurrency.js'
 import type { Concurrency } from './concurrency.js'
 import type { FleetServer } from './fleetServer.js'
+import type { RegionShares } from './regionPlan.js'
 import type { Warmth } from './warmth.js'
 import type { WorkModel } from './workModel.js'
 
@@ -28,7 +29,11 @@
   /** Requests a second that a cold server of a service bears. */
   readonly coldRates: Map<ServiceId, number>
   vms: readonly string[]
-  /** Chance that an object is warm at its home by hash, in this region and elsewhere, by route and service. */
+  /** Where this region's objects are served, by service; empty before the first plan came. */
+  readonly shares: Map<ServiceId, RegionShares>
+  /** Requests ahead for each slot, by service, as all VMs together saw it. */
+  readonly sharedFill: Map<ServiceId, number>
+  /** Chance that an object is warm where hashing puts it, by route, service and kind of place. */
   readonly homeWarm: Map<string, number>
   /** Smoothed ratio of real to expected times, by service; a server is slow only against its peers. */
   readonly meanSlowness: Map<ServiceId, number>
@@ -44,8 +49,16 @@
 
 /** Travel assumed to a region that was not reached yet, two-way. */
 const unknownTravelMs = 80
-/** Chance that an object is warm at the server that hashing names, before this VM has seen any there. */
-const firstWarmChance = 0.6
+/** What hashing says of a server for an object: its place by the plan, the one beside it, or one in another region. */
+export type HashPlace = 'home' | 'spare' | 'away'
+
+/** Chance that an object is warm at such a place, before this VM has seen any there. */
+const firstWarmChances: Record<HashPlace, number> = { home: 0.7, spare: 0.1, away: 0.1 }
+/**
+ * While every object is cold, homes look no better than other servers; going to others would make each object
+ * cold at several of them, and the first seconds would last for ten.
+ */
+const leastHomeChance = 0.5
 /** Smoothing of that chance as answers show it. */
 const chanceSmoothing = 0.03
 /** One freak answer must not make all servers look fast. */
@@ -75,19 +88,16 @@
   return `${request.route.name} ${request.service}`
 }
 
-/** Chance that an object which this VM has not seen there is warm at its home. */
-export function homeWarmChance (fleet: Fleet, request: RoutedService, isAway: boolean): number {
-  return fleet.homeWarm.get(chanceKey(request, isAway)) ?? firstWarmChance
-}
-
-function chanceKey (request: RoutedService, isAway: boolean): string {
-  return `${workKey(request)} ${isAway ? 'away' : 'near'}`
+/** Chance that an object is warm at a place where this VM has not seen it. */
+export function warmChance (fleet: Fleet, request: RoutedService, place: HashPlace): number {
+  const chance = fleet.homeWarm.get(`${workKey(request)} ${place}`) ?? firstWarmChances[place]
+  return place === 'home' ? Math.max(leastHomeChance, chance) : chance
 }
 
-/** Learns whether an object was warm at its home, from an answer of a server where this VM had not seen it. */
-export function learnHomeWarmth (fleet: Fleet, request: RoutedService, isAway: boolean, wasWarm: boolean): void {
-  const key = chanceKey(request, isAway)
-  const chance = homeWarmChance(fleet, request, isAway)
+/** Learns whether an object was warm, from an answer of a server where this VM had not seen it. */
+export function learnWarmChance (fleet: Fleet, request: RoutedService, place: HashPlace, wasWarm: boolean): void {
+  const key = `${workKey(request)} ${place}`
+  const chance = warmChance(fleet, request, place)
   fleet.homeWarm.set(key, chance + ((wasWarm ? 1 : 0) - chance) * chanceSmoothing)
 }
 
--- a/packages/routing/src/core/fleetServer.ts
+++ b/packages/routing/src/core/fleetServer.ts
@@ -30,6 +30,9 @@
   reportedAt: Millis
   /** Requests that this VM sent since that report. */
   sentSince: number
+  /** Smoothed requests ahead as all VMs together saw it, where it is nearly full. */
+  sharedAhead: number
+  sharedAt: Millis
   /** Smoothed ratio of the time it took to the time that was expected of it. */
   slowness: number
   /** Failures in a row. */
@@ -61,6 +64,8 @@
 const fullPauseMs = 40
 /** A report's weight halves in this time; about two answers of a busy server apart. */
 const reportHalfLifeMs = 400
+/** What all VMs together saw holds until the next word of it, a second later, or a lost one. */
+const sharedForMs = 2500
 /** Slowness drifts back to 1 with this half-life, so that a recovered server is tried again. */
 const slownessHalfLifeMs = 4000
 
@@ -71,6 +76,8 @@
     reportedAhead: 0,
     reportedAt: -Infinity,
     sentSince: 0,
+    sharedAhead: 0,
+    sharedAt: -Infinity,
     slowness: 1,
     strikes: 0,
     suspectUntil: -Infinity,
@@ -91,6 +98,18 @@
   return Math.max(server.running.size, server.reportedAhead * 2 ** (-age / reportHalfLifeMs) + server.sentSince)
 }
 
+/** The same with what all VMs together saw: good for the choice among servers, too old to refuse a request by. */
+export function sharedAheadOf (server: FleetServer, now: Millis): number {
+  const shared = now - server.sharedAt < sharedForMs ? server.sharedAhead : 0
+  return Math.max(aheadOf(server, now), shared)
+}
+
+/** Takes what all VMs together saw of a server's load. */
+export function noteShared (server: FleetServer, ahead: number, now: Millis): void {
+  server.sharedAhead = ahead
+  server.sharedAt = now
+}
+
 /** Whether a server may be given work at all. */
 export function isOpen (server: FleetServer, now: Millis): boolean {
   return !server.facts.isClosed && now >= server.pausedUntil && now >= server.suspectUntil && !isStalled(server, now)
--- a/packages/routing/src/core/placement.ts
+++ b/packages/routing/src/core/placement.ts
@@ -8,7 +8,7 @@
 import type { Concurrency } from './concurrency.js'
 import { isCold } from './coldShare.js'
 import { concurrencyOf } from './fleet.js'
-import type { Fleet } from './fleet.js'
+import type { Fleet, HashPlace } from './fleet.js'
 import type { FleetServer } from './fleetServer.js'
 import { findBest } from './scoring.js'
 import type { PlaceRequest } from './scoring.js'
@@ -18,8 +18,8 @@
   readonly type: 'send'
   readonly server: FleetServer
   readonly wasWarm: boolean
-  /** Whether hashing names the server for the object in its region. */
-  readonly isHome: boolean
+  /** What hashing says of the server for the object; undefined if nothing. */
+  readonly place: HashPlace | undefined
   readonly isCold: boolean
   readonly waitMs: Millis
   readonly travelMs: Millis
@@ -48,12 +48,12 @@
   if (!mayStart(concurrency, request.route.rank)) return refuse(fleet, 'busy', timeToRoom(fleet, request.service, concurrency))
   const best = findBest(fleet, request, now)
   if (best === undefined) return { type: 'refuse', reason: 'noServer', retryAfterMs: noServerRetryMs }
-  const { server, waitMs, travelMs, workMs, wasWarm, isHome } = best
+  const { server, waitMs, travelMs, workMs, wasWarm, place } = best
   const endsAt = now + travelMs + waitMs + workMs
   if (endsAt > request.deadline) return refuse(fleet, 'noTime', endsAt - request.deadline)
   const tooLong = waitMs - allowedWait(request, travelMs + workMs, now)
   if (tooLong > 0) return refuse(fleet, 'busy', tooLong)
-  return { type: 'send', server, wasWarm, isHome, isCold: isCold(server, now), waitMs, travelMs, workMs }
+  return { type: 'send', server, wasWarm, place, isCold: isCold(server, now), waitMs, travelMs, workMs }
 }
 
 /** About the time in which what is under way now ends, at the pace at which answers come now. */
--- a/packages/routing/src/core/scoring.ts
+++ b/packages/routing/src/core/scoring.ts
@@ -1,12 +1,12 @@
 /** Scores servers for a request by the expected time to completion and what it costs others. */
-import { hashText } from '@lynxcourse/base'
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import type { Route } from '@lynxcourse/state'
 import { hasColdToken, isCold, isWarmingVm } from './coldShare.js'
-import { homeWarmChance, travelTo, workKey } from './fleet.js'
-import type { Fleet } from './fleet.js'
-import { aheadOf, isOpen, isStalled, slownessOf } from './fleetServer.js'
+import { travelTo, warmChance, workKey } from './fleet.js'
+import type { Fleet, HashPlace } from './fleet.js'
+import { aheadOf, isOpen, isStalled, sharedAheadOf, slownessOf } from './fleetServer.js'
 import type { FleetServer } from './fleetServer.js'
+import { regionOf } from './regionPlan.js'
 import { isWarm, ranksOf } from './warmth.js'
 import { workOf } from './workModel.js'
 import type { WorkTimes } from './workModel.js'
@@ -23,18 +23,13 @@
   readonly deadline: Millis
 }
 
-/** Far regions differ by up to this for an object, by its hash, so that all VMs of a region choose the same. */
-const regionSpreadMs = 12
-/** Hashes are 32 bits wide. */
-const hashRange = 2 ** 32
-/** Extra for leaving the region: the time that its bytes and its longer exposure to faults are worth. */
+/** Extra for leaving the region that the plan names: what its bytes and its longer exposure to faults are worth. */
 const awayMs = 15
 /**
- * Cost that this region's servers bear for an object as their slots fill, up to this much by the object's
- * hash; about the way to another region and back. Objects leave a full region one after the other and for
- * good, where equal costs would send each of them now here, now there, and keep none of them warm.
+ * Wait at the planned region beyond which others are asked, in parts of the latency objective. Below it a request
+ * that goes elsewhere finds a cold server and keeps two of them warm for one object.
  */
-const leaveMs = 130
+const planWaitPart = 0.4
 /** Part of all slots in use from which work is weighed beyond its own time, and how fast that grows. */
 const freeFill = 0.3
 const fillWeight = 4
@@ -46,27 +41,46 @@
   readonly server: FleetServer
   /** Expected time, and what the choice costs others, in milliseconds. */
   readonly cost: Millis
+  /** Wait by what this VM saw itself. */
   readonly waitMs: Millis
+  /** Wait by what all VMs together saw. */
+  readonly sharedWaitMs: Millis
   readonly travelMs: Millis
   readonly workMs: Millis
   /** Whether this VM saw the server handle the object lately. */
   readonly wasWarm: boolean
-  /** Whether hashing names the server for the object in its region. */
-  readonly isHome: boolean
+  /** What hashing says of the server for the object; undefined if nothing. */
+  readonly place: HashPlace | undefined
 }
 
 /** The server of least cost; undefined where none is open to the request. */
 export function findBest (fleet: Fleet, request: PlaceRequest, now: Millis): Scored | undefined {
   const open = candidatesOf(fleet, request, now)
-  const times = workOf(fleet.work, workKey(request), request.route.aimMs)
+  const region = plannedRegion(fleet, request, open)
   const isKeyed = request.route.isSticky && request.object !== ''
-  const homes = isKeyed ? homesOf(open, ranksFor(fleet, request)) : undefined
-  const candidates = homes === undefined ? open : open.filter(server => homes.has(server.facts.id) || isWarm(fleet.warmth, server.facts.id, request.object, now))
-  const workWeight = 1 + loadWeight(fleet, request.service, now)
-  const leaveCost = homes === undefined ? 0 : leaveCostOf(fleet, request, now)
+  const places = isKeyed ? placesOf(open, ranksFor(fleet, request), region) : undefined
+  const candidates = places === undefined ? open : open.filter(server => places.has(server.facts.id) || isWarm(fleet.warmth, server.facts.id, request.object, now))
+  const times = workOf(fleet.work, workKey(request), request.route.aimMs)
+  const input: ScoreInput = { times, places, region, workWeight: 1 + loadWeight(fleet, request.service, now) }
+  const planned = leastCost(fleet, request, candidates.filter(server => server.facts.region === region), input, now)
+  if (planned !== undefined && planned.sharedWaitMs <= request.route.aimMs * planWaitPart) return planned
+  return leastCost(fleet, request, candidates, input, now)
+}
+
+/** The region that the plan gives an object; a request without an object falls to a region by chance, in the same shares. */
+function plannedRegion (fleet: Fleet, request: PlaceRequest, open: readonly FleetServer[]): RegionId | undefined {
+  const near = fleet.setup.region
+  const regions = new Set(open.map(server => server.facts.region))
+  const shares = fleet.shares.get(request.service)
+  if (shares === undefined) return regions.has(near) ? near : undefined
+  const object = request.object === '' ? String(fleet.setup.random()) : request.object
+  return regionOf(shares, near, object, region => regions.has(region))
+}
+
+function leastCost (fleet: Fleet, request: PlaceRequest, candidates: readonly FleetServer[], input: ScoreInput, now: Millis): Scored | undefined {
   let best: Scored | undefined
   for (const server of candidates) {
-    const scored = score(fleet, request, server, { times, homes, workWeight, leaveCost }, now)
+    const scored = score(fleet, request, server, input, now)
     if (best === undefined || scored.cost < best.cost) best = scored
   }
   return best
@@ -79,19 +93,10 @@
  * serves a third of what it could without ever finding back.
  */
 function loadWeight (fleet: Fleet, service: ServiceId, now: Millis): number {
-  const fill = fillOf(fleet.byService.get(service) ?? [], now)
+  const fill = Math.max(fleet.sharedFill.get(service) ?? 0, fillOf(fleet.byService.get(service) ?? [], now))
   return Math.min(maxFillWeight, Math.max(0, fill - freeFill) * fillWeight)
 }
 
-/** What a near server bears for an object: more as the region's slots fill. */
-function leaveCostOf (fleet: Fleet, request: PlaceRequest, now: Millis): Millis {
-  return hashText(request.object) / hashRange * leaveMs * fillOf(nearServers(fleet, request.service), now)
-}
-
-function nearServers (fleet: Fleet, service: ServiceId): FleetServer[] {
-  return (fleet.byService.get(service) ?? []).filter(server => server.facts.region === fleet.setup.region)
-}
-
 /** Requests running and waiting for each slot of some servers. */
 function fillOf (servers: readonly FleetServer[], now: Millis): number {
   let ahead = 0
@@ -109,15 +114,36 @@
   return ranksOf(fleet.warmth, `${request.service} ${request.object}`, all.map(server => server.facts.id))
 }
 
-/** The first server by hash in each region. */
-function homesOf (servers: readonly FleetServer[], ranks: ReadonlyMap<ServerId, number>): Set<ServerId> {
-  const first = new Map<RegionId, ServerId>()
-  const rankOf = (id: ServerId): number => ranks.get(id) ?? Infinity
-  for (const { facts } of servers) {
-    const held = first.get(facts.region)
-    if (held === undefined || rankOf(facts.id) < rankOf(held)) first.set(facts.region, facts.id)
+/** What hashing says of the servers for an object: the first two of the planned region, and the first of each other one. */
+function placesOf (servers: readonly FleetServer[], ranks: ReadonlyMap<ServerId, number>, planned: RegionId | undefined): Map<ServerId, HashPlace> {
+  const rankOf = (server: FleetServer): number => ranks.get(server.facts.id) ?? Infinity
+  const byRegion = new Map<RegionId, FleetServer[]>()
+  for (const server of servers) {
+    const held = byRegion.get(server.facts.region)
+    if (held === undefined) byRegion.set(server.facts.region, [server])
+    else held.push(server)
+  }
+  const places = new Map<ServerId, HashPlace>()
+  for (const [region, inRegion] of byRegion) {
+    const [first, second] = firstTwo(inRegion, rankOf)
+    if (first !== undefined) places.set(first.facts.id, region === planned ? 'home' : 'away')
+    if (second !== undefined && region === planned) places.set(second.facts.id, 'spare')
+  }
+  return places
+}
+
+function firstTwo (servers: readonly FleetServer[], rankOf: (server: FleetServer) => number): [FleetServer | undefined, FleetServer | undefined] {
+  let first: FleetServer | undefined
+  let second: FleetServer | undefined
+  for (const server of servers) {
+    if (first === undefined || rankOf(server) < rankOf(first)) {
+      second = first
+      first = server
+    } else if (second === undefined || rankOf(server) < rankOf(second)) {
+      second = server
+    }
   }
-  return new Set(first.values())
+  return [first, second]
 }
 
 function candidatesOf (fleet: Fleet, request: PlaceRequest, now: Millis): FleetServer[] {
@@ -138,29 +164,31 @@
 
 interface ScoreInput {
   readonly times: WorkTimes
-  readonly homes: ReadonlySet<ServerId> | undefined
+  readonly places: ReadonlyMap<ServerId, HashPlace> | undefined
+  /** The region that the plan names. */
+  readonly region: RegionId | undefined
   readonly workWeight: number
-  /** What a near server bears for this object. */
-  readonly leaveCost: Millis
 }
 
 function score (fleet: Fleet, request: PlaceRequest, server: FleetServer, input: ScoreInput, now: Millis): Scored {
   const { facts } = server
-  const { times, homes, workWeight, leaveCost } = input
-  const isAway = facts.region !== fleet.setup.region
-  const wasWarm = homes !== undefined && isWarm(fleet.warmth, facts.id, request.object, now)
-  const isHome = homes?.has(facts.id) === true
-  const warmChance = wasWarm ? 1 : isHome ? homeWarmChance(fleet, request, isAway) : 0
+  const { times, places, workWeight } = input
+  const wasWarm = places !== undefined && isWarm(fleet.warmth, facts.id, request.object, now)
+  const place = places?.get(facts.id)
+  const chance = wasWarm ? 1 : place === undefined ? 0 : warmChance(fleet, request, place)
   const slowness = Math.max(1, slownessOf(server, now) / (fleet.meanSlowness.get(facts.service) ?? 1))
-  const workMs = (times.coldMs + (times.warmMs - times.coldMs) * warmChance) * slowness
+  const workMs = (times.coldMs + (times.warmMs - times.coldMs) * chance) * slowness
   const meanMs = (fleet.meanWork.get(facts.service) ?? times.coldMs) * slowness
-  const ahead = aheadOf(server, now)
-  const waitMs = ahead < facts.slots ? 0 : (ahead - facts.slots + 1) * meanMs / facts.slots
+  const ahead = sharedAheadOf(server, now)
+  const waitMs = waitBehind(aheadOf(server, now), facts.slots, meanMs)
+  const sharedWaitMs = waitBehind(ahead, facts.slots, meanMs)
   const travelMs = travelTo(fleet, facts.region)
-  const cost = travelMs + waitMs + workMs * workWeight + (isAway ? awayCost(request, facts.region) : leaveCost) + (ahead / facts.slots) ** 2 * fillMs + fleet.setup.random()
-  return { server, cost, waitMs, travelMs, workMs, wasWarm, isHome }
+  const leavingMs = facts.region === input.region ? 0 : awayMs
+  const cost = travelMs + sharedWaitMs + workMs * workWeight + leavingMs + (ahead / facts.slots) ** 2 * fillMs + fleet.setup.random()
+  return { server, cost, waitMs, sharedWaitMs, travelMs, workMs, wasWarm, place }
 }
 
-function awayCost (request: PlaceRequest, region: RegionId): Millis {
-  return awayMs + (request.object === '' ? 0 : hashText(`${request.object}|${region}`) / hashRange * regionSpreadMs)
+/** Wait of a request behind so many others. */
+function waitBehind (ahead: number, slots: number, meanMs: Millis): Millis {
+  return ahead < slots ? 0 : (ahead - slots + 1) * meanMs / slots
 }
--- a/packages/state/__tests__/routes.test.ts
+++ b/packages/state/__tests__/routes.test.ts
@@ -170,3 +170,19 @@
   assert.deepEqual(listItems(back.config, 'evacuation').map(item => [item.key, item.isActive]), [['kochi-a', true]])
   assert.equal(codeOf(apply(back, order)), 'ok')
 })
+
+/*
+ * Symptom: a server that runs well gets no more requests for the rest of its life. Sequence: a release replaces 100
+ * servers; an announcement of the first of them, held up by a cut, arrives after that, at the address that a newer
+ * lifetime has. Cause: only the last 64 ended servers were remembered, so the late word counted as a new server's.
+ */
+test('a late announcement of a server that ended long ago revives nothing, whatever ended since', () => {
+  const machine = start()
+  for (let number = 0; number < 100; number++) {
+    apply(machine, { type: 'announce', facts: facts(`old-${number}`, { address: `10.0.1.${number}:80` }) })
+    apply(machine, { type: 'dismiss', ids: [brandId<ServerId>(`old-${number}`)] })
+  }
+  apply(machine, { type: 'announce', facts: facts('new', { address: '10.0.1.0:80' }) })
+  apply(machine, { type: 'announce', facts: facts('old-0', { address: '10.0.1.0:80', seq: 7 }) })
+  assert.deepEqual(presentBackends(machine.config), ['new'])
+})
--- a/packages/state/src/core/config.ts
+++ b/packages/state/src/core/config.ts
@@ -6,8 +6,13 @@
 import type { ConfigDelta, ConfigItem, DrainItem, ProfileItem, ShiftItem, VersionedItem } from '../types/items.js'
 import type { Profile } from '../types/profile.js'
 
-/** Most finished items kept of each kind (drains, shifts, removed routes, servers that ended); older ones go. */
+/** Most finished items kept of each kind (drains, shifts, removed routes); older ones go. */
 export const maxFinished = 64
+/**
+ * Most ended servers kept. A late announcement of a lifetime that has ended must be known as such, or it comes
+ * back to life and ends the lifetime that has its address now; a release replaces some hundred servers in a minute.
+ */
+export const maxEndedServers = 4000
 
 export interface Config {
   version: number
@@ -46,8 +51,9 @@
 }
 
 function pruneFinished (config: Config, kind: ConfigItem['kind']): void {
+  const most = kind === 'backend' ? maxEndedServers : maxFinished
   const finished = [...config.items].filter(([, held]) => held.item.kind === kind && isFinished(held.item))
-  for (const [key, held] of finished.slice(0, -maxFinished)) {
+  for (const [key, held] of finished.slice(0, -most)) {
     config.items.delete(key)
     config.prunedBelow = Math.max(config.prunedBelow, held.version)
   }
--- a/packages/state/src/types/commands.ts
+++ b/packages/state/src/types/commands.ts
@@ -2,7 +2,7 @@
 import type {
   ChangeId, DrainId, HolderId, ProfileName, RegionId, RequestId, ResourceId, ServiceId, ShiftId
 } from '@lynxcourse/base'
-import { z } from 'zod'
+import * as z from 'zod'
 import { nameSchema, profileSchema } from './profile.js'
 import type { RouteCommand } from './routes.js'
 
--- a/packages/state/src/types/profile.ts
+++ b/packages/state/src/types/profile.ts
@@ -1,6 +1,6 @@
 /** A steering profile as operators write it, with its check. */
 import type { ProfileName, RegionId, ServiceId } from '@lynxcourse/base'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const namePattern = /^[a-z0-9][a-z0-9.-]{0,62}$/
 
