--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -9,6 +9,7 @@
 import { presentTime } from '../../utils/clock.js'
 import { addressSchema } from '../../types/settings.js'
 import { addMethod } from '../rpc/rpcServer.js'
+import { delay } from '../node/timers.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
 import { dismissServer, readRoutes, stateAge, submitRouteCommand, takeAnnouncement } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
@@ -77,6 +78,13 @@
   readonly ttlMs: Millis
 }
 
+/**
+ * News waits this long for more before it goes out: while servers are replaced, changes come every few
+ * milliseconds, and each wakes all VMs of the region and has them rebuild their tables. A tenth of the time in which
+ * a change must be in force.
+ */
+const gatherMs: Millis = 200
+
 /** Adds the methods. */
 export function addFleetMethods (rpc: RpcServer, control: FleetControl, loop: PresenceLoop): void {
   addMethod(rpc, 'fleet.watch', ['vm'], watchSchema, async params => await answerWatch(control, loop, params as unknown as WatchRequest))
@@ -113,6 +121,7 @@
   if (isNews) loop.urge()
   if (request.load !== undefined) noteLoadReport(control.board, request.self.name, request.self.region, request.load, presentTime())
   if (control.host.machine.config.version <= request.version) await waitForNews(control, request)
+  if (request.version > 0 && control.host.machine.config.version > request.version) await delay(gatherMs)
   const { config } = control.host.machine
   const age = stateAge(control, presentTime())
   return {
--- a/packages/routing/__tests__/placement.test.ts
+++ b/packages/routing/__tests__/placement.test.ts
@@ -240,3 +240,18 @@
   assert.notEqual(sentTo(fleet, request()), home)
   assert.equal(sentTo(fleet, request({ arrivedAt: 4000, deadline: 5200 }), 4000), home)
 })
+
+/*
+ * Symptom: a fleet whose warm work would fill 60 % of its slots answers everything late for half a minute. Sequence: at
+ * the start all objects are cold and queues grow; requests go wherever a slot is free, find the object cold there and
+ * push another one out. Cause: leaving the home looked cheaper to each request than waiting there. Load pattern: all
+ * slots of the service busy by what all VMs saw, the home busier than the rest.
+ */
+test('in a full fleet objects keep to their homes', () => {
+  const fleet = fleetOf(...['a', 'b', 'c', 'd'].map(id => server(id)))
+  const home = sentTo(fleet, request())
+  noteShared(fleet.byId.get(brandId<ServerId>(home)) as FleetServer, 12, 950)
+  assert.notEqual(sentTo(fleet, request()), home)
+  fleet.sharedFill.set(desk, 1.2)
+  assert.equal(sentTo(fleet, request()), home)
+})
--- a/packages/routing/src/core/scoring.ts
+++ b/packages/routing/src/core/scoring.ts
@@ -34,6 +34,8 @@
 const freeFill = 0.3
 const fillWeight = 4
 const maxFillWeight = 3
+/** Requests ahead for each slot beyond which objects keep to their homes; with warm work at homes it stays well below. */
+const homeOnlyFill = 0.85
 /** Cost of a full server's fill before anyone waits there, growing by its square: work comes unevenly, and reports lag. */
 const fillMs = 30
 /** A server with what is expected of it for a request. */
@@ -59,14 +61,30 @@
   const region = plannedRegion(fleet, request, open)
   const isKeyed = request.route.isSticky && request.object !== ''
   const places = isKeyed ? placesOf(open, ranksFor(fleet, request), region) : undefined
-  const candidates = places === undefined ? open : open.filter(server => places.has(server.facts.id) || isWarm(fleet.warmth, server.facts.id, request.object, now))
+  const fill = fillOfService(fleet, request.service, now)
+  const candidates = places === undefined ? open : open.filter(server => isCandidate(fleet, request, server, places, fill, now))
   const times = workOf(fleet.work, workKey(request), request.route.aimMs)
-  const input: ScoreInput = { times, places, region, workWeight: 1 + loadWeight(fleet, request.service, now) }
+  const input: ScoreInput = { times, places, region, workWeight: 1 + loadWeight(fill) }
   const planned = leastCost(fleet, request, candidates.filter(server => server.facts.region === region), input, now)
   if (planned !== undefined && planned.sharedWaitMs <= request.route.aimMs * planWaitPart) return planned
   return leastCost(fleet, request, candidates, input, now)
 }
 
+function fillOfService (fleet: Fleet, service: ServiceId, now: Millis): number {
+  return Math.max(fleet.sharedFill.get(service) ?? 0, fillOf(fleet.byService.get(service) ?? [], now))
+}
+
+/**
+ * Whether a server may get a request for an object. Where nearly all slots are busy, only the object's home may: at
+ * others the work is cold and takes four times the slot time, pushes other objects out of their warm places, and the
+ * fleet stays full of cold work although warm work would fit.
+ */
+function isCandidate (fleet: Fleet, request: PlaceRequest, server: FleetServer, places: ReadonlyMap<ServerId, HashPlace>, fill: number, now: Millis): boolean {
+  const place = places.get(server.facts.id)
+  if (fill > homeOnlyFill) return place === 'home'
+  return place !== undefined || isWarm(fleet.warmth, server.facts.id, request.object, now)
+}
+
 /** The region that the plan gives an object; a request without an object falls to a region by chance, in the same shares. */
 function plannedRegion (fleet: Fleet, request: PlaceRequest, open: readonly FleetServer[]): RegionId | undefined {
   const near = fleet.setup.region
@@ -92,8 +110,7 @@
  * at the warm server sends requests to cold ones, all servers turn cold for all objects, and the fleet
  * serves a third of what it could without ever finding back.
  */
-function loadWeight (fleet: Fleet, service: ServiceId, now: Millis): number {
-  const fill = Math.max(fleet.sharedFill.get(service) ?? 0, fillOf(fleet.byService.get(service) ?? [], now))
+function loadWeight (fill: number): number {
   return Math.min(maxFillWeight, Math.max(0, fill - freeFill) * fillWeight)
 }
 
