--- a/packages/daemon/__tests__/loadBoard.test.ts
+++ b/packages/daemon/__tests__/loadBoard.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test'
 import { brandId } from '@lynxcourse/base'
 import type { RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { createLoadBoard, createLoadNotes, noteAhead, noteBusy, noteDigest, noteLoadReport, takeDigest, takeLoadReport, takeNews, updateBoard } from '@lynxcourse/daemon'
+import { createLoadBoard, createLoadIntake, createLoadNotes, noteAhead, noteBusy, noteDigest, noteLoadReport, takeDigest, takeLoadReport, takeNews, updateBoard } from '@lynxcourse/daemon'
 import type { LoadBoard, ServerPlaces, ServiceSlots } from '@lynxcourse/daemon'
 
 const desk = brandId<ServiceId>('desk')
@@ -15,10 +15,11 @@
 
 /** Lets entry VMs of Chennai report for some seconds; each has so many slots busy. */
 function play (board: LoadBoard, vms: number, busy: number, seconds: number, from = 0): number {
+  const intake = createLoadIntake()
   let now = from
   for (; now < from + seconds * 1000; now += 400) {
-    for (let vm = 0; vm < vms; vm++) noteLoadReport(board, `vm-${vm}`, chennai, { servers: [[server, 6]], busy: [[desk, busy]] }, now)
-    noteDigest(board, 'control-1', takeDigest(board, now), now)
+    for (let vm = 0; vm < vms; vm++) noteLoadReport(intake, `vm-${vm}`, chennai, { servers: [[server, 6]], busy: [[desk, busy]] }, now)
+    noteDigest(board, 'control-1', takeDigest(intake, now), now)
     updateBoard(board, slots, places, now)
   }
   return now
@@ -64,7 +65,7 @@
   const now = play(board, 5, 4, 45)
   const next = createLoadBoard()
   takeNews(next, board.news)
-  noteDigest(next, 'control-1', takeDigest(board, now), now)
+  noteDigest(next, 'control-1', { servers: [], busy: [[desk, chennai, 20]] }, now)
   updateBoard(next, slots, places, now)
   assert.ok(Math.abs(nearShare(next) - nearShare(board)) < 0.01)
 })
@@ -79,8 +80,7 @@
   const lost: ServiceSlots = new Map([[desk, new Map([[kochi, 300], [chennai, 3]])]])
   const before = nearShare(board)
   for (let step = 1; step <= 5; step++) {
-    noteLoadReport(board, 'vm-0', chennai, { servers: [], busy: [[desk, 10]] }, now + step * 400)
-    noteDigest(board, 'control-1', takeDigest(board, now + step * 400), now + step * 400)
+    noteDigest(board, 'control-1', { servers: [], busy: [[desk, chennai, 20]] }, now + step * 400)
     updateBoard(board, lost, places, now + step * 400)
   }
   assert.ok(before - nearShare(board) > 0.2, `${before} to ${nearShare(board)}`)
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -15,6 +15,8 @@
 import type { FleetNode } from './fleetNode.js'
 import { createLoadBoard } from './loadBoard.js'
 import type { LoadBoard } from './loadBoard.js'
+import { createLoadIntake } from './loadIntake.js'
+import type { LoadIntake } from './loadIntake.js'
 import { createPresence } from './presence.js'
 import type { Presence } from './presence.js'
 
@@ -23,6 +25,7 @@
   readonly node: FleetNode
   readonly host: ControlHost
   readonly presence: Presence
+  readonly intake: LoadIntake
   readonly board: LoadBoard
 }
 
@@ -48,7 +51,7 @@
     const cluster = `fleet-${hashText([...cfg.seeds].sort().join()).toString(16)}`
     await initCluster(host, cluster, [...voters].sort())
   }
-  return { node, host, presence: createPresence(), board: createLoadBoard() }
+  return { node, host, presence: createPresence(), intake: createLoadIntake(), board: createLoadBoard() }
 }
 
 function envOf (node: FleetNode, isFounder: boolean): ControlEnv {
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -7,6 +7,7 @@
 import type { EntryPresence } from '@lynxcourse/routing'
 import * as z from 'zod'
 import { presentTime } from '../../utils/clock.js'
+import type { LoadNews, LoadReport } from '../../types/loads.js'
 import { addressSchema } from '../../types/settings.js'
 import { addMethod } from '../rpc/rpcServer.js'
 import { delay } from '../node/timers.js'
@@ -14,8 +15,8 @@
 import { dismissServer, readRoutes, stateAge, submitRouteCommand, takeAnnouncement } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
 import type { ControlPlace } from './fleetNode.js'
-import { noteDigest, noteLoadReport } from './loadBoard.js'
-import type { LoadNews, LoadReport } from './loadBoard.js'
+import { noteDigest } from './loadBoard.js'
+import { noteLoadReport } from './loadIntake.js'
 import { noteEntry, takePresenceReport } from './presence.js'
 import type { PresenceReply, PresenceReport } from './presence.js'
 import type { PresenceLoop } from './presenceLoop.js'
@@ -119,7 +120,7 @@
 async function answerWatch (control: FleetControl, loop: PresenceLoop, request: WatchRequest): Promise<WatchReply> {
   const isNews = noteEntry(control.presence, request.self, presentTime())
   if (isNews) loop.urge()
-  if (request.load !== undefined) noteLoadReport(control.board, request.self.name, request.self.region, request.load, presentTime())
+  if (request.load !== undefined) noteLoadReport(control.intake, request.self.name, request.self.region, request.load, presentTime())
   if (control.host.machine.config.version <= request.version) await waitForNews(control, request)
   if (request.version > 0 && control.host.machine.config.version > request.version) await delay(gatherMs)
   const { config } = control.host.machine
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -10,7 +10,7 @@
 import { createRpcClient } from '../rpc/rpcClient.js'
 import type { RpcClient } from '../rpc/rpcClient.js'
 import type { FleetSettings } from '../../types/fleetSettings.js'
-import type { LoadNews } from './loadBoard.js'
+import type { LoadNews } from '../../types/loads.js'
 import { createLoadNotes } from './loadReport.js'
 import type { LoadNotes } from './loadReport.js'
 
--- a/packages/daemon/src/core/fleet/loadBoard.ts
+++ b/packages/daemon/src/core/fleet/loadBoard.ts
@@ -1,5 +1,5 @@
 /**
- * What the entry VMs see of the load, put together at the leader and given back to all of them.
+ * The leader's board of loads: what all entry VMs see, put together and given back to all of them.
  *
  * What can go wrong: of 80 entry VMs each sends one request in ten seconds to a given server, so none of
  * them knows of a queue that the others built there. It shows as requests that wait behind full queues
@@ -9,54 +9,16 @@
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import { firstPlan, stepPlan, targetPlan } from '@lynxcourse/routing'
 import type { RegionLoad, RegionPlan } from '@lynxcourse/routing'
+import { busyForMs } from '../../types/loads.js'
+import type { BusySlots, LoadDigest, LoadNews, PlanNews, ServerPlaces, ServiceSlots } from '../../types/loads.js'
 
-/** What one entry VM has seen since its last report. */
-export interface LoadReport {
-  /** Requests ahead at each server, by its last answer. */
-  readonly servers: ReadonlyArray<readonly [ServerId, number]>
-  /** Slots that this VM's requests kept busy, by service. */
-  readonly busy: ReadonlyArray<readonly [ServiceId, number]>
-}
-
-/** Busy slots by the service and the region of the entry VMs. */
-export type BusySlots = ReadonlyArray<readonly [ServiceId, RegionId, number]>
-
-/** What a control VM hands on to the leader: the reports that it took since the last exchange. */
-export interface LoadDigest {
-  readonly servers: ReadonlyArray<readonly [ServerId, number]>
-  readonly busy: BusySlots
-}
-
-/** One service's plan as VMs are told of it. */
-export interface PlanNews {
-  readonly service: ServiceId
-  /** Whether it follows demand that was measured; until then it follows the slots alone. */
-  readonly isMeasured: boolean
-  /** Requests running and waiting for each open slot of the service. */
-  readonly fill: number
-  readonly shares: ReadonlyArray<readonly [RegionId, ReadonlyArray<readonly [RegionId, number]>]>
-}
-
-/** What every VM is told. */
-export interface LoadNews {
-  /** Nearly full servers with the smoothed number of requests ahead there. */
-  readonly full: ReadonlyArray<readonly [ServerId, number]>
-  readonly plans: readonly PlanNews[]
-}
-
-/** An entry VM's busy slots as a control VM remembers them. */
-interface VmBusy { readonly region: RegionId, readonly at: Millis, readonly busy: LoadReport['busy'] }
-
-/** Kept by each control VM; the smoothed values and the plans live at the leader. */
+/** Kept up by the leader; every other control VM holds the last news and plans, so that it can go on from them. */
 export interface LoadBoard {
-  /** Reports taken since the last exchange; the last one of a server counts. */
-  readonly fresh: Map<ServerId, number>
-  readonly byVm: Map<string, VmBusy>
-  /** At the leader: smoothed requests ahead by server. */
+  /** Smoothed requests ahead by server. */
   readonly smoothed: Map<ServerId, { ahead: number, at: Millis }>
-  /** At the leader: busy slots by control VM. */
+  /** Busy slots by control VM. */
   readonly byControl: Map<string, { readonly busy: BusySlots, readonly at: Millis }>
-  /** At the leader: smoothed demand by service and region. */
+  /** Smoothed demand by service and region. */
   readonly demand: Map<string, number>
   readonly plans: Map<ServiceId, RegionPlan>
   /** Services whose plan follows measured demand. */
@@ -68,14 +30,6 @@
   news: LoadNews
 }
 
-/** Slots of one service's open servers by region. */
-export type ServiceSlots = ReadonlyMap<ServiceId, ReadonlyMap<RegionId, number>>
-
-/** Service and slots of each server, by its id. */
-export type ServerPlaces = ReadonlyMap<ServerId, { readonly service: ServiceId, readonly slots: number }>
-
-/** A report counts until the next one; longer than the longest time between two watches. */
-const busyForMs: Millis = 3000
 /** Smoothing of a server's load by its reports, some five a second. */
 const aheadSmoothing = 0.35
 /** A server not heard of for this long has no queue that anybody feeds. */
@@ -94,8 +48,6 @@
 
 export function createLoadBoard (): LoadBoard {
   return {
-    fresh: new Map(),
-    byVm: new Map(),
     smoothed: new Map(),
     byControl: new Map(),
     demand: new Map(),
@@ -108,31 +60,6 @@
   }
 }
 
-/** Takes an entry VM's report. */
-export function noteLoadReport (board: LoadBoard, vm: string, region: RegionId, report: LoadReport, now: Millis): void {
-  for (const [server, ahead] of report.servers) board.fresh.set(server, ahead)
-  board.byVm.set(vm, { region, at: now, busy: report.busy })
-}
-
-/** What this control VM tells the leader; reports are handed on once. */
-export function takeDigest (board: LoadBoard, now: Millis): LoadDigest {
-  const servers = [...board.fresh]
-  board.fresh.clear()
-  const sums = new Map<string, [ServiceId, RegionId, number]>()
-  for (const [vm, { region, at, busy }] of board.byVm) {
-    if (now - at > busyForMs) {
-      board.byVm.delete(vm)
-      continue
-    }
-    for (const [service, slots] of busy) {
-      const key = `${service} ${region}`
-      const held = sums.get(key)
-      sums.set(key, [service, region, (held?.[2] ?? 0) + slots])
-    }
-  }
-  return { servers, busy: [...sums.values()] }
-}
-
 /** Takes a control VM's digest at the leader. */
 export function noteDigest (board: LoadBoard, control: string, digest: LoadDigest, now: Millis): void {
   board.byControl.set(control, { busy: digest.busy, at: now })
--- /dev/null
+++ b/packages/daemon/src/core/fleet/loadIntake.ts
@@ -0,0 +1,42 @@
+/** A control VM's intake of its entry VMs' load reports, handed on to the leader as one digest. */
+import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { busyForMs } from '../../types/loads.js'
+import type { LoadDigest, LoadReport } from '../../types/loads.js'
+
+/** An entry VM's busy slots as a control VM remembers them. */
+interface VmBusy { readonly region: RegionId, readonly at: Millis, readonly busy: LoadReport['busy'] }
+
+export interface LoadIntake {
+  /** Requests ahead by server, from reports taken since the last digest; the last one counts. */
+  readonly fresh: Map<ServerId, number>
+  readonly byVm: Map<string, VmBusy>
+}
+
+export function createLoadIntake (): LoadIntake {
+  return { fresh: new Map(), byVm: new Map() }
+}
+
+/** Takes an entry VM's report. */
+export function noteLoadReport (intake: LoadIntake, vm: string, region: RegionId, report: LoadReport, now: Millis): void {
+  for (const [server, ahead] of report.servers) intake.fresh.set(server, ahead)
+  intake.byVm.set(vm, { region, at: now, busy: report.busy })
+}
+
+/** What this control VM tells the leader; reports are handed on once. */
+export function takeDigest (intake: LoadIntake, now: Millis): LoadDigest {
+  const servers = [...intake.fresh]
+  intake.fresh.clear()
+  const sums = new Map<string, [ServiceId, RegionId, number]>()
+  for (const [vm, { region, at, busy }] of intake.byVm) {
+    if (now - at > busyForMs) {
+      intake.byVm.delete(vm)
+      continue
+    }
+    for (const [service, slots] of busy) {
+      const key = `${service} ${region}`
+      const held = sums.get(key)
+      sums.set(key, [service, region, (held?.[2] ?? 0) + slots])
+    }
+  }
+  return { servers, busy: [...sums.values()] }
+}
--- a/packages/daemon/src/core/fleet/loadReport.ts
+++ b/packages/daemon/src/core/fleet/loadReport.ts
@@ -1,6 +1,6 @@
 /** What one entry VM has seen of the load since its last report to a control VM. */
 import type { Millis, ServerId, ServiceId } from '@lynxcourse/base'
-import type { LoadReport } from './loadBoard.js'
+import type { LoadReport } from '../../types/loads.js'
 
 export interface LoadNotes {
   readonly ahead: Map<ServerId, number>
--- a/packages/daemon/src/core/fleet/presence.ts
+++ b/packages/daemon/src/core/fleet/presence.ts
@@ -2,7 +2,7 @@
 import type { Millis, ServerId } from '@lynxcourse/base'
 import type { EntryPresence, HeardEntry } from '@lynxcourse/routing'
 import type { ControlPlace } from './fleetNode.js'
-import type { LoadDigest, LoadNews } from './loadBoard.js'
+import type { LoadDigest, LoadNews } from '../../types/loads.js'
 
 /** What one control VM holds. */
 export interface Presence {
--- a/packages/daemon/src/core/fleet/presenceLoop.ts
+++ b/packages/daemon/src/core/fleet/presenceLoop.ts
@@ -1,7 +1,6 @@
 /** Exchanges presence with the leader, and at the leader notes servers that fell silent. */
 import { messageOf } from '@lynxcourse/base'
-import type { RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { listItems, presentBackends } from '@lynxcourse/state'
+import { presentBackends } from '@lynxcourse/state'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { leads } from '../control/hostState.js'
@@ -9,8 +8,9 @@
 import { callPeer } from '../rpc/rpcClient.js'
 import { leaderOf, submitRouteCommand } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
-import { noteDigest, takeDigest, takeNews, updateBoard } from './loadBoard.js'
-import type { ServerPlaces, ServiceSlots } from './loadBoard.js'
+import { noteDigest, takeNews, updateBoard } from './loadBoard.js'
+import { takeDigest } from './loadIntake.js'
+import { openSlots, serverPlaces } from './serverSlots.js'
 import { agedEntries, missedServers, noteEntry, prunePresence, takePresenceReport } from './presence.js'
 import type { PresenceNews, PresenceReply, PresenceReport } from './presence.js'
 
@@ -49,14 +49,14 @@
 }
 
 async function exchange (control: FleetControl): Promise<void> {
-  const { node, host, presence, board } = control
+  const { node, host, presence, intake, board } = control
   const now = presentTime()
   prunePresence(presence, now)
-  const report: PresenceReport = { from: { rpc: node.cfg.rpc, region: node.cfg.region }, entries: agedEntries(presence, now), heard: [...presence.heard], load: takeDigest(board, now) }
+  const report: PresenceReport = { from: { rpc: node.cfg.rpc, region: node.cfg.region }, entries: agedEntries(presence, now), heard: [...presence.heard], load: takeDigest(intake, now) }
   if (leads(host)) {
     presence.heard.clear()
     noteDigest(board, node.cfg.rpc, report.load, now)
-    updateBoard(board, openSlots(control), serverPlaces(control), now)
+    updateBoard(board, openSlots(host.machine.config, node.cfg.regions), serverPlaces(host.machine.config), now)
     takeReply(control, takePresenceReport(presence, report, now))
     await noteMissed(control, now)
     return
@@ -77,30 +77,6 @@
   node.controls = reply.controls
 }
 
-/** Slots of the servers that take work, by service and region; a region without any counts with none. */
-function openSlots (control: FleetControl): ServiceSlots {
-  const { config } = control.host.machine
-  const { regions } = control.node.cfg
-  const evacuated = new Set<string>(listItems(config, 'evacuation').filter(item => item.isActive).map(item => item.key))
-  const slots = new Map<ServiceId, Map<RegionId, number>>()
-  for (const { facts, state } of listItems(config, 'backend')) {
-    if (state !== 'serving' || evacuated.has(facts.failureDomain)) continue
-    const byRegion = slots.get(facts.service) ?? new Map<RegionId, number>([...regions.values()].map(region => [region, 0]))
-    const region = regions.get(facts.failureDomain)
-    if (region !== undefined) byRegion.set(region, (byRegion.get(region) ?? 0) + facts.slots)
-    slots.set(facts.service, byRegion)
-  }
-  return slots
-}
-
-function serverPlaces (control: FleetControl): ServerPlaces {
-  const places = new Map<ServerId, { service: ServiceId, slots: number }>()
-  for (const { key, facts, state } of listItems(control.host.machine.config, 'backend')) {
-    if (state !== 'gone') places.set(key, { service: facts.service, slots: facts.slots })
-  }
-  return places
-}
-
 /** A new leader has heard of nobody yet: it starts to count only now. */
 async function noteMissed (control: FleetControl, now: number): Promise<void> {
   const { node, host, presence } = control
