Give objects a home where neither plan nor near region has a server

Cause, found by reading: before the first plan, in a region without servers of the service, no region was an object's own; in a full fleet, where only homes may serve, every request was refused for want of a server. The test fails on the former code. Change: regions that the plan gives nothing count alike where they alone are open.

--- a/packages/routing/__tests__/placement.test.ts
+++ b/packages/routing/__tests__/placement.test.ts
@@ -255,3 +255,14 @@
   fleet.sharedFill.set(desk, 1.2)
   assert.equal(sentTo(fleet, request()), home)
 })
+
+/*
+ * Symptom: a VM refuses every request for want of a server while other regions have some. Sequence: it starts in a region
+ * whose servers are gone, in a full fleet, and has not heard of a plan yet. Cause: without a plan no region was an object's
+ * own, so no server was its home, and in a full fleet only homes may serve.
+ */
+test('without a plan and without near servers, objects have a home in another region', () => {
+  const fleet = fleetOf(server('a', mumbai), server('b', mumbai))
+  fleet.sharedFill.set(desk, 1.2)
+  assert.ok(['a', 'b'].includes(sentTo(fleet, request())))
+})
--- a/packages/routing/__tests__/regionPlan.test.ts
+++ b/packages/routing/__tests__/regionPlan.test.ts
@@ -82,15 +82,22 @@
   const objects = Array.from({ length: 4000 }, (_, number) => `read|${number}`)
   const before: RegionShares = new Map([[kochi, 0.3], [chennai, 0.5], [mumbai, 0.2]])
   const after: RegionShares = new Map([[kochi, 0.3], [chennai, 0.55], [mumbai, 0.15]])
-  const all = (): boolean => true
+  const all = new Set([kochi, chennai, mumbai])
   const inChennai = objects.filter(object => regionOf(before, chennai, object, all) === chennai).length
   assert.ok(Math.abs(inChennai / objects.length - 0.5) < 0.03)
   const moved = objects.filter(object => regionOf(before, chennai, object, all) !== regionOf(after, chennai, object, all)).length
   assert.ok(moved / objects.length < 0.12)
 })
 
-test('a region that is not allowed gets nothing', () => {
+test('a region without an open server gets nothing', () => {
   const shares: RegionShares = new Map([[kochi, 0.9], [mumbai, 0.1]])
-  assert.equal(regionOf(shares, kochi, 'read|1', region => region === mumbai), mumbai)
-  assert.equal(regionOf(shares, kochi, 'read|1', () => false), undefined)
+  assert.equal(regionOf(shares, kochi, 'read|1', new Set([mumbai])), mumbai)
+  assert.equal(regionOf(shares, kochi, 'read|1', new Set()), undefined)
+})
+
+test('where the plan gives all open regions nothing, objects are spread over them', () => {
+  const shares: RegionShares = new Map([[chennai, 1]])
+  const open = new Set([kochi, mumbai])
+  const inKochi = Array.from({ length: 1000 }, (_, number) => regionOf(shares, chennai, `read|${number}`, open)).filter(region => region === kochi).length
+  assert.ok(inKochi > 400 && inKochi < 600, `${inKochi}`)
 })
--- a/packages/routing/src/core/fleet.ts
+++ b/packages/routing/src/core/fleet.ts
@@ -4,6 +4,7 @@
 import { createConcurrency } from './concurrency.js'
 import type { Concurrency } from './concurrency.js'
 import type { FleetServer } from './fleetServer.js'
+import type { HashPlace } from './hashPlaces.js'
 import type { RegionShares } from './regionPlan.js'
 import type { Warmth } from './warmth.js'
 import type { WorkModel } from './workModel.js'
@@ -49,9 +50,6 @@
 
 /** Travel assumed to a region that was not reached yet, two-way. */
 const unknownTravelMs = 80
-/** What hashing says of a server for an object: its place by the plan, the one beside it, or one in another region. */
-export type HashPlace = 'home' | 'spare' | 'away'
-
 /** Chance that an object is warm at such a place, before this VM has seen any there. */
 const firstWarmChances: Record<HashPlace, number> = { home: 0.7, spare: 0.1, away: 0.1 }
 /**
--- a/packages/routing/src/core/regionPlan.ts
+++ b/packages/routing/src/core/regionPlan.ts
@@ -90,16 +90,18 @@
 const hashRange = 2 ** 32
 
 /**
- * The region that serves an object by the shares of its callers' region; undefined where none is allowed.
+ * The region that serves an object by the shares of its callers' region; undefined where none has a server.
  * Regions stand in one order, so that a changed share moves only the objects at its border.
+ *
+ * @param open regions with a server that may get it; where the plan gives them nothing, they count alike
  */
-export function regionOf (shares: RegionShares, near: RegionId, object: string, isAllowed: (region: RegionId) => boolean): RegionId | undefined {
-  const regions = [...shares.keys()].filter(isAllowed).sort((a, b) => rankOf(a, near) - rankOf(b, near) || (a < b ? -1 : 1))
-  const total = sumOf(regions.map(region => shares.get(region) ?? 0))
-  if (total === 0) return regions[0]
-  let left = hashText(`${object}|region`) / hashRange * total
+export function regionOf (shares: RegionShares, near: RegionId, object: string, open: ReadonlySet<RegionId>): RegionId | undefined {
+  const regions = [...open].sort((a, b) => rankOf(a, near) - rankOf(b, near) || (a < b ? -1 : 1))
+  const planned = sumOf(regions.map(region => shares.get(region) ?? 0))
+  const partOf = (region: RegionId): number => planned === 0 ? 1 / regions.length : (shares.get(region) ?? 0) / planned
+  let left = hashText(`${object}|region`) / hashRange
   for (const region of regions) {
-    left -= shares.get(region) ?? 0
+    left -= partOf(region)
     if (left < 0) return region
   }
   return regions.at(-1)
--- a/packages/routing/src/core/scoring.ts
+++ b/packages/routing/src/core/scoring.ts
@@ -1,12 +1,13 @@
 /** Scores servers for a request by the expected time to completion and what it costs others. */
-import { hashText, mixHashes } from '@lynxcourse/base'
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import type { Route } from '@lynxcourse/state'
 import { hasColdToken, isCold, isWarmingVm } from './coldShare.js'
 import { travelTo, warmChance, workKey } from './fleet.js'
-import type { Fleet, HashPlace } from './fleet.js'
+import type { Fleet } from './fleet.js'
 import { aheadOf, isOpen, isStalled, sharedAheadOf, slownessOf } from './fleetServer.js'
 import type { FleetServer } from './fleetServer.js'
+import { placesOf } from './hashPlaces.js'
+import type { HashPlace } from './hashPlaces.js'
 import { regionOf } from './regionPlan.js'
 import { isWarm } from './warmth.js'
 import { workOf } from './workModel.js'
@@ -39,6 +40,7 @@
 const homeOnlyFill = 0.85
 /** Cost of a full server's fill before anyone waits there, growing by its square: work comes unevenly, and reports lag. */
 const fillMs = 30
+
 /** A server with what is expected of it for a request. */
 export interface Scored {
   readonly server: FleetServer
@@ -61,7 +63,7 @@
   const open = candidatesOf(fleet, request, now)
   const region = plannedRegion(fleet, request, open)
   const isKeyed = request.route.isSticky && request.object !== ''
-  const places = isKeyed ? placesOf(open, request, region) : undefined
+  const places = isKeyed ? placesOf(open, `${request.service} ${request.object}`, region) : undefined
   const fill = fillOfService(fleet, request.service, now)
   const candidates = places === undefined ? open : open.filter(server => isCandidate(fleet, request, server, places, fill, now))
   const times = workOf(fleet.work, workKey(request), request.route.aimMs)
@@ -89,11 +91,9 @@
 /** The region that the plan gives an object; a request without an object falls to a region by chance, in the same shares. */
 function plannedRegion (fleet: Fleet, request: PlaceRequest, open: readonly FleetServer[]): RegionId | undefined {
   const near = fleet.setup.region
-  const regions = new Set(open.map(server => server.facts.region))
-  const shares = fleet.shares.get(request.service)
-  if (shares === undefined) return regions.has(near) ? near : undefined
+  const shares = fleet.shares.get(request.service) ?? new Map([[near, 1]])
   const object = request.object === '' ? String(fleet.setup.random()) : request.object
-  return regionOf(shares, near, object, region => regions.has(region))
+  return regionOf(shares, near, object, new Set(open.map(server => server.facts.region)))
 }
 
 function leastCost (fleet: Fleet, request: PlaceRequest, candidates: readonly FleetServer[], input: ScoreInput, now: Millis): Scored | undefined {
@@ -127,43 +127,6 @@
   return slots === 0 ? 0 : ahead / slots
 }
 
-/** What hashing says of the servers for an object: the first two of the planned region, and the first of each other one. */
-function placesOf (servers: readonly FleetServer[], request: PlaceRequest, planned: RegionId | undefined): Map<ServerId, HashPlace> {
-  const object = hashText(`${request.service} ${request.object}`)
-  const byRegion = new Map<RegionId, FirstTwo>()
-  for (const server of servers) {
-    const held = byRegion.get(server.facts.region) ?? { first: undefined, firstScore: -1, second: undefined, secondScore: -1 }
-    takeScore(held, server, mixHashes(object, server.hash))
-    byRegion.set(server.facts.region, held)
-  }
-  const places = new Map<ServerId, HashPlace>()
-  for (const [region, { first, second }] of byRegion) {
-    if (first !== undefined) places.set(first.facts.id, region === planned ? 'home' : 'away')
-    if (second !== undefined && region === planned) places.set(second.facts.id, 'spare')
-  }
-  return places
-}
-
-/** The two servers of a region with the highest rendezvous scores for an object: all VMs agree on them without talking. */
-interface FirstTwo {
-  first: FleetServer | undefined
-  firstScore: number
-  second: FleetServer | undefined
-  secondScore: number
-}
-
-function takeScore (held: FirstTwo, server: FleetServer, score: number): void {
-  if (score > held.firstScore) {
-    held.second = held.first
-    held.secondScore = held.firstScore
-    held.first = server
-    held.firstScore = score
-  } else if (score > held.secondScore) {
-    held.second = server
-    held.secondScore = score
-  }
-}
-
 function candidatesOf (fleet: Fleet, request: PlaceRequest, now: Millis): FleetServer[] {
   const { homes } = request.route
   const all = (fleet.byService.get(request.service) ?? []).filter(server =>
