--- a/packages/daemon/__tests__/settings.test.ts
+++ b/packages/daemon/__tests__/settings.test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test'
 import fc from 'fast-check'
 import { isLynxError } from '@lynxcourse/base'
-import { parseSettings } from '@lynxcourse/daemon'
+import { parseAnySettings, parseSettings } from '@lynxcourse/daemon'
 import { stringify } from 'yaml'
 import { oneVmSettings } from './support/rig.js'
 
@@ -47,3 +47,43 @@
     }
   }), { seed, numRuns: 200 })
 })
+
+const fleetVm = {
+  vm: 'entry-1',
+  roles: ['entry'],
+  region: 'kochi',
+  failureDomain: 'kochi-a',
+  regions: { kochi: ['kochi-a', 'kochi-b'], mumbai: ['mumbai-a'] },
+  listen: { rpc: '127.0.1.2:7100', callers: '127.0.1.2:7000', metrics: '127.0.1.2:7200' },
+  seeds: ['127.0.1.1:7100']
+}
+
+function fleetFieldOf (change: object, beside: object = {}): string | undefined {
+  try {
+    parseAnySettings(stringify({ fleet: { ...fleetVm, ...change }, ...beside }), 'vm.yaml')
+    return undefined
+  } catch (err) {
+    assert.ok(isLynxError(err, 'badSettings'))
+    assert.match(err.message, /vm\.yaml/)
+    return err.field
+  }
+}
+
+test('a fleet\'s settings: times left out keep their defaults, the RPC address is advertised as it is or as told', () => {
+  const read = parseAnySettings(stringify({ fleet: { ...fleetVm, times: { missMs: 2500 }, advertisedRpc: '127.0.9.9:7100' } }), 'vm.yaml')
+  assert.ok(read.kind === 'fleet')
+  assert.deepEqual([read.cfg.times.missMs, read.cfg.times.watchMs], [2500, 1000])
+  assert.deepEqual([read.cfg.rpc, read.cfg.rpcListen], ['127.0.9.9:7100', '127.0.1.2:7100'])
+  assert.equal(read.cfg.regions.get('mumbai-a' as never), 'mumbai')
+})
+
+test('a fleet\'s settings: an error names the file and the key', () => {
+  assert.equal(fleetFieldOf({}), undefined)
+  assert.equal(fleetFieldOf({ roles: ['king'] }), 'fleet.roles.0')
+  assert.equal(fleetFieldOf({ failureDomain: 'delhi-a' }), 'fleet.failureDomain')
+  assert.equal(fleetFieldOf({ roles: ['control'] }), 'fleet.dataFolder')
+  assert.equal(fleetFieldOf({ listen: { rpc: '127.0.1.2:7100', metrics: '127.0.1.2:7200' } }), 'fleet.listen.callers')
+  assert.equal(fleetFieldOf({ listen: { ...fleetVm.listen, rpc: '192.0.2.1:7100' } }), 'fleet.listen')
+  assert.equal(fleetFieldOf({ times: { watchMs: 0 } }), 'fleet.times.watchMs')
+  assert.equal(fleetFieldOf({}, { colour: 'red' }), 'colour')
+})
