Log each move of a region's plan with the demand and slots that decided it

Requests that run in another region could not be traced to the plan: only the request's own line said where it went.

--- a/packages/daemon/__tests__/loadBoard.test.ts
+++ b/packages/daemon/__tests__/loadBoard.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test'
 import { brandId } from '@lynxcourse/base'
 import type { RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { createLoadBoard, createLoadIntake, createLoadNotes, noteAhead, noteBusy, noteDigest, noteLoadReport, takeDigest, takeLoadReport, takeNews, updateBoard } from '@lynxcourse/daemon'
+import { createLoadBoard, createLoadIntake, createLoadNotes, noteAhead, noteBusy, noteDigest, noteLoadReport, takeDigest, takeLoadReport, takeNews, takePlanLines, updateBoard } from '@lynxcourse/daemon'
 import type { LoadBoard, ServerPlaces, ServiceSlots } from '@lynxcourse/daemon'
 
 const desk = brandId<ServiceId>('desk')
@@ -96,3 +96,13 @@
   assert.deepEqual(takeLoadReport(notes, 1000), { servers: [[server, 5]], busy: [[desk, 1.5]] })
   assert.deepEqual(takeLoadReport(notes, 2000), { servers: [], busy: [] })
 })
+
+test('a plan that moves is told with what decided it, one that stands is not told again', () => {
+  const board = createLoadBoard()
+  const now = play(board, 5, 4, 45)
+  const first = takePlanLines(board).find(({ region }) => region === chennai)
+  assert.ok(first !== undefined && Math.abs(first.demand - 20) < 1 && first.slots === 30)
+  assert.deepEqual(takePlanLines(board), [])
+  play(board, 5, 8, 4, now)
+  assert.ok(takePlanLines(board).some(({ region, near }) => region === chennai && near < first.near))
+})
--- a/packages/daemon/src/core/fleet/loadBoard.ts
+++ b/packages/daemon/src/core/fleet/loadBoard.ts
@@ -27,6 +27,8 @@
   /** Slots of each region at the last plan, and until when a loss of some lets objects move fast. */
   readonly slots: Map<string, number>
   lossUntil: Millis
+  /** Part that stays near by service and region, as the log last said. */
+  readonly told: Map<string, number>
   news: LoadNews
 }
 
@@ -56,6 +58,7 @@
     plannedAt: -Infinity,
     slots: new Map(),
     lossUntil: -Infinity,
+    told: new Map(),
     news: { full: [], plans: [] }
   }
 }
--- a/packages/daemon/src/core/fleet/presenceLoop.ts
+++ b/packages/daemon/src/core/fleet/presenceLoop.ts
@@ -10,6 +10,7 @@
 import type { FleetControl } from './fleetControl.js'
 import { noteDigest, takeNews, updateBoard } from './loadBoard.js'
 import { takeDigest } from './loadIntake.js'
+import { takePlanLines } from './planLog.js'
 import { openSlots, serverPlaces } from './serverSlots.js'
 import { agedEntries, missedServers, noteEntry, prunePresence, takePresenceReport } from './presence.js'
 import type { PresenceNews, PresenceReply, PresenceReport } from './presence.js'
@@ -57,6 +58,9 @@
     presence.heard.clear()
     noteDigest(board, node.cfg.rpc, report.load, now)
     updateBoard(board, openSlots(host.machine.config, node.cfg.regions), serverPlaces(host.machine.config), now)
+    for (const { service, region, near, demand, slots } of takePlanLines(board)) {
+      log(node.logs, 'shift', 'info', 'Region plan moved.', { service, from: region, near: Math.round(near * 1000) / 1000, demand: Math.round(demand), slots })
+    }
     takeReply(control, takePresenceReport(presence, report, now))
     await noteMissed(control, now)
     return
