--- a/packages/daemon/__tests__/fleet.test.ts
+++ b/packages/daemon/__tests__/fleet.test.ts
@@ -4,9 +4,9 @@
 import { connect } from 'node:net'
 import { rm } from 'node:fs/promises'
 import type { FailureDomainId, ServerId } from '@lynxcourse/base'
-import { brandId, isLynxError } from '@lynxcourse/base'
-import { callPeer, isFleetReady, leaveFleet, presentTime, readRoutes } from '@lynxcourse/daemon'
-import type { FleetDaemon, FleetLookup } from '@lynxcourse/daemon'
+import { brandId } from '@lynxcourse/base'
+import { isFleetReady, leaveFleet, presentTime, readRoutes } from '@lynxcourse/daemon'
+import type { FleetDaemon } from '@lynxcourse/daemon'
 import { findItem } from '@lynxcourse/state'
 import { ask, controlOf, publish, replaceOrder, routeTo, startRig, startServer, startVm, submit, until } from './support/fleetRig.js'
 
@@ -249,53 +249,3 @@
   assert.deepEqual([alone.status, alone.body], [200, 'late'])
   assert.equal(slow.requests.length, 1)
 })
-
-test('servers announce and leave, and callers look up, over RPC at any control VM; bad input names its field', async () => {
-  await using rig = await startRig(1)
-  await using server = await startServer('s1', (_req, res) => res.end('ok'))
-  await publish(rig, [], [routeTo('read')])
-  const { client } = controlOf(rig, 1).node
-  const at = rig.settings[2]?.rpc ?? ''
-  await until(async () => await callPeer(client, at, 'fleet.announce', { facts: server.facts }).then(() => true, () => false))
-  await until(async () => (await ask(rig, '/read/1')).status === 200)
-  const found = await callPeer<FleetLookup>(client, at, 'fleet.lookup', { region: 'kochi' })
-  assert.deepEqual([found.addresses, found.ttlMs], [[rig.settings[3]?.callers], 2000])
-  await callPeer(client, at, 'fleet.dismiss', { server: 's1' })
-  await until(async () => (await ask(rig, '/read/1')).status === 503)
-  await assert.rejects(callPeer(client, at, 'fleet.announce', { facts: { ...server.facts, slots: 0 } }), err => isLynxError(err, 'badRequest') && err.field === 'facts.slots')
-})
-
-/*
- * Symptom: each VM sends to a full server as if it were idle. Sequence: servers tell their load with each answer, and
- * only the VM that got the answer hears of it. Cause: nobody put the answers of all VMs together.
- */
-test('what an entry VM hears of the load comes back to it from the leader as a plan and as full servers', async () => {
-  await using rig = await startRig(1)
-  await using server = await startServer('s1', (_req, res) => {
-    res.setHeader('lynx-load', '9')
-    res.end('ok')
-  })
-  await publish(rig, [server], [routeTo('read')])
-  const gateway = rig.daemons.at(-1)?.gateway
-  await until(() => gateway?.fleet.shares.get(server.facts.service)?.get(controlOf(rig, 0).node.cfg.region) === 1)
-  await until(async () => {
-    await ask(rig, '/read/1')
-    return (gateway?.fleet.byId.get(server.facts.id)?.sharedAhead ?? 0) > 8
-  })
-})
-
-/*
- * Symptom: a broker sees another broker's list. Sequence: a server sends an answer twice; the second one stands where
- * the next request's answer is due. Cause: the answer's own id was not looked at.
- */
-test('an answer that names another request is not passed on', async () => {
-  await using rig = await startRig(1)
-  await using server = await startServer('s1', (_req, res) => {
-    res.setHeader('idempotency-key', 'another')
-    res.end('another\'s list')
-  })
-  await publish(rig, [server], [routeTo('write', { isIdempotent: false })])
-  const got = await ask(rig, '/write/1', 'POST', { 'idempotency-key': 'mine' })
-  assert.equal(got.status, 502)
-  assert.doesNotMatch(got.body, /list/)
-})
--- a/scripts/soak/soakRun.ts
+++ b/scripts/soak/soakRun.ts
@@ -1,40 +1,22 @@
 /** One run of the soak: builds the system, lets callers and faults at it, and judges what was seen. */
-import { mkdirSync } from 'node:fs'
-import { join } from 'node:path'
-import { brandId, makeRandom, messageOf } from '@lynxcourse/base'
-import type { FailureDomainId, RegionId, ServiceId } from '@lynxcourse/base'
-import type { FleetFileInput } from '@lynxcourse/daemon'
+import { makeRandom, messageOf } from '@lynxcourse/base'
+import { createOwned } from '@lynxcourse/daemon'
 import { request } from 'undici'
 import { sleep, until } from '../support/processes.js'
 import { keepCalling } from './caller.js'
 import type { Caller, EntryPlace } from './caller.js'
-import { callUntilClear, createControlClient } from './controlClient.js'
-import type { ControlClient } from './controlClient.js'
+import { callUntilClear } from './controlClient.js'
 import type { SoakPlan, SoakSize } from './faultPlan.js'
 import { setFault } from './faultProxy.js'
-import { createLedger, findBroken, servedShare } from './ledger.js'
-import type { Ledger } from './ledger.js'
-import { changeRoutes, checkFinalRoutes, createOperator, keepReading } from './operator.js'
-import type { Operator } from './operator.js'
+import { findBroken, servedShare } from './ledger.js'
+import { changeRoutes, checkFinalRoutes, keepReading } from './operator.js'
+import { buildWorld, regions } from './soakWorld.js'
+import type { SoakWorld } from './soakWorld.js'
 import { strike } from './striking.js'
-import { createStubServer } from './stubServer.js'
 import type { StubServer } from './stubServer.js'
-import { createSoakVm, startVm } from './vmProcess.js'
+import { startVm } from './vmProcess.js'
 import type { SoakVm } from './vmProcess.js'
 
-/** Everything that one run consists of. */
-export interface SoakWorld {
-  readonly size: SoakSize
-  readonly ledger: Ledger
-  readonly vms: readonly SoakVm[]
-  readonly seeds: readonly string[]
-  readonly servers: readonly StubServer[]
-  readonly domains: readonly FailureDomainId[]
-  readonly services: readonly ServiceId[]
-  readonly client: ControlClient
-  readonly operator: Operator
-}
-
 /** What a run showed. */
 export interface SoakResult {
   readonly seed: number
@@ -46,9 +28,6 @@
   readonly steps: number
 }
 
-const services = ['desk', 'ledger'].map(name => brandId<ServiceId>(name))
-const regions: Record<string, string[]> = { kochi: ['kochi-a', 'kochi-b'], chennai: ['chennai-a', 'chennai-b'], mumbai: ['mumbai-a', 'mumbai-b'] }
-const domains = Object.values(regions).flat().map(name => brandId<FailureDomainId>(name))
 const callersPerEntry = 3
 const announceMs = 600
 /** After the last fault, the time until all must be well again, and then the time in which it is measured. */
@@ -58,95 +37,41 @@
 
 /** Plays a plan; the folder takes settings, state and logs. */
 export async function runSoak (plan: SoakPlan, size: SoakSize, folder: string): Promise<SoakResult> {
-  await using stack = new AsyncDisposableStackLike()
+  await using stack = createOwned()
   const world = await buildWorld(plan.seed, size, folder, stack)
   const { ledger, operator } = world
   let isOver = false
-  const over = (): boolean => isOver
-  const work: Array<Promise<void>> = []
-  for (const server of world.servers) work.push(keepAnnouncing(world, server, over))
+  const work = world.servers.map(async server => await keepAnnouncing(world, server, () => isOver))
   await startAll(world)
-  const callers = makeCallers(world, plan.seed)
-  for (const caller of callers) work.push(keepCalling(caller, over))
-  work.push(keepReading(operator, over))
-  const startedAt = performance.now()
-  await Promise.all(plan.steps.map(async step => {
-    await sleep(step.at)
-    await strike(world, step)
-  }))
-  await sleep(Math.max(0, startedAt + plan.lengthMs - performance.now()))
+  for (const caller of makeCallers(world, plan.seed)) work.push(keepCalling(caller, () => isOver))
+  work.push(keepReading(operator, () => isOver))
+  await playSteps(world, plan)
   await recover(world)
-  const measuredFrom = performance.now()
-  await sleep(measuredMs)
-  const last = servedShare(ledger, measuredFrom, performance.now() - measuredMs / 4)
+  const last = await measureLast(world)
   await checkFinalRoutes(operator)
   isOver = true
   await Promise.all(work)
-  if (last.share < leastLastShare) ledger.notes.push(`recover: ${(last.share * 100).toFixed(0)} % of ${last.sent} requests were served after the last fault`)
   const whole = servedShare(ledger, 0, Infinity)
-  return { seed: plan.seed, broken: findBroken(ledger), requests: whole.sent, servedShare: whole.share, lastShare: last.share, steps: plan.steps.length }
+  return { seed: plan.seed, broken: findBroken(ledger), requests: whole.sent, servedShare: whole.share, lastShare: last, steps: plan.steps.length }
 }
 
-/** Ends what was started, the latest first, also when a run fails half-way. */
-class AsyncDisposableStackLike implements AsyncDisposable {
-  readonly #owned: AsyncDisposable[] = []
-
-  add<Owned extends AsyncDisposable> (owned: Owned): Owned {
-    this.#owned.push(owned)
-    return owned
-  }
-
-  async [Symbol.asyncDispose] (): Promise<void> {
-    for (const owned of this.#owned.reverse()) await owned[Symbol.asyncDispose]()
-  }
-}
-
-async function buildWorld (seed: number, size: SoakSize, folder: string, stack: AsyncDisposableStackLike): Promise<SoakWorld> {
-  const random = makeRandom(seed + 1)
-  const ledger = createLedger()
-  mkdirSync(folder, { recursive: true })
-  const vms: SoakVm[] = []
-  for (let place = 0; place < size.controls + size.entries; place++) {
-    vms.push(stack.add(await createSoakVm(settingsOf(place, size, folder), folder, ledger)))
-  }
-  const controls = vms.slice(0, size.controls)
-  const servers: StubServer[] = []
-  for (let place = 0; place < size.servers; place++) {
-    servers.push(stack.add(await createStubServer(place, services[place % services.length] as ServiceId, domains[Math.floor(place / services.length) % domains.length] as FailureDomainId, ledger, random)))
-  }
-  const client = createControlClient(controls.map(vm => vm.rpc.address), random)
-  stack.add(client.rpc)
-  const seeds = controls.slice(0, 3).map(vm => vm.rpc.address)
-  return { size, ledger, vms, seeds, servers, domains, services, client, operator: createOperator(client, ledger, services) }
-}
-
-/**
- * An address of its own for each VM. Ports of the one loopback address that were free a moment ago may be taken by
- * an outgoing connection while a VM is down, and the VM then can't start again.
- */
-function ipOf (place: number): string {
-  return `127.${64 + process.pid % 64}.${(process.pid >> 6) % 256}.${place + 1}`
+async function playSteps (world: SoakWorld, plan: SoakPlan): Promise<void> {
+  const startedAt = performance.now()
+  await Promise.all(plan.steps.map(async step => {
+    await sleep(step.at)
+    await strike(world, step)
+  }))
+  await sleep(Math.max(0, startedAt + plan.lengthMs - performance.now()))
 }
 
-function settingsOf (place: number, size: SoakSize, folder: string): FleetFileInput {
-  const isControl = place < size.controls
-  const ip = ipOf(place)
-  const [rpc, callers, metrics] = [`${ip}:7100`, `${ip}:7000`, `${ip}:7200`]
-  const domain = domains[place % domains.length] as FailureDomainId
-  const region = brandId<RegionId>(domain.slice(0, -2))
-  const name = isControl ? `control-${place}` : `entry-${place - size.controls}`
-  return {
-    vm: name,
-    roles: [isControl ? 'control' : 'entry'],
-    region,
-    failureDomain: domain,
-    regions: regions as FleetFileInput['regions'],
-    listen: isControl ? { rpc, metrics } : { rpc, callers, metrics },
-    seeds: [rpc],
-    dataFolder: isControl ? join(folder, name) : undefined,
-    times: { stopMs: 5500, missMs: 2500 },
-    log: { format: 'json', level: 'info' }
-  }
+/** Share of requests served once all faults are over; a low one breaks a promise. */
+async function measureLast (world: SoakWorld): Promise<number> {
+  const from = performance.now()
+  await sleep(measuredMs)
+  // The last ones sent may still be at work.
+  const { share, sent } = servedShare(world.ledger, from, performance.now() - measuredMs / 4)
+  if (share < leastLastShare) world.ledger.notes.push(`recover: ${(share * 100).toFixed(0)} % of ${sent} requests were served after the last fault`)
+  return share
 }
 
 async function startAll (world: SoakWorld): Promise<void> {
