--- a/packages/agreement/__tests__/agreement.test.ts
+++ b/packages/agreement/__tests__/agreement.test.ts
@@ -243,3 +243,35 @@
     assert.deepEqual([names.length, names.includes(fresh.id), names.includes(gone.id)], [5, true, false])
   }
 })
+
+test('after a restart of all, no copy counts as fresh before it has applied what was committed', () => {
+  // Symptom: an entry VM that starts takes routes into force that had been replaced. Sequence: all copies restart, each
+  // from a snapshot with committed entries after it; the new leader's first messages carry the snapshot's index as what
+  // is committed, and the followers reach that. Cause: a leader that has not settled was believed to know.
+  const group = buildGroup(3)
+  settle(group, 30)
+  const compactAll = (): void => {
+    for (const copy of group.copies) step(group, copy, { type: 'compact', index: (copy.replica as Replica).commit, data: 'x' })
+  }
+  step(group, leaderOf(group), { type: 'propose', commands: [1] })
+  settle(group, 10)
+  compactAll()
+  step(group, leaderOf(group), { type: 'propose', commands: [2, 3] })
+  settle(group, 10)
+  const committed = Math.max(...group.committed.keys())
+  for (const copy of group.copies) copy.replica = undefined
+  group.under = []
+  for (const copy of group.copies) start(group, copy)
+  for (let round = 0; round < 120; round++) {
+    group.now += tickMs
+    for (const copy of group.copies) step(group, copy, { type: 'tick' })
+    for (let left = 500; group.under.length > 0 && left > 0; left--) {
+      deliver(group, 0)
+      for (const { replica } of group.copies) {
+        if (replica === undefined || replica.freshAt === -Infinity) continue
+        assert.ok(replica.commit >= committed, `fresh at ${replica.commit} of ${committed}`)
+      }
+    }
+  }
+  assert.ok(group.copies.some(({ replica }) => replica !== undefined && replica.freshAt > -Infinity))
+})
--- a/packages/agreement/src/core/following.ts
+++ b/packages/agreement/src/core/following.ts
@@ -22,7 +22,7 @@
   for (const entry of request.entries) takeEntry(replica, entry, out)
   const matched = request.prevIndex + request.entries.length
   commitTo(replica, Math.min(request.commit, matched), out)
-  // A heartbeat that stands in for a snapshot carries no commit index, so it tells nothing of freshness.
+  // A heartbeat that stands in for a snapshot, and any of a leader that has not settled, carry no commit index: they tell nothing of freshness.
   if (request.commit > 0 && replica.commit >= request.commit) replica.freshAt = now
   answer(replica, from, true, matched, request.round, out)
 }
--- a/packages/agreement/src/core/replication.ts
+++ b/packages/agreement/src/core/replication.ts
@@ -57,11 +57,20 @@
   }
   const first = prevIndex - replica.snapshot.index
   const entries = replica.entries.slice(first, first + maxEntriesPerMessage)
-  const { term, commit, round } = replica
-  send(replica, out, to, { type: 'append', term, prevIndex, prevTerm, entries, commit, round })
+  const { term, round } = replica
+  send(replica, out, to, { type: 'append', term, prevIndex, prevTerm, entries, commit: knownCommit(replica), round })
   progress.next += entries.length
 }
 
+/**
+ * What the leader may say is committed. After a restart its own index is that of its snapshot, and entries after it
+ * are committed as well; a follower that reached it would vouch for a state that had been replaced, and an entry VM
+ * that starts would serve by dropped routes. Until an entry of its own term is committed a leader says nothing.
+ */
+function knownCommit (replica: Replica): number {
+  return isSettledLeader(replica) ? replica.commit : 0
+}
+
 function sendSnapshot (replica: Replica, to: HolderId, progress: Progress, now: Millis, out: Output): void {
   const { term, round, snapshot } = replica
   if (now - progress.snapshotSentAt < replica.times.electionMs * snapshotPatience) {
--- a/packages/daemon/__tests__/fleet.test.ts
+++ b/packages/daemon/__tests__/fleet.test.ts
@@ -3,9 +3,11 @@
 import { test } from 'node:test'
 import { connect } from 'node:net'
 import { rm } from 'node:fs/promises'
-import type { FailureDomainId, ServerId } from '@lynxcourse/base'
+import { lastIndex } from '@lynxcourse/agreement'
+import type { Replica } from '@lynxcourse/agreement'
+import type { FailureDomainId, HolderId, ServerId } from '@lynxcourse/base'
 import { brandId } from '@lynxcourse/base'
-import { isFleetReady, leaveFleet, presentTime, readRoutes } from '@lynxcourse/daemon'
+import { callPeer, isFleetReady, leaveFleet, presentTime, readRoutes, stateAge } from '@lynxcourse/daemon'
 import type { FleetDaemon } from '@lynxcourse/daemon'
 import { findItem } from '@lynxcourse/state'
 import { ask, controlOf, publish, replaceOrder, routeTo, startRig, startServer, startVm, submit, until } from './support/fleetRig.js'
@@ -249,3 +251,41 @@
   assert.deepEqual([alone.status, alone.body], [200, 'late'])
   assert.equal(slow.requests.length, 1)
 })
+
+/*
+ * Symptom: an entry VM that starts is ready without a route or a server, and refuses all. Sequence: a control VM that
+ * was away gets entries and the word that they are committed in one message; its disk is slow; an entry VM asks it.
+ * Cause: it counted as up to date when the message came, although what it holds is applied after the disk has synced.
+ */
+test('a control VM does not vouch for entries that wait for its disk', async () => {
+  await using rig = await startRig(0)
+  await submit(rig, replaceOrder('one', 0, 1, [routeTo('read')]))
+  const control = controlOf(rig, 2)
+  const { host } = control
+  await until(() => host.machine.config.version > 0)
+  for (const place of [0, 1]) {
+    await rig.daemons[place]?.[Symbol.asyncDispose]()
+    rig.daemons[place] = undefined
+  }
+  const replica = host.replica as Replica
+  const sync = host.storage.file.datasync.bind(host.storage.file)
+  let release = (): void => undefined
+  const released = new Promise<void>(resolve => { release = resolve })
+  host.storage.file.datasync = async () => {
+    await released
+    await sync()
+  }
+  const from = replica.members.find(member => member.id !== host.id)?.id as HolderId
+  const version = host.machine.config.version
+  const [index, term] = [lastIndex(replica) + 1, replica.term + 1]
+  const command = replaceOrder('two', 1, 2, [routeTo('other')])
+  const message = { type: 'append', term, prevIndex: index - 1, prevTerm: replica.entries.at(-1)?.term ?? 0, entries: [{ index, term, at: presentTime(), body: { type: 'command', command } }], commit: index, round: 1 }
+  const sentAt = presentTime()
+  await callPeer(control.node.client, control.node.cfg.rpc, 'log.message', { cluster: replica.cluster, from, to: host.id, message })
+  await until(() => replica.commit === index)
+  const vouchedAt = presentTime() - stateAge(control, presentTime())
+  assert.deepEqual([host.machine.config.version, vouchedAt < sentAt], [version, true])
+  release()
+  await until(() => host.machine.config.version > version)
+  await until(() => presentTime() - stateAge(control, presentTime()) >= sentAt)
+})
--- a/packages/daemon/__tests__/fleetSeams.test.ts
+++ b/packages/daemon/__tests__/fleetSeams.test.ts
@@ -14,7 +14,10 @@
   const at = rig.settings[2]?.rpc ?? ''
   await until(async () => await callPeer(client, at, 'fleet.announce', { facts: server.facts }).then(() => true, () => false))
   await until(async () => (await ask(rig, '/read/1')).status === 200)
-  const found = await callPeer<FleetLookup>(client, at, 'fleet.lookup', { region: 'kochi' })
+  const lookUp = async (): Promise<FleetLookup> => await callPeer<FleetLookup>(client, at, 'fleet.lookup', { region: 'kochi' })
+  // The entry VM follows one control VM; the others hear of it by their next exchange with the leader.
+  await until(async () => (await lookUp()).addresses.length > 0)
+  const found = await lookUp()
   assert.deepEqual([found.addresses, found.ttlMs], [[rig.settings[3]?.callers], 2000])
   await callPeer(client, at, 'fleet.dismiss', { server: 's1' })
   await until(async () => (await ask(rig, '/read/1')).status === 503)
--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -35,6 +35,7 @@
     cluster: identity?.cluster,
     replica: undefined,
     machine: createMachine(charts),
+    appliedFreshAt: -Infinity,
     events: [],
     proposals: [],
     placed: new Map(),
@@ -147,6 +148,7 @@
 }
 
 async function carryOut (host: ControlHost, replica: Replica, out: Output): Promise<void> {
+  const { freshAt } = replica
   const needsSync = out.hardState !== undefined || out.entries.length > 0 || out.snapshot !== undefined
   if (needsSync) {
     await saveOutput(host.storage, out, replica.entries)
@@ -155,6 +157,7 @@
   sendAll(host, out.messages)
   if (out.install && out.snapshot !== undefined) host.machine = readMachine(host.charts, out.snapshot.data)
   applyAll(host, out)
+  host.appliedFreshAt = freshAt
   if (!needsSync) return
   const after = stepReplica(replica, { type: 'synced' }, presentTime())
   sendAll(host, after.messages)
--- a/packages/daemon/src/core/control/hostState.ts
+++ b/packages/daemon/src/core/control/hostState.ts
@@ -49,6 +49,11 @@
   cluster: string | undefined
   replica: Replica | undefined
   machine: Machine
+  /**
+   * When this follower had last applied all that the leader knew to be committed. The log's own moment is earlier: its
+   * entries wait for the disk first, and a VM that answered by it would vouch for a state that it does not hold yet.
+   */
+  appliedFreshAt: Millis
   events: ReplicaEvent[]
   proposals: Pending[]
   placed: Map<number, Placed>
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -150,9 +150,9 @@
 
 /** Whether the copy is known to be the present state, as of some milliseconds ago. */
 export function stateAge (control: FleetControl, now: Millis): Millis {
-  const { replica } = control.host
+  const { replica, appliedFreshAt } = control.host
   if (replica === undefined) return Infinity
-  return now - (leads(control.host) ? replica.confirmedAt : replica.freshAt)
+  return now - (leads(control.host) ? replica.confirmedAt : appliedFreshAt)
 }
 
 /** Whether an error says only that another VM should be asked. */
