--- a/packages/daemon/__tests__/loadBoard.test.ts
+++ b/packages/daemon/__tests__/loadBoard.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test'
 import { brandId } from '@lynxcourse/base'
 import type { RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { createLoadBoard, createLoadIntake, createLoadNotes, newsFor, noteAhead, noteBusy, noteDigest, noteLoadReport, noteUnansweredBy, takeDigest, takeLoadReport, takeNews, takePlanLines, updateBoard } from '@lynxcourse/daemon'
+import { createLoadBoard, createLoadIntake, createLoadNotes, newsFor, newsLines, noteAhead, noteBusy, noteDigest, noteLoadReport, noteUnansweredBy, takeDigest, takeLoadReport, takeNews, takePlanLines, updateBoard } from '@lynxcourse/daemon'
 import type { LoadBoard, ServerPlaces, ServiceSlots } from '@lynxcourse/daemon'
 
 const desk = brandId<ServiceId>('desk')
@@ -160,3 +160,14 @@
   noteAhead(notes, server, 1)
   assert.deepEqual(takeLoadReport(notes, 1000), { servers: [[server, 1]], busy: [], failed: [] })
 })
+
+test('the log tells once which servers are left alone and tried again, and each version of the weights', () => {
+  const quiet = { full: [], plans: [], silent: [], weights: { version: 4, servers: [] } }
+  const loud = { ...quiet, silent: [server], weights: { version: 5, servers: [[server, 0.5] as const] } }
+  assert.deepEqual(newsLines(quiet, loud), [
+    { message: 'Servers answer nobody.', fields: { servers: 'i-1' } },
+    { message: 'Weights told.', fields: { version: 5, servers: 1, least: 0.5, most: 0.5 } }
+  ])
+  assert.deepEqual(newsLines(loud, loud), [])
+  assert.deepEqual(newsLines(loud, quiet).map(({ message }) => message), ['Servers are tried again.'])
+})
--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -92,7 +92,8 @@
 
 /** Opens connections and notes what only the socket tells: how long opening took, and whether it was reset. */
 function watchedConnector (pool: ConnectionPool, connection: () => Connection, startedAt: Millis): Connector {
-  const connect = buildConnector({ timeout: pool.connectTimeoutMs })
+  // The kernel's keep-alive probes begin after a minute, when no connection is left; turning them on takes four system calls of nine.
+  const connect = buildConnector({ timeout: pool.connectTimeoutMs, keepAlive: false })
   return (options, callback) => connect(options, (...result) => {
     const [err, socket] = result
     if (err === null) {
--- a/packages/daemon/src/core/fleet/planLog.ts
+++ b/packages/daemon/src/core/fleet/planLog.ts
@@ -1,5 +1,7 @@
-/** The log's lines for the region plans that the leader makes. */
+/** The log's lines for what the leader makes of the load: region plans, servers left alone, weights. */
 import type { RegionId, ServiceId } from '@lynxcourse/base'
+import type { LoadNews } from '../../types/loads.js'
+import type { LogFields } from '../../utils/logging.js'
 import type { LoadBoard } from './loadBoard.js'
 
 /** A plan that moved by this much since its last line gets another one; it may move 1.2 % an exchange. */
@@ -30,3 +32,24 @@
   }
   return lines
 }
+
+/** One line of the log. */
+export interface NewsLine {
+  readonly message: string
+  readonly fields: LogFields
+}
+
+/** Lines for what VMs are now told otherwise than before. */
+export function newsLines (before: LoadNews, after: LoadNews): NewsLine[] {
+  const lines: NewsLine[] = []
+  const silent = after.silent.filter(id => !before.silent.includes(id))
+  const tried = before.silent.filter(id => !after.silent.includes(id))
+  if (silent.length > 0) lines.push({ message: 'Servers answer nobody.', fields: { servers: silent.join() } })
+  if (tried.length > 0) lines.push({ message: 'Servers are tried again.', fields: { servers: tried.join() } })
+  const { weights } = after
+  if (weights !== undefined && weights.version !== before.weights?.version && weights.servers.length > 0) {
+    const values = weights.servers.map(([, weight]) => weight)
+    lines.push({ message: 'Weights told.', fields: { version: weights.version, servers: values.length, least: Math.min(...values), most: Math.max(...values) } })
+  }
+  return lines
+}
--- a/packages/daemon/src/core/fleet/presenceLoop.ts
+++ b/packages/daemon/src/core/fleet/presenceLoop.ts
@@ -1,5 +1,6 @@
 /** Exchanges presence with the leader, and at the leader notes servers that fell silent. */
 import { messageOf } from '@lynxcourse/base'
+import type { Millis } from '@lynxcourse/base'
 import { presentBackends } from '@lynxcourse/state'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
@@ -10,7 +11,7 @@
 import type { FleetControl } from './fleetControl.js'
 import { noteDigest, takeNews, updateBoard } from './loadBoard.js'
 import { takeDigest } from './loadIntake.js'
-import { takePlanLines } from './planLog.js'
+import { newsLines, takePlanLines } from './planLog.js'
 import { openSlots, serverPlaces } from './serverSlots.js'
 import { agedEntries, missedServers, noteEntry, prunePresence, takePresenceReport } from './presence.js'
 import type { PresenceNews, PresenceReply, PresenceReport } from './presence.js'
@@ -50,17 +51,13 @@
 }
 
 async function exchange (control: FleetControl): Promise<void> {
-  const { node, host, presence, intake, board } = control
+  const { node, host, presence, intake } = control
   const now = presentTime()
   prunePresence(presence, now)
   const report: PresenceReport = { from: { rpc: node.cfg.rpc, region: node.cfg.region }, entries: agedEntries(presence, now), heard: [...presence.heard], load: takeDigest(intake, now) }
   if (leads(host)) {
     presence.heard.clear()
-    noteDigest(board, node.cfg.rpc, report.load, now)
-    updateBoard(board, openSlots(host.machine.config, node.cfg.regions), serverPlaces(host.machine.config, node.cfg.regions), now)
-    for (const { service, region, near, demand, slots } of takePlanLines(board)) {
-      log(node.logs, 'shift', 'info', 'Region plan moved.', { service, from: region, near: Math.round(near * 1000) / 1000, demand: Math.round(demand), slots })
-    }
+    putLoadsTogether(control, report, now)
     takeReply(control, takePresenceReport(presence, report, now))
     await noteMissed(control, now)
     return
@@ -71,7 +68,20 @@
   const reply = await callPeer<PresenceReply>(node.client, leader, 'fleet.presence', report)
   for (const id of report.heard) presence.heard.delete(id)
   takeReply(control, reply)
-  takeNews(board, reply.news)
+  takeNews(control.board, reply.news)
+}
+
+/** The leader's part: the board of loads, and a line for each thing that it now tells otherwise. */
+function putLoadsTogether (control: FleetControl, report: PresenceReport, now: Millis): void {
+  const { node, host, board } = control
+  const { config } = host.machine
+  const before = board.news
+  noteDigest(board, node.cfg.rpc, report.load, now)
+  updateBoard(board, openSlots(config, node.cfg.regions), serverPlaces(config, node.cfg.regions), now)
+  for (const { service, region, near, demand, slots } of takePlanLines(board)) {
+    log(node.logs, 'shift', 'info', 'Region plan moved.', { service, from: region, near: Math.round(near * 1000) / 1000, demand: Math.round(demand), slots })
+  }
+  for (const { message, fields } of newsLines(before, board.news)) log(node.logs, 'member', 'info', message, fields)
 }
 
 function takeReply (control: FleetControl, reply: PresenceNews): void {
