--- a/packages/daemon/__tests__/loadBoard.test.ts
+++ b/packages/daemon/__tests__/loadBoard.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test'
 import { brandId } from '@lynxcourse/base'
 import type { RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { createLoadBoard, createLoadIntake, createLoadNotes, newsFor, newsLines, noteAhead, noteBusy, noteDigest, noteLoadReport, noteUnansweredBy, takeDigest, takeLoadReport, takeNews, takePlanLines, updateBoard } from '@lynxcourse/daemon'
+import { createLoadBoard, createLoadIntake, createLoadNotes, newsFor, newsLines, noteAhead, noteBusy, noteDigest, noteLoadReport, noteFailedServer, takeDigest, takeLoadReport, takeNews, takePlanLines, updateBoard } from '@lynxcourse/daemon'
 import type { LoadBoard, ServerPlaces, ServiceSlots } from '@lynxcourse/daemon'
 
 const desk = brandId<ServiceId>('desk')
@@ -154,9 +154,9 @@
 
 test('an entry VM tells of a failed server once, and not where it answered later', () => {
   const notes = createLoadNotes(0)
-  noteUnansweredBy(notes, server)
+  noteFailedServer(notes, server)
   assert.deepEqual(takeLoadReport(notes, 500)?.failed, [server])
-  noteUnansweredBy(notes, server)
+  noteFailedServer(notes, server)
   noteAhead(notes, server, 1)
   assert.deepEqual(takeLoadReport(notes, 1000), { servers: [[server, 1]], busy: [], failed: [] })
 })
--- a/packages/daemon/src/core/fleet/loadReport.ts
+++ b/packages/daemon/src/core/fleet/loadReport.ts
@@ -24,7 +24,7 @@
 }
 
 /** Notes that a server left a request without an answer. */
-export function noteUnansweredBy (notes: LoadNotes, server: ServerId): void {
+export function noteFailedServer (notes: LoadNotes, server: ServerId): void {
   notes.ahead.delete(server)
   notes.failed.add(server)
 }
--- a/packages/daemon/src/core/gateway/learning.ts
+++ b/packages/daemon/src/core/gateway/learning.ts
@@ -5,7 +5,7 @@
   workKey, workOf
 } from '@lynxcourse/routing'
 import type { Placed } from '@lynxcourse/routing'
-import { noteBusy, noteUnansweredBy } from '../fleet/loadReport.js'
+import { noteBusy, noteFailedServer } from '../fleet/loadReport.js'
 import { objectOf } from './call.js'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
@@ -33,12 +33,12 @@
         break
       }
       noteBad(server, true, now)
-      if (result.reason === 'unreached') noteUnansweredBy(gateway.node.load, server.facts.id)
+      if (result.reason === 'unreached') noteFailedServer(gateway.node.load, server.facts.id)
       break
     case 'lost':
       if (result.reason === 'slow' || result.reason === 'deadline') noteBad(server, true, now)
       else if (result.reason !== 'gone') noteBad(server, false, now)
-      if (result.reason !== 'gone' && result.reason !== 'spoiled') noteUnansweredBy(gateway.node.load, server.facts.id)
+      if (result.reason !== 'gone' && result.reason !== 'spoiled') noteFailedServer(gateway.node.load, server.facts.id)
       break
   }
 }
