Keep the connection of the TLS test in use: the server closes one that rests for five seconds

Making keys took over five seconds there; meanwhile the server closed the resting connection, as it does whatever files are in force, and the client with the old authority could not open another. Ruled out: a connection dropped by the change of files.

--- a/packages/daemon/__tests__/tls.test.ts
+++ b/packages/daemon/__tests__/tls.test.ts
@@ -100,11 +100,14 @@
 
 test('changed files are taken over without dropping connections', async () => {
   const operator = clientOf(await authority.sign('operator:asha'))
-  assert.equal(await outcome(operator, 'query.status'), 'done')
   const next = await makeAuthority()
-  await writeIdentityFiles(folder, await next.sign('vm:vm-1'))
+  const nextIdentity = await next.sign('vm:vm-1')
   const newOperator = clientOf(await next.sign('operator:ravi'))
+  assert.equal(await outcome(operator, 'query.status'), 'done')
+  await writeIdentityFiles(folder, nextIdentity)
   await soon('the new authority is taken', async () => {
+    // Kept in use: the server closes a connection that rests for five seconds, whatever files are in force.
+    assert.equal(await outcome(operator, 'query.status'), 'done', 'the open connection serves on')
     refreshPools(newOperator)
     return await outcome(newOperator, 'query.status') === 'done'
   })
