Elect a leader soon after a start of all: voters ask in their order, and a pre-vote is kept for one copy

Change: a starting copy asks after a quarter of a heartbeat and half a heartbeat a rank more; a pre-vote is kept for the copy that got it for 1.25 heartbeats; a lost vote is repeated after half a time-out; a leader that settles tells the commit index at once.

--- a/packages/agreement/src/core/election.ts
+++ b/packages/agreement/src/core/election.ts
@@ -3,10 +3,19 @@
 import type { Output, VoteAnswer, VoteRequest } from '../types/messages.js'
 import { appendOwn, broadcast } from './replication.js'
 import {
-  isLeader, isVoter, lastIndex, lastTerm, quorumSize, resetElection, saveHardState, send, takeRoleEvent, voters
+  awaitVotes, isLeader, isVoter, lastIndex, lastTerm, quorumSize, resetElection, saveHardState, send, takeRoleEvent, voters
 } from './replica.js'
 import type { Replica } from './replica.js'
 
+/**
+ * How long a copy keeps a pre-vote for the one that it was given to, in heartbeats: a way there and back, and the vote after it.
+ *
+ * What can go wrong: all copies start at one moment, several win their pre-votes within some milliseconds, and the votes of the
+ * same term are split among them. It shows as candidates of one term at several VMs and no leader for another time-out. A pre-vote
+ * that is kept for one copy lets only one of them win a quorum.
+ */
+const keepPreVoteHeartbeats = 1.25
+
 /**
  * Starts a pre-vote. A copy that was cut off would otherwise come back with a high term and force
  * the working leader to step down; the pre-vote raises no term until a quorum says it would vote.
@@ -16,6 +25,7 @@
   resetElection(replica, now)
   replica.leader = undefined
   replica.votes = new Set([replica.id])
+  keepPreVote(replica, replica.id, now)
   askForVotes(replica, true, out)
   checkVotes(replica, now, out)
 }
@@ -25,7 +35,7 @@
   replica.term += 1
   replica.votedFor = replica.id
   replica.votes = new Set([replica.id])
-  resetElection(replica, now)
+  awaitVotes(replica, now)
   saveHardState(replica, out)
   askForVotes(replica, false, out)
   checkVotes(replica, now, out)
@@ -71,11 +81,32 @@
 
 /** Answers a request for a vote or a pre-vote. */
 export function answerVote (replica: Replica, from: HolderId, request: VoteRequest, now: Millis, out: Output): void {
-  const granted = request.pre ? wouldVote(replica, request, now) : giveVote(replica, from, request, now, out)
+  const granted = request.pre ? givePreVote(replica, from, request, now) : giveVote(replica, from, request, now, out)
   const term = request.pre && granted ? request.term : replica.term
   send(replica, out, from, { type: 'voteAnswer', pre: request.pre, term, granted })
 }
 
+function givePreVote (replica: Replica, from: HolderId, request: VoteRequest, now: Millis): boolean {
+  if (!wouldVote(replica, request, now) || isPreVoteKept(replica, from, now)) return false
+  keepPreVote(replica, from, now)
+  // The other one is about to win: a pre-vote of this copy's own would only hold votes back from it.
+  replica.electionAt = Math.max(replica.electionAt, now + keptMs(replica))
+  return true
+}
+
+function keepPreVote (replica: Replica, id: HolderId, now: Millis): void {
+  replica.preVotedFor = id
+  replica.preVotedAt = now
+}
+
+function isPreVoteKept (replica: Replica, from: HolderId, now: Millis): boolean {
+  return replica.preVotedFor !== from && now - replica.preVotedAt < keptMs(replica)
+}
+
+function keptMs (replica: Replica): Millis {
+  return replica.times.heartbeatMs * keepPreVoteHeartbeats
+}
+
 function wouldVote (replica: Replica, request: VoteRequest, now: Millis): boolean {
   const hasLeader = isLeader(replica) || now - replica.leaderHeardAt < replica.times.electionMs
   if (hasLeader) return false
--- a/packages/agreement/src/core/replica.ts
+++ b/packages/agreement/src/core/replica.ts
@@ -42,6 +42,9 @@
   synced: number
   electionAt: Millis
   leaderHeardAt: Millis
+  /** The copy that was last told that it would get this one's vote, and when. */
+  preVotedFor: HolderId | undefined
+  preVotedAt: Millis
   /** When this follower last held all that the leader knew to be committed. */
   freshAt: Millis
   votes: Set<HolderId>
@@ -70,8 +73,14 @@
   readonly stored: StoredLog
 }
 
-/** Heartbeats that a copy waits for a leader after its start; the way between regions takes most of one. */
-const firstElectionHeartbeats = 2
+/**
+ * When a copy that starts asks for votes, in heartbeats: the first voter soon, each next one this much later, so that the first
+ * one's question reaches it before it asks itself.
+ */
+const firstAskHeartbeats = 0.25
+const rankHeartbeats = 0.5
+/** Time until such a copy asks again, in heartbeats: others of its age may not have listened yet. */
+const startRetryHeartbeats = 2
 
 /** Makes a copy of the log from what its disk holds. */
 export function createReplica (setup: ReplicaSetup, now: Millis): Replica {
@@ -94,6 +103,8 @@
     synced: 0,
     electionAt: 0,
     leaderHeardAt: -Infinity,
+    preVotedFor: undefined,
+    preVotedAt: -Infinity,
     freshAt: -Infinity,
     votes: new Set(),
     progress: new Map(),
@@ -109,12 +120,22 @@
   }
   replica.synced = lastIndex(replica)
   refreshMembers(replica)
-  // A copy that starts asks for votes soon: a leader that lives shows itself within two heartbeats, and where
-  // all copies start together nobody has anything to wait for. A pre-vote disturbs no leader.
-  replica.electionAt = now + setup.times.heartbeatMs * firstElectionHeartbeats + Math.floor(replica.random() * setup.times.electionMs / 2)
+  // A copy that starts asks for votes soon: where all copies start together nobody has anything to wait for, and a
+  // pre-vote disturbs no leader that lives.
+  replica.electionAt = now + setup.times.heartbeatMs * (firstAskHeartbeats + rankHeartbeats * rankOf(replica))
   return replica
 }
 
+/** Place of this copy among the voters, which all copies see alike; 0 where it is no voter. */
+function rankOf (replica: Replica): number {
+  return Math.max(0, voters(replica).sort().indexOf(replica.id))
+}
+
+/** Whether this copy has heard of no leader since its start. */
+function isStarting (replica: Replica): boolean {
+  return replica.leaderHeardAt === -Infinity
+}
+
 /** Moves the role by the chart. */
 export function takeRoleEvent (replica: Replica, event: string): void {
   replica.role = nextState(replica.chart, replica.role, event)
@@ -187,10 +208,22 @@
   }
 }
 
-/** Draws the time of the next election, between one and two election time-outs from now. */
+/**
+ * Draws the time of the next election: between one and two election time-outs from now, and soon, in the order of the
+ * voters, where this copy has heard of no leader since its start.
+ */
 export function resetElection (replica: Replica, now: Millis): void {
-  const { electionMs } = replica.times
-  replica.electionAt = now + electionMs + Math.floor(replica.random() * electionMs)
+  const { electionMs, heartbeatMs } = replica.times
+  const chance = replica.random()
+  const waitMs = isStarting(replica)
+    ? heartbeatMs * (startRetryHeartbeats + rankHeartbeats * (rankOf(replica) + chance))
+    : electionMs * (1 + chance)
+  replica.electionAt = now + Math.floor(waitMs)
+}
+
+/** Draws the time at which a vote that was not won counts as lost; half a time-out covers a way there and back and a sync. */
+export function awaitVotes (replica: Replica, now: Millis): void {
+  replica.electionAt = now + Math.floor(replica.times.electionMs * (0.5 + replica.random() / 2))
 }
 
 export function emptyOutput (): Output {
--- a/packages/agreement/src/core/replication.ts
+++ b/packages/agreement/src/core/replication.ts
@@ -107,7 +107,10 @@
   const index = Math.min(reached, lastIndex(replica))
   if (index <= replica.commit) return
   if (entryAt(replica, index)?.term !== replica.term) return
+  const wasSettled = isSettledLeader(replica)
   commitTo(replica, index, out)
+  // Followers count as up to date by the first commit index that they hear: with the next heartbeat it came 120 ms later.
+  if (!wasSettled && isSettledLeader(replica)) replica.heartbeatAt = -Infinity
   confirmRounds(replica, out)
 }
 
