--- a/packages/base/src/utils/hash.ts
+++ b/packages/base/src/utils/hash.ts
@@ -1,11 +1,9 @@
-/** Rendezvous hashing (highest random weight) over `xxhash-wasm`. */
-import createHasher from 'xxhash-wasm'
-
-const hasher = await createHasher()
+/** Rendezvous hashing (highest random weight) over xxHash. */
+import { xxHash32 } from 'js-xxhash'
 
 /** 32-bit xxHash of a text. */
 export function hashText (text: string): number {
-  return hasher.h32(text) >>> 0
+  return xxHash32(text, 0) >>> 0
 }
 
 /**
