Tell a server's starts apart by the time of its start, and give words of strangers no effect

Cause: a server may start again under its id with its count anew; its announcements were taken for late ones, and late ones of a former start for present. An announcement of a service that no route knows, or of a later start's address, displaced a server.

--- a/packages/daemon/__tests__/support/fleetRig.ts
+++ b/packages/daemon/__tests__/support/fleetRig.ts
@@ -144,7 +144,7 @@
   })
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
-  const facts: BackendFacts = { id: brandId<ServerId>(id), service: desk, address, failureDomain: domain, slots: 3, software: 'v1', isDraining: false, seq: 1, coldMs: 0 }
+  const facts: BackendFacts = { id: brandId<ServerId>(id), service: desk, address, failureDomain: domain, slots: 3, software: 'v1', isDraining: false, bornAt: 0, seq: 1, coldMs: 0 }
   return {
     facts,
     requests,
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path'
 import { LynxError, brandId, hashText, holderOf, isLynxError, vmOfHolder } from '@lynxcourse/base'
 import type { HolderId, Incarnation, Millis, ServerId, VmId } from '@lynxcourse/base'
-import { findItem, isNews, routeSetOf, routesVersionOf } from '@lynxcourse/state'
+import { findItem, isCredible, isNews, routeSetOf, routesVersionOf } from '@lynxcourse/state'
 import type { BackendFacts, ChangeAnswer, RouteCommand, RouteSet } from '@lynxcourse/state'
 import { log } from '../../utils/logging.js'
 import { openControl } from '../control/controlHost.js'
@@ -134,18 +134,21 @@
  * Takes a server's announcement. What is news is committed before the server hears of it, so that a
  * server told that its leaving is known gets no new work from any VM in touch.
  *
- * @throws LynxError when news could not be committed
+ * @throws LynxError when news could not be committed, or for a failure domain that is not known
  */
 export async function takeAnnouncement (control: FleetControl, facts: BackendFacts): Promise<void> {
-  control.presence.heard.add(facts.id)
+  if (!control.node.cfg.regions.has(facts.failureDomain)) {
+    throw new LynxError('badRequest', `failureDomain: '${facts.failureDomain}' is not known`, { step: 'announce', field: 'failureDomain' })
+  }
+  if (isCredible(control.host.machine.config, facts)) control.presence.heard.add(facts.id)
   if (!isNews(control.host.machine.config, facts)) return
   await submitRouteCommand(control, { type: 'announce', facts })
 }
 
-/** Takes a server's word that it has ended or ends now. */
-export async function dismissServer (control: FleetControl, id: ServerId): Promise<void> {
+/** Takes a server's word that it has ended or ends now; `bornAt` tells which start of it. */
+export async function dismissServer (control: FleetControl, id: ServerId, bornAt?: Millis): Promise<void> {
   if (findItem(control.host.machine.config, 'backend', id)?.state === 'gone') return
-  await submitRouteCommand(control, { type: 'dismiss', ids: [id] })
+  await submitRouteCommand(control, { type: 'dismiss', ids: [id], ...(bornAt === undefined ? {} : { bornAt }) })
 }
 
 /** Whether the copy is known to be the present state, as of some milliseconds ago. */
--- a/packages/state/__tests__/routes.test.ts
+++ b/packages/state/__tests__/routes.test.ts
@@ -56,7 +56,7 @@
 }
 
 function facts (id: string, parts: Partial<BackendFacts> = {}): BackendFacts {
-  return { id: brandId<ServerId>(id), service: desk, address: '10.0.0.1:80', failureDomain: brandId<FailureDomainId>('kochi-a'), slots: 3, software: 'v1', isDraining: false, seq: 1, coldMs: 0, ...parts }
+  return { id: brandId<ServerId>(id), service: desk, address: '10.0.0.1:80', failureDomain: brandId<FailureDomainId>('kochi-a'), slots: 3, software: 'v1', isDraining: false, bornAt: 0, seq: 1, coldMs: 0, ...parts }
 }
 
 function codeOf (answer: ChangeAnswer): string {
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -1,5 +1,5 @@
 /** Applies changes of routes, evacuations and announcements to the configuration. */
-import type { ServerId } from '@lynxcourse/base'
+import type { ServerId, ServiceId } from '@lynxcourse/base'
 import type { ChangeAnswer } from '../types/commands.js'
 import { routingKey } from '../types/routes.js'
 import type {
@@ -167,19 +167,51 @@
 function announce (config: Config, command: AnnounceCommand, version: number): ChangeAnswer {
   const { facts } = command
   const held = findItem(config, 'backend', facts.id)
-  // An announcement that was held up on its way must not undo a newer one, nor revive a lifetime that has ended.
-  if (held !== undefined && (held.state === 'gone' || facts.seq < held.facts.seq)) return accepted(config)
-  for (const other of listItems(config, 'backend')) {
-    const isFormer = other.key !== facts.id && other.facts.address === facts.address && other.state !== 'gone'
-    if (isFormer) setBackend(config, other, 'gone', version)
-  }
-  // Once a server said that it leaves, it leaves.
-  const isDraining = facts.isDraining || held?.state === 'draining'
+  if (!isCredible(config, facts, held)) return accepted(config)
+  for (const other of othersAt(config, facts)) setBackend(config, other, 'gone', version)
+  // Once a server said that it leaves, it leaves; the next start under its id did not say so.
+  const isDraining = facts.isDraining || (held?.state === 'draining' && !isNextStart(facts, held))
   const item: BackendItem = { kind: 'backend', key: facts.id, facts, state: isDraining ? 'draining' : 'serving' }
   setItem(config, version, item)
   return accepted(config)
 }
 
+/**
+ * Whether an announcement tells of the present.
+ *
+ * What can go wrong: announcements are held up on their way, and others than servers may write them. A late one of a former start
+ * would undo what the present one said, revive a server that has ended, or take the address from its successor; one for a service
+ * that no route knows would do so too. It shows as a server that is left out though it answers, or used though it has ended.
+ */
+export function isCredible (config: Config, facts: BackendFacts, held = findItem(config, 'backend', facts.id)): boolean {
+  if (!isKnownService(config, facts.service)) return false
+  if (othersAt(config, facts).some(other => other.state !== 'lost' && isFormerStart(facts, other))) return false
+  if (held === undefined || isNextStart(facts, held)) return true
+  if (held.state === 'gone') return false
+  // Clocks may be set back between two starts: once nothing was heard of the one that is known, the other's word counts.
+  if (isFormerStart(facts, held)) return held.state === 'lost'
+  return facts.seq >= held.facts.seq
+}
+
+/** Servers start before the first routes come; from then on a service has to be named by them. */
+function isKnownService (config: Config, service: ServiceId): boolean {
+  return routesVersionOf(config) === 0 || findItem(config, 'upstream', service)?.upstream !== undefined
+}
+
+/** Servers that were at the same address and have not ended. */
+function othersAt (config: Config, facts: BackendFacts): BackendItem[] {
+  return listItems(config, 'backend').filter(other => other.key !== facts.id && other.facts.address === facts.address && other.state !== 'gone')
+}
+
+/** Whether a server started after the start that is known; without a time of start nobody can tell. */
+function isNextStart (facts: BackendFacts, held: BackendItem): boolean {
+  return facts.bornAt > held.facts.bornAt && held.facts.bornAt > 0
+}
+
+function isFormerStart (facts: BackendFacts, held: BackendItem): boolean {
+  return facts.bornAt > 0 && facts.bornAt < held.facts.bornAt
+}
+
 function setBackend (config: Config, item: BackendItem, state: BackendState, version: number): void {
   setItem(config, version, { ...item, state })
 }
@@ -188,6 +220,8 @@
   for (const id of command.ids) {
     const held = findItem(config, 'backend', id)
     if (held === undefined || held.state === 'gone' || held.state === state) continue
+    // A former start that ended, or a word of its end that was held up, does not end the present one.
+    if (command.type === 'dismiss' && command.bornAt !== undefined && command.bornAt < held.facts.bornAt) continue
     if (state === 'lost' && held.state === 'draining') setBackend(config, held, 'gone', version)
     else setBackend(config, held, state, version)
   }
@@ -197,9 +231,8 @@
 /** Whether an announcement says anything that the configuration doesn't hold yet. */
 export function isNews (config: Config, facts: BackendFacts): boolean {
   const held = findItem(config, 'backend', facts.id)
-  if (held === undefined) return true
-  if (held.state === 'gone' || facts.seq < held.facts.seq) return false
-  if (held.state === 'lost') return true
+  if (!isCredible(config, facts, held)) return false
+  if (held === undefined || held.state === 'lost' || isNextStart(facts, held)) return true
   if (facts.isDraining !== (held.state === 'draining')) return facts.isDraining
   const { service, address, failureDomain, slots, software } = held.facts
   const isMoved = service !== facts.service || address !== facts.address || failureDomain !== facts.failureDomain || software !== facts.software
--- a/packages/state/src/types/routes.ts
+++ b/packages/state/src/types/routes.ts
@@ -74,7 +74,9 @@
   /** Version of the server's software. */
   readonly software: string
   readonly isDraining: boolean
-  /** Grows with each announcement of one lifetime. */
+  /** When it started, in Unix milliseconds; a server that starts again under its id tells another time. 0 where it did not say. */
+  readonly bornAt: Millis
+  /** Grows with each announcement of one incarnation, and starts anew with the next. */
   readonly seq: number
   /** How much longer it stays cold. */
   readonly coldMs: Millis
@@ -128,8 +130,8 @@
 
 /** Takes an announcement over. */
 export interface AnnounceCommand { readonly type: 'announce', readonly facts: BackendFacts }
-/** Notes that servers ended for good. */
-export interface DismissCommand { readonly type: 'dismiss', readonly ids: readonly ServerId[] }
+/** Notes that servers ended for good; with `bornAt`, only incarnations up to it. */
+export interface DismissCommand { readonly type: 'dismiss', readonly ids: readonly ServerId[], readonly bornAt?: Millis }
 /** Notes that servers fell silent; planned by the leader. */
 export interface MissCommand { readonly type: 'miss', readonly ids: readonly ServerId[] }
 
--- a/scripts/soak/stubServer.ts
+++ b/scripts/soak/stubServer.ts
@@ -36,7 +36,7 @@
     proxy,
     ledger,
     random,
-    facts: { id: brandId<ServerId>(''), service, address: proxy.address, failureDomain: domain, slots, software: 'stub', isDraining: false, seq: 0, coldMs: 0 },
+    facts: { id: brandId<ServerId>(''), service, address: proxy.address, failureDomain: domain, slots, software: 'stub', isDraining: false, bornAt: 0, seq: 0, coldMs: 0 },
     server: undefined,
     lifetimes: 0,
     running: 0,
