--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -157,7 +157,9 @@
   sendAll(host, out.messages)
   if (out.install && out.snapshot !== undefined) host.machine = readMachine(host.charts, out.snapshot.data)
   applyAll(host, out)
+  const isFirstFresh = host.appliedFreshAt === -Infinity && freshAt > -Infinity
   host.appliedFreshAt = freshAt
+  if (isFirstFresh) for (const listener of host.onProgress) listener()
   if (!needsSync) return
   const after = stepReplica(replica, { type: 'synced' }, presentTime())
   sendAll(host, after.messages)
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -65,12 +65,13 @@
     failureDomain: text,
     slots: z.number().int().min(1),
     software: z.string().max(200).default(''),
+    bornAt: z.number().int().min(0).default(0),
     isDraining: z.boolean(),
     seq: z.number().min(0),
     coldMs: z.number().min(0).default(0)
   })
 })
-const dismissSchema = z.strictObject({ server: text })
+const dismissSchema = z.strictObject({ server: text, bornAt: z.number().int().min(0).optional() })
 const lookupSchema = z.strictObject({ region: text.optional() })
 
 /** What a look-up tells a caller. */
@@ -98,8 +99,8 @@
     await takeAnnouncement(control, facts as unknown as BackendFacts)
     return {}
   })
-  addMethod(rpc, 'fleet.dismiss', ['server', 'operator'], dismissSchema, async ({ server }) => {
-    await dismissServer(control, brandId<ServerId>(server))
+  addMethod(rpc, 'fleet.dismiss', ['server', 'operator'], dismissSchema, async ({ server, bornAt }) => {
+    await dismissServer(control, brandId<ServerId>(server), bornAt)
     return {}
   })
   addMethod(rpc, 'fleet.lookup', ['vm', 'operator', 'server'], lookupSchema, ({ region }) =>
@@ -123,6 +124,7 @@
   const isNews = noteEntry(control.presence, request.self, presentTime())
   if (isNews) loop.urge()
   if (request.load !== undefined) noteLoadReport(control.intake, request.self.name, request.self.region, request.load, presentTime())
+  if (request.version === 0) await waitUntilCurrent(control, request.waitMs)
   if (control.host.machine.config.version <= request.version) await waitForNews(control, request)
   if (request.version > 0 && control.host.machine.config.version > request.version) await delay(gatherMs)
   const { config } = control.host.machine
@@ -137,8 +139,26 @@
 }
 
 async function waitForNews (control: FleetControl, request: WatchRequest): Promise<void> {
-  const { onProgress, machine } = control.host
-  const from = Math.max(request.version, machine.config.version)
+  const from = Math.max(request.version, control.host.machine.config.version)
+  await waitForProgress(control, request.waitMs, () => control.host.machine.config.version > from)
+}
+
+/**
+ * Holds the first watch of an entry VM until this VM's copy is the present state.
+ *
+ * What can go wrong: all VMs start at one moment. Eleven entry VMs asked again every 60 ms while the control VMs elected a
+ * leader, and their questions took the processor time that the election needed: 0.2 s for each of its two rounds. It shows
+ * as many lines of VMs that follow a control VM without a version. Held, each asks once and hears at once.
+ */
+async function waitUntilCurrent (control: FleetControl, waitMs: Millis): Promise<void> {
+  const isCurrent = (): boolean => stateAge(control, presentTime()) < control.node.cfg.times.staleMs
+  // A disk that was emptied gets the state from a leader, which takes seconds: another VM has it sooner.
+  if (control.host.replica !== undefined && !isCurrent()) await waitForProgress(control, waitMs, isCurrent)
+}
+
+/** Waits until the copy went on to a state that is asked for, or the time is over. */
+async function waitForProgress (control: FleetControl, waitMs: Millis, isReached: () => boolean): Promise<void> {
+  const { onProgress } = control.host
   await new Promise<void>(resolve => {
     const finish = (): void => {
       clearTimeout(timer)
@@ -146,8 +166,8 @@
       if (place >= 0) onProgress.splice(place, 1)
       resolve()
     }
-    const check = (): void => { if (control.host.machine.config.version > from) queueMicrotask(finish) }
-    const timer = setTimeout(finish, request.waitMs)
+    const check = (): void => { if (isReached()) queueMicrotask(finish) }
+    const timer = setTimeout(finish, waitMs)
     onProgress.push(check)
   })
 }
--- a/packages/daemon/src/core/fleet/presenceLoop.ts
+++ b/packages/daemon/src/core/fleet/presenceLoop.ts
@@ -2,6 +2,7 @@
 import { messageOf } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { presentBackends } from '@lynxcourse/state'
+import { readPlacement, writePlacement } from '../../plugins/placementFile.js'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { leads } from '../control/hostState.js'
@@ -19,6 +20,9 @@
 /** Least time between two exchanges when something new makes one urgent. */
 const urgentMs = 60
 
+/** What VMs were told of the placement is kept on disk this often; it moves by some objects in that time. */
+const keepEveryMs: Millis = 3000
+
 /** The running exchange. */
 export interface PresenceLoop extends AsyncDisposable {
   /** Exchanges soon, since an entry VM came or leaves. */
@@ -34,8 +38,10 @@
     wake = () => { clearTimeout(timer); setTimeout(resolve, urgentMs) }
   })
   const run = async (): Promise<void> => {
+    await restorePlacement(control)
     while (!state.stopped) {
       await exchange(control).catch((err: unknown) => log(control.node.logs, 'member', 'debug', 'Presence not exchanged.', { error: messageOf(err) }))
+      keepPlacement(control, presentTime())
       await pause()
     }
   }
@@ -50,6 +56,29 @@
   }
 }
 
+/** Goes on from the placement that this disk kept, until there is word of a newer one. */
+async function restorePlacement ({ node, board }: FleetControl): Promise<void> {
+  const { dataFolder } = node.cfg
+  if (dataFolder === undefined) return
+  try {
+    const kept = await readPlacement(dataFolder)
+    if (kept === undefined || board.news.plans.length > 0) return
+    takeNews(board, kept)
+    log(node.logs, 'member', 'info', 'Placement read.', { services: kept.plans.length, weights: kept.weights?.servers.length ?? 0 })
+  } catch (err) {
+    log(node.logs, 'member', 'warn', 'Placement not read; objects may get other servers.', { error: messageOf(err) })
+  }
+}
+
+function keepPlacement (control: FleetControl, now: Millis): void {
+  const { node, board } = control
+  const { dataFolder } = node.cfg
+  if (dataFolder === undefined || board.news.plans.length === 0 || now - board.keptAt < keepEveryMs) return
+  board.keptAt = now
+  // A disk that stalls must not hold the exchange up; the next write comes soon.
+  writePlacement(dataFolder, board.news).catch((err: unknown) => log(node.logs, 'member', 'warn', 'Placement not kept.', { error: messageOf(err) }))
+}
+
 async function exchange (control: FleetControl): Promise<void> {
   const { node, host, presence, intake } = control
   const now = presentTime()
--- a/packages/daemon/src/core/fleet/watching.ts
+++ b/packages/daemon/src/core/fleet/watching.ts
@@ -10,18 +10,17 @@
 import { controlAddresses, notifyFleetChange } from './fleetNode.js'
 import type { FleetNode } from './fleetNode.js'
 import { takeLoadReport } from './loadReport.js'
-import type { WeightNews } from '../../types/loads.js'
 import type { WatchReply, WatchRequest } from './fleetMethods.js'
 
 /** A control VM that failed is passed over for this long. */
 const avoidMs = 2000
 /** Pause after a failure, so that a fleet without control VMs is not flooded. */
 const retryMs = 60
+/** A VM without a state waits this long at one control VM for it, about the time of an election, before it asks the next one. */
+const firstWatchMs = 500
 /** Names of entry VMs are remembered for this long, since a control VM that has just started knows few. */
 const namesKeptMs = 30_000
 
-const noWeights: WeightNews = { version: 0, servers: [] }
-
 /** Follows; disposal ends it. */
 export interface Watching extends AsyncDisposable {
   readonly node: FleetNode
@@ -56,9 +55,8 @@
       continue
     }
     try {
-      // The first watch on a control VM returns at once: it shows whether that VM knows the present state.
       const isFirst = parent !== watching.parent
-      const reply = await watchOnce(watching, parent, isFirst ? 0 : node.cfg.times.watchMs)
+      const reply = await watchOnce(watching, parent, waitFor(watching, isFirst))
       if (isFirst) log(node.logs, 'sync', 'info', 'Follows a control VM.', { peer: parent, ageMs: reply.ageMs === null ? undefined : Math.round(reply.ageMs), version: node.config.version })
       watching.parent = parent
       takeWatchReply(watching, parent, reply, presentTime())
@@ -70,6 +68,12 @@
   }
 }
 
+/** The first watch on a control VM returns at once, so that it shows whether that VM knows the present state; a VM without any waits for it. */
+function waitFor ({ node }: Watching, isFirst: boolean): Millis {
+  if (!isFirst) return node.cfg.times.watchMs
+  return node.freshAt === -Infinity ? firstWatchMs : 0
+}
+
 /** Tells one control VM at once of a change of this VM's own state. */
 export async function tellPresence (watching: Watching): Promise<void> {
   const parent = chooseControl(watching, presentTime())
@@ -100,7 +104,10 @@
 function takeWatchReply (watching: Watching, parent: string, reply: WatchReply, now: Millis): void {
   const { node } = watching
   if (reply.controls.length > 0) node.controls = reply.controls
-  node.loadNews = { ...reply.news, weights: reply.news.weights ?? node.loadNews.weights ?? noWeights }
+  const weights = reply.news.weights ?? node.loadNews.weights
+  // A control VM that has just started has heard of no plans yet; what this VM was told last goes on until then.
+  const plans = reply.news.plans.length > 0 ? reply.news.plans : node.loadNews.plans
+  node.loadNews = { ...reply.news, plans, ...(weights === undefined ? {} : { weights }) }
   for (const listener of node.onLoad) listener()
   for (const name of reply.entries) watching.namesAt.set(name, now)
   for (const [name, at] of watching.namesAt) if (now - at > namesKeptMs) watching.namesAt.delete(name)
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -2,18 +2,21 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
-import type { Millis } from '@lynxcourse/base'
+import type { Millis, ServiceId } from '@lynxcourse/base'
 import { matchRoute, pickService } from '@lynxcourse/routing'
 import type { RoutedService } from '@lynxcourse/routing'
 import type { HeaderMap } from '../../types/answers.js'
-import { Cancel } from '../../utils/cancel.js'
+import type { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
 import { isHopByHop } from '../../utils/headers.js'
 import { readBody } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
+import { joinPipeline, leavePipeline, tryClosing } from './pipeline.js'
+import type { PipelinedRequest } from './pipeline.js'
 import { serveCall } from './serving.js'
+import { knowsRoutes, waitForRoutes } from './stateWait.js'
 
 /** Largest head that the parser takes; the routes' own limit may be lower. */
 const maxHeaderBytes = 65_536
@@ -21,8 +24,8 @@
 const maxHeldBytes = 67_108_864
 /** Idle connections stay open this much longer than promised, so that a request just in time finds them open. */
 const idleSlackMs: Millis = 2000
-/** When to come back to a VM that does not know the present state yet. */
-const notReadyRetryMs: Millis = 300
+/** When to come back to a VM that does not know the present state yet, after it was waited for. */
+const notReadyRetryMs: Millis = 500
 
 /** Makes the server; it does not listen yet. */
 export function createCallerFront (gateway: Gateway): Server {
@@ -42,19 +45,23 @@
 
 async function answerCall (gateway: Gateway, req: IncomingMessage, res: ServerResponse): Promise<void> {
   const arrivedAt = presentTime()
-  const gone = new Cancel()
-  res.once('close', () => { if (!res.writableFinished) gone.abort() })
   const { metrics } = gateway.node
-  const target = targetOf(gateway, req)
-  const service = target?.service ?? 'none'
+  let service: ServiceId | 'none' = 'none'
   gateway.open += 1
   metrics.inFlight.set(gateway.open)
+  const place = await joinPipeline(gateway.pipelines, req.socket)
+  const { gone } = place
   try {
+    await waitForRoutes(gateway, gone)
+    if (gone.aborted) return
+    const target = targetOf(gateway, req)
+    service = target?.service ?? 'none'
     const answer = target === undefined ? noRoute(gateway, req) : await serveRequest(gateway, req, target, gone, arrivedAt)
-    if (answer !== undefined && !gone.aborted) writeAnswer(gateway, res, answer)
+    if (answer !== undefined && !gone.aborted) writeAnswer(gateway, res, answer, place)
     metrics.requests.inc({ service, outcome: answer === undefined ? 'gone' : String(answer.status) })
     metrics.requestSeconds.observe({ service }, (presentTime() - arrivedAt) / 1000)
   } finally {
+    if (!res.writableEnded) leavePipeline(place)
     gateway.open -= 1
     metrics.inFlight.set(gateway.open)
   }
@@ -95,7 +102,7 @@
 function noRoute (gateway: Gateway, req: IncomingMessage): CallAnswer {
   req.resume()
   // A VM that does not know the present routes can't say that there is none.
-  if (gateway.node.freshAt === -Infinity || gateway.table.size === 0) return refusal(gateway, 'the routes are not known yet', notReadyRetryMs)
+  if (!knowsRoutes(gateway)) return refusal(gateway, 'the routes are not known yet', notReadyRetryMs)
   log(gateway.node.logs, 'route', 'info', 'No route.', { host: req.headers.host, path: req.url, stateVersion: gateway.node.config.version })
   return ownAnswer(404, 'no route')
 }
@@ -130,10 +137,11 @@
   return headers
 }
 
-function writeAnswer (gateway: Gateway, res: ServerResponse, answer: CallAnswer): void {
+function writeAnswer (gateway: Gateway, res: ServerResponse, answer: CallAnswer, place: PipelinedRequest): void {
   const headers: HeaderMap = { ...answer.headers, 'content-length': String(answer.body.length) }
   // A VM that leaves says so, so that the caller's next request goes elsewhere instead of crossing the close.
-  if (gateway.node.isLeaving) headers.connection = 'close'
+  if (gateway.node.isLeaving && tryClosing(place)) headers.connection = 'close'
+  res.once('finish', () => leavePipeline(place))
   res.writeHead(answer.status, headers)
   res.end(answer.body)
 }
--- /dev/null
+++ b/packages/daemon/src/core/gateway/pipeline.ts
@@ -0,0 +1,72 @@
+/**
+ * Requests that a caller sends over one connection before the first of them is answered. Answers go out in the order of the
+ * requests, which the HTTP server sees to; here it is decided which of them are worked on, and which are not any more.
+ *
+ * What can go wrong: only the answer that is due first is bound to the connection, so when the caller closes it, only that
+ * request hears of it, and servers work on for the others. Requests behind an answer that closes the connection count as not
+ * read and come again: what servers did for them is lost, and a VM that stops would cut answers that were nearly there. And a
+ * caller that sends thousands at once would have each of their answers held in memory until its turn. It shows as work at
+ * servers that nobody waits for, and as requests that end with a closed connection while a VM stops.
+ */
+import type { Socket } from 'node:net'
+import { Cancel } from '../../utils/cancel.js'
+
+/** Requests of one connection that are worked on at once; the next ones wait, so that at most so many answers are held for their turn. */
+const mostAtOnce = 8
+
+/** One request's place on its connection. */
+export interface PipelinedRequest {
+  readonly pipeline: Pipeline
+  /** Aborted when the caller closed the connection, or an answer before this one closes it. */
+  readonly gone: Cancel
+  start: () => void
+}
+
+/** Requests of one connection whose answers are not written out yet, in the order in which they came. */
+export interface Pipeline {
+  requests: PipelinedRequest[]
+  /** An answer that closes the connection was decided: what comes behind it counts as not read. */
+  isClosing: boolean
+}
+
+/** By connection. */
+export type Pipelines = WeakMap<Socket, Pipeline>
+
+function pipelineOf (pipelines: Pipelines, socket: Socket): Pipeline {
+  const known = pipelines.get(socket)
+  if (known !== undefined) return known
+  const pipeline: Pipeline = { requests: [], isClosing: false }
+  pipelines.set(socket, pipeline)
+  socket.once('close', () => { for (const request of pipeline.requests) cancel(request) })
+  return pipeline
+}
+
+/** Takes a request's place, and waits until it may be worked on or is cancelled. */
+export async function joinPipeline (pipelines: Pipelines, socket: Socket): Promise<PipelinedRequest> {
+  const pipeline = pipelineOf(pipelines, socket)
+  const request: PipelinedRequest = { pipeline, gone: new Cancel(), start: () => undefined }
+  pipeline.requests.push(request)
+  if (socket.destroyed || pipeline.isClosing) cancel(request)
+  else if (pipeline.requests.length > mostAtOnce) await new Promise<void>(resolve => { request.start = resolve })
+  return request
+}
+
+/** Gives a request's place up, once its answer is written out or there is none, and lets the next one start. */
+export function leavePipeline (request: PipelinedRequest): void {
+  const { pipeline } = request
+  pipeline.requests = pipeline.requests.filter(other => other !== request)
+  pipeline.requests[mostAtOnce - 1]?.start()
+}
+
+/** Whether the answer to a request may close its connection: no other one is due on it. From then on nothing behind it is worked on. */
+export function tryClosing (request: PipelinedRequest): boolean {
+  const { pipeline } = request
+  if (pipeline.isClosing || pipeline.requests.at(-1) !== request) return false
+  pipeline.isClosing = true
+  return true
+}
+
+function cancel (request: PipelinedRequest): void {
+  request.gone.abort()
+  request.start()
+}
--- /dev/null
+++ b/packages/daemon/src/core/gateway/stateWait.ts
@@ -0,0 +1,42 @@
+/**
+ * Requests that come to a VM which has just started and does not know the present state yet.
+ *
+ * What can go wrong: all VMs start at one moment, and the state is there within half a second. A caller that is refused
+ * meanwhile is told to come back, finds the VM in the same state and has no retry left. It shows as callers that are refused
+ * twice, and as the largest loss of the seconds after such a start. Held for that long, they are served.
+ */
+import type { Millis } from '@lynxcourse/base'
+import type { Cancel } from '../../utils/cancel.js'
+import type { Gateway } from './gateway.js'
+
+/** About twice the time from a start of all VMs to the first state, 0.5 s; a caller that has waited longer is told to come back. */
+const longestWaitMs: Millis = 1000
+/** Requests held at most; a few kilobytes each. */
+const mostWaiting = 500
+
+/** Whether requests can be judged here: the present state was read, and it has routes. */
+export function knowsRoutes (gateway: Gateway): boolean {
+  return gateway.node.freshAt > -Infinity && gateway.table.size > 0
+}
+
+/** Holds a request until the routes are known, its caller is gone, or the time is over. */
+export async function waitForRoutes (gateway: Gateway, gone: Cancel): Promise<void> {
+  if (knowsRoutes(gateway) || gateway.waiting >= mostWaiting) return
+  const { onChange } = gateway.node
+  gateway.waiting += 1
+  await new Promise<void>(resolve => {
+    const finish = (): void => {
+      clearTimeout(timer)
+      gone.off('abort', finish)
+      const place = onChange.indexOf(check)
+      if (place >= 0) onChange.splice(place, 1)
+      resolve()
+    }
+    // The change is still being taken over when listeners hear of it, so the request goes on after it.
+    const check = (): void => queueMicrotask(() => { if (knowsRoutes(gateway)) finish() })
+    const timer = setTimeout(finish, longestWaitMs)
+    gone.on('abort', finish)
+    onChange.push(check)
+  })
+  gateway.waiting -= 1
+}
