Placement at its worst: doubt servers by cold work, plan regions for the height of their demand, share slots by demand

(1) A request whose cold work met its route's timeout counted as its server's failure, and shut the server out for all its objects. (2) Demand was measured by answers: it fell where requests were refused and rose where objects were cold; smoothed up from nothing, it brought objects home to a region that could not hold them in the first seconds. (3) The plan followed each region's rise and fall ten seconds late, 36 s a period. (4) Bounds on requests under way were equal for VMs with unequal demand and fell to 0.8 of the slots. (5) A server without room for 40 ms gave its objects to another. (6) Weights moved by what chance showed at five slots. Change, in that order: only overdue requests, or such during which the server answered nothing, count against it; demand is the arrivals' warm work; a region keeps what fits at its highest demand of late beside the others' rest (0.75 of its slots) and moves only when over 0.8 or when a quarter could come home; shares by demand, bound from 1.2 shares; places are kept through a pause; weights by fills over 3 s and only where a server is 0.7 full.

--- a/packages/daemon/src/core/fleet/loadBoard.ts
+++ b/packages/daemon/src/core/fleet/loadBoard.ts
@@ -7,7 +7,7 @@
  * each answer tells its server's load; the leader smooths that and names the servers that are nearly full.
  */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { firstPlan, stepPlan, stepWeights, targetPlan } from '@lynxcourse/routing'
+import { firstPlan, mustMove, stepPlan, stepWeights, targetPlan } from '@lynxcourse/routing'
 import type { RegionLoad, RegionPlan, ServerFill } from '@lynxcourse/routing'
 import { createSilentServers, noteSilences, silentNow } from './silentServers.js'
 import type { SilentServers } from './silentServers.js'
@@ -18,10 +18,13 @@
 export interface LoadBoard {
   /** Smoothed requests ahead by server. */
   readonly smoothed: Map<ServerId, { ahead: number, at: Millis }>
+  /** Fills of servers over some seconds, from which weights move. */
+  readonly fills: Map<ServerId, number>
   /** Busy slots by control VM. */
   readonly byControl: Map<string, { readonly busy: BusySlots, readonly at: Millis }>
-  /** Smoothed demand by service and region. */
+  /** Smoothed demand by service and region, and its highest value of late. */
   readonly demand: Map<string, number>
+  readonly peaks: Map<string, number>
   readonly plans: Map<ServiceId, RegionPlan>
   readonly silent: SilentServers
   readonly weights: Map<ServerId, number>
@@ -29,9 +32,15 @@
   /** Services whose plan follows measured demand. */
   readonly measured: Set<ServiceId>
   plannedAt: Millis
+  /** Since when there are reports of demand; undefined before the first. */
+  measuringSince: Millis | undefined
+  /** When this VM began to lead, or went on after a pause: until it has heard of all, what it measures is too little. */
+  resumedAt: Millis
   /** Slots of each region at the last plan, and until when a loss of some lets objects move fast. */
   readonly slots: Map<string, number>
   lossUntil: Millis
+  /** When the news was last written to disk. */
+  keptAt: Millis
   /** Part that stays near by service and region, as the log last said. */
   readonly told: Map<string, number>
   news: LoadNews
@@ -47,10 +56,16 @@
 const maxNamed = 400
 /** Smoothing of the demand in a second: about three seconds of a wave of callers. */
 const demandSmoothingPerSecond = 0.3
+/** Time over which a server's fill is followed for its weight: at five slots, half of what a moment shows is chance. */
+const fillSmoothingMs: Millis = 3000
 /** Weights are told this often: 175 of them are 4 KB, and the objects that they move should get warm before the next ones move. */
 const weightsEveryMs: Millis = 2000
 /** A weight nearer to 1 than this moves next to nothing. */
 const leastToldChange = 0.03
+/** Part of the way back to the present demand that a peak goes in a second: half of it in about a minute. */
+const peakDecayPerSecond = 0.012
+/** A leader that did not plan for this long has perhaps just begun to lead; entry VMs report within the time after it. */
+const pauseMs: Millis = 2000
 /** Demand below this part of the slots says nothing yet. */
 const leastFill = 0.05
 /** A region that lost this part of its slots lost servers; fewer are the planned changes of an ordinary day. */
@@ -60,18 +75,23 @@
 export function createLoadBoard (): LoadBoard {
   return {
     smoothed: new Map(),
+    fills: new Map(),
     byControl: new Map(),
     demand: new Map(),
+    peaks: new Map(),
     plans: new Map(),
     silent: createSilentServers(),
     weights: new Map(),
     weightsToldAt: -Infinity,
     measured: new Set(),
     plannedAt: -Infinity,
+    measuringSince: undefined,
+    resumedAt: -Infinity,
     slots: new Map(),
     lossUntil: -Infinity,
+    keptAt: -Infinity,
     told: new Map(),
-    news: { full: [], plans: [], silent: [], weights: { version: 0, servers: [] } }
+    news: { full: [], plans: [], silent: [] }
   }
 }
 
@@ -89,11 +109,13 @@
 /** Smooths the demand, moves the plans on and names the full servers; at the leader, once an exchange. */
 export function updateBoard (board: LoadBoard, slots: ServiceSlots, places: ServerPlaces, now: Millis): void {
   const passedMs = Number.isFinite(board.plannedAt) ? Math.min(1000, now - board.plannedAt) : 0
+  if (now - board.plannedAt > pauseMs) board.resumedAt = now
   board.plannedAt = now
   smoothDemand(board, passedMs, now)
   if (noteSlots(board, slots)) board.lossUntil = now + lossForMs
   for (const [service, byRegion] of slots) planService(board, service, byRegion, passedMs, now)
   const full = fullServers(board, places, now)
+  smoothFills(board, places, passedMs)
   stepWeights(board.weights, settledFills(board, places), passedMs)
   const silent = silentNow(board.silent, id => places.has(id), now)
   board.news = { full, silent, plans: encodePlans(board, fillsOf(board, places, slots)), weights: weightNews(board, places, now) }
@@ -105,10 +127,20 @@
     if (now - at > busyForMs) board.byControl.delete(control)
     else for (const [service, region, slots] of busy) present.set(`${service} ${region}`, (present.get(`${service} ${region}`) ?? 0) + slots)
   }
-  const part = Math.min(1, demandSmoothingPerSecond * passedMs / 1000)
+  // The demand of a former leader's measuring stands until the VMs' reports have come; taken for the fall of demand that it
+  // looks like, their lack would move objects away from the servers that are warm for them.
+  if (board.demand.size > 0 && now - board.resumedAt < busyForMs) return
+  if (board.measuringSince === undefined && present.size > 0) board.measuringSince = now
+  const measuredMs = now - (board.measuringSince ?? now)
+  // The first reports are averaged: smoothed up from nothing, a demand that has just begun looks so small that objects come
+  // home to a region that can't hold them.
+  const part = Math.max(demandSmoothingPerSecond * passedMs / 1000, passedMs / (measuredMs + passedMs || 1))
   for (const key of new Set([...present.keys(), ...board.demand.keys()])) {
     const held = board.demand.get(key) ?? 0
-    board.demand.set(key, held + ((present.get(key) ?? 0) - held) * part)
+    const demand = held + ((present.get(key) ?? 0) - held) * part
+    const peak = board.peaks.get(key) ?? 0
+    board.demand.set(key, demand)
+    board.peaks.set(key, Math.max(demand, peak - (peak - demand) * peakDecayPerSecond * passedMs / 1000))
   }
 }
 
@@ -126,16 +158,21 @@
 }
 
 function planService (board: LoadBoard, service: ServiceId, byRegion: ReadonlyMap<RegionId, number>, passedMs: Millis, now: Millis): void {
-  const loads: RegionLoad[] = [...byRegion].map(([region, slots]) => ({ region, slots, demand: board.demand.get(`${service} ${region}`) ?? 0 }))
+  const loads: RegionLoad[] = [...byRegion].map(([region, slots]) => {
+    const key = `${service} ${region}`
+    return { region, slots, demand: board.demand.get(key) ?? 0, peak: board.peaks.get(key) ?? 0 }
+  })
   const held = board.plans.get(service)
   const demand = loads.reduce((sum, load) => sum + load.demand, 0)
   const total = loads.reduce((sum, load) => sum + load.slots, 0)
-  if (demand >= total * leastFill) board.measured.add(service)
+  const measuredMs = now - (board.measuringSince ?? now)
+  if (demand >= total * leastFill && measuredMs >= busyForMs) board.measured.add(service)
   if (held === undefined || !board.measured.has(service)) {
     board.plans.set(service, firstPlan(loads))
     return
   }
-  board.plans.set(service, stepPlan(held, targetPlan(loads), now < board.lossUntil, passedMs))
+  const target = targetPlan(loads)
+  if (mustMove(held, target, loads)) board.plans.set(service, stepPlan(held, target, now < board.lossUntil, passedMs))
 }
 
 function fullServers (board: LoadBoard, places: ServerPlaces, now: Millis): LoadNews['full'] {
@@ -148,24 +185,35 @@
   return named.sort((a, b) => b[1] - a[1]).slice(0, maxNamed)
 }
 
+/** Follows the servers' fills over some seconds; what is left of chance in them moves no weights. */
+function smoothFills (board: LoadBoard, places: ServerPlaces, passedMs: Millis): void {
+  const part = Math.min(1, passedMs / fillSmoothingMs)
+  for (const [id, { ahead }] of board.smoothed) {
+    const slots = places.get(id)?.slots ?? 1
+    const held = board.fills.get(id) ?? ahead / slots
+    board.fills.set(id, held + (ahead / slots - held) * part)
+  }
+  for (const id of board.fills.keys()) if (!board.smoothed.has(id)) board.fills.delete(id)
+}
+
 /** Fills of the servers that were heard of lately and take work like their neighbours. */
 function settledFills (board: LoadBoard, places: ServerPlaces): ServerFill[] {
   const fills: ServerFill[] = []
-  for (const [id, { ahead }] of board.smoothed) {
+  for (const [id, fill] of board.fills) {
     const place = places.get(id)
-    if (place?.region !== undefined && place.isSettled) fills.push({ id, service: place.service, region: place.region, fill: ahead / place.slots })
+    if (place?.region !== undefined && place.isSettled) fills.push({ id, service: place.service, region: place.region, fill })
   }
   return fills
 }
 
 /** The weights to be told; the last ones until it is time for new ones, so that VMs hear of each version once. */
 function weightNews (board: LoadBoard, places: ServerPlaces, now: Millis): WeightNews {
-  const told = board.news.weights ?? { version: 0, servers: [] }
-  if (now - board.weightsToldAt < weightsEveryMs) return told
+  const told = board.news.weights
+  if (told !== undefined && now - board.weightsToldAt < weightsEveryMs) return told
   board.weightsToldAt = now
   for (const id of board.weights.keys()) if (!places.has(id)) board.weights.delete(id)
   const servers = [...board.weights].filter(([, weight]) => Math.abs(weight - 1) > leastToldChange)
-  return { version: told.version + 1, servers: servers.map(([id, weight]) => [id, Math.round(weight * 100) / 100]) }
+  return { version: Math.round(now), servers: servers.map(([id, weight]) => [id, Math.round(weight * 100) / 100]) }
 }
 
 /** The news for a VM that holds a version of the weights. */
@@ -187,12 +235,15 @@
   }))
 }
 
-function encodePlans ({ plans, measured }: LoadBoard, fills: ReadonlyMap<ServiceId, number>): PlanNews[] {
+function encodePlans ({ plans, measured, demand, peaks }: LoadBoard, fills: ReadonlyMap<ServiceId, number>): PlanNews[] {
+  const round = (slots: number): number => Math.round(slots * 10) / 10
   const rounded = (shares: ReadonlyMap<RegionId, number>): Array<readonly [RegionId, number]> => [...shares].map(([region, share]) => [region, Math.round(share * 1000) / 1000])
   return [...plans].map(([service, plan]) => ({
     service,
     isMeasured: measured.has(service),
     fill: Math.round((fills.get(service) ?? 0) * 100) / 100,
+    busy: round([...plan.keys()].reduce((sum, region) => sum + (demand.get(`${service} ${region}`) ?? 0), 0)),
+    demand: [...plan.keys()].map(region => [region, round(peaks.get(`${service} ${region}`) ?? 0)]),
     shares: [...plan].map(([region, shares]) => [region, rounded(shares)])
   }))
 }
@@ -203,7 +254,11 @@
   board.weights.clear()
   for (const [id, weight] of news.weights?.servers ?? []) board.weights.set(id, weight)
   board.plans.clear()
-  for (const { service, isMeasured, shares } of news.plans) {
+  for (const { service, isMeasured, demand, shares } of news.plans) {
+    for (const [region, slots] of demand) {
+      board.demand.set(`${service} ${region}`, slots)
+      board.peaks.set(`${service} ${region}`, slots)
+    }
     board.plans.set(service, new Map(shares.map(([region, inRegion]) => [region, new Map(inRegion)])))
     if (isMeasured) board.measured.add(service)
   }
--- a/packages/daemon/src/core/gateway/fleetView.ts
+++ b/packages/daemon/src/core/gateway/fleetView.ts
@@ -38,22 +38,30 @@
     forgetServer(fleet.warmth, id)
   }
   fleet.byService = groupByService(fleet)
+  takeWeights(fleet, node)
+}
+
+/** Weights come before or after the servers that they are for: a VM that starts hears of both in one reply. */
+function takeWeights (fleet: Fleet, node: FleetNode): void {
+  const weights = new Map(node.loadNews.weights?.servers)
+  for (const server of fleet.byId.values()) server.weight = weights.get(server.facts.id) ?? 1
 }
 
 /** Takes over what all VMs together saw of the load. */
 export function takeLoadNews (gateway: Gateway, now: Millis): void {
   const { fleet, node } = gateway
-  for (const { service, shares, fill } of node.loadNews.plans) {
+  for (const { service, shares, fill, busy } of node.loadNews.plans) {
     fleet.sharedFill.set(service, fill)
+    const ownBusy = node.load.demand.get(service)
+    if (ownBusy !== undefined && busy > 0) fleet.demandParts.set(service, ownBusy / busy)
     const own = shares.find(([region]) => region === node.cfg.region)?.[1]
     if (own !== undefined) fleet.shares.set(service, new Map(own))
   }
-  const weights = new Map(node.loadNews.weights?.servers)
+  takeWeights(fleet, node)
   const silent = new Set(node.loadNews.silent)
   for (const server of fleet.byId.values()) {
     noteShared(server, 0, now)
     noteSharedSilence(server, silent.has(server.facts.id), now)
-    server.weight = weights.get(server.facts.id) ?? 1
   }
   for (const [id, ahead] of node.loadNews.full) {
     const server = fleet.byId.get(id)
@@ -86,10 +94,15 @@
     address: facts.address,
     failureDomain: facts.failureDomain,
     region: node.cfg.regions.get(facts.failureDomain) ?? node.cfg.region,
+    bornAt: facts.bornAt,
     slots: Math.max(1, facts.slots),
     isClosed: item.state !== 'serving' || isEvacuated
   }
-  const held = fleet.byId.get(key)
+  const known = fleet.byId.get(key)
+  // A server that started again under its id holds nothing of before: what was learned of its former start is wrong.
+  const isNextStart = known !== undefined && known.facts.bornAt !== facts.bornAt
+  if (isNextStart) forgetServer(fleet.warmth, key)
+  const held = isNextStart ? undefined : known
   if (held === undefined) {
     // A server tells how long it stays cold; one that says nothing is warm. A VM that started anew and took all
     // servers for cold would refuse nearly all requests for the length of a warm-up.
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -1,6 +1,6 @@
 /** State of the gateway: the entry part of a fleet's VM, which forwards requests by route. */
 import { loadChart } from '@lynxcourse/base'
-import type { Millis, RegionId } from '@lynxcourse/base'
+import type { Millis, RegionId, ServiceId } from '@lynxcourse/base'
 import { buildRouteTable, createWarmth } from '@lynxcourse/routing'
 import type { Fleet, RetryShare, RouteTable, SplitPicker } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
@@ -9,6 +9,7 @@
 import { createPool } from '../entry/connectionPool.js'
 import type { ConnectionPool } from '../entry/connectionPool.js'
 import type { CallerDialect, ServerDialect } from './dialects.js'
+import type { Pipelines } from './pipeline.js'
 
 export interface Gateway {
   readonly node: FleetNode
@@ -22,6 +23,12 @@
   limits: CallerLimits
   /** Requests in this VM. */
   open: number
+  /** Requests that are not answered yet, by the callers' connections. */
+  readonly pipelines: Pipelines
+  /** Requests that wait for room at the servers, by service. */
+  readonly waitingForRoom: Map<ServiceId, number>
+  /** Requests that wait for the first state. */
+  waiting: number
   /** Bytes of request bodies held. */
   heldBytes: number
 }
@@ -41,6 +48,7 @@
     vms: node.entryNames,
     shares: new Map(),
     sharedFill: new Map(),
+    demandParts: new Map(),
     homeWarm: new Map(),
     meanSlowness: new Map(),
     concurrency: new Map()
@@ -55,7 +63,10 @@
     retries: new Map(),
     table: buildRouteTable([]),
     limits: defaultCallerLimits,
+    pipelines: new WeakMap(),
     open: 0,
+    waitingForRoom: new Map(),
+    waiting: 0,
     heldBytes: 0
   }
 }
--- a/packages/daemon/src/core/gateway/learning.ts
+++ b/packages/daemon/src/core/gateway/learning.ts
@@ -5,12 +5,12 @@
   workKey, workOf
 } from '@lynxcourse/routing'
 import type { Placed } from '@lynxcourse/routing'
-import { noteBusy, noteFailedServer } from '../fleet/loadReport.js'
+import { noteFailedServer } from '../fleet/loadReport.js'
 import { objectOf } from './call.js'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
 import { isServerError } from './sending.js'
-import type { SendResult } from './sending.js'
+import type { LostReason, SendResult } from './sending.js'
 
 /** Smoothing of the mean time in a slot. */
 const meanSmoothing = 0.05
@@ -36,13 +36,33 @@
       if (result.reason === 'unreached') noteFailedServer(gateway.node.load, server.facts.id)
       break
     case 'lost':
-      if (result.reason === 'slow' || result.reason === 'deadline') noteBad(server, true, now)
-      else if (result.reason !== 'gone') noteBad(server, false, now)
-      if (result.reason !== 'gone' && result.reason !== 'spoiled') noteFailedServer(gateway.node.load, server.facts.id)
+      noteLost(gateway, placed, result.reason, tookMs, now)
       break
   }
 }
 
+/** Part of the longest expected time beyond which a request without an answer tells of its server by itself. */
+const overduePart = 1.3
+
+/**
+ * Learns from a request that got no answer.
+ *
+ * What can go wrong: a route's timeout is hardly longer than the work for a cold object, so requests for objects that have just
+ * moved end by it. Taken for a failure of the server, each of them shut it out, its other objects moved in turn, and ended the
+ * same way. It shows as servers that are left alone while they answer others. So only a request that had the time to be answered
+ * counts, or one during which the server answered nothing else.
+ */
+function noteLost (gateway: Gateway, placed: Placed, reason: LostReason, tookMs: Millis, now: Millis): void {
+  const { server } = placed
+  if (reason === 'gone') return
+  const ranOut = reason === 'slow' || reason === 'deadline'
+  const isOverdue = ranOut && tookMs > placed.longestMs * overduePart
+  const answeredOthers = server.answeredAt > now - tookMs
+  if (ranOut && !isOverdue && answeredOthers) return
+  noteBad(server, isOverdue, now)
+  if (reason !== 'spoiled') noteFailedServer(gateway.node.load, server.facts.id)
+}
+
 /** Learns how many requests of the service may be under way. */
 export function noteLoad (gateway: Gateway, call: Call, placed: Placed, result: SendResult, tookMs: Millis, now: Millis): void {
   const { fleet } = gateway
@@ -80,7 +100,6 @@
   if (placed.place !== undefined && !wasWarm) learnWarmChance(fleet, call, placed.place, wasFast)
   // What this VM has seen doesn't tell warm from cold: of many VMs, another one may have warmed the object.
   if (!placed.isCold && waitMs === 0) learnWork(times, wasFast, inServer)
-  noteBusy(gateway.node.load, call.service, inServer)
   const mean = fleet.meanWork.get(call.service) ?? times.coldMs
   fleet.meanWork.set(call.service, mean + (Math.min(inServer, times.coldMs) - mean) * meanSmoothing)
   if (call.facts.object !== '') noteHandled(fleet.warmth, server.facts.id, objectOf(call), now)
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -1,5 +1,6 @@
 /** The log's lines for decisions on one request. */
-import type { Millis } from '@lynxcourse/base'
+import type { Millis, ServiceId } from '@lynxcourse/base'
+import { aheadOf, concurrencyOf } from '@lynxcourse/routing'
 import type { Placed, Refused } from '@lynxcourse/routing'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
@@ -22,7 +23,11 @@
     service: call.service,
     server: facts.id,
     region: facts.region,
+    ahead: Math.round(aheadOf(placed.server, presentTime()) * 10) / 10,
     try: sends,
+    object: call.facts.object,
+    place: placed.place,
+    cold: placed.isCold,
     warm: placed.wasWarm,
     expectedMs: Math.round(placed.travelMs + placed.waitMs + placed.workMs),
     waitMs: Math.round(placed.waitMs),
@@ -34,6 +39,12 @@
   })
 }
 
+/** What this VM has under way, its bound, and how full all VMs together saw the service. */
+function loadFields ({ fleet }: Gateway, service: ServiceId): LogFields {
+  const { underWay, limit, meanRatio } = concurrencyOf(fleet, service)
+  return { underWay, limit: Math.round(limit * 10) / 10, slowRatio: Math.round(meanRatio * 100) / 100, fill: fleet.sharedFill.get(service) }
+}
+
 /** Version of the state that decided, and how long ago it was known to be the present one. */
 function stateFields (gateway: Gateway): LogFields {
   const { node } = gateway
@@ -48,7 +59,9 @@
     route: call.route.name,
     service: call.service,
     reason: refused.reason,
+    object: call.facts.object,
     retryAfterMs: Math.round(refused.retryAfterMs),
+    ...loadFields(gateway, call.service),
     sends,
     leftMs: Math.round(call.deadline - presentTime()),
     ...stateFields(gateway)
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from 'undici'
 import { messageOf } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { noteReport, travelTo } from '@lynxcourse/routing'
+import { noteAnswered, noteReport, travelTo } from '@lynxcourse/routing'
 import type { Placed } from '@lynxcourse/routing'
 import type { HeaderMap } from '../../types/answers.js'
 import { presentTime } from '../../utils/clock.js'
@@ -23,6 +23,9 @@
   /** It may have run. */
   | { readonly type: 'lost', readonly reason: 'failed' | 'spoiled' | 'deadline' | 'slow' | 'gone', readonly detail: string }
 
+/** Why a request that was sent has no answer. */
+export type LostReason = Extract<SendResult, { type: 'lost' }>['reason']
+
 const firstServerError = 500
 
 /** Whether a status tells of a failure of the server. */
@@ -81,6 +84,7 @@
     return { type: 'lost', reason: 'spoiled', detail: body === undefined ? 'answer is too large' : isCut ? 'connection was reset in the body' : 'answer does not belong to the request' }
   }
   releaseConnection(gateway.pool, connection, presentTime())
+  noteAnswered(placed.server, presentTime())
   const ahead = gateway.servers.readAhead(raw)
   if (ahead !== undefined) {
     noteReport(placed.server, ahead, presentTime())
@@ -96,7 +100,7 @@
 }
 
 interface SendWatch {
-  readonly reason: () => Extract<SendResult, { type: 'lost' }>['reason']
+  readonly reason: () => LostReason
   readonly end: () => void
 }
 
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -4,15 +4,17 @@
  * This VM alone holds the request's connection, so nobody else can send the same attempt.
  */
 import type { Millis, ServerId } from '@lynxcourse/base'
-import { concurrencyOf, isCalm, isCold, noteRequest, noteStart, noteStop, placeRequest, spendRepeat, takeColdToken } from '@lynxcourse/routing'
+import { concurrencyOf, isCalm, isCold, noteRequest, noteStart, noteStop, patienceFor, placeRequest, slotTimeOf, spendRepeat, takeColdToken } from '@lynxcourse/routing'
 import type { Placed, PlaceRequest, Refused } from '@lynxcourse/routing'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
+import { noteDemand } from '../fleet/loadReport.js'
 import { objectOf } from './call.js'
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
 import { noteLoad, noteResult } from './learning.js'
 import { logRefusal, logSend } from './requestLog.js'
+import { mayWaitForRoom, waitEnd, waitForRoom } from './roomWait.js'
 import { isServerError, sendOnce } from './sending.js'
 import type { SendResult } from './sending.js'
 
@@ -21,8 +23,7 @@
 const statusTimeout = 504
 /** Most servers without room that one request asks; each ask costs a round trip and a place in the retry budget. */
 const maxFull = 2
-/** A repeatable request is tried elsewhere once it takes this many times what was expected, and this much more. */
-const slowFactor = 3
+/** A repeatable request is tried elsewhere once its server is doubted, and this much later. */
 const slowSlackMs: Millis = 200
 
 interface Run {
@@ -38,13 +39,19 @@
 /** Serves a request to its final answer; undefined when the caller is gone. */
 export async function serveCall (gateway: Gateway, call: Call): Promise<CallAnswer | undefined> {
   noteRequest(gateway.retries, gateway.node.cfg.retryBudget, call.service, presentTime())
+  noteDemand(gateway.node.load, call.service, slotTimeOf(gateway.fleet, call, objectOf(call)))
   const run: Run = { call, tried: new Set(), runs: 0, full: 0, sends: 0, last: undefined }
+  const waitsUntil = waitEnd(call, presentTime())
   for (;;) {
     const now = presentTime()
     if (call.gone.aborted) return undefined
     if (now >= call.deadline) return giveUp(gateway, run, statusTimeout, 'deadline passed')
     const placement = placeRequest(gateway.fleet, requestOf(call, run), now)
-    if (placement.type === 'refuse') return refuse(gateway, run, placement)
+    if (placement.type === 'refuse') {
+      if (!mayWaitForRoom(gateway, call, placement, waitsUntil, now)) return refuse(gateway, run, placement)
+      await waitForRoom(gateway, call)
+      continue
+    }
     if (run.sends > 0 && !mayRepeat(gateway, call, now)) return giveUpAfter(gateway, run)
     const result = await sendPlaced(gateway, run, placement, now)
     run.last = result
@@ -69,11 +76,11 @@
   run.tried.add(server.facts.id)
   if (isCold(server, now)) takeColdToken(server)
   const expectedMs = placed.travelMs + placed.waitMs + placed.workMs
-  const running = noteStart(server, expectedMs, now)
+  const running = noteStart(server, expectedMs, placed.longestMs, now)
   const concurrency = concurrencyOf(gateway.fleet, call.service)
   // Where all servers are slow, work given up half done only adds to the load of the next one.
   const mayLeave = call.route.isIdempotent && run.runs + 1 < call.route.maxAttempts && isCalm(concurrency)
-  const patience = mayLeave ? { until: now + expectedMs * slowFactor + slowSlackMs, mayGiveUp: () => hasOtherServer(gateway, run) } : undefined
+  const patience = mayLeave ? { until: now + patienceFor(expectedMs, placed.longestMs) + slowSlackMs, mayGiveUp: () => hasOtherServer(gateway, run) } : undefined
   concurrency.underWay += 1
   const result = await sendOnce(gateway, call, placed, patience)
   concurrency.underWay -= 1
--- a/packages/daemon/src/types/loads.ts
+++ b/packages/daemon/src/types/loads.ts
@@ -29,6 +29,10 @@
   readonly isMeasured: boolean
   /** Requests running and waiting for each open slot of the service. */
   readonly fill: number
+  /** Slots that the requests of all callers need now; a VM tells its own part of the slots by it. */
+  readonly busy: number
+  /** Most slots that each region's callers kept busy of late, so that the next leader need not measure it anew. */
+  readonly demand: ReadonlyArray<readonly [RegionId, number]>
   readonly shares: ReadonlyArray<readonly [RegionId, ReadonlyArray<readonly [RegionId, number]>]>
 }
 
@@ -45,7 +49,8 @@
 
 /** Weights of servers in hashing; those not named have 1. */
 export interface WeightNews {
-  readonly version: number
+  /** Time at which the leader told them: two leaders never give one version to different weights. */
+  readonly version: Millis
   readonly servers: ReadonlyArray<readonly [ServerId, number]>
 }
 
--- a/packages/routing/src/core/concurrency.ts
+++ b/packages/routing/src/core/concurrency.ts
@@ -29,14 +29,20 @@
 /** Factor by which the number falls, at most once in `lowerEveryMs`: about the time in which a change shows in the answers. */
 const lowerFactor = 0.9
 const lowerEveryMs = 300
-/** Part of the VM's equal share of all slots below which it never falls, and above which it never grows. */
-const leastPart = 0.8
+/**
+ * Part of the VM's share of all slots below which it never falls, and above which it never grows. Below the share itself, slots
+ * stood idle while requests were refused: a fifth of what the servers can do, for as long as their objects were cold.
+ */
+const leastPart = 1.2
 const mostPart = 4
-/** Where a service starts. */
-const firstPart = 3
+/** Where a service starts; all VMs may start together, with all that came meanwhile. */
+const firstPart = 1.3
 /** Parts of the number that each rank may fill; what is kept free for a more urgent rank is little, since it is refilled with each answer. */
 const rankParts = [1, 0.92, 0.84]
 
+/** Part of that for requests that can't be in time any more: what is served late takes no slot from what can be in time. */
+const latePart = 0.75
+
 export function createConcurrency (share: number): Concurrency {
   return { limit: Math.max(1, share * firstPart), underWay: 0, meanRatio: 1, loweredAt: -Infinity }
 }
@@ -46,9 +52,9 @@
   return concurrency.meanRatio < calmRatio
 }
 
-/** Whether a request of a rank may go now. */
-export function mayStart (concurrency: Concurrency, rank: number): boolean {
-  const part = rankParts[Math.min(rank, rankParts.length - 1)] ?? 1
+/** Whether a request of a rank may go now; `isLate` if it misses its latency objective in any case. */
+export function mayStart (concurrency: Concurrency, rank: number, isLate: boolean): boolean {
+  const part = (rankParts[Math.min(rank, rankParts.length - 1)] ?? 1) * (isLate ? latePart : 1)
   return concurrency.underWay < Math.max(1, concurrency.limit * part)
 }
 
@@ -56,7 +62,7 @@
  * Learns from one answer.
  *
  * @param ratio time taken to time expected; Infinity for none in time
- * @param share this VM's equal share of the slots that are open now
+ * @param share this VM's share of the slots that are open now
  */
 export function learnConcurrency (concurrency: Concurrency, ratio: number, share: number, now: Millis): void {
   const least = Math.max(1, share * leastPart)
--- a/packages/routing/src/core/fleet.ts
+++ b/packages/routing/src/core/fleet.ts
@@ -7,6 +7,7 @@
 import type { HashPlace } from './hashPlaces.js'
 import type { RegionShares } from './regionPlan.js'
 import type { Warmth } from './warmth.js'
+import { workOf } from './workModel.js'
 import type { WorkModel } from './workModel.js'
 
 /** What placement needs for its whole life. */
@@ -34,6 +35,8 @@
   readonly shares: Map<ServiceId, RegionShares>
   /** Requests ahead for each slot, by service, as all VMs together saw it. */
   readonly sharedFill: Map<ServiceId, number>
+  /** This VM's part of the demand for a service, as all VMs together saw it. */
+  readonly demandParts: Map<ServiceId, number>
   /** Chance that an object is warm where hashing puts it, by route, service and kind of place. */
   readonly homeWarm: Map<string, number>
   /** Smoothed ratio of real to expected times, by service; a server is slow only against its peers. */
@@ -72,13 +75,22 @@
   return made
 }
 
-/** This VM's equal share of a service's open slots. */
+/** Least and most of an equal share that a VM may count as its own, whatever demand it sees. */
+const leastOfEqual = 0.5
+const mostOfEqual = 3
+
+/**
+ * This VM's share of a service's open slots, by its part of the demand. With equal shares, callers of a failure domain with one VM
+ * or at the height of their day are refused while the slots that others count as theirs are idle.
+ */
 export function slotShare (fleet: Fleet, service: ServiceId): number {
+  const equal = 1 / Math.max(1, fleet.vms.length)
+  const part = fleet.demandParts.get(service) ?? equal
   let slots = 0
   for (const { facts } of fleet.byService.get(service) ?? []) {
     if (!facts.isClosed) slots += facts.slots
   }
-  return slots / Math.max(1, fleet.vms.length)
+  return slots * Math.min(mostOfEqual * equal, Math.max(leastOfEqual * equal, part))
 }
 
 /** Key of a request's learned times. */
@@ -86,6 +98,13 @@
   return `${request.route.name} ${request.service}`
 }
 
+/** Slot time that a request needs at a server that is warm for its object, or, without an object, the usual one of its service. */
+export function slotTimeOf (fleet: Fleet, request: RoutedService, object: string): Millis {
+  const times = workOf(fleet.work, workKey(request), request.route.aimMs)
+  if (request.route.isSticky && object !== '') return times.warmMs
+  return fleet.meanWork.get(request.service) ?? times.coldMs
+}
+
 /** Chance that an object is warm at a place where this VM has not seen it. */
 export function warmChance (fleet: Fleet, request: RoutedService, place: HashPlace): number {
   const chance = fleet.homeWarm.get(`${workKey(request)} ${place}`) ?? firstWarmChances[place]
--- a/packages/routing/src/core/fleetServer.ts
+++ b/packages/routing/src/core/fleetServer.ts
@@ -12,6 +12,8 @@
   readonly address: string
   readonly failureDomain: FailureDomainId
   readonly region: RegionId
+  /** When it started, in Unix milliseconds; 0 where it did not say. */
+  readonly bornAt: Millis
   readonly slots: number
   /** Takes no new work: it leaves, fell silent, or its failure domain is evacuated. */
   readonly isClosed: boolean
@@ -21,6 +23,8 @@
 export interface Running {
   readonly startedAt: Millis
   readonly expectedMs: Millis
+  /** What it takes where its object is cold. */
+  readonly longestMs: Millis
 }
 
 export interface FleetServer {
@@ -33,6 +37,8 @@
   /** Requests running and waiting by the server's last report, of all VMs together. */
   reportedAhead: number
   reportedAt: Millis
+  /** When it last answered this VM anything. */
+  answeredAt: Millis
   /** Requests that this VM sent since that report. */
   sentSince: number
   /** Smoothed requests ahead as all VMs together saw it, where it is nearly full. */
@@ -64,9 +70,16 @@
 const maxSuspicionMs = 5000
 /** Strikes before a server is left alone: one failure may be the connection's. */
 const strikesToSuspect = 2
-/** A request that runs for this many times what was expected, and this much more, marks a stall. */
+/**
+ * A request that runs for this many times what was expected, and this much more, marks a stall where no other answer came since,
+ * and only if it also ran for longer than cold work takes: objects turn cold when they move, and a server that was shut out for
+ * cold work sent its other objects on to be cold elsewhere.
+ */
 const stallFactor = 3
 const stallSlackMs = 250
+const coldStallFactor = 1.3
+/** With other answers since, only so many times the longest work marks one. */
+const answeringStallFactor = 3
 /** How long a server that had no room is left alone; about the time in which one slot comes free. */
 const fullPauseMs = 40
 /** A report's weight halves in this time; about two answers of a busy server apart. */
@@ -84,6 +97,7 @@
     running: new Set(),
     reportedAhead: 0,
     reportedAt: -Infinity,
+    answeredAt: -Infinity,
     sentSince: 0,
     sharedAhead: 0,
     sharedAt: -Infinity,
@@ -125,19 +139,34 @@
   server.silentUntil = isSilent ? now + sharedForMs : -Infinity
 }
 
-/** Whether a server may be given work at all. */
+/** Whether nothing speaks against a server but, perhaps, that it has no room for a moment. */
+export function isTrusted (server: FleetServer, now: Millis): boolean {
+  return !server.facts.isClosed && now >= server.suspectUntil && now >= server.silentUntil && !isStalled(server, now)
+}
+
+/** Whether a server may be given work now. */
 export function isOpen (server: FleetServer, now: Millis): boolean {
-  return !server.facts.isClosed && now >= server.pausedUntil && now >= server.suspectUntil && now >= server.silentUntil && !isStalled(server, now)
+  return now >= server.pausedUntil && isTrusted(server, now)
 }
 
 /** Whether one of this VM's requests runs for far longer there than it should. */
 export function isStalled (server: FleetServer, now: Millis): boolean {
-  for (const { startedAt, expectedMs } of server.running) {
-    if (now - startedAt > expectedMs * stallFactor + stallSlackMs) return true
+  for (const running of server.running) {
+    if (now - running.startedAt > stallAfter(server, running)) return true
   }
   return false
 }
 
+function stallAfter (server: FleetServer, { startedAt, expectedMs, longestMs }: Running): Millis {
+  if (server.answeredAt > startedAt) return longestMs * answeringStallFactor + stallSlackMs
+  return patienceFor(expectedMs, longestMs) + stallSlackMs
+}
+
+/** How long one request may take before its server is doubted. */
+export function patienceFor (expectedMs: Millis, longestMs: Millis): Millis {
+  return Math.max(expectedMs * stallFactor, longestMs * coldStallFactor)
+}
+
 /** Slowness as it counts now. */
 export function slownessOf (server: FleetServer, now: Millis): number {
   const age = now - server.reportedAt
@@ -146,8 +175,8 @@
 }
 
 /** Counts a request in. */
-export function noteStart (server: FleetServer, expectedMs: Millis, now: Millis): Running {
-  const running = { startedAt: now, expectedMs }
+export function noteStart (server: FleetServer, expectedMs: Millis, longestMs: Millis, now: Millis): Running {
+  const running = { startedAt: now, expectedMs, longestMs }
   server.running.add(running)
   server.sentSince += 1
   return running
@@ -158,6 +187,11 @@
   server.running.delete(running)
 }
 
+/** Notes that a server answered, whatever it said. */
+export function noteAnswered (server: FleetServer, now: Millis): void {
+  server.answeredAt = now
+}
+
 /** Takes a server's own report of its load. */
 export function noteReport (server: FleetServer, ahead: number, now: Millis): void {
   server.reportedAhead = ahead
--- a/packages/routing/src/core/placement.ts
+++ b/packages/routing/src/core/placement.ts
@@ -7,12 +7,13 @@
 import { mayStart } from './concurrency.js'
 import type { Concurrency } from './concurrency.js'
 import { isCold } from './coldShare.js'
-import { concurrencyOf } from './fleet.js'
+import { concurrencyOf, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
 import type { HashPlace } from './hashPlaces.js'
 import type { FleetServer } from './fleetServer.js'
-import { findBest } from './scoring.js'
+import { findBest, mayServe } from './scoring.js'
 import type { PlaceRequest } from './scoring.js'
+import { workOf } from './workModel.js'
 
 /** Where a request goes, and what is expected of it there. */
 export interface Placed {
@@ -25,6 +26,8 @@
   readonly waitMs: Millis
   readonly travelMs: Millis
   readonly workMs: Millis
+  /** Time that the request takes at most as far as is known: the way, the wait, and the work for an object that is cold there. */
+  readonly longestMs: Millis
 }
 
 /** Why a request goes nowhere now. */
@@ -46,15 +49,28 @@
 /** Chooses a server for a request, or says when to come back. */
 export function placeRequest (fleet: Fleet, request: PlaceRequest, now: Millis): Placed | Refused {
   const concurrency = concurrencyOf(fleet, request.service)
-  if (!mayStart(concurrency, request.route.rank)) return refuse(fleet, 'busy', timeToRoom(fleet, request.service, concurrency))
+  if (!mayStart(concurrency, request.route.rank, isLate(fleet, request, now))) return refuse(fleet, 'busy', timeToRoom(fleet, request.service, concurrency))
   const best = findBest(fleet, request, now)
-  if (best === undefined) return { type: 'refuse', reason: 'noServer', retryAfterMs: noServerRetryMs }
-  const { server, waitMs, travelMs, workMs, wasWarm, place } = best
+  if (best === undefined) return refuseUnplaced(fleet, request, concurrency)
+  const { server, waitMs, travelMs, workMs, coldMs, wasWarm, place } = best
   const endsAt = now + travelMs + waitMs + workMs
   if (endsAt > request.deadline) return refuse(fleet, 'noTime', endsAt - request.deadline)
   const tooLong = waitMs - allowedWait(request, travelMs + workMs, now)
   if (tooLong > 0) return refuse(fleet, 'busy', tooLong)
-  return { type: 'send', server, wasWarm, place, isCold: isCold(server, now), waitMs, travelMs, workMs }
+  return { type: 'send', server, wasWarm, place, isCold: isCold(server, now), waitMs, travelMs, workMs, longestMs: travelMs + waitMs + Math.max(workMs, coldMs) }
+}
+
+/** Whether a request misses its latency objective even where its object is warm and a slot is free. */
+function isLate (fleet: Fleet, { route, service, arrivedAt }: PlaceRequest, now: Millis): boolean {
+  return now - arrivedAt + workOf(fleet.work, workKey({ route, service }), route.aimMs).warmMs > route.aimMs
+}
+
+/** No server is open to a request: those that it may go to are without room for a moment, or there is none. */
+function refuseUnplaced (fleet: Fleet, request: PlaceRequest, concurrency: Concurrency): Refused {
+  const { service } = request
+  const isBusy = (fleet.byService.get(service) ?? []).some(server => mayServe(request, server))
+  if (isBusy) return refuse(fleet, 'busy', timeToRoom(fleet, service, concurrency))
+  return { type: 'refuse', reason: 'noServer', retryAfterMs: noServerRetryMs }
 }
 
 /** About the time in which what is under way now ends, at the pace at which answers come now. */
--- a/packages/routing/src/core/regionPlan.ts
+++ b/packages/routing/src/core/regionPlan.ts
@@ -17,6 +17,8 @@
   readonly slots: number
   /** Slots that its callers' requests keep busy, in whatever region. */
   readonly demand: number
+  /** Highest demand of late. */
+  readonly peak: number
 }
 
 /** Parts of one region's objects by the region that serves them; they add up to 1. */
@@ -25,44 +27,83 @@
 /** A service's plan: the shares of each region's objects. */
 export type RegionPlan = ReadonlyMap<RegionId, RegionShares>
 
+/** Fill of a region's slots that its own objects and those of others may reach at the height of its demand. */
+const peakFill = 0.75
 /**
- * Fill of a region's slots up to which its own objects stay: at three slots a server, about a quarter of the
- * requests find them all busy there, and wait for a third of the work.
+ * Fill of a region by the plan in force from which it moves: up to it few requests wait. Regions' demands rise and fall by turns;
+ * a plan that followed each of them moved a third of a region's objects there and back, and made each of them cold twice.
  */
-const nearFill = 0.55
-/** Room above the mean fill that is needed so that everything fits somewhere. */
-const fillMargin = 1.05
+const mostFill = 0.8
+/** Part of a region's objects that could come home from which it is worth their cold work: what stays away costs only its way. */
+const homecomingPart = 0.25
+/** Regions give way to each other's rest; after so many rounds their shares change by less than a hundredth. */
+const planRounds = 8
+/** The same above the mean fill of all regions, where that is high: regions reach their heights by turns. */
+const fillMargin = 0.2
 /** Fill that is assumed before there is any demand: callers of all regions alike, slots this full. */
 const firstFill = 0.6
+/** And by how much a region's demand may be above its mean. */
+const firstSwing = 1.5
 /** Largest part of a region's objects that moves in a second: 6 % in two seconds, well below the 15 % that callers are promised. */
 export const shareStepPerSecond = 0.03
 /** The same where servers were lost: objects without a server must go somewhere at once. */
 export const lossStepPerSecond = 0.25
 
-/** The plan that demand and slots ask for, whatever is in force now. */
+/**
+ * The plan that demand and slots ask for, whatever is in force now: each region keeps what it can hold at the height of its own
+ * demand beside what others send it on the mean, and sends the rest where there are slots.
+ */
 export function targetPlan (loads: readonly RegionLoad[]): RegionPlan {
   const slots = sumOf(loads.map(load => load.slots))
   const demand = sumOf(loads.map(load => load.demand))
   if (slots === 0) return new Map(loads.map(({ region }) => [region, new Map([[region, 1]])]))
-  const fill = Math.max(nearFill, demand / slots * fillMargin)
-  const stays = new Map(loads.map(load => [load.region, Math.min(load.demand, fill * load.slots)]))
-  const spare = new Map(loads.map(load => [load.region, fill * load.slots - (stays.get(load.region) ?? 0)]))
-  return new Map(loads.map(load => [load.region, sharesOf(load, stays.get(load.region) ?? 0, spare)]))
+  const fill = Math.max(peakFill, demand / slots + fillMargin)
+  const plan = new Map(loads.map(load => [load.region, sharesOf(load, 1, loads)]))
+  for (let round = 0; round < planRounds; round++) {
+    for (const load of loads) {
+      const room = Math.max(0, fill * load.slots - inflowOf(load.region, plan, loads))
+      plan.set(load.region, sharesOf(load, load.peak === 0 ? 1 : Math.min(1, room / load.peak), loads))
+    }
+  }
+  return plan
+}
+
+/** Slots that other regions' callers keep busy in a region on the mean. */
+function inflowOf (region: RegionId, plan: RegionPlan, loads: readonly RegionLoad[]): number {
+  const others = loads.filter(load => load.region !== region)
+  return sumOf(others.map(load => load.demand * (plan.get(load.region)?.get(region) ?? 0)))
 }
 
 /** The plan before any demand was measured. */
 export function firstPlan (loads: readonly RegionLoad[]): RegionPlan {
   const slots = sumOf(loads.map(load => load.slots))
-  return targetPlan(loads.map(load => ({ ...load, demand: slots * firstFill / Math.max(1, loads.length) })))
+  const demand = slots * firstFill / Math.max(1, loads.length)
+  return targetPlan(loads.map(load => ({ ...load, demand, peak: demand * firstSwing })))
+}
+
+/** Whether a plan in force is so far from the one asked for that objects have to move, or may well come home. */
+export function mustMove (held: RegionPlan, target: RegionPlan, loads: readonly RegionLoad[]): boolean {
+  const isFull = loads.some(({ region, slots }) => loadOf(region, held, loads) > mostFill * slots)
+  const mayReturn = loads.some(({ region }) => nearShare(target, region) - nearShare(held, region) > homecomingPart)
+  return isFull || mayReturn
+}
+
+/** Slots that a plan keeps busy in a region. */
+function loadOf (region: RegionId, plan: RegionPlan, loads: readonly RegionLoad[]): number {
+  return sumOf(loads.map(load => load.demand * (plan.get(load.region)?.get(region) ?? 0)))
+}
+
+function nearShare (plan: RegionPlan, region: RegionId): number {
+  return plan.get(region)?.get(region) ?? 0
 }
 
-function sharesOf (load: RegionLoad, stays: number, spare: ReadonlyMap<RegionId, number>): RegionShares {
-  const { region, slots, demand } = load
-  const near = demand === 0 ? (slots > 0 ? 1 : 0) : stays / demand
-  const shares = new Map<RegionId, number>([[region, near]])
-  const elsewhere = [...spare].filter(([other]) => other !== region)
-  const room = sumOf(elsewhere.map(([, free]) => free))
-  for (const [other, free] of elsewhere) shares.set(other, room === 0 ? 0 : (1 - near) * free / room)
+/** A region's shares: a part stays near, the rest goes to the others by their slots. */
+function sharesOf ({ region, slots }: RegionLoad, part: number, loads: readonly RegionLoad[]): RegionShares {
+  const near = slots === 0 ? 0 : part
+  const elsewhere = loads.filter(load => load.region !== region)
+  const room = sumOf(elsewhere.map(load => load.slots))
+  const shares = new Map<RegionId, number>([[region, room === 0 ? 1 : near]])
+  for (const other of elsewhere) shares.set(other.region, room === 0 ? 0 : (1 - near) * other.slots / room)
   return shares
 }
 
--- a/packages/routing/src/core/scoring.ts
+++ b/packages/routing/src/core/scoring.ts
@@ -4,7 +4,7 @@
 import { hasColdToken, isCold, isWarmingVm } from './coldShare.js'
 import { travelTo, warmChance, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
-import { aheadOf, isOpen, isStalled, sharedAheadOf, slownessOf } from './fleetServer.js'
+import { aheadOf, isStalled, isTrusted, sharedAheadOf, slownessOf } from './fleetServer.js'
 import type { FleetServer } from './fleetServer.js'
 import { placesOf } from './hashPlaces.js'
 import type { HashPlace } from './hashPlaces.js'
@@ -52,6 +52,8 @@
   readonly sharedWaitMs: Millis
   readonly travelMs: Millis
   readonly workMs: Millis
+  /** The same for an object that is cold at the server. */
+  readonly coldMs: Millis
   /** Whether this VM saw the server handle the object lately. */
   readonly wasWarm: boolean
   /** What hashing says of the server for the object; undefined if nothing. */
@@ -60,10 +62,12 @@
 
 /** The server of least cost; undefined where none is open to the request. */
 export function findBest (fleet: Fleet, request: PlaceRequest, now: Millis): Scored | undefined {
-  const open = openServers(fleet, request, now)
-  const region = plannedRegion(fleet, request, open)
+  const trusted = trustedServers(fleet, request, now)
+  const open = trusted.filter(server => now >= server.pausedUntil)
+  const region = plannedRegion(fleet, request, trusted)
   const isKeyed = request.route.isSticky && request.object !== ''
-  const places = isKeyed ? placesOf(open, `${request.service} ${request.object}`, region) : undefined
+  // A server without room for a moment keeps its objects: where all are busy they would only be cold elsewhere.
+  const places = isKeyed ? placesOf(trusted, `${request.service} ${request.object}`, region) : undefined
   const fill = fillOfService(fleet, request.service, now)
   const candidates = places === undefined ? open : candidatesOf(fleet, request, open, places, fill, now)
   const times = workOf(fleet.work, workKey(request), request.route.aimMs)
@@ -89,11 +93,11 @@
 }
 
 /** The region that the plan gives an object; a request without an object falls to a region by chance, in the same shares. */
-function plannedRegion (fleet: Fleet, request: PlaceRequest, open: readonly FleetServer[]): RegionId | undefined {
+function plannedRegion (fleet: Fleet, request: PlaceRequest, trusted: readonly FleetServer[]): RegionId | undefined {
   const near = fleet.setup.region
   const shares = fleet.shares.get(request.service) ?? new Map([[near, 1]])
   const object = request.object === '' ? String(fleet.setup.random()) : request.object
-  return regionOf(shares, near, object, new Set(open.map(server => server.facts.region)))
+  return regionOf(shares, near, object, new Set(trusted.map(server => server.facts.region)))
 }
 
 function leastCost (fleet: Fleet, request: PlaceRequest, candidates: readonly FleetServer[], input: ScoreInput, now: Millis): Scored | undefined {
@@ -127,20 +131,23 @@
   return slots === 0 ? 0 : ahead / slots
 }
 
-/** Servers that a request may go to at all. */
-function openServers (fleet: Fleet, request: PlaceRequest, now: Millis): FleetServer[] {
-  const { homes } = request.route
-  const open: FleetServer[] = []
+/** Whether a server takes requests like this one at all, whatever its state is now. */
+export function mayServe ({ route: { homes }, tried }: PlaceRequest, { facts }: FleetServer): boolean {
+  return !facts.isClosed && !tried.has(facts.id) && (homes.length === 0 || homes.includes(facts.region))
+}
+
+/** Servers that a request may go to, now or as soon as they have room. */
+function trustedServers (fleet: Fleet, request: PlaceRequest, now: Millis): FleetServer[] {
+  const trusted: FleetServer[] = []
   const suspect: FleetServer[] = []
   for (const server of fleet.byService.get(request.service) ?? []) {
-    const { facts } = server
-    if (facts.isClosed || request.tried.has(facts.id) || (homes.length > 0 && !homes.includes(facts.region))) continue
+    if (!mayServe(request, server)) continue
     if (!mayWarm(fleet, request.service, server, now)) continue
-    if (isOpen(server, now)) open.push(server)
-    else if (now >= server.pausedUntil && !isStalled(server, now)) suspect.push(server)
+    if (isTrusted(server, now)) trusted.push(server)
+    else if (!isStalled(server, now)) suspect.push(server)
   }
   // Where every server is under suspicion, suspicion tells nothing: those whose time is nearly over are tried.
-  return open.length > 0 ? open : suspect
+  return trusted.length > 0 ? trusted : suspect
 }
 
 function mayWarm (fleet: Fleet, service: ServiceId, server: FleetServer, now: Millis): boolean {
@@ -171,7 +178,7 @@
   const travelMs = travelTo(fleet, facts.region)
   const leavingMs = facts.region === input.region ? 0 : awayMs
   const cost = travelMs + sharedWaitMs + workMs * workWeight + leavingMs + (ahead / facts.slots) ** 2 * fillMs + fleet.setup.random()
-  return { server, cost, waitMs, sharedWaitMs, travelMs, workMs, wasWarm, place }
+  return { server, cost, waitMs, sharedWaitMs, travelMs, workMs, coldMs: times.coldMs * slowness, wasWarm, place }
 }
 
 /** Wait of a request behind so many others. */
--- a/packages/routing/src/core/serverWeights.ts
+++ b/packages/routing/src/core/serverWeights.ts
@@ -23,8 +23,8 @@
 const deadBand = 0.25
 /** A queue is many times the mean; it must not empty its server at once. */
 const mostExcess = 2
-/** Below this mean fill nobody waits anywhere. */
-const leastMean = 0.2
+/** While no server of a region is this full, few requests wait, and a move only makes its object cold. */
+const crowdedFill = 0.7
 export const leastWeight = 0.25
 export const mostWeight = 2.5
 
@@ -32,8 +32,8 @@
 export function stepWeights (weights: Map<ServerId, number>, fills: readonly ServerFill[], passedMs: Millis): void {
   const means = meanFills(fills)
   for (const { id, service, region, fill } of fills) {
-    const mean = means.get(`${service} ${region}`) ?? 0
-    if (mean < leastMean) continue
+    const { mean, most } = means.get(`${service} ${region}`) ?? { mean: 0, most: 0 }
+    if (most < crowdedFill) continue
     const excess = Math.min(mostExcess, fill / mean - 1)
     if (Math.abs(excess) < deadBand) continue
     const moved = (weights.get(id) ?? 1) * Math.exp(-gainPerSecond * excess * passedMs / 1000)
@@ -41,16 +41,19 @@
   }
 }
 
-function meanFills (fills: readonly ServerFill[]): Map<string, number> {
-  const sums = new Map<string, { fill: number, count: number }>()
+interface GroupFill { readonly mean: number, readonly most: number }
+
+function meanFills (fills: readonly ServerFill[]): Map<string, GroupFill> {
+  const sums = new Map<string, { fill: number, count: number, most: number }>()
   for (const { service, region, fill } of fills) {
     const key = `${service} ${region}`
     const sum = sums.get(key)
-    if (sum === undefined) sums.set(key, { fill, count: 1 })
+    if (sum === undefined) sums.set(key, { fill, count: 1, most: fill })
     else {
       sum.fill += fill
       sum.count += 1
+      sum.most = Math.max(sum.most, fill)
     }
   }
-  return new Map([...sums].map(([key, { fill, count }]) => [key, fill / count]))
+  return new Map([...sums].map(([key, { fill, count, most }]) => [key, { mean: fill / count, most }]))
 }
--- a/packages/routing/src/core/workModel.ts
+++ b/packages/routing/src/core/workModel.ts
@@ -14,6 +14,8 @@
 const firstColdPart = 0.8
 const firstWarmPart = 0.35
 const smoothing = 0.05
+/** Warm work falls faster than it rises: waits that nobody told of lengthen answers, nothing shortens them. */
+const warmRiseSmoothing = 0.02
 /** Answers beyond this many times what is expected tell of the server, not of the work. */
 const maxRatio = 2.5
 
@@ -29,7 +31,6 @@
 export function learnWork (times: WorkTimes, wasWarm: boolean, tookMs: Millis): void {
   const expected = wasWarm ? times.warmMs : times.coldMs
   if (tookMs > expected * maxRatio) return
-  const next = expected + (tookMs - expected) * smoothing
-  if (wasWarm) times.warmMs = next
-  else times.coldMs = next
+  if (wasWarm) times.warmMs += (tookMs - expected) * (tookMs > expected ? warmRiseSmoothing : smoothing)
+  else times.coldMs += (tookMs - expected) * smoothing
 }
