--- /dev/null
+++ b/packages/daemon/__tests__/fleetStart.test.ts
@@ -0,0 +1,111 @@
+/** What callers and the placement meet after VMs start anew. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createLoadBoard, isFleetReady, readPlacement, writePlacement } from '@lynxcourse/daemon'
+import type { FleetDaemon, LoadNews } from '@lynxcourse/daemon'
+import { brandId, isLynxError } from '@lynxcourse/base'
+import type { RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { ask, controlOf, publish, routeTo, startRig, startServer, startVm, until } from './support/fleetRig.js'
+import type { FleetRig } from './support/fleetRig.js'
+
+async function stop (rig: FleetRig, place: number): Promise<void> {
+  await rig.daemons[place]?.[Symbol.asyncDispose]()
+  rig.daemons[place] = undefined
+}
+
+/*
+ * Symptom: after all VMs start, callers are refused, come back and are refused again. Sequence: the entry VM listens, the control
+ * VMs follow and elect a leader; a request comes in between. Cause: it was refused at once although the state was 0.5 s away.
+ */
+test('a request that comes before the state is known waits for it and is served', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await publish(rig, [server], [routeTo('read')])
+  for (const place of [3, 2, 1, 0]) await stop(rig, place)
+  const settings = rig.settings.map(cfg => ({ ...cfg, isFirstStart: false }))
+  rig.daemons[3] = await startVm(settings[3] as typeof settings[0])
+  const early = ask(rig, '/read/1')
+  for (const place of [0, 1, 2]) rig.daemons[place] = await startVm(settings[place] as typeof settings[0])
+  assert.equal((await early).status, 200)
+})
+
+/*
+ * Symptom: requests hang at a VM that finds no control VM. Cause it must not have: waiting for a state without end.
+ */
+test('a request to a VM that does not get the state is told to come back within about a second', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await publish(rig, [server], [routeTo('read')])
+  for (const place of [3, 2, 1, 0]) await stop(rig, place)
+  rig.daemons[3] = await startVm({ ...rig.settings[3] as typeof rig.settings[0], isFirstStart: false })
+  const got = await ask(rig, '/read/1')
+  assert.equal(got.status, 503)
+  assert.ok(Number(got.headers['retry-after']) > 0)
+  assert.equal(isFleetReady(rig.daemons[3] as FleetDaemon), false)
+})
+
+/*
+ * Symptom: after all control VMs died, every object has another server, cold for it. Sequence: they start, a leader is elected; it
+ * knows no plans and no weights. Cause: both lived in the former leader's memory alone.
+ */
+test('control VMs that start anew go on from the placement that they kept', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await publish(rig, [server], [routeTo('read')])
+  for (const place of [2, 1, 0]) await stop(rig, place)
+  const id = server.facts.id
+  const service = server.facts.service
+  const region = brandId<RegionId>('kochi')
+  const kept: LoadNews = {
+    full: [],
+    silent: [],
+    weights: { version: 17, servers: [[id, 0.4]] },
+    plans: [{ service, isMeasured: true, fill: 0.5, busy: 4, demand: [[region, 4]], shares: [[region, [[region, 1]]]] }]
+  }
+  for (const place of [0, 1, 2]) {
+    const cfg = rig.settings[place] as typeof rig.settings[0]
+    await writePlacement(cfg.dataFolder ?? '', kept)
+    rig.daemons[place] = await startVm({ ...cfg, isFirstStart: false })
+  }
+  for (const place of [0, 1, 2]) await until(() => controlOf(rig, place).board.weights.get(id) === 0.4)
+  const { gateway } = rig.daemons[3] as FleetDaemon
+  await until(() => gateway?.fleet.byId.get(id)?.weight === 0.4)
+})
+
+test('a kept placement is read back as it was; a torn file names itself, and none is no error', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'lynx-placement-'))
+  try {
+    assert.equal(await readPlacement(folder), undefined)
+    const board = createLoadBoard()
+    const service = brandId<ServiceId>('desk')
+    const region = brandId<RegionId>('kochi')
+    const news: LoadNews = { ...board.news, weights: { version: 3, servers: [[brandId<ServerId>('s'), 0.5]] }, plans: [{ service, isMeasured: true, fill: 0.5, busy: 3, demand: [[region, 3]], shares: [[region, [[region, 1]]]] }] }
+    await writePlacement(folder, news)
+    assert.deepEqual(await readPlacement(folder), news)
+    await writeFile(join(folder, 'placement.json'), '{"plans":[{"ser')
+    await assert.rejects(readPlacement(folder), err => isLynxError(err, 'badRequest') && err.field === 'placement.json')
+  } finally {
+    await rm(folder, { recursive: true, force: true })
+  }
+})
+
+/*
+ * Symptom: a server is left alone by a VM though it answers. Sequence: a request's cold work is longer than its route's timeout;
+ * the server answers others meanwhile. Cause: the timeout counted as the server's failure, and its other objects moved in turn.
+ */
+test('a route\'s timeout does not count against a server that answers others', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (req, res) => { if (req.url?.endsWith('never') !== true) res.end('ok') })
+  await publish(rig, [server], [routeTo('read', { isIdempotent: false, timeoutMs: 340, aimMs: 350 })])
+  for (let sent = 0; sent < 3; sent++) {
+    const late = ask(rig, '/read/never')
+    await new Promise(resolve => setTimeout(resolve, 100))
+    assert.equal((await ask(rig, '/read/1')).status, 200)
+    assert.equal((await late).status, 504)
+  }
+  const known = rig.daemons.at(-1)?.gateway?.fleet.byId.get(server.facts.id)
+  assert.deepEqual([known?.strikes, known?.suspectUntil], [0, -Infinity])
+})
--- a/packages/daemon/__tests__/loadBoard.test.ts
+++ b/packages/daemon/__tests__/loadBoard.test.ts
@@ -171,3 +171,74 @@
   assert.deepEqual(newsLines(loud, loud), [])
   assert.deepEqual(newsLines(loud, quiet).map(({ message }) => message), ['Servers are tried again.'])
 })
+
+const swingSeconds = 36
+const swing = 0.55
+
+/**
+ * Lets the demand of two regions rise and fall by turns, as their days do, and gives what the plan makes of it: the largest fill
+ * of a region's slots after the first seconds, and the parts of objects that moved.
+ */
+function playSwing (seconds: number, meanSlots: number): { fill: number, moved: number } {
+  const board = createLoadBoard()
+  const size = 54
+  const both: ServiceSlots = new Map([[desk, new Map([[kochi, size], [chennai, size / 3]])]])
+  let before = new Map<RegionId, number>()
+  let moved = 0
+  let fill = 0
+  for (let now = 0; now < seconds * 1000; now += 400) {
+    const height = Math.sin(now / 1000 / swingSeconds * 2 * Math.PI) * swing
+    const demand = new Map([[kochi, meanSlots * (1 - height)], [chennai, meanSlots * (1 + height)]])
+    noteDigest(board, 'control-1', { servers: [], busy: [...demand].map(([region, busy]) => [desk, region, busy]), failed: [] }, now)
+    updateBoard(board, both, places, now)
+    const plan = new Map((board.news.plans[0]?.shares ?? []).map(([region, shares]) => [region, new Map(shares)]))
+    const near = new Map([kochi, chennai].map(region => [region, plan.get(region)?.get(region) ?? 0]))
+    for (const [region, share] of near) moved += Math.abs(share - (before.get(region) ?? share))
+    before = near
+    const inChennai = (demand.get(chennai) ?? 0) * (near.get(chennai) ?? 0) + (demand.get(kochi) ?? 0) * (1 - (near.get(kochi) ?? 0))
+    if (now > 5000) fill = Math.max(fill, inChennai / (size / 3))
+  }
+  return { fill, moved }
+}
+
+/*
+ * Symptom: one region's servers are over-full while another's are half idle, and objects are cold all day. Sequence: the demand of
+ * regions rises and falls by turns; the plan follows each rise ten seconds late and brings the objects back when it is over.
+ * Cause: the plan was made for the present demand. Load pattern: two regions by turns 55 % above and below their mean.
+ */
+test('a plan holds through the rise and fall of demand: no region is over-full, and few objects move', () => {
+  const { fill, moved } = playSwing(swingSeconds * 2, 16)
+  assert.ok(fill <= 0.85, `a region was ${fill} full`)
+  assert.ok(moved < 0.8, `parts of ${moved} moved`)
+})
+
+/*
+ * Symptom: in the first seconds of a day a small region is over-full. Sequence: callers begin; demand is smoothed up from nothing,
+ * looks small, and all objects come home. Cause: an average of nothing and of the first reports.
+ */
+test('a demand that has just begun brings no objects home', () => {
+  const board = createLoadBoard()
+  const first = ((): number => { updateBoard(board, slots, places, 0); return nearShare(board) })()
+  play(board, 5, 12, 8, 400)
+  assert.ok(nearShare(board) <= first + 0.01, `${first} to ${nearShare(board)}`)
+})
+
+/*
+ * Symptom: after all control VMs died, every object has another server. Sequence: the next leader has heard of no demand yet.
+ * Cause: it took the silence before the first reports for a fall of demand.
+ */
+test('a leader that goes on from another one\'s word keeps its plan until the reports have come', () => {
+  const board = createLoadBoard()
+  const now = play(board, 5, 12, 20)
+  const next = createLoadBoard()
+  takeNews(next, board.news)
+  for (let passed = 0; passed < 2400; passed += 400) updateBoard(next, slots, places, now + passed)
+  assert.ok(Math.abs(nearShare(next) - nearShare(board)) < 0.01, `${nearShare(board)} to ${nearShare(next)}`)
+})
+
+test('two leaders never tell different weights under one version', () => {
+  const [one, other] = [createLoadBoard(), createLoadBoard()]
+  updateBoard(one, slots, places, 100_000)
+  updateBoard(other, slots, places, 103_000)
+  assert.notEqual(one.news.weights?.version, other.news.weights?.version)
+})
--- /dev/null
+++ b/packages/daemon/__tests__/pipeline.test.ts
@@ -0,0 +1,109 @@
+/** Requests sent behind one another over one connection, by a caller of our own that writes raw bytes. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { leaveFleet } from '@lynxcourse/daemon'
+import type { FleetDaemon } from '@lynxcourse/daemon'
+import { publish, routeTo, startRig, startServer, until } from './support/fleetRig.js'
+import type { FleetRig } from './support/fleetRig.js'
+
+interface Caller extends Disposable {
+  readonly socket: Socket
+  /** All that came so far. */
+  readonly text: () => string
+  readonly isClosed: () => boolean
+}
+
+function call (rig: FleetRig): Caller {
+  const [host, port] = (rig.settings.at(-1)?.callers ?? '').split(':')
+  const socket = connect({ host: host ?? '', port: Number(port) })
+  let text = ''
+  let closed = false
+  socket.on('data', chunk => { text += chunk.toString('latin1') })
+  socket.on('close', () => { closed = true })
+  socket.on('error', () => { closed = true })
+  return { socket, text: () => text, isClosed: () => closed, [Symbol.dispose]: () => { socket.destroy() } }
+}
+
+function get (path: string): string {
+  return `GET ${path} HTTP/1.1\r\nHost: a.example\r\n\r\n`
+}
+
+function bodiesOf (text: string): string[] {
+  return [...text.matchAll(/body-[a-z0-9]+/g)].map(match => match[0])
+}
+
+/** Answers with the last part of the path, the first ones later than those behind them. */
+function answerInTurn (req: IncomingMessage, res: ServerResponse): void {
+  const name = req.url?.split('/').at(-1) ?? ''
+  setTimeout(() => res.end(`body-${name}`), name.startsWith('slow') ? 300 : 5)
+}
+
+test('answers to requests sent behind one another come whole and in their order', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', answerInTurn)
+  await publish(rig, [server], [routeTo('read')])
+  using caller = call(rig)
+  const names = ['slow1', 'b', 'c', 'slow2', ...Array.from({ length: 12 }, (_, place) => `n${place}`)]
+  caller.socket.write(names.map(name => get(`/read/${name}`)).join(''))
+  await until(() => bodiesOf(caller.text()).length === names.length)
+  assert.deepEqual(bodiesOf(caller.text()), names.map(name => `body-${name}`))
+})
+
+/*
+ * Symptom: servers work on for callers that left. Sequence: a caller sends four requests behind one another and closes the
+ * connection while all are at servers. Cause: only the answer due first is bound to the connection and hears of its close.
+ */
+test('when a caller closes its connection, servers stop working on all its requests', async () => {
+  await using rig = await startRig(1)
+  let stopped = 0
+  await using server = await startServer('s1', req => { req.socket.once('close', () => { stopped += 1 }) })
+  await publish(rig, [server], [routeTo('read', { timeoutMs: 10_000 })])
+  using caller = call(rig)
+  caller.socket.write([1, 2, 3, 4].map(number => get(`/read/${number}`)).join(''))
+  await until(() => server.requests.length === 4)
+  caller.socket.destroy()
+  await until(() => stopped === 4)
+})
+
+/*
+ * Symptom: a planned stop cuts requests. Sequence: a caller has sent three requests behind one another when the VM is told to
+ * stop; the answer to the first closes the connection. Cause: every answer of a VM that stops carried the close.
+ */
+test('a VM that stops answers all that was sent over a connection before it closes it', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', answerInTurn)
+  await publish(rig, [server], [routeTo('read')])
+  using caller = call(rig)
+  caller.socket.write(['slow1', 'slow2', 'slow3'].map(name => get(`/read/${name}`)).join(''))
+  await until(() => server.requests.length === 3)
+  await Promise.all([leaveFleet(rig.daemons.at(-1) as FleetDaemon), until(() => caller.isClosed())])
+  assert.deepEqual(bodiesOf(caller.text()), ['body-slow1', 'body-slow2', 'body-slow3'])
+  assert.equal(caller.text().toLowerCase().split('connection: close').length - 1, 1)
+})
+
+/*
+ * Symptom: a VM runs out of memory. Sequence: a caller sends hundreds of requests behind a slow one. Cause: all were worked on at
+ * once, and their answers held until the first was there.
+ */
+test('only some of the requests sent behind one another are at servers at once', async () => {
+  await using rig = await startRig(1)
+  const most = 8
+  let atOnce = 0
+  let mostAtOnce = 0
+  await using server = await startServer('s1', (_req, res) => {
+    atOnce += 1
+    mostAtOnce = Math.max(mostAtOnce, atOnce)
+    setTimeout(() => {
+      atOnce -= 1
+      res.end('body-x')
+    }, 10)
+  })
+  await publish(rig, [server], [routeTo('read')])
+  using caller = call(rig)
+  caller.socket.write(Array.from({ length: 60 }, () => get('/read/1')).join(''))
+  await until(() => bodiesOf(caller.text()).length === 60)
+  assert.ok(mostAtOnce <= most, `${mostAtOnce} at once`)
+})
--- a/packages/routing/__tests__/concurrency.test.ts
+++ b/packages/routing/__tests__/concurrency.test.ts
@@ -52,6 +52,23 @@
   assert.ok(admitted >= 480, `${admitted} of about 500 that the slots could serve`)
 })
 
+/*
+ * Symptom: requests are refused while a fifth of the slots stands idle, for as long as objects are cold. Sequence: objects move,
+ * all answers take several times what is expected, each VM's bound falls to its least. Cause: the least was below the VM's share.
+ * Load pattern: twice the capacity of answers that take 3.3 times the expected work, for twenty seconds.
+ */
+test('however slow the answers are, all slots of a VM\'s share stay in use, also by the least urgent', () => {
+  const concurrency = createConcurrency(share)
+  for (let answer = 0; answer < 2000; answer++) learnConcurrency(concurrency, 3.3, share, answer * 10)
+  concurrency.underWay = share
+  assert.equal(mayStart(concurrency, 2, false), true)
+})
+
+test('what is late in any case leaves slots to what can be in time', () => {
+  const concurrency = { ...createConcurrency(share), limit: 10, underWay: 8 }
+  assert.deepEqual([mayStart(concurrency, 0, false), mayStart(concurrency, 0, true)], [true, false])
+})
+
 test('single slow answers lower nothing', () => {
   const concurrency = createConcurrency(share)
   const before = concurrency.limit
--- a/packages/routing/__tests__/placement.test.ts
+++ b/packages/routing/__tests__/placement.test.ts
@@ -5,8 +5,9 @@
 import { brandId, makeRandom } from '@lynxcourse/base'
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import {
-  buildRouteTable, chooseEntries, createFleetServer, createWarmth, hasColdToken, isStalled, isWarmingVm, matchRoute, noteBad, noteGood, noteHandled,
-  noteReport, noteRequest, noteShared, noteSharedSilence, noteStart, pickService, placeRequest, spendRepeat, takeColdToken
+  buildRouteTable, chooseEntries, createFleetServer, createWarmth, hasColdToken, isStalled, isWarmingVm, matchRoute, noteAnswered, noteBad,
+  noteFull, noteGood, noteHandled,
+  noteReport, noteRequest, noteShared, noteSharedSilence, noteStart, pickService, placeRequest, slotShare, spendRepeat, takeColdToken
 } from '@lynxcourse/routing'
 import type { Fleet, FleetServer, PlaceRequest, RetryShare, ServerFacts } from '@lynxcourse/routing'
 import type { Route } from '@lynxcourse/state'
@@ -277,3 +278,48 @@
   noteGood(held, 1, 1000)
   assert.equal(sentTo(fleet, request()), home)
 })
+
+/*
+ * Symptom: where all slots are busy, objects turn cold at one server after the other. Sequence: an object's server sheds a
+ * request, is left alone for 40 ms, and the next request for the object is placed at another one. Cause: a pause for lack of
+ * room took the server's objects away. Load pattern: a full fleet whose servers shed by turns.
+ */
+test('in a full fleet an object stays with its server while that has no room for a moment', () => {
+  const servers = ['a', 'b', 'c', 'd'].map(name => server(name))
+  const fleet = fleetOf(...servers)
+  fleet.sharedFill.set(desk, 1)
+  const first = placeRequest(fleet, request({ object: 'read|7' }), 1000)
+  assert.ok(first.type === 'send')
+  noteFull(first.server, 1000)
+  const meanwhile = placeRequest(fleet, request({ object: 'read|7' }), 1010)
+  assert.ok(meanwhile.type === 'refuse' && meanwhile.reason === 'busy', JSON.stringify(meanwhile.type))
+  const after = placeRequest(fleet, request({ object: 'read|7' }), 1060)
+  assert.ok(after.type === 'send' && after.server === first.server)
+})
+
+/*
+ * Symptom: servers are left alone though they answer. Sequence: objects move and are cold where they arrive; their requests run
+ * for three times what is expected of warm ones. Cause: that was taken for a stall, the server's other objects moved in turn.
+ */
+test('a request for a cold object marks no stall, least of all while its server answers others', () => {
+  const held = server('held')
+  noteStart(held, 100, 300, 1000)
+  assert.equal(isStalled(held, 1000 + 300 * 1.3 + 240), false)
+  assert.equal(isStalled(held, 1000 + 300 * 1.3 + 260), true)
+  noteAnswered(held, 1600)
+  assert.equal(isStalled(held, 1660), false)
+  assert.equal(isStalled(held, 1000 + 300 * 3 + 260), true)
+})
+
+/*
+ * Symptom: callers of a failure domain with one VM are refused twice as often as others. Sequence: load is at its worst, each VM's
+ * bound is an equal share of the slots. Cause: equal shares for unequal demand. Load pattern: one VM of four has half of the demand.
+ */
+test('a VM\'s share of the slots follows its part of the demand, within bounds', () => {
+  const fleet = { ...fleetOf(server('a'), server('b'), server('c'), server('d')), vms: ['vm-1', 'vm-2', 'vm-3', 'vm-4'] }
+  assert.equal(slotShare(fleet, desk), 3)
+  fleet.demandParts.set(desk, 0.5)
+  assert.equal(slotShare(fleet, desk), 6)
+  fleet.demandParts.set(desk, 0)
+  assert.equal(slotShare(fleet, desk), 1.5)
+})
