--- a/packages/daemon/__tests__/pipeline.test.ts
+++ b/packages/daemon/__tests__/pipeline.test.ts
@@ -54,7 +54,7 @@
 
 /*
  * Symptom: servers work on for callers that left. Sequence: a caller sends four requests behind one another and closes the
- * connection while all are at servers. Cause: only the answer due first is bound to the connection and hears of its close.
+ * connection while all are at servers. Cause it must not have: only the request whose answer is due first hears of the close.
  */
 test('when a caller closes its connection, servers stop working on all its requests', async () => {
   await using rig = await startRig(1)
--- a/packages/daemon/src/core/gateway/pipeline.ts
+++ b/packages/daemon/src/core/gateway/pipeline.ts
@@ -2,11 +2,10 @@
  * Requests that a caller sends over one connection before the first of them is answered. Answers go out in the order of the
  * requests, which the HTTP server sees to; here it is decided which of them are worked on, and which are not any more.
  *
- * What can go wrong: only the answer that is due first is bound to the connection, so when the caller closes it, only that
- * request hears of it, and servers work on for the others. Requests behind an answer that closes the connection count as not
- * read and come again: what servers did for them is lost, and a VM that stops would cut answers that were nearly there. And a
- * caller that sends thousands at once would have each of their answers held in memory until its turn. It shows as work at
- * servers that nobody waits for, and as requests that end with a closed connection while a VM stops.
+ * What can go wrong: requests behind an answer that closes the connection count as not read and come again: what servers did for
+ * them is lost, and a VM that stops cuts answers that were nearly there. And a caller that sends thousands at once has each of
+ * their answers held in memory until its turn. It shows as requests that end with a closed connection while a VM stops, as work
+ * at servers that nobody waits for, and as a VM that ends for lack of memory.
  */
 import type { Socket } from 'node:net'
 import { Cancel } from '../../utils/cancel.js'
--- /dev/null
+++ b/scripts/explain.ts
@@ -0,0 +1,78 @@
+/** `npm run explain -- LOG...`: where requests go wrong, and why, by VMs' log lines. */
+import { createReadStream } from 'node:fs'
+import { createInterface } from 'node:readline'
+import { Command } from 'commander'
+import { causeOf, causes } from './explain/causes.js'
+import type { Cause, Holders } from './explain/causes.js'
+import { readDecision } from './explain/readLines.js'
+import type { Decision } from './explain/readLines.js'
+import { percentile, printTable } from './support/tables.js'
+
+const defaultSpanS = 2
+const millisPerSecond = 1000
+
+interface Arguments { readonly span: string }
+
+const program = new Command('explain')
+  .description('Counts the causes of late, refused and lost requests in log files, whole and over time.')
+  .argument('<log...>', 'files with log lines of entry VMs')
+  .option('--span <seconds>', 'length of a row over time', String(defaultSpanS))
+
+async function readAll (files: readonly string[]): Promise<Decision[]> {
+  const decisions: Decision[] = []
+  for (const file of files) {
+    for await (const line of createInterface({ input: createReadStream(file) })) {
+      const decision = readDecision(line)
+      if (decision !== undefined) decisions.push(decision)
+    }
+  }
+  return decisions.sort((a, b) => a.at - b.at)
+}
+
+interface Row { readonly cause: Cause, readonly decision: Decision }
+
+function explain (decisions: readonly Decision[]): Row[] {
+  const holders: Holders = new Map()
+  return decisions.flatMap(decision => {
+    const cause = causeOf(holders, decision)
+    return cause === undefined ? [] : [{ cause, decision }]
+  })
+}
+
+function printCauses (rows: readonly Row[]): void {
+  printTable('Causes', causes.flatMap(cause => {
+    const held = rows.filter(row => row.cause === cause)
+    if (held.length === 0) return []
+    const took = held.map(row => row.decision.tookMs).filter(ms => !Number.isNaN(ms))
+    const medianMs = took.length === 0 ? '' : Math.round(percentile(took, 0.5))
+    return [{ cause, count: held.length, percent: (held.length / rows.length * 100).toFixed(1), medianMs }]
+  }))
+}
+
+function printOverTime (rows: readonly Row[], spanMs: number): void {
+  const present = causes.filter(cause => rows.some(row => row.cause === cause))
+  const first = rows[0]?.decision.at ?? 0
+  const spans = new Map<number, Row[]>()
+  for (const row of rows) {
+    const span = Math.floor((row.decision.at - first) / spanMs)
+    const held = spans.get(span)
+    if (held === undefined) spans.set(span, [row])
+    else held.push(row)
+  }
+  printTable('Over time', [...spans].sort(([a], [b]) => a - b).map(([span, held]) => {
+    const counts = present.map(cause => [cause, held.filter(row => row.cause === cause).length] as const)
+    return { second: span * spanMs / millisPerSecond, ...Object.fromEntries(counts) }
+  }))
+}
+
+async function main (): Promise<void> {
+  program.parse()
+  const rows = explain(await readAll(program.args))
+  if (rows.length === 0) program.error('error: no decisions on requests in these files')
+  const spanMs = Number(program.opts<Arguments>().span) * millisPerSecond
+  if (!(spanMs > 0)) program.error('error: --span: must be above 0')
+  printCauses(rows)
+  printOverTime(rows, spanMs)
+}
+
+await main()
--- /dev/null
+++ b/scripts/explain/readLines.ts
@@ -0,0 +1,59 @@
+/** Reads the decisions on requests out of VMs' log lines. */
+
+/** What a line tells of one decision; fields that other lines lack are undefined. */
+export interface Decision {
+  readonly message: 'Sent.' | 'Refused.' | 'Failed.'
+  /** Unix milliseconds by the clock of the VM that wrote the line. */
+  readonly at: number
+  readonly route: string
+  readonly object: string
+  readonly server: string
+  readonly place: string | undefined
+  readonly outcome: string
+  readonly reason: string
+  readonly tookMs: number
+  readonly expectedMs: number
+  readonly waitMs: number
+  readonly underWay: number
+  readonly limit: number
+}
+
+const messages = new Set(['Sent.', 'Refused.', 'Failed.'])
+
+/** The decision of a line; undefined for any other line. A collector may have put its own words before the JSON. */
+export function readDecision (line: string): Decision | undefined {
+  const start = line.indexOf('{')
+  if (start < 0) return undefined
+  let fields: Record<string, unknown>
+  try {
+    fields = JSON.parse(line.slice(start)) as Record<string, unknown>
+  } catch {
+    // A line that a process had not written to its end when it died.
+    return undefined
+  }
+  const { message } = fields
+  if (typeof message !== 'string' || !messages.has(message)) return undefined
+  return {
+    message: message as Decision['message'],
+    at: Date.parse(textOf(fields.timestamp)),
+    route: textOf(fields.route),
+    object: textOf(fields.object),
+    server: textOf(fields.server),
+    place: typeof fields.place === 'string' ? fields.place : undefined,
+    outcome: textOf(fields.outcome),
+    reason: textOf(fields.reason ?? fields.detail),
+    tookMs: numberOf(fields.tookMs),
+    expectedMs: numberOf(fields.expectedMs),
+    waitMs: numberOf(fields.waitMs),
+    underWay: numberOf(fields.underWay),
+    limit: numberOf(fields.limit)
+  }
+}
+
+function textOf (value: unknown): string {
+  return typeof value === 'string' ? value : ''
+}
+
+function numberOf (value: unknown): number {
+  return typeof value === 'number' ? value : NaN
+}
