--- a/packages/daemon/src/core/fleet/loadBoard.ts
+++ b/packages/daemon/src/core/fleet/loadBoard.ts
@@ -7,11 +7,11 @@
  * each answer tells its server's load; the leader smooths that and names the servers that are nearly full.
  */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { firstPlan, mustMove, stepPlan, stepWeights, targetPlan } from '@lynxcourse/routing'
-import type { RegionLoad, RegionPlan, ServerFill } from '@lynxcourse/routing'
+import { stepWeights } from '@lynxcourse/routing'
+import type { RegionPlan, ServerFill } from '@lynxcourse/routing'
+import { planRegions, smoothDemand } from './boardPlans.js'
 import { createSilentServers, noteSilences, silentNow } from './silentServers.js'
 import type { SilentServers } from './silentServers.js'
-import { busyForMs } from '../../types/loads.js'
 import type { BusySlots, LoadDigest, LoadNews, PlanNews, ServerPlaces, ServiceSlots, WeightNews } from '../../types/loads.js'
 
 /** Kept up by the leader; every other control VM holds the last news and plans, so that it can go on from them. */
@@ -54,24 +54,14 @@
 const namedFill = 0.75
 /** Most servers named at once, the fullest first: about 8 KB. */
 const maxNamed = 400
-/** Smoothing of the demand in a second: about three seconds of a wave of callers. */
-const demandSmoothingPerSecond = 0.3
 /** Time over which a server's fill is followed for its weight: at five slots, half of what a moment shows is chance. */
 const fillSmoothingMs: Millis = 3000
 /** Weights are told this often: 175 of them are 4 KB, and the objects that they move should get warm before the next ones move. */
 const weightsEveryMs: Millis = 2000
 /** A weight nearer to 1 than this moves next to nothing. */
 const leastToldChange = 0.03
-/** Part of the way back to the present demand that a peak goes in a second: half of it in about a minute. */
-const peakDecayPerSecond = 0.012
 /** A leader that did not plan for this long has perhaps just begun to lead; entry VMs report within the time after it. */
 const pauseMs: Millis = 2000
-/** Demand below this part of the slots says nothing yet. */
-const leastFill = 0.05
-/** A region that lost this part of its slots lost servers; fewer are the planned changes of an ordinary day. */
-const lossPart = 0.15
-const lossForMs: Millis = 3000
-
 export function createLoadBoard (): LoadBoard {
   return {
     smoothed: new Map(),
@@ -112,8 +102,7 @@
   if (now - board.plannedAt > pauseMs) board.resumedAt = now
   board.plannedAt = now
   smoothDemand(board, passedMs, now)
-  if (noteSlots(board, slots)) board.lossUntil = now + lossForMs
-  for (const [service, byRegion] of slots) planService(board, service, byRegion, passedMs, now)
+  planRegions(board, slots, passedMs, now)
   const full = fullServers(board, places, now)
   smoothFills(board, places, passedMs)
   stepWeights(board.weights, settledFills(board, places), passedMs)
@@ -121,60 +110,6 @@
   board.news = { full, silent, plans: encodePlans(board, fillsOf(board, places, slots)), weights: weightNews(board, places, now) }
 }
 
-function smoothDemand (board: LoadBoard, passedMs: Millis, now: Millis): void {
-  const present = new Map<string, number>()
-  for (const [control, { busy, at }] of board.byControl) {
-    if (now - at > busyForMs) board.byControl.delete(control)
-    else for (const [service, region, slots] of busy) present.set(`${service} ${region}`, (present.get(`${service} ${region}`) ?? 0) + slots)
-  }
-  // The demand of a former leader's measuring stands until the VMs' reports have come; taken for the fall of demand that it
-  // looks like, their lack would move objects away from the servers that are warm for them.
-  if (board.demand.size > 0 && now - board.resumedAt < busyForMs) return
-  if (board.measuringSince === undefined && present.size > 0) board.measuringSince = now
-  const measuredMs = now - (board.measuringSince ?? now)
-  // The first reports are averaged: smoothed up from nothing, a demand that has just begun looks so small that objects come
-  // home to a region that can't hold them.
-  const part = Math.max(demandSmoothingPerSecond * passedMs / 1000, passedMs / (measuredMs + passedMs || 1))
-  for (const key of new Set([...present.keys(), ...board.demand.keys()])) {
-    const held = board.demand.get(key) ?? 0
-    const demand = held + ((present.get(key) ?? 0) - held) * part
-    const peak = board.peaks.get(key) ?? 0
-    board.demand.set(key, demand)
-    board.peaks.set(key, Math.max(demand, peak - (peak - demand) * peakDecayPerSecond * passedMs / 1000))
-  }
-}
-
-/** Remembers the slots; whether some region lost many at once. */
-function noteSlots (board: LoadBoard, slots: ServiceSlots): boolean {
-  let isLoss = false
-  for (const [service, byRegion] of slots) {
-    for (const [region, count] of byRegion) {
-      const key = `${service} ${region}`
-      if (count < (board.slots.get(key) ?? 0) * (1 - lossPart)) isLoss = true
-      board.slots.set(key, count)
-    }
-  }
-  return isLoss
-}
-
-function planService (board: LoadBoard, service: ServiceId, byRegion: ReadonlyMap<RegionId, number>, passedMs: Millis, now: Millis): void {
-  const loads: RegionLoad[] = [...byRegion].map(([region, slots]) => {
-    const key = `${service} ${region}`
-    return { region, slots, demand: board.demand.get(key) ?? 0, peak: board.peaks.get(key) ?? 0 }
-  })
-  const held = board.plans.get(service)
-  const demand = loads.reduce((sum, load) => sum + load.demand, 0)
-  const total = loads.reduce((sum, load) => sum + load.slots, 0)
-  const measuredMs = now - (board.measuringSince ?? now)
-  if (demand >= total * leastFill && measuredMs >= busyForMs) board.measured.add(service)
-  if (held === undefined || !board.measured.has(service)) {
-    board.plans.set(service, firstPlan(loads))
-    return
-  }
-  const target = targetPlan(loads)
-  if (mustMove(held, target, loads)) board.plans.set(service, stepPlan(held, target, now < board.lossUntil, passedMs))
-}
-
 function fullServers (board: LoadBoard, places: ServerPlaces, now: Millis): LoadNews['full'] {
   const named: Array<readonly [ServerId, number]> = []
   for (const [server, { ahead, at }] of board.smoothed) {
