--- a/packages/daemon/__tests__/loadBoard.test.ts
+++ b/packages/daemon/__tests__/loadBoard.test.ts
@@ -86,7 +86,7 @@
   assert.ok(before - nearShare(board) > 0.2, `${before} to ${nearShare(board)}`)
 })
 
-test('an entry VM reports each answer\'s load once, and busy slots by the time that its requests took', () => {
+test('an entry VM reports each answer\'s load once, and the slots that what came in the time needs', () => {
   const notes = createLoadNotes(0)
   noteAhead(notes, server, 4)
   noteAhead(notes, server, 5)
--- a/packages/daemon/src/types/loads.ts
+++ b/packages/daemon/src/types/loads.ts
@@ -5,13 +5,13 @@
 export interface LoadReport {
   /** Requests ahead at each server, by its last answer. */
   readonly servers: ReadonlyArray<readonly [ServerId, number]>
-  /** Slots that this VM's requests kept busy, by service. */
+  /** Slots that this VM's callers need where objects are warm, by service. */
   readonly busy: ReadonlyArray<readonly [ServiceId, number]>
   /** Servers that left a request without an answer, and answered none after it. */
   readonly failed: readonly ServerId[]
 }
 
-/** Busy slots by the service and the region of the entry VMs. */
+/** Slots that callers need, by the service and the region of the entry VMs. */
 export type BusySlots = ReadonlyArray<readonly [ServiceId, RegionId, number]>
 
 /** What a control VM hands on to the leader: the reports that it took since the last exchange. */
