Read once more: drop a question that nobody asks any more, and take demand by whether a request names an object

Cause: isOpen lost its last caller when places were kept through a pause; the rest of it stood inline in findBest. slotTimeOf was given an object's full key, which is never empty, so a request without an object on a sticky route counted as warm work, and each request joined a text for it. Change: hasRoom in place of isOpen; the object as the caller named it. Comments say what demand is now. Behaviour differs only for requests without an object on sticky routes.

--- a/packages/daemon/src/core/fleet/loadLog.ts
+++ b/packages/daemon/src/core/fleet/loadLog.ts
@@ -13,7 +13,7 @@
   readonly region: RegionId
   /** Part of the region's objects that stays in it. */
   readonly near: number
-  /** Slots that the region's callers keep busy, smoothed. */
+  /** Slots that the region's callers need where their objects are warm, smoothed. */
   readonly demand: number
   readonly slots: number
 }
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -39,7 +39,7 @@
 /** Serves a request to its final answer; undefined when the caller is gone. */
 export async function serveCall (gateway: Gateway, call: Call): Promise<CallAnswer | undefined> {
   noteRequest(gateway.retries, gateway.node.cfg.retryBudget, call.service, presentTime())
-  noteDemand(gateway.node.load, call.service, slotTimeOf(gateway.fleet, call, objectOf(call)))
+  noteDemand(gateway.node.load, call.service, slotTimeOf(gateway.fleet, call, call.facts.object))
   const run: Run = { call, tried: new Set(), runs: 0, full: 0, sends: 0, last: undefined }
   const waitsUntil = waitEnd(call, presentTime())
   for (;;) {
--- a/packages/daemon/src/types/loads.ts
+++ b/packages/daemon/src/types/loads.ts
@@ -31,7 +31,7 @@
   readonly fill: number
   /** Slots that the requests of all callers need now; a VM tells its own part of the slots by it. */
   readonly busy: number
-  /** Most slots that each region's callers kept busy of late, so that the next leader need not measure it anew. */
+  /** Most slots that each region's callers needed of late, so that the next leader need not measure it anew. */
   readonly demand: ReadonlyArray<readonly [RegionId, number]>
   readonly shares: ReadonlyArray<readonly [RegionId, ReadonlyArray<readonly [RegionId, number]>]>
 }
--- a/packages/routing/src/core/fleetServer.ts
+++ b/packages/routing/src/core/fleetServer.ts
@@ -144,9 +144,9 @@
   return !server.facts.isClosed && now >= server.suspectUntil && now >= server.silentUntil && !isStalled(server, now)
 }
 
-/** Whether a server may be given work now. */
-export function isOpen (server: FleetServer, now: Millis): boolean {
-  return now >= server.pausedUntil && isTrusted(server, now)
+/** Whether a server has room, as far as its last words tell. */
+export function hasRoom (server: FleetServer, now: Millis): boolean {
+  return now >= server.pausedUntil
 }
 
 /** Whether one of this VM's requests runs for far longer there than it should. */
--- a/packages/routing/src/core/regionPlan.ts
+++ b/packages/routing/src/core/regionPlan.ts
@@ -15,7 +15,7 @@
   readonly region: RegionId
   /** Slots of its open servers. */
   readonly slots: number
-  /** Slots that its callers' requests keep busy, in whatever region. */
+  /** Slots that its callers' requests need where their objects are warm, in whatever region. */
   readonly demand: number
   /** Highest demand of late. */
   readonly peak: number
--- a/packages/routing/src/core/scoring.ts
+++ b/packages/routing/src/core/scoring.ts
@@ -4,7 +4,7 @@
 import { hasColdToken, isCold, isWarmingVm } from './coldShare.js'
 import { travelTo, warmChance, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
-import { aheadOf, isStalled, isTrusted, sharedAheadOf, slownessOf } from './fleetServer.js'
+import { aheadOf, hasRoom, isStalled, isTrusted, sharedAheadOf, slownessOf } from './fleetServer.js'
 import type { FleetServer } from './fleetServer.js'
 import { placesOf } from './hashPlaces.js'
 import type { HashPlace } from './hashPlaces.js'
@@ -63,7 +63,7 @@
 /** The server of least cost; undefined where none is open to the request. */
 export function findBest (fleet: Fleet, request: PlaceRequest, now: Millis): Scored | undefined {
   const trusted = trustedServers(fleet, request, now)
-  const open = trusted.filter(server => now >= server.pausedUntil)
+  const open = trusted.filter(server => hasRoom(server, now))
   const region = plannedRegion(fleet, request, trusted)
   const isKeyed = request.route.isSticky && request.object !== ''
   // A server without room for a moment keeps its objects: where all are busy they would only be cold elsewhere.
