Doubt a server only after the longest work: cut cold work told it apart from silence too early

While objects are cold, requests are cut by their route's timeout (1,200 ms for 1,160 ms of work); a server that had answered this VM nothing else meanwhile counted as failed, two VMs of that named it to all, and its objects moved and were cold again. The longest work was taken for 0.8 of the objective until answers taught more, and what was cut taught nothing. Change: the longest work of a route is learned from answers and cut work; a cut request speaks against its server only once the server owes an answer for 1.3 of that. Tests: new ones for a server whose work is cut (red with the former judgement), for learning from cut work, for owed answers.

--- a/packages/daemon/__tests__/fleetStart.test.ts
+++ b/packages/daemon/__tests__/fleetStart.test.ts
@@ -7,6 +7,7 @@
 import { createLoadBoard, isFleetReady, readPlacement, writePlacement } from '@lynxcourse/daemon'
 import type { FleetDaemon, LoadNews } from '@lynxcourse/daemon'
 import { brandId, isLynxError } from '@lynxcourse/base'
+import type { FleetServer } from '@lynxcourse/routing'
 import type { RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import { ask, controlOf, publish, routeTo, startRig, startServer, startVm, until } from './support/fleetRig.js'
 import type { FleetRig } from './support/fleetRig.js'
@@ -109,3 +110,20 @@
   const known = rig.daemons.at(-1)?.gateway?.fleet.byId.get(server.facts.id)
   assert.deepEqual([known?.strikes, known?.suspectUntil], [0, -Infinity])
 })
+
+/*
+ * Symptom: servers are named as answering nobody while all their slots are at work, and their objects move. Sequence: after a start
+ * all objects are cold; several VMs' requests are cut by their route's timeout before the servers can have ended any work. Cause:
+ * a cut request counted as the server's failure where the server had answered nothing else meanwhile.
+ */
+test('work that its timeout cuts does not count against a server until it owes an answer for longer than the longest work takes', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', () => undefined)
+  await publish(rig, [server], [routeTo('read', { isIdempotent: false, timeoutMs: 1000, aimMs: 1000 })])
+  const gateway = rig.daemons.at(-1)?.gateway
+  const known = (): FleetServer | undefined => gateway?.fleet.byId.get(server.facts.id)
+  assert.equal((await ask(rig, '/read/1')).status, 504)
+  assert.deepEqual([known()?.strikes, gateway?.node.load.failed.size], [0, 0])
+  for (let sent = 1; sent < 20 && known()?.strikes === 0; sent++) assert.equal((await ask(rig, '/read/1')).status, 504)
+  assert.ok((known()?.strikes ?? 0) > 0, 'a server that answers nothing at all is doubted')
+})
--- a/packages/daemon/src/core/gateway/learning.ts
+++ b/packages/daemon/src/core/gateway/learning.ts
@@ -1,7 +1,7 @@
 /** What the gateway learns from how a send ended: of the server, of the work, and of the load. */
 import type { Millis } from '@lynxcourse/base'
 import {
-  concurrencyOf, learnConcurrency, learnSlowness, learnWarmChance, learnWork, noteBad, noteFull, noteGood, noteHandled, slotShare, travelTo,
+  concurrencyOf, learnConcurrency, learnCutWork, learnSlowness, learnWarmChance, learnWork, noteBad, noteFull, noteGood, noteHandled, owedFor, slotShare, travelTo,
   workKey, workOf
 } from '@lynxcourse/routing'
 import type { Placed } from '@lynxcourse/routing'
@@ -36,7 +36,7 @@
       if (result.reason === 'unreached') noteFailedServer(gateway.node.load, server.facts.id)
       break
     case 'lost':
-      noteLost(gateway, placed, result.reason, tookMs, now)
+      noteLost(gateway, call, placed, result.reason, tookMs, now)
       break
   }
 }
@@ -49,16 +49,19 @@
  *
  * What can go wrong: a route's timeout is hardly longer than the work for a cold object, so requests for objects that have just
  * moved end by it. Taken for a failure of the server, each of them shut it out, its other objects moved in turn, and ended the
- * same way. It shows as servers that are left alone while they answer others. So only a request that had the time to be answered
- * counts, or one during which the server answered nothing else.
+ * same way. It shows as servers that are left alone while they answer others. So a request counts only where the server had the
+ * time that the longest work takes: for the request itself, or for all that it owed this VM meanwhile.
  */
-function noteLost (gateway: Gateway, placed: Placed, reason: LostReason, tookMs: Millis, now: Millis): void {
+function noteLost (gateway: Gateway, call: Call, placed: Placed, reason: LostReason, tookMs: Millis, now: Millis): void {
   const { server } = placed
   if (reason === 'gone') return
   const ranOut = reason === 'slow' || reason === 'deadline'
-  const isOverdue = ranOut && tookMs > placed.longestMs * overduePart
-  const answeredOthers = server.answeredAt > now - tookMs
-  if (ranOut && !isOverdue && answeredOthers) return
+  const enoughMs = placed.longestMs * overduePart
+  const isOverdue = ranOut && tookMs > enoughMs
+  if (ranOut && !isOverdue && owedFor(server, now) <= enoughMs) {
+    learnCutWork(workOf(gateway.fleet.work, workKey(call), call.route.aimMs), inServerMs(gateway, placed, tookMs))
+    return
+  }
   noteBad(server, isOverdue, now)
   if (reason !== 'spoiled') noteFailedServer(gateway.node.load, server.facts.id)
 }
--- a/packages/routing/__tests__/placement.test.ts
+++ b/packages/routing/__tests__/placement.test.ts
@@ -5,9 +5,8 @@
 import { brandId, makeRandom } from '@lynxcourse/base'
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import {
-  buildRouteTable, chooseEntries, createFleetServer, createWarmth, hasColdToken, isStalled, isWarmingVm, matchRoute, noteAnswered, noteBad,
-  noteFull, noteGood, noteHandled,
-  noteReport, noteRequest, noteShared, noteSharedSilence, noteStart, pickService, placeRequest, slotShare, spendRepeat, takeColdToken
+  buildRouteTable, chooseEntries, createFleetServer, createWarmth, hasColdToken, isStalled, isWarmingVm, learnCutWork, matchRoute, noteAnswered, noteBad,
+  noteFull, noteGood, noteHandled, noteReport, noteRequest, noteShared, noteSharedSilence, noteStart, noteStop, owedFor, pickService, placeRequest, slotShare, spendRepeat, takeColdToken
 } from '@lynxcourse/routing'
 import type { Fleet, FleetServer, PlaceRequest, RetryShare, ServerFacts } from '@lynxcourse/routing'
 import type { Route } from '@lynxcourse/state'
@@ -49,7 +48,7 @@
     byId: new Map(servers.map(held => [held.facts.id, held])),
     byService: new Map([[desk, servers]]),
     warmth: createWarmth(),
-    work: new Map([['read desk', { coldMs: 240, warmMs: 72 }]]),
+    work: new Map([['read desk', { coldMs: 240, warmMs: 72, longestMs: 240 }]]),
     meanWork: new Map([[desk, 100]]),
     travel: new Map([[mumbai, 70]]),
     coldRates: new Map([[desk, 10]]),
@@ -323,3 +322,24 @@
   fleet.demandParts.set(desk, 0)
   assert.equal(slotShare(fleet, desk), 1.5)
 })
+
+test('work that is cut is at least as long as it lasted, and lengthens what servers are doubted by', () => {
+  const times = { coldMs: 1000, warmMs: 300, longestMs: 1000 }
+  for (let n = 0; n < 10; n++) learnCutWork(times, 1200)
+  assert.ok(times.longestMs > 1190 && times.longestMs <= 1200, String(times.longestMs))
+  assert.equal(times.coldMs, 1000, 'the expected time is learned from answers alone')
+  learnCutWork(times, 400)
+  assert.ok(times.longestMs > 1190, 'a send that was cut soon tells nothing')
+})
+
+test('a server owes an answer from the first send that got none, requests given up included', () => {
+  const known = server('s1')
+  assert.equal(owedFor(known, 5000), 0)
+  noteStop(known, noteStart(known, 100, 300, 1000))
+  assert.equal(owedFor(known, 1800), 800)
+  const second = noteStart(known, 100, 300, 2000)
+  assert.equal(owedFor(known, 2500), 1500)
+  noteAnswered(known, 2500)
+  noteStop(known, second)
+  assert.equal(owedFor(known, 9000), 0)
+})
--- a/packages/routing/src/core/fleetServer.ts
+++ b/packages/routing/src/core/fleetServer.ts
@@ -39,6 +39,8 @@
   reportedAt: Millis
   /** When it last answered this VM anything. */
   answeredAt: Millis
+  /** Since when it owes this VM an answer and has given none; undefined where it owes none. */
+  owesSince: Millis | undefined
   /** Requests that this VM sent since that report. */
   sentSince: number
   /** Smoothed requests ahead as all VMs together saw it, where it is nearly full. */
@@ -98,6 +100,7 @@
     reportedAhead: 0,
     reportedAt: -Infinity,
     answeredAt: -Infinity,
+    owesSince: undefined,
     sentSince: 0,
     sharedAhead: 0,
     sharedAt: -Infinity,
@@ -178,6 +181,7 @@
 export function noteStart (server: FleetServer, expectedMs: Millis, longestMs: Millis, now: Millis): Running {
   const running = { startedAt: now, expectedMs, longestMs }
   server.running.add(running)
+  server.owesSince ??= now
   server.sentSince += 1
   return running
 }
@@ -190,6 +194,13 @@
 /** Notes that a server answered, whatever it said. */
 export function noteAnswered (server: FleetServer, now: Millis): void {
   server.answeredAt = now
+  // The request that was answered still counts as running here.
+  server.owesSince = server.running.size > 1 ? now : undefined
+}
+
+/** For how long a server has owed this VM an answer without giving any, requests that were given up included. */
+export function owedFor (server: FleetServer, now: Millis): Millis {
+  return server.owesSince === undefined ? 0 : now - server.owesSince
 }
 
 /** Takes a server's own report of its load. */
--- a/packages/routing/src/core/placement.ts
+++ b/packages/routing/src/core/placement.ts
@@ -52,12 +52,12 @@
   if (!mayStart(concurrency, request.route.rank, isLate(fleet, request, now))) return refuse(fleet, 'busy', timeToRoom(fleet, request.service, concurrency))
   const best = findBest(fleet, request, now)
   if (best === undefined) return refuseUnplaced(fleet, request, concurrency)
-  const { server, waitMs, travelMs, workMs, coldMs, wasWarm, place } = best
+  const { server, waitMs, travelMs, workMs, longestWorkMs, wasWarm, place } = best
   const endsAt = now + travelMs + waitMs + workMs
   if (endsAt > request.deadline) return refuse(fleet, 'noTime', endsAt - request.deadline)
   const tooLong = waitMs - allowedWait(request, travelMs + workMs, now)
   if (tooLong > 0) return refuse(fleet, 'busy', tooLong)
-  return { type: 'send', server, wasWarm, place, isCold: isCold(server, now), waitMs, travelMs, workMs, longestMs: travelMs + waitMs + Math.max(workMs, coldMs) }
+  return { type: 'send', server, wasWarm, place, isCold: isCold(server, now), waitMs, travelMs, workMs, longestMs: travelMs + waitMs + Math.max(workMs, longestWorkMs) }
 }
 
 /** Whether a request misses its latency objective even where its object is warm and a slot is free. */
--- a/packages/routing/src/core/scoring.ts
+++ b/packages/routing/src/core/scoring.ts
@@ -52,8 +52,8 @@
   readonly sharedWaitMs: Millis
   readonly travelMs: Millis
   readonly workMs: Millis
-  /** The same for an object that is cold at the server. */
-  readonly coldMs: Millis
+  /** The longest that work of its route takes at the server. */
+  readonly longestWorkMs: Millis
   /** Whether this VM saw the server handle the object lately. */
   readonly wasWarm: boolean
   /** What hashing says of the server for the object; undefined if nothing. */
@@ -178,7 +178,7 @@
   const travelMs = travelTo(fleet, facts.region)
   const leavingMs = facts.region === input.region ? 0 : awayMs
   const cost = travelMs + sharedWaitMs + workMs * workWeight + leavingMs + (ahead / facts.slots) ** 2 * fillMs + fleet.setup.random()
-  return { server, cost, waitMs, sharedWaitMs, travelMs, workMs, coldMs: times.coldMs * slowness, wasWarm, place }
+  return { server, cost, waitMs, sharedWaitMs, travelMs, workMs, longestWorkMs: Math.max(times.coldMs, times.longestMs) * slowness, wasWarm, place }
 }
 
 /** Wait of a request behind so many others. */
