Keep objects with the server that is warm for them, and keep work that its timeout may cut from cold servers

Change: a home at which this VM has not seen the object, while it saw it beside, has a chance to be warm of its own, learned like the others; work that would end beyond its deadline if it is cold costs one latency objective more, by the chance that it is cold. Tests: two replays of the decisions, both red on the former code.

--- a/packages/routing/__tests__/placement.test.ts
+++ b/packages/routing/__tests__/placement.test.ts
@@ -5,7 +5,7 @@
 import { brandId, makeRandom } from '@lynxcourse/base'
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import {
-  buildRouteTable, chooseEntries, createFleetServer, createWarmth, hasColdToken, isStalled, isWarmingVm, learnCutWork, matchRoute, noteAnswered, noteBad,
+  buildRouteTable, chooseEntries, createFleetServer, createWarmth, hasColdToken, isStalled, isWarmingVm, learnCutWork, learnWarmChance, matchRoute, noteAnswered, noteBad,
   noteFull, noteGood, noteHandled, noteReport, noteRequest, noteShared, noteSharedSilence, noteStart, noteStop, owedFor, pickService, placeRequest, slotShare, spendRepeat, takeColdToken
 } from '@lynxcourse/routing'
 import type { Fleet, FleetServer, PlaceRequest, RetryShare, ServerFacts } from '@lynxcourse/routing'
@@ -343,3 +343,34 @@
   noteStop(known, second)
   assert.equal(owedFor(known, 9000), 0)
 })
+
+/*
+ * Symptom: objects are cold again and again while servers come and go. Sequence: a server joins or gets a new weight and becomes the
+ * home of an object; its former home is warm, has a little more to do, and requests go to the new one. Cause: the new home counted
+ * as warm as homes usually are, though nobody had sent it the object yet.
+ */
+test('an object stays with the server that is warm for it for as long as its new home may be cold', () => {
+  const fleet = fleetOf(server('a'), server('b'))
+  const newHome = sentTo(fleet, request())
+  for (let n = 0; n < 100; n++) learnWarmChance(fleet, request(), 'home', true)
+  const former = [...fleet.byId.values()].find(({ facts }) => facts.id !== newHome) as FleetServer
+  noteHandled(fleet.warmth, former.facts.id, 'read|7', 900)
+  noteReport(former, 2, 950)
+  assert.equal(sentTo(fleet, request()), former.facts.id)
+  noteReport(former, 12, 950)
+  assert.equal(sentTo(fleet, request()), newHome, 'where the former one is full, the object moves')
+})
+
+/*
+ * Symptom: a route whose timeout is hardly longer than its cold work fails at its busiest. Sequence: an object's home has a queue; the
+ * request goes to a server that is cold for the object, is cut by its timeout, and its caller has nothing. Cause: cold work
+ * counted by its time alone, although a late answer is worth something and none is worth nothing.
+ */
+test('a request waits at its warm home rather than risk to be cut at a cold server', () => {
+  const fleet = fleetOf(...['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].map(id => server(id)))
+  const home = sentTo(fleet, request())
+  noteHandled(fleet.warmth, brandId<ServerId>(home), 'read|7', 900)
+  noteReport(fleet.byId.get(brandId<ServerId>(home)) as FleetServer, 7, 950)
+  assert.notEqual(sentTo(fleet, request({ deadline: 2200 })), home, 'with time for cold work')
+  assert.equal(sentTo(fleet, request({ deadline: 1239 })), home)
+})
--- a/packages/routing/src/core/fleet.ts
+++ b/packages/routing/src/core/fleet.ts
@@ -54,7 +54,7 @@
 /** Travel assumed to a region that was not reached yet, two-way. */
 const unknownTravelMs = 80
 /** Chance that an object is warm at such a place, before this VM has seen any there. */
-const firstWarmChances: Record<HashPlace, number> = { home: 0.7, spare: 0.1, away: 0.1 }
+const firstWarmChances: Record<HashPlace, number> = { home: 0.7, movedHome: 0.3, spare: 0.1, away: 0.1 }
 /**
  * While every object is cold, homes look no better than other servers; going to others would make each object
  * cold at several of them, and the first seconds would last for ten.
--- a/packages/routing/src/core/hashPlaces.ts
+++ b/packages/routing/src/core/hashPlaces.ts
@@ -3,8 +3,11 @@
 import type { RegionId, ServerId } from '@lynxcourse/base'
 import type { FleetServer } from './fleetServer.js'
 
-/** What hashing says of a server for an object: its place by the plan, the one beside it, or one in another region. */
-export type HashPlace = 'home' | 'spare' | 'away'
+/**
+ * What hashing says of a server for an object: its place by the plan, the same where this VM last saw the object at another server of
+ * the region, the one beside it, or one in another region.
+ */
+export type HashPlace = 'home' | 'movedHome' | 'spare' | 'away'
 
 /** What hashing says of the servers for an object: the first two of the planned region, and the first of each other one. */
 export function placesOf (servers: readonly FleetServer[], object: string, planned: RegionId | undefined): Map<ServerId, HashPlace> {
--- a/packages/routing/src/core/scoring.ts
+++ b/packages/routing/src/core/scoring.ts
@@ -41,6 +41,9 @@
 /** Cost of a full server's fill before anyone waits there, growing by its square: work comes unevenly, and reports lag. */
 const fillMs = 30
 
+/** Cost of cold work that its deadline may cut, in parts of the latency objective: the caller then has nothing instead of a late answer. */
+const cutRiskPart = 1
+
 /** A server with what is expected of it for a request. */
 export interface Scored {
   readonly server: FleetServer
@@ -71,7 +74,8 @@
   const fill = fillOfService(fleet, request.service, now)
   const candidates = places === undefined ? open : candidatesOf(fleet, request, open, places, fill, now)
   const times = workOf(fleet.work, workKey(request), request.route.aimMs)
-  const input: ScoreInput = { times, places, region, workWeight: 1 + loadWeight(fill) }
+  const isHeldBeside = places !== undefined && candidates.some(({ facts }) => facts.region === region && places.get(facts.id) !== 'home' && isWarm(fleet.warmth, facts.id, request.object, now))
+  const input: ScoreInput = { times, places, region, workWeight: 1 + loadWeight(fill), isHeldBeside }
   const planned = leastCost(fleet, request, candidates.filter(server => server.facts.region === region), input, now)
   if (planned !== undefined && planned.sharedWaitMs <= request.route.aimMs * planWaitPart) return planned
   return leastCost(fleet, request, candidates, input, now)
@@ -161,13 +165,15 @@
   /** The region that the plan names. */
   readonly region: RegionId | undefined
   readonly workWeight: number
+  /** Whether this VM saw the object lately at a server of that region which is not its home there. */
+  readonly isHeldBeside: boolean
 }
 
 function score (fleet: Fleet, request: PlaceRequest, server: FleetServer, input: ScoreInput, now: Millis): Scored {
   const { facts } = server
   const { times, places, workWeight } = input
   const wasWarm = places !== undefined && isWarm(fleet.warmth, facts.id, request.object, now)
-  const place = places?.get(facts.id)
+  const place = placeFor(places?.get(facts.id), wasWarm, input)
   const chance = wasWarm ? 1 : place === undefined ? 0 : warmChance(fleet, request, place)
   const slowness = Math.max(1, slownessOf(server, now) / (fleet.meanSlowness.get(facts.service) ?? 1))
   const workMs = (times.coldMs + (times.warmMs - times.coldMs) * chance) * slowness
@@ -177,8 +183,16 @@
   const sharedWaitMs = waitBehind(ahead, facts.slots, meanMs)
   const travelMs = travelTo(fleet, facts.region)
   const leavingMs = facts.region === input.region ? 0 : awayMs
-  const cost = travelMs + sharedWaitMs + workMs * workWeight + leavingMs + (ahead / facts.slots) ** 2 * fillMs + fleet.setup.random()
-  return { server, cost, waitMs, sharedWaitMs, travelMs, workMs, longestWorkMs: Math.max(times.coldMs, times.longestMs) * slowness, wasWarm, place }
+  const longestWorkMs = Math.max(times.coldMs, times.longestMs) * slowness
+  const mayBeCut = now + travelMs + sharedWaitMs + longestWorkMs > request.deadline
+  const riskMs = mayBeCut ? (1 - chance) * request.route.aimMs * cutRiskPart : 0
+  const cost = travelMs + sharedWaitMs + workMs * workWeight + leavingMs + (ahead / facts.slots) ** 2 * fillMs + riskMs + fleet.setup.random()
+  return { server, cost, waitMs, sharedWaitMs, travelMs, workMs, longestWorkMs, wasWarm, place }
+}
+
+/** An object that this VM saw elsewhere in the region has a new home, which nobody may have warmed yet. */
+function placeFor (place: HashPlace | undefined, wasWarm: boolean, { isHeldBeside }: ScoreInput): HashPlace | undefined {
+  return place === 'home' && isHeldBeside && !wasWarm ? 'movedHome' : place
 }
 
 /** Wait of a request behind so many others. */
