Split the tests of routing by subject, and share the small fleet that they place requests on

Change: routeTable, placement, fleetServer, fleetBounds and connections have files of their own; the fleet and its requests are support/fleet.

--- a/packages/routing/__tests__/routing.test.ts
+++ b/packages/routing/__tests__/routing.test.ts
@@ -1,3 +1,4 @@
+/** Blocks, look-ups, server policies, admission and the once-only flow of the service-addressed path. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
@@ -5,10 +6,10 @@
 import type { RegionId, ServerId, ShiftId, VmId } from '@lynxcourse/base'
 import {
   afterAttempt, afterClaim, afterRecord, afterSlot, buildBlockTable, buildLookupIndex, canFinish, createBackends, createBudget,
-  createConnectionState, createOnceFlow, createPace, createQueue, createRouter, defaultConnections, defaultObservation, dequeue, earnRetry, enqueue, enterAttempt, findHopeless, lastSendAfterShed,
-  isSilent, isUsable, leaveAttempt, lookupVms, makePolicy, mayCarry, maxBudget, noteEnded, notePace, noteProgress, noteReportedLoad, noteSent, openSlots,
-  orderPlaces, parseIpv4, pausePace, refreshBackend, regionOfAddress, removeItem, retryAfter, routeRequest, setBackends, spendRetry, startOnce, takeConnectionEvent,
-  createRestMemory, longestRest, noteRestedReset, noteSilence
+  createOnceFlow, createPace, createQueue, createRouter, defaultObservation, dequeue, earnRetry, enqueue, enterAttempt, findHopeless,
+  isUsable, lastSendAfterShed, leaveAttempt, lookupVms, makePolicy, maxBudget, noteEnded, notePace, noteReportedLoad, noteSent, openSlots,
+  orderPlaces, parseIpv4, pausePace, refreshBackend, regionOfAddress, removeItem, retryAfter, routeRequest, setBackends, spendRetry,
+  startOnce
 } from '@lynxcourse/routing'
 import type { Backend, CallerBlock, EntryVm, OnceEffect, PolicyContext } from '@lynxcourse/routing'
 
@@ -220,22 +221,6 @@
   assert.equal(pace.intervalMs, 10, 'idle time is no pace')
 })
 
-test('an idle connection that was quiet is not used, sooner for what must not repeat', () => {
-  // Symptom: a request hangs until its deadline. Sequence: a connection is idle, something between its ends
-  // forgets it, a request is sent on it. Cause: an open connection is taken for a living one.
-  const connections = loadChart('connection')
-  const connection = createConnectionState(connections, 0)
-  const { staleMs, silentMs } = defaultConnections
-  assert.equal(mayCarry(defaultConnections, connection, true, staleMs / 2 - 1), true)
-  assert.equal(mayCarry(defaultConnections, connection, true, staleMs / 2), false)
-  assert.equal(mayCarry(defaultConnections, connection, false, staleMs / 2), true)
-  assert.equal(mayCarry(defaultConnections, connection, false, staleMs), false)
-  takeConnectionEvent(connections, connection, 'take')
-  assert.equal(isSilent(defaultConnections, connection, silentMs + 1), true)
-  noteProgress(connections, connection, silentMs)
-  assert.equal(isSilent(defaultConnections, connection, silentMs + 1), false)
-})
-
 test('the once-only flow: every path ends, nothing is sent without a claim, not-run only with proof', () => {
   const attempt = loadChart('attempt')
   fc.assert(fc.property(fc.infiniteStream(fc.nat(7)), choices => {
@@ -275,39 +260,3 @@
     if (ran === 'maybe') assert.deepEqual([effect.told, effect.record], ['unknown', 'unknown'])
   }), run)
 })
-
-/*
- * Symptom: firm offers fail with a reset connection, some dozens within seconds. Sequence: half of the servers forget
- * connections that rested 0.3 s; the next request over one is reset; it must not repeat, so its caller hears of a failure.
- * Cause: a connection counted as alive for 2 s after its last answer, whatever became of others that had rested.
- */
-test('resets of rested connections at two servers bound the rest before a request that must not repeat', () => {
-  const memory = createRestMemory()
-  noteRestedReset(memory, 'a:80', 400, 1000)
-  noteRestedReset(memory, 'a:80', 350, 1100)
-  assert.equal(longestRest(memory, 1200), Infinity)
-  noteRestedReset(memory, 'b:80', 600, 1200)
-  assert.equal(Math.round(longestRest(memory, 1300)), 245)
-  assert.equal(longestRest(memory, 1300 + 8000), Infinity)
-})
-
-test('a reset of a connection in steady use tells of a crash and bounds nothing', () => {
-  const memory = createRestMemory()
-  for (const address of ['a:80', 'b:80', 'c:80']) noteRestedReset(memory, address, 20, 1000)
-  assert.equal(longestRest(memory, 1001), Infinity)
-})
-
-/*
- * Symptom: requests that must not repeat hang to their time limits for seconds. Sequence: something between the ends loses
- * track of all open connections; no reset comes; each request over an old connection waits in vain. Cause: only resets
- * bounded the rest, and each connection had to be found out by a request of its own.
- */
-test('connections silent at two servers leave only those that showed life after them', () => {
-  const memory = createRestMemory()
-  noteSilence(memory, 'a:80', 700, 1000, 1500)
-  assert.equal(longestRest(memory, 1500), Infinity)
-  noteSilence(memory, 'b:80', 500, 1100, 1600)
-  // The second one showed life at 600 for the last time.
-  assert.equal(longestRest(memory, 1700), 1100)
-  assert.equal(longestRest(memory, 1600 + 8000), Infinity)
-})
--- /dev/null
+++ b/packages/routing/__tests__/support/fleet.ts
@@ -0,0 +1,70 @@
+/** A small fleet as one entry VM knows it, and requests to it. */
+import { brandId, makeRandom } from '@lynxcourse/base'
+import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { createFleetServer, createWarmth, placeRequest } from '@lynxcourse/routing'
+import type { Fleet, FleetServer, PlaceRequest, ServerFacts } from '@lynxcourse/routing'
+import type { Route } from '@lynxcourse/state'
+
+const seed = 23
+
+export const desk = brandId<ServiceId>('desk')
+export const kochi = brandId<RegionId>('kochi')
+export const mumbai = brandId<RegionId>('mumbai')
+
+/** A sticky route of the desk whose requests may be repeated. */
+export function route (name: string, parts: Partial<Route> = {}): Route {
+  return {
+    name,
+    host: 'a.example',
+    pathPrefix: `/${name}/`,
+    isIdempotent: true,
+    timeoutMs: 1000,
+    aimMs: 250,
+    rank: 0,
+    service: desk,
+    split: [],
+    maxAttempts: 2,
+    isSticky: true,
+    homes: [],
+    annotations: {},
+    ...parts
+  }
+}
+
+/** A warm server of the desk with three slots, of which nothing was heard yet. */
+export function server (id: string, region = kochi, parts: Partial<ServerFacts> = {}): FleetServer {
+  const facts: ServerFacts = { id: brandId<ServerId>(id), service: desk, address: `${id}:80`, failureDomain: brandId<FailureDomainId>(`${region}-a`), region, bornAt: 0, slots: 3, isClosed: false, ...parts }
+  return createFleetServer(facts, -Infinity)
+}
+
+/** The fleet of one VM in Kochi that has learned the route's times and knows no plan. */
+export function fleetOf (...servers: FleetServer[]): Fleet {
+  return {
+    setup: { self: 'vm-1', region: kochi, random: makeRandom(seed) },
+    byId: new Map(servers.map(held => [held.facts.id, held])),
+    byService: new Map([[desk, servers]]),
+    warmth: createWarmth(),
+    work: new Map([['read desk', { coldMs: 240, warmMs: 72, longestMs: 240 }]]),
+    meanWork: new Map([[desk, 100]]),
+    travel: new Map([[mumbai, 70]]),
+    coldRates: new Map([[desk, 10]]),
+    vms: ['vm-1'],
+    shares: new Map(),
+    sharedFill: new Map(),
+    demandParts: new Map(),
+    homeWarm: new Map(),
+    meanSlowness: new Map(),
+    concurrency: new Map()
+  }
+}
+
+/** A request for one object with ample time. */
+export function request (parts: Partial<PlaceRequest> = {}): PlaceRequest {
+  return { route: route('read'), service: desk, object: 'read|7', tried: new Set(), arrivedAt: 1000, deadline: 2200, ...parts }
+}
+
+/** The server that a request is sent to, or the reason of its refusal. */
+export function sentTo (fleet: Fleet, asked: PlaceRequest, now = 1000): string {
+  const placed = placeRequest(fleet, asked, now)
+  return placed.type === 'send' ? placed.server.facts.id : placed.reason
+}
