Take servers for lost only when neither announcements nor answers come: a cut core lost 21 of 40 servers that served

Ruled out: servers really lost (each announced itself again within two seconds, with a count that went on), the links of entry VMs (they had answers from these servers all the while). Change: an answer that an entry VM reports counts as a sign of life like an announcement; and a control VM that missed five exchanges with the leader turns announcements without news away, so that servers go to another one.

--- /dev/null
+++ b/packages/daemon/__tests__/presence.test.ts
@@ -0,0 +1,55 @@
+/** Which servers the leader takes for lost while control VMs are cut off from each other. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { createPresence, isInTouch, missedServers, presentTime, takeAnnouncement, takePresenceReport } from '@lynxcourse/daemon'
+import type { LoadDigest, PresenceReport } from '@lynxcourse/daemon'
+import { brandId, isLynxError } from '@lynxcourse/base'
+import type { RegionId, ServerId } from '@lynxcourse/base'
+import { controlOf, replaceOrder, routeTo, startRig, startServer, submit, until } from './support/fleetRig.js'
+
+const server = brandId<ServerId>('i-1')
+const missMs = 4500
+
+function report (load: Partial<LoadDigest>): PresenceReport {
+  return { from: { rpc: '127.0.0.1:1', region: brandId<RegionId>('kochi') }, entries: [], heard: [], load: { servers: [], busy: [], failed: [], ...load } }
+}
+
+/*
+ * Symptom: half of all servers leave the directory at one moment, and come back seconds later. Sequence: two of five control VMs are
+ * cut off; servers that announce themselves there go on to serve, and entry VMs have their answers. Cause: the leader counted
+ * announcements alone.
+ */
+test('a server that answers requests is not taken for lost, though its announcements do not arrive', () => {
+  const presence = createPresence()
+  assert.deepEqual(missedServers(presence, [server], missMs, 0), [])
+  takePresenceReport(presence, report({ servers: [[server, 2]] }), 4000)
+  assert.deepEqual(missedServers(presence, [server], missMs, 8000), [])
+  takePresenceReport(presence, report({ failed: [[server, 2]] }), 8400)
+  assert.deepEqual(missedServers(presence, [server], missMs, 8600), [server], 'one that answers nobody is')
+})
+
+/*
+ * Symptom: as above, also where servers tell no load with their answers. Sequence: a control VM that is cut off from the leader
+ * confirms each announcement, so servers stay with it. Cause: it confirmed what it could not pass on.
+ */
+test('a control VM that does not reach the leader turns announcements away, so that servers go to another one', async () => {
+  await using rig = await startRig(0)
+  await submit(rig, replaceOrder('one', 0, 1, [routeTo('read')]))
+  await using known = await startServer('s1', (_req, res) => res.end())
+  await submit(rig, { type: 'announce', facts: known.facts })
+  const control = controlOf(rig, 2)
+  await until(async () => await takeAnnouncement(control, known.facts, presentTime()).then(() => true, () => false))
+  for (const place of [0, 1]) {
+    await rig.daemons[place]?.[Symbol.asyncDispose]()
+    rig.daemons[place] = undefined
+  }
+  await until(async () => await takeAnnouncement(control, known.facts, presentTime()).then(() => false, err => isLynxError(err, 'notLeader')))
+})
+
+test('what a VM hears reaches the leader until some exchanges in a row were missed', () => {
+  const presence = createPresence()
+  assert.equal(isInTouch(presence, 400, 0), false, 'not before the first')
+  presence.exchangedAt = 1000
+  assert.equal(isInTouch(presence, 400, 2900), true)
+  assert.equal(isInTouch(presence, 400, 3000), false)
+})
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -17,7 +17,7 @@
 import type { LoadBoard } from './loadBoard.js'
 import { createLoadIntake } from './loadIntake.js'
 import type { LoadIntake } from './loadIntake.js'
-import { createPresence } from './presence.js'
+import { createPresence, isInTouch } from './presence.js'
 import type { Presence } from './presence.js'
 
 /** A control VM's part. */
@@ -134,14 +134,23 @@
  * Takes a server's announcement. What is news is committed before the server hears of it, so that a
  * server told that its leaving is known gets no new work from any VM in touch.
  *
- * @throws LynxError when news could not be committed, or for a failure domain that is not known
+ * What can go wrong: this VM is cut off from the leader, and servers go on to announce themselves here. Confirmed, none of them
+ * turns to another VM, and the leader takes all of them for lost. It shows as lines of servers that fell silent while they answer
+ * requests. So an announcement without news is confirmed only where the leader was reached lately.
+ *
+ * @throws LynxError when the leader could not be reached, or for a failure domain that is not known
  */
-export async function takeAnnouncement (control: FleetControl, facts: BackendFacts): Promise<void> {
+export async function takeAnnouncement (control: FleetControl, facts: BackendFacts, now: Millis): Promise<void> {
   if (!control.node.cfg.regions.has(facts.failureDomain)) {
     throw new LynxError('badRequest', `failureDomain: '${facts.failureDomain}' is not known`, { step: 'announce', field: 'failureDomain' })
   }
-  if (isCredible(control.host.machine.config, facts)) control.presence.heard.add(facts.id)
-  if (!isNews(control.host.machine.config, facts)) return
+  const { config } = control.host.machine
+  const hasNews = isNews(config, facts)
+  if (!hasNews && !isInTouch(control.presence, control.node.cfg.times.presenceMs, now)) {
+    throw new LynxError('notLeader', 'the leader was not reached lately', { step: 'announce' })
+  }
+  if (isCredible(config, facts)) control.presence.heard.add(facts.id)
+  if (!hasNews) return
   await submitRouteCommand(control, { type: 'announce', facts })
 }
 
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -96,7 +96,7 @@
   addMethod(rpc, 'fleet.read', ['vm', 'operator'], z.strictObject({}), async () => await readRoutes(control, true))
   addMethod(rpc, 'fleet.presence', ['vm'], reportSchema, params => answerPresence(control, params as unknown as PresenceReport))
   addMethod(rpc, 'fleet.announce', ['server'], announceSchema, async ({ facts }) => {
-    await takeAnnouncement(control, facts as unknown as BackendFacts)
+    await takeAnnouncement(control, facts as unknown as BackendFacts, presentTime())
     return {}
   })
   addMethod(rpc, 'fleet.dismiss', ['server', 'operator'], dismissSchema, async ({ server, bornAt }) => {
--- a/packages/daemon/src/core/fleet/presence.ts
+++ b/packages/daemon/src/core/fleet/presence.ts
@@ -14,6 +14,8 @@
   readonly heard: Set<ServerId>
   /** At the leader: when each server was last heard by any control VM. */
   readonly heardAt: Map<ServerId, Millis>
+  /** When this VM last exchanged with the leader, or led itself: until then what it hears counts. */
+  exchangedAt: Millis
   /** Since when this VM leads; undefined while it does not. */
   leadingSince: Millis | undefined
 }
@@ -49,7 +51,7 @@
 const controlStaleMs = 6000
 
 export function createPresence (): Presence {
-  return { entries: new Map(), controls: new Map(), heard: new Set(), heardAt: new Map(), leadingSince: undefined }
+  return { entries: new Map(), controls: new Map(), heard: new Set(), heardAt: new Map(), exchangedAt: -Infinity, leadingSince: undefined }
 }
 
 /** Notes an entry VM; older news never replaces newer. */
@@ -81,9 +83,23 @@
   presence.controls.set(report.from.rpc, { place: report.from, heardAt: now })
   for (const { presence: entry, ageMs } of report.entries) noteEntry(presence, entry, now - ageMs)
   for (const id of report.heard) presence.heardAt.set(id, now)
+  // An answer shows that a server lives as well as an announcement does: servers whose announcements went to VMs that were cut off
+  // from the leader all counted as lost at once, 21 of 40, while they served.
+  for (const [id] of report.load.servers) presence.heardAt.set(id, now)
   return { entries: agedEntries(presence, now), controls: [...presence.controls.values()].map(control => control.place) }
 }
 
+/**
+ * Exchanges with the leader that may be missed before what this VM hears counts as lost: two seconds, so that a server that is turned
+ * away then is heard elsewhere before the 4.5 s after which it counts as lost.
+ */
+const missedExchanges = 5
+
+/** Whether what this VM hears reaches the leader, as far as its last exchanges tell. */
+export function isInTouch (presence: Presence, presenceMs: Millis, now: Millis): boolean {
+  return now - presence.exchangedAt < missedExchanges * presenceMs
+}
+
 /** Servers that count as present and were not heard for too long. */
 export function missedServers (presence: Presence, present: readonly ServerId[], missMs: Millis, now: Millis): ServerId[] {
   const known = new Set(present)
--- a/packages/daemon/src/core/fleet/presenceLoop.ts
+++ b/packages/daemon/src/core/fleet/presenceLoop.ts
@@ -86,6 +86,7 @@
   const report: PresenceReport = { from: { rpc: node.cfg.rpc, region: node.cfg.region }, entries: agedEntries(presence, now), heard: [...presence.heard], load: takeDigest(intake, now) }
   if (leads(host)) {
     presence.heard.clear()
+    presence.exchangedAt = now
     putLoadsTogether(control, report, now)
     takeReply(control, takePresenceReport(presence, report, now))
     await noteMissed(control, now)
@@ -96,6 +97,7 @@
   if (leader === undefined || leader === node.cfg.rpc) return
   const reply = await callPeer<PresenceReply>(node.client, leader, 'fleet.presence', report)
   for (const id of report.heard) presence.heard.delete(id)
+  presence.exchangedAt = presentTime()
   takeReply(control, reply)
   takeNews(control.board, reply.news)
 }
