--- a/scripts/support/processes.ts
+++ b/scripts/support/processes.ts
@@ -79,9 +79,18 @@
   return { code, stdout, stderr }
 }
 
-/** Runs the command line and throws if it fails. */
+/** How long nobody may lead before a command counts as failed; elections take a second, beside busy processes some. */
+const unledMs = 20_000
+
+/** Runs the command line and throws if it fails; while nobody leads it gives the change again, as the command line says. */
 export async function mustCli (addresses: readonly string[], args: readonly string[]): Promise<CliResult> {
-  const result = await runCli(addresses, args)
+  const end = Date.now() + unledMs
+  let result = await runCli(addresses, args)
+  while (result.code === 1 && result.stderr.includes('no leader is known') && Date.now() < end) {
+    await sleep(200)
+    const id = /change id (\S+) \(give it again/.exec(result.stderr)?.[1]
+    result = await runCli(addresses, id === undefined || args.includes('--change-id') ? args : [...args, '--change-id', id])
+  }
   if (result.code !== 0) throw new Error(`lynxcourse ${args.join(' ')}: exit ${result.code}: ${result.stderr}`)
   return result
 }
