--- a/packages/daemon/__tests__/support/fleetRig.ts
+++ b/packages/daemon/__tests__/support/fleetRig.ts
@@ -69,7 +69,13 @@
       await rm(folder, { recursive: true, force: true })
     }
   }
-  for (const cfg of settings) rig.daemons.push(await startVm(cfg))
+  try {
+    for (const cfg of settings) rig.daemons.push(await startVm(cfg))
+  } catch (err) {
+    // Daemons that live on, since a port was taken before the next one listened, would hold the whole test file up.
+    await rig[Symbol.asyncDispose]()
+    throw err
+  }
   return rig
 }
 
