Show for how long requests can have lain unread: lines counted only from the moment at which a VM got to them

Lines and metrics of the incident could not tell a VM that is out of processor time from one whose waits add up: both count from the moment at which the request was read. Lines of sends and refusals now have unreadMs (a bound by the turns of the event loop) and inVmMs, and lynxcourse_request_unread_seconds is a histogram of the first. No decision goes by it yet.

--- a/packages/daemon/src/core/gateway/call.ts
+++ b/packages/daemon/src/core/gateway/call.ts
@@ -15,6 +15,8 @@
   readonly headers: HeaderMap
   readonly body: Buffer | null
   readonly arrivedAt: Millis
+  /** For how long it can have lain unread before that. */
+  readonly unreadMs: Millis
   /** By the caller's own time limit or the route's, whichever ends first. */
   readonly deadline: Millis
   /** Aborted when the caller has closed its connection. */
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { matchRoute, pickService } from '@lynxcourse/routing'
+import { matchRoute, pickService, unreadSince } from '@lynxcourse/routing'
 import type { RoutedService } from '@lynxcourse/routing'
 import type { HeaderMap } from '../../types/answers.js'
 import type { Cancel } from '../../utils/cancel.js'
@@ -13,6 +13,7 @@
 import { log } from '../../utils/logging.js'
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
+import { noteTurn } from './loopWatch.js'
 import { joinPipeline, leavePipeline, tryClosing } from './pipeline.js'
 import type { PipelinedRequest } from './pipeline.js'
 import { serveCall } from './serving.js'
@@ -29,12 +30,14 @@
 
 /** Makes the server; it does not listen yet. */
 export function createCallerFront (gateway: Gateway): Server {
-  return createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0 }, (req, res) => {
+  const server = createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0 }, (req, res) => {
     answerCall(gateway, req, res).catch((err: unknown) => {
       log(gateway.node.logs, 'route', 'error', 'Request not served.', { error: messageOf(err) })
       res.destroy()
     })
   })
+  server.on('connection', () => noteTurn(gateway.turns))
+  return server
 }
 
 /** Takes changed limits over. */
@@ -45,7 +48,9 @@
 
 async function answerCall (gateway: Gateway, req: IncomingMessage, res: ServerResponse): Promise<void> {
   const arrivedAt = presentTime()
+  const unreadMs = unreadFor(gateway, req, arrivedAt)
   const { metrics } = gateway.node
+  metrics.unreadSeconds.observe(unreadMs / 1000)
   let service: ServiceId | 'none' = 'none'
   gateway.open += 1
   metrics.inFlight.set(gateway.open)
@@ -56,7 +61,7 @@
     if (gone.aborted) return
     const target = targetOf(gateway, req)
     service = target?.service ?? 'none'
-    const answer = target === undefined ? noRoute(gateway, req) : await serveRequest(gateway, req, target, gone, arrivedAt)
+    const answer = target === undefined ? noRoute(gateway, req) : await serveRequest(gateway, req, target, gone, { arrivedAt, unreadMs })
     if (answer !== undefined && !gone.aborted) writeAnswer(gateway, res, answer, place)
     metrics.requests.inc({ service, outcome: answer === undefined ? 'gone' : String(answer.status) })
     metrics.requestSeconds.observe({ service }, (presentTime() - arrivedAt) / 1000)
@@ -67,14 +72,24 @@
   }
 }
 
+/** When a VM got to a request, and for how long it can have lain unread by then. */
+type Arrival = Pick<Call, 'arrivedAt' | 'unreadMs'>
+
+function unreadFor (gateway: Gateway, req: IncomingMessage, now: Millis): Millis {
+  noteTurn(gateway.turns)
+  const isFirst = !gateway.pipelines.has(req.socket)
+  return Math.max(0, now - unreadSince(gateway.turns, isFirst))
+}
+
 /** The route of a request, and the service that its split gives it; undefined without a route. */
 function targetOf (gateway: Gateway, req: IncomingMessage): RoutedService | undefined {
   const route = matchRoute(gateway.table, req.headers.host ?? '', req.url ?? '/')
   return route === undefined ? undefined : { route, service: pickService(gateway.splits, route) }
 }
 
-async function serveRequest (gateway: Gateway, req: IncomingMessage, target: RoutedService, gone: Cancel, arrivedAt: Millis): Promise<CallAnswer | undefined> {
+async function serveRequest (gateway: Gateway, req: IncomingMessage, target: RoutedService, gone: Cancel, arrival: Arrival): Promise<CallAnswer | undefined> {
   const { route, service } = target
+  const { arrivedAt } = arrival
   const facts = gateway.callers.readCall(req.headers)
   const body = await readCallBody(gateway, req, gone)
   if (body === undefined) return undefined
@@ -87,7 +102,7 @@
     path: req.url ?? '/',
     headers: forwardedHeaders(gateway, req),
     body: body.length === 0 ? null : body,
-    arrivedAt,
+    ...arrival,
     deadline: arrivedAt + Math.min(facts.remainingMs ?? Infinity, route.timeoutMs),
     gone
   }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -2,13 +2,14 @@
 import { loadChart } from '@lynxcourse/base'
 import type { Millis, RegionId, ServiceId } from '@lynxcourse/base'
 import { buildRouteTable, createWarmth } from '@lynxcourse/routing'
-import type { Fleet, RetryShare, RouteTable, SplitPicker } from '@lynxcourse/routing'
+import type { Fleet, LoopTurns, RetryShare, RouteTable, SplitPicker } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
 import type { CallerLimits } from '@lynxcourse/state'
 import type { FleetNode } from '../fleet/fleetNode.js'
 import { createPool } from '../entry/connectionPool.js'
 import type { ConnectionPool } from '../entry/connectionPool.js'
 import type { CallerDialect, ServerDialect } from './dialects.js'
+import { createLoopWatch } from './loopWatch.js'
 import type { Pipelines } from './pipeline.js'
 
 export interface Gateway {
@@ -19,6 +20,8 @@
   readonly fleet: Fleet
   readonly splits: SplitPicker
   readonly retries: RetryShare
+  /** For the bound on how long requests lay unread. */
+  readonly turns: LoopTurns
   table: RouteTable
   limits: CallerLimits
   /** Requests in this VM. */
@@ -61,6 +64,7 @@
     fleet,
     splits: new Map(),
     retries: new Map(),
+    turns: createLoopWatch(),
     table: buildRouteTable([]),
     limits: defaultCallerLimits,
     pipelines: new WeakMap(),
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -35,7 +35,8 @@
     ...stateFields(gateway),
     leftMs: Math.round(call.deadline - presentTime()),
     outcome,
-    tookMs: Math.round(tookMs)
+    tookMs: Math.round(tookMs),
+    ...timeFields(call)
   })
 }
 
@@ -51,6 +52,11 @@
   return { stateVersion: node.config.version, stateAgeMs: Math.round(presentTime() - node.freshAt) }
 }
 
+/** For how long a request can have lain unread, and since when it is in this VM. */
+function timeFields ({ unreadMs, arrivedAt }: Call): LogFields {
+  return { unreadMs: Math.round(unreadMs), inVmMs: Math.round(presentTime() - arrivedAt) }
+}
+
 /** Writes the line for a request that is refused. */
 export function logRefusal (gateway: Gateway, call: Call, sends: number, refused: Refused): void {
   gateway.node.metrics.refusals.inc({ reason: refused.reason })
@@ -64,6 +70,7 @@
     ...loadFields(gateway, call.service),
     sends,
     leftMs: Math.round(call.deadline - presentTime()),
+    ...timeFields(call),
     ...stateFields(gateway)
   })
 }
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -14,6 +14,7 @@
 import { startExchange } from './exchange.js'
 import type { Received } from './exchange.js'
 import type { Gateway } from './gateway.js'
+import { noteTurn } from './loopWatch.js'
 
 /** How sending ended. */
 export type SendResult =
@@ -55,7 +56,10 @@
   const leftMs = Math.max(1, Math.floor(call.deadline - now))
   const headers = { ...call.headers, ...gateway.servers.requestHeaders(call.facts, facts.id, leftMs) }
   const options: Dispatcher.DispatchOptions = { method: call.method as Dispatcher.HttpMethod, path: call.path, headers, body: call.body }
-  const exchange = startExchange(connection.client, options, () => progressConnection(gateway.pool, connection, presentTime()))
+  const exchange = startExchange(connection.client, options, () => {
+    noteTurn(gateway.turns)
+    progressConnection(gateway.pool, connection, presentTime())
+  })
   const stop = watchSend(call, patience, now, exchange.abort)
   try {
     const received = await exchange.answer
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -8,6 +8,7 @@
   readonly registry: Registry
   readonly requests: Counter<'service' | 'outcome'>
   readonly requestSeconds: Histogram<'service'>
+  readonly unreadSeconds: Histogram
   readonly attempts: Counter<'end'>
   readonly lookups: Counter<'result'>
   readonly claims: Counter<'result'>
@@ -31,6 +32,7 @@
     registry,
     requests: new Counter({ name: 'lynxcourse_requests_total', help: 'Requests by final answer.', labelNames: ['service', 'outcome'], registers }),
     requestSeconds: new Histogram({ name: 'lynxcourse_request_duration_seconds', help: 'Time to the final answer.', labelNames: ['service'], buckets: latencyBuckets, registers }),
+    unreadSeconds: new Histogram({ name: 'lynxcourse_request_unread_seconds', help: 'Longest time that a request can have lain unread before this VM got to it.', buckets: latencyBuckets, registers }),
     attempts: new Counter({ name: 'lynxcourse_attempts_total', help: 'Attempts at backend servers by end.', labelNames: ['end'], registers }),
     lookups: new Counter({ name: 'lynxcourse_lookups_total', help: 'Look-ups by result.', labelNames: ['result'], registers }),
     claims: new Counter({ name: 'lynxcourse_claims_total', help: 'Claims by result.', labelNames: ['result'], registers }),
