Failing test: a request that lay unread past its route's timeout is sent to a server

Reproduces the incident's fault without its load: the VM's event loop stands still for 0.8 s while a request with a timeout of 0.5 s comes, on an old and on a new connection. Both are sent to the server and answered 200.

--- /dev/null
+++ b/packages/daemon/__tests__/support/threadCaller.ts
@@ -0,0 +1,64 @@
+/** A caller on a thread of its own: it sends while the event loop of the tests, and of the VMs in them, stands still. */
+import { Worker } from 'node:worker_threads'
+
+/** Runs in the thread: connects, asks once so that the connection is an old one where that is wanted, then sends when told to. */
+const program = `
+const { connect } = require('node:net')
+const { parentPort, workerData } = require('node:worker_threads')
+const { host, port, path, isOld, flag } = workerData
+const sent = new Int32Array(flag)
+const head = 'GET ' + path + ' HTTP/1.1\\r\\nhost: a.example\\r\\n\\r\\n'
+const socket = connect(port, host)
+let text = ''
+let isReady = !isOld
+const send = () => socket.write(head, () => { Atomics.store(sent, 0, 1); Atomics.notify(sent, 0) })
+socket.setEncoding('latin1')
+socket.on('error', err => parentPort.postMessage({ failed: String(err) }))
+socket.on('connect', () => { if (isOld) socket.write(head); else parentPort.postMessage('ready') })
+socket.on('data', part => {
+  text += part
+  const end = text.indexOf('\\r\\n\\r\\n')
+  const length = /content-length: (\\d+)/i.exec(text)
+  if (end < 0 || length === null || text.length < end + 4 + Number(length[1])) return
+  if (isReady) parentPort.postMessage(text)
+  else { isReady = true; parentPort.postMessage('ready') }
+  text = ''
+})
+parentPort.on('message', send)
+`
+
+/** A caller that is connected. */
+export interface ThreadCaller extends AsyncDisposable {
+  /** Has it send its request, and holds this thread until that is done and so many milliseconds more. */
+  readonly sendWhileBlocked: (blockedMs: number) => void
+  /** The text of its answer. */
+  readonly answer: Promise<string>
+}
+
+/**
+ * Connects a caller.
+ *
+ * @param isOld whether its connection has carried a request before
+ */
+export async function connectThreadCaller (address: string, path: string, isOld: boolean): Promise<ThreadCaller> {
+  const [host, port] = address.split(':')
+  const flag = new SharedArrayBuffer(4)
+  const sent = new Int32Array(flag)
+  const worker = new Worker(program, { eval: true, workerData: { host, port: Number(port), path, isOld, flag } })
+  const next = async (): Promise<string> => await new Promise((resolve, reject) => {
+    worker.once('message', (told: string | { failed: string }) => typeof told === 'string' ? resolve(told) : reject(new Error(told.failed)))
+    worker.once('error', reject)
+  })
+  await next()
+  const answer = next()
+  answer.catch(() => undefined)
+  return {
+    sendWhileBlocked: blockedMs => {
+      worker.postMessage('send')
+      Atomics.wait(sent, 0, 0)
+      Atomics.wait(sent, 0, 1, blockedMs)
+    },
+    answer,
+    [Symbol.asyncDispose]: async () => { await worker.terminate() }
+  }
+}
--- /dev/null
+++ b/packages/daemon/__tests__/unread.test.ts
@@ -0,0 +1,38 @@
+/** Requests that a VM gets to long after their bytes came. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { publish, routeTo, startRig, startServer } from './support/fleetRig.js'
+import { connectThreadCaller } from './support/threadCaller.js'
+
+const timeoutMs = 500
+const blockedMs = 800
+
+/*
+ * After all VMs had lost power, callers of one region were sent to the one VM that was ready first: 984 connections where the median
+ * VM had 114, and 27 % of a core, all that it has, for six seconds. Its event loop got to requests seconds after they had come and
+ * counted their deadlines from then, so of 151 requests that reached their route's timeout, 109 had no answer half a second later.
+ * One that came at 39.96 s was sent to a server at 44.07 s; one with a timeout of 3 s was refused after 4.15 s.
+ */
+for (const isOld of [true, false]) {
+  test(`a request that lay unread past its route's timeout is refused and reaches no server, on ${isOld ? 'an old' : 'a new'} connection`, async () => {
+    await using rig = await startRig(1)
+    await using server = await startServer('s1', (_req, res) => res.end('ok'))
+    await publish(rig, [server], [routeTo('read', { timeoutMs })])
+    await using caller = await connectThreadCaller(rig.settings.at(-1)?.callers ?? '', '/read/1', isOld)
+    const before = server.requests.length
+    caller.sendWhileBlocked(blockedMs)
+    const answer = await caller.answer
+    assert.match(answer, /^HTTP\/1\.1 503 /)
+    assert.match(answer, /retry-after: /i)
+    assert.equal(server.requests.length, before)
+  })
+}
+
+test('a request that lay unread for less than its route\'s timeout is served', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await publish(rig, [server], [routeTo('read', { timeoutMs: 20_000 })])
+  await using caller = await connectThreadCaller(rig.settings.at(-1)?.callers ?? '', '/read/1', true)
+  caller.sendWhileBlocked(blockedMs)
+  assert.match(await caller.answer, /^HTTP\/1\.1 200 /)
+})
