Count a request's deadline from when its bytes can have come, not from when a busy VM got to it

Callers saw: requests answered or refused seconds after their route's timeout, by a VM whose lines showed them in time (held 4.15 s with a timeout of 3 s; 109 of 151 that reached their timeout in the users' record). Cause: of the class 'time counted from when work begins'. The VM took the time at which its event loop got to a request for the time at which it came. Out of processor time it got to requests seconds late, and every bound that follows (deadline, time left that servers are told, waits for room, what counts as late) moved by as much. Ruled out: waits that add up inside a VM (VMs that were not busy held nothing), older configurations with longer timeouts. Mend: the turns of the loop bound since when a request can have lain unread; its times count from there. What passed its timeout unread is refused at once, as it has not run. A quiet loop is marked each 100 ms, so that its little work does not add up; below that nothing counts as unread. Why it holds: no sequence of turns lets bytes be older than the bound (property over 2,000 sequences of noted, unnoted and sampled turns).

--- a/packages/daemon/src/core/gateway/call.ts
+++ b/packages/daemon/src/core/gateway/call.ts
@@ -14,9 +14,10 @@
   /** Headers that are passed on. */
   readonly headers: HeaderMap
   readonly body: Buffer | null
+  /** Since when it can have lain at this VM; times are counted from then, as the caller does. */
   readonly arrivedAt: Millis
-  /** For how long it can have lain unread before that. */
-  readonly unreadMs: Millis
+  /** When this VM got to it. */
+  readonly readAt: Millis
   /** By the caller's own time limit or the route's, whichever ends first. */
   readonly deadline: Millis
   /** Aborted when the caller has closed its connection. */
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { matchRoute, pickService, unreadSince } from '@lynxcourse/routing'
+import { arrivedSince, matchRoute, pickService } from '@lynxcourse/routing'
 import type { RoutedService } from '@lynxcourse/routing'
 import type { HeaderMap } from '../../types/answers.js'
 import type { Cancel } from '../../utils/cancel.js'
@@ -47,10 +47,10 @@
 }
 
 async function answerCall (gateway: Gateway, req: IncomingMessage, res: ServerResponse): Promise<void> {
-  const arrivedAt = presentTime()
-  const unreadMs = unreadFor(gateway, req, arrivedAt)
+  const arrival = arrivalOf(gateway, req, presentTime())
+  const { arrivedAt } = arrival
   const { metrics } = gateway.node
-  metrics.unreadSeconds.observe(unreadMs / 1000)
+  metrics.unreadSeconds.observe((arrival.readAt - arrivedAt) / 1000)
   let service: ServiceId | 'none' = 'none'
   gateway.open += 1
   metrics.inFlight.set(gateway.open)
@@ -61,7 +61,7 @@
     if (gone.aborted) return
     const target = targetOf(gateway, req)
     service = target?.service ?? 'none'
-    const answer = target === undefined ? noRoute(gateway, req) : await serveRequest(gateway, req, target, gone, { arrivedAt, unreadMs })
+    const answer = target === undefined ? noRoute(gateway, req) : await serveRequest(gateway, req, target, gone, arrival)
     if (answer !== undefined && !gone.aborted) writeAnswer(gateway, res, answer, place)
     metrics.requests.inc({ service, outcome: answer === undefined ? 'gone' : String(answer.status) })
     metrics.requestSeconds.observe({ service }, (presentTime() - arrivedAt) / 1000)
@@ -72,13 +72,13 @@
   }
 }
 
-/** When a VM got to a request, and for how long it can have lain unread by then. */
-type Arrival = Pick<Call, 'arrivedAt' | 'unreadMs'>
+type Arrival = Pick<Call, 'arrivedAt' | 'readAt'>
 
-function unreadFor (gateway: Gateway, req: IncomingMessage, now: Millis): Millis {
+/** A request's times count from when its bytes can have come: counted from when a busy VM read them, its deadline came seconds late. */
+function arrivalOf (gateway: Gateway, req: IncomingMessage, now: Millis): Arrival {
   noteTurn(gateway.turns)
   const isFirst = !gateway.pipelines.has(req.socket)
-  return Math.max(0, now - unreadSince(gateway.turns, isFirst))
+  return { arrivedAt: arrivedSince(gateway.turns, isFirst, now), readAt: now }
 }
 
 /** The route of a request, and the service that its split gives it; undefined without a route. */
--- a/packages/daemon/src/core/gateway/loopWatch.ts
+++ b/packages/daemon/src/core/gateway/loopWatch.ts
@@ -1,14 +1,12 @@
 /** Follows the turns of the process's event loop, for the bound on how long requests lie unread. */
 import { performance } from 'node:perf_hooks'
-import { beginTurn, createLoopTurns, endTurn } from '@lynxcourse/routing'
+import { beginTurn, createLoopTurns, endTurn, sampleMs, sampleTurns } from '@lynxcourse/routing'
 import type { LoopTurns } from '@lynxcourse/routing'
 import type { Millis } from '@lynxcourse/base'
 import { presentTime } from '../../utils/clock.js'
 
 export function createLoopWatch (): LoopTurns {
-  const turns = createLoopTurns(presentTime())
-  endTurn(turns, sleptMs(), presentTime())
-  return turns
+  return createLoopTurns(sleptMs(), presentTime())
 }
 
 /** Notes the turn that a callback of a socket belongs to. Immediates run once all sockets of a turn were read. */
@@ -18,6 +16,12 @@
   setImmediate(() => endTurn(turns, sleptMs(), presentTime()))
 }
 
+/** Marks the turns of a quiet loop; disposal ends it. */
+export function watchLoop (turns: LoopTurns): AsyncDisposable {
+  const timer = setInterval(() => sampleTurns(turns, sleptMs(), presentTime()), sampleMs)
+  return { [Symbol.asyncDispose]: async () => clearInterval(timer) }
+}
+
 /** Time that the loop has waited for sockets and timers. */
 function sleptMs (): Millis {
   return performance.eventLoopUtilization().idle
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -53,8 +53,8 @@
 }
 
 /** For how long a request can have lain unread, and since when it is in this VM. */
-function timeFields ({ unreadMs, arrivedAt }: Call): LogFields {
-  return { unreadMs: Math.round(unreadMs), inVmMs: Math.round(presentTime() - arrivedAt) }
+export function timeFields ({ readAt, arrivedAt }: Call): LogFields {
+  return { unreadMs: Math.round(readAt - arrivedAt), inVmMs: Math.round(presentTime() - readAt) }
 }
 
 /** Writes the line for a request that is refused. */
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -13,7 +13,7 @@
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
 import { noteLoad, noteResult } from './learning.js'
-import { logRefusal, logSend } from './requestLog.js'
+import { logRefusal, logSend, timeFields } from './requestLog.js'
 import { mayWaitForRoom, waitEnd, waitForRoom } from './roomWait.js'
 import { isServerError, sendOnce } from './sending.js'
 import type { SendResult } from './sending.js'
@@ -146,6 +146,6 @@
   if (status === statusTimeout && run.runs === 0) {
     return refuse(gateway, run, { type: 'refuse', reason: 'noTime', retryAfterMs: fullRetryMs })
   }
-  log(gateway.node.logs, 'route', 'warn', 'Failed.', { id: call.facts.id, route: call.route.name, status, detail, sends: run.sends, tookMs: Math.round(presentTime() - call.arrivedAt) })
+  log(gateway.node.logs, 'route', 'warn', 'Failed.', { id: call.facts.id, route: call.route.name, status, detail, sends: run.sends, ...timeFields(call) })
   return { status, headers: {}, body: Buffer.from(`${detail}\n`) }
 }
--- a/packages/routing/src/core/unreadBound.ts
+++ b/packages/routing/src/core/unreadBound.ts
@@ -8,24 +8,32 @@
  */
 import type { Millis } from '@lynxcourse/base'
 
-/** The turns of one event loop; a turn is what follows one look at the sockets. */
+/** The turns of one event loop. A turn is what follows one look at the sockets; those that read from callers or servers are noted. */
 export interface LoopTurns {
   /** Whether the present turn has been noted. */
   isOpen: boolean
-  /** When the last noted turn ended. */
-  endedAt: Millis
+  /** When the last noted turn ended, or the last sample was taken. */
+  markedAt: Millis
   /** Time that the loop had slept by then. */
   sleptMs: Millis
+  /** What can be read at that mark has come since then. */
+  readableSince: Millis
   /** When the present turn's look at the sockets returned, at the earliest. */
   beganAt: Millis
   /** Since when what is read in the present turn can have lain unread. */
   unreadSince: Millis
-  /** The same for connections that are accepted in this turn: their first bytes are read in the next one. */
+  /** The same for the first bytes of a connection: it was accepted in the turn before, after it had waited for that. */
   acceptedSince: Millis
 }
 
-export function createLoopTurns (now: Millis): LoopTurns {
-  return { isOpen: false, endedAt: now, sleptMs: 0, beganAt: now, unreadSince: now, acceptedSince: now }
+/**
+ * Time between two marks of a loop that is quiet, and the least time that counts as unread: what a loop works between two marks
+ * can't be told from waiting. A fifth of the half second by which a final answer may come after its route's timeout.
+ */
+export const sampleMs: Millis = 100
+
+export function createLoopTurns (sleptMs: Millis, now: Millis): LoopTurns {
+  return { isOpen: false, markedAt: now, sleptMs, readableSince: now, beganAt: now, unreadSince: now, acceptedSince: now }
 }
 
 /**
@@ -36,27 +44,42 @@
 export function beginTurn (turns: LoopTurns, sleptMs: Millis): void {
   if (turns.isOpen) return
   turns.isOpen = true
-  const lastBeganAt = turns.beganAt
-  const slept = sleptMs - turns.sleptMs
-  turns.beganAt = turns.endedAt + slept
-  turns.acceptedSince = turns.unreadSince
-  // A loop that slept had nothing to read until it woke.
-  turns.unreadSince = slept > 0 ? turns.beganAt : lastBeganAt
-  if (slept > 0) turns.acceptedSince = turns.beganAt
+  const sinceMark = sleptMs - turns.sleptMs
+  turns.beganAt = turns.markedAt + sinceMark
+  const hasSlept = sinceMark > 0
+  turns.acceptedSince = hasSlept ? turns.beganAt : turns.unreadSince
+  turns.unreadSince = hasSlept ? turns.beganAt : turns.readableSince
 }
 
 /** Notes that the turn has ended. */
 export function endTurn (turns: LoopTurns, sleptMs: Millis, now: Millis): void {
   turns.isOpen = false
-  turns.endedAt = now
+  turns.readableSince = turns.beganAt
+  mark(turns, sleptMs, now)
+}
+
+/** Marks a loop that had no noted turn for a while, so that what it works over a long time does not add up. */
+export function sampleTurns (turns: LoopTurns, sleptMs: Millis, now: Millis): void {
+  if (turns.isOpen || now - turns.markedAt < sampleMs) return
+  const sinceMark = sleptMs - turns.sleptMs
+  if (sinceMark > 0) {
+    turns.readableSince = turns.markedAt + sinceMark
+    turns.unreadSince = turns.readableSince
+  }
+  mark(turns, sleptMs, now)
+}
+
+function mark (turns: LoopTurns, sleptMs: Millis, now: Millis): void {
+  turns.markedAt = now
   turns.sleptMs = sleptMs
 }
 
 /**
- * Since when a request that is read in the present turn can have lain unread.
+ * Since when a request that is read now can have lain unread; now, if that is too short a time to tell.
  *
  * @param isFirst whether it is the first one of its connection
  */
-export function unreadSince (turns: LoopTurns, isFirst: boolean): Millis {
-  return isFirst ? turns.acceptedSince : turns.unreadSince
+export function arrivedSince (turns: LoopTurns, isFirst: boolean, now: Millis): Millis {
+  const since = isFirst ? turns.acceptedSince : turns.unreadSince
+  return now - since < sampleMs ? now : since
 }
