Take a wait of under a millisecond for none: the loop found what may have lain there

A look that returns at once counts some microseconds as sleep, and what it found can have come since the look before: the bound began too late. Found by reading the runtime's account of idle time; the bound's property holds for waits of 1 ms and more.

--- a/packages/routing/src/core/unreadBound.ts
+++ b/packages/routing/src/core/unreadBound.ts
@@ -26,6 +26,9 @@
   acceptedSince: Millis
 }
 
+/** A loop that waits for less found something at once: it may have lain there. */
+const leastSleepMs: Millis = 1
+
 /**
  * Time between two marks of a loop that is quiet, and the least time that counts as unread: what a loop works between two marks
  * can't be told from waiting. A fifth of the half second by which a final answer may come after its route's timeout.
@@ -46,7 +49,7 @@
   turns.isOpen = true
   const sinceMark = sleptMs - turns.sleptMs
   turns.beganAt = turns.markedAt + sinceMark
-  const hasSlept = sinceMark > 0
+  const hasSlept = sinceMark >= leastSleepMs
   turns.acceptedSince = hasSlept ? turns.beganAt : turns.unreadSince
   turns.unreadSince = hasSlept ? turns.beganAt : turns.readableSince
 }
@@ -62,7 +65,7 @@
 export function sampleTurns (turns: LoopTurns, sleptMs: Millis, now: Millis): void {
   if (turns.isOpen || now - turns.markedAt < sampleMs) return
   const sinceMark = sleptMs - turns.sleptMs
-  if (sinceMark > 0) {
+  if (sinceMark >= leastSleepMs) {
     turns.readableSince = turns.markedAt + sinceMark
     turns.unreadSince = turns.readableSince
   }
