--- a/packages/daemon/src/core/gateway/loopWatch.ts
+++ b/packages/daemon/src/core/gateway/loopWatch.ts
@@ -12,7 +12,7 @@
 /** Notes the turn that a callback of a socket belongs to. Immediates run once all sockets of a turn were read. */
 export function noteTurn (turns: LoopTurns): void {
   if (turns.isOpen) return
-  beginTurn(turns, sleptMs())
+  beginTurn(turns, sleptMs(), presentTime())
   setImmediate(() => endTurn(turns, sleptMs(), presentTime()))
 }
 
--- a/packages/routing/__tests__/unreadBound.test.ts
+++ b/packages/routing/__tests__/unreadBound.test.ts
@@ -6,19 +6,19 @@
 
 test('what wakes a sleeping loop has waited for nothing', () => {
   const turns = createLoopTurns(0, 0)
-  beginTurn(turns, 500)
+  beginTurn(turns, 500, 500)
   assert.equal(arrivedSince(turns, false, 501), 501)
   assert.equal(arrivedSince(turns, true, 501), 501)
 })
 
 test('what is read after a long turn may have waited since that turn began; a first request for one turn more', () => {
   const turns = createLoopTurns(0, 0)
-  beginTurn(turns, 100)
+  beginTurn(turns, 100, 100)
   endTurn(turns, 100, 900)
-  beginTurn(turns, 100)
+  beginTurn(turns, 100, 900)
   assert.equal(arrivedSince(turns, false, 900), 100)
   endTurn(turns, 100, 1500)
-  beginTurn(turns, 100)
+  beginTurn(turns, 100, 1500)
   assert.equal(arrivedSince(turns, false, 1500), 900)
   assert.equal(arrivedSince(turns, true, 1500), 100)
 })
@@ -26,7 +26,7 @@
 test('little work over a long quiet time does not add up to time unread', () => {
   const turns = createLoopTurns(0, 0)
   for (let now = sampleMs; now <= 60_000; now += sampleMs) sampleTurns(turns, now * 0.9, now)
-  beginTurn(turns, 54_050)
+  beginTurn(turns, 54_050, 60_060)
   assert.equal(arrivedSince(turns, false, 60_060), 60_060)
 })
 
@@ -52,7 +52,7 @@
       const oldest = sleptMs > 0 ? now : lastLook
       lastLook = now
       if (isNoted) {
-        beginTurn(turns, slept)
+        beginTurn(turns, slept, now)
         const since = arrivedSince(turns, false, now)
         assert.ok(since === now ? now - oldest < sampleMs : since <= oldest)
         assert.ok(arrivedSince(turns, true, now) <= since)
--- a/packages/routing/src/core/unreadBound.ts
+++ b/packages/routing/src/core/unreadBound.ts
@@ -18,6 +18,10 @@
   sleptMs: Millis
   /** What can be read at that mark has come since then. */
   readableSince: Millis
+  /** When the present turn was noted: about when it began to read. */
+  notedAt: Millis
+  /** Whether the loop slept before the present turn. */
+  hasSlept: boolean
   /** When the present turn's look at the sockets returned, at the earliest. */
   beganAt: Millis
   /** Since when what is read in the present turn can have lain unread. */
@@ -36,7 +40,7 @@
 export const sampleMs: Millis = 100
 
 export function createLoopTurns (sleptMs: Millis, now: Millis): LoopTurns {
-  return { isOpen: false, markedAt: now, sleptMs, readableSince: now, beganAt: now, unreadSince: now, acceptedSince: now }
+  return { isOpen: false, markedAt: now, sleptMs, readableSince: now, notedAt: now, hasSlept: true, beganAt: now, unreadSince: now, acceptedSince: now }
 }
 
 /**
@@ -44,12 +48,14 @@
  *
  * @param sleptMs time that the loop has slept since it started
  */
-export function beginTurn (turns: LoopTurns, sleptMs: Millis): void {
+export function beginTurn (turns: LoopTurns, sleptMs: Millis, now: Millis): void {
   if (turns.isOpen) return
   turns.isOpen = true
+  turns.notedAt = now
   const sinceMark = sleptMs - turns.sleptMs
   turns.beganAt = turns.markedAt + sinceMark
   const hasSlept = sinceMark >= leastSleepMs
+  turns.hasSlept = hasSlept
   turns.acceptedSince = hasSlept ? turns.beganAt : turns.unreadSince
   turns.unreadSince = hasSlept ? turns.beganAt : turns.readableSince
 }
