Judge a request by how far the turn was when it was read, not by when it is served

Callers saw: 503 from a VM that had just started and held their requests until the state came, 0.3 s later. Cause: the turn budget was asked after that wait, when the turn in which the request was read lay far back and looked long. Mend: how far the turn was is noted when the request is read (TurnSpent), so no later wait counts.

--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -3,8 +3,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { arrivedSince, matchRoute, mayTakeUp, pickService } from '@lynxcourse/routing'
-import type { RoutedService } from '@lynxcourse/routing'
+import { arrivedSince, matchRoute, mayTakeUp, pickService, turnSpent } from '@lynxcourse/routing'
+import type { RoutedService, TurnSpent } from '@lynxcourse/routing'
 import type { HeaderMap } from '../../types/answers.js'
 import type { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
@@ -76,13 +76,15 @@
   }
 }
 
-type Arrival = Pick<Call, 'arrivedAt' | 'readAt'>
+interface Arrival extends Pick<Call, 'arrivedAt' | 'readAt'> {
+  readonly turn: TurnSpent
+}
 
 /** A request's times count from when its bytes can have come: counted from when a busy VM read them, its deadline came seconds late. */
 function arrivalOf (gateway: Gateway, req: IncomingMessage, now: Millis): Arrival {
   noteTurn(gateway.turns)
   const isFirst = !gateway.pipelines.has(req.socket)
-  return { arrivedAt: arrivedSince(gateway.turns, isFirst, now), readAt: now }
+  return { arrivedAt: arrivedSince(gateway.turns, isFirst, now), readAt: now, turn: turnSpent(gateway.turns, now) }
 }
 
 /** The route of a request, and the service that its split gives it; undefined without a route. */
@@ -93,10 +95,10 @@
 
 async function serveRequest (gateway: Gateway, req: IncomingMessage, target: RoutedService, gone: Cancel, arrival: Arrival): Promise<CallAnswer | undefined> {
   const { route, service } = target
-  const { arrivedAt } = arrival
+  const { arrivedAt, readAt, turn } = arrival
   const facts = gateway.callers.readCall(req.headers)
   const deadline = arrivedAt + Math.min(facts.remainingMs ?? Infinity, route.timeoutMs)
-  if (!mayTakeUp(gateway.turns, route.rank, presentTime())) return refuseOverloaded(gateway, req, { facts, route, service, ...arrival, deadline })
+  if (!mayTakeUp(turn, route.rank)) return refuseOverloaded(gateway, req, { facts, route, service, arrivedAt, readAt, deadline })
   const body = await readCallBody(gateway, req, gone)
   if (body === undefined) return undefined
   if (!Buffer.isBuffer(body)) return body
@@ -108,7 +110,8 @@
     path: req.url ?? '/',
     headers: forwardedHeaders(gateway, req),
     body: body.length === 0 ? null : body,
-    ...arrival,
+    arrivedAt,
+    readAt,
     deadline,
     gone
   }
--- a/packages/routing/__tests__/turnBudget.test.ts
+++ b/packages/routing/__tests__/turnBudget.test.ts
@@ -1,7 +1,7 @@
 /** What a VM out of processor time takes up: a replay of its event loop under a flood of callers. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { beginTurn, createLoopTurns, endTurn, mayTakeUp } from '@lynxcourse/routing'
+import { beginTurn, createLoopTurns, endTurn, mayTakeUp, turnSpent } from '@lynxcourse/routing'
 import type { LoopTurns } from '@lynxcourse/routing'
 
 /** Times of the loop's work at a VM with a quarter of a core, and what comes to it. */
@@ -85,13 +85,13 @@
 test('under a flood no request is held half a second past its timeout, and the processor still serves', () => {
   const unbounded = play(floodPerSecond, () => true)
   assert.ok(unbounded.held.some(heldMs => heldMs > timeoutMs + graceMs), 'the replay shows the fault')
-  const bounded = play(floodPerSecond, (turns, now) => mayTakeUp(turns, 0, now))
+  const bounded = play(floodPerSecond, (turns, now) => mayTakeUp(turnSpent(turns, now), 0))
   assert.deepEqual(bounded.held.filter(heldMs => heldMs > timeoutMs + graceMs), [])
   assert.ok(bounded.served > playedMs / 1000 * 20, `served ${bounded.served}`)
 })
 
 test('a load that the processor bears is taken up whole', () => {
-  const loop = play(35, (turns, now) => mayTakeUp(turns, 2, now))
+  const loop = play(35, (turns, now) => mayTakeUp(turnSpent(turns, now), 2))
   assert.equal(loop.refused, 0)
 })
 
@@ -100,7 +100,7 @@
   beginTurn(turns, 100, 100)
   const takenUntil = [0, 1, 2].map(rank => {
     let now = 100
-    while (now < playedMs && mayTakeUp(turns, rank, now)) now += 1
+    while (now < playedMs && mayTakeUp(turnSpent(turns, now), rank)) now += 1
     return now
   })
   assert.ok((takenUntil[0] as number) > (takenUntil[1] as number) && (takenUntil[1] as number) > (takenUntil[2] as number))
--- a/packages/routing/src/core/turnBudget.ts
+++ b/packages/routing/src/core/turnBudget.ts
@@ -19,9 +19,21 @@
 /** Parts of that by rank: in a long turn the least urgent are refused first. */
 const rankParts = [1, 0.9, 0.8]
 
-/** Whether a request that is read now is taken up; one that isn't is refused at once. */
-export function mayTakeUp (turns: LoopTurns, rank: number, now: Millis): boolean {
-  const budgetMs = turns.hasSlept ? burstTurnMs : busyTurnMs
+/** How far the turn was in which a request was read. */
+export interface TurnSpent {
+  readonly spentMs: Millis
+  /** Whether the loop slept before that turn. */
+  readonly hasSlept: boolean
+}
+
+/** How far the present turn is; to be asked when a request is read, as it may wait afterwards. */
+export function turnSpent (turns: LoopTurns, now: Millis): TurnSpent {
+  return { spentMs: now - turns.notedAt, hasSlept: turns.hasSlept }
+}
+
+/** Whether a request that was read then is taken up; one that isn't is refused at once. */
+export function mayTakeUp ({ spentMs, hasSlept }: TurnSpent, rank: number): boolean {
+  const budgetMs = hasSlept ? burstTurnMs : busyTurnMs
   const part = rankParts[Math.min(rank, rankParts.length - 1)] ?? 1
-  return now - turns.notedAt < budgetMs * part
+  return spentMs < budgetMs * part
 }
