Pack large messages between VMs: the first copy of the state filled an entry VM's link three times over

Callers saw: for six seconds after all VMs had lost power nearly all answers were late or refused; the first ready VM of a region had all. Mend: answers over 4 KB are packed where the peer accepts it (gzip, fastest level); older peers get them as before.

--- a/packages/daemon/src/core/rpc/rpcClient.ts
+++ b/packages/daemon/src/core/rpc/rpcClient.ts
@@ -6,6 +6,7 @@
 import { LynxError, errorTexts, isLynxError, messageOf } from '@lynxcourse/base'
 import type { ErrorCode, Millis } from '@lynxcourse/base'
 import type { Metrics } from '../../utils/metrics.js'
+import { packedCoding, unpackText } from './packing.js'
 
 /** What a client needs to reach other VMs. */
 export interface RpcClientCfg {
@@ -24,6 +25,8 @@
 
 const maxConnectionsPerPeer = 16
 const maxPeers = 256
+/** Largest answer that is unpacked; the whole state at the target size is a fifth of it (docs/CAPACITY.md). */
+const maxAnswerBytes = 67_108_864
 
 export function createRpcClient (cfg: RpcClientCfg): RpcClient {
   const client: RpcClient = { cfg, pools: new Map(), [Symbol.asyncDispose]: async () => await closeClient(client) }
@@ -95,12 +98,13 @@
   const options: Dispatcher.RequestOptions = {
     method: 'POST',
     path: '/rpc',
-    headers: { 'content-type': 'application/json' },
+    headers: { 'content-type': 'application/json', 'accept-encoding': packedCoding },
     body,
     signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)))
   }
   const res = await pool.request(options)
-  const text = await res.body.text()
+  const received = Buffer.from(await res.body.arrayBuffer())
+  const text = unpackText(received, res.headers['content-encoding']?.toString(), maxAnswerBytes)
   if (res.statusCode !== 200) throw refusalOf(res.statusCode, text)
   return text
 }
--- a/packages/daemon/src/core/rpc/rpcServer.ts
+++ b/packages/daemon/src/core/rpc/rpcServer.ts
@@ -12,6 +12,7 @@
 import { createRateLimit, takeToken } from '../../utils/rateLimit.js'
 import type { RateLimit } from '../../utils/rateLimit.js'
 import type { TlsFiles } from '../../plugins/tlsFiles.js'
+import { isWorthPacking, packText, packedCoding } from './packing.js'
 
 /** Who calls, by the certificate's name: `vm:NAME`, `operator:NAME` or `server:NAME`. */
 export interface RpcCaller {
@@ -80,7 +81,13 @@
   }
   const body = await readBody(req, maxBytes)
   const answer = await methods.receiveJSON(body.toString('utf8'), caller)
-  res.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(answer ?? null))
+  const text = JSON.stringify(answer ?? null)
+  const type = { 'content-type': 'application/json' }
+  if (isWorthPacking(req.headers['accept-encoding']?.toString(), text.length)) {
+    res.writeHead(200, { ...type, 'content-encoding': packedCoding }).end(packText(text))
+    return
+  }
+  res.writeHead(200, type).end(text)
 }
 
 /** Counts all bytes of a connection when it closes and whenever a request ends on it. */
