Name entry VMs to callers once those that start together have come in

Callers saw: one VM of a region took all of them for ten seconds after a start of all (984 connections, median 114), and held their requests. Cause: look-ups named whoever was ready at that moment; answers last 2 s and connections longer, so the first VM kept those who asked first. Mend: a control VM answers look-ups once no entry VM has come in for 400 ms, or 1.5 s after the first in any case. A caller without an answer asks another control VM or goes on with the VMs that it knew, which become ready as soon. It acts only in the first 1.5 s of a control VM's life; a restart of entry VMs later holds no answer back.

--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -3,7 +3,7 @@
 import type { BackendFacts, ConfigDelta, RouteCommand } from '@lynxcourse/state'
 import { brandId } from '@lynxcourse/base'
 import type { Millis, RegionId, ServerId } from '@lynxcourse/base'
-import { chooseEntries } from '@lynxcourse/routing'
+import { chooseEntries, isGathering } from '@lynxcourse/routing'
 import type { EntryPresence } from '@lynxcourse/routing'
 import * as z from 'zod'
 import { presentTime } from '../../utils/clock.js'
@@ -107,10 +107,11 @@
     lookUp(control, region === undefined ? undefined : brandId<RegionId>(region), presentTime()))
 }
 
-/** Which entry VMs a caller should use: those of its region where some are ready. */
+/** Which entry VMs a caller should use: those of its region where some are ready; none while they come in after a start. */
 export function lookUp (control: FleetControl, region: RegionId | undefined, now: Millis): FleetLookup {
   const { times } = control.node.cfg
-  const addresses = chooseEntries([...control.presence.entries.values()], region, times.presenceStaleMs, now)
+  const { entries, gathering } = control.presence
+  const addresses = isGathering(gathering, now) ? [] : chooseEntries([...entries.values()], region, times.presenceStaleMs, now)
   return { addresses, ttlMs: times.lookupTtlMs }
 }
 
--- a/packages/daemon/src/core/fleet/presence.ts
+++ b/packages/daemon/src/core/fleet/presence.ts
@@ -1,6 +1,7 @@
 /** Which entry VMs and backend servers were heard of late: kept in memory, exchanged through the leader. */
 import type { Millis, ServerId } from '@lynxcourse/base'
-import type { EntryPresence, HeardEntry } from '@lynxcourse/routing'
+import { createEntryGathering, noteReadyEntry } from '@lynxcourse/routing'
+import type { EntryGathering, EntryPresence, HeardEntry } from '@lynxcourse/routing'
 import type { ControlPlace } from './fleetNode.js'
 import type { LoadDigest, LoadNews } from '../../types/loads.js'
 
@@ -8,6 +9,8 @@
 export interface Presence {
   /** Entry VMs by name. */
   readonly entries: Map<string, HeardEntry>
+  /** Whether enough of them were heard since this VM started. */
+  readonly gathering: EntryGathering
   /** Control VMs by RPC address. */
   readonly controls: Map<string, { readonly place: ControlPlace, readonly heardAt: Millis }>
   /** Backend servers heard since the last exchange. */
@@ -51,7 +54,7 @@
 const controlStaleMs = 6000
 
 export function createPresence (): Presence {
-  return { entries: new Map(), controls: new Map(), heard: new Set(), heardAt: new Map(), exchangedAt: -Infinity, leadingSince: undefined }
+  return { entries: new Map(), gathering: createEntryGathering(), controls: new Map(), heard: new Set(), heardAt: new Map(), exchangedAt: -Infinity, leadingSince: undefined }
 }
 
 /** Notes an entry VM; older news never replaces newer. */
@@ -59,6 +62,7 @@
   const held = presence.entries.get(entry.name)
   if (held !== undefined && held.heardAt >= heardAt) return false
   presence.entries.set(entry.name, { presence: entry, heardAt })
+  if (entry.isReady && held?.presence.isReady !== true) noteReadyEntry(presence.gathering, heardAt)
   return held === undefined || held.presence.isReady !== entry.isReady || held.presence.address !== entry.address
 }
 
--- a/packages/routing/src/core/entryGathering.ts
+++ b/packages/routing/src/core/entryGathering.ts
@@ -16,6 +16,11 @@
   grownAt: Millis
 }
 
+/** They are all there once none has come for this long, the time between two exchanges of what control VMs heard. */
+const settledMs: Millis = 400
+/** From then on callers get an answer in any case: entry VMs were ready within 2.1 s of each other while the state filled their links. */
+const longestMs: Millis = 1500
+
 export function createEntryGathering (): EntryGathering {
   return { firstAt: undefined, grownAt: -Infinity }
 }
@@ -27,6 +32,6 @@
 }
 
 /** Whether more are expected soon, so that callers should not be told of these alone. */
-export function isGathering (_gathering: EntryGathering, _now: Millis): boolean {
-  return false
+export function isGathering ({ firstAt, grownAt }: EntryGathering, now: Millis): boolean {
+  return firstAt !== undefined && now - firstAt < longestMs && now - grownAt < settledMs
 }
