--- a/packages/daemon/__tests__/unread.test.ts
+++ b/packages/daemon/__tests__/unread.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test'
 import type { LoopTurns } from '@lynxcourse/routing'
 import { ask, publish, routeTo, startRig, startServer } from './support/fleetRig.js'
+import { startBackend, startRig as startServiceRig } from './support/rig.js'
 import { connectThreadCaller } from './support/threadCaller.js'
 
 const timeoutMs = 500
@@ -56,3 +57,21 @@
   turns.isOpen = false
   assert.equal((await ask(rig, '/read/1')).status, 200)
 })
+
+/*
+ * The service-addressed path counted a deadline from the same moment, so it held requests in the same way. Found by looking for the cause
+ * elsewhere, not by an incident.
+ */
+test('a request to a service that lay unread past its deadline reaches no server', async () => {
+  await using rig = await startServiceRig({}, { deadlineMs: timeoutMs })
+  await using backend = await startBackend(rig)
+  let runs = 0
+  backend.handler = (req, res) => {
+    if (req.url === '/late') runs += 1
+    res.end('ok')
+  }
+  await using caller = await connectThreadCaller(rig.http.replace('http://', ''), '/s/offers/late', false)
+  caller.sendWhileBlocked(blockedMs)
+  assert.match(await caller.answer, /^HTTP\/1\.1 503 /)
+  assert.equal(runs, 0)
+})
