Count deadlines of the service-addressed path from when requests can have come; one loop watch for both paths

Mend: LoopWatch (utils/loopWatch.ts) follows the loop for both paths and says since when a request can have lain there. The test's check is corrected with it: docs/API.md has 504 and too-late for a deadline that has passed, where the test asked for 503; that the request reaches no server is asked as before, and the outcome besides. Other places that were looked at: a watch's answer counts its age from when it is read (used only to tell whether any state is known); presence of an entry VM counts from when a busy control VM reads it, at most by the length of its turn (left, docs/incidents).

--- a/packages/daemon/__tests__/unread.test.ts
+++ b/packages/daemon/__tests__/unread.test.ts
@@ -47,7 +47,7 @@
   await using rig = await startRig(1)
   await using server = await startServer('s1', (_req, res) => res.end('ok'))
   await publish(rig, [server], [routeTo('read')])
-  const turns = rig.daemons.at(-1)?.gateway?.turns as LoopTurns
+  const turns = rig.daemons.at(-1)?.gateway?.loop.turns as LoopTurns
   Object.assign(turns, { isOpen: true, notedAt: -Infinity })
   const refused = await ask(rig, '/read/1')
   assert.equal(refused.status, 503)
@@ -72,6 +72,8 @@
   }
   await using caller = await connectThreadCaller(rig.http.replace('http://', ''), '/s/offers/late', false)
   caller.sendWhileBlocked(blockedMs)
-  assert.match(await caller.answer, /^HTTP\/1\.1 503 /)
+  const answer = await caller.answer
+  assert.match(answer, /^HTTP\/1\.1 504 /)
+  assert.match(answer, /lynx-outcome: too-late/)
   assert.equal(runs, 0)
 })
--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -97,6 +97,7 @@
 
 function startEntryParts (stack: Owned, entry: Entry, syncing: Syncing): Server {
   own(stack, entry.pool)
+  own(stack, entry.loop)
   own(stack, startReporting(entry.node, entry))
   own(stack, startPolling(entry))
   own(stack, repeat(sweepMs, () => sweepConnections(entry.pool, presentTime()), () => undefined))
--- a/packages/daemon/src/core/entry/callerServer.ts
+++ b/packages/daemon/src/core/entry/callerServer.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { LynxError, messageOf } from '@lynxcourse/base'
 import { log } from '../../utils/logging.js'
+import { noteTurn } from '../../utils/loopWatch.js'
 import type { Syncing } from '../node/syncing.js'
 import { announcePath, answerAnnouncement } from './announcements.js'
 import type { Entry } from './entry.js'
@@ -25,6 +26,7 @@
     keepAliveTimeout: keepAliveTimeoutMs
   }, (req, res) => handle(entry, syncing, req, res))
   server.maxConnections = limits.maxConnections
+  server.on('connection', () => noteTurn(entry.loop))
   return server
 }
 
--- a/packages/daemon/src/core/entry/entry.ts
+++ b/packages/daemon/src/core/entry/entry.ts
@@ -9,6 +9,8 @@
 import type { ActiveShift, Backend, BlockTable, CallerBlock, EntryVm, LookupIndex, RetryBudget, Router } from '@lynxcourse/routing'
 import { activeDrains, activeShifts, listCaps, profileOf } from '@lynxcourse/state'
 import type { DrainItem, Profile } from '@lynxcourse/state'
+import { openLoopWatch } from '../../utils/loopWatch.js'
+import type { LoopWatch } from '../../utils/loopWatch.js'
 import { createRateLimit } from '../../utils/rateLimit.js'
 import type { RateLimit } from '../../utils/rateLimit.js'
 import type { DrainRemaining, RegionLoad, ReportSource } from '../node/reporting.js'
@@ -30,6 +32,7 @@
   readonly router: Router
   readonly blocks: BlockTable
   readonly pool: ConnectionPool
+  readonly loop: LoopWatch
   readonly attemptChart: Chart
   readonly claiming: Claiming
   lookupIndex: LookupIndex
@@ -69,6 +72,7 @@
     router,
     blocks: buildBlockTable(blocks),
     pool: createPool({ staleMs: times.staleConnectionMs, silentMs: times.silentConnectionMs }, loadChart('connection'), times.connectTimeoutMs),
+    loop: openLoopWatch(),
     attemptChart: loadChart('attempt'),
     claiming,
     lookupIndex: buildLookupIndex([]),
--- a/packages/daemon/src/core/entry/forwarding.ts
+++ b/packages/daemon/src/core/entry/forwarding.ts
@@ -6,6 +6,7 @@
 import type { Millis } from '@lynxcourse/base'
 import { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
+import { arrivalTime } from '../../utils/loopWatch.js'
 import type { FinalAnswer } from '../../types/answers.js'
 import { callerInfo, placesFor } from './callerPlaces.js'
 import { refreshView } from './entry.js'
@@ -23,7 +24,7 @@
 
 /** Serves a request. Exactly one final answer is written, unless the caller is gone. */
 export async function forward (entry: Entry, req: IncomingMessage, res: ServerResponse): Promise<void> {
-  const startedAt = presentTime()
+  const startedAt = arrivalTime(entry.loop, req.socket, presentTime())
   const { node } = entry
   if (entry.open >= node.cfg.limits.maxRequests) {
     await writeAnswer(node, res, ownAnswer('refused', 'this VM is full; nothing was tried', busyRetryMs, 503))
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -17,7 +17,6 @@
 import { noteConnected, refreshGateway, takeLoadNews } from '../gateway/fleetView.js'
 import { createGateway } from '../gateway/gateway.js'
 import type { Gateway } from '../gateway/gateway.js'
-import { watchLoop } from '../gateway/loopWatch.js'
 import { delay, repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
@@ -94,7 +93,7 @@
   node.onLoad.push(() => takeLoadNews(gateway, presentTime()))
   gateway.pool.onConnect = (address, startedAt) => noteConnected(gateway, address, presentTime() - startedAt)
   own(stack, gateway.pool)
-  own(stack, watchLoop(gateway.turns))
+  own(stack, gateway.loop)
   own(stack, repeat(sweepMs, () => sweepConnections(gateway.pool, presentTime()), () => undefined))
   await listen(server, node.cfg.callers ?? '')
   own(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { arrivedSince, matchRoute, mayTakeUp, pickService, turnSpent } from '@lynxcourse/routing'
+import { matchRoute, mayTakeUp, pickService, turnSpent } from '@lynxcourse/routing'
 import type { RoutedService, TurnSpent } from '@lynxcourse/routing'
 import type { HeaderMap } from '../../types/answers.js'
 import type { Cancel } from '../../utils/cancel.js'
@@ -11,9 +11,9 @@
 import { isHopByHop } from '../../utils/headers.js'
 import { readBody } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
+import { arrivalTime, noteTurn } from '../../utils/loopWatch.js'
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
-import { noteTurn } from './loopWatch.js'
 import { joinPipeline, leavePipeline, tryClosing } from './pipeline.js'
 import type { PipelinedRequest } from './pipeline.js'
 import { logRefusal } from './requestLog.js'
@@ -40,7 +40,7 @@
       res.destroy()
     })
   })
-  server.on('connection', () => noteTurn(gateway.turns))
+  server.on('connection', () => noteTurn(gateway.loop))
   return server
 }
 
@@ -80,11 +80,8 @@
   readonly turn: TurnSpent
 }
 
-/** A request's times count from when its bytes can have come: counted from when a busy VM read them, its deadline came seconds late. */
-function arrivalOf (gateway: Gateway, req: IncomingMessage, now: Millis): Arrival {
-  noteTurn(gateway.turns)
-  const isFirst = !gateway.pipelines.has(req.socket)
-  return { arrivedAt: arrivedSince(gateway.turns, isFirst, now), readAt: now, turn: turnSpent(gateway.turns, now) }
+function arrivalOf ({ loop }: Gateway, req: IncomingMessage, now: Millis): Arrival {
+  return { arrivedAt: arrivalTime(loop, req.socket, now), readAt: now, turn: turnSpent(loop.turns, now) }
 }
 
 /** The route of a request, and the service that its split gives it; undefined without a route. */
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -2,14 +2,15 @@
 import { loadChart } from '@lynxcourse/base'
 import type { Millis, RegionId, ServiceId } from '@lynxcourse/base'
 import { buildRouteTable, createWarmth } from '@lynxcourse/routing'
-import type { Fleet, LoopTurns, RetryShare, RouteTable, SplitPicker } from '@lynxcourse/routing'
+import type { Fleet, RetryShare, RouteTable, SplitPicker } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
 import type { CallerLimits } from '@lynxcourse/state'
+import { openLoopWatch } from '../../utils/loopWatch.js'
+import type { LoopWatch } from '../../utils/loopWatch.js'
 import type { FleetNode } from '../fleet/fleetNode.js'
 import { createPool } from '../entry/connectionPool.js'
 import type { ConnectionPool } from '../entry/connectionPool.js'
 import type { CallerDialect, ServerDialect } from './dialects.js'
-import { createLoopWatch } from './loopWatch.js'
 import type { Pipelines } from './pipeline.js'
 
 export interface Gateway {
@@ -21,7 +22,7 @@
   readonly splits: SplitPicker
   readonly retries: RetryShare
   /** For the bound on how long requests lay unread. */
-  readonly turns: LoopTurns
+  readonly loop: LoopWatch
   table: RouteTable
   limits: CallerLimits
   /** Requests in this VM. */
@@ -64,7 +65,7 @@
     fleet,
     splits: new Map(),
     retries: new Map(),
-    turns: createLoopWatch(),
+    loop: openLoopWatch(),
     table: buildRouteTable([]),
     limits: defaultCallerLimits,
     pipelines: new WeakMap(),
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -7,6 +7,7 @@
 import type { HeaderMap } from '../../types/answers.js'
 import { presentTime } from '../../utils/clock.js'
 import { passedHeaders } from '../../utils/headers.js'
+import { noteTurn } from '../../utils/loopWatch.js'
 import { dropConnection, dropSilent, noteUnanswered, progressConnection, releaseConnection, takeConnection } from '../entry/connectionPool.js'
 import type { Connection } from '../entry/connectionPool.js'
 import { noteAhead } from '../fleet/loadReport.js'
@@ -14,7 +15,6 @@
 import { startExchange } from './exchange.js'
 import type { Received } from './exchange.js'
 import type { Gateway } from './gateway.js'
-import { noteTurn } from './loopWatch.js'
 
 /** How sending ended. */
 export type SendResult =
@@ -57,7 +57,7 @@
   const headers = { ...call.headers, ...gateway.servers.requestHeaders(call.facts, facts.id, leftMs) }
   const options: Dispatcher.DispatchOptions = { method: call.method as Dispatcher.HttpMethod, path: call.path, headers, body: call.body }
   const exchange = startExchange(connection.client, options, () => {
-    noteTurn(gateway.turns)
+    noteTurn(gateway.loop)
     progressConnection(gateway.pool, connection, presentTime())
   })
   const stop = watchSend(call, patience, now, exchange.abort)
