Have the soak watch that nothing is held past its route's timeout

Its callers waited no longer than the routes' timeout, so it could not see what the incident's callers saw. They wait twice as long now, and of eight or more requests that reach their timeout at VMs in touch, half must have their answer half a second later (the users' rule).

--- a/scripts/__tests__/soak.test.ts
+++ b/scripts/__tests__/soak.test.ts
@@ -46,6 +46,19 @@
   }), ['read'])
 })
 
+test('requests held past their timeout count where enough of them reach it, at VMs in touch', () => {
+  const fill = (ledger: Ledger, heldMs: number, count: number): void => {
+    for (let sent = 0; sent < count; sent++) attempt(ledger, `a${sent}`, { path: '/read/', isIdempotent: true, sentAt: 10_000, endedAt: 10_000 + heldMs, end: answered(504) })
+  }
+  assert.deepEqual(verdict(ledger => fill(ledger, 2100, 8)), ['held'])
+  assert.deepEqual(verdict(ledger => fill(ledger, 1900, 8)), [])
+  assert.deepEqual(verdict(ledger => fill(ledger, 2100, 7)), [])
+  assert.deepEqual(verdict(ledger => {
+    fill(ledger, 2100, 8)
+    ledger.disturbances.push({ subject: 'entry-0', kind: 'freeze', from: 8000, until: 9000 })
+  }), [])
+})
+
 test('work after a confirmed drain or evacuation counts only where the VM was in touch and nothing took it back', () => {
   const late = (ledger: Ledger): void => {
     attempt(ledger, 'a', { sentAt: 20_000, endedAt: 20_100 })
--- a/scripts/soak/caller.ts
+++ b/scripts/soak/caller.ts
@@ -9,8 +9,8 @@
 import type { Attempt, AttemptEnd, Ledger } from './ledger.js'
 import { answerText } from './stubServer.js'
 
-/** How long a caller waits for an answer. */
-const deadlineMs = 1500
+/** How long a caller waits for an answer: longer than the routes' timeout, so that it sees whether that one is kept. */
+const deadlineMs = 3000
 const betweenMs = 90
 /** An entry VM that failed is not used again for this long while there are others. */
 const avoidMs = 1500
--- a/scripts/soak/ledger.ts
+++ b/scripts/soak/ledger.ts
@@ -68,7 +68,10 @@
   contactMs: 4000,
   drainMs: 2500,
   evacuateMs: 5000,
-  changeMs: 2500
+  changeMs: 2500,
+  /** Timeout of the soak's routes, and how much later a final answer may come. */
+  timeoutMs: 1500,
+  graceMs: 500
 }
 
 export function createLedger (): Ledger {
@@ -89,6 +92,7 @@
     ...brokenRuns(ledger),
     ...ledger.confirmed.flatMap(confirmed => brokenConfirmation(ledger, confirmed)),
     ...brokenReads(ledger),
+    ...brokenTimeouts(ledger),
     ...brokenStops(ledger)
   ]
 }
@@ -162,6 +166,19 @@
   })
 }
 
+/** Fewer requests that reach their timeout tell of chance. */
+const leastTimedOut = 8
+
+/** Of the requests that reached their route's timeout at VMs in touch, half and more have their final answer soon after it. */
+function brokenTimeouts (ledger: Ledger): string[] {
+  const timeIn = ({ sentAt, endedAt }: Attempt): number => (endedAt ?? Infinity) - sentAt
+  const reached = [...ledger.attempts.values()].filter(attempt => timeIn(attempt) > bounds.timeoutMs &&
+    isInTouch(ledger, attempt.entry, attempt.sentAt) && isInTouch(ledger, attempt.entry, attempt.sentAt + bounds.timeoutMs))
+  const held = reached.filter(attempt => timeIn(attempt) > bounds.timeoutMs + bounds.graceMs)
+  if (reached.length < leastTimedOut || held.length * 2 <= reached.length) return []
+  return [`held: ${held.length} of ${reached.length} requests that reached their route's timeout had no answer ${bounds.graceMs} ms later, the first ${held[0]?.id ?? ''}`]
+}
+
 /** A planned stop cuts nothing that a server has answered or works on, where nothing else disturbed the VM or the server. */
 function brokenStops (ledger: Ledger): string[] {
   const stops = ledger.disturbances.filter(({ kind }) => kind === 'term')
--- a/scripts/soak/operator.ts
+++ b/scripts/soak/operator.ts
@@ -5,7 +5,7 @@
 import { sleep } from '../support/processes.js'
 import { callAny, callUntilClear } from './controlClient.js'
 import type { ControlClient } from './controlClient.js'
-import { probePath } from './ledger.js'
+import { bounds, probePath } from './ledger.js'
 import type { Ledger } from './ledger.js'
 
 /** An order is given up after this; by then every fault of a series is over. */
@@ -31,7 +31,7 @@
 }
 
 function route (name: string, pathPrefix: string, service: ServiceId, isIdempotent: boolean, rank: number): Route {
-  return { name, host: 'soak.example', pathPrefix, isIdempotent, timeoutMs: 1500, aimMs: 300, rank, service, split: [], maxAttempts: 2, isSticky: false, homes: [], annotations: {} }
+  return { name, host: 'soak.example', pathPrefix, isIdempotent, timeoutMs: bounds.timeoutMs, aimMs: 300, rank, service, split: [], maxAttempts: 2, isSticky: false, homes: [], annotations: {} }
 }
 
 /** A whole set of routes; the version says where the probing route leads. */
