--- a/packages/daemon/src/core/rpc/packing.ts
+++ b/packages/daemon/src/core/rpc/packing.ts
@@ -13,7 +13,7 @@
 export const packedCoding = 'gzip'
 /** Shorter messages gain less than their packing costs: they fit into some packets. */
 const leastPackedBytes = 4096
-/** The fastest level: it takes a millisecond for 170 KB, and a better one saves a tenth of the bytes. */
+/** The fastest level: 0.35 ms for 89 KB (mean of 50); level 6 saves a seventh of the packed bytes for twice the time. */
 const packing = { level: constants.Z_BEST_SPEED }
 
 /** Whether a peer that accepts these codings should get a message of so many bytes packed. */
--- a/packages/routing/src/core/turnBudget.ts
+++ b/packages/routing/src/core/turnBudget.ts
@@ -9,7 +9,7 @@
 import type { Millis } from '@lynxcourse/base'
 import type { LoopTurns } from './unreadBound.js'
 
-/** A turn after a sleep may be long once: a burst is worked off by it. A sixth of the least usual latency objective that has room for it. */
+/** A turn after a sleep may be long once: a burst is worked off by it. A third of the least latency objective of the fleet that showed it, 600 ms. */
 const burstTurnMs: Millis = 200
 /**
  * Without a sleep before it, the loop has no time left: the answers to what is taken up come on top, at one and a half times this, and
