Move the fleet's decisions into a package of their own, behaviour unchanged

Cause: packages/routing held two systems of decisions (the service-addressed entry's and the fleet's), and the fleet's load board, its intake and reports stood in the daemon beside sockets, so nothing but a whole daemon could drive them. Change: packages/placement, with a folder each for one server, one object, one region, admission, retries, the load board, entry VMs and the request; no input or output, the time an argument. Files moved as they are, imports adapted; tests moved with them. Shown by: lint, build, tests of both packages.

--- a/packages/daemon/__tests__/unread.test.ts
+++ b/packages/daemon/__tests__/unread.test.ts
@@ -1,7 +1,7 @@
 /** Requests that a VM gets to long after their bytes came. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import type { LoopTurns } from '@lynxcourse/routing'
+import type { LoopTurns } from '@lynxcourse/placement'
 import { ask, publish, routeTo, startRig, startServer } from './support/fleetRig.js'
 import { startBackend, startRig as startServiceRig } from './support/rig.js'
 import { connectThreadCaller } from './support/threadCaller.js'
--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -1,7 +1,9 @@
 /** Connections to backend servers, one `undici` client each, judged by their chart. */
 import { Client, buildConnector } from 'undici'
-import { createConnectionState, createRestMemory, longestRest, mayCarry, noteProgress, noteRestedReset, noteSilence, takeConnectionEvent } from '@lynxcourse/routing'
-import type { ConnectionCfg, ConnectionState, RestMemory } from '@lynxcourse/routing'
+import { createRestMemory, longestRest, noteRestedReset, noteSilence } from '@lynxcourse/placement'
+import type { RestMemory } from '@lynxcourse/placement'
+import { createConnectionState, mayCarry, noteProgress, takeConnectionEvent } from '@lynxcourse/routing'
+import type { ConnectionCfg, ConnectionState } from '@lynxcourse/routing'
 import type { Chart, Millis } from '@lynxcourse/base'
 
 /** One connection. */
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -1,7 +1,7 @@
 /** Joins the parts of one VM of a fleet and stops them in order. */
 import type { Server } from 'node:http'
 import type { Millis } from '@lynxcourse/base'
-import type { EntryPresence } from '@lynxcourse/routing'
+import type { EntryPresence } from '@lynxcourse/placement'
 import { presentTime } from '../../utils/clock.js'
 import { closeServer, listen } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -10,9 +10,8 @@
 import { createRpcClient } from '../rpc/rpcClient.js'
 import type { RpcClient } from '../rpc/rpcClient.js'
 import type { FleetSettings } from '../../types/fleetSettings.js'
-import type { LoadNews } from '../../types/loads.js'
-import { createLoadNotes } from './loadReport.js'
-import type { LoadNotes } from './loadReport.js'
+import { createLoadNotes } from '@lynxcourse/placement'
+import type { LoadNews, LoadNotes } from '@lynxcourse/placement'
 
 /** A control VM as others find it. */
 export interface ControlPlace {
--- a/packages/daemon/src/core/fleet/presence.ts
+++ b/packages/daemon/src/core/fleet/presence.ts
@@ -1,9 +1,8 @@
 /** Which entry VMs and backend servers were heard of late: kept in memory, exchanged through the leader. */
 import type { Millis, ServerId } from '@lynxcourse/base'
-import { createEntryGathering, noteReadyEntry } from '@lynxcourse/routing'
-import type { EntryGathering, EntryPresence, HeardEntry } from '@lynxcourse/routing'
+import { createEntryGathering, noteReadyEntry } from '@lynxcourse/placement'
+import type { EntryGathering, EntryPresence, HeardEntry, LoadDigest, LoadNews } from '@lynxcourse/placement'
 import type { ControlPlace } from './fleetNode.js'
-import type { LoadDigest, LoadNews } from '../../types/loads.js'
 
 /** What one control VM holds. */
 export interface Presence {
--- a/packages/daemon/src/core/fleet/serverSlots.ts
+++ b/packages/daemon/src/core/fleet/serverSlots.ts
@@ -2,7 +2,7 @@
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import { listItems } from '@lynxcourse/state'
 import type { Config } from '@lynxcourse/state'
-import type { ServerPlace, ServerPlaces, ServiceSlots } from '../../types/loads.js'
+import type { ServerPlace, ServerPlaces, ServiceSlots } from '@lynxcourse/placement'
 
 /** Slots of the servers that take work, by service and region; a region without any counts with none. */
 export function openSlots (config: Config, regions: ReadonlyMap<FailureDomainId, RegionId>): ServiceSlots {
--- a/packages/daemon/src/core/fleet/watching.ts
+++ b/packages/daemon/src/core/fleet/watching.ts
@@ -2,14 +2,14 @@
 import { messageOf, rankByHash } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { takeDelta } from '@lynxcourse/state'
-import type { EntryPresence } from '@lynxcourse/routing'
+import { takeLoadReport } from '@lynxcourse/placement'
+import type { EntryPresence } from '@lynxcourse/placement'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { delay } from '../node/timers.js'
 import { callPeer } from '../rpc/rpcClient.js'
 import { controlAddresses, notifyFleetChange } from './fleetNode.js'
 import type { FleetNode } from './fleetNode.js'
-import { takeLoadReport } from './loadReport.js'
 import type { WatchReply, WatchRequest } from './fleetMethods.js'
 
 /** A control VM that failed is passed over for this long. */
--- a/packages/daemon/src/core/gateway/fleetView.ts
+++ b/packages/daemon/src/core/gateway/fleetView.ts
@@ -1,7 +1,8 @@
 /** Keeps the gateway's routes and servers up to date with the VM's copy of the state. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { buildRouteTable, createFleetServer, forgetServer, noteShared, noteSharedSilence } from '@lynxcourse/routing'
-import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/routing'
+import { createFleetServer, forgetServer, noteShared, noteSharedSilence } from '@lynxcourse/placement'
+import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/placement'
+import { buildRouteTable } from '@lynxcourse/routing'
 import { listItems, routeSetOf } from '@lynxcourse/state'
 import type { BackendItem, Config, RouteSet } from '@lynxcourse/state'
 import type { FleetNode } from '../fleet/fleetNode.js'
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -1,8 +1,10 @@
 /** State of the gateway: the entry part of a fleet's VM, which forwards requests by route. */
 import { loadChart } from '@lynxcourse/base'
 import type { Millis, RegionId, ServiceId } from '@lynxcourse/base'
-import { buildRouteTable, createWarmth } from '@lynxcourse/routing'
-import type { Fleet, RetryShare, RouteTable, SplitPicker } from '@lynxcourse/routing'
+import { createWarmth } from '@lynxcourse/placement'
+import type { Fleet, RetryShare } from '@lynxcourse/placement'
+import { buildRouteTable } from '@lynxcourse/routing'
+import type { RouteTable, SplitPicker } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
 import type { CallerLimits } from '@lynxcourse/state'
 import { openLoopWatch } from '../../utils/loopWatch.js'
--- a/packages/daemon/src/core/gateway/learning.ts
+++ b/packages/daemon/src/core/gateway/learning.ts
@@ -1,11 +1,7 @@
 /** What the gateway learns from how a send ended: of the server, of the work, and of the load. */
 import type { Millis } from '@lynxcourse/base'
-import {
-  concurrencyOf, learnConcurrency, learnCutWork, learnSlowness, learnWarmChance, learnWork, noteBad, noteFull, noteGood, noteHandled, owedFor, slotShare, travelTo,
-  workKey, workOf
-} from '@lynxcourse/routing'
-import type { Placed } from '@lynxcourse/routing'
-import { noteFailedServer } from '../fleet/loadReport.js'
+import { concurrencyOf, learnConcurrency, learnCutWork, learnSlowness, learnWarmChance, learnWork, noteBad, noteFailedServer, noteFull, noteGood, noteHandled, owedFor, slotShare, travelTo, workKey, workOf } from '@lynxcourse/placement'
+import type { Placed } from '@lynxcourse/placement'
 import { objectOf } from './call.js'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -1,7 +1,7 @@
 /** The log's lines for decisions on one request. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { aheadOf, concurrencyOf } from '@lynxcourse/routing'
-import type { Placed, Refused } from '@lynxcourse/routing'
+import { aheadOf, concurrencyOf } from '@lynxcourse/placement'
+import type { Placed, Refused } from '@lynxcourse/placement'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import type { LogFields } from '../../utils/logging.js'
--- a/packages/daemon/src/core/gateway/roomWait.ts
+++ b/packages/daemon/src/core/gateway/roomWait.ts
@@ -9,8 +9,8 @@
  * Limits: only so many wait as slots come free within their wait, by the pace of the service, so that few wait in vain; what
  * does not fit is refused at once.
  */
-import { concurrencyOf } from '@lynxcourse/routing'
-import type { Refused } from '@lynxcourse/routing'
+import { concurrencyOf } from '@lynxcourse/placement'
+import type { Refused } from '@lynxcourse/placement'
 import type { Millis } from '@lynxcourse/base'
 import { delay } from '../node/timers.js'
 import type { Call } from './call.js'
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -4,11 +4,10 @@
  * This VM alone holds the request's connection, so nobody else can send the same attempt.
  */
 import type { Millis, ServerId } from '@lynxcourse/base'
-import { concurrencyOf, isCalm, isCold, noteRequest, noteStart, noteStop, patienceFor, placeRequest, slotTimeOf, spendRepeat, takeColdToken } from '@lynxcourse/routing'
-import type { Placed, PlaceRequest, Refused } from '@lynxcourse/routing'
+import { concurrencyOf, isCalm, isCold, noteDemand, noteRequest, noteStart, noteStop, patienceFor, placeRequest, slotTimeOf, spendRepeat, takeColdToken } from '@lynxcourse/placement'
+import type { Placed, PlaceRequest, Refused } from '@lynxcourse/placement'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
-import { noteDemand } from '../fleet/loadReport.js'
 import { objectOf } from './call.js'
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
--- a/packages/daemon/src/plugins/placementFile.ts
+++ b/packages/daemon/src/plugins/placementFile.ts
@@ -10,7 +10,7 @@
 import { join } from 'node:path'
 import { LynxError, messageOf } from '@lynxcourse/base'
 import * as z from 'zod'
-import type { LoadNews } from '../types/loads.js'
+import type { LoadNews } from '@lynxcourse/placement'
 
 const fileName = 'placement.json'
 const pair = z.tuple([z.string(), z.number()])
--- a/packages/daemon/src/types/fleetSettings.ts
+++ b/packages/daemon/src/types/fleetSettings.ts
@@ -1,6 +1,6 @@
 /** Settings of a VM of a fleet: route-addressed entry VMs and the control VMs behind them. */
 import type { FailureDomainId, Millis, RegionId } from '@lynxcourse/base'
-import type { RetryBudgetCfg } from '@lynxcourse/routing'
+import type { RetryBudgetCfg } from '@lynxcourse/placement'
 import type { LogSettings } from '../utils/logging.js'
 
 /** Time constants of a fleet's VMs, in milliseconds. */
--- a/packages/daemon/src/utils/loopWatch.ts
+++ b/packages/daemon/src/utils/loopWatch.ts
@@ -1,8 +1,8 @@
 /** Follows the turns of the process's event loop, for the bound on how long callers' requests lie unread. */
 import type { Socket } from 'node:net'
 import { performance } from 'node:perf_hooks'
-import { arrivedSince, beginTurn, createLoopTurns, endTurn, sampleMs, sampleTurns } from '@lynxcourse/routing'
-import type { LoopTurns } from '@lynxcourse/routing'
+import { arrivedSince, beginTurn, createLoopTurns, endTurn, sampleMs, sampleTurns } from '@lynxcourse/placement'
+import type { LoopTurns } from '@lynxcourse/placement'
 import type { Millis } from '@lynxcourse/base'
 import { presentTime } from './clock.js'
 
--- a/packages/routing/__tests__/concurrency.test.ts
+++ b/packages/placement/__tests__/concurrency.test.ts
@@ -1,8 +1,8 @@
 /** How many requests one VM keeps under way as answers slow down. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createConcurrency, learnConcurrency, mayStart } from '@lynxcourse/routing'
-import type { Concurrency } from '@lynxcourse/routing'
+import { createConcurrency, learnConcurrency, mayStart } from '@lynxcourse/placement'
+import type { Concurrency } from '@lynxcourse/placement'
 
 const share = 10
 
--- a/packages/routing/__tests__/entryGathering.test.ts
+++ b/packages/placement/__tests__/entryGathering.test.ts
@@ -1,7 +1,7 @@
 /** When a control VM that has started names entry VMs to callers. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createEntryGathering, isGathering, noteReadyEntry } from '@lynxcourse/routing'
+import { createEntryGathering, isGathering, noteReadyEntry } from '@lynxcourse/placement'
 
 /** When the entry VMs of a region with 28 of them became ready, in milliseconds after the first. */
 const readyAt = [0, 37, 123, 169, 206, 273, 394, 430, 435, 549, 668, 900, 919, 991, 1126, 1309, 1389, 1461, 1483, 1700, 1745, 1764, 1794, 1799, 1914, 1935, 2090]
--- a/packages/routing/__tests__/fleetBounds.test.ts
+++ b/packages/placement/__tests__/fleetBounds.test.ts
@@ -2,8 +2,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { hasColdToken, isWarmingVm, noteRequest, slotShare, spendRepeat, takeColdToken } from '@lynxcourse/routing'
-import type { RetryShare } from '@lynxcourse/routing'
+import { hasColdToken, isWarmingVm, noteRequest, slotShare, spendRepeat, takeColdToken } from '@lynxcourse/placement'
+import type { RetryShare } from '@lynxcourse/placement'
 import { desk, fleetOf, server } from './support/fleet.js'
 
 const seed = 23
--- a/packages/routing/__tests__/fleetServer.test.ts
+++ b/packages/placement/__tests__/fleetServer.test.ts
@@ -3,8 +3,8 @@
 import { test } from 'node:test'
 import { brandId } from '@lynxcourse/base'
 import type { ServerId } from '@lynxcourse/base'
-import { isStalled, learnCutWork, noteAnswered, noteBad, noteGood, noteSharedSilence, noteStart, noteStop, owedFor } from '@lynxcourse/routing'
-import type { FleetServer } from '@lynxcourse/routing'
+import { isStalled, learnCutWork, noteAnswered, noteBad, noteGood, noteSharedSilence, noteStart, noteStop, owedFor } from '@lynxcourse/placement'
+import type { FleetServer } from '@lynxcourse/placement'
 import { mumbai, server, fleetOf, request, sentTo } from './support/fleet.js'
 
 /*
--- a/packages/daemon/__tests__/loadBoard.test.ts
+++ b/packages/placement/__tests__/loadBoard.test.ts
@@ -3,8 +3,8 @@
 import { test } from 'node:test'
 import { brandId } from '@lynxcourse/base'
 import type { RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { createLoadBoard, createLoadIntake, createLoadNotes, newsFor, newsLines, noteAhead, noteDemand, noteDigest, noteLoadReport, noteFailedServer, takeDigest, takeLoadReport, takeNews, takePlanLines, updateBoard } from '@lynxcourse/daemon'
-import type { LoadBoard, ServerPlaces, ServiceSlots } from '@lynxcourse/daemon'
+import { createLoadBoard, createLoadIntake, createLoadNotes, newsFor, newsLines, noteAhead, noteDemand, noteDigest, noteFailedServer, noteLoadReport, takeDigest, takeLoadReport, takeNews, takePlanLines, updateBoard } from '@lynxcourse/placement'
+import type { LoadBoard, ServerPlaces, ServiceSlots } from '@lynxcourse/placement'
 
 const desk = brandId<ServiceId>('desk')
 const kochi = brandId<RegionId>('kochi')
--- a/packages/routing/__tests__/placement.test.ts
+++ b/packages/placement/__tests__/placement.test.ts
@@ -3,8 +3,8 @@
 import { test } from 'node:test'
 import { brandId } from '@lynxcourse/base'
 import type { ServerId } from '@lynxcourse/base'
-import { learnWarmChance, noteFull, noteHandled, noteReport, noteShared, placeRequest } from '@lynxcourse/routing'
-import type { FleetServer } from '@lynxcourse/routing'
+import { learnWarmChance, noteFull, noteHandled, noteReport, noteShared, placeRequest } from '@lynxcourse/placement'
+import type { FleetServer } from '@lynxcourse/placement'
 import { desk, kochi, mumbai, route, server, fleetOf, request, sentTo } from './support/fleet.js'
 
 test('a server that handled the object goes before the one that hashing names; a near one before a far one', () => {
--- a/packages/routing/__tests__/regionPlan.test.ts
+++ b/packages/placement/__tests__/regionPlan.test.ts
@@ -4,8 +4,8 @@
 import fc from 'fast-check'
 import { brandId } from '@lynxcourse/base'
 import type { RegionId } from '@lynxcourse/base'
-import { firstPlan, lossStepPerSecond, regionOf, shareStepPerSecond, stepPlan, targetPlan } from '@lynxcourse/routing'
-import type { RegionLoad, RegionPlan, RegionShares } from '@lynxcourse/routing'
+import { firstPlan, lossStepPerSecond, regionOf, shareStepPerSecond, stepPlan, targetPlan } from '@lynxcourse/placement'
+import type { RegionLoad, RegionPlan, RegionShares } from '@lynxcourse/placement'
 
 const seed = 31
 console.log(`seed ${seed}`)
--- a/packages/routing/__tests__/serverWeights.test.ts
+++ b/packages/placement/__tests__/serverWeights.test.ts
@@ -3,8 +3,8 @@
 import { test } from 'node:test'
 import { brandId, makeRandom } from '@lynxcourse/base'
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { createFleetServer, leastWeight, placesOf, stepWeights } from '@lynxcourse/routing'
-import type { FleetServer } from '@lynxcourse/routing'
+import { createFleetServer, leastWeight, placesOf, stepWeights } from '@lynxcourse/placement'
+import type { FleetServer } from '@lynxcourse/placement'
 
 const desk = brandId<ServiceId>('desk')
 const kochi = brandId<RegionId>('kochi')
--- a/packages/routing/__tests__/support/fleet.ts
+++ b/packages/placement/__tests__/support/fleet.ts
@@ -1,8 +1,8 @@
 /** A small fleet as one entry VM knows it, and requests to it. */
 import { brandId, makeRandom } from '@lynxcourse/base'
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { createFleetServer, createWarmth, placeRequest } from '@lynxcourse/routing'
-import type { Fleet, FleetServer, PlaceRequest, ServerFacts } from '@lynxcourse/routing'
+import { createFleetServer, createWarmth, placeRequest } from '@lynxcourse/placement'
+import type { Fleet, FleetServer, PlaceRequest, ServerFacts } from '@lynxcourse/placement'
 import type { Route } from '@lynxcourse/state'
 
 const seed = 23
--- a/packages/routing/__tests__/turnBudget.test.ts
+++ b/packages/placement/__tests__/turnBudget.test.ts
@@ -1,8 +1,8 @@
 /** What a VM out of processor time takes up: a replay of its event loop under a flood of callers. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { beginTurn, createLoopTurns, endTurn, mayTakeUp, turnSpent } from '@lynxcourse/routing'
-import type { LoopTurns } from '@lynxcourse/routing'
+import { beginTurn, createLoopTurns, endTurn, mayTakeUp, turnSpent } from '@lynxcourse/placement'
+import type { LoopTurns } from '@lynxcourse/placement'
 
 /** Times of the loop's work at a VM with a quarter of a core, and what comes to it. */
 const takeUpMs = 8
--- a/packages/routing/__tests__/unreadBound.test.ts
+++ b/packages/placement/__tests__/unreadBound.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { arrivedSince, beginTurn, createLoopTurns, endTurn, sampleMs, sampleTurns } from '@lynxcourse/routing'
+import { arrivedSince, beginTurn, createLoopTurns, endTurn, sampleMs, sampleTurns } from '@lynxcourse/placement'
 
 test('what wakes a sleeping loop has waited for nothing', () => {
   const turns = createLoopTurns(0, 0)
--- a/packages/daemon/src/core/fleet/boardPlans.ts
+++ b/packages/placement/src/core/board/boardPlans.ts
@@ -1,7 +1,7 @@
 /** The board's part that follows the demand of regions and moves their plans. */
 import type { Millis, RegionId, ServiceId } from '@lynxcourse/base'
-import { firstPlan, mustMove, stepPlan, targetPlan } from '@lynxcourse/routing'
-import type { RegionLoad } from '@lynxcourse/routing'
+import { firstPlan, mustMove, stepPlan, targetPlan } from '../region/regionPlan.js'
+import type { RegionLoad } from '../region/regionPlan.js'
 import { busyForMs } from '../../types/loads.js'
 import type { ServiceSlots } from '../../types/loads.js'
 import type { LoadBoard } from './loadBoard.js'
--- a/packages/daemon/src/core/fleet/loadBoard.ts
+++ b/packages/placement/src/core/board/loadBoard.ts
@@ -7,8 +7,9 @@
  * each answer tells its server's load; the leader smooths that and names the servers that are nearly full.
  */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { stepWeights } from '@lynxcourse/routing'
-import type { RegionPlan, ServerFill } from '@lynxcourse/routing'
+import { stepWeights } from '../object/serverWeights.js'
+import type { ServerFill } from '../object/serverWeights.js'
+import type { RegionPlan } from '../region/regionPlan.js'
 import { planRegions, smoothDemand } from './boardPlans.js'
 import { createSilentServers, noteSilences, silentNow } from './silentServers.js'
 import type { SilentServers } from './silentServers.js'
--- a/packages/daemon/src/core/fleet/loadLog.ts
+++ b/packages/placement/src/core/board/loadLog.ts
@@ -1,7 +1,6 @@
 /** The log's lines for what the leader makes of the load: region plans, servers left alone, weights. */
 import type { RegionId, ServiceId } from '@lynxcourse/base'
 import type { LoadNews } from '../../types/loads.js'
-import type { LogFields } from '../../utils/logging.js'
 import type { LoadBoard } from './loadBoard.js'
 
 /** A plan that moved by this much since its last line gets another one; it may move 1.2 % an exchange. */
@@ -36,7 +35,7 @@
 /** One line of the log. */
 export interface NewsLine {
   readonly message: string
-  readonly fields: LogFields
+  readonly fields: Readonly<Record<string, string | number>>
 }
 
 /** Lines for what VMs are now told otherwise than before. */
--- a/packages/routing/src/core/hashPlaces.ts
+++ b/packages/placement/src/core/object/hashPlaces.ts
@@ -1,7 +1,7 @@
 /** Which servers hashing names for an object: all VMs agree on them without talking, so they warm the same ones. */
 import { hashText, mixHashes } from '@lynxcourse/base'
 import type { RegionId, ServerId } from '@lynxcourse/base'
-import type { FleetServer } from './fleetServer.js'
+import type { FleetServer } from '../server/fleetServer.js'
 
 /**
  * What hashing says of a server for an object. `home` is its server in the region that the plan names, `movedHome` the same where
--- a/packages/routing/src/core/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -1,14 +1,14 @@
 /** What one entry VM knows of a fleet: its servers, and what it learned of their work and of the ways to them. */
 import type { Millis, Random, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import type { Route } from '@lynxcourse/state'
-import { createConcurrency } from './concurrency.js'
-import type { Concurrency } from './concurrency.js'
-import type { FleetServer } from './fleetServer.js'
-import type { HashPlace } from './hashPlaces.js'
-import type { RegionShares } from './regionPlan.js'
-import type { Warmth } from './warmth.js'
-import { workOf } from './workModel.js'
-import type { WorkModel } from './workModel.js'
+import { createConcurrency } from '../admission/concurrency.js'
+import type { Concurrency } from '../admission/concurrency.js'
+import type { FleetServer } from '../server/fleetServer.js'
+import type { HashPlace } from '../object/hashPlaces.js'
+import type { RegionShares } from '../region/regionPlan.js'
+import type { Warmth } from '../object/warmth.js'
+import { workOf } from '../object/workModel.js'
+import type { WorkModel } from '../object/workModel.js'
 
 /** What placement needs for its whole life. */
 export interface FleetSetup {
--- a/packages/routing/src/core/placement.ts
+++ b/packages/placement/src/core/request/placeRequest.ts
@@ -4,16 +4,16 @@
  * can't be served in time.
  */
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { mayStart } from './concurrency.js'
-import type { Concurrency } from './concurrency.js'
-import { isCold } from './coldShare.js'
+import { mayStart } from '../admission/concurrency.js'
+import type { Concurrency } from '../admission/concurrency.js'
+import { isCold } from '../server/coldShare.js'
 import { concurrencyOf, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
-import type { HashPlace } from './hashPlaces.js'
-import type { FleetServer } from './fleetServer.js'
+import type { HashPlace } from '../object/hashPlaces.js'
+import type { FleetServer } from '../server/fleetServer.js'
 import { findBest, mayServe } from './scoring.js'
 import type { PlaceRequest } from './scoring.js'
-import { workOf } from './workModel.js'
+import { workOf } from '../object/workModel.js'
 
 /** Where a request goes, and what is expected of it there. */
 export interface Placed {
--- a/packages/routing/src/core/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -1,17 +1,17 @@
 /** Scores servers for a request by the expected time to completion and what it costs others. */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import type { Route } from '@lynxcourse/state'
-import { hasColdToken, isCold, isWarmingVm } from './coldShare.js'
+import { hasColdToken, isCold, isWarmingVm } from '../server/coldShare.js'
 import { travelTo, warmChance, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
-import { aheadOf, hasRoom, isStalled, isTrusted, sharedAheadOf, slownessOf } from './fleetServer.js'
-import type { FleetServer } from './fleetServer.js'
-import { placesOf } from './hashPlaces.js'
-import type { HashPlace } from './hashPlaces.js'
-import { regionOf } from './regionPlan.js'
-import { holdersOf, isWarm } from './warmth.js'
-import { workOf } from './workModel.js'
-import type { WorkTimes } from './workModel.js'
+import { aheadOf, hasRoom, isStalled, isTrusted, sharedAheadOf, slownessOf } from '../server/fleetServer.js'
+import type { FleetServer } from '../server/fleetServer.js'
+import { placesOf } from '../object/hashPlaces.js'
+import type { HashPlace } from '../object/hashPlaces.js'
+import { regionOf } from '../region/regionPlan.js'
+import { holdersOf, isWarm } from '../object/warmth.js'
+import { workOf } from '../object/workModel.js'
+import type { WorkTimes } from '../object/workModel.js'
 
 /** A request to be placed. */
 export interface PlaceRequest {
--- a/packages/routing/__tests__/connections.test.ts
+++ b/packages/routing/__tests__/connections.test.ts
@@ -2,10 +2,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { loadChart } from '@lynxcourse/base'
-import {
-  createConnectionState, createRestMemory, defaultConnections, isSilent, longestRest, mayCarry, noteProgress, noteRestedReset, noteSilence,
-  takeConnectionEvent
-} from '@lynxcourse/routing'
+import { createConnectionState, defaultConnections, isSilent, mayCarry, noteProgress, takeConnectionEvent } from '@lynxcourse/routing'
+import { createRestMemory, longestRest, noteRestedReset, noteSilence } from '@lynxcourse/placement'
 
 test('an idle connection that was quiet is not used, sooner for what must not repeat', () => {
   // Symptom: a request hangs until its deadline. Sequence: a connection is idle, something between its ends
--- a/packages/routing/__tests__/routeTable.test.ts
+++ b/packages/routing/__tests__/routeTable.test.ts
@@ -1,11 +1,11 @@
-/** Matching of routes, splits, and the entry VMs that look-ups name. */
+/** Matching of routes, and splits. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
 import { brandId } from '@lynxcourse/base'
-import type { FailureDomainId, RegionId, ServiceId } from '@lynxcourse/base'
-import { buildRouteTable, chooseEntries, matchRoute, pickService } from '@lynxcourse/routing'
-import { kochi, mumbai, route } from './support/fleet.js'
+import type { ServiceId } from '@lynxcourse/base'
+import { buildRouteTable, matchRoute, pickService } from '@lynxcourse/routing'
+import { route } from './support/route.js'
 
 const seed = 23
 console.log(`seed ${seed}`)
@@ -32,11 +32,3 @@
     return split.every(part => Math.abs((picked.get(part.service) ?? 0) - count * part.weight / total) <= list.length)
   }), { seed })
 })
-
-test('look-ups name ready VMs of the caller\'s region that were heard of late, else those of all regions', () => {
-  const entry = (name: string, region: RegionId, isReady = true, heardAt = 1000): Parameters<typeof chooseEntries>[0][number] =>
-    ({ presence: { name, address: `${name}:80`, failureDomain: brandId<FailureDomainId>(`${region}-a`), region, isReady }, heardAt })
-  const entries = [entry('k1', kochi), entry('k2', kochi, false), entry('k3', kochi, true, -5000), entry('m1', mumbai)]
-  assert.deepEqual(chooseEntries(entries, kochi, 2600, 1500), ['k1:80'])
-  assert.deepEqual(chooseEntries(entries, brandId<RegionId>('chennai'), 2600, 1500), ['k1:80', 'm1:80'])
-})
