Move the course of a request and what is learned from it beside the other decisions, behaviour unchanged

Cause: what a request does after each send, when it waits for room, what a VM learns from an end and how it takes over the news of the load were woven into the gateway's asynchronous code, so they could not be driven in virtual time. Shown by: tests of placement, and of the daemon's fleet, pipeline, unread and exchange files.

--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -1,6 +1,7 @@
 /** Joins the parts of one VM of a fleet and stops them in order. */
 import type { Server } from 'node:http'
 import type { Millis } from '@lynxcourse/base'
+import { takeLoadNews } from '@lynxcourse/placement'
 import type { EntryPresence } from '@lynxcourse/placement'
 import { presentTime } from '../../utils/clock.js'
 import { closeServer, listen } from '../../utils/httpServer.js'
@@ -14,7 +15,7 @@
 import { sweepConnections } from '../entry/connectionPool.js'
 import { applyLimits, createCallerFront } from '../gateway/callerFront.js'
 import type { CallerDialect, ServerDialect } from '../gateway/dialects.js'
-import { noteConnected, refreshGateway, takeLoadNews } from '../gateway/fleetView.js'
+import { noteConnected, refreshGateway } from '../gateway/fleetView.js'
 import { createGateway } from '../gateway/gateway.js'
 import type { Gateway } from '../gateway/gateway.js'
 import { delay, repeat } from '../node/timers.js'
@@ -90,7 +91,7 @@
     refreshGateway(gateway, presentTime())
     applyLimits(gateway, server)
   })
-  node.onLoad.push(() => takeLoadNews(gateway, presentTime()))
+  node.onLoad.push(() => takeLoadNews(gateway, node.loadNews, node.cfg.region, presentTime()))
   gateway.pool.onConnect = (address, startedAt) => noteConnected(gateway, address, presentTime() - startedAt)
   own(stack, gateway.pool)
   own(stack, gateway.loop)
--- a/packages/daemon/src/core/gateway/fleetView.ts
+++ b/packages/daemon/src/core/gateway/fleetView.ts
@@ -1,6 +1,6 @@
 /** Keeps the gateway's routes and servers up to date with the VM's copy of the state. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { createFleetServer, forgetServer, noteShared, noteSharedSilence } from '@lynxcourse/placement'
+import { createFleetServer, forgetServer, takeWeights } from '@lynxcourse/placement'
 import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/placement'
 import { buildRouteTable } from '@lynxcourse/routing'
 import { listItems, routeSetOf } from '@lynxcourse/state'
@@ -39,35 +39,7 @@
     forgetServer(fleet.warmth, id)
   }
   fleet.byService = groupByService(fleet)
-  takeWeights(fleet, node)
-}
-
-/** Weights come before or after the servers that they are for: a VM that starts hears of both in one reply. */
-function takeWeights (fleet: Fleet, node: FleetNode): void {
-  const weights = new Map(node.loadNews.weights?.servers)
-  for (const server of fleet.byId.values()) server.weight = weights.get(server.facts.id) ?? 1
-}
-
-/** Takes over what all VMs together saw of the load. */
-export function takeLoadNews (gateway: Gateway, now: Millis): void {
-  const { fleet, node } = gateway
-  for (const { service, shares, fill, busy } of node.loadNews.plans) {
-    fleet.sharedFill.set(service, fill)
-    const ownBusy = node.load.demand.get(service)
-    if (ownBusy !== undefined && busy > 0) fleet.demandParts.set(service, ownBusy / busy)
-    const own = shares.find(([region]) => region === node.cfg.region)?.[1]
-    if (own !== undefined) fleet.shares.set(service, new Map(own))
-  }
-  takeWeights(fleet, node)
-  const silent = new Set(node.loadNews.silent)
-  for (const server of fleet.byId.values()) {
-    noteShared(server, 0, now)
-    noteSharedSilence(server, silent.has(server.facts.id), now)
-  }
-  for (const [id, ahead] of node.loadNews.full) {
-    const server = fleet.byId.get(id)
-    if (server !== undefined) noteShared(server, ahead, now)
-  }
+  takeWeights(fleet, node.loadNews.weights)
 }
 
 /** The least time to open a connection counts, and creeps up by this part with each, so that a longer way shows. */
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -1,8 +1,8 @@
 /** State of the gateway: the entry part of a fleet's VM, which forwards requests by route. */
 import { loadChart } from '@lynxcourse/base'
-import type { Millis, RegionId, ServiceId } from '@lynxcourse/base'
+import type { Millis, RegionId } from '@lynxcourse/base'
 import { createWarmth } from '@lynxcourse/placement'
-import type { Fleet, RetryShare } from '@lynxcourse/placement'
+import type { EntryState, Fleet } from '@lynxcourse/placement'
 import { buildRouteTable } from '@lynxcourse/routing'
 import type { RouteTable, SplitPicker } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
@@ -15,14 +15,12 @@
 import type { CallerDialect, ServerDialect } from './dialects.js'
 import type { Pipelines } from './pipeline.js'
 
-export interface Gateway {
+export interface Gateway extends EntryState {
   readonly node: FleetNode
   readonly callers: CallerDialect
   readonly servers: ServerDialect
   readonly pool: ConnectionPool
-  readonly fleet: Fleet
   readonly splits: SplitPicker
-  readonly retries: RetryShare
   /** For the bound on how long requests lay unread. */
   readonly loop: LoopWatch
   table: RouteTable
@@ -31,8 +29,6 @@
   open: number
   /** Requests that are not answered yet, by the callers' connections. */
   readonly pipelines: Pipelines
-  /** Requests that wait for room at the servers, by service. */
-  readonly waitingForRoom: Map<ServiceId, number>
   /** Requests that wait for the first state. */
   waiting: number
   /** Bytes of request bodies held. */
@@ -65,6 +61,7 @@
     servers,
     pool: createPool({ staleMs: staleConnectionMs, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs),
     fleet,
+    load: node.load,
     splits: new Map(),
     retries: new Map(),
     loop: openLoopWatch(),
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -1,13 +1,12 @@
 /** The log's lines for decisions on one request. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { aheadOf, concurrencyOf } from '@lynxcourse/placement'
+import { aheadOf, concurrencyOf, isServerError } from '@lynxcourse/placement'
 import type { Placed, Refused } from '@lynxcourse/placement'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import type { LogFields } from '../../utils/logging.js'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
-import { isServerError } from './sending.js'
 import type { SendResult } from './sending.js'
 
 /** What the line for a refusal needs of a request, which may not have been read whole. */
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -2,8 +2,8 @@
 import type { Dispatcher } from 'undici'
 import { messageOf } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { noteAhead, noteAnswered, noteReport, travelTo } from '@lynxcourse/placement'
-import type { Placed } from '@lynxcourse/placement'
+import { noteReply, travelTo } from '@lynxcourse/placement'
+import type { LostReason, Placed, SendEnd } from '@lynxcourse/placement'
 import type { HeaderMap } from '../../types/answers.js'
 import { presentTime } from '../../utils/clock.js'
 import { passedHeaders } from '../../utils/headers.js'
@@ -15,23 +15,11 @@
 import type { Received } from './exchange.js'
 import type { Gateway } from './gateway.js'
 
-/** How sending ended. */
+/** How sending ended, with what came. */
 export type SendResult =
-  | { readonly type: 'answered', readonly status: number, readonly headers: HeaderMap, readonly body: Buffer, readonly openMs: Millis }
-  /** The server says that the request did not run there; `elsewhere` means it is not the server that was named. */
-  | { readonly type: 'notRun', readonly reason: 'full' | 'elsewhere' | 'unreached', readonly status: number | undefined }
-  /** It may have run. */
-  | { readonly type: 'lost', readonly reason: 'failed' | 'spoiled' | 'deadline' | 'slow' | 'gone', readonly detail: string }
-
-/** Why a request that was sent has no answer. */
-export type LostReason = Extract<SendResult, { type: 'lost' }>['reason']
-
-const firstServerError = 500
-
-/** Whether a status tells of a failure of the server. */
-export function isServerError (status: number): boolean {
-  return status >= firstServerError
-}
+  | Extract<SendEnd, { type: 'answered' }> & { readonly headers: HeaderMap, readonly body: Buffer }
+  | Extract<SendEnd, { type: 'notRun' }> & { readonly status: number | undefined }
+  | Extract<SendEnd, { type: 'lost' }> & { readonly detail: string }
 
 /** A reset that comes within the way there and back and this much more answers the request itself, not work that it began. */
 const soonMs: Millis = 30
@@ -87,12 +75,7 @@
     return { type: 'lost', reason: 'spoiled', detail: body === undefined ? 'answer is too large' : isCut ? 'connection was reset in the body' : 'answer does not belong to the request' }
   }
   releaseConnection(gateway.pool, connection, presentTime())
-  noteAnswered(placed.server, presentTime())
-  const ahead = gateway.servers.readAhead(raw)
-  if (ahead !== undefined) {
-    noteReport(placed.server, ahead, presentTime())
-    noteAhead(gateway.node.load, placed.server.facts.id, ahead)
-  }
+  noteReply(gateway, placed.server, gateway.servers.readAhead(raw), presentTime())
   if (kind === 'elsewhere' || kind === 'notRun') return { type: 'notRun', reason: kind === 'elsewhere' ? 'elsewhere' : 'full', status }
   return { type: 'answered', status, headers: passedHeaders(raw), body, openMs }
 }
@@ -109,7 +92,7 @@
 
 /** Ends sending at the deadline, when the caller goes, or when it is time to try elsewhere. */
 function watchSend (call: Call, patience: Patience | undefined, now: Millis, abort: () => void): SendWatch {
-  let reason: ReturnType<SendWatch['reason']> = 'failed'
+  let reason: LostReason = 'failed'
   const stop = (why: typeof reason) => (): void => {
     reason = why
     abort()
--- /dev/null
+++ b/packages/placement/src/core/request/entryState.ts
@@ -0,0 +1,50 @@
+/** What one entry VM decides by: its fleet, what it told and was told of the load, its budgets, and what waits in it. */
+import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import type { LoadNotes } from '../board/loadReport.js'
+import type { RetryBudgetCfg, RetryShare } from '../retries/retryShare.js'
+import { noteShared, noteSharedSilence } from '../server/fleetServer.js'
+import type { LoadNews, WeightNews } from '../../types/loads.js'
+import type { Fleet } from './fleet.js'
+
+/** State of an entry VM's decisions. */
+export interface EntryState {
+  readonly fleet: Fleet
+  readonly load: LoadNotes
+  readonly retries: RetryShare
+  /** Requests that wait for room at the servers, by service. */
+  readonly waitingForRoom: Map<ServiceId, number>
+}
+
+/** What holds for a decision now and may be another at the next one. */
+export interface EntryTerms {
+  readonly retryBudget: RetryBudgetCfg
+  /** Whether this VM stops: it breaks off nothing that it has passed on, and lets nothing wait. */
+  readonly isLeaving: boolean
+}
+
+/** Takes over what all VMs together saw of the load. */
+export function takeLoadNews ({ fleet, load }: EntryState, news: LoadNews, region: RegionId, now: Millis): void {
+  for (const { service, shares, fill, busy } of news.plans) {
+    fleet.sharedFill.set(service, fill)
+    const ownBusy = load.demand.get(service)
+    if (ownBusy !== undefined && busy > 0) fleet.demandParts.set(service, ownBusy / busy)
+    const own = shares.find(([from]) => from === region)?.[1]
+    if (own !== undefined) fleet.shares.set(service, new Map(own))
+  }
+  takeWeights(fleet, news.weights)
+  const silent = new Set<ServerId>(news.silent)
+  for (const server of fleet.byId.values()) {
+    noteShared(server, 0, now)
+    noteSharedSilence(server, silent.has(server.facts.id), now)
+  }
+  for (const [id, ahead] of news.full) {
+    const server = fleet.byId.get(id)
+    if (server !== undefined) noteShared(server, ahead, now)
+  }
+}
+
+/** Takes over the servers' weights. They come before or after the servers that they are for: a VM that starts hears of both in one reply. */
+export function takeWeights (fleet: Fleet, news: WeightNews | undefined): void {
+  const weights = new Map(news?.servers)
+  for (const server of fleet.byId.values()) server.weight = weights.get(server.facts.id) ?? 1
+}
