Replay load patterns in virtual time against the same decisions that entry VMs and the leader take

Change: packages/replay models what surrounds the decisions (callers, ways, an entry VM's processor time, servers with slots, queues and warm objects) and drives packages/placement unchanged, daemon code left out; eleven patterns as YAML; mechanisms that can be left out stand in one table. npm run replay -- PATTERN [--seeds N] [--without NAMES] [--json] [--svg FILE].

--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -39,7 +39,7 @@
   const { connectTimeoutMs, staleConnectionMs } = node.cfg.times
   const travel = new Map<RegionId, Millis>()
   const fleet: Fleet = {
-    setup: { self: node.cfg.name, region: node.cfg.region, random: node.random },
+    setup: { self: node.cfg.name, region: node.cfg.region, random: node.random, without: new Set() },
     byId: new Map(),
     byService: new Map(),
     warmth: createWarmth(),
--- a/packages/placement/__tests__/support/fleet.ts
+++ b/packages/placement/__tests__/support/fleet.ts
@@ -40,7 +40,7 @@
 /** The fleet of one VM in Kochi that has learned the route's times and knows no plan. */
 export function fleetOf (...servers: FleetServer[]): Fleet {
   return {
-    setup: { self: 'vm-1', region: kochi, random: makeRandom(seed) },
+    setup: { self: 'vm-1', region: kochi, random: makeRandom(seed), without: new Set() },
     byId: new Map(servers.map(held => [held.facts.id, held])),
     byService: new Map([[desk, servers]]),
     warmth: createWarmth(),
--- a/packages/placement/src/core/request/entryState.ts
+++ b/packages/placement/src/core/request/entryState.ts
@@ -24,19 +24,21 @@
 
 /** Takes over what all VMs together saw of the load. */
 export function takeLoadNews ({ fleet, load }: EntryState, news: LoadNews, region: RegionId, now: Millis): void {
+  const { without } = fleet.setup
   for (const { service, shares, fill, busy } of news.plans) {
     fleet.sharedFill.set(service, fill)
     const ownBusy = load.demand.get(service)
     if (ownBusy !== undefined && busy > 0) fleet.demandParts.set(service, ownBusy / busy)
     const own = shares.find(([from]) => from === region)?.[1]
-    if (own !== undefined) fleet.shares.set(service, new Map(own))
+    if (own !== undefined && !without.has('regionPlan')) fleet.shares.set(service, new Map(own))
   }
   takeWeights(fleet, news.weights)
-  const silent = new Set<ServerId>(news.silent)
+  const silent = new Set<ServerId>(without.has('silentServers') ? [] : news.silent)
   for (const server of fleet.byId.values()) {
     noteShared(server, 0, now)
     noteSharedSilence(server, silent.has(server.facts.id), now)
   }
+  if (without.has('sharedLoad')) return
   for (const [id, ahead] of news.full) {
     const server = fleet.byId.get(id)
     if (server !== undefined) noteShared(server, ahead, now)
@@ -45,6 +47,6 @@
 
 /** Takes over the servers' weights. They come before or after the servers that they are for: a VM that starts hears of both in one reply. */
 export function takeWeights (fleet: Fleet, news: WeightNews | undefined): void {
-  const weights = new Map(news?.servers)
+  const weights = new Map(fleet.setup.without.has('weights') ? [] : news?.servers)
   for (const server of fleet.byId.values()) server.weight = weights.get(server.facts.id) ?? 1
 }
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -4,6 +4,7 @@
 import { createConcurrency } from '../admission/concurrency.js'
 import type { Concurrency } from '../admission/concurrency.js'
 import type { FleetServer } from '../server/fleetServer.js'
+import type { Mechanism } from '../../types/mechanisms.js'
 import type { HashPlace } from '../object/hashPlaces.js'
 import type { RegionShares } from '../region/regionPlan.js'
 import type { Warmth } from '../object/warmth.js'
@@ -15,6 +16,8 @@
   readonly self: string
   readonly region: RegionId
   readonly random: Random
+  /** Mechanisms that are left out. */
+  readonly without: ReadonlySet<Mechanism>
 }
 
 /** Servers, what was learned of them, and the VMs beside this one. */
--- a/packages/placement/src/core/request/requestRun.ts
+++ b/packages/placement/src/core/request/requestRun.ts
@@ -160,7 +160,7 @@
 }
 
 function mayWaitForRoom ({ fleet, waitingForRoom }: EntryState, { request, waitsUntil }: RequestRun, refused: Refused, { isLeaving }: EntryTerms, now: Millis): boolean {
-  if (refused.reason !== 'busy' || isLeaving) return false
+  if (refused.reason !== 'busy' || isLeaving || fleet.setup.without.has('roomWait')) return false
   const { route, service } = request
   const { limit } = concurrencyOf(fleet, service)
   const pace = { limit, meanMs: fleet.meanWork.get(service) ?? route.aimMs, waiting: waitingForRoom.get(service) ?? 0 }
--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -74,8 +74,9 @@
   const fill = fillOfService(fleet, request.service, now)
   const candidates = places === undefined ? open : candidatesOf(fleet, request, open, places, fill, now)
   const times = workOf(fleet.work, workKey(request), request.route.aimMs)
-  const isHeldBeside = places !== undefined && candidates.some(server => isWarmBesideHome(fleet, request, server, places, region, now))
-  const input: ScoreInput = { times, places, region, workWeight: 1 + loadWeight(fill), isHeldBeside }
+  const { without } = fleet.setup
+  const isHeldBeside = places !== undefined && !without.has('movedHomes') && candidates.some(server => isWarmBesideHome(fleet, request, server, places, region, now))
+  const input: ScoreInput = { times, places, region, workWeight: without.has('workWeight') ? 1 : 1 + loadWeight(fill), isHeldBeside }
   const planned = leastCost(fleet, request, candidates.filter(server => server.facts.region === region), input, now)
   if (planned !== undefined && planned.sharedWaitMs <= request.route.aimMs * planWaitPart) return planned
   return leastCost(fleet, request, candidates, input, now)
@@ -189,7 +190,7 @@
   const travelMs = travelTo(fleet, facts.region)
   const leavingMs = facts.region === input.region ? 0 : awayMs
   const longestWorkMs = Math.max(times.coldMs, times.longestMs) * slowness
-  const riskMs = (1 - chance) * cutRisk(request, now + travelMs + sharedWaitMs + longestWorkMs)
+  const riskMs = fleet.setup.without.has('cutRisk') ? 0 : (1 - chance) * cutRisk(request, now + travelMs + sharedWaitMs + longestWorkMs)
   const cost = travelMs + sharedWaitMs + workMs * workWeight + leavingMs + (ahead / facts.slots) ** 2 * fillMs + riskMs + fleet.setup.random()
   return { server, cost, waitMs, sharedWaitMs, travelMs, workMs, longestWorkMs, wasWarm, place }
 }
--- a/packages/placement/src/internal.ts
+++ b/packages/placement/src/internal.ts
@@ -1,5 +1,6 @@
 /** Fixes the order in which the modules of this package load. */
 export * from './types/loads.js'
+export * from './types/mechanisms.js'
 export * from './types/sends.js'
 export * from './core/admission/unreadBound.js'
 export * from './core/admission/turnBudget.js'
--- /dev/null
+++ b/packages/replay/src/core/loadExchange.ts
@@ -0,0 +1,67 @@
+/** Reports of entry VMs, the leader's board, and what VMs are told of it. */
+import { brandId } from '@lynxcourse/base'
+import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { createLoadIntake, noteDigest, noteLoadReport, takeDigest, takeLoadNews, takeLoadReport, updateBoard } from '@lynxcourse/placement'
+import type { ServerPlace, ServiceSlots } from '@lynxcourse/placement'
+import { after } from './timeline.js'
+import type { VmModel, World } from './world.js'
+
+/** Time between two exchanges of the leader with the other control VMs, and between two reports of an entry VM. */
+const exchangeMs: Millis = 400
+const reportMs: Millis = 1000
+
+/** Starts reports and exchanges, which go on until the replay ends. VMs have the first plans before the first caller comes. */
+export function startExchanges (world: World): void {
+  updateBoard(world.board, openSlots(world), serverPlaces(world), world.timeline.now)
+  world.told = world.board.news
+  for (const vm of world.vms) takeLoadNews(vm.entry, world.told, vm.region, world.timeline.now)
+  for (const vm of world.vms) after(world.timeline, world.random() * reportMs, () => report(world, vm))
+  after(world.timeline, exchangeMs, () => exchange(world))
+}
+
+function report (world: World, vm: VmModel): void {
+  const { now } = world.timeline
+  if (vm.isUp && !world.isControlCut) {
+    const notes = takeLoadReport(vm.entry.load, now)
+    if (notes !== undefined) noteLoadReport(intakeOf(world, vm.region), vm.name, vm.region, notes, now)
+    takeLoadNews(vm.entry, world.told, vm.region, now)
+  }
+  after(world.timeline, reportMs, () => report(world, vm))
+}
+
+function intakeOf (world: World, region: RegionId): ReturnType<typeof createLoadIntake> {
+  const held = world.intakes.get(region)
+  if (held !== undefined) return held
+  const made = createLoadIntake()
+  world.intakes.set(region, made)
+  return made
+}
+
+function exchange (world: World): void {
+  const { now } = world.timeline
+  // Control VMs have what the leader told them at the exchange before.
+  world.told = world.board.news
+  if (!world.isControlCut) {
+    for (const [region, intake] of world.intakes) noteDigest(world.board, region, takeDigest(intake, now), now)
+    updateBoard(world.board, openSlots(world), serverPlaces(world), now)
+  }
+  after(world.timeline, exchangeMs, () => exchange(world))
+}
+
+function openSlots (world: World): ServiceSlots {
+  const slots = new Map<ServiceId, Map<RegionId, number>>()
+  for (const { service, region, slots: count, isUp, isLeaving } of world.backends.values()) {
+    const byRegion = slots.get(service) ?? new Map<RegionId, number>(Object.keys(world.pattern.regions).map(name => [brandId<RegionId>(name), 0]))
+    if (isUp && !isLeaving) byRegion.set(region, (byRegion.get(region) ?? 0) + count)
+    slots.set(service, byRegion)
+  }
+  return slots
+}
+
+function serverPlaces (world: World): Map<ServerId, ServerPlace> {
+  const places = new Map<ServerId, ServerPlace>()
+  for (const { id, service, region, slots, isUp, isLeaving } of world.backends.values()) {
+    if (isUp) places.set(id, { service, region, slots, isSettled: !isLeaving })
+  }
+  return places
+}
--- /dev/null
+++ b/packages/replay/src/core/play.ts
@@ -0,0 +1,29 @@
+/** Plays a pattern to its end. */
+import type { Millis } from '@lynxcourse/base'
+import type { Mechanism } from '@lynxcourse/placement'
+import type { Pattern } from '../types/pattern.js'
+import { startCallers } from './callerModel.js'
+import { planDisturbances } from './disturbances.js'
+import { startExchanges } from './loadExchange.js'
+import { figuresOf } from './score.js'
+import type { Figures } from './score.js'
+import { playUntil } from './timeline.js'
+import { createWorld } from './world.js'
+
+/** Time in which the last requests end. */
+const drainMs: Millis = 15_000
+
+/**
+ * Plays a pattern.
+ *
+ * @param seed equal seeds give equal figures
+ * @param without mechanisms that are left out
+ */
+export function playPattern (pattern: Pattern, seed: number, without: ReadonlySet<Mechanism> = new Set()): Figures {
+  const world = createWorld(pattern, seed, without)
+  startExchanges(world)
+  planDisturbances(world)
+  startCallers(world)
+  playUntil(world.timeline, pattern.seconds * 1000 + drainMs)
+  return figuresOf(world.score)
+}
--- /dev/null
+++ b/packages/replay/src/core/world.ts
@@ -0,0 +1,162 @@
+/** State of a replay. */
+import { brandId, makeRandom } from '@lynxcourse/base'
+import type { FailureDomainId, Millis, Random, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { createFleetServer, createLoadBoard, createLoadNotes, createWarmth } from '@lynxcourse/placement'
+import type { EntryState, Fleet, FleetServer, LoadBoard, LoadIntake, LoadNews, Mechanism } from '@lynxcourse/placement'
+import type { Route } from '@lynxcourse/state'
+import type { Pattern } from '../types/pattern.js'
+import { createBackend } from './backendModel.js'
+import type { Backend } from './backendModel.js'
+import { createScore } from './score.js'
+import type { Score } from './score.js'
+import { createTimeline } from './timeline.js'
+import type { Timeline } from './timeline.js'
+
+/** An entry VM of the model. */
+export interface VmModel {
+  readonly name: string
+  readonly region: RegionId
+  entry: EntryState
+  /** Grows with each start; what began before does not go on. */
+  life: number
+  isUp: boolean
+  /** Until when its processor has work. */
+  busyUntil: Millis
+  /** Idle connections by server: when each was used last. */
+  readonly idle: Map<ServerId, Millis[]>
+}
+
+export interface World {
+  readonly pattern: Pattern
+  /** Mechanisms that are left out. */
+  readonly without: ReadonlySet<Mechanism>
+  readonly timeline: Timeline
+  readonly random: Random
+  readonly routes: ReadonlyMap<string, Route>
+  readonly backends: ReadonlyMap<ServerId, Backend>
+  readonly vms: readonly VmModel[]
+  readonly board: LoadBoard
+  /** Reports of entry VMs by region, as a control VM there takes them. */
+  readonly intakes: Map<RegionId, LoadIntake>
+  /** What control VMs tell entry VMs. */
+  told: LoadNews
+  isControlCut: boolean
+  /** How many times more callers send. */
+  burst: number
+  /** Parts of a region's callers that are in another one. */
+  readonly moved: Map<string, { readonly to: string, readonly share: number }>
+  /** Objects that some server has handled. */
+  readonly handled: Set<string>
+  readonly score: Score
+}
+
+const noNews: LoadNews = { full: [], plans: [], silent: [] }
+
+export function createWorld (pattern: Pattern, seed: number, without: ReadonlySet<Mechanism>): World {
+  const random = makeRandom(seed)
+  const backends = new Map(makeBackends(pattern).map(backend => [backend.id, backend]))
+  const world: World = {
+    pattern,
+    without,
+    timeline: createTimeline(),
+    random,
+    routes: new Map(Object.keys(pattern.routes).map(name => [name, routeOf(pattern, name)])),
+    backends,
+    vms: makeVms(pattern),
+    board: createLoadBoard(),
+    intakes: new Map(),
+    told: noNews,
+    isControlCut: false,
+    burst: 1,
+    moved: new Map(),
+    handled: new Set(),
+    score: createScore()
+  }
+  for (const vm of world.vms) vm.entry = createEntry(world, vm)
+  return world
+}
+
+function makeBackends (pattern: Pattern): Backend[] {
+  const made: Backend[] = []
+  for (const [service, { servers, slots, queue, warmObjects }] of Object.entries(pattern.services)) {
+    for (const [region, { failureDomains }] of Object.entries(pattern.regions)) {
+      for (let domain = 0; domain < failureDomains; domain++) {
+        for (let place = 0; place < (servers[region] ?? 0); place++) {
+          const failureDomain = `${region}-${domain}`
+          const id = brandId<ServerId>(`${service}-${failureDomain}-${place}`)
+          made.push(createBackend({ id, service: brandId<ServiceId>(service), region: brandId<RegionId>(region), failureDomain, slots, queue, warmObjects }))
+        }
+      }
+    }
+  }
+  return made
+}
+
+function makeVms (pattern: Pattern): VmModel[] {
+  return Object.entries(pattern.regions).flatMap(([region, { failureDomains, entryVms }]) =>
+    Array.from({ length: failureDomains * entryVms }, (_, place): VmModel => ({
+      name: `vm-${region}-${place}`,
+      region: brandId<RegionId>(region),
+      entry: undefined as unknown as EntryState, // set once all VMs are known
+      life: 0,
+      isUp: true,
+      busyUntil: 0,
+      idle: new Map()
+    })))
+}
+
+function routeOf ({ routes }: Pattern, name: string): Route {
+  const { service, isIdempotent, timeoutMs, aimMs, rank } = routes[name] as Pattern['routes'][string]
+  return {
+    name,
+    host: 'callers.example',
+    pathPrefix: `/${name}/`,
+    isIdempotent,
+    timeoutMs,
+    aimMs,
+    rank,
+    service: brandId<ServiceId>(service),
+    split: [],
+    maxAttempts: 2,
+    isSticky: true,
+    homes: [],
+    annotations: {}
+  }
+}
+
+/** What an entry VM decides by after a start: all servers, and nothing learned. */
+export function createEntry (world: World, vm: VmModel): EntryState {
+  const servers = [...world.backends.values()].map(backend => fleetServerOf(backend))
+  const byService = new Map<ServiceId, FleetServer[]>()
+  for (const server of servers) byService.set(server.facts.service, [...byService.get(server.facts.service) ?? [], server])
+  const travel = new Map(Object.keys(world.pattern.regions).map(region => [brandId<RegionId>(region), 2 * delayBetween(world, vm.region, region)]))
+  const fleet: Fleet = {
+    setup: { self: vm.name, region: vm.region, random: world.random, without: world.without },
+    byId: new Map(servers.map(server => [server.facts.id, server])),
+    byService,
+    warmth: createWarmth(),
+    work: new Map(),
+    meanWork: new Map(),
+    travel,
+    coldRates: new Map(),
+    vms: world.vms.map(other => other.name),
+    shares: new Map(),
+    sharedFill: new Map(),
+    demandParts: new Map(),
+    homeWarm: new Map(),
+    meanSlowness: new Map(),
+    concurrency: new Map()
+  }
+  return { fleet, load: createLoadNotes(world.timeline.now), retries: new Map(), waitingForRoom: new Map() }
+}
+
+function fleetServerOf (backend: Backend): FleetServer {
+  const { id, service, region, slots, isUp, isLeaving } = backend
+  const failureDomain = brandId<FailureDomainId>(backend.failureDomain)
+  return createFleetServer({ id, service, address: id, failureDomain, region, bornAt: 0, slots, isClosed: !isUp || isLeaving }, -Infinity)
+}
+
+/** One-way delay between VMs or servers of two regions. */
+export function delayBetween ({ pattern: { delays } }: World, a: string, b: string): Millis {
+  return a === b ? delays.inRegion : delays.betweenRegions
+}
--- /dev/null
+++ b/packages/replay/src/internal.ts
@@ -0,0 +1,13 @@
+/** Fixes the order in which the modules of this package load. */
+export * from './types/pattern.js'
+export * from './utils/readPattern.js'
+export * from './core/timeline.js'
+export * from './core/coldCauses.js'
+export * from './core/score.js'
+export * from './core/backendModel.js'
+export * from './core/world.js'
+export * from './core/loadExchange.js'
+export * from './core/vmModel.js'
+export * from './core/callerModel.js'
+export * from './core/disturbances.js'
+export * from './core/play.js'
