Plan regions for the height of demand that was not seen yet, and for the slots that a server has

What callers saw: those of a region with a third of the demand and a tenth of the servers were answered late at each height of their demand. First seen at the bottom of its swing (71 of 225 slots, height 210), the region's objects came home, near share 0.24 to 0.76, each cold once, and at the first height half of what its servers got waited for half a second. And 0.75 of the slots was the fill whatever a server's slots: with three, requests wait a quarter of their work at 0.55 (Sakasegawa's approximation, c = 3; 0.73 for six, 0.80 for nine). Change: until demand has been followed for 45 s a region's height counts as at least 1.5 times the mean of all regions; the fill follows from the slots of a server.

--- a/packages/placement/src/core/board/boardPlans.ts
+++ b/packages/placement/src/core/board/boardPlans.ts
@@ -1,9 +1,9 @@
 /** The board's part that follows the demand of regions and moves their plans. */
 import type { Millis, RegionId, ServiceId } from '@lynxcourse/base'
-import { firstPlan, mustMove, stepPlan, targetPlan } from '../region/regionPlan.js'
+import { assumedHeight, firstPlan, mustMove, stepPlan, targetPlan } from '../region/regionPlan.js'
 import type { RegionLoad } from '../region/regionPlan.js'
 import { busyForMs } from '../../types/loads.js'
-import type { ServiceSlots } from '../../types/loads.js'
+import type { ServerPlaces, ServiceSlots } from '../../types/loads.js'
 import type { LoadBoard } from './loadBoard.js'
 
 /** Smoothing of the demand in a second: about three seconds of a wave of callers. */
@@ -15,6 +15,8 @@
 /** A region that lost this part of its slots lost servers; fewer are the planned changes of an ordinary day. */
 const lossPart = 0.15
 const lossForMs: Millis = 3000
+/** Time in which a region's demand shows how high it rises; until then its height is assumed. */
+const swingMs: Millis = 45_000
 
 /** Follows the demand of each region's callers by the last digests, and its height. */
 export function smoothDemand (board: LoadBoard, passedMs: Millis, now: Millis): void {
@@ -54,12 +56,25 @@
 }
 
 /** Moves the plan of each service on. */
-export function planRegions (board: LoadBoard, slots: ServiceSlots, passedMs: Millis, now: Millis): void {
+export function planRegions (board: LoadBoard, slots: ServiceSlots, places: ServerPlaces, passedMs: Millis, now: Millis): void {
   if (noteSlots(board, slots)) board.lossUntil = now + lossForMs
-  for (const [service, byRegion] of slots) planService(board, service, byRegion, passedMs, now)
+  const serverSlots = meanSlots(places)
+  for (const [service, byRegion] of slots) planService(board, service, byRegion, serverSlots.get(service) ?? 1, passedMs, now)
 }
 
-function planService (board: LoadBoard, service: ServiceId, byRegion: ReadonlyMap<RegionId, number>, passedMs: Millis, now: Millis): void {
+/** Slots of one server on the mean, by service. */
+function meanSlots (places: ServerPlaces): Map<ServiceId, number> {
+  const sums = new Map<ServiceId, { slots: number, servers: number }>()
+  for (const { service, slots } of places.values()) {
+    const sum = sums.get(service) ?? { slots: 0, servers: 0 }
+    sum.slots += slots
+    sum.servers += 1
+    sums.set(service, sum)
+  }
+  return new Map([...sums].map(([service, { slots, servers }]) => [service, slots / servers]))
+}
+
+function planService (board: LoadBoard, service: ServiceId, byRegion: ReadonlyMap<RegionId, number>, serverSlots: number, passedMs: Millis, now: Millis): void {
   const loads: RegionLoad[] = [...byRegion].map(([region, slots]) => {
     const key = `${service} ${region}`
     return { region, slots, demand: board.demand.get(key) ?? 0, peak: board.peaks.get(key) ?? 0 }
@@ -70,9 +85,10 @@
   const measuredMs = now - (board.measuringSince ?? now)
   if (demand >= total * leastFill && measuredMs >= busyForMs) board.measured.add(service)
   if (held === undefined || !board.measured.has(service)) {
-    board.plans.set(service, firstPlan(loads))
+    board.plans.set(service, firstPlan(loads, serverSlots))
     return
   }
-  const target = targetPlan(loads)
+  const leastPeak = measuredMs < swingMs ? assumedHeight(loads) : 0
+  const target = targetPlan(loads.map(load => ({ ...load, peak: Math.max(load.peak, leastPeak) })), serverSlots)
   if (mustMove(held, target, loads)) board.plans.set(service, stepPlan(held, target, now < board.lossUntil, passedMs))
 }
--- a/packages/placement/src/core/board/loadBoard.ts
+++ b/packages/placement/src/core/board/loadBoard.ts
@@ -103,7 +103,7 @@
   if (now - board.plannedAt > pauseMs) board.resumedAt = now
   board.plannedAt = now
   smoothDemand(board, passedMs, now)
-  planRegions(board, slots, passedMs, now)
+  planRegions(board, slots, places, passedMs, now)
   const full = fullServers(board, places, now)
   smoothFills(board, places, passedMs)
   stepWeights(board.weights, settledFills(board, places), passedMs)
--- a/packages/placement/src/core/region/regionPlan.ts
+++ b/packages/placement/src/core/region/regionPlan.ts
@@ -27,10 +27,12 @@
 /** A service's plan: the shares of each region's objects. */
 export type RegionPlan = ReadonlyMap<RegionId, RegionShares>
 
-/** Fill of a region's slots that its own objects and those of others may reach at the height of its demand. */
-const peakFill = 0.75
+/** Mean wait for a slot that a region's fill may cause at the height of its demand, in parts of the work: the way to another region takes no longer. */
+const waitPart = 0.25
+/** Fills that differ by less move next to no objects. */
+const fillPrecision = 0.001
 /**
- * Fill of a region by the plan in force from which it moves: up to it few requests wait. Regions' demands rise and fall by turns;
+ * Fill of a region by the plan in force from which it moves: below it the waits cost less than cold work elsewhere. Regions' demands rise and fall by turns;
  * a plan that followed each of them moved a third of a region's objects there and back, and made each of them cold twice.
  */
 const mostFill = 0.8
@@ -42,7 +44,7 @@
 const fillMargin = 0.2
 /** Fill that is assumed before there is any demand: callers of all regions alike, slots this full. */
 const firstFill = 0.6
-/** And by how much a region's demand may be above its mean. */
+/** By how much a region's demand may be above its mean. */
 const firstSwing = 1.5
 /** Largest part of a region's objects that moves in a second: 6 % in two seconds, well below the 15 % that callers are promised. */
 export const shareStepPerSecond = 0.03
@@ -52,12 +54,14 @@
 /**
  * The plan that demand and slots ask for, whatever is in force now: each region keeps what it can hold at the height of its own
  * demand beside what others send it on the mean, and sends the rest where there are slots.
+ *
+ * @param serverSlots slots of one server on the mean
  */
-export function targetPlan (loads: readonly RegionLoad[]): RegionPlan {
+export function targetPlan (loads: readonly RegionLoad[], serverSlots: number): RegionPlan {
   const slots = sumOf(loads.map(load => load.slots))
   const demand = sumOf(loads.map(load => load.demand))
   if (slots === 0) return new Map(loads.map(({ region }) => [region, new Map([[region, 1]])]))
-  const fill = Math.max(peakFill, demand / slots + fillMargin)
+  const fill = Math.max(bearableFill(serverSlots), demand / slots + fillMargin)
   const plan = new Map(loads.map(load => [load.region, sharesOf(load, 1, loads)]))
   for (let round = 0; round < planRounds; round++) {
     for (const load of loads) {
@@ -68,6 +72,25 @@
   return plan
 }
 
+/**
+ * Fill at which requests wait for a slot no longer than `waitPart` of their work on the mean, by Sakasegawa's approximation for one
+ * queue of so many slots: 0.55 for three slots, 0.73 for six.
+ *
+ * What can go wrong: the fewer slots a server has, the longer requests wait there before all of them are taken. It shows as a region
+ * whose callers are answered late though its servers have slots free, while they would be in time in another region.
+ */
+export function bearableFill (serverSlots: number): number {
+  const power = Math.sqrt(2 * (serverSlots + 1)) - 1
+  let [least, most] = [0, 1]
+  while (most - least > fillPrecision) {
+    const fill = (least + most) / 2
+    const wait = fill ** power / (serverSlots * (1 - fill))
+    if (wait > waitPart) most = fill
+    else least = fill
+  }
+  return least
+}
+
 /** Slots that other regions' callers keep busy in a region on the mean. */
 function inflowOf (region: RegionId, plan: RegionPlan, loads: readonly RegionLoad[]): number {
   const others = loads.filter(load => load.region !== region)
@@ -75,10 +98,21 @@
 }
 
 /** The plan before any demand was measured. */
-export function firstPlan (loads: readonly RegionLoad[]): RegionPlan {
+export function firstPlan (loads: readonly RegionLoad[], serverSlots: number): RegionPlan {
   const slots = sumOf(loads.map(load => load.slots))
   const demand = slots * firstFill / Math.max(1, loads.length)
-  return targetPlan(loads.map(load => ({ ...load, demand, peak: demand * firstSwing })))
+  return targetPlan(loads.map(load => ({ ...load, demand, peak: demand * firstSwing })), serverSlots)
+}
+
+/**
+ * Height that a region's demand may reach, as far as the sum of all regions tells: callers of all regions alike, who rise and fall by turns.
+ *
+ * What can go wrong: a region is first seen at the bottom of its swing, looks as if all of its objects fitted, and they come home. Each
+ * is cold there once; then demand rises, and its servers are too full to be left again without cold work. It shows as a region whose
+ * callers are answered late at each height of its demand, the first one above all.
+ */
+export function assumedHeight (loads: readonly RegionLoad[]): number {
+  return sumOf(loads.map(load => load.demand)) / Math.max(1, loads.length) * firstSwing
 }
 
 /** Whether a plan in force is so far from the one asked for that objects have to move, or may well come home. */
