Name servers as full only for queues that outlast the word of them, and move weights a quarter as fast

What callers saw: late answers in calm hours; requests find their object cold at its server although another one has it warm. What VMs are told of a queue is one to two seconds old where work takes a third of a second, so objects left warm servers for queues that were gone; each move is cold work, four slot times, and makes the next queue. Change: a server is named from two requests ahead for each slot (0.75 before), and weights move at 0.03 a second (0.12).

--- a/packages/placement/src/core/board/loadBoard.ts
+++ b/packages/placement/src/core/board/loadBoard.ts
@@ -51,8 +51,8 @@
 const aheadSmoothing = 0.35
 /** A server not heard of for this long has no queue that anybody feeds. */
 const aheadForMs: Millis = 2500
-/** Part of its slots from which a server is named; below it nobody waits there. */
-const namedFill = 0.75
+/** Requests ahead for each slot from which a server is named: a shorter queue is gone when the word of it arrives, and what left for it is cold elsewhere. */
+const namedFill = 2
 /** Most servers named at once, the fullest first: about 8 KB. */
 const maxNamed = 400
 /** Time over which a server's fill is followed for its weight: at five slots, half of what a moment shows is chance. */
--- a/packages/placement/src/core/object/serverWeights.ts
+++ b/packages/placement/src/core/object/serverWeights.ts
@@ -17,8 +17,8 @@
   readonly fill: number
 }
 
-/** Change of a weight in a second for a server that is twice as full as the mean: eight objects lose one in a second. */
-const gainPerSecond = 0.12
+/** Change of a weight in a second for a server that is twice as full as the mean: of eight objects one leaves in four seconds, and gets warm before the next. */
+const gainPerSecond = 0.03
 /** Fills this near to the mean, in parts of it, are left alone: requests come unevenly, and each move makes an object cold. */
 const deadBand = 0.25
 /** A queue is many times the mean; it must not empty its server at once. */
