--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -108,7 +108,7 @@
 export function lookUp (control: FleetControl, region: RegionId | undefined, now: Millis): FleetLookup {
   const { times } = control.node.cfg
   const { entries, gathering } = control.presence
-  const addresses = isGathering(gathering, now) ? [] : chooseEntries([...entries.values()], region, times.presenceStaleMs, now)
+  const addresses = isGathering(gathering, now) ? [] : chooseEntries([...entries.values()], region, times.presenceStaleMs, now, control.node.random)
   return { addresses, ttlMs: times.lookupTtlMs }
 }
 
--- a/packages/placement/src/core/entries/entryChoice.ts
+++ b/packages/placement/src/core/entries/entryChoice.ts
@@ -1,5 +1,5 @@
 /** Which entry VMs a caller is told to use. */
-import type { FailureDomainId, Millis, RegionId } from '@lynxcourse/base'
+import type { FailureDomainId, Millis, Random, RegionId } from '@lynxcourse/base'
 
 /** An entry VM as the control VMs hear of it. */
 export interface EntryPresence {
@@ -23,7 +23,7 @@
  * Addresses for a caller: the ready VMs of its region; where there are none, those of all regions,
  * since a far entry VM is better than no answer.
  */
-export function chooseEntries (entries: readonly HeardEntry[], region: RegionId | undefined, staleMs: Millis, now: Millis): string[] {
+export function chooseEntries (entries: readonly HeardEntry[], region: RegionId | undefined, staleMs: Millis, now: Millis, _random: Random): string[] {
   const ready = entries.filter(entry => entry.presence.isReady && now - entry.heardAt < staleMs)
   const near = ready.filter(entry => entry.presence.region === region)
   const chosen = near.length > 0 ? near : ready
