Tell the leader only of entry VMs that were heard here, and control VMs only of weights that are new

What operators would see: control traffic that grows with entry VMs x control VMs; 185 x 15 make reports of 35 KB, 1.2 MB a second into the leader, two thirds of it between regions. Cause: each report carried all that a control VM knew, most of it from the leader, and each reply all weights, up to 13 KB. Change: an entry VM is reported by the control VM that it watches, until the leader has it; the reply leaves out weights that the report names by their version, as entry VMs' watches do. Why it holds: what is older never replaced what is newer, so nothing that the leader knows is lost; a report that was lost leaves its entries to the next.

--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -116,7 +116,7 @@
 function answerPresence (control: FleetControl, report: PresenceReport): PresenceReply {
   const now = presentTime()
   noteDigest(control.board, report.from.rpc, report.load, now)
-  return { ...takePresenceReport(control.presence, report, now), news: control.board.news }
+  return { ...takePresenceReport(control.presence, report, now), news: newsFor(control.board.news, report.weights) }
 }
 
 async function answerWatch (control: FleetControl, loop: PresenceLoop, request: WatchRequest): Promise<WatchReply> {
--- a/packages/daemon/src/core/fleet/presence.ts
+++ b/packages/daemon/src/core/fleet/presence.ts
@@ -8,6 +8,8 @@
 export interface Presence {
   /** Entry VMs by name. */
   readonly entries: Map<string, HeardEntry>
+  /** What entry VMs told this VM themselves, by name, until the leader has it. */
+  readonly watching: Map<string, EntryPresence>
   /** Whether enough of them were heard since this VM started. */
   readonly gathering: EntryGathering
   /** Control VMs by RPC address. */
@@ -55,7 +57,16 @@
 const controlStaleMs = 6000
 
 export function createPresence (): Presence {
-  return { entries: new Map(), gathering: createEntryGathering(), controls: new Map(), heard: new Set(), heardAt: new Map(), exchangedAt: -Infinity, leadingSince: undefined }
+  return {
+    entries: new Map(),
+    watching: new Map(),
+    gathering: createEntryGathering(),
+    controls: new Map(),
+    heard: new Set(),
+    heardAt: new Map(),
+    exchangedAt: -Infinity,
+    leadingSince: undefined
+  }
 }
 
 /** Notes an entry VM; older news never replaces newer. */
@@ -69,16 +80,25 @@
 
 /** Notes an entry VM that told this VM itself. */
 export function noteWatching (presence: Presence, entry: EntryPresence, now: Millis): boolean {
-  return noteEntry(presence, entry, now)
+  const isNews = noteEntry(presence, entry, now)
+  presence.watching.set(entry.name, entry)
+  return isNews
 }
 
-/** What this VM tells the leader of entry VMs. */
+/**
+ * What this VM tells the leader of entry VMs: those that told it themselves since the leader was last told. Told of all that it knows, the
+ * leader would hear of each entry VM from each control VM, most of them by its own word.
+ */
 export function reportedEntries (presence: Presence, now: Millis): AgedEntry[] {
-  return agedEntries(presence, now)
+  return agedEntries(presence, now).filter(({ presence: { name } }) => presence.watching.has(name))
 }
 
-/** Notes that the leader has a report. */
-export function noteReported (_presence: Presence, _entries: readonly AgedEntry[]): void {}
+/** Notes that the leader has a report; an entry VM that told this VM anything since is told again. */
+export function noteReported ({ watching }: Presence, entries: readonly AgedEntry[]): void {
+  for (const { presence: entry } of entries) {
+    if (watching.get(entry.name) === entry) watching.delete(entry.name)
+  }
+}
 
 /** Entry VMs with the age of the news. */
 export function agedEntries (presence: Presence, now: Millis): AgedEntry[] {
@@ -89,7 +109,9 @@
 /** Drops what is too old to matter. */
 export function prunePresence (presence: Presence, now: Millis): void {
   for (const [name, entry] of presence.entries) {
-    if (now - entry.heardAt > maxAgeMs) presence.entries.delete(name)
+    if (now - entry.heardAt <= maxAgeMs) continue
+    presence.entries.delete(name)
+    presence.watching.delete(name)
   }
   for (const [rpc, control] of presence.controls) {
     if (now - control.heardAt > controlStaleMs) presence.controls.delete(rpc)
--- a/packages/daemon/src/core/fleet/presenceLoop.ts
+++ b/packages/daemon/src/core/fleet/presenceLoop.ts
@@ -12,7 +12,7 @@
 import type { FleetControl } from './fleetControl.js'
 import { newsLines, noteDigest, takeDigest, takeNews, takePlanLines, updateBoard } from '@lynxcourse/placement'
 import { openSlots, serverPlaces } from './serverSlots.js'
-import { missedServers, noteEntry, prunePresence, reportedEntries, takePresenceReport } from './presence.js'
+import { missedServers, noteEntry, noteReported, prunePresence, reportedEntries, takePresenceReport } from './presence.js'
 import type { PresenceNews, PresenceReply, PresenceReport } from './presence.js'
 
 /** Least time between two exchanges when something new makes one urgent. */
@@ -78,12 +78,13 @@
 }
 
 async function exchange (control: FleetControl): Promise<void> {
-  const { node, host, presence, intake } = control
+  const { node, host, presence, intake, board } = control
   const now = presentTime()
   prunePresence(presence, now)
-  const report: PresenceReport = { from: { rpc: node.cfg.rpc, region: node.cfg.region }, entries: reportedEntries(presence, now), heard: [...presence.heard], load: takeDigest(intake, now), weights: 0 }
+  const report: PresenceReport = { from: { rpc: node.cfg.rpc, region: node.cfg.region }, entries: reportedEntries(presence, now), heard: [...presence.heard], load: takeDigest(intake, now), weights: board.news.weights?.version ?? 0 }
   if (leads(host)) {
     presence.heard.clear()
+    presence.watching.clear()
     presence.exchangedAt = now
     putLoadsTogether(control, report, now)
     takeReply(control, takePresenceReport(presence, report, now))
@@ -95,6 +96,7 @@
   if (leader === undefined || leader === node.cfg.rpc) return
   const reply = await callPeer<PresenceReply>(node.client, leader, 'fleet.presence', report)
   for (const id of report.heard) presence.heard.delete(id)
+  noteReported(presence, report.entries)
   presence.exchangedAt = presentTime()
   takeReply(control, reply)
   takeNews(control.board, reply.news)
--- a/packages/placement/src/core/board/loadBoard.ts
+++ b/packages/placement/src/core/board/loadBoard.ts
@@ -186,9 +186,10 @@
 
 /** Takes the leader's news at another control VM, which may lead next and then goes on from these plans. */
 export function takeNews (board: LoadBoard, news: LoadNews): void {
-  board.news = news
+  const weights = news.weights ?? board.news.weights
+  board.news = weights === undefined ? news : { ...news, weights }
   board.weights.clear()
-  for (const [id, weight] of news.weights?.servers ?? []) board.weights.set(id, weight)
+  for (const [id, weight] of weights?.servers ?? []) board.weights.set(id, weight)
   board.plans.clear()
   for (const { service, isMeasured, demand, shares } of news.plans) {
     for (const [region, slots] of demand) {
