Name objects' servers and ejection by the field's words, behaviour unchanged

home, movedHome, spare and away of an object are its primary, moved primary, secondary and remote server (rendezvous hashing); strikes and suspicion are consecutive failures and ejection (outlier detection). Log lines' field place has the new words. Tests keep their assertions.

--- a/packages/daemon/__tests__/fleetStart.test.ts
+++ b/packages/daemon/__tests__/fleetStart.test.ts
@@ -127,7 +127,7 @@
     assert.equal((await late).status, 504)
   }
   const known = rig.daemons.at(-1)?.gateway?.fleet.byId.get(server.facts.id)
-  assert.deepEqual([known?.strikes, known?.suspectUntil], [0, -Infinity])
+  assert.deepEqual([known?.consecutiveFailures, known?.ejectedUntil], [0, -Infinity])
 })
 
 /*
@@ -142,7 +142,7 @@
   const gateway = rig.daemons.at(-1)?.gateway
   const known = (): FleetServer | undefined => gateway?.fleet.byId.get(server.facts.id)
   assert.equal((await ask(rig, '/read/1')).status, 504)
-  assert.deepEqual([known()?.strikes, gateway?.node.load.failed.size], [0, 0])
-  for (let sent = 1; sent < 20 && known()?.strikes === 0; sent++) assert.equal((await ask(rig, '/read/1')).status, 504)
-  assert.ok((known()?.strikes ?? 0) > 0, 'a server that answers nothing at all is doubted')
+  assert.deepEqual([known()?.consecutiveFailures, gateway?.node.load.failed.size], [0, 0])
+  for (let sent = 1; sent < 20 && known()?.consecutiveFailures === 0; sent++) assert.equal((await ask(rig, '/read/1')).status, 504)
+  assert.ok((known()?.consecutiveFailures ?? 0) > 0, 'a server that answers nothing at all is doubted')
 })
--- a/packages/daemon/src/core/gateway/fleetView.ts
+++ b/packages/daemon/src/core/gateway/fleetView.ts
@@ -90,7 +90,7 @@
 
 function makeCold (fleet: Fleet, server: FleetServer, until: Millis): void {
   server.coldUntil = until
-  server.strikes = 0
+  server.consecutiveFailures = 0
   forgetServer(fleet.warmth, server.facts.id)
 }
 
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -51,7 +51,7 @@
     shares: new Map(),
     sharedFill: new Map(),
     demandParts: new Map(),
-    homeWarm: new Map(),
+    placeWarm: new Map(),
     meanSlowness: new Map(),
     concurrency: new Map()
   }
--- a/packages/placement/__tests__/fleetServer.test.ts
+++ b/packages/placement/__tests__/fleetServer.test.ts
@@ -23,11 +23,11 @@
 test('a server that fails again and again is left alone for longer each time, and tried where all are suspect', () => {
   const bad = server('bad')
   noteBad(bad, false, 1000)
-  assert.equal(bad.suspectUntil, -Infinity)
+  assert.equal(bad.ejectedUntil, -Infinity)
   noteBad(bad, false, 1000)
-  assert.equal(bad.suspectUntil, 1400)
+  assert.equal(bad.ejectedUntil, 1400)
   noteBad(bad, false, 1400)
-  assert.equal(bad.suspectUntil, 2200)
+  assert.equal(bad.ejectedUntil, 2200)
   assert.equal(sentTo(fleetOf(bad), request(), 1500), 'bad')
 })
 
--- a/packages/placement/__tests__/placement.test.ts
+++ b/packages/placement/__tests__/placement.test.ts
@@ -64,39 +64,39 @@
 
 /*
  * Symptom: requests wait behind the full queue of their object's server. Sequence: other VMs filled it; this one has
- * not sent there for seconds. Cause: it went by its own last report, which was old. Load pattern: one home with twice its
+ * not sent there for seconds. Cause: it went by its own last report, which was old. Load pattern: one primary server with twice its
  * slots ahead, an idle server beside it.
  */
 test('a server that all VMs together know to be full gets nothing while one beside it is free', () => {
   const fleet = fleetOf(server('a'), server('b'))
-  const home = sentTo(fleet, request())
-  const held = fleet.byId.get(brandId<ServerId>(home)) as FleetServer
+  const primary = sentTo(fleet, request())
+  const held = fleet.byId.get(brandId<ServerId>(primary)) as FleetServer
   noteShared(held, 9, 900)
-  assert.notEqual(sentTo(fleet, request()), home)
-  assert.equal(sentTo(fleet, request({ arrivedAt: 4000, deadline: 5200 }), 4000), home)
+  assert.notEqual(sentTo(fleet, request()), primary)
+  assert.equal(sentTo(fleet, request({ arrivedAt: 4000, deadline: 5200 }), 4000), primary)
 })
 
 /*
  * Symptom: a fleet whose warm work would fill 60 % of its slots answers everything late for half a minute. Sequence: at
  * the start all objects are cold and queues grow; requests go wherever a slot is free, find the object cold there and
- * push another one out. Cause: leaving the home looked cheaper to each request than waiting there. Load pattern: all
- * slots of the service busy by what all VMs saw, the home busier than the rest.
+ * push another one out. Cause: leaving the primary server looked cheaper to each request than waiting there. Load pattern: all
+ * slots of the service busy by what all VMs saw, the primary one busier than the rest.
  */
-test('in a full fleet objects keep to their homes', () => {
+test('in a full fleet objects keep to their primary servers', () => {
   const fleet = fleetOf(...['a', 'b', 'c', 'd'].map(id => server(id)))
-  const home = sentTo(fleet, request())
-  noteShared(fleet.byId.get(brandId<ServerId>(home)) as FleetServer, 12, 950)
-  assert.notEqual(sentTo(fleet, request()), home)
+  const primary = sentTo(fleet, request())
+  noteShared(fleet.byId.get(brandId<ServerId>(primary)) as FleetServer, 12, 950)
+  assert.notEqual(sentTo(fleet, request()), primary)
   fleet.sharedFill.set(desk, 1.2)
-  assert.equal(sentTo(fleet, request()), home)
+  assert.equal(sentTo(fleet, request()), primary)
 })
 
 /*
  * Symptom: a VM refuses every request for want of a server while other regions have some. Sequence: it starts in a region
  * whose servers are gone, in a full fleet, and has not heard of a plan yet. Cause: without a plan no region was an object's
- * own, so no server was its home, and in a full fleet only homes may serve.
+ * own, so no server was its primary one, and in a full fleet only those may serve.
  */
-test('without a plan and without near servers, objects have a home in another region', () => {
+test('without a plan and without near servers, objects have a primary server in another region', () => {
   const fleet = fleetOf(server('a', mumbai), server('b', mumbai))
   fleet.sharedFill.set(desk, 1.2)
   assert.ok(['a', 'b'].includes(sentTo(fleet, request())))
@@ -122,31 +122,31 @@
 
 /*
  * Symptom: objects are cold again and again while servers come and go. Sequence: a server joins or gets a new weight and becomes the
- * home of an object; its former home is warm, has a little more to do, and requests go to the new one. Cause: the new home counted
- * as warm as homes usually are, though nobody had sent it the object yet.
+ * primary server of an object; its former one is warm, has a little more to do, and requests go to the new one. Cause: the new one counted
+ * as warm as primary servers usually are, though nobody had sent it the object yet.
  */
-test('an object stays with the server that is warm for it for as long as its new home may be cold', () => {
+test('an object stays with the server that is warm for it for as long as its new primary server may be cold', () => {
   const fleet = fleetOf(server('a'), server('b'))
-  const newHome = sentTo(fleet, request())
-  for (let n = 0; n < 100; n++) learnWarmChance(fleet, request(), 'home', true)
-  const former = [...fleet.byId.values()].find(({ facts }) => facts.id !== newHome) as FleetServer
+  const newPrimary = sentTo(fleet, request())
+  for (let n = 0; n < 100; n++) learnWarmChance(fleet, request(), 'primary', true)
+  const former = [...fleet.byId.values()].find(({ facts }) => facts.id !== newPrimary) as FleetServer
   noteHandled(fleet.warmth, former.facts.id, 'read|7', 900)
   noteReport(former, 2, 950)
   assert.equal(sentTo(fleet, request()), former.facts.id)
   noteReport(former, 12, 950)
-  assert.equal(sentTo(fleet, request()), newHome, 'where the former one is full, the object moves')
+  assert.equal(sentTo(fleet, request()), newPrimary, 'where the former one is full, the object moves')
 })
 
 /*
- * Symptom: a route whose timeout is hardly longer than its cold work fails at its busiest. Sequence: an object's home has a queue; the
+ * Symptom: a route whose timeout is hardly longer than its cold work fails at its busiest. Sequence: an object's primary server has a queue; the
  * request goes to a server that is cold for the object, is cut by its timeout, and its caller has nothing. Cause: cold work
  * counted by its time alone, although a late answer is worth something and none is worth nothing.
  */
-test('a request waits at its warm home rather than risk to be cut at a cold server', () => {
+test('a request waits at its warm primary server rather than risk to be cut at a cold server', () => {
   const fleet = fleetOf(...['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].map(id => server(id)))
-  const home = sentTo(fleet, request())
-  noteHandled(fleet.warmth, brandId<ServerId>(home), 'read|7', 900)
-  noteReport(fleet.byId.get(brandId<ServerId>(home)) as FleetServer, 7, 950)
-  assert.notEqual(sentTo(fleet, request({ deadline: 2200 })), home, 'with time for cold work')
-  assert.equal(sentTo(fleet, request({ deadline: 1239 })), home)
+  const primary = sentTo(fleet, request())
+  noteHandled(fleet.warmth, brandId<ServerId>(primary), 'read|7', 900)
+  noteReport(fleet.byId.get(brandId<ServerId>(primary)) as FleetServer, 7, 950)
+  assert.notEqual(sentTo(fleet, request({ deadline: 2200 })), primary, 'with time for cold work')
+  assert.equal(sentTo(fleet, request({ deadline: 1239 })), primary)
 })
--- a/packages/placement/__tests__/serverWeights.test.ts
+++ b/packages/placement/__tests__/serverWeights.test.ts
@@ -24,7 +24,7 @@
   const fills = new Map(servers.map(({ facts }) => [facts.id, 0]))
   for (let object = 0; object < objects; object++) {
     for (const [id, place] of placesOf(servers, `read|${object}`, kochi)) {
-      if (place !== 'home') continue
+      if (place !== 'primary') continue
       homes.push(id)
       fills.set(id, (fills.get(id) ?? 0) + objectLoad / slots)
     }
--- a/packages/placement/__tests__/support/fleet.ts
+++ b/packages/placement/__tests__/support/fleet.ts
@@ -52,7 +52,7 @@
     shares: new Map(),
     sharedFill: new Map(),
     demandParts: new Map(),
-    homeWarm: new Map(),
+    placeWarm: new Map(),
     meanSlowness: new Map(),
     concurrency: new Map()
   }
--- a/packages/placement/src/core/object/hashPlaces.ts
+++ b/packages/placement/src/core/object/hashPlaces.ts
@@ -4,10 +4,10 @@
 import type { FleetServer } from '../server/fleetServer.js'
 
 /**
- * What hashing says of a server for an object. `home` is its server in the region that the plan names, `movedHome` the same where
- * this VM saw the object lately at another server of that region, `spare` the second one there, `away` one in another region.
+ * What hashing says of a server for an object. `primary` is its server in the region that the plan names, `movedPrimary` the same where
+ * this VM saw the object lately at another server of that region, `secondary` the second one there, `remote` one in another region.
  */
-export type HashPlace = 'home' | 'movedHome' | 'spare' | 'away'
+export type HashPlace = 'primary' | 'movedPrimary' | 'secondary' | 'remote'
 
 /** What hashing says of the servers for an object: the first two of the planned region, and the first of each other one. */
 export function placesOf (servers: readonly FleetServer[], object: string, planned: RegionId | undefined): Map<ServerId, HashPlace> {
@@ -23,8 +23,8 @@
   }
   const places = new Map<ServerId, HashPlace>()
   for (const [region, { first, second }] of byRegion) {
-    if (first !== undefined) places.set(first.facts.id, region === planned ? 'home' : 'away')
-    if (second !== undefined && region === planned) places.set(second.facts.id, 'spare')
+    if (first !== undefined) places.set(first.facts.id, region === planned ? 'primary' : 'remote')
+    if (second !== undefined && region === planned) places.set(second.facts.id, 'secondary')
   }
   return places
 }
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -41,7 +41,7 @@
   /** This VM's part of the demand for a service, as all VMs together saw it. */
   readonly demandParts: Map<ServiceId, number>
   /** Chance that an object is warm where hashing puts it, by route, service and kind of place. */
-  readonly homeWarm: Map<string, number>
+  readonly placeWarm: Map<string, number>
   /** Smoothed ratio of real to expected times, by service; a server is slow only against its peers. */
   readonly meanSlowness: Map<ServiceId, number>
   /** Requests under way and how many there may be, by service. */
@@ -57,12 +57,12 @@
 /** Travel assumed to a region that was not reached yet, two-way. */
 const unknownTravelMs = 80
 /** Chance that an object is warm at such a place, before this VM has seen any there. */
-const firstWarmChances: Record<HashPlace, number> = { home: 0.7, movedHome: 0.3, spare: 0.1, away: 0.1 }
+const firstWarmChances: Record<HashPlace, number> = { primary: 0.7, movedPrimary: 0.3, secondary: 0.1, remote: 0.1 }
 /**
- * While every object is cold, homes look no better than other servers; going to others would make each object
+ * While every object is cold, primary servers look no better than others; going to others would make each object
  * cold at several of them, and the first seconds would last for ten.
  */
-const leastHomeChance = 0.5
+const leastPrimaryChance = 0.5
 /** Smoothing of that chance as answers show it. */
 const chanceSmoothing = 0.03
 /** One freak answer must not make all servers look fast. */
@@ -110,15 +110,15 @@
 
 /** Chance that an object is warm at a place where this VM has not seen it. */
 export function warmChance (fleet: Fleet, request: RoutedService, place: HashPlace): number {
-  const chance = fleet.homeWarm.get(`${workKey(request)} ${place}`) ?? firstWarmChances[place]
-  return place === 'home' ? Math.max(leastHomeChance, chance) : chance
+  const chance = fleet.placeWarm.get(`${workKey(request)} ${place}`) ?? firstWarmChances[place]
+  return place === 'primary' ? Math.max(leastPrimaryChance, chance) : chance
 }
 
 /** Learns whether an object was warm, from an answer of a server where this VM had not seen it. */
 export function learnWarmChance (fleet: Fleet, request: RoutedService, place: HashPlace, wasWarm: boolean): void {
   const key = `${workKey(request)} ${place}`
   const chance = warmChance(fleet, request, place)
-  fleet.homeWarm.set(key, chance + ((wasWarm ? 1 : 0) - chance) * chanceSmoothing)
+  fleet.placeWarm.set(key, chance + ((wasWarm ? 1 : 0) - chance) * chanceSmoothing)
 }
 
 /** Takes a server's ratio of real to expected time into its service's mean. */
--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -36,8 +36,8 @@
 const freeFill = 0.3
 const fillWeight = 4
 const maxFillWeight = 3
-/** Requests ahead for each slot beyond which objects keep to their homes; with warm work at homes it stays well below. */
-const homeOnlyFill = 0.85
+/** Requests ahead for each slot beyond which objects keep to their primary servers; with warm work there it stays well below. */
+const primaryOnlyFill = 0.85
 /** Cost of a full server's fill before anyone waits there, growing by its square: work comes unevenly, and reports lag. */
 const fillMs = 30
 
@@ -75,16 +75,16 @@
   const candidates = places === undefined ? open : candidatesOf(fleet, request, open, places, fill, now)
   const times = workOf(fleet.work, workKey(request), request.route.aimMs)
   const { without } = fleet.setup
-  const isHeldBeside = places !== undefined && !without.has('movedHomes') && candidates.some(server => isWarmBesideHome(fleet, request, server, places, region, now))
+  const isHeldBeside = places !== undefined && !without.has('movedPrimaries') && candidates.some(server => isWarmBesidePrimary(fleet, request, server, places, region, now))
   const input: ScoreInput = { times, places, region, workWeight: without.has('workWeight') ? 1 : 1 + loadWeight(fill), isHeldBeside }
   const planned = leastCost(fleet, request, candidates.filter(server => server.facts.region === region), input, now)
   if (planned !== undefined && planned.sharedWaitMs <= request.route.aimMs * planWaitPart) return planned
   return leastCost(fleet, request, candidates, input, now)
 }
 
-/** Whether this VM saw the object lately at a server of the planned region that is not its home there. */
-function isWarmBesideHome (fleet: Fleet, request: PlaceRequest, { facts }: FleetServer, places: ReadonlyMap<ServerId, HashPlace>, region: RegionId | undefined, now: Millis): boolean {
-  return facts.region === region && places.get(facts.id) !== 'home' && isWarm(fleet.warmth, facts.id, request.object, now)
+/** Whether this VM saw the object lately at a server of the planned region that is not its primary server there. */
+function isWarmBesidePrimary (fleet: Fleet, request: PlaceRequest, { facts }: FleetServer, places: ReadonlyMap<ServerId, HashPlace>, region: RegionId | undefined, now: Millis): boolean {
+  return facts.region === region && places.get(facts.id) !== 'primary' && isWarm(fleet.warmth, facts.id, request.object, now)
 }
 
 function fillOfService (fleet: Fleet, service: ServiceId, now: Millis): number {
@@ -93,11 +93,11 @@
 
 /**
  * Servers that may get a request for an object: those that hashing names, and those that this VM saw warm. Where nearly
- * all slots are busy, only the object's home may: at others the work is cold and takes four times the slot time, pushes
+ * all slots are busy, only the object's primary server may: at others the work is cold and takes four times the slot time, pushes
  * other objects out of their warm places, and the fleet stays full of cold work although warm work would fit.
  */
 function candidatesOf (fleet: Fleet, request: PlaceRequest, open: readonly FleetServer[], places: ReadonlyMap<ServerId, HashPlace>, fill: number, now: Millis): FleetServer[] {
-  if (fill > homeOnlyFill) return open.filter(server => places.get(server.facts.id) === 'home')
+  if (fill > primaryOnlyFill) return open.filter(server => places.get(server.facts.id) === 'primary')
   const holders = holdersOf(fleet.warmth, request.object)
   return open.filter(({ facts: { id } }) => places.has(id) || (holders.has(id) && isWarm(fleet.warmth, id, request.object, now)))
 }
@@ -149,15 +149,15 @@
 /** Servers that a request may go to, now or as soon as they have room. */
 function trustedServers (fleet: Fleet, request: PlaceRequest, now: Millis): FleetServer[] {
   const trusted: FleetServer[] = []
-  const suspect: FleetServer[] = []
+  const ejected: FleetServer[] = []
   for (const server of fleet.byService.get(request.service) ?? []) {
     if (!mayServe(request, server)) continue
     if (!mayWarm(fleet, request.service, server, now)) continue
     if (isTrusted(server, now)) trusted.push(server)
-    else if (!isStalled(server, now)) suspect.push(server)
+    else if (!isStalled(server, now)) ejected.push(server)
   }
-  // Where every server is under suspicion, suspicion tells nothing: those whose time is nearly over are tried.
-  return trusted.length > 0 ? trusted : suspect
+  // Where every server is ejected, ejection tells nothing: all but those that hang are tried.
+  return trusted.length > 0 ? trusted : ejected
 }
 
 function mayWarm (fleet: Fleet, service: ServiceId, server: FleetServer, now: Millis): boolean {
@@ -171,7 +171,7 @@
   /** The region that the plan names. */
   readonly region: RegionId | undefined
   readonly workWeight: number
-  /** Whether the object is warm at a server of that region which is not its home there. */
+  /** Whether the object is warm at a server of that region which is not its primary server there. */
   readonly isHeldBeside: boolean
 }
 
@@ -196,17 +196,16 @@
 }
 
 /**
- * What cold work costs beyond its time where its deadline may cut it. A route whose timeout is hardly longer than its cold work lost
- * 250 requests a day to timeouts, 200 of them at servers that were cold for an object that another was warm for; weighed so,
- * with moved homes, its callers earn 0.84 of the benefit where they earned 0.73 (one run each of a day on which servers are lost).
+ * What cold work costs beyond its time where its deadline may cut it: a route whose timeout is hardly longer than its cold work loses
+ * requests at servers that are cold for an object while another one is warm for it.
  */
 function cutRisk ({ route, deadline }: PlaceRequest, longestEnd: Millis): Millis {
   return longestEnd > deadline ? route.aimMs * cutRiskPart : 0
 }
 
-/** An object that this VM saw elsewhere in the region has a new home, which nobody may have warmed yet. */
+/** An object that this VM saw elsewhere in the region has a new primary server, which nobody may have warmed yet. */
 function placeFor (place: HashPlace | undefined, wasWarm: boolean, { isHeldBeside }: ScoreInput): HashPlace | undefined {
-  return place === 'home' && isHeldBeside && !wasWarm ? 'movedHome' : place
+  return place === 'primary' && isHeldBeside && !wasWarm ? 'movedPrimary' : place
 }
 
 /** Wait of a request behind so many others. */
--- a/packages/placement/src/core/server/fleetServer.ts
+++ b/packages/placement/src/core/server/fleetServer.ts
@@ -48,10 +48,9 @@
   sharedAt: Millis
   /** Smoothed ratio of the time it took to the time that was expected of it. */
   slowness: number
-  /** Failures in a row. */
-  strikes: number
-  /** Gets no work before this, for failures. */
-  suspectUntil: Millis
+  consecutiveFailures: number
+  /** Gets no work before this, for failures (outlier detection). */
+  ejectedUntil: Millis
   /** Gets no work before this, since it answers no VM. */
   silentUntil: Millis
   /** Gets no work before this, since it had no room. */
@@ -67,11 +66,11 @@
 /** Bounds of the slowness, so that one freak answer can't shut a server out for good. */
 const minSlowness = 0.5
 const maxSlowness = 20
-/** First time without work after failures; doubles with each further strike. */
-const firstSuspicionMs = 400
-const maxSuspicionMs = 5000
-/** Strikes before a server is left alone: one failure may be the connection's. */
-const strikesToSuspect = 2
+/** First time without work after failures; doubles with each further one. */
+const firstEjectionMs = 400
+const maxEjectionMs = 5000
+/** Failures in a row before a server is ejected: one failure may be the connection's. */
+const failuresToEject = 2
 /**
  * A request that runs for this many times what was expected, and this much more, marks a stall where no other answer came since,
  * and only if it also ran for longer than cold work takes: objects turn cold when they move, and a server that was shut out for
@@ -105,8 +104,8 @@
     sharedAhead: 0,
     sharedAt: -Infinity,
     slowness: 1,
-    strikes: 0,
-    suspectUntil: -Infinity,
+    consecutiveFailures: 0,
+    ejectedUntil: -Infinity,
     silentUntil: -Infinity,
     pausedUntil: -Infinity,
     coldUntil,
@@ -144,7 +143,7 @@
 
 /** Whether nothing speaks against a server but, perhaps, that it has no room for a moment. */
 export function isTrusted (server: FleetServer, now: Millis): boolean {
-  return !server.facts.isClosed && now >= server.suspectUntil && now >= server.silentUntil && !isStalled(server, now)
+  return !server.facts.isClosed && now >= server.ejectedUntil && now >= server.silentUntil && !isStalled(server, now)
 }
 
 /** Whether a server has room, as far as its last words tell. */
@@ -212,8 +211,8 @@
 
 /** Notes a good answer and how its time compares with what was expected. */
 export function noteGood (server: FleetServer, ratio: number, now: Millis): void {
-  server.strikes = 0
-  server.suspectUntil = -Infinity
+  server.consecutiveFailures = 0
+  server.ejectedUntil = -Infinity
   server.silentUntil = -Infinity
   const bounded = Math.min(maxSlowness, Math.max(minSlowness, ratio))
   const present = slownessOf(server, now)
@@ -222,10 +221,10 @@
 
 /** Notes that a server failed; after some in a row it is left alone for a time that doubles. */
 export function noteBad (server: FleetServer, isCertain: boolean, now: Millis): void {
-  server.strikes += isCertain ? strikesToSuspect : 1
-  const over = server.strikes - strikesToSuspect
+  server.consecutiveFailures += isCertain ? failuresToEject : 1
+  const over = server.consecutiveFailures - failuresToEject
   if (over < 0) return
-  server.suspectUntil = now + Math.min(maxSuspicionMs, firstSuspicionMs * 2 ** Math.min(over, 8))
+  server.ejectedUntil = now + Math.min(maxEjectionMs, firstEjectionMs * 2 ** Math.min(over, 8))
 }
 
 /** Notes that a server had no room. */
--- a/packages/placement/src/types/mechanisms.ts
+++ b/packages/placement/src/types/mechanisms.ts
@@ -8,7 +8,7 @@
   regionPlan: 'objects stay in the region of their callers',
   roomWait: 'a request without room is refused at once',
   workWeight: 'cold work counts its own time alone, however full the servers are',
-  movedHomes: 'a new home counts as warm as any, though the object was seen beside it',
+  movedPrimaries: 'a new primary server counts as warm as any, though the object was seen beside it',
   cutRisk: 'cold work counts alike whether or not its deadline may cut it'
 } as const
 
--- a/packages/replay/src/core/world.ts
+++ b/packages/replay/src/core/world.ts
@@ -143,7 +143,7 @@
     shares: new Map(),
     sharedFill: new Map(),
     demandParts: new Map(),
-    homeWarm: new Map(),
+    placeWarm: new Map(),
     meanSlowness: new Map(),
     concurrency: new Map()
   }
--- a/scripts/__tests__/explain.test.ts
+++ b/scripts/__tests__/explain.test.ts
@@ -6,7 +6,7 @@
 import { readDecision } from '../explain/readLines.js'
 
 function line (fields: Record<string, unknown>): string {
-  return `  12.5 entry-1 ${JSON.stringify({ timestamp: '2026-01-01T00:00:01.000Z', message: 'Sent.', route: 'r', object: '7', server: 's1', place: 'home', outcome: '200', tookMs: 100, expectedMs: 90, waitMs: 0, ...fields })}`
+  return `  12.5 entry-1 ${JSON.stringify({ timestamp: '2026-01-01T00:00:01.000Z', message: 'Sent.', route: 'r', object: '7', server: 's1', place: 'primary', outcome: '200', tookMs: 100, expectedMs: 90, waitMs: 0, ...fields })}`
 }
 
 function causesOf (...lines: string[]): Array<Cause | undefined> {
@@ -18,7 +18,7 @@
 }
 
 test('an object is cold at its first touch, where it is placed anew, and beside its server; then it is not', () => {
-  assert.deepEqual(causesOf(line({}), line({}), line({ server: 's2' }), line({ server: 's3', place: 'spare' }), line({ server: 's2', tookMs: 200 })),
+  assert.deepEqual(causesOf(line({}), line({}), line({ server: 's2' }), line({ server: 's3', place: 'secondary' }), line({ server: 's2', tookMs: 200 })),
     ['cold: first touch', 'as expected', 'cold: placed anew', 'cold: beside its server', 'slower than expected'])
 })
 
--- a/scripts/explain/causes.ts
+++ b/scripts/explain/causes.ts
@@ -60,5 +60,5 @@
   }
   if (known.has(server)) return undefined
   known.add(server)
-  return place === 'home' ? 'cold: placed anew' : 'cold: beside its server'
+  return place === 'primary' ? 'cold: placed anew' : 'cold: beside its server'
 }
