Tell the other VMs of a server that is not at its address any more

What callers saw: 503 for want of repeats, and late answers, in the seconds after servers end and their addresses go to others. Cause: only a server that can't be reached was told to the leader; the word of another server at the address, which proves more, was kept by the VM that got it, so 185 VMs each asked each of some 90 such servers. Change: both are told, and the leader names the server to all once two VMs have said so.

--- a/packages/placement/src/core/request/learning.ts
+++ b/packages/placement/src/core/request/learning.ts
@@ -46,7 +46,7 @@
         break
       }
       noteBad(server, true, now)
-      if (end.reason === 'unreached') noteFailedServer(entry.load, server.facts.id)
+      noteFailedServer(entry.load, server.facts.id)
       break
     case 'lost':
       noteLost(entry, request, placed, end.reason, tookMs, now)
