--- a/packages/daemon/__tests__/fleetStart.test.ts
+++ b/packages/daemon/__tests__/fleetStart.test.ts
@@ -146,3 +146,17 @@
   for (let sent = 1; sent < 20 && known()?.consecutiveFailures === 0; sent++) assert.equal((await ask(rig, '/read/1')).status, 504)
   assert.ok((known()?.consecutiveFailures ?? 0) > 0, 'a server that answers nothing at all is doubted')
 })
+
+/*
+ * Servers whose addresses had gone to others stayed in the directory for three seconds and more although nothing of them was left. Each answer
+ * of the new server at such an address carried that one's load and counted as an answer of the former one: as its load, as a sign of
+ * its life at the leader, and against the word of other VMs that it failed them.
+ */
+test('the word of another server at an address says nothing of the server that was there', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.writeHead(421, { 'lynx-load': '2' }).end())
+  await publish(rig, [server], [routeTo('read')])
+  assert.equal((await ask(rig, '/read/1')).status, 503)
+  const known = rig.daemons.at(-1)?.gateway?.fleet.byId.get(server.facts.id)
+  assert.deepEqual([known?.reportedAhead, known?.answeredAt, known?.consecutiveFailures], [0, -Infinity, 2])
+})
