Gather servers' announcements at each control VM, so that the leader gets them together

What callers saw: for nine seconds after a start of the large deployment no leader lasted, so that changes, drains and announcements had no confirmation, and the same for a second and more after each loss of a leader. Cause: each announcement with news went to the leader as a call of its own. 630 of them, and those that had waited, take its processor share for seconds; its heartbeats stop, it loses the lead, and the next leader meets the same calls. Why it holds: a leader has at most one such call from each control VM, whatever the number of servers.

--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -11,6 +11,8 @@
 import { initCluster, isBlank } from '../control/membership.js'
 import { confirmRead, submitHere } from '../control/proposing.js'
 import { callPeer } from '../rpc/rpcClient.js'
+import { announceTogether, createAnnouncing } from './announcing.js'
+import type { Announcing } from './announcing.js'
 import { controlAddresses } from './fleetNode.js'
 import type { FleetNode } from './fleetNode.js'
 import { createLoadBoard, createLoadIntake } from '@lynxcourse/placement'
@@ -25,6 +27,7 @@
   readonly presence: Presence
   readonly intake: LoadIntake
   readonly board: LoadBoard
+  readonly announcing: Announcing
 }
 
 /** The routes as a read gives them. */
@@ -49,7 +52,7 @@
     const cluster = `fleet-${hashText([...cfg.seeds].sort().join()).toString(16)}`
     await initCluster(host, cluster, [...voters].sort())
   }
-  return { node, host, presence: createPresence(), intake: createLoadIntake(), board: createLoadBoard() }
+  return { node, host, presence: createPresence(), intake: createLoadIntake(), board: createLoadBoard(), announcing: createAnnouncing() }
 }
 
 function envOf (node: FleetNode, isFounder: boolean): ControlEnv {
@@ -98,7 +101,10 @@
   const outcome = answer.ok ? 'applied' : answer.detail
   switch (command.type) {
     case 'announce':
-      log(logs, 'announce', 'info', 'Server announced itself.', { server: command.facts.id, service: command.facts.service, draining: command.facts.isDraining, seq: command.facts.seq, coldMs: command.facts.coldMs, version: control.host.machine.config.version })
+      logAnnounced(control, command.facts)
+      break
+    case 'announceAll':
+      for (const facts of command.servers) logAnnounced(control, facts)
       break
     case 'dismiss':
     case 'miss':
@@ -112,6 +118,10 @@
   }
 }
 
+function logAnnounced ({ node, host }: FleetControl, { id, service, isDraining, seq, coldMs }: BackendFacts): void {
+  log(node.logs, 'announce', 'info', 'Server announced itself.', { server: id, service, draining: isDraining, seq, coldMs, version: host.machine.config.version })
+}
+
 /**
  * Reads the routes as of now, confirmed by a quorum.
  *
@@ -149,7 +159,7 @@
   }
   if (isCredible(config, facts)) control.presence.heard.add(facts.id)
   if (!hasNews) return
-  await submitRouteCommand(control, { type: 'announce', facts })
+  await announceTogether(control.announcing, () => control.host.machine.config, facts, async servers => await submitRouteCommand(control, { type: 'announceAll', servers }))
 }
 
 /** Takes a server's word that it has ended or ends now; `bornAt` tells which start of it. */
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -53,7 +53,7 @@
   weights: z.number().int()
 })
 /** Commands come from control VMs, which checked them where they entered. */
-const submitSchema = z.strictObject({ command: z.looseObject({ type: z.enum(['replaceRoutes', 'updateRoutes', 'evacuate', 'announce', 'dismiss', 'miss']) }) })
+const submitSchema = z.strictObject({ command: z.looseObject({ type: z.enum(['replaceRoutes', 'updateRoutes', 'evacuate', 'announce', 'announceAll', 'dismiss', 'miss']) }) })
 
 const announceSchema = z.strictObject({
   facts: z.strictObject({
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -3,7 +3,7 @@
 import type { ChangeAnswer } from '../types/commands.js'
 import { routingKey } from '../types/routes.js'
 import type {
-  AnnounceCommand, BackendFacts, BackendItem, BackendState, CallerLimits, DismissCommand, EvacuateCommand, MissCommand, OrderId,
+  BackendFacts, BackendItem, BackendState, CallerLimits, DismissCommand, EvacuateCommand, MissCommand, OrderId,
   ReplaceRoutesCommand, Route, RouteCommand, RouteSet, RoutingItem, UpdateRoutesCommand, Upstream
 } from '../types/routes.js'
 import { findItem, listItems, setItem } from './config.js'
@@ -23,7 +23,7 @@
   return routeCommandTypes.has(command.type)
 }
 
-const routeCommandTypes = new Set(['replaceRoutes', 'updateRoutes', 'evacuate', 'announce', 'dismiss', 'miss'])
+const routeCommandTypes = new Set(['replaceRoutes', 'updateRoutes', 'evacuate', 'announce', 'announceAll', 'dismiss', 'miss'])
 
 /** Applies one command at a version of the log. */
 export function applyRouteCommand (config: Config, orders: AcceptedOrders, command: RouteCommand, version: number): ChangeAnswer {
@@ -31,7 +31,10 @@
     case 'replaceRoutes':
     case 'updateRoutes': return applyOrder(config, orders, command, version)
     case 'evacuate': return evacuate(config, command, version)
-    case 'announce': return announce(config, command, version)
+    case 'announce': return announce(config, command.facts, version)
+    case 'announceAll':
+      for (const facts of command.servers) announce(config, facts, version)
+      return accepted(config)
     case 'dismiss': return setStates(config, command, 'gone', version)
     case 'miss': return setStates(config, command, 'lost', version)
   }
@@ -164,8 +167,7 @@
   return accepted(config)
 }
 
-function announce (config: Config, command: AnnounceCommand, version: number): ChangeAnswer {
-  const { facts } = command
+function announce (config: Config, facts: BackendFacts, version: number): ChangeAnswer {
   const held = findItem(config, 'backend', facts.id)
   if (!isCredible(config, facts, held)) return accepted(config)
   for (const other of othersAt(config, facts)) setBackend(config, other, 'gone', version)
--- a/packages/state/src/types/routes.ts
+++ b/packages/state/src/types/routes.ts
@@ -130,10 +130,12 @@
 
 /** Takes an announcement over. */
 export interface AnnounceCommand { readonly type: 'announce', readonly facts: BackendFacts }
+/** Takes over the announcements of several servers, in their order. */
+export interface AnnounceAllCommand { readonly type: 'announceAll', readonly servers: readonly BackendFacts[] }
 /** Notes that servers ended for good; with `bornAt`, only incarnations up to it. */
 export interface DismissCommand { readonly type: 'dismiss', readonly ids: readonly ServerId[], readonly bornAt?: Millis }
 /** Notes that servers fell silent; planned by the leader. */
 export interface MissCommand { readonly type: 'miss', readonly ids: readonly ServerId[] }
 
 export type RouteCommand =
-  | ReplaceRoutesCommand | UpdateRoutesCommand | EvacuateCommand | AnnounceCommand | DismissCommand | MissCommand
+  | ReplaceRoutesCommand | UpdateRoutesCommand | EvacuateCommand | AnnounceCommand | AnnounceAllCommand | DismissCommand | MissCommand
