--- a/packages/daemon/__tests__/presence.test.ts
+++ b/packages/daemon/__tests__/presence.test.ts
@@ -61,8 +61,8 @@
 })
 
 /*
- * Each of 15 control VMs told the leader of all 185 entry VMs two and a half times a second, whether it had heard of them itself or from
- * the leader: 35 KB a report, 1.2 MB a second into the leader, most of it between regions.
+ * Each of nine control VMs told the leader of all 185 entry VMs two and a half times a second, whether it had heard of them itself or from
+ * the leader: 30 KB a report, 0.7 MB a second into the leader, most of it between regions.
  */
 test('a control VM tells the leader of the entry VMs that it heard itself, once, and again until the leader has it', () => {
   const presence = createPresence()
