--- a/packages/replay/src/core/vmModel.ts
+++ b/packages/replay/src/core/vmModel.ts
@@ -173,7 +173,7 @@
 
 /** A VM starts: it knows the servers and what all VMs together saw, and nothing else. */
 export function startVm (world: World, vm: VmModel): void {
-  vm.entry = createEntry(world, vm)
+  vm.entry = createEntry(world, vm.name, vm.region)
   takeLoadNews(vm.entry, world.told, vm.region, world.timeline.now)
   vm.idle.clear()
   vm.busyUntil = world.timeline.now
--- a/packages/replay/src/core/world.ts
+++ b/packages/replay/src/core/world.ts
@@ -34,7 +34,7 @@
   readonly random: Random
   readonly routes: ReadonlyMap<string, Route>
   readonly backends: ReadonlyMap<ServerId, Backend>
-  readonly vms: readonly VmModel[]
+  readonly vms: VmModel[]
   readonly board: LoadBoard
   /** Reports of entry VMs by region, as a control VM there takes them. */
   readonly intakes: Map<RegionId, LoadIntake>
@@ -62,7 +62,7 @@
     random,
     routes: new Map(Object.keys(pattern.routes).map(name => [name, routeOf(pattern, name)])),
     backends,
-    vms: makeVms(pattern),
+    vms: [],
     board: createLoadBoard(),
     intakes: new Map(),
     told: noNews,
@@ -72,7 +72,9 @@
     handled: new Set(),
     score: createScore()
   }
-  for (const vm of world.vms) vm.entry = createEntry(world, vm)
+  for (const { name, region } of vmPlaces(pattern)) {
+    world.vms.push({ name, region, entry: createEntry(world, name, region), life: 0, isUp: true, busyUntil: 0, idle: new Map() })
+  }
   return world
 }
 
@@ -92,17 +94,9 @@
   return made
 }
 
-function makeVms (pattern: Pattern): VmModel[] {
+function vmPlaces (pattern: Pattern): Array<Pick<VmModel, 'name' | 'region'>> {
   return Object.entries(pattern.regions).flatMap(([region, { failureDomains, entryVms }]) =>
-    Array.from({ length: failureDomains * entryVms }, (_, place): VmModel => ({
-      name: `vm-${region}-${place}`,
-      region: brandId<RegionId>(region),
-      entry: undefined as unknown as EntryState, // set once all VMs are known
-      life: 0,
-      isUp: true,
-      busyUntil: 0,
-      idle: new Map()
-    })))
+    Array.from({ length: failureDomains * entryVms }, (_, place) => ({ name: `vm-${region}-${place}`, region: brandId<RegionId>(region) })))
 }
 
 function routeOf ({ routes }: Pattern, name: string): Route {
@@ -125,13 +119,13 @@
 }
 
 /** What an entry VM decides by after a start: all servers, and nothing learned. */
-export function createEntry (world: World, vm: VmModel): EntryState {
+export function createEntry (world: World, name: string, region: RegionId): EntryState {
   const servers = [...world.backends.values()].map(backend => fleetServerOf(backend))
   const byService = new Map<ServiceId, FleetServer[]>()
   for (const server of servers) byService.set(server.facts.service, [...byService.get(server.facts.service) ?? [], server])
-  const travel = new Map(Object.keys(world.pattern.regions).map(region => [brandId<RegionId>(region), 2 * delayBetween(world, vm.region, region)]))
+  const travel = new Map(Object.keys(world.pattern.regions).map(other => [brandId<RegionId>(other), 2 * delayBetween(world, region, other)]))
   const fleet: Fleet = {
-    setup: { self: vm.name, region: vm.region, random: world.random, without: world.without },
+    setup: { self: name, region, random: world.random, without: world.without },
     byId: new Map(servers.map(server => [server.facts.id, server])),
     byService,
     warmth: createWarmth(),
@@ -139,7 +133,7 @@
     meanWork: new Map(),
     travel,
     coldRates: new Map(),
-    vms: world.vms.map(other => other.name),
+    vms: vmPlaces(world.pattern).map(vm => vm.name),
     shares: new Map(),
     sharedFill: new Map(),
     demandParts: new Map(),
