Make a fleet's first state and its groups by service in one place; behaviour unchanged

The record of what an entry VM knows of its fleet stood three times (gateway, replay, tests' support), and grouping servers by service twice, in the replay with a copy of the group for each server. createFleet and regroupServers serve all of them now; the replay lists its VMs' names once, not once for each VM. Left: the tests' builders of a route stand in three packages' support files, which can't import each other's tests.

--- a/packages/daemon/src/core/gateway/fleetView.ts
+++ b/packages/daemon/src/core/gateway/fleetView.ts
@@ -1,6 +1,6 @@
 /** Keeps the gateway's routes and servers up to date with the VM's copy of the state. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { createFleetServer, forgetServer, takeWeights } from '@lynxcourse/placement'
+import { createFleetServer, forgetServer, regroupServers, takeWeights } from '@lynxcourse/placement'
 import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/placement'
 import { buildRouteTable } from '@lynxcourse/routing'
 import { listItems, routeSetOf } from '@lynxcourse/state'
@@ -38,7 +38,7 @@
     fleet.byId.delete(id)
     forgetServer(fleet.warmth, id)
   }
-  fleet.byService = groupByService(fleet)
+  regroupServers(fleet)
   takeWeights(fleet, node.loadNews.weights)
 }
 
@@ -93,13 +93,3 @@
   server.consecutiveFailures = 0
   forgetServer(fleet.warmth, server.facts.id)
 }
-
-function groupByService (fleet: Fleet): Map<ServiceId, FleetServer[]> {
-  const groups = new Map<ServiceId, FleetServer[]>()
-  for (const server of fleet.byId.values()) {
-    const group = groups.get(server.facts.service)
-    if (group === undefined) groups.set(server.facts.service, [server])
-    else group.push(server)
-  }
-  return groups
-}
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -1,8 +1,7 @@
 /** State of the gateway: the entry part of a fleet's VM, which forwards requests by route. */
 import { loadChart } from '@lynxcourse/base'
-import type { Millis, RegionId } from '@lynxcourse/base'
-import { createWarmth } from '@lynxcourse/placement'
-import type { EntryState, Fleet } from '@lynxcourse/placement'
+import { createFleet } from '@lynxcourse/placement'
+import type { EntryState, Mechanism } from '@lynxcourse/placement'
 import { buildRouteTable } from '@lynxcourse/routing'
 import type { RouteTable, SplitPicker } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
@@ -37,30 +36,13 @@
 
 export function createGateway (node: FleetNode, callers: CallerDialect, servers: ServerDialect): Gateway {
   const { connectTimeoutMs, staleConnectionMs } = node.cfg.times
-  const travel = new Map<RegionId, Millis>()
-  const fleet: Fleet = {
-    setup: { self: node.cfg.name, region: node.cfg.region, random: node.random, without: new Set() },
-    byId: new Map(),
-    byService: new Map(),
-    warmth: createWarmth(),
-    work: new Map(),
-    meanWork: new Map(),
-    travel,
-    coldRates: new Map(),
-    vms: node.entryNames,
-    shares: new Map(),
-    sharedFill: new Map(),
-    demandParts: new Map(),
-    placeWarm: new Map(),
-    meanSlowness: new Map(),
-    concurrency: new Map()
-  }
+  const setup = { self: node.cfg.name, region: node.cfg.region, random: node.random, without: new Set<Mechanism>() }
   return {
     node,
     callers,
     servers,
     pool: createPool({ staleMs: staleConnectionMs, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs),
-    fleet,
+    fleet: createFleet(setup, node.entryNames),
     load: node.load,
     splits: new Map(),
     retries: new Map(),
--- a/packages/placement/__tests__/support/fleet.ts
+++ b/packages/placement/__tests__/support/fleet.ts
@@ -1,7 +1,7 @@
 /** A small fleet as one entry VM knows it, and requests to it. */
 import { brandId, makeRandom } from '@lynxcourse/base'
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { createFleetServer, createWarmth, placeRequest } from '@lynxcourse/placement'
+import { createFleet, createFleetServer, placeRequest } from '@lynxcourse/placement'
 import type { Fleet, FleetServer, PlaceRequest, ServerFacts } from '@lynxcourse/placement'
 import type { Route } from '@lynxcourse/state'
 
@@ -39,23 +39,14 @@
 
 /** The fleet of one VM in Kochi that has learned the route's times and knows no plan. */
 export function fleetOf (...servers: FleetServer[]): Fleet {
-  return {
-    setup: { self: 'vm-1', region: kochi, random: makeRandom(seed), without: new Set() },
-    byId: new Map(servers.map(held => [held.facts.id, held])),
-    byService: new Map([[desk, servers]]),
-    warmth: createWarmth(),
-    work: new Map([['read desk', { coldMs: 240, warmMs: 72, longestMs: 240 }]]),
-    meanWork: new Map([[desk, 100]]),
-    travel: new Map([[mumbai, 70]]),
-    coldRates: new Map([[desk, 10]]),
-    vms: ['vm-1'],
-    shares: new Map(),
-    sharedFill: new Map(),
-    demandParts: new Map(),
-    placeWarm: new Map(),
-    meanSlowness: new Map(),
-    concurrency: new Map()
-  }
+  const fleet = createFleet({ self: 'vm-1', region: kochi, random: makeRandom(seed), without: new Set() }, ['vm-1'])
+  for (const held of servers) fleet.byId.set(held.facts.id, held)
+  fleet.byService.set(desk, servers)
+  fleet.work.set('read desk', { coldMs: 240, warmMs: 72, longestMs: 240 })
+  fleet.meanWork.set(desk, 100)
+  fleet.travel.set(mumbai, 70)
+  fleet.coldRates.set(desk, 10)
+  return fleet
 }
 
 /** A request for one object with ample time. */
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -7,6 +7,7 @@
 import type { Mechanism } from '../../types/mechanisms.js'
 import type { HashPlace } from '../object/hashPlaces.js'
 import type { RegionShares } from '../region/regionPlan.js'
+import { createWarmth } from '../object/warmth.js'
 import type { Warmth } from '../object/warmth.js'
 import { workOf } from '../object/workModel.js'
 import type { WorkModel } from '../object/workModel.js'
@@ -48,6 +49,37 @@
   readonly concurrency: Map<ServiceId, Concurrency>
 }
 
+/** A fleet of which nothing is known yet. */
+export function createFleet (setup: FleetSetup, vms: readonly string[]): Fleet {
+  return {
+    setup,
+    byId: new Map(),
+    byService: new Map(),
+    warmth: createWarmth(),
+    work: new Map(),
+    meanWork: new Map(),
+    travel: new Map(),
+    coldRates: new Map(),
+    vms,
+    shares: new Map(),
+    sharedFill: new Map(),
+    demandParts: new Map(),
+    placeWarm: new Map(),
+    meanSlowness: new Map(),
+    concurrency: new Map()
+  }
+}
+
+/** Puts the fleet's servers into groups by service; to be called when servers came or left. */
+export function regroupServers (fleet: Fleet): void {
+  fleet.byService = new Map()
+  for (const server of fleet.byId.values()) {
+    const group = fleet.byService.get(server.facts.service)
+    if (group === undefined) fleet.byService.set(server.facts.service, [server])
+    else group.push(server)
+  }
+}
+
 /** A route's requests to one of its services; what is learned is learned for each pair. */
 export interface RoutedService {
   readonly route: Route
--- a/packages/replay/src/core/world.ts
+++ b/packages/replay/src/core/world.ts
@@ -1,8 +1,8 @@
 /** State of a replay. */
 import { brandId, makeRandom } from '@lynxcourse/base'
 import type { FailureDomainId, Millis, Random, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { createFleetServer, createLoadBoard, createLoadNotes, createWarmth } from '@lynxcourse/placement'
-import type { EntryState, Fleet, FleetServer, LoadBoard, LoadIntake, LoadNews, Mechanism } from '@lynxcourse/placement'
+import { createFleet, createFleetServer, createLoadBoard, createLoadNotes, regroupServers } from '@lynxcourse/placement'
+import type { EntryState, FleetServer, LoadBoard, LoadIntake, LoadNews, Mechanism } from '@lynxcourse/placement'
 import type { Route } from '@lynxcourse/state'
 import type { Pattern } from '../types/pattern.js'
 import { createBackend } from './backendModel.js'
@@ -35,6 +35,7 @@
   readonly routes: ReadonlyMap<string, Route>
   readonly backends: ReadonlyMap<ServerId, Backend>
   readonly vms: VmModel[]
+  readonly vmNames: readonly string[]
   readonly board: LoadBoard
   /** Reports of entry VMs by region, as a control VM there takes them. */
   readonly intakes: Map<RegionId, LoadIntake>
@@ -54,6 +55,7 @@
 
 export function createWorld (pattern: Pattern, seed: number, without: ReadonlySet<Mechanism>): World {
   const random = makeRandom(seed)
+  const places = vmPlaces(pattern)
   const backends = new Map(makeBackends(pattern).map(backend => [backend.id, backend]))
   const world: World = {
     pattern,
@@ -63,6 +65,7 @@
     routes: new Map(Object.keys(pattern.routes).map(name => [name, routeOf(pattern, name)])),
     backends,
     vms: [],
+    vmNames: places.map(({ name }) => name),
     board: createLoadBoard(),
     intakes: new Map(),
     told: noNews,
@@ -72,7 +75,7 @@
     handled: new Set(),
     score: createScore()
   }
-  for (const { name, region } of vmPlaces(pattern)) {
+  for (const { name, region } of places) {
     world.vms.push({ name, region, entry: createEntry(world, name, region), life: 0, isUp: true, busyUntil: 0, idle: new Map() })
   }
   return world
@@ -120,27 +123,10 @@
 
 /** What an entry VM decides by after a start: all servers, and nothing learned. */
 export function createEntry (world: World, name: string, region: RegionId): EntryState {
-  const servers = [...world.backends.values()].map(backend => fleetServerOf(backend))
-  const byService = new Map<ServiceId, FleetServer[]>()
-  for (const server of servers) byService.set(server.facts.service, [...byService.get(server.facts.service) ?? [], server])
-  const travel = new Map(Object.keys(world.pattern.regions).map(other => [brandId<RegionId>(other), 2 * delayBetween(world, region, other)]))
-  const fleet: Fleet = {
-    setup: { self: name, region, random: world.random, without: world.without },
-    byId: new Map(servers.map(server => [server.facts.id, server])),
-    byService,
-    warmth: createWarmth(),
-    work: new Map(),
-    meanWork: new Map(),
-    travel,
-    coldRates: new Map(),
-    vms: vmPlaces(world.pattern).map(vm => vm.name),
-    shares: new Map(),
-    sharedFill: new Map(),
-    demandParts: new Map(),
-    placeWarm: new Map(),
-    meanSlowness: new Map(),
-    concurrency: new Map()
-  }
+  const fleet = createFleet({ self: name, region, random: world.random, without: world.without }, world.vmNames)
+  for (const backend of world.backends.values()) fleet.byId.set(backend.id, fleetServerOf(backend))
+  regroupServers(fleet)
+  for (const other of Object.keys(world.pattern.regions)) fleet.travel.set(brandId<RegionId>(other), 2 * delayBetween(world, region, other))
   return { fleet, load: createLoadNotes(world.timeline.now), retries: new Map(), waitingForRoom: new Map() }
 }
 
