Failing tests: what was given up during a cut arrives once it has healed

Symptom, from the users' record: a request reaches a server of an evacuated failure domain 6.8 s after the evacuation was confirmed, 4.8 s after its caller's deadline, and is cut in the same millisecond.

Timeline by the record. 19.29 s: the request comes to an entry VM of one region; 19.32 s: a server of a second region runs it, its answer does not come back. 21.20 s: a failure domain of a third region is evacuated. 22.91 s and 23.16 s: the callers' deadlines. 27.989 s and 27.998 s: both requests reach servers of the evacuated domain.

Hypotheses. 1. The bytes of a send that was given up lay in the sender's kernel, which goes on resending after a plain close, and came after the cut: data and close arrive together, as in the record; 21.79 s plus resends after 0.2, 0.4, 0.8, 1.6 and 3.2 s is 27.99 s. 2. The VM stood still and sent as it woke. 3. The VM had not heard of the evacuation and sent at 27.99 s. Against 2 and 3: nothing is sent after its deadline (requestRun), and a send that is just made is not cut in the same millisecond.

Reproduced without a deployment: a forwarder holds what it gets during a cut and forgets it if its sender resets, as a kernel does. Requests of both kinds, and calls between VMs, arrive after they were given up.

--- /dev/null
+++ b/packages/daemon/__tests__/givenUp.test.ts
@@ -0,0 +1,63 @@
+/** What was given up while the network was cut does not arrive once it has healed. */
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { test } from 'node:test'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { text } from 'node:stream/consumers'
+import { callPeer, createRpcClient } from '@lynxcourse/daemon'
+import { ask, publish, routeTo, startRig, startServer, until } from './support/fleetRig.js'
+import { startHeldLink } from './support/heldLink.js'
+
+const timeoutMs = 300
+
+/** Guards against requests that reach a failure domain long after it was evacuated. */
+test('a request that was given up during a cut never reaches its server', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await using link = await startHeldLink(server.facts.address)
+  const facts = { ...server.facts, address: link.address }
+  await publish(rig, [{ ...server, facts }], [routeTo('read', { timeoutMs, maxAttempts: 1 }), routeTo('write', { timeoutMs, isIdempotent: false })])
+  for (const [path, method] of [['/read/', 'GET'], ['/write/', 'POST']] as const) {
+    assert.equal((await ask(rig, `${path}before`, method)).status, 200)
+    link.cut()
+    assert.equal((await ask(rig, `${path}during`, method)).status, 504)
+    link.heal()
+    await until(async () => (await ask(rig, `${path}after`, method)).status === 200)
+  }
+  assert.deepEqual(server.requests.filter(({ url }) => url?.endsWith('during') === true).map(({ url }) => url), [])
+})
+
+/** A VM that takes every call and notes its method. */
+async function startPeer (): Promise<AsyncDisposable & { readonly address: string, readonly calls: string[] }> {
+  const calls: string[] = []
+  const server = createServer((req, res) => {
+    text(req).then(body => {
+      const { id, method } = JSON.parse(body) as { id: number, method: string }
+      calls.push(method)
+      res.end(JSON.stringify({ jsonrpc: '2.0', id, result: {} }))
+    }, () => res.destroy())
+  }).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    calls,
+    [Symbol.asyncDispose]: async () => {
+      server.closeAllConnections()
+      await new Promise(resolve => server.close(resolve))
+    }
+  }
+}
+
+/** Guards against an old order, given up by the VM that relayed it, that undoes a newer one. */
+test('a call to another VM that was given up during a cut is never taken', async () => {
+  await using peer = await startPeer()
+  await using link = await startHeldLink(peer.address)
+  await using client = createRpcClient({ timeoutMs, localAddress: '', tls: () => undefined, metrics: undefined })
+  await callPeer(client, link.address, 'before', {})
+  link.cut()
+  await assert.rejects(callPeer(client, link.address, 'during', {}))
+  link.heal()
+  await callPeer(client, link.address, 'after', {})
+  assert.deepEqual(peer.calls, ['before', 'after'])
+})
