Log when a request left, over which connection, and that a VM stood still

The lines of the incident could not tell its hypotheses apart: a request whose bytes lay in the kernel, a VM that was frozen, and one with an old state all show as 'Sent.' with a late end, and collected logs hold the last 250 lines of an entry VM only. Now a line says how long after the decision its request was written (writtenAfterMs; missing where it never was) and how long the connection had rested, and a VM says 'Stood still.' with for how long. Hypothesis 1 shows as a 'Sent.' line long before the arrival and no line at it, 2 as 'Stood still.' at it.

--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import type { RouteTable, SplitPicker } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
 import type { CallerLimits } from '@lynxcourse/state'
+import { log } from '../../utils/logging.js'
 import { openLoopWatch } from '../../utils/loopWatch.js'
 import type { LoopWatch } from '../../utils/loopWatch.js'
 import type { FleetNode } from '../fleet/fleetNode.js'
@@ -46,7 +47,7 @@
     load: node.load,
     splits: new Map(),
     retries: new Map(),
-    loop: openLoopWatch(),
+    loop: openLoopWatch(forMs => log(node.logs, 'daemon', 'warn', 'Stood still.', { forMs: Math.round(forMs) })),
     table: buildRouteTable([]),
     limits: defaultCallerLimits,
     pipelines: new WeakMap(),
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -7,7 +7,7 @@
 import type { LogFields } from '../../utils/logging.js'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
-import type { SendResult } from './sending.js'
+import type { SendReport } from './sending.js'
 
 /** What the line for a refusal needs of a request, which may not have been read whole. */
 export type RefusedCall = Pick<Call, 'facts' | 'route' | 'service' | 'arrivedAt' | 'readAt' | 'deadline'>
@@ -20,9 +20,10 @@
 }
 
 /** Writes the line for a send, with what decided it and how it ended. */
-export function logSend (gateway: Gateway, call: Call, sends: number, placed: Placed, result: SendResult, tookMs: Millis): void {
+export function logSend (gateway: Gateway, call: Call, sends: number, placed: Placed, report: SendReport, startedAt: Millis, now: Millis): void {
+  const { result, writtenAt, restedMs } = report
   const { facts, reportedAt } = placed.server
-  const reportAge = presentTime() - reportedAt
+  const reportAge = now - reportedAt
   const outcome = result.type === 'answered' ? String(result.status) : result.reason
   gateway.node.metrics.attempts.inc({ end: outcome })
   const level = result.type === 'answered' && !isServerError(result.status) ? 'info' : 'warn'
@@ -32,7 +33,7 @@
     service: call.service,
     server: facts.id,
     region: facts.region,
-    ahead: Math.round(aheadOf(placed.server, presentTime()) * 10) / 10,
+    ahead: Math.round(aheadOf(placed.server, now) * 10) / 10,
     try: sends,
     object: call.facts.object,
     place: placed.place,
@@ -42,9 +43,11 @@
     waitMs: Math.round(placed.waitMs),
     reportAgeMs: Number.isFinite(reportAge) ? Math.round(reportAge) : undefined,
     ...stateFields(gateway),
-    leftMs: Math.round(call.deadline - presentTime()),
+    leftMs: Math.round(call.deadline - now),
     outcome,
-    tookMs: Math.round(tookMs),
+    tookMs: Math.round(now - startedAt),
+    writtenAfterMs: writtenAt === undefined ? undefined : Math.round(writtenAt - startedAt),
+    restedMs: restedMs === undefined ? undefined : Math.round(restedMs),
     ...timeFields(call)
   })
 }
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -12,7 +12,7 @@
 import type { Connection } from '../entry/connectionPool.js'
 import type { Call } from './call.js'
 import { startExchange } from './exchange.js'
-import type { Received } from './exchange.js'
+import type { Exchange, Received } from './exchange.js'
 import type { Gateway } from './gateway.js'
 
 /** How sending ended, with what came. */
@@ -21,6 +21,15 @@
   | Extract<SendEnd, { type: 'notRun' }> & { readonly status: number | undefined }
   | Extract<SendEnd, { type: 'lost' }> & { readonly detail: string }
 
+/** How a send went, with what tells later when its bytes left and over which connection. */
+export interface SendReport {
+  readonly result: SendResult
+  /** When the request began to be written; undefined if it never was. */
+  readonly writtenAt: Millis | undefined
+  /** How long its connection had rested; undefined for a new one. */
+  readonly restedMs: Millis | undefined
+}
+
 /** A reset that comes within the way there and back and this much more answers the request itself, not work that it began. */
 const soonMs: Millis = 30
 
@@ -36,7 +45,7 @@
  *
  * @param patience when to stop waiting although the caller still waits; undefined to wait for the deadline
  */
-export async function sendOnce (gateway: Gateway, call: Call, placed: Placed, patience: Patience | undefined): Promise<SendResult> {
+export async function sendOnce (gateway: Gateway, call: Call, placed: Placed, patience: Patience | undefined): Promise<SendReport> {
   const now = presentTime()
   const { facts } = placed.server
   const connection = takeConnection(gateway.pool, facts.address, !call.route.isIdempotent, now)
@@ -47,6 +56,20 @@
     noteTurn(gateway.loop)
     progressConnection(gateway.pool, connection, presentTime())
   })
+  const result = await endOf(gateway, call, placed, { connection, exchange, startedAt: now, patience })
+  return { result, writtenAt: exchange.startedAt, restedMs: connection.reused ? connection.restedMs : undefined }
+}
+
+/** A send that is under way over a connection. */
+interface OpenSend {
+  readonly connection: Connection
+  readonly exchange: Exchange
+  readonly startedAt: Millis
+  readonly patience: Patience | undefined
+}
+
+async function endOf (gateway: Gateway, call: Call, placed: Placed, { connection, exchange, startedAt: now, patience }: OpenSend): Promise<SendResult> {
+  const { facts } = placed.server
   const stop = watchSend(call, patience, now, exchange.abort)
   try {
     const received = await exchange.answer
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -64,10 +64,11 @@
   const sending = beginSend(gateway, run, placed, presentTime())
   const { leaveAt, startedAt } = sending
   const patience = leaveAt === undefined ? undefined : { until: leaveAt, mayGiveUp: () => mayLeaveServer(gateway, run, termsOf(gateway), presentTime()) }
-  const result = await sendOnce(gateway, call, placed, patience)
+  const report = await sendOnce(gateway, call, placed, patience)
+  const { result } = report
   const now = presentTime()
   endSend(gateway, run, sending, result, now)
-  logSend(gateway, call, run.sends, placed, result, now - startedAt)
+  logSend(gateway, call, run.sends, placed, report, startedAt, now)
   return result
 }
 
--- a/packages/daemon/src/utils/loopWatch.ts
+++ b/packages/daemon/src/utils/loopWatch.ts
@@ -13,9 +13,20 @@
   readonly used: WeakSet<Socket>
 }
 
-export function openLoopWatch (): LoopWatch {
+/** A loop that is this much late for a sample stood still, by a stop from outside or a long turn of its own. */
+const stillMs: Millis = 500
+
+/** @param onStill called once the loop goes on after it stood still, with for how long */
+export function openLoopWatch (onStill: (forMs: Millis) => void = () => undefined): LoopWatch {
   const turns = createLoopTurns(sleptMs(), presentTime())
-  const timer = setInterval(() => sampleTurns(turns, sleptMs(), presentTime()), sampleMs)
+  let sampledAt = presentTime()
+  const timer = setInterval(() => {
+    const now = presentTime()
+    const lateMs = now - sampledAt - sampleMs
+    if (lateMs > stillMs) onStill(lateMs)
+    sampledAt = now
+    sampleTurns(turns, sleptMs(), now)
+  }, sampleMs)
   return { turns, used: new WeakSet(), [Symbol.asyncDispose]: async () => clearInterval(timer) }
 }
 
