Reset a connection that ends before its server answered, so that nothing given up is delivered later

What callers and operators saw: work in an evacuated failure domain 5 to 7 s after the evacuation was confirmed, seconds after the caller's deadline, cut as it began. Cause: a send that is given up ended its connection by a plain close. A kernel goes on resending what a closed connection has written until the peer has it; during a cut it waits longer each time (1, 2, 4 s there), so the request reached its server up to 7 s after it was written, when the VM was in touch again and had long confirmed that nothing goes there. The class: what was given up lives on outside the process that gave it up. Ruled out: a frozen VM and an old state; the requests were written before their deadlines and nothing was sent later. Change: a connection that ends while nothing was read since its last write is reset; the kernel then forgets what it holds. One that rests, or whose answer began, is closed as before, as a reset that is lost is not sent again.

--- a/packages/daemon/__tests__/givenUp.test.ts
+++ b/packages/daemon/__tests__/givenUp.test.ts
@@ -5,11 +5,13 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { text } from 'node:stream/consumers'
-import { callPeer, createRpcClient } from '@lynxcourse/daemon'
+import { callPeer, createRpcClient, delay } from '@lynxcourse/daemon'
 import { ask, publish, routeTo, startRig, startServer, until } from './support/fleetRig.js'
 import { startHeldLink } from './support/heldLink.js'
 
 const timeoutMs = 300
+/** How much longer than the time-out a cut lasts. */
+const restOfCutMs = 100
 
 /** Guards against requests that reach a failure domain long after it was evacuated. */
 test('a request that was given up during a cut never reaches its server', async () => {
@@ -22,6 +24,7 @@
     assert.equal((await ask(rig, `${path}before`, method)).status, 200)
     link.cut()
     assert.equal((await ask(rig, `${path}during`, method)).status, 504)
+    await delay(restOfCutMs)
     link.heal()
     await until(async () => (await ask(rig, `${path}after`, method)).status === 200)
   }
@@ -57,6 +60,7 @@
   await callPeer(client, link.address, 'before', {})
   link.cut()
   await assert.rejects(callPeer(client, link.address, 'during', {}))
+  await delay(restOfCutMs)
   link.heal()
   await callPeer(client, link.address, 'after', {})
   assert.deepEqual(peer.calls, ['before', 'after'])
--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -5,6 +5,7 @@
 import { createConnectionState, mayCarry, noteProgress, takeConnectionEvent } from '@lynxcourse/routing'
 import type { ConnectionCfg, ConnectionState } from '@lynxcourse/routing'
 import type { Chart, Millis } from '@lynxcourse/base'
+import { resetUnanswered } from '../../utils/resetUnanswered.js'
 
 /** One connection. */
 export interface Connection {
@@ -103,6 +104,7 @@
       // Where data and the reset arrive together, the event loop's library reports an ordinary end. The socket
       // itself knows better: one that was reset has no peer any more, one that was closed still has.
       socket.once('end', () => { if (socket.remoteAddress === undefined) connection().wasReset = true })
+      resetUnanswered(socket)
       socket.on('error', failure => { if ((failure as NodeJS.ErrnoException).code === 'ECONNRESET') connection().wasReset = true })
     }
     callback(...result)
