Reset a call to another VM that is given up, so that it is not taken later

What could be seen: an order of an operator, relayed to the leader by a control VM that then gave the call up, is applied seconds later, after newer orders that were confirmed meanwhile: the end of an evacuation undoes a later evacuation.

--- a/packages/daemon/src/core/rpc/rpcClient.ts
+++ b/packages/daemon/src/core/rpc/rpcClient.ts
@@ -1,11 +1,12 @@
 /** JSON-RPC 2.0 over HTTP to other VMs. Every call has a time-out; errors name the step and the peer. */
 import { JSONRPCClient } from 'json-rpc-2.0'
 import type { JSONRPCResponse } from 'json-rpc-2.0'
-import { Pool } from 'undici'
+import { Pool, buildConnector } from 'undici'
 import type { Dispatcher } from 'undici'
 import { LynxError, errorTexts, isLynxError, messageOf } from '@lynxcourse/base'
 import type { ErrorCode, Millis } from '@lynxcourse/base'
 import type { Metrics } from '../../utils/metrics.js'
+import { resetUnanswered } from '../../utils/resetUnanswered.js'
 import { packedCoding, unpackText } from './packing.js'
 
 /** What a client needs to reach other VMs. */
@@ -43,10 +44,11 @@
   dropOldestPool(client)
   const tls = client.cfg.tls()
   const local = client.cfg.localAddress === '' ? {} : { localAddress: client.cfg.localAddress }
+  const connect = buildConnector({ ...tls, timeout: client.cfg.timeoutMs, checkServerIdentity: () => undefined })
   const pool = new Pool(`${tls === undefined ? 'http' : 'https'}://${address}`, {
     connections: maxConnectionsPerPeer,
     ...local,
-    connect: { ...tls, timeout: client.cfg.timeoutMs, checkServerIdentity: () => undefined },
+    connect: tls === undefined ? resettingConnector(connect) : connect,
     // Each call ends by its own time-out: one of the pool's would cut calls that may take longer.
     headersTimeout: 0,
     bodyTimeout: 0
@@ -55,6 +57,14 @@
   return pool
 }
 
+/** Calls that were given up must not be taken later: what they ask for may have been undone by then. */
+function resettingConnector (connect: buildConnector.connector): buildConnector.connector {
+  return (options, callback) => connect(options, (...result) => {
+    if (result[0] === null) resetUnanswered(result[1])
+    callback(...result)
+  })
+}
+
 function dropOldestPool (client: RpcClient): void {
   if (client.pools.size < maxPeers) return
   const [oldest] = client.pools
