Refuse an order for a failure domain that newer orders overtook

What could be seen: an evacuation that was confirmed ends by itself, or one that was taken back comes again, once a control VM wakes that was frozen with an older order unread. Changes of routes name the version that they build on, servers' words their start and number; an order for a failure domain named nothing. Change: the control VM that takes an order marks it with the version of the state that it knows; the log refuses it if the failure domain changed after that, unless what it asks for holds already. Ruled out: a number by the operator (the platform's orders have none), and refusing what may have lain unread (a control VM can't tell).

--- a/packages/daemon/__tests__/fleet.test.ts
+++ b/packages/daemon/__tests__/fleet.test.ts
@@ -7,7 +7,7 @@
 import type { Replica } from '@lynxcourse/agreement'
 import type { FailureDomainId, HolderId, ServerId } from '@lynxcourse/base'
 import { brandId } from '@lynxcourse/base'
-import { callPeer, isFleetReady, leaveFleet, presentTime, readRoutes, stateAge } from '@lynxcourse/daemon'
+import { callPeer, isFleetReady, leaveFleet, presentTime, readRoutes, stateAge, submitRouteCommand } from '@lynxcourse/daemon'
 import type { FleetDaemon } from '@lynxcourse/daemon'
 import { findItem } from '@lynxcourse/state'
 import { ask, controlOf, publish, replaceOrder, routeTo, startRig, startServer, startVm, submit, until } from './support/fleetRig.js'
@@ -38,6 +38,23 @@
   await until(async () => (await ask(rig, '/read/1')).status === 503)
 })
 
+/** Guards against an order that lay at a frozen control VM and takes effect after newer ones. */
+test('a control VM that missed the last evacuation of a failure domain can\'t undo it', async () => {
+  await using rig = await startRig(1)
+  await publish(rig, [], [routeTo('read')])
+  const failureDomain = brandId<FailureDomainId>('kochi-a')
+  await submit(rig, { type: 'evacuate', failureDomain, isActive: true })
+  const behind = controlOf(rig, 1)
+  await until(() => findItem(behind.host.machine.config, 'evacuation', failureDomain)?.isActive === true)
+  const present = behind.host.machine.config.version
+  behind.host.machine.config.version = 1
+  const judged = submitRouteCommand(behind, { type: 'evacuate', failureDomain, isActive: false })
+  behind.host.machine.config.version = present
+  const answer = await judged
+  assert.ok(!answer.ok && answer.code === 'versionConflict')
+  assert.equal((await submit(rig, { type: 'evacuate', failureDomain, isActive: false })).ok, true)
+})
+
 /*
  * Symptom: a firm offer binds an owner twice. Sequence: a server takes the request and closes the
  * connection without an answer; the VM sends it elsewhere. Cause: silence was taken for proof that it had not run.
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -83,8 +83,9 @@
  *
  * @throws LynxError when the outcome is not known
  */
-export async function submitRouteCommand (control: FleetControl, command: RouteCommand, isRelayed = false): Promise<ChangeAnswer> {
+export async function submitRouteCommand (control: FleetControl, given: RouteCommand, isRelayed = false): Promise<ChangeAnswer> {
   const { host, node } = control
+  const command = isRelayed ? given : withBase(control, given)
   if (leads(host)) {
     const answer = await submitHere(host, command)
     if (answer.type !== 'change') throw new LynxError('badRpc', 'no answer to a change', { step: 'submit' })
@@ -96,6 +97,12 @@
   return await callPeer<ChangeAnswer>(node.client, leader, 'fleet.submit', { command }, submitTimeoutMs)
 }
 
+/** Marks an order that names no version of its own with the state that this VM knows. */
+function withBase ({ host }: FleetControl, command: RouteCommand): RouteCommand {
+  if (command.type !== 'evacuate' || command.baseVersion !== undefined) return command
+  return { ...command, baseVersion: host.machine.config.version }
+}
+
 function logChange (control: FleetControl, command: RouteCommand, answer: ChangeAnswer): void {
   const { logs } = control.node
   const outcome = answer.ok ? 'applied' : answer.detail
@@ -111,7 +118,7 @@
       log(logs, 'member', 'info', command.type === 'miss' ? 'Servers fell silent.' : 'Servers ended.', { servers: command.ids.join(), version: control.host.machine.config.version })
       break
     case 'evacuate':
-      log(logs, 'drain', 'info', 'Evacuation changed.', { failureDomain: command.failureDomain, active: command.isActive, version: control.host.machine.config.version })
+      log(logs, 'drain', 'info', 'Evacuation judged.', { failureDomain: command.failureDomain, active: command.isActive, base: command.baseVersion, outcome, version: control.host.machine.config.version })
       break
     default:
       log(logs, 'agree', 'info', 'Routes change judged.', { type: command.type, order: command.order, base: command.baseVersion, routesVersion: command.routesVersion, ok: answer.ok, outcome })
--- a/packages/state/__tests__/routes.test.ts
+++ b/packages/state/__tests__/routes.test.ts
@@ -171,6 +171,24 @@
   assert.equal(codeOf(apply(back, order)), 'ok')
 })
 
+/** Guards against traffic in an evacuated failure domain after an old order, held up on its way, took the evacuation back. */
+test('an order for a failure domain that newer orders overtook changes nothing; one sent again succeeds', () => {
+  const machine = start()
+  const failureDomain = brandId<FailureDomainId>('kochi-a')
+  const order = (isActive: boolean, baseVersion: number): string => codeOf(apply(machine, { type: 'evacuate', failureDomain, isActive, baseVersion }))
+  const isEvacuated = (): boolean => findItem(machine.config, 'evacuation', failureDomain)?.isActive === true
+  assert.equal(order(true, machine.config.version), 'ok')
+  const known = machine.config.version
+  assert.equal(order(false, known), 'ok')
+  assert.equal(order(true, machine.config.version), 'ok')
+  assert.equal(order(false, known), 'versionConflict')
+  assert.equal(isEvacuated(), true)
+  assert.equal(order(true, known), 'ok', 'what it asks for holds already')
+  assert.equal(order(false, machine.config.version), 'ok')
+  assert.equal(order(true, known), 'versionConflict')
+  assert.equal(isEvacuated(), false)
+})
+
 /*
  * Symptom: a server that runs well gets no more requests for the rest of its life. Sequence: a release replaces 100
  * servers; an announcement of the first of them, held up by a cut, arrives after that, at the address that a newer
--- a/packages/state/src/core/config.ts
+++ b/packages/state/src/core/config.ts
@@ -94,6 +94,11 @@
   return item?.kind === kind ? item as Extract<ConfigItem, { kind: Kind }> : undefined
 }
 
+/** Version at which an item last changed; 0 for one that is not there. */
+export function versionOf (config: Config, kind: ConfigItem['kind'], key: string): number {
+  return config.items.get(itemKey(kind, key))?.version ?? 0
+}
+
 /** All items of a kind, oldest change first. */
 export function listItems<Kind extends ConfigItem['kind']> (
   config: Config, kind: Kind
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -6,7 +6,7 @@
   BackendFacts, BackendItem, BackendState, CallerLimits, DismissCommand, EvacuateCommand, MissCommand, OrderId,
   ReplaceRoutesCommand, Route, RouteCommand, RouteSet, RoutingItem, UpdateRoutesCommand, Upstream
 } from '../types/routes.js'
-import { findItem, listItems, setItem } from './config.js'
+import { findItem, listItems, setItem, versionOf } from './config.js'
 import type { Config } from './config.js'
 
 /** An aim this far above the time-out is taken for a slip of the pen. */
@@ -160,10 +160,15 @@
 }
 
 function evacuate (config: Config, command: EvacuateCommand, version: number): ChangeAnswer {
-  const held = findItem(config, 'evacuation', command.failureDomain)
-  if ((held?.isActive ?? false) !== command.isActive) {
-    setItem(config, version, { kind: 'evacuation', key: command.failureDomain, isActive: command.isActive })
+  const { failureDomain, isActive, baseVersion } = command
+  const held = findItem(config, 'evacuation', failureDomain)
+  if ((held?.isActive ?? false) === isActive) return accepted(config)
+  const changedAt = versionOf(config, 'evacuation', failureDomain)
+  // An order that lay at a VM that was frozen or cut off would undo what was confirmed meanwhile.
+  if (baseVersion !== undefined && changedAt > baseVersion) {
+    return refused('versionConflict', `failure domain '${failureDomain}' changed at version ${changedAt}, after ${baseVersion}`)
   }
+  setItem(config, version, { kind: 'evacuation', key: failureDomain, isActive })
   return accepted(config)
 }
 
--- a/packages/state/src/types/routes.ts
+++ b/packages/state/src/types/routes.ts
@@ -126,6 +126,8 @@
   readonly type: 'evacuate'
   readonly failureDomain: FailureDomainId
   readonly isActive: boolean
+  /** Version of the state at the VM that took the order. It is refused if the failure domain changed later; missing, it never is. */
+  readonly baseVersion?: number
 }
 
 /** Takes an announcement over. */
