Place a request anew whose connection opens long after its decision

What could be seen: a VM that was frozen wakes and writes requests to a failure domain that was evacuated, or to a server that left, while it was frozen: sockets that connected meanwhile are handled before the timers that would have given them up. Test: exchange.test.ts; without the check 'not ok 3 ... Missing expected rejection'.

--- a/packages/daemon/__tests__/exchange.test.ts
+++ b/packages/daemon/__tests__/exchange.test.ts
@@ -45,10 +45,10 @@
  */
 test('an exchange that ends while its connection opens is never written', async () => {
   await using rig = await startSlowOpening()
-  const exchange = startExchange(rig.client, options, () => undefined)
+  const exchange = startExchange(rig.client, options, Infinity, () => undefined)
   exchange.abort()
   await assert.rejects(exchange.answer, err => isLynxError(err, 'cancelled'))
-  const next = startExchange(rig.client, { ...options, path: '/next' }, () => undefined)
+  const next = startExchange(rig.client, { ...options, path: '/next' }, Infinity, () => undefined)
   assert.equal((await next.answer).body?.toString(), 'done')
   assert.deepEqual([exchange.startedAt, rig.paths], [undefined, ['/next']])
 })
@@ -56,8 +56,18 @@
 test('an exchange tells when it began, after its connection was open', async () => {
   await using rig = await startSlowOpening()
   const askedAt = presentTime()
-  const exchange = startExchange(rig.client, options, () => undefined)
+  const exchange = startExchange(rig.client, options, Infinity, () => undefined)
   const { status, body } = await exchange.answer
   assert.deepEqual([status, body?.toString()], [200, 'done'])
   assert.ok((exchange.startedAt ?? 0) - askedAt >= openingMs - 5)
 })
+
+/** Guards against requests that a VM which was frozen writes on waking, by a decision of before. */
+test('a request whose connection opens after its decision has lapsed is never written', async () => {
+  await using rig = await startSlowOpening()
+  const exchange = startExchange(rig.client, options, presentTime() + openingMs / 2, () => undefined)
+  await assert.rejects(exchange.answer, err => isLynxError(err, 'cancelled'))
+  const next = startExchange(rig.client, { ...options, path: '/next' }, Infinity, () => undefined)
+  assert.equal((await next.answer).body?.toString(), 'done')
+  assert.deepEqual([exchange.startedAt, rig.paths], [undefined, ['/next']])
+})
--- a/packages/daemon/src/core/gateway/exchange.ts
+++ b/packages/daemon/src/core/gateway/exchange.ts
@@ -33,9 +33,11 @@
 /**
  * Starts an exchange.
  *
+ * @param writeBy when its connection opens later than this, the request is not written: the VM stood still meanwhile, and what was
+ * decided may have changed
  * @param onProgress called when the head of the answer came
  */
-export function startExchange (client: Client, options: Dispatcher.DispatchOptions, onProgress: () => void): Exchange {
+export function startExchange (client: Client, options: Dispatcher.DispatchOptions, writeBy: Millis, onProgress: () => void): Exchange {
   let controller: Dispatcher.DispatchController | undefined
   let isAborted = false
   let fail: (err: Error) => void = () => undefined
@@ -44,8 +46,9 @@
     client.dispatch(options, {
       onRequestStart: started => {
         controller = started
-        if (isAborted) started.abort(cancelled())
-        else exchange.startedAt = presentTime()
+        const now = presentTime()
+        if (isAborted || now > writeBy) started.abort(cancelled())
+        else exchange.startedAt = now
       },
       ...collecting(resolve, onProgress),
       onResponseError: (_controller, err) => reject(err)
