--- a/scripts/__tests__/soak.test.ts
+++ b/scripts/__tests__/soak.test.ts
@@ -75,6 +75,17 @@
   }), [])
 })
 
+test('work in an evacuated failure domain counts again soon after the links to its server were cut', () => {
+  const late = (ledger: Ledger, healedAt: number): void => {
+    attempt(ledger, 'a', { sentAt: 9500, endedAt: 11_000, end: answered(504) })
+    run(ledger, 'a', { at: 16_500 })
+    ledger.confirmed.push({ type: 'evacuate', subject: 'kochi-a', at: 10_000, sentAt: 9900, version: 0 })
+    ledger.disturbances.push({ subject: 's-1', kind: 'domain silence', from: 9400, until: healedAt })
+  }
+  assert.deepEqual(verdict(ledger => late(ledger, 13_000)), ['evacuate'])
+  assert.deepEqual(verdict(ledger => late(ledger, 14_000)), [])
+})
+
 test('a request sent after a confirmed change and served by the old one is found', () => {
   const confirmed = { type: 'change', subject: 'ledger', at: 1000, sentAt: 900, version: 5 } as const
   const probe = (ledger: Ledger, sentAt: number): void => {
@@ -108,6 +119,14 @@
   }
 })
 
+test('each evacuation of a plan goes with a cut of its servers', () => {
+  for (let seed = 1; seed <= 50; seed++) {
+    const { steps } = planSoak(seed, size, 4)
+    const domainsOf = (kind: string): number[] => steps.flatMap(step => step.kind === kind && 'domain' in step ? step.domain : []).sort()
+    assert.deepEqual(domainsOf('domainLink'), domainsOf('evacuate'), `seed ${seed}`)
+  }
+})
+
 /** Drawn once; its faults: an evacuation, a frozen entry VM, a control VM that loses its disk and another that is killed. */
 const ciSeed = 5
 
--- a/scripts/soak/faultPlan.ts
+++ b/scripts/soak/faultPlan.ts
@@ -12,8 +12,12 @@
   | { readonly kind: 'serverReset' | 'serverCrash' | 'serverDrain', readonly server: number }
   | { readonly kind: 'change' | 'race' }
   | { readonly kind: 'evacuate', readonly domain: number, readonly forMs: number }
+  | { readonly kind: 'domainLink', readonly domain: number, readonly fault: Exclude<LinkFault, 'none'>, readonly forMs: number }
+  | { readonly kind: 'burst', readonly forMs: number }
 )
 
+type Evacuation = Extract<SoakStep, { readonly kind: 'evacuate' }>
+
 /** A fault of one VM's process; `wipe` empties a control VM's disk, `tear` leaves half a record at the end of its log. */
 export interface VmStep {
   readonly at: number
@@ -44,7 +48,14 @@
 const shortestMs = 300
 const longestMs = 4000
 
-type StepKind = SoakStep['kind']
+/** Faults begin this much before or after an evacuation that they go with. */
+const aroundMs = 300
+/** Cuts of a failure domain that is evacuated: about as long as TCP waits between two resends. */
+const shortestCutMs = 2500
+const longestCutMs = 4100
+
+/** Kinds that are drawn by themselves; the others come with an evacuation. */
+type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst'>
 
 /** Kinds with their weights. */
 const weights: ReadonlyArray<readonly [StepKind, number]> = [
@@ -66,7 +77,9 @@
       // One disk at a time: what is confirmed outlives the loss of a minority of disks, not of more.
       if (kind === 'wipe' && isDiskLost) continue
       isDiskLost ||= kind === 'wipe'
-      steps.push(drawStep(random, size, kind, start + pick(random, seriesMs)))
+      const step = drawStep(random, size, kind, start + pick(random, seriesMs))
+      steps.push(step)
+      if (step.kind === 'evacuate') steps.push(...drawAround(random, size, step))
     }
   }
   steps.sort((a, b) => a.at - b.at)
@@ -111,3 +124,13 @@
     case 'evacuate': return { at, kind, domain: pick(random, size.domains), forMs: forMs + calmMs }
   }
 }
+
+/** What goes wrong while a failure domain is evacuated: its servers are cut off or dark, an entry VM is frozen, many callers come. */
+function drawAround (random: Random, size: SoakSize, { at, domain }: Evacuation): SoakStep[] {
+  const near = (): number => Math.max(0, at - aroundMs + pick(random, 2 * aroundMs))
+  const fault = random() < 0.75 ? 'silence' : 'dropAnswers'
+  const steps: SoakStep[] = [{ at: near(), kind: 'domainLink', domain, fault, forMs: shortestCutMs + pick(random, longestCutMs - shortestCutMs) }]
+  if (random() < 0.5) steps.push({ at: near(), kind: 'pause', vm: size.controls + pick(random, size.entries), forMs: shortestMs + pick(random, longestMs - shortestMs) })
+  if (random() < 0.5) steps.push({ at: near(), kind: 'burst', forMs: longestMs })
+  return steps
+}
--- a/scripts/soak/ledger.ts
+++ b/scripts/soak/ledger.ts
@@ -66,6 +66,8 @@
 export const bounds = {
   /** Disturbed VMs owe the promises with a time bound again after this. */
   contactMs: 4000,
+  /** A server whose links were disturbed counts again after this. */
+  linkMs: 3000,
   drainMs: 2500,
   evacuateMs: 5000,
   changeMs: 2500,
@@ -80,8 +82,11 @@
 
 /** Whether a VM was in touch at a moment: neither it nor the control VMs were disturbed of late. */
 export function isInTouch (ledger: Ledger, vm: string, at: number): boolean {
-  return !ledger.disturbances.some(({ subject, from, until }) =>
-    (subject === vm || subject === 'core') && from <= at && at <= until + bounds.contactMs)
+  return isCalm(ledger, vm, at, bounds.contactMs) && isCalm(ledger, 'core', at, bounds.contactMs)
+}
+
+function isCalm (ledger: Ledger, of: string, at: number, forMs: number): boolean {
+  return !ledger.disturbances.some(({ subject, from, until }) => subject === of && from <= at && at <= until + forMs)
 }
 
 /** Every broken promise, one line each. */
@@ -139,7 +144,7 @@
 function wasInTouch (ledger: Ledger, run: Run): boolean {
   const attempt = ledger.attempts.get(run.id)
   return attempt !== undefined && isInTouch(ledger, attempt.entry, attempt.sentAt) && isInTouch(ledger, attempt.entry, run.at) &&
-    isInTouch(ledger, run.server, run.at)
+    isCalm(ledger, run.server, run.at, bounds.linkMs)
 }
 
 /** Path of the route that changes move from service to service. */
--- a/scripts/soak/soakRun.ts
+++ b/scripts/soak/soakRun.ts
@@ -1,16 +1,16 @@
 /** One run of the soak: builds the system, lets callers and faults at it, and judges what was seen. */
-import { makeRandom, messageOf } from '@lynxcourse/base'
+import { messageOf } from '@lynxcourse/base'
 import { createOwned } from '@lynxcourse/daemon'
 import { request } from 'undici'
 import { sleep, until } from '../support/processes.js'
 import { keepCalling } from './caller.js'
-import type { Caller, EntryPlace } from './caller.js'
+import { makeCallers } from './callers.js'
 import { callUntilClear } from './controlClient.js'
 import type { SoakPlan, SoakSize } from './faultPlan.js'
 import { setFault } from './faultProxy.js'
 import { findBroken, servedShare } from './ledger.js'
 import { changeRoutes, checkFinalRoutes, keepReading } from './operator.js'
-import { buildWorld, regions } from './soakWorld.js'
+import { buildWorld } from './soakWorld.js'
 import type { SoakWorld } from './soakWorld.js'
 import { strike } from './striking.js'
 import type { StubServer } from './stubServer.js'
@@ -28,7 +28,6 @@
   readonly steps: number
 }
 
-const callersPerEntry = 3
 const announceMs = 600
 /** After the last fault, the time until all must be well again, and then the time in which it is measured. */
 const recoveryMs = 15_000
@@ -43,7 +42,7 @@
   let isOver = false
   const work = world.servers.map(async server => await keepAnnouncing(world, server, () => isOver))
   await startAll(world)
-  for (const caller of makeCallers(world, plan.seed)) work.push(keepCalling(caller, () => isOver))
+  for (const caller of makeCallers(world, 'caller', plan.seed)) work.push(keepCalling(caller, () => isOver))
   work.push(keepReading(operator, () => isOver))
   await playSteps(world, plan)
   await recover(world)
@@ -98,26 +97,6 @@
   }
 }
 
-function makeCallers (world: SoakWorld, seed: number): Caller[] {
-  const entries = world.vms.filter(vm => vm.callers !== undefined)
-  const places = new Map<string, EntryPlace>(entries.map(vm => [vm.settings.listen.callers ?? '', { vm: vm.name, reachedAt: vm.callers?.address ?? '' }]))
-  return Array.from({ length: entries.length * callersPerEntry }, (_, place) => ({
-    name: `caller-${place}`,
-    region: Object.keys(regions)[place % 3] ?? '',
-    client: world.client,
-    places,
-    ledger: world.ledger,
-    random: makeRandom(seed * 1000 + place),
-    isFaithful: place % 2 === 1,
-    pools: new Map(),
-    avoided: new Map(),
-    known: [],
-    knownUntil: 0,
-    current: undefined,
-    sent: 0
-  }))
-}
-
 async function keepAnnouncing (world: SoakWorld, server: StubServer, isOver: () => boolean): Promise<void> {
   while (!isOver()) {
     if (server.server !== undefined) await announce(world, server)
--- a/scripts/soak/striking.ts
+++ b/scripts/soak/striking.ts
@@ -1,6 +1,8 @@
 /** Carries out the steps of a soak's plan, and notes in the ledger whom each disturbed and for how long. */
 import type { ServiceId } from '@lynxcourse/base'
 import { sleep } from '../support/processes.js'
+import { keepCalling } from './caller.js'
+import { makeCallers } from './callers.js'
 import { callUntilClear } from './controlClient.js'
 import type { SoakStep, VmStep } from './faultPlan.js'
 import { resetAll, setFault } from './faultProxy.js'
@@ -43,6 +45,8 @@
       return
     }
     case 'race': return await raceChanges(world.operator)
+    case 'domainLink': return await strikeDomain(world, step)
+    case 'burst': return await strikeBurst(world, step)
     case 'evacuate': return await evacuate(world.operator, world.domains[step.domain % world.domains.length] as typeof world.domains[0], step.forMs)
   }
 }
@@ -142,6 +146,22 @@
   end()
 }
 
+/** Disturbs the links to all servers of a failure domain at once. */
+async function strikeDomain (world: SoakWorld, step: StepOf<'domainLink'>): Promise<void> {
+  const domain = world.domains[step.domain % world.domains.length]
+  const struck = world.servers.filter(({ facts }) => facts.failureDomain === domain)
+  const end = disturb(world, struck.map(({ facts }) => facts.id), `domain ${step.fault}`)
+  await Promise.all(struck.map(async ({ proxy }) => await faultFor(proxy, step.fault, step.forMs)))
+  end()
+}
+
+/** Lets as many callers again come for a while. */
+async function strikeBurst (world: SoakWorld, step: StepOf<'burst'>): Promise<void> {
+  const until = performance.now() + step.forMs
+  const callers = makeCallers(world, `burst-${step.at}`, step.at)
+  await Promise.all(callers.map(async caller => await keepCalling(caller, () => performance.now() >= until)))
+}
+
 /** Crashes a server; its address goes to a server of the other service. */
 async function crashServer (world: SoakWorld, server: StubServer): Promise<void> {
   await endLifetime(server)
