Tests: one builder of routes for four packages; behaviour unchanged

It stood in the tests of state, placement, routing and daemon. It is exported as @lynxcourse/state/testing now.

--- a/packages/daemon/__tests__/support/fleetRig.ts
+++ b/packages/daemon/__tests__/support/fleetRig.ts
@@ -14,6 +14,7 @@
 } from '@lynxcourse/daemon'
 import type { FleetControl, FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
 import type { BackendFacts, ChangeAnswer, OrderId, Route, RouteCommand } from '@lynxcourse/state'
+import { route } from '@lynxcourse/state/testing'
 
 export const desk = brandId<ServiceId>('desk')
 const region = brandId<RegionId>('kochi')
@@ -111,22 +112,7 @@
 }
 
 export function routeTo (name: string, parts: Partial<Route> = {}): Route {
-  return {
-    name,
-    host: 'a.example',
-    pathPrefix: `/${name}/`,
-    isIdempotent: true,
-    timeoutMs: 1500,
-    aimMs: 250,
-    rank: 0,
-    service: desk,
-    split: [],
-    maxAttempts: 2,
-    isSticky: false,
-    homes: [],
-    annotations: {},
-    ...parts
-  }
+  return route(name, { timeoutMs: 1500, isSticky: false, ...parts })
 }
 
 export function replaceOrder (order: string, baseVersion: number, routesVersion: number, routes: readonly Route[]): RouteCommand {
--- a/packages/placement/__tests__/support/fleet.ts
+++ b/packages/placement/__tests__/support/fleet.ts
@@ -3,7 +3,9 @@
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import { createFleet, createFleetServer, placeRequest } from '@lynxcourse/placement'
 import type { Fleet, FleetServer, PlaceRequest, ServerFacts } from '@lynxcourse/placement'
-import type { Route } from '@lynxcourse/state'
+import { route } from '@lynxcourse/state/testing'
+
+export { route }
 
 const seed = 23
 
@@ -11,26 +13,6 @@
 export const kochi = brandId<RegionId>('kochi')
 export const mumbai = brandId<RegionId>('mumbai')
 
-/** A sticky route of the desk whose requests may be repeated. */
-export function route (name: string, parts: Partial<Route> = {}): Route {
-  return {
-    name,
-    host: 'a.example',
-    pathPrefix: `/${name}/`,
-    isIdempotent: true,
-    timeoutMs: 1000,
-    aimMs: 250,
-    rank: 0,
-    service: desk,
-    split: [],
-    maxAttempts: 2,
-    isSticky: true,
-    homes: [],
-    annotations: {},
-    ...parts
-  }
-}
-
 /** A warm server of the desk with three slots, of which nothing was heard yet. */
 export function server (id: string, region = kochi, parts: Partial<ServerFacts> = {}): FleetServer {
   const facts: ServerFacts = { id: brandId<ServerId>(id), service: desk, address: `${id}:80`, failureDomain: brandId<FailureDomainId>(`${region}-a`), region, bornAt: 0, slots: 3, isClosed: false, ...parts }
--- a/packages/routing/__tests__/routeTable.test.ts
+++ b/packages/routing/__tests__/routeTable.test.ts
@@ -5,7 +5,7 @@
 import { brandId } from '@lynxcourse/base'
 import type { ServiceId } from '@lynxcourse/base'
 import { buildRouteTable, matchRoute, pickService } from '@lynxcourse/routing'
-import { route } from './support/route.js'
+import { route } from '@lynxcourse/state/testing'
 
 const seed = 23
 console.log(`seed ${seed}`)
--- a/packages/state/__tests__/routes.test.ts
+++ b/packages/state/__tests__/routes.test.ts
@@ -8,31 +8,13 @@
   takeDelta, writeMachine
 } from '@lynxcourse/state'
 import type { BackendFacts, ChangeAnswer, Machine, OrderId, Route, RouteCommand, RouteSet, Upstream } from '@lynxcourse/state'
+import { route } from './support/route.js'
 
 const charts = { claim: loadChart('claim'), drain: loadChart('drain'), shift: loadChart('shift') }
 const desk = brandId<ServiceId>('desk')
 const ledger = brandId<ServiceId>('ledger')
 const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 
-function route (name: string, parts: Partial<Route> = {}): Route {
-  return {
-    name,
-    host: 'a.example',
-    pathPrefix: `/${name}/`,
-    isIdempotent: true,
-    timeoutMs: 1000,
-    aimMs: 250,
-    rank: 0,
-    service: desk,
-    split: [],
-    maxAttempts: 2,
-    isSticky: true,
-    homes: [],
-    annotations: {},
-    ...parts
-  }
-}
-
 function upstream (name: ServiceId): Upstream {
   return { name, healthPath: '/health', maxConnections: 100, warmupMs: 3000, warmupPerSecond: 10, annotations: {} }
 }
--- a/packages/routing/__tests__/support/route.ts
+++ b/packages/state/__tests__/support/route.ts
@@ -1,9 +1,9 @@
-/** Routes of a made-up desk. */
+/** Routes of a made-up desk, for the tests of this package and, as `@lynxcourse/state/testing`, of others. */
 import { brandId } from '@lynxcourse/base'
 import type { ServiceId } from '@lynxcourse/base'
 import type { Route } from '@lynxcourse/state'
 
-/** A route of the desk whose requests may be repeated. */
+/** A sticky route of the desk whose requests may be repeated. */
 export function route (name: string, parts: Partial<Route> = {}): Route {
   return {
     name,
