End a send that is overdue at a server closed to work, so that TCP does not deliver it there later

A second try, a request that must not repeat, or any in a full fleet was not given up before its deadline. Cause: only the deadline, the caller or another free server ended a send. Change: a send that is longer under way than its work can explain, at a server that takes no more work and that answered nothing since the send began, is ended by a reset, told as unanswered (504), and learned from as little as possible (outcome 'stranded'). Ruled out: a time-out of unacknowledged bytes (the runtime has none), ending all sends at once when their server closes (planned leaving would cut work), and ending it by time alone (a slow server that answers others is at work).

--- a/packages/daemon/__tests__/givenUp.test.ts
+++ b/packages/daemon/__tests__/givenUp.test.ts
@@ -6,7 +6,7 @@
 import type { AddressInfo } from 'node:net'
 import { text } from 'node:stream/consumers'
 import { callPeer, createRpcClient, delay } from '@lynxcourse/daemon'
-import { ask, publish, routeTo, startRig, startServer, until } from './support/fleetRig.js'
+import { ask, publish, routeTo, startRig, startServer, submit, until } from './support/fleetRig.js'
 import { startHeldLink } from './support/heldLink.js'
 
 const timeoutMs = 300
@@ -31,6 +31,27 @@
   assert.deepEqual(server.requests.filter(({ url }) => url?.endsWith('during') === true).map(({ url }) => url), [])
 })
 
+/** Longer than a request may take before its server is doubted. */
+const cutMs = 4000
+
+/** Guards against requests with a long time limit that TCP delivers seconds after their failure domain was evacuated. */
+test('a request written into a cut is ended once its server is closed to work and has not answered anything since', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await using link = await startHeldLink(server.facts.address)
+  const facts = { ...server.facts, address: link.address }
+  await publish(rig, [{ ...server, facts }], [routeTo('write', { timeoutMs: 3 * cutMs, isIdempotent: false })])
+  assert.equal((await ask(rig, '/write/before', 'POST')).status, 200)
+  link.cut()
+  const pending = ask(rig, '/write/during', 'POST')
+  await delay(restOfCutMs)
+  await submit(rig, { type: 'evacuate', failureDomain: facts.failureDomain, isActive: true })
+  await Promise.race([pending, delay(cutMs)])
+  link.heal()
+  assert.equal((await pending).status, 504)
+  assert.deepEqual(server.requests.map(({ url }) => url), ['/write/before'])
+})
+
 /** A VM that takes every call and notes its method. */
 async function startPeer (): Promise<AsyncDisposable & { readonly address: string, readonly calls: string[] }> {
   const calls: string[] = []
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -38,17 +38,24 @@
 
 /** How long to wait for one server while the caller still waits. */
 export interface Patience {
-  readonly until: Millis
+  /** When to ask once whether another server takes it over; undefined for never. */
+  readonly until: Millis | undefined
   /** Asked then; work goes on at the server unless this is so. */
   readonly mayGiveUp: () => boolean
+  /** From when on to ask, again and again, whether it is stranded. */
+  readonly overdueAt: Millis
+  readonly isStranded: () => boolean
 }
 
+/** How often an overdue request is looked at. */
+const strandedCheckMs: Millis = 250
+
 /**
  * Sends a request.
  *
- * @param patience when to stop waiting although the caller still waits; undefined to wait for the deadline
+ * @param patience when to stop waiting although the caller still waits
  */
-export async function sendOnce (gateway: Gateway, call: Call, placed: Placed, patience: Patience | undefined): Promise<SendReport> {
+export async function sendOnce (gateway: Gateway, call: Call, placed: Placed, patience: Patience): Promise<SendReport> {
   const now = presentTime()
   const { facts } = placed.server
   const connection = takeConnection(gateway.pool, facts.address, !call.route.isIdempotent, now)
@@ -68,7 +75,7 @@
   readonly connection: Connection
   readonly exchange: Exchange
   readonly startedAt: Millis
-  readonly patience: Patience | undefined
+  readonly patience: Patience
 }
 
 async function endOf (gateway: Gateway, call: Call, placed: Placed, { connection, exchange, startedAt: now, patience }: OpenSend): Promise<SendResult> {
@@ -78,7 +85,7 @@
     const received = await exchange.answer
     return takeAnswer(gateway, call, placed, connection, received, (exchange.startedAt ?? now) - now)
   } catch (err) {
-    const wentSilent = connection.reused && (stop.reason() === 'slow' || stop.reason() === 'deadline')
+    const wentSilent = connection.reused && silentEnds.has(stop.reason())
     if (wentSilent) dropSilent(gateway.pool, connection, now, presentTime())
     else dropConnection(gateway.pool, connection, 'close')
     if (stop.reason() === 'failed' && presentTime() - now < soonMs + travelTo(gateway.fleet, facts.region)) noteUnanswered(gateway.pool, connection, presentTime())
@@ -113,13 +120,16 @@
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 }
 
+/** Ends of a send in which nothing was heard of its server. */
+const silentEnds = new Set<LostReason>(['slow', 'stranded', 'deadline'])
+
 interface SendWatch {
   readonly reason: () => LostReason
   readonly end: () => void
 }
 
 /** Ends sending at the deadline, when the caller goes, or when it is time to try elsewhere. */
-function watchSend (call: Call, patience: Patience | undefined, now: Millis, abort: () => void): SendWatch {
+function watchSend (call: Call, patience: Patience, now: Millis, abort: () => void): SendWatch {
   let reason: LostReason = 'failed'
   const stop = (why: typeof reason) => (): void => {
     reason = why
@@ -129,13 +139,19 @@
   call.gone.on('abort', onGone)
   if (call.gone.aborted) onGone()
   const deadlineTimer = setTimeout(stop('deadline'), Math.max(1, call.deadline - now))
-  const giveUp = (): void => { if (patience?.mayGiveUp() === true) stop('slow')() }
-  const patienceTimer = patience === undefined ? undefined : setTimeout(giveUp, Math.max(1, patience.until - now))
+  const giveUp = (): void => { if (patience.mayGiveUp()) stop('slow')() }
+  const patienceTimer = patience.until === undefined ? undefined : setTimeout(giveUp, Math.max(1, patience.until - now))
+  const lookAgain = (): void => {
+    if (patience.isStranded()) stop('stranded')()
+    else strandedTimer = setTimeout(lookAgain, strandedCheckMs)
+  }
+  let strandedTimer = setTimeout(lookAgain, Math.max(1, patience.overdueAt - now))
   return {
     reason: () => reason,
     end: () => {
       clearTimeout(deadlineTimer)
       clearTimeout(patienceTimer)
+      clearTimeout(strandedTimer)
       call.gone.off('abort', onGone)
     }
   }
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -1,6 +1,6 @@
 /** Serves one request: does what its run asks for, until there is a final answer. */
 import type { Millis } from '@lynxcourse/base'
-import { beginSend, endSend, mayLeaveServer, nextStep, noteWaiting, startRun } from '@lynxcourse/placement'
+import { beginSend, endSend, isStranded, mayLeaveServer, nextStep, noteWaiting, startRun } from '@lynxcourse/placement'
 import type { EntryTerms, Placed, PlaceRequest, Refused, RequestRun, RunStep } from '@lynxcourse/placement'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
@@ -10,7 +10,7 @@
 import type { Gateway } from './gateway.js'
 import { logRefusal, logSend, timeFields } from './requestLog.js'
 import { sendOnce } from './sending.js'
-import type { SendResult } from './sending.js'
+import type { Patience, SendResult } from './sending.js'
 
 const statusUnavailable = 503
 
@@ -62,8 +62,13 @@
 
 async function sendPlaced (gateway: Gateway, call: Call, run: RequestRun, placed: Placed): Promise<SendResult> {
   const sending = beginSend(gateway, run, placed, presentTime())
-  const { leaveAt, startedAt } = sending
-  const patience = leaveAt === undefined ? undefined : { until: leaveAt, mayGiveUp: () => mayLeaveServer(gateway, run, termsOf(gateway), presentTime()) }
+  const { startedAt } = sending
+  const patience: Patience = {
+    until: sending.leaveAt,
+    mayGiveUp: () => mayLeaveServer(gateway, run, termsOf(gateway), presentTime()),
+    overdueAt: sending.overdueAt,
+    isStranded: () => isStranded(gateway, sending, termsOf(gateway), presentTime())
+  }
   const report = await sendOnce(gateway, call, placed, patience)
   const { result } = report
   const now = presentTime()
--- a/packages/placement/src/core/request/learning.ts
+++ b/packages/placement/src/core/request/learning.ts
@@ -67,7 +67,8 @@
  */
 function noteLost (entry: EntryState, request: PlaceRequest, placed: Placed, reason: LostReason, tookMs: Millis, now: Millis): void {
   const { server } = placed
-  if (reason === 'gone') return
+  // Whether a stranded request ever reached its server is not known, and the server takes no more work.
+  if (reason === 'gone' || reason === 'stranded') return
   const ranOut = reason === 'slow' || reason === 'deadline'
   const enoughMs = placed.longestMs * overduePart
   const isOverdue = ranOut && tookMs > enoughMs
--- a/packages/placement/src/core/request/requestRun.ts
+++ b/packages/placement/src/core/request/requestRun.ts
@@ -62,6 +62,8 @@
   readonly startedAt: Millis
   /** When to ask whether to leave the server although the caller still waits; undefined to wait for the deadline. */
   readonly leaveAt: Millis | undefined
+  /** From then on it is longer under way than its work can explain. */
+  readonly overdueAt: Millis
 }
 
 /** Begins with a request, and counts it. */
@@ -107,7 +109,8 @@
   // Where all servers are slow, work given up half done only adds to the load of the next one.
   const mayLeave = route.isIdempotent && run.runs + 1 < route.maxAttempts && isCalm(concurrency)
   concurrency.underWay += 1
-  return { placed, running, startedAt: now, leaveAt: mayLeave ? now + patienceFor(expectedMs, longestMs) + slowSlackMs : undefined }
+  const overdueAt = now + patienceFor(expectedMs, longestMs) + slowSlackMs
+  return { placed, running, startedAt: now, leaveAt: mayLeave ? overdueAt : undefined, overdueAt }
 }
 
 /**
@@ -118,6 +121,18 @@
   return !isLeaving && placeRequest(fleet, run.request, now).type === 'send'
 }
 
+/**
+ * Whether a send is overdue at a server that takes no more work and has not answered anything since it began.
+ *
+ * What was written while the network was cut may arrive long after the cut, when nothing may reach the server's failure domain any
+ * more. Nobody can see whether it lies on its way or at a server that works on it; the one takes back an evacuation, the other a
+ * late answer.
+ */
+export function isStranded ({ fleet }: EntryState, { placed: { server }, startedAt, overdueAt }: Sending, { isLeaving }: EntryTerms, now: Millis): boolean {
+  if (isLeaving || now < overdueAt || server.answeredAt > startedAt) return false
+  return server.facts.isClosed || fleet.byId.get(server.facts.id) !== server
+}
+
 /** Takes the end of a send, and learns from it. */
 export function endSend (entry: EntryState, run: RequestRun, { placed, running, startedAt }: Sending, end: SendEnd, now: Millis): void {
   concurrencyOf(entry.fleet, run.request.service).underWay -= 1
@@ -145,7 +160,7 @@
     case 'notRun': return stepAfterRuns(run)
     case 'lost':
       if (end.reason === 'gone') return { type: 'gone' }
-      return { type: 'fail', reason: end.reason === 'deadline' ? 'unanswered' : 'serverFailed' }
+      return { type: 'fail', reason: end.reason === 'deadline' || end.reason === 'stranded' ? 'unanswered' : 'serverFailed' }
   }
 }
 
--- a/packages/placement/src/types/sends.ts
+++ b/packages/placement/src/types/sends.ts
@@ -10,7 +10,7 @@
   | { readonly type: 'lost', readonly reason: LostReason }
 
 /** Why a request that was sent has no answer. */
-export type LostReason = 'failed' | 'spoiled' | 'deadline' | 'slow' | 'gone'
+export type LostReason = 'failed' | 'spoiled' | 'deadline' | 'slow' | 'stranded' | 'gone'
 
 const firstServerError = 500
 
