Soak: watch tries, the time handed on and the retry budget; its judgement apart from what it saw

docs/STATUS.md named nobody, or tests alone, as watching these three: a request at no more servers than its route allows, the time left told to servers, and repeats of a service over all VMs within their budget. All can be seen by the soak's servers.

--- a/scripts/__tests__/soak.test.ts
+++ b/scripts/__tests__/soak.test.ts
@@ -5,7 +5,8 @@
 import { join } from 'node:path'
 import { test } from 'node:test'
 import { planSoak } from '../soak/faultPlan.js'
-import { createLedger, findBroken, probePath } from '../soak/ledger.js'
+import { findBroken } from '../soak/judging.js'
+import { createLedger, probePath } from '../soak/ledger.js'
 import type { Attempt, AttemptEnd, Ledger, Run } from '../soak/ledger.js'
 import { runSoak } from '../soak/soakRun.js'
 
@@ -20,7 +21,7 @@
 }
 
 function run (ledger: Ledger, id: string, parts: Partial<Run> = {}): void {
-  ledger.runs.push({ id, path: '/offer/', body: id, server: 's-1', service: 'desk', failureDomain: 'kochi-a', at: 50, answeredAt: 90, ...parts })
+  ledger.runs.push({ id, path: '/offer/', body: id, server: 's-1', service: 'desk', failureDomain: 'kochi-a', at: 50, readAt: 50, leftMs: 1400, answeredAt: 90, ...parts })
 }
 
 function verdict (fill: (ledger: Ledger) => void): string[] {
@@ -86,6 +87,32 @@
   assert.deepEqual(verdict(ledger => late(ledger, 14_000)), [])
 })
 
+test('a request that runs at more servers than its route allows is found, disturbed ones don\'t count', () => {
+  const tries = (ledger: Ledger): void => {
+    attempt(ledger, 'a', { path: '/read/', isIdempotent: true })
+    for (const server of ['s-1', 's-2', 's-3']) run(ledger, 'a', { path: '/read/', body: '', server })
+  }
+  assert.deepEqual(verdict(tries), ['tries'])
+  assert.deepEqual(verdict(ledger => { tries(ledger); ledger.disturbances.push({ subject: 's-2', kind: 'serverCrash', from: 40, until: 60 }) }), [])
+})
+
+test('a server that is told of more time than the route allows, or of none, is found', () => {
+  const told = (leftMs: number | undefined, readAt: number) => (ledger: Ledger): void => { attempt(ledger, 'a'); run(ledger, 'a', { leftMs, readAt }) }
+  assert.deepEqual(verdict(told(1400, 500)), [])
+  assert.deepEqual(verdict(told(1400, 700)), ['time'])
+  assert.deepEqual(verdict(told(undefined, 50)), ['time'])
+})
+
+test('repeats beyond the retry budget of all VMs are found in any window', () => {
+  const arrive = (ledger: Ledger, requests: number, repeats: number, everyMs: number): void => {
+    for (let place = 0; place < requests; place++) ledger.arrivals.push({ id: `a${place}`, service: 'desk', at: place * everyMs })
+    for (let place = 0; place < repeats; place++) ledger.arrivals.push({ id: `a${place}`, service: 'desk', at: requests * everyMs + place })
+  }
+  assert.deepEqual(verdict(ledger => arrive(ledger, 100, 70, 10)), [])
+  assert.deepEqual(verdict(ledger => arrive(ledger, 100, 71, 10)), ['budget'])
+  assert.deepEqual(verdict(ledger => arrive(ledger, 100, 60, 1000)), ['budget'], 'most requests were before the window')
+})
+
 test('a request sent after a confirmed change and served by the old one is found', () => {
   const confirmed = { type: 'change', subject: 'ledger', at: 1000, sentAt: 900, version: 5 } as const
   const probe = (ledger: Ledger, sentAt: number): void => {
--- a/scripts/soak/operator.ts
+++ b/scripts/soak/operator.ts
@@ -31,7 +31,7 @@
 }
 
 function route (name: string, pathPrefix: string, service: ServiceId, isIdempotent: boolean, rank: number): Route {
-  return { name, host: 'soak.example', pathPrefix, isIdempotent, timeoutMs: bounds.timeoutMs, aimMs: 300, rank, service, split: [], maxAttempts: 2, isSticky: false, homes: [], annotations: {} }
+  return { name, host: 'soak.example', pathPrefix, isIdempotent, timeoutMs: bounds.timeoutMs, aimMs: 300, rank, service, split: [], maxAttempts: bounds.maxAttempts, isSticky: false, homes: [], annotations: {} }
 }
 
 /** A whole set of routes; the version says where the probing route leads. */
--- a/scripts/soak/stubServer.ts
+++ b/scripts/soak/stubServer.ts
@@ -82,23 +82,28 @@
 async function serve (stub: StubServer, self: ServerId, req: IncomingMessage, res: ServerResponse): Promise<void> {
   const id = String(req.headers['idempotency-key'] ?? '')
   const body = await readText(req)
+  const readAt = performance.now()
   res.setHeader('idempotency-key', id)
   res.setHeader('lynx-load', String(stub.running + stub.waiting.length))
   if (req.headers['lynx-expect-server'] !== self) {
     res.writeHead(421).end()
     return
   }
+  stub.ledger.arrivals.push({ id, service: stub.facts.service, at: readAt })
   if (stub.waiting.length >= queue) {
     res.writeHead(503, { 'lynx-not-started': 'full' }).end()
     return
   }
   if (stub.running >= slots) await new Promise<void>(resolve => stub.waiting.push(resolve))
-  await work(stub, self, id, req.url ?? '', body, res)
+  await work(stub, self, req, body, readAt, res)
 }
 
-async function work (stub: StubServer, self: ServerId, id: string, path: string, body: string, res: ServerResponse): Promise<void> {
+async function work (stub: StubServer, self: ServerId, req: IncomingMessage, body: string, readAt: number, res: ServerResponse): Promise<void> {
   const { service, failureDomain } = stub.facts
-  const run: Run = { id, path, body, server: self, service, failureDomain, at: performance.now(), answeredAt: undefined }
+  const id = String(req.headers['idempotency-key'] ?? '')
+  const left = req.headers['lynx-deadline-ms']
+  const leftMs = left === undefined ? undefined : Number(left)
+  const run: Run = { id, path: req.url ?? '', body, server: self, service, failureDomain, at: performance.now(), readAt, leftMs, answeredAt: undefined }
   stub.ledger.runs.push(run)
   stub.running += 1
   await new Promise(resolve => setTimeout(resolve, shortestWorkMs + stub.random() * (longestWorkMs - shortestWorkMs)))
