--- a/packages/agreement/__tests__/agreement.test.ts
+++ b/packages/agreement/__tests__/agreement.test.ts
@@ -154,8 +154,7 @@
 }
 
 test('a leader that is cut off steps down, and comes back without a disturbance', () => {
-  // Symptom: two VMs believe that they lead, or a returning one stops the working leader. Sequence: the
-  // leader is cut off, another is elected, the cut ends. Cause: no quorum check, no pre-vote.
+  // Guards against this failure: two VMs believe that they lead, or a returning one stops the working leader.
   const group = buildGroup(3)
   settle(group, 30)
   const old = leaderOf(group)
@@ -169,8 +168,7 @@
 })
 
 test('a read is answered only after a round that began after it', () => {
-  // Symptom: an operator reads what has been replaced. Sequence: a leader is cut off, a read comes in.
-  // Cause: it answers from its state without asking a quorum.
+  // Guards against this failure: an operator reads what has been replaced.
   const group = buildGroup(3)
   settle(group, 30)
   const old = leaderOf(group)
@@ -186,8 +184,7 @@
 })
 
 test('a VM with an emptied disk counts only under a new incarnation, after it holds all', () => {
-  // Symptom: a quorum lacks a committed entry. Sequence: a follower loses its disk and returns; a second
-  // VM is lost right after. Cause: the emptied copy counted as if it held what it had acknowledged.
+  // Guards against this failure: a quorum lacks a committed entry.
   const group = buildGroup(3)
   settle(group, 30)
   const leader = leaderOf(group)
@@ -227,8 +224,7 @@
 })
 
 test('a copy at a new address takes the place of one that is gone for good', () => {
-  // Symptom: after some replaced VMs the group stands still at a loss that it should bear. Sequence: a VM goes
-  // for good, another comes at a new address, and again. Cause: the dead stayed voters beside their successors.
+  // Guards against this failure: after some replaced VMs the group stands still at a loss that it should bear.
   const group = buildGroup(5)
   settle(group, 30)
   for (const name of ['new-1', 'new-2']) {
@@ -245,9 +241,7 @@
 })
 
 test('after a restart of all, no copy counts as fresh before it has applied what was committed', () => {
-  // Symptom: an entry VM that starts takes routes into force that had been replaced. Sequence: all copies restart, each
-  // from a snapshot with committed entries after it; the new leader's first messages carry the snapshot's index as what
-  // is committed, and the followers reach that. Cause: a leader that has not settled was believed to know.
+  // Guards against this failure: an entry VM that starts takes routes into force that had been replaced.
   const group = buildGroup(3)
   settle(group, 30)
   const compactAll = (): void => {
--- a/packages/agreement/__tests__/start.test.ts
+++ b/packages/agreement/__tests__/start.test.ts
@@ -66,12 +66,7 @@
   return Infinity
 }
 
-/*
- * Symptom: after all processes die, callers are refused for a second longer on some days than on others. Sequence: all control
- * VMs start within some milliseconds, wait the same time for a leader, ask for votes side by side, and the votes of one term are
- * split; the next election comes an election time-out later. Cause: copies of one age drew their first election from one short
- * span, and each gave its pre-vote to all that asked.
- */
+/** Guards against this failure: after all processes die, callers are refused for a second longer on some days than on others. */
 test('copies that start at one moment elect a leader without a split vote', () => {
   for (const size of [3, 5]) {
     const taken = Array.from({ length: runs }, (_, seed) => timeToLeader(size, seed + 1)).sort((a, b) => a - b)
@@ -82,9 +77,7 @@
   }
 })
 
-/*
- * Symptom: as above where the first voter stays away. Cause it must not have: an order of the starters that waits for one of them.
- */
+/** Guards against this failure: an election waits for a VM that stays away. */
 test('copies that start elect a leader as well while the first voter is away', () => {
   const taken = Array.from({ length: runs }, (_, seed) => timeToLeader(5, seed + 1, true)).sort((a, b) => a - b)
   assert.ok((taken.at(-1) ?? Infinity) < 1200, `the slowest of ${runs} starts took ${taken.at(-1)} ms`)
--- a/packages/daemon/__tests__/disk.test.ts
+++ b/packages/daemon/__tests__/disk.test.ts
@@ -7,8 +7,7 @@
 console.log(`seed ${testSeed}`)
 
 test('a disk that can not be written stops this copy of the log, and nothing is acknowledged', async () => {
-  // Symptom: a change is acknowledged and gone after a restart. Sequence: the disk is full, a change is
-  // proposed. Cause: the failed write is passed over.
+  // Guards against this failure: a change is acknowledged and gone after a restart.
   await using rig = await startRig()
   const { control } = rig.daemon
   assert.ok(control !== undefined)
--- a/packages/daemon/__tests__/exchange.test.ts
+++ b/packages/daemon/__tests__/exchange.test.ts
@@ -39,10 +39,7 @@
   }
 }
 
-/*
- * Symptom: a caller is told that its offer may have run, although no server saw it. Sequence: the connection to a far
- * server is still opening when the caller's time ends. Cause: only errors of connecting counted as proof of not having run.
- */
+/** Guards against this failure: a caller is told that its offer may have run, although no server saw it. */
 test('an exchange that ends while its connection opens is never written', async () => {
   await using rig = await startSlowOpening()
   const exchange = startExchange(rig.client, options, Infinity, () => undefined)
--- a/packages/daemon/__tests__/fleet.test.ts
+++ b/packages/daemon/__tests__/fleet.test.ts
@@ -56,10 +56,7 @@
   await until(async () => (await submit(rig, { type: 'evacuate', failureDomain, isActive: false })).ok)
 })
 
-/*
- * Symptom: a firm offer binds an owner twice. Sequence: a server takes the request and closes the
- * connection without an answer; the VM sends it elsewhere. Cause: silence was taken for proof that it had not run.
- */
+/** Guards against this failure: a firm offer binds an owner twice. */
 test('a request that must not repeat is not sent again after its connection was lost, and the caller is promised nothing', async () => {
   await using rig = await startRig(1)
   await using first = await startServer('s1', req => req.socket.destroy())
@@ -79,10 +76,7 @@
   for (let sent = 0; sent < 4; sent++) assert.equal((await ask(rig, '/write/1', 'POST')).body, 'ran')
 })
 
-/*
- * Symptom: a caller gets half an answer that looks whole. Sequence: the server's connection breaks in the
- * middle of the body. Cause: the head was passed on before the body's end was known.
- */
+/** Guards against this failure: a caller gets half an answer that looks whole. */
 test('an answer that breaks off on its way is never passed on as whole', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (req, res) => {
@@ -95,11 +89,7 @@
   assert.deepEqual([got.status, got.body.includes('half')], [502, false])
 })
 
-/*
- * Symptom: a caller gets half an answer that looks whole. Sequence: the server's answer has no length and
- * ends with its connection; the connection is reset on the way. Cause: the HTTP client takes a reset for
- * the end of such a body.
- */
+/** Guards against this failure: a caller gets half an answer that looks whole. */
 test('an answer without a length whose connection is reset is not passed on; one whose connection ends is', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (req, res) => {
@@ -138,10 +128,7 @@
   assert.equal((await ask(rig, '/write/1', 'POST')).status, 504)
 })
 
-/*
- * Symptom: after a restart a VM sends work to a server that has left. Sequence: a VM starts while the one
- * control VM that it finds was cut off from the others. Cause: the first state heard was taken for the present one.
- */
+/** Guards against this failure: after a restart a VM sends work to a server that has left. */
 test('a VM that starts serves only once a control VM vouches that its state is the present one', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (_req, res) => res.end('ok'))
@@ -178,10 +165,7 @@
   assert.equal((await readRoutes(controlOf(rig, 2))).routesVersion, 2)
 })
 
-/*
- * Symptom: a control VM takes no part any more, although its disk works again. Sequence: its disk refuses a
- * write for some seconds. Cause: a copy whose disk failed once stayed stopped until the process was restarted.
- */
+/** Guards against this failure: a control VM takes no part any more, although its disk works again. */
 test('a copy whose disk failed takes part again once the disk works', async () => {
   await using rig = await startRig(0)
   await submit(rig, replaceOrder('one', 0, 1, [routeTo('read')]))
@@ -220,11 +204,7 @@
   await until(() => controlOf(rig, 0).presence.entries.get('vm-3')?.presence.isReady !== true)
 })
 
-/*
- * Symptom: after a restart of all VMs nearly all requests are refused for seconds. Sequence: an entry VM
- * starts, reads the directory, and takes servers that have run for hours for cold. Cause: a server was
- * taken for cold when this VM first saw it, not when it said so.
- */
+/** Guards against this failure: after a restart of all VMs nearly all requests are refused for seconds. */
 test('a VM that starts anew trusts servers that do not say they are cold', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (_req, res) => res.end('ok'))
@@ -238,10 +218,7 @@
   for (let sent = 0; sent < 10; sent++) assert.equal((await ask(rig, '/read/1')).status, 200)
 })
 
-/*
- * Symptom: entry VMs lose their control VM every second and go round all of them. Sequence: a watch is open
- * without news. Cause: the connection pool's own time-out was shorter than the watch may be open.
- */
+/** Guards against this failure: entry VMs lose their control VM every second and go round all of them. */
 test('a watch without news stays with its control VM', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (_req, res) => res.end('ok'))
@@ -256,11 +233,7 @@
   assert.equal(isAvoided, false)
 })
 
-/*
- * Symptom: a caller gets a failure in place of an answer that was nearly there; at a VM that stops, a planned
- * stop cuts a request. Sequence: a server takes several times as long as expected; the VM closes the connection
- * to try elsewhere; nobody else has room. Cause: work was given up before it was known who would take it over.
- */
+/** Guards against this failure: a caller gets a failure in place of an answer that was nearly there; at a VM that stops, a planned stop cuts a request. */
 test('work under way is given up only where another server takes the request now', async () => {
   await using rig = await startRig(1)
   await using slow = await startServer('s1', (_req, res) => setTimeout(() => res.end('late'), 1300))
@@ -270,11 +243,7 @@
   assert.equal(slow.requests.length, 1)
 })
 
-/*
- * Symptom: an entry VM that starts is ready without a route or a server, and refuses all. Sequence: a control VM that
- * was away gets entries and the word that they are committed in one message; its disk is slow; an entry VM asks it.
- * Cause: it counted as up to date when the message came, although what it holds is applied after the disk has synced.
- */
+/** Guards against this failure: an entry VM that starts is ready without a route or a server, and refuses all. */
 test('a control VM does not vouch for entries that wait for its disk', async () => {
   await using rig = await startRig(0)
   await submit(rig, replaceOrder('one', 0, 1, [routeTo('read')]))
--- a/packages/daemon/__tests__/fleetSeams.test.ts
+++ b/packages/daemon/__tests__/fleetSeams.test.ts
@@ -24,10 +24,7 @@
   await assert.rejects(callPeer(client, at, 'fleet.announce', { facts: { ...server.facts, slots: 0 } }), err => isLynxError(err, 'badRequest') && err.field === 'facts.slots')
 })
 
-/*
- * Symptom: each VM sends to a full server as if it were idle. Sequence: servers tell their load with each answer, and
- * only the VM that got the answer hears of it. Cause: nobody put the answers of all VMs together.
- */
+/** Guards against this failure: each VM sends to a full server as if it were idle. */
 test('what an entry VM hears of the load comes back to it from the leader as a plan and as full servers', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (_req, res) => {
@@ -43,10 +40,7 @@
   })
 })
 
-/*
- * Symptom: a broker sees another broker's list. Sequence: a server sends an answer twice; the second one stands where
- * the next request's answer is due. Cause: the answer's own id was not looked at.
- */
+/** Guards against this failure: a broker sees another broker's list. */
 test('an answer that names another request is not passed on', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (_req, res) => {
--- a/packages/daemon/__tests__/fleetStart.test.ts
+++ b/packages/daemon/__tests__/fleetStart.test.ts
@@ -18,10 +18,7 @@
   rig.daemons[place] = undefined
 }
 
-/*
- * Symptom: after all VMs start, callers are refused, come back and are refused again. Sequence: the entry VM listens, the control
- * VMs follow and elect a leader; a request comes in between. Cause: it was refused at once although the state was 0.5 s away.
- */
+/** Guards against this failure: after all VMs start, callers are refused, come back and are refused again. */
 test('a request that comes before the state is known waits for it and is served', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (_req, res) => res.end('ok'))
@@ -52,9 +49,7 @@
   assert.equal((await early).status, 200)
 })
 
-/*
- * Symptom: requests hang at a VM that finds no control VM. Cause it must not have: waiting for a state without end.
- */
+/** Guards against this failure: requests hang at a VM that finds no control VM. */
 test('a request to a VM that does not get the state is told to come back within about a second', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (_req, res) => res.end('ok'))
@@ -67,10 +62,7 @@
   assert.equal(isFleetReady(rig.daemons[3] as FleetDaemon), false)
 })
 
-/*
- * Symptom: after all control VMs died, every object has another server, cold for it. Sequence: they start, a leader is elected; it
- * knows no plans and no weights. Cause: both lived in the former leader's memory alone.
- */
+/** Guards against this failure: after all control VMs died, every object has another server, cold for it. */
 test('control VMs that start anew go on from the placement that they kept', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (_req, res) => res.end('ok'))
@@ -112,10 +104,7 @@
   }
 })
 
-/*
- * Symptom: a server is left alone by a VM though it answers. Sequence: a request's cold work is longer than its route's timeout;
- * the server answers others meanwhile. Cause: the timeout counted as the server's failure, and its other objects moved in turn.
- */
+/** Guards against this failure: a server is left alone by a VM though it answers. */
 test('a route\'s timeout does not count against a server that answers others', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (req, res) => { if (req.url?.endsWith('never') !== true) res.end('ok') })
@@ -130,11 +119,7 @@
   assert.deepEqual([known?.consecutiveFailures, known?.ejectedUntil], [0, -Infinity])
 })
 
-/*
- * Symptom: servers are named as answering nobody while all their slots are at work, and their objects move. Sequence: after a start
- * all objects are cold; several VMs' requests are cut by their route's timeout before the servers can have ended any work. Cause:
- * a cut request counted as the server's failure where the server had answered nothing else meanwhile.
- */
+/** Guards against this failure: servers are named as answering nobody while all their slots are at work, and their objects move. */
 test('work that its timeout cuts does not count against a server until it owes an answer for longer than the longest work takes', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', () => undefined)
--- a/packages/daemon/__tests__/forwarding.test.ts
+++ b/packages/daemon/__tests__/forwarding.test.ts
@@ -90,8 +90,7 @@
 })
 
 test('a server that dies under a request leaves it unknown, and it never runs again', async () => {
-  // Symptom: an offer is lodged twice. Sequence: the server takes a request and dies before it answers; the
-  // request is sent to another server. Cause: a lost answer is taken for a request that did not run.
+  // Guards against this failure: an offer is lodged twice.
   await withRig(async (rig, backends) => {
     for (const backend of backends) backend.handler = (req, res) => { if (req.method === 'POST') res.destroy(); else res.end('ok') }
     const id = newId()
@@ -114,8 +113,7 @@
 })
 
 test('what can not end in time gets its final answer at once', async () => {
-  // Symptom: callers wait for nothing. Sequence: the servers are full, a request with a short deadline
-  // comes. Cause: it is held until its deadline although it is clear that it can't be served.
+  // Guards against this failure: callers wait for nothing.
   await withRig(async (rig, [backend]) => {
     if (backend !== undefined) backend.handler = (_, res) => { setTimeout(() => res.end('slow'), 400) }
     await Promise.all(Array.from({ length: 9 }, async () => await call(rig, { deadlineMs: 5000 })))
@@ -142,8 +140,7 @@
 })
 
 test('an answer that stops half-way is cut at the deadline, and its slot comes back', async () => {
-  // Symptom: a slot, and its part of a cap, is held for ever. Sequence: a server sends the head and a part of
-  // a long body, then nothing. Cause: the deadline is watched only until the head has come.
+  // Guards against this failure: a slot, and its part of a cap, is held for ever.
   await withRig(async (rig, [backend]) => {
     if (backend !== undefined) backend.handler = (_, res) => { res.writeHead(200, { 'content-length': 200_000 }).write('x'.repeat(70_000)) }
     await assert.rejects(call(rig, { deadlineMs: 300 }))
@@ -210,8 +207,7 @@
 }
 
 test('connections that went silent are replaced; what must not repeat still runs once', async () => {
-  // Symptom: requests hang until their deadlines while new connections work. Sequence: something between
-  // the ends forgets open connections. Cause: an open connection is taken for a living one.
+  // Guards against this failure: requests hang until their deadlines while new connections work.
   await using rig = await startRig({ times: { ...testTimes, staleConnectionMs: 300, silentConnectionMs: 200 } })
   const hidden = await startBackend(rig, { server: 'hidden', state: 'starting' })
   const silencer = await startSilencer(hidden.address)
--- a/packages/daemon/__tests__/givenUp.test.ts
+++ b/packages/daemon/__tests__/givenUp.test.ts
@@ -13,7 +13,7 @@
 /** How much longer than the time-out a cut lasts. */
 const restOfCutMs = 100
 
-/** Guards against requests that reach a failure domain long after it was evacuated. */
+/** Guards against this failure: requests reach a failure domain long after it was evacuated. */
 test('a request that was given up during a cut never reaches its server', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (_req, res) => res.end('ok'))
@@ -34,7 +34,7 @@
 /** Longer than a request may take before its server is doubted. */
 const cutMs = 4000
 
-/** Guards against requests with a long time limit that TCP delivers seconds after their failure domain was evacuated. */
+/** Guards against this failure: a request with a long time limit arrives seconds after its failure domain was evacuated. */
 test('a request written into a cut is ended once its server is closed to work and has not answered anything since', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (_req, res) => res.end('ok'))
@@ -73,7 +73,7 @@
   }
 }
 
-/** Guards against an old order, given up by the VM that relayed it, that undoes a newer one. */
+/** Guards against this failure: an old order, given up by the VM that relayed it, undoes a newer one. */
 test('a call to another VM that was given up during a cut is never taken', async () => {
   await using peer = await startPeer()
   await using link = await startHeldLink(peer.address)
--- a/packages/daemon/__tests__/pipeline.test.ts
+++ b/packages/daemon/__tests__/pipeline.test.ts
@@ -52,10 +52,7 @@
   assert.deepEqual(bodiesOf(caller.text()), names.map(name => `body-${name}`))
 })
 
-/*
- * Symptom: servers work on for callers that left. Sequence: a caller sends four requests behind one another and closes the
- * connection while all are at servers. Cause it must not have: only the request whose answer is due first hears of the close.
- */
+/** Guards against this failure: servers work on for callers that left. */
 test('when a caller closes its connection, servers stop working on all its requests', async () => {
   await using rig = await startRig(1)
   let stopped = 0
@@ -68,10 +65,7 @@
   await until(() => stopped === 4)
 })
 
-/*
- * Symptom: a planned stop cuts requests. Sequence: a caller has sent three requests behind one another when the VM is told to
- * stop; the answer to the first closes the connection. Cause: every answer of a VM that stops carried the close.
- */
+/** Guards against this failure: a planned stop cuts requests. */
 test('a VM that stops answers all that was sent over a connection before it closes it', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', answerInTurn)
@@ -84,10 +78,7 @@
   assert.equal(caller.text().toLowerCase().split('connection: close').length - 1, 1)
 })
 
-/*
- * Symptom: a VM runs out of memory. Sequence: a caller sends hundreds of requests behind a slow one. Cause: all were worked on at
- * once, and their answers held until the first was there.
- */
+/** Guards against this failure: a VM runs out of memory. */
 test('only some of the requests sent behind one another are at servers at once', async () => {
   await using rig = await startRig(1)
   const most = 8
--- a/packages/daemon/__tests__/presence.test.ts
+++ b/packages/daemon/__tests__/presence.test.ts
@@ -20,11 +20,7 @@
   return { from: { rpc: '127.0.0.1:1', region: brandId<RegionId>('kochi') }, entries: [], heard: [], weights: 0, load: { servers: [], busy: [], failed: [], ...load } }
 }
 
-/*
- * Symptom: half of all servers leave the directory at one moment, and come back seconds later. Sequence: two of five control VMs are
- * cut off; servers that announce themselves there go on to serve, and entry VMs have their answers. Cause: the leader counted
- * announcements alone.
- */
+/** Guards against this failure: half of all servers leave the directory at one moment, and come back seconds later. */
 test('a server that answers requests is not taken for lost, though its announcements do not arrive', () => {
   const presence = createPresence()
   assert.deepEqual(missedServers(presence, [server], missMs, 0), [])
@@ -34,10 +30,7 @@
   assert.deepEqual(missedServers(presence, [server], missMs, 8600), [server], 'one that answers nobody is')
 })
 
-/*
- * Symptom: as above, also where servers tell no load with their answers. Sequence: a control VM that is cut off from the leader
- * confirms each announcement, so servers stay with it. Cause: it confirmed what it could not pass on.
- */
+/** Guards against this failure: servers that tell no load with their answers are taken for lost while a control VM is cut off. */
 test('a control VM that does not reach the leader turns announcements away, so that servers go to another one', async () => {
   await using rig = await startRig(0)
   await submit(rig, replaceOrder('one', 0, 1, [routeTo('read')]))
--- a/packages/daemon/__tests__/storage.test.ts
+++ b/packages/daemon/__tests__/storage.test.ts
@@ -58,8 +58,7 @@
 })
 
 test('a torn last record is cut off, and the log goes on after it', async () => {
-  // Symptom: the VM does not start after a power cut. Sequence: power fails in the middle of a write.
-  // Cause: the last record is not whole; it was never synced, so nobody was told of it.
+  // Guards against this failure: the VM does not start after a power cut.
   await inFolder(async folder => {
     await writeLog(folder)
     const whole = await readFile(join(folder, 'log'))
@@ -75,8 +74,7 @@
 })
 
 test('damage in the middle is not passed over', async () => {
-  // Symptom: committed entries vanish. Sequence: a sector of synced data goes bad. Cause: the reader takes
-  // the rest of the file for a torn tail.
+  // Guards against this failure: committed entries vanish.
   await inFolder(async folder => {
     await writeLog(folder)
     const bytes = await readFile(join(folder, 'log'))
--- a/packages/faults/__tests__/guards.test.ts
+++ b/packages/faults/__tests__/guards.test.ts
@@ -11,22 +11,19 @@
 }
 
 test('without claims a resent request runs twice', () => {
-  // Symptom: a firm offer is booked twice. Sequence: a caller hands the same id to two VMs. Cause: both
-  // send it, since neither asked the register first.
+  // Guards against this failure: a firm offer is booked twice.
   assert.deepEqual(violationsOf('claim', 'process dies', []), [])
   assert.match(violationsOf('claim', 'process dies', ['claim']).join(), /ran 2 times/)
 })
 
 test('without the lease a frozen VM acts on old configuration', () => {
-  // Symptom: work goes to a drained server. Sequence: a VM is frozen, changes are made, it wakes. Cause:
-  // it acts before it has heard of them.
+  // Guards against this failure: work goes to a drained server.
   assert.deepEqual(violationsOf('lookup', 'process frozen past its lease', []), [])
   assert.match(violationsOf('lookup', 'process frozen past its lease', ['lease'])[0] ?? '', /acts on version/)
 })
 
 test('without the record a late copy runs after not-run was told', () => {
-  // Symptom: a caller heard not-run, yet the offer is lodged. Sequence: one VM refuses, a late copy
-  // reaches another VM. Cause: the refusal was not recorded as the end of that id.
+  // Guards against this failure: a caller heard not-run, yet the offer is lodged.
   assert.deepEqual(violationsOf('claim', 'leader dies', []), [])
   assert.match(violationsOf('claim', 'leader dies', ['recordNotRun'])[0] ?? '', /not-run/)
 })
@@ -52,9 +49,7 @@
 }
 
 test('a VM that lost its disk and kept its identity lets committed entries be lost', () => {
-  // Symptom: an accepted change is gone. Sequence: a change is committed by leader and one follower; that
-  // follower loses its disk, the leader dies, the other follower returns. Cause: the emptied follower
-  // votes as if it still held what it acknowledged.
+  // Guards against this failure: an accepted change is gone.
   const lose = (scene: Scene, name: string): void => {
     const control = scene.world.controls.find(model => model.vm === name)
     if (control !== undefined) loseDisk(scene, control)
@@ -64,8 +59,7 @@
 })
 
 test('a VM that answers before it synced lets committed entries be lost', () => {
-  // Symptom: as above, without a lost disk. Sequence: the follower is killed after its answer left and
-  // before its sync. Cause: the answer vouched for what was not on disk.
+  // Guards against this failure: an accepted change is gone after a kill, without a lost disk.
   const restart = (scene: Scene, name: string): void => {
     const control = scene.world.controls.find(model => model.vm === name)
     if (control === undefined) return
--- a/packages/limits/__tests__/limits.test.ts
+++ b/packages/limits/__tests__/limits.test.ts
@@ -118,9 +118,7 @@
 const schedules = fc.array(action, { minLength: 100, maxLength: 400 })
 
 test('all holders together never have more in flight than the cap', () => {
-  // Symptom: a region is pushed past its limit. Sequence: a share is lowered and given to another VM while
-  // the first still holds its old grant, or answers come late, or the leader changes. Cause: what is out
-  // is not counted until it has lapsed.
+  // Guards against this failure: a region is pushed past its limit.
   fc.assert(fc.property(schedules, actions => highestLoad(newRig(true), actions) <= cap), { seed, numRuns: 300 })
 })
 
--- a/packages/membership/__tests__/membership.test.ts
+++ b/packages/membership/__tests__/membership.test.ts
@@ -74,8 +74,7 @@
 })
 
 test('a VM whose parent changed is not lost', () => {
-  // Symptom: look-ups drop a healthy VM. Sequence: a VM goes to another parent; the old one, which hears
-  // it no more, calls it lost; that judgement comes late. Cause: judgements without the report's number.
+  // Guards against this failure: look-ups drop a healthy VM.
   const root = place('root')
   const [first, second, child] = ['p1', 'p2', 'child'].map(place) as [Place, Place, Place]
   sync(child, first, 0)
--- a/packages/placement/__tests__/concurrency.test.ts
+++ b/packages/placement/__tests__/concurrency.test.ts
@@ -40,11 +40,7 @@
   assert.equal(play(concurrency, 80, share, 10_000).admitted, 800)
 })
 
-/*
- * Symptom: for seconds after the loss of a failure domain every answer is late. Sequence: half of the slots
- * go while requests come at the old pace; queues fill and stay full. Cause: nothing but the limit of the
- * queues bounded what was under way. Load pattern: twice the capacity for ten seconds.
- */
+/** Guards against this failure: for seconds after the loss of a failure domain every answer is late. */
 test('at twice the capacity answers stay within a few times their work, and the slots stay busy', () => {
   const concurrency = createConcurrency(share)
   const { tookMs, admitted } = play(concurrency, 100, share / 2, 10_000)
@@ -52,11 +48,7 @@
   assert.ok(admitted >= 480, `${admitted} of about 500 that the slots could serve`)
 })
 
-/*
- * Symptom: requests are refused while a fifth of the slots stands idle, for as long as objects are cold. Sequence: objects move,
- * all answers take several times what is expected, each VM's bound falls to its least. Cause: the least was below the VM's share.
- * Load pattern: twice the capacity of answers that take 3.3 times the expected work, for twenty seconds.
- */
+/** Guards against this failure: requests are refused while a fifth of the slots stands idle, for as long as objects are cold. */
 test('however slow the answers are, all slots of a VM\'s share stay in use, also by the least urgent', () => {
   const concurrency = createConcurrency(share)
   for (let answer = 0; answer < 2000; answer++) learnConcurrency(concurrency, 3.3, share, answer * 10)
--- a/packages/placement/__tests__/fleetBounds.test.ts
+++ b/packages/placement/__tests__/fleetBounds.test.ts
@@ -9,10 +9,7 @@
 const seed = 23
 console.log(`seed ${seed}`)
 
-/*
- * Symptom: a server that has just started crashes. Sequence: it announces itself; every VM sends it a
- * share of its work at once. Cause: each VM kept to the bound alone and all together passed it.
- */
+/** Guards against this failure: a server that has just started crashes. */
 test('all VMs together keep to a cold server\'s bound in any second, also when they know different VMs', () => {
   const perSecond = 9.9
   const bound = perSecond * 1.5 + 5
@@ -56,10 +53,7 @@
   }), { seed, numRuns: 20 })
 })
 
-/*
- * Symptom: callers of a failure domain with one VM are refused twice as often as others. Sequence: load is at its worst, each VM's
- * bound is an equal share of the slots. Cause: equal shares for unequal demand. Load pattern: one VM of four has half of the demand.
- */
+/** Guards against this failure: callers of a failure domain with one VM are refused twice as often as others. */
 test('a VM\'s share of the slots follows its part of the demand, within bounds', () => {
   const fleet = { ...fleetOf(server('a'), server('b'), server('c'), server('d')), vms: ['vm-1', 'vm-2', 'vm-3', 'vm-4'] }
   assert.equal(slotShare(fleet, desk), 3)
--- a/packages/placement/__tests__/fleetServer.test.ts
+++ b/packages/placement/__tests__/fleetServer.test.ts
@@ -7,10 +7,7 @@
 import type { FleetServer } from '@lynxcourse/placement'
 import { mumbai, server, fleetOf, request, sentTo } from './support/fleet.js'
 
-/*
- * Symptom: requests pile up at a server that answers nothing. Sequence: a server goes dark with requests
- * in flight; until the first time-out nothing says so. Cause: only ends of requests were judged, not their silence.
- */
+/** Guards against this failure: requests pile up at a server that answers nothing. */
 test('a server that holds a request far longer than expected gets no further ones', () => {
   const dark = server('dark')
   const fleet = fleetOf(dark, server('other', mumbai))
@@ -41,10 +38,7 @@
   assert.equal(sentTo(fleet, request()), home)
 })
 
-/*
- * Symptom: servers are left alone though they answer. Sequence: objects move and are cold where they arrive; their requests run
- * for three times what is expected of warm ones. Cause: that was taken for a stall, the server's other objects moved in turn.
- */
+/** Guards against this failure: servers are left alone though they answer. */
 test('a request for a cold object marks no stall, least of all while its server answers others', () => {
   const held = server('held')
   noteStart(held, 100, 300, 1000)
--- a/packages/placement/__tests__/loadBoard.test.ts
+++ b/packages/placement/__tests__/loadBoard.test.ts
@@ -30,10 +30,7 @@
   return new Map(plan.find(([region]) => region === chennai)?.[1]).get(chennai) ?? 0
 }
 
-/*
- * Symptom: requests wait behind a full queue while servers beside it are idle. Sequence: 80 VMs send a server one
- * request in ten seconds each. Cause: none of them knew of the others' requests.
- */
+/** Guards against this failure: requests wait behind a full queue while servers beside it are idle. */
 test('a server that is full by the answers of many VMs is named to all, and no longer once it is not', () => {
   const board = createLoadBoard()
   const now = play(board, 1, 2, 2)
@@ -70,10 +67,7 @@
   assert.ok(Math.abs(nearShare(next) - nearShare(board)) < 0.01)
 })
 
-/*
- * Symptom: requests go on to a region that has lost its servers. Sequence: a failure domain is without power; the
- * plan follows by 3 % a second. Cause: the bound that keeps objects warm also held where nothing was left to keep.
- */
+/** Guards against this failure: requests go on to a region that has lost its servers. */
 test('where a region loses servers, its objects move at once', () => {
   const board = createLoadBoard()
   const now = play(board, 5, 4, 45)
@@ -124,10 +118,7 @@
   assert.deepEqual(new Map(next.weights), told)
 })
 
-/*
- * Symptom: hundreds of offers are lost at servers that went dark together. Sequence: a failure domain loses power; each
- * of 80 VMs sends a request to each dark server before it leaves it alone. Cause: no VM heard of the others' failures.
- */
+/** Guards against this failure: hundreds of offers are lost at servers that went dark together. */
 test('a server that fails several VMs and answers none is named to all, until it answers or for some seconds', () => {
   const board = createLoadBoard()
   const intake = createLoadIntake()
@@ -201,21 +192,14 @@
   return { fill, moved }
 }
 
-/*
- * Symptom: one region's servers are over-full while another's are half idle, and objects are cold all day. Sequence: the demand of
- * regions rises and falls by turns; the plan follows each rise ten seconds late and brings the objects back when it is over.
- * Cause: the plan was made for the present demand. Load pattern: two regions by turns 55 % above and below their mean.
- */
+/** Guards against this failure: one region's servers are over-full while another's are half idle, and objects are cold all day. */
 test('a plan holds through the rise and fall of demand: no region is over-full, and few objects move', () => {
   const { fill, moved } = playSwing(swingSeconds * 2, 16)
   assert.ok(fill <= 0.85, `a region was ${fill} full`)
   assert.ok(moved < 0.8, `parts of ${moved} moved`)
 })
 
-/*
- * Symptom: in the first seconds of a day a small region is over-full. Sequence: callers begin; demand is smoothed up from nothing,
- * looks small, and all objects come home. Cause: an average of nothing and of the first reports.
- */
+/** Guards against this failure: in the first seconds of a day a small region is over-full. */
 test('a demand that has just begun brings no objects home', () => {
   const board = createLoadBoard()
   const first = ((): number => { updateBoard(board, slots, places, 0); return nearShare(board) })()
@@ -223,10 +207,7 @@
   assert.ok(nearShare(board) <= first + 0.01, `${first} to ${nearShare(board)}`)
 })
 
-/*
- * Symptom: after all control VMs died, every object has another server. Sequence: the next leader has heard of no demand yet.
- * Cause: it took the silence before the first reports for a fall of demand.
- */
+/** Guards against this failure: after all control VMs died, every object has another server. */
 test('a leader that goes on from another one\'s word keeps its plan until the reports have come', () => {
   const board = createLoadBoard()
   const now = play(board, 5, 12, 20)
--- a/packages/placement/__tests__/placement.test.ts
+++ b/packages/placement/__tests__/placement.test.ts
@@ -32,11 +32,7 @@
   assert.equal(sentTo(fleet, request({ route: route('read', { homes: [mumbai] }), tried: new Set([far.facts.id]) })), 'noServer')
 })
 
-/*
- * Symptom: at twice the load all requests come late. Sequence: queues at servers grow to their limit; each
- * request waits for all before it. Cause: everything that would end before its time limit was let in.
- * Load pattern: all slots busy with three requests waiting at each server.
- */
+/** Guards against this failure: at twice the load all requests come late. */
 test('with all queues long, the least urgent are refused at once and the most urgent still served', () => {
   const busy = server('busy')
   noteReport(busy, 6, 1000)
@@ -62,11 +58,7 @@
   for (const object of ['read|1', 'read|2', 'read|3']) assert.ok(['a', 'b', 'c'].includes(sentTo(fleet, request({ object }))))
 })
 
-/*
- * Symptom: requests wait behind the full queue of their object's server. Sequence: other VMs filled it; this one has
- * not sent there for seconds. Cause: it went by its own last report, which was old. Load pattern: one primary server with twice its
- * slots ahead, an idle server beside it.
- */
+/** Guards against this failure: requests wait behind the full queue of their object's server. */
 test('a server that all VMs together know to be full gets nothing while one beside it is free', () => {
   const fleet = fleetOf(server('a'), server('b'))
   const primary = sentTo(fleet, request())
@@ -76,12 +68,7 @@
   assert.equal(sentTo(fleet, request({ arrivedAt: 4000, deadline: 5200 }), 4000), primary)
 })
 
-/*
- * Symptom: a fleet whose warm work would fill 60 % of its slots answers everything late for half a minute. Sequence: at
- * the start all objects are cold and queues grow; requests go wherever a slot is free, find the object cold there and
- * push another one out. Cause: leaving the primary server looked cheaper to each request than waiting there. Load pattern: all
- * slots of the service busy by what all VMs saw, the primary one busier than the rest.
- */
+/** Guards against this failure: a fleet whose warm work would fill 60 % of its slots answers everything late for half a minute. */
 test('in a full fleet objects keep to their primary servers', () => {
   const fleet = fleetOf(...['a', 'b', 'c', 'd'].map(id => server(id)))
   const primary = sentTo(fleet, request())
@@ -91,22 +78,14 @@
   assert.equal(sentTo(fleet, request()), primary)
 })
 
-/*
- * Symptom: a VM refuses every request for want of a server while other regions have some. Sequence: it starts in a region
- * whose servers are gone, in a full fleet, and has not heard of a plan yet. Cause: without a plan no region was an object's
- * own, so no server was its primary one, and in a full fleet only those may serve.
- */
+/** Guards against this failure: a VM refuses every request for want of a server while other regions have some. */
 test('without a plan and without near servers, objects have a primary server in another region', () => {
   const fleet = fleetOf(server('a', mumbai), server('b', mumbai))
   fleet.sharedFill.set(desk, 1.2)
   assert.ok(['a', 'b'].includes(sentTo(fleet, request())))
 })
 
-/*
- * Symptom: where all slots are busy, objects turn cold at one server after the other. Sequence: an object's server sheds a
- * request, is left alone for 40 ms, and the next request for the object is placed at another one. Cause: a pause for lack of
- * room took the server's objects away. Load pattern: a full fleet whose servers shed by turns.
- */
+/** Guards against this failure: where all slots are busy, objects turn cold at one server after the other. */
 test('in a full fleet an object stays with its server while that has no room for a moment', () => {
   const servers = ['a', 'b', 'c', 'd'].map(name => server(name))
   const fleet = fleetOf(...servers)
@@ -120,11 +99,7 @@
   assert.ok(after.type === 'send' && after.server === first.server)
 })
 
-/*
- * Symptom: objects are cold again and again while servers come and go. Sequence: a server joins or gets a new weight and becomes the
- * primary server of an object; its former one is warm, has a little more to do, and requests go to the new one. Cause: the new one counted
- * as warm as primary servers usually are, though nobody had sent it the object yet.
- */
+/** Guards against this failure: objects are cold again and again while servers come and go. */
 test('an object stays with the server that is warm for it for as long as its new primary server may be cold', () => {
   const fleet = fleetOf(server('a'), server('b'))
   const newPrimary = sentTo(fleet, request())
@@ -137,11 +112,7 @@
   assert.equal(sentTo(fleet, request()), newPrimary, 'where the former one is full, the object moves')
 })
 
-/*
- * Symptom: a route whose timeout is hardly longer than its cold work fails at its busiest. Sequence: an object's primary server has a queue; the
- * request goes to a server that is cold for the object, is cut by its timeout, and its caller has nothing. Cause: cold work
- * counted by its time alone, although a late answer is worth something and none is worth nothing.
- */
+/** Guards against this failure: a route whose timeout is hardly longer than its cold work fails at its busiest. */
 test('a request waits at its warm primary server rather than risk to be cut at a cold server', () => {
   const fleet = fleetOf(...['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].map(id => server(id)))
   const primary = sentTo(fleet, request())
--- a/packages/placement/__tests__/regionPlan.test.ts
+++ b/packages/placement/__tests__/regionPlan.test.ts
@@ -57,11 +57,7 @@
   assert.deepEqual([shareOf(plan, kochi, kochi), shareOf(plan, chennai, chennai), shareOf(plan, mumbai, mumbai)], [1, 1, 1])
 })
 
-/*
- * Symptom: a third of the callers is answered late all day. Sequence: their region has a tenth of the servers; its
- * VMs send there until every slot is taken. Cause: each VM saw too few answers to notice. Load pattern: equal demand
- * in three regions, a tenth of the slots in one.
- */
+/** Guards against this failure: a third of the callers is answered late all day. */
 test('a region with a third of the demand and a tenth of the slots keeps what fits and no more', () => {
   const plan = targetPlan(loads([kochi, 280, 100], [chennai, 60, 100], [mumbai, 280, 100]), serverSlots)
   assert.ok(Math.abs(shareOf(plan, chennai, chennai) - 0.6 * bearableFill(serverSlots)) < 0.01)
@@ -74,10 +70,7 @@
   assert.ok(shareOf(plan, chennai, chennai) < 0.5)
 })
 
-/*
- * Symptom: a third of a region's requests run in another region from one second to the next. Sequence: demand
- * changes; the plan follows at once. Cause: nothing bounded its step.
- */
+/** Guards against this failure: a third of a region's requests run in another region from one second to the next. */
 test('a plan moves no more of a region\'s objects in two seconds than callers are promised', () => {
   fc.assert(fc.property(anyLoads, anyLoads, fc.integer({ min: 50, max: 1000 }), (before, after, passedMs) => {
     let plan = targetPlan(before, serverSlots)
--- a/packages/placement/__tests__/serverWeights.test.ts
+++ b/packages/placement/__tests__/serverWeights.test.ts
@@ -56,11 +56,7 @@
   return moves
 }
 
-/*
- * Symptom: in calm hours a part of all requests waits at a few servers while others are idle. Sequence: objects are
- * placed by hash; some servers get twice the mean. Cause: chance alone made the placement even.
- * Load pattern: 1,125 objects of equal load on 144 servers, slots half busy on average.
- */
+/** Guards against this failure: in calm hours a part of all requests waits at a few servers while others are idle. */
 test('weights even out what hashing gave, and move few objects', () => {
   const servers = serversOf(144)
   const objects = 1125
--- a/packages/routing/__tests__/connections.test.ts
+++ b/packages/routing/__tests__/connections.test.ts
@@ -6,8 +6,7 @@
 import { createRestMemory, longestRest, noteRestedReset, noteSilence } from '@lynxcourse/placement'
 
 test('an idle connection that was quiet is not used, sooner for what must not repeat', () => {
-  // Symptom: a request hangs until its deadline. Sequence: a connection is idle, something between its ends
-  // forgets it, a request is sent on it. Cause: an open connection is taken for a living one.
+  // Guards against this failure: a request hangs until its deadline.
   const connections = loadChart('connection')
   const connection = createConnectionState(connections, 0)
   const { staleMs, silentMs } = defaultConnections
@@ -21,11 +20,7 @@
   assert.equal(isSilent(defaultConnections, connection, silentMs + 1), false)
 })
 
-/*
- * Symptom: firm offers fail with a reset connection, some dozens within seconds. Sequence: half of the servers forget
- * connections that rested 0.3 s; the next request over one is reset; it must not repeat, so its caller hears of a failure.
- * Cause: a connection counted as alive for 2 s after its last answer, whatever became of others that had rested.
- */
+/** Guards against this failure: firm offers fail with a reset connection, some dozens within seconds. */
 test('resets of rested connections at two servers bound the rest before a request that must not repeat', () => {
   const memory = createRestMemory()
   noteRestedReset(memory, 'a:80', 400, 1000)
@@ -42,11 +37,7 @@
   assert.equal(longestRest(memory, 1001), Infinity)
 })
 
-/*
- * Symptom: requests that must not repeat hang to their time limits for seconds. Sequence: something between the ends loses
- * track of all open connections; no reset comes; each request over an old connection waits in vain. Cause: only resets
- * bounded the rest, and each connection had to be found out by a request of its own.
- */
+/** Guards against this failure: requests that must not repeat hang to their time limits for seconds. */
 test('connections silent at two servers leave only those that showed life after them', () => {
   const memory = createRestMemory()
   noteSilence(memory, 'a:80', 700, 1000, 1500)
--- a/packages/routing/__tests__/routing.test.ts
+++ b/packages/routing/__tests__/routing.test.ts
@@ -91,9 +91,7 @@
 })
 
 test('a VM of another region finds slots under every policy', () => {
-  // Symptom: a region is drained and its callers are refused although other regions are idle. Sequence: the
-  // VM sends to another region's servers, whose slots are shared out among that region's VMs. Cause: it
-  // owns none of them.
+  // Guards against this failure: a region is drained and its callers are refused although other regions are idle.
   const backends = createBackends(defaultObservation, chart)
   setBackends(backends, [backend('a')], 0)
   const observed = backends.byId.get(brandId<ServerId>('a'))
@@ -199,17 +197,14 @@
 })
 
 test('a request that was shed is not sent again so late that its deadline would cut the send', () => {
-  // Symptom: a caller hears that the outcome of an offer is unknown, though every server said that it did not start it.
-  // Sequence: servers shed the offer until its deadline; the last send leaves a moment before, and is cut under way. Cause: time
-  // for the answer to a send was not kept.
+  // Guards against this failure: a caller hears that the outcome of an offer is unknown, though every server said that it did not start it.
   assert.equal(lastSendAfterShed(1000, 1300), 1225)
   assert.equal(lastSendAfterShed(1000, 1040), 1030, 'a short deadline leaves time for a send')
   assert.equal(lastSendAfterShed(1000, 6000), 5900, 'a long one loses no more than an answer takes')
 })
 
 test('those who can not be served in time at the present pace are found, and nobody else', () => {
-  // Symptom: callers hear near their deadlines that they are not served. Sequence: a queue fills while the
-  // VM counts slots that other VMs fill. Cause: nobody looks again until each deadline comes.
+  // Guards against this failure: callers hear near their deadlines that they are not served.
   const pace = createPace()
   for (let now = 0; now <= 1000; now += 10) notePace(pace, now)
   assert.equal(pace.intervalMs, 10)
--- a/packages/state/__tests__/incarnations.test.ts
+++ b/packages/state/__tests__/incarnations.test.ts
@@ -42,11 +42,7 @@
   { type: 'announce', facts: facts({ bornAt: nextBorn, seq: 2, coldMs: 1500 }) }
 ]
 
-/*
- * Symptom: a server that started again gets no work, or gets it as if it were warm; or its former start's drain takes it out.
- * Sequence: it crashes, starts under its id, and words of both starts arrive in any order, some twice. Cause: the count of
- * announcements was compared across starts.
- */
+/** Guards against this failure: a server that started again gets no work, or gets it as if it were warm; or its former start's drain takes it out. */
 test('in whatever order the words of two starts arrive, the later start stands as it said last', () => {
   const words = [...formerWords, ...presentWords]
   fc.assert(fc.property(fc.shuffledSubarray(words, { minLength: words.length }), fc.array(fc.nat({ max: words.length - 1 })), (order, again) => {
@@ -77,10 +73,7 @@
   assert.equal(isCredible(machine.config, facts({ bornAt: 0, seq: 6 })), true)
 })
 
-/*
- * Symptom: a server that answers is left out. Sequence: its address belonged to another one before, whose announcement was held
- * up; or somebody announces a service that no route knows there. Cause: any announcement of an address displaced who had it.
- */
+/** Guards against this failure: a server that answers is left out. */
 test('neither a former holder of an address nor a stranger displaces the server that has it', () => {
   const machine = withDesk()
   apply(machine, { type: 'announce', facts: facts({ bornAt: nextBorn }) })
--- a/packages/state/__tests__/routes.test.ts
+++ b/packages/state/__tests__/routes.test.ts
@@ -99,11 +99,7 @@
   assert.deepEqual(routeSetOf(copy)?.routes.map(held => held.name).sort(), ['extra', 'read'])
 })
 
-/*
- * Symptom: a new server at a reused address gets no work. Sequence: an old lifetime crashes behind a
- * cut; a new one registers at its address; the old one's announcement arrives late. Cause: the late
- * announcement was taken for the newer one.
- */
+/** Guards against this failure: a new server at a reused address gets no work. */
 test('a late announcement of a lifetime whose address was taken over changes nothing', () => {
   const machine = start()
   apply(machine, { type: 'announce', facts: facts('old', { seq: 4 }) })
@@ -114,10 +110,7 @@
   assert.equal(isNews(machine.config, facts('old', { seq: 6 })), false)
 })
 
-/*
- * Symptom: a server that leaves gets new work again. Sequence: it announces that it drains; an earlier
- * announcement, held up on its way, arrives after. Cause: the order of arrival was taken for the order of sending.
- */
+/** Guards against this failure: a server that leaves gets new work again. */
 test('once a server drains, neither a late nor a later announcement opens it again', () => {
   const machine = start()
   apply(machine, { type: 'announce', facts: facts('s', { seq: 3 }) })
@@ -171,11 +164,7 @@
   assert.equal(isEvacuated(), false)
 })
 
-/*
- * Symptom: a server that runs well gets no more requests for the rest of its life. Sequence: a release replaces 100
- * servers; an announcement of the first of them, held up by a cut, arrives after that, at the address that a newer
- * lifetime has. Cause: only the last 64 ended servers were remembered, so the late word counted as a new server's.
- */
+/** Guards against this failure: a server that runs well gets no more requests for the rest of its life. */
 test('a late announcement of a server that ended long ago revives nothing, whatever ended since', () => {
   const machine = start()
   for (let number = 0; number < 100; number++) {
--- a/packages/state/__tests__/state.test.ts
+++ b/packages/state/__tests__/state.test.ts
@@ -40,8 +40,7 @@
 }
 
 test('of two changes with equal versions one wins, and the other learns by whom', () => {
-  // Symptom: an operator's change vanishes. Sequence: two operators change version 1 at once. Cause: the
-  // second overwrites the first unseen.
+  // Guards against this failure: an operator's change vanishes.
   const log = newLog()
   publish(log, 0, 'change-00')
   assert.deepEqual(publish(log, 1, 'change-aa'), { ok: true, version: 2, itemVersion: 2 })
@@ -52,8 +51,7 @@
 })
 
 test('a change sent again gets its first answer, also after a snapshot', () => {
-  // Symptom: a resent change takes effect twice or is refused. Sequence: the answer is lost, others
-  // change the profile, the operator resends. Cause: the id is not remembered with its answer.
+  // Guards against this failure: a resent change takes effect twice or is refused.
   const log = newLog()
   const first = publish(log, 0, 'change-aa')
   publish(log, 1, 'change-bb')
@@ -106,8 +104,7 @@
 })
 
 test('ids that are too old or from the future are refused, and memory goes with them', () => {
-  // Symptom: a late copy runs again. Sequence: a request runs, its record is dropped, a copy comes. Cause:
-  // ids live longer than records.
+  // Guards against this failure: a late copy runs again.
   const log = newLog()
   const random = makeRandom(2)
   const id = makeRequestId(startAt, random)
--- a/packages/steering/__tests__/steering.test.ts
+++ b/packages/steering/__tests__/steering.test.ts
@@ -26,8 +26,7 @@
 })
 
 test('a drain is not over while a silent VM may still have work in flight', () => {
-  // Symptom: a server is stopped and a request is cut. Sequence: a VM with work at it goes silent, all
-  // others report none. Cause: silence is taken for none.
+  // Guards against this failure: a server is stopped and a request is cut.
   const silent = report('b', 500, 7, 0)
   assert.equal(judgeDrain(drain, [silent], leaseMs, holdMs, 6000).event, undefined)
   assert.equal(judgeDrain(drain, [silent], leaseMs, holdMs, 1000 + leaseMs + holdMs + 1).event, 'empty')
@@ -56,8 +55,7 @@
 })
 
 test('a step is not planned on one low reading', () => {
-  // Symptom: a shift overloads its destination. Sequence: load swings, a step is planned when it is low.
-  // Cause: one reading is taken for the load.
+  // Guards against this failure: a shift overloads its destination.
   const busy = [16, 17, 15, 18, 16, 17, 3]
   const readings = busy.reduce<Reading[]>((list, one, place) => addReading(list, { at: place * 200, busy: one, originBusy: 10 }), [])
   assert.deepEqual(summarizeReadings(readings), { busy: 18, originBusy: 10 })
--- a/scripts/__tests__/realFaults.test.ts
+++ b/scripts/__tests__/realFaults.test.ts
@@ -106,8 +106,7 @@
 const ready = async (daemon: DaemonProcess): Promise<void> => await until(`${daemon.plan.vm} is ready`, async () => await answers(daemon.plan, '/readyz'))
 
 test('the leader is killed: what it acknowledged stays, changes and claims go on', async () => {
-  // Symptom: an accepted change is gone. Sequence: the leader acknowledges a change and dies. Cause: the
-  // acknowledgement came before a quorum had it on disk.
+  // Guards against this failure: an accepted change is gone.
   const leader = await findLeader()
   const before = await versionOf('desk')
   await publish('desk', { queueLimit: 111 }, before)
@@ -123,8 +122,7 @@
 })
 
 test('the leader is frozen past its lease: when it wakes it decides nothing on what it remembered', async () => {
-  // Symptom: a VM goes by replaced configuration. Sequence: it is frozen, another leads and changes are
-  // made, it wakes. Cause: it believes itself current and leading until it hears otherwise.
+  // Guards against this failure: a VM goes by replaced configuration.
   const leader = await findLeader()
   const before = await versionOf('desk')
   leader.child.kill('SIGSTOP')
@@ -151,8 +149,7 @@
 })
 
 test('a data folder is removed: the VM returns as a new member, and a second loss right after does no harm', async () => {
-  // Symptom: accepted changes are gone. Sequence: one VM loses its disk and is repaired; another is lost
-  // at once. Cause: the repaired VM counted before it held everything.
+  // Guards against this failure: accepted changes are gone.
   const leader = await findLeader()
   const [first, second] = system.daemons.filter(daemon => daemon.plan.isControl && daemon !== leader) as [DaemonProcess, DaemonProcess]
   const before = await versionOf('desk')
@@ -192,8 +189,7 @@
 })
 
 test('the VM that holds a claim is killed while the server works: the id stays spent and runs once', async () => {
-  // Symptom: an offer is lodged twice. Sequence: a VM sends a claimed request and dies; the caller resends
-  // to another VM. Cause: the second VM takes the dead holder's claim for free.
+  // Guards against this failure: an offer is lodged twice.
   const holder = system.daemons.find(daemon => !daemon.plan.isControl) as DaemonProcess
   const other = system.daemons.find(daemon => daemon.plan.isControl) as DaemonProcess
   const id = newId()
