--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -82,8 +82,7 @@
 
 /**
  * News waits this long for more before it goes out: while servers are replaced, changes come every few
- * milliseconds, and each wakes all VMs of the region and has them rebuild their tables. A tenth of the time in which
- * a change must be in force.
+ * milliseconds, and each wakes all VMs of the region and has them rebuild their tables.
  */
 const gatherMs: Millis = 200
 
@@ -145,9 +144,9 @@
 /**
  * Holds the first watch of an entry VM until this VM's copy is the present state.
  *
- * What can go wrong: all VMs start at one moment. Eleven entry VMs asked again every 60 ms while the control VMs elected a
- * leader, and their questions took the processor time that the election needed: 0.2 s for each of its two rounds. It shows
- * as many lines of VMs that follow a control VM without a version. Held, each asks once and hears at once.
+ * What can go wrong: all VMs start at one moment. Entry VMs ask again and again while the control VMs elect a leader, and their
+ * questions take the processor time that the election needs. It shows as many lines of VMs that follow a control VM without a
+ * version. Held, each asks once and hears at once.
  */
 async function waitUntilCurrent (control: FleetControl, waitMs: Millis): Promise<void> {
   const isCurrent = (): boolean => stateAge(control, presentTime()) < control.node.cfg.times.staleMs
--- a/packages/daemon/src/core/rpc/packing.ts
+++ b/packages/daemon/src/core/rpc/packing.ts
@@ -1,10 +1,9 @@
 /**
  * Packs large messages between VMs.
  *
- * What can go wrong: all VMs start at one moment and each asks for the whole state. 170 KB of it (315 servers) fill an entry VM's link of
- * 2 Mbit/s for 0.7 s and a control VM's processor with their writing, calls run into their time-out, the state is sent again, and
- * callers' requests wait in the same link. It shows as VMs that receive several times the state before they are ready. Packed, it
- * is a tenth of that.
+ * What can go wrong: all VMs start at one moment and each asks for the whole state. Its bytes fill an entry VM's link and their writing a
+ * control VM's processor, calls run into their time-out, the state is sent again, and callers' requests wait in the same link. It
+ * shows as VMs that receive several times the state before they are ready.
  */
 import { constants, gunzipSync, gzipSync } from 'node:zlib'
 import { LynxError } from '@lynxcourse/base'
--- a/packages/daemon/src/core/rpc/rpcClient.ts
+++ b/packages/daemon/src/core/rpc/rpcClient.ts
@@ -26,7 +26,7 @@
 
 const maxConnectionsPerPeer = 16
 const maxPeers = 256
-/** Largest answer that is unpacked; the whole state at the target size is a fifth of it (docs/CAPACITY.md). */
+/** Largest answer that is unpacked; more than the whole state at the target size (docs/CAPACITY.md). */
 const maxAnswerBytes = 67_108_864
 
 export function createRpcClient (cfg: RpcClientCfg): RpcClient {
--- a/packages/daemon/src/plugins/placementFile.ts
+++ b/packages/daemon/src/plugins/placementFile.ts
@@ -3,8 +3,7 @@
  *
  * What can go wrong: all control VMs die at one moment. The servers live on with warm caches, but the next leader knows no plan
  * and no weights, so nearly every object gets another server and is cold there. It shows as answers that are late for two seconds
- * more after such a start: 0.84 of the benefit in place of 0.97. Each control VM holds the leader's last word anyway; kept on its
- * disk, a restart finds it. It is a hint: a file that is missing or torn only costs the gain.
+ * more after such a start. Each control VM holds the leader's last word anyway; kept on its disk, a restart finds it. It is a hint: a file that is missing or torn only costs the gain.
  */
 import { open, readFile, rename } from 'node:fs/promises'
 import { join } from 'node:path'
--- a/packages/daemon/src/utils/lineBudget.ts
+++ b/packages/daemon/src/utils/lineBudget.ts
@@ -12,11 +12,7 @@
 /** Budgets of one process, by part and level. */
 export type LineBudget = Map<string, Bucket>
 
-/**
- * Lines a second of one part at one level. A line costs 9 microseconds, measured over 100,000
- * lines of routing decisions, so the budget is a fifth of a percent of a core; one entry VM of today's size
- * sends some 60 requests a second and stays within it.
- */
+/** Lines a second of one part at one level. */
 export const linesPerSecond = 200
 const burstLines = 400
 
--- a/packages/daemon/src/utils/logStream.ts
+++ b/packages/daemon/src/utils/logStream.ts
@@ -8,12 +8,9 @@
 import { write, writeSync } from 'node:fs'
 import { Writable } from 'node:stream'
 
-/**
- * Lines gather this long. Each write wakes a thread of the runtime: at 27 requests a second and 50 ms they were a third of the
- * process's system calls. A process that is killed loses the lines of this time.
- */
+/** Lines gather this long, as each write wakes a thread of the runtime. A process that is killed loses the lines of this time. */
 const flushMs = 250
-/** Lines beyond this are dropped; about two seconds of a busy VM's log. */
+/** Lines beyond this are dropped. */
 const maxHeldBytes = 1_048_576
 const standardOutput = 1
 
--- a/packages/placement/src/core/admission/turnBudget.ts
+++ b/packages/placement/src/core/admission/turnBudget.ts
@@ -9,12 +9,9 @@
 import type { Millis } from '@lynxcourse/base'
 import type { LoopTurns } from './unreadBound.js'
 
-/** A turn after a sleep may be long once: a burst is worked off by it. A third of the least latency objective of the fleet that showed it, 600 ms. */
+/** A turn after a sleep may be long once: a burst is worked off by it. */
 const burstTurnMs: Millis = 200
-/**
- * Without a sleep before it, the loop has no time left: the answers to what is taken up come on top, at one and a half times this, and
- * refusals take as much again. Together they stay within the half second by which answers may come after a timeout.
- */
+/** Without a sleep before it, the loop has no time left: the answers to what is taken up, and refusals, come on top. */
 const busyTurnMs: Millis = 75
 /** Parts of that by rank: in a long turn the least urgent are refused first. */
 const rankParts = [1, 0.9, 0.8]
--- a/packages/placement/src/core/board/loadBoard.ts
+++ b/packages/placement/src/core/board/loadBoard.ts
@@ -1,7 +1,7 @@
 /**
  * The leader's board of loads: what all entry VMs see, put together and given back to all of them.
  *
- * What can go wrong: of 80 entry VMs each sends one request in ten seconds to a given server, so none of
+ * What can go wrong: each of many entry VMs sends a given server one request in seconds, so none of
  * them knows of a queue that the others built there. It shows as requests that wait behind full queues
  * while servers beside them are idle. Together the VMs hear of each server several times a second, since
  * each answer tells its server's load; the leader smooths that and names the servers that are nearly full.
--- a/packages/placement/src/core/board/silentServers.ts
+++ b/packages/placement/src/core/board/silentServers.ts
@@ -2,8 +2,8 @@
  * The leader's judgement of servers that answer nobody.
  *
  * What can go wrong: servers go dark at once, with a failure domain or a region. Each entry VM finds each of them out by
- * requests of its own, and what must not repeat is lost with them: 80 VMs lose thousands of requests before announcements
- * are missed. It shows as failures at the same servers from all VMs in turn. One VM's failure may be its own link's; a
+ * requests of its own, and what must not repeat is lost with them: all VMs together lose thousands of requests before
+ * announcements are missed. It shows as failures at the same servers from all VMs in turn. One VM's failure may be its own link's; a
  * server that fails several VMs while none has an answer from it is left alone by all, for a while.
  */
 import type { Millis, ServerId } from '@lynxcourse/base'
--- a/packages/placement/src/core/entries/entryGathering.ts
+++ b/packages/placement/src/core/entries/entryGathering.ts
@@ -3,7 +3,7 @@
  *
  * What can go wrong: all VMs start at one moment, and entry VMs become ready one after the other over a second or two. Callers that are
  * told of the first ones all go there, and stay for as long as their look-up's answer lasts and their connections do. It shows
- * as one VM at the limit of its processor, with nine times the connections of the median VM, while that one has time. A
+ * as one VM at the limit of its processor, with many times the connections of the others, while those have time. A
  * caller that gets no answer meanwhile asks again, or goes on with the VMs that it knew before, which are ready as soon.
  */
 import type { Millis } from '@lynxcourse/base'
@@ -18,7 +18,7 @@
 
 /** They are all there once none has come for this long, the time between two exchanges of what control VMs heard. */
 const settledMs: Millis = 400
-/** From then on callers get an answer in any case: entry VMs were ready within 2.1 s of each other while the state filled their links. */
+/** From then on callers get an answer in any case. */
 const longestMs: Millis = 1500
 
 export function createEntryGathering (): EntryGathering {
--- a/packages/placement/src/core/object/workModel.ts
+++ b/packages/placement/src/core/object/workModel.ts
@@ -15,10 +15,7 @@
 /** Before the first answers: cold work takes about the latency objective, warm work less than half. */
 const firstColdPart = 0.8
 const firstWarmPart = 0.35
-/**
- * Before the first answers, when all objects are cold: cold work that was measured takes 0.8 to 1.5 of the objective. Servers doubted
- * for less sent their objects on to be cold elsewhere, 16 to 25 times a day, and 4 to 12 times with it.
- */
+/** Before the first answers, when all objects are cold: a server that is doubted for less sends its objects on to be cold elsewhere. */
 const firstLongestPart = 1.6
 const smoothing = 0.05
 /** Warm work falls faster than it rises: waits that nobody told of lengthen answers, nothing shortens them. */
--- a/packages/placement/src/core/region/regionPlan.ts
+++ b/packages/placement/src/core/region/regionPlan.ts
@@ -33,7 +33,7 @@
 const fillPrecision = 0.001
 /**
  * Fill of a region by the plan in force from which it moves: below it the waits cost less than cold work elsewhere. Regions' demands rise and fall by turns;
- * a plan that followed each of them moved a third of a region's objects there and back, and made each of them cold twice.
+ * a plan that follows each of them moves objects there and back, and makes each of them cold twice.
  */
 const mostFill = 0.8
 /** Part of a region's objects that could come home from which it is worth their cold work: what stays away costs only its way. */
@@ -74,7 +74,7 @@
 
 /**
  * Fill at which requests wait for a slot no longer than `waitPart` of their work on the mean, by Sakasegawa's approximation for one
- * queue of so many slots: 0.55 for three slots, 0.73 for six.
+ * queue of so many slots.
  *
  * What can go wrong: the fewer slots a server has, the longer requests wait there before all of them are taken. It shows as a region
  * whose callers are answered late though its servers have slots free, while they would be in time in another region.
