--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -39,9 +39,9 @@
 /** How long to wait for one server while the caller still waits. */
 export interface Patience {
   /** When to ask once whether another server takes it over; undefined for never. */
-  readonly until: Millis | undefined
+  readonly leaveAt: Millis | undefined
   /** Asked then; work goes on at the server unless this is so. */
-  readonly mayGiveUp: () => boolean
+  readonly mayLeave: () => boolean
   /** From when on to ask, again and again, whether it is stranded. */
   readonly overdueAt: Millis
   readonly isStranded: () => boolean
@@ -59,6 +59,7 @@
   const now = presentTime()
   const { facts } = placed.server
   const connection = takeConnection(gateway.pool, facts.address, !call.route.isIdempotent, now)
+  const restedMs = connection.reused ? connection.restedMs : undefined
   const leftMs = Math.max(1, Math.floor(call.deadline - now))
   const headers = { ...call.headers, ...gateway.servers.requestHeaders(call.facts, facts.id, leftMs) }
   const options: Dispatcher.DispatchOptions = { method: call.method as Dispatcher.HttpMethod, path: call.path, headers, body: call.body }
@@ -67,7 +68,7 @@
     progressConnection(gateway.pool, connection, presentTime())
   })
   const result = await endOf(gateway, call, placed, { connection, exchange, startedAt: now, patience })
-  return { result, writtenAt: exchange.startedAt, restedMs: connection.reused ? connection.restedMs : undefined }
+  return { result, writtenAt: exchange.startedAt, restedMs }
 }
 
 /** A send that is under way over a connection. */
@@ -78,17 +79,19 @@
   readonly patience: Patience
 }
 
-async function endOf (gateway: Gateway, call: Call, placed: Placed, { connection, exchange, startedAt: now, patience }: OpenSend): Promise<SendResult> {
+async function endOf (gateway: Gateway, call: Call, placed: Placed, { connection, exchange, startedAt, patience }: OpenSend): Promise<SendResult> {
   const { facts } = placed.server
-  const stop = watchSend(call, patience, now, exchange.abort)
+  const stop = watchSend(call, patience, startedAt, exchange.abort)
   try {
     const received = await exchange.answer
-    return takeAnswer(gateway, call, placed, connection, received, (exchange.startedAt ?? now) - now)
+    return takeAnswer(gateway, call, placed, connection, received, (exchange.startedAt ?? startedAt) - startedAt)
   } catch (err) {
+    const now = presentTime()
     const wentSilent = connection.reused && silentEnds.has(stop.reason())
-    if (wentSilent) dropSilent(gateway.pool, connection, now, presentTime())
+    if (wentSilent) dropSilent(gateway.pool, connection, startedAt, now)
     else dropConnection(gateway.pool, connection, 'close')
-    if (stop.reason() === 'failed' && presentTime() - now < soonMs + travelTo(gateway.fleet, facts.region)) noteUnanswered(gateway.pool, connection, presentTime())
+    const isSoon = now - startedAt < soonMs + travelTo(gateway.fleet, facts.region)
+    if (stop.reason() === 'failed' && isSoon) noteUnanswered(gateway.pool, connection, now)
     if (stop.reason() === 'gone') return { type: 'lost', reason: 'gone', detail: messageOf(err) }
     // What was never begun to be written can't have run.
     if (exchange.startedAt === undefined) return { type: 'notRun', reason: 'unreached', status: undefined }
@@ -139,8 +142,8 @@
   call.gone.on('abort', onGone)
   if (call.gone.aborted) onGone()
   const deadlineTimer = setTimeout(stop('deadline'), Math.max(1, call.deadline - now))
-  const giveUp = (): void => { if (patience.mayGiveUp()) stop('slow')() }
-  const patienceTimer = patience.until === undefined ? undefined : setTimeout(giveUp, Math.max(1, patience.until - now))
+  const leave = (): void => { if (patience.mayLeave()) stop('slow')() }
+  const patienceTimer = patience.leaveAt === undefined ? undefined : setTimeout(leave, Math.max(1, patience.leaveAt - now))
   const lookAgain = (): void => {
     if (patience.isStranded()) stop('stranded')()
     else strandedTimer = setTimeout(lookAgain, strandedCheckMs)
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -62,11 +62,11 @@
 
 async function sendPlaced (gateway: Gateway, call: Call, run: RequestRun, placed: Placed): Promise<SendResult> {
   const sending = beginSend(gateway, run, placed, presentTime())
-  const { startedAt } = sending
+  const { startedAt, leaveAt, overdueAt } = sending
   const patience: Patience = {
-    until: sending.leaveAt,
-    mayGiveUp: () => mayLeaveServer(gateway, run, termsOf(gateway), presentTime()),
-    overdueAt: sending.overdueAt,
+    leaveAt,
+    mayLeave: () => mayLeaveServer(gateway, run, termsOf(gateway), presentTime()),
+    overdueAt,
     isStranded: () => isStranded(gateway, sending, termsOf(gateway), presentTime())
   }
   const report = await sendOnce(gateway, call, placed, patience)
