Close what a VM has opened where a later port is taken

Looked into while it hung (inspector): a listening RPC server and a timer were all that was left, so a VM of the rig had found a port taken after it listened on another one, and its start failed. Its servers became owned only after all of them listened, the gateway's timers when its own port did. Change: servers, pool and loop watch are owned from before anything listens, in both daemons. Test: fleet.test.ts, 'a VM that finds one of its ports taken closes the others'; before: 'listen EADDRINUSE' of the first port, and the file never ended.

--- a/packages/daemon/__tests__/fleet.test.ts
+++ b/packages/daemon/__tests__/fleet.test.ts
@@ -1,16 +1,17 @@
 /** A fleet's VMs on loopback: founding, changes, forwarding by route, and what must not run twice. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { connect } from 'node:net'
+import { once } from 'node:events'
+import { connect, createServer as createTcpServer } from 'node:net'
 import { rm } from 'node:fs/promises'
 import { lastIndex } from '@lynxcourse/agreement'
 import type { Replica } from '@lynxcourse/agreement'
 import type { FailureDomainId, HolderId, ServerId } from '@lynxcourse/base'
-import { brandId } from '@lynxcourse/base'
+import { brandId, isLynxError } from '@lynxcourse/base'
 import { callPeer, isFleetReady, leaveFleet, presentTime, readRoutes, stateAge, submitRouteCommand } from '@lynxcourse/daemon'
-import type { FleetDaemon } from '@lynxcourse/daemon'
+import type { FleetControl, FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
 import { findItem } from '@lynxcourse/state'
-import { ask, controlOf, publish, replaceOrder, routeTo, startRig, startServer, startVm, submit, until } from './support/fleetRig.js'
+import { ask, controlOf, freePorts, publish, replaceOrder, routeTo, startRig, startServer, startVm, submit, until } from './support/fleetRig.js'
 
 test('seeds found the group; a change is in force at the entry VM; requests reach servers by route', async () => {
   await using rig = await startRig(1)
@@ -23,6 +24,17 @@
   assert.deepEqual([read.routesVersion, read.set?.routes.length], [1, 2])
 })
 
+/** Guards against this failure: a VM that can't start stays alive with a port open, and its process never ends. */
+test('a VM that finds one of its ports taken closes the others', async () => {
+  await using rig = await startRig(0)
+  const taken = rig.settings[0] as FleetSettings
+  const [free] = await freePorts(1)
+  const cfg: FleetSettings = { ...taken, name: 'late', roles: ['entry'], rpc: `127.0.0.1:${free}` }
+  await assert.rejects(startVm(cfg), err => isLynxError(err, 'badSettings'))
+  await using holder = createTcpServer().listen(free, '127.0.0.1')
+  await once(holder, 'listening')
+})
+
 test('an evacuated failure domain and a server that leaves get nothing more; callers hear when to come back', async () => {
   await using rig = await startRig(1)
   await using server = await startServer('s1', (_req, res) => res.end('ok'))
@@ -166,6 +178,19 @@
 })
 
 /** Guards against this failure: a control VM takes no part any more, although its disk works again. */
+/** Guards against this failure: a control VM that lost its disk never returns while no seed leads, and the next losses lose what was confirmed. */
+test('a blank control VM is let in by members that do not lead, too', async () => {
+  await using rig = await startRig(0)
+  const leads = ({ host }: FleetControl): boolean => host.replica !== undefined && host.replica.leader === host.id
+  const controls = [0, 1, 2].map(place => controlOf(rig, place))
+  await until(() => controls.some(leads))
+  const leader = controls.find(leads) as FleetControl
+  const follower = controls.find(control => !leads(control)) as FleetControl
+  const id = '127.0.0.1:1/blank' as HolderId
+  await until(async () => await callPeer(follower.node.client, follower.node.cfg.rpc, 'cluster.join', { id }).then(() => true, () => false))
+  await until(() => leader.host.replica?.members.some(member => member.id === id) === true)
+})
+
 test('a copy whose disk failed takes part again once the disk works', async () => {
   await using rig = await startRig(0)
   await submit(rig, replaceOrder('one', 0, 1, [routeTo('read')]))
--- a/packages/daemon/__tests__/support/fleetRig.ts
+++ b/packages/daemon/__tests__/support/fleetRig.ts
@@ -23,7 +23,7 @@
 const settleMs = 15_000
 
 /** Free ports, found by listening for a moment. */
-async function freePorts (count: number): Promise<number[]> {
+export async function freePorts (count: number): Promise<number[]> {
   const holders = await Promise.all(Array.from({ length: count }, async () => await new Promise<ReturnType<typeof createTcpServer>>(resolve => {
     const holder = createTcpServer().listen(0, '127.0.0.1', () => resolve(holder))
   })))
--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -76,10 +76,11 @@
     addAnnounceMethod(rpc, entry, syncing)
     servers.push(startEntryParts(stack, entry, syncing))
   }
+  // Owned from before they listen: a later one that can't would leave the others open.
+  for (const server of servers) own(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
   await listenRpc(rpc, cfg.listen.rpc)
   await listen(metricsServer, cfg.listen.metrics)
   if (entry !== undefined) await listen(servers[2] as Server, cfg.listen.http)
-  for (const server of servers) own(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
   log(node.logs, 'daemon', 'info', 'Started.', { vm: cfg.vm, region: cfg.region, roles: cfg.roles.join(), http: cfg.listen.http, rpc: cfg.listen.rpc })
   const owned = moveOwned(stack)
   return { node, control, duties, entry, syncing, servers, [Symbol.asyncDispose]: async () => await owned[Symbol.asyncDispose]() }
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -60,11 +60,11 @@
   own(stack, node.client)
   const rpc = createRpcServer({ maxBytes: maxRpcBytes, perSecond: rpcPerSecond }, node.metrics, undefined)
   const control = cfg.roles.includes('control') ? await startControl(stack, node, rpc) : undefined
-  const gateway = cfg.roles.includes('entry') ? createGateway(node, dialects.callers, dialects.servers) : undefined
-  await listenRpc(rpc, cfg.rpcListen ?? cfg.rpc)
+  const gateway = cfg.roles.includes('entry') ? openGateway(stack, node, dialects) : undefined
   const metricsServer = createMetricsServer(node.metrics, () => isServing(node, control))
+  for (const server of [rpc.server, metricsServer]) ownServer(stack, server)
+  await listenRpc(rpc, cfg.rpcListen ?? cfg.rpc)
   await listen(metricsServer, cfg.metrics)
-  for (const server of [rpc.server, metricsServer]) own(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
   const callerServer = gateway === undefined ? undefined : await startCallers(stack, gateway)
   const watching = gateway === undefined ? undefined : own(stack, startWatching(node, () => presenceOf(node)))
   log(node.logs, 'daemon', 'info', 'Started.', { vm: cfg.name, region: cfg.region, failureDomain: cfg.failureDomain, roles: cfg.roles.join(), rpc: cfg.rpc, callers: cfg.callers, firstStart: cfg.isFirstStart })
@@ -83,6 +83,13 @@
   return control
 }
 
+function openGateway (stack: Owned, node: FleetNode, { callers, servers }: Dialects): Gateway {
+  const gateway = createGateway(node, callers, servers)
+  own(stack, gateway.pool)
+  own(stack, gateway.loop)
+  return gateway
+}
+
 async function startCallers (stack: Owned, gateway: Gateway): Promise<Server> {
   const { node } = gateway
   const server = createCallerFront(gateway)
@@ -93,14 +100,17 @@
   })
   node.onLoad.push(() => takeLoadNews(gateway, node.loadNews, node.cfg.region, presentTime()))
   gateway.pool.onConnect = (address, startedAt) => noteConnected(gateway, address, presentTime() - startedAt)
-  own(stack, gateway.pool)
-  own(stack, gateway.loop)
   own(stack, repeat(sweepMs, () => sweepConnections(gateway.pool, presentTime()), () => undefined))
+  ownServer(stack, server)
   await listen(server, node.cfg.callers ?? '')
-  own(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
   return server
 }
 
+/** Owns a server from before it listens: a later one that can't would leave it open. */
+function ownServer (stack: Owned, server: Server): void {
+  own(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
+}
+
 function presenceOf (node: FleetNode): EntryPresence {
   const { cfg } = node
   return { name: cfg.name, address: cfg.callers ?? '', failureDomain: cfg.failureDomain, region: cfg.region, isReady: isReadyForCallers(node) }
