Let a blank control VM in through any member that knows the leader

What could be seen: after two disks were lost one after the other and a third with the power of all, a confirmed change is not in force: no quorum. Cause: a blank disk knows its seeds only and asks them to be let in; one that does not lead turned it away. Once a control VM that is no seed led (after the leader's disk was lost), no wiped disk came back: the copies of two of them had no entries 20 s and 11 s later. Its errors were swallowed without a line. Change: a member that does not lead passes the wish on to the leader, once; who is not let in says why.

--- a/packages/daemon/src/core/control/joining.ts
+++ b/packages/daemon/src/core/control/joining.ts
@@ -1,6 +1,6 @@
 /** How a blank control VM finds the cluster that it is to join, and becomes a member. */
 import type { Envelope } from '@lynxcourse/agreement'
-import { LynxError, vmOfHolder } from '@lynxcourse/base'
+import { LynxError, messageOf, vmOfHolder } from '@lynxcourse/base'
 import type { HolderId } from '@lynxcourse/base'
 import * as z from 'zod'
 import { log } from '../../utils/logging.js'
@@ -29,12 +29,12 @@
     await initCluster(host, params.cluster, params.voters)
     return { id: host.id }
   })
-  addMethod(rpc, 'cluster.join', ['vm'], z.strictObject({ id: holderSchema }), params => {
-    if (host.env.addressOf(vmOfHolder(params.id)) === undefined) {
-      throw new LynxError('notAllowed', `${params.id} is no control VM by the seeds`, { step: 'join', field: 'id' })
+  addMethod(rpc, 'cluster.join', ['vm'], z.strictObject({ id: holderSchema, isRelayed: z.boolean().default(false) }), async ({ id, isRelayed }) => {
+    if (host.env.addressOf(vmOfHolder(id)) === undefined) {
+      throw new LynxError('notAllowed', `${id} is no control VM by the seeds`, { step: 'join', field: 'id' })
     }
-    if (!leads(host)) throw new LynxError('notLeader', 'join the leader', { step: 'join' })
-    feed(host, { type: 'join', id: params.id })
+    if (leads(host)) feed(host, { type: 'join', id })
+    else await relayJoin(host, id, isRelayed)
     return {}
   })
   addMethod(rpc, 'log.message', ['vm'], envelopeSchema, (envelope, caller) => {
@@ -46,6 +46,13 @@
   })
 }
 
+/** A blank disk knows its seeds only, and none of them may lead. */
+async function relayJoin ({ env, replica }: ControlHost, id: HolderId, isRelayed: boolean): Promise<void> {
+  const leader = replica?.leader === undefined ? undefined : env.addressOf(vmOfHolder(replica.leader))
+  if (leader === undefined || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step: 'join' })
+  await callPeer(env.client, leader, 'cluster.join', { id, isRelayed: true })
+}
+
 const natural = z.number().int().min(0)
 
 const memberSchema = z.object({ id: holderSchema, voter: z.boolean() })
@@ -92,9 +99,16 @@
   }
   const isMember = host.replica?.members.some(member => member.id === host.id) ?? false
   if (isMember) return
+  let problem: unknown
   for (const address of env.peers()) {
-    await callPeer(env.client, address, 'cluster.join', { id: host.id }).catch(() => undefined)
+    try {
+      await callPeer(env.client, address, 'cluster.join', { id: host.id })
+      return
+    } catch (err) {
+      problem = err
+    }
   }
+  log(env.logs, 'member', 'warn', 'Not let in yet.', { id: host.id, error: messageOf(problem) })
 }
 
 async function findCluster (env: ControlEnv): Promise<string | undefined> {
