Count the life of a placement from the time-out of opening, which is a setting

With times.connectTimeoutMs above a second every request over a new connection to a far server would have been placed anew. The same as before at the default of 350 ms.

--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -33,8 +33,8 @@
 /** A reset that comes within the way there and back and this much more answers the request itself, not work that it began. */
 const soonMs: Millis = 30
 
-/** A request whose connection was not open by then is placed anew; opening is given up well before, unless the VM stands still. */
-const decisionLifeMs: Millis = 1000
+/** A connection that opens this much after its time-out opened while the VM stood still; its request is placed anew. */
+const openSlackMs: Millis = 650
 
 /** How long to wait for one server while the caller still waits. */
 export interface Patience {
@@ -63,7 +63,7 @@
   const leftMs = Math.max(1, Math.floor(call.deadline - now))
   const headers = { ...call.headers, ...gateway.servers.requestHeaders(call.facts, facts.id, leftMs) }
   const options: Dispatcher.DispatchOptions = { method: call.method as Dispatcher.HttpMethod, path: call.path, headers, body: call.body }
-  const exchange = startExchange(connection.client, options, now + decisionLifeMs, () => {
+  const exchange = startExchange(connection.client, options, now + gateway.pool.connectTimeoutMs + openSlackMs, () => {
     noteTurn(gateway.loop)
     progressConnection(gateway.pool, connection, presentTime())
   })
