--- a/packages/placement/src/core/request/requestRun.ts
+++ b/packages/placement/src/core/request/requestRun.ts
@@ -125,8 +125,7 @@
  * Whether a send is overdue at a server that takes no more work and has not answered anything since it began.
  *
  * What was written while the network was cut may arrive long after the cut, when nothing may reach the server's failure domain any
- * more. Nobody can see whether it lies on its way or at a server that works on it; the one takes back an evacuation, the other a
- * late answer.
+ * more. Whether it is still on its way or its server works on it can't be seen, so a late answer is given up for it.
  */
 export function isStranded ({ fleet }: EntryState, { placed: { server }, startedAt, overdueAt }: Sending, { isLeaving }: EntryTerms, now: Millis): boolean {
   if (isLeaving || now < overdueAt || server.answeredAt > startedAt) return false
