Plan events of both models in virtual time by one module; behaviour unchanged

The replay and the fault matrix each had an agenda of their own, the latter with a binary heap by hand. Tests of base, faults and replay pass, none of them changed.

--- a/packages/faults/src/core/faultKinds.ts
+++ b/packages/faults/src/core/faultKinds.ts
@@ -1,9 +1,10 @@
 /** The faults that the brief names: what strikes, and what heals afterwards. */
 import { voters } from '@lynxcourse/agreement'
 import type { HolderId } from '@lynxcourse/base'
+import { plan } from '@lynxcourse/base/timeline'
 import { leadsNow } from './controlLog.js'
 import { idOf } from './controlModel.js'
-import { cutOff, plan, thaw } from './network.js'
+import { cutOff, thaw } from './network.js'
 import type { Host } from './network.js'
 import { publishCap } from './operators.js'
 import { killHost, learnVersion, restartHost } from './world.js'
--- a/packages/faults/src/core/network.ts
+++ b/packages/faults/src/core/network.ts
@@ -1,8 +1,10 @@
 /**
- * A small in-memory network with its own time: an agenda of things to come, and links that drop, delay,
+ * A small in-memory network with its own time, and links that drop, delay,
  * duplicate, reorder and cut. Everything is drawn from one seeded source, so that a run can be repeated.
  */
 import type { Millis, Random } from '@lynxcourse/base'
+import { createTimeline, plan } from '@lynxcourse/base/timeline'
+import type { Timeline } from '@lynxcourse/base/timeline'
 
 /** A process on the network. */
 export interface Host {
@@ -28,14 +30,7 @@
 
 export const calm: Weather = { drop: 0, duplicate: 0, jitterMs: 2 }
 
-interface Planned {
-  readonly at: Millis
-  readonly order: number
-  readonly run: () => void
-}
-
-export interface Network {
-  now: Millis
+export interface Network extends Timeline {
   readonly random: Random
   weather: Weather
   /** One-way latency between regions. */
@@ -43,15 +38,13 @@
   readonly hosts: Map<string, Host>
   /** Cut directions, as `from>to`. */
   readonly cuts: Set<string>
-  agenda: Planned[]
-  order: number
   messages: number
 }
 
 const sameRegionMs = 1
 
 export function createNetwork (random: Random, latencyMs: Millis, startAt: Millis): Network {
-  return { now: startAt, random, weather: calm, latencyMs, hosts: new Map(), cuts: new Set(), agenda: [], order: 0, messages: 0 }
+  return { ...createTimeline(startAt), random, weather: calm, latencyMs, hosts: new Map(), cuts: new Set(), messages: 0 }
 }
 
 export function addHost (network: Network, name: string, region: string): Host {
@@ -60,53 +53,6 @@
   return host
 }
 
-/** Plans work at a time; a binary heap by time and order. */
-export function plan (network: Network, at: Millis, run: () => void): void {
-  const { agenda } = network
-  const planned = { at, order: network.order++, run }
-  agenda.push(planned)
-  let place = agenda.length - 1
-  while (place > 0) {
-    const parent = (place - 1) >> 1
-    if (!isSooner(planned, agenda[parent] as Planned)) break
-    agenda[place] = agenda[parent] as Planned
-    place = parent
-  }
-  agenda[place] = planned
-}
-
-function isSooner (a: Planned, b: Planned): boolean {
-  return a.at < b.at || (a.at === b.at && a.order < b.order)
-}
-
-function takeFirst (network: Network): Planned | undefined {
-  const { agenda } = network
-  const first = agenda[0]
-  const last = agenda.pop()
-  if (first === undefined || last === undefined || agenda.length === 0) return first
-  let place = 0
-  for (;;) {
-    let child = place * 2 + 1
-    if (child >= agenda.length) break
-    if (child + 1 < agenda.length && isSooner(agenda[child + 1] as Planned, agenda[child] as Planned)) child += 1
-    if (!isSooner(agenda[child] as Planned, last)) break
-    agenda[place] = agenda[child] as Planned
-    place = child
-  }
-  agenda[place] = last
-  return first
-}
-
-/** Runs all that is planned up to a time. */
-export function runUntil (network: Network, end: Millis): void {
-  for (let first = network.agenda[0]; first !== undefined && first.at <= end; first = network.agenda[0]) {
-    takeFirst(network)
-    network.now = Math.max(network.now, first.at)
-    first.run()
-  }
-  network.now = Math.max(network.now, end)
-}
-
 /** Runs work at a host after a while, unless that life of it has ended by then; a frozen host does it later. */
 export function planAt (network: Network, host: Host, delayMs: Millis, run: () => void): void {
   const { life } = host
--- a/packages/faults/src/core/world.ts
+++ b/packages/faults/src/core/world.ts
@@ -1,12 +1,13 @@
 /** Builds the small system and its steady load. */
 import { brandId, loadChart, makeRandom, makeRequestId } from '@lynxcourse/base'
 import type { DrainId, ServiceId, ShiftId, ProfileName } from '@lynxcourse/base'
+import { plan, playUntil } from '@lynxcourse/base/timeline'
 import type { ChangeAnswer } from '@lynxcourse/state'
 import { createChecks, trackRequest } from './checks.js'
 import { addControl, foundCluster, startControl } from './controlModel.js'
 import { addEntry, addServer, lookUp, startEntry } from './entryModel.js'
 import { handIn, readOnce } from './requestModel.js'
-import { createNetwork, plan, runUntil } from './network.js'
+import { createNetwork } from './network.js'
 import type { Host } from './network.js'
 import { addOperator, nextChangeId, publishCap, resetOperators, submitChange } from './operators.js'
 import type { Operator } from './operators.js'
@@ -72,7 +73,7 @@
 
 /** Runs the scene on. */
 export function runFor (scene: Scene, ms: number): void {
-  runUntil(scene.world.network, scene.world.network.now + ms)
+  playUntil(scene.world.network, scene.world.network.now + ms)
 }
 
 function every (scene: Scene, everyMs: number, work: () => void): void {
--- a/packages/replay/src/core/backendModel.ts
+++ b/packages/replay/src/core/backendModel.ts
@@ -1,7 +1,7 @@
 /** A backend server of the model: slots, a queue, and the objects that it keeps warm. */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { after } from './timeline.js'
-import type { Timeline } from './timeline.js'
+import { after } from '@lynxcourse/base/timeline'
+import type { Timeline } from '@lynxcourse/base/timeline'
 
 /** What a server answers. */
 export type BackendEnd =
--- a/packages/replay/src/core/callerModel.ts
+++ b/packages/replay/src/core/callerModel.ts
@@ -1,9 +1,9 @@
 /** Callers: they come by chance around their wave, choose a VM of their region, and come back once if they are told to. */
 import type { Millis } from '@lynxcourse/base'
+import { after } from '@lynxcourse/base/timeline'
 import type { RoutePattern } from '../types/pattern.js'
 import { noteEnd } from './score.js'
 import type { CallerEnd } from './score.js'
-import { after } from './timeline.js'
 import { takeRequest } from './vmModel.js'
 import type { VmAnswer } from './vmModel.js'
 import type { VmModel, World } from './world.js'
--- a/packages/replay/src/core/disturbances.ts
+++ b/packages/replay/src/core/disturbances.ts
@@ -1,8 +1,8 @@
 /** What happens to a fleet during a replay. */
+import { after } from '@lynxcourse/base/timeline'
 import type { Disturbance } from '../types/pattern.js'
 import { crashBackend } from './backendModel.js'
 import type { Backend } from './backendModel.js'
-import { after } from './timeline.js'
 import { startVm, stopVm } from './vmModel.js'
 import type { World } from './world.js'
 
--- a/packages/replay/src/core/loadExchange.ts
+++ b/packages/replay/src/core/loadExchange.ts
@@ -1,9 +1,9 @@
 /** Reports of entry VMs, the leader's board, and what VMs are told of it. */
 import { brandId } from '@lynxcourse/base'
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { after } from '@lynxcourse/base/timeline'
 import { createLoadIntake, noteDigest, noteLoadReport, takeDigest, takeLoadNews, takeLoadReport, updateBoard } from '@lynxcourse/placement'
 import type { ServerPlace, ServiceSlots } from '@lynxcourse/placement'
-import { after } from './timeline.js'
 import type { VmModel, World } from './world.js'
 
 /** Time between two exchanges of the leader with the other control VMs, and between two reports of an entry VM. */
--- a/packages/replay/src/core/play.ts
+++ b/packages/replay/src/core/play.ts
@@ -1,5 +1,6 @@
 /** Plays a pattern to its end. */
 import type { Millis } from '@lynxcourse/base'
+import { playUntil } from '@lynxcourse/base/timeline'
 import type { Mechanism } from '@lynxcourse/placement'
 import type { Pattern } from '../types/pattern.js'
 import { startCallers } from './callerModel.js'
@@ -7,7 +8,6 @@
 import { startExchanges } from './loadExchange.js'
 import { figuresOf } from './score.js'
 import type { Figures } from './score.js'
-import { playUntil } from './timeline.js'
 import { createWorld } from './world.js'
 
 /** Time in which the last requests end. */
--- a/packages/replay/src/core/vmModel.ts
+++ b/packages/replay/src/core/vmModel.ts
@@ -1,12 +1,12 @@
 /** An entry VM serves requests as the real one does, by the same decisions. */
 import type { Millis } from '@lynxcourse/base'
+import { after } from '@lynxcourse/base/timeline'
 import { beginSend, endSend, mayLeaveServer, nextStep, noteReply, noteWaiting, startRun, takeLoadNews } from '@lynxcourse/placement'
 import type { EntryState, EntryTerms, Placed, RequestRun, SendEnd, Sending } from '@lynxcourse/placement'
 import { arriveAt, leaveBackend } from './backendModel.js'
 import type { Backend, BackendEnd, Job } from './backendModel.js'
 import { coldCauseOf } from './coldCauses.js'
 import type { ColdCause } from './coldCauses.js'
-import { after } from './timeline.js'
 import { createEntry, delayBetween } from './world.js'
 import type { VmModel, World } from './world.js'
 
--- a/packages/replay/src/core/world.ts
+++ b/packages/replay/src/core/world.ts
@@ -1,6 +1,8 @@
 /** State of a replay. */
 import { brandId, makeRandom } from '@lynxcourse/base'
 import type { FailureDomainId, Millis, Random, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { createTimeline } from '@lynxcourse/base/timeline'
+import type { Timeline } from '@lynxcourse/base/timeline'
 import { createFleet, createFleetServer, createLoadBoard, createLoadNotes, regroupServers } from '@lynxcourse/placement'
 import type { EntryState, FleetServer, LoadBoard, LoadIntake, LoadNews, Mechanism } from '@lynxcourse/placement'
 import type { Route } from '@lynxcourse/state'
@@ -9,8 +11,6 @@
 import type { Backend } from './backendModel.js'
 import { createScore } from './score.js'
 import type { Score } from './score.js'
-import { createTimeline } from './timeline.js'
-import type { Timeline } from './timeline.js'
 
 /** An entry VM of the model. */
 export interface VmModel {
--- a/packages/replay/src/internal.ts
+++ b/packages/replay/src/internal.ts
@@ -1,7 +1,7 @@
 /** Fixes the order in which the modules of this package load. */
 export * from './types/pattern.js'
 export * from './utils/readPattern.js'
-export * from './core/timeline.js'
+export * from '@lynxcourse/base/timeline'
 export * from './core/coldCauses.js'
 export * from './core/score.js'
 export * from './core/backendModel.js'
