--- a/packages/faults/src/core/controlDuties.ts
+++ b/packages/faults/src/core/controlDuties.ts
@@ -2,7 +2,7 @@
 import { vmOfHolder } from '@lynxcourse/base'
 import type { HolderId, Millis } from '@lynxcourse/base'
 import { createGrantor, grantsFor, noteReport, planShares } from '@lynxcourse/limits'
-import type { Grant, Usage } from '@lynxcourse/limits'
+import type { Grant, Grantor, Usage } from '@lynxcourse/limits'
 import { isCurrent, noteConfirmed } from '@lynxcourse/membership'
 import { deltaSince, listCaps, listItems, takeDelta } from '@lynxcourse/state'
 import type { ConfigDelta } from '@lynxcourse/state'
@@ -18,6 +18,11 @@
   return leadsNow(control) && control.replica !== undefined && now - control.replica.confirmedAt < times.electionMs
 }
 
+/** What a control VM knows of grants that has heard of none yet. */
+export function newGrantor (): Grantor {
+  return createGrantor(times.grantMs, times.deadlineMs + times.electionMs)
+}
+
 /** What an entry VM reports. */
 export interface Report {
   readonly holder: HolderId
@@ -57,7 +62,7 @@
   if (!mayGrant(control, now)) {
     control.progress.clear()
     control.drainsSeen.clear()
-    if (!leadsNow(control)) control.grantor = createGrantor(times.grantMs, times.deadlineMs + times.electionMs)
+    if (!leadsNow(control)) control.grantor = newGrantor()
     syncFromLeader(world, control)
     return
   }
--- a/packages/faults/src/core/controlModel.ts
+++ b/packages/faults/src/core/controlModel.ts
@@ -1,15 +1,15 @@
 /** A control VM of the model: agreement, state machine, grants and plans, with a disk that lasts. */
 import { createReplica, firstSnapshot } from '@lynxcourse/agreement'
+import type { Snapshot } from '@lynxcourse/agreement'
 import { holderOf } from '@lynxcourse/base'
 import type { HolderId, Incarnation, Millis, VmId } from '@lynxcourse/base'
-import { createGrantor } from '@lynxcourse/limits'
 import { createCurrency } from '@lynxcourse/membership'
 import { createConfig, createMachine, readMachine } from '@lynxcourse/state'
 import { addHost, planAt, send } from './network.js'
 import type { Host } from './network.js'
 import { times } from './times.js'
 import type { ControlModel, World } from '../types/world.js'
-import { doDuties } from './controlDuties.js'
+import { doDuties, newGrantor } from './controlDuties.js'
 import { feed } from './controlLog.js'
 
 const tickMs = 20
@@ -27,7 +27,7 @@
     replica: undefined,
     machine: createMachine(world.charts),
     placed: new Map(),
-    grantor: createGrantor(times.grantMs, times.deadlineMs + times.electionMs),
+    grantor: newGrantor(),
     progress: new Map(),
     drainsSeen: new Map(),
     view: createConfig(),
@@ -41,33 +41,32 @@
   return holderOf(control.vm, control.disk.incarnation as Incarnation)
 }
 
+/** Writes the first snapshot of a cluster to a blank disk. */
+function fillDisk ({ disk }: ControlModel, snapshot: Snapshot): void {
+  disk.cluster = true
+  disk.stored = { hardState: { term: 0, votedFor: undefined }, snapshot, entries: [] }
+}
+
 /** Founds the cluster of all control VMs. */
 export function foundCluster (world: World): void {
   const snapshot = firstSnapshot(world.controls.map(idOf), '')
   for (const control of world.controls) {
-    control.disk.cluster = true
-    control.disk.stored = { hardState: { term: 0, votedFor: undefined }, snapshot, entries: [] }
+    fillDisk(control, snapshot)
     startControl(world, control)
   }
 }
 
 /** Starts the process from what the disk holds; all else is forgotten. */
 export function startControl (world: World, control: ControlModel): void {
-  const { network, charts } = world
   control.replica = undefined
   control.placed = new Map()
-  control.grantor = createGrantor(times.grantMs, times.deadlineMs + times.electionMs)
+  control.grantor = newGrantor()
   control.progress = new Map()
   control.drainsSeen = new Map()
   control.view = createConfig()
   control.currency = createCurrency(times.leaseMs)
-  const { stored } = control.disk
-  control.machine = readMachine(charts, stored?.snapshot.data ?? '')
-  if (stored !== undefined) {
-    control.replica = createReplica({
-      id: idOf(control), cluster: 'c', chart: charts.role, times: { heartbeatMs: times.heartbeatMs, electionMs: times.electionMs }, random: network.random, stored
-    }, network.now)
-  }
+  control.machine = readMachine(world.charts, control.disk.stored?.snapshot.data ?? '')
+  startReplica(world, control)
   repeatAt(world, control.host, tickMs, () => feed(world, control, { type: 'tick' }))
   repeatAt(world, control.host, dutyMs, () => doDuties(world, control))
   repeatAt(world, control.host, joinMs, () => tryJoin(world, control))
@@ -86,10 +85,8 @@
   const isMember = control.replica?.members.some(member => member.id === idOf(control)) ?? false
   if (isMember) return
   if (control.replica === undefined) {
-    const snapshot = firstSnapshot([], '')
-    control.disk.cluster = true
-    control.disk.stored = { hardState: { term: 0, votedFor: undefined }, snapshot, entries: [] }
-    startReplicaOnly(world, control)
+    fillDisk(control, firstSnapshot([], ''))
+    startReplica(world, control)
   }
   for (const other of world.controls) {
     if (other === control) continue
@@ -97,10 +94,11 @@
   }
 }
 
-function startReplicaOnly (world: World, control: ControlModel): void {
+/** Starts the copy of the log, if the disk holds one. */
+function startReplica ({ network, charts }: World, control: ControlModel): void {
   const { stored } = control.disk
   if (stored === undefined) return
   control.replica = createReplica({
-    id: idOf(control), cluster: 'c', chart: world.charts.role, times: { heartbeatMs: times.heartbeatMs, electionMs: times.electionMs }, random: world.network.random, stored
-  }, world.network.now)
+    id: idOf(control), cluster: 'c', chart: charts.role, times: { heartbeatMs: times.heartbeatMs, electionMs: times.electionMs }, random: network.random, stored
+  }, network.now)
 }
