Follow, list and find drains and shifts by one function each; behaviour unchanged

`drain watch` and `shift watch` had the same loop, both `list` commands the same lines, and drains, shifts and profiles each their own search by key with its error. What differs is one record for each kind now (`MoveKind`). Tests of cli pass, unchanged.

--- a/packages/cli/src/core/commands/moves.ts
+++ b/packages/cli/src/core/commands/moves.ts
@@ -5,9 +5,10 @@
 import type { DrainItem, ShiftItem } from '@lynxcourse/state'
 import { exitCodes } from '../../utils/exitCodes.js'
 import { printOne, printProgress, printRows } from '../../utils/printing.js'
+import type { Row } from '../../utils/printing.js'
 import { pause, sendChange } from '../changing.js'
 import type { ChangeOptions } from '../changing.js'
-import { call } from '../session.js'
+import { call, findByKey } from '../session.js'
 import type { Session } from '../session.js'
 import { action, changeOptions } from './action.js'
 
@@ -43,25 +44,57 @@
   return value
 }
 
-function drainRow (drain: DrainRow): Record<string, unknown> {
-  const { key, target, state, remaining, waitingFor, elapsedMs, origin } = drain
-  return { id: key, kind: target.kind, name: target.name, state, remaining, waitingFor: waitingFor.join(',') || '-', elapsedMs, operator: origin.operator }
+/** What tells drains and shifts apart here. */
+interface MoveKind<Move> {
+  readonly name: string
+  readonly query: string
+  /** State in which it has come to its end; else it was cancelled. */
+  readonly endState: string
+  readonly columns: readonly string[]
+  readonly rowOf: (move: Move) => Row
+  readonly progressOf: (move: Move) => string
 }
 
-const drainColumns = ['id', 'kind', 'name', 'state', 'remaining', 'waitingFor', 'elapsedMs', 'operator']
+const drains: MoveKind<DrainRow> = {
+  name: 'drain',
+  query: 'query.drains',
+  endState: 'drained',
+  columns: ['id', 'kind', 'name', 'state', 'remaining', 'waitingFor', 'elapsedMs', 'operator'],
+  rowOf: ({ key, target, state, remaining, waitingFor, elapsedMs, origin }) =>
+    ({ id: key, kind: target.kind, name: target.name, state, remaining, waitingFor: waitingFor.join(',') || '-', elapsedMs, operator: origin.operator }),
+  progressOf: ({ remaining, elapsedMs, waitingFor }) =>
+    `${remaining} requests in flight, ${Math.round(elapsedMs / 1000)} s, waiting for ${waitingFor.join(', ') || 'nobody'}`
+}
+
+const shifts: MoveKind<ShiftRow> = {
+  name: 'shift',
+  query: 'query.shifts',
+  endState: 'complete',
+  columns: ['id', 'service', 'from', 'to', 'state', 'percent', 'target', 'cap', 'busy', 'slots'],
+  rowOf: ({ key, service, from, to, state, percent, targetPercent, cap, destinationBusy, destinationSlots }) =>
+    ({ id: key, service, from, to, state, percent, target: targetPercent, cap, busy: destinationBusy, slots: destinationSlots }),
+  progressOf: ({ percent, targetPercent, destinationBusy, destinationSlots }) =>
+    `${percent} of ${targetPercent} %, destination ${destinationBusy} of ${destinationSlots} slots`
+}
+
+/** The id of a new move, printed so that it is known even if the answer is lost. */
+function newMoveId ({ name }: MoveKind<never>, given: string | undefined): string {
+  const id = given ?? `${name}-${randomUUID().slice(0, 8)}`
+  printProgress(`${name} id ${id}`)
+  return id
+}
 
-async function findDrain (session: Session, id: string): Promise<DrainRow> {
-  const found = (await call<DrainRow[]>(session, 'query.drains')).find(drain => drain.key === id)
-  if (found === undefined) throw new LynxError('notFound', `drain '${id}'`, { step: 'drain' })
-  return found
+async function listMoves<Move> (session: Session, { query, columns, rowOf }: MoveKind<Move>): Promise<number> {
+  printRows(session.output, (await call<Move[]>(session, query)).map(rowOf), columns)
+  return exitCodes.ok
 }
 
-async function watchDrain (session: Session, id: string): Promise<number> {
+async function watchMove<Move extends { readonly key: string, readonly state: string }> (session: Session, kind: MoveKind<Move>, id: string): Promise<number> {
   for (;;) {
-    const drain = await findDrain(session, id)
-    printProgress(`${drain.state}: ${drain.remaining} requests in flight, ${Math.round(drain.elapsedMs / 1000)} s, waiting for ${drain.waitingFor.join(', ') || 'nobody'}`)
-    if (drain.state === 'drained' || drain.state === 'cancelled') {
-      printOne(session.output, drainRow(drain))
+    const move = await findByKey<Move>(session, kind.query, kind.name, id)
+    printProgress(`${move.state}: ${kind.progressOf(move)}`)
+    if (move.state === kind.endState || move.state === 'cancelled') {
+      printOne(session.output, kind.rowOf(move))
       return exitCodes.ok
     }
     await pause(watchMs)
@@ -78,15 +111,11 @@
     .action(action(async (session, [kind, name], options: DrainOptions) => {
       const targetKind = drainKinds[kind ?? '']
       if (targetKind === undefined) throw new LynxError('badRequest', `kind: '${kind}' is none of server, vm, domain, region`, { step: 'drain', field: 'kind' })
-      const id = options.id ?? `drain-${randomUUID().slice(0, 8)}`
-      printProgress(`drain id ${id}`)
+      const id = newMoveId(drains, options.id)
       return await sendChange(session, { type: 'startDrain', drain: id, target: { kind: targetKind, name }, at: readTime(options.at) }, options)
     }))
-  drain.command('list').description('list drains').action(action(async session => {
-    printRows(session.output, (await call<DrainRow[]>(session, 'query.drains')).map(drainRow), drainColumns)
-    return exitCodes.ok
-  }))
-  drain.command('watch <id>').description('follow a drain to its end').action(action(async (session, [id]) => await watchDrain(session, id ?? '')))
+  drain.command('list').description('list drains').action(action(async session => await listMoves(session, drains)))
+  drain.command('watch <id>').description('follow a drain to its end').action(action(async (session, [id]) => await watchMove(session, drains, id ?? '')))
   changeOptions(drain.command('cancel <id>').description('end a drain; new work is let in again'))
     .action(action(async (session, [id], options: ChangeOptions) => await sendChange(session, { type: 'cancelDrain', drain: id }, options)))
 }
@@ -98,26 +127,6 @@
   readonly id?: string
 }
 
-function shiftRow (shift: ShiftRow): Record<string, unknown> {
-  const { key, service, from, to, state, percent, targetPercent, cap, destinationBusy, destinationSlots } = shift
-  return { id: key, service, from, to, state, percent, target: targetPercent, cap, busy: destinationBusy, slots: destinationSlots }
-}
-
-const shiftColumns = ['id', 'service', 'from', 'to', 'state', 'percent', 'target', 'cap', 'busy', 'slots']
-
-async function watchShift (session: Session, id: string): Promise<number> {
-  for (;;) {
-    const shift = (await call<ShiftRow[]>(session, 'query.shifts')).find(row => row.key === id)
-    if (shift === undefined) throw new LynxError('notFound', `shift '${id}'`, { step: 'shift' })
-    printProgress(`${shift.state}: ${shift.percent} of ${shift.targetPercent} %, destination ${shift.destinationBusy} of ${shift.destinationSlots} slots`)
-    if (shift.state === 'complete' || shift.state === 'cancelled') {
-      printOne(session.output, shiftRow(shift))
-      return exitCodes.ok
-    }
-    await pause(watchMs)
-  }
-}
-
 /** Adds `lynxcourse shift`. */
 export function addShiftCommands (program: Command): void {
   const shift = program.command('shift').description('moves of traffic between regions, in steps')
@@ -128,17 +137,13 @@
     .option('--id <id>', 'id of the shift; made up if left out')
     .addHelpText('after', '\nExample:\n  lynxcourse shift start offers kochi chennai --percent 50 --step 5 --cap 20\n')
     .action(action(async (session, [service, from, to], options: ShiftOptions) => {
-      const id = options.id ?? `shift-${randomUUID().slice(0, 8)}`
-      printProgress(`shift id ${id}`)
+      const id = newMoveId(shifts, options.id)
       const cap = options.cap === undefined ? {} : { cap: readNumber('cap', options.cap) }
       const sizes = { percent: readNumber('percent', options.percent), stepPercent: readNumber('step', options.step) }
       return await sendChange(session, { type: 'startShift', shift: id, service, from, to, ...sizes, ...cap }, options)
     }))
-  shift.command('list').description('list shifts').action(action(async session => {
-    printRows(session.output, (await call<ShiftRow[]>(session, 'query.shifts')).map(shiftRow), shiftColumns)
-    return exitCodes.ok
-  }))
-  shift.command('watch <id>').description('follow a shift to its end').action(action(async (session, [id]) => await watchShift(session, id ?? '')))
+  shift.command('list').description('list shifts').action(action(async session => await listMoves(session, shifts)))
+  shift.command('watch <id>').description('follow a shift to its end').action(action(async (session, [id]) => await watchMove(session, shifts, id ?? '')))
   for (const event of ['stop', 'resume', 'cancel']) {
     changeOptions(shift.command(`${event} <id>`).description(`${event} a shift`))
       .action(action(async (session, [id], options: ChangeOptions) => await sendChange(session, { type: 'steerShift', shift: id, event }, options)))
--- a/packages/cli/src/core/commands/profiles.ts
+++ b/packages/cli/src/core/commands/profiles.ts
@@ -9,7 +9,7 @@
 import { printOne, printRows } from '../../utils/printing.js'
 import { sendChange } from '../changing.js'
 import type { ChangeOptions } from '../changing.js'
-import { call } from '../session.js'
+import { call, findByKey } from '../session.js'
 import type { Session } from '../session.js'
 import { action, changeOptions } from './action.js'
 
@@ -37,9 +37,7 @@
 }
 
 async function findProfile (session: Session, name: string): Promise<ProfileItem> {
-  const found = (await listProfiles(session)).find(item => item.key === name)
-  if (found === undefined) throw new LynxError('notFound', `profile '${name}'`, { step: 'profile' })
-  return found
+  return await findByKey<ProfileItem>(session, 'query.profiles', 'profile', name)
 }
 
 /** The version to expect: as given, or the present one, which leaves a race to be noticed. */
--- a/packages/cli/src/core/session.ts
+++ b/packages/cli/src/core/session.ts
@@ -96,3 +96,14 @@
   }
   throw last
 }
+
+/**
+ * One item of a query that lists all of its kind.
+ *
+ * @throws LynxError `notFound`
+ */
+export async function findByKey<Item extends { readonly key: string }> (session: Session, query: string, kind: string, key: string): Promise<Item> {
+  const found = (await call<Item[]>(session, query)).find(item => item.key === key)
+  if (found === undefined) throw new LynxError('notFound', `${kind} '${key}'`, { step: kind })
+  return found
+}
