Log and count for how long a caller's close can have lain unread

Cause for it: a send that ended as its caller left did not say whether the close had lain unread in the kernel when the request was sent (the loop was behind) or came afterwards (bytes late on the way), and nothing counted closes that were read late. Change: 'Sent.' has `closeUnreadMs`, and `lynxcourse_close_unread_seconds` counts closes of callers with an open request. A close lies behind its request and is read at the earliest a turn later, so unless the loop slept in between, its bound is the request's. No decision reads any of it; the request's own bound is as it was.

--- a/packages/daemon/src/core/gateway/call.ts
+++ b/packages/daemon/src/core/gateway/call.ts
@@ -22,6 +22,8 @@
   readonly deadline: Millis
   /** Aborted when the caller has closed its connection. */
   readonly gone: Cancel
+  /** For how long that close can have lain unread; undefined before it is read. */
+  readonly closeUnreadMs: () => Millis | undefined
 }
 
 /** What the caller is told. */
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -1,6 +1,7 @@
 /** The HTTP server that callers reach: reads requests, has them served, writes answers. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
 import { mayTakeUp, turnSpent } from '@lynxcourse/placement'
@@ -12,7 +13,7 @@
 import { isHopByHop } from '../../utils/headers.js'
 import { readBody } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
-import { arrivalTime, noteTurn } from '../../utils/loopWatch.js'
+import { arrivalTime, noteTurn, watchClose } from '../../utils/loopWatch.js'
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
 import { joinPipeline, leavePipeline, tryClosing } from './pipeline.js'
@@ -41,7 +42,13 @@
       res.destroy()
     })
   })
-  server.on('connection', () => noteTurn(gateway.loop))
+  server.on('connection', (socket: Socket) => {
+    noteTurn(gateway.loop)
+    watchClose(gateway.loop, socket, unreadMs => {
+      const isWaiting = (gateway.pipelines.get(socket)?.requests.length ?? 0) > 0
+      if (isWaiting) gateway.node.metrics.closeUnreadSeconds.observe(unreadMs / 1000)
+    })
+  })
   return server
 }
 
@@ -111,7 +118,8 @@
     arrivedAt,
     readAt,
     deadline,
-    gone
+    gone,
+    closeUnreadMs: () => gateway.loop.closesUnread.get(req.socket)
   }
   gateway.heldBytes += body.length
   try {
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -48,10 +48,17 @@
     tookMs: Math.round(now - startedAt),
     writtenAfterMs: writtenAt === undefined ? undefined : Math.round(writtenAt - startedAt),
     restedMs: restedMs === undefined ? undefined : Math.round(restedMs),
-    ...timeFields(call)
+    ...timeFields(call),
+    ...closeFields(call)
   })
 }
 
+/** Tells a close that lay unread when the request was sent from one that came later. */
+function closeFields ({ closeUnreadMs }: Call): LogFields {
+  const unreadMs = closeUnreadMs()
+  return { closeUnreadMs: unreadMs === undefined ? undefined : Math.round(unreadMs) }
+}
+
 /** What this VM has under way, its bound, and how full all VMs together saw the service. */
 function loadFields ({ fleet }: Gateway, service: ServiceId): LogFields {
   const { underWay, limit, meanRatio } = concurrencyOf(fleet, service)
--- a/packages/daemon/src/utils/loopWatch.ts
+++ b/packages/daemon/src/utils/loopWatch.ts
@@ -1,16 +1,25 @@
 /** Follows the turns of the process's event loop, for the bound on how long callers' requests lie unread. */
 import type { Socket } from 'node:net'
 import { performance } from 'node:perf_hooks'
-import { arrivedSince, beginTurn, createLoopTurns, endTurn, sampleMs, sampleTurns } from '@lynxcourse/placement'
+import { arrivedSince, beginTurn, createLoopTurns, endTurn, leastSleepMs, sampleMs, sampleTurns } from '@lynxcourse/placement'
 import type { LoopTurns } from '@lynxcourse/placement'
 import type { Millis } from '@lynxcourse/base'
 import { presentTime } from './clock.js'
 
+/** When a request was read. */
+interface LastRead {
+  readonly arrivedAt: Millis
+  /** Time that the loop had slept by then. */
+  readonly sleptMs: Millis
+}
+
 /** Watches until it is disposed. */
 export interface LoopWatch extends AsyncDisposable {
   readonly turns: LoopTurns
-  /** Callers' connections that have carried a request. */
-  readonly used: WeakSet<Socket>
+  /** The last request of each of the callers' connections that have carried one. */
+  readonly lastReads: WeakMap<Socket, LastRead>
+  /** For how long the close of a caller's connection can have lain unread; none while it is not read. */
+  readonly closesUnread: WeakMap<Socket, Millis>
 }
 
 /** A loop that is this much late for a sample stood still, by a stop from outside or a long turn of its own. */
@@ -27,7 +36,7 @@
     sampledAt = now
     sampleTurns(turns, sleptMs(), now)
   }, sampleMs)
-  return { turns, used: new WeakSet(), [Symbol.asyncDispose]: async () => clearInterval(timer) }
+  return { turns, lastReads: new WeakMap(), closesUnread: new WeakMap(), [Symbol.asyncDispose]: async () => clearInterval(timer) }
 }
 
 /** Notes the turn that a callback of a socket belongs to. Immediates run once all sockets of a turn were read. */
@@ -44,9 +53,30 @@
  */
 export function arrivalTime (watch: LoopWatch, socket: Socket, now: Millis): Millis {
   noteTurn(watch)
-  const isFirst = !watch.used.has(socket)
-  watch.used.add(socket)
-  return arrivedSince(watch.turns, isFirst, now)
+  const arrivedAt = arrivedSince(watch.turns, !watch.lastReads.has(socket), now)
+  watch.lastReads.set(socket, { arrivedAt, sleptMs: sleptMs() })
+  return arrivedAt
+}
+
+/** Notes for how long a caller's close can have lain unread when it is read. */
+export function watchClose (watch: LoopWatch, socket: Socket, onRead: (unreadMs: Millis) => void): void {
+  const note = (): void => {
+    if (watch.closesUnread.has(socket)) return
+    const now = presentTime()
+    const unreadMs = now - closedSince(watch, socket, now)
+    watch.closesUnread.set(socket, unreadMs)
+    onRead(unreadMs)
+  }
+  socket.once('end', note)
+  socket.once('close', note)
+}
+
+/** A close is read at the earliest in the turn after the request before it; unless the loop slept in between, both may have lain there together. */
+function closedSince (watch: LoopWatch, socket: Socket, now: Millis): Millis {
+  noteTurn(watch)
+  const last = watch.lastReads.get(socket)
+  const isBehindRequest = last !== undefined && sleptMs() - last.sleptMs < leastSleepMs
+  return isBehindRequest ? last.arrivedAt : arrivedSince(watch.turns, false, now)
 }
 
 /** Time that the loop has waited for sockets and timers. */
--- a/packages/placement/src/core/admission/unreadBound.ts
+++ b/packages/placement/src/core/admission/unreadBound.ts
@@ -31,7 +31,7 @@
 }
 
 /** A loop that waits for less found something at once: it may have lain there. */
-const leastSleepMs: Millis = 1
+export const leastSleepMs: Millis = 1
 
 /**
  * Time between two marks of a loop that is quiet, and the least time that counts as unread: what a loop works between two marks
