--- /dev/null
+++ b/packages/daemon/__tests__/callerLeft.test.ts
@@ -0,0 +1,214 @@
+/** Requests whose callers closed their connections while the VM's event loop stood still. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Histogram } from 'prom-client'
+import { OwnServerDialect } from '@lynxcourse/daemon'
+import type { Metrics } from '@lynxcourse/daemon'
+import { concurrencyOf } from '@lynxcourse/placement'
+import { ask, desk, publish, routeTo, startRig, startServer, until } from './support/fleetRig.js'
+import type { FakeServer, FleetRig } from './support/fleetRig.js'
+import { startBackend, startRig as startServiceRig } from './support/rig.js'
+import type { Backend, Rig } from './support/rig.js'
+import { connectThreadCaller } from './support/threadCaller.js'
+import type { ThreadCaller } from './support/threadCaller.js'
+
+const timeoutMs = 20_000
+const blockedMs = 300
+const path = '/read/left'
+
+type Gateway = NonNullable<NonNullable<FleetRig['daemons'][number]>['gateway']>
+
+function gatewayOf (rig: FleetRig): Gateway {
+  return rig.daemons.at(-1)?.gateway as Gateway
+}
+
+async function connectCaller (rig: FleetRig, isOld: boolean): Promise<ThreadCaller> {
+  return await connectThreadCaller(rig.settings.at(-1)?.callers ?? '', path, isOld)
+}
+
+/** What a histogram has counted, over all labels. */
+async function countOf (histogram: Histogram<string>): Promise<number> {
+  const { values } = await histogram.get()
+  return values.filter(({ metricName }) => metricName?.endsWith('_count') === true).reduce((sum, { value }) => sum + value, 0)
+}
+
+/** Waits until the event loop runs timers next, and reads sockets after them. */
+async function beforeTimers (): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve))
+}
+
+/** Has a caller send and leave while the VM stands still, and waits until the VM is done with its request. */
+async function sendAndLeave (rig: FleetRig, caller: ThreadCaller): Promise<void> {
+  const gateway = gatewayOf(rig)
+  const { unreadSeconds } = gateway.node.metrics
+  const before = await countOf(unreadSeconds)
+  caller.sendAndLeaveWhileBlocked(blockedMs)
+  await until(async () => await countOf(unreadSeconds) > before && gateway.open === 0)
+}
+
+/** Requests that a server got, apart from those that a caller waited for, once nothing is under way any more. */
+async function leftAt (rig: FleetRig, server: FakeServer, answered: number): Promise<number> {
+  await until(() => gatewayOf(rig).open === 0)
+  assert.equal((await ask(rig, '/read/after')).status, 200)
+  return server.requests.filter(({ url }) => url === path).length - answered
+}
+
+for (const isOld of [true, false]) {
+  /** Guards against this failure: servers run requests whose callers left while their VM was busy. */
+  test(`a request whose caller left before it was read reaches no server, on ${isOld ? 'an old' : 'a new'} connection`, async () => {
+    await using rig = await startRig(1)
+    await using server = await startServer('s1', (_req, res) => res.end('ok'))
+    await publish(rig, [server], [routeTo('read', { timeoutMs })])
+    assert.equal((await ask(rig, '/read/before')).status, 200)
+    await using caller = await connectCaller(rig, isOld)
+    await sendAndLeave(rig, caller)
+    assert.equal(await leftAt(rig, server, isOld ? 1 : 0), 0)
+  })
+}
+
+/** Guards against this failure: nothing tells a close that lay unread when its request was sent from one that came later. */
+test('a close that lay unread while the VM stood still is counted with that time', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await publish(rig, [server], [routeTo('read', { timeoutMs })])
+  const { closeUnreadSeconds } = gatewayOf(rig).node.metrics
+  for (const isOld of [true, false]) {
+    closeUnreadSeconds.reset()
+    await using caller = await connectCaller(rig, isOld)
+    await sendAndLeave(rig, caller)
+    const { values } = await closeUnreadSeconds.get()
+    const sum = values.find(({ metricName }) => metricName === 'lynxcourse_close_unread_seconds_sum')?.value ?? 0
+    assert.ok(sum >= blockedMs / 1000, `${sum} s`)
+  }
+})
+
+/** Guards against this failure: a wait's timer, which runs before sockets are read, sends a request whose caller has left. */
+test('a request that waits for room is not sent once its caller has left', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await publish(rig, [server], [routeTo('read', { timeoutMs })])
+  await using caller = await connectCaller(rig, true)
+  const gateway = gatewayOf(rig)
+  const concurrency = concurrencyOf(gateway.fleet, desk)
+  concurrency.underWay += concurrency.limit
+  caller.send()
+  await until(() => gateway.waitingForRoom.get(desk) === 1)
+  await beforeTimers()
+  concurrency.underWay -= concurrency.limit
+  caller.leaveWhileBlocked(blockedMs)
+  assert.equal(await leftAt(rig, server, 1), 0)
+})
+
+/** Calls back in the turn of the event loop in which a send begins, after its connection began to open. */
+class HookedDialect extends OwnServerDialect {
+  constructor (private readonly onSend: () => void) { super() }
+
+  override requestHeaders (...args: Parameters<OwnServerDialect['requestHeaders']>): ReturnType<OwnServerDialect['requestHeaders']> {
+    setImmediate(this.onSend)
+    return super.requestHeaders(...args)
+  }
+}
+
+/** Guards against this failure: a connection to a server that opens in the turn in which the caller's close is read carries the request. */
+test('a request is not written to a connection that opens once its caller has left', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await publish(rig, [server], [routeTo('read', { timeoutMs })])
+  const gateway = gatewayOf(rig)
+  await using caller = await connectCaller(rig, false)
+  const left = new Promise<void>(resolve => {
+    const hooked = new HookedDialect(() => {
+      Object.assign(gateway, { servers: new OwnServerDialect() })
+      caller.leaveWhileBlocked(blockedMs)
+      resolve()
+    })
+    Object.assign(gateway, { servers: hooked })
+  })
+  caller.send()
+  await left
+  assert.equal(await leftAt(rig, server, 0), 0)
+})
+
+/** Guards against this failure: a server's refusal that is read before the caller's close sends the request to the next server. */
+test('a request that a server refused is not sent to another once its caller has left', async () => {
+  await using rig = await startRig(1)
+  await using caller = await connectCaller(rig, false)
+  const refuseOnce = (req: IncomingMessage, res: ServerResponse): void => {
+    const isFirst = req.url === path && first.requests.concat(second.requests).filter(({ url }) => url === path).length === 1
+    if (isFirst) res.writeHead(503, { 'lynx-not-started': 'true' })
+    res.end('ok')
+    if (isFirst) caller.leaveWhileBlocked(blockedMs)
+  }
+  await using first = await startServer('s1', refuseOnce)
+  await using second = await startServer('s2', refuseOnce)
+  await publish(rig, [first, second], [routeTo('read', { timeoutMs })])
+  // Both servers have a connection at rest, over which a second send is written at once.
+  await until(async () => {
+    await Promise.all(Array.from({ length: 4 }, async () => await ask(rig, '/read/before')))
+    return gatewayOf(rig).pool.byAddress.size === 2
+  })
+  caller.send()
+  await until(() => first.requests.concat(second.requests).some(({ url }) => url === path))
+  assert.equal(await leftAt(rig, first, 0) + await leftAt(rig, second, 0), 1)
+})
+
+const servicePath = '/s/offers/left'
+
+async function connectServiceCaller (rig: Rig, isOld: boolean): Promise<ThreadCaller> {
+  return await connectThreadCaller(rig.http.replace('http://', ''), servicePath, isOld)
+}
+
+/** Has a server count the requests of the caller. */
+function countLeft (backend: Backend): { runs: number } {
+  const count = { runs: 0 }
+  backend.handler = (req, res) => {
+    if (req.url === '/left') count.runs += 1
+    res.end('ok')
+  }
+  return count
+}
+
+async function untilServed (rig: Rig): Promise<void> {
+  await until(() => rig.daemon.entry?.open === 0)
+  const res = await fetch(`${rig.http}/s/offers/after`)
+  assert.equal(res.status, 200)
+}
+
+for (const isOld of [true, false]) {
+  /** Guards against this failure: servers of a service run requests whose callers left while their VM was busy. */
+  test(`a request to a service whose caller left before it was read reaches no server, on ${isOld ? 'an old' : 'a new'} connection`, async () => {
+    await using rig = await startServiceRig({}, { deadlineMs: timeoutMs })
+    await using backend = await startBackend(rig)
+    const count = countLeft(backend)
+    await untilServed(rig)
+    await using caller = await connectServiceCaller(rig, isOld)
+    const before = count.runs
+    const { requestSeconds } = rig.daemon.entry?.node.metrics as Metrics
+    const served = await countOf(requestSeconds)
+    caller.sendAndLeaveWhileBlocked(blockedMs)
+    await until(async () => await countOf(requestSeconds) > served)
+    await untilServed(rig)
+    assert.equal(count.runs, before)
+  })
+}
+
+/** Guards against this failure: the end of a server's pause sends a request whose caller has left. */
+test('a request to a service that waits for a slot is not sent once its caller has left', async () => {
+  await using rig = await startServiceRig({}, { deadlineMs: timeoutMs })
+  await using backend = await startBackend(rig)
+  const paths: string[] = []
+  backend.handler = (req, res) => {
+    if (req.url === '/left' && !paths.includes('/left')) res.writeHead(503, { 'lynx-not-started': 'true', 'retry-after': '0.2' })
+    paths.push(req.url ?? '')
+    res.end('ok')
+  }
+  await untilServed(rig)
+  await using caller = await connectServiceCaller(rig, false)
+  caller.send()
+  await until(() => [...rig.daemon.entry?.queues.values() ?? []].some(({ queue }) => queue.heap.length === 1))
+  await beforeTimers()
+  caller.leaveWhileBlocked(blockedMs)
+  await untilServed(rig)
+  assert.equal(paths.filter(each => each === '/left').length, 1)
+})
--- a/packages/daemon/__tests__/support/threadCaller.ts
+++ b/packages/daemon/__tests__/support/threadCaller.ts
@@ -1,7 +1,7 @@
 /** A caller on a thread of its own: it sends while the event loop of the tests, and of the VMs in them, stands still. */
 import { Worker } from 'node:worker_threads'
 
-/** Runs in the thread: connects, asks once so that the connection is an old one where that is wanted, then sends when told to. */
+/** Runs in the thread: connects, asks once so that the connection is an old one where that is wanted, then sends and leaves when told to. */
 const program = `
 const { connect } = require('node:net')
 const { parentPort, workerData } = require('node:worker_threads')
@@ -11,7 +11,10 @@
 const socket = connect(port, host)
 let text = ''
 let isReady = !isOld
-const send = () => socket.write(head, () => { Atomics.store(sent, 0, 1); Atomics.notify(sent, 0) })
+const done = () => { Atomics.add(sent, 0, 1); Atomics.notify(sent, 0) }
+const send = () => socket.write(head, done)
+const leave = () => { socket.once('close', done); socket.destroy() }
+const steps = { send, leave, sendAndLeave: () => socket.write(head, leave) }
 socket.setEncoding('latin1')
 socket.on('error', err => parentPort.postMessage({ failed: String(err) }))
 socket.on('connect', () => { if (isOld) socket.write(head); else parentPort.postMessage('ready') })
@@ -24,13 +27,19 @@
   else { isReady = true; parentPort.postMessage('ready') }
   text = ''
 })
-parentPort.on('message', send)
+parentPort.on('message', step => steps[step]())
 `
 
 /** A caller that is connected. */
 export interface ThreadCaller extends AsyncDisposable {
   /** Has it send its request, and holds this thread until that is done and so many milliseconds more. */
   readonly sendWhileBlocked: (blockedMs: number) => void
+  /** The same, and closes its connection once the request is sent. */
+  readonly sendAndLeaveWhileBlocked: (blockedMs: number) => void
+  /** Has it send its request, and goes on. */
+  readonly send: () => void
+  /** Has it close its connection, and holds this thread until that is done and so many milliseconds more. */
+  readonly leaveWhileBlocked: (blockedMs: number) => void
   /** The text of its answer. */
   readonly answer: Promise<string>
 }
@@ -52,12 +61,17 @@
   await next()
   const answer = next()
   answer.catch(() => undefined)
+  const blockWhile = (step: string, blockedMs: number): void => {
+    const before = Atomics.load(sent, 0)
+    worker.postMessage(step)
+    Atomics.wait(sent, 0, before)
+    Atomics.wait(sent, 0, before + 1, blockedMs)
+  }
   return {
-    sendWhileBlocked: blockedMs => {
-      worker.postMessage('send')
-      Atomics.wait(sent, 0, 0)
-      Atomics.wait(sent, 0, 1, blockedMs)
-    },
+    sendWhileBlocked: blockedMs => blockWhile('send', blockedMs),
+    sendAndLeaveWhileBlocked: blockedMs => blockWhile('sendAndLeave', blockedMs),
+    send: () => worker.postMessage('send'),
+    leaveWhileBlocked: blockedMs => blockWhile('leave', blockedMs),
     answer,
     [Symbol.asyncDispose]: async () => { await worker.terminate() }
   }
