Count how late a timer of the event loop runs

The bound takes time in the wait for sockets for sleep. Change: `lynxcourse_loop_late_seconds`, from the timer that samples the loop anyway. No decision reads it. Test: the largest lateness is that of the reported stop (loopWatch.test.ts).

--- a/packages/daemon/__tests__/loopWatch.test.ts
+++ b/packages/daemon/__tests__/loopWatch.test.ts
@@ -8,11 +8,13 @@
 /** Guards against logs in which a VM that was frozen looks like one that was cut off. */
 test('a loop that stood still says so once it goes on', async () => {
   const stops: number[] = []
-  await using watch = openLoopWatch(forMs => stops.push(forMs))
+  const late: number[] = []
+  await using watch = openLoopWatch(forMs => stops.push(forMs), lateMs => late.push(lateMs))
   await delay(0)
   const until = presentTime() + stopMs
   while (presentTime() < until) { /* the loop stands still */ }
   while (stops.length === 0) await delay(10)
   assert.ok(watch.turns.markedAt >= until)
   assert.ok((stops[0] as number) >= stopMs / 2, `${stops.join()}`)
+  assert.equal(Math.max(...late), stops[0])
 })
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -47,7 +47,10 @@
     load: node.load,
     splits: new Map(),
     retries: new Map(),
-    loop: openLoopWatch(forMs => log(node.logs, 'daemon', 'warn', 'Stood still.', { forMs: Math.round(forMs) })),
+    loop: openLoopWatch(
+      forMs => log(node.logs, 'daemon', 'warn', 'Stood still.', { forMs: Math.round(forMs) }),
+      lateMs => node.metrics.loopLateSeconds.observe(lateMs / 1000)
+    ),
     table: buildRouteTable([]),
     limits: defaultCallerLimits,
     pipelines: new WeakMap(),
--- a/packages/daemon/src/utils/loopWatch.ts
+++ b/packages/daemon/src/utils/loopWatch.ts
@@ -25,13 +25,17 @@
 /** A loop that is this much late for a sample stood still, by a stop from outside or a long turn of its own. */
 const stillMs: Millis = 500
 
-/** @param onStill called once the loop goes on after it stood still, with for how long */
-export function openLoopWatch (onStill: (forMs: Millis) => void = () => undefined): LoopWatch {
+/**
+ * @param onStill called once the loop goes on after it stood still, with for how long
+ * @param onSample called with how late each sample is, whether the loop worked or waited for the processor
+ */
+export function openLoopWatch (onStill: (forMs: Millis) => void = () => undefined, onSample: (lateMs: Millis) => void = () => undefined): LoopWatch {
   const turns = createLoopTurns(sleptMs(), presentTime())
   let sampledAt = presentTime()
   const timer = setInterval(() => {
     const now = presentTime()
     const lateMs = now - sampledAt - sampleMs
+    onSample(Math.max(0, lateMs))
     if (lateMs > stillMs) onStill(lateMs)
     sampledAt = now
     sampleTurns(turns, sleptMs(), now)
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -10,6 +10,7 @@
   readonly requestSeconds: Histogram<'service'>
   readonly unreadSeconds: Histogram
   readonly closeUnreadSeconds: Histogram
+  readonly loopLateSeconds: Histogram
   readonly attempts: Counter<'end'>
   readonly lookups: Counter<'result'>
   readonly claims: Counter<'result'>
@@ -35,6 +36,7 @@
     requestSeconds: new Histogram({ name: 'lynxcourse_request_duration_seconds', help: 'Time to the final answer.', labelNames: ['service'], buckets: latencyBuckets, registers }),
     unreadSeconds: new Histogram({ name: 'lynxcourse_request_unread_seconds', help: 'Longest time that a request can have lain unread before this VM got to it.', buckets: latencyBuckets, registers }),
     closeUnreadSeconds: new Histogram({ name: 'lynxcourse_close_unread_seconds', help: 'Longest time that the close of a caller with an open request can have lain unread before this VM read it.', buckets: latencyBuckets, registers }),
+    loopLateSeconds: new Histogram({ name: 'lynxcourse_loop_late_seconds', help: 'How late a timer of the event loop ran, whether the loop worked or waited for the processor.', buckets: latencyBuckets, registers }),
     attempts: new Counter({ name: 'lynxcourse_attempts_total', help: 'Attempts at backend servers by end.', labelNames: ['end'], registers }),
     lookups: new Counter({ name: 'lynxcourse_lookups_total', help: 'Look-ups by result.', labelNames: ['result'], registers }),
     claims: new Counter({ name: 'lynxcourse_claims_total', help: 'Claims by result.', labelNames: ['result'], registers }),
