Tests: stop the loop in the same phase in which a send's connection begins to open

The test held the loop one immediate after the send's headers were made. A send that is decided outside of the wait for sockets has a look at them in between, so its request was written before the caller left, and the test saw a request that nobody had left. Two ticks after the headers the connection has begun to open and nothing has been read since, wherever the send was decided.

--- a/packages/daemon/__tests__/callerLeft.test.ts
+++ b/packages/daemon/__tests__/callerLeft.test.ts
@@ -100,12 +100,13 @@
   assert.equal(await leftAt(rig, server, 1), 0)
 })
 
-/** Calls back in the turn of the event loop in which a send begins, after its connection began to open. */
+/** Calls back once the connection of a send has begun to open, before the event loop reads sockets again. */
 class HookedDialect extends OwnServerDialect {
   constructor (private readonly onSend: () => void) { super() }
 
   override requestHeaders (...args: Parameters<OwnServerDialect['requestHeaders']>): ReturnType<OwnServerDialect['requestHeaders']> {
-    setImmediate(this.onSend)
+    // A connection to an address begins to open in the next tick.
+    process.nextTick(() => process.nextTick(this.onSend))
     return super.requestHeaders(...args)
   }
 }
