--- a/packages/placement/__tests__/unreadBound.test.ts
+++ b/packages/placement/__tests__/unreadBound.test.ts
@@ -30,6 +30,23 @@
   assert.equal(arrivedSince(turns, false, 60_060), 60_060)
 })
 
+/** Guards against deadlines that are counted from when a VM got its processor back, not from when the request came. */
+test('a loop that seems to sleep on while its timer is due has waited for the processor since then', () => {
+  const turns = createLoopTurns(0, 0)
+  sampleTurns(turns, 100, 100)
+  beginTurn(turns, 2600, 2600)
+  assert.equal(arrivedSince(turns, false, 2600), 200)
+  assert.equal(arrivedSince(turns, true, 2600), 200)
+})
+
+test('what waits behind a timer that is late has waited since the timer was due', () => {
+  const turns = createLoopTurns(0, 0)
+  sampleTurns(turns, 100, 100)
+  sampleTurns(turns, 1500, 1500)
+  beginTurn(turns, 1500, 1501)
+  assert.equal(arrivedSince(turns, false, 1501), 200)
+})
+
 /** A turn of the loop: how long it slept before it, how long it worked in it, and whether it read from callers or servers. */
 const turn = fc.record({
   sleptMs: fc.oneof(fc.constant(0), fc.integer({ min: 1, max: 300 })),
