Count time in which a VM waits for its processor as time unread, not as sleep

What callers saw: requests that an entry VM without processor time read late were treated as if they had just come.

Cause: the bound on unread time takes the runtime's idle time for sleep. A process that has used up its share waits for the processor inside the wait for sockets, so that wait counted as sleep, and deadlines and admission began after it. Trial on the code before: of a stop of 675 ms inside that wait, 674 ms were counted as sleep.

Ruled out: a longer sampling interval or coarser clock; the metric itself is right about what it measures.

Change: the loop's own timer tells when it is due (`wakesBy`). A loop does not sleep past its timers, so what seems to be sleep beyond that is a wait for the processor, and what is read then can have lain there since. The resolution stays that of the samples, 100 ms.

Tests (unreadBound.test.ts), before: not ok 4 - a loop that seems to sleep on while its timer is due has waited for the processor since then expected: 200 actual: 2600 not ok 5 - what waits behind a timer that is late has waited since the timer was due expected: 200 actual: 1501 After: 6 of 6, the property over any turns among them.

Why it holds: the timer is armed whenever the loop sleeps; the bound only moves back, never forward, so no request is taken for younger than before.

--- a/packages/placement/src/core/admission/unreadBound.ts
+++ b/packages/placement/src/core/admission/unreadBound.ts
@@ -16,6 +16,8 @@
   markedAt: Millis
   /** Time that the loop had slept by then. */
   sleptMs: Millis
+  /** When its next timer is due: a wait for sockets that lasts longer waits for the processor. */
+  wakesBy: Millis
   /** What can be read at that mark has come since then. */
   readableSince: Millis
   /** When the present turn was noted: about when it began to read. */
@@ -40,7 +42,7 @@
 export const sampleMs: Millis = 100
 
 export function createLoopTurns (sleptMs: Millis, now: Millis): LoopTurns {
-  return { isOpen: false, markedAt: now, sleptMs, readableSince: now, notedAt: now, hasSlept: true, beganAt: now, unreadSince: now, acceptedSince: now }
+  return { isOpen: false, markedAt: now, sleptMs, wakesBy: Infinity, readableSince: now, notedAt: now, hasSlept: true, beganAt: now, unreadSince: now, acceptedSince: now }
 }
 
 /**
@@ -53,7 +55,7 @@
   turns.isOpen = true
   turns.notedAt = now
   const sinceMark = sleptMs - turns.sleptMs
-  turns.beganAt = turns.markedAt + sinceMark
+  turns.beganAt = wokeAt(turns, sinceMark)
   const hasSlept = sinceMark >= leastSleepMs
   turns.hasSlept = hasSlept
   turns.acceptedSince = hasSlept ? turns.beganAt : turns.unreadSince
@@ -69,13 +71,20 @@
 
 /** Marks a loop that had no noted turn for a while, so that what it works over a long time does not add up. */
 export function sampleTurns (turns: LoopTurns, sleptMs: Millis, now: Millis): void {
-  if (turns.isOpen || now - turns.markedAt < sampleMs) return
-  const sinceMark = sleptMs - turns.sleptMs
-  if (sinceMark >= leastSleepMs) {
-    turns.readableSince = turns.markedAt + sinceMark
-    turns.unreadSince = turns.readableSince
+  if (!turns.isOpen && now - turns.markedAt >= sampleMs) {
+    const sinceMark = sleptMs - turns.sleptMs
+    if (sinceMark >= leastSleepMs) {
+      turns.readableSince = wokeAt(turns, sinceMark)
+      turns.unreadSince = turns.readableSince
+    }
+    mark(turns, sleptMs, now)
   }
-  mark(turns, sleptMs, now)
+  turns.wakesBy = now + sampleMs
+}
+
+/** When the loop last had something to do, at the earliest: a process that waits for the processor seems to sleep on. */
+function wokeAt ({ markedAt, wakesBy }: LoopTurns, sinceMark: Millis): Millis {
+  return Math.min(markedAt + sinceMark, Math.max(markedAt, wakesBy))
 }
 
 function mark (turns: LoopTurns, sleptMs: Millis, now: Millis): void {
