Begin a request at a server only after a look at its caller's connection

Cause: a VM knows of a close only once it has read it. The close lies behind the request's bytes and is read one turn of the event loop after them; `close`, by which the VM judged, comes a turn after the end of what the caller sends. Timers of waits run before sockets are read, and an opened connection or a server's refusal may be read before the close in the same turn. A VM that is short of processor time, or stood still, so began work for callers that had left long before.

Ruled out: a wait that does not hear of the close (each asks again before its next step; a trial without a stall sent nothing); bytes held in the VM's kernel (a send whose caller left is reset). Tried first and not kept: a look only where a request had lain unread for over 100 ms by the bound. The bound can't see a wait for the processor in all cases, and a second rule for fresh requests made the code longer.

Change: - a request is begun at a server, or sent again, only after one whole look at the sockets that began after it was read, and that is at most 250 ms old (placement/admission/callerView, step `look` of a request's course); the first look comes before admission, so that the turn's budget counts the work itself; - a connection to a server that took over 100 ms to open is handed over after such a look, and not at all if it has ended meanwhile; - the end of what a caller sends counts as its leaving, not only the close of the connection; - the same gate stands in the service-addressed path, where a slot is given back if the caller has left; - 'Caller left before its request was taken up.' in the log.

Looks are shared by all requests that wait for one, and cost a turn of a loop that does not sleep.

Why it holds: no send has a way around the gate, and it does not depend on how long something is thought to have lain unread.

--- a/packages/daemon/src/core/entry/attemptSteps.ts
+++ b/packages/daemon/src/core/entry/attemptSteps.ts
@@ -1,11 +1,13 @@
 /** Steps that repeatable and once-only requests share: getting a slot, running an attempt, logging. */
 import { isFinal, nextState } from '@lynxcourse/base'
 import { isCurrent } from '@lynxcourse/membership'
+import { mustLook, noteLook } from '@lynxcourse/placement'
 import type { Millis } from '@lynxcourse/base'
 import type { AttemptEnd } from '@lynxcourse/routing'
 import type { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
 import { isLogged, log } from '../../utils/logging.js'
+import { nextLook } from '../../utils/loopWatch.js'
 import type { FinalAnswer } from '../../types/answers.js'
 import { runAttempt } from './attempts.js'
 import type { AttemptResult } from './attempts.js'
@@ -38,12 +40,21 @@
   const gate = limitGate(entry, request.service, request.profile, presentTime)
   const slot = await acquireSlot(entry, { service: request.service, places, tried }, gate, lastSendAt, signal)
   if (typeof slot === 'string') return slot
+  await renewCallerView(serving)
+  if (signal.aborted) {
+    releaseSlot(entry, slot, 'cancelled')
+    return 'gone'
+  }
   if (mayStillSend(serving)) return slot
   // The lease ran out while the request waited: a drain may have begun that this VM has not heard of.
   releaseSlot(entry, slot, 'cancelled')
   return 'late'
 }
 
+async function renewCallerView ({ entry, caller, signal }: Serving): Promise<void> {
+  while (!signal.aborted && mustLook(caller, presentTime())) noteLook(caller, (await nextLook(entry.loop)).beganAt)
+}
+
 function mayStillSend (serving: Serving): boolean {
   const { entry, request } = serving
   const isLocalRead = request.profile.whenIsolated === 'local' && request.isIdempotent
--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -1,10 +1,14 @@
 /** Connections to backend servers, one `undici` client each, judged by their chart. */
+import type { Socket } from 'node:net'
 import { Client, buildConnector } from 'undici'
-import { createRestMemory, longestRest, noteRestedReset, noteSilence } from '@lynxcourse/placement'
+import { createRestMemory, hasOpenedLate, longestRest, noteRestedReset, noteSilence } from '@lynxcourse/placement'
 import type { RestMemory } from '@lynxcourse/placement'
 import { createConnectionState, mayCarry, noteProgress, takeConnectionEvent } from '@lynxcourse/routing'
 import type { ConnectionCfg, ConnectionState } from '@lynxcourse/routing'
 import type { Chart, Millis } from '@lynxcourse/base'
+import { presentTime } from '../../utils/clock.js'
+import { nextLook } from '../../utils/loopWatch.js'
+import type { LoopWatch } from '../../utils/loopWatch.js'
 import { resetUnanswered } from '../../utils/resetUnanswered.js'
 
 /** One connection. */
@@ -24,6 +28,7 @@
   readonly cfg: ConnectionCfg
   readonly chart: Chart
   readonly connectTimeoutMs: Millis
+  readonly loop: LoopWatch
   /** Called when a connection is open, with the time at which it was asked for. */
   onConnect: ((address: string, startedAt: Millis) => void) | undefined
   /** Connections to each server, the one used last at the end. */
@@ -34,11 +39,12 @@
 /** A connection is closed this long before its server would, so that no request crosses the close. */
 const closeBeforeServerMs: Millis = 1000
 
-export function createPool (cfg: ConnectionCfg, chart: Chart, connectTimeoutMs: Millis): ConnectionPool {
+export function createPool (cfg: ConnectionCfg, chart: Chart, connectTimeoutMs: Millis, loop: LoopWatch): ConnectionPool {
   const pool: ConnectionPool = {
     cfg,
     chart,
     connectTimeoutMs,
+    loop,
     onConnect: undefined,
     byAddress: new Map(),
     rests: createRestMemory(),
@@ -107,10 +113,24 @@
       resetUnanswered(socket)
       socket.on('error', failure => { if ((failure as NodeJS.ErrnoException).code === 'ECONNRESET') connection().wasReset = true })
     }
-    callback(...result)
+    if (socket === null || !hasOpenedLate(startedAt, presentTime())) callback(...result)
+    else handOver(pool.loop, socket, callback).catch(failure => callback(failure as Error, null))
   })
 }
 
+/** Hands a connection over after a look at all sockets: the caller that it was opened for, or its server, may have closed meanwhile. */
+async function handOver (loop: LoopWatch, socket: Socket, callback: buildConnector.Callback): Promise<void> {
+  await nextLook(loop)
+  // `undici` opens another connection, again and again, where it is handed one that has ended.
+  if (socket.destroyed || socket.readableEnded) callback(endedEarly(socket), null)
+  else callback(null, socket)
+}
+
+function endedEarly (socket: Socket): Error {
+  socket.destroy()
+  return Object.assign(new Error('the server closed the connection at once'), { code: 'ECONNRESET', syscall: 'connect' })
+}
+
 /** Notes that bytes came. */
 export function progressConnection (pool: ConnectionPool, connection: Connection, now: Millis): void {
   if (connection.state.state === 'busy') noteProgress(pool.chart, connection.state, now)
--- a/packages/daemon/src/core/entry/entry.ts
+++ b/packages/daemon/src/core/entry/entry.ts
@@ -67,12 +67,13 @@
     random: node.random,
     latencies
   })
+  const loop = openLoopWatch()
   const entry: Entry = {
     node,
     router,
     blocks: buildBlockTable(blocks),
-    pool: createPool({ staleMs: times.staleConnectionMs, silentMs: times.silentConnectionMs }, loadChart('connection'), times.connectTimeoutMs),
-    loop: openLoopWatch(),
+    pool: createPool({ staleMs: times.staleConnectionMs, silentMs: times.silentConnectionMs }, loadChart('connection'), times.connectTimeoutMs, loop),
+    loop,
     attemptChart: loadChart('attempt'),
     claiming,
     lookupIndex: buildLookupIndex([]),
--- a/packages/daemon/src/core/entry/forwarding.ts
+++ b/packages/daemon/src/core/entry/forwarding.ts
@@ -1,6 +1,7 @@
 /** Serves a caller's request to a service, from its head to its one final answer. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { isCurrent } from '@lynxcourse/membership'
+import { createCallerView } from '@lynxcourse/placement'
 import { earnRetry, roundTripTo, serviceTime, slotsOpenTo } from '@lynxcourse/routing'
 import type { AdmissionInput, Place } from '@lynxcourse/routing'
 import type { Millis } from '@lynxcourse/base'
@@ -33,7 +34,11 @@
   entry.open += 1
   node.metrics.inFlight.set(entry.open)
   const gone = new Cancel()
-  res.once('close', () => { if (!res.writableFinished) gone.abort() })
+  const leave = (): void => { if (!res.writableFinished) gone.abort() }
+  const { socket } = req
+  // The end of what the caller sends is read a turn of the event loop before the connection counts as closed.
+  socket.once('end', leave)
+  socket.once('close', leave)
   let service = 'none'
   try {
     const request = await readForwardRequest(entry, req, startedAt)
@@ -47,6 +52,8 @@
     res.setHeader('connection', 'close')
     await writeAnswer(node, res, refusalAnswer(err))
   } finally {
+    socket.off('end', leave)
+    socket.off('close', leave)
     entry.open -= 1
     node.metrics.inFlight.set(entry.open)
     node.metrics.requestSeconds.observe({ service }, (presentTime() - startedAt) / 1000)
@@ -58,7 +65,7 @@
   refreshView(entry, now)
   earnRetry(budgetOf(entry, request.service), request.profile.retryBudget)
   const places = openPlaces(entry, request, address, now)
-  const serving: Serving = { entry, request, places, signal, admission: admissionOf(entry, request, places, now) }
+  const serving: Serving = { entry, request, places, signal, caller: createCallerView(), admission: admissionOf(entry, request, places, now) }
   return request.isIdempotent ? await serveRepeatable(serving) : await serveOnce(serving)
 }
 
--- a/packages/daemon/src/core/entry/serving.ts
+++ b/packages/daemon/src/core/entry/serving.ts
@@ -1,5 +1,6 @@
 /** One request being served: what the ways of serving it share. */
 import { canFinish, createBudget, retryAfter } from '@lynxcourse/routing'
+import type { CallerView } from '@lynxcourse/placement'
 import type { AdmissionInput, Place, RetryBudget } from '@lynxcourse/routing'
 import type { Millis, ServiceId } from '@lynxcourse/base'
 import type { Cancel } from '../../utils/cancel.js'
@@ -14,6 +15,7 @@
   readonly places: readonly Place[]
   /** Aborted when the caller is gone. */
   readonly signal: Cancel
+  readonly caller: CallerView
   readonly admission: AdmissionInput
 }
 
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net'
 import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { mayTakeUp, turnSpent } from '@lynxcourse/placement'
+import { createCallerView, mayTakeUp, noteLook, turnSpent } from '@lynxcourse/placement'
 import type { RoutedService, TurnSpent } from '@lynxcourse/placement'
 import { matchRoute, pickService } from '@lynxcourse/routing'
 import type { HeaderMap } from '../../types/answers.js'
@@ -13,12 +13,12 @@
 import { isHopByHop } from '../../utils/headers.js'
 import { readBody } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
-import { arrivalTime, noteTurn, watchClose } from '../../utils/loopWatch.js'
+import { arrivalTime, nextLook, noteTurn, watchClose } from '../../utils/loopWatch.js'
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
 import { joinPipeline, leavePipeline, tryClosing } from './pipeline.js'
 import type { PipelinedRequest } from './pipeline.js'
-import { logRefusal } from './requestLog.js'
+import { logRefusal, timeFields } from './requestLog.js'
 import type { RefusedCall } from './requestLog.js'
 import { serveCall } from './serving.js'
 import { knowsRoutes, waitForRoutes } from './stateWait.js'
@@ -59,18 +59,19 @@
 }
 
 async function answerCall (gateway: Gateway, req: IncomingMessage, res: ServerResponse): Promise<void> {
-  const arrival = arrivalOf(gateway, req, presentTime())
-  const { arrivedAt } = arrival
+  const read = arrivalOf(gateway, req, presentTime())
+  const { arrivedAt } = read
   const { metrics } = gateway.node
-  metrics.unreadSeconds.observe((arrival.readAt - arrivedAt) / 1000)
+  metrics.unreadSeconds.observe((read.readAt - arrivedAt) / 1000)
   let service: ServiceId | 'none' = 'none'
   gateway.open += 1
   metrics.inFlight.set(gateway.open)
   const place = await joinPipeline(gateway.pipelines, req.socket)
   const { gone } = place
   try {
+    const arrival = await lookBehind(gateway, read)
     await waitForRoutes(gateway, gone)
-    if (gone.aborted) return
+    if (gone.aborted) return noteLeft(gateway, req, arrival)
     const target = targetOf(gateway, req)
     service = target?.service ?? 'none'
     const answer = target === undefined ? noRoute(gateway, req) : await serveRequest(gateway, req, target, gone, arrival)
@@ -84,12 +85,30 @@
   }
 }
 
-interface Arrival extends Pick<Call, 'arrivedAt' | 'readAt'> {
-  readonly turn: TurnSpent
+interface Arrival extends Pick<Call, 'arrivedAt' | 'readAt' | 'caller'> {
+  /** How far the turn was in which it was read. */
+  readonly readTurn: TurnSpent
+  /** How far the turn is in which work on it begins. */
+  readonly workTurn: TurnSpent
 }
 
 function arrivalOf ({ loop }: Gateway, req: IncomingMessage, now: Millis): Arrival {
-  return { arrivedAt: arrivalTime(loop, req.socket, now), readAt: now, turn: turnSpent(loop.turns, now) }
+  const arrivedAt = arrivalTime(loop, req.socket, now)
+  const turn = turnSpent(loop.turns, now)
+  return { arrivedAt, readAt: now, caller: createCallerView(), readTurn: turn, workTurn: turn }
+}
+
+/** Reads what lies behind a request: its caller may have closed the connection while it lay unread. */
+async function lookBehind ({ loop }: Gateway, arrival: Arrival): Promise<Arrival> {
+  const { caller, readTurn } = arrival
+  const look = await nextLook(loop)
+  noteLook(caller, look.beganAt)
+  return { ...arrival, workTurn: { ...readTurn, spentMs: presentTime() - look.endedAt } }
+}
+
+function noteLeft ({ node }: Gateway, req: IncomingMessage, { arrivedAt, readAt }: Arrival): void {
+  node.metrics.requests.inc({ service: 'none', outcome: 'gone' })
+  log(node.logs, 'route', 'info', 'Caller left before its request was taken up.', { path: req.url, ...timeFields({ arrivedAt, readAt }) })
 }
 
 /** The route of a request, and the service that its split gives it; undefined without a route. */
@@ -100,10 +119,10 @@
 
 async function serveRequest (gateway: Gateway, req: IncomingMessage, target: RoutedService, gone: Cancel, arrival: Arrival): Promise<CallAnswer | undefined> {
   const { route, service } = target
-  const { arrivedAt, readAt, turn } = arrival
+  const { arrivedAt, readAt, caller, readTurn, workTurn } = arrival
   const facts = gateway.callers.readCall(req.headers)
   const deadline = arrivedAt + Math.min(facts.remainingMs ?? Infinity, route.timeoutMs)
-  if (!mayTakeUp(turn, route.rank)) return refuseOverloaded(gateway, req, { facts, route, service, arrivedAt, readAt, deadline })
+  if (!mayTakeUp(readTurn, route.rank) || !mayTakeUp(workTurn, route.rank)) return refuseOverloaded(gateway, req, { facts, route, service, arrivedAt, readAt, deadline })
   const body = await readCallBody(gateway, req, gone)
   if (body === undefined) return undefined
   if (!Buffer.isBuffer(body)) return body
@@ -119,6 +138,7 @@
     readAt,
     deadline,
     gone,
+    caller,
     closeUnreadMs: () => gateway.loop.closesUnread.get(req.socket)
   }
   gateway.heldBytes += body.length
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -38,19 +38,20 @@
 export function createGateway (node: FleetNode, callers: CallerDialect, servers: ServerDialect): Gateway {
   const { connectTimeoutMs, staleConnectionMs } = node.cfg.times
   const setup = { self: node.cfg.name, region: node.cfg.region, random: node.random, without: new Set<Mechanism>() }
+  const loop = openLoopWatch(
+    forMs => log(node.logs, 'daemon', 'warn', 'Stood still.', { forMs: Math.round(forMs) }),
+    lateMs => node.metrics.loopLateSeconds.observe(lateMs / 1000)
+  )
   return {
     node,
     callers,
     servers,
-    pool: createPool({ staleMs: staleConnectionMs, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs),
+    pool: createPool({ staleMs: staleConnectionMs, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop),
     fleet: createFleet(setup, node.entryNames),
     load: node.load,
     splits: new Map(),
     retries: new Map(),
-    loop: openLoopWatch(
-      forMs => log(node.logs, 'daemon', 'warn', 'Stood still.', { forMs: Math.round(forMs) }),
-      lateMs => node.metrics.loopLateSeconds.observe(lateMs / 1000)
-    ),
+    loop,
     table: buildRouteTable([]),
     limits: defaultCallerLimits,
     pipelines: new WeakMap(),
--- a/packages/daemon/src/core/gateway/pipeline.ts
+++ b/packages/daemon/src/core/gateway/pipeline.ts
@@ -36,7 +36,10 @@
   if (known !== undefined) return known
   const pipeline: Pipeline = { requests: [], isClosing: false }
   pipelines.set(socket, pipeline)
-  socket.once('close', () => { for (const request of pipeline.requests) cancel(request) })
+  const leave = (): void => { for (const request of pipeline.requests) cancel(request) }
+  // The end of what the caller sends is read a turn of the event loop before the connection counts as closed.
+  socket.once('end', leave)
+  socket.once('close', leave)
   return pipeline
 }
 
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -72,7 +72,7 @@
 }
 
 /** For how long a request can have lain unread, and since when it is in this VM. */
-export function timeFields ({ readAt, arrivedAt }: RefusedCall): LogFields {
+export function timeFields ({ readAt, arrivedAt }: Pick<Call, 'readAt' | 'arrivedAt'>): LogFields {
   return { unreadMs: Math.round(readAt - arrivedAt), inVmMs: Math.round(presentTime() - readAt) }
 }
 
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -1,9 +1,10 @@
 /** Serves one request: does what its run asks for, until there is a final answer. */
 import type { Millis } from '@lynxcourse/base'
-import { beginSend, endSend, isStranded, mayLeaveServer, nextStep, noteWaiting, startRun } from '@lynxcourse/placement'
+import { beginSend, endSend, isStranded, mayLeaveServer, nextStep, noteLook, noteWaiting, startRun } from '@lynxcourse/placement'
 import type { EntryTerms, Placed, PlaceRequest, Refused, RequestRun, RunStep } from '@lynxcourse/placement'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
+import { nextLook } from '../../utils/loopWatch.js'
 import { delay } from '../node/timers.js'
 import { objectOf } from './call.js'
 import type { Call, CallAnswer } from './call.js'
@@ -25,7 +26,7 @@
 
 /** Serves a request to its final answer; undefined when the caller is gone. */
 export async function serveCall (gateway: Gateway, call: Call): Promise<CallAnswer | undefined> {
-  const run = startRun(gateway, requestOf(call), termsOf(gateway), presentTime())
+  const run = startRun(gateway, requestOf(call), call.caller, termsOf(gateway), presentTime())
   let last: SendResult | undefined
   for (;;) {
     if (call.gone.aborted) return undefined
@@ -34,6 +35,9 @@
       case 'send':
         last = await sendPlaced(gateway, call, run, step.placed)
         break
+      case 'look':
+        noteLook(call.caller, (await nextLook(gateway.loop)).beganAt)
+        break
       case 'wait':
         await waitForRoom(gateway, run, step.pauseMs)
         break
--- a/packages/daemon/src/utils/loopWatch.ts
+++ b/packages/daemon/src/utils/loopWatch.ts
@@ -1,11 +1,20 @@
 /** Follows the turns of the process's event loop, for the bound on how long callers' requests lie unread. */
 import type { Socket } from 'node:net'
 import { performance } from 'node:perf_hooks'
+import { setImmediate as checkPhase } from 'node:timers/promises'
 import { arrivedSince, beginTurn, createLoopTurns, endTurn, leastSleepMs, sampleMs, sampleTurns } from '@lynxcourse/placement'
 import type { LoopTurns } from '@lynxcourse/placement'
 import type { Millis } from '@lynxcourse/base'
 import { presentTime } from './clock.js'
 
+/** One look of the event loop at all its sockets. */
+export interface Look {
+  /** What had come by then has been read. */
+  readonly beganAt: Millis
+  /** When all that it found had been handled. */
+  readonly endedAt: Millis
+}
+
 /** When a request was read. */
 interface LastRead {
   readonly arrivedAt: Millis
@@ -20,6 +29,8 @@
   readonly lastReads: WeakMap<Socket, LastRead>
   /** For how long the close of a caller's connection can have lain unread; none while it is not read. */
   readonly closesUnread: WeakMap<Socket, Millis>
+  /** The look that is waited for and has not begun. */
+  nextLook: Promise<Look> | undefined
 }
 
 /** A loop that is this much late for a sample stood still, by a stop from outside or a long turn of its own. */
@@ -40,7 +51,7 @@
     sampledAt = now
     sampleTurns(turns, sleptMs(), now)
   }, sampleMs)
-  return { turns, lastReads: new WeakMap(), closesUnread: new WeakMap(), [Symbol.asyncDispose]: async () => clearInterval(timer) }
+  return { turns, lastReads: new WeakMap(), closesUnread: new WeakMap(), nextLook: undefined, [Symbol.asyncDispose]: async () => clearInterval(timer) }
 }
 
 /** Notes the turn that a callback of a socket belongs to. Immediates run once all sockets of a turn were read. */
@@ -83,6 +94,24 @@
   return isBehindRequest ? last.arrivedAt : arrivedSince(watch.turns, false, now)
 }
 
+/**
+ * Waits until the loop has looked at all sockets once more. A socket's data is read in one look, and the end of what its peer sends in
+ * the next one.
+ */
+export async function nextLook (watch: LoopWatch): Promise<Look> {
+  watch.nextLook ??= lookOnce(watch)
+  return await watch.nextLook
+}
+
+async function lookOnce (watch: LoopWatch): Promise<Look> {
+  await checkPhase()
+  // Who asks from here on waits for the look after this one.
+  watch.nextLook = undefined
+  const beganAt = presentTime()
+  await checkPhase()
+  return { beganAt, endedAt: presentTime() }
+}
+
 /** Time that the loop has waited for sockets and timers. */
 function sleptMs (): Millis {
   return performance.eventLoopUtilization().idle
--- a/packages/placement/__tests__/requestRun.test.ts
+++ b/packages/placement/__tests__/requestRun.test.ts
@@ -2,8 +2,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { beginSend, concurrencyOf, createLoadNotes, endSend, isStranded, nextStep, startRun } from '@lynxcourse/placement'
-import type { EntryState, EntryTerms, RequestRun, RunStep, SendEnd } from '@lynxcourse/placement'
+import { beginSend, concurrencyOf, createCallerView, createLoadNotes, endSend, isStranded, nextStep, noteLook, startRun } from '@lynxcourse/placement'
+import type { CallerView, EntryState, EntryTerms, RequestRun, RunStep, SendEnd } from '@lynxcourse/placement'
 import { desk, fleetOf, request, route, server } from './support/fleet.js'
 
 const seed = 53
@@ -13,6 +13,13 @@
 const startedAt = 1000
 const serverCount = 8
 
+/** What a VM knows of a caller at whose connection it has just looked. */
+function seenCaller (): CallerView {
+  const view = createCallerView()
+  noteLook(view, startedAt)
+  return view
+}
+
 function entryOf (): EntryState {
   return { fleet: fleetOf(...Array.from({ length: serverCount }, (_, place) => server(`s${place}`))), load: createLoadNotes(startedAt), retries: new Map(), waitingForRoom: new Map() }
 }
@@ -33,10 +40,14 @@
 function play (entry: EntryState, isIdempotent: boolean, maxAttempts: number, given: readonly SendEnd[], tookMs: number): Course {
   const { tried: _, ...asked } = request({ route: route('read', { isIdempotent, maxAttempts }), arrivedAt: startedAt, deadline: startedAt + 1000 })
   let now = startedAt
-  const run = startRun(entry, asked, terms, now)
+  const run = startRun(entry, asked, seenCaller(), terms, now)
   const sent: SendEnd[] = []
   for (;;) {
     const step = nextStep(entry, run, terms, now)
+    if (step.type === 'look') {
+      noteLook(run.caller, now)
+      continue
+    }
     if (step.type === 'wait') {
       now += step.pauseMs
       continue
@@ -88,19 +99,19 @@
   const entry = entryOf()
   const { tried: _, ...asked } = request()
   concurrencyOf(entry.fleet, desk).underWay = 1000
-  assert.equal(nextStep(entry, startRun(entry, asked, terms, startedAt), terms, startedAt).type, 'wait')
+  assert.equal(nextStep(entry, startRun(entry, asked, seenCaller(), terms, startedAt), terms, startedAt).type, 'wait')
   const leaving = { ...terms, isLeaving: true }
-  assert.equal(nextStep(entry, startRun(entry, asked, leaving, startedAt), leaving, startedAt).type, 'refuse')
+  assert.equal(nextStep(entry, startRun(entry, asked, seenCaller(), leaving, startedAt), leaving, startedAt).type, 'refuse')
 })
 
 /** Guards against requests that reach an evacuated failure domain long after they were sent, and against ended work that goes on well. */
 test('a send is stranded where it is overdue, its server is closed to work, and nothing was heard of it since', () => {
   const entry = entryOf()
   const { tried: _, ...asked } = request({ route: route('read', { isIdempotent: false }), arrivedAt: startedAt, deadline: startedAt + 60_000 })
-  const step = nextStep(entry, startRun(entry, asked, terms, startedAt), terms, startedAt)
+  const step = nextStep(entry, startRun(entry, asked, seenCaller(), terms, startedAt), terms, startedAt)
   assert.ok(step.type === 'send')
   const { placed } = step
-  const sending = beginSend(entry, startRun(entry, asked, terms, startedAt), placed, startedAt)
+  const sending = beginSend(entry, startRun(entry, asked, seenCaller(), terms, startedAt), placed, startedAt)
   const late = sending.overdueAt
   assert.equal(isStranded(entry, sending, terms, late), false)
   placed.server.facts = { ...placed.server.facts, isClosed: true }
--- a/packages/placement/src/core/request/requestRun.ts
+++ b/packages/placement/src/core/request/requestRun.ts
@@ -7,6 +7,8 @@
 import type { Millis, ServerId } from '@lynxcourse/base'
 import { isServerError } from '../../types/sends.js'
 import type { SendEnd } from '../../types/sends.js'
+import { mustLook } from '../admission/callerView.js'
+import type { CallerView } from '../admission/callerView.js'
 import { isCalm } from '../admission/concurrency.js'
 import { expectsRoom, lookPause, waitEnd } from '../admission/roomWait.js'
 import { noteDemand } from '../board/loadReport.js'
@@ -32,6 +34,7 @@
 export interface RequestRun {
   readonly request: PlaceRequest
   readonly tried: Set<ServerId>
+  readonly caller: CallerView
   /** Until when it may wait for room. */
   readonly waitsUntil: Millis
   /** Servers at which it ran or may have run. */
@@ -45,6 +48,8 @@
 /** What to do next. */
 export type RunStep =
   | { readonly type: 'send', readonly placed: Placed }
+  /** Look at the caller's connection, note that look, and ask again. */
+  | { readonly type: 'look' }
   /** Look for room again after this. */
   | { readonly type: 'wait', readonly pauseMs: Millis }
   /** It has not run and will not; the caller may come back. */
@@ -67,19 +72,20 @@
 }
 
 /** Begins with a request, and counts it. */
-export function startRun (entry: EntryState, request: Omit<PlaceRequest, 'tried'>, terms: EntryTerms, now: Millis): RequestRun {
+export function startRun (entry: EntryState, request: Omit<PlaceRequest, 'tried'>, caller: CallerView, terms: EntryTerms, now: Millis): RequestRun {
   const { fleet, load, retries } = entry
   const { service, route, object, deadline } = request
   noteRequest(retries, terms.retryBudget, service, now)
   noteDemand(load, service, slotTimeOf(fleet, request, object))
   const tried = new Set<ServerId>()
-  return { request: { ...request, tried }, tried, waitsUntil: waitEnd(route.aimMs, deadline, now), runs: 0, full: 0, sends: 0, last: undefined }
+  return { request: { ...request, tried }, tried, caller, waitsUntil: waitEnd(route.aimMs, deadline, now), runs: 0, full: 0, sends: 0, last: undefined }
 }
 
 /** Decides what becomes of a request that is not under way at a server now. */
 export function nextStep (entry: EntryState, run: RequestRun, terms: EntryTerms, now: Millis): RunStep {
   if (run.last !== undefined && isFinal(run, run.last)) return stepAfterLast(run, run.last)
   if (now >= run.request.deadline) return run.runs === 0 ? refusal('noTime') : { type: 'fail', reason: 'deadline' }
+  if (mustLook(run.caller, now)) return { type: 'look' }
   const placement = placeRequest(entry.fleet, run.request, now)
   if (placement.type === 'refuse') {
     if (mayWaitForRoom(entry, run, placement, terms, now)) return { type: 'wait', pauseMs: lookPause(entry.fleet.setup.random) }
--- a/packages/replay/src/core/vmModel.ts
+++ b/packages/replay/src/core/vmModel.ts
@@ -1,7 +1,7 @@
 /** An entry VM serves requests as the real one does, by the same decisions. */
 import type { Millis } from '@lynxcourse/base'
 import { after } from '@lynxcourse/base/timeline'
-import { beginSend, endSend, mayLeaveServer, nextStep, noteReply, noteWaiting, startRun, takeLoadNews } from '@lynxcourse/placement'
+import { beginSend, createCallerView, endSend, mayLeaveServer, nextStep, noteLook, noteReply, noteWaiting, startRun, takeLoadNews } from '@lynxcourse/placement'
 import type { EntryState, EntryTerms, Placed, RequestRun, SendEnd, Sending } from '@lynxcourse/placement'
 import { arriveAt, leaveBackend } from './backendModel.js'
 import type { Backend, BackendEnd, Job } from './backendModel.js'
@@ -47,7 +47,7 @@
   const { object, deadline } = arrival
   useProcessor(world, vm, () => {
     if (vm.life !== life) return arrival.answer({ type: 'failed' })
-    const run = startRun(entry, { route, service, object: `${route.name}|${object}`, arrivedAt, deadline }, terms, timeline.now)
+    const run = startRun(entry, { route, service, object: `${route.name}|${object}`, arrivedAt, deadline }, createCallerView(), terms, timeline.now)
     goOn(world, { vm, life, entry, arrival, run })
   })
 }
@@ -65,6 +65,9 @@
   const step = nextStep(entry, run, terms, world.timeline.now)
   switch (step.type) {
     case 'send': return send(world, serving, step.placed)
+    case 'look':
+      noteLook(run.caller, world.timeline.now)
+      return goOn(world, serving)
     case 'wait':
       noteWaiting(entry, run, 1)
       return after(world.timeline, step.pauseMs, () => {
