--- a/packages/daemon/__tests__/support/threadCaller.ts
+++ b/packages/daemon/__tests__/support/threadCaller.ts
@@ -5,16 +5,16 @@
 const program = `
 const { connect } = require('node:net')
 const { parentPort, workerData } = require('node:worker_threads')
-const { host, port, path, isOld, flag } = workerData
+const { host, port, path, message, isOld, flag } = workerData
 const sent = new Int32Array(flag)
 const head = 'GET ' + path + ' HTTP/1.1\\r\\nhost: a.example\\r\\n\\r\\n'
 const socket = connect(port, host)
 let text = ''
 let isReady = !isOld
 const done = () => { Atomics.add(sent, 0, 1); Atomics.notify(sent, 0) }
-const send = () => socket.write(head, done)
+const send = () => socket.write(message, done)
 const leave = () => { socket.once('close', done); socket.destroy() }
-const steps = { send, leave, sendAndLeave: () => socket.write(head, leave) }
+const steps = { send, leave, sendAndLeave: () => socket.write(message, leave) }
 socket.setEncoding('latin1')
 socket.on('error', err => parentPort.postMessage({ failed: String(err) }))
 socket.on('connect', () => { if (isOld) socket.write(head); else parentPort.postMessage('ready') })
@@ -30,6 +30,15 @@
 parentPort.on('message', step => steps[step]())
 `
 
+function getOf (path: string): string {
+  return `GET ${path} HTTP/1.1\r\nhost: a.example\r\n\r\n`
+}
+
+/** The text of a POST. */
+export function postOf (path: string, body = ''): string {
+  return `POST ${path} HTTP/1.1\r\nhost: a.example\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`
+}
+
 /** A caller that is connected. */
 export interface ThreadCaller extends AsyncDisposable {
   /** Has it send its request, and holds this thread until that is done and so many milliseconds more. */
@@ -48,12 +57,13 @@
  * Connects a caller.
  *
  * @param isOld whether its connection has carried a request before
+ * @param message what it sends, head and body; a GET of the path if left out
  */
-export async function connectThreadCaller (address: string, path: string, isOld: boolean): Promise<ThreadCaller> {
+export async function connectThreadCaller (address: string, path: string, isOld: boolean, message = getOf(path)): Promise<ThreadCaller> {
   const [host, port] = address.split(':')
   const flag = new SharedArrayBuffer(4)
   const sent = new Int32Array(flag)
-  const worker = new Worker(program, { eval: true, workerData: { host, port: Number(port), path, isOld, flag } })
+  const worker = new Worker(program, { eval: true, workerData: { host, port: Number(port), path, message, isOld, flag } })
   const next = async (): Promise<string> => await new Promise((resolve, reject) => {
     worker.once('message', (told: string | { failed: string }) => typeof told === 'string' ? resolve(told) : reject(new Error(told.failed)))
     worker.once('error', reject)
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -58,6 +58,7 @@
   await using stack = createOwned()
   const node = createFleetNode(cfg, deps, presentTime())
   own(stack, node.client)
+  own(stack, node.loop)
   const rpc = createRpcServer({ maxBytes: maxRpcBytes, perSecond: rpcPerSecond }, node.metrics, undefined)
   const control = cfg.roles.includes('control') ? await startControl(stack, node, rpc) : undefined
   const gateway = cfg.roles.includes('entry') ? openGateway(stack, node, dialects) : undefined
@@ -86,7 +87,6 @@
 function openGateway (stack: Owned, node: FleetNode, { callers, servers }: Dialects): Gateway {
   const gateway = createGateway(node, callers, servers)
   own(stack, gateway.pool)
-  own(stack, gateway.loop)
   return gateway
 }
 
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -3,8 +3,10 @@
 import type { Millis, Random, RegionId } from '@lynxcourse/base'
 import { createConfig } from '@lynxcourse/state'
 import type { Config } from '@lynxcourse/state'
-import { openLogs } from '../../utils/logging.js'
+import { log, openLogs } from '../../utils/logging.js'
 import type { Logs } from '../../utils/logging.js'
+import { openLoopWatch } from '../../utils/loopWatch.js'
+import type { LoopWatch } from '../../utils/loopWatch.js'
 import { createMetrics } from '../../utils/metrics.js'
 import type { Metrics } from '../../utils/metrics.js'
 import { createRpcClient } from '../rpc/rpcClient.js'
@@ -27,6 +29,7 @@
   readonly metrics: Metrics
   readonly random: Random
   readonly client: RpcClient
+  readonly loop: LoopWatch
   /** This VM's copy of the routes and the directory; on a control VM, its log's own. */
   config: Config
   controls: readonly ControlPlace[]
@@ -52,12 +55,17 @@
 
 export function createFleetNode (cfg: FleetSettings, deps: FleetDeps, now: Millis): FleetNode {
   const metrics = createMetrics()
+  const logs = deps.logs ?? openLogs(cfg.log)
   return {
     cfg,
-    logs: deps.logs ?? openLogs(cfg.log),
+    logs,
     metrics,
     random: makeRandom(hashText(`${cfg.name} ${now}`)),
     client: createRpcClient({ timeoutMs: cfg.times.rpcTimeoutMs, localAddress: '', tls: () => undefined, metrics }),
+    loop: openLoopWatch(
+      forMs => log(logs, 'daemon', 'warn', 'Stood still.', { forMs: Math.round(forMs) }),
+      lateMs => metrics.loopLateSeconds.observe(lateMs / 1000)
+    ),
     config: createConfig(),
     controls: [],
     entryNames: cfg.roles.includes('entry') ? [cfg.name] : [],
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -6,8 +6,6 @@
 import type { RouteTable, SplitPicker } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
 import type { CallerLimits } from '@lynxcourse/state'
-import { log } from '../../utils/logging.js'
-import { openLoopWatch } from '../../utils/loopWatch.js'
 import type { LoopWatch } from '../../utils/loopWatch.js'
 import type { FleetNode } from '../fleet/fleetNode.js'
 import { createPool } from '../entry/connectionPool.js'
@@ -38,10 +36,7 @@
 export function createGateway (node: FleetNode, callers: CallerDialect, servers: ServerDialect): Gateway {
   const { connectTimeoutMs, staleConnectionMs } = node.cfg.times
   const setup = { self: node.cfg.name, region: node.cfg.region, random: node.random, without: new Set<Mechanism>() }
-  const loop = openLoopWatch(
-    forMs => log(node.logs, 'daemon', 'warn', 'Stood still.', { forMs: Math.round(forMs) }),
-    lateMs => node.metrics.loopLateSeconds.observe(lateMs / 1000)
-  )
+  const { loop } = node
   return {
     node,
     callers,
