Evacuations are dated by when they can have come, not by when they were read

What operators can see: a `start` that lay unread at a control VM comes back after a `finish` that was confirmed elsewhere. Found by reading; no user reported it.

Cause: an order for a failure domain names the state that it was given by, and is refused if the domain changed later. That state was the VM's as it read the order. A VM that was behind may apply what others agreed on first, as sockets are read in no order of time, and then the old order counts as newer.

Failing before, with the rest of this commit in place and the time of arrival not passed on (platformVm.test.ts):

not ok 6 - an evacuation that lay unread while newer orders were applied is not carried out, and is once it is sent again The input did not match the regular expression /^HTTP\/1\.1 503 /. Input: 'HTTP/1.1 200 OK\r\n'

The test applies the newer orders by hand between the stop and the reading, as a fleet in one process can't do so while it stands still.

An order is refused needlessly only if its domain changed while it can have lain unread; the answer is 503 and its operator sends it again. An order that is in force already is acknowledged before its version is looked at, as before.

Not changed: an evacuation by RPC that names no version is never refused, as docs/API.md says.

--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -182,7 +182,7 @@
   }
   for (const token of out.reads) finishRead(host, token, undefined)
   for (const token of out.failedReads) finishRead(host, token, notLeader(host))
-  if (out.committed.length > 0) for (const listener of host.onProgress) listener()
+  if (out.committed.length > 0 || out.install) for (const listener of host.onProgress) listener()
 }
 
 async function compactIfLong (host: ControlHost, replica: Replica): Promise<void> {
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -2,8 +2,9 @@
 import { join } from 'node:path'
 import { LynxError, brandId, hashText, holderOf, isLynxError, vmOfHolder } from '@lynxcourse/base'
 import type { HolderId, Incarnation, Millis, ServerId, VmId } from '@lynxcourse/base'
-import { findItem, isCredible, isNews, routeSetOf, routesVersionOf } from '@lynxcourse/state'
-import type { BackendFacts, ChangeAnswer, RouteCommand, RouteSet } from '@lynxcourse/state'
+import { createKnownVersions, findItem, isCredible, isNews, noteVersion, routeSetOf, routesVersionOf, versionAt } from '@lynxcourse/state'
+import type { BackendFacts, ChangeAnswer, KnownVersions, RouteCommand, RouteSet } from '@lynxcourse/state'
+import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { openControl } from '../control/controlHost.js'
 import { leads } from '../control/hostState.js'
@@ -24,6 +25,8 @@
 export interface FleetControl {
   readonly node: FleetNode
   readonly host: ControlHost
+  /** Versions of the state that this VM has known of late. */
+  readonly versions: KnownVersions
   readonly presence: Presence
   readonly intake: LoadIntake
   readonly board: LoadBoard
@@ -52,7 +55,11 @@
     const cluster = `fleet-${hashText([...cfg.seeds].sort().join()).toString(16)}`
     await initCluster(host, cluster, [...voters].sort())
   }
-  return { node, host, presence: createPresence(), intake: createLoadIntake(), board: createLoadBoard(), announcing: createAnnouncing() }
+  const versions = createKnownVersions()
+  const note = (): void => noteVersion(versions, host.machine.config.version, presentTime())
+  note()
+  host.onProgress.push(note)
+  return { node, host, versions, presence: createPresence(), intake: createLoadIntake(), board: createLoadBoard(), announcing: createAnnouncing() }
 }
 
 function envOf (node: FleetNode, isFounder: boolean): ControlEnv {
@@ -81,11 +88,12 @@
 /**
  * Has the leader apply a command, and waits until it is committed.
  *
+ * @param arrivedAt since when an order can have lain unread at this VM; undefined for a command that this VM gives itself
  * @throws LynxError when the outcome is not known
  */
-export async function submitRouteCommand (control: FleetControl, given: RouteCommand, isRelayed = false): Promise<ChangeAnswer> {
+export async function submitRouteCommand (control: FleetControl, given: RouteCommand, isRelayed = false, arrivedAt?: Millis): Promise<ChangeAnswer> {
   const { host, node } = control
-  const command = isRelayed ? given : withBase(control, given)
+  const command = isRelayed ? given : withBase(control, given, arrivedAt)
   if (leads(host)) {
     const answer = await submitHere(host, command)
     if (answer.type !== 'change') throw new LynxError('badRpc', 'no answer to a change', { step: 'submit' })
@@ -97,10 +105,10 @@
   return await callPeer<ChangeAnswer>(node.client, leader, 'fleet.submit', { command }, submitTimeoutMs)
 }
 
-/** Marks an order that names no version of its own with the state that this VM knows. */
-function withBase ({ host }: FleetControl, command: RouteCommand): RouteCommand {
+/** Marks an order that names no version of its own with the state that this VM knew when the order can have come. */
+function withBase ({ host, versions }: FleetControl, command: RouteCommand, arrivedAt: Millis | undefined): RouteCommand {
   if (command.type !== 'evacuate' || command.baseVersion !== undefined) return command
-  return { ...command, baseVersion: host.machine.config.version }
+  return { ...command, baseVersion: arrivedAt === undefined ? host.machine.config.version : versionAt(versions, arrivedAt) }
 }
 
 function logChange (control: FleetControl, command: RouteCommand, answer: ChangeAnswer): void {
--- a/packages/state/src/types/routes.ts
+++ b/packages/state/src/types/routes.ts
@@ -126,7 +126,7 @@
   readonly type: 'evacuate'
   readonly failureDomain: FailureDomainId
   readonly isActive: boolean
-  /** Version of the state at the VM that took the order. It is refused if the failure domain changed later; missing, it never is. */
+  /** Version of the state that the VM which took the order knew when the order can have come to it. It is refused if the failure domain changed later; missing, it never is. */
   readonly baseVersion?: number
 }
 
