Calls between VMs: what is of use to its sender only is dropped once the sender has left

What operators can see: an evacuation takes effect after the VM that relayed it told its operator that the outcome is not known. What VMs see: after a start of all, a control VM that is behind works for calls that were given up.

Cause: answerRpc takes up each call that it reads, and a close is read a turn of the event loop after the call before it.

Changed: a method can wait for a look at its caller's connection, and a call whose caller has left ends there with a log line.

| method | a caller that has left | |---|---| | fleet.submit, an evacuation | dropped: it was not accepted, its operator sends it again while it wants it | | fleet.submit, routes | taken: it names its base version and is known again by its digest | | fleet.submit, servers' words | taken: true without the VM that passed them on, and a server may say only once that it leaves | | fleet.watch | nothing is waited for or packed; its VM counts as heard only where it says that it leaves | | fleet.read | dropped: a question, which costs a round of the quorum | | fleet.presence, fleet.announce, fleet.dismiss | taken: facts | | fleet.lookup, cluster.info | taken: they cost less than the look | | log.message, cluster.join | taken: the log's messages are no questions, and a copy that is behind would never catch up without the late ones |

Presence and announcements keep their times by reading. Dated by the bound of their arrival, all servers would count as silent after a stop of the leader.

--- /dev/null
+++ b/packages/daemon/__tests__/senderLeft.test.ts
@@ -0,0 +1,90 @@
+/** Calls between VMs whose senders gave them up before they were read. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import type { FailureDomainId } from '@lynxcourse/base'
+import { brandId } from '@lynxcourse/base'
+import { callPeer, leaderOf } from '@lynxcourse/daemon'
+import type { FleetControl } from '@lynxcourse/daemon'
+import { findItem } from '@lynxcourse/state'
+import type { RouteCommand } from '@lynxcourse/state'
+import { controlOf, replaceOrder, routeTo, startRig, startServer, submit, until } from './support/fleetRig.js'
+import type { FleetRig } from './support/fleetRig.js'
+import { connectThreadCaller, postOf } from './support/threadCaller.js'
+
+const failureDomain = brandId<FailureDomainId>('kochi-a')
+/** Less than the time without a leader after which another one is elected. */
+const blockedMs = 300
+
+/** Starts three control VMs, has them agree on a first state, and finds their leader. */
+async function startControls (): Promise<{ readonly rig: FleetRig, readonly leader: FleetControl } & AsyncDisposable> {
+  const rig = await startRig(0)
+  await submit(rig, replaceOrder('first', 0, 1, [routeTo('read')]))
+  const controls = [0, 1, 2].map(place => controlOf(rig, place))
+  const leader = controls.find(control => leaderOf(control) === control.node.cfg.rpc) as FleetControl
+  return { rig, leader, [Symbol.asyncDispose]: async () => await rig[Symbol.asyncDispose]() }
+}
+
+/** How many calls of a method a VM has taken up. */
+async function callsOf ({ node }: FleetControl, method: string): Promise<number> {
+  const { values } = await node.metrics.rpc.get()
+  return values.filter(({ labels }) => labels.method === method && labels.side === 'in').reduce((sum, { value }) => sum + value, 0)
+}
+
+/** Has a sender call a method and leave while the VM stands still, and waits until the VM is past that call. */
+async function callAndLeave (control: FleetControl, method: string, params: object): Promise<void> {
+  const before = await callsOf(control, method)
+  const body = JSON.stringify({ jsonrpc: '2.0', id: 1, method, params })
+  await using sender = await connectThreadCaller(control.node.cfg.rpc, '/none', false, postOf('/rpc', body))
+  sender.sendAndLeaveWhileBlocked(blockedMs)
+  await until(async () => await callsOf(control, method) > before)
+  await callPeer(control.node.client, control.node.cfg.rpc, 'fleet.lookup', {})
+}
+
+/** Guards against this failure: an evacuation takes effect that the VM which relayed it has told its operator nothing of. */
+test('an evacuation that its sender gave up before the leader read it is not carried out', async () => {
+  await using controls = await startControls()
+  const { rig, leader } = controls
+  const command: RouteCommand = { type: 'evacuate', failureDomain, isActive: true, baseVersion: leader.host.machine.config.version }
+  await callAndLeave(leader, 'fleet.submit', { command })
+  assert.equal((await submit(rig, replaceOrder('next', 1, 2, [routeTo('other')]))).ok, true)
+  assert.equal(findItem(leader.host.machine.config, 'evacuation', failureDomain)?.isActive ?? false, false)
+})
+
+/** Guards against this failure: a server that has ended or leaves gets work, since its word was dropped with the call that brought it. */
+test('what a server said is taken although the VM that passed it on gave the call up', async () => {
+  await using controls = await startControls()
+  const { rig, leader } = controls
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  const { facts } = server
+  await callAndLeave(leader, 'fleet.submit', { command: { type: 'announceAll', servers: [facts] } })
+  assert.equal((await submit(rig, replaceOrder('next', 1, 2, [routeTo('other')]))).ok, true)
+  assert.equal(findItem(leader.host.machine.config, 'backend', facts.id)?.state, 'serving')
+  await callAndLeave(leader, 'fleet.submit', { command: { type: 'dismiss', ids: [facts.id] } })
+  assert.equal((await submit(rig, replaceOrder('last', 2, 3, [routeTo('read')]))).ok, true)
+  assert.equal(findItem(leader.host.machine.config, 'backend', facts.id)?.state, 'gone')
+})
+
+/** Guards against this failure: after a start of all VMs the leader asks its quorum again and again for reads that nobody waits for. */
+test('a read that its sender gave up before it was read asks no quorum', async () => {
+  await using controls = await startControls()
+  const { host } = controls.leader
+  const before = host.nextToken
+  await callAndLeave(controls.leader, 'fleet.read', {})
+  assert.equal(host.nextToken, before)
+})
+
+function watchOf (control: FleetControl, isReady: boolean): object {
+  const self = { name: 'entry', address: '127.0.0.1:1', failureDomain, region: 'kochi', isReady }
+  return { version: control.host.machine.config.version, waitMs: 10_000, weights: 0, self }
+}
+
+/** Guards against this failure: control VMs that are behind pack the state for entry VMs that gave up waiting, and name them to callers. */
+test('a watch that its VM gave up before it was read waits for nothing, and makes that VM known only where it leaves', async () => {
+  await using controls = await startControls()
+  const { host, presence } = controls.leader
+  const before = host.onProgress.length
+  await callAndLeave(controls.leader, 'fleet.watch', watchOf(controls.leader, true))
+  assert.deepEqual([host.onProgress.length, presence.entries.has('entry')], [before, false])
+  await callAndLeave(controls.leader, 'fleet.watch', watchOf(controls.leader, false))
+  assert.deepEqual([host.onProgress.length, presence.entries.get('entry')?.presence.isReady], [before, false])
+})
--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -10,6 +10,7 @@
 import { presentTime } from '../utils/clock.js'
 import { closeServer, listen } from '../utils/httpServer.js'
 import { log } from '../utils/logging.js'
+import { openLoopWatch } from '../utils/loopWatch.js'
 import { createMetricsServer } from '../utils/metricsServer.js'
 import { createOwned, moveOwned, own } from '../utils/owned.js'
 import type { Owned } from '../utils/owned.js'
@@ -63,7 +64,7 @@
   tls?.onChange(() => refreshPools(node.client))
   if (tls === undefined) log(node.logs, 'rpc', 'warn', 'No TLS: peers are not checked, so only loopback addresses are used.')
   const control = isControl(node) ? own(stack, await openControl(controlEnv(node))) : undefined
-  const rpc = createRpcServer({ maxBytes: cfg.limits.maxRpcBytes, perSecond: cfg.limits.rpcPerSecond }, node.metrics, tls)
+  const rpc = createRpcServer({ maxBytes: cfg.limits.maxRpcBytes, perSecond: cfg.limits.rpcPerSecond }, node.metrics, tls, own(stack, openLoopWatch()))
   const syncing = own(stack, startSyncing(node, control))
   const entry = isEntry(node) ? createEntry(node, blocks, createClaiming(node)) : undefined
   const duties = control === undefined ? undefined : startControlParts(stack, node, control, rpc)
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -59,7 +59,7 @@
   const node = createFleetNode(cfg, deps, presentTime())
   own(stack, node.client)
   own(stack, node.loop)
-  const rpc = createRpcServer({ maxBytes: maxRpcBytes, perSecond: rpcPerSecond }, node.metrics, undefined)
+  const rpc = createRpcServer({ maxBytes: maxRpcBytes, perSecond: rpcPerSecond }, node.metrics, undefined, node.loop)
   const control = cfg.roles.includes('control') ? await startControl(stack, node, rpc) : undefined
   const gateway = cfg.roles.includes('entry') ? openGateway(stack, node, dialects) : undefined
   const metricsServer = createMetricsServer(node.metrics, () => isServing(node, control))
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -1,16 +1,17 @@
 /** The RPC methods of a fleet's control VMs. */
 import { deltaSince } from '@lynxcourse/state'
-import type { BackendFacts, ConfigDelta, RouteCommand } from '@lynxcourse/state'
-import { brandId } from '@lynxcourse/base'
+import type { BackendFacts, ChangeAnswer, ConfigDelta, RouteCommand } from '@lynxcourse/state'
+import { brandId, messageOf } from '@lynxcourse/base'
 import type { Millis, RegionId, ServerId } from '@lynxcourse/base'
 import { chooseEntries, isGathering, newsFor, noteDigest, noteLoadReport } from '@lynxcourse/placement'
 import type { EntryPresence, LoadNews, LoadReport } from '@lynxcourse/placement'
 import * as z from 'zod'
 import { presentTime } from '../../utils/clock.js'
+import { log } from '../../utils/logging.js'
 import { addressSchema } from '../../types/settings.js'
 import { addMethod } from '../rpc/rpcServer.js'
 import { delay } from '../node/timers.js'
-import type { RpcServer } from '../rpc/rpcServer.js'
+import type { RpcCall, RpcServer } from '../rpc/rpcServer.js'
 import { dismissServer, readRoutes, stateAge, submitRouteCommand, takeAnnouncement } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
 import type { ControlPlace } from './fleetNode.js'
@@ -88,9 +89,12 @@
 
 /** Adds the methods. */
 export function addFleetMethods (rpc: RpcServer, control: FleetControl, loop: PresenceLoop): void {
-  addMethod(rpc, 'fleet.watch', ['vm'], watchSchema, async params => await answerWatch(control, loop, params as unknown as WatchRequest))
-  addMethod(rpc, 'fleet.submit', ['vm', 'operator'], submitSchema, async params => await submitRouteCommand(control, params.command as unknown as RouteCommand, true))
-  addMethod(rpc, 'fleet.read', ['vm', 'operator'], z.strictObject({}), async () => await readRoutes(control, true))
+  addMethod(rpc, 'fleet.watch', ['vm'], watchSchema, async (params, call) => await answerWatch(control, loop, params as unknown as WatchRequest, call))
+  addMethod(rpc, 'fleet.submit', ['vm', 'operator'], submitSchema, async (params, call) => await answerSubmit(control, params.command as unknown as RouteCommand, call))
+  addMethod(rpc, 'fleet.read', ['vm', 'operator'], z.strictObject({}), async (_params, call) => {
+    await lookBefore(control, 'fleet.read', call)
+    return await readRoutes(control, true)
+  })
   addMethod(rpc, 'fleet.presence', ['vm'], reportSchema, params => answerPresence(control, params as unknown as PresenceReport))
   addMethod(rpc, 'fleet.announce', ['server'], announceSchema, async ({ facts }) => {
     await takeAnnouncement(control, facts as unknown as BackendFacts, presentTime())
@@ -118,9 +122,32 @@
   return { ...takePresenceReport(control.presence, report, now), news: newsFor(control.board.news, report.weights) }
 }
 
-async function answerWatch (control: FleetControl, loop: PresenceLoop, request: WatchRequest): Promise<WatchReply> {
-  const isNews = noteWatching(control.presence, request.self, presentTime())
-  if (isNews) loop.urge()
+/** @throws LynxError `cancelled` if the caller has left */
+async function lookBefore ({ node }: FleetControl, method: string, call: RpcCall): Promise<void> {
+  try {
+    await call.look()
+  } catch (err) {
+    log(node.logs, 'rpc', 'info', 'Call not taken up.', { method, peer: call.address, error: messageOf(err) })
+    throw err
+  }
+}
+
+/**
+ * Takes a command that another VM passes on or an operator gives.
+ *
+ * An evacuation that was given up has not been accepted, and its operator may have ordered otherwise since. Changes of routes name
+ * the version that they build on, and what servers said stays true: a server that leaves may say so only once.
+ */
+async function answerSubmit (control: FleetControl, command: RouteCommand, call: RpcCall): Promise<ChangeAnswer> {
+  if (command.type === 'evacuate') await lookBefore(control, 'fleet.submit', call)
+  return await submitRouteCommand(control, command, true)
+}
+
+async function answerWatch (control: FleetControl, loop: PresenceLoop, request: WatchRequest, call: RpcCall): Promise<WatchReply> {
+  // A VM that leaves may have no time to say so again.
+  if (!request.self.isReady) noteWatcher(control, loop, request, presentTime())
+  await lookBefore(control, 'fleet.watch', call)
+  noteWatcher(control, loop, request, presentTime())
   if (request.load !== undefined) noteLoadReport(control.intake, request.self.name, request.self.region, request.load, presentTime())
   if (request.version === 0) await waitUntilCurrent(control, request.waitMs)
   if (control.host.machine.config.version <= request.version) await waitForNews(control, request)
@@ -136,6 +163,10 @@
   }
 }
 
+function noteWatcher (control: FleetControl, loop: PresenceLoop, { self }: WatchRequest, now: Millis): void {
+  if (noteWatching(control.presence, self, now)) loop.urge()
+}
+
 async function waitForNews (control: FleetControl, request: WatchRequest): Promise<void> {
   const from = Math.max(request.version, control.host.machine.config.version)
   await waitForProgress(control, request.waitMs, () => control.host.machine.config.version > from)
--- a/packages/daemon/src/core/rpc/rpcServer.ts
+++ b/packages/daemon/src/core/rpc/rpcServer.ts
@@ -9,8 +9,10 @@
 import type { Metrics } from '../../utils/metrics.js'
 import { presentTime } from '../../utils/clock.js'
 import { listen, readBody } from '../../utils/httpServer.js'
+import type { LoopWatch } from '../../utils/loopWatch.js'
 import { createRateLimit, takeToken } from '../../utils/rateLimit.js'
 import type { RateLimit } from '../../utils/rateLimit.js'
+import { lookAtSender } from '../../utils/senderLook.js'
 import type { TlsFiles } from '../../plugins/tlsFiles.js'
 import { isWorthPacking, packText, packedCoding } from './packing.js'
 
@@ -21,11 +23,22 @@
   readonly address: string
 }
 
-export type RpcHandler<Params> = (params: Params, caller: RpcCaller) => unknown
+/** A call that a method works on. */
+export interface RpcCall extends RpcCaller {
+  /**
+   * Waits for a look at the caller's connection. For methods whose late answers are of no use, or whose late effects do harm; what
+   * stays true without its sender is taken without a look.
+   *
+   * @throws LynxError `cancelled` if the caller closed it
+   */
+  readonly look: () => Promise<void>
+}
+
+export type RpcHandler<Params> = (params: Params, call: RpcCall) => unknown
 
 export interface RpcServer {
   readonly server: Server
-  readonly methods: JSONRPCServer<RpcCaller>
+  readonly methods: JSONRPCServer<RpcCall>
   readonly metrics: Metrics
 }
 
@@ -42,8 +55,8 @@
 }
 
 /** Makes the server; add its methods before it listens. */
-export function createRpcServer (limits: RpcLimits, metrics: Metrics, tls: TlsFiles | undefined): RpcServer {
-  const methods = new JSONRPCServer<RpcCaller>({ errorListener: () => undefined })
+export function createRpcServer (limits: RpcLimits, metrics: Metrics, tls: TlsFiles | undefined, loop: LoopWatch): RpcServer {
+  const methods = new JSONRPCServer<RpcCall>({ errorListener: () => undefined })
   methods.mapErrorToJSONRPCErrorResponse = (id, err) => {
     const data = isLynxError(err) ? { code: err.code, step: err.step, field: err.field, peer: err.peer } : undefined
     const code = data === undefined ? JSONRPCErrorCode.InternalError : applicationErrorCode
@@ -51,7 +64,7 @@
   }
   const rate = createRateLimit(limits.perSecond)
   const listener: RequestListener = (req, res) => {
-    answerRpc(methods, limits.maxBytes, rate, req, res).catch((err: unknown) => refuse(res, metrics, err))
+    answerRpc(methods, limits.maxBytes, rate, loop, req, res).catch((err: unknown) => refuse(res, metrics, err))
   }
   const options = { maxHeaderSize: maxHeaderBytes, requestTimeout: 30_000, headersTimeout: 10_000 }
   const server = tls === undefined
@@ -73,14 +86,15 @@
   res.writeHead(status, { 'content-type': 'application/json', connection: 'close' }).end(JSON.stringify(body))
 }
 
-async function answerRpc (methods: JSONRPCServer<RpcCaller>, maxBytes: number, rate: RateLimit, req: IncomingMessage, res: ServerResponse): Promise<void> {
+async function answerRpc (methods: JSONRPCServer<RpcCall>, maxBytes: number, rate: RateLimit, loop: LoopWatch, req: IncomingMessage, res: ServerResponse): Promise<void> {
   if (req.method !== 'POST' || req.url !== '/rpc') throw new LynxError('badRpc', 'expected POST /rpc', { step: 'receive' })
   const caller = callerOf(req)
   if (!takeToken(rate, caller.address, presentTime())) {
     throw new LynxError('overCapacity', `more than ${rate.perSecond} messages a second`, { step: 'receive', peer: caller.address })
   }
   const body = await readBody(req, maxBytes)
-  const answer = await methods.receiveJSON(body.toString('utf8'), caller)
+  const look = async (): Promise<void> => await lookAtSender(loop, req.socket, 'receive')
+  const answer = await methods.receiveJSON(body.toString('utf8'), { ...caller, look })
   const text = JSON.stringify(answer ?? null)
   const type = { 'content-type': 'application/json' }
   if (isWorthPacking(req.headers['accept-encoding']?.toString(), text.length)) {
@@ -131,7 +145,7 @@
 export function addMethod<Schema extends z.ZodType> (
   rpc: RpcServer, name: string, roles: ReadonlyArray<RpcCaller['role']>, schema: Schema, handler: RpcHandler<z.output<Schema>>
 ): void {
-  rpc.methods.addMethod(name, async (params: unknown, caller: RpcCaller) => {
+  rpc.methods.addMethod(name, async (params: unknown, caller: RpcCall) => {
     rpc.metrics.rpc.inc({ method: name, side: 'in' })
     if (caller.role !== 'loopback' && !roles.includes(caller.role)) {
       rpc.metrics.refusals.inc({ reason: 'notAllowed' })
