A watch ends once its VM has left, and nothing is packed for it

What VMs see: control VMs hold up to a second of watches of VMs that are gone, and pack each change for them. Most of it comes when the control VMs have least time, after a start of all VMs, when watches run into their time-outs. Found by reading.

Cause: a watch's wait ended with news or its time only. And timers run before sockets are read, so that a VM which stood still ends the wait, and packs the state, before it reads who has left.

Changed: a call tells its method when the caller's connection is closed, and the wait ends then; before the answer is put together the connection is looked at again. That is two turns of the event loop for each watch, shared by all that wait for the same look.

--- a/packages/daemon/__tests__/senderLeft.test.ts
+++ b/packages/daemon/__tests__/senderLeft.test.ts
@@ -1,5 +1,6 @@
-/** Calls between VMs whose senders gave them up before they were read. */
+/** Calls between VMs whose senders gave them up before they were read, or while they were worked on. */
 import assert from 'node:assert/strict'
+import { ServerResponse } from 'node:http'
 import { test } from 'node:test'
 import type { FailureDomainId } from '@lynxcourse/base'
 import { brandId } from '@lynxcourse/base'
@@ -88,3 +89,33 @@
   await callAndLeave(controls.leader, 'fleet.watch', watchOf(controls.leader, false))
   assert.deepEqual([host.onProgress.length, presence.entries.get('entry')?.presence.isReady], [before, false])
 })
+
+/** Calls that a VM answers while it reads of a close; they take far less time than the watch below waits. */
+const callsMeanwhile = 20
+
+/** Guards against this failure: control VMs hold watches of VMs that are gone, and pack each change for them. */
+test('a watch ends once its VM gives it up', async () => {
+  await using controls = await startControls()
+  const { host, node } = controls.leader
+  const before = host.onProgress.length
+  const given = callPeer(node.client, node.cfg.rpc, 'fleet.watch', watchOf(controls.leader, true), blockedMs)
+  await until(() => host.onProgress.length > before)
+  await assert.rejects(given)
+  for (let done = 0; done < callsMeanwhile && host.onProgress.length > before; done++) await callPeer(node.client, node.cfg.rpc, 'fleet.lookup', {})
+  assert.equal(host.onProgress.length, before)
+})
+
+/** Guards against this failure: a VM that stood still ends the waits of watches first, and packs the state for VMs that left meanwhile. */
+test('a watch whose VM leaves while the control VM stands still past its wait is not answered', async t => {
+  await using controls = await startControls()
+  const { host, node } = controls.leader
+  const before = host.onProgress.length
+  const body = JSON.stringify({ jsonrpc: '2.0', id: 1, method: 'fleet.watch', params: { ...watchOf(controls.leader, true), waitMs: blockedMs / 2 } })
+  await using sender = await connectThreadCaller(node.cfg.rpc, '/none', false, postOf('/rpc', body))
+  const { mock } = t.mock.method(ServerResponse.prototype, 'end')
+  sender.send()
+  await until(() => host.onProgress.length > before)
+  sender.leaveWhileBlocked(blockedMs)
+  for (let done = 0; done < callsMeanwhile; done++) await callPeer(node.client, node.cfg.rpc, 'fleet.lookup', {})
+  assert.equal(mock.calls.filter(call => String(call.arguments[0]).includes('"entries":["entry"]')).length, 0)
+})
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -6,6 +6,7 @@
 import { chooseEntries, isGathering, newsFor, noteDigest, noteLoadReport } from '@lynxcourse/placement'
 import type { EntryPresence, LoadNews, LoadReport } from '@lynxcourse/placement'
 import * as z from 'zod'
+import type { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { addressSchema } from '../../types/settings.js'
@@ -149,9 +150,11 @@
   await lookBefore(control, 'fleet.watch', call)
   noteWatcher(control, loop, request, presentTime())
   if (request.load !== undefined) noteLoadReport(control.intake, request.self.name, request.self.region, request.load, presentTime())
-  if (request.version === 0) await waitUntilCurrent(control, request.waitMs)
-  if (control.host.machine.config.version <= request.version) await waitForNews(control, request)
+  if (request.version === 0) await waitUntilCurrent(control, request.waitMs, call.gone)
+  if (control.host.machine.config.version <= request.version) await waitForNews(control, request, call.gone)
   if (request.version > 0 && control.host.machine.config.version > request.version) await delay(gatherMs)
+  // Timers run before sockets are read: a VM that stood still ends its waits before it hears who has left.
+  await lookBefore(control, 'fleet.watch', call)
   const { config } = control.host.machine
   const age = stateAge(control, presentTime())
   return {
@@ -167,9 +170,9 @@
   if (noteWatching(control.presence, self, now)) loop.urge()
 }
 
-async function waitForNews (control: FleetControl, request: WatchRequest): Promise<void> {
+async function waitForNews (control: FleetControl, request: WatchRequest, gone: Cancel): Promise<void> {
   const from = Math.max(request.version, control.host.machine.config.version)
-  await waitForProgress(control, request.waitMs, () => control.host.machine.config.version > from)
+  await waitForProgress(control, request.waitMs, gone, () => control.host.machine.config.version > from)
 }
 
 /**
@@ -179,18 +182,20 @@
  * questions take the processor time that the election needs. It shows as many lines of VMs that follow a control VM without a
  * version. Held, each asks once and hears at once.
  */
-async function waitUntilCurrent (control: FleetControl, waitMs: Millis): Promise<void> {
+async function waitUntilCurrent (control: FleetControl, waitMs: Millis, gone: Cancel): Promise<void> {
   const isCurrent = (): boolean => stateAge(control, presentTime()) < control.node.cfg.times.staleMs
   // A disk that was emptied gets the state from a leader, which takes seconds: another VM has it sooner.
-  if (control.host.replica !== undefined && !isCurrent()) await waitForProgress(control, waitMs, isCurrent)
+  if (control.host.replica !== undefined && !isCurrent()) await waitForProgress(control, waitMs, gone, isCurrent)
 }
 
-/** Waits until the copy went on to a state that is asked for, or the time is over. */
-async function waitForProgress (control: FleetControl, waitMs: Millis, isReached: () => boolean): Promise<void> {
+/** Waits until the copy went on to a state that is asked for, the time is over or the caller has left. */
+async function waitForProgress (control: FleetControl, waitMs: Millis, gone: Cancel, isReached: () => boolean): Promise<void> {
+  if (gone.aborted) return
   const { onProgress } = control.host
   await new Promise<void>(resolve => {
     const finish = (): void => {
       clearTimeout(timer)
+      gone.off('abort', finish)
       const place = onProgress.indexOf(check)
       if (place >= 0) onProgress.splice(place, 1)
       resolve()
@@ -198,5 +203,6 @@
     const check = (): void => { if (isReached()) queueMicrotask(finish) }
     const timer = setTimeout(finish, waitMs)
     onProgress.push(check)
+    gone.once('abort', finish)
   })
 }
--- a/packages/daemon/src/core/rpc/rpcServer.ts
+++ b/packages/daemon/src/core/rpc/rpcServer.ts
@@ -7,6 +7,7 @@
 import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
 import type { z } from 'zod'
 import type { Metrics } from '../../utils/metrics.js'
+import { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
 import { listen, readBody } from '../../utils/httpServer.js'
 import type { LoopWatch } from '../../utils/loopWatch.js'
@@ -32,6 +33,8 @@
    * @throws LynxError `cancelled` if the caller closed it
    */
   readonly look: () => Promise<void>
+  /** Aborted once the caller closed its connection, or has its answer. */
+  readonly gone: Cancel
 }
 
 export type RpcHandler<Params> = (params: Params, call: RpcCall) => unknown
@@ -94,7 +97,9 @@
   }
   const body = await readBody(req, maxBytes)
   const look = async (): Promise<void> => await lookAtSender(loop, req.socket, 'receive')
-  const answer = await methods.receiveJSON(body.toString('utf8'), { ...caller, look })
+  const gone = new Cancel()
+  res.once('close', () => gone.abort())
+  const answer = await methods.receiveJSON(body.toString('utf8'), { ...caller, look, gone })
   const text = JSON.stringify(answer ?? null)
   const type = { 'content-type': 'application/json' }
   if (isWorthPacking(req.headers['accept-encoding']?.toString(), text.length)) {
