Take what an entry VM says of itself and of the load although it gave the watch up

A control VM that is over a second behind then knows no entry VM at all, and look-ups name none, though each of them said a second ago that it lives: an unavailable directory in place of one that is a second old. The first look goes; waits end by the close, and the second look keeps the state from being packed for nobody.

--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -145,10 +145,8 @@
 }
 
 async function answerWatch (control: FleetControl, loop: PresenceLoop, request: WatchRequest, call: RpcCall): Promise<WatchReply> {
-  // A VM that leaves may have no time to say so again.
-  if (!request.self.isReady) noteWatcher(control, loop, request, presentTime())
-  await lookBefore(control, 'fleet.watch', call)
-  noteWatcher(control, loop, request, presentTime())
+  const isNews = noteWatching(control.presence, request.self, presentTime())
+  if (isNews) loop.urge()
   if (request.load !== undefined) noteLoadReport(control.intake, request.self.name, request.self.region, request.load, presentTime())
   if (request.version === 0) await waitUntilCurrent(control, request.waitMs, call.gone)
   if (control.host.machine.config.version <= request.version) await waitForNews(control, request, call.gone)
@@ -166,10 +164,6 @@
   }
 }
 
-function noteWatcher (control: FleetControl, loop: PresenceLoop, { self }: WatchRequest, now: Millis): void {
-  if (noteWatching(control.presence, self, now)) loop.urge()
-}
-
 async function waitForNews (control: FleetControl, request: WatchRequest, gone: Cancel): Promise<void> {
   const from = Math.max(request.version, control.host.machine.config.version)
   await waitForProgress(control, request.waitMs, gone, () => control.host.machine.config.version > from)
