Look for an answer before a timer ends its wait

No user reported it; it is the class of GONE in the other direction.

Cause: timers run before sockets are read. A VM that stood still, or was short of processor time, ended sends by their deadline, or asked another server, while the answer lay unread.

At a deadline this costs a turn of the loop.

--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -7,7 +7,7 @@
 import type { HeaderMap } from '../../types/answers.js'
 import { presentTime } from '../../utils/clock.js'
 import { passedHeaders } from '../../utils/headers.js'
-import { noteTurn } from '../../utils/loopWatch.js'
+import { afterLook, noteTurn } from '../../utils/loopWatch.js'
 import { dropConnection, dropSilent, noteUnanswered, progressConnection, releaseConnection, takeConnection } from '../entry/connectionPool.js'
 import type { Connection } from '../entry/connectionPool.js'
 import type { Call } from './call.js'
@@ -81,7 +81,7 @@
 
 async function endOf (gateway: Gateway, call: Call, placed: Placed, { connection, exchange, startedAt, patience }: OpenSend): Promise<SendResult> {
   const { facts } = placed.server
-  const stop = watchSend(call, patience, startedAt, exchange.abort)
+  const stop = watchSend(gateway, call, patience, startedAt, exchange.abort)
   try {
     const received = await exchange.answer
     return takeAnswer(gateway, call, placed, connection, received, (exchange.startedAt ?? startedAt) - startedAt)
@@ -131,27 +131,34 @@
   readonly end: () => void
 }
 
-/** Ends sending at the deadline, when the caller goes, or when it is time to try elsewhere. */
-function watchSend (call: Call, patience: Patience, now: Millis, abort: () => void): SendWatch {
+/**
+ * Ends sending at the deadline, when the caller goes, or when it is time to try elsewhere. Timers run before sockets are read, so
+ * what a timer decides waits for a look: the answer may lie unread.
+ */
+function watchSend ({ loop }: Gateway, call: Call, patience: Patience, now: Millis, abort: () => void): SendWatch {
   let reason: LostReason = 'failed'
-  const stop = (why: typeof reason) => (): void => {
+  let isOver = false
+  const stop = (why: typeof reason): void => {
+    if (isOver) return
     reason = why
     abort()
   }
-  const onGone = stop('gone')
+  const onGone = (): void => stop('gone')
   call.gone.on('abort', onGone)
   if (call.gone.aborted) onGone()
-  const deadlineTimer = setTimeout(stop('deadline'), Math.max(1, call.deadline - now))
-  const leave = (): void => { if (patience.mayLeave()) stop('slow')() }
+  const deadlineTimer = setTimeout(afterLook(loop, () => stop('deadline')), Math.max(1, call.deadline - now))
+  const leave = afterLook(loop, () => { if (patience.mayLeave()) stop('slow') })
   const patienceTimer = patience.leaveAt === undefined ? undefined : setTimeout(leave, Math.max(1, patience.leaveAt - now))
-  const lookAgain = (): void => {
-    if (patience.isStranded()) stop('stranded')()
+  const lookAgain = afterLook(loop, () => {
+    if (isOver) return
+    if (patience.isStranded()) stop('stranded')
     else strandedTimer = setTimeout(lookAgain, strandedCheckMs)
-  }
+  })
   let strandedTimer = setTimeout(lookAgain, Math.max(1, patience.overdueAt - now))
   return {
     reason: () => reason,
     end: () => {
+      isOver = true
       clearTimeout(deadlineTimer)
       clearTimeout(patienceTimer)
       clearTimeout(strandedTimer)
--- a/packages/daemon/src/utils/loopWatch.ts
+++ b/packages/daemon/src/utils/loopWatch.ts
@@ -103,6 +103,14 @@
   return await watch.nextLook
 }
 
+/** A timer's callback that acts after a look: timers run before sockets are read, and what they would decide on may lie unread. */
+export function afterLook (watch: LoopWatch, act: () => void): () => Promise<void> {
+  return async () => {
+    await nextLook(watch)
+    act()
+  }
+}
+
 async function lookOnce (watch: LoopWatch): Promise<Look> {
   await checkPhase()
   // Who asks from here on waits for the look after this one.
