Answer a parent's orders in one way in all programs of the scripts; behaviour unchanged

Four programs (stand-in servers, members, load clients, bare servers) had the same lines for a message, its answer or error, and the end of the parent. `answerOrders` does it for all.

--- a/scripts/bench/bareServers.ts
+++ b/scripts/bench/bareServers.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { Pool } from 'undici'
+import { answerOrders } from '../support/childOrders.js'
 
 /** What to run: `fixed` answers so many bytes, `pass` sends to a target, `target` answers a small body. */
 export interface BareOrder {
@@ -29,9 +30,9 @@
   })
 }
 
-process.on('message', (order: BareOrder) => {
+answerOrders<BareOrder>(async order => {
   const server = start(order)
   server.keepAliveTimeout = 60_000
-  server.listen(0, order.ip, () => process.send?.({ address: `${order.ip}:${(server.address() as AddressInfo).port}` }))
+  await new Promise<void>(resolve => server.listen(0, order.ip, resolve))
+  return { address: `${order.ip}:${(server.address() as AddressInfo).port}` }
 })
-process.on('disconnect', () => process.exit(0))
--- a/scripts/bench/loadClient.ts
+++ b/scripts/bench/loadClient.ts
@@ -1,5 +1,6 @@
 /** A load client in a process of its own: some connections, each with one request under way at a time. */
 import { Client } from 'undici'
+import { answerOrders } from '../support/childOrders.js'
 
 /** What to load. */
 export interface LoadOrder {
@@ -54,7 +55,4 @@
   return { answers, errors: state.errors, seconds, p50: sorted[Math.floor(answers / 2)] ?? NaN, p99: sorted[Math.floor(answers * 0.99)] ?? NaN }
 }
 
-process.on('message', (order: LoadOrder) => {
-  load(order).then(result => process.send?.(result), (err: unknown) => process.send?.({ error: String(err) }))
-})
-process.on('disconnect', () => process.exit(0))
+answerOrders<LoadOrder>(load)
--- a/scripts/bench/memberHost.ts
+++ b/scripts/bench/memberHost.ts
@@ -1,6 +1,7 @@
 /** Many entry daemons in one process, for measuring what each costs and how fast changes reach them. */
 import { settingsSchema, silentLogs, startDaemon } from '@lynxcourse/daemon'
 import type { Daemon } from '@lynxcourse/daemon'
+import { answerOrders } from '../support/childOrders.js'
 import { settingsOf, tidewiseRegions } from '../support/topology.js'
 import type { VmPlan } from '../support/topology.js'
 
@@ -71,7 +72,4 @@
   }
 }
 
-process.on('message', (order: MemberOrder) => {
-  obey(order).then(answer => process.send?.(answer), (err: unknown) => process.send?.({ error: String(err) }))
-})
-process.on('disconnect', () => process.exit(0))
+answerOrders<MemberOrder>(obey)
--- a/scripts/support/fakeServers.ts
+++ b/scripts/support/fakeServers.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { Client } from 'undici'
+import { answerOrders } from './childOrders.js'
 
 /** A server to stand in for. */
 export interface FakePlan {
@@ -149,7 +150,4 @@
   }
 }
 
-process.on('message', (order: FakeOrder) => {
-  obey(order).then(answer => process.send?.(answer), (err: unknown) => process.send?.({ error: String(err) }))
-})
-process.on('disconnect', () => process.exit(0))
+answerOrders<FakeOrder>(obey)
