--- a/scripts/bench/capacitySystem.ts
+++ b/scripts/bench/capacitySystem.ts
@@ -6,6 +6,7 @@
 import type { RpcClient } from '@lynxcourse/daemon'
 import { forkScript, kill, mustCli, sleep, startDaemonProcess, until, answers } from '../support/processes.js'
 import { planVms, settingsOf } from '../support/topology.js'
+import { leadingVm, restartVm } from '../support/system.js'
 import type { SmallSystem } from '../support/system.js'
 import { percentile } from '../support/tables.js'
 import { askChild, cpuSeconds, metric, residentMb, round } from './measuring.js'
@@ -26,9 +27,7 @@
 }
 
 async function leaderIndex (system: SmallSystem): Promise<number> {
-  const { stdout } = await mustCli(system.rpc, ['status'])
-  const rows = JSON.parse(stdout) as Array<{ vm: string, log: { role: string } | null }>
-  const leader = rows.find(row => row.log?.role === 'leader')?.vm
+  const leader = await leadingVm(system.rpc)
   return Math.max(0, system.daemons.findIndex(daemon => daemon.plan.vm === leader))
 }
 
@@ -143,7 +142,6 @@
   const victim = system.daemons[place]
   if (victim === undefined) return
   const changes = quick ? 30 : 500
-  const restart = (): void => { victim.child = startDaemonProcess(victim.plan, settingsOf(victim.plan, system.plans, system.folder, system.extra), system.folder).child }
   const readyAfter = async (): Promise<number> => {
     const startedAt = performance.now()
     await until('the VM is ready', async () => await answers(victim.plan, '/readyz'))
@@ -153,12 +151,12 @@
   const startedAt = performance.now()
   for (let number = 0; number < changes; number++) await publish(client, system, `away-${number % 100}`, Math.floor(number / 100))
   figures.single['changesPerSecondOneByOne'] = round(changes / ((performance.now() - startedAt) / 1000))
-  restart()
+  restartVm(system, victim)
   figures.single['restartAfterChangesMs'] = round(await readyAfter())
   figures.single['restartChanges'] = changes
   await kill(victim.child)
   rmSync(join(system.folder, victim.plan.vm), { recursive: true, force: true })
-  restart()
+  restartVm(system, victim)
   const emptiedAt = performance.now()
   await until('the emptied VM is a voter again', async () => {
     const rows = JSON.parse((await mustCli([victim.plan.rpc], ['status'])).stdout) as Array<{ log: { id: string, members: Array<{ id: string, voter: boolean }> } | null }>
--- a/scripts/bench/claimPlaces.ts
+++ b/scripts/bench/claimPlaces.ts
@@ -7,8 +7,9 @@
 import { stringify } from 'yaml'
 import { startDelayProxy } from '../support/delayProxy.js'
 import type { DelayProxy } from '../support/delayProxy.js'
-import { answers, ended, kill, mustCli, sleep, startDaemonProcess, until } from '../support/processes.js'
+import { ended, kill, sleep, startDaemonProcess } from '../support/processes.js'
 import type { DaemonProcess } from '../support/processes.js'
+import { foundCluster, leadingVm } from '../support/system.js'
 import { freePort, settingsOf, tidewiseRegions } from '../support/topology.js'
 import type { VmPlan } from '../support/topology.js'
 import { percentile, printTable } from '../support/tables.js'
@@ -63,16 +64,13 @@
     }))
     daemons.push(startDaemonProcess(plan, settingsOf(plan, seen, folder, { log: { level: 'warn' } }), folder))
   }
-  for (const plan of plans) await until(`${plan.vm} answers`, async () => await answers(plan, '/healthz'))
-  await mustCli(plans.map(plan => plan.rpc), ['cluster', 'init'])
-  for (const plan of plans) await until(`${plan.vm} is ready`, async () => await answers(plan, '/readyz'))
+  await foundCluster(plans)
   return { daemons, proxies }
 }
 
 async function leaderOf (plans: readonly VmPlan[]): Promise<VmPlan> {
-  const { stdout } = await mustCli(plans.map(plan => plan.rpc), ['status']).catch(() => ({ stdout: '[]' }))
-  const rows = JSON.parse(stdout) as Array<{ vm: string, log: { role: string } | null }>
-  const leader = plans.find(plan => plan.vm === rows.find(row => row.log?.role === 'leader')?.vm)
+  const name = await leadingVm(plans.map(plan => plan.rpc)).catch(() => undefined)
+  const leader = plans.find(plan => plan.vm === name)
   if (leader === undefined) throw new Error('no leader')
   return leader
 }
--- a/scripts/bench/path.ts
+++ b/scripts/bench/path.ts
@@ -1,15 +1,14 @@
 /** `npm run bench -- path`: look-ups and forwarding against bare servers, side by side in one run. */
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { brandId, makeRandom } from '@lynxcourse/base'
 import type { RegionId } from '@lynxcourse/base'
 import { buildBlockTable, buildLookupIndex, blockHash, lookupVms, orderPlaces, regionNumber, regionOfAddress, tableBytes } from '@lynxcourse/routing'
 import type { BlockTable, CallerBlock } from '@lynxcourse/routing'
-import { stringify } from 'yaml'
 import { Client } from 'undici'
 import { kill, mustCli, sleep } from '../support/processes.js'
-import { startSystem, stopSystem } from '../support/system.js'
+import { publishProfile, startSystem, stopSystem } from '../support/system.js'
 import { printTable } from '../support/tables.js'
 import { forkScript } from '../support/processes.js'
 import type { BareOrder } from './bareServers.js'
@@ -102,9 +101,7 @@
   const folder = mkdtempSync(join(tmpdir(), 'lynxcourse-bench-'))
   const system = await startSystem(3, folder, { log: { level: 'info', format: 'text' } })
   try {
-    const file = join(folder, 'p.yaml')
-    writeFileSync(file, stringify({ name: 'desk', places: ['kochi', 'chennai'], queueLimit: 1000 }))
-    await mustCli(system.rpc, ['profile', 'publish', file, '--wait'])
+    await publishProfile(system, { name: 'desk', places: ['kochi', 'chennai'], queueLimit: 1000 })
     await mustCli(system.rpc, ['service', 'pick', 'offers', 'desk', '--wait'])
     const target = await startBare({ kind: 'target', ip: targetIp, bytes: 60, target: '' })
     const stopAnnouncing = announceTarget(system.http[0] ?? '', target.address)
--- a/scripts/bench/policy.ts
+++ b/scripts/bench/policy.ts
@@ -1,16 +1,15 @@
 /** `npm run bench -- policy`: the ways weighed for each policy, in one run, with real daemons. */
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { policyNames } from '@lynxcourse/routing'
 import type { PolicyName } from '@lynxcourse/routing'
 import type { SettingsInput } from '@lynxcourse/daemon'
-import { stringify } from 'yaml'
 import { planServers, reportFleet, startFleet } from '../support/fakeFleet.js'
 import type { FakeFleet, FakeServiceSize } from '../support/fakeFleet.js'
 import type { CallResult } from '../support/callers.js'
 import { mustCli, sleep } from '../support/processes.js'
-import { startSystem, stopSystem } from '../support/system.js'
+import { publishProfile, startSystem, stopSystem } from '../support/system.js'
 import type { SmallSystem } from '../support/system.js'
 import { percentile, printTable } from '../support/tables.js'
 import { startTraffic } from '../support/traffic.js'
@@ -36,9 +35,7 @@
   const system = await startSystem(vmCount, folder, { log: { level: 'warn' }, ...extra })
   try {
     await using fleet = await startFleet(planServers([size]), system.http)
-    const file = join(folder, 'p.yaml')
-    writeFileSync(file, stringify({ name: 'p', places: ['kochi', 'chennai', 'mumbai'], lookupTtlS: 2, ...profile }))
-    await mustCli(system.rpc, ['profile', 'publish', file, '--wait'])
+    await publishProfile(system, { name: 'p', places: ['kochi', 'chennai', 'mumbai'], lookupTtlS: 2, ...profile })
     await mustCli(system.rpc, ['service', 'pick', size.service, 'p', '--wait'])
     await sleep(2000)
     await work(system, fleet)
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -3,13 +3,12 @@
  * and callers. Publishes and changes a profile, drains a server and a failure domain, kills the leading
  * VM, prints what callers saw, and exits with 1 if a promise was broken.
  */
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { stringify } from 'yaml'
 import { planServers, reportFleet, startFleet, tidewiseServices } from './support/fakeFleet.js'
 import type { FakeFleet } from './support/fakeFleet.js'
-import { startSystem, stopSystem } from './support/system.js'
+import { leadingVm, publishProfile, startSystem, stopSystem } from './support/system.js'
 import type { SmallSystem } from './support/system.js'
 import { mustCli, sleep, kill } from './support/processes.js'
 import { startTraffic } from './support/traffic.js'
@@ -44,10 +43,8 @@
   return Number(/in force everywhere after (\d+) ms/.exec(stderr)?.[1] ?? NaN)
 }
 
-async function publish (system: SmallSystem, folder: string, what: string, fields: object, timings: Timings): Promise<void> {
-  const file = join(folder, 'profile.yaml')
-  writeFileSync(file, stringify({ ...profile, ...fields }))
-  const { stderr } = await mustCli(system.rpc, ['profile', 'publish', file, '--wait'])
+async function publish (system: SmallSystem, what: string, fields: object, timings: Timings): Promise<void> {
+  const { stderr } = await publishProfile(system, { ...profile, ...fields })
   timings.changes.push({ what, inForceMs: inForceMs(stderr) })
 }
 
@@ -65,24 +62,22 @@
 }
 
 async function killLeader (system: SmallSystem): Promise<string> {
-  const { stdout } = await mustCli(system.rpc, ['status'])
-  const rows = JSON.parse(stdout) as Array<{ vm: string, log: { role: string } | null }>
-  const leader = rows.find(row => row.log?.role === 'leader')
-  const victim = system.daemons.find(daemon => daemon.plan.vm === leader?.vm)
+  const leader = await leadingVm(system.rpc)
+  const victim = system.daemons.find(daemon => daemon.plan.vm === leader)
   if (victim === undefined) throw new Error('no leader found')
   await kill(victim.child)
   return victim.plan.vm
 }
 
-async function runStory (system: SmallSystem, fleet: FakeFleet, traffic: Traffic, folder: string, timings: Timings): Promise<string> {
+async function runStory (system: SmallSystem, fleet: FakeFleet, traffic: Traffic, timings: Timings): Promise<string> {
   await sleep(3000)
-  await publish(system, folder, 'change profile (cap lowered)', { regionCaps: { kochi: 60, chennai: 90, mumbai: 90 } }, timings)
+  await publish(system, 'change profile (cap lowered)', { regionCaps: { kochi: 60, chennai: 90, mumbai: 90 } }, timings)
   await drain(system, fleet, 'server', 'offers-1', timings)
   const domainDrain = await drain(system, fleet, 'domain', 'kochi-b', timings)
   await mustCli(system.rpc, ['drain', 'cancel', domainDrain, '--wait'])
   const killed = await killLeader(system)
   await sleep(4000)
-  await publish(system, folder, 'change profile after the leader died', { queueLimit: 300 }, timings)
+  await publish(system, 'change profile after the leader died', { queueLimit: 300 }, timings)
   await sleep(1000)
   await traffic.stop()
   return killed
@@ -126,11 +121,11 @@
   try {
     process.stdout.write(`8 daemons run, 3 of them control (${folder})\n`)
     await using fleet = await startFleet(planServers(tidewiseServices), system.http)
-    await publish(system, folder, 'publish profile', {}, timings)
+    await publish(system, 'publish profile', {}, timings)
     for (const service of ['offers', 'ledger']) await mustCli(system.rpc, ['service', 'pick', service, 'desk', '--wait'])
     process.stdout.write('profile in force; callers start\n')
     const traffic = startTraffic(system.http, { readsPerSecond: 300, oncePerSecond: 60 })
-    const killed = await runStory(system, fleet, traffic, folder, timings)
+    const killed = await runStory(system, fleet, traffic, timings)
     const { runsById } = await reportFleet(fleet)
     const broken = report(traffic, runsById, timings, killed)
     process.stdout.write(broken.length === 0 ? '\nall promises held\n' : `\nBROKEN: ${broken.join('; ')}\n`)
