Soak: callers leave, and work for those that have gone is watched, also at a VM short of processor time

The soak's callers waited for every answer, and its servers worked on whatever became of the connection, so it could not see a request passed on for nobody.

Callers: some leave 20 to 320 ms after sending, whatever the VM does at that time (6 % of short requests, 75 % of long reads). Idempotent requests whose bytes still wait in the VM's receive queue a second after sending are given up (read from the kernel's table of connections). Attempts that were drawn to leave are out of the served shares, whether they were answered or not; unread ones stay in and count as not served. 8 % of reads work for 900 ms.

Servers: work and waiting for a slot end when the connection closes, at four of five servers. Runs note their end and their cut.

Judged (goneChecks.ts), in touch as elsewhere in the soak, from the close or the end of the disturbance of the VM that it fell in: more than 3 requests at servers over 500 ms later; more than a quarter of idempotent requests worked on 500 ms later, of those whose work would have lasted so long. A server that goes on after its connection was closed is not held against the VM: the close is what counts. No least count for the quarter, as the rule has none.

Shortage: in each series one entry VM is stopped for 150 of every 200 ms, 3 to 7 s long, by SIGSTOP and SIGCONT, every second time from its start on, every second time with callers that keep to it. A freeze is the step that notes one (from 300 ms); a turn is told from it by its length as measured: one that a late timer makes 300 ms or longer is noted as a freeze.

The check of answers held past their timeout sees fewer reads now: those unread for a second are given up before it. Calls that must not repeat wait as before.

--- a/scripts/__tests__/soak.test.ts
+++ b/scripts/__tests__/soak.test.ts
@@ -9,11 +9,12 @@
 import { createLedger, probePath } from '../soak/ledger.js'
 import type { Attempt, AttemptEnd, Ledger, Run } from '../soak/ledger.js'
 import { runSoak } from '../soak/soakRun.js'
+import { waitingPorts } from '../soak/unread.js'
 
 const size = { controls: 3, entries: 3, servers: 6, domains: 6 }
 
 function attempt (ledger: Ledger, id: string, parts: Partial<Attempt> = {}): void {
-  ledger.attempts.set(id, { id, entry: 'entry-0', path: '/offer/', isIdempotent: false, sentAt: 0, endedAt: 100, end: answered(200), ...parts })
+  ledger.attempts.set(id, { id, entry: 'entry-0', path: '/offer/', isIdempotent: false, leavesAfterMs: undefined, sentAt: 0, endedAt: 100, end: answered(200), ...parts })
 }
 
 function answered (status: number, isWhole = true): AttemptEnd {
@@ -21,7 +22,7 @@
 }
 
 function run (ledger: Ledger, id: string, parts: Partial<Run> = {}): void {
-  ledger.runs.push({ id, path: '/offer/', body: id, server: 's-1', service: 'desk', failureDomain: 'kochi-a', at: 50, readAt: 50, leftMs: 1400, answeredAt: 90, ...parts })
+  ledger.runs.push({ id, path: '/offer/', body: id, server: 's-1', service: 'desk', failureDomain: 'kochi-a', at: 50, readAt: 50, leftMs: 1400, workMs: 40, endedAt: 90, cutAt: undefined, ...parts })
 }
 
 function verdict (fill: (ledger: Ledger) => void): string[] {
@@ -105,8 +106,8 @@
 
 test('repeats beyond the retry budget of all VMs are found in any window', () => {
   const arrive = (ledger: Ledger, requests: number, repeats: number, everyMs: number): void => {
-    for (let place = 0; place < requests; place++) ledger.arrivals.push({ id: `a${place}`, service: 'desk', at: place * everyMs })
-    for (let place = 0; place < repeats; place++) ledger.arrivals.push({ id: `a${place}`, service: 'desk', at: requests * everyMs + place })
+    for (let place = 0; place < requests; place++) ledger.arrivals.push({ id: `a${place}`, server: 's-1', service: 'desk', at: place * everyMs })
+    for (let place = 0; place < repeats; place++) ledger.arrivals.push({ id: `a${place}`, server: 's-1', service: 'desk', at: requests * everyMs + place })
   }
   assert.deepEqual(verdict(ledger => arrive(ledger, 100, 70, 10)), [])
   assert.deepEqual(verdict(ledger => arrive(ledger, 100, 71, 10)), ['budget'])
@@ -124,6 +125,51 @@
   assert.deepEqual(verdict(ledger => { probe(ledger, 4000); ledger.confirmed.push(confirmed, { ...confirmed, version: 6, sentAt: 3990, at: 4100, subject: 'desk' }) }), [])
 })
 
+const left: AttemptEnd = { type: 'left', why: 'early' }
+
+test('requests that reach servers after their callers left count where they are more than a few, at VMs in touch', () => {
+  const late = (ledger: Ledger, afterMs: number, count: number, end: AttemptEnd = left): void => {
+    for (let place = 0; place < count; place++) {
+      attempt(ledger, `a${place}`, { sentAt: 9900, endedAt: 10_000, end })
+      ledger.arrivals.push({ id: `a${place}`, server: 's-1', service: 'desk', at: 10_000 + afterMs })
+    }
+  }
+  const froze = (ledger: Ledger, subject: string, until: number): void => { ledger.disturbances.push({ subject, kind: 'pause', from: 9950, until }) }
+  assert.deepEqual(verdict(ledger => late(ledger, 501, 4)), ['gone'])
+  assert.deepEqual(verdict(ledger => late(ledger, 501, 4, { type: 'left', why: 'unread' })), ['gone'])
+  assert.deepEqual(verdict(ledger => late(ledger, 501, 4, { type: 'timeout' })), ['gone'])
+  assert.deepEqual(verdict(ledger => late(ledger, 501, 4, answered(200))), [])
+  assert.deepEqual(verdict(ledger => late(ledger, 500, 4)), [])
+  assert.deepEqual(verdict(ledger => late(ledger, 501, 3)), [])
+  assert.deepEqual(verdict(ledger => { late(ledger, 501, 4); froze(ledger, 'entry-0', 10_300) }), [], 'the VM was not in touch')
+  assert.deepEqual(verdict(ledger => { late(ledger, 501, 4); froze(ledger, 's-1', 10_300) }), [], 'the link to the server was disturbed')
+  assert.deepEqual(verdict(ledger => { late(ledger, 4400, 4); froze(ledger, 'entry-0', 10_300) }), ['gone'], 'the VM was in touch again')
+})
+
+test('work that goes on after its callers left counts where it is more than a quarter', () => {
+  const fill = (ledger: Ledger, count: number, atWork: number, parts: Partial<Run> = {}): void => {
+    for (let place = 0; place < count; place++) {
+      attempt(ledger, `a${place}`, { path: '/read/', isIdempotent: true, sentAt: 9900, endedAt: 10_000, end: left })
+      run(ledger, `a${place}`, { path: '/read/', body: '', at: 9950, readAt: 9950, workMs: 900, endedAt: 10_850, cutAt: place < atWork ? undefined : 10_500, ...parts })
+    }
+  }
+  assert.deepEqual(verdict(ledger => fill(ledger, 8, 3)), ['at work'])
+  assert.deepEqual(verdict(ledger => fill(ledger, 8, 2)), [])
+  assert.deepEqual(verdict(ledger => fill(ledger, 8, 8, { endedAt: undefined, cutAt: 10_501 })), ['at work'])
+  assert.deepEqual(verdict(ledger => fill(ledger, 8, 8, { workMs: 550, endedAt: 10_500 })), [], 'it would not have lasted')
+  assert.deepEqual(verdict(ledger => { fill(ledger, 8, 8); ledger.disturbances.push({ subject: 'entry-0', kind: 'kill', from: 8000, until: 8100 }) }), [])
+})
+
+test('bytes that a VM has not read are found in the kernel\'s table', () => {
+  const table = [
+    '  sl  local_address rem_address   st tx_queue rx_queue tr tm->when retrnsmt   uid  timeout inode',
+    '   0: 0600407F:1B58 0100007F:C350 01 00000000:0000002A 00:00000000 00000000     0        0 0',
+    '   1: 0600407F:1B58 0100007F:C351 01 00000000:00000000 00:00000000 00000000     0        0 0',
+    '   2: 0700407F:1B58 0100007F:C352 01 00000000:0000002A 00:00000000 00000000     0        0 0'
+  ].join('\n')
+  assert.deepEqual([...waitingPorts(table, '127.64.0.6:7000')], [50_000])
+})
+
 test('a planned stop that cuts a request at work is found, one beside another disturbance is not', () => {
   const cut = (ledger: Ledger): void => {
     attempt(ledger, 'a', { sentAt: 9000, endedAt: 9500, end: { type: 'closed', detail: 'UND_ERR_SOCKET' } })
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -8,6 +8,7 @@
 import { Command, InvalidArgumentError } from 'commander'
 import { messageOf } from '@lynxcourse/base'
 import { planSoak } from './soak/faultPlan.js'
+import type { GoneSeen } from './soak/goneChecks.js'
 import { runSoak } from './soak/soakRun.js'
 import type { SoakResult } from './soak/soakRun.js'
 
@@ -47,15 +48,20 @@
   const result = await runSoak(planSoak(seed, size, options.series), size, folder).catch((err: unknown): SoakResult => notPlayed(seed, err))
   const share = (part: number): string => `${(part * 100).toFixed(1)} %`
   process.stdout.write(`seed ${seed}: ${result.broken.length === 0 ? 'kept' : 'BROKEN'}  ${result.steps} steps, ${result.requests} requests, served ${share(result.servedShare)}, after the last fault ${share(result.lastShare)}\n`)
+  if (result.gone !== undefined) process.stdout.write(goneLine(result.gone))
   for (const line of result.broken.slice(0, 20)) process.stdout.write(`  ${line}\n`)
   if (result.broken.length > 0) process.stdout.write(`  logs: ${folder}\n`)
   else if (options.folder === undefined) rmSync(folder, { recursive: true, force: true })
   return result
 }
 
+function goneLine ({ left, unread, late, lasting, atWork }: GoneSeen): string {
+  return `  callers left ${left} requests, ${unread} of them unread: ${late.length} came late, ${atWork.length} of ${lasting} long ones were worked on\n`
+}
+
 /** A run that could not be played to its end proves nothing, so it counts as one that broke a promise. */
 function notPlayed (seed: number, err: unknown): SoakResult {
-  return { seed, broken: [`not played to its end: ${messageOf(err)}`], requests: 0, servedShare: 0, lastShare: 0, steps: 0 }
+  return { seed, broken: [`not played to its end: ${messageOf(err)}`], requests: 0, servedShare: 0, lastShare: 0, steps: 0, gone: undefined }
 }
 
 async function main (): Promise<void> {
--- a/scripts/soak/caller.ts
+++ b/scripts/soak/caller.ts
@@ -1,22 +1,32 @@
 /** A caller of a soak: looks up entry VMs, sends requests over connections that it keeps, and notes how each ended. */
-import { Pool } from 'undici'
+import type { Socket } from 'node:net'
+import { Pool, buildConnector } from 'undici'
 import type { Random } from '@lynxcourse/base'
 import type { FleetLookup } from '@lynxcourse/daemon'
 import { sleep } from '../support/processes.js'
 import { callAny } from './controlClient.js'
 import type { ControlClient } from './controlClient.js'
-import { probePath } from './ledger.js'
+import type { FaultProxy } from './faultProxy.js'
+import { longPath, probePath } from './ledger.js'
 import type { Attempt, AttemptEnd, Ledger } from './ledger.js'
 import { answerText } from './stubServer.js'
+import { hasUnread } from './unread.js'
 
 /** How long a caller waits for an answer: longer than the routes' timeout, so that it sees whether that one is kept. */
 const deadlineMs = 3000
 const betweenMs = 90
+/** An idempotent request that its VM has not read by then is given up. */
+const unreadMs = 1000
+/** Shares of reads that are long, and of callers that leave before the answer, by the length of the work. */
+const longShare = 0.08
+const leavingShare = { long: 0.75, short: 0.06 }
+const soonestLeavingMs = 20
+const latestLeavingMs = 320
 /** An entry VM that failed is not used again for this long while there are others. */
 const avoidMs = 1500
 
 /** Where a look-up's addresses are reached, and which VM each belongs to. */
-export interface EntryPlace { readonly vm: string, readonly reachedAt: string }
+export interface EntryPlace { readonly vm: string, readonly proxy: FaultProxy }
 
 export interface Caller {
   readonly name: string
@@ -28,6 +38,7 @@
   /** Keeps to one entry VM until its connection fails, whatever look-ups say. */
   readonly isFaithful: boolean
   readonly pools: Map<string, Pool>
+  readonly sockets: Set<Socket>
   readonly avoided: Map<string, number>
   known: readonly string[]
   knownUntil: number
@@ -67,39 +78,77 @@
   const place = caller.places.get(address)
   if (place === undefined) throw new Error(`look-up named ${address}, which is no entry VM`)
   caller.sent += 1
-  const draw = caller.random()
-  const path = draw < 0.45 ? '/read/' : draw < 0.8 ? '/offer/' : probePath
-  const attempt: Attempt = { id: `${caller.name}-${caller.sent}`, entry: place.vm, path, isIdempotent: path !== '/offer/', sentAt: performance.now(), endedAt: undefined, end: undefined }
+  const path = drawPath(caller.random)
+  const attempt: Attempt = { id: `${caller.name}-${caller.sent}`, entry: place.vm, path, isIdempotent: path !== '/offer/', leavesAfterMs: drawLeaving(caller.random, path), sentAt: performance.now(), endedAt: undefined, end: undefined }
   caller.ledger.attempts.set(attempt.id, attempt)
-  const end = await send(caller, place.reachedAt, attempt)
+  const end = await send(caller, place.proxy, attempt)
   attempt.endedAt = performance.now()
   attempt.end = end
-  if (end.type !== 'answer') caller.avoided.set(address, attempt.endedAt + avoidMs)
+  const isStaying = end.type === 'left' && (end.why === 'early' || caller.isFaithful)
+  if (end.type !== 'answer' && !isStaying) caller.avoided.set(address, attempt.endedAt + avoidMs)
 }
 
-async function send (caller: Caller, reachedAt: string, attempt: Attempt): Promise<AttemptEnd> {
-  const signal = AbortSignal.timeout(deadlineMs)
+function drawPath (random: Random): string {
+  const draw = random()
+  if (draw < 0.45) return draw < 0.45 * longShare ? longPath : '/read/'
+  return draw < 0.8 ? '/offer/' : probePath
+}
+
+function drawLeaving (random: Random, path: string): number | undefined {
+  const isLeaving = random() < (path === longPath ? leavingShare.long : leavingShare.short)
+  const afterMs = soonestLeavingMs + random() * (latestLeavingMs - soonestLeavingMs)
+  return isLeaving ? afterMs : undefined
+}
+
+async function send (caller: Caller, proxy: FaultProxy, attempt: Attempt): Promise<AttemptEnd> {
+  const leaving = new AbortController()
+  let ownEnd: AttemptEnd = { type: 'timeout' }
+  const leave = (end: AttemptEnd): void => {
+    ownEnd = end
+    leaving.abort()
+  }
+  const timers = [setTimeout(leave, deadlineMs, ownEnd)]
+  if (attempt.leavesAfterMs !== undefined) timers.push(setTimeout(leave, attempt.leavesAfterMs, { type: 'left', why: 'early' }))
+  if (attempt.isIdempotent) timers.push(setTimeout(() => { if (hasUnread(proxy, caller.sockets)) leave({ type: 'left', why: 'unread' }) }, unreadMs))
   try {
-    const res = await poolOf(caller, reachedAt).request({
+    const res = await poolOf(caller, proxy.address).request({
       method: attempt.isIdempotent ? 'GET' : 'POST',
       path: attempt.path,
       headers: { host: 'soak.example', 'idempotency-key': attempt.id, 'lynx-deadline-ms': String(deadlineMs) },
       body: attempt.isIdempotent ? null : attempt.id,
-      signal
+      signal: leaving.signal
     })
     const text = await res.body.text()
     const isWhole = text === answerText(String(res.headers['lynx-server'] ?? ''), attempt.id)
     return { type: 'answer', status: res.statusCode, isWhole }
   } catch (err) {
-    if (signal.aborted) return { type: 'timeout' }
+    if (leaving.signal.aborted) return ownEnd
     return { type: 'closed', detail: String((err as NodeJS.ErrnoException).code ?? err) }
+  } finally {
+    for (const timer of timers) clearTimeout(timer)
   }
 }
 
 function poolOf (caller: Caller, reachedAt: string): Pool {
   const known = caller.pools.get(reachedAt)
   if (known !== undefined) return known
-  const pool = new Pool(`http://${reachedAt}`, { connections: 2, pipelining: 1, connect: { timeout: 1000 }, headersTimeout: 0, bodyTimeout: 0 })
+  const pool = new Pool(`http://${reachedAt}`, { connections: 2, pipelining: 1, connect: connectorOf(caller), headersTimeout: 0, bodyTimeout: 0 })
   caller.pools.set(reachedAt, pool)
   return pool
 }
+
+/** Connects as a pool does by itself, and notes the connections that are open. */
+function connectorOf (caller: Caller): buildConnector.connector {
+  const connect = buildConnector({ timeout: 1000 })
+  return (options, callback) => {
+    connect(options, (...[err, socket]) => {
+      if (err !== null) {
+        callback(err, null)
+        return
+      }
+      caller.sockets.add(socket)
+      socket.once('close', () => caller.sockets.delete(socket))
+      callback(null, socket)
+    })
+  }
+}
--- a/scripts/soak/callers.ts
+++ b/scripts/soak/callers.ts
@@ -6,10 +6,10 @@
 
 const callersPerEntry = 3
 
-/** Makes callers for all entry VMs, under names that begin alike. */
-export function makeCallers (world: SoakWorld, prefix: string, seed: number): Caller[] {
-  const entries = world.vms.filter(vm => vm.callers !== undefined)
-  const places = new Map<string, EntryPlace>(entries.map(vm => [vm.settings.listen.callers ?? '', { vm: vm.name, reachedAt: vm.callers?.address ?? '' }]))
+/** Makes callers for all entry VMs, under names that begin alike; all keep to one VM's address if it is given. */
+export function makeCallers (world: SoakWorld, prefix: string, seed: number, keepTo?: string): Caller[] {
+  const entries = world.vms.flatMap(vm => vm.callers === undefined ? [] : [{ name: vm.name, proxy: vm.callers }])
+  const places = new Map<string, EntryPlace>(entries.map(({ name, proxy }) => [proxy.target, { vm: name, proxy }]))
   return Array.from({ length: entries.length * callersPerEntry }, (_, place) => ({
     name: `${prefix}-${place}`,
     region: Object.keys(regions)[place % 3] ?? '',
@@ -17,12 +17,13 @@
     places,
     ledger: world.ledger,
     random: makeRandom(seed * 1000 + place),
-    isFaithful: place % 2 === 1,
+    isFaithful: keepTo !== undefined || place % 2 === 1,
     pools: new Map(),
+    sockets: new Set(),
     avoided: new Map(),
     known: [],
     knownUntil: 0,
-    current: undefined,
+    current: keepTo,
     sent: 0
   }))
 }
--- a/scripts/soak/faultPlan.ts
+++ b/scripts/soak/faultPlan.ts
@@ -13,7 +13,8 @@
   | { readonly kind: 'change' | 'race' }
   | { readonly kind: 'evacuate', readonly domain: number, readonly forMs: number }
   | { readonly kind: 'domainLink', readonly domain: number, readonly fault: Exclude<LinkFault, 'none'>, readonly forMs: number }
-  | { readonly kind: 'burst', readonly forMs: number }
+  | { readonly kind: 'burst', readonly vm?: number, readonly forMs: number }
+  | { readonly kind: 'shortage', readonly vm: number, readonly forMs: number }
 )
 
 type Evacuation = Extract<SoakStep, { readonly kind: 'evacuate' }>
@@ -45,7 +46,8 @@
 const seriesMs = 6000
 const calmMs = 7000
 const mostInSeries = 4
-const shortestMs = 300
+/** Shortest freeze. */
+export const shortestMs = 300
 const longestMs = 4000
 
 /** Faults begin this much before or after an evacuation that they go with. */
@@ -54,8 +56,14 @@
 const shortestCutMs = 2500
 const longestCutMs = 4100
 
-/** Kinds that are drawn by themselves; the others come with an evacuation. */
-type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst'>
+/** An entry VM is short of processor time for about as long as one that starts takes to be in touch. */
+const shortestShortageMs = 3000
+const longestShortageMs = 7000
+/** Shortages have draws of their own beside the other faults of a seed. */
+const shortageSalt = 7_000_003
+
+/** Kinds that are drawn by themselves; the others come with an evacuation or a shortage. */
+type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst' | 'shortage'>
 
 /** Kinds with their weights. */
 const weights: ReadonlyArray<readonly [StepKind, number]> = [
@@ -67,6 +75,7 @@
 /** Draws the plan of a seed; equal seeds and sizes give equal plans. */
 export function planSoak (seed: number, size: SoakSize, series: number): SoakPlan {
   const random = makeRandom(seed)
+  const shortages = makeRandom(seed + shortageSalt)
   const steps: SoakStep[] = []
   for (let number = 0; number < series; number++) {
     const start = number * (seriesMs + calmMs)
@@ -81,6 +90,7 @@
       steps.push(step)
       if (step.kind === 'evacuate') steps.push(...drawAround(random, size, step))
     }
+    steps.push(...drawShortage(shortages, size, start))
   }
   steps.sort((a, b) => a.at - b.at)
   return { seed, steps, lengthMs: series * (seriesMs + calmMs) }
@@ -134,3 +144,14 @@
   if (random() < 0.5) steps.push({ at: near(), kind: 'burst', forMs: longestMs })
   return steps
 }
+
+/** An entry VM gets a part of its time only, every second one from its start on, every second one under a burst of its own. */
+function drawShortage (random: Random, size: SoakSize, start: number): SoakStep[] {
+  const at = start + pick(random, seriesMs / 2)
+  const vm = size.controls + pick(random, size.entries)
+  const forMs = shortestShortageMs + pick(random, longestShortageMs - shortestShortageMs)
+  const steps: SoakStep[] = [{ at, kind: 'shortage', vm, forMs }]
+  if (random() < 0.5) steps.unshift({ at, kind: 'kill', vm, forMs: shortestMs })
+  if (random() < 0.5) steps.push({ at, kind: 'burst', vm, forMs })
+  return steps
+}
--- a/scripts/soak/judging.ts
+++ b/scripts/soak/judging.ts
@@ -1,4 +1,5 @@
 /** The promises that a soak is held against. */
+import { brokenGone } from './goneChecks.js'
 import { bounds, isCalm, isInTouch, probePath } from './ledger.js'
 import type { Attempt, Confirmed, Disturbance, Ledger, Run } from './ledger.js'
 import { brokenBudgets, brokenTimeLeft, brokenTries } from './sendChecks.js'
@@ -12,6 +13,7 @@
     ...ledger.confirmed.flatMap(confirmed => brokenConfirmation(ledger, confirmed)),
     ...brokenReads(ledger),
     ...brokenTimeouts(ledger),
+    ...brokenGone(ledger),
     ...brokenTries(ledger),
     ...brokenTimeLeft(ledger),
     ...brokenBudgets(ledger),
--- a/scripts/soak/ledger.ts
+++ b/scripts/soak/ledger.ts
@@ -5,6 +5,8 @@
   | { readonly type: 'answer', readonly status: number, readonly isWhole: boolean }
   | { readonly type: 'closed', readonly detail: string }
   | { readonly type: 'timeout' }
+  /** Its caller closed the connection before the answer, of its own will or since the VM had not read the request. */
+  | { readonly type: 'left', readonly why: 'early' | 'unread' }
 
 /** One request that a caller sent, under an id of its own. */
 export interface Attempt {
@@ -13,6 +15,8 @@
   readonly path: string
   readonly isIdempotent: boolean
   readonly sentAt: number
+  /** When its caller leaves if it has no answer by then; undefined for one that waits. */
+  readonly leavesAfterMs: number | undefined
   endedAt: number | undefined
   end: AttemptEnd | undefined
 }
@@ -30,13 +34,18 @@
   readonly readAt: number
   /** What the VM told of the time that is left; undefined if it told nothing. */
   readonly leftMs: number | undefined
-  /** When the whole answer was handed to the network; undefined if it never was. */
-  answeredAt: number | undefined
+  /** How long the work lasts if nothing ends it. */
+  readonly workMs: number
+  /** When the work ended, with or without an answer. */
+  endedAt: number | undefined
+  /** When its connection closed before the whole answer was sent. */
+  cutAt: number | undefined
 }
 
 /** One request as it came to the server that it was for, whether that one ran it or not. */
 export interface Arrival {
   readonly id: string
+  readonly server: string
   readonly service: string
   readonly at: number
 }
@@ -86,6 +95,9 @@
   /** Timeout of the soak's routes, and how much later a final answer may come. */
   timeoutMs: 1500,
   graceMs: 500,
+  /** How long after its caller's close a request may reach a server or be worked on, and how many may reach one later. */
+  goneMs: 500,
+  goneFew: 3,
   /** Most servers at which one request of the soak's routes may run. */
   maxAttempts: 2,
   /** As in the VMs' settings by default. */
@@ -109,9 +121,12 @@
 /** Path of the route that changes move from service to service. */
 export const probePath = '/probe/'
 
-/** Share of the attempts sent in a span that were answered with a success. */
+/** Path of requests whose work lasts long. */
+export const longPath = '/read/long'
+
+/** Share of the attempts sent in a span that were answered with a success; those whose caller may leave early are left out. */
 export function servedShare (ledger: Ledger, from: number, until: number): { readonly share: number, readonly sent: number } {
-  const sent = [...ledger.attempts.values()].filter(attempt => attempt.sentAt >= from && attempt.sentAt < until)
+  const sent = [...ledger.attempts.values()].filter(attempt => attempt.leavesAfterMs === undefined && attempt.sentAt >= from && attempt.sentAt < until)
   const served = sent.filter(attempt => attempt.end?.type === 'answer' && attempt.end.status === 200)
   return { share: sent.length === 0 ? 0 : served.length / sent.length, sent: sent.length }
 }
--- a/scripts/soak/soakRun.ts
+++ b/scripts/soak/soakRun.ts
@@ -8,6 +8,8 @@
 import { callUntilClear } from './controlClient.js'
 import type { SoakPlan, SoakSize } from './faultPlan.js'
 import { setFault } from './faultProxy.js'
+import { seeGone } from './goneChecks.js'
+import type { GoneSeen } from './goneChecks.js'
 import { findBroken } from './judging.js'
 import { servedShare } from './ledger.js'
 import { changeRoutes, checkFinalRoutes, keepReading } from './operator.js'
@@ -27,6 +29,8 @@
   readonly servedShare: number
   readonly lastShare: number
   readonly steps: number
+  /** Undefined if the run was not played to its end. */
+  readonly gone: GoneSeen | undefined
 }
 
 const announceMs = 600
@@ -52,7 +56,7 @@
   isOver = true
   await Promise.all(work)
   const whole = servedShare(ledger, 0, Infinity)
-  return { seed: plan.seed, broken: findBroken(ledger), requests: whole.sent, servedShare: whole.share, lastShare: last, steps: plan.steps.length }
+  return { seed: plan.seed, broken: findBroken(ledger), requests: whole.sent, servedShare: whole.share, lastShare: last, steps: plan.steps.length, gone: seeGone(ledger) }
 }
 
 async function playSteps (world: SoakWorld, plan: SoakPlan): Promise<void> {
--- a/scripts/soak/striking.ts
+++ b/scripts/soak/striking.ts
@@ -4,6 +4,7 @@
 import { keepCalling } from './caller.js'
 import { makeCallers } from './callers.js'
 import { callUntilClear } from './controlClient.js'
+import { shortestMs } from './faultPlan.js'
 import type { SoakStep, VmStep } from './faultPlan.js'
 import { resetAll, setFault } from './faultProxy.js'
 import type { FaultProxy, LinkFault } from './faultProxy.js'
@@ -20,6 +21,9 @@
 /** An address is used again after this. */
 const reuseAfterMs = 2000
 const resetShare = 0.6
+/** Turns of a VM that gets a quarter of its time. */
+const stoppedMs = 150
+const runningMs = 50
 
 type StepOf<Kind extends SoakStep['kind']> = Extract<SoakStep, { readonly kind: Kind }>
 
@@ -46,6 +50,7 @@
     }
     case 'race': return await raceChanges(world.operator)
     case 'domainLink': return await strikeDomain(world, step)
+    case 'shortage': return await strikeShortage(world, step)
     case 'burst': return await strikeBurst(world, step)
     case 'evacuate': return await evacuate(world.operator, world.domains[step.domain % world.domains.length] as typeof world.domains[0], step.forMs)
   }
@@ -101,6 +106,26 @@
   end()
 }
 
+/** Stops and continues a VM by turns. This is no disturbance: a VM that is short of processor time owes every promise. */
+async function strikeShortage (world: SoakWorld, step: StepOf<'shortage'>): Promise<void> {
+  const until = performance.now() + step.forMs
+  while (performance.now() < until) {
+    const vm = freeVm(world, step.vm)
+    if (vm !== undefined) await stopForTurn(world, vm)
+    await sleep(runningMs)
+  }
+}
+
+/** A turn that a late timer makes as long as a freeze is noted as one. */
+async function stopForTurn (world: SoakWorld, vm: SoakVm): Promise<void> {
+  const from = performance.now()
+  vm.child?.kill('SIGSTOP')
+  await sleep(stoppedMs)
+  if (!vm.isPaused) vm.child?.kill('SIGCONT')
+  const until = performance.now()
+  if (until - from >= shortestMs) world.ledger.disturbances.push({ subject: vm.name, kind: 'pause', from, until })
+}
+
 /** Kills all control VMs at one moment; their disks stay. */
 async function strikeCore (world: SoakWorld, step: StepOf<'killCore'>): Promise<void> {
   const controls = world.vms.slice(0, world.size.controls).flatMap((_, place) => freeVm(world, place) ?? [])
@@ -155,10 +180,10 @@
   end()
 }
 
-/** Lets as many callers again come for a while. */
+/** Lets as many callers again come for a while, to one VM if the step names it. */
 async function strikeBurst (world: SoakWorld, step: StepOf<'burst'>): Promise<void> {
   const until = performance.now() + step.forMs
-  const callers = makeCallers(world, `burst-${step.at}`, step.at)
+  const callers = makeCallers(world, `burst-${step.at}`, step.at, step.vm === undefined ? undefined : world.vms[step.vm]?.settings.listen.callers)
   await Promise.all(callers.map(async caller => await keepCalling(caller, () => performance.now() >= until)))
 }
 
--- a/scripts/soak/stubServer.ts
+++ b/scripts/soak/stubServer.ts
@@ -5,14 +5,20 @@
 import { brandId, hashText } from '@lynxcourse/base'
 import type { FailureDomainId, Random, ServerId, ServiceId } from '@lynxcourse/base'
 import type { BackendFacts } from '@lynxcourse/state'
+import { sleep } from '../support/processes.js'
 import { startFaultProxy } from './faultProxy.js'
 import type { FaultProxy } from './faultProxy.js'
+import { longPath } from './ledger.js'
 import type { Ledger, Run } from './ledger.js'
 
 const slots = 4
 const queue = 6
 const shortestWorkMs = 15
 const longestWorkMs = 120
+/** Work of requests on the long path, well inside the routes' timeout. */
+const longWorkMs = 900
+/** One in so many servers works on when its connection closes. */
+const goingOnEvery = 5
 const answerBytes = 1500
 
 /** One place at which lifetimes of servers follow each other at the same address. */
@@ -81,6 +87,7 @@
 
 async function serve (stub: StubServer, self: ServerId, req: IncomingMessage, res: ServerResponse): Promise<void> {
   const id = String(req.headers['idempotency-key'] ?? '')
+  const closed = new Promise<void>(resolve => res.once('close', () => resolve()))
   const body = await readText(req)
   const readAt = performance.now()
   res.setHeader('idempotency-key', id)
@@ -89,30 +96,52 @@
     res.writeHead(421).end()
     return
   }
-  stub.ledger.arrivals.push({ id, service: stub.facts.service, at: readAt })
+  stub.ledger.arrivals.push({ id, server: self, service: stub.facts.service, at: readAt })
   if (stub.waiting.length >= queue) {
     res.writeHead(503, { 'lynx-not-started': 'full' }).end()
     return
   }
-  if (stub.running >= slots) await new Promise<void>(resolve => stub.waiting.push(resolve))
-  await work(stub, self, req, body, readAt, res)
+  const stop = stub.place % goingOnEvery === goingOnEvery - 1 ? new Promise<void>(() => undefined) : closed
+  if (stub.running >= slots && !(await hasTurn(stub, stop))) return
+  const run = beginRun(stub, self, req, body, readAt)
+  closed.then(() => { if (!res.writableFinished) run.cutAt = performance.now() }, () => undefined)
+  await work(stub, run, stop, res)
 }
 
-async function work (stub: StubServer, self: ServerId, req: IncomingMessage, body: string, readAt: number, res: ServerResponse): Promise<void> {
+/** Waits for a slot; false if the request was given up meanwhile. */
+async function hasTurn (stub: StubServer, stop: Promise<void>): Promise<boolean> {
+  const { waiting } = stub
+  let begin = (): void => undefined
+  const turn = new Promise<void>(resolve => { begin = resolve })
+  waiting.push(begin)
+  await Promise.race([turn, stop])
+  const place = waiting.indexOf(begin)
+  if (place >= 0) waiting.splice(place, 1)
+  return place < 0
+}
+
+function beginRun (stub: StubServer, self: ServerId, req: IncomingMessage, body: string, readAt: number): Run {
   const { service, failureDomain } = stub.facts
   const id = String(req.headers['idempotency-key'] ?? '')
   const left = req.headers['lynx-deadline-ms']
   const leftMs = left === undefined ? undefined : Number(left)
-  const run: Run = { id, path: req.url ?? '', body, server: self, service, failureDomain, at: performance.now(), readAt, leftMs, answeredAt: undefined }
+  const workMs = req.url === longPath ? longWorkMs : shortestWorkMs + stub.random() * (longestWorkMs - shortestWorkMs)
+  const run: Run = { id, path: req.url ?? '', body, server: self, service, failureDomain, at: performance.now(), readAt, leftMs, workMs, endedAt: undefined, cutAt: undefined }
   stub.ledger.runs.push(run)
+  return run
+}
+
+/** Works until the answer is due or the request is given up. */
+async function work (stub: StubServer, run: Run, stop: Promise<void>, res: ServerResponse): Promise<void> {
   stub.running += 1
-  await new Promise(resolve => setTimeout(resolve, shortestWorkMs + stub.random() * (longestWorkMs - shortestWorkMs)))
-  if (stub.facts.id !== self) return
+  await Promise.race([sleep(run.workMs), stop])
+  run.endedAt = performance.now()
+  if (stub.facts.id !== run.server) return
   stub.running -= 1
   stub.waiting.shift()?.()
-  res.setHeader('lynx-server', self)
-  res.end(answerText(self, id))
-  run.answeredAt = performance.now()
+  if (res.destroyed) return
+  res.setHeader('lynx-server', run.server)
+  res.end(answerText(run.server, run.id))
 }
 
 async function readText (req: IncomingMessage): Promise<string> {
