--- a/scripts/soak/callers.ts
+++ b/scripts/soak/callers.ts
@@ -5,12 +5,14 @@
 import type { SoakWorld } from './soakWorld.js'
 
 const callersPerEntry = 3
+/** Callers that keep to one VM are so many more. */
+const crowd = 4
 
 /** Makes callers for all entry VMs, under names that begin alike; all keep to one VM's address if it is given. */
 export function makeCallers (world: SoakWorld, prefix: string, seed: number, keepTo?: string): Caller[] {
   const entries = world.vms.flatMap(vm => vm.callers === undefined ? [] : [{ name: vm.name, proxy: vm.callers }])
   const places = new Map<string, EntryPlace>(entries.map(({ name, proxy }) => [proxy.target, { vm: name, proxy }]))
-  return Array.from({ length: entries.length * callersPerEntry }, (_, place) => ({
+  return Array.from({ length: entries.length * callersPerEntry * (keepTo === undefined ? 1 : crowd) }, (_, place) => ({
     name: `${prefix}-${place}`,
     region: Object.keys(regions)[place % 3] ?? '',
     client: world.client,
--- a/scripts/soak/faultPlan.ts
+++ b/scripts/soak/faultPlan.ts
@@ -1,5 +1,5 @@
 /** Draws the faults of a soak from its seed: in series with calm between them, overlapping within a series. */
-import { makeRandom } from '@lynxcourse/base'
+import { hashText, makeRandom } from '@lynxcourse/base'
 import type { Random } from '@lynxcourse/base'
 import type { LinkFault } from './faultProxy.js'
 
@@ -59,8 +59,6 @@
 /** An entry VM is short of processor time for about as long as one that starts takes to be in touch. */
 const shortestShortageMs = 3000
 const longestShortageMs = 7000
-/** Shortages have draws of their own beside the other faults of a seed. */
-const shortageSalt = 7_000_003
 
 /** Kinds that are drawn by themselves; the others come with an evacuation or a shortage. */
 type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst' | 'shortage'>
@@ -75,7 +73,8 @@
 /** Draws the plan of a seed; equal seeds and sizes give equal plans. */
 export function planSoak (seed: number, size: SoakSize, series: number): SoakPlan {
   const random = makeRandom(seed)
-  const shortages = makeRandom(seed + shortageSalt)
+  // Draws of their own, so that the other faults of a seed don't depend on them.
+  const shortages = makeRandom(hashText(`shortage ${seed}`))
   const steps: SoakStep[] = []
   for (let number = 0; number < series; number++) {
     const start = number * (seriesMs + calmMs)
