Soak: press a VM that is short of processor time, with callers that leave; read the kernel's table once for many

They are eight times as many now, and half of their requests are left 20 to 320 ms after they were sent.

--- a/scripts/soak/caller.ts
+++ b/scripts/soak/caller.ts
@@ -17,9 +17,9 @@
 const betweenMs = 90
 /** An idempotent request that its VM has not read by then is given up. */
 const unreadMs = 1000
-/** Shares of reads that are long, and of callers that leave before the answer, by the length of the work. */
+/** Shares of reads that are long, and of requests whose callers leave before the answer. */
 const longShare = 0.08
-const leavingShare = { long: 0.75, short: 0.06 }
+const leavingShare = { long: 0.75, impatient: 0.5, short: 0.06 }
 const soonestLeavingMs = 20
 const latestLeavingMs = 320
 /** An entry VM that failed is not used again for this long while there are others. */
@@ -37,6 +37,8 @@
   readonly random: Random
   /** Keeps to one entry VM until its connection fails, whatever look-ups say. */
   readonly isFaithful: boolean
+  /** Leaves before the answer more often. */
+  readonly isImpatient: boolean
   readonly pools: Map<string, Pool>
   readonly sockets: Set<Socket>
   readonly avoided: Map<string, number>
@@ -79,7 +81,7 @@
   if (place === undefined) throw new Error(`look-up named ${address}, which is no entry VM`)
   caller.sent += 1
   const path = drawPath(caller.random)
-  const attempt: Attempt = { id: `${caller.name}-${caller.sent}`, entry: place.vm, path, isIdempotent: path !== '/offer/', leavesAfterMs: drawLeaving(caller.random, path), sentAt: performance.now(), endedAt: undefined, end: undefined }
+  const attempt: Attempt = { id: `${caller.name}-${caller.sent}`, entry: place.vm, path, isIdempotent: path !== '/offer/', leavesAfterMs: drawLeaving(caller, path), sentAt: performance.now(), endedAt: undefined, end: undefined }
   caller.ledger.attempts.set(attempt.id, attempt)
   const end = await send(caller, place.proxy, attempt)
   attempt.endedAt = performance.now()
@@ -94,8 +96,9 @@
   return draw < 0.8 ? '/offer/' : probePath
 }
 
-function drawLeaving (random: Random, path: string): number | undefined {
-  const isLeaving = random() < (path === longPath ? leavingShare.long : leavingShare.short)
+function drawLeaving ({ random, isImpatient }: Caller, path: string): number | undefined {
+  const share = path === longPath ? leavingShare.long : isImpatient ? leavingShare.impatient : leavingShare.short
+  const isLeaving = random() < share
   const afterMs = soonestLeavingMs + random() * (latestLeavingMs - soonestLeavingMs)
   return isLeaving ? afterMs : undefined
 }
@@ -109,7 +112,7 @@
   }
   const timers = [setTimeout(leave, deadlineMs, ownEnd)]
   if (attempt.leavesAfterMs !== undefined) timers.push(setTimeout(leave, attempt.leavesAfterMs, { type: 'left', why: 'early' }))
-  if (attempt.isIdempotent) timers.push(setTimeout(() => { if (hasUnread(proxy, caller.sockets)) leave({ type: 'left', why: 'unread' }) }, unreadMs))
+  if (attempt.isIdempotent) timers.push(setTimeout(() => { if (hasUnread(proxy, caller.sockets, performance.now())) leave({ type: 'left', why: 'unread' }) }, unreadMs))
   try {
     const res = await poolOf(caller, proxy.address).request({
       method: attempt.isIdempotent ? 'GET' : 'POST',
--- a/scripts/soak/callers.ts
+++ b/scripts/soak/callers.ts
@@ -6,9 +6,9 @@
 
 const callersPerEntry = 3
 /** Callers that keep to one VM are so many more. */
-const crowd = 4
+const crowd = 8
 
-/** Makes callers for all entry VMs, under names that begin alike; all keep to one VM's address if it is given. */
+/** Makes callers for all entry VMs, under names that begin alike; if an address is given, more of them, which keep to its VM and leave sooner. */
 export function makeCallers (world: SoakWorld, prefix: string, seed: number, keepTo?: string): Caller[] {
   const entries = world.vms.flatMap(vm => vm.callers === undefined ? [] : [{ name: vm.name, proxy: vm.callers }])
   const places = new Map<string, EntryPlace>(entries.map(({ name, proxy }) => [proxy.target, { vm: name, proxy }]))
@@ -20,6 +20,7 @@
     ledger: world.ledger,
     random: makeRandom(seed * 1000 + place),
     isFaithful: keepTo !== undefined || place % 2 === 1,
+    isImpatient: keepTo !== undefined,
     pools: new Map(),
     sockets: new Set(),
     avoided: new Map(),
