--- a/scripts/__tests__/soak.test.ts
+++ b/scripts/__tests__/soak.test.ts
@@ -200,7 +200,15 @@
   }
 })
 
-/** Drawn once; its faults: an evacuation, a frozen entry VM, a control VM that loses its disk and another that is killed. */
+test('each series of a plan makes one entry VM short of processor time, and ends it before the next', () => {
+  for (let seed = 1; seed <= 50; seed++) {
+    const shortages = planSoak(seed, size, 4).steps.flatMap(step => step.kind === 'shortage' ? [step] : [])
+    assert.deepEqual(shortages.map(({ at }) => Math.floor(at / 13_000)), [0, 1, 2, 3], `seed ${seed}`)
+    for (const { at, vm, forMs } of shortages) assert.ok(vm >= size.controls && vm < size.controls + size.entries && at % 13_000 + forMs < 13_000, `seed ${seed}`)
+  }
+})
+
+/** Drawn once; its faults: an evacuation, a frozen entry VM, one that starts short of processor time, a control VM that stops and is killed, racing operators. */
 const ciSeed = 5
 
 test('the real daemons keep every promise through a short soak', { timeout: 120_000 }, async () => {
