Answers that wait behind a slow one no longer hide that their caller has left

What callers saw: a caller that sent several requests behind one another and left was worked for on, and further sends began for it. Cause: answers that were ready before their turn were handed to the HTTP server, which stops reading a connection while it holds 16 kB for it. The caller's close then lay unread until the slow answer was there. Change: the gateway holds a ready answer until those before it are written out, so nothing of it counts for that bound and reading goes on. Held bytes are bounded by connection: over 1 MiB no further request of it begins, beside the bound of eight at once. The first one always may, so none waits for itself. Answers stay in order, late ones are delivered, and whether an answer closes its connection is decided when it is written. Tests (closeSeen.test.ts), before: not ok 1 - a close is seen while large answers wait behind a slow one: 'did not come true in time' (open requests stay, 15 s) not ok 2 - no further request of a connection begins while many bytes of its answers wait: 'did not come true in time' after: both ok, and the four of pipeline.test.ts, three runs of three. With the bound on held bytes taken out the second fails with '3 !== 2'.

--- /dev/null
+++ b/packages/daemon/__tests__/closeSeen.test.ts
@@ -0,0 +1,83 @@
+/** Closes of callers' connections while the VM's event loop is calm. */
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import type { ServerResponse } from 'node:http'
+import { test } from 'node:test'
+import { ask, publish, routeTo, startRig, startServer, until } from './support/fleetRig.js'
+import type { FleetRig } from './support/fleetRig.js'
+
+/** Longer than `until` waits, so that no deadline ends what a close is to end. */
+const timeoutMs = 60_000
+
+type Gateway = NonNullable<NonNullable<FleetRig['daemons'][number]>['gateway']>
+
+function gatewayOf (rig: FleetRig): Gateway {
+  return rig.daemons.at(-1)?.gateway as Gateway
+}
+
+interface Caller extends Disposable {
+  readonly socket: Socket
+  readonly leave: () => Promise<void>
+}
+
+async function connectCaller (address: string): Promise<Caller> {
+  const [host, port] = address.split(':')
+  const socket = connect({ host: host ?? '', port: Number(port) })
+  await once(socket, 'connect')
+  const leave = async (): Promise<void> => {
+    socket.destroy()
+    await once(socket, 'close')
+  }
+  return { socket, leave, [Symbol.dispose]: () => { socket.destroy() } }
+}
+
+function get (path: string): string {
+  return `GET ${path} HTTP/1.1\r\nHost: a.example\r\n\r\n`
+}
+
+/** How many sends have ended with a server's answer. */
+async function answersOf (rig: FleetRig): Promise<number> {
+  const { values } = await gatewayOf(rig).node.metrics.attempts.get()
+  return values.find(({ labels }) => labels.end === '200')?.value ?? 0
+}
+
+/** Guards against this failure: answers that wait behind a slow one stop the reading, and servers work on for a caller that left. */
+test('a close is seen while large answers wait behind a slow one', async () => {
+  await using rig = await startRig(1)
+  const answer = Buffer.alloc(40_000)
+  await using server = await startServer('s1', (req, res) => { if (req.url === '/read/large') res.end(answer) })
+  await publish(rig, [server], [routeTo('read', { timeoutMs })])
+  using caller = await connectCaller(rig.settings.at(-1)?.callers ?? '')
+  caller.socket.write(get('/read/slow') + get('/read/large') + get('/read/large'))
+  await until(async () => await answersOf(rig) === 2)
+  caller.socket.write(get('/read/slow'))
+  await until(() => server.requests.length === 4)
+  await caller.leave()
+  await until(() => gatewayOf(rig).open === 0)
+})
+
+/** Guards against this failure: a connection's answers that wait for their turn take a VM's memory. */
+test('no further request of a connection begins while many bytes of its answers wait', async () => {
+  await using rig = await startRig(1)
+  const answer = Buffer.alloc(1_000_000)
+  const held: ServerResponse[] = []
+  await using server = await startServer('s1', (req, res) => {
+    if (req.url === '/read/slow') held.push(res)
+    else res.end(answer)
+  })
+  await publish(rig, [server], [routeTo('read', { timeoutMs })])
+  using caller = await connectCaller(rig.settings.at(-1)?.callers ?? '')
+  const sent = (): number => server.requests.filter(({ url }) => url === '/read/large').length
+  let size = 0
+  caller.socket.on('data', (chunk: Buffer) => { size += chunk.length })
+  caller.socket.write(get('/read/slow') + get('/read/large') + get('/read/large'))
+  await until(async () => await answersOf(rig) === 2)
+  caller.socket.write(get('/read/large'))
+  await until(() => gatewayOf(rig).open === 4)
+  assert.equal((await ask(rig, '/read/other')).status, 200)
+  assert.equal(sent(), 2)
+  held[0]?.end()
+  await until(() => sent() === 3 && size > 3 * answer.length)
+})
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -16,7 +16,7 @@
 import { arrivalTime, nextLook, noteTurn, watchClose } from '../../utils/loopWatch.js'
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
-import { joinPipeline, leavePipeline, tryClosing } from './pipeline.js'
+import { joinPipeline, leavePipeline, tryClosing, waitForTurn } from './pipeline.js'
 import type { PipelinedRequest } from './pipeline.js'
 import { logRefusal, timeFields } from './requestLog.js'
 import type { RefusedCall } from './requestLog.js'
@@ -75,9 +75,9 @@
     const target = targetOf(gateway, req)
     service = target?.service ?? 'none'
     const answer = target === undefined ? noRoute(gateway, req) : await serveRequest(gateway, req, target, gone, arrival)
-    if (answer !== undefined && !gone.aborted) writeAnswer(gateway, res, answer, place)
     metrics.requests.inc({ service, outcome: answer === undefined ? 'gone' : String(answer.status) })
     metrics.requestSeconds.observe({ service }, (presentTime() - arrivedAt) / 1000)
+    if (answer !== undefined && await waitForTurn(place, answer.body.length)) writeAnswer(gateway, res, answer, place)
   } finally {
     if (!res.writableEnded) leavePipeline(place)
     gateway.open -= 1
--- a/packages/daemon/src/core/gateway/pipeline.ts
+++ b/packages/daemon/src/core/gateway/pipeline.ts
@@ -12,13 +12,18 @@
 
 /** Requests of one connection that are worked on at once; the next ones wait, so that at most so many answers are held for their turn. */
 const mostAtOnce = 8
+/** Bytes of one connection's answers that wait for their turn; with more, no further request of it begins. */
+const mostHeldBytes = 1_048_576
 
 /** One request's place on its connection. */
 export interface PipelinedRequest {
   readonly pipeline: Pipeline
   /** Aborted when the caller closed the connection, or an answer before this one closes it. */
   readonly gone: Cancel
-  start: () => void
+  /** Bytes of its answer while that waits for its turn. */
+  heldBytes: number
+  /** Called when what it waits for may be there. */
+  wake: () => void
 }
 
 /** Requests of one connection whose answers are not written out yet, in the order in which they came. */
@@ -46,18 +51,45 @@
 /** Takes a request's place, and waits until it may be worked on or is cancelled. */
 export async function joinPipeline (pipelines: Pipelines, socket: Socket): Promise<PipelinedRequest> {
   const pipeline = pipelineOf(pipelines, socket)
-  const request: PipelinedRequest = { pipeline, gone: new Cancel(), start: () => undefined }
+  const request: PipelinedRequest = { pipeline, gone: new Cancel(), heldBytes: 0, wake: () => undefined }
   pipeline.requests.push(request)
   if (socket.destroyed || pipeline.isClosing) cancel(request)
-  else if (pipeline.requests.length > mostAtOnce) await new Promise<void>(resolve => { request.start = resolve })
+  await waitUntil(request, mayBegin)
   return request
 }
 
-/** Gives a request's place up, once its answer is written out or there is none, and lets the next one start. */
+/**
+ * Holds an answer until those before it are written out; false if its caller is gone by then.
+ *
+ * The HTTP server would hold it as well, but stops reading when it holds many bytes: a close is then not seen.
+ */
+export async function waitForTurn (request: PipelinedRequest, bytes: number): Promise<boolean> {
+  request.heldBytes = bytes
+  await waitUntil(request, isFirst)
+  request.heldBytes = 0
+  return !request.gone.aborted
+}
+
+/** Gives a request's place up, once its answer is written out or there is none, and lets the next ones go on. */
 export function leavePipeline (request: PipelinedRequest): void {
   const { pipeline } = request
   pipeline.requests = pipeline.requests.filter(other => other !== request)
-  pipeline.requests[mostAtOnce - 1]?.start()
+  for (const next of pipeline.requests.slice(0, mostAtOnce)) next.wake()
+}
+
+function isFirst (request: PipelinedRequest): boolean {
+  return request.pipeline.requests[0] === request
+}
+
+function mayBegin (request: PipelinedRequest): boolean {
+  if (isFirst(request)) return true
+  const ahead = request.pipeline.requests.slice(0, mostAtOnce)
+  const heldBytes = ahead.reduce((sum, other) => sum + other.heldBytes, 0)
+  return ahead.includes(request) && heldBytes <= mostHeldBytes
+}
+
+async function waitUntil (request: PipelinedRequest, isDue: (request: PipelinedRequest) => boolean): Promise<void> {
+  while (!request.gone.aborted && !isDue(request)) await new Promise<void>(resolve => { request.wake = resolve })
 }
 
 /** Whether the answer to a request may close its connection: no other one is due on it. From then on nothing behind it is worked on. */
@@ -70,5 +102,5 @@
 
 function cancel (request: PipelinedRequest): void {
   request.gone.abort()
-  request.start()
+  request.wake()
 }
