Bodies of requests that wait no longer hide that their caller has left

What callers saw: a caller that sent a request with a body of 90 kB to a VM without its first state, or behind eight others, and left was waited and worked for on. Cause: the body was read once the request was taken up. Until then back pressure stopped the reading of the connection, and the close behind the body lay unread. Change: a body is read from its request's arrival on, beside the waits (callBody.ts). A body over the limit that a VM without its first state has by default is judged once the state is there or was waited for.

--- a/packages/daemon/__tests__/closeSeen.test.ts
+++ b/packages/daemon/__tests__/closeSeen.test.ts
@@ -5,6 +5,7 @@
 import type { Socket } from 'node:net'
 import type { ServerResponse } from 'node:http'
 import { test } from 'node:test'
+import { buildRouteTable } from '@lynxcourse/routing'
 import { ask, publish, routeTo, startRig, startServer, until } from './support/fleetRig.js'
 import type { FleetRig } from './support/fleetRig.js'
 
@@ -81,3 +82,79 @@
   held[0]?.end()
   await until(() => sent() === 3 && size > 3 * answer.length)
 })
+
+function post (path: string, bytes: number): string {
+  return `POST ${path} HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${bytes}\r\n\r\n${'b'.repeat(bytes)}`
+}
+
+/** Lets the event loop look at its sockets, so often that all that lies there was read. */
+async function lookAround (): Promise<void> {
+  for (let look = 0; look < 50; look++) await new Promise(resolve => setImmediate(resolve))
+}
+
+/** Takes the routes away from a VM, as before its first state; the function gives them back. */
+function withoutRoutes (gateway: Gateway): () => void {
+  const { table } = gateway
+  gateway.table = buildRouteTable([])
+  return () => {
+    gateway.table = table
+    for (const listen of [...gateway.node.onChange]) listen()
+  }
+}
+
+/** Guards against this failure: a body that is not read stops the reading, and a request is held and taken up for a caller that left. */
+test('a close is seen while a request with a large body waits for the first state', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await publish(rig, [server], [routeTo('read', { timeoutMs })])
+  const gateway = gatewayOf(rig)
+  using caller = await connectCaller(rig.settings.at(-1)?.callers ?? '')
+  const giveBack = withoutRoutes(gateway)
+  caller.socket.write(post('/read/left', 90_000))
+  await until(() => gateway.waiting === 1)
+  await lookAround()
+  await caller.leave()
+  await lookAround()
+  const { waiting } = gateway
+  giveBack()
+  await until(() => gateway.open === 0)
+  assert.equal(waiting, 0)
+  assert.equal(server.requests.length, 0)
+})
+
+/** Guards against this failure: a body behind requests that are worked on stops the reading, and servers work on for a caller that left. */
+test('a close is seen while a request with a large body waits for those before it', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', () => undefined)
+  await publish(rig, [{ ...server, facts: { ...server.facts, slots: 16 } }], [routeTo('read', { timeoutMs })])
+  const gateway = gatewayOf(rig)
+  using caller = await connectCaller(rig.settings.at(-1)?.callers ?? '')
+  caller.socket.write(get('/read/slow').repeat(8) + post('/read/left', 90_000))
+  await until(() => gateway.open === 9 && server.requests.length === 8)
+  await caller.leave()
+  await lookAround()
+  assert.equal(gateway.open, 0)
+  assert.equal(server.requests.length, 8)
+})
+
+/** Guards against this failure: a body over the limit of a VM without its first state is refused although the state allows it. */
+test('a body that only the first state allows is served once that is there', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (req, res) => {
+    req.resume()
+    req.once('end', () => res.end('ok'))
+  })
+  await publish(rig, [server], [routeTo('read', { timeoutMs })])
+  const gateway = gatewayOf(rig)
+  const { limits } = gateway
+  using caller = await connectCaller(rig.settings.at(-1)?.callers ?? '')
+  const giveBack = withoutRoutes(gateway)
+  gateway.limits = { ...limits, maxBodyBytes: 1000 }
+  const answer = once(caller.socket, 'data')
+  caller.socket.write(post('/read/large', 90_000))
+  await until(() => gateway.waiting === 1)
+  await lookAround()
+  gateway.limits = limits
+  giveBack()
+  assert.match(String((await answer)[0]), /^HTTP\/1.1 200 /)
+})
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { LynxError, isLynxError, messageOf } from '@lynxcourse/base'
+import { LynxError, messageOf } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
 import { createCallerView, mayTakeUp, noteLook, turnSpent } from '@lynxcourse/placement'
 import type { RoutedService, TurnSpent } from '@lynxcourse/placement'
@@ -11,10 +11,11 @@
 import type { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
 import { isHopByHop } from '../../utils/headers.js'
-import { readBody } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
 import { arrivalTime, nextLook, noteTurn, watchClose } from '../../utils/loopWatch.js'
 import type { Call, CallAnswer } from './call.js'
+import { startBody } from './callBody.js'
+import type { BodyEnd, CallBody } from './callBody.js'
 import type { Gateway } from './gateway.js'
 import { joinPipeline, leavePipeline, tryClosing, waitForTurn } from './pipeline.js'
 import type { PipelinedRequest } from './pipeline.js'
@@ -25,8 +26,6 @@
 
 /** Largest head that the parser takes; the routes' own limit may be lower. */
 const maxHeaderBytes = 65_536
-/** Bodies held at once; beyond it new requests are turned away, since memory over the VM's limit ends the process. */
-const maxHeldBytes = 67_108_864
 /** Idle connections stay open this much longer than promised, so that a request just in time finds them open. */
 const idleSlackMs: Millis = 2000
 /** When to come back where this VM has no processor time, spread over twice that: soon, as other VMs have time, but not all at once. */
@@ -66,19 +65,22 @@
   let service: ServiceId | 'none' = 'none'
   gateway.open += 1
   metrics.inFlight.set(gateway.open)
+  const body = startBody(gateway, req)
   const place = await joinPipeline(gateway.pipelines, req.socket)
   const { gone } = place
   try {
     const arrival = await lookBehind(gateway, read)
     await waitForRoutes(gateway, gone)
+    body.judge()
     if (gone.aborted) return noteLeft(gateway, req, arrival)
     const target = targetOf(gateway, req)
     service = target?.service ?? 'none'
-    const answer = target === undefined ? noRoute(gateway, req) : await serveRequest(gateway, req, target, gone, arrival)
+    const answer = target === undefined ? noRoute(gateway, req) : await serveRequest(gateway, { req, body, gone, arrival }, target)
     metrics.requests.inc({ service, outcome: answer === undefined ? 'gone' : String(answer.status) })
     metrics.requestSeconds.observe({ service }, (presentTime() - arrivedAt) / 1000)
     if (answer !== undefined && await waitForTurn(place, answer.body.length)) writeAnswer(gateway, res, answer, place)
   } finally {
+    body.release()
     if (!res.writableEnded) leavePipeline(place)
     gateway.open -= 1
     metrics.inFlight.set(gateway.open)
@@ -117,15 +119,22 @@
   return route === undefined ? undefined : { route, service: pickService(gateway.splits, route) }
 }
 
-async function serveRequest (gateway: Gateway, req: IncomingMessage, target: RoutedService, gone: Cancel, arrival: Arrival): Promise<CallAnswer | undefined> {
-  const { route, service } = target
+/** A request that is taken up. */
+interface Taken {
+  readonly req: IncomingMessage
+  readonly body: CallBody
+  readonly gone: Cancel
+  readonly arrival: Arrival
+}
+
+async function serveRequest (gateway: Gateway, { req, body: coming, gone, arrival }: Taken, { route, service }: RoutedService): Promise<CallAnswer | undefined> {
   const { arrivedAt, readAt, caller, readTurn, workTurn } = arrival
   const facts = gateway.callers.readCall(req.headers)
   const deadline = arrivedAt + Math.min(facts.remainingMs ?? Infinity, route.timeoutMs)
   if (!mayTakeUp(readTurn, route.rank) || !mayTakeUp(workTurn, route.rank)) return refuseOverloaded(gateway, req, { facts, route, service, arrivedAt, readAt, deadline })
-  const body = await readCallBody(gateway, req, gone)
-  if (body === undefined) return undefined
-  if (!Buffer.isBuffer(body)) return body
+  const end = await coming.end
+  if (end.type !== 'whole') return noBody(gateway, end)
+  const { body } = end
   const call: Call = {
     facts,
     route,
@@ -141,11 +150,10 @@
     caller,
     closeUnreadMs: () => gateway.loop.closesUnread.get(req.socket)
   }
-  gateway.heldBytes += body.length
   try {
     return await serveCall(gateway, call)
   } finally {
-    gateway.heldBytes -= body.length
+    coming.release()
   }
 }
 
@@ -177,16 +185,13 @@
   return { status, headers: {}, body: Buffer.from(`${detail}\n`) }
 }
 
-/** Reads the body; an answer if it can't be taken, undefined if the caller went away. */
-async function readCallBody (gateway: Gateway, req: IncomingMessage, gone: Cancel): Promise<Buffer | CallAnswer | undefined> {
-  if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) return Buffer.alloc(0)
-  if (gateway.heldBytes > maxHeldBytes) return refusal(gateway, 'too many bodies are held', notReadyRetryMs)
-  try {
-    return await readBody(req, gateway.limits.maxBodyBytes)
-  } catch (err) {
-    if (isLynxError(err, 'tooLarge')) return ownAnswer(413, `body over ${gateway.limits.maxBodyBytes} bytes`)
-    if (gone.aborted || req.destroyed) return undefined
-    throw new LynxError('badRequest', messageOf(err), { step: 'read body', cause: err })
+/** What a caller is told whose body can't be taken; undefined if it went away. */
+function noBody (gateway: Gateway, end: Exclude<BodyEnd, { type: 'whole' }>): CallAnswer | undefined {
+  switch (end.type) {
+    case 'tooMany': return refusal(gateway, 'too many bodies are held', notReadyRetryMs)
+    case 'tooLarge': return ownAnswer(413, `body over ${gateway.limits.maxBodyBytes} bytes`)
+    case 'failed': throw new LynxError('badRequest', messageOf(end.err), { step: 'read body', cause: end.err })
+    case 'gone': return undefined
   }
 }
 
