Test: a caller's close is seen by all requests to a service that it sent behind one another

What callers saw: of several requests to a service over one connection only the first heard of the close; those under way were worked on, and those that waited for a slot began, for a caller that had left. Cause: the close was heard of through the response, and a response whose turn has not come has no socket.

--- a/packages/daemon/__tests__/closeSeen.test.ts
+++ b/packages/daemon/__tests__/closeSeen.test.ts
@@ -8,9 +8,12 @@
 import { buildRouteTable } from '@lynxcourse/routing'
 import { ask, publish, routeTo, startRig, startServer, until } from './support/fleetRig.js'
 import type { FleetRig } from './support/fleetRig.js'
+import { startBackend, startRig as startServiceRig } from './support/rig.js'
 
 /** Longer than `until` waits, so that no deadline ends what a close is to end. */
 const timeoutMs = 60_000
+/** Requests that a server of a service runs at once. */
+const slots = 3
 
 type Gateway = NonNullable<NonNullable<FleetRig['daemons'][number]>['gateway']>
 
@@ -158,3 +161,25 @@
   giveBack()
   assert.match(String((await answer)[0]), /^HTTP\/1.1 200 /)
 })
+
+/** Guards against this failure: only the first of a service's requests on a connection hears of its close; servers work on, and begin, for the others. */
+test('a close is seen by all requests to a service that were sent behind one another', async () => {
+  await using rig = await startServiceRig({}, { deadlineMs: timeoutMs, maxDeadlineMs: timeoutMs })
+  await using backend = await startBackend(rig)
+  const count = { begun: 0, cut: 0 }
+  backend.handler = (req, res) => {
+    if (req.url !== '/left') {
+      res.end('ok')
+      return
+    }
+    count.begun += 1
+    req.socket.once('close', () => { count.cut += 1 })
+  }
+  await until(async () => await fetch(`${rig.http}/s/offers/before`).then(res => res.ok))
+  using caller = await connectCaller(rig.http.replace('http://', ''))
+  caller.socket.write(get('/s/offers/left').repeat(6))
+  await until(() => rig.daemon.entry?.open === 6 && count.begun === slots)
+  await caller.leave()
+  await until(() => rig.daemon.entry?.open === 0 && count.cut === slots)
+  assert.equal(count.begun, slots)
+})
