Tests: a connection that opens late is looked behind before it carries a request

Two tests of the hand-over of late connections, which no test without raised time-outs reached. - callerLeft.test.ts: a connection opens and then the caller leaves, in one stall, with the connection first in the look that follows.

--- a/packages/daemon/__tests__/callerLeft.test.ts
+++ b/packages/daemon/__tests__/callerLeft.test.ts
@@ -1,5 +1,8 @@
 /** Requests whose callers closed their connections while the VM's event loop stood still. */
 import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { test } from 'node:test'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Histogram } from 'prom-client'
@@ -131,6 +134,47 @@
   assert.equal(await leftAt(rig, server, 0), 0)
 })
 
+/** A socket that is read, once it is rung, before those that become ready later. */
+interface Bell extends AsyncDisposable {
+  readonly ring: () => void
+  readonly rung: Promise<unknown>
+}
+
+async function startBell (): Promise<Bell> {
+  const server = createServer().listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const far = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  const [near] = await once(server, 'connection') as [Socket]
+  await once(far, 'connect')
+  return {
+    ring: () => far.write('ring'),
+    rung: once(near, 'data'),
+    [Symbol.asyncDispose]: async () => {
+      far.destroy()
+      near.destroy()
+      await new Promise(resolve => server.close(resolve))
+    }
+  }
+}
+
+/** Guards against this failure: a connection that opened in a stall is read before the caller's close in the same stall, and carries the request. */
+test('a request is not written to a connection that opened before its caller left, in one stall', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await using bell = await startBell()
+  await publish(rig, [server], [routeTo('read', { timeoutMs })])
+  const gateway = gatewayOf(rig)
+  await using caller = await connectCaller(rig, false)
+  const hooked = new HookedDialect(() => {
+    Object.assign(gateway, { servers: new OwnServerDialect() })
+    bell.ring()
+  })
+  Object.assign(gateway, { servers: hooked })
+  caller.send()
+  await bell.rung.then(() => caller.leaveWhileBlocked(blockedMs))
+  assert.equal(await leftAt(rig, server, 0), 0)
+})
+
 /** Guards against this failure: a server's refusal that is read before the caller's close sends the request to the next server. */
 test('a request that a server refused is not sent to another once its caller has left', async () => {
   await using rig = await startRig(1)
--- /dev/null
+++ b/packages/daemon/__tests__/lateConnection.test.ts
@@ -0,0 +1,42 @@
+/** Connections to servers that open late, when their server has closed them meanwhile. */
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { createServer } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
+import { test } from 'node:test'
+import { loadChart } from '@lynxcourse/base'
+import { createPool, openLoopWatch, presentTime, startExchange, takeConnection } from '@lynxcourse/daemon'
+
+const connectTimeoutMs = 10_000
+/** The connection was asked for so long ago that all sockets are looked at before it is used. */
+const lateMs = 200
+/** Ends a loop of connections. */
+const mostConnections = 20
+
+async function startClosing (onOpened: (server: Server) => void): Promise<Server> {
+  const server = createServer(socket => {
+    onOpened(server)
+    socket.destroy()
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  return server
+}
+
+/** Guards against this failure: a late connection that has ended is handed over, and another is opened, again and again, for one request. */
+test('a late connection that its server has closed carries no request and is not opened anew', async () => {
+  let opened = 0
+  const server = await startClosing(each => {
+    opened += 1
+    if (opened === mostConnections) each.close()
+  })
+  await using loop = openLoopWatch()
+  await using pool = createPool({ staleMs: Infinity, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop)
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  const { client } = takeConnection(pool, address, false, presentTime() - lateMs)
+  const exchange = startExchange(client, { method: 'GET', path: '/' }, Infinity, () => undefined)
+  await assert.rejects(exchange.answer, { code: 'ECONNRESET', syscall: 'connect' })
+  assert.equal(exchange.startedAt, undefined)
+  assert.equal(opened, 1)
+  server.close()
+})
