Connections that fail late fail with their own error

What callers saw: nothing yet; found by a test of the hand-over. A connection that fails over 100 ms after it was asked for (refused across a stall, or timed out) failed with "Cannot read properties of undefined (reading 'destroyed')". Requests to services then count as sent, although nothing was written. Cause: on a failure `undici` calls back with the error alone, so the socket is undefined, not null, and was looked at. Change: what decides is the error. Test (lateConnection.test.ts), before: 'not ok 2 - a connection that fails late fails with its own error', with the TypeError in place of ECONNREFUSED; after: both of the file ok, three runs of three.

--- a/packages/daemon/__tests__/lateConnection.test.ts
+++ b/packages/daemon/__tests__/lateConnection.test.ts
@@ -40,3 +40,15 @@
   assert.equal(opened, 1)
   server.close()
 })
+
+/** Guards against this failure: a connection that could not be opened is taken for a fault of another kind, and its request for one that may have run. */
+test('a connection that fails late fails with its own error', async () => {
+  const server = await startClosing(() => undefined)
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  await new Promise(resolve => server.close(resolve))
+  await using loop = openLoopWatch()
+  await using pool = createPool({ staleMs: Infinity, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop)
+  const { client } = takeConnection(pool, address, false, presentTime() - lateMs)
+  const exchange = startExchange(client, { method: 'GET', path: '/' }, Infinity, () => undefined)
+  await assert.rejects(exchange.answer, { code: 'ECONNREFUSED', syscall: 'connect' })
+})
--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -113,7 +113,7 @@
       resetUnanswered(socket)
       socket.on('error', failure => { if ((failure as NodeJS.ErrnoException).code === 'ECONNRESET') connection().wasReset = true })
     }
-    if (socket === null || !hasOpenedLate(startedAt, presentTime())) callback(...result)
+    if (err !== null || !hasOpenedLate(startedAt, presentTime())) callback(...result)
     else handOver(pool.loop, socket, callback).catch(failure => callback(failure as Error, null))
   })
 }
