Many requests to a service over one connection bring no warning of a leak

What callers saw: nothing; the VM wrote two warnings of a leak once a connection had more than nine open requests to services. Cause: each open request listens for the end of its connection, and ten listeners are taken for a leak. They are taken off when the request ends. Change: the bound of that warning does not hold for callers' connections to services.

--- a/packages/daemon/__tests__/closeSeen.test.ts
+++ b/packages/daemon/__tests__/closeSeen.test.ts
@@ -183,3 +183,21 @@
   await until(() => rig.daemon.entry?.open === 0 && count.cut === slots)
   assert.equal(count.begun, slots)
 })
+
+/** Guards against this failure: a caller that sends many requests behind one another has the VM warn of a leak. */
+test('many requests to a service over one connection bring no warning of a leak', async () => {
+  await using rig = await startServiceRig({}, { deadlineMs: timeoutMs, maxDeadlineMs: timeoutMs })
+  await using backend = await startBackend(rig)
+  backend.handler = (_req, res) => res.end('ok')
+  const warnings: string[] = []
+  const note = ({ name }: Error): void => { warnings.push(name) }
+  process.on('warning', note)
+  await until(async () => await fetch(`${rig.http}/s/offers/before`).then(res => res.ok))
+  using caller = await connectCaller(rig.http.replace('http://', ''))
+  let text = ''
+  caller.socket.on('data', (chunk: Buffer) => { text += chunk.toString('latin1') })
+  caller.socket.write(get('/s/offers/x').repeat(16))
+  await until(() => text.split('HTTP/1.1 200 ').length - 1 === 16)
+  process.off('warning', note)
+  assert.deepEqual(warnings, [])
+})
--- a/packages/daemon/src/core/entry/callerServer.ts
+++ b/packages/daemon/src/core/entry/callerServer.ts
@@ -1,6 +1,7 @@
 /** The HTTP server for callers and backend servers. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { LynxError, messageOf } from '@lynxcourse/base'
 import { log } from '../../utils/logging.js'
 import { noteTurn } from '../../utils/loopWatch.js'
@@ -26,7 +27,11 @@
     keepAliveTimeout: keepAliveTimeoutMs
   }, (req, res) => handle(entry, syncing, req, res))
   server.maxConnections = limits.maxConnections
-  server.on('connection', () => noteTurn(entry.loop))
+  server.on('connection', (socket: Socket) => {
+    noteTurn(entry.loop)
+    // Each of its open requests listens for its end.
+    socket.setMaxListeners(0)
+  })
   return server
 }
 
