Tests: ports that nobody takes between their choice and their use

Seen once: a rig failed to start with EADDRINUSE. Free ports were found by listening on port 0 and closing, so they came from the range from which the system gives ports to outgoing connections, and one could be taken before its VM listened.

--- a/packages/daemon/__tests__/fleet.test.ts
+++ b/packages/daemon/__tests__/fleet.test.ts
@@ -8,7 +8,8 @@
 import { isFleetReady, leaveFleet, presentTime, readRoutes } from '@lynxcourse/daemon'
 import type { FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
 import { findItem } from '@lynxcourse/state'
-import { ask, controlOf, freePorts, publish, replaceOrder, routeTo, startRig, startServer, startVm, submit, until } from './support/fleetRig.js'
+import { ask, controlOf, publish, replaceOrder, routeTo, startRig, startServer, startVm, submit, until } from './support/fleetRig.js'
+import { freePorts } from './support/freePorts.js'
 
 test('seeds found the group; a change is in force at the entry VM; requests reach servers by route', async () => {
   await using rig = await startRig(1)
--- a/packages/daemon/__tests__/support/fleetRig.ts
+++ b/packages/daemon/__tests__/support/fleetRig.ts
@@ -4,7 +4,6 @@
 import { mkdtemp, rm } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { createServer as createTcpServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { request } from 'undici'
 import { brandId } from '@lynxcourse/base'
@@ -15,6 +14,7 @@
 import type { FleetControl, FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
 import type { BackendFacts, ChangeAnswer, OrderId, Route, RouteCommand } from '@lynxcourse/state'
 import { route } from '@lynxcourse/state/testing'
+import { freePorts } from './freePorts.js'
 
 export const desk = brandId<ServiceId>('desk')
 const region = brandId<RegionId>('kochi')
@@ -22,16 +22,6 @@
 const pollMs = 20
 const settleMs = 15_000
 
-/** Free ports, found by listening for a moment. */
-export async function freePorts (count: number): Promise<number[]> {
-  const holders = await Promise.all(Array.from({ length: count }, async () => await new Promise<ReturnType<typeof createTcpServer>>(resolve => {
-    const holder = createTcpServer().listen(0, '127.0.0.1', () => resolve(holder))
-  })))
-  const ports = holders.map(holder => (holder.address() as AddressInfo).port)
-  await Promise.all(holders.map(async holder => await new Promise(resolve => holder.close(resolve))))
-  return ports
-}
-
 export interface FleetRig extends AsyncDisposable {
   readonly folder: string
   readonly settings: readonly FleetSettings[]
--- a/packages/daemon/__tests__/support/rig.ts
+++ b/packages/daemon/__tests__/support/rig.ts
@@ -2,7 +2,6 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { mkdtemp, rm } from 'node:fs/promises'
-import { createServer as createTcpServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -10,6 +9,7 @@
 import { callPeer, createRpcClient, presentTime, settingsSchema, silentLogs, startDaemon } from '@lynxcourse/daemon'
 import type { Daemon, RpcClient, SettingsInput } from '@lynxcourse/daemon'
 import { request } from 'undici'
+import { freePort } from './freePorts.js'
 
 export const testSeed = 31
 
@@ -19,14 +19,6 @@
 /** How long nobody may lead before a change counts as failed. */
 const unledMs = 15_000
 
-export async function freePort (): Promise<number> {
-  const server = createTcpServer()
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise<void>(resolve => server.close(() => resolve()))
-  return port
-}
-
 export async function soon (what: string, test: () => Promise<boolean> | boolean): Promise<void> {
   const end = Date.now() + 15_000
   while (Date.now() < end) {
