Don't take a wait for the processor after a long turn for sleep

Cause: two more ways in which the bound on unread time trusted the runtime's idle time. A process that has worked long waits for its processor inside its next wait for sockets, where input has gathered since the long turn began. And the first request of a connection that a loop accepted while it was behind was dated by that wait, not by the accept.

--- a/packages/daemon/src/core/entry/callerServer.ts
+++ b/packages/daemon/src/core/entry/callerServer.ts
@@ -3,8 +3,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { LynxError, messageOf } from '@lynxcourse/base'
+import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
-import { noteTurn } from '../../utils/loopWatch.js'
+import { noteAccepted } from '../../utils/loopWatch.js'
 import type { Syncing } from '../node/syncing.js'
 import { announcePath, answerAnnouncement } from './announcements.js'
 import type { Entry } from './entry.js'
@@ -28,7 +29,7 @@
   }, (req, res) => handle(entry, syncing, req, res))
   server.maxConnections = limits.maxConnections
   server.on('connection', (socket: Socket) => {
-    noteTurn(entry.loop)
+    noteAccepted(entry.loop, socket, presentTime())
     // Each of its open requests listens for its end.
     socket.setMaxListeners(0)
   })
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -12,7 +12,7 @@
 import { presentTime } from '../../utils/clock.js'
 import { isHopByHop } from '../../utils/headers.js'
 import { log } from '../../utils/logging.js'
-import { arrivalTime, nextLook, noteTurn, watchClose } from '../../utils/loopWatch.js'
+import { arrivalTime, nextLook, noteAccepted, watchClose } from '../../utils/loopWatch.js'
 import type { Call, CallAnswer } from './call.js'
 import { startBody } from './callBody.js'
 import type { BodyEnd, CallBody } from './callBody.js'
@@ -42,7 +42,7 @@
     })
   })
   server.on('connection', (socket: Socket) => {
-    noteTurn(gateway.loop)
+    noteAccepted(gateway.loop, socket, presentTime())
     watchClose(gateway.loop, socket, unreadMs => {
       const isWaiting = (gateway.pipelines.get(socket)?.requests.length ?? 0) > 0
       if (isWaiting) gateway.node.metrics.closeUnreadSeconds.observe(unreadMs / 1000)
--- a/packages/daemon/src/utils/loopWatch.ts
+++ b/packages/daemon/src/utils/loopWatch.ts
@@ -2,8 +2,8 @@
 import type { Socket } from 'node:net'
 import { performance } from 'node:perf_hooks'
 import { setImmediate as checkPhase } from 'node:timers/promises'
-import { arrivedSince, beginTurn, createLoopTurns, endTurn, leastSleepMs, sampleMs, sampleTurns } from '@lynxcourse/placement'
-import type { LoopTurns } from '@lynxcourse/placement'
+import { arrivedSince, beginTurn, firstArrivedSince, createLoopTurns, endTurn, leastSleepMs, sampleMs, sampleTurns } from '@lynxcourse/placement'
+import type { Accepted, LoopTurns } from '@lynxcourse/placement'
 import type { Millis } from '@lynxcourse/base'
 import { presentTime } from './clock.js'
 
@@ -25,6 +25,7 @@
 /** Watches until it is disposed. */
 export interface LoopWatch extends AsyncDisposable {
   readonly turns: LoopTurns
+  readonly accepted: WeakMap<Socket, Accepted>
   /** The last request of each of the callers' connections that have carried one. */
   readonly lastReads: WeakMap<Socket, LastRead>
   /** For how long the close of a caller's connection can have lain unread; none while it is not read. */
@@ -51,7 +52,7 @@
     sampledAt = now
     sampleTurns(turns, sleptMs(), now)
   }, sampleMs)
-  return { turns, lastReads: new WeakMap(), closesUnread: new WeakMap(), nextLook: undefined, [Symbol.asyncDispose]: async () => clearInterval(timer) }
+  return { turns, accepted: new WeakMap(), lastReads: new WeakMap(), closesUnread: new WeakMap(), nextLook: undefined, [Symbol.asyncDispose]: async () => clearInterval(timer) }
 }
 
 /** Notes the turn that a callback of a socket belongs to. Immediates run once all sockets of a turn were read. */
@@ -61,6 +62,12 @@
   setImmediate(() => endTurn(turns, sleptMs(), presentTime()))
 }
 
+/** Notes a connection that was accepted now. */
+export function noteAccepted (watch: LoopWatch, socket: Socket, now: Millis): void {
+  noteTurn(watch)
+  watch.accepted.set(socket, { at: now, since: arrivedSince(watch.turns, false, now) })
+}
+
 /**
  * Since when a request that is read now can have lain at this VM.
  *
@@ -68,7 +75,9 @@
  */
 export function arrivalTime (watch: LoopWatch, socket: Socket, now: Millis): Millis {
   noteTurn(watch)
-  const arrivedAt = arrivedSince(watch.turns, !watch.lastReads.has(socket), now)
+  const isFirst = !watch.lastReads.has(socket)
+  const accepted = isFirst ? watch.accepted.get(socket) : undefined
+  const arrivedAt = accepted === undefined ? arrivedSince(watch.turns, isFirst, now) : firstArrivedSince(watch.turns, accepted, now)
   watch.lastReads.set(socket, { arrivedAt, sleptMs: sleptMs() })
   return arrivedAt
 }
--- a/packages/placement/__tests__/unreadBound.test.ts
+++ b/packages/placement/__tests__/unreadBound.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { arrivedSince, beginTurn, createLoopTurns, endTurn, sampleMs, sampleTurns } from '@lynxcourse/placement'
+import { arrivedSince, beginTurn, createLoopTurns, endTurn, firstArrivedSince, sampleMs, sampleTurns } from '@lynxcourse/placement'
 
 test('what wakes a sleeping loop has waited for nothing', () => {
   const turns = createLoopTurns(0, 0)
@@ -39,6 +39,32 @@
   assert.equal(arrivedSince(turns, true, 2600), 200)
 })
 
+/** Guards against requests that are passed on with time that they spent unread, by a VM that lost its processor after a long turn. */
+test('a loop that seems to sleep after a long turn may have waited for the processor, with input unread since that turn began', () => {
+  const turns = createLoopTurns(0, 0)
+  beginTurn(turns, 100, 100)
+  endTurn(turns, 100, 900)
+  beginTurn(turns, 250, 1050)
+  assert.equal(arrivedSince(turns, false, 1050), 100)
+  endTurn(turns, 250, 1060)
+  beginTurn(turns, 450, 1260)
+  assert.equal(arrivedSince(turns, false, 1260), 1260)
+})
+
+/** Guards against deadlines that are counted late for callers that connect to a VM which is behind. */
+test('a request that is read soon after a loop that was behind accepted its connection may have waited with that', () => {
+  const turns = createLoopTurns(0, 0)
+  beginTurn(turns, 100, 100)
+  endTurn(turns, 100, 900)
+  beginTurn(turns, 100, 900)
+  const accepted = { at: 900, since: arrivedSince(turns, false, 900) }
+  endTurn(turns, 100, 950)
+  beginTurn(turns, 250, 1100)
+  assert.equal(firstArrivedSince(turns, accepted, 1100), 100)
+  assert.equal(firstArrivedSince(turns, { at: 900, since: 900 }, 1100), 1100)
+  assert.equal(firstArrivedSince(turns, { at: 100, since: 50 }, 1100), 1100)
+})
+
 test('what waits behind a timer that is late has waited since the timer was due', () => {
   const turns = createLoopTurns(0, 0)
   sampleTurns(turns, 100, 100)
--- a/packages/placement/src/core/admission/unreadBound.ts
+++ b/packages/placement/src/core/admission/unreadBound.ts
@@ -58,8 +58,14 @@
   turns.beganAt = wokeAt(turns, sinceMark)
   const hasSlept = sinceMark >= leastSleepMs
   turns.hasSlept = hasSlept
-  turns.acceptedSince = hasSlept ? turns.beganAt : turns.unreadSince
-  turns.unreadSince = hasSlept ? turns.beganAt : turns.readableSince
+  const foundNothing = hasSlept && !mayHaveGathered(turns)
+  turns.acceptedSince = foundNothing ? turns.beganAt : turns.unreadSince
+  turns.unreadSince = foundNothing ? turns.beganAt : turns.readableSince
+}
+
+/** Whether input can have gathered over a long turn: a process that has worked so long may wait for the processor next, not for input. */
+function mayHaveGathered ({ markedAt, readableSince }: LoopTurns): boolean {
+  return markedAt - readableSince >= sampleMs
 }
 
 /** Notes that the turn has ended. */
@@ -101,3 +107,23 @@
   const since = isFirst ? turns.acceptedSince : turns.unreadSince
   return now - since < sampleMs ? now : since
 }
+
+/** When a connection was accepted, and since when it can have waited for that. */
+export interface Accepted {
+  readonly at: Millis
+  readonly since: Millis
+}
+
+/** A request that is read this soon after its connection was accepted may have come with it. */
+const withConnectionMs: Millis = 500
+
+/**
+ * Since when the first request of a connection can have lain unread.
+ *
+ * A loop that was behind when it accepted the connection reads the request a turn later, and may wait for its processor in between.
+ */
+export function firstArrivedSince (turns: LoopTurns, { at, since }: Accepted, now: Millis): Millis {
+  const read = arrivedSince(turns, true, now)
+  const mayHaveComeWithIt = since < at && now - at < withConnectionMs
+  return mayHaveComeWithIt ? Math.min(read, since) : read
+}
