Accept all connections that wait before work begins

A turn that works for one caller let one more in, so under load callers waited unseen in the kernel's queue: neither the bound on unread time nor the turn's budget knew of them. All VMs losing power at once is where it bites, since every caller connects anew.

Change: the look before work goes on, without work, until no connection waits or 25 ms are over; turns without work take a fraction of a millisecond. Whether there is time for a request is asked right before its work, in place of right after it was read, since many are taken up together now.

Left: control VMs accept their callers in the same way and do not defer work; not mended, not measured.

--- a/packages/daemon/src/core/gateway/callBody.ts
+++ b/packages/daemon/src/core/gateway/callBody.ts
@@ -5,6 +5,8 @@
  * shows as requests that are held, and begun at servers, for callers that left.
  */
 import type { IncomingMessage } from 'node:http'
+import type { Millis } from '@lynxcourse/base'
+import { presentTime } from '../../utils/clock.js'
 import type { Gateway } from './gateway.js'
 
 /** Bodies held at once; beyond it requests with a body are turned away, since memory over the VM's limit ends the process. */
@@ -12,7 +14,7 @@
 
 /** How the reading of a body ended. */
 export type BodyEnd =
-  | { readonly type: 'whole', readonly body: Buffer }
+  | { readonly type: 'whole', readonly body: Buffer, readonly at: Millis }
   | { readonly type: 'tooMany' | 'tooLarge' | 'gone' }
   | { readonly type: 'failed', readonly err: unknown }
 
@@ -48,7 +50,7 @@
 async function readToEnd (reading: Reading): Promise<BodyEnd> {
   const { req } = reading
   const { 'content-length': length, 'transfer-encoding': encoding } = req.headers
-  if (length === undefined && encoding === undefined) return { type: 'whole', body: Buffer.alloc(0) }
+  if (length === undefined && encoding === undefined) return { type: 'whole', body: Buffer.alloc(0), at: presentTime() }
   try {
     const end = await readChunks(reading)
     // What is not held is dropped: left unread, it would stop the reading as well.
@@ -71,7 +73,7 @@
     hold(reading, chunk)
     chunks.push(chunk)
   }
-  return { type: 'whole', body: Buffer.concat(chunks) }
+  return { type: 'whole', body: Buffer.concat(chunks), at: presentTime() }
 }
 
 function isTooLarge ({ gateway, heldBytes }: Reading, chunk: Buffer): boolean {
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -70,7 +70,10 @@
   const { gone } = place
   try {
     const arrival = await lookBehind(gateway, read)
-    await waitForRoutes(gateway, gone)
+    if (!knowsRoutes(gateway)) {
+      await waitForRoutes(gateway, gone)
+      arrival.workFrom = presentTime()
+    }
     body.judge()
     if (gone.aborted) return noteLeft(gateway, req, arrival)
     const target = targetOf(gateway, req)
@@ -90,22 +93,21 @@
 interface Arrival extends Pick<Call, 'arrivedAt' | 'readAt' | 'caller'> {
   /** How far the turn was in which it was read. */
   readonly readTurn: TurnSpent
-  /** How far the turn is in which work on it begins. */
-  readonly workTurn: TurnSpent
+  /** When the VM began with the requests that it takes up together with this one. */
+  workFrom: Millis
 }
 
 function arrivalOf ({ loop }: Gateway, req: IncomingMessage, now: Millis): Arrival {
   const arrivedAt = arrivalTime(loop, req.socket, now)
   const turn = turnSpent(loop.turns, now)
-  return { arrivedAt, readAt: now, caller: createCallerView(), readTurn: turn, workTurn: turn }
+  return { arrivedAt, readAt: now, caller: createCallerView(), readTurn: turn, workFrom: now }
 }
 
 /** Reads what lies behind a request: its caller may have closed the connection while it lay unread. */
 async function lookBehind ({ loop }: Gateway, arrival: Arrival): Promise<Arrival> {
-  const { caller, readTurn } = arrival
   const look = await nextLook(loop)
-  noteLook(caller, look.beganAt)
-  return { ...arrival, workTurn: { ...readTurn, spentMs: presentTime() - look.endedAt } }
+  noteLook(arrival.caller, look.beganAt)
+  return { ...arrival, workFrom: look.endedAt }
 }
 
 function noteLeft ({ node }: Gateway, req: IncomingMessage, { arrivedAt, readAt }: Arrival): void {
@@ -128,12 +130,16 @@
 }
 
 async function serveRequest (gateway: Gateway, { req, body: coming, gone, arrival }: Taken, { route, service }: RoutedService): Promise<CallAnswer | undefined> {
-  const { arrivedAt, readAt, caller, readTurn, workTurn } = arrival
+  const { arrivedAt, readAt, caller, readTurn, workFrom } = arrival
   const facts = gateway.callers.readCall(req.headers)
   const deadline = arrivedAt + Math.min(facts.remainingMs ?? Infinity, route.timeoutMs)
-  if (!mayTakeUp(readTurn, route.rank) || !mayTakeUp(workTurn, route.rank)) return refuseOverloaded(gateway, req, { facts, route, service, arrivedAt, readAt, deadline })
+  const refused: RefusedCall = { facts, route, service, arrivedAt, readAt, deadline }
+  if (!mayTakeUp(readTurn, route.rank)) return refuseOverloaded(gateway, req, refused)
   const end = await coming.end
   if (end.type !== 'whole') return noBody(gateway, end)
+  // Asked right before the work, which counts for those that are asked after this one.
+  const spentMs = presentTime() - Math.max(workFrom, end.at)
+  if (!mayTakeUp({ ...readTurn, spentMs }, route.rank)) return refuseOverloaded(gateway, req, refused)
   const { body } = end
   const call: Call = {
     facts,
--- a/packages/daemon/src/utils/loopWatch.ts
+++ b/packages/daemon/src/utils/loopWatch.ts
@@ -32,6 +32,11 @@
   readonly closesUnread: WeakMap<Socket, Millis>
   /** The look that is waited for and has not begun. */
   nextLook: Promise<Look> | undefined
+  /** Connections accepted so far, and how many of them were there when no further one waited. */
+  accepts: number
+  settledAccepts: number
+  /** Ends once no connection waits to be accepted. */
+  accepting: Promise<void> | undefined
 }
 
 /** A loop that is this much late for a sample stood still, by a stop from outside or a long turn of its own. */
@@ -52,7 +57,7 @@
     sampledAt = now
     sampleTurns(turns, sleptMs(), now)
   }, sampleMs)
-  return { turns, accepted: new WeakMap(), lastReads: new WeakMap(), closesUnread: new WeakMap(), nextLook: undefined, [Symbol.asyncDispose]: async () => clearInterval(timer) }
+  return { turns, accepted: new WeakMap(), lastReads: new WeakMap(), closesUnread: new WeakMap(), nextLook: undefined, accepts: 0, settledAccepts: 0, accepting: undefined, [Symbol.asyncDispose]: async () => clearInterval(timer) }
 }
 
 /** Notes the turn that a callback of a socket belongs to. Immediates run once all sockets of a turn were read. */
@@ -65,6 +70,7 @@
 /** Notes a connection that was accepted now. */
 export function noteAccepted (watch: LoopWatch, socket: Socket, now: Millis): void {
   noteTurn(watch)
+  watch.accepts += 1
   watch.accepted.set(socket, { at: now, since: arrivedSince(watch.turns, false, now) })
 }
 
@@ -103,9 +109,13 @@
   return isBehindRequest ? last.arrivedAt : arrivedSince(watch.turns, false, now)
 }
 
+/** Work waits for connections that are to be accepted for this long at most. */
+const longestAcceptingMs: Millis = 25
+
 /**
  * Waits until the loop has looked at all sockets once more. A socket's data is read in one look, and the end of what its peer sends in
- * the next one.
+ * the next one. The loop accepts one connection in each turn, so it goes on without work until none waits: callers who can't be
+ * served would wait unseen to be accepted, behind the work of those before them.
  */
 export async function nextLook (watch: LoopWatch): Promise<Look> {
   watch.nextLook ??= lookOnce(watch)
@@ -126,9 +136,21 @@
   watch.nextLook = undefined
   const beganAt = presentTime()
   await checkPhase()
+  if (watch.accepts !== watch.settledAccepts) await (watch.accepting ??= acceptAll(watch))
   return { beganAt, endedAt: presentTime() }
 }
 
+async function acceptAll (watch: LoopWatch): Promise<void> {
+  const until = presentTime() + longestAcceptingMs
+  let before: number
+  do {
+    before = watch.accepts
+    await checkPhase()
+  } while (watch.accepts !== before && presentTime() < until)
+  watch.settledAccepts = watch.accepts
+  watch.accepting = undefined
+}
+
 /** Time that the loop has waited for sockets and timers. */
 function sleptMs (): Millis {
   return performance.eventLoopUtilization().idle
