--- a/packages/daemon/__tests__/lateConnection.test.ts
+++ b/packages/daemon/__tests__/lateConnection.test.ts
@@ -31,7 +31,7 @@
     if (opened === mostConnections) each.close()
   })
   await using loop = openLoopWatch()
-  await using pool = createPool({ staleMs: Infinity, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop)
+  await using pool = createPool({ staleMs: Infinity, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop.looks)
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   const { client } = takeConnection(pool, address, false, presentTime() - lateMs)
   const exchange = startExchange(client, { method: 'GET', path: '/' }, Infinity, () => undefined)
@@ -47,7 +47,7 @@
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   await new Promise(resolve => server.close(resolve))
   await using loop = openLoopWatch()
-  await using pool = createPool({ staleMs: Infinity, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop)
+  await using pool = createPool({ staleMs: Infinity, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop.looks)
   const { client } = takeConnection(pool, address, false, presentTime() - lateMs)
   const exchange = startExchange(client, { method: 'GET', path: '/' }, Infinity, () => undefined)
   await assert.rejects(exchange.answer, { code: 'ECONNREFUSED', syscall: 'connect' })
--- a/packages/daemon/src/core/entry/attemptSteps.ts
+++ b/packages/daemon/src/core/entry/attemptSteps.ts
@@ -7,7 +7,7 @@
 import type { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
 import { isLogged, log } from '../../utils/logging.js'
-import { nextLook } from '../../utils/loopWatch.js'
+import { nextLook } from '../../utils/socketLooks.js'
 import type { FinalAnswer } from '../../types/answers.js'
 import { runAttempt } from './attempts.js'
 import type { AttemptResult } from './attempts.js'
@@ -52,7 +52,7 @@
 }
 
 async function renewCallerView ({ entry, caller, signal }: Serving): Promise<void> {
-  while (!signal.aborted && mustLook(caller, presentTime())) noteLook(caller, (await nextLook(entry.loop)).beganAt)
+  while (!signal.aborted && mustLook(caller, presentTime())) noteLook(caller, (await nextLook(entry.loop.looks)).beganAt)
 }
 
 function mayStillSend (serving: Serving): boolean {
--- a/packages/daemon/src/core/entry/attempts.ts
+++ b/packages/daemon/src/core/entry/attempts.ts
@@ -6,7 +6,7 @@
 import { isSilent, noteReportedLoad } from '@lynxcourse/routing'
 import { Cancel } from '../../utils/cancel.js'
 import { presentTime } from '../../utils/clock.js'
-import { afterLook } from '../../utils/loopWatch.js'
+import { afterLook } from '../../utils/socketLooks.js'
 import { passedHeaders } from '../../utils/headers.js'
 import { deadlineHeader, loadHeader, notStartedHeader, requestIdHeader } from '../../types/answers.js'
 import type { HeaderMap } from '../../types/answers.js'
@@ -101,13 +101,13 @@
   const goneNow = end('gone')
   outer.on('abort', goneNow)
   if (outer.aborted) goneNow()
-  const deadlineTimer = setTimeout(afterLook(entry.loop, end('deadline')), Math.max(1, request.deadline - now))
+  const deadlineTimer = setTimeout(afterLook(entry.loop.looks, end('deadline')), Math.max(1, request.deadline - now))
   // Only a connection that carried requests before can have been lost track of; a new one that is
   // slow tells of a slow server, and a second attempt would only add to its load.
   const mayBeSilent = connection.reused && request.isIdempotent
   const endSilent = end('silent')
   const checkSilent = (): void => { if (isSilent(entry.pool.cfg, connection.state, presentTime())) endSilent() }
-  const silentTimer = mayBeSilent ? setTimeout(afterLook(entry.loop, checkSilent), entry.pool.cfg.silentMs + 1) : undefined
+  const silentTimer = mayBeSilent ? setTimeout(afterLook(entry.loop.looks, checkSilent), entry.pool.cfg.silentMs + 1) : undefined
   return {
     signal: inner,
     gotHeaders: () => clearTimeout(silentTimer),
--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -7,9 +7,9 @@
 import type { ConnectionCfg, ConnectionState } from '@lynxcourse/routing'
 import type { Chart, Millis } from '@lynxcourse/base'
 import { presentTime } from '../../utils/clock.js'
-import { nextLook } from '../../utils/loopWatch.js'
-import type { LoopWatch } from '../../utils/loopWatch.js'
 import { resetUnanswered } from '../../utils/resetUnanswered.js'
+import { nextLook } from '../../utils/socketLooks.js'
+import type { Looks } from '../../utils/socketLooks.js'
 
 /** One connection. */
 export interface Connection {
@@ -28,7 +28,7 @@
   readonly cfg: ConnectionCfg
   readonly chart: Chart
   readonly connectTimeoutMs: Millis
-  readonly loop: LoopWatch
+  readonly looks: Looks
   /** Called when a connection is open, with the time at which it was asked for. */
   onConnect: ((address: string, startedAt: Millis) => void) | undefined
   /** Connections to each server, the one used last at the end. */
@@ -39,12 +39,12 @@
 /** A connection is closed this long before its server would, so that no request crosses the close. */
 const closeBeforeServerMs: Millis = 1000
 
-export function createPool (cfg: ConnectionCfg, chart: Chart, connectTimeoutMs: Millis, loop: LoopWatch): ConnectionPool {
+export function createPool (cfg: ConnectionCfg, chart: Chart, connectTimeoutMs: Millis, looks: Looks): ConnectionPool {
   const pool: ConnectionPool = {
     cfg,
     chart,
     connectTimeoutMs,
-    loop,
+    looks,
     onConnect: undefined,
     byAddress: new Map(),
     rests: createRestMemory(),
@@ -114,13 +114,13 @@
       socket.on('error', failure => { if ((failure as NodeJS.ErrnoException).code === 'ECONNRESET') connection().wasReset = true })
     }
     if (err !== null || !hasOpenedLate(startedAt, presentTime())) callback(...result)
-    else handOver(pool.loop, socket, callback).catch(failure => callback(failure as Error, null))
+    else handOver(pool.looks, socket, callback).catch(failure => callback(failure as Error, null))
   })
 }
 
 /** Hands a connection over after a look at all sockets: the caller that it was opened for, or its server, may have closed meanwhile. */
-async function handOver (loop: LoopWatch, socket: Socket, callback: buildConnector.Callback): Promise<void> {
-  await nextLook(loop)
+async function handOver (looks: Looks, socket: Socket, callback: buildConnector.Callback): Promise<void> {
+  await nextLook(looks)
   // `undici` opens another connection, again and again, where it is handed one that has ended.
   if (socket.destroyed || socket.readableEnded) callback(endedEarly(socket), null)
   else callback(null, socket)
--- a/packages/daemon/src/core/entry/entry.ts
+++ b/packages/daemon/src/core/entry/entry.ts
@@ -72,7 +72,7 @@
     node,
     router,
     blocks: buildBlockTable(blocks),
-    pool: createPool({ staleMs: times.staleConnectionMs, silentMs: times.silentConnectionMs }, loadChart('connection'), times.connectTimeoutMs, loop),
+    pool: createPool({ staleMs: times.staleConnectionMs, silentMs: times.silentConnectionMs }, loadChart('connection'), times.connectTimeoutMs, loop.looks),
     loop,
     attemptChart: loadChart('attempt'),
     claiming,
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -12,7 +12,8 @@
 import { presentTime } from '../../utils/clock.js'
 import { isHopByHop } from '../../utils/headers.js'
 import { log } from '../../utils/logging.js'
-import { arrivalTime, nextLook, noteAccepted, watchClose } from '../../utils/loopWatch.js'
+import { arrivalTime, noteAccepted, watchClose } from '../../utils/loopWatch.js'
+import { nextLook } from '../../utils/socketLooks.js'
 import type { Call, CallAnswer } from './call.js'
 import { startBody } from './callBody.js'
 import type { BodyEnd, CallBody } from './callBody.js'
@@ -105,7 +106,7 @@
 
 /** Reads what lies behind a request: its caller may have closed the connection while it lay unread. */
 async function lookBehind ({ loop }: Gateway, arrival: Arrival): Promise<Arrival> {
-  const look = await nextLook(loop)
+  const look = await nextLook(loop.looks)
   noteLook(arrival.caller, look.beganAt)
   return { ...arrival, workFrom: look.endedAt }
 }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -41,7 +41,7 @@
     node,
     callers,
     servers,
-    pool: createPool({ staleMs: staleConnectionMs, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop),
+    pool: createPool({ staleMs: staleConnectionMs, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop.looks),
     fleet: createFleet(setup, node.entryNames),
     load: node.load,
     splits: new Map(),
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -7,7 +7,8 @@
 import type { HeaderMap } from '../../types/answers.js'
 import { presentTime } from '../../utils/clock.js'
 import { passedHeaders } from '../../utils/headers.js'
-import { afterLook, noteTurn } from '../../utils/loopWatch.js'
+import { noteTurn } from '../../utils/loopWatch.js'
+import { afterLook } from '../../utils/socketLooks.js'
 import { dropConnection, dropSilent, noteUnanswered, progressConnection, releaseConnection, takeConnection } from '../entry/connectionPool.js'
 import type { Connection } from '../entry/connectionPool.js'
 import type { Call } from './call.js'
@@ -135,7 +136,7 @@
  * Ends sending at the deadline, when the caller goes, or when it is time to try elsewhere. Timers run before sockets are read, so
  * what a timer decides waits for a look: the answer may lie unread.
  */
-function watchSend ({ loop }: Gateway, call: Call, patience: Patience, now: Millis, abort: () => void): SendWatch {
+function watchSend ({ loop: { looks } }: Gateway, call: Call, patience: Patience, now: Millis, abort: () => void): SendWatch {
   let reason: LostReason = 'failed'
   let isOver = false
   const stop = (why: typeof reason): void => {
@@ -146,10 +147,10 @@
   const onGone = (): void => stop('gone')
   call.gone.on('abort', onGone)
   if (call.gone.aborted) onGone()
-  const deadlineTimer = setTimeout(afterLook(loop, () => stop('deadline')), Math.max(1, call.deadline - now))
-  const leave = afterLook(loop, () => { if (patience.mayLeave()) stop('slow') })
+  const deadlineTimer = setTimeout(afterLook(looks, () => stop('deadline')), Math.max(1, call.deadline - now))
+  const leave = afterLook(looks, () => { if (patience.mayLeave()) stop('slow') })
   const patienceTimer = patience.leaveAt === undefined ? undefined : setTimeout(leave, Math.max(1, patience.leaveAt - now))
-  const lookAgain = afterLook(loop, () => {
+  const lookAgain = afterLook(looks, () => {
     if (isOver) return
     if (patience.isStranded()) stop('stranded')
     else strandedTimer = setTimeout(lookAgain, strandedCheckMs)
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -4,7 +4,7 @@
 import type { EntryTerms, Placed, PlaceRequest, Refused, RequestRun, RunStep } from '@lynxcourse/placement'
 import { presentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
-import { nextLook } from '../../utils/loopWatch.js'
+import { nextLook } from '../../utils/socketLooks.js'
 import { delay } from '../node/timers.js'
 import { objectOf } from './call.js'
 import type { Call, CallAnswer } from './call.js'
@@ -36,7 +36,7 @@
         last = await sendPlaced(gateway, call, run, step.placed)
         break
       case 'look':
-        noteLook(call.caller, (await nextLook(gateway.loop)).beganAt)
+        noteLook(call.caller, (await nextLook(gateway.loop.looks)).beganAt)
         break
       case 'wait':
         await waitForRoom(gateway, run, step.pauseMs)
--- a/packages/daemon/src/core/rpc/rpcServer.ts
+++ b/packages/daemon/src/core/rpc/rpcServer.ts
@@ -96,7 +96,7 @@
     throw new LynxError('overCapacity', `more than ${rate.perSecond} messages a second`, { step: 'receive', peer: caller.address })
   }
   const body = await readBody(req, maxBytes)
-  const look = async (): Promise<void> => await lookAtSender(loop, req.socket, 'receive')
+  const look = async (): Promise<void> => await lookAtSender(loop.looks, req.socket, 'receive')
   const gone = new Cancel()
   res.once('close', () => gone.abort())
   const answer = await methods.receiveJSON(body.toString('utf8'), { ...caller, look, gone })
--- a/packages/daemon/src/utils/loopWatch.ts
+++ b/packages/daemon/src/utils/loopWatch.ts
@@ -1,19 +1,12 @@
 /** Follows the turns of the process's event loop, for the bound on how long callers' requests lie unread. */
 import type { Socket } from 'node:net'
 import { performance } from 'node:perf_hooks'
-import { setImmediate as checkPhase } from 'node:timers/promises'
-import { arrivedSince, beginTurn, firstArrivedSince, createLoopTurns, endTurn, leastSleepMs, sampleMs, sampleTurns } from '@lynxcourse/placement'
+import { arrivedSince, beginTurn, createLoopTurns, endTurn, firstArrivedSince, leastSleepMs, sampleMs, sampleTurns } from '@lynxcourse/placement'
 import type { Accepted, LoopTurns } from '@lynxcourse/placement'
 import type { Millis } from '@lynxcourse/base'
 import { presentTime } from './clock.js'
-
-/** One look of the event loop at all its sockets. */
-export interface Look {
-  /** What had come by then has been read. */
-  readonly beganAt: Millis
-  /** When all that it found had been handled. */
-  readonly endedAt: Millis
-}
+import { createLooks } from './socketLooks.js'
+import type { Looks } from './socketLooks.js'
 
 /** When a request was read. */
 interface LastRead {
@@ -25,18 +18,13 @@
 /** Watches until it is disposed. */
 export interface LoopWatch extends AsyncDisposable {
   readonly turns: LoopTurns
+  /** When each of the callers' connections was accepted. */
   readonly accepted: WeakMap<Socket, Accepted>
   /** The last request of each of the callers' connections that have carried one. */
   readonly lastReads: WeakMap<Socket, LastRead>
   /** For how long the close of a caller's connection can have lain unread; none while it is not read. */
   readonly closesUnread: WeakMap<Socket, Millis>
-  /** The look that is waited for and has not begun. */
-  nextLook: Promise<Look> | undefined
-  /** Connections accepted so far, and how many of them were there when no further one waited. */
-  accepts: number
-  settledAccepts: number
-  /** Ends once no connection waits to be accepted. */
-  accepting: Promise<void> | undefined
+  readonly looks: Looks
 }
 
 /** A loop that is this much late for a sample stood still, by a stop from outside or a long turn of its own. */
@@ -57,7 +45,7 @@
     sampledAt = now
     sampleTurns(turns, sleptMs(), now)
   }, sampleMs)
-  return { turns, accepted: new WeakMap(), lastReads: new WeakMap(), closesUnread: new WeakMap(), nextLook: undefined, accepts: 0, settledAccepts: 0, accepting: undefined, [Symbol.asyncDispose]: async () => clearInterval(timer) }
+  return { turns, accepted: new WeakMap(), lastReads: new WeakMap(), closesUnread: new WeakMap(), looks: createLooks(), [Symbol.asyncDispose]: async () => clearInterval(timer) }
 }
 
 /** Notes the turn that a callback of a socket belongs to. Immediates run once all sockets of a turn were read. */
@@ -70,7 +58,7 @@
 /** Notes a connection that was accepted now. */
 export function noteAccepted (watch: LoopWatch, socket: Socket, now: Millis): void {
   noteTurn(watch)
-  watch.accepts += 1
+  watch.looks.accepts += 1
   watch.accepted.set(socket, { at: now, since: arrivedSince(watch.turns, false, now) })
 }
 
@@ -109,48 +97,6 @@
   return isBehindRequest ? last.arrivedAt : arrivedSince(watch.turns, false, now)
 }
 
-/** Work waits for connections that are to be accepted for this long at most. */
-const longestAcceptingMs: Millis = 25
-
-/**
- * Waits until the loop has looked at all sockets once more. A socket's data is read in one look, and the end of what its peer sends in
- * the next one. The loop accepts one connection in each turn, so it goes on without work until none waits: callers who can't be
- * served would wait unseen to be accepted, behind the work of those before them.
- */
-export async function nextLook (watch: LoopWatch): Promise<Look> {
-  watch.nextLook ??= lookOnce(watch)
-  return await watch.nextLook
-}
-
-/** A timer's callback that acts after a look: timers run before sockets are read, and what they would decide on may lie unread. */
-export function afterLook (watch: LoopWatch, act: () => void): () => Promise<void> {
-  return async () => {
-    await nextLook(watch)
-    act()
-  }
-}
-
-async function lookOnce (watch: LoopWatch): Promise<Look> {
-  await checkPhase()
-  // Who asks from here on waits for the look after this one.
-  watch.nextLook = undefined
-  const beganAt = presentTime()
-  await checkPhase()
-  if (watch.accepts !== watch.settledAccepts) await (watch.accepting ??= acceptAll(watch))
-  return { beganAt, endedAt: presentTime() }
-}
-
-async function acceptAll (watch: LoopWatch): Promise<void> {
-  const until = presentTime() + longestAcceptingMs
-  let before: number
-  do {
-    before = watch.accepts
-    await checkPhase()
-  } while (watch.accepts !== before && presentTime() < until)
-  watch.settledAccepts = watch.accepts
-  watch.accepting = undefined
-}
-
 /** Time that the loop has waited for sockets and timers. */
 function sleptMs (): Millis {
   return performance.eventLoopUtilization().idle
