Look again once a body was read that came after the look

What servers could see: a request with a body of 400 KB whose caller had left. Found by review, not by an incident. Cause: a body of that size is read over several turns, and the caller's close lies behind it. The look began with the head and ended before the body did. Change: where the body was read whole after the look, the view of the caller counts as unseen, so the next step is a look.

--- a/packages/daemon/__tests__/callerLeft.test.ts
+++ b/packages/daemon/__tests__/callerLeft.test.ts
@@ -13,12 +13,13 @@
 import type { FakeServer, FleetRig } from './support/fleetRig.js'
 import { startBackend, startRig as startServiceRig } from './support/rig.js'
 import type { Backend, Rig } from './support/rig.js'
-import { connectThreadCaller } from './support/threadCaller.js'
+import { connectThreadCaller, postOf } from './support/threadCaller.js'
 import type { ThreadCaller } from './support/threadCaller.js'
 
 const timeoutMs = 20_000
 const blockedMs = 300
 const path = '/read/left'
+const largeBytes = 400_000
 
 type Gateway = NonNullable<NonNullable<FleetRig['daemons'][number]>['gateway']>
 
@@ -70,6 +71,19 @@
   })
 }
 
+/** Guards against this failure: a body that is read over several turns hides the close behind it from a look that began with its head. */
+test('a request with a large body whose caller left before it was read reaches no server', async () => {
+  await using rig = await startRig(1)
+  await using server = await startServer('s1', (_req, res) => res.end('ok'))
+  await publish(rig, [server], [routeTo('read', { timeoutMs })])
+  const gateway = gatewayOf(rig)
+  gateway.limits = { ...gateway.limits, maxBodyBytes: 2 * largeBytes }
+  assert.equal((await ask(rig, '/read/before')).status, 200)
+  await using caller = await connectThreadCaller(rig.settings.at(-1)?.callers ?? '', path, false, postOf(path, 'x'.repeat(largeBytes)))
+  await sendAndLeave(rig, caller)
+  assert.equal(await leftAt(rig, server, 0), 0)
+})
+
 /** Guards against this failure: nothing tells a close that lay unread when its request was sent from one that came later. */
 test('a close that lay unread while the VM stood still is counted with that time', async () => {
   await using rig = await startRig(1)
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net'
 import { LynxError, messageOf } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { createCallerView, mayTakeUp, noteLook, turnSpent } from '@lynxcourse/placement'
+import { createCallerView, mayTakeUp, noteLook, noteMoreRead, turnSpent } from '@lynxcourse/placement'
 import type { RoutedService, TurnSpent } from '@lynxcourse/placement'
 import { matchRoute, pickService } from '@lynxcourse/routing'
 import type { HeaderMap } from '../../types/answers.js'
@@ -138,6 +138,7 @@
   if (!mayTakeUp(readTurn, route.rank)) return refuseOverloaded(gateway, req, refused)
   const end = await coming.end
   if (end.type !== 'whole') return noBody(gateway, end)
+  if (end.at > caller.seenAt) noteMoreRead(caller)
   // Asked right before the work, which counts for those that are asked after this one.
   const spentMs = presentTime() - Math.max(workFrom, end.at)
   if (!mayTakeUp({ ...readTurn, spentMs }, route.rank)) return refuseOverloaded(gateway, req, refused)
--- a/packages/placement/src/core/admission/callerView.ts
+++ b/packages/placement/src/core/admission/callerView.ts
@@ -33,6 +33,11 @@
   view.seenAt = seenAt
 }
 
+/** Notes that more of the caller's request was read since the last look: its close may lie behind that. */
+export function noteMoreRead (view: CallerView): void {
+  view.seenAt = -Infinity
+}
+
 /** Whether a connection that was asked for at `askedAt` has opened so late that callers have to be looked at before it is written to. */
 export function hasOpenedLate (askedAt: Millis, now: Millis): boolean {
   return now - askedAt > openMs
