Date a look by its last turn; end looks at the deadline

Each turn in which connections are accepted reads all sockets as well, so a look is as fresh as its last turn; dated by its first, up to 150 ms of the 250 ms for which a view may be used were gone where a VM is behind, and requests looked twice. A request to a service whose looks keep taking longer than that gives its slot back at its deadline. A placement is not asked for a send that has ended. Tests: accepting, callerLeft, unread and all others of the daemon.

--- a/packages/daemon/src/core/entry/attemptSteps.ts
+++ b/packages/daemon/src/core/entry/attemptSteps.ts
@@ -45,14 +45,14 @@
     releaseSlot(entry, slot, 'cancelled')
     return 'gone'
   }
-  if (mayStillSend(serving)) return slot
+  if (presentTime() < serving.request.deadline && mayStillSend(serving)) return slot
   // The lease ran out while the request waited: a drain may have begun that this VM has not heard of.
   releaseSlot(entry, slot, 'cancelled')
   return 'late'
 }
 
-async function renewCallerView ({ entry, caller, signal }: Serving): Promise<void> {
-  while (!signal.aborted && mustLook(caller, presentTime())) noteLook(caller, (await nextLook(entry.loop.looks)).beganAt)
+async function renewCallerView ({ entry, caller, signal, request }: Serving): Promise<void> {
+  while (!signal.aborted && presentTime() < request.deadline && mustLook(caller, presentTime())) noteLook(caller, (await nextLook(entry.loop.looks)).beganAt)
 }
 
 function mayStillSend (serving: Serving): boolean {
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -148,7 +148,7 @@
   call.gone.on('abort', onGone)
   if (call.gone.aborted) onGone()
   const deadlineTimer = setTimeout(afterLook(looks, () => stop('deadline')), Math.max(1, call.deadline - now))
-  const leave = afterLook(looks, () => { if (patience.mayLeave()) stop('slow') })
+  const leave = afterLook(looks, () => { if (!isOver && patience.mayLeave()) stop('slow') })
   const patienceTimer = patience.leaveAt === undefined ? undefined : setTimeout(leave, Math.max(1, patience.leaveAt - now))
   const lookAgain = afterLook(looks, () => {
     if (isOver) return
--- a/packages/daemon/src/utils/socketLooks.ts
+++ b/packages/daemon/src/utils/socketLooks.ts
@@ -11,7 +11,7 @@
 
 /** One look of the event loop at all its sockets. */
 export interface Look {
-  /** What had come by then has been read. */
+  /** What had come by then has been read, up to what the loop reads of one socket in a turn. */
   readonly beganAt: Millis
   /** When all that it found had been handled. */
   readonly endedAt: Millis
@@ -24,13 +24,14 @@
   /** Connections accepted so far, and how many of them there were when no further one waited. */
   accepts: number
   settledAccepts: number
-  /** Ends once no connection waits to be accepted. */
-  accepting: Promise<void> | undefined
+  /** Ends once no connection waits to be accepted, with when its last turn began. */
+  accepting: Promise<Millis> | undefined
 }
 
 /** Work waits for connections that are to be accepted for this long at most. */
 const longestAcceptingMs: Millis = 150
 
+/** No look yet. */
 export function createLooks (): Looks {
   return { next: undefined, accepts: 0, settledAccepts: 0, accepting: undefined }
 }
@@ -53,20 +54,23 @@
   await checkPhase()
   // Who asks from here on waits for the look after this one.
   looks.next = undefined
-  const beganAt = presentTime()
+  let beganAt = presentTime()
   await checkPhase()
-  if (looks.accepts !== looks.settledAccepts) await (looks.accepting ??= acceptAll(looks))
+  if (looks.accepts !== looks.settledAccepts) beganAt = await (looks.accepting ??= acceptAll(looks))
   return { beganAt, endedAt: presentTime() }
 }
 
 /** The loop accepts one connection in each turn, so it goes on without work until none waits. */
-async function acceptAll (looks: Looks): Promise<void> {
+async function acceptAll (looks: Looks): Promise<Millis> {
   const until = presentTime() + longestAcceptingMs
   let before: number
+  let turnBeganAt: Millis
   do {
     before = looks.accepts
+    turnBeganAt = presentTime()
     await checkPhase()
   } while (looks.accepts !== before && presentTime() < until)
   looks.settledAccepts = looks.accepts
   looks.accepting = undefined
+  return turnBeganAt
 }
