A VM that stops waits for answers to be out, and for requests that lie unread

What callers could see: an answer cut by a planned stop where it was written but not out (a slow link), and a reset of a connection whose request lay unread (shown by a script of the review: ECONNRESET, the request not read). Change: a request counts as open until its answer is out or its connection is gone; idle connections are closed after a look. Both within the bound on a stop. Tests: start, pipeline, fleet and all others of the daemon; none of its own yet.

--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -9,6 +9,7 @@
 import { createMetricsServer } from '../../utils/metricsServer.js'
 import { createOwned, moveOwned, own } from '../../utils/owned.js'
 import type { Owned } from '../../utils/owned.js'
+import { nextLook } from '../../utils/socketLooks.js'
 import type { FleetSettings } from '../../types/fleetSettings.js'
 import { feed } from '../control/controlHost.js'
 import { addClusterMethods, keepJoining } from '../control/joining.js'
@@ -143,6 +144,8 @@
 async function drainCallers (gateway: Gateway, server: Server, startedAt: Millis): Promise<void> {
   const { stopMs } = gateway.node.cfg.times
   await delay(Math.min(acceptAfterStopMs, stopMs / 2))
+  // A connection is not idle while a request on it lies unread.
+  await nextLook(gateway.loop.looks)
   server.close()
   server.closeIdleConnections()
   while (gateway.open > 0 && presentTime() - startedAt < stopMs) await delay(drainPollMs)
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -86,11 +86,19 @@
   } finally {
     body.release()
     if (!res.writableEnded) leavePipeline(place)
-    gateway.open -= 1
-    metrics.inFlight.set(gateway.open)
+    whenOut(res, () => {
+      gateway.open -= 1
+      metrics.inFlight.set(gateway.open)
+    })
   }
 }
 
+/** Calls back once an answer is out, or can't get out any more; at once where there is none. A VM that stops waits for that. */
+function whenOut (res: ServerResponse, done: () => void): void {
+  if (!res.writableEnded || res.writableFinished || res.destroyed) done()
+  else res.once('close', done)
+}
+
 interface Arrival extends Pick<Call, 'arrivedAt' | 'readAt' | 'caller'> {
   /** How far the turn was in which it was read. */
   readonly readTurn: TurnSpent
