--- a/packages/daemon/src/core/gateway/stateWait.ts
+++ b/packages/daemon/src/core/gateway/stateWait.ts
@@ -7,6 +7,7 @@
  */
 import type { Millis } from '@lynxcourse/base'
 import type { Cancel } from '../../utils/cancel.js'
+import { afterLook } from '../../utils/socketLooks.js'
 import type { Gateway } from './gateway.js'
 
 /** About twice the time from a start of all VMs to the first state, 0.5 s; a caller that has waited longer is told to come back. */
@@ -34,7 +35,7 @@
     }
     // The change is still being taken over when listeners hear of it, so the request goes on after it.
     const check = (): void => queueMicrotask(() => { if (knowsRoutes(gateway)) finish() })
-    const timer = setTimeout(finish, longestWaitMs)
+    const timer = setTimeout(afterLook(gateway.loop.looks, finish), longestWaitMs)
     gone.on('abort', finish)
     onChange.push(check)
   })
--- a/scripts/support/knownRed.ts
+++ b/scripts/support/knownRed.ts
@@ -46,7 +46,7 @@
   const missing = [...tests].filter(key => !failed.has(key) && !passed.has(key))
   const stateOf = (key: string): string => failed.has(key) ? 'failed, as listed' : passed.has(key) ? 'PASSED, though listed' : 'NOT RUN, though listed'
   return {
-    isGreen: unexpected.length === 0 && missing.length === 0,
+    isGreen: ends.length > 0 && unexpected.length === 0 && missing.length === 0,
     lines: [
       ...[...tests].map(key => `known red, ${stateOf(key)}: ${key}`),
       ...byHand.map(key => `known red, by hand: ${key}`),
