--- a/packages/daemon/__tests__/support/freePorts.ts
+++ b/packages/daemon/__tests__/support/freePorts.ts
@@ -1,7 +1,7 @@
 /** Ports for tests. */
 import { createServer } from 'node:net'
 
-/** Ports below those that the system gives out by itself, a block for each process, so that nobody takes one between its choice and its use. */
+/** Ports below those that the system gives out by itself, and a block for each process, so that hardly anybody takes one between its choice and its use. */
 const firstPort = 10_240
 const blockPorts = 100
 const blocks = 220
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -63,23 +63,13 @@
   const { arrivedAt } = read
   const { metrics } = gateway.node
   metrics.unreadSeconds.observe((read.readAt - arrivedAt) / 1000)
-  let service: ServiceId | 'none' = 'none'
   gateway.open += 1
   metrics.inFlight.set(gateway.open)
   const body = startBody(gateway, req)
   const place = await joinPipeline(gateway.pipelines, req.socket)
   const { gone } = place
   try {
-    const arrival = await lookBehind(gateway, read)
-    if (!knowsRoutes(gateway)) {
-      await waitForRoutes(gateway, gone)
-      arrival.workFrom = presentTime()
-    }
-    body.judge()
-    if (gone.aborted) return noteLeft(gateway, req, arrival)
-    const target = targetOf(gateway, req)
-    service = target?.service ?? 'none'
-    const answer = target === undefined ? noRoute(gateway, req) : await serveRequest(gateway, { req, body, gone, arrival }, target)
+    const { service, answer } = await takeUp(gateway, { req, body, gone, arrival: read })
     metrics.requests.inc({ service, outcome: answer === undefined ? 'gone' : String(answer.status) })
     metrics.requestSeconds.observe({ service }, (presentTime() - arrivedAt) / 1000)
     if (answer !== undefined && await waitForTurn(place, answer.body.length)) writeAnswer(gateway, res, answer, place)
@@ -93,6 +83,38 @@
   }
 }
 
+/** A request that was read. */
+interface Taken {
+  readonly req: IncomingMessage
+  readonly body: CallBody
+  readonly gone: Cancel
+  readonly arrival: Arrival
+}
+
+/** What became of a request; without an answer its caller has left. */
+interface Served {
+  readonly service: ServiceId | 'none'
+  readonly answer: CallAnswer | undefined
+}
+
+/** Serves a request once its caller is known to be there, and the routes are known. */
+async function takeUp (gateway: Gateway, read: Taken): Promise<Served> {
+  const { req, body, gone } = read
+  const arrival = await lookBehind(gateway, read.arrival)
+  if (!knowsRoutes(gateway)) {
+    await waitForRoutes(gateway, gone)
+    arrival.workFrom = presentTime()
+  }
+  body.judge()
+  if (gone.aborted) {
+    log(gateway.node.logs, 'route', 'info', 'Caller left before its request was taken up.', { path: req.url, ...timeFields(arrival) })
+    return { service: 'none', answer: undefined }
+  }
+  const target = targetOf(gateway, req)
+  if (target === undefined) return { service: 'none', answer: noRoute(gateway, req) }
+  return { service: target.service, answer: await serveRequest(gateway, { req, body, gone, arrival }, target) }
+}
+
 /** Calls back once an answer is out, or can't get out any more; at once where there is none. A VM that stops waits for that. */
 function whenOut (res: ServerResponse, done: () => void): void {
   if (!res.writableEnded || res.writableFinished || res.destroyed) done()
@@ -119,25 +141,12 @@
   return { ...arrival, workFrom: look.endedAt }
 }
 
-function noteLeft ({ node }: Gateway, req: IncomingMessage, { arrivedAt, readAt }: Arrival): void {
-  node.metrics.requests.inc({ service: 'none', outcome: 'gone' })
-  log(node.logs, 'route', 'info', 'Caller left before its request was taken up.', { path: req.url, ...timeFields({ arrivedAt, readAt }) })
-}
-
 /** The route of a request, and the service that its split gives it; undefined without a route. */
 function targetOf (gateway: Gateway, req: IncomingMessage): RoutedService | undefined {
   const route = matchRoute(gateway.table, req.headers.host ?? '', req.url ?? '/')
   return route === undefined ? undefined : { route, service: pickService(gateway.splits, route) }
 }
 
-/** A request that is taken up. */
-interface Taken {
-  readonly req: IncomingMessage
-  readonly body: CallBody
-  readonly gone: Cancel
-  readonly arrival: Arrival
-}
-
 async function serveRequest (gateway: Gateway, { req, body: coming, gone, arrival }: Taken, { route, service }: RoutedService): Promise<CallAnswer | undefined> {
   const { arrivedAt, readAt, caller, readTurn, workFrom } = arrival
   const facts = gateway.callers.readCall(req.headers)
@@ -174,8 +183,8 @@
 }
 
 /**
- * Refuses a request for which this VM has no processor time, and ends its connection, so that the caller's next requests go to others:
- * of 76 VMs one kept 984 connections of callers for ten seconds, while the median VM had 114 and used a quarter of its processor.
+ * Refuses a request for which this VM has no processor time, and ends its connection: kept open, it would bring the caller's next
+ * requests here as well.
  */
 function refuseOverloaded (gateway: Gateway, req: IncomingMessage, call: RefusedCall): CallAnswer {
   req.resume()
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -112,7 +112,7 @@
     return { type: 'lost', reason: 'spoiled', detail: body === undefined ? 'answer is too large' : isCut ? 'connection was reset in the body' : 'answer does not belong to the request' }
   }
   releaseConnection(gateway.pool, connection, presentTime())
-  // It comes from another server: taken for an answer of the one that was asked, it kept servers that had ended in the directory for seconds.
+  // It comes from another server and is no sign of life of the one that was asked.
   if (kind === 'elsewhere') return { type: 'notRun', reason: 'elsewhere', status }
   noteReply(gateway, placed.server, gateway.servers.readAhead(raw), presentTime())
   if (kind === 'notRun') return { type: 'notRun', reason: 'full', status }
--- a/packages/daemon/src/core/gateway/stateWait.ts
+++ b/packages/daemon/src/core/gateway/stateWait.ts
@@ -10,7 +10,7 @@
 import { afterLook } from '../../utils/socketLooks.js'
 import type { Gateway } from './gateway.js'
 
-/** About twice the time from a start of all VMs to the first state, 0.5 s; a caller that has waited longer is told to come back. */
+/** A caller that has waited longer is told to come back. */
 const longestWaitMs: Millis = 1000
 /** Requests held at most; a few kilobytes each. */
 const mostWaiting = 500
