A loop that slept until a request came needs no further look

Cause: each look is a poll of its own, and most requests come to a loop that sleeps. Change: a request that is read in a turn after a sleep, and by the bound was not there before, needs no look; watches look only where their wait ended late.

--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -1,7 +1,7 @@
 /** The RPC methods of a fleet's control VMs. */
 import { deltaSince } from '@lynxcourse/state'
 import type { BackendFacts, ChangeAnswer, ConfigDelta, RouteCommand } from '@lynxcourse/state'
-import { brandId, messageOf } from '@lynxcourse/base'
+import { LynxError, brandId, messageOf } from '@lynxcourse/base'
 import type { Millis, RegionId, ServerId } from '@lynxcourse/base'
 import { chooseEntries, isGathering, newsFor, noteDigest, noteLoadReport } from '@lynxcourse/placement'
 import type { EntryPresence, LoadNews, LoadReport } from '@lynxcourse/placement'
@@ -88,6 +88,9 @@
  */
 const gatherMs: Millis = 200
 
+/** A wait that ends this much late ended while the VM stood still. */
+const stillMs: Millis = 50
+
 /** Adds the methods. */
 export function addFleetMethods (rpc: RpcServer, control: FleetControl, loop: PresenceLoop): void {
   addMethod(rpc, 'fleet.watch', ['vm'], watchSchema, async (params, call) => await answerWatch(control, loop, params as unknown as WatchRequest, call))
@@ -148,11 +151,13 @@
   const isNews = noteWatching(control.presence, request.self, presentTime())
   if (isNews) loop.urge()
   if (request.load !== undefined) noteLoadReport(control.intake, request.self.name, request.self.region, request.load, presentTime())
+  const startedAt = presentTime()
   if (request.version === 0) await waitUntilCurrent(control, request.waitMs, call.gone)
   if (control.host.machine.config.version <= request.version) await waitForNews(control, request, call.gone)
-  if (request.version > 0 && control.host.machine.config.version > request.version) await delay(gatherMs)
   // Timers run before sockets are read: a VM that stood still ends its waits before it hears who has left.
-  await lookBefore(control, 'fleet.watch', call)
+  if (presentTime() - startedAt > request.waitMs + stillMs) await lookBefore(control, 'fleet.watch', call)
+  if (call.gone.aborted) throw new LynxError('cancelled', 'its sender closed the connection', { step: 'fleet.watch', peer: call.address })
+  if (request.version > 0 && control.host.machine.config.version > request.version) await delay(gatherMs)
   const { config } = control.host.machine
   const age = stateAge(control, presentTime())
   return {
--- a/packages/daemon/src/core/gateway/callerFront.ts
+++ b/packages/daemon/src/core/gateway/callerFront.ts
@@ -136,8 +136,14 @@
 
 /** Reads what lies behind a request: its caller may have closed the connection while it lay unread. */
 async function lookBehind ({ loop }: Gateway, arrival: Arrival): Promise<Arrival> {
+  const { caller, readAt, arrivedAt, readTurn } = arrival
+  // A loop that slept until the request came has read all there was, and accepted all who waited.
+  if (readTurn.hasSlept && arrivedAt === readAt) {
+    noteLook(caller, readAt)
+    return arrival
+  }
   const look = await nextLook(loop.looks)
-  noteLook(arrival.caller, look.beganAt)
+  noteLook(caller, look.beganAt)
   return { ...arrival, workFrom: look.endedAt }
 }
 
