Log which request a server ended under, and whether the server ended

Lines of failed sends named one attempt and its object. Two attempts of one request could not be told from two requests for one object, nor the end of a server from the end of a connection. A failed send now probes its server's port and logs a digest of the request with the result. No decision changes.

--- a/packages/base/src/types/ids.ts
+++ b/packages/base/src/types/ids.ts
@@ -21,6 +21,8 @@
 export type ServerId = Branded<string, 'ServerId'>
 /** Name of a steering profile. */
 export type ProfileName = Branded<string, 'ProfileName'>
+/** Digest of a request's contents, equal for all attempts of the same request at any VM. */
+export type RequestFingerprint = Branded<string, 'RequestFingerprint'>
 /** UUID v7 that a caller assigns to a request that must not run twice. */
 export type RequestId = Branded<string, 'RequestId'>
 /** Id of a configuration change; a repeated change gets the answer of the first one. */
--- a/packages/daemon/src/core/gateway/call.ts
+++ b/packages/daemon/src/core/gateway/call.ts
@@ -1,5 +1,5 @@
 /** A caller's request and its final answer. */
-import type { Millis, ServiceId } from '@lynxcourse/base'
+import type { Millis, RequestFingerprint, ServiceId } from '@lynxcourse/base'
 import type { CallerLiveness } from '@lynxcourse/placement'
 import type { Route } from '@lynxcourse/state'
 import type { HeaderMap } from '../../types/answers.js'
@@ -16,6 +16,10 @@
   /** Headers that are forwarded to the server. */
   readonly headers: HeaderMap
   readonly body: Buffer | null
+  /** Returns the fingerprint of the request. */
+  readonly getFingerprint: () => RequestFingerprint
+  /** IP address of the caller's end of the connection. */
+  readonly callerAddress: string
   /**
    * Earliest time at which the request can have reached this VM; the deadline counts from here, as it does for the
    * caller.
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -20,6 +20,7 @@
 import type { Gateway } from './gateway.js'
 import { joinPipeline, leavePipeline, tryMarkClosing, waitForEarlierAnswers } from './pipeline.js'
 import type { PipelinedRequest } from './pipeline.js'
+import { createLazyFingerprint } from './requestFingerprint.js'
 import { logRefusal, getTimeFields } from './requestLog.js'
 import type { RefusedCall } from './requestLog.js'
 import { serveCall } from './serving.js'
@@ -174,15 +175,20 @@
   // Checked immediately before the work, so that later requests of this iteration include the time of that work.
   const elapsedMs = getCurrentTime() - Math.max(workStartedAt, end.at)
   if (!fitsIterationBudget({ ...readIteration, elapsedMs }, route.rank)) return refuseOverloaded(gateway, req, refusedCall)
-  const { body } = end
+  const body = end.body.length === 0 ? null : end.body
+  const method = req.method ?? 'GET'
+  const path = req.url ?? '/'
+  const identity = gateway.callers.parseIdentity(req.headers)
   const call: Call = {
     facts,
     route,
     service,
-    method: req.method ?? 'GET',
-    path: req.url ?? '/',
+    method,
+    path,
     headers: getForwardedHeaders(gateway, req),
-    body: body.length === 0 ? null : body,
+    body,
+    getFingerprint: createLazyFingerprint({ method, host: req.headers.host ?? '', path, identity, body }),
+    callerAddress: req.socket.remoteAddress ?? '',
     arrivedAt,
     readAt,
     deadline,
--- a/packages/daemon/src/core/gateway/dialects.ts
+++ b/packages/daemon/src/core/gateway/dialects.ts
@@ -21,6 +21,11 @@
 export abstract class CallerDialect {
   abstract parseCallFacts (headers: IncomingHttpHeaders): CallFacts
 
+  /** Returns the credentials by which a caller identifies itself; empty if there are none. */
+  parseIdentity (headers: IncomingHttpHeaders): string {
+    return headers.authorization ?? headers.cookie ?? ''
+  }
+
   /** Names of headers that only this system sets; they are removed from callers' requests. */
   abstract readonly reservedHeaders: ReadonlySet<string>
 
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -12,6 +12,7 @@
 import type { ConnectionPool } from '../entry/connectionPool.js'
 import type { CallerDialect, ServerDialect } from './dialects.js'
 import type { Pipelines } from './pipeline.js'
+import type { ServerProbes } from './serverProbe.js'
 
 export interface Gateway extends EntryState {
   readonly node: FleetNode
@@ -19,6 +20,7 @@
   readonly servers: ServerDialect
   readonly pool: ConnectionPool
   readonly splits: SplitStates
+  readonly probes: ServerProbes
   /** Bounds the read delay of requests. */
   readonly loop: LoopMonitor
   routeTable: RouteTable
@@ -45,6 +47,7 @@
     fleet: createFleet(setup, node.entryNames),
     load: node.load,
     splits: new Map(),
+    probes: new Map(),
     retries: new Map(),
     loop,
     routeTable: buildRouteTable([]),
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -8,6 +8,7 @@
 import { delay } from '../node/timers.js'
 import { createObjectKey } from './call.js'
 import type { Call, CallAnswer } from './call.js'
+import { inspectFailedSend } from './failedSends.js'
 import type { Gateway } from './gateway.js'
 import { logRefusal, logSend, getTimeFields } from './requestLog.js'
 import { sendOnce } from './sending.js'
@@ -78,6 +79,7 @@
   const now = getCurrentTime()
   endSend(gateway, state, sending, result, now)
   logSend(gateway, call, state.sends, placement, report, startedAt, now)
+  if (result.type === 'lost' && result.reason === 'failed') inspectFailedSend(gateway, call, placement)
   return result
 }
 
