--- a/packages/daemon/__tests__/support/fleetFixture.ts
+++ b/packages/daemon/__tests__/support/fleetFixture.ts
@@ -150,7 +150,12 @@
   await submitCommand(fixture, createReplaceRoutesCommand('first', 0, 1, routes))
   for (const { facts } of servers) await waitUntil(async () => await handleAnnouncement(getControl(fixture, 0), facts, getCurrentTime()).then(() => true, () => false))
   const entry = fixture.daemons.at(-1) as FleetDaemon
-  await waitUntil(() => isFleetReady(entry) && entry.gateway?.fleet.byId.size === servers.length && entry.gateway.routeTable.size > 0)
+  await waitUntil(() => hasServers(entry, servers.length))
+}
+
+/** Whether an entry VM is ready, and knows the routes and the given number of servers. */
+export function hasServers (entry: FleetDaemon, count: number): boolean {
+  return isFleetReady(entry) && entry.gateway?.fleet.byId.size === count && entry.gateway.routeTable.size > 0
 }
 
 /** A response with its whole body. */
@@ -162,7 +167,11 @@
 
 /** Sends a request to the last VM, an entry VM. */
 export async function sendRequest (fixture: FleetFixture, path: string, method: 'GET' | 'POST' = 'GET', headers: Record<string, string> = {}): Promise<TestResponse> {
-  const address = fixture.settings.at(-1)?.callers ?? ''
-  const res = await request(`http://${address}${path}`, { method, headers: { host: 'a.example', ...headers }, body: method === 'POST' ? 'offer' : null })
+  return await sendRequestTo(fixture.settings.at(-1)?.callers ?? '', path, method, headers)
+}
+
+/** Sends a request to the entry VM with the given address for callers. */
+export async function sendRequestTo (address: string, path: string, method: 'GET' | 'POST' = 'GET', headers: Record<string, string> = {}, body = 'offer'): Promise<TestResponse> {
+  const res = await request(`http://${address}${path}`, { method, headers: { host: 'a.example', ...headers }, body: method === 'POST' ? body : null })
   return { status: res.statusCode, body: await res.body.text(), headers: res.headers }
 }
