--- a/packages/base/__tests__/base.test.ts
+++ b/packages/base/__tests__/base.test.ts
@@ -11,7 +11,7 @@
 const propertyParameters = { seed, numRuns: 200 }
 console.log(`seed ${seed}`)
 
-const chartNames: ChartName[] = ['agreementRole', 'attempt', 'claim', 'connection', 'drain', 'server', 'shift', 'vm']
+const chartNames: ChartName[] = ['agreementRole', 'attempt', 'claim', 'connection', 'crashingRequest', 'drain', 'server', 'shift', 'vm']
 
 test('all charts are valid, and no transition leaves a final state', () => {
   for (const name of chartNames) {
--- a/packages/daemon/__tests__/crashingRequests.test.ts
+++ b/packages/daemon/__tests__/crashingRequests.test.ts
@@ -1,11 +1,13 @@
 /** Requests that end the servers that run them. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { delay } from '@lynxcourse/daemon'
+import { delay, getCurrentTime } from '@lynxcourse/daemon'
 import type { FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
-import { createRouteToDesk, hasServers, publishRoutes, sendRequestTo, startFleetFixture, startVm, waitUntil } from './support/fleetFixture.js'
+import { listItems } from '@lynxcourse/state'
+import type { CrashingRequestItem } from '@lynxcourse/state'
+import { createRouteToDesk, getControl, hasServers, publishRoutes, sendRequestTo, startFleetFixture, startVm, submitCommand, waitUntil } from './support/fleetFixture.js'
 import type { FleetFixture } from './support/fleetFixture.js'
-import { startCrashableServers } from './support/crashableServers.js'
+import { endServer, startCrashableServers } from './support/crashableServers.js'
 import type { CrashableServers } from './support/crashableServers.js'
 
 const serverCount = 14
@@ -58,3 +60,133 @@
   for (let sent = 0; sent < 2 * maxLateSends; sent++) await sendRequestTo(getEntryAddress(fixture, sent), crashingPath)
   assert.ok(crashable.ended - endedBefore <= maxLateSends, `${crashable.ended - endedBefore} more servers ended`)
 })
+
+function listRestricted (fixture: FleetFixture): CrashingRequestItem[] {
+  return listItems(getControl(fixture, 0).host.machine.config, 'crashingRequest').filter(({ state }) => state !== 'released')
+}
+
+/** Waits until all entry VMs restrict the given number of requests. */
+async function waitForRestrictions (fixture: FleetFixture, count: number): Promise<void> {
+  await waitUntil(() => fixture.daemons.every(daemon => daemon?.gateway === undefined || daemon.gateway.restrictedRequests.size === count))
+}
+
+/** Sends the crashing request until it is blocked at all VMs. */
+async function blockCrashingRequest (fixture: FleetFixture): Promise<void> {
+  await waitUntil(async () => {
+    await sendRequestTo(getEntryAddress(fixture, 0), crashingPath)
+    return listRestricted(fixture).some(({ state }) => state === 'blocked')
+  })
+  const { blockedUntil } = listRestricted(fixture)[0] as CrashingRequestItem
+  await waitUntil(() => fixture.daemons.every(daemon => daemon?.gateway === undefined || [...daemon.gateway.restrictedRequests.values()].includes(blockedUntil)))
+}
+
+/** Guards against other requests that are turned away with the one that ends servers. */
+test('while a request is blocked, requests with another path, method, body or caller are served', async () => {
+  await using crashable = await startCrashableServers(serverCount, req => req.url === crashingPath && req.method === 'GET' && req.headers.authorization === undefined)
+  await using fixture = await startFleet(2, crashable)
+  await blockCrashingRequest(fixture)
+  const endedBefore = crashable.ended
+  for (const address of [getEntryAddress(fixture, 0), getEntryAddress(fixture, 1)]) {
+    const refused = await sendRequestTo(address, crashingPath)
+    assert.equal(refused.status, 503)
+    const retryAtMs = getCurrentTime() + Number(refused.headers['retry-after']) * 1000
+    assert.ok(Math.abs(retryAtMs - (listRestricted(fixture)[0]?.blockedUntil ?? 0)) < 1000, 'the caller hears when the block ends')
+    assert.equal((await sendRequestTo(address, '/read/other')).status, 200)
+    assert.equal((await sendRequestTo(address, `${crashingPath}?page=2`)).status, 200)
+    assert.equal((await sendRequestTo(address, crashingPath, 'POST')).status, 200)
+    assert.equal((await sendRequestTo(address, crashingPath, 'GET', { authorization: 'Token other' })).status, 200)
+  }
+  assert.equal(crashable.ended, endedBefore)
+})
+
+/** Guards against requests with equal paths that are taken for one since their bodies are not compared. */
+test('a blocked request that must not run twice is refused as not run, and the same path with another body is served', async () => {
+  const crashingLength = String('crash'.length)
+  await using crashable = await startCrashableServers(serverCount, req => req.headers['content-length'] === crashingLength)
+  await using fixture = await startFleet(1, crashable)
+  const address = getEntryAddress(fixture, 0)
+  await waitUntil(async () => {
+    await sendRequestTo(address, '/write/1', 'POST', {}, 'crash')
+    return listRestricted(fixture).some(({ state }) => state === 'blocked')
+  })
+  await waitForRestrictions(fixture, 1)
+  await waitUntil(async () => (await sendRequestTo(address, '/write/1', 'POST', {}, 'crash')).status === 503)
+  const endedBefore = crashable.ended
+  assert.match((await sendRequestTo(address, '/write/1', 'POST', {}, 'crash')).body, /^not run/)
+  assert.equal((await sendRequestTo(address, '/write/1', 'POST', {}, 'harmless')).status, 200)
+  assert.equal(crashable.ended, endedBefore)
+})
+
+/** Guards against a harmless request that is turned away since the servers that it ran at ended for another reason. */
+test('a request whose servers ended for another reason is served again after one trial', async () => {
+  let isHeld = true
+  await using crashable = await startCrashableServers(serverCount, () => false)
+  for (const { server } of crashable.servers) {
+    const [answer] = server.listeners('request') as Array<(...args: unknown[]) => void>
+    server.removeAllListeners('request')
+    server.on('request', (req, res) => { if (!isHeld) answer?.(req, res) })
+  }
+  await using fixture = await startFleet(2, crashable)
+  const address = getEntryAddress(fixture, 0)
+  const isBusy = ({ server }: (typeof crashable.servers)[number]): Promise<boolean> => new Promise(resolve => server.getConnections((_err, count) => resolve(count > 0)))
+  const ended = new Set<string>()
+  for (let index = 0; index < toleratedEnds; index++) {
+    const pending = sendRequestTo(address, '/read/1')
+    await waitUntil(async () => {
+      for (const server of crashable.servers) {
+        if (ended.has(server.facts.id) || !await isBusy(server)) continue
+        ended.add(server.facts.id)
+        endServer(server)
+        return true
+      }
+      return false
+    })
+    assert.equal((await pending).status, 502)
+  }
+  isHeld = false
+  await waitForRestrictions(fixture, 1)
+  assert.equal((await sendRequestTo(address, '/read/1')).status, 200)
+  await waitForRestrictions(fixture, 0)
+  const answers = await Promise.all(Array.from({ length: 8 }, async (_, index) => (await sendRequestTo(getEntryAddress(fixture, index), '/read/1')).status))
+  assert.deepEqual(answers, answers.map(() => 200))
+})
+
+/** Guards against requests that count as ending servers although only their connections were lost. */
+test('a request whose connections are reset by running servers is never restricted', async () => {
+  await using crashable = await startCrashableServers(serverCount, () => false)
+  for (const { server } of crashable.servers) {
+    server.removeAllListeners('request')
+    server.on('request', req => req.socket.resetAndDestroy())
+  }
+  await using fixture = await startFleet(1, crashable)
+  for (let sent = 0; sent < 4 * toleratedEnds; sent++) await sendRequestTo(getEntryAddress(fixture, 0), '/read/1')
+  await delay(500)
+  assert.deepEqual(listRestricted(fixture), [])
+  assert.equal(getControl(fixture, 0).host.machine.crashes.size, 0)
+})
+
+/** Guards against a VM that sends a blocked request since it started after the block. */
+test('a VM that starts refuses a blocked request from its first request on', async () => {
+  await using crashable = await startCrashableServers(serverCount, req => req.url === crashingPath)
+  await using fixture = await startFleet(2, crashable)
+  await blockCrashingRequest(fixture)
+  const endedBefore = crashable.ended
+  await fixture.daemons.pop()?.[Symbol.asyncDispose]()
+  fixture.daemons.push(await startVm({ ...fixture.settings.at(-1) as FleetSettings, isFirstStart: false }))
+  assert.equal((await sendRequestTo(getEntryAddress(fixture, 1), crashingPath)).status, 503)
+  await waitUntil(() => hasServers(fixture.daemons.at(-1) as FleetDaemon, serverCount))
+  assert.equal((await sendRequestTo(getEntryAddress(fixture, 1), '/read/other')).status, 200)
+  assert.equal(crashable.ended, endedBefore)
+})
+
+test('an operator can release a blocked request', async () => {
+  let isFixed = false
+  await using crashable = await startCrashableServers(serverCount, req => req.url === crashingPath && !isFixed)
+  await using fixture = await startFleet(1, crashable)
+  await blockCrashingRequest(fixture)
+  isFixed = true
+  const [item] = listRestricted(fixture)
+  assert.equal((await submitCommand(fixture, { type: 'releaseRequest', request: (item as CrashingRequestItem).key })).ok, true)
+  await waitForRestrictions(fixture, 0)
+  assert.equal((await sendRequestTo(getEntryAddress(fixture, 0), crashingPath)).status, 200)
+})
--- a/packages/daemon/__tests__/fleetControl.test.ts
+++ b/packages/daemon/__tests__/fleetControl.test.ts
@@ -6,7 +6,7 @@
 import type { Replica } from '@lynxcourse/agreement'
 import type { FailureDomainId, HolderId } from '@lynxcourse/base'
 import { brandId } from '@lynxcourse/base'
-import { callPeer, getCurrentTime, readRoutes, getStateAge, submitRouteCommand } from '@lynxcourse/daemon'
+import { callPeer, getCurrentTime, readRoutes, getStateAge, submitFleetCommand } from '@lynxcourse/daemon'
 import type { FleetControl } from '@lynxcourse/daemon'
 import { findItem } from '@lynxcourse/state'
 import { getControl, publishRoutes, createReplaceRoutesCommand, createRouteToDesk, startFleetFixture, startVm, submitCommand, waitUntil } from './support/fleetFixture.js'
@@ -21,7 +21,7 @@
   await waitUntil(() => findItem(staleControl.host.machine.config, 'evacuation', failureDomain)?.isActive === true)
   const currentVersion = staleControl.host.machine.config.version
   staleControl.host.machine.config.version = 1
-  const pendingAnswer = submitRouteCommand(staleControl, { type: 'evacuate', failureDomain, isActive: false })
+  const pendingAnswer = submitFleetCommand(staleControl, { type: 'evacuate', failureDomain, isActive: false })
   staleControl.host.machine.config.version = currentVersion
   const answer = await pendingAnswer
   assert.ok(!answer.ok && answer.code === 'versionConflict')
--- a/packages/daemon/__tests__/support/fleetFixture.ts
+++ b/packages/daemon/__tests__/support/fleetFixture.ts
@@ -9,9 +9,9 @@
 import { brandId } from '@lynxcourse/base'
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import {
-  DefaultCallerDialect, DefaultServerDialect, defaultFleetTimes, isFleetReady, getCurrentTime, createSilentLogs, startFleetDaemon, submitRouteCommand, handleAnnouncement
+  DefaultCallerDialect, DefaultServerDialect, defaultFleetTimes, isFleetReady, getCurrentTime, createSilentLogs, startFleetDaemon, submitFleetCommand, handleAnnouncement
 } from '@lynxcourse/daemon'
-import type { FleetControl, FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
+import type { FleetCommand, FleetControl, FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
 import type { BackendAnnouncement, ChangeAnswer, RouteChangeId, Route, RouteCommand } from '@lynxcourse/state'
 import { createRoute } from '@lynxcourse/state/testing'
 import { findFreePorts } from './freePorts.js'
@@ -90,12 +90,12 @@
 }
 
 /** Submits a command to the control VMs in turn until one of them returns an answer. */
-export async function submitCommand (fixture: FleetFixture, command: RouteCommand): Promise<ChangeAnswer> {
+export async function submitCommand (fixture: FleetFixture, command: FleetCommand): Promise<ChangeAnswer> {
   let answer: ChangeAnswer | undefined
   await waitUntil(async () => {
     for (const daemon of fixture.daemons) {
       if (daemon?.control === undefined) continue
-      answer = await submitRouteCommand(daemon.control, command).catch(() => undefined)
+      answer = await submitFleetCommand(daemon.control, command).catch(() => undefined)
       if (answer !== undefined) return true
     }
     return false
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -1,9 +1,9 @@
 /** A control VM of a fleet: its replica of the log, and the changes and reads that every control VM accepts. */
 import { join } from 'node:path'
 import { LynxError, brandId, hashText, createHolderId, isLynxError, getHolderVm } from '@lynxcourse/base'
-import type { HolderId, Incarnation, Millis, ServerId, VmId } from '@lynxcourse/base'
-import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, recordKnownVersion, findRouteSet, getRoutesVersion, getKnownVersionAt } from '@lynxcourse/state'
-import type { BackendAnnouncement, ChangeAnswer, KnownVersions, RouteCommand, RouteSet } from '@lynxcourse/state'
+import type { HolderId, Incarnation, Millis, RequestFingerprint, ServerId, VmId } from '@lynxcourse/base'
+import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, recordKnownVersion, findRouteSet, getRoutesVersion, getKnownVersionAt, isRestricted } from '@lynxcourse/state'
+import type { BackendAnnouncement, ChangeAnswer, CrashCommand, KnownVersions, RouteCommand, RouteSet } from '@lynxcourse/state'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { openControl } from '../control/controlHost.js'
@@ -16,8 +16,8 @@
 import type { AnnouncementQueue } from './announcementQueue.js'
 import { listControlAddresses } from './fleetNode.js'
 import type { FleetNode } from './fleetNode.js'
-import { createLoadBoard, createLoadAggregate } from '@lynxcourse/placement'
-import type { LoadBoard, LoadAggregate } from '@lynxcourse/placement'
+import { createLoadBoard, createLoadAggregate, grantTrial } from '@lynxcourse/placement'
+import type { LoadBoard, LoadAggregate, TrialAnswer, Trials } from '@lynxcourse/placement'
 import { createPresence, hasRecentExchange } from './presence.js'
 import type { Presence } from './presence.js'
 
@@ -31,8 +31,13 @@
   readonly loadAggregate: LoadAggregate
   readonly board: LoadBoard
   readonly announcementQueue: AnnouncementQueue
+  /** At the leader: trials of restricted requests. */
+  readonly trials: Trials
 }
 
+/** The commands that a fleet's VMs and operators submit. */
+export type FleetCommand = RouteCommand | CrashCommand
+
 /** Result of a linearizable read of the routes. */
 export interface RoutesReadResult {
   readonly routesVersion: number
@@ -61,7 +66,7 @@
   const recordVersion = (): void => recordKnownVersion(knownVersions, host.machine.config.version, getCurrentTime())
   recordVersion()
   host.progressListeners.push(recordVersion)
-  return { node, host, knownVersions, presence: createPresence(), loadAggregate: createLoadAggregate(), board: createLoadBoard(), announcementQueue: createAnnouncementQueue() }
+  return { node, host, knownVersions, presence: createPresence(), loadAggregate: createLoadAggregate(), board: createLoadBoard(), announcementQueue: createAnnouncementQueue(), trials: new Map() }
 }
 
 function createControlEnv (node: FleetNode, isFounder: boolean): ControlEnv {
@@ -95,7 +100,7 @@
  * own commands
  * @throws LynxError if the outcome is unknown
  */
-export async function submitRouteCommand (control: FleetControl, submitted: RouteCommand, isRelayed = false, arrivedAt?: Millis): Promise<ChangeAnswer> {
+export async function submitFleetCommand (control: FleetControl, submitted: FleetCommand, isRelayed = false, arrivedAt?: Millis): Promise<ChangeAnswer> {
   const { host, node } = control
   const command = isRelayed ? submitted : withBaseVersion(control, submitted, arrivedAt)
   if (isLeading(host)) {
@@ -113,12 +118,12 @@
  * Adds a base version to an evacuation without one: the version of the state that this VM knew when the order may have
  * arrived.
  */
-function withBaseVersion ({ host, knownVersions }: FleetControl, command: RouteCommand, arrivedAt: Millis | undefined): RouteCommand {
+function withBaseVersion ({ host, knownVersions }: FleetControl, command: FleetCommand, arrivedAt: Millis | undefined): FleetCommand {
   if (command.type !== 'evacuate' || command.baseVersion !== undefined) return command
   return { ...command, baseVersion: arrivedAt === undefined ? host.machine.config.version : getKnownVersionAt(knownVersions, arrivedAt) }
 }
 
-function logCommand (control: FleetControl, command: RouteCommand, answer: ChangeAnswer): void {
+function logCommand (control: FleetControl, command: FleetCommand, answer: ChangeAnswer): void {
   const { logs } = control.node
   const outcome = answer.ok ? 'applied' : answer.detail
   switch (command.type) {
@@ -132,6 +137,12 @@
     case 'miss':
       log(logs, 'member', 'info', command.type === 'miss' ? 'Servers fell silent.' : 'Servers ended.', { servers: command.ids.join(), version: control.host.machine.config.version })
       break
+    case 'reportServerEnds':
+      logRestrictions(control, [...command.ends.map(({ request }) => request), ...command.answered])
+      break
+    case 'releaseRequest':
+      log(logs, 'route', 'info', 'Release of a request processed.', { request: command.request, outcome })
+      break
     case 'evacuate':
       log(logs, 'drain', 'info', 'Evacuation processed.', { failureDomain: command.failureDomain, active: command.isActive, base: command.baseVersion, outcome, version: control.host.machine.config.version })
       break
@@ -144,6 +155,33 @@
   log(node.logs, 'announce', 'info', 'Server announced itself.', { server: id, service, draining: isDraining, seq, coldMs, version: host.machine.config.version })
 }
 
+/** Logs the state of the requests that a report was about, unless they are not restricted. */
+function logRestrictions ({ node, host }: FleetControl, requests: readonly RequestFingerprint[]): void {
+  for (const request of new Set(requests)) {
+    const item = findItem(host.machine.config, 'crashingRequest', request)
+    if (item !== undefined) log(node.logs, 'route', 'warn', 'Request under which servers ended.', { request, route: item.route, state: item.state, servers: item.servers.join(), blockedUntil: item.blockedUntil })
+  }
+}
+
+/**
+ * Decides at the leader whether a VM may send a restricted request as a trial.
+ *
+ * @param forMs longest time that the trial may take
+ * @param isRelayed whether another control VM forwarded the claim; it is not forwarded again
+ * @throws LynxError if no leader can be reached
+ */
+export async function claimTrial (control: FleetControl, request: RequestFingerprint, forMs: Millis, isRelayed: boolean): Promise<TrialAnswer> {
+  const { host, node, trials } = control
+  if (isLeading(host)) {
+    const item = findItem(host.machine.config, 'crashingRequest', request)
+    const blockedUntil = item === undefined || !isRestricted(item) ? undefined : item.blockedUntil
+    return grantTrial(trials, request, blockedUntil, forMs, getCurrentTime())
+  }
+  const leader = getLeaderAddress(control)
+  if (leader === undefined || leader === node.cfg.rpc || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step: 'trial' })
+  return await callPeer<TrialAnswer>(node.client, leader, 'fleet.claimTrial', { request, forMs, isRelayed: true }, submitTimeoutMs)
+}
+
 /**
  * Reads the current routes; a quorum confirms that they are the latest.
  *
@@ -182,7 +220,7 @@
   }
   if (acceptsAnnouncement(config, facts)) control.presence.heard.add(facts.id)
   if (!hasChanged) return
-  await enqueueAnnouncement(control.announcementQueue, () => control.host.machine.config, facts, async servers => await submitRouteCommand(control, { type: 'announceAll', servers }))
+  await enqueueAnnouncement(control.announcementQueue, () => control.host.machine.config, facts, async servers => await submitFleetCommand(control, { type: 'announceAll', servers }))
 }
 
 /**
@@ -192,7 +230,7 @@
  */
 export async function dismissServer (control: FleetControl, id: ServerId, bornAt?: Millis): Promise<void> {
   if (findItem(control.host.machine.config, 'backend', id)?.state === 'gone') return
-  await submitRouteCommand(control, { type: 'dismiss', ids: [id], ...(bornAt === undefined ? {} : { bornAt }) })
+  await submitFleetCommand(control, { type: 'dismiss', ids: [id], ...(bornAt === undefined ? {} : { bornAt }) })
 }
 
 /** Returns how long ago the local copy was last known to be the current state. */
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -1,8 +1,8 @@
 /** The RPC methods of a fleet's control VMs. */
 import { getDeltaSince } from '@lynxcourse/state'
-import type { BackendAnnouncement, ChangeAnswer, ConfigDelta, RouteCommand } from '@lynxcourse/state'
+import type { BackendAnnouncement, ChangeAnswer, ConfigDelta, ReportServerEndsCommand } from '@lynxcourse/state'
 import { LynxError, brandId, getErrorMessage } from '@lynxcourse/base'
-import type { Millis, RegionId, ServerId } from '@lynxcourse/base'
+import type { Millis, RegionId, RequestFingerprint, ServerId } from '@lynxcourse/base'
 import { selectEntries, isDiscovering, omitKnownWeights, applyDigest, addLoadReport } from '@lynxcourse/placement'
 import type { EntryPresence, LoadUpdate, LoadReport } from '@lynxcourse/placement'
 import * as z from 'zod'
@@ -13,8 +13,8 @@
 import { addMethod } from '../rpc/rpcServer.js'
 import { delay } from '../node/timers.js'
 import type { RpcCall, RpcServer } from '../rpc/rpcServer.js'
-import { dismissServer, readRoutes, getStateAge, submitRouteCommand, handleAnnouncement } from './fleetControl.js'
-import type { FleetControl } from './fleetControl.js'
+import { claimTrial, dismissServer, readRoutes, getStateAge, submitFleetCommand, handleAnnouncement } from './fleetControl.js'
+import type { FleetCommand, FleetControl } from './fleetControl.js'
 import type { ControlEndpoint } from './fleetNode.js'
 import { recordWatchingEntry, applyPresenceReport } from './presence.js'
 import type { PresenceReply, PresenceReport } from './presence.js'
@@ -41,6 +41,9 @@
   readonly news: LoadUpdate
 }
 
+/** Longest time that a trial of a restricted request may take. */
+export const maxTrialMs: Millis = 600_000
+
 const textSchema = z.string().min(1).max(200)
 const presenceSchema = z.strictObject({ name: textSchema, address: addressSchema, failureDomain: textSchema, region: textSchema, isReady: z.boolean() })
 const loadAmountSchema = z.number().min(0).max(1e9)
@@ -55,7 +58,7 @@
   weights: z.number().int()
 })
 /** Commands come from control VMs, which validated them on arrival. */
-const submitSchema = z.strictObject({ command: z.looseObject({ type: z.enum(['replaceRoutes', 'updateRoutes', 'evacuate', 'announce', 'announceAll', 'dismiss', 'miss']) }) })
+const submitSchema = z.strictObject({ command: z.looseObject({ type: z.enum(['replaceRoutes', 'updateRoutes', 'evacuate', 'announce', 'announceAll', 'dismiss', 'miss', 'reportServerEnds', 'releaseRequest']) }) })
 
 const announceSchema = z.strictObject({
   facts: z.strictObject({
@@ -72,6 +75,10 @@
   })
 })
 const dismissSchema = z.strictObject({ server: textSchema, bornAt: z.number().int().min(0).optional() })
+const maxRequestsPerReport = 1024
+const serverEndSchema = z.strictObject({ request: textSchema, route: textSchema, server: textSchema, bornAt: z.number().min(0), isTrial: z.boolean() })
+const endsSchema = z.strictObject({ ends: z.array(serverEndSchema).max(maxRequestsPerReport), answered: z.array(textSchema).max(maxRequestsPerReport) })
+const trialSchema = z.strictObject({ request: textSchema, forMs: z.number().min(0).max(maxTrialMs), isRelayed: z.boolean() })
 const lookupSchema = z.strictObject({ region: textSchema.optional() })
 
 /** Result of a lookup by a caller. */
@@ -94,7 +101,7 @@
 /** Adds the fleet's methods to the RPC server of a control VM. */
 export function addFleetMethods (rpc: RpcServer, control: FleetControl, exchange: PresenceExchange): void {
   addMethod(rpc, 'fleet.watch', ['vm'], watchSchema, async (params, call) => await handleWatch(control, exchange, params as unknown as WatchRequest, call))
-  addMethod(rpc, 'fleet.submit', ['vm', 'operator'], submitSchema, async (params, call) => await handleSubmit(control, params.command as unknown as RouteCommand, call))
+  addMethod(rpc, 'fleet.submit', ['vm', 'operator'], submitSchema, async (params, call) => await handleSubmit(control, params.command as unknown as FleetCommand, call))
   addMethod(rpc, 'fleet.read', ['vm', 'operator'], z.strictObject({}), async (_params, call) => {
     await ensureCallerConnected(control, 'fleet.read', call)
     return await readRoutes(control, true)
@@ -108,6 +115,12 @@
     await dismissServer(control, brandId<ServerId>(server), bornAt)
     return {}
   })
+  addMethod(rpc, 'fleet.reportServerEnds', ['vm'], endsSchema, async report => {
+    await submitFleetCommand(control, { type: 'reportServerEnds', ...report as unknown as Omit<ReportServerEndsCommand, 'type'> })
+    return {}
+  })
+  addMethod(rpc, 'fleet.claimTrial', ['vm'], trialSchema, async ({ request, forMs, isRelayed }) =>
+    await claimTrial(control, brandId<RequestFingerprint>(request), forMs, isRelayed))
   addMethod(rpc, 'fleet.lookup', ['vm', 'operator', 'server'], lookupSchema, ({ region }) =>
     lookUpEntries(control, region === undefined ? undefined : brandId<RegionId>(region), getCurrentTime()))
 }
@@ -146,9 +159,9 @@
  * different order since. Other commands are executed anyway: changes of routes name their base version, and what a
  * server announced stays true even if the call was abandoned, since a server may announce only once that it leaves.
  */
-async function handleSubmit (control: FleetControl, command: RouteCommand, call: RpcCall): Promise<ChangeAnswer> {
+async function handleSubmit (control: FleetControl, command: FleetCommand, call: RpcCall): Promise<ChangeAnswer> {
   if (command.type === 'evacuate') await ensureCallerConnected(control, 'fleet.submit', call)
-  return await submitRouteCommand(control, command, true)
+  return await submitFleetCommand(control, command, true)
 }
 
 async function handleWatch (control: FleetControl, exchange: PresenceExchange, request: WatchRequest, call: RpcCall): Promise<WatchReply> {
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -1,5 +1,5 @@
 /** State that the components of one VM of a fleet share. */
-import { hashText, createRandom } from '@lynxcourse/base'
+import { hashText, createRandom, rankByHash } from '@lynxcourse/base'
 import type { Millis, Random, RegionId } from '@lynxcourse/base'
 import { createConfig } from '@lynxcourse/state'
 import type { Config } from '@lynxcourse/state'
@@ -89,6 +89,15 @@
   return [...new Set(known)].filter(address => address !== node.cfg.rpc)
 }
 
+/** Lists the control VMs that `isUsable` accepts: those of this region first if there are any, in this VM's own order. */
+export function rankControls (node: FleetNode, isUsable: (address: string) => boolean): string[] {
+  const available = listControlAddresses(node).filter(isUsable)
+  const isInRegion = (address: string): boolean => node.controls.some(endpoint => endpoint.rpc === address && endpoint.region === node.cfg.region)
+  const inRegion = available.filter(isInRegion)
+  const others = available.filter(address => !isInRegion(address))
+  return [...rankByHash(node.cfg.name, inRegion), ...rankByHash(node.cfg.name, others)]
+}
+
 /** Applies the settings that may change while the process runs: seeds, times, the retry budget and the log settings. */
 export function reloadFleetSettings (node: FleetNode, settings: FleetSettings): void {
   const { seeds, times, retryBudget, log } = settings
--- a/packages/daemon/src/core/fleet/presenceExchange.ts
+++ b/packages/daemon/src/core/fleet/presenceExchange.ts
@@ -8,7 +8,7 @@
 import { isLeading } from '../control/hostState.js'
 import { delay } from '../node/timers.js'
 import { callPeer } from '../rpc/rpcClient.js'
-import { getLeaderAddress, submitRouteCommand } from './fleetControl.js'
+import { getLeaderAddress, submitFleetCommand } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
 import { describeLoadChanges, applyDigest, flushDigest, storeLoadUpdate, flushPlanLines, updateBoard } from '@lynxcourse/placement'
 import { countOpenSlots, listKnownServers } from './serverSlots.js'
@@ -133,5 +133,5 @@
     presence.serverLastSeenAt.clear()
   }
   const missed = findMissedServers(presence, listPresentBackends(host.machine.config), node.cfg.times.missMs, now)
-  if (missed.length > 0) await submitRouteCommand(control, { type: 'miss', ids: missed })
+  if (missed.length > 0) await submitFleetCommand(control, { type: 'miss', ids: missed })
 }
--- a/packages/daemon/src/core/fleet/stateWatch.ts
+++ b/packages/daemon/src/core/fleet/stateWatch.ts
@@ -1,5 +1,5 @@
 /** An entry VM follows the state of the control VMs by long polling: a watch stays open until there is a change. */
-import { getErrorMessage, rankByHash } from '@lynxcourse/base'
+import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { applyDelta } from '@lynxcourse/state'
 import { flushLoadReport } from '@lynxcourse/placement'
@@ -8,7 +8,7 @@
 import { log } from '../../utils/logging.js'
 import { delay } from '../node/timers.js'
 import { callPeer } from '../rpc/rpcClient.js'
-import { listControlAddresses, notifyFleetChange } from './fleetNode.js'
+import { notifyFleetChange, rankControls } from './fleetNode.js'
 import type { FleetNode } from './fleetNode.js'
 import type { WatchReply, WatchRequest } from './fleetMethods.js'
 
@@ -99,10 +99,7 @@
  * none.
  */
 function chooseControl (watch: StateWatch, now: Millis): string | undefined {
-  const { node } = watch
-  const available = listControlAddresses(node).filter(address => (watch.avoidedUntil.get(address) ?? 0) <= now)
-  const inRegion = available.filter(address => node.controls.some(endpoint => endpoint.rpc === address && endpoint.region === node.cfg.region))
-  return rankByHash(node.cfg.name, inRegion.length > 0 ? inRegion : available)[0]
+  return rankControls(watch.node, address => (watch.avoidedUntil.get(address) ?? 0) <= now)[0]
 }
 
 function avoidControl (watch: StateWatch, address: string, now: Millis): void {
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -1,5 +1,6 @@
 /** State of the gateway: the part of an entry VM that forwards callers' requests by route. */
 import { loadChart } from '@lynxcourse/base'
+import type { Millis, RequestFingerprint } from '@lynxcourse/base'
 import { createFleet } from '@lynxcourse/placement'
 import type { EntryState, Mechanism } from '@lynxcourse/placement'
 import { buildRouteTable } from '@lynxcourse/routing'
@@ -10,6 +11,8 @@
 import type { FleetNode } from '../fleet/fleetNode.js'
 import { createConnectionPool } from '../entry/connectionPool.js'
 import type { ConnectionPool } from '../entry/connectionPool.js'
+import { createCrashReports } from './crashReports.js'
+import type { CrashReports } from './crashReports.js'
 import type { CallerDialect, ServerDialect } from './dialects.js'
 import type { Pipelines } from './pipeline.js'
 import type { ServerProbes } from './serverProbe.js'
@@ -21,6 +24,9 @@
   readonly pool: ConnectionPool
   readonly splits: SplitStates
   readonly probes: ServerProbes
+  readonly crashReports: CrashReports
+  /** End of the block of each request that may not be sent like others. */
+  restrictedRequests: ReadonlyMap<RequestFingerprint, Millis>
   /** Bounds the read delay of requests. */
   readonly loop: LoopMonitor
   routeTable: RouteTable
@@ -48,6 +54,8 @@
     load: node.load,
     splits: new Map(),
     probes: new Map(),
+    crashReports: createCrashReports(),
+    restrictedRequests: new Map(),
     retries: new Map(),
     loop,
     routeTable: buildRouteTable([]),
--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -3,7 +3,7 @@
 import { createFleetServer, forgetServer, groupServersByService, applyWeights } from '@lynxcourse/placement'
 import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/placement'
 import { buildRouteTable } from '@lynxcourse/routing'
-import { listItems, findRouteSet } from '@lynxcourse/state'
+import { listItems, findRouteSet, isRestricted } from '@lynxcourse/state'
 import type { BackendItem, Config, RouteSet } from '@lynxcourse/state'
 import type { FleetNode } from '../fleet/fleetNode.js'
 import type { Gateway } from './gateway.js'
@@ -20,6 +20,7 @@
     gateway.limits = routeSet.limits
     for (const upstream of routeSet.upstreams) fleet.coldRequestRates.set(upstream.name, upstream.warmupPerSecond)
   }
+  gateway.restrictedRequests = new Map(listItems(node.config, 'crashingRequest').filter(isRestricted).map(item => [item.key, item.blockedUntil]))
   fleet.vms = node.entryNames
   refreshServers(fleet, node, routeSet, now)
 }
--- a/packages/daemon/src/core/gateway/serverProbe.ts
+++ b/packages/daemon/src/core/gateway/serverProbe.ts
@@ -10,7 +10,7 @@
 export type ServerProbes = Map<ServerId, Promise<ProbeResult>>
 
 /** Opens a connection to a server without sending anything, unless another probe of the server is in progress. */
-export async function probeServer (probes: ServerProbes, { id, address }: ServerFacts, timeoutMs: Millis): Promise<ProbeResult> {
+export async function probeServer (probes: ServerProbes, { id, address }: Pick<ServerFacts, 'id' | 'address'>, timeoutMs: Millis): Promise<ProbeResult> {
   const pending = probes.get(id)
   if (pending !== undefined) return await pending
   const probe = openConnection(address, timeoutMs)
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -1,18 +1,20 @@
 /** Serves one request: carries out the steps that placement decides on, until there is a final answer. */
+import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { beginSend, endSend, isServerUnresponsive, mayFailOver, decideNextStep, recordPoll, updateWaitingCount, startRequest } from '@lynxcourse/placement'
-import type { DecisionConditions, Placement, PlacementRequest, Refusal, RequestState, RequestStep } from '@lynxcourse/placement'
+import { beginSend, endSend, getRestriction, isServerError, isServerUnresponsive, mayFailOver, decideNextStep, recordPoll, recordTrialAnswer, updateWaitingCount, startRequest } from '@lynxcourse/placement'
+import type { DecisionConditions, InFlightSend, Placement, PlacementRequest, Refusal, RequestRestriction, RequestState, RequestStep } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
 import { delay } from '../node/timers.js'
 import { createObjectKey } from './call.js'
 import type { Call, CallAnswer } from './call.js'
-import { inspectFailedSend } from './failedSends.js'
+import { inspectFailedSend, reportAnswered } from './crashReports.js'
 import type { Gateway } from './gateway.js'
 import { logRefusal, logSend, getTimeFields } from './requestLog.js'
 import { sendOnce } from './sending.js'
 import type { SendTimeouts, SendResult } from './sending.js'
+import { claimTrial } from './trials.js'
 
 const statusUnavailable = 503
 
@@ -27,11 +29,11 @@
 
 /** Serves a request until its final answer; returns undefined if the caller disconnects. */
 export async function serveCall (gateway: Gateway, call: Call): Promise<CallAnswer | undefined> {
-  const state = startRequest(gateway, buildPlacementRequest(call), call.liveness, getConditions(gateway), getCurrentTime())
+  const state = startRequest(gateway, buildPlacementRequest(call), call.liveness, getConditions(gateway, call), getCurrentTime())
   let lastResult: SendResult | undefined
   for (;;) {
     if (call.gone.aborted) return undefined
-    const step = decideNextStep(gateway, state, getConditions(gateway), getCurrentTime())
+    const step = decideNextStep(gateway, state, getConditions(gateway, call), getCurrentTime())
     switch (step.type) {
       case 'send':
         lastResult = await sendToServer(gateway, call, state, step.placement)
@@ -39,6 +41,9 @@
       case 'poll':
         recordPoll(call.liveness, (await waitForPoll(gateway.loop.polls)).beganAt)
         break
+      case 'claimTrial':
+        recordTrialAnswer(state, await claimTrial(gateway, call))
+        break
       case 'wait':
         await waitForCapacity(gateway, state, step.pauseMs)
         break
@@ -55,8 +60,13 @@
   return { route, service, object: facts.object === '' ? '' : createObjectKey(call), arrivedAt, deadline }
 }
 
-function getConditions ({ node }: Gateway): DecisionConditions {
-  return { retryBudget: node.cfg.retryBudget, isStopping: node.isLeaving }
+function getConditions (gateway: Gateway, call: Call): DecisionConditions {
+  const { node } = gateway
+  return { retryBudget: node.cfg.retryBudget, isStopping: node.isLeaving, restriction: findRestriction(gateway, call) }
+}
+
+function findRestriction ({ restrictedRequests }: Gateway, call: Call): RequestRestriction | undefined {
+  return restrictedRequests.size === 0 ? undefined : getRestriction(restrictedRequests.get(call.getFingerprint()), getCurrentTime())
 }
 
 async function waitForCapacity (gateway: Gateway, state: RequestState, pauseMs: Millis): Promise<void> {
@@ -70,19 +80,26 @@
   const { startedAt, failoverAt, overdueAt } = sending
   const timeouts: SendTimeouts = {
     failoverAt,
-    mayFailOver: () => mayFailOver(gateway, state, getConditions(gateway), getCurrentTime()),
+    mayFailOver: () => mayFailOver(gateway, state, getConditions(gateway, call), getCurrentTime()),
     overdueAt,
-    isUnresponsive: () => isServerUnresponsive(gateway, sending, getConditions(gateway), getCurrentTime())
+    isUnresponsive: () => isServerUnresponsive(gateway, sending, getConditions(gateway, call), getCurrentTime())
   }
   const report = await sendOnce(gateway, call, placement, timeouts)
   const { result } = report
   const now = getCurrentTime()
   endSend(gateway, state, sending, result, now)
   logSend(gateway, call, state.sends, placement, report, startedAt, now)
-  if (result.type === 'lost' && result.reason === 'failed') inspectFailedSend(gateway, call, placement)
+  learnOfEnds(gateway, call, sending, result).catch((err: unknown) => log(gateway.node.logs, 'route', 'error', 'Reporting a send failed.', { id: call.facts.id, error: getErrorMessage(err) }))
   return result
 }
 
+/** Reports what a send shows about requests that end servers. */
+async function learnOfEnds (gateway: Gateway, call: Call, sending: InFlightSend, result: SendResult): Promise<void> {
+  if (result.type === 'lost' && result.reason === 'failed') await inspectFailedSend(gateway, call, sending)
+  const isSuccess = result.type === 'answered' && !isServerError(result.status)
+  if (isSuccess && findRestriction(gateway, call) !== undefined) await reportAnswered(gateway, call)
+}
+
 function buildAnswer (lastResult: SendResult | undefined): CallAnswer | undefined {
   return lastResult?.type === 'answered' ? { status: lastResult.status, headers: lastResult.headers, body: lastResult.body } : undefined
 }
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -12,6 +12,7 @@
   readonly closeUnreadSeconds: Histogram
   readonly loopLateSeconds: Histogram
   readonly attempts: Counter<'end'>
+  readonly serverEnds: Counter
   readonly lookups: Counter<'result'>
   readonly claims: Counter<'result'>
   readonly claimSeconds: Histogram
@@ -38,6 +39,7 @@
     closeUnreadSeconds: new Histogram({ name: 'lynxcourse_close_unread_seconds', help: 'Longest time that the close of a caller with an open request can have lain unread before this VM read it.', buckets: latencyBuckets, registers }),
     loopLateSeconds: new Histogram({ name: 'lynxcourse_loop_late_seconds', help: 'How late a timer of the event loop ran, whether the loop worked or waited for the processor.', buckets: latencyBuckets, registers }),
     attempts: new Counter({ name: 'lynxcourse_attempts_total', help: 'Attempts at backend servers by end.', labelNames: ['end'], registers }),
+    serverEnds: new Counter({ name: 'lynxcourse_server_ends_total', help: 'Servers found ended after they left a request of this VM without an answer, by request.', registers }),
     lookups: new Counter({ name: 'lynxcourse_lookups_total', help: 'Look-ups by result.', labelNames: ['result'], registers }),
     claims: new Counter({ name: 'lynxcourse_claims_total', help: 'Claims by result.', labelNames: ['result'], registers }),
     claimSeconds: new Histogram({ name: 'lynxcourse_claim_duration_seconds', help: 'Time to an answer from the register.', buckets: latencyBuckets, registers }),
--- /dev/null
+++ b/packages/placement/__tests__/crashingRequests.test.ts
@@ -0,0 +1,92 @@
+/** Trials of requests under which servers ended, and the steps of such requests. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { brandId } from '@lynxcourse/base'
+import type { RequestFingerprint } from '@lynxcourse/base'
+import {
+  beginSend, createCallerLiveness, createLoadObservations, decideNextStep, endSend, getRestriction, grantTrial, recordPoll, recordTrialAnswer,
+  startRequest
+} from '@lynxcourse/placement'
+import type { DecisionConditions, EntryState, RequestState, RequestStep, SendOutcome, Trials } from '@lynxcourse/placement'
+import { createRoute, createTestFleet, request, server } from './support/fleet.js'
+
+const crashing = brandId<RequestFingerprint>('crashing')
+const startedAt = 1000
+const retryAfterMs = 60_000
+const open: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, isStopping: false }
+const trialOnly: DecisionConditions = { ...open, restriction: { type: 'trialOnly' } }
+const blocked: DecisionConditions = { ...open, restriction: { type: 'blocked', retryAfterMs } }
+const lost: SendOutcome = { type: 'lost', reason: 'failed' }
+const full: SendOutcome = { type: 'notRun', reason: 'full' }
+
+function createEntry (): EntryState {
+  return { fleet: createTestFleet(server('s1'), server('s2'), server('s3')), load: createLoadObservations(startedAt), retries: new Map(), waitingForCapacity: new Map() }
+}
+
+function start (entry: EntryState): RequestState {
+  const liveness = createCallerLiveness()
+  recordPoll(liveness, startedAt)
+  const { tried: _, ...incoming } = request({ route: createRoute('read', { maxAttempts: 3 }), arrivedAt: startedAt })
+  return startRequest(entry, incoming, liveness, open, startedAt)
+}
+
+/** Sends the request, ends the send with an outcome and returns the next step. */
+function sendOnce (entry: EntryState, state: RequestState, before: DecisionConditions, outcome: SendOutcome, after: DecisionConditions): RequestStep {
+  const step = decideNextStep(entry, state, before, startedAt)
+  assert.equal(step.type, 'send')
+  if (step.type === 'send') endSend(entry, state, beginSend(entry, state, step.placement, startedAt), outcome, startedAt)
+  return decideNextStep(entry, state, after, startedAt)
+}
+
+test('a blocked request is refused at once until its block ends, and then a trial decides', () => {
+  const entry = createEntry()
+  assert.deepEqual(decideNextStep(entry, start(entry), blocked, startedAt), { type: 'refuse', refused: { type: 'refuse', reason: 'endsServers', retryAfterMs } })
+  assert.deepEqual(getRestriction(startedAt + retryAfterMs, startedAt), { type: 'blocked', retryAfterMs })
+  assert.deepEqual(getRestriction(startedAt, startedAt), { type: 'trialOnly' })
+  assert.equal(getRestriction(undefined, startedAt), undefined)
+})
+
+test('a suspected request is sent only as a granted trial, to one server', () => {
+  const entry = createEntry()
+  const state = start(entry)
+  assert.deepEqual(decideNextStep(entry, state, trialOnly, startedAt), { type: 'claimTrial' })
+  recordTrialAnswer(state, { isGranted: true })
+  assert.equal(sendOnce(entry, state, trialOnly, full, trialOnly).type, 'send', 'a server that did not run it leaves the trial to another one')
+  assert.deepEqual(sendOnce(entry, state, trialOnly, lost, trialOnly), { type: 'fail', reason: 'serverFailed' })
+})
+
+test('a trial does not fail over to another server while its server is slow', () => {
+  const entry = createEntry()
+  const state = start(entry)
+  recordTrialAnswer(state, { isGranted: true })
+  const step = decideNextStep(entry, state, trialOnly, startedAt)
+  assert.ok(step.type === 'send')
+  const sending = beginSend(entry, state, step.placement, startedAt)
+  assert.deepEqual([sending.failoverAt, sending.isTrial], [undefined, true])
+})
+
+test('a request whose trial is denied is refused until the trial in progress has ended', () => {
+  const entry = createEntry()
+  const state = start(entry)
+  recordTrialAnswer(state, { isGranted: false, retryAfterMs: 300 })
+  assert.deepEqual(decideNextStep(entry, state, trialOnly, startedAt), { type: 'refuse', refused: { type: 'refuse', reason: 'endsServers', retryAfterMs: 300 } })
+})
+
+/** Guards against an answer 'not run' to a request that a server ran before it became restricted. */
+test('a request that becomes restricted after a server may have run it fails, and is not refused', () => {
+  for (const restricted of [trialOnly, blocked]) {
+    const entry = createEntry()
+    assert.deepEqual(sendOnce(entry, start(entry), open, lost, restricted), { type: 'fail', reason: 'serverFailed' })
+  }
+})
+
+test('one trial of a request runs at a time, other requests have their own, and a lost one is granted again', () => {
+  const trials: Trials = new Map()
+  const forMs = 1000
+  const claim = (now: number, fingerprint = crashing): boolean => grantTrial(trials, fingerprint, 0, forMs, now).isGranted
+  assert.deepEqual([claim(0), claim(10), claim(20, brandId<RequestFingerprint>('other'))], [true, false, true])
+  assert.equal(claim(60_000), true)
+  assert.equal(trials.size, 1, 'ended trials are forgotten')
+  assert.equal(grantTrial(trials, crashing, undefined, forMs, 60_010).isGranted, true, 'a released request needs no trial')
+  assert.deepEqual(grantTrial(trials, crashing, 70_000, forMs, 60_020), { isGranted: false, retryAfterMs: 9980 })
+})
--- a/packages/placement/src/core/request/entryState.ts
+++ b/packages/placement/src/core/request/entryState.ts
@@ -1,5 +1,6 @@
 /** The state on which one entry VM bases its decisions: the fleet, the load data, the retry budget and the waiting requests. */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import type { RequestRestriction } from '../admission/crashingRequests.js'
 import type { LoadObservations } from '../board/loadObservations.js'
 import type { RetryBudgetCfg, RetryUsage } from '../retries/retryBudget.js'
 import { recordSharedQueueDepth, recordSharedResponsiveness } from '../server/fleetServer.js'
@@ -21,6 +22,8 @@
   readonly retryBudget: RetryBudgetCfg
   /** Whether this VM is stopping: it then aborts no request in flight and lets no request wait for capacity. */
   readonly isStopping: boolean
+  /** How the request may be sent if servers ended under it; undefined for all other requests. */
+  readonly restriction?: RequestRestriction | undefined
 }
 
 /** Applies the load data that the leader published: plans, weights, unresponsive servers and queue depths. */
--- a/packages/placement/src/core/request/placeRequest.ts
+++ b/packages/placement/src/core/request/placeRequest.ts
@@ -35,8 +35,8 @@
 /** Why a request is not sent to any server now. */
 export interface Refusal {
   readonly type: 'refuse'
-  readonly reason: 'noServer' | 'noTime' | 'busy'
-  /** Time until a slot is expected to be free. */
+  readonly reason: 'noServer' | 'noTime' | 'busy' | 'endsServers'
+  /** Time until the request is expected to be served. */
   readonly retryAfterMs: Millis
 }
 
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -2,11 +2,13 @@
  * The course of one request from its arrival to its final outcome.
  *
  * A request is sent again only if it certainly did not run, or if its route is idempotent. The VM that holds the caller's
- * connection alone decides this, so no other VM sends the request.
+ * connection alone decides this, so no other VM sends the request. A request under which servers ended is sent again only as
+ * a trial.
  */
 import type { Millis, ServerId } from '@lynxcourse/base'
 import { isServerError } from '../../types/sendOutcome.js'
 import type { SendOutcome } from '../../types/sendOutcome.js'
+import type { RequestRestriction, TrialAnswer } from '../admission/crashingRequests.js'
 import { needsPoll } from '../admission/callerLiveness.js'
 import type { CallerLiveness } from '../admission/callerLiveness.js'
 import { hasNormalLatency } from '../admission/concurrencyLimit.js'
@@ -43,6 +45,8 @@
   /** Number of servers that rejected the request because they were full. */
   full: number
   sends: number
+  /** The leader's answer for a restricted request; undefined if it was not asked. */
+  trial: TrialAnswer | undefined
   /** Outcome of the last send. */
   last: SendOutcome | undefined
 }
@@ -52,6 +56,8 @@
   | { readonly type: 'send', readonly placement: Placement }
   /** Poll the caller's connection, record that poll, and call `decideNextStep` again. */
   | { readonly type: 'poll' }
+  /** Ask the leader for a trial, pass its answer to `recordTrialAnswer`, and call `decideNextStep` again. */
+  | { readonly type: 'claimTrial' }
   /** Wait for capacity and call `decideNextStep` again after `pauseMs`. */
   | { readonly type: 'wait', readonly pauseMs: Millis }
   /** The request has not run and will not run; the caller may retry it. */
@@ -68,6 +74,8 @@
   readonly placement: Placement
   readonly running: RunningRequest
   readonly startedAt: Millis
+  /** Whether this is the only send of a restricted request in the fleet. */
+  readonly isTrial: boolean
   /** When to check `mayFailOver`; undefined if the request must stay at its server until the deadline. */
   readonly failoverAt: Millis | undefined
   /** Time from which the expected work no longer explains the duration of the send. */
@@ -81,7 +89,7 @@
   recordBudgetedRequest(retries, conditions.retryBudget, service, now)
   recordDemand(load, service, estimateSlotTime(fleet, request, object))
   const tried = new Set<ServerId>()
-  return { request: { ...request, tried }, tried, caller, maxWaitUntil: computeWaitEnd(route.aimMs, deadline, now), possibleRuns: 0, full: 0, sends: 0, last: undefined }
+  return { request: { ...request, tried }, tried, caller, maxWaitUntil: computeWaitEnd(route.aimMs, deadline, now), possibleRuns: 0, full: 0, sends: 0, trial: undefined, last: undefined }
 }
 
 /** Decides the next step for a request that is not in flight at a server. */
@@ -89,6 +97,8 @@
   if (state.last !== undefined && isFinalOutcome(state, state.last)) return stepAfterOutcome(state, state.last)
   if (now >= state.request.deadline) return state.possibleRuns === 0 ? createRefuseStep('noTime') : { type: 'fail', reason: 'deadline' }
   if (needsPoll(state.caller, now)) return { type: 'poll' }
+  const restricted = conditions.restriction === undefined ? undefined : stepByRestriction(state, conditions.restriction)
+  if (restricted !== undefined) return restricted
   const placement = placeRequest(entry.fleet, state.request, now)
   if (placement.type === 'refuse') {
     if (mayWaitForCapacity(entry, state, placement, conditions, now)) return { type: 'wait', pauseMs: computeRecheckDelay(entry.fleet.setup.random) }
@@ -100,6 +110,19 @@
   return { type: 'send', placement }
 }
 
+/** Returns the step that the restriction of a request requires; undefined if it may be sent as a trial. */
+function stepByRestriction (state: RequestState, restriction: RequestRestriction): RequestStep | undefined {
+  if (state.possibleRuns > 0) return stepWithoutRetry(state)
+  if (restriction.type === 'blocked') return createRefuseStep('endsServers', restriction.retryAfterMs)
+  if (state.trial === undefined) return { type: 'claimTrial' }
+  return state.trial.isGranted ? undefined : createRefuseStep('endsServers', state.trial.retryAfterMs)
+}
+
+/** Records the leader's answer to a claim of a trial. */
+export function recordTrialAnswer (state: RequestState, answer: TrialAnswer): void {
+  state.trial = answer
+}
+
 /** Adds a request to the number of those that wait for capacity, or removes it. */
 export function updateWaitingCount ({ waitingForCapacity }: EntryState, { request: { service } }: RequestState, change: 1 | -1): void {
   waitingForCapacity.set(service, (waitingForCapacity.get(service) ?? 0) + change)
@@ -116,10 +139,10 @@
   const running = recordRequestStart(server, expectedMs, maxExpectedMs, now)
   const concurrency = getConcurrency(fleet, service)
   // If all servers are slow, abandoning unfinished work only adds load at the next server.
-  const canFailOver = route.isIdempotent && state.possibleRuns + 1 < route.maxAttempts && hasNormalLatency(concurrency)
+  const canFailOver = route.isIdempotent && state.trial === undefined && state.possibleRuns + 1 < route.maxAttempts && hasNormalLatency(concurrency)
   concurrency.underWay += 1
   const overdueAt = now + computeResponseTimeout(expectedMs, maxExpectedMs) + failoverSlackMs
-  return { placement, running, startedAt: now, failoverAt: canFailOver ? overdueAt : undefined, overdueAt }
+  return { placement, running, startedAt: now, isTrial: state.trial?.isGranted === true, failoverAt: canFailOver ? overdueAt : undefined, overdueAt }
 }
 
 /**
@@ -179,8 +202,8 @@
   return possibleRuns > 0 ? { type: 'fail', reason: 'serverFailed' } : createRefuseStep('busy')
 }
 
-function createRefuseStep (reason: Refusal['reason']): RequestStep {
-  return { type: 'refuse', refused: { type: 'refuse', reason, retryAfterMs: fullRetryAfterMs } }
+function createRefuseStep (reason: Refusal['reason'], retryAfterMs = fullRetryAfterMs): RequestStep {
+  return { type: 'refuse', refused: { type: 'refuse', reason, retryAfterMs } }
 }
 
 function mayWaitForCapacity ({ fleet, waitingForCapacity }: EntryState, { request, maxWaitUntil }: RequestState, refusal: Refusal, { isStopping }: DecisionConditions, now: Millis): boolean {
--- a/packages/replay/src/core/vmModel.ts
+++ b/packages/replay/src/core/vmModel.ts
@@ -1,4 +1,5 @@
 /** Model of an entry VM: it serves requests by the placement decisions of the product. */
+import { LynxError } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { scheduleAfter } from '@lynxcourse/base/timeline'
 import { beginSend, createCallerLiveness, endSend, mayFailOver, decideNextStep, recordPoll, recordReply, updateWaitingCount, startRequest, applyLoadUpdate } from '@lynxcourse/placement'
@@ -74,6 +75,7 @@
         updateWaitingCount(entry, run, -1)
         performNextStep(world, active)
       })
+    case 'claimTrial': throw new LynxError('badRequest', 'the model has no requests that end servers', { step: 'replay' })
     case 'answer': return useProcessor(world, vm, () => arrival.answer({ type: 'answered' }))
     case 'refuse': return arrival.answer({ type: 'refused', retryAfterMs: step.refused.retryAfterMs })
     case 'fail':
--- /dev/null
+++ b/packages/state/__tests__/crashingRequests.test.ts
@@ -0,0 +1,141 @@
+/** Requests under which backend servers ended: when they become restricted, and when they are released. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import fc from 'fast-check'
+import { brandId, loadChart } from '@lynxcourse/base'
+import type { Millis, RequestFingerprint, ServerId } from '@lynxcourse/base'
+import {
+  applyEntry, blockMs, createStateMachine, deserializeStateMachine, endMemoryMs, findItem, isRestricted, listItems, maxCountedRequests,
+  maxRestrictedRequests, minSuspectEnds, serializeStateMachine
+} from '@lynxcourse/state'
+import type { ChangeAnswer, CrashCommand, CrashingRequestItem, ServerEnd, StateMachine } from '@lynxcourse/state'
+
+const seed = 59
+console.log(`seed ${seed}`)
+
+const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), shift: loadChart('shift') }
+const startTime = 1_800_000_000_000
+const crashing = brandId<RequestFingerprint>('crashing')
+
+function createMachine (): StateMachine {
+  return createStateMachine(charts)
+}
+
+function apply (machine: StateMachine, command: CrashCommand, at: Millis = startTime): ChangeAnswer {
+  const answer = applyEntry(machine, { index: machine.applied + 1, term: 1, at, body: { type: 'command', command } })
+  if (answer.type !== 'change') throw new Error('no change')
+  return answer.change
+}
+
+function createEnd (server: string, parts: Partial<ServerEnd> = {}): ServerEnd {
+  return { request: crashing, route: 'read', server: brandId<ServerId>(server), bornAt: 0, isTrial: false, ...parts }
+}
+
+function reportEnds (machine: StateMachine, ends: readonly ServerEnd[], at?: Millis): void {
+  apply(machine, { type: 'reportServerEnds', ends, answered: [] }, at)
+}
+
+function reportAnswer (machine: StateMachine): void {
+  apply(machine, { type: 'reportServerEnds', ends: [], answered: [crashing] })
+}
+
+function getRestricted (machine: StateMachine, request = crashing): CrashingRequestItem | undefined {
+  const item = findItem(machine.config, 'crashingRequest', request)
+  return item !== undefined && isRestricted(item) ? item : undefined
+}
+
+/** Creates a machine in which the request is suspected. */
+function createSuspecting (): StateMachine {
+  const machine = createMachine()
+  reportEnds(machine, ['s1', 's2', 's3'].map(server => createEnd(server)))
+  return machine
+}
+
+test('a request becomes suspected when several incarnations of servers have ended under it, and not by repeated reports of one', () => {
+  const machine = createMachine()
+  for (let repeated = 0; repeated < minSuspectEnds; repeated++) reportEnds(machine, [createEnd('s1')])
+  assert.equal(getRestricted(machine), undefined)
+  reportEnds(machine, [createEnd('s1', { bornAt: 5 }), createEnd('s2')])
+  assert.equal(getRestricted(machine)?.state, 'suspected')
+  assert.equal(getRestricted(machine)?.blockedUntil, 0)
+})
+
+/** Guards against a harmless request that is blocked since the servers of a failure domain ended at the same moment. */
+test('only the end of the server of a trial blocks a request, however many servers ended before', () => {
+  const machine = createSuspecting()
+  reportEnds(machine, ['s4', 's5', 's6'].map(server => createEnd(server)))
+  assert.equal(getRestricted(machine)?.state, 'suspected')
+  reportEnds(machine, [createEnd('s7', { isTrial: true })])
+  assert.deepEqual([getRestricted(machine)?.state, getRestricted(machine)?.blockedUntil], ['blocked', startTime + blockMs])
+})
+
+/** Guards against a request that ends a server each time its block expires, and is blocked no more. */
+test('a trial after the block has expired blocks the request again', () => {
+  const machine = createSuspecting()
+  reportEnds(machine, [createEnd('s7', { isTrial: true })])
+  const later = startTime + blockMs
+  reportEnds(machine, [createEnd('s8', { isTrial: true })], later)
+  assert.equal(getRestricted(machine)?.blockedUntil, later + blockMs)
+})
+
+test('an answer or an operator releases a request, and its ends are counted anew', () => {
+  for (const release of [reportAnswer, (machine: StateMachine) => assert.ok(apply(machine, { type: 'releaseRequest', request: crashing }).ok)]) {
+    const machine = createSuspecting()
+    release(machine)
+    assert.equal(getRestricted(machine), undefined)
+    reportEnds(machine, [createEnd('s4'), createEnd('s5')])
+    assert.equal(getRestricted(machine), undefined)
+    reportEnds(machine, [createEnd('s6')])
+    assert.equal(getRestricted(machine)?.state, 'suspected')
+  }
+  assert.equal(apply(createMachine(), { type: 'releaseRequest', request: crashing }).ok, false)
+})
+
+test('ends that lie far apart are not counted together', () => {
+  const machine = createMachine()
+  for (let index = 0; index < 2 * minSuspectEnds; index++) reportEnds(machine, [createEnd(`s${index}`)], startTime + index * endMemoryMs)
+  assert.equal(getRestricted(machine), undefined)
+})
+
+test('other requests that were at the same servers are not restricted by a trial of this one', () => {
+  const machine = createMachine()
+  const bystander = brandId<RequestFingerprint>('bystander')
+  for (const server of ['s1', 's2']) reportEnds(machine, [createEnd(server, { request: bystander }), createEnd(server)])
+  reportEnds(machine, [createEnd('s3')])
+  reportEnds(machine, [createEnd('s4', { isTrial: true })])
+  assert.equal(getRestricted(machine)?.state, 'blocked')
+  assert.equal(getRestricted(machine, bystander), undefined)
+})
+
+/** Guards against a control VM or an entry VM that runs out of memory while many servers end. */
+test('counted and restricted requests are bounded, and a blocked request outlives suspected ones', () => {
+  const machine = createSuspecting()
+  reportEnds(machine, [createEnd('s7', { isTrial: true })])
+  for (let index = 0; index < maxCountedRequests + 10; index++) reportEnds(machine, [createEnd('s1', { request: brandId<RequestFingerprint>(`counted-${index}`) })])
+  assert.equal(machine.crashes.size, maxCountedRequests)
+  for (let index = 0; index < maxRestrictedRequests + 10; index++) {
+    reportEnds(machine, ['s1', 's2', 's3'].map(server => createEnd(server, { request: brandId<RequestFingerprint>(`restricted-${index}`) })))
+  }
+  assert.equal(listItems(machine.config, 'crashingRequest').filter(isRestricted).length, maxRestrictedRequests)
+  assert.equal(getRestricted(machine)?.state, 'blocked')
+})
+
+const commandArbitrary: fc.Arbitrary<CrashCommand> = fc.record({
+  type: fc.constant('reportServerEnds' as const),
+  ends: fc.array(fc.record({ request: fc.constantFrom(crashing, brandId<RequestFingerprint>('other')), route: fc.constant('read'), server: fc.constantFrom('s1', 's2', 's3', 's4').map(id => brandId<ServerId>(id)), bornAt: fc.nat({ max: 2 }), isTrial: fc.boolean() }), { maxLength: 3 }),
+  answered: fc.subarray([crashing])
+})
+
+/** Guards against replicas that differ after one of them was restored from a snapshot. */
+test('a machine that was restored from a snapshot at any point reaches the same state', () => {
+  fc.assert(fc.property(fc.array(commandArbitrary, { maxLength: 30 }), fc.nat({ max: 30 }), (commands, snapshotAt) => {
+    const direct = createMachine()
+    let restored = createMachine()
+    commands.forEach((command, index) => {
+      apply(direct, command, startTime + index)
+      if (index === snapshotAt) restored = deserializeStateMachine(charts, serializeStateMachine(restored))
+      apply(restored, command, startTime + index)
+    })
+    assert.equal(serializeStateMachine(restored), serializeStateMachine(direct))
+  }), { seed })
+})
--- a/packages/state/src/core/config.ts
+++ b/packages/state/src/core/config.ts
@@ -49,6 +49,7 @@
     case 'upstream': return item.upstream === undefined
     case 'backend': return item.state === 'gone'
     case 'evacuation': return !item.isActive
+    case 'crashingRequest': return item.state === 'released'
     default: return false
   }
 }
--- /dev/null
+++ b/packages/state/src/core/crashingRequests.ts
@@ -0,0 +1,137 @@
+/**
+ * Recognizes requests that end the backend servers that run them.
+ *
+ * An entry VM sees the end of one server under one attempt. It then tries another server, or its caller comes again, with
+ * another id and at another VM, and the next server ends. All VMs therefore report such ends, and this register connects
+ * them. When several servers have ended under one request, the request becomes suspected and runs as a single trial: servers
+ * also end for other reasons, and take requests with them that are harmless. An answer releases the request. If the server
+ * of the trial ends too, the request is blocked.
+ */
+import { hasTransition, nextState } from '@lynxcourse/base'
+import type { Chart, Millis, RequestFingerprint, ServerId } from '@lynxcourse/base'
+import type { ChangeAnswer } from '../types/commands.js'
+import type { CrashCommand, CrashingRequestItem, ServerEnd } from '../types/crashes.js'
+import { findItem, listItems, setItem } from './config.js'
+import type { Config } from './config.js'
+
+/** Number of servers that end under a request before it becomes suspected. */
+export const minSuspectEnds = 3
+/** How long the end of a server counts against the requests that it left unanswered. */
+export const endMemoryMs: Millis = 600_000
+/** How long a request is blocked after the last server ended under it. */
+export const blockMs: Millis = 3_600_000
+/** Maximum number of requests whose ended servers are counted; the least recent are forgotten. */
+export const maxCountedRequests = 4096
+/** Maximum number of restricted requests; suspected requests are released before blocked ones, the oldest first. */
+export const maxRestrictedRequests = 256
+/** Maximum number of servers listed for a request. */
+const maxListedServers = 8
+
+/** Servers that ended under a request that is not restricted. */
+export interface CountedEnds {
+  /** Ended servers by incarnation. */
+  readonly servers: ReadonlyMap<string, ServerId>
+  readonly lastAt: Millis
+}
+
+/** Ended servers by request, the least recently reported request first. */
+export type CrashRegister = Map<RequestFingerprint, CountedEnds>
+
+const crashCommandTypes = new Set(['reportServerEnds', 'releaseRequest'])
+
+/** Whether a command concerns requests that end servers. */
+export function isCrashCommand (command: { readonly type: string }): command is CrashCommand {
+  return crashCommandTypes.has(command.type)
+}
+
+/** Whether a request may not be sent like others. */
+export function isRestricted ({ state }: CrashingRequestItem): boolean {
+  return state !== 'released'
+}
+
+/**
+ * Applies a command as the given version of the configuration.
+ *
+ * @param at the log's time
+ */
+export function applyCrashCommand (config: Config, register: CrashRegister, chart: Chart, command: CrashCommand, version: number, at: Millis): ChangeAnswer {
+  if (command.type === 'releaseRequest') {
+    const released = advance(config, chart, command.request, 'release', version)
+    if (!released) return { ok: false, code: 'notFound', detail: `no restricted request '${command.request}'`, winner: undefined }
+    return accept(config)
+  }
+  forgetOldEnds(register, at)
+  for (const end of command.ends) applyServerEnd(config, register, chart, end, version, at)
+  for (const request of command.answered) {
+    register.delete(request)
+    advance(config, chart, request, 'answer', version)
+  }
+  return accept(config)
+}
+
+function accept (config: Config): ChangeAnswer {
+  return { ok: true, version: config.version, itemVersion: config.version }
+}
+
+function applyServerEnd (config: Config, register: CrashRegister, chart: Chart, end: ServerEnd, version: number, at: Millis): void {
+  const item = findItem(config, 'crashingRequest', end.request)
+  if (item === undefined || !isRestricted(item)) {
+    countEnd(config, register, chart, end, item, version, at)
+    return
+  }
+  // Sends from before the restriction say nothing new: several servers may have ended at once for a reason of their own.
+  if (!end.isTrial) return
+  setItem(config, version, { ...item, state: nextState(chart, item.state, 'end'), servers: [...item.servers, end.server].slice(-maxListedServers), blockedUntil: at + blockMs })
+}
+
+function countEnd (config: Config, register: CrashRegister, chart: Chart, end: ServerEnd, released: CrashingRequestItem | undefined, version: number, at: Millis): void {
+  const { request, route, server, bornAt } = end
+  const servers = new Map(register.get(request)?.servers).set(`${server} ${bornAt}`, server)
+  register.delete(request)
+  if (servers.size < minSuspectEnds) {
+    register.set(request, { servers, lastAt: at })
+    if (register.size > maxCountedRequests) dropOldest(register)
+    return
+  }
+  const state = released === undefined ? chart.initial : nextState(chart, released.state, 'end')
+  setItem(config, version, { kind: 'crashingRequest', key: request, route, state, servers: [...servers.values()], blockedUntil: 0 })
+  boundRestricted(config, chart, version)
+}
+
+/** Applies an event to a restricted request; returns false if there is none or its chart does not allow the event. */
+function advance (config: Config, chart: Chart, request: RequestFingerprint, event: 'answer' | 'release', version: number): boolean {
+  const item = findItem(config, 'crashingRequest', request)
+  if (item === undefined || !hasTransition(chart, item.state, event)) return false
+  setItem(config, version, { ...item, state: nextState(chart, item.state, event), blockedUntil: 0 })
+  return true
+}
+
+function boundRestricted (config: Config, chart: Chart, version: number): void {
+  const restricted = listItems(config, 'crashingRequest').filter(isRestricted)
+  if (restricted.length <= maxRestrictedRequests) return
+  const dropped = restricted.find(item => item.state === chart.initial) ?? restricted[0]
+  if (dropped !== undefined) advance(config, chart, dropped.key, 'release', version)
+}
+
+function dropOldest (register: CrashRegister): void {
+  const [oldest] = register.keys()
+  if (oldest !== undefined) register.delete(oldest)
+}
+
+function forgetOldEnds (register: CrashRegister, at: Millis): void {
+  for (const [request, { lastAt }] of register) {
+    if (at - lastAt < endMemoryMs) return
+    register.delete(request)
+  }
+}
+
+/** A counted request in a snapshot. */
+export type StoredEnds = readonly [RequestFingerprint, { readonly servers: ReadonlyArray<readonly [string, ServerId]>, readonly lastAt: Millis }]
+
+export function serializeCrashRegister (register: CrashRegister): StoredEnds[] {
+  return [...register].map(([request, { servers, lastAt }]) => [request, { servers: [...servers], lastAt }])
+}
+
+export function restoreCrashRegister (stored: readonly StoredEnds[]): CrashRegister {
+  return new Map(stored.map(([request, { servers, lastAt }]) => [request, { servers: new Map(servers), lastAt }]))
+}
--- a/packages/state/src/core/stateMachine.ts
+++ b/packages/state/src/core/stateMachine.ts
@@ -13,6 +13,8 @@
 import type { ClaimRecord, ClaimRegister } from './claims.js'
 import { createConfig, findItem } from './config.js'
 import type { Config } from './config.js'
+import { applyCrashCommand, isCrashCommand, restoreCrashRegister, serializeCrashRegister } from './crashingRequests.js'
+import type { CrashRegister, StoredEnds } from './crashingRequests.js'
 import { applyRouteCommand, isRouteCommand } from './routeChanges.js'
 import type { AcceptedRouteChanges } from './routeChanges.js'
 
@@ -25,6 +27,7 @@
 /** State charts that the state machine follows. */
 export interface StateMachineCharts extends ChangeCharts {
   readonly claim: Chart
+  readonly crashingRequest: Chart
 }
 
 export interface StateMachine {
@@ -35,6 +38,7 @@
   allocations: Allocations
   answers: Map<ChangeId, ChangeAnswer>
   orders: AcceptedRouteChanges
+  crashes: CrashRegister
   history: Map<string, ProfileItem[]>
 }
 
@@ -47,6 +51,7 @@
     allocations: createAllocations(),
     answers: new Map(),
     orders: new Map(),
+    crashes: new Map(),
     history: new Map()
   }
 }
@@ -62,6 +67,9 @@
   if (isRouteCommand(command)) {
     return { type: 'change', change: applyRouteCommand(machine.config, machine.orders, command, version) }
   }
+  if (isCrashCommand(command)) {
+    return { type: 'change', change: applyCrashCommand(machine.config, machine.crashes, machine.charts.crashingRequest, command, version, at) }
+  }
   switch (command.type) {
     case 'claim': return { type: 'claim', claim: applyClaim(machine.claims, command, at) }
     case 'settle': return { type: 'settle', settle: applySettle(machine.claims, command, at) }
@@ -115,6 +123,8 @@
   readonly allocations: ReadonlyArray<readonly [ResourceId, ReadonlyArray<readonly [string, Allocation]>]>
   readonly answers: ReadonlyArray<readonly [ChangeId, ChangeAnswer]>
   readonly orders: ReadonlyArray<readonly [RouteChangeId, number]>
+  /** Missing in snapshots of versions that did not count ended servers. */
+  readonly crashes?: readonly StoredEnds[]
   readonly history: ReadonlyArray<readonly [string, ProfileItem[]]>
 }
 
@@ -130,6 +140,7 @@
     allocations,
     answers: [...machine.answers],
     orders: [...machine.orders],
+    crashes: serializeCrashRegister(machine.crashes),
     history: [...machine.history]
   }
   return JSON.stringify(data)
@@ -148,6 +159,7 @@
   }
   machine.answers = new Map(data.answers)
   machine.orders = new Map(data.orders)
+  machine.crashes = restoreCrashRegister(data.crashes ?? [])
   machine.history = new Map(data.history)
   return machine
 }
--- a/packages/state/src/internal.ts
+++ b/packages/state/src/internal.ts
@@ -1,6 +1,7 @@
 /** Fixes the order in which the modules of this package are loaded. */
 export * from './types/profile.js'
 export * from './types/routes.js'
+export * from './types/crashes.js'
 export * from './types/commands.js'
 export * from './types/items.js'
 export * from './core/config.js'
@@ -10,4 +11,5 @@
 export * from './core/allocations.js'
 export * from './core/changes.js'
 export * from './core/routeChanges.js'
+export * from './core/crashingRequests.js'
 export * from './core/stateMachine.js'
--- a/packages/state/src/types/commands.ts
+++ b/packages/state/src/types/commands.ts
@@ -3,6 +3,7 @@
   ChangeId, DrainId, HolderId, ProfileName, RegionId, RequestId, ResourceId, ServiceId, ShiftId
 } from '@lynxcourse/base'
 import * as z from 'zod'
+import type { CrashCommand } from './crashes.js'
 import { createNameSchema, profileSchema } from './profile.js'
 import type { RouteCommand } from './routes.js'
 
@@ -128,6 +129,7 @@
   | AdvanceShiftCommand
   | AdvanceDrainCommand
   | RouteCommand
+  | CrashCommand
 
 /** The accepted change that caused another change's version conflict. */
 export interface WinningChange {
--- a/packages/state/src/types/items.ts
+++ b/packages/state/src/types/items.ts
@@ -1,6 +1,7 @@
 /** The items of the configuration, each with the version at which it last changed. */
 import type { ChangeId, DrainId, Millis, ProfileName, RegionId, ServiceId, ShiftId } from '@lynxcourse/base'
 import type { DrainTarget } from './commands.js'
+import type { CrashingRequestItem } from './crashes.js'
 import type { Profile } from './profile.js'
 import type { BackendItem, EvacuationItem, RouteItem, RoutingItem, UpstreamItem } from './routes.js'
 
@@ -57,6 +58,7 @@
 export type ConfigItem =
   | ProfileItem | ServiceItem | DrainItem | ShiftItem
   | RouteItem | UpstreamItem | RoutingItem | EvacuationItem | BackendItem
+  | CrashingRequestItem
 
 /** An item with the configuration version at which it last changed. */
 export interface VersionedItem {
