Reject a command that the log could not apply, and survive one that got there

What operators would see: all control VMs without a leader for good, after one call. A command with a missing field, sent to fleet.submit, was committed; each control VM that applied it stopped its replica, read it from its log after the restart and stopped again ('disk operation failed: Cannot read properties of undefined').

Change: a schema for each command, checked before it is proposed; the error names the field. A committed command that can't be applied is an answer, `failed`, the same on every replica, and a log line.

--- /dev/null
+++ b/packages/daemon/__tests__/invalidCommands.test.ts
@@ -0,0 +1,31 @@
+/** Commands from other processes that the state machine could not apply. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { isLynxError } from '@lynxcourse/base'
+import { callPeer, createRpcClient, readRoutes } from '@lynxcourse/daemon'
+import { createReplaceRoutesCommand, createRouteToDesk, getControl, startFleetFixture, submitCommand, waitUntil } from './support/fleetFixture.js'
+
+const validCommand = createReplaceRoutesCommand('one', 0, 1, [createRouteToDesk('read')])
+/** Commands with the field that is missing or wrong. */
+const invalidCommands = [
+  [{ type: 'announce' }, 'facts'],
+  [{ type: 'announceAll', servers: [{ id: 's1' }] }, 'servers.0.service'],
+  [{ type: 'dismiss', ids: 's1' }, 'ids'],
+  [{ type: 'evacuate', failureDomain: 'kochi-a' }, 'isActive'],
+  [{ ...validCommand, set: { routes: [{}], upstreams: [], limits: {} } }, 'set.routes.0.name'],
+  [{ ...validCommand, type: 'updateRoutes' }, 'putRoutes'],
+  [{ type: 'reportServerEnds', ends: [] }, 'answered'],
+  [{ type: 'releaseRequest' }, 'request']
+] as const
+
+/** Guards against a command that stops the replica of each control VM that applies it, again after each restart. */
+test('a command that the state machine can\'t apply is rejected with its field, and the control VMs go on', async () => {
+  await using fixture = await startFleetFixture(0)
+  await submitCommand(fixture, validCommand)
+  await using client = createRpcClient({ timeoutMs: 2000, localAddress: '', tls: () => undefined, metrics: undefined })
+  const leader = fixture.settings.find((_, index) => getControl(fixture, index).host.replica?.role === 'leader')?.rpc ?? ''
+  for (const [command, field] of invalidCommands) {
+    await assert.rejects(callPeer(client, leader, 'fleet.submit', { command }), err => isLynxError(err) && (err.field ?? '').endsWith(field), `${command.type}: ${field}`)
+  }
+  await waitUntil(async () => (await readRoutes(getControl(fixture, 0))).routesVersion === 1)
+})
--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -183,6 +183,7 @@
 function applyOutput (host: ControlHost, output: ReplicaOutput): void {
   for (const entry of output.committed) {
     const answer = applyEntry(host.machine, entry)
+    if (answer.type === 'failed') log(host.env.logs, 'agree', 'error', 'Entry could not be applied.', { index: entry.index, error: answer.detail })
     resolveProposal(host, entry, answer)
   }
   for (const token of output.confirmedReads) finishRead(host, token, undefined)
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -3,7 +3,7 @@
 import { LynxError, brandId, hashText, createHolderId, isLynxError, getHolderVm } from '@lynxcourse/base'
 import type { HolderId, Incarnation, Millis, RequestFingerprint, ServerId, VmId } from '@lynxcourse/base'
 import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, recordKnownVersion, findRouteSet, getRoutesVersion, getKnownVersionAt, isRestricted } from '@lynxcourse/state'
-import type { BackendAnnouncement, ChangeAnswer, CrashCommand, KnownVersions, RouteCommand, RouteSet } from '@lynxcourse/state'
+import type { BackendAnnouncement, ChangeAnswer, CommandAnswer, CrashCommand, KnownVersions, RouteCommand, RouteSet } from '@lynxcourse/state'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { openControl } from '../control/controlHost.js'
@@ -105,7 +105,7 @@
   const command = isRelayed ? submitted : withBaseVersion(control, submitted, arrivedAt)
   if (isLeading(host)) {
     const answer = await proposeCommand(host, command)
-    if (answer.type !== 'change') throw new LynxError('badRpc', 'the state machine returned no result for the change', { step: 'submit' })
+    if (answer.type !== 'change') throw createNoResultError(answer)
     logCommand(control, command, answer.change)
     return answer.change
   }
@@ -114,6 +114,10 @@
   return await callPeer<ChangeAnswer>(node.client, leader, 'fleet.submit', { command }, submitTimeoutMs)
 }
 
+function createNoResultError (answer: CommandAnswer): LynxError {
+  return new LynxError('badRpc', answer.type === 'failed' ? answer.detail : 'the state machine returned no result for the change', { step: 'submit' })
+}
+
 /**
  * Adds a base version to an evacuation without one: the version of the state that this VM knew when the order may have
  * arrived.
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -9,6 +9,7 @@
 import type { CancelSignal } from '../../utils/cancelSignal.js'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
+import { announcementSchema, fleetCommandSchema, serverEndFields, textSchema } from '../../types/fleetCommands.js'
 import { addressSchema } from '../../types/settings.js'
 import { addMethod } from '../rpc/rpcServer.js'
 import { delay } from '../node/timers.js'
@@ -44,7 +45,6 @@
 /** Longest time that a trial of a restricted request may take. */
 export const maxTrialMs: Millis = 600_000
 
-const textSchema = z.string().min(1).max(200)
 const presenceSchema = z.strictObject({ name: textSchema, address: addressSchema, failureDomain: textSchema, region: textSchema, isReady: z.boolean() })
 const loadAmountSchema = z.number().min(0).max(1e9)
 const serverLoadsSchema = z.array(z.tuple([textSchema, loadAmountSchema])).max(100_000)
@@ -57,27 +57,11 @@
   load: z.strictObject({ servers: serverLoadsSchema, busy: z.array(z.tuple([textSchema, textSchema, loadAmountSchema])).max(100_000), failed: serverLoadsSchema }),
   weights: z.number().int()
 })
-/** Commands come from control VMs, which validated them on arrival. */
-const submitSchema = z.strictObject({ command: z.looseObject({ type: z.enum(['replaceRoutes', 'updateRoutes', 'evacuate', 'announce', 'announceAll', 'dismiss', 'miss', 'reportServerEnds', 'releaseRequest']) }) })
-
-const announceSchema = z.strictObject({
-  facts: z.strictObject({
-    id: textSchema,
-    service: textSchema,
-    address: addressSchema,
-    failureDomain: textSchema,
-    slots: z.number().int().min(1),
-    software: z.string().max(200).default(''),
-    bornAt: z.number().int().min(0).default(0),
-    isDraining: z.boolean(),
-    seq: z.number().min(0),
-    coldMs: z.number().min(0).default(0)
-  })
-})
+const submitSchema = z.strictObject({ command: fleetCommandSchema })
+
+const announceSchema = z.strictObject({ facts: announcementSchema })
 const dismissSchema = z.strictObject({ server: textSchema, bornAt: z.number().int().min(0).optional() })
-const maxRequestsPerReport = 1024
-const serverEndSchema = z.strictObject({ request: textSchema, route: textSchema, server: textSchema, bornAt: z.number().min(0), isTrial: z.boolean() })
-const endsSchema = z.strictObject({ ends: z.array(serverEndSchema).max(maxRequestsPerReport), answered: z.array(textSchema).max(maxRequestsPerReport) })
+const endsSchema = z.strictObject(serverEndFields)
 const trialSchema = z.strictObject({ request: textSchema, forMs: z.number().min(0).max(maxTrialMs), isRelayed: z.boolean() })
 const lookupSchema = z.strictObject({ region: textSchema.optional() })
 
--- /dev/null
+++ b/packages/daemon/src/types/fleetCommands.ts
@@ -0,0 +1,69 @@
+/**
+ * Schemas of the commands that VMs and operators submit to a fleet's log.
+ *
+ * Every control VM applies every committed command. One that can't be applied would stop all of them, so a command is
+ * validated before it is proposed. Fields of later versions pass through.
+ */
+import * as z from 'zod'
+import { addressSchema } from './settings.js'
+
+/** Maximum number of servers or requests in one command. */
+const maxListLength = 100_000
+const maxRoutes = 100_000
+
+/** Schema of a name or id. */
+export const textSchema = z.string().min(1).max(200)
+const texts = z.array(textSchema).max(maxListLength)
+const count = z.number().min(0)
+const annotations = z.record(z.string(), z.unknown())
+
+/** Schema of the data that a backend server announces. */
+export const announcementSchema = z.looseObject({
+  id: textSchema,
+  service: textSchema,
+  address: addressSchema,
+  failureDomain: textSchema,
+  slots: z.number().int().min(1),
+  software: z.string().max(200).default(''),
+  bornAt: z.number().int().min(0).default(0),
+  isDraining: z.boolean(),
+  seq: count,
+  coldMs: count.default(0)
+})
+
+const routeSchema = z.looseObject({
+  name: textSchema,
+  host: z.string(),
+  pathPrefix: z.string(),
+  isIdempotent: z.boolean(),
+  timeoutMs: z.number(),
+  aimMs: z.number(),
+  rank: z.number(),
+  service: textSchema.optional(),
+  split: z.array(z.looseObject({ service: textSchema, weight: z.number() })),
+  maxAttempts: z.number(),
+  isSticky: z.boolean(),
+  homes: texts,
+  annotations
+})
+const upstreamSchema = z.looseObject({ name: textSchema, healthPath: z.string(), maxConnections: z.number(), warmupMs: z.number(), warmupPerSecond: z.number(), annotations })
+const limitsSchema = z.looseObject({ maxHeaderBytes: z.number(), maxBodyBytes: z.number(), headerTimeoutMs: z.number(), idleTimeoutMs: z.number() })
+const routeChangeFields = { order: textSchema, baseVersion: count, routesVersion: count }
+
+const serverEndSchema = z.looseObject({ request: textSchema, route: textSchema, server: textSchema, bornAt: count, isTrial: z.boolean() })
+
+/** Fields of a report of ended servers. */
+export const serverEndFields = { ends: z.array(serverEndSchema).max(maxListLength), answered: texts }
+
+/** Schema of a command. */
+export const fleetCommandSchema = z.discriminatedUnion('type', [
+  z.looseObject({ type: z.literal('replaceRoutes'), ...routeChangeFields, set: z.looseObject({ routes: z.array(routeSchema).max(maxRoutes), upstreams: z.array(upstreamSchema).max(maxRoutes), limits: limitsSchema }) }),
+  z.looseObject({ type: z.literal('updateRoutes'), ...routeChangeFields, putRoutes: z.array(routeSchema).max(maxRoutes), putUpstreams: z.array(upstreamSchema).max(maxRoutes), removeRoutes: texts, removeUpstreams: texts, limits: limitsSchema.optional() }),
+  z.looseObject({ type: z.literal('evacuate'), failureDomain: textSchema, isActive: z.boolean(), baseVersion: count.optional() }),
+  z.looseObject({ type: z.literal('announce'), facts: announcementSchema }),
+  z.looseObject({ type: z.literal('announceAll'), servers: z.array(announcementSchema).max(maxListLength) }),
+  z.looseObject({ type: z.literal('dismiss'), ids: texts, bornAt: count.optional() }),
+  z.looseObject({ type: z.literal('miss'), ids: texts }),
+  z.looseObject({ type: z.literal('reportServerEnds'), ...serverEndFields }),
+  z.looseObject({ type: z.literal('releaseRequest'), request: textSchema })
+])
--- a/packages/state/__tests__/state.test.ts
+++ b/packages/state/__tests__/state.test.ts
@@ -189,3 +189,15 @@
   assert.equal(findInvalidField({ deadlineMs: 9000, maxDeadlineMs: 10 }), 'deadlineMs')
   assert.equal(profileSchema.safeParse({ ...profile, color: 1 }).success, false)
 })
+
+/** Guards against one malformed command that stops every replica, again after each restart. */
+test('a command that can\'t be applied fails alone, on all replicas alike', () => {
+  const logs = [createLog(), createLog()]
+  for (const log of logs) {
+    assert.equal(apply(log, { type: 'announce' } as Command).type, 'failed')
+    assert.ok(publishProfile(log, 0, 'change-aa').ok)
+    assert.equal(log.machine.applied, 2)
+  }
+  const [first, second] = logs.map(log => serializeStateMachine(log.machine))
+  assert.equal(first, second)
+})
--- a/packages/state/src/core/stateMachine.ts
+++ b/packages/state/src/core/stateMachine.ts
@@ -1,5 +1,6 @@
 /** The state machine that the replicated log drives: equal logs produce equal states on every replica. */
 import type { Entry } from '@lynxcourse/agreement'
+import { getErrorMessage } from '@lynxcourse/base'
 import type { Chart, ChangeId, Millis, RequestId, ResourceId } from '@lynxcourse/base'
 import type { CommandAnswer, Change, ChangeAnswer, Command } from '../types/commands.js'
 import type { ProfileItem, VersionedItem } from '../types/items.js'
@@ -56,11 +57,20 @@
   }
 }
 
-/** Applies a committed entry of the log and returns the answer for the VM that proposed it. */
+/**
+ * Applies a committed entry of the log and returns the answer for the VM that proposed it.
+ *
+ * A command that can't be applied must not stop the replica: every replica has it in its log, and would stop again after
+ * each restart.
+ */
 export function applyEntry (machine: StateMachine, entry: Entry): CommandAnswer {
   machine.applied = entry.index
   if (entry.body.type !== 'command') return { type: 'none' }
-  return applyCommand(machine, entry.body.command as Command, entry.index, entry.at)
+  try {
+    return applyCommand(machine, entry.body.command as Command, entry.index, entry.at)
+  } catch (err) {
+    return { type: 'failed', detail: getErrorMessage(err) }
+  }
 }
 
 function applyCommand (machine: StateMachine, command: Command, version: number, at: Millis): CommandAnswer {
--- a/packages/state/src/types/commands.ts
+++ b/packages/state/src/types/commands.ts
@@ -159,4 +159,6 @@
   | { readonly type: 'change', readonly change: ChangeAnswer }
   | { readonly type: 'claim', readonly claim: ClaimAnswer }
   | { readonly type: 'settle', readonly settle: SettleAnswer }
+  /** The command could not be applied; what it changed before it failed stays, the same on every replica. */
+  | { readonly type: 'failed', readonly detail: string }
   | { readonly type: 'none' }
