Let a control VM be initialized that has found its cluster already

What an operator saw: `cluster init: this VM already belongs to cluster ...`, the id of the cluster that this same command was creating, and a cluster with too few voters.

Cause: the command initializes one VM after the other, while each VM with an empty folder asks the others for a cluster every second. A VM that asked in between had joined without the list of members.

Change: initializing is repeatable for the same cluster; a replica that joined without the members restarts with them and the entries that it has.

--- a/packages/daemon/src/core/control/membership.ts
+++ b/packages/daemon/src/core/control/membership.ts
@@ -2,7 +2,7 @@
 import { LynxError, loadChart } from '@lynxcourse/base'
 import type { HolderId } from '@lynxcourse/base'
 import { createReplica, createInitialSnapshot } from '@lynxcourse/agreement'
-import type { Entry, HardState, Snapshot } from '@lynxcourse/agreement'
+import type { Entry, HardState, Replica, Snapshot } from '@lynxcourse/agreement'
 import { deserializeStateMachine } from '@lynxcourse/state'
 import { writeIdentity, writeSnapshot } from '../../plugins/logStorage.js'
 import { getCurrentTime } from '../../utils/clock.js'
@@ -30,14 +30,26 @@
 }
 
 /**
- * Makes this VM, whose data folder is empty, one of the initial voters of a new cluster.
+ * Makes this VM one of the initial voters of a new cluster. Its data folder is empty, or it has joined this cluster by
+ * itself: while an operator initializes one VM after the other, the next ones may find the cluster first.
  *
- * @throws LynxError when this VM already belongs to a cluster, or when the voters don't include this incarnation of it
+ * @throws LynxError when this VM belongs to another cluster, or when the voters don't include this incarnation of it
  */
 export async function initCluster (host: ControlHost, cluster: string, voters: readonly HolderId[]): Promise<void> {
-  if (!isBlank(host)) throw new LynxError('badRequest', `this VM already belongs to cluster ${host.cluster}`, { step: 'init', field: 'cluster' })
+  if (!isBlank(host) && host.cluster !== cluster) throw new LynxError('badRequest', `this VM already belongs to cluster ${host.cluster}`, { step: 'init', field: 'cluster' })
   if (!voters.includes(host.id)) throw new LynxError('badRequest', `the voters do not include ${host.id}`, { step: 'init', field: 'voters' })
-  await adoptCluster(host, cluster, createInitialSnapshot(voters, ''))
+  const snapshot = createInitialSnapshot(voters, '')
+  if (host.replica === undefined) await adoptCluster(host, cluster, snapshot)
+  else if (host.replica.members.length === 0) await restartWithMembers(host, host.replica, snapshot)
+}
+
+/** Restarts a replica that joined without knowing the members, from their list and with the entries that it has. */
+async function restartWithMembers (host: ControlHost, { term, votedFor, entries }: Replica, snapshot: Snapshot): Promise<void> {
+  // Without a replica, the host drops events: none is processed between the two snapshots.
+  host.replica = undefined
+  await host.busy
+  await writeSnapshot(host.storage, snapshot)
+  startReplica(host, snapshot, { term, votedFor }, entries)
 }
 
 /** Makes this VM, whose data folder is empty, a replica of a running cluster; the leader adds it as a learner. */
