Clear counted ends by answers, and let blocks grow from ten minutes

A popular request that is now and then at a server that ends for another reason reached three counted ends within ten minutes, ran as a single trial, and was blocked for an hour if that trial's server ended as well, as it may beside a request that does end servers. A VM now remembers for which requests it reported ends, and reports their next answer; the log forgets the counted ends.

A claim of a trial no longer outlasts the request's deadline.

Tests: crashingRequests.test.ts of state and daemon (answers between ends; red without the change by reading: the counted ends were kept), of placement (memory).

--- a/packages/daemon/__tests__/crashingRequests.test.ts
+++ b/packages/daemon/__tests__/crashingRequests.test.ts
@@ -1,12 +1,13 @@
 /** Requests that end the servers that run them. */
 import assert from 'node:assert/strict'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { test } from 'node:test'
 import { delay, getCurrentTime } from '@lynxcourse/daemon'
 import type { FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
 import { listItems } from '@lynxcourse/state'
 import type { CrashingRequestItem } from '@lynxcourse/state'
 import { createRouteToDesk, getControl, hasServers, publishRoutes, sendRequestTo, startFleetFixture, startVm, submitCommand, waitUntil } from './support/fleetFixture.js'
-import type { FleetFixture } from './support/fleetFixture.js'
+import type { FleetFixture, TestServer } from './support/fleetFixture.js'
 import { endServer, startCrashableServers } from './support/crashableServers.js'
 import type { CrashableServers } from './support/crashableServers.js'
 
@@ -117,33 +118,43 @@
   assert.equal(crashable.ended, endedBefore)
 })
 
-/** Guards against a harmless request that is turned away since the servers that it ran at ended for another reason. */
-test('a request whose servers ended for another reason is served again after one trial', async () => {
-  let isHeld = true
-  await using crashable = await startCrashableServers(serverCount, () => false)
-  for (const { server } of crashable.servers) {
+/** Servers that hold their requests while `isHeld` is set, so that a test can end the one that has a request. */
+interface HoldableServers extends CrashableServers { isHeld: boolean }
+
+async function startHoldableServers (): Promise<HoldableServers> {
+  const holdable: HoldableServers = Object.assign(await startCrashableServers(serverCount, () => false), { isHeld: true })
+  for (const { server, requests } of holdable.servers) {
     const [answer] = server.listeners('request') as Array<(...args: unknown[]) => void>
     server.removeAllListeners('request')
-    server.on('request', (req, res) => { if (!isHeld) answer?.(req, res) })
-  }
-  await using fixture = await startFleet(2, crashable)
-  const address = getEntryAddress(fixture, 0)
-  const isBusy = ({ server }: (typeof crashable.servers)[number]): Promise<boolean> => new Promise(resolve => server.getConnections((_err, count) => resolve(count > 0)))
-  const ended = new Set<string>()
-  for (let index = 0; index < toleratedEnds; index++) {
-    const pending = sendRequestTo(address, '/read/1')
-    await waitUntil(async () => {
-      for (const server of crashable.servers) {
-        if (ended.has(server.facts.id) || !await isBusy(server)) continue
-        ended.add(server.facts.id)
-        endServer(server)
-        return true
-      }
-      return false
+    server.on('request', (req: IncomingMessage, res: ServerResponse) => {
+      if (holdable.isHeld) requests.push(req)
+      else answer?.(req, res)
     })
-    assert.equal((await pending).status, 502)
   }
-  isHeld = false
+  return holdable
+}
+
+/** Sends a request and ends the server that got it. */
+async function endServerUnder (holdable: HoldableServers, address: string, path: string): Promise<void> {
+  holdable.isHeld = true
+  const requestCounts = holdable.servers.map(({ requests }) => requests.length)
+  const pending = sendRequestTo(address, path)
+  let busy: TestServer | undefined
+  await waitUntil(() => {
+    busy = holdable.servers.find(({ requests }, index) => requests.length > (requestCounts[index] ?? 0))
+    return busy !== undefined
+  })
+  endServer(busy as TestServer)
+  assert.equal((await pending).status, 502)
+  holdable.isHeld = false
+}
+
+/** Guards against a harmless request that is turned away since the servers that it ran at ended for another reason. */
+test('a request whose servers ended for another reason is served again after one trial', async () => {
+  await using holdable = await startHoldableServers()
+  await using fixture = await startFleet(2, holdable)
+  const address = getEntryAddress(fixture, 0)
+  for (let index = 0; index < toleratedEnds; index++) await endServerUnder(holdable, address, '/read/1')
   await waitForRestrictions(fixture, 1)
   assert.equal((await sendRequestTo(address, '/read/1')).status, 200)
   await waitForRestrictions(fixture, 0)
@@ -151,6 +162,20 @@
   assert.deepEqual(answers, answers.map(() => 200))
 })
 
+/** Guards against a popular request that runs as a single trial since some of many servers ended under it. */
+test('a request that is answered between the ends of its servers is never restricted', async () => {
+  await using holdable = await startHoldableServers()
+  await using fixture = await startFleet(1, holdable)
+  const address = getEntryAddress(fixture, 0)
+  for (let index = 0; index < 2 * toleratedEnds; index++) {
+    await endServerUnder(holdable, address, '/read/1')
+    await waitUntil(() => getControl(fixture, 0).host.machine.crashes.size === 1)
+    assert.equal((await sendRequestTo(address, '/read/1')).status, 200)
+    await waitUntil(() => getControl(fixture, 0).host.machine.crashes.size === 0)
+    assert.deepEqual(listRestricted(fixture), [])
+  }
+})
+
 /** Guards against requests that count as ending servers although only their connections were lost. */
 test('a request whose connections are reset by running servers is never restricted', async () => {
   await using crashable = await startCrashableServers(serverCount, () => false)
--- a/packages/daemon/src/core/gateway/crashReports.ts
+++ b/packages/daemon/src/core/gateway/crashReports.ts
@@ -5,7 +5,8 @@
  */
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis, RequestFingerprint } from '@lynxcourse/base'
-import type { InFlightSend } from '@lynxcourse/placement'
+import { recordReportedEnd } from '@lynxcourse/placement'
+import type { InFlightSend, ReportedEnds } from '@lynxcourse/placement'
 import type { ServerEnd } from '@lynxcourse/state'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
@@ -27,11 +28,12 @@
 export interface CrashReports {
   ends: ServerEnd[]
   readonly answered: Set<RequestFingerprint>
+  readonly reported: ReportedEnds
   isSending: boolean
 }
 
 export function createCrashReports (): CrashReports {
-  return { ends: [], answered: new Set(), isSending: false }
+  return { ends: [], answered: new Set(), reported: new Map(), isSending: false }
 }
 
 /**
@@ -51,14 +53,20 @@
     log(node.logs, 'route', 'warn', 'Report dropped, too many wait.', { request, server })
     return
   }
+  recordReportedEnd(crashReports.reported, request, getCurrentTime())
   crashReports.ends.push({ request, route: call.route.name, server, bornAt, isTrial })
   await sendReports(node, crashReports)
 }
 
-/** Reports that a server answered a restricted request without a failure. */
-export async function reportAnswered ({ node, crashReports }: Gateway, call: Call): Promise<void> {
+/** Reports that a server answered a request, if the request is restricted or this VM reported an end for it. */
+export async function reportAnswered ({ node, crashReports, restrictedRequests }: Gateway, call: Call): Promise<void> {
+  const { answered, reported } = crashReports
+  if (restrictedRequests.size === 0 && reported.size === 0) return
+  const request = call.getFingerprint()
+  const isReported = reported.delete(request)
+  if (!isReported && !restrictedRequests.has(request)) return
   if (countPending(crashReports) >= maxPendingReports) return
-  crashReports.answered.add(call.getFingerprint())
+  answered.add(request)
   await sendReports(node, crashReports)
 }
 
@@ -87,7 +95,7 @@
 async function sendReport (node: FleetNode, report: CrashReport, deadline: Millis): Promise<void> {
   for (;;) {
     try {
-      await callAnyControl(node, 'fleet.reportServerEnds', report)
+      await callAnyControl(node, 'fleet.reportServerEnds', report, deadline)
       return
     } catch (err) {
       const isOver = getCurrentTime() >= deadline
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -96,8 +96,7 @@
 /** Reports what a send shows about requests that end servers. */
 async function learnOfEnds (gateway: Gateway, call: Call, sending: InFlightSend, result: SendResult): Promise<void> {
   if (result.type === 'lost' && result.reason === 'failed') await inspectFailedSend(gateway, call, sending)
-  const isSuccess = result.type === 'answered' && !isServerError(result.status)
-  if (isSuccess && findRestriction(gateway, call) !== undefined) await reportAnswered(gateway, call)
+  if (result.type === 'answered' && !isServerError(result.status)) await reportAnswered(gateway, call)
 }
 
 function buildAnswer (lastResult: SendResult | undefined): CallAnswer | undefined {
--- a/packages/daemon/src/core/gateway/trials.ts
+++ b/packages/daemon/src/core/gateway/trials.ts
@@ -15,9 +15,11 @@
 /** Returns the leader's answer; without an answer there is no trial. */
 export async function claimTrial ({ node }: Gateway, call: Call): Promise<TrialAnswer> {
   const request = call.getFingerprint()
-  const forMs = Math.min(maxTrialMs, Math.max(0, call.deadline - getCurrentTime()))
+  const now = getCurrentTime()
+  const forMs = Math.min(maxTrialMs, Math.max(0, call.deadline - now))
+  const answerDeadline = Math.min(call.deadline, now + node.cfg.times.rpcTimeoutMs)
   try {
-    const answer = await callAnyControl<TrialAnswer>(node, 'fleet.claimTrial', { request, forMs, isRelayed: false })
+    const answer = await callAnyControl<TrialAnswer>(node, 'fleet.claimTrial', { request, forMs, isRelayed: false }, answerDeadline)
     log(node.logs, 'route', 'info', 'Trial claimed.', { id: call.facts.id, request, granted: answer.isGranted })
     return answer
   } catch (err) {
--- a/packages/placement/__tests__/crashingRequests.test.ts
+++ b/packages/placement/__tests__/crashingRequests.test.ts
@@ -4,10 +4,11 @@
 import { brandId } from '@lynxcourse/base'
 import type { RequestFingerprint } from '@lynxcourse/base'
 import {
-  beginSend, createCallerLiveness, createLoadObservations, decideNextStep, endSend, getRestriction, grantTrial, recordPoll, recordTrialAnswer,
+  beginSend, createCallerLiveness, createLoadObservations, decideNextStep, endSend, getRestriction, grantTrial, maxReportedRequests, recordPoll, recordReportedEnd, recordTrialAnswer,
   startRequest
 } from '@lynxcourse/placement'
-import type { DecisionConditions, EntryState, RequestState, RequestStep, SendOutcome, Trials } from '@lynxcourse/placement'
+import type { DecisionConditions, EntryState, ReportedEnds, RequestState, RequestStep, SendOutcome, Trials } from '@lynxcourse/placement'
+import { endMemoryMs } from '@lynxcourse/state'
 import { createRoute, createTestFleet, request, server } from './support/fleet.js'
 
 const crashing = brandId<RequestFingerprint>('crashing')
@@ -90,3 +91,12 @@
   assert.equal(grantTrial(trials, crashing, undefined, forMs, 60_010).isGranted, true, 'a released request needs no trial')
   assert.deepEqual(grantTrial(trials, crashing, 70_000, forMs, 60_020), { isGranted: false, retryAfterMs: 9980 })
 })
+
+/** Guards against an entry VM whose memory grows while many servers end. */
+test('a VM remembers a bounded number of requests for which it reported ends, and each only as long as it counts', () => {
+  const reported: ReportedEnds = new Map()
+  for (let index = 0; index < maxReportedRequests + 10; index++) recordReportedEnd(reported, brandId<RequestFingerprint>(`r${index}`), index)
+  assert.deepEqual([reported.size, reported.has(brandId<RequestFingerprint>('r0'))], [maxReportedRequests, false])
+  recordReportedEnd(reported, crashing, endMemoryMs + maxReportedRequests + 10)
+  assert.deepEqual([...reported.keys()], [crashing])
+})
--- a/packages/placement/src/core/admission/crashingRequests.ts
+++ b/packages/placement/src/core/admission/crashingRequests.ts
@@ -6,6 +6,7 @@
  * The leader grants the trials.
  */
 import type { Millis, RequestFingerprint } from '@lynxcourse/base'
+import { endMemoryMs } from '@lynxcourse/state'
 
 /** How a request under which servers ended may be sent. */
 export type RequestRestriction =
@@ -22,6 +23,25 @@
   return now < blockedUntil ? { type: 'blocked', retryAfterMs: blockedUntil - now } : { type: 'trialOnly' }
 }
 
+/**
+ * At an entry VM: when it last reported the end of a server for each request, the oldest first. An answer to such a request
+ * clears what was counted for it.
+ */
+export type ReportedEnds = Map<RequestFingerprint, Millis>
+
+/** Maximum number of reported requests that a VM remembers; the oldest are forgotten. */
+export const maxReportedRequests = 512
+
+/** Records that an end was reported, and forgets those that are not counted any more. */
+export function recordReportedEnd (reported: ReportedEnds, request: RequestFingerprint, now: Millis): void {
+  reported.delete(request)
+  reported.set(request, now)
+  for (const [oldest, at] of reported) {
+    if (reported.size <= maxReportedRequests && now - at < endMemoryMs) return
+    reported.delete(oldest)
+  }
+}
+
 /** At the leader: the time until which each trial may take. */
 export type Trials = Map<RequestFingerprint, Millis>
 
--- a/packages/state/__tests__/crashingRequests.test.ts
+++ b/packages/state/__tests__/crashingRequests.test.ts
@@ -5,7 +5,7 @@
 import { brandId, loadChart } from '@lynxcourse/base'
 import type { Millis, RequestFingerprint, ServerId } from '@lynxcourse/base'
 import {
-  applyEntry, blockMs, createStateMachine, deserializeStateMachine, endMemoryMs, findItem, isRestricted, listItems, maxCountedRequests,
+  applyEntry, createStateMachine, deserializeStateMachine, endMemoryMs, findItem, firstBlockMs, isRestricted, listItems, maxBlockMs, maxCountedRequests,
   maxRestrictedRequests, minSuspectEnds, serializeStateMachine
 } from '@lynxcourse/state'
 import type { ChangeAnswer, CrashCommand, CrashingRequestItem, ServerEnd, StateMachine } from '@lynxcourse/state'
@@ -66,16 +66,21 @@
   reportEnds(machine, ['s4', 's5', 's6'].map(server => createEnd(server)))
   assert.equal(getRestricted(machine)?.state, 'suspected')
   reportEnds(machine, [createEnd('s7', { isTrial: true })])
-  assert.deepEqual([getRestricted(machine)?.state, getRestricted(machine)?.blockedUntil], ['blocked', startTime + blockMs])
+  assert.deepEqual([getRestricted(machine)?.state, getRestricted(machine)?.blockedUntil], ['blocked', startTime + firstBlockMs])
 })
 
 /** Guards against a request that ends a server each time its block expires, and is blocked no more. */
-test('a trial after the block has expired blocks the request again', () => {
+test('each failed trial after a block has expired blocks the request for longer', () => {
   const machine = createSuspecting()
-  reportEnds(machine, [createEnd('s7', { isTrial: true })])
-  const later = startTime + blockMs
-  reportEnds(machine, [createEnd('s8', { isTrial: true })], later)
-  assert.equal(getRestricted(machine)?.blockedUntil, later + blockMs)
+  let at = startTime
+  let blockMs = 0
+  for (let trial = 0; trial < 12; trial++) {
+    reportEnds(machine, [createEnd('s7', { bornAt: trial, isTrial: true })], at)
+    const blockedUntil = getRestricted(machine)?.blockedUntil ?? 0
+    assert.equal(blockedUntil - at, Math.min(maxBlockMs, trial === 0 ? firstBlockMs : blockMs * 2))
+    blockMs = blockedUntil - at
+    at = blockedUntil
+  }
 })
 
 test('an answer or an operator releases a request, and its ends are counted anew', () => {
@@ -91,6 +96,16 @@
   assert.equal(apply(createMachine(), { type: 'releaseRequest', request: crashing }).ok, false)
 })
 
+/** Guards against a popular request that is suspected since it was at some of many servers that ended in ten minutes. */
+test('an answer clears the ends that were counted before it', () => {
+  const machine = createMachine()
+  for (let index = 0; index < 3 * minSuspectEnds; index++) {
+    reportEnds(machine, [createEnd(`s${index}`)])
+    reportAnswer(machine)
+  }
+  assert.equal(getRestricted(machine), undefined)
+})
+
 test('ends that lie far apart are not counted together', () => {
   const machine = createMachine()
   for (let index = 0; index < 2 * minSuspectEnds; index++) reportEnds(machine, [createEnd(`s${index}`)], startTime + index * endMemoryMs)
--- a/packages/state/src/core/crashingRequests.ts
+++ b/packages/state/src/core/crashingRequests.ts
@@ -4,8 +4,8 @@
  * An entry VM sees the end of one server under one attempt. It then tries another server, or its caller comes again, with
  * another id and at another VM, and the next server ends. All VMs therefore report such ends, and this register connects
  * them. When several servers have ended under one request, the request becomes suspected and runs as a single trial: servers
- * also end for other reasons, and take requests with them that are harmless. An answer releases the request. If the server
- * of the trial ends too, the request is blocked.
+ * also end for other reasons, and take requests with them that are harmless. An answer releases the request, and clears the
+ * ends that were counted before. If the server of the trial ends too, the request is blocked.
  */
 import { hasTransition, nextState } from '@lynxcourse/base'
 import type { Chart, Millis, RequestFingerprint, ServerId } from '@lynxcourse/base'
@@ -18,8 +18,9 @@
 export const minSuspectEnds = 3
 /** How long the end of a server counts against the requests that it left unanswered. */
 export const endMemoryMs: Millis = 600_000
-/** How long a request is blocked after the last server ended under it. */
-export const blockMs: Millis = 3_600_000
+/** How long a request is blocked after its first failed trial; doubles with each further one, up to a day. */
+export const firstBlockMs: Millis = 600_000
+export const maxBlockMs: Millis = 86_400_000
 /** Maximum number of requests whose ended servers are counted; the least recent are forgotten. */
 export const maxCountedRequests = 4096
 /** Maximum number of restricted requests; suspected requests are released before blocked ones, the oldest first. */
@@ -81,7 +82,13 @@
   }
   // Sends from before the restriction say nothing new: several servers may have ended at once for a reason of their own.
   if (!end.isTrial) return
-  setItem(config, version, { ...item, state: nextState(chart, item.state, 'end'), servers: [...item.servers, end.server].slice(-maxListedServers), blockedUntil: at + blockMs })
+  setItem(config, version, {
+    ...item,
+    state: nextState(chart, item.state, 'end'),
+    servers: [...item.servers, end.server].slice(-maxListedServers),
+    blockedUntil: at + Math.min(maxBlockMs, firstBlockMs * 2 ** item.failedTrials),
+    failedTrials: item.failedTrials + 1
+  })
 }
 
 function countEnd (config: Config, register: CrashRegister, chart: Chart, end: ServerEnd, released: CrashingRequestItem | undefined, version: number, at: Millis): void {
@@ -94,7 +101,7 @@
     return
   }
   const state = released === undefined ? chart.initial : nextState(chart, released.state, 'end')
-  setItem(config, version, { kind: 'crashingRequest', key: request, route, state, servers: [...servers.values()], blockedUntil: 0 })
+  setItem(config, version, { kind: 'crashingRequest', key: request, route, state, servers: [...servers.values()], blockedUntil: 0, failedTrials: 0 })
   boundRestricted(config, chart, version)
 }
 
@@ -102,7 +109,7 @@
 function advance (config: Config, chart: Chart, request: RequestFingerprint, event: 'answer' | 'release', version: number): boolean {
   const item = findItem(config, 'crashingRequest', request)
   if (item === undefined || !hasTransition(chart, item.state, event)) return false
-  setItem(config, version, { ...item, state: nextState(chart, item.state, event), blockedUntil: 0 })
+  setItem(config, version, { ...item, state: nextState(chart, item.state, event), blockedUntil: 0, failedTrials: 0 })
   return true
 }
 
--- a/packages/state/src/types/crashes.ts
+++ b/packages/state/src/types/crashes.ts
@@ -16,7 +16,7 @@
 export interface ReportServerEndsCommand {
   readonly type: 'reportServerEnds'
   readonly ends: readonly ServerEnd[]
-  /** Restricted requests that a server answered. */
+  /** Requests that a server answered after they were restricted or an end was reported for them. */
   readonly answered: readonly RequestFingerprint[]
 }
 
@@ -38,4 +38,6 @@
   readonly servers: readonly ServerId[]
   /** Unix milliseconds until which the request is not sent; 0 while it is only suspected. */
   readonly blockedUntil: Millis
+  /** Number of trials in a row under which a server ended. */
+  readonly failedTrials: number
 }
