Soak: a caller whose request ends each server that runs it

In half of the series a caller sends such a request for ten seconds. Servers that ended refuse connections, as a process that is gone does, and start again under a new id 1.5 s later.

--- a/scripts/__tests__/soak.test.ts
+++ b/scripts/__tests__/soak.test.ts
@@ -6,7 +6,7 @@
 import { test } from 'node:test'
 import { planSoak } from '../soak/faultPlan.js'
 import { findViolations } from '../soak/invariants.js'
-import { createHistory, probePath } from '../soak/history.js'
+import { crashPath, createHistory, probePath } from '../soak/history.js'
 import type { Attempt, AttemptEnd, SoakHistory, Run } from '../soak/history.js'
 import { runSoak } from '../soak/soakRun.js'
 import { findUnreadPorts } from '../soak/receiveQueue.js'
@@ -114,6 +114,23 @@
   assert.deepEqual(findViolatedInvariants(history => recordArrivals(history, 100, 60, 1000)), ['budget'], 'most requests were before the window')
 })
 
+test('a request under which three servers ended is a violation once it ends more than three others after the bound, at fault-free VMs', () => {
+  const recordCrashes = (history: SoakHistory, lateCount: number, lateAt = 9000): void => {
+    for (let index = 0; index < 3 + lateCount; index++) {
+      const at = index < 3 ? index * 100 : lateAt + index
+      addAttempt(history, `a${index}`, { path: crashPath, isIdempotent: true, sentAt: at, endedAt: at + 50, end: answered(502) })
+      addRun(history, `a${index}`, { path: crashPath, body: '', server: `s-${index}`, at, readAt: at })
+    }
+  }
+  assert.deepEqual(findViolatedInvariants(history => recordCrashes(history, 4)), ['crash'])
+  assert.deepEqual(findViolatedInvariants(history => recordCrashes(history, 3)), [])
+  assert.deepEqual(findViolatedInvariants(history => recordCrashes(history, 4, 3000)), [])
+  assert.deepEqual(findViolatedInvariants(history => {
+    recordCrashes(history, 4)
+    history.disturbances.push({ subject: 'entry-0', kind: 'kill', from: 8000, until: 8500 })
+  }), [])
+})
+
 test('a request sent after a confirmed change that runs at the previous service is a violation', () => {
   const confirmed = { type: 'change', subject: 'ledger', at: 1000, sentAt: 900, version: 5 } as const
   const recordProbe = (history: SoakHistory, sentAt: number): void => {
--- a/scripts/soak/caller.ts
+++ b/scripts/soak/caller.ts
@@ -37,6 +37,8 @@
   readonly random: Random
   /** Whether the caller uses the same entry VM until a connection to it fails, regardless of lookups. */
   readonly isPinned: boolean
+  /** The only path that the caller requests; undefined if it draws one for each request. */
+  readonly path: string | undefined
   /** Whether the caller often closes the connection before the answer. */
   readonly leavesOften: boolean
   readonly pools: Map<string, Pool>
@@ -80,8 +82,8 @@
   const entryVm = caller.places.get(address)
   if (entryVm === undefined) throw new Error(`the lookup returned ${address}, which is not the address of an entry VM`)
   caller.sent += 1
-  const path = drawPath(caller.random)
-  const attempt: Attempt = { id: `${caller.name}-${caller.sent}`, entry: entryVm.vm, path, isIdempotent: path !== '/offer/', leavesAfterMs: drawLeaveDelay(caller, path), sentAt: performance.now(), endedAt: undefined, end: undefined }
+  const path = caller.path ?? drawPath(caller.random)
+  const attempt: Attempt = { id: `${caller.name}-${caller.sent}`, entry: entryVm.vm, path, isIdempotent: path !== '/offer/', leavesAfterMs: caller.path === undefined ? drawLeaveDelay(caller, path) : undefined, sentAt: performance.now(), endedAt: undefined, end: undefined }
   caller.history.attempts.set(attempt.id, attempt)
   const end = await send(caller, entryVm.proxy, attempt)
   attempt.endedAt = performance.now()
--- a/scripts/soak/callers.ts
+++ b/scripts/soak/callers.ts
@@ -13,23 +13,42 @@
  * there are more of them, all pinned to that VM, and they close connections early more often.
  */
 export function createCallers (system: SoakSystem, prefix: string, seed: number, pinnedAddress?: string): Caller[] {
-  const entries = system.vms.flatMap(vm => vm.callers === undefined ? [] : [{ name: vm.name, proxy: vm.callers }])
-  const places = new Map<string, EntryVm>(entries.map(({ name, proxy }) => [proxy.target, { vm: name, proxy }]))
-  return Array.from({ length: entries.length * callersPerEntry * (pinnedAddress === undefined ? 1 : pinnedFactor) }, (_, index) => ({
-    name: `${prefix}-${index}`,
+  const places = mapEntries(system)
+  const count = places.size * callersPerEntry * (pinnedAddress === undefined ? 1 : pinnedFactor)
+  return Array.from({ length: count }, (_, index) => createCaller(system, places, `${prefix}-${index}`, seed * 1000 + index, {
     region: Object.keys(regions)[index % 3] ?? '',
+    isPinned: pinnedAddress !== undefined || index % 2 === 1,
+    leavesOften: pinnedAddress !== undefined,
+    current: pinnedAddress
+  }))
+}
+
+/** Creates a caller that requests a single path, at any entry VM. */
+export function createPathCaller (system: SoakSystem, name: string, seed: number, path: string): Caller {
+  return createCaller(system, mapEntries(system), name, seed, { region: Object.keys(regions)[0] ?? '', path })
+}
+
+function mapEntries (system: SoakSystem): Map<string, EntryVm> {
+  return new Map(system.vms.flatMap(({ name, callers: proxy }) => proxy === undefined ? [] : [[proxy.target, { vm: name, proxy }]]))
+}
+
+function createCaller (system: SoakSystem, places: ReadonlyMap<string, EntryVm>, name: string, seed: number, traits: Pick<Caller, 'region'> & Partial<Caller>): Caller {
+  return {
+    name,
     client: system.client,
     places,
     history: system.history,
-    random: createRandom(seed * 1000 + index),
-    isPinned: pinnedAddress !== undefined || index % 2 === 1,
-    leavesOften: pinnedAddress !== undefined,
+    random: createRandom(seed),
+    isPinned: false,
+    path: undefined,
+    leavesOften: false,
     pools: new Map(),
     sockets: new Set(),
     avoidedUntil: new Map(),
     knownEntries: [],
     lookupExpiresAt: 0,
-    current: pinnedAddress,
-    sent: 0
-  }))
+    current: undefined,
+    sent: 0,
+    ...traits
+  }
 }
--- a/scripts/soak/fakeServer.ts
+++ b/scripts/soak/fakeServer.ts
@@ -6,10 +6,10 @@
 import type { FailureDomainId, Random, ServerId, ServiceId } from '@lynxcourse/base'
 import type { BackendAnnouncement } from '@lynxcourse/state'
 import { sleep } from '../support/processes.js'
-import { startFaultProxy } from './faultProxy.js'
+import { resumeAccepting, startFaultProxy, stopAccepting } from './faultProxy.js'
 import type { FaultProxy } from './faultProxy.js'
-import { longPath } from './history.js'
-import type { SoakHistory, Run } from './history.js'
+import { crashPath, longPath } from './history.js'
+import type { InjectedFault, SoakHistory, Run } from './history.js'
 
 const slots = 4
 const queueLimit = 6
@@ -17,6 +17,9 @@
 const maxWorkMs = 120
 /** Processing time of requests on the long path, well within the routes' timeout. */
 const longWorkMs = 900
+/** Processing time until a request on the crash path ends the server, and time until its next lifetime. */
+const crashAfterMs = 40
+const restartDelayMs = 1500
 /** One in this many servers keeps processing a request after its connection has closed. */
 const ignoreCloseEvery = 5
 const answerBytes = 1500
@@ -30,13 +33,15 @@
   facts: BackendAnnouncement
   server: Server | undefined
   lifetimes: number
+  isDisposed: boolean
   running: number
   waiting: Array<() => void>
 }
 
 /** Creates a server and its proxy; the server listens, but is not announced yet. */
 export async function createFakeServer (place: number, service: ServiceId, domain: FailureDomainId, history: SoakHistory, random: Random): Promise<FakeServer> {
-  const proxy = await startFaultProxy('127.0.0.1:1')
+  // An address of its own: on a shared one, an outgoing connection could take the port of a server that is down.
+  const proxy = await startFaultProxy('127.0.0.1:1', `127.0.40.${place + 1}`)
   const fake: FakeServer = {
     place,
     proxy,
@@ -45,9 +50,11 @@
     facts: { id: brandId<ServerId>(''), service, address: proxy.address, failureDomain: domain, slots, software: 'stub', isDraining: false, bornAt: 0, seq: 0, coldMs: 0 },
     server: undefined,
     lifetimes: 0,
+    isDisposed: false,
     running: 0,
     waiting: [],
     [Symbol.asyncDispose]: async () => {
+      fake.isDisposed = true
       await endLifetime(fake)
       await proxy[Symbol.asyncDispose]()
     }
@@ -69,16 +76,30 @@
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   fake.server = server
   fake.proxy.target = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  await resumeAccepting(fake.proxy)
 }
 
-/** Ends the lifetime immediately: open connections are closed, and running requests are lost. */
+/** Ends the lifetime immediately: open connections are closed, new ones refused, and running requests are lost. */
 export async function endLifetime (fake: FakeServer): Promise<void> {
   const { server } = fake
   fake.server = undefined
+  stopAccepting(fake.proxy)
   server?.closeAllConnections()
   await new Promise<void>(resolve => server === undefined ? resolve() : server.close(() => resolve()))
 }
 
+/** Ends the lifetime that runs a request, and starts the next one, unless the server is being replaced anyway. */
+async function crashLifetime (fake: FakeServer, self: ServerId): Promise<void> {
+  if (fake.server === undefined || fake.facts.id !== self) return
+  const { isDraining, service } = fake.facts
+  const fault: { -readonly [Key in keyof InjectedFault]: InjectedFault[Key] } = { subject: self, kind: 'crash', from: performance.now(), until: Infinity }
+  fake.history.disturbances.push(fault)
+  await endLifetime(fake)
+  await sleep(restartDelayMs)
+  if (!isDraining && !fake.isDisposed) await startLifetime(fake, service)
+  fault.until = performance.now()
+}
+
 /** Creates the answer that a given server must give to a given request. */
 export function createAnswerText (server: string, id: string): string {
   const hash = hashText(`${server} ${id}`).toString(16)
@@ -105,7 +126,12 @@
   if (fake.running >= slots && !(await waitForSlot(fake, cancelled))) return
   const run = recordRun(fake, self, req, body, readAt)
   closed.then(() => { if (!res.writableFinished) run.cutAt = performance.now() }, () => undefined)
-  await processRequest(fake, run, cancelled, res)
+  if (run.path === crashPath) {
+    await sleep(crashAfterMs)
+    await crashLifetime(fake, self)
+  } else {
+    await processRequest(fake, run, cancelled, res)
+  }
 }
 
 /** Waits for a slot; returns false if the request was cancelled first. */
--- a/scripts/soak/faultInjection.ts
+++ b/scripts/soak/faultInjection.ts
@@ -2,12 +2,13 @@
 import type { ServiceId } from '@lynxcourse/base'
 import { sleep } from '../support/processes.js'
 import { sendRequests } from './caller.js'
-import { createCallers } from './callers.js'
+import { createCallers, createPathCaller } from './callers.js'
 import { callUntilAnswered } from './controlClient.js'
 import { minFaultMs } from './faultPlan.js'
 import type { SoakStep, VmStep } from './faultPlan.js'
 import { resetConnections, setFault } from './faultProxy.js'
 import type { FaultProxy, LinkFault } from './faultProxy.js'
+import { crashPath } from './history.js'
 import type { InjectedFault } from './history.js'
 import { changeRoutes, evacuate, raceChanges } from './operator.js'
 import type { SoakSystem } from './soakSystem.js'
@@ -52,6 +53,7 @@
     case 'domainLink': return await injectDomainFault(system, step)
     case 'shortage': return await injectCpuShortage(system, step)
     case 'burst': return await injectBurst(system, step)
+    case 'crashingCaller': return await sendCrashingRequests(system, step)
     case 'evacuate': return await evacuate(system.operator, system.domains[step.domain % system.domains.length] as typeof system.domains[0], step.forMs)
   }
 }
@@ -187,6 +189,12 @@
   await Promise.all(callers.map(async caller => await sendRequests(caller, () => performance.now() >= until)))
 }
 
+/** Lets a caller send a request that ends each server that runs it. */
+async function sendCrashingRequests (system: SoakSystem, { at, forMs }: StepOf<'crashingCaller'>): Promise<void> {
+  const until = performance.now() + forMs
+  await sendRequests(createPathCaller(system, `crashing-${at}`, at, crashPath), () => performance.now() >= until)
+}
+
 /** Crashes a server; a server of the other service takes over its address. */
 async function crashServer (system: SoakSystem, server: FakeServer): Promise<void> {
   await endLifetime(server)
--- a/scripts/soak/faultPlan.ts
+++ b/scripts/soak/faultPlan.ts
@@ -15,6 +15,7 @@
   | { readonly kind: 'domainLink', readonly domain: number, readonly fault: Exclude<LinkFault, 'none'>, readonly forMs: number }
   | { readonly kind: 'burst', readonly vm?: number, readonly forMs: number }
   | { readonly kind: 'shortage', readonly vm: number, readonly forMs: number }
+  | { readonly kind: 'crashingCaller', readonly forMs: number }
 )
 
 type Evacuation = Extract<SoakStep, { readonly kind: 'evacuate' }>
@@ -60,8 +61,11 @@
 const minShortageMs = 3000
 const maxShortageMs = 7000
 
-/** Kinds that are drawn independently; the others accompany an evacuation or are drawn by `drawShortage`. */
-type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst' | 'shortage'>
+/** How long a caller sends a request that ends servers: longer than VMs may take to stop sending it. */
+const crashingMs = 10_000
+
+/** Kinds that are drawn independently; the others accompany an evacuation or have a generator of their own. */
+type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst' | 'shortage' | 'crashingCaller'>
 
 /** Relative frequencies of the kinds. */
 const weights: ReadonlyArray<readonly [StepKind, number]> = [
@@ -73,8 +77,9 @@
 /** Draws the plan of a seed; the same seed, size and number of series give the same plan. */
 export function planSoak (seed: number, size: SoakSize, series: number): SoakPlan {
   const random = createRandom(seed)
-  // Shortages use a separate generator, so that they don't affect the other faults of a seed.
+  // Shortages and crashes use generators of their own, so that they don't affect the other faults of a seed.
   const shortageRandom = createRandom(hashText(`shortage ${seed}`))
+  const crashRandom = createRandom(hashText(`crash ${seed}`))
   const steps: SoakStep[] = []
   for (let seriesIndex = 0; seriesIndex < series; seriesIndex++) {
     const start = seriesIndex * (seriesMs + faultFreeMs)
@@ -89,7 +94,7 @@
       steps.push(step)
       if (step.kind === 'evacuate') steps.push(...drawEvacuationFaults(random, size, step))
     }
-    steps.push(...drawShortage(shortageRandom, size, start))
+    steps.push(...drawShortage(shortageRandom, size, start), ...drawCrashingCaller(crashRandom, start))
   }
   steps.sort((a, b) => a.at - b.at)
   return { seed, steps, lengthMs: series * (seriesMs + faultFreeMs) }
@@ -157,3 +162,9 @@
   if (random() < 0.5) steps.push({ at, kind: 'burst', vm, forMs })
   return steps
 }
+
+/** Draws, for half of the series, a caller whose requests end the servers that run them. */
+function drawCrashingCaller (random: Random, start: number): SoakStep[] {
+  const at = start + drawInt(random, seriesMs / 2)
+  return random() < 0.5 ? [{ at, kind: 'crashingCaller', forMs: crashingMs }] : []
+}
--- a/scripts/soak/faultProxy.ts
+++ b/scripts/soak/faultProxy.ts
@@ -37,12 +37,12 @@
 /** TCP retransmits after this delay, and doubles it after each retransmission. */
 const initialRetransmitMs = 1000
 
-/** Starts a proxy to `IP:port` on a free port. */
-export async function startFaultProxy (target: string): Promise<FaultProxy> {
+/** Starts a proxy to `IP:port` on a free port of a loopback address. */
+export async function startFaultProxy (target: string, host = '127.0.0.1'): Promise<FaultProxy> {
   const server = createServer(near => { connectPair(proxy, near) })
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  await new Promise<void>(resolve => server.listen(0, host, resolve))
   const proxy: FaultProxy = {
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    address: `${host}:${(server.address() as AddressInfo).port}`,
     server,
     target,
     fault: 'none',
@@ -55,6 +55,17 @@
   return proxy
 }
 
+/** Refuses new connections, as the address of an ended process does. */
+export function stopAccepting ({ server }: FaultProxy): void {
+  if (server.listening) server.close()
+}
+
+/** Accepts new connections again at the same address. */
+export async function resumeAccepting ({ server, address }: FaultProxy): Promise<void> {
+  const [host, port] = address.split(':')
+  if (!server.listening) await new Promise<void>(resolve => server.listen(Number(port), host, resolve))
+}
+
 function connectPair (proxy: FaultProxy, near: Socket): void {
   const [host, port] = proxy.target.split(':')
   const far = connect({ host, port: Number(port), noDelay: true })
--- a/scripts/soak/history.ts
+++ b/scripts/soak/history.ts
@@ -98,6 +98,9 @@
   /** How long after its caller's close a request may reach a server or keep running, and how many may reach one later. */
   abandonedMs: 500,
   maxLateArrivals: 3,
+  /** Servers that may end under one request before it counts as crashing; runs after `vmRecoveryMs` from then on. */
+  toleratedCrashes: 3,
+  maxLateCrashes: 3,
   /** Maximum number of servers at which one request may run. */
   maxAttempts: 2,
   /** The default of the VMs' settings. */
@@ -124,9 +127,12 @@
 /** Path of requests with a long processing time. */
 export const longPath = '/read/long'
 
-/** Measures the share of attempts sent in a period that succeeded; attempts whose caller may leave early are excluded. */
+/** Path of a request that ends each server that runs it. */
+export const crashPath = '/read/crash'
+
+/** Measures the share of attempts sent in a period that succeeded; attempts whose caller may leave early, and those that end servers, are excluded. */
 export function measureServedShare (history: SoakHistory, from: number, until: number): { readonly share: number, readonly sent: number } {
-  const sent = [...history.attempts.values()].filter(attempt => attempt.leavesAfterMs === undefined && attempt.sentAt >= from && attempt.sentAt < until)
+  const sent = [...history.attempts.values()].filter(attempt => attempt.leavesAfterMs === undefined && attempt.path !== crashPath && attempt.sentAt >= from && attempt.sentAt < until)
   const served = sent.filter(attempt => attempt.end?.type === 'answer' && attempt.end.status === 200)
   return { share: sent.length === 0 ? 0 : served.length / sent.length, sent: sent.length }
 }
--- a/scripts/soak/invariants.ts
+++ b/scripts/soak/invariants.ts
@@ -2,7 +2,7 @@
 import { checkAbandoned } from './abandonedChecks.js'
 import { bounds, isFaultFree, isVmFaultFree, probePath } from './history.js'
 import type { Attempt, Confirmed, InjectedFault, SoakHistory, Run } from './history.js'
-import { checkRetryBudgets, checkTimeLeft, checkAttemptLimit } from './sendChecks.js'
+import { checkAttemptLimit, checkCrashes, checkRetryBudgets, checkTimeLeft } from './sendChecks.js'
 
 /** Returns all violations, one line each; the text before the colon names the invariant. */
 export function findViolations (history: SoakHistory): string[] {
@@ -17,6 +17,7 @@
     ...checkAttemptLimit(history),
     ...checkTimeLeft(history),
     ...checkRetryBudgets(history),
+    ...checkCrashes(history),
     ...checkPlannedStops(history)
   ]
 }
--- a/scripts/soak/sendChecks.ts
+++ b/scripts/soak/sendChecks.ts
@@ -1,5 +1,5 @@
 /** Checks how often requests are sent to servers, and with which remaining time. */
-import { bounds, isFaultFree, isVmFaultFree } from './history.js'
+import { bounds, crashPath, isFaultFree, isVmFaultFree } from './history.js'
 import type { Arrival, SoakHistory, Run } from './history.js'
 
 /** Checks that a request runs at no more servers than its route allows; servers with a recent fault don't count. */
@@ -50,3 +50,12 @@
   }
   return []
 }
+
+/** Checks that VMs without a recent fault stop sending a request under which several servers have ended. */
+export function checkCrashes (history: SoakHistory): string[] {
+  const runs = history.runs.filter(({ path }) => path === crashPath)
+  const lastTolerated = runs[bounds.toleratedCrashes - 1]
+  if (lastTolerated === undefined) return []
+  const late = runs.filter(({ id, at }) => at > lastTolerated.at + bounds.vmRecoveryMs && isVmFaultFree(history, history.attempts.get(id)?.entry ?? '', at))
+  return late.length > bounds.maxLateCrashes ? [`crash: ${late.length} more servers ended under ${crashPath} after ${bounds.toleratedCrashes} had, the first by ${late[0]?.id ?? ''}; ${runs.length} in all`] : []
+}
