--- a/packages/cli/__tests__/cli.test.ts
+++ b/packages/cli/__tests__/cli.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { LynxError, brandId, isLynxError } from '@lynxcourse/base'
-import type { ServiceId } from '@lynxcourse/base'
-import { createBashCompletion, diffProfiles, getExitCode, explainMatch, formatTable, createProgram, openSession } from '@lynxcourse/cli'
+import type { RequestFingerprint, ServerId, ServiceId } from '@lynxcourse/base'
+import { createBashCompletion, createRestrictionRow, diffProfiles, getExitCode, explainMatch, formatTable, createProgram, openSession } from '@lynxcourse/cli'
 import { profileSchema } from '@lynxcourse/state'
 
 test('errors are mapped to the exit codes in the help text', () => {
@@ -42,3 +42,9 @@
   assert.deepEqual([match['name'], match['services'], match['passedOver'], match['version']], ['narrow', 'desk=75%,ledger=25%', ['wide /'], 7])
   assert.throws(() => explainMatch(result, 'b.example', '/'), err => isLynxError(err, 'notFound'))
 })
+
+test('a restricted request is listed with the end of its block, if it is blocked', () => {
+  const item = { kind: 'crashingRequest', key: brandId<RequestFingerprint>('f1'), route: 'read', state: 'blocked', servers: ['s1', 's2'].map(id => brandId<ServerId>(id)), blockedUntil: 1_800_000_000_000, failedTrials: 1 } as const
+  assert.deepEqual(createRestrictionRow(item), { request: 'f1', route: 'read', state: 'blocked', blockedUntil: '2027-01-15T08:00:00.000Z', failedTrials: 1, servers: 's1,s2' })
+  assert.equal(createRestrictionRow({ ...item, state: 'suspected', blockedUntil: 0 })['blockedUntil'], undefined)
+})
--- a/packages/cli/src/core/commands/fleets.ts
+++ b/packages/cli/src/core/commands/fleets.ts
@@ -1,10 +1,10 @@
-/** Commands that show a fleet's routes: `fleet routes`, `fleet match`. */
+/** Commands for a fleet: `fleet routes`, `fleet match`, `fleet restricted`, `fleet release`. */
 import type { Command } from 'commander'
 import { LynxError } from '@lynxcourse/base'
-import type { RoutesReadResult } from '@lynxcourse/daemon'
+import type { FleetReadResult, RoutesReadResult } from '@lynxcourse/daemon'
 import { buildRouteTable, matchRoute } from '@lynxcourse/routing'
 import { getRouteServices } from '@lynxcourse/state'
-import type { Route } from '@lynxcourse/state'
+import type { ChangeAnswer, CrashingRequestItem, Route } from '@lynxcourse/state'
 import { exitCodes } from '../../utils/exitCodes.js'
 import { printRecord, printRows } from '../../utils/printing.js'
 import type { Row } from '../../utils/printing.js'
@@ -37,9 +37,14 @@
   return { version: result.routesVersion, ...createRouteRow(chosen), passedOver: lessSpecific.map(route => `${route.name} ${route.pathPrefix}`) }
 }
 
+/** Creates the output row of a restricted request. */
+export function createRestrictionRow ({ key, route, state, blockedUntil, failedTrials, servers }: CrashingRequestItem): Row {
+  return { request: key, route, state, blockedUntil: blockedUntil === 0 ? undefined : new Date(blockedUntil).toISOString(), failedTrials, servers: servers.join() }
+}
+
 /** Adds the commands of `lynxcourse fleet`. */
 export function addFleetCommands (program: Command): void {
-  const fleet = program.command('fleet').description('routes of a fleet, read from a quorum of its control VMs')
+  const fleet = program.command('fleet').description('routes and restricted requests of a fleet, read from a quorum of its control VMs')
   fleet.command('routes').description('list routes').action(createAction(async session => {
     const result = await callAnyVm<RoutesReadResult>(session, 'fleet.read')
     const columns = ['name', 'host', 'pathPrefix', 'services', 'idempotent', 'rank', 'aimMs', 'timeoutMs', 'maxAttempts', 'homes']
@@ -51,4 +56,15 @@
     printRecord(session.output, explainMatch(result, host ?? '', path ?? ''))
     return exitCodes.ok
   }))
+  fleet.command('restricted').description('list the requests under which servers ended').action(createAction(async session => {
+    const result = await callAnyVm<FleetReadResult>(session, 'fleet.read')
+    printRows(session.output, result.restricted.map(createRestrictionRow), ['request', 'route', 'state', 'blockedUntil', 'failedTrials', 'servers'])
+    return exitCodes.ok
+  }))
+  fleet.command('release <request>').description('let a restricted request be sent again').action(createAction(async (session, [request]) => {
+    const answer = await callAnyVm<ChangeAnswer>(session, 'fleet.submit', { command: { type: 'releaseRequest', request } })
+    if (!answer.ok) throw new LynxError('notFound', answer.detail, { step: 'release', field: 'request' })
+    printRecord(session.output, { request, version: answer.version })
+    return exitCodes.ok
+  }))
 }
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -2,8 +2,8 @@
 import { join } from 'node:path'
 import { LynxError, brandId, hashText, createHolderId, isLynxError, getHolderVm } from '@lynxcourse/base'
 import type { HolderId, Incarnation, Millis, RequestFingerprint, ServerId, VmId } from '@lynxcourse/base'
-import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, recordKnownVersion, findRouteSet, getRoutesVersion, getKnownVersionAt, isRestricted } from '@lynxcourse/state'
-import type { BackendAnnouncement, ChangeAnswer, CommandAnswer, CrashCommand, KnownVersions, RouteCommand, RouteSet } from '@lynxcourse/state'
+import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, recordKnownVersion, findRouteSet, getRoutesVersion, getKnownVersionAt, isRestricted, listItems } from '@lynxcourse/state'
+import type { BackendAnnouncement, ChangeAnswer, CommandAnswer, CrashCommand, CrashingRequestItem, KnownVersions, RouteCommand, RouteSet } from '@lynxcourse/state'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { openControl } from '../control/controlHost.js'
@@ -44,6 +44,11 @@
   readonly set: RouteSet | undefined
 }
 
+/** Result of a linearizable read of the routes and the restricted requests. */
+export interface FleetReadResult extends RoutesReadResult {
+  readonly restricted: readonly CrashingRequestItem[]
+}
+
 /**
  * Incarnation of the seeds' disks when they found the group, so that each seed can derive the holder ids of the others.
  */
@@ -187,20 +192,21 @@
 }
 
 /**
- * Reads the current routes; a quorum confirms that they are the latest.
+ * Reads the current routes and restricted requests; a quorum confirms that they are the latest.
  *
  * @param isRelayed whether another control VM forwarded the read; it is not forwarded again
  * @throws LynxError if no quorum confirms that they are the latest
  */
-export async function readRoutes (control: FleetControl, isRelayed = false): Promise<RoutesReadResult> {
+export async function readRoutes (control: FleetControl, isRelayed = false): Promise<FleetReadResult> {
   const { host, node } = control
   if (isLeading(host)) {
     await confirmRead(host)
-    return { routesVersion: getRoutesVersion(host.machine.config), set: findRouteSet(host.machine.config) }
+    const { config } = host.machine
+    return { routesVersion: getRoutesVersion(config), set: findRouteSet(config), restricted: listItems(config, 'crashingRequest').filter(isRestricted) }
   }
   const leader = getLeaderAddress(control)
   if (leader === undefined || leader === node.cfg.rpc || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step: 'read' })
-  return await callPeer<RoutesReadResult>(node.client, leader, 'fleet.read', {}, submitTimeoutMs)
+  return await callPeer<FleetReadResult>(node.client, leader, 'fleet.read', {}, submitTimeoutMs)
 }
 
 /**
