Stop requests that end servers on the service-addressed path too

Change: what an entry VM does about such requests moves to core/crashes, behind one abstract channel to the control VMs; the service-addressed entry reports ends and answers to the leader, claims trials there, and refuses blocked requests: idempotent ones at once, those that must not repeat after `not-run` is recorded. The leader's side is the same register and the same trials. A body that is streamed to the server has no known contents, so such a request is neither counted nor refused.

The fleet's decisions are unchanged; their code moved.

--- a/packages/daemon/__tests__/crashingRequests.test.ts
+++ b/packages/daemon/__tests__/crashingRequests.test.ts
@@ -68,7 +68,7 @@
 
 /** Waits until all entry VMs restrict the given number of requests. */
 async function waitForRestrictions (fixture: FleetFixture, count: number): Promise<void> {
-  await waitUntil(() => fixture.daemons.every(daemon => daemon?.gateway === undefined || daemon.gateway.restrictedRequests.size === count))
+  await waitUntil(() => fixture.daemons.every(daemon => daemon?.gateway === undefined || daemon.gateway.crashes.restricted.size === count))
 }
 
 /** Sends the crashing request until it is blocked at all VMs. */
@@ -78,7 +78,7 @@
     return listRestricted(fixture).some(({ state }) => state === 'blocked')
   })
   const { blockedUntil } = listRestricted(fixture)[0] as CrashingRequestItem
-  await waitUntil(() => fixture.daemons.every(daemon => daemon?.gateway === undefined || [...daemon.gateway.restrictedRequests.values()].includes(blockedUntil)))
+  await waitUntil(() => fixture.daemons.every(daemon => daemon?.gateway === undefined || [...daemon.gateway.crashes.restricted.values()].includes(blockedUntil)))
 }
 
 /** Guards against other requests that are turned away with the one that ends servers. */
--- a/packages/daemon/src/core/gateway/requestFingerprint.ts
+++ b/packages/daemon/src/core/crashes/requestFingerprint.ts
@@ -1,5 +1,6 @@
 /** Recognizes the same request when it arrives again: with another id, over another connection or at another VM. */
 import { createHash } from 'node:crypto'
+import type { IncomingHttpHeaders } from 'node:http'
 import { brandId } from '@lynxcourse/base'
 import type { RequestFingerprint } from '@lynxcourse/base'
 
@@ -13,6 +14,11 @@
   readonly body: Buffer | null
 }
 
+/** Returns the credentials by which a caller identifies itself; empty if there are none. */
+export function getCallerIdentity ({ authorization, cookie }: IncomingHttpHeaders): string {
+  return authorization ?? cookie ?? ''
+}
+
 /** Returns a digest of a request's contents. */
 export function computeFingerprint ({ method, host, path, identity, body }: RequestContents): RequestFingerprint {
   const hash = createHash('sha256').update(JSON.stringify([method, host, path, identity]))
--- a/packages/daemon/src/core/gateway/serverProbe.ts
+++ b/packages/daemon/src/core/crashes/serverProbe.ts
@@ -1,7 +1,6 @@
 /** Tells the end of a server's process from the end of a single connection to it. */
 import { connect } from 'node:net'
 import type { Millis, ServerId } from '@lynxcourse/base'
-import type { ServerFacts } from '@lynxcourse/placement'
 
 /** `ended` if the server's port refuses connections, `unknown` if nothing answered in time. */
 export type ProbeResult = 'ended' | 'running' | 'unknown'
@@ -9,8 +8,13 @@
 /** Probes in progress; all requests that a server failed at the same moment share one. */
 export type ServerProbes = Map<ServerId, Promise<ProbeResult>>
 
+export interface ProbedServer {
+  readonly id: ServerId
+  readonly address: string
+}
+
 /** Opens a connection to a server without sending anything, unless another probe of the server is in progress. */
-export async function probeServer (probes: ServerProbes, { id, address }: Pick<ServerFacts, 'id' | 'address'>, timeoutMs: Millis): Promise<ProbeResult> {
+export async function probeServer (probes: ServerProbes, { id, address }: ProbedServer, timeoutMs: Millis): Promise<ProbeResult> {
   const pending = probes.get(id)
   if (pending !== undefined) return await pending
   const probe = openConnection(address, timeoutMs)
--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -29,6 +29,7 @@
 import { startLoadPolling } from './entry/loadPolling.js'
 import { addChangeMethod } from './node/changes.js'
 import { addClaimMethod } from './node/claimService.js'
+import { addCrashMethods } from './node/crashService.js'
 import { createControlEnv, createNode, hasControlRole, hasEntryRole } from './node/node.js'
 import type { Node, NodeDeps } from './node/node.js'
 import { addQueryMethods } from './node/queries.js'
@@ -96,6 +97,7 @@
   const leaderTasks = addResource(stack, startLeaderTasks(node, control))
   addClusterMethods(rpc, control)
   addClaimMethod(rpc, control)
+  addCrashMethods(rpc, control)
   addReportMethod(rpc, leaderTasks)
   addResource(stack, repeat(tickIntervalMs, () => enqueueEvent(control, { type: 'tick' }), () => undefined))
   addResource(stack, keepJoining(control))
--- a/packages/daemon/src/core/entry/attemptSteps.ts
+++ b/packages/daemon/src/core/entry/attemptSteps.ts
@@ -1,14 +1,15 @@
 /** Steps of all requests, idempotent or not: acquiring a slot, running an attempt, logging. */
-import { isFinal, nextState } from '@lynxcourse/base'
-import { isLeaseValid } from '@lynxcourse/membership'
-import { needsPoll, recordPoll } from '@lynxcourse/placement'
-import type { Millis } from '@lynxcourse/base'
+import { brandId, getErrorMessage, isFinal, nextState } from '@lynxcourse/base'
+import { findServer, isLeaseValid } from '@lynxcourse/membership'
+import { isServerError, needsPoll, recordPoll } from '@lynxcourse/placement'
+import type { Millis, ServerId } from '@lynxcourse/base'
 import type { AttemptOutcome } from '@lynxcourse/routing'
 import type { CancelSignal } from '../../utils/cancelSignal.js'
 import { getCurrentTime } from '../../utils/clock.js'
 import { isLogged, log } from '../../utils/logging.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
 import type { FinalAnswer } from '../../types/answers.js'
+import { inspectFailedSend, reportAnswered } from '../crashes/crashWatch.js'
 import { runAttempt } from './attempts.js'
 import type { AttemptResult } from './attempts.js'
 import type { ServedRequest } from './servedRequest.js'
@@ -74,6 +75,7 @@
 export async function runAttemptInSlot (serving: ServedRequest, slot: Slot, signal: CancelSignal): Promise<AttemptResult> {
   logSent(serving, slot)
   const result = await runAttempt(serving.entry, serving.request, slot, signal)
+  learnOfEnds(serving, slot, result).catch((err: unknown) => log(serving.entry.node.logs, 'route', 'error', 'Reporting a send failed.', { id: serving.request.id, error: getErrorMessage(err) }))
   if (result.type === 'answered' && !Buffer.isBuffer(result.body)) {
     result.body.once('close', () => releaseSlot(serving.entry, slot, getAttemptOutcome(result)))
     return result
@@ -82,11 +84,20 @@
   return result
 }
 
-const minServerErrorStatus = 500
+/** Reports what an attempt shows about requests that end servers. */
+async function learnOfEnds ({ entry, request: { watched }, isTrial }: ServedRequest, slot: Slot, result: AttemptResult): Promise<void> {
+  if (watched === undefined) return
+  const { id, address } = slot.observed.backend
+  if (result.type === 'lost' && result.reason === 'failed') {
+    const bornAt = findServer(entry.node.directory, id)?.incarnation ?? 0
+    await inspectFailedSend(entry.crashes, watched, { id: brandId<ServerId>(id), address, bornAt }, isTrial)
+  }
+  if (result.type === 'answered' && !isServerError(result.status)) await reportAnswered(entry.crashes, watched)
+}
 
 function getAttemptOutcome (result: AttemptResult): AttemptOutcome {
   switch (result.type) {
-    case 'answered': return result.status >= minServerErrorStatus ? 'failed' : 'answered'
+    case 'answered': return isServerError(result.status) ? 'failed' : 'answered'
     case 'shed': return 'shed'
     case 'notSent': return 'failed'
     case 'lost': return result.reason === 'gone' || result.reason === 'silent' ? 'cancelled' : 'failed'
--- a/packages/daemon/src/core/entry/entry.ts
+++ b/packages/daemon/src/core/entry/entry.ts
@@ -15,10 +15,13 @@
 import type { RateLimit } from '../../utils/rateLimit.js'
 import type { DrainRemaining, RegionLoad, ReportSource } from '../node/reporting.js'
 import type { Node } from '../node/node.js'
+import { createCrashWatch, refreshRestrictions } from '../crashes/crashWatch.js'
+import type { CrashWatch } from '../crashes/crashWatch.js'
 import { createConnectionPool } from './connectionPool.js'
 import type { ConnectionPool } from './connectionPool.js'
 import type { ClaimClient } from './claimClient.js'
 import type { LookupAnswer } from './lookupAnswer.js'
+import { ServiceCrashChannel } from './serviceCrashChannel.js'
 import type { ServiceQueue } from './serviceQueue.js'
 
 /** Identifies a request in progress at this VM. */
@@ -35,6 +38,7 @@
   readonly loop: LoopMonitor
   readonly attemptChart: Chart
   readonly claiming: ClaimClient
+  readonly crashes: CrashWatch
   lookupIndex: LookupIndex
   /** Lookup answers by service and region, one for each bucket of callers; cleared by `refreshRoutingState`. */
   lookupCache: Map<ServiceId, Map<RegionId | undefined, LookupAnswer[]>>
@@ -85,6 +89,7 @@
     loop,
     attemptChart: loadChart('attempt'),
     claiming,
+    crashes: createCrashWatch(node.logs, node.metrics, new ServiceCrashChannel(node), times.connectTimeoutMs),
     lookupIndex: buildLookupIndex([]),
     lookupCache: new Map(),
     profiles: new Map(),
@@ -114,6 +119,7 @@
   if (!entry.needsRefresh) return
   entry.needsRefresh = false
   const { node } = entry
+  refreshRestrictions(entry.crashes, node.config)
   const drains = listActiveDrains(node.config)
   const regions = drains.filter(drain => drain.target.kind === 'region')
   entry.drained = new Set(regions.map(drain => drain.target.name as RegionId))
--- a/packages/daemon/src/core/entry/forwarding.ts
+++ b/packages/daemon/src/core/entry/forwarding.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { isLeaseValid } from '@lynxcourse/membership'
 import { createCallerLiveness } from '@lynxcourse/placement'
+import type { TrialAnswer } from '@lynxcourse/placement'
 import { earnRetry, getRoundTripMs, getMeanServiceMs, countAvailableSlots } from '@lynxcourse/routing'
 import type { AdmissionInput, CandidateRegion } from '@lynxcourse/routing'
 import type { Millis } from '@lynxcourse/base'
@@ -9,6 +10,7 @@
 import { getCurrentTime } from '../../utils/clock.js'
 import { recordRequestRead } from '../../utils/loopMonitor.js'
 import type { FinalAnswer } from '../../types/answers.js'
+import { claimTrial, findRestriction } from '../crashes/crashWatch.js'
 import { getCallerInfo, getCandidateRegions } from './callerRegions.js'
 import { refreshRoutingState } from './entry.js'
 import type { EntryState } from './entry.js'
@@ -66,10 +68,28 @@
   refreshRoutingState(entry, now)
   earnRetry(getRetryBudget(entry, request.service), request.profile.retryBudget)
   const places = getAllowedRegions(entry, request, address, now)
-  const serving: ServedRequest = { entry, request, places, signal, liveness: createCallerLiveness(), admission: getAdmissionInput(entry, request, places, now) }
+  const trial = await claimTrialIfRestricted(entry, request, now)
+  const serving: ServedRequest = {
+    entry,
+    request,
+    places,
+    signal,
+    liveness: createCallerLiveness(),
+    admission: getAdmissionInput(entry, request, places, getCurrentTime()),
+    isTrial: trial?.isGranted === true,
+    restrictedForMs: trial?.isGranted === false ? trial.retryAfterMs : undefined
+  }
   return request.isIdempotent ? await serveIdempotent(serving) : await serveOnce(serving)
 }
 
+/** Returns whether a restricted request may be sent as a trial; undefined for any other request. */
+async function claimTrialIfRestricted ({ crashes }: EntryState, { watched }: ServiceRequest, now: Millis): Promise<TrialAnswer | undefined> {
+  const restriction = watched === undefined ? undefined : findRestriction(crashes, watched, now)
+  if (watched === undefined || restriction === undefined) return undefined
+  if (restriction.type === 'blocked') return { isGranted: false, retryAfterMs: restriction.retryAfterMs }
+  return await claimTrial(crashes, watched, now)
+}
+
 /**
  * Returns the regions that may serve a request. A VM without a lease on the configuration cannot know of drains and
  * shifts: it allows no region, or only its own for a read whose profile says `local`.
--- a/packages/daemon/src/core/entry/serveIdempotent.ts
+++ b/packages/daemon/src/core/entry/serveIdempotent.ts
@@ -11,7 +11,8 @@
 import type { AttemptChartState } from './attemptSteps.js'
 import type { AttemptResult } from './attempts.js'
 import { createAnswer } from './finalAnswers.js'
-import { getRetryBudget, getRetryDelayMs, canServeInTime } from './servedRequest.js'
+import { findRestriction } from '../crashes/crashWatch.js'
+import { getAdmissionFailure, getRetryBudget, getRetryDelayMs, canServeInTime } from './servedRequest.js'
 import type { ServedRequest } from './servedRequest.js'
 import { getQueueLength } from './slots.js'
 import type { Slot } from './serviceQueue.js'
@@ -39,7 +40,7 @@
 export async function serveIdempotent (serving: ServedRequest): Promise<FinalAnswer> {
   const life = { state: serving.entry.attemptChart.initial }
   const run: IdempotentRun = { serving, life, triedServers: new Set(), attempts: 0, sheds: 0, sent: false }
-  if (!canServeInTime(serving)) return failRequest(run, 'no capacity in time')
+  if (!canServeInTime(serving)) return failRequest(run, getAdmissionFailure(serving))
   while (!hasEnded(serving, life)) {
     const slot = await acquireUsableSlot(serving, run.triedServers, serving.request.deadline)
     if (typeof slot === 'string') return failRequest(run, slot === 'full' ? 'queue is full' : 'no slot in time')
@@ -62,7 +63,9 @@
   if (result.type === 'lost') run.sent = true
   const isTerminal = result.type === 'lost' && (result.reason === 'deadline' || result.reason === 'gone')
   if (isTerminal || getCurrentTime() >= serving.request.deadline) return failRequest(run, 'deadline passed')
-  const mayRetry = run.attempts < serving.request.profile.maxAttempts && canRetryAfterSheds(run.sheds, getQueueLength(serving.entry, serving.request.service)) && serving.request.isReplayable
+  const { watched } = serving.request
+  const isRestricted = watched !== undefined && findRestriction(serving.entry.crashes, watched, getCurrentTime()) !== undefined
+  const mayRetry = !(isRestricted && run.sent) && run.attempts < serving.request.profile.maxAttempts && canRetryAfterSheds(run.sheds, getQueueLength(serving.entry, serving.request.service)) && serving.request.isReplayable
   // A shed costs the server no work, so a retry after it spends nothing from the retry budget.
   const hasBudget = result.type === 'shed' || spendRetry(getRetryBudget(serving.entry, serving.request.service))
   if (!mayRetry || !hasBudget) return failRequest(run, result.type === 'shed' ? 'servers shed' : 'attempts failed')
@@ -98,7 +101,7 @@
 async function runHedgedAttempt (run: IdempotentRun, slot: Slot): Promise<FinishedAttempt> {
   const { serving } = run
   const { hedgeAfterMs, maxAttempts } = serving.request.profile
-  const mayHedge = hedgeAfterMs > 0 && run.attempts + 1 < maxAttempts && serving.request.isReplayable
+  const mayHedge = !serving.isTrial && hedgeAfterMs > 0 && run.attempts + 1 < maxAttempts && serving.request.isReplayable
   if (!mayHedge) return await runCountedAttempt(run, slot, serving.signal)
   const firstCancel = createLinkedSignal(serving.signal)
   const first = runCountedAttempt(run, slot, firstCancel)
--- a/packages/daemon/src/core/entry/serveOnce.ts
+++ b/packages/daemon/src/core/entry/serveOnce.ts
@@ -8,7 +8,7 @@
 import { toFinalAnswer, runAttemptInSlot, acquireUsableSlot, logNotServed } from './attemptSteps.js'
 import { claimRequestId, recordOutcome, recordOutcomeInBackground } from './claimClient.js'
 import { restoreStoredAnswer, createAnswer } from './finalAnswers.js'
-import { getRetryDelayMs, canServeInTime } from './servedRequest.js'
+import { getAdmissionFailure, getRetryDelayMs, canServeInTime } from './servedRequest.js'
 import type { ServedRequest } from './servedRequest.js'
 import type { AttemptResult } from './attempts.js'
 import { getQueueLength } from './slots.js'
@@ -47,7 +47,7 @@
     slot: undefined,
     result: undefined
   }
-  let effect = startOnceFlow(run.flow, canServeInTime(serving))
+  let effect = startOnceFlow(run.flow, canServeInTime(serving), getAdmissionFailure(serving))
   while (effect.type !== 'answer') effect = await executeEffect(run, effect)
   return finishRequest(run, effect)
 }
--- a/packages/daemon/src/core/entry/servedRequest.ts
+++ b/packages/daemon/src/core/entry/servedRequest.ts
@@ -18,16 +18,28 @@
   readonly signal: CancelSignal
   readonly liveness: CallerLiveness
   readonly admission: AdmissionInput
+  /** Whether this is the only send of a restricted request. */
+  readonly isTrial: boolean
+  /** Retry time of a request that may not be sent because servers ended under it; undefined if it may. */
+  readonly restrictedForMs: Millis | undefined
 }
 
-/** Returns whether a region may serve the request and is expected to complete it before the deadline. */
+/** Why a request that may not be sent is refused. */
+const restrictedReason = 'servers ended under this request'
+
+/** Returns whether the request may be sent, and a region may serve it and is expected to complete it before the deadline. */
 export function canServeInTime (serving: ServedRequest): boolean {
-  return serving.places.length > 0 && canCompleteInTime(serving.admission, getCurrentTime())
+  return serving.restrictedForMs === undefined && serving.places.length > 0 && canCompleteInTime(serving.admission, getCurrentTime())
+}
+
+/** Returns why a request is refused that can't be served in time. */
+export function getAdmissionFailure ({ restrictedForMs }: ServedRequest): string {
+  return restrictedForMs === undefined ? 'no capacity in time' : restrictedReason
 }
 
 /** Returns the delay after which a rejected caller should retry. */
 export function getRetryDelayMs (serving: ServedRequest): Millis {
-  return getRetryAfterMs(serving.admission)
+  return serving.restrictedForMs ?? getRetryAfterMs(serving.admission)
 }
 
 /** Returns the retry budget of a service, creating it on first use. */
--- a/packages/daemon/src/core/entry/serviceRequest.ts
+++ b/packages/daemon/src/core/entry/serviceRequest.ts
@@ -6,6 +6,8 @@
 import type { Profile } from '@lynxcourse/state'
 import { deadlineHeader, headerPrefix, requestIdHeader } from '../../types/answers.js'
 import type { HeaderMap } from '../../types/answers.js'
+import type { WatchedRequest } from '../crashes/crashWatch.js'
+import { createLazyFingerprint, getCallerIdentity } from '../crashes/requestFingerprint.js'
 import { getProfile, refreshRoutingState } from './entry.js'
 import type { EntryState } from './entry.js'
 
@@ -29,6 +31,8 @@
   readonly body: Buffer | Readable | undefined
   /** Whether the body is buffered and can be sent again. */
   readonly isReplayable: boolean
+  /** The request for the watch for requests that end servers; undefined if its body is streamed and therefore not known. */
+  readonly watched: WatchedRequest | undefined
 }
 
 const idempotentMethods = new Set(['GET', 'HEAD', 'OPTIONS'])
@@ -49,7 +53,9 @@
   const deadline = now + readDeadline(req, profile)
   const id = isIdempotent ? undefined : readRequestId(req)
   const { body, isReplayable } = hasBody(req) ? await awaitBeforeDeadline(readCallerBody(entry, req), deadline - now) : noBody
-  return { service, profile, method, path, headers: selectForwardedHeaders(req), isIdempotent, id, arrivedAt: now, deadline, body, isReplayable }
+  const contents = Buffer.isBuffer(body) || body === undefined ? { method, host: service, path, identity: getCallerIdentity(req.headers), body: body ?? null } : undefined
+  const watched = contents === undefined ? undefined : { id: id ?? '', route: service, callerAddress: req.socket.remoteAddress ?? '', deadline, getFingerprint: createLazyFingerprint(contents) }
+  return { service, profile, method, path, headers: selectForwardedHeaders(req), isIdempotent, id, arrivedAt: now, deadline, body, isReplayable, watched }
 }
 
 function splitPath (url: string): { service: ServiceId, path: string } {
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -10,13 +10,14 @@
 import { isLeading } from '../control/hostState.js'
 import type { ControlEnv, ControlHost } from '../control/hostState.js'
 import { initCluster, isBlank } from '../control/membership.js'
+import { grantControlTrial } from '../control/crashTrials.js'
 import { confirmRead, proposeCommand } from '../control/proposals.js'
 import { callPeer } from '../rpc/rpcClient.js'
 import { enqueueAnnouncement, createAnnouncementQueue } from './announcementQueue.js'
 import type { AnnouncementQueue } from './announcementQueue.js'
 import { listControlAddresses } from './fleetNode.js'
 import type { FleetNode } from './fleetNode.js'
-import { createLoadBoard, createLoadAggregate, grantTrial } from '@lynxcourse/placement'
+import { createLoadBoard, createLoadAggregate } from '@lynxcourse/placement'
 import type { LoadBoard, LoadAggregate, TrialAnswer, Trials } from '@lynxcourse/placement'
 import { createPresence, hasRecentExchange } from './presence.js'
 import type { Presence } from './presence.js'
@@ -181,11 +182,7 @@
  */
 export async function claimTrial (control: FleetControl, request: RequestFingerprint, forMs: Millis, isRelayed: boolean): Promise<TrialAnswer> {
   const { host, node, trials } = control
-  if (isLeading(host)) {
-    const item = findItem(host.machine.config, 'crashingRequest', request)
-    const blockedUntil = item === undefined || !isRestricted(item) ? undefined : item.blockedUntil
-    return grantTrial(trials, request, blockedUntil, forMs, getCurrentTime())
-  }
+  if (isLeading(host)) return grantControlTrial(host, trials, request, forMs, getCurrentTime())
   const leader = getLeaderAddress(control)
   if (leader === undefined || leader === node.cfg.rpc || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step: 'trial' })
   return await callPeer<TrialAnswer>(node.client, leader, 'fleet.claimTrial', { request, forMs, isRelayed: true }, submitTimeoutMs)
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -9,7 +9,7 @@
 import type { CancelSignal } from '../../utils/cancelSignal.js'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
-import { announcementSchema, fleetCommandSchema, serverEndFields, textSchema } from '../../types/fleetCommands.js'
+import { announcementSchema, fleetCommandSchema, serverEndFields, textSchema, trialFields } from '../../types/fleetCommands.js'
 import { addressSchema } from '../../types/settings.js'
 import { addMethod } from '../rpc/rpcServer.js'
 import { delay } from '../node/timers.js'
@@ -42,9 +42,6 @@
   readonly news: LoadUpdate
 }
 
-/** Longest time that a trial of a restricted request may take. */
-export const maxTrialMs: Millis = 600_000
-
 const presenceSchema = z.strictObject({ name: textSchema, address: addressSchema, failureDomain: textSchema, region: textSchema, isReady: z.boolean() })
 const loadAmountSchema = z.number().min(0).max(1e9)
 const serverLoadsSchema = z.array(z.tuple([textSchema, loadAmountSchema])).max(100_000)
@@ -62,7 +59,7 @@
 const announceSchema = z.strictObject({ facts: announcementSchema })
 const dismissSchema = z.strictObject({ server: textSchema, bornAt: z.number().int().min(0).optional() })
 const endsSchema = z.strictObject(serverEndFields)
-const trialSchema = z.strictObject({ request: textSchema, forMs: z.number().min(0).max(maxTrialMs), isRelayed: z.boolean() })
+const trialSchema = z.strictObject({ ...trialFields, isRelayed: z.boolean() })
 const lookupSchema = z.strictObject({ region: textSchema.optional() })
 
 /** Result of a lookup by a caller. */
--- a/packages/daemon/src/core/gateway/dialects.ts
+++ b/packages/daemon/src/core/gateway/dialects.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Millis, ServerId } from '@lynxcourse/base'
+import { getCallerIdentity } from '../crashes/requestFingerprint.js'
 import { deadlineHeader, loadHeader, notStartedHeader, requestIdHeader } from '../../types/answers.js'
 import type { HeaderMap } from '../../types/answers.js'
 
@@ -23,7 +24,7 @@
 
   /** Returns the credentials by which a caller identifies itself; empty if there are none. */
   parseIdentity (headers: IncomingHttpHeaders): string {
-    return headers.authorization ?? headers.cookie ?? ''
+    return getCallerIdentity(headers)
   }
 
   /** Names of headers that only this system sets; they are removed from callers' requests. */
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -1,6 +1,5 @@
 /** State of the gateway: the part of an entry VM that forwards callers' requests by route. */
 import { loadChart } from '@lynxcourse/base'
-import type { Millis, RequestFingerprint } from '@lynxcourse/base'
 import { createFleet } from '@lynxcourse/placement'
 import type { EntryState, Mechanism } from '@lynxcourse/placement'
 import { buildRouteTable } from '@lynxcourse/routing'
@@ -8,14 +7,14 @@
 import { defaultCallerLimits } from '@lynxcourse/state'
 import type { CallerLimits } from '@lynxcourse/state'
 import type { LoopMonitor } from '../../utils/loopMonitor.js'
+import { createCrashWatch } from '../crashes/crashWatch.js'
+import type { CrashWatch } from '../crashes/crashWatch.js'
+import { FleetCrashChannel } from '../fleet/fleetCrashChannel.js'
 import type { FleetNode } from '../fleet/fleetNode.js'
 import { createConnectionPool } from '../entry/connectionPool.js'
 import type { ConnectionPool } from '../entry/connectionPool.js'
-import { createCrashReports } from './crashReports.js'
-import type { CrashReports } from './crashReports.js'
 import type { CallerDialect, ServerDialect } from './dialects.js'
 import type { Pipelines } from './pipeline.js'
-import type { ServerProbes } from './serverProbe.js'
 
 export interface Gateway extends EntryState {
   readonly node: FleetNode
@@ -23,10 +22,7 @@
   readonly servers: ServerDialect
   readonly pool: ConnectionPool
   readonly splits: SplitStates
-  readonly probes: ServerProbes
-  readonly crashReports: CrashReports
-  /** End of the block of each request that may not be sent like others. */
-  restrictedRequests: ReadonlyMap<RequestFingerprint, Millis>
+  readonly crashes: CrashWatch
   /** Bounds the read delay of requests. */
   readonly loop: LoopMonitor
   routeTable: RouteTable
@@ -53,9 +49,7 @@
     fleet: createFleet(setup, node.entryNames),
     load: node.load,
     splits: new Map(),
-    probes: new Map(),
-    crashReports: createCrashReports(),
-    restrictedRequests: new Map(),
+    crashes: createCrashWatch(node.logs, node.metrics, new FleetCrashChannel(node), connectTimeoutMs),
     retries: new Map(),
     loop,
     routeTable: buildRouteTable([]),
--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -3,8 +3,9 @@
 import { createFleetServer, forgetServer, groupServersByService, applyWeights } from '@lynxcourse/placement'
 import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/placement'
 import { buildRouteTable } from '@lynxcourse/routing'
-import { listItems, findRouteSet, isRestricted } from '@lynxcourse/state'
+import { listItems, findRouteSet } from '@lynxcourse/state'
 import type { BackendItem, Config, RouteSet } from '@lynxcourse/state'
+import { refreshRestrictions } from '../crashes/crashWatch.js'
 import type { FleetNode } from '../fleet/fleetNode.js'
 import type { Gateway } from './gateway.js'
 
@@ -20,7 +21,7 @@
     gateway.limits = routeSet.limits
     for (const upstream of routeSet.upstreams) fleet.coldRequestRates.set(upstream.name, upstream.warmupPerSecond)
   }
-  gateway.restrictedRequests = new Map(listItems(node.config, 'crashingRequest').filter(isRestricted).map(item => [item.key, item.blockedUntil]))
+  refreshRestrictions(gateway.crashes, node.config)
   fleet.vms = node.entryNames
   refreshServers(fleet, node, routeSet, now)
 }
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -1,20 +1,20 @@
 /** Serves one request: carries out the steps that placement decides on, until there is a final answer. */
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { beginSend, endSend, getRestriction, isServerError, isServerUnresponsive, mayFailOver, decideNextStep, recordPoll, recordTrialAnswer, updateWaitingCount, startRequest } from '@lynxcourse/placement'
-import type { DecisionConditions, InFlightSend, Placement, PlacementRequest, Refusal, RequestRestriction, RequestState, RequestStep } from '@lynxcourse/placement'
+import { beginSend, endSend, isServerError, isServerUnresponsive, mayFailOver, decideNextStep, recordPoll, recordTrialAnswer, updateWaitingCount, startRequest } from '@lynxcourse/placement'
+import type { DecisionConditions, InFlightSend, Placement, PlacementRequest, Refusal, RequestState, RequestStep } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
+import { claimTrial, findRestriction, inspectFailedSend, reportAnswered } from '../crashes/crashWatch.js'
+import type { WatchedRequest } from '../crashes/crashWatch.js'
 import { delay } from '../node/timers.js'
 import { createObjectKey } from './call.js'
 import type { Call, CallAnswer } from './call.js'
-import { inspectFailedSend, reportAnswered } from './crashReports.js'
 import type { Gateway } from './gateway.js'
 import { logRefusal, logSend, getTimeFields } from './requestLog.js'
 import { sendOnce } from './sending.js'
 import type { SendTimeouts, SendResult } from './sending.js'
-import { claimTrial } from './trials.js'
 
 const statusUnavailable = 503
 
@@ -42,7 +42,7 @@
         recordPoll(call.liveness, (await waitForPoll(gateway.loop.polls)).beganAt)
         break
       case 'claimTrial':
-        recordTrialAnswer(state, await claimTrial(gateway, call))
+        recordTrialAnswer(state, await claimTrial(gateway.crashes, getWatchedRequest(call), getCurrentTime()))
         break
       case 'wait':
         await waitForCapacity(gateway, state, step.pauseMs)
@@ -61,12 +61,12 @@
 }
 
 function getConditions (gateway: Gateway, call: Call): DecisionConditions {
-  const { node } = gateway
-  return { retryBudget: node.cfg.retryBudget, isStopping: node.isLeaving, restriction: findRestriction(gateway, call) }
+  const { node, crashes } = gateway
+  return { retryBudget: node.cfg.retryBudget, isStopping: node.isLeaving, restriction: findRestriction(crashes, call, getCurrentTime()) }
 }
 
-function findRestriction ({ restrictedRequests }: Gateway, call: Call): RequestRestriction | undefined {
-  return restrictedRequests.size === 0 ? undefined : getRestriction(restrictedRequests.get(call.getFingerprint()), getCurrentTime())
+function getWatchedRequest ({ facts, route, callerAddress, deadline, getFingerprint }: Call): WatchedRequest {
+  return { id: facts.id, route: route.name, callerAddress, deadline, getFingerprint }
 }
 
 async function waitForCapacity (gateway: Gateway, state: RequestState, pauseMs: Millis): Promise<void> {
@@ -94,9 +94,9 @@
 }
 
 /** Reports what a send shows about requests that end servers. */
-async function learnOfEnds (gateway: Gateway, call: Call, sending: InFlightSend, result: SendResult): Promise<void> {
-  if (result.type === 'lost' && result.reason === 'failed') await inspectFailedSend(gateway, call, sending)
-  if (result.type === 'answered' && !isServerError(result.status)) await reportAnswered(gateway, call)
+async function learnOfEnds ({ crashes }: Gateway, call: Call, { placement, isTrial }: InFlightSend, result: SendResult): Promise<void> {
+  if (result.type === 'lost' && result.reason === 'failed') await inspectFailedSend(crashes, getWatchedRequest(call), placement.server.facts, isTrial)
+  if (result.type === 'answered' && !isServerError(result.status)) await reportAnswered(crashes, call)
 }
 
 function buildAnswer (lastResult: SendResult | undefined): CallAnswer | undefined {
--- /dev/null
+++ b/packages/daemon/src/core/node/crashService.ts
@@ -0,0 +1,26 @@
+/** The leader's side of recognizing requests that end servers, for VMs of the service-addressed kind. */
+import { LynxError, brandId } from '@lynxcourse/base'
+import type { RequestFingerprint } from '@lynxcourse/base'
+import type { Trials } from '@lynxcourse/placement'
+import type { ReportServerEndsCommand } from '@lynxcourse/state'
+import * as z from 'zod'
+import { serverEndFields, trialFields } from '../../types/fleetCommands.js'
+import { getCurrentTime } from '../../utils/clock.js'
+import { grantControlTrial } from '../control/crashTrials.js'
+import { proposeCommand } from '../control/proposals.js'
+import type { ControlHost } from '../control/hostState.js'
+import { addMethod } from '../rpc/rpcServer.js'
+import type { RpcServer } from '../rpc/rpcServer.js'
+
+/** Adds the methods `crashes.report` and `crashes.claimTrial`. */
+export function addCrashMethods (rpc: RpcServer, control: ControlHost): void {
+  const trials: Trials = new Map()
+  addMethod(rpc, 'crashes.report', ['vm'], z.strictObject(serverEndFields), async report => {
+    const command: ReportServerEndsCommand = { type: 'reportServerEnds', ...report as unknown as Omit<ReportServerEndsCommand, 'type'> }
+    const answer = await proposeCommand(control, command)
+    if (answer.type !== 'change') throw new LynxError('badRpc', 'the state machine returned no answer to the report', { step: 'report' })
+    return {}
+  })
+  addMethod(rpc, 'crashes.claimTrial', ['vm'], z.strictObject(trialFields), ({ request, forMs }) =>
+    grantControlTrial(control, trials, brandId<RequestFingerprint>(request), forMs, getCurrentTime()))
+}
--- a/packages/daemon/src/types/fleetCommands.ts
+++ b/packages/daemon/src/types/fleetCommands.ts
@@ -55,6 +55,9 @@
 /** Fields of a report of ended servers. */
 export const serverEndFields = { ends: z.array(serverEndSchema).max(maxListLength), answered: texts }
 
+/** Fields of a claim of a trial. */
+export const trialFields = { request: textSchema, forMs: count }
+
 /** Schema of a command. */
 export const fleetCommandSchema = z.discriminatedUnion('type', [
   z.looseObject({ type: z.literal('replaceRoutes'), ...routeChangeFields, set: z.looseObject({ routes: z.array(routeSchema).max(maxRoutes), upstreams: z.array(upstreamSchema).max(maxRoutes), limits: limitsSchema }) }),
--- a/packages/routing/src/core/onceFlow.ts
+++ b/packages/routing/src/core/onceFlow.ts
@@ -52,9 +52,12 @@
   return { type: 'recordNotRun', reason }
 }
 
-/** Starts the flow. A request that cannot complete before its deadline is refused before any work is spent on it. */
-export function startOnceFlow (flow: OnceFlow, isAdmitted: boolean): OnceEffect {
-  if (!isAdmitted) return refuse(flow, 'no capacity in time')
+/**
+ * Starts the flow. A request that cannot complete before its deadline, or may not be sent, is refused before any work is
+ * spent on it.
+ */
+export function startOnceFlow (flow: OnceFlow, isAdmitted: boolean, refusalReason = 'no capacity in time'): OnceEffect {
+  if (!isAdmitted) return refuse(flow, refusalReason)
   applyEvent(flow, 'claim')
   return { type: 'claim' }
 }
