Compare copies of the state only once the control VM holds all servers

The test asked a control VM twice for its whole state and compared the number of items. It now waits until this control VM holds all 315 servers. Check and bound are as they were.

--- a/packages/daemon/__tests__/stateCompression.test.ts
+++ b/packages/daemon/__tests__/stateCompression.test.ts
@@ -6,6 +6,7 @@
 import { brandId } from '@lynxcourse/base'
 import type { ServerId } from '@lynxcourse/base'
 import { getCurrentTime, handleAnnouncement } from '@lynxcourse/daemon'
+import { listItems } from '@lynxcourse/state'
 import { getControl, publishRoutes, createRouteToDesk, startFleetFixture, startTestServer, waitUntil } from './support/fleetFixture.js'
 
 /** Number of servers of a large deployment. */
@@ -28,6 +29,8 @@
     const address = `10.${index % 9}.64.${index % 250}:${8000 + index}`
     await waitUntil(async () => await handleAnnouncement(getControl(fixture, 0), { ...server.facts, id, address }, getCurrentTime()).then(() => true, () => false))
   }
+  // A change is confirmed by a quorum; this control VM, a follower perhaps, may apply it later.
+  await waitUntil(() => listItems(getControl(fixture, 0).host.machine.config, 'backend').length === serverCount)
   const self = { name: 'asking', address: '127.0.0.1:1', failureDomain: 'kochi-a', region: 'kochi', isReady: false }
   const watch = { jsonrpc: '2.0', id: 1, method: 'fleet.watch', params: { version: 0, waitMs: 0, weights: 0, self } }
   const requestState = async (accepted: string): Promise<Buffer> => {
