--- a/packages/daemon/src/core/crashes/crashWatch.ts
+++ b/packages/daemon/src/core/crashes/crashWatch.ts
@@ -5,6 +5,7 @@
 import type { RequestRestriction, TrialAnswer } from '@lynxcourse/placement'
 import { isRestricted, listItems } from '@lynxcourse/state'
 import type { Config } from '@lynxcourse/state'
+import { maxTrialMs } from '../../types/fleetCommands.js'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import type { Logs } from '../../utils/logging.js'
@@ -90,8 +91,6 @@
 
 /** Retry time for callers if no control VM answers a claim of a trial. */
 const noAnswerRetryMs: Millis = 500
-/** Longest time that a trial may take. */
-const maxTrialMs: Millis = 600_000
 
 /** Asks the leader whether this VM may send a restricted request as a trial; without an answer there is none. */
 export async function claimTrial ({ channel, logs }: CrashWatch, { id, deadline, getFingerprint }: WatchedRequest, now: Millis): Promise<TrialAnswer> {
--- a/packages/daemon/src/types/fleetCommands.ts
+++ b/packages/daemon/src/types/fleetCommands.ts
@@ -4,6 +4,7 @@
  * Every control VM applies every committed command. One that can't be applied would stop all of them, so a command is
  * validated before it is proposed. Fields of later versions pass through.
  */
+import type { Millis } from '@lynxcourse/base'
 import * as z from 'zod'
 import { addressSchema } from './settings.js'
 
@@ -55,8 +56,11 @@
 /** Fields of a report of ended servers. */
 export const serverEndFields = { ends: z.array(serverEndSchema).max(maxListLength), answered: texts }
 
+/** Longest time that a trial of a restricted request may take. */
+export const maxTrialMs: Millis = 600_000
+
 /** Fields of a claim of a trial. */
-export const trialFields = { request: textSchema, forMs: count }
+export const trialFields = { request: textSchema, forMs: z.number().min(0).max(maxTrialMs) }
 
 /** Schema of a command. */
 export const fleetCommandSchema = z.discriminatedUnion('type', [
