Count the end of a server for the request that explains most ends

It is popular and long, so it was at three of the servers that a crashing request ended, and was suspected as well; most of its callers leave before the answer, so its trials had no result, and each kept the next one away for 2.5 s.

Change: a request is suspected only for ends that no other request with more ends explains, and released once another one does; answers still clear counts, so a popular request does not hide a crashing one. A trial that reached no server is taken back at once. Trials whose result nobody saw still keep the next one away, twice as long each time: their servers may have ended.

--- a/packages/daemon/src/core/crashes/crashChannel.ts
+++ b/packages/daemon/src/core/crashes/crashChannel.ts
@@ -24,4 +24,11 @@
    * @throws LynxError if there is no answer by the deadline
    */
   abstract claimTrial (request: RequestFingerprint, forMs: Millis, deadline: Millis): Promise<TrialAnswer>
+
+  /**
+   * Tells the leader that no server got the request of a trial.
+   *
+   * @throws LynxError if no control VM has accepted it by the deadline
+   */
+  abstract cancelTrial (request: RequestFingerprint, deadline: Millis): Promise<void>
 }
--- a/packages/daemon/src/core/crashes/crashWatch.ts
+++ b/packages/daemon/src/core/crashes/crashWatch.ts
@@ -105,3 +105,13 @@
     return { isGranted: false, retryAfterMs: noAnswerRetryMs }
   }
 }
+
+/** Tells the leader that no server got the request of a trial. If it can't be told, the trial lasts until its time is over. */
+export async function cancelTrial ({ channel, logs }: CrashWatch, { id, getFingerprint }: WatchedRequest): Promise<void> {
+  const request = getFingerprint()
+  try {
+    await channel.cancelTrial(request, getCurrentTime() + channel.timeoutMs)
+  } catch (err) {
+    log(logs, 'route', 'warn', 'Trial could not be cancelled.', { id, request, error: getErrorMessage(err) })
+  }
+}
--- a/packages/daemon/src/core/entry/forwarding.ts
+++ b/packages/daemon/src/core/entry/forwarding.ts
@@ -10,7 +10,7 @@
 import { getCurrentTime } from '../../utils/clock.js'
 import { recordRequestRead } from '../../utils/loopMonitor.js'
 import type { FinalAnswer } from '../../types/answers.js'
-import { claimTrial, findRestriction } from '../crashes/crashWatch.js'
+import { cancelTrial, claimTrial, findRestriction } from '../crashes/crashWatch.js'
 import { getCallerInfo, getCandidateRegions } from './callerRegions.js'
 import { refreshRoutingState } from './entry.js'
 import type { EntryState } from './entry.js'
@@ -79,7 +79,10 @@
     isTrial: trial?.isGranted === true,
     restrictedForMs: trial?.isGranted === false ? trial.retryAfterMs : undefined
   }
-  return request.isIdempotent ? await serveIdempotent(serving) : await serveOnce(serving)
+  const answer = request.isIdempotent ? await serveIdempotent(serving) : await serveOnce(serving)
+  const isTrialUnused = serving.isTrial && answer.outcome === 'not-run'
+  if (isTrialUnused && request.watched !== undefined) await cancelTrial(entry.crashes, request.watched)
+  return answer
 }
 
 /** Returns whether a restricted request may be sent as a trial; undefined for any other request. */
--- a/packages/daemon/src/core/entry/serviceCrashChannel.ts
+++ b/packages/daemon/src/core/entry/serviceCrashChannel.ts
@@ -29,6 +29,10 @@
     return await this.#callLeader<TrialAnswer>('crashes.claimTrial', { request, forMs }, deadline)
   }
 
+  override async cancelTrial (request: RequestFingerprint, deadline: Millis): Promise<void> {
+    await this.#callLeader('crashes.cancelTrial', { request }, deadline)
+  }
+
   async #callLeader<Result> (method: string, params: object, deadline: Millis): Promise<Result> {
     const leader = getLeaderAddress(this.#node)
     if (leader === '') throw new LynxError('notLeader', 'no leader is known', { step: method })
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -17,7 +17,7 @@
 import type { AnnouncementQueue } from './announcementQueue.js'
 import { listControlAddresses } from './fleetNode.js'
 import type { FleetNode } from './fleetNode.js'
-import { createLoadBoard, createLoadAggregate } from '@lynxcourse/placement'
+import { cancelTrial, createLoadBoard, createLoadAggregate } from '@lynxcourse/placement'
 import type { LoadBoard, LoadAggregate, TrialAnswer, Trials } from '@lynxcourse/placement'
 import { createPresence, hasRecentExchange } from './presence.js'
 import type { Presence } from './presence.js'
@@ -188,6 +188,20 @@
   return await callPeer<TrialAnswer>(node.client, leader, 'fleet.claimTrial', { request, forMs, isRelayed: true }, submitTimeoutMs)
 }
 
+/**
+ * Takes back a trial in which no server got the request, at the leader.
+ *
+ * @param isRelayed whether another control VM forwarded the call; it is not forwarded again
+ * @throws LynxError if no leader can be reached
+ */
+export async function cancelFleetTrial (control: FleetControl, request: RequestFingerprint, isRelayed: boolean): Promise<void> {
+  const { host, node, trials } = control
+  const leader = getLeaderAddress(control)
+  if (isLeading(host)) cancelTrial(trials, request)
+  else if (leader === undefined || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step: 'trial' })
+  else await callPeer(node.client, leader, 'fleet.cancelTrial', { request, isRelayed: true }, submitTimeoutMs)
+}
+
 /**
  * Reads the current routes and restricted requests; a quorum confirms that they are the latest.
  *
--- a/packages/daemon/src/core/fleet/fleetCrashChannel.ts
+++ b/packages/daemon/src/core/fleet/fleetCrashChannel.ts
@@ -25,4 +25,8 @@
   override async claimTrial (request: RequestFingerprint, forMs: Millis, deadline: Millis): Promise<TrialAnswer> {
     return await callAnyControl<TrialAnswer>(this.#node, 'fleet.claimTrial', { request, forMs, isRelayed: false }, deadline)
   }
+
+  override async cancelTrial (request: RequestFingerprint, deadline: Millis): Promise<void> {
+    await callAnyControl(this.#node, 'fleet.cancelTrial', { request, isRelayed: false }, deadline)
+  }
 }
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -14,7 +14,7 @@
 import { addMethod } from '../rpc/rpcServer.js'
 import { delay } from '../node/timers.js'
 import type { RpcCall, RpcServer } from '../rpc/rpcServer.js'
-import { claimTrial, dismissServer, readRoutes, getStateAge, submitFleetCommand, handleAnnouncement } from './fleetControl.js'
+import { claimTrial, dismissServer, cancelFleetTrial, readRoutes, getStateAge, submitFleetCommand, handleAnnouncement } from './fleetControl.js'
 import type { FleetCommand, FleetControl } from './fleetControl.js'
 import type { ControlEndpoint } from './fleetNode.js'
 import { recordWatchingEntry, applyPresenceReport } from './presence.js'
@@ -102,6 +102,10 @@
   })
   addMethod(rpc, 'fleet.claimTrial', ['vm'], trialSchema, async ({ request, forMs, isRelayed }) =>
     await claimTrial(control, brandId<RequestFingerprint>(request), forMs, isRelayed))
+  addMethod(rpc, 'fleet.cancelTrial', ['vm'], z.strictObject({ request: textSchema, isRelayed: z.boolean() }), async ({ request, isRelayed }) => {
+    await cancelFleetTrial(control, brandId<RequestFingerprint>(request), isRelayed)
+    return {}
+  })
   addMethod(rpc, 'fleet.lookup', ['vm', 'operator', 'server'], lookupSchema, ({ region }) =>
     lookUpEntries(control, region === undefined ? undefined : brandId<RegionId>(region), getCurrentTime()))
 }
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -1,12 +1,12 @@
 /** Serves one request: carries out the steps that placement decides on, until there is a final answer. */
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { beginSend, endSend, isServerError, isServerUnresponsive, mayFailOver, decideNextStep, recordPoll, recordTrialAnswer, updateWaitingCount, startRequest } from '@lynxcourse/placement'
+import { beginSend, endSend, isServerError, isServerUnresponsive, isUnusedTrial, mayFailOver, decideNextStep, recordPoll, recordTrialAnswer, updateWaitingCount, startRequest } from '@lynxcourse/placement'
 import type { DecisionConditions, InFlightSend, Placement, PlacementRequest, Refusal, RequestState, RequestStep } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
-import { claimTrial, findRestriction, inspectFailedSend, reportAnswered } from '../crashes/crashWatch.js'
+import { cancelTrial, claimTrial, findRestriction, inspectFailedSend, reportAnswered } from '../crashes/crashWatch.js'
 import type { WatchedRequest } from '../crashes/crashWatch.js'
 import { delay } from '../node/timers.js'
 import { createObjectKey } from './call.js'
@@ -30,6 +30,15 @@
 /** Serves a request until its final answer; returns undefined if the caller disconnects. */
 export async function serveCall (gateway: Gateway, call: Call): Promise<CallAnswer | undefined> {
   const state = startRequest(gateway, buildPlacementRequest(call), call.liveness, getConditions(gateway, call), getCurrentTime())
+  try {
+    return await performSteps(gateway, call, state)
+  } finally {
+    if (isUnusedTrial(state)) cancelTrial(gateway.crashes, getWatchedRequest(call)).catch(logFailure(gateway, call))
+  }
+}
+
+/** Performs the steps of a request until its final answer. */
+async function performSteps (gateway: Gateway, call: Call, state: RequestState): Promise<CallAnswer | undefined> {
   let lastResult: SendResult | undefined
   for (;;) {
     if (call.gone.aborted) return undefined
@@ -89,10 +98,15 @@
   const now = getCurrentTime()
   endSend(gateway, state, sending, result, now)
   logSend(gateway, call, state.sends, placement, report, startedAt, now)
-  learnOfEnds(gateway, call, sending, result).catch((err: unknown) => log(gateway.node.logs, 'route', 'error', 'Reporting a send failed.', { id: call.facts.id, error: getErrorMessage(err) }))
+  learnOfEnds(gateway, call, sending, result).catch(logFailure(gateway, call))
   return result
 }
 
+/** Returns a handler for errors of work that the answer does not wait for. */
+function logFailure (gateway: Gateway, call: Call): (err: unknown) => void {
+  return err => log(gateway.node.logs, 'route', 'error', 'Reporting a send failed.', { id: call.facts.id, error: getErrorMessage(err) })
+}
+
 /** Reports what a send shows about requests that end servers. */
 async function learnOfEnds ({ crashes }: Gateway, call: Call, { placement, isTrial }: InFlightSend, result: SendResult): Promise<void> {
   if (result.type === 'lost' && result.reason === 'failed') await inspectFailedSend(crashes, getWatchedRequest(call), placement.server.facts, isTrial)
--- a/packages/placement/src/core/admission/crashingRequests.ts
+++ b/packages/placement/src/core/admission/crashingRequests.ts
@@ -42,8 +42,15 @@
   }
 }
 
-/** At the leader: the time until which each trial may take. */
-export type Trials = Map<RequestFingerprint, Millis>
+/** At the leader: the last trial of each request, the oldest first. */
+export type Trials = Map<RequestFingerprint, Trial>
+
+interface Trial {
+  /** Time until which no other trial is granted. */
+  readonly until: Millis
+  /** Number of trials in a row whose result the leader did not learn. */
+  readonly count: number
+}
 
 /** The leader's answer to a VM that wants to send a restricted request. */
 export type TrialAnswer =
@@ -54,20 +61,42 @@
 const reportMs: Millis = 1000
 /** Retry time for callers of a request whose trial is in progress. */
 const trialRetryMs: Millis = 500
+/** Maximum number of requests whose last trial is remembered. */
+const maxTrials = 256
+/** Longest pause after a trial without a result. */
+const maxPauseMs: Millis = 600_000
 
 /**
- * Grants a trial unless the request is blocked or another trial of it is in progress.
+ * Grants a trial unless the request is blocked or another trial of it is in progress. A server may have ended under a trial
+ * whose result nobody saw, because its caller left; the pause until the next one doubles with each of them.
  *
  * @param blockedUntil end of its block; undefined if the request is not restricted any more
  * @param forMs longest time that the trial may take
  */
 export function grantTrial (trials: Trials, request: RequestFingerprint, blockedUntil: Millis | undefined, forMs: Millis, now: Millis): TrialAnswer {
-  for (const [other, until] of trials) if (until <= now) trials.delete(other)
   const restriction = getRestriction(blockedUntil, now)
-  if (restriction === undefined) return { isGranted: true }
-  if (restriction.type === 'blocked') return { isGranted: false, retryAfterMs: restriction.retryAfterMs }
-  const pendingUntil = trials.get(request)
-  if (pendingUntil !== undefined) return { isGranted: false, retryAfterMs: Math.min(trialRetryMs, pendingUntil - now) }
-  trials.set(request, now + forMs + reportMs)
+  if (restriction === undefined) {
+    trials.delete(request)
+    return { isGranted: true }
+  }
+  if (restriction.type === 'blocked') {
+    trials.delete(request)
+    return { isGranted: false, retryAfterMs: restriction.retryAfterMs }
+  }
+  const last = trials.get(request)
+  if (last !== undefined && now < last.until) return { isGranted: false, retryAfterMs: Math.min(trialRetryMs, last.until - now) }
+  recordTrial(trials, request, (last?.count ?? 0) + 1, forMs, now)
   return { isGranted: true }
 }
+
+function recordTrial (trials: Trials, request: RequestFingerprint, count: number, forMs: Millis, now: Millis): void {
+  trials.delete(request)
+  trials.set(request, { until: now + Math.min(maxPauseMs, (forMs + reportMs) * 2 ** (count - 1)), count })
+  const [oldest] = trials.keys()
+  if (trials.size > maxTrials && oldest !== undefined) trials.delete(oldest)
+}
+
+/** Takes back a trial in which no server got the request, so that another one can be granted at once. */
+export function cancelTrial (trials: Trials, request: RequestFingerprint): void {
+  trials.delete(request)
+}
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -123,6 +123,11 @@
   state.trial = answer
 }
 
+/** Whether the leader granted a trial in which no server may have run the request. */
+export function isUnusedTrial ({ trial, possibleRuns }: RequestState): boolean {
+  return trial?.isGranted === true && possibleRuns === 0
+}
+
 /** Adds a request to the number of those that wait for capacity, or removes it. */
 export function updateWaitingCount ({ waitingForCapacity }: EntryState, { request: { service } }: RequestState, change: 1 | -1): void {
   waitingForCapacity.set(service, (waitingForCapacity.get(service) ?? 0) + change)
--- a/packages/state/__tests__/crashingRequests.test.ts
+++ b/packages/state/__tests__/crashingRequests.test.ts
@@ -122,6 +122,32 @@
   assert.equal(getRestricted(machine, bystander), undefined)
 })
 
+/** Guards against a popular request that is turned away since it is at many of the servers that another one ends. */
+test('a request is not suspected for ends that another request explains, and is released once one does', () => {
+  const bystander = brandId<RequestFingerprint>('bystander')
+  const machine = createSuspecting()
+  for (const server of ['s4', 's5', 's6']) reportEnds(machine, [createEnd(server), createEnd(server, { request: bystander })])
+  assert.equal(getRestricted(machine, bystander), undefined)
+  const reversed = createMachine()
+  reportEnds(reversed, ['s1', 's2', 's3'].map(server => createEnd(server, { request: bystander })))
+  assert.equal(getRestricted(reversed, bystander)?.state, 'suspected')
+  reportEnds(reversed, ['s1', 's2', 's3', 's4'].map(server => createEnd(server)))
+  assert.equal(getRestricted(reversed)?.state, 'suspected')
+  assert.equal(getRestricted(reversed, bystander), undefined)
+})
+
+/** Guards against a request that goes on ending servers since a popular one was at all of them. */
+test('a request is suspected once the one that explained the same ends was answered', () => {
+  const popular = brandId<RequestFingerprint>('popular')
+  const machine = createMachine()
+  reportEnds(machine, ['s0', 's1', 's2', 's3'].map(server => createEnd(server, { request: popular })))
+  reportEnds(machine, ['s1', 's2', 's3'].map(server => createEnd(server)))
+  assert.equal(getRestricted(machine), undefined)
+  apply(machine, { type: 'reportServerEnds', ends: [], answered: [popular] })
+  assert.equal(getRestricted(machine)?.state, 'suspected')
+  assert.equal(getRestricted(machine, popular), undefined)
+})
+
 /** Guards against a control VM or an entry VM that runs out of memory while many servers end. */
 test('counted and restricted requests are bounded, and a blocked request outlives suspected ones', () => {
   const machine = createSuspecting()
--- a/packages/state/src/core/crashingRequests.ts
+++ b/packages/state/src/core/crashingRequests.ts
@@ -3,9 +3,9 @@
  *
  * An entry VM sees the end of one server under one attempt. It then tries another server, or its caller comes again, with
  * another id and at another VM, and the next server ends. All VMs therefore report such ends, and this register connects
- * them. When several servers have ended under one request, the request becomes suspected and runs as a single trial: servers
- * also end for other reasons, and take requests with them that are harmless. An answer releases the request, and clears the
- * ends that were counted before. If the server of the trial ends too, the request is blocked.
+ * them. When a request explains the ends of several servers, it becomes suspected and runs as a single trial: servers also end
+ * for other reasons, and take requests with them that are harmless. An answer releases the request, and clears the ends that
+ * were counted before. If the server of the trial ends too, the request is blocked.
  */
 import { hasTransition, nextState } from '@lynxcourse/base'
 import type { Chart, Millis, RequestFingerprint, ServerId } from '@lynxcourse/base'
@@ -14,7 +14,7 @@
 import { findItem, listItems, setItem } from './config.js'
 import type { Config } from './config.js'
 
-/** Number of servers that end under a request before it becomes suspected. */
+/** Number of ended servers that a request has to explain before it becomes suspected. */
 export const minSuspectEnds = 3
 /** How long the end of a server counts against the requests that it left unanswered. */
 export const endMemoryMs: Millis = 600_000
@@ -25,11 +25,13 @@
 export const maxCountedRequests = 4096
 /** Maximum number of restricted requests; suspected requests are released before blocked ones, the oldest first. */
 export const maxRestrictedRequests = 256
-/** Maximum number of servers listed for a request. */
+/** Maximum number of servers listed for a restricted request, and of ends counted for one request. */
 const maxListedServers = 8
+const maxCountedEnds = 64
 
-/** Servers that ended under a request that is not restricted. */
+/** Servers that ended under a request since it was last answered or released. */
 export interface CountedEnds {
+  readonly route: string
   /** Ended servers by incarnation. */
   readonly servers: ReadonlyMap<string, ServerId>
   readonly lastAt: Millis
@@ -59,14 +61,19 @@
   if (command.type === 'releaseRequest') {
     const released = advance(config, chart, command.request, 'release', version)
     if (!released) return { ok: false, code: 'notFound', detail: `no restricted request '${command.request}'`, winner: undefined }
+    register.delete(command.request)
     return accept(config)
   }
   forgetOldEnds(register, at)
-  for (const end of command.ends) applyServerEnd(config, register, chart, end, version, at)
+  for (const end of command.ends) {
+    countEnd(register, end, at)
+    if (end.isTrial) blockAfterTrial(config, chart, end, version, at)
+  }
   for (const request of command.answered) {
     register.delete(request)
     advance(config, chart, request, 'answer', version)
   }
+  updateSuspects(config, register, chart, version)
   return accept(config)
 }
 
@@ -74,34 +81,56 @@
   return { ok: true, version: config.version, itemVersion: config.version }
 }
 
-function applyServerEnd (config: Config, register: CrashRegister, chart: Chart, end: ServerEnd, version: number, at: Millis): void {
-  const item = findItem(config, 'crashingRequest', end.request)
-  if (item === undefined || !isRestricted(item)) {
-    countEnd(config, register, chart, end, item, version, at)
-    return
-  }
-  // Sends from before the restriction say nothing new: several servers may have ended at once for a reason of their own.
-  if (!end.isTrial) return
+function countEnd (register: CrashRegister, { request, route, server, bornAt }: ServerEnd, at: Millis): void {
+  const servers = new Map(register.get(request)?.servers).set(`${server} ${bornAt}`, server)
+  register.delete(request)
+  register.set(request, { route, servers, lastAt: at })
+  if (servers.size > maxCountedEnds) dropOldest(servers)
+  if (register.size > maxCountedRequests) dropOldest(register)
+}
+
+function blockAfterTrial (config: Config, chart: Chart, { request, server }: ServerEnd, version: number, at: Millis): void {
+  const item = findItem(config, 'crashingRequest', request)
+  if (item === undefined || !isRestricted(item)) return
   setItem(config, version, {
     ...item,
     state: nextState(chart, item.state, 'end'),
-    servers: [...item.servers, end.server].slice(-maxListedServers),
+    servers: [...item.servers, server].slice(-maxListedServers),
     blockedUntil: at + Math.min(maxBlockMs, firstBlockMs * 2 ** item.failedTrials),
     failedTrials: item.failedTrials + 1
   })
 }
 
-function countEnd (config: Config, register: CrashRegister, chart: Chart, end: ServerEnd, released: CrashingRequestItem | undefined, version: number, at: Millis): void {
-  const { request, route, server, bornAt } = end
-  const servers = new Map(register.get(request)?.servers).set(`${server} ${bornAt}`, server)
-  register.delete(request)
-  if (servers.size < minSuspectEnds) {
-    register.set(request, { servers, lastAt: at })
-    if (register.size > maxCountedRequests) dropOldest(register)
-    return
+/**
+ * Suspects requests that explain the ends of several servers, and releases suspected ones that no longer do.
+ *
+ * A popular request is at most servers that end, whatever ended them. The end of a server therefore counts for the request
+ * alone under which the most servers have ended.
+ */
+function updateSuspects (config: Config, register: CrashRegister, chart: Chart, version: number): void {
+  const maxEnds = countMaxEnds(register)
+  for (const [request, { route, servers }] of register) {
+    const item = findItem(config, 'crashingRequest', request)
+    const state = item?.state ?? 'released'
+    const explained = [...servers.keys()].filter(key => maxEnds.get(key) === servers.size)
+    const isSuspect = explained.length >= minSuspectEnds
+    if (state === 'released' && isSuspect) suspect(config, chart, request, route, [...servers.values()], item, version)
+    else if (state === chart.initial && !isSuspect) advance(config, chart, request, 'release', version)
+  }
+}
+
+/** Returns, for each ended server, the largest number of ends of any request that was at it. */
+function countMaxEnds (register: CrashRegister): Map<string, number> {
+  const maxEnds = new Map<string, number>()
+  for (const { servers } of register.values()) {
+    for (const key of servers.keys()) maxEnds.set(key, Math.max(maxEnds.get(key) ?? 0, servers.size))
   }
+  return maxEnds
+}
+
+function suspect (config: Config, chart: Chart, request: RequestFingerprint, route: string, servers: readonly ServerId[], released: CrashingRequestItem | undefined, version: number): void {
   const state = released === undefined ? chart.initial : nextState(chart, released.state, 'end')
-  setItem(config, version, { kind: 'crashingRequest', key: request, route, state, servers: [...servers.values()], blockedUntil: 0, failedTrials: 0 })
+  setItem(config, version, { kind: 'crashingRequest', key: request, route, state, servers: servers.slice(-maxListedServers), blockedUntil: 0, failedTrials: 0 })
   boundRestricted(config, chart, version)
 }
 
@@ -120,9 +149,9 @@
   if (dropped !== undefined) advance(config, chart, dropped.key, 'release', version)
 }
 
-function dropOldest (register: CrashRegister): void {
-  const [oldest] = register.keys()
-  if (oldest !== undefined) register.delete(oldest)
+function dropOldest<Key> (map: Map<Key, unknown>): void {
+  const [oldest] = map.keys()
+  if (oldest !== undefined) map.delete(oldest)
 }
 
 function forgetOldEnds (register: CrashRegister, at: Millis): void {
@@ -133,12 +162,12 @@
 }
 
 /** A counted request in a snapshot. */
-export type StoredEnds = readonly [RequestFingerprint, { readonly servers: ReadonlyArray<readonly [string, ServerId]>, readonly lastAt: Millis }]
+export type StoredEnds = readonly [RequestFingerprint, { readonly route: string, readonly servers: ReadonlyArray<readonly [string, ServerId]>, readonly lastAt: Millis }]
 
 export function serializeCrashRegister (register: CrashRegister): StoredEnds[] {
-  return [...register].map(([request, { servers, lastAt }]) => [request, { servers: [...servers], lastAt }])
+  return [...register].map(([request, ends]) => [request, { ...ends, servers: [...ends.servers] }])
 }
 
 export function restoreCrashRegister (stored: readonly StoredEnds[]): CrashRegister {
-  return new Map(stored.map(([request, { servers, lastAt }]) => [request, { servers: new Map(servers), lastAt }]))
+  return new Map(stored.map(([request, ends]) => [request, { ...ends, servers: new Map(ends.servers) }]))
 }
--- a/packages/state/src/types/crashes.ts
+++ b/packages/state/src/types/crashes.ts
@@ -34,7 +34,7 @@
   readonly key: RequestFingerprint
   readonly route: string
   readonly state: string
-  /** The servers that ended last. */
+  /** Servers that ended under it, the last ones at most. */
   readonly servers: readonly ServerId[]
   /** Unix milliseconds until which the request is not sent; 0 while it is only suspected. */
   readonly blockedUntil: Millis
