--- a/scripts/__tests__/explain.test.ts
+++ b/scripts/__tests__/explain.test.ts
@@ -26,8 +26,8 @@
   assert.deepEqual(classifyLines(line({}), line({ outcome: 'deadline' }), line({ outcome: 'deadline', server: 's2' }), line({ outcome: 'full' }), line({ outcome: 'unreached' })).slice(1),
     ['timeout', 'timeout under cold work', 'shed by its server', 'lost with its server'])
   const refused = (fields: Record<string, unknown>): string => line({ message: 'Refused.', ...fields })
-  assert.deepEqual(classifyLines(refused({ reason: 'busy', underWay: 9, limit: 10 }), refused({ reason: 'busy', underWay: 2, limit: 10 }), refused({ reason: 'noTime' }), refused({ reason: 'noServer' })),
-    ['refused: bound of the VM', 'refused: queues at servers', 'refused: no time left', 'refused: no server'])
+  assert.deepEqual(classifyLines(refused({ reason: 'busy', underWay: 9, limit: 10 }), refused({ reason: 'busy', underWay: 2, limit: 10 }), refused({ reason: 'noTime' }), refused({ reason: 'noServer' }), refused({ reason: 'endsServers' })),
+    ['refused: bound of the VM', 'refused: queues at servers', 'refused: no time left', 'refused: no server', 'refused: ended servers'])
 })
 
 test('lines with other messages and truncated lines are ignored', () => {
--- a/scripts/explain/causes.ts
+++ b/scripts/explain/causes.ts
@@ -4,7 +4,7 @@
 /** Causes, in order of decreasing cost to the caller. */
 export const causes = [
   'lost with its server', 'timeout under cold work', 'timeout', 'refused: bound of the VM', 'refused: queues at servers', 'refused: no time left',
-  'refused: no server', 'shed by its server', 'cold: first touch', 'cold: placed anew', 'cold: beside its server', 'slower than expected', 'as expected',
+  'refused: no server', 'refused: ended servers', 'shed by its server', 'cold: first touch', 'cold: placed anew', 'cold: beside its server', 'slower than expected', 'as expected',
   'caller gone'
 ] as const
 
@@ -30,6 +30,7 @@
 function getRefusalCause ({ reason, underWay, limit }: Decision): Cause {
   if (reason === 'noTime') return 'refused: no time left'
   if (reason === 'noServer') return 'refused: no server'
+  if (reason === 'endsServers') return 'refused: ended servers'
   return underWay >= limit * boundFraction ? 'refused: bound of the VM' : 'refused: queues at servers'
 }
 
