Let commands carry the names that operators and servers may choose

The new check of submitted commands bounded every name at 200 characters. A longer route's name or software version, accepted by the VM that got it, would have been refused where it was relayed to the leader.

--- a/packages/daemon/src/types/fleetCommands.ts
+++ b/packages/daemon/src/types/fleetCommands.ts
@@ -12,20 +12,24 @@
 const maxListLength = 100_000
 const maxRoutes = 100_000
 
-/** Schema of a name or id. */
+/** Longest name, id or software version; operators and servers choose them. */
+const maxNameLength = 4096
+
+/** Schema of a name or id that this system's VMs choose. */
 export const textSchema = z.string().min(1).max(200)
-const texts = z.array(textSchema).max(maxListLength)
+const name = z.string().min(1).max(maxNameLength)
+const names = z.array(name).max(maxListLength)
 const count = z.number().min(0)
 const annotations = z.record(z.string(), z.unknown())
 
 /** Schema of the data that a backend server announces. */
 export const announcementSchema = z.looseObject({
-  id: textSchema,
-  service: textSchema,
+  id: name,
+  service: name,
   address: addressSchema,
-  failureDomain: textSchema,
+  failureDomain: name,
   slots: z.number().int().min(1),
-  software: z.string().max(200).default(''),
+  software: z.string().max(maxNameLength).default(''),
   bornAt: z.number().int().min(0).default(0),
   isDraining: z.boolean(),
   seq: count,
@@ -33,28 +37,28 @@
 })
 
 const routeSchema = z.looseObject({
-  name: textSchema,
+  name,
   host: z.string(),
   pathPrefix: z.string(),
   isIdempotent: z.boolean(),
   timeoutMs: z.number(),
   aimMs: z.number(),
   rank: z.number(),
-  service: textSchema.optional(),
-  split: z.array(z.looseObject({ service: textSchema, weight: z.number() })),
+  service: name.optional(),
+  split: z.array(z.looseObject({ service: name, weight: z.number() })),
   maxAttempts: z.number(),
   isSticky: z.boolean(),
-  homes: texts,
+  homes: names,
   annotations
 })
-const upstreamSchema = z.looseObject({ name: textSchema, healthPath: z.string(), maxConnections: z.number(), warmupMs: z.number(), warmupPerSecond: z.number(), annotations })
+const upstreamSchema = z.looseObject({ name, healthPath: z.string(), maxConnections: z.number(), warmupMs: z.number(), warmupPerSecond: z.number(), annotations })
 const limitsSchema = z.looseObject({ maxHeaderBytes: z.number(), maxBodyBytes: z.number(), headerTimeoutMs: z.number(), idleTimeoutMs: z.number() })
 const routeChangeFields = { order: textSchema, baseVersion: count, routesVersion: count }
 
-const serverEndSchema = z.looseObject({ request: textSchema, route: textSchema, server: textSchema, bornAt: count, isTrial: z.boolean() })
+const serverEndSchema = z.looseObject({ request: textSchema, route: name, server: name, bornAt: count, isTrial: z.boolean() })
 
 /** Fields of a report of ended servers. */
-export const serverEndFields = { ends: z.array(serverEndSchema).max(maxListLength), answered: texts }
+export const serverEndFields = { ends: z.array(serverEndSchema).max(maxListLength), answered: z.array(textSchema).max(maxListLength) }
 
 /** Longest time that a trial of a restricted request may take. */
 export const maxTrialMs: Millis = 600_000
@@ -65,12 +69,12 @@
 /** Schema of a command. */
 export const fleetCommandSchema = z.discriminatedUnion('type', [
   z.looseObject({ type: z.literal('replaceRoutes'), ...routeChangeFields, set: z.looseObject({ routes: z.array(routeSchema).max(maxRoutes), upstreams: z.array(upstreamSchema).max(maxRoutes), limits: limitsSchema }) }),
-  z.looseObject({ type: z.literal('updateRoutes'), ...routeChangeFields, putRoutes: z.array(routeSchema).max(maxRoutes), putUpstreams: z.array(upstreamSchema).max(maxRoutes), removeRoutes: texts, removeUpstreams: texts, limits: limitsSchema.optional() }),
-  z.looseObject({ type: z.literal('evacuate'), failureDomain: textSchema, isActive: z.boolean(), baseVersion: count.optional() }),
+  z.looseObject({ type: z.literal('updateRoutes'), ...routeChangeFields, putRoutes: z.array(routeSchema).max(maxRoutes), putUpstreams: z.array(upstreamSchema).max(maxRoutes), removeRoutes: names, removeUpstreams: names, limits: limitsSchema.optional() }),
+  z.looseObject({ type: z.literal('evacuate'), failureDomain: name, isActive: z.boolean(), baseVersion: count.optional() }),
   z.looseObject({ type: z.literal('announce'), facts: announcementSchema }),
   z.looseObject({ type: z.literal('announceAll'), servers: z.array(announcementSchema).max(maxListLength) }),
-  z.looseObject({ type: z.literal('dismiss'), ids: texts, bornAt: count.optional() }),
-  z.looseObject({ type: z.literal('miss'), ids: texts }),
+  z.looseObject({ type: z.literal('dismiss'), ids: names, bornAt: count.optional() }),
+  z.looseObject({ type: z.literal('miss'), ids: names }),
   z.looseObject({ type: z.literal('reportServerEnds'), ...serverEndFields }),
   z.looseObject({ type: z.literal('releaseRequest'), request: textSchema })
 ])
