Answer a refused request without waiting for its unused trial to be taken back

On the service-addressed path a request that was granted a trial and then refused for lack of room waited for one more call to the leader before its caller heard so, up to the call's timeout where the leader is away. The fleet's path did not. Found by reading; answers and order of calls are the same.

--- a/packages/daemon/src/core/entry/forwarding.ts
+++ b/packages/daemon/src/core/entry/forwarding.ts
@@ -5,9 +5,11 @@
 import type { TrialAnswer } from '@lynxcourse/placement'
 import { earnRetry, getRoundTripMs, getMeanServiceMs, countAvailableSlots } from '@lynxcourse/routing'
 import type { AdmissionInput, CandidateRegion } from '@lynxcourse/routing'
+import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { CancelSignal } from '../../utils/cancelSignal.js'
 import { getCurrentTime } from '../../utils/clock.js'
+import { log } from '../../utils/logging.js'
 import { recordRequestRead } from '../../utils/loopMonitor.js'
 import type { FinalAnswer } from '../../types/answers.js'
 import { cancelTrial, claimTrial, findRestriction } from '../crashes/crashWatch.js'
@@ -81,7 +83,9 @@
   }
   const answer = request.isIdempotent ? await serveIdempotent(serving) : await serveOnce(serving)
   const isTrialUnused = serving.isTrial && answer.outcome === 'not-run'
-  if (isTrialUnused && request.watched !== undefined) await cancelTrial(entry.crashes, request.watched)
+  if (isTrialUnused && request.watched !== undefined) {
+    cancelTrial(entry.crashes, request.watched).catch((err: unknown) => log(entry.node.logs, 'route', 'error', 'Cancelling a trial failed.', { id: request.id, error: getErrorMessage(err) }))
+  }
   return answer
 }
 
