Quote no content of invalid JSON in errors

A body that is not valid JSON was answered with the runtime's message, which quotes the text around the error; the same message reaches log lines. Configurations are about to hold secret keys, so an operator's malformed change would have put keys into an answer and a log.

Errors now name the position at most.

--- a/packages/base/__tests__/base.test.ts
+++ b/packages/base/__tests__/base.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check'
 import {
   compileChart, isFinal, isLynxError, getIssueTime, loadChart, createRandom, createRequestId, nextState, findOwnerByHash,
-  parseChart, parseRequestId, rankByHash
+  parseChart, parseJson, parseRequestId, rankByHash
 } from '@lynxcourse/base'
 import type { ChartName } from '@lynxcourse/base'
 
@@ -56,6 +56,13 @@
   }
 })
 
+/** Guards against secrets in error messages and logs, which a runtime's own message would quote. */
+test('the error for invalid JSON quotes none of its content', () => {
+  for (const text of ['{"keys":["secret"x', '{"keys":["secret', '["a", secret]', 'secret', '{"secret":}']) {
+    assert.throws(() => parseJson(text), err => err instanceof SyntaxError && !/secret/.test(String(err)) && err.message.startsWith('not valid JSON'))
+  }
+})
+
 test('the loss of a candidate moves only the keys that it owned', () => {
   fc.assert(fc.property(fc.uniqueArray(fc.stringMatching(/^[a-z]{1,8}$/), { minLength: 2, maxLength: 12 }), fc.string(), (candidates, key) => {
     const ranked = rankByHash(key, candidates)
--- a/packages/base/src/types/ids.ts
+++ b/packages/base/src/types/ids.ts
@@ -21,6 +21,10 @@
 export type ServerId = Branded<string, 'ServerId'>
 /** Name of a steering profile. */
 export type ProfileName = Branded<string, 'ProfileName'>
+/** Name of a team of callers, as operators configure it. */
+export type TeamName = Branded<string, 'TeamName'>
+/** Digest of a secret key by which a team's callers identify themselves. */
+export type KeyDigest = Branded<string, 'KeyDigest'>
 /** Digest of a request's contents, equal for all attempts of the same request at any VM. */
 export type RequestFingerprint = Branded<string, 'RequestFingerprint'>
 /** UUID v7 that a caller assigns to a request that must not run twice. */
--- a/packages/daemon/src/core/rpc/rpcClient.ts
+++ b/packages/daemon/src/core/rpc/rpcClient.ts
@@ -5,7 +5,7 @@
 import type { JSONRPCResponse } from 'json-rpc-2.0'
 import { Pool, buildConnector } from 'undici'
 import type { Dispatcher } from 'undici'
-import { LynxError, errorTemplates, isLynxError, getErrorMessage } from '@lynxcourse/base'
+import { LynxError, errorTemplates, isLynxError, getErrorMessage, parseJson } from '@lynxcourse/base'
 import type { ErrorCode, Millis } from '@lynxcourse/base'
 import type { Metrics } from '../../utils/metrics.js'
 import { resetIfUnanswered } from '../../utils/resetIfUnanswered.js'
@@ -99,7 +99,7 @@
     client.cfg.metrics?.rpcBytes.inc({ direction: 'out' }, body.length)
     const text = await post(pool, body, timeoutMs ?? client.cfg.timeoutMs)
     client.cfg.metrics?.rpcBytes.inc({ direction: 'in' }, text.length)
-    const response = JSON.parse(text) as JSONRPCResponse
+    const response = parseJson(text) as JSONRPCResponse
     // The JSON-RPC client ignores a response with another id, and the call would never end.
     if (response.id !== request.id) throw new LynxError('peerFailed', getErrorMessage(response.error), { step: method, peer: address })
     rpc.receive(response)
--- a/packages/daemon/src/plugins/logStorage.ts
+++ b/packages/daemon/src/plugins/logStorage.ts
@@ -10,7 +10,7 @@
 import type { FileHandle } from 'node:fs/promises'
 import { join } from 'node:path'
 import { crc32 } from 'node:zlib'
-import { LynxError, getErrorMessage } from '@lynxcourse/base'
+import { LynxError, getErrorMessage, parseJson } from '@lynxcourse/base'
 import type { Entry, HardState, ReplicaOutput, Snapshot, StoredLog } from '@lynxcourse/agreement'
 
 const headerBytes = 8
@@ -74,7 +74,7 @@
 
 function decode (payload: Buffer): StoredRecord | undefined {
   try {
-    const record = JSON.parse(payload.toString('utf8')) as StoredRecord
+    const record = parseJson(payload.toString('utf8')) as StoredRecord
     return record.kind === 'entry' || record.kind === 'hardState' ? record : undefined
   } catch {
     return undefined
@@ -130,7 +130,7 @@
   if (!isComplete || crc32(payload) !== bytes.readUInt32LE(4)) {
     throw new LynxError('corruptLog', 'snapshot file is incomplete or damaged', { step: 'read snapshot' })
   }
-  return JSON.parse(payload.toString('utf8')) as Snapshot
+  return parseJson(payload.toString('utf8')) as Snapshot
 }
 
 /** Combines a snapshot with the records of the log file after it. */
@@ -241,7 +241,7 @@
   const bytes = await readFileIfExists(join(folder, identityFileName))
   if (bytes === undefined) return undefined
   try {
-    return JSON.parse(bytes.toString('utf8')) as DiskIdentity
+    return parseJson(bytes.toString('utf8')) as DiskIdentity
   } catch (err) {
     throw new LynxError('corruptLog', `${identityFileName}: ${getErrorMessage(err)}`, { step: 'read identity', cause: err })
   }
--- a/packages/daemon/src/utils/validation.ts
+++ b/packages/daemon/src/utils/validation.ts
@@ -1,5 +1,5 @@
 /** Validates JSON input from other processes. */
-import { LynxError, getErrorMessage } from '@lynxcourse/base'
+import { LynxError, getErrorMessage, parseJson } from '@lynxcourse/base'
 import type { z } from 'zod'
 
 /**
@@ -11,7 +11,7 @@
 export function parseJsonBody<Schema extends z.ZodType> (schema: Schema, text: string, step: string): z.output<Schema> {
   let raw: unknown
   try {
-    raw = JSON.parse(text)
+    raw = parseJson(text)
   } catch (err) {
     throw new LynxError('badRequest', `body: ${getErrorMessage(err)}`, { step, field: 'body', cause: err })
   }
