Identify teams by their keys, and serve no request without a known one

Teams are items of the configuration now: keys, priority, rate, burst, allowed regions, under the same base versions, repeats and reads as routes. Control VMs hold the keys, since a read returns what was written; entry VMs get digests. An entry VM rejects a request without a known key with 401, sends none whose key was taken away while it waited, never forwards the key, and always sets or removes the team's header. A team's priority goes before the route's, and both lists of regions bind. A VM whose state has not been confirmed for two watches answers 503 to an unknown key, which it may have missed. Requests that end servers are recognized by team, so that several keys don't hide one.

Rates are not limited yet.

--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -3,7 +3,7 @@
 import { LynxError, brandId, hashText, createHolderId, isLynxError, getHolderVm } from '@lynxcourse/base'
 import type { HolderId, Incarnation, Millis, RequestFingerprint, ServerId, VmId } from '@lynxcourse/base'
 import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, recordKnownVersion, findRouteSet, getRoutesVersion, getKnownVersionAt, isRestricted, listItems } from '@lynxcourse/state'
-import type { BackendAnnouncement, ChangeAnswer, CommandAnswer, CrashCommand, CrashingRequestItem, KnownVersions, RouteCommand, RouteSet } from '@lynxcourse/state'
+import type { BackendAnnouncement, ChangeAnswer, CommandAnswer, CrashCommand, CrashingRequestItem, KnownVersions, RouteCommand, RouteSet, Team } from '@lynxcourse/state'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { openControl } from '../control/controlHost.js'
@@ -45,6 +45,25 @@
   readonly set: RouteSet | undefined
 }
 
+/** A team without its keys. */
+export interface TeamSummary extends Omit<Team, 'keys'> { readonly keyCount: number }
+
+/** Result of a linearizable read of the routes, the restricted requests and the teams, without the teams' keys. */
+export interface FleetSummary {
+  readonly routesVersion: number
+  readonly set: Omit<RouteSet, 'teams'> | undefined
+  /** Undefined if callers need no keys. */
+  readonly teams: readonly TeamSummary[] | undefined
+  readonly restricted: readonly CrashingRequestItem[]
+}
+
+/** Returns the result of a read without the teams' keys. */
+export function summarizeTeams ({ routesVersion, set, restricted }: FleetReadResult): FleetSummary {
+  if (set === undefined) return { routesVersion, set, teams: undefined, restricted }
+  const { teams, ...others } = set
+  return { routesVersion, set: others, teams: teams?.map(({ keys, ...team }) => ({ ...team, keyCount: keys.length })), restricted }
+}
+
 /** Result of a linearizable read of the routes and the restricted requests. */
 export interface FleetReadResult extends RoutesReadResult {
   readonly restricted: readonly CrashingRequestItem[]
@@ -217,7 +236,7 @@
   }
   const leader = getLeaderAddress(control)
   if (leader === undefined || leader === node.cfg.rpc || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step: 'read' })
-  return await callPeer<FleetReadResult>(node.client, leader, 'fleet.read', {}, submitTimeoutMs)
+  return await callPeer<FleetReadResult>(node.client, leader, 'fleet.relayRead', {}, submitTimeoutMs)
 }
 
 /**
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -1,5 +1,5 @@
 /** The RPC methods of a fleet's control VMs. */
-import { getDeltaSince } from '@lynxcourse/state'
+import { getDeltaSince, hideKeys } from '@lynxcourse/state'
 import type { BackendAnnouncement, ChangeAnswer, ConfigDelta, ReportServerEndsCommand } from '@lynxcourse/state'
 import { LynxError, brandId, getErrorMessage } from '@lynxcourse/base'
 import type { Millis, RegionId, RequestFingerprint, ServerId } from '@lynxcourse/base'
@@ -14,7 +14,7 @@
 import { addMethod } from '../rpc/rpcServer.js'
 import { delay } from '../node/timers.js'
 import type { RpcCall, RpcServer } from '../rpc/rpcServer.js'
-import { claimTrial, dismissServer, cancelFleetTrial, readRoutes, getStateAge, submitFleetCommand, handleAnnouncement } from './fleetControl.js'
+import { claimTrial, dismissServer, cancelFleetTrial, readRoutes, getStateAge, submitFleetCommand, summarizeTeams, handleAnnouncement } from './fleetControl.js'
 import type { FleetCommand, FleetControl } from './fleetControl.js'
 import type { ControlEndpoint } from './fleetNode.js'
 import { recordWatchingEntry, applyPresenceReport } from './presence.js'
@@ -85,6 +85,10 @@
   addMethod(rpc, 'fleet.submit', ['vm', 'operator'], submitSchema, async (params, call) => await handleSubmit(control, params.command as unknown as FleetCommand, call))
   addMethod(rpc, 'fleet.read', ['vm', 'operator'], z.strictObject({}), async (_params, call) => {
     await ensureCallerConnected(control, 'fleet.read', call)
+    return summarizeTeams(await readRoutes(control, true))
+  })
+  addMethod(rpc, 'fleet.relayRead', ['vm'], z.strictObject({}), async (_params, call) => {
+    await ensureCallerConnected(control, 'fleet.relayRead', call)
     return await readRoutes(control, true)
   })
   addMethod(rpc, 'fleet.presence', ['vm'], reportSchema, params => handlePresence(control, params as unknown as PresenceReport))
@@ -164,7 +168,7 @@
   const { config } = control.host.machine
   const stateAgeMs = getStateAge(control, getCurrentTime())
   return {
-    delta: config.version > request.version ? getDeltaSince(config, request.version) : undefined,
+    delta: config.version > request.version ? hideKeys(getDeltaSince(config, request.version)) : undefined,
     ageMs: Number.isFinite(stateAgeMs) ? stateAgeMs : null,
     controls: control.node.controls,
     entries: [...control.presence.entries.keys()],
--- /dev/null
+++ b/packages/daemon/src/core/gateway/authentication.ts
@@ -0,0 +1,78 @@
+/** Identifies the team of a caller by the key in its request, and rejects requests without a known key. */
+import type { IncomingMessage } from 'node:http'
+import type { Millis } from '@lynxcourse/base'
+import { applyTeam, identifyCaller, isKeyOfTeam } from '@lynxcourse/routing'
+import { computeKeyDigest } from '@lynxcourse/state'
+import type { Route } from '@lynxcourse/state'
+import { log } from '../../utils/logging.js'
+import type { CallAnswer, CallerTeam } from './call.js'
+import type { Gateway } from './gateway.js'
+
+/**
+ * A VM whose state was not confirmed for this long may have missed that a key was added: twice the longest time between
+ * two watch replies.
+ */
+const unconfirmedWatches = 2
+/** Retry time for the caller of a VM that may have missed the caller's key. */
+const unconfirmedRetryMs: Millis = 500
+
+/** Why a caller is not served. */
+type RejectReason = 'unknownKey' | 'unconfirmedState' | 'noCommonRegion'
+
+/** A caller that may be served, with the route as it applies to its team, or the answer that rejects it. */
+export type AuthenticatedCaller =
+  | { readonly caller: CallerTeam | undefined, readonly route: Route }
+  | { readonly rejection: CallAnswer }
+
+/** Authenticates the caller of a request. */
+export function authenticateCaller (gateway: Gateway, req: IncomingMessage, route: Route, now: Millis): AuthenticatedCaller {
+  const { teams, callers } = gateway
+  if (!teams.isRequired) return { caller: undefined, route }
+  const key = callers.parseKey(req.headersDistinct)
+  const identity = identifyCaller(teams, route, key === undefined ? undefined : computeKeyDigest(key))
+  switch (identity.type) {
+    case 'anyone': return { caller: undefined, route }
+    case 'unknown': return { rejection: rejectUnknownKey(gateway, req, route, key !== undefined, now) }
+    case 'team': {
+      const teamRoute = applyTeam(teams, route, identity.team)
+      if (teamRoute === undefined) return { rejection: reject(gateway, req, route, 'noCommonRegion') }
+      return { caller: { name: identity.team.name, digest: identity.digest }, route: teamRoute }
+    }
+  }
+}
+
+/** Whether a request may still be sent for its caller: the key was not taken away since the request arrived. */
+export function isStillAuthorized ({ teams }: Gateway, caller: CallerTeam | undefined): boolean {
+  return caller === undefined || !teams.isRequired || isKeyOfTeam(teams, caller.digest, caller.name)
+}
+
+function rejectUnknownKey (gateway: Gateway, req: IncomingMessage, route: Route, hasKey: boolean, now: Millis): CallAnswer {
+  const { upToDateAt, cfg } = gateway.node
+  const isConfirmed = now - upToDateAt <= cfg.times.watchMs * unconfirmedWatches
+  return reject(gateway, req, route, hasKey && !isConfirmed ? 'unconfirmedState' : 'unknownKey')
+}
+
+function reject (gateway: Gateway, req: IncomingMessage, route: Route, reason: RejectReason): CallAnswer {
+  req.resume()
+  const { node } = gateway
+  node.metrics.refusals.inc({ reason })
+  log(node.logs, 'route', 'info', 'Caller rejected.', { id: gateway.callers.parseCallFacts(req.headers).id, route: route.name, reason, stateVersion: node.config.version })
+  return createRejection(gateway, reason)
+}
+
+function createRejection (gateway: Gateway, reason: RejectReason): CallAnswer {
+  switch (reason) {
+    case 'unknownKey': return answerUnknownKey(gateway)
+    case 'unconfirmedState': return createUnavailable(gateway.callers.buildRefusalHeaders(unconfirmedRetryMs), 'the key is not known, and the configuration may be out of date')
+    case 'noCommonRegion': return createUnavailable({}, "no region is allowed by both the route and the caller's team")
+  }
+}
+
+/** Returns the answer to a request whose key is not known. */
+export function answerUnknownKey ({ callers }: Gateway): CallAnswer {
+  return { status: 401, headers: { 'www-authenticate': callers.keyScheme }, body: Buffer.from('a known key is required\n') }
+}
+
+function createUnavailable (headers: CallAnswer['headers'], detail: string): CallAnswer {
+  return { status: 503, headers, body: Buffer.from(`not run: ${detail}\n`) }
+}
--- a/packages/daemon/src/core/gateway/call.ts
+++ b/packages/daemon/src/core/gateway/call.ts
@@ -1,14 +1,23 @@
 /** A caller's request and its final answer. */
-import type { Millis, RequestFingerprint, ServiceId } from '@lynxcourse/base'
+import type { KeyDigest, Millis, RequestFingerprint, ServiceId, TeamName } from '@lynxcourse/base'
 import type { CallerLiveness } from '@lynxcourse/placement'
 import type { Route } from '@lynxcourse/state'
 import type { HeaderMap } from '../../types/answers.js'
 import type { CancelSignal } from '../../utils/cancelSignal.js'
 import type { CallFacts } from './dialects.js'
 
+/** A caller's team, and the key that proves it. */
+export interface CallerTeam {
+  readonly name: TeamName
+  readonly digest: KeyDigest
+}
+
 /** A caller's request that has a route and a service. */
 export interface Call {
   readonly facts: CallFacts
+  /** The caller's team; undefined if the caller needed no key. */
+  readonly caller: CallerTeam | undefined
+  /** The route as it applies to the caller's team. */
   readonly route: Route
   readonly service: ServiceId
   readonly method: string
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -15,7 +15,8 @@
 import { recordRequestRead, recordAcceptedConnection, recordCloseRead } from '../../utils/loopMonitor.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
 import { createLazyFingerprint } from '../crashes/requestFingerprint.js'
-import type { Call, CallAnswer } from './call.js'
+import { authenticateCaller } from './authentication.js'
+import type { Call, CallAnswer, CallerTeam } from './call.js'
 import { startReadingBody } from './callBody.js'
 import type { BodyResult, CallBody } from './callBody.js'
 import type { Gateway } from './gateway.js'
@@ -119,7 +120,10 @@
   }
   const target = selectTarget(gateway, req)
   if (target === undefined) return { service: 'none', answer: answerNoRoute(gateway, req) }
-  return { service: target.service, answer: await serveRoutedCall(gateway, { req, body, gone, arrival }, target) }
+  const authenticated = authenticateCaller(gateway, req, target.route, getCurrentTime())
+  if ('rejection' in authenticated) return { service: target.service, answer: authenticated.rejection }
+  const routed = { route: authenticated.route, service: target.service, caller: authenticated.caller }
+  return { service: target.service, answer: await serveRoutedCall(gateway, { req, body, gone, arrival }, routed) }
 }
 
 /**
@@ -163,11 +167,16 @@
   return route === undefined ? undefined : { route, service: selectService(gateway.splits, route) }
 }
 
-async function serveRoutedCall (gateway: Gateway, { req, body: callBody, gone, arrival }: IncomingCall, { route, service }: RoutedService): Promise<CallAnswer | undefined> {
+/** The target of a request, with the caller's team. */
+interface AuthenticatedTarget extends RoutedService {
+  readonly caller: CallerTeam | undefined
+}
+
+async function serveRoutedCall (gateway: Gateway, { req, body: callBody, gone, arrival }: IncomingCall, { route, service, caller }: AuthenticatedTarget): Promise<CallAnswer | undefined> {
   const { arrivedAt, readAt, liveness, readIteration, workStartedAt } = arrival
   const facts = gateway.callers.parseCallFacts(req.headers)
   const deadline = arrivedAt + Math.min(facts.remainingMs ?? Infinity, route.timeoutMs)
-  const refusedCall: RefusedCall = { facts, route, service, arrivedAt, readAt, deadline }
+  const refusedCall: RefusedCall = { facts, caller, route, service, arrivedAt, readAt, deadline }
   if (!fitsIterationBudget(readIteration, route.rank)) return refuseOverloaded(gateway, req, refusedCall)
   const end = await callBody.end
   if (end.type !== 'whole') return answerBodyFailure(gateway, end)
@@ -178,9 +187,10 @@
   const body = end.body.length === 0 ? null : end.body
   const method = req.method ?? 'GET'
   const path = req.url ?? '/'
-  const identity = gateway.callers.parseIdentity(req.headers)
+  const identity = caller === undefined ? gateway.callers.parseIdentity(req.headers) : `team ${caller.name}`
   const call: Call = {
     facts,
+    caller,
     route,
     service,
     method,
@@ -241,10 +251,12 @@
   }
 }
 
+/** Returns the headers for the server. Credentials are left out if they are keys of teams, which servers must not see. */
 function getForwardedHeaders (gateway: Gateway, req: IncomingMessage): HeaderMap {
   const connectionHeaders = new Set(String(req.headers.connection ?? '').toLowerCase().split(',').map(name => name.trim()))
   const headers: HeaderMap = {}
   for (const [name, value] of Object.entries(req.headers)) {
+    if (name === 'authorization' && gateway.teams.isRequired) continue
     if (value !== undefined && !isHopByHop(name) && !connectionHeaders.has(name) && !gateway.callers.reservedHeaders.has(name)) headers[name] = value
   }
   return headers
--- a/packages/daemon/src/core/gateway/dialects.ts
+++ b/packages/daemon/src/core/gateway/dialects.ts
@@ -3,9 +3,10 @@
  * such headers through a dialect only, so another platform's headers need no more than another dialect.
  */
 import type { IncomingHttpHeaders } from 'node:http'
-import type { Millis, ServerId } from '@lynxcourse/base'
+import type { Millis, ServerId, TeamName } from '@lynxcourse/base'
+import { maxKeyLength } from '@lynxcourse/state'
 import { getCallerIdentity } from '../crashes/requestFingerprint.js'
-import { deadlineHeader, loadHeader, notStartedHeader, requestIdHeader } from '../../types/answers.js'
+import { deadlineHeader, loadHeader, notStartedHeader, requestIdHeader, teamHeader } from '../../types/answers.js'
 import type { HeaderMap } from '../../types/answers.js'
 
 /** Information from the headers of a caller's request. */
@@ -18,6 +19,9 @@
   readonly object: string
 }
 
+/** Longest credentials that are parsed: longer ones can't hold a valid key. */
+const maxCredentialsLength = maxKeyLength + 100
+
 /** Headers between callers and this system. */
 export abstract class CallerDialect {
   abstract parseCallFacts (headers: IncomingHttpHeaders): CallFacts
@@ -27,6 +31,22 @@
     return getCallerIdentity(headers)
   }
 
+  /** Name of the authentication scheme of teams' keys. */
+  abstract readonly keyScheme: string
+
+  /**
+   * Returns the key that a request carries; undefined if it carries none, a malformed one or several.
+   *
+   * @param headers all values of each header, in the order of their arrival
+   */
+  parseKey (headers: NodeJS.Dict<string[]>): string | undefined {
+    const [credentials, ...others] = headers.authorization ?? []
+    if (credentials === undefined || others.length > 0 || credentials.length > maxCredentialsLength) return undefined
+    const [scheme, key, ...rest] = credentials.split(/ +/)
+    if (key === undefined || rest.length > 0 || scheme?.toLowerCase() !== this.keyScheme.toLowerCase()) return undefined
+    return key
+  }
+
   /** Names of headers that only this system sets; they are removed from callers' requests. */
   abstract readonly reservedHeaders: ReadonlySet<string>
 
@@ -45,8 +65,12 @@
 
 /** Headers between this system and backend servers. */
 export abstract class ServerDialect {
-  /** Returns the headers to add to a request for a server. */
-  abstract buildRequestHeaders (call: CallFacts, server: ServerId, remainingMs: Millis): HeaderMap
+  /**
+   * Returns the headers to add to a request for a server.
+   *
+   * @param team the caller's team; undefined if the caller has none
+   */
+  abstract buildRequestHeaders (call: CallFacts, server: ServerId, remainingMs: Millis, team?: TeamName): HeaderMap
 
   /** Returns the number of requests running and waiting at the server; undefined if the server did not report it. */
   abstract parseQueueDepth (headers: HeaderMap): number | undefined
@@ -59,7 +83,8 @@
 
 /** The default headers on the callers' side. */
 export class DefaultCallerDialect extends CallerDialect {
-  override readonly reservedHeaders = new Set([deadlineHeader, 'lynx-expect-server'])
+  override readonly keyScheme = 'Bearer'
+  override readonly reservedHeaders = new Set([deadlineHeader, 'lynx-expect-server', teamHeader])
 
   override parseCallFacts (headers: IncomingHttpHeaders): CallFacts {
     const remainingMs = Number(headers[deadlineHeader])
@@ -73,8 +98,10 @@
 
 /** The default headers on the servers' side. */
 export class DefaultServerDialect extends ServerDialect {
-  override buildRequestHeaders (_call: CallFacts, server: ServerId, remainingMs: Millis): HeaderMap {
-    return { [deadlineHeader]: String(remainingMs), 'lynx-expect-server': server }
+  override buildRequestHeaders (_call: CallFacts, server: ServerId, remainingMs: Millis, team?: TeamName): HeaderMap {
+    const headers: HeaderMap = { [deadlineHeader]: String(remainingMs), 'lynx-expect-server': server }
+    if (team !== undefined) headers[teamHeader] = team
+    return headers
   }
 
   override parseQueueDepth (headers: HeaderMap): number | undefined {
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -2,8 +2,8 @@
 import { loadChart } from '@lynxcourse/base'
 import { createFleet } from '@lynxcourse/placement'
 import type { EntryState, Mechanism } from '@lynxcourse/placement'
-import { buildRouteTable } from '@lynxcourse/routing'
-import type { RouteTable, SplitStates } from '@lynxcourse/routing'
+import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
+import type { RouteTable, SplitStates, TeamTable } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
 import type { CallerLimits } from '@lynxcourse/state'
 import type { LoopMonitor } from '../../utils/loopMonitor.js'
@@ -26,6 +26,7 @@
   /** Bounds the read delay of requests. */
   readonly loop: LoopMonitor
   routeTable: RouteTable
+  teams: TeamTable
   limits: CallerLimits
   /** Number of requests in progress in this VM. */
   open: number
@@ -53,6 +54,7 @@
     retries: new Map(),
     loop,
     routeTable: buildRouteTable([]),
+    teams: buildTeamTable([], false),
     limits: defaultCallerLimits,
     pipelines: new WeakMap(),
     open: 0,
--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -2,7 +2,7 @@
 import type { Millis, ServiceId } from '@lynxcourse/base'
 import { createFleetServer, forgetServer, groupServersByService, applyWeights } from '@lynxcourse/placement'
 import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/placement'
-import { buildRouteTable } from '@lynxcourse/routing'
+import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
 import { listItems, findRouteSet } from '@lynxcourse/state'
 import type { BackendItem, Config, RouteSet } from '@lynxcourse/state'
 import { refreshRestrictions } from '../crashes/crashWatch.js'
@@ -17,6 +17,7 @@
   const { node, fleet } = gateway
   const routeSet = findRouteSet(node.config)
   gateway.routeTable = buildRouteTable(routeSet?.routes ?? [])
+  gateway.teams = buildTeamTable(listItems(node.config, 'team'), routeSet?.teams !== undefined)
   if (routeSet !== undefined) {
     gateway.limits = routeSet.limits
     for (const upstream of routeSet.upstreams) fleet.coldRequestRates.set(upstream.name, upstream.warmupPerSecond)
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -10,7 +10,7 @@
 import type { SendReport } from './sending.js'
 
 /** The members of a request that the log line of a refusal needs; the body of the request may not have been read. */
-export type RefusedCall = Pick<Call, 'facts' | 'route' | 'service' | 'arrivedAt' | 'readAt' | 'deadline'>
+export type RefusedCall = Pick<Call, 'facts' | 'caller' | 'route' | 'service' | 'arrivedAt' | 'readAt' | 'deadline'>
 
 /** A refusal for lack of processor time on this VM, before any placement. */
 export interface OverloadRefusal {
@@ -29,6 +29,7 @@
   const level = result.type === 'answered' && !isServerError(result.status) ? 'info' : 'warn'
   log(gateway.node.logs, 'route', level, 'Sent.', {
     id: call.facts.id,
+    team: call.caller?.name,
     route: call.route.name,
     service: call.service,
     server: facts.id,
@@ -89,6 +90,7 @@
   gateway.node.metrics.refusals.inc({ reason: refusal.reason })
   log(gateway.node.logs, 'route', 'info', 'Refused.', {
     id: call.facts.id,
+    team: call.caller?.name,
     route: call.route.name,
     service: call.service,
     reason: refusal.reason,
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -69,7 +69,7 @@
   const connection = acquireConnection(gateway.pool, facts.address, !call.route.isIdempotent, now)
   const restedMs = connection.isReused ? connection.restedMs : undefined
   const remainingMs = Math.max(1, Math.floor(call.deadline - now))
-  const headers = { ...call.headers, ...gateway.servers.buildRequestHeaders(call.facts, facts.id, remainingMs) }
+  const headers = { ...call.headers, ...gateway.servers.buildRequestHeaders(call.facts, facts.id, remainingMs, call.caller?.name) }
   const options: Dispatcher.DispatchOptions = { method: call.method as Dispatcher.HttpMethod, path: call.path, headers, body: call.body }
   const exchange = startExchange(connection.client, options, now + gateway.pool.connectTimeoutMs + lateConnectionMs, () => {
     recordIteration(gateway.loop)
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -9,6 +9,7 @@
 import { cancelTrial, claimTrial, findRestriction, inspectFailedSend, reportAnswered } from '../crashes/crashWatch.js'
 import type { WatchedRequest } from '../crashes/crashWatch.js'
 import { delay } from '../node/timers.js'
+import { answerUnknownKey, isStillAuthorized } from './authentication.js'
 import { createObjectKey } from './call.js'
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
@@ -42,6 +43,7 @@
   let lastResult: SendResult | undefined
   for (;;) {
     if (call.gone.aborted) return undefined
+    if (!isStillAuthorized(gateway, call.caller)) return answerRevoked(gateway, call, state, lastResult)
     const step = decideNextStep(gateway, state, getConditions(gateway, call), getCurrentTime())
     switch (step.type) {
       case 'send':
@@ -64,6 +66,15 @@
   }
 }
 
+/** Answers a request whose key was taken away while it waited or after a send; it is not sent any more. */
+function answerRevoked (gateway: Gateway, call: Call, state: RequestState, lastResult: SendResult | undefined): CallAnswer {
+  const answer = buildAnswer(lastResult)
+  if (answer !== undefined) return answer
+  if (state.possibleRuns > 0) return fail(gateway, call, state, 'serverFailed')
+  log(gateway.node.logs, 'route', 'info', 'Key was taken away before the request was sent.', { id: call.facts.id, route: call.route.name, team: call.caller?.name, stateVersion: gateway.node.config.version, ...getTimeFields(call) })
+  return answerUnknownKey(gateway)
+}
+
 function buildPlacementRequest (call: Call): Omit<PlacementRequest, 'tried'> {
   const { route, service, facts, arrivedAt, deadline } = call
   return { route, service, object: facts.object === '' ? '' : createObjectKey(call), arrivedAt, deadline }
--- a/packages/daemon/src/types/answers.ts
+++ b/packages/daemon/src/types/answers.ts
@@ -10,6 +10,8 @@
 export const vmHeader = 'lynx-vm'
 export const loadHeader = 'lynx-load'
 export const notStartedHeader = 'lynx-not-started'
+/** Name of the caller's team; set for servers if callers need keys. */
+export const teamHeader = 'lynx-team'
 export const requestIdHeader = 'idempotency-key'
 
 /**
--- a/packages/daemon/src/types/fleetCommands.ts
+++ b/packages/daemon/src/types/fleetCommands.ts
@@ -49,10 +49,13 @@
   maxAttempts: z.number(),
   isSticky: z.boolean(),
   homes: names,
+  isPublic: z.boolean().optional(),
   annotations
 })
 const upstreamSchema = z.looseObject({ name, healthPath: z.string(), maxConnections: z.number(), warmupMs: z.number(), warmupPerSecond: z.number(), annotations })
 const limitsSchema = z.looseObject({ maxHeaderBytes: z.number(), maxBodyBytes: z.number(), headerTimeoutMs: z.number(), idleTimeoutMs: z.number() })
+const teamSchema = z.looseObject({ name, keys: z.array(z.string()), rank: z.number().optional(), ratePerSecond: z.number(), burst: z.number(), homes: names, annotations })
+const teamsSchema = z.array(teamSchema).max(maxRoutes).optional()
 const routeChangeFields = { order: textSchema, baseVersion: count, routesVersion: count }
 
 const serverEndSchema = z.looseObject({ request: textSchema, route: name, server: name, bornAt: count, isTrial: z.boolean() })
@@ -68,8 +71,8 @@
 
 /** Schema of a command. */
 export const fleetCommandSchema = z.discriminatedUnion('type', [
-  z.looseObject({ type: z.literal('replaceRoutes'), ...routeChangeFields, set: z.looseObject({ routes: z.array(routeSchema).max(maxRoutes), upstreams: z.array(upstreamSchema).max(maxRoutes), limits: limitsSchema }) }),
-  z.looseObject({ type: z.literal('updateRoutes'), ...routeChangeFields, putRoutes: z.array(routeSchema).max(maxRoutes), putUpstreams: z.array(upstreamSchema).max(maxRoutes), removeRoutes: names, removeUpstreams: names, limits: limitsSchema.optional() }),
+  z.looseObject({ type: z.literal('replaceRoutes'), ...routeChangeFields, set: z.looseObject({ routes: z.array(routeSchema).max(maxRoutes), upstreams: z.array(upstreamSchema).max(maxRoutes), limits: limitsSchema, teams: teamsSchema }) }),
+  z.looseObject({ type: z.literal('updateRoutes'), ...routeChangeFields, putRoutes: z.array(routeSchema).max(maxRoutes), putUpstreams: z.array(upstreamSchema).max(maxRoutes), removeRoutes: names, removeUpstreams: names, limits: limitsSchema.optional(), putTeams: teamsSchema, removeTeams: names.optional() }),
   z.looseObject({ type: z.literal('evacuate'), failureDomain: name, isActive: z.boolean(), baseVersion: count.optional() }),
   z.looseObject({ type: z.literal('announce'), facts: announcementSchema }),
   z.looseObject({ type: z.literal('announceAll'), servers: z.array(announcementSchema).max(maxListLength) }),
--- a/packages/state/src/core/config.ts
+++ b/packages/state/src/core/config.ts
@@ -47,6 +47,7 @@
     case 'shift': return item.state === 'cancelled' || item.state === 'complete'
     case 'route': return item.route === undefined
     case 'upstream': return item.upstream === undefined
+    case 'team': return item.team === undefined
     case 'backend': return item.state === 'gone'
     case 'evacuation': return !item.isActive
     case 'crashingRequest': return item.state === 'released'
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -1,13 +1,14 @@
-/** Applies changes of routes, evacuations and announcements of backend servers to the configuration. */
+/** Applies changes of routes, teams, evacuations and announcements of backend servers to the configuration. */
 import type { ServerId, ServiceId } from '@lynxcourse/base'
 import type { ChangeAnswer } from '../types/commands.js'
 import { routingKey } from '../types/routes.js'
 import type {
   BackendAnnouncement, BackendItem, BackendState, CallerLimits, DismissCommand, EvacuateCommand, MissCommand, RouteChangeId,
-  ReplaceRoutesCommand, Route, RouteCommand, RouteSet, RoutingItem, UpdateRoutesCommand, Upstream
+  ReplaceRoutesCommand, Route, RouteCommand, RouteSet, RoutingItem, Team, UpdateRoutesCommand, Upstream
 } from '../types/routes.js'
 import { findItem, listItems, setItem, getItemVersion } from './config.js'
 import type { Config } from './config.js'
+import { computeKeyDigest, findTeamProblem } from './teams.js'
 
 /** A latency objective that exceeds the timeout by this much or more is rejected as a probable mistake. */
 const maxAimAboveTimeoutMs = 60_000
@@ -54,7 +55,8 @@
   if (routing === undefined) return undefined
   const routes = listItems(config, 'route').flatMap(item => item.route ?? [])
   const upstreams = listItems(config, 'upstream').flatMap(item => item.upstream ?? [])
-  return { routes, upstreams, limits: routing.limits }
+  const teams = routing.hasTeams === true ? listItems(config, 'team').flatMap(item => item.team ?? []) : undefined
+  return { routes, upstreams, limits: routing.limits, teams }
 }
 
 function accept (config: Config): ChangeAnswer {
@@ -75,7 +77,7 @@
   const problem = findRouteSetProblem(next)
   if (problem !== undefined) return reject('badRequest', problem)
   writeRoutes(config, next, version)
-  const item: RoutingItem = { kind: 'routing', key: routingKey, routesVersion: command.routesVersion, limits: next.limits }
+  const item: RoutingItem = { kind: 'routing', key: routingKey, routesVersion: command.routesVersion, limits: next.limits, hasTeams: next.teams !== undefined }
   setItem(config, version, item)
   acceptedChanges.set(command.order, command.routesVersion)
   if (acceptedChanges.size > maxAcceptedRouteChanges) dropOldest(acceptedChanges)
@@ -93,10 +95,17 @@
   return {
     routes: mergeByName(current.routes, command.putRoutes, command.removeRoutes),
     upstreams: mergeByName<Upstream>(current.upstreams, command.putUpstreams, command.removeUpstreams),
-    limits: command.limits ?? current.limits
+    limits: command.limits ?? current.limits,
+    teams: mergeTeams(current.teams, command)
   }
 }
 
+/** Callers need keys from the first team on, also after the last team was removed. */
+function mergeTeams (current: readonly Team[] | undefined, { putTeams = [], removeTeams = [] }: UpdateRoutesCommand): readonly Team[] | undefined {
+  if (current === undefined && putTeams.length === 0) return undefined
+  return mergeByName<Team>(current ?? [], putTeams, removeTeams)
+}
+
 function mergeByName<Item extends { readonly name: string }> (current: readonly Item[], added: readonly Item[], removed: readonly string[]): Item[] {
   const byName = new Map(current.map(item => [item.name, item]))
   for (const name of removed) byName.delete(name)
@@ -104,7 +113,7 @@
   return [...byName.values()]
 }
 
-/** Returns a description of the first invalid route, with its name and field; undefined if all routes are valid. */
+/** Returns a description of the first invalid route or team, with its name and field; undefined if all are valid. */
 export function findRouteSetProblem (set: RouteSet): string | undefined {
   const services = new Set(set.upstreams.map(upstream => upstream.name))
   const usedMatches = new Set<string>()
@@ -118,7 +127,7 @@
     usedMatches.add(match)
     usedNames.add(route.name)
   }
-  return undefined
+  return findTeamProblem(set.teams ?? [])
 }
 
 function findRouteProblem (route: Route, services: ReadonlySet<string>): string | undefined {
@@ -156,6 +165,18 @@
   for (const upstream of next.upstreams) {
     if (!hasEqualFields(findItem(config, 'upstream', upstream.name)?.upstream, upstream)) setItem(config, version, { kind: 'upstream', key: upstream.name, upstream })
   }
+  writeTeams(config, next.teams ?? [], version)
+}
+
+function writeTeams (config: Config, next: readonly Team[], version: number): void {
+  const names = new Set(next.map(team => team.name))
+  for (const item of listItems(config, 'team')) {
+    if (item.team !== undefined && !names.has(item.key)) setItem(config, version, { kind: 'team', key: item.key, team: undefined, keyDigests: [] })
+  }
+  for (const team of next) {
+    if (hasEqualFields(findItem(config, 'team', team.name)?.team, team)) continue
+    setItem(config, version, { kind: 'team', key: team.name, team, keyDigests: team.keys.map(computeKeyDigest) })
+  }
 }
 
 function hasEqualFields (current: object | undefined, next: object): boolean {
--- a/packages/state/src/types/routes.ts
+++ b/packages/state/src/types/routes.ts
@@ -1,5 +1,5 @@
 /** Routes of callers' requests to services, announced backend servers, and the commands that change them. */
-import type { FailureDomainId, Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import type { FailureDomainId, KeyDigest, Millis, RegionId, ServerId, ServiceId, TeamName } from '@lynxcourse/base'
 
 /** A service that receives a share of a route's requests, in proportion to its weight. */
 export interface WeightedService {
@@ -33,6 +33,24 @@
   readonly isSticky: boolean
   /** The only regions that may serve the route; empty for all regions. */
   readonly homes: readonly RegionId[]
+  /** Whether callers need no key although there are teams; undefined if the operator did not say. */
+  readonly isPublic?: boolean | undefined
+  readonly annotations: Annotations
+}
+
+/** Callers that share keys, a priority, a rate limit and the regions that may serve them. */
+export interface Team {
+  readonly name: TeamName
+  /** Secrets by which callers identify themselves. Only control VMs hold them; entry VMs get their digests. */
+  readonly keys: readonly string[]
+  /** Priority of the team's requests, in place of their routes' priority; undefined to keep the routes' priority. */
+  readonly rank: number | undefined
+  /** Requests per second over all VMs together; 0 for no limit. */
+  readonly ratePerSecond: number
+  /** Requests that the team may send at once beyond its rate. */
+  readonly burst: number
+  /** The only regions that may serve the team; empty for all regions. */
+  readonly homes: readonly RegionId[]
   readonly annotations: Annotations
 }
 
@@ -57,11 +75,13 @@
   readonly idleTimeoutMs: Millis
 }
 
-/** All routes, services and limits as one change by an operator sets them. */
+/** All routes, services, limits and teams as one change by an operator sets them. */
 export interface RouteSet {
   readonly routes: readonly Route[]
   readonly upstreams: readonly Upstream[]
   readonly limits: CallerLimits
+  /** Undefined if callers need no keys; an empty list rejects all callers except on public routes. */
+  readonly teams?: readonly Team[] | undefined
 }
 
 /** The data that a backend server announces. */
@@ -87,8 +107,22 @@
 
 export interface RouteItem { readonly kind: 'route', readonly key: string, readonly route: Route | undefined }
 export interface UpstreamItem { readonly kind: 'upstream', readonly key: string, readonly upstream: Upstream | undefined }
+export interface TeamItem {
+  readonly kind: 'team'
+  readonly key: TeamName
+  /** In the copies of entry VMs, the team has no keys. */
+  readonly team: Team | undefined
+  readonly keyDigests: readonly KeyDigest[]
+}
 /** The version number that operators gave the routes; the configuration has one such item. */
-export interface RoutingItem { readonly kind: 'routing', readonly key: string, readonly routesVersion: number, readonly limits: CallerLimits }
+export interface RoutingItem {
+  readonly kind: 'routing'
+  readonly key: string
+  readonly routesVersion: number
+  readonly limits: CallerLimits
+  /** Whether callers need a key of a team. */
+  readonly hasTeams?: boolean
+}
 export interface EvacuationItem { readonly kind: 'evacuation', readonly key: FailureDomainId, readonly isActive: boolean }
 export interface BackendItem { readonly kind: 'backend', readonly key: ServerId, readonly facts: BackendAnnouncement, readonly state: BackendState }
 
@@ -98,7 +132,7 @@
 /** Identifies a change of routes, so that a resent one is recognised. The id is a digest of the whole change. */
 export type RouteChangeId = string & { readonly __brand: 'RouteChangeId' }
 
-/** Replaces all routes, services and limits. */
+/** Replaces all routes, services, limits and teams. */
 export interface ReplaceRoutesCommand {
   readonly type: 'replaceRoutes'
   readonly order: RouteChangeId
@@ -107,7 +141,7 @@
   readonly set: RouteSet
 }
 
-/** Adds, replaces and removes routes and upstreams by name. */
+/** Adds, replaces and removes routes, upstreams and teams by name. */
 export interface UpdateRoutesCommand {
   readonly type: 'updateRoutes'
   readonly order: RouteChangeId
@@ -119,6 +153,8 @@
   readonly removeUpstreams: readonly string[]
   /** The new limits; undefined keeps the current ones. */
   readonly limits: CallerLimits | undefined
+  readonly putTeams?: readonly Team[] | undefined
+  readonly removeTeams?: readonly string[] | undefined
 }
 
 /** Starts or ends the evacuation of a failure domain, which keeps requests away from its servers. */
