Limit the rate of teams over all VMs

A team's rate and burst were stored and not enforced. Each control VM now holds a fixed share of each limit and issues permits from a token bucket; an entry VM takes a permit before each send that a server may run, asks for some in advance where requests come often, and turns to the next control VM if one has none left, so that a limit can be used from anywhere. Nothing is agreed on and no clock is compared, so the bound holds for VMs in touch or not: permits live 600 ms, buckets of a VM that starts or joins are empty, one that has not heard of the leader for 5 s issues nothing. Over its rate, a team's request gets 429 at once with the time until a permit is there; without any issuer, 503.

packages/limits' grants limit requests in flight and keep each share in the log; 88 teams at 84 entry VMs that change by the second would be thousands of log entries, so they were not reused.

--- a/packages/daemon/__tests__/support/fleetFixture.ts
+++ b/packages/daemon/__tests__/support/fleetFixture.ts
@@ -48,6 +48,7 @@
     isFirstStart: true,
     dataFolder: join(folder, `vm-${index}`),
     retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 50 },
+    rateBound: { windowMs: 5000, overage: 0.1, slack: 20 },
     times: { ...defaultFleetTimes, stopMs: 2000 },
     log: { format: 'json', level: 'error', parts: {} }
   }))
--- a/packages/daemon/__tests__/teams.test.ts
+++ b/packages/daemon/__tests__/teams.test.ts
@@ -3,26 +3,19 @@
 import { connect } from 'node:net'
 import { test } from 'node:test'
 import { brandId } from '@lynxcourse/base'
-import type { RegionId, ServiceId, TeamName } from '@lynxcourse/base'
+import type { RegionId, ServiceId } from '@lynxcourse/base'
 import { delay } from '@lynxcourse/daemon'
 import type { FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
-import type { Route, RouteChangeId, RouteCommand, Team } from '@lynxcourse/state'
+import type { Route, Team } from '@lynxcourse/state'
 import { createReplaceRoutesCommand, createRouteToDesk, hasServers, publishRoutes, sendRequest, startFleetFixture, startTestServer, startVm, submitCommand, waitUntil } from './support/fleetFixture.js'
 import type { FleetFixture, TestServer } from './support/fleetFixture.js'
+import { createTeam, createTeamsUpdate } from './support/teams.js'
 
 /** Time after its confirmation within which a change takes effect at every VM. */
 const applyMs = 2500
 const kochi = brandId<RegionId>('kochi')
 const chennai = brandId<RegionId>('chennai')
 
-function createTeam (name: string, keys: readonly string[], fields: Partial<Team> = {}): Team {
-  return { name: brandId<TeamName>(name), keys, rank: undefined, ratePerSecond: 0, burst: 0, homes: [], annotations: {}, ...fields }
-}
-
-function createUpdate (baseVersion: number, putTeams: readonly Team[]): RouteCommand {
-  return { type: 'updateRoutes', order: `update ${baseVersion}` as RouteChangeId, baseVersion, routesVersion: baseVersion + 1, putRoutes: [], putUpstreams: [], removeRoutes: [], removeUpstreams: [], limits: undefined, putTeams, removeTeams: [] }
-}
-
 const routes: readonly Route[] = [
   createRouteToDesk('read'),
   createRouteToDesk('write', { isIdempotent: false }),
@@ -41,7 +34,7 @@
   const fixture = await startFleetFixture(1)
   await publishRoutes(fixture, [server], routes)
   if (teams !== undefined) {
-    assert.ok((await submitCommand(fixture, createUpdate(1, teams))).ok)
+    assert.ok((await submitCommand(fixture, createTeamsUpdate(1, teams))).ok)
     await waitUntil(() => getEntry(fixture).gateway?.teams.isRequired === true)
   }
   return {
@@ -114,7 +107,7 @@
 test('a key that was taken away or added takes effect at the entry VM', async () => {
   await using fleet = await startFleet([createTeam('a', ['k1', 'k2'])])
   const { fixture } = fleet
-  assert.ok((await submitCommand(fixture, createUpdate(2, [createTeam('a', ['k2', 'k3'])]))).ok)
+  assert.ok((await submitCommand(fixture, createTeamsUpdate(2, [createTeam('a', ['k2', 'k3'])]))).ok)
   await waitUntil(async () => await getStatus(fixture, '/read/1', { authorization: 'Bearer k3' }) === 200)
   assert.equal(await getStatus(fixture, '/read/1', { authorization: 'Bearer k1' }), 401)
   assert.equal(await getStatus(fixture, '/read/1', { authorization: 'Bearer k2' }), 200)
@@ -126,7 +119,7 @@
   await using server = await startTestServer('s1', (_req, res) => { held.push(() => res.end('ok')) })
   await using fixture = await startFleetFixture(1)
   await publishRoutes(fixture, [server], [createRouteToDesk('read', { timeoutMs: 20_000, aimMs: 10_000, maxAttempts: 1 })])
-  assert.ok((await submitCommand(fixture, createUpdate(1, [createTeam('a', ['k1']), createTeam('b', ['k2'])]))).ok)
+  assert.ok((await submitCommand(fixture, createTeamsUpdate(1, [createTeam('a', ['k1']), createTeam('b', ['k2'])]))).ok)
   await waitUntil(() => getEntry(fixture).gateway?.teams.isRequired === true)
   const { gateway } = getEntry(fixture)
   const sendAs = async (key: string): Promise<number> => await getStatus(fixture, '/read/1', { authorization: `Bearer ${key}` })
@@ -139,7 +132,7 @@
   const waiting = sendAs('k1')
   await waitUntil(() => (gateway?.waitingForCapacity.get(brandId<ServiceId>('desk')) ?? 0) > 1)
   const sent = server.requests.length
-  assert.ok((await submitCommand(fixture, createUpdate(2, [createTeam('a', [])]))).ok)
+  assert.ok((await submitCommand(fixture, createTeamsUpdate(2, [createTeam('a', [])]))).ok)
   assert.equal(await waiting, 401)
   assert.ok(server.requests.slice(sent).every(({ headers }) => headers['lynx-team'] !== 'a'))
   const release = setInterval(() => { for (const answer of held.splice(0)) answer() }, 10)
@@ -174,7 +167,7 @@
   await using fleet = await startFleet([createTeam('a', ['k1', 'k2'])])
   const { fixture } = fleet
   await fixture.daemons.pop()?.[Symbol.asyncDispose]()
-  assert.ok((await submitCommand(fixture, createUpdate(2, [createTeam('a', ['k2'])]))).ok)
+  assert.ok((await submitCommand(fixture, createTeamsUpdate(2, [createTeam('a', ['k2'])]))).ok)
   await delay(applyMs)
   fixture.daemons.push(await startVm({ ...fixture.settings.at(-1) as FleetSettings, isFirstStart: false }))
   const statuses = await Promise.all([1, 2, 3, 4].map(async () => await getStatus(fixture, '/read/1', { authorization: 'Bearer k1' })))
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -1,7 +1,7 @@
 /** A control VM of a fleet: its replica of the log, and the changes and reads that every control VM accepts. */
 import { join } from 'node:path'
 import { LynxError, brandId, hashText, createHolderId, isLynxError, getHolderVm } from '@lynxcourse/base'
-import type { HolderId, Incarnation, Millis, RequestFingerprint, ServerId, VmId } from '@lynxcourse/base'
+import type { HolderId, Incarnation, Millis, RequestFingerprint, ServerId, TeamName, VmId } from '@lynxcourse/base'
 import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, recordKnownVersion, findRouteSet, getRoutesVersion, getKnownVersionAt, isRestricted, listItems } from '@lynxcourse/state'
 import type { BackendAnnouncement, ChangeAnswer, CommandAnswer, CrashCommand, CrashingRequestItem, KnownVersions, RouteCommand, RouteSet, Team } from '@lynxcourse/state'
 import { getCurrentTime } from '../../utils/clock.js'
@@ -11,6 +11,8 @@
 import type { ControlEnv, ControlHost } from '../control/hostState.js'
 import { initCluster, isBlank } from '../control/membership.js'
 import { grantControlTrial } from '../control/crashTrials.js'
+import { createPermitOffice, issueTeamPermits, pruneTeamBuckets, refreshMembers } from '../control/permitIssuing.js'
+import type { PermitOffice, PermitReply } from '../control/permitIssuing.js'
 import { confirmRead, proposeCommand } from '../control/proposals.js'
 import { callPeer } from '../rpc/rpcClient.js'
 import { enqueueAnnouncement, createAnnouncementQueue } from './announcementQueue.js'
@@ -32,6 +34,7 @@
   readonly loadAggregate: LoadAggregate
   readonly board: LoadBoard
   readonly announcementQueue: AnnouncementQueue
+  readonly permits: PermitOffice
   /** At the leader: trials of restricted requests. */
   readonly trials: Trials
 }
@@ -89,9 +92,14 @@
   }
   const knownVersions = createKnownVersions()
   const recordVersion = (): void => recordKnownVersion(knownVersions, host.machine.config.version, getCurrentTime())
-  recordVersion()
-  host.progressListeners.push(recordVersion)
-  return { node, host, knownVersions, presence: createPresence(), loadAggregate: createLoadAggregate(), board: createLoadBoard(), announcementQueue: createAnnouncementQueue(), trials: new Map() }
+  const permits = createPermitOffice(getCurrentTime())
+  const recordProgress = (): void => {
+    recordVersion()
+    refreshMembers(permits, host, getCurrentTime())
+  }
+  recordProgress()
+  host.progressListeners.push(recordProgress)
+  return { node, host, knownVersions, presence: createPresence(), loadAggregate: createLoadAggregate(), board: createLoadBoard(), announcementQueue: createAnnouncementQueue(), permits, trials: new Map() }
 }
 
 function createControlEnv (node: FleetNode, isFounder: boolean): ControlEnv {
@@ -273,6 +281,17 @@
   await submitFleetCommand(control, { type: 'dismiss', ids: [id], ...(bornAt === undefined ? {} : { bornAt }) })
 }
 
+/**
+ * Issues permits for requests of a team from this VM's share of the team's rate limit.
+ *
+ * @throws LynxError if this VM may not issue permits now, or if there is no such team
+ */
+export function takePermits (control: FleetControl, team: TeamName, wanted: number, now: Millis): PermitReply {
+  const { host, node, permits } = control
+  pruneTeamBuckets(permits, host, now)
+  return issueTeamPermits(permits, host, node.cfg.rateBound, team, wanted, getStateAge(control, now), now)
+}
+
 /** Returns how long ago the local copy was last known to be the current state. */
 export function getStateAge (control: FleetControl, now: Millis): Millis {
   const { replica, appliedUpToDateAt } = control.host
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -2,7 +2,7 @@
 import { getDeltaSince, hideKeys } from '@lynxcourse/state'
 import type { BackendAnnouncement, ChangeAnswer, ConfigDelta, ReportServerEndsCommand } from '@lynxcourse/state'
 import { LynxError, brandId, getErrorMessage } from '@lynxcourse/base'
-import type { Millis, RegionId, RequestFingerprint, ServerId } from '@lynxcourse/base'
+import type { Millis, RegionId, RequestFingerprint, ServerId, TeamName } from '@lynxcourse/base'
 import { selectEntries, isDiscovering, omitKnownWeights, applyDigest, addLoadReport } from '@lynxcourse/placement'
 import type { EntryPresence, LoadUpdate, LoadReport } from '@lynxcourse/placement'
 import * as z from 'zod'
@@ -14,7 +14,7 @@
 import { addMethod } from '../rpc/rpcServer.js'
 import { delay } from '../node/timers.js'
 import type { RpcCall, RpcServer } from '../rpc/rpcServer.js'
-import { claimTrial, dismissServer, cancelFleetTrial, readRoutes, getStateAge, submitFleetCommand, summarizeTeams, handleAnnouncement } from './fleetControl.js'
+import { claimTrial, dismissServer, cancelFleetTrial, readRoutes, getStateAge, submitFleetCommand, summarizeTeams, handleAnnouncement, takePermits } from './fleetControl.js'
 import type { FleetCommand, FleetControl } from './fleetControl.js'
 import type { ControlEndpoint } from './fleetNode.js'
 import { recordWatchingEntry, applyPresenceReport } from './presence.js'
@@ -60,6 +60,7 @@
 const dismissSchema = z.strictObject({ server: textSchema, bornAt: z.number().int().min(0).optional() })
 const endsSchema = z.strictObject(serverEndFields)
 const trialSchema = z.strictObject({ ...trialFields, isRelayed: z.boolean() })
+const permitsSchema = z.strictObject({ team: z.string().min(1), wanted: z.number().int().min(1).max(100_000) })
 const lookupSchema = z.strictObject({ region: textSchema.optional() })
 
 /** Result of a lookup by a caller. */
@@ -106,6 +107,7 @@
   })
   addMethod(rpc, 'fleet.claimTrial', ['vm'], trialSchema, async ({ request, forMs, isRelayed }) =>
     await claimTrial(control, brandId<RequestFingerprint>(request), forMs, isRelayed))
+  addMethod(rpc, 'fleet.takePermits', ['vm'], permitsSchema, ({ team, wanted }) => takePermits(control, brandId<TeamName>(team), wanted, getCurrentTime()))
   addMethod(rpc, 'fleet.cancelTrial', ['vm'], z.strictObject({ request: textSchema, isRelayed: z.boolean() }), async ({ request, isRelayed }) => {
     await cancelFleetTrial(control, brandId<RequestFingerprint>(request), isRelayed)
     return {}
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -14,7 +14,10 @@
 import { createConnectionPool } from '../entry/connectionPool.js'
 import type { ConnectionPool } from '../entry/connectionPool.js'
 import type { CallerDialect, ServerDialect } from './dialects.js'
+import { FleetPermitChannel } from './permitChannel.js'
 import type { Pipelines } from './pipeline.js'
+import { createTeamPermits } from './teamPermits.js'
+import type { TeamPermits } from './teamPermits.js'
 
 export interface Gateway extends EntryState {
   readonly node: FleetNode
@@ -23,6 +26,7 @@
   readonly pool: ConnectionPool
   readonly splits: SplitStates
   readonly crashes: CrashWatch
+  readonly permits: TeamPermits
   /** Bounds the read delay of requests. */
   readonly loop: LoopMonitor
   routeTable: RouteTable
@@ -51,6 +55,7 @@
     load: node.load,
     splits: new Map(),
     crashes: createCrashWatch(node.logs, node.metrics, new FleetCrashChannel(node), connectTimeoutMs),
+    permits: createTeamPermits(new FleetPermitChannel(node), node.logs),
     retries: new Map(),
     loop,
     routeTable: buildRouteTable([]),
--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -8,6 +8,7 @@
 import { refreshRestrictions } from '../crashes/crashWatch.js'
 import type { FleetNode } from '../fleet/fleetNode.js'
 import type { Gateway } from './gateway.js'
+import { pruneTeamPermits } from './teamPermits.js'
 
 /** Warm-up time for a server that may have become cold while its failure domain received no requests. */
 const defaultWarmupMs = 3000
@@ -18,6 +19,7 @@
   const routeSet = findRouteSet(node.config)
   gateway.routeTable = buildRouteTable(routeSet?.routes ?? [])
   gateway.teams = buildTeamTable(listItems(node.config, 'team'), routeSet?.teams !== undefined)
+  pruneTeamPermits(gateway.permits, team => (gateway.teams.byName.get(team)?.ratePerSecond ?? 0) > 0)
   if (routeSet !== undefined) {
     gateway.limits = routeSet.limits
     for (const upstream of routeSet.upstreams) fleet.coldRequestRates.set(upstream.name, upstream.warmupPerSecond)
--- /dev/null
+++ b/packages/daemon/src/core/gateway/permitHolder.ts
@@ -0,0 +1,44 @@
+/** The permit of one request of a rate-limited team: held from just before a send until the request has run. */
+import type { Millis, TeamName } from '@lynxcourse/base'
+import { returnPermit } from '@lynxcourse/limits'
+import type { Permit } from '@lynxcourse/limits'
+import type { Call } from './call.js'
+import type { Gateway } from './gateway.js'
+import { obtainPermit } from './teamPermits.js'
+import type { PermitRefusal } from './teamPermits.js'
+
+export interface PermitHolder {
+  /** Undefined if the caller has no team. */
+  readonly team: TeamName | undefined
+  permit: Permit | undefined
+}
+
+export function createPermitHolder ({ caller }: Call): PermitHolder {
+  return { team: caller?.name, permit: undefined }
+}
+
+/** Whether the request needs a permit before it can be sent now. */
+export function needsPermit ({ teams }: Gateway, { team, permit }: PermitHolder, now: Millis): boolean {
+  if (team === undefined || (teams.byName.get(team)?.ratePerSecond ?? 0) === 0) return false
+  return permit === undefined || now >= permit.expiresAt
+}
+
+/** Obtains a permit; returns the refusal if there is none. */
+export async function fetchPermit ({ permits }: Gateway, holder: PermitHolder, now: Millis): Promise<PermitRefusal | undefined> {
+  if (holder.team === undefined) return undefined
+  const result = await obtainPermit(permits, holder.team, now)
+  if (result.type === 'refuse') return result
+  holder.permit = result.permit
+  return undefined
+}
+
+/** Records that a server ran the request, or may have run it. */
+export function consumePermit (holder: PermitHolder): void {
+  holder.permit = undefined
+}
+
+/** Returns the permit of a request that ends without having run. */
+export function releasePermit ({ permits }: Gateway, holder: PermitHolder, now: Millis): void {
+  if (holder.team !== undefined && holder.permit !== undefined) returnPermit(permits.store, holder.team, holder.permit, now)
+  holder.permit = undefined
+}
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -8,6 +8,7 @@
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
 import type { SendReport } from './sending.js'
+import type { PermitRefusal } from './teamPermits.js'
 
 /** The members of a request that the log line of a refusal needs; the body of the request may not have been read. */
 export type RefusedCall = Pick<Call, 'facts' | 'caller' | 'route' | 'service' | 'arrivedAt' | 'readAt' | 'deadline'>
@@ -86,7 +87,7 @@
 }
 
 /** Logs a refusal of a request. */
-export function logRefusal (gateway: Gateway, call: RefusedCall, sends: number, refusal: Refusal | OverloadRefusal): void {
+export function logRefusal (gateway: Gateway, call: RefusedCall, sends: number, refusal: Refusal | OverloadRefusal | PermitRefusal): void {
   gateway.node.metrics.refusals.inc({ reason: refusal.reason })
   log(gateway.node.logs, 'route', 'info', 'Refused.', {
     id: call.facts.id,
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -13,11 +13,15 @@
 import { createObjectKey } from './call.js'
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
+import { consumePermit, createPermitHolder, fetchPermit, needsPermit, releasePermit } from './permitHolder.js'
+import type { PermitHolder } from './permitHolder.js'
+import type { PermitRefusal } from './teamPermits.js'
 import { logRefusal, logSend, getTimeFields } from './requestLog.js'
 import { sendOnce } from './sending.js'
 import type { SendTimeouts, SendResult } from './sending.js'
 
 const statusUnavailable = 503
+const statusTooMany = 429
 
 type FailureReason = Extract<RequestStep, { type: 'fail' }>['reason']
 
@@ -40,15 +44,31 @@
 
 /** Performs the steps of a request until its final answer. */
 async function performSteps (gateway: Gateway, call: Call, state: RequestState): Promise<CallAnswer | undefined> {
+  const holder = createPermitHolder(call)
+  try {
+    return await performStepsWithPermit(gateway, call, state, holder)
+  } finally {
+    releasePermit(gateway, holder, getCurrentTime())
+  }
+}
+
+async function performStepsWithPermit (gateway: Gateway, call: Call, state: RequestState, holder: PermitHolder): Promise<CallAnswer | undefined> {
   let lastResult: SendResult | undefined
   for (;;) {
     if (call.gone.aborted) return undefined
     if (!isStillAuthorized(gateway, call.caller)) return answerRevoked(gateway, call, state, lastResult)
-    const step = decideNextStep(gateway, state, getConditions(gateway, call), getCurrentTime())
+    const now = getCurrentTime()
+    const step = decideNextStep(gateway, state, { ...getConditions(gateway, call), needsPermit: needsPermit(gateway, holder, now) }, now)
     switch (step.type) {
       case 'send':
         lastResult = await sendToServer(gateway, call, state, step.placement)
+        if (lastResult.type !== 'notRun') consumePermit(holder)
         break
+      case 'takePermit': {
+        const refusal = await fetchPermit(gateway, holder, now)
+        if (refusal !== undefined) return refuseWithoutPermit(gateway, call, state, lastResult, refusal)
+        break
+      }
       case 'poll':
         recordPoll(call.liveness, (await waitForPoll(gateway.loop.polls)).beganAt)
         break
@@ -128,6 +148,15 @@
   return lastResult?.type === 'answered' ? { status: lastResult.status, headers: lastResult.headers, body: lastResult.body } : undefined
 }
 
+/** Answers a request that gets no permit: it is refused, or ends with the results of its sends so far. */
+function refuseWithoutPermit (gateway: Gateway, call: Call, state: RequestState, lastResult: SendResult | undefined, refusal: PermitRefusal): CallAnswer {
+  if (state.possibleRuns > 0) return buildAnswer(lastResult) ?? fail(gateway, call, state, 'serverFailed')
+  logRefusal(gateway, call, state.sends, refusal)
+  const { reason, retryAfterMs } = refusal
+  const status = reason === 'overRate' ? statusTooMany : statusUnavailable
+  return { status, headers: gateway.callers.buildRefusalHeaders(retryAfterMs), body: Buffer.from(`not run: ${reason}\n`) }
+}
+
 function refuse (gateway: Gateway, call: Call, state: RequestState, refusal: Refusal): CallAnswer {
   logRefusal(gateway, call, state.sends, refusal)
   return { status: statusUnavailable, headers: gateway.callers.buildRefusalHeaders(refusal.retryAfterMs), body: Buffer.from(`not run: ${refusal.reason}\n`) }
--- a/packages/daemon/src/types/fleetFile.ts
+++ b/packages/daemon/src/types/fleetFile.ts
@@ -3,7 +3,7 @@
 import type { FailureDomainId, RegionId } from '@lynxcourse/base'
 import { createNameSchema } from '@lynxcourse/state'
 import * as z from 'zod'
-import { defaultFleetTimes } from './fleetSettings.js'
+import { defaultFleetTimes, defaultRateBound } from './fleetSettings.js'
 import type { FleetSettings, FleetTimes } from './fleetSettings.js'
 import { addressSchema, logSchema } from './settings.js'
 
@@ -54,6 +54,13 @@
     /** Retries in a window in addition to those, for all VMs together. */
     slack: z.number().min(0).default(50)
   }).prefault({}),
+  rateBound: z.strictObject({
+    windowMs: millis.default(defaultRateBound.windowMs),
+    /** Fraction by which the requests of a team in a window may exceed its limit. */
+    overage: z.number().min(0).max(10).default(defaultRateBound.overage),
+    /** Requests in a window beyond that, for all VMs together. */
+    slack: z.number().min(0).default(defaultRateBound.slack)
+  }).prefault({}),
   times: timesSchema,
   log: logSchema
 }).superRefine((cfg, ctx) => {
@@ -92,6 +99,7 @@
     isFirstStart: file.isFirstStart,
     dataFolder: file.dataFolder,
     retryBudget: file.retryBudget,
+    rateBound: file.rateBound,
     times: { ...defaultFleetTimes, ...omitUndefined(file.times) },
     log: file.log
   }
--- a/packages/daemon/src/types/fleetSettings.ts
+++ b/packages/daemon/src/types/fleetSettings.ts
@@ -1,5 +1,6 @@
 /** Settings of a fleet's VM: entry VMs that serve routes, and their control VMs. */
 import type { FailureDomainId, Millis, RegionId } from '@lynxcourse/base'
+import type { RateBound } from '@lynxcourse/limits'
 import type { RetryBudgetCfg } from '@lynxcourse/placement'
 import type { LogSettings } from '../utils/logging.js'
 
@@ -51,6 +52,9 @@
   lookupTtlMs: 2000
 }
 
+/** Default bound on the requests of a team: exactly its rate limit, over any five seconds. */
+export const defaultRateBound: RateBound = { windowMs: 5000, overage: 0, slack: 0 }
+
 /** Settings of one VM. */
 export interface FleetSettings {
   readonly name: string
@@ -72,6 +76,8 @@
   readonly isFirstStart: boolean
   readonly dataFolder: string | undefined
   readonly retryBudget: RetryBudgetCfg
+  /** How far the requests of a team may exceed its rate limit. */
+  readonly rateBound: RateBound
   readonly times: FleetTimes
   readonly log: LogSettings
 }
--- a/packages/placement/src/core/request/entryState.ts
+++ b/packages/placement/src/core/request/entryState.ts
@@ -24,6 +24,8 @@
   readonly isStopping: boolean
   /** How the request may be sent if servers ended under it; undefined for all other requests. */
   readonly restriction?: RequestRestriction | undefined
+  /** Whether the request needs a permit of its team before it is sent. */
+  readonly needsPermit?: boolean
 }
 
 /** Applies the load data that the leader published: plans, weights, unresponsive servers and queue depths. */
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -58,6 +58,8 @@
   | { readonly type: 'poll' }
   /** Ask the leader for a trial, pass its answer to `recordTrialAnswer`, and call `decideNextStep` again. */
   | { readonly type: 'claimTrial' }
+  /** Obtain a permit of the caller's team and call `decideNextStep` again. */
+  | { readonly type: 'takePermit' }
   /** Wait for capacity and call `decideNextStep` again after `pauseMs`. */
   | { readonly type: 'wait', readonly pauseMs: Millis }
   /** The request has not run and will not run; the caller may retry it. */
@@ -104,6 +106,7 @@
     if (mayWaitForCapacity(entry, state, placement, conditions, now)) return { type: 'wait', pauseMs: computeRecheckDelay(entry.fleet.setup.random) }
     return state.possibleRuns > 0 ? stepWithoutRetry(state) : { type: 'refuse', refused: placement }
   }
+  if (conditions.needsPermit === true) return { type: 'takePermit' }
   const { retries, fleet } = entry
   const isFirstSend = state.sends === 0
   if (!isFirstSend && !trySpendRetry(retries, conditions.retryBudget, state.request.service, fleet.vms.length, now)) return stepWithoutRetry(state)
