--- a/packages/cli/__tests__/cli.test.ts
+++ b/packages/cli/__tests__/cli.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { LynxError, brandId, isLynxError } from '@lynxcourse/base'
-import type { RequestFingerprint, ServerId, ServiceId } from '@lynxcourse/base'
-import { createBashCompletion, createRestrictionRow, diffProfiles, getExitCode, explainMatch, formatTable, createProgram, openSession } from '@lynxcourse/cli'
+import type { RequestFingerprint, ServerId, ServiceId, TeamName } from '@lynxcourse/base'
+import { createBashCompletion, createRestrictionRow, createTeamRow, diffProfiles, getExitCode, explainMatch, formatTable, createProgram, openSession } from '@lynxcourse/cli'
 import { profileSchema } from '@lynxcourse/state'
 
 test('errors are mapped to the exit codes in the help text', () => {
@@ -48,3 +48,9 @@
   assert.deepEqual(createRestrictionRow(item), { request: 'f1', route: 'read', state: 'blocked', blockedUntil: '2027-01-15T08:00:00.000Z', failedTrials: 1, servers: 's1,s2' })
   assert.equal(createRestrictionRow({ ...item, state: 'suspected', blockedUntil: 0 })['blockedUntil'], undefined)
 })
+
+test('a team is listed with its limit, if it has one, and the number of its keys', () => {
+  const team = { name: brandId<TeamName>('a'), rank: 1, ratePerSecond: 0, burst: 5, homes: [], annotations: {}, keyCount: 2 }
+  assert.deepEqual(createTeamRow(team), { name: 'a', keys: 2, rank: 1, ratePerSecond: undefined, burst: undefined, homes: '' })
+  assert.equal(createTeamRow({ ...team, ratePerSecond: 3 })['ratePerSecond'], 3)
+})
--- a/packages/cli/src/core/commands/fleets.ts
+++ b/packages/cli/src/core/commands/fleets.ts
@@ -1,7 +1,7 @@
-/** Commands for a fleet: `fleet routes`, `fleet match`, `fleet restricted`, `fleet release`. */
+/** Commands for a fleet: `fleet routes`, `fleet match`, `fleet teams`, `fleet restricted`, `fleet release`. */
 import type { Command } from 'commander'
 import { LynxError } from '@lynxcourse/base'
-import type { FleetReadResult, RoutesReadResult } from '@lynxcourse/daemon'
+import type { FleetSummary, TeamSummary } from '@lynxcourse/daemon'
 import { buildRouteTable, matchRoute } from '@lynxcourse/routing'
 import { getRouteServices } from '@lynxcourse/state'
 import type { ChangeAnswer, CrashingRequestItem, Route } from '@lynxcourse/state'
@@ -29,7 +29,7 @@
  *
  * @throws LynxError `notFound` if no route matches
  */
-export function explainMatch (result: RoutesReadResult, host: string, path: string): Row {
+export function explainMatch (result: Pick<FleetSummary, 'routesVersion' | 'set'>, host: string, path: string): Row {
   const routes = result.set?.routes ?? []
   const chosen = matchRoute(buildRouteTable(routes), host, path)
   if (chosen === undefined) throw new LynxError('notFound', `no route for ${host}${path} in version ${result.routesVersion}`, { step: 'match' })
@@ -37,6 +37,12 @@
   return { version: result.routesVersion, ...createRouteRow(chosen), passedOver: lessSpecific.map(route => `${route.name} ${route.pathPrefix}`) }
 }
 
+/** Creates the output row of a team; it shows how many keys the team has, and no key. */
+export function createTeamRow ({ name, rank, ratePerSecond, burst, homes, keyCount }: TeamSummary): Row {
+  const isLimited = ratePerSecond > 0
+  return { name, keys: keyCount, rank, ratePerSecond: isLimited ? ratePerSecond : undefined, burst: isLimited ? burst : undefined, homes: homes.join() }
+}
+
 /** Creates the output row of a restricted request. */
 export function createRestrictionRow ({ key, route, state, blockedUntil, failedTrials, servers }: CrashingRequestItem): Row {
   return { request: key, route, state, blockedUntil: blockedUntil === 0 ? undefined : new Date(blockedUntil).toISOString(), failedTrials, servers: servers.join() }
@@ -44,20 +50,25 @@
 
 /** Adds the commands of `lynxcourse fleet`. */
 export function addFleetCommands (program: Command): void {
-  const fleet = program.command('fleet').description('routes and restricted requests of a fleet, read from a quorum of its control VMs')
+  const fleet = program.command('fleet').description('routes, teams and restricted requests of a fleet, read from a quorum of its control VMs')
   fleet.command('routes').description('list routes').action(createAction(async session => {
-    const result = await callAnyVm<RoutesReadResult>(session, 'fleet.read')
+    const result = await callAnyVm<FleetSummary>(session, 'fleet.read')
     const columns = ['name', 'host', 'pathPrefix', 'services', 'idempotent', 'rank', 'aimMs', 'timeoutMs', 'maxAttempts', 'homes']
     printRows(session.output, (result.set?.routes ?? []).map(createRouteRow), columns)
     return exitCodes.ok
   }))
   fleet.command('match <host> <path>').description('show the route that matches a request, and the less specific routes').action(createAction(async (session, [host, path]) => {
-    const result = await callAnyVm<RoutesReadResult>(session, 'fleet.read')
+    const result = await callAnyVm<FleetSummary>(session, 'fleet.read')
     printRecord(session.output, explainMatch(result, host ?? '', path ?? ''))
     return exitCodes.ok
   }))
+  fleet.command('teams').description('list teams with their limits, without their keys').action(createAction(async session => {
+    const { teams } = await callAnyVm<FleetSummary>(session, 'fleet.read')
+    printRows(session.output, (teams ?? []).map(createTeamRow), ['name', 'keys', 'rank', 'ratePerSecond', 'burst', 'homes'])
+    return exitCodes.ok
+  }))
   fleet.command('restricted').description('list the requests under which servers ended').action(createAction(async session => {
-    const result = await callAnyVm<FleetReadResult>(session, 'fleet.read')
+    const result = await callAnyVm<FleetSummary>(session, 'fleet.read')
     printRows(session.output, result.restricted.map(createRestrictionRow), ['request', 'route', 'state', 'blockedUntil', 'failedTrials', 'servers'])
     return exitCodes.ok
   }))
--- a/scripts/__tests__/explain.test.ts
+++ b/scripts/__tests__/explain.test.ts
@@ -30,6 +30,13 @@
     ['refused: bound of the VM', 'refused: queues at servers', 'refused: no time left', 'refused: no server', 'refused: ended servers'])
 })
 
+test('refusals by key, rate and room of a team are told apart', () => {
+  const refused = (fields: Record<string, unknown>): string => line({ message: 'Refused.', ...fields })
+  const rejected = (reason: string): string => line({ message: 'Caller rejected.', reason })
+  assert.deepEqual(classifyLines(refused({ reason: 'overRate' }), refused({ reason: 'noPermits' }), rejected('unknownKey'), rejected('unconfirmedState'), rejected('noCommonRegion')),
+    ['refused: over the rate of its team', 'refused: no permits', 'rejected: unknown key', 'rejected: state not confirmed', 'rejected: no region'])
+})
+
 test('lines with other messages and truncated lines are ignored', () => {
   assert.deepEqual(classifyLines('no json', line({ message: 'Started.' }), line({}).slice(0, 60)), [undefined, undefined, undefined])
 })
--- a/scripts/explain/causes.ts
+++ b/scripts/explain/causes.ts
@@ -4,7 +4,8 @@
 /** Causes, in order of decreasing cost to the caller. */
 export const causes = [
   'lost with its server', 'timeout under cold work', 'timeout', 'refused: bound of the VM', 'refused: queues at servers', 'refused: no time left',
-  'refused: no server', 'refused: ended servers', 'shed by its server', 'cold: first touch', 'cold: placed anew', 'cold: beside its server', 'slower than expected', 'as expected',
+  'refused: no server', 'refused: ended servers', 'refused: over the rate of its team', 'refused: no permits', 'rejected: unknown key',
+  'rejected: state not confirmed', 'rejected: no region', 'shed by its server', 'cold: first touch', 'cold: placed anew', 'cold: beside its server', 'slower than expected', 'as expected',
   'caller gone'
 ] as const
 
@@ -22,6 +23,7 @@
 export function classifyDecision (seenServers: SeenServers, decision: Decision): Cause | undefined {
   switch (decision.message) {
     case 'Refused.': return getRefusalCause(decision)
+    case 'Caller rejected.': return getRejectionCause(decision)
     case 'Failed.': return undefined
     case 'Sent.': return getSendCause(seenServers, decision)
   }
@@ -31,9 +33,16 @@
   if (reason === 'noTime') return 'refused: no time left'
   if (reason === 'noServer') return 'refused: no server'
   if (reason === 'endsServers') return 'refused: ended servers'
+  if (reason === 'overRate') return 'refused: over the rate of its team'
+  if (reason === 'noPermits') return 'refused: no permits'
   return underWay >= limit * boundFraction ? 'refused: bound of the VM' : 'refused: queues at servers'
 }
 
+function getRejectionCause ({ reason }: Decision): Cause {
+  if (reason === 'noCommonRegion') return 'rejected: no region'
+  return reason === 'unconfirmedState' ? 'rejected: state not confirmed' : 'rejected: unknown key'
+}
+
 function getSendCause (seenServers: SeenServers, decision: Decision): Cause {
   const { outcome, tookMs, expectedMs } = decision
   const cold = getColdCause(seenServers, decision)
--- a/scripts/explain/readDecision.ts
+++ b/scripts/explain/readDecision.ts
@@ -2,7 +2,7 @@
 
 /** Fields of one decision; texts that a line lacks are empty, numbers are NaN. */
 export interface Decision {
-  readonly message: 'Sent.' | 'Refused.' | 'Failed.'
+  readonly message: 'Sent.' | 'Refused.' | 'Failed.' | 'Caller rejected.'
   /** Unix time in milliseconds, by the clock of the VM that wrote the line. */
   readonly at: number
   readonly route: string
@@ -18,7 +18,7 @@
   readonly limit: number
 }
 
-const messages = new Set(['Sent.', 'Refused.', 'Failed.'])
+const messages = new Set(['Sent.', 'Refused.', 'Failed.', 'Caller rejected.'])
 
 /** Parses the decision of a line; returns undefined for other lines. A log collector may have put a prefix before the JSON. */
 export function readDecision (line: string): Decision | undefined {
