--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -11,7 +11,7 @@
 import type { ControlEnv, ControlHost } from '../control/hostState.js'
 import { initCluster, isBlank } from '../control/membership.js'
 import { grantControlTrial } from '../control/crashTrials.js'
-import { createPermitOffice, issueTeamPermits, pruneTeamBuckets, refreshMembers } from '../control/permitIssuing.js'
+import { createPermitOffice, issueTeamPermits, refreshMembers } from '../control/permitIssuing.js'
 import type { PermitOffice, PermitReply } from '../control/permitIssuing.js'
 import { confirmRead, proposeCommand } from '../control/proposals.js'
 import { callPeer } from '../rpc/rpcClient.js'
@@ -288,7 +288,6 @@
  */
 export function takePermits (control: FleetControl, team: TeamName, wanted: number, now: Millis): PermitReply {
   const { host, node, permits } = control
-  pruneTeamBuckets(permits, host, now)
   return issueTeamPermits(permits, host, node.cfg.rateBound, team, wanted, getStateAge(control, now), now)
 }
 
--- a/packages/daemon/src/core/fleet/presenceExchange.ts
+++ b/packages/daemon/src/core/fleet/presenceExchange.ts
@@ -6,6 +6,7 @@
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { isLeading } from '../control/hostState.js'
+import { pruneTeamBuckets } from '../control/permitIssuing.js'
 import { delay } from '../node/timers.js'
 import { callPeer } from '../rpc/rpcClient.js'
 import { getLeaderAddress, submitFleetCommand } from './fleetControl.js'
@@ -81,6 +82,7 @@
   const { node, host, presence, loadAggregate, board } = control
   const now = getCurrentTime()
   prunePresence(presence, now)
+  pruneTeamBuckets(control.permits, host, now)
   const report: PresenceReport = { from: { rpc: node.cfg.rpc, region: node.cfg.region }, entries: listUnreportedEntries(presence, now), heard: [...presence.heard], load: flushDigest(loadAggregate, now), weights: board.news.weights?.version ?? 0 }
   if (isLeading(host)) {
     presence.heard.clear()
