Keep a few permits in reserve at each entry VM

Nearly every request of a team asked a control VM for its permit: 88 teams at 84 VMs leave 0.2 to 0.3 requests a second to each pair.

What the rate leaves of a window's bound is divided now: a third is in the issuers' buckets, the rest are reserves that entry VMs keep without expiry, by equal shares, or one each for some of them where the limit is small. A question refills the reserves of all teams; a VM keeps none in its first 4 s, when it may not know all entry VMs.

The property test has reserves and restarts of entry VMs; the bound holds in all its schedules.

--- a/packages/daemon/src/core/control/permitIssuing.ts
+++ b/packages/daemon/src/core/control/permitIssuing.ts
@@ -2,18 +2,32 @@
 import { LynxError, getHolderVm, rankByHash } from '@lynxcourse/base'
 import type { Millis, TeamName, VmId } from '@lynxcourse/base'
 import type { Member } from '@lynxcourse/agreement'
-import { createPermitIssuer, dropBucket, issuePermits, planBuckets, pruneBuckets } from '@lynxcourse/limits'
+import { createPermitIssuer, dropBucket, issuePermits, planRate, pruneBuckets } from '@lynxcourse/limits'
 import type { PermitIssuer, RateBound } from '@lynxcourse/limits'
 import { findItem } from '@lynxcourse/state'
 import type { ControlHost } from './hostState.js'
 
-/** Permits for one team, and where to ask for more. */
-export interface PermitReply {
+/** Permits of one team. */
+export interface TeamGrant {
+  readonly team: TeamName
   readonly granted: number
   /** Time until this VM can issue the next permit; 0 if all were granted. */
   readonly retryAfterMs: Millis
-  /** Addresses of the control VMs that issue the team's permits. */
-  readonly issuers: readonly string[]
+  /** Addresses of the control VMs that issue the team's permits; left out if all were granted. */
+  readonly issuers?: readonly string[]
+}
+
+/** The answer to a request for permits. */
+export interface PermitReply {
+  /** Number of VMs that may issue permits. */
+  readonly members: number
+  readonly teams: readonly TeamGrant[]
+}
+
+/** How many permits of a team an entry VM asks for. */
+export interface PermitWish {
+  readonly team: TeamName
+  readonly wanted: number
 }
 
 /** The permits that a control VM issues. */
@@ -32,6 +46,8 @@
 const maxStateAgeMs: Millis = 5000
 /** Delay before a new member issues: a member that has not heard of it yet uses a larger share for that long at most. */
 const joinDelayMs: Millis = maxStateAgeMs
+/** Retry time for a team that this VM does not know: about the time in which a change reaches all VMs. */
+const unknownTeamRetryMs: Millis = 500
 
 export function createPermitOffice (now: Millis): PermitOffice {
   return { issuer: createPermitIssuer(now), members: undefined, vms: [] }
@@ -50,22 +66,30 @@
 }
 
 /**
- * Issues permits of a team.
+ * Issues permits.
  *
  * @param stateAgeMs time since this VM's state was last known to be the current one
  * @throws LynxError `notLeader` if this VM may not issue permits now; another one may
  */
-export function issueTeamPermits (office: PermitOffice, { env, machine }: ControlHost, bound: RateBound, team: TeamName, wanted: number, stateAgeMs: Millis, now: Millis): PermitReply {
-  if (stateAgeMs > maxStateAgeMs || !office.vms.includes(env.vm)) throw new LynxError('notLeader', 'this VM issues no permits now', { step: 'take permits' })
+export function issueTeamPermits (office: PermitOffice, host: ControlHost, bound: RateBound, wishes: readonly PermitWish[], stateAgeMs: Millis, now: Millis): PermitReply {
+  if (stateAgeMs > maxStateAgeMs || !office.vms.includes(host.env.vm)) throw new LynxError('notLeader', 'this VM issues no permits now', { step: 'take permits' })
+  return { members: office.vms.length, teams: wishes.map(wish => issueForTeam(office, host, bound, wish, now)) }
+}
+
+function issueForTeam ({ issuer, vms }: PermitOffice, { env, machine }: ControlHost, bound: RateBound, { team, wanted }: PermitWish, now: Millis): TeamGrant {
   const limit = findItem(machine.config, 'team', team)?.team
-  if (limit === undefined) throw new LynxError('notFound', `no team '${team}'`, { step: 'take permits', field: 'team' })
-  // A limit that was lifted after the entry VM asked.
-  if (limit.ratePerSecond === 0) return { granted: wanted, retryAfterMs: 0, issuers: [env.vm] }
-  const plan = planBuckets(limit, bound, office.vms.length)
-  const issuers = rankByHash(team, office.vms).slice(0, plan.issuers)
-  if (issuers.includes(env.vm)) return { ...issuePermits(office.issuer, team, plan, wanted, now), issuers }
-  dropBucket(office.issuer, team)
-  return { granted: 0, retryAfterMs: 0, issuers }
+  // This VM does not know the team yet, or not any more.
+  if (limit === undefined) return { team, granted: 0, retryAfterMs: unknownTeamRetryMs, issuers: vms }
+  // The limit was lifted after the entry VM asked.
+  if (limit.ratePerSecond === 0) return { team, granted: wanted, retryAfterMs: 0 }
+  const plan = planRate(limit, bound, vms.length)
+  const issuers = plan.issuers >= vms.length ? vms : rankByHash(team, vms).slice(0, plan.issuers)
+  if (issuers.includes(env.vm)) {
+    const grant = issuePermits(issuer, team, plan, wanted, now)
+    return grant.granted === wanted ? { team, ...grant } : { team, ...grant, issuers }
+  }
+  dropBucket(issuer, team)
+  return { team, granted: 0, retryAfterMs: 0, issuers }
 }
 
 /** Forgets the buckets of teams that were removed. */
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -1,7 +1,7 @@
 /** A control VM of a fleet: its replica of the log, and the changes and reads that every control VM accepts. */
 import { join } from 'node:path'
 import { LynxError, brandId, hashText, createHolderId, isLynxError, getHolderVm } from '@lynxcourse/base'
-import type { HolderId, Incarnation, Millis, RequestFingerprint, ServerId, TeamName, VmId } from '@lynxcourse/base'
+import type { HolderId, Incarnation, Millis, RequestFingerprint, ServerId, VmId } from '@lynxcourse/base'
 import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, recordKnownVersion, findRouteSet, getRoutesVersion, getKnownVersionAt, isRestricted, listItems } from '@lynxcourse/state'
 import type { BackendAnnouncement, ChangeAnswer, CommandAnswer, CrashCommand, CrashingRequestItem, KnownVersions, RouteCommand, RouteSet, Team } from '@lynxcourse/state'
 import { getCurrentTime } from '../../utils/clock.js'
@@ -12,7 +12,7 @@
 import { initCluster, isBlank } from '../control/membership.js'
 import { grantControlTrial } from '../control/crashTrials.js'
 import { createPermitOffice, issueTeamPermits, refreshMembers } from '../control/permitIssuing.js'
-import type { PermitOffice, PermitReply } from '../control/permitIssuing.js'
+import type { PermitOffice, PermitReply, PermitWish } from '../control/permitIssuing.js'
 import { confirmRead, proposeCommand } from '../control/proposals.js'
 import { callPeer } from '../rpc/rpcClient.js'
 import { enqueueAnnouncement, createAnnouncementQueue } from './announcementQueue.js'
@@ -282,13 +282,13 @@
 }
 
 /**
- * Issues permits for requests of a team from this VM's share of the team's rate limit.
+ * Issues permits for requests of teams from this VM's share of the teams' rate limits.
  *
- * @throws LynxError if this VM may not issue permits now, or if there is no such team
+ * @throws LynxError if this VM may not issue permits now
  */
-export function takePermits (control: FleetControl, team: TeamName, wanted: number, now: Millis): PermitReply {
+export function takePermits (control: FleetControl, wishes: readonly PermitWish[], now: Millis): PermitReply {
   const { host, node, permits } = control
-  return issueTeamPermits(permits, host, node.cfg.rateBound, team, wanted, getStateAge(control, now), now)
+  return issueTeamPermits(permits, host, node.cfg.rateBound, wishes, getStateAge(control, now), now)
 }
 
 /** Returns how long ago the local copy was last known to be the current state. */
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -19,6 +19,7 @@
 import { recordConnectTime, refreshGateway } from '../gateway/gatewayRefresh.js'
 import { createGateway } from '../gateway/gateway.js'
 import type { Gateway } from '../gateway/gateway.js'
+import { refillPermits } from '../gateway/permitHolder.js'
 import { delay, repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
@@ -48,6 +49,7 @@
 
 const tickIntervalMs: Millis = 30
 const sweepIntervalMs: Millis = 500
+const refillIntervalMs: Millis = 1000
 const drainPollIntervalMs: Millis = 20
 /**
  * Time after the stop signal during which new connections are accepted, until lookups that named this VM have expired.
@@ -104,6 +106,7 @@
   node.onLoadUpdate.push(() => applyLoadUpdate(gateway, node.loadUpdate, node.cfg.region, getCurrentTime()))
   gateway.pool.onConnect = (address, startedAt) => recordConnectTime(gateway, address, getCurrentTime() - startedAt)
   addResource(stack, repeat(sweepIntervalMs, () => closeStaleConnections(gateway.pool, getCurrentTime()), () => undefined))
+  addResource(stack, repeat(refillIntervalMs, () => refillPermits(gateway, getCurrentTime()), () => undefined))
   ownServer(stack, server)
   await listen(server, node.cfg.callers ?? '')
   return server
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -2,7 +2,7 @@
 import { getDeltaSince, hideKeys } from '@lynxcourse/state'
 import type { BackendAnnouncement, ChangeAnswer, ConfigDelta, ReportServerEndsCommand } from '@lynxcourse/state'
 import { LynxError, brandId, getErrorMessage } from '@lynxcourse/base'
-import type { Millis, RegionId, RequestFingerprint, ServerId, TeamName } from '@lynxcourse/base'
+import type { Millis, RegionId, RequestFingerprint, ServerId } from '@lynxcourse/base'
 import { selectEntries, isDiscovering, omitKnownWeights, applyDigest, addLoadReport } from '@lynxcourse/placement'
 import type { EntryPresence, LoadUpdate, LoadReport } from '@lynxcourse/placement'
 import * as z from 'zod'
@@ -16,6 +16,7 @@
 import type { RpcCall, RpcServer } from '../rpc/rpcServer.js'
 import { claimTrial, dismissServer, cancelFleetTrial, readRoutes, getStateAge, submitFleetCommand, summarizeTeams, handleAnnouncement, takePermits } from './fleetControl.js'
 import type { FleetCommand, FleetControl } from './fleetControl.js'
+import type { PermitWish } from '../control/permitIssuing.js'
 import type { ControlEndpoint } from './fleetNode.js'
 import { recordWatchingEntry, applyPresenceReport } from './presence.js'
 import type { PresenceReply, PresenceReport } from './presence.js'
@@ -60,7 +61,8 @@
 const dismissSchema = z.strictObject({ server: textSchema, bornAt: z.number().int().min(0).optional() })
 const endsSchema = z.strictObject(serverEndFields)
 const trialSchema = z.strictObject({ ...trialFields, isRelayed: z.boolean() })
-const permitsSchema = z.strictObject({ team: z.string().min(1), wanted: z.number().int().min(1).max(100_000) })
+const wishSchema = z.strictObject({ team: z.string().min(1), wanted: z.number().int().min(1).max(100_000) })
+const permitsSchema = z.strictObject({ wishes: z.array(wishSchema).max(20_000) })
 const lookupSchema = z.strictObject({ region: textSchema.optional() })
 
 /** Result of a lookup by a caller. */
@@ -107,7 +109,7 @@
   })
   addMethod(rpc, 'fleet.claimTrial', ['vm'], trialSchema, async ({ request, forMs, isRelayed }) =>
     await claimTrial(control, brandId<RequestFingerprint>(request), forMs, isRelayed))
-  addMethod(rpc, 'fleet.takePermits', ['vm'], permitsSchema, ({ team, wanted }) => takePermits(control, brandId<TeamName>(team), wanted, getCurrentTime()))
+  addMethod(rpc, 'fleet.takePermits', ['vm'], permitsSchema, ({ wishes }) => takePermits(control, wishes as unknown as PermitWish[], getCurrentTime()))
   addMethod(rpc, 'fleet.cancelTrial', ['vm'], z.strictObject({ request: textSchema, isRelayed: z.boolean() }), async ({ request, isRelayed }) => {
     await cancelFleetTrial(control, brandId<RequestFingerprint>(request), isRelayed)
     return {}
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -37,6 +37,7 @@
   entryNames: readonly string[]
   /** Time at which the copy was last known to be the current state; -Infinity before the first time. */
   upToDateAt: Millis
+  readonly startedAt: Millis
   isLeaving: boolean
   /** Load observations of this VM since its last report. */
   readonly load: LoadObservations
@@ -70,6 +71,7 @@
     controls: [],
     entryNames: cfg.roles.includes('entry') ? [cfg.name] : [],
     upToDateAt: -Infinity,
+    startedAt: now,
     isLeaving: false,
     load: createLoadObservations(now),
     loadUpdate: { full: [], plans: [], silent: [] },
--- a/packages/daemon/src/core/gateway/permitHolder.ts
+++ b/packages/daemon/src/core/gateway/permitHolder.ts
@@ -4,7 +4,7 @@
 import type { Permit } from '@lynxcourse/limits'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
-import { obtainPermit } from './teamPermits.js'
+import { obtainPermit, refillReserves } from './teamPermits.js'
 import type { PermitRefusal } from './teamPermits.js'
 
 export interface PermitHolder {
@@ -42,3 +42,14 @@
   if (holder.team !== undefined && holder.permit !== undefined) returnPermit(permits.store, holder.team, holder.permit, now)
   holder.permit = undefined
 }
+
+/** Time after its start during which a VM keeps no permits in reserve: it may not know all entry VMs yet. */
+const reserveDelayMs: Millis = 4000
+
+/** Refills the VM's reserves of permits. Called periodically. */
+export function refillPermits ({ permits, teams, node }: Gateway, now: Millis): void {
+  if (!teams.isRequired || now - node.startedAt < reserveDelayMs) return
+  const limits = new Map([...teams.byName].filter(([, team]) => team.ratePerSecond > 0))
+  const { entryNames, cfg } = node
+  refillReserves(permits, limits, cfg.rateBound, { index: entryNames.indexOf(cfg.name), count: entryNames.length }, now)
+}
--- a/packages/daemon/src/core/gateway/teamPermits.ts
+++ b/packages/daemon/src/core/gateway/teamPermits.ts
@@ -1,16 +1,21 @@
 /**
  * Obtains the permits that requests of rate-limited teams need before they are sent to a server.
  *
- * One question per team is open at a time; requests that come meanwhile wait for its answer or the next one. If an issuer
+ * A VM keeps a few permits of each team in reserve, since a question costs more than the rest of a decision. A request that
+ * finds none waits for the answer of an issuer, and this question also refills the reserves of other teams. If an issuer
  * has none left, the next one is asked, so that callers may use a limit wherever they are.
  */
-import { getErrorMessage } from '@lynxcourse/base'
+import { getErrorMessage, hashText } from '@lynxcourse/base'
 import type { Millis, TeamName } from '@lynxcourse/base'
-import { addPermits, computeAdvance, createTeamIssuers, estimateRefillTime, needsAdvance, prunePermits, recordIssuerAnswer, recordIssuerFailure, recordPermitDemand, selectIssuer, takePermit } from '@lynxcourse/limits'
-import type { IssuerHealth, Permit, PermitStore, TeamIssuers } from '@lynxcourse/limits'
+import {
+  addPermits, computeMissingPermits, computeReserveShare, createTeamIssuers, estimateRefillTime, isRunningLow, mayIssue, planRate, prunePermits, recordIssuerAnswer, recordIssuerFailure,
+  recordPermitDemand, selectIssuer, setMaxReserved, takePermit
+} from '@lynxcourse/limits'
+import type { IssuerHealth, Permit, PermitStore, RateBound, RateLimit, TeamIssuers } from '@lynxcourse/limits'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import type { Logs } from '../../utils/logging.js'
+import type { PermitReply, PermitWish, TeamGrant } from '../control/permitIssuing.js'
 import type { PermitChannel } from './permitChannel.js'
 
 /** Why a request gets no permit: its team is over its rate, or no issuer can be reached. */
@@ -28,6 +33,9 @@
 interface TeamQueue {
   readonly issuers: TeamIssuers
   waiting: Waiter[]
+  /** Issuers that were asked since the first of these requests began to wait. */
+  readonly tried: Set<string>
+  waitingSince: Millis
   isAsking: boolean
 }
 
@@ -37,12 +45,14 @@
   readonly logs: Logs
   readonly store: PermitStore
   readonly queues: Map<TeamName, TeamQueue>
+  /** Number of control VMs that may issue permits; undefined before the first answer. */
+  members: number | undefined
 }
 
 /** Requests of one team that may wait at once; each takes a few kilobytes. */
 const maxWaiting = 500
-/** Longest time that one round of questions goes on; an unreachable issuer takes part of it. */
-const maxRoundMs: Millis = 1000
+/** Longest time in which issuers are asked for one request; an unreachable one takes part of it. */
+const maxAskMs: Millis = 1000
 /** Retry time if no issuer can be reached. */
 const noPermitsRetryMs: Millis = 500
 /** Bounds of the retry time of a team that is over its rate. */
@@ -50,26 +60,50 @@
 const maxRetryMs: Millis = 5000
 
 export function createTeamPermits (channel: PermitChannel, logs: Logs): TeamPermits {
-  return { channel, logs, store: new Map(), queues: new Map(), failedUntil: new Map() }
+  return { channel, logs, store: new Map(), queues: new Map(), failedUntil: new Map(), members: undefined }
 }
 
-/** Takes a permit for a request, and asks for more if it is one of the last. */
+/** Takes a permit for a request, and asks for more if requests come often. */
 export async function obtainPermit (permits: TeamPermits, team: TeamName, now: Millis): Promise<PermitResult> {
   const { store } = permits
   recordPermitDemand(store, team, now)
   const queue = getQueue(permits, team)
   const permit = takePermit(store, team, now)
   if (permit !== undefined) {
-    if (needsAdvance(store, team, now)) startRound(permits, team, queue)
+    if (isRunningLow(store, team, now)) askForTeam(permits, team, queue, now)
     return { type: 'permit', permit }
   }
   if (queue.waiting.length >= maxWaiting) return createRefusal(queue, now)
   return await new Promise(resolve => {
+    if (queue.waiting.length === 0) beginWaiting(queue, now)
     queue.waiting.push(resolve)
-    startRound(permits, team, queue)
+    askForTeam(permits, team, queue, now)
   })
 }
 
+/** Describes the entry VMs among which reserves are divided. */
+export interface EntryPosition {
+  /** Position of this VM among the sorted names of all entry VMs. */
+  readonly index: number
+  readonly count: number
+}
+
+/** Divides the limits of teams among the entry VMs, and asks for the reserves that are missing. */
+export function refillReserves (permits: TeamPermits, limits: ReadonlyMap<TeamName, RateLimit>, bound: RateBound, { index, count }: EntryPosition, now: Millis): void {
+  const { members, store } = permits
+  for (const [team, limit] of limits) {
+    getQueue(permits, team)
+    if (members === undefined) continue
+    const rank = (index + hashText(team)) % count
+    setMaxReserved(store, team, computeReserveShare(planRate(limit, bound, members), rank, count), now)
+  }
+  const address = permits.channel.listIssuers().find(issuer => now >= (permits.failedUntil.get(issuer) ?? 0))
+  if (address === undefined) return
+  const wishes = listReserveWishes(permits, address, now)
+  // The first answer tells the number of members, even if nothing is asked for.
+  if (wishes.length > 0 || (members === undefined && limits.size > 0)) ask(permits, address, wishes).catch(logFailure(permits))
+}
+
 /** Forgets teams that are no longer limited. */
 export function pruneTeamPermits ({ store, queues }: TeamPermits, isLimited: (team: TeamName) => boolean): void {
   prunePermits(store, isLimited)
@@ -79,49 +113,67 @@
 function getQueue ({ queues }: TeamPermits, team: TeamName): TeamQueue {
   const known = queues.get(team)
   if (known !== undefined) return known
-  const created: TeamQueue = { issuers: createTeamIssuers(), waiting: [], isAsking: false }
+  const created: TeamQueue = { issuers: createTeamIssuers(), waiting: [], tried: new Set(), waitingSince: 0, isAsking: false }
   queues.set(team, created)
   return created
 }
 
-function startRound (permits: TeamPermits, team: TeamName, queue: TeamQueue): void {
+function beginWaiting (queue: TeamQueue, now: Millis): void {
+  queue.tried.clear()
+  queue.waitingSince = now
+}
+
+/** Asks the next issuer for a team's permits, unless a question is open; refuses the waiting requests if none is left. */
+function askForTeam (permits: TeamPermits, team: TeamName, queue: TeamQueue, now: Millis): void {
   if (queue.isAsking) return
+  const hasTime = queue.waiting.length === 0 || now - queue.waitingSince < maxAskMs
+  const address = hasTime ? selectIssuer(queue.issuers, permits, permits.channel.listIssuers(), queue.tried, now) : undefined
+  if (address === undefined) {
+    refuseWaiting(queue, now)
+    return
+  }
   queue.isAsking = true
-  askIssuers(permits, team, queue)
-    .catch((err: unknown) => log(permits.logs, 'limit', 'error', 'Asking for permits failed.', { team, error: getErrorMessage(err) }))
+  queue.tried.add(address)
+  const wanted = queue.waiting.length + computeMissingPermits(permits.store, team, now)
+  ask(permits, address, [{ team, wanted: Math.max(1, wanted) }, ...listReserveWishes(permits, address, now)])
+    .catch(logFailure(permits))
     .finally(() => {
       queue.isAsking = false
-      refuseWaiting(queue, getCurrentTime())
+      if (queue.waiting.length > 0) askForTeam(permits, team, queue, getCurrentTime())
     })
 }
 
-/** Asks one issuer after the other until no request waits. */
-async function askIssuers (permits: TeamPermits, team: TeamName, queue: TeamQueue): Promise<void> {
-  const { store, channel } = permits
-  const startedAt = getCurrentTime()
-  const tried = new Set<string>()
-  for (let now = startedAt; now - startedAt < maxRoundMs; now = getCurrentTime()) {
-    const wanted = queue.waiting.length + (needsAdvance(store, team, now) ? computeAdvance(store, team, now) : 0)
-    const address = selectIssuer(queue.issuers, permits, channel.listIssuers(), tried, now)
-    if (wanted === 0 || address === undefined) return
-    tried.add(address)
-    await askIssuer(permits, team, queue, address, wanted)
-    serveWaiting(store, team, queue, getCurrentTime())
-    if (queue.waiting.length === 0) return
+/** Lists what is missing in the reserves of the teams for which an issuer may have permits. */
+function listReserveWishes ({ queues, store }: TeamPermits, address: string, now: Millis): PermitWish[] {
+  const wishes: PermitWish[] = []
+  for (const [team, { issuers, isAsking }] of queues) {
+    const wanted = computeMissingPermits(store, team, now)
+    if (wanted > 0 && !isAsking && mayIssue(issuers, address, now)) wishes.push({ team, wanted })
   }
+  return wishes
 }
 
-async function askIssuer (permits: TeamPermits, team: TeamName, queue: TeamQueue, address: string, wanted: number): Promise<void> {
-  const { channel, store, logs } = permits
+async function ask (permits: TeamPermits, address: string, wishes: readonly PermitWish[]): Promise<void> {
   const askedAt = getCurrentTime()
+  let reply: PermitReply
   try {
-    const { granted, retryAfterMs, issuers } = await channel.ask(address, team, wanted)
-    recordIssuerAnswer(queue.issuers, address, issuers, retryAfterMs, getCurrentTime())
-    addPermits(store, team, granted, askedAt)
+    reply = await permits.channel.ask(address, wishes)
   } catch (err) {
-    recordIssuerFailure(queue.issuers, permits, address, getCurrentTime())
-    log(logs, 'limit', 'warn', 'A control VM issued no permits.', { team, peer: address, wanted, error: getErrorMessage(err) })
+    for (const { team } of wishes) recordIssuerFailure(getQueue(permits, team).issuers, permits, address, getCurrentTime())
+    log(permits.logs, 'limit', 'warn', 'A control VM issued no permits.', { peer: address, teams: wishes.length, error: getErrorMessage(err) })
+    return
   }
+  permits.members = reply.members
+  for (const grant of reply.teams) applyGrant(permits, address, grant, askedAt)
+}
+
+function applyGrant (permits: TeamPermits, address: string, { team, granted, retryAfterMs, issuers }: TeamGrant, askedAt: Millis): void {
+  const { store } = permits
+  const queue = getQueue(permits, team)
+  const now = getCurrentTime()
+  recordIssuerAnswer(queue.issuers, address, issuers, retryAfterMs, now)
+  addPermits(store, team, granted, queue.waiting.length, askedAt)
+  serveWaiting(store, team, queue, now)
 }
 
 function serveWaiting (store: PermitStore, team: TeamName, queue: TeamQueue, now: Millis): void {
@@ -142,3 +194,7 @@
   if (refillMs === undefined) return { type: 'refuse', reason: 'noPermits', retryAfterMs: noPermitsRetryMs }
   return { type: 'refuse', reason: 'overRate', retryAfterMs: Math.min(maxRetryMs, Math.max(minRetryMs, refillMs)) }
 }
+
+function logFailure ({ logs }: TeamPermits): (err: unknown) => void {
+  return err => log(logs, 'limit', 'error', 'Asking for permits failed.', { error: getErrorMessage(err) })
+}
--- a/packages/limits/__tests__/issuerChoice.test.ts
+++ b/packages/limits/__tests__/issuerChoice.test.ts
@@ -34,3 +34,9 @@
   recordIssuerFailure(team, health, 'far', 200)
   assert.equal(estimateRefillTime(team, 200), undefined)
 })
+
+test('an issuer that granted all permits need not name the issuers', () => {
+  const team = createTeamIssuers()
+  recordIssuerAnswer(team, 'near', undefined, 0, 0)
+  assert.equal(selectIssuer(team, { failedUntil: new Map() }, nearest, none, 0), 'near')
+})
--- a/packages/limits/__tests__/rates.test.ts
+++ b/packages/limits/__tests__/rates.test.ts
@@ -4,8 +4,8 @@
 import fc from 'fast-check'
 import { brandId, createRandom } from '@lynxcourse/base'
 import type { Millis, Random, TeamName } from '@lynxcourse/base'
-import { addPermits, computeAdvance, computeWindowBound, createPermitIssuer, issuePermits, needsAdvance, permitTtlMs, planBuckets, pruneBuckets, prunePermits, recordPermitDemand, returnPermit, takePermit } from '@lynxcourse/limits'
-import type { BucketPlan, PermitIssuer, PermitStore, RateBound, RateLimit } from '@lynxcourse/limits'
+import { addPermits, computeMissingPermits, computeReserveShare, computeWindowBound, createPermitIssuer, isRunningLow, issuePermits, permitTtlMs, planRate, pruneBuckets, prunePermits, recordPermitDemand, returnPermit, setMaxReserved, takePermit } from '@lynxcourse/limits'
+import type { PermitIssuer, PermitStore, RateBound, RateLimit, RatePlan } from '@lynxcourse/limits'
 
 const seed = 31
 console.log(`seed ${seed}`)
@@ -39,7 +39,7 @@
 }
 
 /** Runs a scenario in which every entry VM always has more requests than permits, and returns the fullest window. */
-function runScenario ({ limit, members, entries, seed: scenarioSeed, restarts }: Scenario, plan: BucketPlan): number {
+function runScenario ({ limit, members, entries, seed: scenarioSeed, restarts }: Scenario, plan: RatePlan): number {
   const rig: Rig = {
     random: createRandom(scenarioSeed),
     issuers: Array.from({ length: plan.issuers }, () => createPermitIssuer(0)),
@@ -48,20 +48,37 @@
     arrivals: []
   }
   assert.ok(plan.issuers <= members)
-  // Nobody asks at first, so all buckets fill up.
+  // Nobody sends requests at first, so all buckets and reserves fill up.
+  for (const [index, store] of rig.stores.entries()) resetStore(store, plan, index, entries)
+  for (let step = 0; step < 100; step++) fillReserves(rig, plan, step * stepMs)
   for (let step = 100; step < stepCount; step++) runStep(rig, plan, Math.ceil(limit.ratePerSecond) + 5, restarts, step * stepMs)
   return countFullestWindow(rig.arrivals)
 }
 
-function runStep (rig: Rig, plan: BucketPlan, wanted: number, restarts: number, now: Millis): void {
+/** Replaces the permits of an entry VM that starts: its reserve is empty. */
+function resetStore (store: PermitStore, plan: RatePlan, index: number, entries: number): void {
+  store.clear()
+  setMaxReserved(store, team, computeReserveShare(plan, index, entries), 0)
+}
+
+function fillReserves ({ issuers, stores }: Rig, plan: RatePlan, now: Millis): void {
+  for (const [index, store] of stores.entries()) {
+    const wanted = computeMissingPermits(store, team, now)
+    const issuer = issuers[index % issuers.length] as PermitIssuer
+    addPermits(store, team, issuePermits(issuer, team, plan, wanted, now).granted, 0, now)
+  }
+}
+
+function runStep (rig: Rig, plan: RatePlan, wanted: number, restarts: number, now: Millis): void {
   const { random, issuers, stores } = rig
   rig.grants = rig.grants.filter(grant => {
     if (grant.arrivesAt > now) return true
-    addPermits(grant.to, team, grant.count, grant.askedAt)
+    addPermits(grant.to, team, grant.count, 0, grant.askedAt)
     return false
   })
   for (const [index] of issuers.entries()) if (random() < restarts) issuers[index] = createPermitIssuer(now)
-  for (const store of stores) {
+  for (const [index, store] of stores.entries()) {
+    if (random() < restarts) resetStore(store, plan, index, stores.length)
     const isFrozen = random() < 0.1
     if (!isFrozen) useAll(rig, store, now)
     const issuer = issuers[Math.floor(random() * issuers.length)] as PermitIssuer
@@ -105,47 +122,68 @@
 test('no window contains more requests than the bound, whatever happens to VMs and messages', () => {
   fc.assert(fc.property(scenarios, scenario => {
     const { limit, members } = scenario
-    const most = runScenario(scenario, planBuckets(limit, bound, members))
+    const most = runScenario(scenario, planRate(limit, bound, members))
     assert.ok(most <= computeWindowBound(limit, bound), `${most} of ${computeWindowBound(limit, bound)}`)
   }), { seed, numRuns: 60 })
 })
 
 test('the bound is exceeded if the capacity of the buckets is not limited', () => {
   const scenario: Scenario = { limit: { ratePerSecond: 50, burst: 10 }, members: 5, entries: 10, seed, restarts: 0 }
-  const plan = { ...planBuckets(scenario.limit, bound, scenario.members), capacity: Infinity }
+  const plan = { ...planRate(scenario.limit, bound, scenario.members), capacity: Infinity }
   assert.ok(runScenario(scenario, plan) > computeWindowBound(scenario.limit, bound))
 })
 
 /** Guards against a limit that refuses much of what it allows. */
 test('the issuers together issue the rate of the limit, unless there is no burst', () => {
   for (const ratePerSecond of [1, 5, 16, 100, 293]) {
-    const { issuers, tokensPerSecond, capacity } = planBuckets({ ratePerSecond, burst: ratePerSecond }, bound, 12)
+    const { issuers, tokensPerSecond, capacity } = planRate({ ratePerSecond, burst: ratePerSecond }, bound, 12)
     assert.ok(Math.abs(issuers * tokensPerSecond - ratePerSecond) < 1e-6, `${ratePerSecond}`)
     assert.ok(capacity >= 1)
-    const { issuers: others, tokensPerSecond: withoutBurst } = planBuckets({ ratePerSecond, burst: 0 }, bound, 12)
-    assert.ok(others * withoutBurst > ratePerSecond * 0.85)
+    const withoutBurst = planRate({ ratePerSecond, burst: 0 }, bound, 12)
+    assert.ok(withoutBurst.issuers * withoutBurst.tokensPerSecond > ratePerSecond * 0.85)
   }
 })
 
+test('the reserves of all entry VMs together stay within the plan', () => {
+  fc.assert(fc.property(fc.integer({ min: 1, max: 500 }), fc.integer({ min: 0, max: 500 }), fc.integer({ min: 1, max: 200 }), (ratePerSecond, burst, entries) => {
+    const plan = planRate({ ratePerSecond, burst }, bound, 12)
+    const shares = Array.from({ length: entries }, (_, index) => computeReserveShare(plan, index, entries))
+    assert.ok(shares.reduce((sum, share) => sum + share, 0) <= plan.reserve)
+  }), { seed, numRuns: 200 })
+})
+
 /** Guards against permits that are used up by VMs that hardly need any. */
 test('permits are asked for in advance only where requests come often', () => {
   const store: PermitStore = new Map()
   recordPermitDemand(store, team, 0)
-  assert.equal(computeAdvance(store, team, 100), 0)
+  assert.equal(computeMissingPermits(store, team, 100), 0)
   for (let at = 0; at < 4000; at += 20) recordPermitDemand(store, team, at)
-  const advance = computeAdvance(store, team, 4000)
-  assert.ok(advance >= 10 && advance <= 16, `${advance}`)
-  assert.equal(needsAdvance(store, team, 4000), true)
-  addPermits(store, team, advance, 4000)
-  assert.equal(needsAdvance(store, team, 4000), false)
-  assert.equal(needsAdvance(store, team, 4000 + permitTtlMs), true, 'expired permits do not count')
+  const missing = computeMissingPermits(store, team, 4000)
+  assert.ok(missing >= 7 && missing <= 11, `${missing}`)
+  assert.equal(isRunningLow(store, team, 4000), true)
+  addPermits(store, team, missing, 0, 4000)
+  assert.equal(isRunningLow(store, team, 4000), false)
+  assert.equal(isRunningLow(store, team, 4000 + permitTtlMs), true, 'expired permits do not count')
+})
+
+/** Guards against a question to another VM before nearly every request. */
+test('permits in reserve do not expire until they are taken, and are dropped when the share shrinks', () => {
+  const store: PermitStore = new Map()
+  setMaxReserved(store, team, 2, 0)
+  assert.equal(computeMissingPermits(store, team, 0), 2)
+  addPermits(store, team, 3, 1, 0)
+  const later = 60_000
+  const permit = takePermit(store, team, later)
+  assert.deepEqual(permit, { expiresAt: later + permitTtlMs })
+  setMaxReserved(store, team, 0, later)
+  assert.equal(takePermit(store, team, later), undefined)
 })
 
 test('a lower limit binds at the next request for permits, and a removed team continues with its bucket if it returns', () => {
   const issuer = createPermitIssuer(0)
-  const wide = planBuckets({ ratePerSecond: 100, burst: 100 }, bound, 4)
-  assert.ok(issuePermits(issuer, team, wide, 10, 60_000).granted === 10)
-  const narrow = planBuckets({ ratePerSecond: 1, burst: 0 }, bound, 4)
+  const wide = planRate({ ratePerSecond: 100, burst: 100 }, bound, 4)
+  assert.ok(issuePermits(issuer, team, wide, 5, 60_000).granted === 5)
+  const narrow = planRate({ ratePerSecond: 1, burst: 0 }, bound, 4)
   assert.ok(issuePermits(issuer, team, narrow, 1000, 60_000).granted <= narrow.capacity)
   pruneBuckets(issuer, () => false, 61_000)
   assert.equal(issuePermits(issuer, team, narrow, 1000, 61_000).granted, 0)
@@ -155,7 +193,7 @@
 
 test('permits of teams that are no longer limited are forgotten', () => {
   const store: PermitStore = new Map()
-  addPermits(store, team, 5, 0)
+  addPermits(store, team, 5, 0, 0)
   prunePermits(store, () => false)
   assert.equal(store.size, 0)
 })
--- a/packages/limits/src/core/rates/issuerChoice.ts
+++ b/packages/limits/src/core/rates/issuerChoice.ts
@@ -28,20 +28,29 @@
  * @param nearest addresses of the control VMs that this VM knows, nearest first
  * @returns undefined if none is left
  */
-export function selectIssuer ({ issuers, emptyUntil }: TeamIssuers, { failedUntil }: IssuerHealth, nearest: readonly string[], tried: ReadonlySet<string>, now: Millis): string | undefined {
-  const candidates = issuers === undefined ? nearest : sortByRank(issuers, nearest)
-  return candidates.find(address => !tried.has(address) && now >= (emptyUntil.get(address) ?? 0) && now >= (failedUntil.get(address) ?? 0))
+export function selectIssuer (team: TeamIssuers, { failedUntil }: IssuerHealth, nearest: readonly string[], tried: ReadonlySet<string>, now: Millis): string | undefined {
+  const candidates = team.issuers === undefined ? nearest : sortByRank(team.issuers, nearest)
+  return candidates.find(address => !tried.has(address) && mayIssue(team, address, now) && now >= (failedUntil.get(address) ?? 0))
 }
 
 function sortByRank (issuers: readonly string[], nearest: readonly string[]): string[] {
   return [...nearest.filter(address => issuers.includes(address)), ...issuers.filter(address => !nearest.includes(address))]
 }
 
-/** Records the issuers that an answer names, and whether the one that answered has permits left. */
-export function recordIssuerAnswer (team: TeamIssuers, address: string, issuers: readonly string[], retryAfterMs: Millis, now: Millis): void {
-  team.issuers = issuers
-  for (const known of team.emptyUntil.keys()) if (!issuers.includes(known)) team.emptyUntil.delete(known)
-  if (issuers.includes(address)) team.emptyUntil.set(address, now + retryAfterMs)
+/**
+ * Records an issuer's answer.
+ *
+ * @param issuers all issuers of the team, if the answer names them; one that granted all permits need not name any
+ */
+export function recordIssuerAnswer (team: TeamIssuers, address: string, issuers: readonly string[] | undefined, retryAfterMs: Millis, now: Millis): void {
+  if (issuers !== undefined) team.issuers = issuers
+  for (const known of team.emptyUntil.keys()) if (team.issuers?.includes(known) === false) team.emptyUntil.delete(known)
+  if (team.issuers?.includes(address) !== false) team.emptyUntil.set(address, now + retryAfterMs)
+}
+
+/** Whether an issuer may have permits left. */
+export function mayIssue ({ issuers, emptyUntil }: TeamIssuers, address: string, now: Millis): boolean {
+  return issuers?.includes(address) !== false && now >= (emptyUntil.get(address) ?? 0)
 }
 
 /** Records that an issuer could not be reached, or issues no permits now. */
--- a/packages/limits/src/core/rates/permitIssuer.ts
+++ b/packages/limits/src/core/rates/permitIssuer.ts
@@ -1,6 +1,6 @@
 /** Issues permits for the requests of teams from token buckets; one issuer's part of each team's rate limit. */
 import type { Millis, TeamName } from '@lynxcourse/base'
-import type { BucketPlan } from './ratePlan.js'
+import type { RatePlan } from './ratePlan.js'
 
 interface Bucket {
   tokens: number
@@ -34,7 +34,7 @@
 }
 
 /** Issues up to `wanted` permits of a team. */
-export function issuePermits (issuer: PermitIssuer, team: TeamName, plan: BucketPlan, wanted: number, now: Millis): PermitGrant {
+export function issuePermits (issuer: PermitIssuer, team: TeamName, plan: RatePlan, wanted: number, now: Millis): PermitGrant {
   const bucket = getBucket(issuer, team)
   refill(bucket, plan, now)
   const granted = Math.max(0, Math.min(wanted, Math.floor(bucket.tokens)))
@@ -55,13 +55,13 @@
   return created
 }
 
-function refill (bucket: Bucket, { tokensPerSecond, capacity }: BucketPlan, now: Millis): void {
+function refill (bucket: Bucket, { tokensPerSecond, capacity }: RatePlan, now: Millis): void {
   const seconds = Math.max(0, now - bucket.refilledAt) / 1000
   bucket.tokens = Math.min(capacity, bucket.tokens + seconds * tokensPerSecond)
   bucket.refilledAt = Math.max(bucket.refilledAt, now)
 }
 
-function computeRetryTime ({ tokens }: Bucket, { tokensPerSecond, capacity }: BucketPlan): Millis {
+function computeRetryTime ({ tokens }: Bucket, { tokensPerSecond, capacity }: RatePlan): Millis {
   if (tokensPerSecond <= 0 || capacity < 1) return closedRetryMs
   return Math.min(closedRetryMs, Math.max(0, 1 - tokens) / tokensPerSecond * 1000)
 }
--- a/packages/limits/src/core/rates/permitStore.ts
+++ b/packages/limits/src/core/rates/permitStore.ts
@@ -6,7 +6,10 @@
 export interface Permit { readonly expiresAt: Millis }
 
 interface TeamPermits {
-  /** Oldest first. */
+  /** Permits that don't expire, and how many of them this VM may keep. */
+  reserved: number
+  maxReserved: number
+  /** Permits that were issued in advance or for requests that wait, oldest first. */
   batches: Array<{ count: number, readonly expiresAt: Millis }>
   /** Smoothed number of requests per second at this VM. */
   demandPerSecond: number
@@ -18,16 +21,14 @@
 
 /** Time constant of the demand estimate. */
 const demandSmoothingMs: Millis = 2000
-/** Time for which permits are asked for in advance. A thin stream of requests asks for none, since most would expire. */
-const advanceMs: Millis = 300
-/** Fraction of an advance below which the next one is asked for. */
-const refillFraction = 0.4
+/** Time for which permits are asked for in advance, beyond the reserve. A thin stream of requests asks for none. */
+const advanceMs: Millis = 200
 const maxBatch = 1000
 
 function getTeam (store: PermitStore, team: TeamName, now: Millis): TeamPermits {
   const known = store.get(team)
   if (known !== undefined) return known
-  const created = { batches: [], demandPerSecond: 0, demandUpdatedAt: now }
+  const created = { reserved: 0, maxReserved: 0, batches: [], demandPerSecond: 0, demandUpdatedAt: now }
   store.set(team, created)
   return created
 }
@@ -44,20 +45,34 @@
   permits.demandUpdatedAt = now
 }
 
-/** Adds permits that an issuer granted. */
-export function addPermits (store: PermitStore, team: TeamName, count: number, askedAt: Millis): void {
-  if (count > 0) getTeam(store, team, askedAt).batches.push({ count, expiresAt: askedAt + permitTtlMs })
+/** Sets how many permits of a team this VM may keep in reserve; those above are dropped. */
+export function setMaxReserved (store: PermitStore, team: TeamName, maxReserved: number, now: Millis): void {
+  const permits = getTeam(store, team, now)
+  permits.maxReserved = maxReserved
+  permits.reserved = Math.min(permits.reserved, maxReserved)
+}
+
+/** Adds permits that an issuer granted: the reserve is filled after the requests that wait. */
+export function addPermits (store: PermitStore, team: TeamName, count: number, waiting: number, askedAt: Millis): void {
+  const permits = getTeam(store, team, askedAt)
+  const reserved = Math.max(0, Math.min(count - waiting, permits.maxReserved - permits.reserved))
+  permits.reserved += reserved
+  if (count > reserved) permits.batches.push({ count: count - reserved, expiresAt: askedAt + permitTtlMs })
 }
 
 /** Takes a permit; undefined if none is left. */
 export function takePermit (store: PermitStore, team: TeamName, now: Millis): Permit | undefined {
   const permits = getTeam(store, team, now)
-  dropExpired(permits, now)
+  permits.batches = permits.batches.filter(batch => now < batch.expiresAt)
   const [batch] = permits.batches
-  if (batch === undefined) return undefined
-  batch.count -= 1
-  if (batch.count === 0) permits.batches.shift()
-  return { expiresAt: batch.expiresAt }
+  if (batch !== undefined) {
+    batch.count -= 1
+    if (batch.count === 0) permits.batches.shift()
+    return { expiresAt: batch.expiresAt }
+  }
+  if (permits.reserved === 0) return undefined
+  permits.reserved -= 1
+  return { expiresAt: now + permitTtlMs }
 }
 
 /** Returns the permit of a request that was not sent, or that its server did not run. */
@@ -65,22 +80,22 @@
   if (now < expiresAt) getTeam(store, team, now).batches.unshift({ count: 1, expiresAt })
 }
 
-function dropExpired (permits: TeamPermits, now: Millis): void {
-  permits.batches = permits.batches.filter(batch => now < batch.expiresAt)
-}
-
-/** Returns how many permits to ask for, besides those that requests wait for. */
-export function computeAdvance (store: PermitStore, team: TeamName, now: Millis): number {
+/** Returns how many permits to ask for, besides those that requests wait for: the missing reserve and an advance. */
+export function computeMissingPermits (store: PermitStore, team: TeamName, now: Millis): number {
   const permits = getTeam(store, team, now)
   decayDemand(permits, now)
-  return Math.min(maxBatch, Math.floor(permits.demandPerSecond * advanceMs / 1000))
+  const advance = Math.floor(permits.demandPerSecond * advanceMs / 1000)
+  const left = permits.batches.reduce((sum, batch) => sum + (now < batch.expiresAt ? batch.count : 0), 0)
+  const missingAdvance = Math.max(0, advance - left - permits.reserved)
+  return Math.min(maxBatch, permits.maxReserved - permits.reserved + missingAdvance)
 }
 
-/** Whether to ask for permits before requests have to wait for them. */
-export function needsAdvance (store: PermitStore, team: TeamName, now: Millis): boolean {
-  const advance = computeAdvance(store, team, now)
-  const left = getTeam(store, team, now).batches.reduce((sum, batch) => sum + (now < batch.expiresAt ? batch.count : 0), 0)
-  return left < advance * refillFraction
+/** Whether requests come so often that more permits should be asked for before requests have to wait. */
+export function isRunningLow (store: PermitStore, team: TeamName, now: Millis): boolean {
+  const { reserved, batches, demandPerSecond } = getTeam(store, team, now)
+  const advance = Math.floor(demandPerSecond * advanceMs / 1000)
+  const left = reserved + batches.reduce((sum, batch) => sum + (now < batch.expiresAt ? batch.count : 0), 0)
+  return left < advance
 }
 
 /** Forgets teams that are no longer limited. */
--- a/packages/limits/src/core/rates/ratePlan.ts
+++ b/packages/limits/src/core/rates/ratePlan.ts
@@ -1,5 +1,5 @@
 /**
- * Divides a rate limit that holds over all VMs together among the VMs that issue permits for it.
+ * Divides a rate limit that holds over all VMs together among the VMs that issue permits for it and those that use them.
  *
  * Each issuer has a fixed share and needs to know nothing of the others, so the limit holds whatever messages are lost and
  * whichever VMs are cut off from each other.
@@ -22,24 +22,29 @@
   readonly burst: number
 }
 
-/** The token bucket of each issuer. */
-export interface BucketPlan {
+/** How a limit is divided. */
+export interface RatePlan {
   /** Number of issuers that share the limit. */
   readonly issuers: number
+  /** The token bucket of each issuer. */
   readonly tokensPerSecond: number
   readonly capacity: number
+  /** Number of permits that all entry VMs together may keep in reserve. */
+  readonly reserve: number
 }
 
-/** How long a permit may be used after it was asked for. */
-export const permitTtlMs: Millis = 600
+/** How long a permit may be used, unless it is kept in reserve: from when it was asked for or taken from the reserve. */
+export const permitTtlMs: Millis = 400
 /** Time that a request may take from the use of its permit to its arrival at a server. */
 const deliveryMs: Millis = 250
-/** Fraction of the bound that is used; the rest covers clocks that run at different speeds and issuers that join. */
+/** Fraction of the bound that is used; the rest covers clocks that run at different speeds, and VMs that join. */
 const usedFraction = 0.97
 /** Issuers of a small limit would each get less than one token in a long time, so only some of them get a share. */
-const minTokensPerSecond = 4
+const minTokensPerSecond = 1
 /** Smallest number of issuers: some remain when a failure domain and two VMs are lost. */
 const minIssuers = 4
+/** Fraction of what the rate leaves of the bound that the buckets may hold; entry VMs may keep the rest. */
+const bucketFraction = 0.35
 
 /** Returns the most requests that a window may contain. */
 export function computeWindowBound ({ ratePerSecond, burst }: RateLimit, { windowMs, overage, slack }: RateBound): number {
@@ -47,20 +52,33 @@
 }
 
 /**
- * Plans the buckets of the issuers.
+ * Divides a limit.
  *
- * Permits that are used in a window were issued in it or within their lifetime before it. In that longer time, all issuers
- * together issue at most their rates times the time, plus their capacities.
+ * Permits that are used in a window were kept in reserve at its start, or issued in it or within their lifetime before it.
+ * In that longer time, all issuers together issue at most their rates times the time, plus their capacities.
  *
  * @param members number of VMs that may issue permits
  */
-export function planBuckets (limit: RateLimit, bound: RateBound, members: number): BucketPlan {
+export function planRate (limit: RateLimit, bound: RateBound, members: number): RatePlan {
   const available = computeWindowBound(limit, bound) * usedFraction
   const issueSeconds = (bound.windowMs + permitTtlMs + deliveryMs) / 1000
   const wantedIssuers = Math.max(minIssuers, Math.ceil(limit.ratePerSecond / minTokensPerSecond))
   // Each bucket must hold a whole token.
   const issuers = Math.max(1, Math.min(members, wantedIssuers, Math.floor(available / 2)))
   const totalPerSecond = Math.max(0, Math.min(limit.ratePerSecond, (available - issuers) / issueSeconds))
-  const totalCapacity = Math.max(0, available - totalPerSecond * issueSeconds)
-  return { issuers, tokensPerSecond: totalPerSecond / issuers, capacity: totalCapacity / issuers }
+  const stored = Math.max(0, available - totalPerSecond * issueSeconds)
+  const totalCapacity = Math.min(stored, Math.max(issuers, stored * bucketFraction))
+  return { issuers, tokensPerSecond: totalPerSecond / issuers, capacity: totalCapacity / issuers, reserve: Math.floor(stored - totalCapacity) }
+}
+
+/**
+ * Returns how many permits one entry VM may keep in reserve. If there are fewer than entry VMs, some of them keep one.
+ *
+ * @param rank position of the VM among the entry VMs in the team's order, from 0
+ * @param entries number of entry VMs
+ */
+export function computeReserveShare ({ reserve }: RatePlan, rank: number, entries: number): number {
+  const each = Math.floor(reserve / Math.max(1, entries))
+  if (each > 0) return each
+  return rank < reserve ? 1 : 0
 }
