Soak: callers of teams with known, unknown and revoked keys, forged teams and a limited team

Watched from outside: no server sees a key or another team, no unknown key is served, none long after it was taken away, no window of the limited team above its bound, no standing key denied, and no VM's log holds a key. Each check is tested on a constructed history.

--- a/scripts/__tests__/soak.test.ts
+++ b/scripts/__tests__/soak.test.ts
@@ -14,7 +14,7 @@
 const size = { controls: 3, entries: 3, servers: 6, domains: 6 }
 
 function addAttempt (history: SoakHistory, id: string, overrides: Partial<Attempt> = {}): void {
-  history.attempts.set(id, { id, entry: 'entry-0', path: '/offer/', isIdempotent: false, leavesAfterMs: undefined, sentAt: 0, endedAt: 100, end: answered(200), ...overrides })
+  history.attempts.set(id, { id, entry: 'entry-0', path: '/offer/', isIdempotent: false, sentKey: { key: 'k', team: 'blue', version: undefined }, leavesAfterMs: undefined, sentAt: 0, endedAt: 100, end: answered(200), ...overrides })
 }
 
 function answered (status: number, isWhole = true): AttemptEnd {
@@ -22,7 +22,7 @@
 }
 
 function addRun (history: SoakHistory, id: string, overrides: Partial<Run> = {}): void {
-  history.runs.push({ id, path: '/offer/', body: id, server: 's-1', service: 'desk', failureDomain: 'kochi-a', at: 50, readAt: 50, leftMs: 1400, workMs: 40, endedAt: 90, cutAt: undefined, ...overrides })
+  history.runs.push({ id, path: '/offer/', body: id, server: 's-1', service: 'desk', failureDomain: 'kochi-a', team: 'blue', headerText: 'lynx-team,blue', at: 50, readAt: 50, leftMs: 1400, workMs: 40, endedAt: 90, cutAt: undefined, ...overrides })
 }
 
 function findViolatedInvariants (record: (history: SoakHistory) => void): string[] {
@@ -48,6 +48,32 @@
   }), ['read'])
 })
 
+test('a run with a key, for a wrong team, with an unknown key or long after its key was taken away is a violation', () => {
+  assert.deepEqual(findViolatedInvariants(history => { addAttempt(history, 'a'); addRun(history, 'a', { headerText: 'authorization,Bearer soakkey-blue' }) }), ['key'])
+  assert.deepEqual(findViolatedInvariants(history => { addAttempt(history, 'a'); addRun(history, 'a', { team: 'forged' }) }), ['team'])
+  assert.deepEqual(findViolatedInvariants(history => { addAttempt(history, 'a', { sentKey: { key: 'x', team: undefined, version: undefined } }); addRun(history, 'a') }), ['unknown'])
+  assert.deepEqual(findViolatedInvariants(history => { addAttempt(history, 'a', { end: answered(401) }) }), ['denied'])
+  const recordOldKey = (history: SoakHistory, sentAt: number): void => {
+    addAttempt(history, 'a', { sentKey: { key: 'x', team: 'blue', version: 3 }, sentAt })
+    addRun(history, 'a', { at: sentAt + 50 })
+    history.confirmed.push({ type: 'change', subject: 'desk', at: 1000, sentAt: 900, version: 4 })
+  }
+  assert.deepEqual(findViolatedInvariants(history => recordOldKey(history, 3600)), ['revoked'])
+  assert.deepEqual(findViolatedInvariants(history => recordOldKey(history, 3400)), [])
+})
+
+test('more requests of the limited team than its rate allows in a window are a violation', () => {
+  const recordRate = (history: SoakHistory, count: number, intervalMs: number): void => {
+    for (let index = 0; index < count; index++) {
+      addAttempt(history, `a${index}`, { sentKey: { key: 'x', team: 'slow', version: undefined }, sentAt: index * intervalMs })
+      addRun(history, `a${index}`, { team: 'slow', at: index * intervalMs, readAt: index * intervalMs })
+    }
+  }
+  assert.deepEqual(findViolatedInvariants(history => recordRate(history, 29, 100)), ['rate'])
+  assert.deepEqual(findViolatedInvariants(history => recordRate(history, 28, 100)), [])
+  assert.deepEqual(findViolatedInvariants(history => recordRate(history, 60, 250)), [])
+})
+
 test('requests without an answer after their timeout are a violation if enough of them reach it at fault-free VMs', () => {
   const recordTimeouts = (history: SoakHistory, elapsedMs: number, count: number): void => {
     for (let sent = 0; sent < count; sent++) addAttempt(history, `a${sent}`, { path: '/read/', isIdempotent: true, sentAt: 10_000, endedAt: 10_000 + elapsedMs, end: answered(504) })
--- a/scripts/soak/caller.ts
+++ b/scripts/soak/caller.ts
@@ -11,10 +11,13 @@
 import type { Attempt, AttemptEnd, SoakHistory } from './history.js'
 import { createAnswerText } from './fakeServer.js'
 import { hasUnreadBytes } from './receiveQueue.js'
+import { drawKey } from './teamKeys.js'
 
 /** How long a caller waits for an answer: longer than the routes' timeout, so that a late answer is still recorded. */
 const deadlineMs = 3000
 const pauseMs = 90
+/** Every request names this team; VMs must not pass it on. */
+const forgedTeam = 'forged'
 /** A caller abandons an idempotent request that its VM has not read within this time. */
 const unreadTimeoutMs = 1000
 /** Share of reads that take long, and shares of requests whose callers close the connection before the answer. */
@@ -30,6 +33,10 @@
 
 export interface Caller {
   readonly name: string
+  /** Selects the caller's team. */
+  readonly index: number
+  /** Returns the newest version of the routes that the operator knows. */
+  readonly getVersion: () => number
   readonly region: string
   readonly client: ControlClient
   readonly places: ReadonlyMap<string, EntryVm>
@@ -83,7 +90,7 @@
   if (entryVm === undefined) throw new Error(`the lookup returned ${address}, which is not the address of an entry VM`)
   caller.sent += 1
   const path = caller.path ?? drawPath(caller.random)
-  const attempt: Attempt = { id: `${caller.name}-${caller.sent}`, entry: entryVm.vm, path, isIdempotent: path !== '/offer/', leavesAfterMs: caller.path === undefined ? drawLeaveDelay(caller, path) : undefined, sentAt: performance.now(), endedAt: undefined, end: undefined }
+  const attempt: Attempt = { id: `${caller.name}-${caller.sent}`, entry: entryVm.vm, path, isIdempotent: path !== '/offer/', sentKey: drawKey(caller.random, caller.index, caller.getVersion()), leavesAfterMs: caller.path === undefined ? drawLeaveDelay(caller, path) : undefined, sentAt: performance.now(), endedAt: undefined, end: undefined }
   caller.history.attempts.set(attempt.id, attempt)
   const end = await send(caller, entryVm.proxy, attempt)
   attempt.endedAt = performance.now()
@@ -119,7 +126,7 @@
     const res = await getPool(caller, proxy.address).request({
       method: attempt.isIdempotent ? 'GET' : 'POST',
       path: attempt.path,
-      headers: { host: 'soak.example', 'idempotency-key': attempt.id, 'lynx-deadline-ms': String(deadlineMs) },
+      headers: { host: 'soak.example', 'idempotency-key': attempt.id, 'lynx-deadline-ms': String(deadlineMs), 'lynx-team': forgedTeam, authorization: `Bearer ${attempt.sentKey.key}` },
       body: attempt.isIdempotent ? null : attempt.id,
       signal: leaveController.signal
     })
--- a/scripts/soak/callers.ts
+++ b/scripts/soak/callers.ts
@@ -35,6 +35,8 @@
 function createCaller (system: SoakSystem, places: ReadonlyMap<string, EntryVm>, name: string, seed: number, traits: Pick<Caller, 'region'> & Partial<Caller>): Caller {
   return {
     name,
+    index: seed,
+    getVersion: () => system.operator.version,
     client: system.client,
     places,
     history: system.history,
--- a/scripts/soak/fakeServer.ts
+++ b/scripts/soak/fakeServer.ts
@@ -152,7 +152,8 @@
   const left = req.headers['lynx-deadline-ms']
   const leftMs = left === undefined ? undefined : Number(left)
   const workMs = req.url === longPath ? longWorkMs : minWorkMs + fake.random() * (maxWorkMs - minWorkMs)
-  const run: Run = { id, path: req.url ?? '', body, server: self, service, failureDomain, at: performance.now(), readAt, leftMs, workMs, endedAt: undefined, cutAt: undefined }
+  const team = req.headers['lynx-team']?.toString()
+  const run: Run = { id, path: req.url ?? '', body, server: self, service, failureDomain, team, headerText: req.rawHeaders.join(), at: performance.now(), readAt, leftMs, workMs, endedAt: undefined, cutAt: undefined }
   fake.history.runs.push(run)
   return run
 }
--- a/scripts/soak/history.ts
+++ b/scripts/soak/history.ts
@@ -1,5 +1,8 @@
 /** The history of a soak run: what callers, servers and operators observed, and the injected faults. */
 
+import { isOwed } from './teamKeys.js'
+import type { SentKey } from './teamKeys.js'
+
 /** How an attempt ended for its caller. */
 export type AttemptEnd =
   | { readonly type: 'answer', readonly status: number, readonly isWhole: boolean }
@@ -14,6 +17,7 @@
   readonly entry: string
   readonly path: string
   readonly isIdempotent: boolean
+  readonly sentKey: SentKey
   readonly sentAt: number
   /** Time after which the caller closes the connection without an answer; undefined if the caller waits. */
   readonly leavesAfterMs: number | undefined
@@ -29,6 +33,10 @@
   readonly server: string
   readonly service: string
   readonly failureDomain: string
+  /** The caller's team, as the VM told it; undefined if it told none. */
+  readonly team: string | undefined
+  /** All headers of the request. */
+  readonly headerText: string
   readonly at: number
   /** When the server had read the whole request, before the request waited for a slot. */
   readonly readAt: number
@@ -103,6 +111,9 @@
   maxLateCrashes: 3,
   /** Maximum number of servers at which one request may run. */
   maxAttempts: 2,
+  /** Rate limit of the limited team, and the window in which the VMs' default settings allow no more. */
+  teamRate: { ratePerSecond: 4, burst: 8 },
+  teamRateWindowMs: 5000,
   /** The default of the VMs' settings. */
   retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 50 }
 }
@@ -130,9 +141,9 @@
 /** Path of a request that ends each server that runs it. */
 export const crashPath = '/read/crash'
 
-/** Measures the share of attempts sent in a period that succeeded; attempts whose caller may leave early, and those that end servers, are excluded. */
+/** Measures the share of attempts sent in a period that succeeded; attempts whose caller may leave early, those that end servers and those whose key may be refused are excluded. */
 export function measureServedShare (history: SoakHistory, from: number, until: number): { readonly share: number, readonly sent: number } {
-  const sent = [...history.attempts.values()].filter(attempt => attempt.leavesAfterMs === undefined && attempt.path !== crashPath && attempt.sentAt >= from && attempt.sentAt < until)
+  const sent = [...history.attempts.values()].filter(attempt => attempt.leavesAfterMs === undefined && attempt.path !== crashPath && isOwed(attempt) && attempt.sentAt >= from && attempt.sentAt < until)
   const served = sent.filter(attempt => attempt.end?.type === 'answer' && attempt.end.status === 200)
   return { share: sent.length === 0 ? 0 : served.length / sent.length, sent: sent.length }
 }
--- a/scripts/soak/invariants.ts
+++ b/scripts/soak/invariants.ts
@@ -3,6 +3,7 @@
 import { bounds, isFaultFree, isVmFaultFree, probePath } from './history.js'
 import type { Attempt, Confirmed, InjectedFault, SoakHistory, Run } from './history.js'
 import { checkAttemptLimit, checkCrashes, checkRetryBudgets, checkTimeLeft } from './sendChecks.js'
+import { checkTeams } from './teamKeys.js'
 
 /** Returns all violations, one line each; the text before the colon names the invariant. */
 export function findViolations (history: SoakHistory): string[] {
@@ -18,6 +19,7 @@
     ...checkTimeLeft(history),
     ...checkRetryBudgets(history),
     ...checkCrashes(history),
+    ...checkTeams(history),
     ...checkPlannedStops(history)
   ]
 }
--- a/scripts/soak/operator.ts
+++ b/scripts/soak/operator.ts
@@ -7,6 +7,7 @@
 import type { ControlClient } from './controlClient.js'
 import { bounds, probePath } from './history.js'
 import type { SoakHistory } from './history.js'
+import { createTeams } from './teamKeys.js'
 
 /** Timeout of a command; longer than a series of faults, so that every fault has ended by then. */
 const commandTimeoutMs = 15_000
@@ -46,7 +47,8 @@
     set: {
       routes: [createRoute('read', '/read/', first, true, 1), createRoute('offer', '/offer/', second, false, 0), createRoute('probe', probePath, getProbeService(operator, version), true, 1)],
       upstreams: operator.services.map(name => ({ name, healthPath: '/health', maxConnections: 200, warmupMs: 0, warmupPerSecond: 1000, annotations: {} })),
-      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+      teams: createTeams(version)
     }
   }
 }
--- a/scripts/soak/soakRun.ts
+++ b/scripts/soak/soakRun.ts
@@ -17,6 +17,7 @@
 import type { SoakSystem } from './soakSystem.js'
 import { runStep } from './faultInjection.js'
 import type { FakeServer } from './fakeServer.js'
+import { checkLogs } from './teamKeys.js'
 import { startVm } from './vmProcess.js'
 import type { SoakVm } from './vmProcess.js'
 
@@ -56,7 +57,7 @@
   isOver = true
   await Promise.all(tasks)
   const total = measureServedShare(history, 0, Infinity)
-  return { seed: plan.seed, violations: findViolations(history), requests: total.sent, servedShare: total.share, finalServedShare, steps: plan.steps.length, gone: summarizeAbandoned(history) }
+  return { seed: plan.seed, violations: [...findViolations(history), ...checkLogs(folder)], requests: total.sent, servedShare: total.share, finalServedShare, steps: plan.steps.length, gone: summarizeAbandoned(history) }
 }
 
 async function runSteps (system: SoakSystem, plan: SoakPlan): Promise<void> {
