--- a/packages/daemon/__tests__/storage.test.ts
+++ b/packages/daemon/__tests__/storage.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict'
-import { appendFile, mkdtemp, readFile, rm, writeFile } from 'node:fs/promises'
+import { appendFile, mkdtemp, readFile, rm, stat, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { test } from 'node:test'
@@ -122,3 +122,13 @@
     }
   })
 })
+
+/** Guards against keys of teams that other users of the machine can read. */
+test('only the owner can read a new folder of the log', async () => {
+  await withFolder(async folder => {
+    const created = join(folder, 'control')
+    const { storage } = await openStorage(created)
+    await storage[Symbol.asyncDispose]()
+    assert.equal((await stat(created)).mode & 0o077, 0)
+  })
+})
--- a/packages/daemon/src/plugins/logStorage.ts
+++ b/packages/daemon/src/plugins/logStorage.ts
@@ -17,6 +17,9 @@
 const logFileName = 'log'
 const snapshotFileName = 'snapshot'
 
+/** Permissions of the folder: only the owner may read it, since the log holds the keys of teams. */
+const privateFolderMode = 0o700
+
 type StoredRecord =
   | { readonly kind: 'hardState', readonly hardState: HardState }
   | { readonly kind: 'entry', readonly entry: Entry }
@@ -89,7 +92,7 @@
  */
 export async function openStorage (folder: string): Promise<{ storage: LogStorage, stored: StoredLog | undefined }> {
   try {
-    await mkdir(folder, { recursive: true })
+    await mkdir(folder, { recursive: true, mode: privateFolderMode })
     const snapshot = await readSnapshot(folder)
     const path = join(folder, logFileName)
     const parsed = parseLog(await readFileIfExists(path) ?? Buffer.alloc(0))
