Refill reserves of permits for a few teams at a time

The teams were far below their rates: 84 VMs asked for the reserves of all 88 teams at once, and the issuers, whose buckets are empty after a start, had nothing left for requests that waited.

A question refills the reserves of five teams at most, in turn.

--- a/packages/daemon/src/core/gateway/teamPermits.ts
+++ b/packages/daemon/src/core/gateway/teamPermits.ts
@@ -47,12 +47,19 @@
   readonly queues: Map<TeamName, TeamQueue>
   /** Number of control VMs that may issue permits; undefined before the first answer. */
   members: number | undefined
+  /** Position among the teams at which the next question for reserves begins. */
+  nextReserve: number
 }
 
 /** Requests of one team that may wait at once; each takes a few kilobytes. */
 const maxWaiting = 500
 /** Longest time in which issuers are asked for one request; an unreachable one takes part of it. */
 const maxAskMs: Millis = 1000
+/**
+ * Teams whose reserves one question refills. After a restart of all VMs, reserves that were refilled at once would use up
+ * what the issuers have, and the requests that wait would be refused.
+ */
+const maxReserveWishes = 5
 /** Retry time if no issuer can be reached. */
 const noPermitsRetryMs: Millis = 500
 /** Bounds of the retry time of a team that is over its rate. */
@@ -60,7 +67,7 @@
 const maxRetryMs: Millis = 5000
 
 export function createTeamPermits (channel: PermitChannel, logs: Logs): TeamPermits {
-  return { channel, logs, store: new Map(), queues: new Map(), failedUntil: new Map(), members: undefined }
+  return { channel, logs, store: new Map(), queues: new Map(), failedUntil: new Map(), members: undefined, nextReserve: 0 }
 }
 
 /** Takes a permit for a request, and asks for more if requests come often. */
@@ -143,10 +150,17 @@
     })
 }
 
-/** Lists what is missing in the reserves of the teams for which an issuer may have permits. */
-function listReserveWishes ({ queues, store }: TeamPermits, address: string, now: Millis): PermitWish[] {
+/**
+ * Lists what is missing in the reserves of some teams for which an issuer may have permits; the next question continues
+ * with the teams after them.
+ */
+function listReserveWishes (permits: TeamPermits, address: string, now: Millis): PermitWish[] {
+  const { queues, store } = permits
+  const teams = [...queues]
   const wishes: PermitWish[] = []
-  for (const [team, { issuers, isAsking }] of queues) {
+  for (let checked = 0; checked < teams.length && wishes.length < maxReserveWishes; checked++) {
+    permits.nextReserve = (permits.nextReserve + 1) % teams.length
+    const [team, { issuers, isAsking }] = teams[permits.nextReserve] as [TeamName, TeamQueue]
     const wanted = computeMissingPermits(store, team, now)
     if (wanted > 0 && !isAsking && mayIssue(issuers, address, now)) wishes.push({ team, wanted })
   }
