Log rejected callers in a part of their own

Each part has 200 lines a second at each level. Rejections shared those of all decisions on requests, so a flood of unknown keys at one VM would have crowded out the lines that explain other requests. Found by reading.

--- a/packages/daemon/src/core/gateway/authentication.ts
+++ b/packages/daemon/src/core/gateway/authentication.ts
@@ -56,7 +56,7 @@
   req.resume()
   const { node } = gateway
   node.metrics.refusals.inc({ reason })
-  log(node.logs, 'route', 'info', 'Caller rejected.', { id: gateway.callers.parseCallFacts(req.headers).id, route: route.name, reason, stateVersion: node.config.version })
+  log(node.logs, 'access', 'info', 'Caller rejected.', { id: gateway.callers.parseCallFacts(req.headers).id, route: route.name, reason, stateVersion: node.config.version })
   return createRejection(gateway, reason)
 }
 
