Give up a send for another server only with a permit for it

A request of a rate-limited team that is overdue at a slow server may move to another one. The first send was ended, and only then a permit for the second was asked for; without one, the caller got 502 in place of a late answer. Found by reading; the new test of permitReserves states when a request may move (the function is new, so it can't run on the code before).

--- a/packages/daemon/__tests__/permitReserves.test.ts
+++ b/packages/daemon/__tests__/permitReserves.test.ts
@@ -3,7 +3,10 @@
 import { test } from 'node:test'
 import { brandId } from '@lynxcourse/base'
 import type { TeamName } from '@lynxcourse/base'
-import { PermitChannel, createSilentLogs, createTeamPermits, obtainPermit, refillReserves } from '@lynxcourse/daemon'
+import { buildTeamTable } from '@lynxcourse/routing'
+import type { Team } from '@lynxcourse/state'
+import { addPermits } from '@lynxcourse/limits'
+import { PermitChannel, createSilentLogs, createTeamPermits, maySendAgain, obtainPermit, refillReserves } from '@lynxcourse/daemon'
 import type { PermitReply, PermitWish, TeamPermits } from '@lynxcourse/daemon'
 
 const bound = { windowMs: 5000, overage: 0.1, slack: 20 }
@@ -64,3 +67,15 @@
   assert.equal(question?.[0]?.team, team)
   assert.equal(question?.length, 6)
 })
+
+/** Guards against a send that is given up for another one that then gets no permit. */
+test('a request may move to another server only if its team has a permit left, or no limit', async () => {
+  const [limited, open] = teams as [TeamName, TeamName]
+  const create = (name: TeamName, ratePerSecond: number): Team => ({ name, keys: [], rank: undefined, ratePerSecond, burst: 0, homes: [], annotations: {} })
+  const table = buildTeamTable([create(limited, 5), create(open, 0)].map(team => ({ kind: 'team', key: team.name, team, keyDigests: [] })), true)
+  const permits = createTeamPermits(new RecordingChannel(), createSilentLogs())
+  const mayMove = (team: TeamName | undefined): boolean => maySendAgain({ teams: table, permits }, { team, permit: undefined }, 0)
+  assert.deepEqual([mayMove(limited), mayMove(open), mayMove(undefined)], [false, true, true])
+  addPermits(permits.store, limited, 1, 0, 0)
+  assert.equal(mayMove(limited), true)
+})
--- a/packages/daemon/src/core/gateway/permitHolder.ts
+++ b/packages/daemon/src/core/gateway/permitHolder.ts
@@ -1,6 +1,6 @@
 /** The permit of one request of a rate-limited team: held from just before a send until the request has run. */
 import type { Millis, TeamName } from '@lynxcourse/base'
-import { returnPermit } from '@lynxcourse/limits'
+import { hasPermit, returnPermit } from '@lynxcourse/limits'
 import type { Permit } from '@lynxcourse/limits'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
@@ -23,6 +23,12 @@
   return permit === undefined || now >= permit.expiresAt
 }
 
+/** Whether a request that may have run can be sent again at once: a team that is not limited needs no permit. */
+export function maySendAgain ({ teams, permits }: Pick<Gateway, 'teams' | 'permits'>, { team }: PermitHolder, now: Millis): boolean {
+  if (team === undefined || (teams.byName.get(team)?.ratePerSecond ?? 0) === 0) return true
+  return hasPermit(permits.store, team, now)
+}
+
 /** Obtains a permit; returns the refusal if there is none. */
 export async function fetchPermit ({ permits }: Gateway, holder: PermitHolder, now: Millis): Promise<PermitRefusal | undefined> {
   if (holder.team === undefined) return undefined
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -13,7 +13,7 @@
 import { createObjectKey } from './call.js'
 import type { Call, CallAnswer } from './call.js'
 import type { Gateway } from './gateway.js'
-import { consumePermit, createPermitHolder, fetchPermit, needsPermit, releasePermit } from './permitHolder.js'
+import { consumePermit, createPermitHolder, fetchPermit, maySendAgain, needsPermit, releasePermit } from './permitHolder.js'
 import type { PermitHolder } from './permitHolder.js'
 import type { PermitRefusal } from './teamPermits.js'
 import { logRefusal, logSend, getTimeFields } from './requestLog.js'
@@ -61,7 +61,7 @@
     const step = decideNextStep(gateway, state, { ...getConditions(gateway, call), needsPermit: needsPermit(gateway, holder, now) }, now)
     switch (step.type) {
       case 'send':
-        lastResult = await sendToServer(gateway, call, state, step.placement)
+        lastResult = await sendToServer(gateway, call, state, step.placement, holder)
         if (lastResult.type !== 'notRun') consumePermit(holder)
         break
       case 'takePermit': {
@@ -115,12 +115,12 @@
   updateWaitingCount(gateway, state, -1)
 }
 
-async function sendToServer (gateway: Gateway, call: Call, state: RequestState, placement: Placement): Promise<SendResult> {
+async function sendToServer (gateway: Gateway, call: Call, state: RequestState, placement: Placement, holder: PermitHolder): Promise<SendResult> {
   const sending = beginSend(gateway, state, placement, getCurrentTime())
   const { startedAt, failoverAt, overdueAt } = sending
   const timeouts: SendTimeouts = {
     failoverAt,
-    mayFailOver: () => mayFailOver(gateway, state, getConditions(gateway, call), getCurrentTime()),
+    mayFailOver: () => maySendAgain(gateway, holder, getCurrentTime()) && mayFailOver(gateway, state, getConditions(gateway, call), getCurrentTime()),
     overdueAt,
     isUnresponsive: () => isServerUnresponsive(gateway, sending, getConditions(gateway, call), getCurrentTime())
   }
--- a/packages/limits/__tests__/rates.test.ts
+++ b/packages/limits/__tests__/rates.test.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check'
 import { brandId, createRandom } from '@lynxcourse/base'
 import type { Millis, Random, TeamName } from '@lynxcourse/base'
-import { addPermits, computeMissingPermits, computeReserveShare, computeWindowBound, createPermitIssuer, isRunningLow, issuePermits, permitTtlMs, planRate, pruneBuckets, prunePermits, recordPermitDemand, returnPermit, setMaxReserved, takePermit } from '@lynxcourse/limits'
+import { addPermits, computeMissingPermits, computeReserveShare, computeWindowBound, createPermitIssuer, hasPermit, isRunningLow, issuePermits, permitTtlMs, planRate, pruneBuckets, prunePermits, recordPermitDemand, returnPermit, setMaxReserved, takePermit } from '@lynxcourse/limits'
 import type { PermitIssuer, PermitStore, RateBound, RateLimit, RatePlan } from '@lynxcourse/limits'
 
 const seed = 31
@@ -175,7 +175,9 @@
   const later = 60_000
   const permit = takePermit(store, team, later)
   assert.deepEqual(permit, { expiresAt: later + permitTtlMs })
+  assert.deepEqual([hasPermit(store, team, 0), hasPermit(store, team, later)], [true, true])
   setMaxReserved(store, team, 0, later)
+  assert.equal(hasPermit(store, team, later), false)
   assert.equal(takePermit(store, team, later), undefined)
 })
 
--- a/packages/limits/src/core/rates/permitStore.ts
+++ b/packages/limits/src/core/rates/permitStore.ts
@@ -75,6 +75,12 @@
   return { expiresAt: now + permitTtlMs }
 }
 
+/** Whether a permit is left. */
+export function hasPermit (store: PermitStore, team: TeamName, now: Millis): boolean {
+  const { reserved, batches } = getTeam(store, team, now)
+  return reserved > 0 || batches.some(batch => now < batch.expiresAt)
+}
+
 /** Returns the permit of a request that was not sent, or that its server did not run. */
 export function returnPermit (store: PermitStore, team: TeamName, { expiresAt }: Permit, now: Millis): void {
   if (now < expiresAt) getTeam(store, team, now).batches.unshift({ count: 1, expiresAt })
