--- a/packages/daemon/__tests__/permitReserves.test.ts
+++ b/packages/daemon/__tests__/permitReserves.test.ts
@@ -7,7 +7,7 @@
 import type { Team } from '@lynxcourse/state'
 import { addPermits } from '@lynxcourse/limits'
 import { PermitChannel, createSilentLogs, createTeamPermits, maySendAgain, obtainPermit, refillReserves } from '@lynxcourse/daemon'
-import type { PermitReply, PermitWish, TeamPermits } from '@lynxcourse/daemon'
+import type { PermitReply, PermitRequest, TeamPermits } from '@lynxcourse/daemon'
 
 const bound = { windowMs: 5000, overage: 0.1, slack: 20 }
 const teams = Array.from({ length: 40 }, (_, index) => brandId<TeamName>(`team-${index}`))
@@ -16,15 +16,15 @@
 
 /** An issuer that grants everything and records what it was asked for. */
 class RecordingChannel extends PermitChannel {
-  readonly questions: PermitWish[][] = []
+  readonly questions: PermitRequest[][] = []
 
   override listIssuers (): readonly string[] {
     return ['127.0.0.1:1']
   }
 
-  override async ask (_address: string, wishes: readonly PermitWish[]): Promise<PermitReply> {
-    this.questions.push([...wishes])
-    return { members: 5, teams: wishes.map(({ team, wanted }) => ({ team, granted: wanted, retryAfterMs: 0 })) }
+  override async ask (_address: string, requests: readonly PermitRequest[]): Promise<PermitReply> {
+    this.questions.push([...requests])
+    return { members: 5, teams: requests.map(({ team, wanted }) => ({ team, granted: wanted, retryAfterMs: 0 })) }
   }
 }
 
@@ -38,7 +38,7 @@
   const channel = new RecordingChannel()
   const permits = createTeamPermits(channel, createSilentLogs())
   for (let tick = 0; tick < 12; tick++) await refill(permits, tick * 1000)
-  assert.ok(channel.questions.every(wishes => wishes.length <= 5), 'few teams at a time')
+  assert.ok(channel.questions.every(requests => requests.length <= 5), 'few teams at a time')
   const asked = channel.questions.flat().map(({ team }) => team)
   assert.deepEqual(new Set(asked), new Set(teams))
   assert.equal(asked.length, teams.length, 'a full reserve is not asked for again')
--- a/packages/daemon/src/core/control/permitIssuing.ts
+++ b/packages/daemon/src/core/control/permitIssuing.ts
@@ -25,13 +25,13 @@
 }
 
 /** How many permits of a team an entry VM asks for. */
-export interface PermitWish {
+export interface PermitRequest {
   readonly team: TeamName
   readonly wanted: number
 }
 
 /** The permits that a control VM issues. */
-export interface PermitOffice {
+export interface ControlIssuer {
   readonly issuer: PermitIssuer
   /** The members among which limits are divided; undefined before the first look at them. */
   members: readonly Member[] | undefined
@@ -49,20 +49,20 @@
 /** Retry time for a team that this VM does not know: about the time in which a change reaches all VMs. */
 const unknownTeamRetryMs: Millis = 500
 
-export function createPermitOffice (now: Millis): PermitOffice {
+export function createControlIssuer (now: Millis): ControlIssuer {
   return { issuer: createPermitIssuer(now), members: undefined, vms: [] }
 }
 
 /** Follows the members of the cluster. Called after each progress of the log. */
-export function refreshMembers (office: PermitOffice, { replica, env }: ControlHost, now: Millis): void {
-  if (replica === undefined || replica.members === office.members) return
-  const isFirstLook = office.members === undefined
-  const wasMember = office.vms.includes(env.vm)
-  office.members = replica.members
+export function refreshMembers (control: ControlIssuer, { replica, env }: ControlHost, now: Millis): void {
+  if (replica === undefined || replica.members === control.members) return
+  const isFirstLook = control.members === undefined
+  const wasMember = control.vms.includes(env.vm)
+  control.members = replica.members
   const vms = [...new Set(replica.members.map(({ id }) => getHolderVm(id)))].sort()
-  if (vms.join() === office.vms.join()) return
-  office.vms = vms
-  office.issuer.since = wasMember || isFirstLook ? Math.max(office.issuer.since, now) : now + joinDelayMs
+  if (vms.join() === control.vms.join()) return
+  control.vms = vms
+  control.issuer.since = wasMember || isFirstLook ? Math.max(control.issuer.since, now) : now + joinDelayMs
 }
 
 /**
@@ -71,12 +71,12 @@
  * @param stateAgeMs time since this VM's state was last known to be the current one
  * @throws LynxError `notLeader` if this VM may not issue permits now; another one may
  */
-export function issueTeamPermits (office: PermitOffice, host: ControlHost, bound: RateBound, wishes: readonly PermitWish[], stateAgeMs: Millis, now: Millis): PermitReply {
-  if (stateAgeMs > maxStateAgeMs || !office.vms.includes(host.env.vm)) throw new LynxError('notLeader', 'this VM issues no permits now', { step: 'take permits' })
-  return { members: office.vms.length, teams: wishes.map(wish => issueForTeam(office, host, bound, wish, now)) }
+export function issueTeamPermits (control: ControlIssuer, host: ControlHost, bound: RateBound, requests: readonly PermitRequest[], stateAgeMs: Millis, now: Millis): PermitReply {
+  if (stateAgeMs > maxStateAgeMs || !control.vms.includes(host.env.vm)) throw new LynxError('notLeader', 'this VM issues no permits now', { step: 'take permits' })
+  return { members: control.vms.length, teams: requests.map(request => issueForTeam(control, host, bound, request, now)) }
 }
 
-function issueForTeam ({ issuer, vms }: PermitOffice, { env, machine }: ControlHost, bound: RateBound, { team, wanted }: PermitWish, now: Millis): TeamGrant {
+function issueForTeam ({ issuer, vms }: ControlIssuer, { env, machine }: ControlHost, bound: RateBound, { team, wanted }: PermitRequest, now: Millis): TeamGrant {
   const limit = findItem(machine.config, 'team', team)?.team
   // This VM does not know the team yet, or not any more.
   if (limit === undefined) return { team, granted: 0, retryAfterMs: unknownTeamRetryMs, issuers: vms }
@@ -93,6 +93,6 @@
 }
 
 /** Forgets the buckets of teams that were removed. */
-export function pruneTeamBuckets ({ issuer }: PermitOffice, { machine }: ControlHost, now: Millis): void {
+export function pruneTeamBuckets ({ issuer }: ControlIssuer, { machine }: ControlHost, now: Millis): void {
   pruneBuckets(issuer, team => findItem(machine.config, 'team', team)?.team !== undefined, now)
 }
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -11,8 +11,8 @@
 import type { ControlEnv, ControlHost } from '../control/hostState.js'
 import { initCluster, isBlank } from '../control/membership.js'
 import { grantControlTrial } from '../control/crashTrials.js'
-import { createPermitOffice, issueTeamPermits, refreshMembers } from '../control/permitIssuing.js'
-import type { PermitOffice, PermitReply, PermitWish } from '../control/permitIssuing.js'
+import { createControlIssuer, issueTeamPermits, refreshMembers } from '../control/permitIssuing.js'
+import type { ControlIssuer, PermitReply, PermitRequest } from '../control/permitIssuing.js'
 import { confirmRead, proposeCommand } from '../control/proposals.js'
 import { callPeer } from '../rpc/rpcClient.js'
 import { enqueueAnnouncement, createAnnouncementQueue } from './announcementQueue.js'
@@ -34,7 +34,7 @@
   readonly loadAggregate: LoadAggregate
   readonly board: LoadBoard
   readonly announcementQueue: AnnouncementQueue
-  readonly permits: PermitOffice
+  readonly permits: ControlIssuer
   /** At the leader: trials of restricted requests. */
   readonly trials: Trials
 }
@@ -92,7 +92,7 @@
   }
   const knownVersions = createKnownVersions()
   const recordVersion = (): void => recordKnownVersion(knownVersions, host.machine.config.version, getCurrentTime())
-  const permits = createPermitOffice(getCurrentTime())
+  const permits = createControlIssuer(getCurrentTime())
   const recordProgress = (): void => {
     recordVersion()
     refreshMembers(permits, host, getCurrentTime())
@@ -286,9 +286,9 @@
  *
  * @throws LynxError if this VM may not issue permits now
  */
-export function takePermits (control: FleetControl, wishes: readonly PermitWish[], now: Millis): PermitReply {
+export function takePermits (control: FleetControl, requests: readonly PermitRequest[], now: Millis): PermitReply {
   const { host, node, permits } = control
-  return issueTeamPermits(permits, host, node.cfg.rateBound, wishes, getStateAge(control, now), now)
+  return issueTeamPermits(permits, host, node.cfg.rateBound, requests, getStateAge(control, now), now)
 }
 
 /** Returns how long ago the local copy was last known to be the current state. */
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -16,7 +16,7 @@
 import type { RpcCall, RpcServer } from '../rpc/rpcServer.js'
 import { claimTrial, dismissServer, cancelFleetTrial, readRoutes, getStateAge, submitFleetCommand, summarizeTeams, handleAnnouncement, takePermits } from './fleetControl.js'
 import type { FleetCommand, FleetControl } from './fleetControl.js'
-import type { PermitWish } from '../control/permitIssuing.js'
+import type { PermitRequest } from '../control/permitIssuing.js'
 import type { ControlEndpoint } from './fleetNode.js'
 import { recordWatchingEntry, applyPresenceReport } from './presence.js'
 import type { PresenceReply, PresenceReport } from './presence.js'
@@ -61,8 +61,8 @@
 const dismissSchema = z.strictObject({ server: textSchema, bornAt: z.number().int().min(0).optional() })
 const endsSchema = z.strictObject(serverEndFields)
 const trialSchema = z.strictObject({ ...trialFields, isRelayed: z.boolean() })
-const wishSchema = z.strictObject({ team: z.string().min(1), wanted: z.number().int().min(1).max(100_000) })
-const permitsSchema = z.strictObject({ wishes: z.array(wishSchema).max(20_000) })
+const permitRequestSchema = z.strictObject({ team: z.string().min(1), wanted: z.number().int().min(1).max(100_000) })
+const permitsSchema = z.strictObject({ requests: z.array(permitRequestSchema).max(20_000) })
 const lookupSchema = z.strictObject({ region: textSchema.optional() })
 
 /** Result of a lookup by a caller. */
@@ -109,7 +109,7 @@
   })
   addMethod(rpc, 'fleet.claimTrial', ['vm'], trialSchema, async ({ request, forMs, isRelayed }) =>
     await claimTrial(control, brandId<RequestFingerprint>(request), forMs, isRelayed))
-  addMethod(rpc, 'fleet.takePermits', ['vm'], permitsSchema, ({ wishes }) => takePermits(control, wishes as unknown as PermitWish[], getCurrentTime()))
+  addMethod(rpc, 'fleet.takePermits', ['vm'], permitsSchema, ({ requests }) => takePermits(control, requests as unknown as PermitRequest[], getCurrentTime()))
   addMethod(rpc, 'fleet.cancelTrial', ['vm'], z.strictObject({ request: textSchema, isRelayed: z.boolean() }), async ({ request, isRelayed }) => {
     await cancelFleetTrial(control, brandId<RequestFingerprint>(request), isRelayed)
     return {}
--- a/packages/daemon/src/core/gateway/permitChannel.ts
+++ b/packages/daemon/src/core/gateway/permitChannel.ts
@@ -1,6 +1,6 @@
 /** How an entry VM asks control VMs for permits. */
 import type { Millis } from '@lynxcourse/base'
-import type { PermitReply, PermitWish } from '../control/permitIssuing.js'
+import type { PermitReply, PermitRequest } from '../control/permitIssuing.js'
 import { rankControls } from '../fleet/fleetNode.js'
 import type { FleetNode } from '../fleet/fleetNode.js'
 import { callPeer } from '../rpc/rpcClient.js'
@@ -10,7 +10,7 @@
   abstract listIssuers (): readonly string[]
 
   /** @throws LynxError if the control VM can't be reached or issues no permits now */
-  abstract ask (address: string, wishes: readonly PermitWish[]): Promise<PermitReply>
+  abstract ask (address: string, requests: readonly PermitRequest[]): Promise<PermitReply>
 }
 
 /** Time after which another control VM is asked. */
@@ -28,7 +28,7 @@
     return rankControls(this.#node, () => true)
   }
 
-  override async ask (address: string, wishes: readonly PermitWish[]): Promise<PermitReply> {
-    return await callPeer<PermitReply>(this.#node.client, address, 'fleet.takePermits', { wishes }, askTimeoutMs)
+  override async ask (address: string, requests: readonly PermitRequest[]): Promise<PermitReply> {
+    return await callPeer<PermitReply>(this.#node.client, address, 'fleet.takePermits', { requests }, askTimeoutMs)
   }
 }
--- a/packages/daemon/src/core/gateway/teamPermits.ts
+++ b/packages/daemon/src/core/gateway/teamPermits.ts
@@ -15,7 +15,7 @@
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import type { Logs } from '../../utils/logging.js'
-import type { PermitReply, PermitWish, TeamGrant } from '../control/permitIssuing.js'
+import type { PermitReply, PermitRequest, TeamGrant } from '../control/permitIssuing.js'
 import type { PermitChannel } from './permitChannel.js'
 
 /** Why a request gets no permit: its team is over its rate, or no issuer can be reached. */
@@ -59,7 +59,7 @@
  * Teams whose reserves one question refills. After a restart of all VMs, reserves that were refilled at once would use up
  * what the issuers have, and the requests that wait would be refused.
  */
-const maxReserveWishes = 5
+const maxReserveRequests = 5
 /** Retry time if no issuer can be reached. */
 const noPermitsRetryMs: Millis = 500
 /** Bounds of the retry time of a team that is over its rate. */
@@ -106,9 +106,9 @@
   }
   const address = permits.channel.listIssuers().find(issuer => now >= (permits.failedUntil.get(issuer) ?? 0))
   if (address === undefined) return
-  const wishes = listReserveWishes(permits, address, now)
+  const requests = listReserveRequests(permits, address, now)
   // The first answer tells the number of members, even if nothing is asked for.
-  if (wishes.length > 0 || (members === undefined && limits.size > 0)) ask(permits, address, wishes).catch(logFailure(permits))
+  if (requests.length > 0 || (members === undefined && limits.size > 0)) ask(permits, address, requests).catch(logFailure(permits))
 }
 
 /** Forgets teams that are no longer limited. */
@@ -142,7 +142,7 @@
   queue.isAsking = true
   queue.tried.add(address)
   const wanted = queue.waiting.length + computeMissingPermits(permits.store, team, now)
-  ask(permits, address, [{ team, wanted: Math.max(1, wanted) }, ...listReserveWishes(permits, address, now)])
+  ask(permits, address, [{ team, wanted: Math.max(1, wanted) }, ...listReserveRequests(permits, address, now)])
     .catch(logFailure(permits))
     .finally(() => {
       queue.isAsking = false
@@ -154,27 +154,27 @@
  * Lists what is missing in the reserves of some teams for which an issuer may have permits; the next question continues
  * with the teams after them.
  */
-function listReserveWishes (permits: TeamPermits, address: string, now: Millis): PermitWish[] {
+function listReserveRequests (permits: TeamPermits, address: string, now: Millis): PermitRequest[] {
   const { queues, store } = permits
   const teams = [...queues]
-  const wishes: PermitWish[] = []
-  for (let checked = 0; checked < teams.length && wishes.length < maxReserveWishes; checked++) {
+  const requests: PermitRequest[] = []
+  for (let checked = 0; checked < teams.length && requests.length < maxReserveRequests; checked++) {
     permits.nextReserve = (permits.nextReserve + 1) % teams.length
     const [team, { issuers, isAsking }] = teams[permits.nextReserve] as [TeamName, TeamQueue]
     const wanted = computeMissingPermits(store, team, now)
-    if (wanted > 0 && !isAsking && mayIssue(issuers, address, now)) wishes.push({ team, wanted })
+    if (wanted > 0 && !isAsking && mayIssue(issuers, address, now)) requests.push({ team, wanted })
   }
-  return wishes
+  return requests
 }
 
-async function ask (permits: TeamPermits, address: string, wishes: readonly PermitWish[]): Promise<void> {
+async function ask (permits: TeamPermits, address: string, requests: readonly PermitRequest[]): Promise<void> {
   const askedAt = getCurrentTime()
   let reply: PermitReply
   try {
-    reply = await permits.channel.ask(address, wishes)
+    reply = await permits.channel.ask(address, requests)
   } catch (err) {
-    for (const { team } of wishes) recordIssuerFailure(getQueue(permits, team).issuers, permits, address, getCurrentTime())
-    log(permits.logs, 'limit', 'warn', 'A control VM issued no permits.', { peer: address, teams: wishes.length, error: getErrorMessage(err) })
+    for (const { team } of requests) recordIssuerFailure(getQueue(permits, team).issuers, permits, address, getCurrentTime())
+    log(permits.logs, 'limit', 'warn', 'A control VM issued no permits.', { peer: address, teams: requests.length, error: getErrorMessage(err) })
     return
   }
   permits.members = reply.members
--- a/packages/limits/__tests__/rates.test.ts
+++ b/packages/limits/__tests__/rates.test.ts
@@ -20,7 +20,7 @@
 
 interface Grant { readonly to: PermitStore, readonly count: number, readonly askedAt: Millis, readonly arrivesAt: Millis }
 
-interface Rig {
+interface Simulation {
   readonly random: Random
   readonly issuers: PermitIssuer[]
   readonly stores: PermitStore[]
@@ -40,7 +40,7 @@
 
 /** Runs a scenario in which every entry VM always has more requests than permits, and returns the fullest window. */
 function runScenario ({ limit, members, entries, seed: scenarioSeed, restarts }: Scenario, plan: RatePlan): number {
-  const rig: Rig = {
+  const simulation: Simulation = {
     random: createRandom(scenarioSeed),
     issuers: Array.from({ length: plan.issuers }, () => createPermitIssuer(0)),
     stores: Array.from({ length: entries }, () => new Map()),
@@ -49,10 +49,10 @@
   }
   assert.ok(plan.issuers <= members)
   // Nobody sends requests at first, so all buckets and reserves fill up.
-  for (const [index, store] of rig.stores.entries()) resetStore(store, plan, index, entries)
-  for (let step = 0; step < 100; step++) fillReserves(rig, plan, step * stepMs)
-  for (let step = 100; step < stepCount; step++) runStep(rig, plan, Math.ceil(limit.ratePerSecond) + 5, restarts, step * stepMs)
-  return countFullestWindow(rig.arrivals)
+  for (const [index, store] of simulation.stores.entries()) resetStore(store, plan, index, entries)
+  for (let step = 0; step < 100; step++) fillReserves(simulation, plan, step * stepMs)
+  for (let step = 100; step < stepCount; step++) runStep(simulation, plan, Math.ceil(limit.ratePerSecond) + 5, restarts, step * stepMs)
+  return countFullestWindow(simulation.arrivals)
 }
 
 /** Replaces the permits of an entry VM that starts: its reserve is empty. */
@@ -61,7 +61,7 @@
   setMaxReserved(store, team, computeReserveShare(plan, index, entries), 0)
 }
 
-function fillReserves ({ issuers, stores }: Rig, plan: RatePlan, now: Millis): void {
+function fillReserves ({ issuers, stores }: Simulation, plan: RatePlan, now: Millis): void {
   for (const [index, store] of stores.entries()) {
     const wanted = computeMissingPermits(store, team, now)
     const issuer = issuers[index % issuers.length] as PermitIssuer
@@ -69,9 +69,9 @@
   }
 }
 
-function runStep (rig: Rig, plan: RatePlan, wanted: number, restarts: number, now: Millis): void {
-  const { random, issuers, stores } = rig
-  rig.grants = rig.grants.filter(grant => {
+function runStep (simulation: Simulation, plan: RatePlan, wanted: number, restarts: number, now: Millis): void {
+  const { random, issuers, stores } = simulation
+  simulation.grants = simulation.grants.filter(grant => {
     if (grant.arrivesAt > now) return true
     addPermits(grant.to, team, grant.count, 0, grant.askedAt)
     return false
@@ -80,15 +80,15 @@
   for (const [index, store] of stores.entries()) {
     if (random() < restarts) resetStore(store, plan, index, stores.length)
     const isFrozen = random() < 0.1
-    if (!isFrozen) useAll(rig, store, now)
+    if (!isFrozen) useAll(simulation, store, now)
     const issuer = issuers[Math.floor(random() * issuers.length)] as PermitIssuer
     const { granted } = issuePermits(issuer, team, plan, wanted, now)
     const isLost = random() < 0.05
-    if (!isLost) rig.grants.push({ to: store, count: granted, askedAt: now - random() * maxDelayMs, arrivesAt: now + random() * maxDelayMs })
+    if (!isLost) simulation.grants.push({ to: store, count: granted, askedAt: now - random() * maxDelayMs, arrivesAt: now + random() * maxDelayMs })
   }
 }
 
-function useAll ({ random, arrivals }: Rig, store: PermitStore, now: Millis): void {
+function useAll ({ random, arrivals }: Simulation, store: PermitStore, now: Millis): void {
   for (;;) {
     const permit = takePermit(store, team, now)
     if (permit === undefined) return
