--- a/packages/daemon/src/core/gateway/permitChannel.ts
+++ b/packages/daemon/src/core/gateway/permitChannel.ts
@@ -14,7 +14,7 @@
 }
 
 /** Time after which another control VM is asked. */
-const askTimeoutMs: Millis = 400
+const askTimeoutMs: Millis = 300
 
 export class FleetPermitChannel extends PermitChannel {
   readonly #node: FleetNode
--- a/packages/limits/src/core/rates/issuerChoice.ts
+++ b/packages/limits/src/core/rates/issuerChoice.ts
@@ -10,7 +10,7 @@
 }
 
 /** Time after which a failed issuer is asked again. */
-const avoidFailedMs: Millis = 1000
+const avoidFailedMs: Millis = 4000
 
 export function createTeamIssuers (): TeamIssuers {
   return { issuers: undefined, emptyUntil: new Map() }
