Write the gateway's own answers in one place

Refusals that promise 'not run' were written in four places (callerServer, authentication and twice in serving) and plain answers in three; gateway/answers.ts writes them now. A request that gets no permit and one whose key was taken away both end by their sends so far: one function decides that. The permit is returned where an unused trial is, which makes the wrapper around the steps needless.

--- a/packages/daemon/src/core/gateway/authentication.ts
+++ b/packages/daemon/src/core/gateway/authentication.ts
@@ -5,6 +5,7 @@
 import { computeKeyDigest } from '@lynxcourse/state'
 import type { Route } from '@lynxcourse/state'
 import { log } from '../../utils/logging.js'
+import { createRefusal, createTextAnswer } from './answers.js'
 import type { CallAnswer, CallerTeam } from './call.js'
 import type { Gateway } from './gateway.js'
 
@@ -61,18 +62,15 @@
 }
 
 function createRejection (gateway: Gateway, reason: RejectReason): CallAnswer {
+  const { callers } = gateway
   switch (reason) {
     case 'unknownKey': return answerUnknownKey(gateway)
-    case 'unconfirmedState': return createUnavailable(gateway.callers.buildRefusalHeaders(unconfirmedRetryMs), 'the key is not known, and the configuration may be out of date')
-    case 'noCommonRegion': return createUnavailable({}, "no region is allowed by both the route and the caller's team")
+    case 'unconfirmedState': return createRefusal(callers, 'the key is not known, and the configuration may be out of date', unconfirmedRetryMs)
+    case 'noCommonRegion': return createRefusal(callers, "no region is allowed by both the route and the caller's team", undefined)
   }
 }
 
 /** Returns the answer to a request whose key is not known. */
 export function answerUnknownKey ({ callers }: Gateway): CallAnswer {
-  return { status: 401, headers: { 'www-authenticate': callers.keyScheme }, body: Buffer.from('a known key is required\n') }
-}
-
-function createUnavailable (headers: CallAnswer['headers'], detail: string): CallAnswer {
-  return { status: 503, headers, body: Buffer.from(`not run: ${detail}\n`) }
+  return createTextAnswer(401, 'a known key is required', { 'www-authenticate': callers.keyScheme })
 }
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -15,6 +15,7 @@
 import { recordRequestRead, recordAcceptedConnection, recordCloseRead } from '../../utils/loopMonitor.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
 import { createLazyFingerprint } from '../crashes/requestFingerprint.js'
+import { createRefusal, createTextAnswer } from './answers.js'
 import { authenticateCaller } from './authentication.js'
 import type { Call, CallAnswer, CallerTeam } from './call.js'
 import { startReadingBody } from './callBody.js'
@@ -222,29 +223,21 @@
   const retryAfterMs = overloadedRetryMs * (1 + gateway.node.random())
   logRefusal(gateway, call, 0, { type: 'refuse', reason: 'overloaded', retryAfterMs })
   // Closing a connection before its request was read completely resets the connection, and the answer is lost.
-  return { ...createRefusal(gateway, 'this VM is overloaded', retryAfterMs), endsConnection: req.complete }
+  return { ...createRefusal(gateway.callers, 'this VM is overloaded', retryAfterMs), endsConnection: req.complete }
 }
 
 function answerNoRoute (gateway: Gateway, req: IncomingMessage): CallAnswer {
   req.resume()
   // Without the current routes, the VM doesn't know whether a route exists.
-  if (!hasRoutes(gateway)) return createRefusal(gateway, 'the routes are not known yet', notReadyRetryMs)
+  if (!hasRoutes(gateway)) return createRefusal(gateway.callers, 'the routes are not known yet', notReadyRetryMs)
   log(gateway.node.logs, 'route', 'info', 'No route.', { host: req.headers.host, path: req.url, stateVersion: gateway.node.config.version })
   return createTextAnswer(404, 'no route')
 }
 
-function createRefusal (gateway: Gateway, detail: string, retryAfterMs: Millis): CallAnswer {
-  return { status: 503, headers: gateway.callers.buildRefusalHeaders(retryAfterMs), body: Buffer.from(`not run: ${detail}\n`) }
-}
-
-function createTextAnswer (status: number, detail: string): CallAnswer {
-  return { status, headers: {}, body: Buffer.from(`${detail}\n`) }
-}
-
 /** Returns the answer to a request whose body can't be read or buffered; undefined if the caller has disconnected. */
 function answerBodyFailure (gateway: Gateway, end: Exclude<BodyResult, { type: 'whole' }>): CallAnswer | undefined {
   switch (end.type) {
-    case 'tooMany': return createRefusal(gateway, 'too many bodies are held', notReadyRetryMs)
+    case 'tooMany': return createRefusal(gateway.callers, 'too many bodies are held', notReadyRetryMs)
     case 'tooLarge': return createTextAnswer(413, `body over ${gateway.limits.maxBodyBytes} bytes`)
     case 'failed': throw new LynxError('badRequest', getErrorMessage(end.err), { step: 'read body', cause: end.err })
     case 'gone': return undefined
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -9,6 +9,7 @@
 import { cancelTrial, claimTrial, findRestriction, inspectFailedSend, reportAnswered } from '../crashes/crashWatch.js'
 import type { WatchedRequest } from '../crashes/crashWatch.js'
 import { delay } from '../node/timers.js'
+import { createRateRefusal, createRefusal, createTextAnswer } from './answers.js'
 import { answerUnknownKey, isStillAuthorized } from './authentication.js'
 import { createObjectKey } from './call.js'
 import type { Call, CallAnswer } from './call.js'
@@ -20,9 +21,6 @@
 import { sendOnce } from './sending.js'
 import type { SendTimeouts, SendResult } from './sending.js'
 
-const statusUnavailable = 503
-const statusTooMany = 429
-
 type FailureReason = Extract<RequestStep, { type: 'fail' }>['reason']
 
 /** Answers to requests that some server may have run. */
@@ -35,28 +33,21 @@
 /** Serves a request until its final answer; returns undefined if the caller disconnects. */
 export async function serveCall (gateway: Gateway, call: Call): Promise<CallAnswer | undefined> {
   const state = startRequest(gateway, buildPlacementRequest(call), call.liveness, getConditions(gateway, call), getCurrentTime())
-  try {
-    return await performSteps(gateway, call, state)
-  } finally {
-    if (isUnusedTrial(state)) cancelTrial(gateway.crashes, getWatchedRequest(call)).catch(logFailure(gateway, call))
-  }
-}
-
-/** Performs the steps of a request until its final answer. */
-async function performSteps (gateway: Gateway, call: Call, state: RequestState): Promise<CallAnswer | undefined> {
   const holder = createPermitHolder(call)
   try {
-    return await performStepsWithPermit(gateway, call, state, holder)
+    return await performSteps(gateway, call, state, holder)
   } finally {
     releasePermit(gateway, holder, getCurrentTime())
+    if (isUnusedTrial(state)) cancelTrial(gateway.crashes, getWatchedRequest(call)).catch(logFailure(gateway, call))
   }
 }
 
-async function performStepsWithPermit (gateway: Gateway, call: Call, state: RequestState, holder: PermitHolder): Promise<CallAnswer | undefined> {
+/** Performs the steps of a request until its final answer. */
+async function performSteps (gateway: Gateway, call: Call, state: RequestState, holder: PermitHolder): Promise<CallAnswer | undefined> {
   let lastResult: SendResult | undefined
   for (;;) {
     if (call.gone.aborted) return undefined
-    if (!isStillAuthorized(gateway, call.caller)) return answerRevoked(gateway, call, state, lastResult)
+    if (!isStillAuthorized(gateway, call.caller)) return answerFromSends(gateway, call, state, lastResult) ?? rejectRevoked(gateway, call)
     const now = getCurrentTime()
     const step = decideNextStep(gateway, state, { ...getConditions(gateway, call), needsPermit: needsPermit(gateway, holder, now) }, now)
     switch (step.type) {
@@ -66,7 +57,7 @@
         break
       case 'takePermit': {
         const refusal = await fetchPermit(gateway, holder, now)
-        if (refusal !== undefined) return refuseWithoutPermit(gateway, call, state, lastResult, refusal)
+        if (refusal !== undefined) return answerFromSends(gateway, call, state, lastResult) ?? refuse(gateway, call, state, refusal)
         break
       }
       case 'poll':
@@ -86,11 +77,14 @@
   }
 }
 
-/** Answers a request whose key was taken away while it waited or after a send; it is not sent any more. */
-function answerRevoked (gateway: Gateway, call: Call, state: RequestState, lastResult: SendResult | undefined): CallAnswer {
-  const answer = buildAnswer(lastResult)
-  if (answer !== undefined) return answer
-  if (state.possibleRuns > 0) return fail(gateway, call, state, 'serverFailed')
+/** Answers a request that can't be sent any more by its sends so far; returns undefined if no server may have run it. */
+function answerFromSends (gateway: Gateway, call: Call, state: RequestState, lastResult: SendResult | undefined): CallAnswer | undefined {
+  if (state.possibleRuns === 0) return undefined
+  return buildAnswer(lastResult) ?? fail(gateway, call, state, 'serverFailed')
+}
+
+/** Answers a request that did not run and whose key was taken away while it waited. */
+function rejectRevoked (gateway: Gateway, call: Call): CallAnswer {
   log(gateway.node.logs, 'route', 'info', 'Key was taken away before the request was sent.', { id: call.facts.id, route: call.route.name, team: call.caller?.name, stateVersion: gateway.node.config.version, ...getTimeFields(call) })
   return answerUnknownKey(gateway)
 }
@@ -148,22 +142,14 @@
   return lastResult?.type === 'answered' ? { status: lastResult.status, headers: lastResult.headers, body: lastResult.body } : undefined
 }
 
-/** Answers a request that gets no permit: it is refused, or ends with the results of its sends so far. */
-function refuseWithoutPermit (gateway: Gateway, call: Call, state: RequestState, lastResult: SendResult | undefined, refusal: PermitRefusal): CallAnswer {
-  if (state.possibleRuns > 0) return buildAnswer(lastResult) ?? fail(gateway, call, state, 'serverFailed')
+function refuse (gateway: Gateway, call: Call, state: RequestState, refusal: Refusal | PermitRefusal): CallAnswer {
   logRefusal(gateway, call, state.sends, refusal)
   const { reason, retryAfterMs } = refusal
-  const status = reason === 'overRate' ? statusTooMany : statusUnavailable
-  return { status, headers: gateway.callers.buildRefusalHeaders(retryAfterMs), body: Buffer.from(`not run: ${reason}\n`) }
-}
-
-function refuse (gateway: Gateway, call: Call, state: RequestState, refusal: Refusal): CallAnswer {
-  logRefusal(gateway, call, state.sends, refusal)
-  return { status: statusUnavailable, headers: gateway.callers.buildRefusalHeaders(refusal.retryAfterMs), body: Buffer.from(`not run: ${refusal.reason}\n`) }
+  return reason === 'overRate' ? createRateRefusal(gateway.callers, reason, retryAfterMs) : createRefusal(gateway.callers, reason, retryAfterMs)
 }
 
 function fail (gateway: Gateway, call: Call, state: RequestState, reason: FailureReason): CallAnswer {
   const { status, detail } = failureAnswers[reason]
   log(gateway.node.logs, 'route', 'warn', 'Failed.', { id: call.facts.id, route: call.route.name, status, detail, sends: state.sends, ...getTimeFields(call) })
-  return { status, headers: {}, body: Buffer.from(`${detail}\n`) }
+  return createTextAnswer(status, detail)
 }
