Count an entry VM's permits and its advance in one function each

computeMissingPermits, isRunningLow and hasPermit each summed the permits that are left, and two of them computed the advance. Results are the same; the tests of rates are unchanged.

--- a/packages/limits/src/core/rates/permitStore.ts
+++ b/packages/limits/src/core/rates/permitStore.ts
@@ -77,8 +77,7 @@
 
 /** Whether a permit is left. */
 export function hasPermit (store: PermitStore, team: TeamName, now: Millis): boolean {
-  const { reserved, batches } = getTeam(store, team, now)
-  return reserved > 0 || batches.some(batch => now < batch.expiresAt)
+  return countLeft(getTeam(store, team, now), now) > 0
 }
 
 /** Returns the permit of a request that was not sent, or that its server did not run. */
@@ -90,18 +89,23 @@
 export function computeMissingPermits (store: PermitStore, team: TeamName, now: Millis): number {
   const permits = getTeam(store, team, now)
   decayDemand(permits, now)
-  const advance = Math.floor(permits.demandPerSecond * advanceMs / 1000)
-  const left = permits.batches.reduce((sum, batch) => sum + (now < batch.expiresAt ? batch.count : 0), 0)
-  const missingAdvance = Math.max(0, advance - left - permits.reserved)
+  const missingAdvance = Math.max(0, computeAdvance(permits) - countLeft(permits, now))
   return Math.min(maxBatch, permits.maxReserved - permits.reserved + missingAdvance)
 }
 
 /** Whether requests come so often that more permits should be asked for before requests have to wait. */
 export function isRunningLow (store: PermitStore, team: TeamName, now: Millis): boolean {
-  const { reserved, batches, demandPerSecond } = getTeam(store, team, now)
-  const advance = Math.floor(demandPerSecond * advanceMs / 1000)
-  const left = reserved + batches.reduce((sum, batch) => sum + (now < batch.expiresAt ? batch.count : 0), 0)
-  return left < advance
+  const permits = getTeam(store, team, now)
+  return countLeft(permits, now) < computeAdvance(permits)
+}
+
+/** Returns how many permits the present demand uses up in the time of an advance. */
+function computeAdvance ({ demandPerSecond }: TeamPermits): number {
+  return Math.floor(demandPerSecond * advanceMs / 1000)
+}
+
+function countLeft ({ reserved, batches }: TeamPermits, now: Millis): number {
+  return batches.reduce((sum, batch) => sum + (now < batch.expiresAt ? batch.count : 0), reserved)
 }
 
 /** Forgets teams that are no longer limited. */
