Divide reserves only when something has changed, and ask one table which teams are limited

What the reserves were divided by is kept and compared now. Whether a team is limited was worked out in four places from its rate; the table of teams lists the limited ones. Reserves are the same.

--- a/packages/daemon/__tests__/permitReserves.test.ts
+++ b/packages/daemon/__tests__/permitReserves.test.ts
@@ -12,7 +12,7 @@
 const bound = { windowMs: 5000, overage: 0.1, slack: 20 }
 const teams = Array.from({ length: 40 }, (_, index) => brandId<TeamName>(`team-${index}`))
 const limits = new Map(teams.map(team => [team, { ratePerSecond: 100, burst: 100 }]))
-const position = { index: 0, count: 4 }
+const inputs = { limits, bound, index: 0, count: 4 }
 
 /** An issuer that grants everything and records what it was asked for. */
 class RecordingChannel extends PermitChannel {
@@ -29,7 +29,7 @@
 }
 
 async function refill (permits: TeamPermits, now: number): Promise<void> {
-  refillReserves(permits, limits, bound, position, now)
+  refillReserves(permits, inputs, now)
   await new Promise(resolve => setImmediate(resolve))
 }
 
--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -19,7 +19,7 @@
   const routeSet = findRouteSet(node.config)
   gateway.routeTable = buildRouteTable(routeSet?.routes ?? [])
   gateway.teams = buildTeamTable(listItems(node.config, 'team'), routeSet?.teams !== undefined)
-  pruneTeamPermits(gateway.permits, team => (gateway.teams.byName.get(team)?.ratePerSecond ?? 0) > 0)
+  pruneTeamPermits(gateway.permits, team => gateway.teams.limited.has(team))
   if (routeSet !== undefined) {
     gateway.limits = routeSet.limits
     for (const upstream of routeSet.upstreams) fleet.coldRequestRates.set(upstream.name, upstream.warmupPerSecond)
--- a/packages/daemon/src/core/gateway/permitHolder.ts
+++ b/packages/daemon/src/core/gateway/permitHolder.ts
@@ -19,14 +19,13 @@
 
 /** Whether the request needs a permit before it can be sent now. */
 export function needsPermit ({ teams }: Gateway, { team, permit }: PermitHolder, now: Millis): boolean {
-  if (team === undefined || (teams.byName.get(team)?.ratePerSecond ?? 0) === 0) return false
+  if (team === undefined || !teams.limited.has(team)) return false
   return permit === undefined || now >= permit.expiresAt
 }
 
 /** Whether a request that may have run can be sent again at once: a team that is not limited needs no permit. */
 export function maySendAgain ({ teams, permits }: Pick<Gateway, 'teams' | 'permits'>, { team }: PermitHolder, now: Millis): boolean {
-  if (team === undefined || (teams.byName.get(team)?.ratePerSecond ?? 0) === 0) return true
-  return hasPermit(permits.store, team, now)
+  return team === undefined || !teams.limited.has(team) || hasPermit(permits.store, team, now)
 }
 
 /** Obtains a permit; returns the refusal if there is none. */
@@ -55,7 +54,6 @@
 /** Refills the VM's reserves of permits. Called periodically. */
 export function refillPermits ({ permits, teams, node }: Gateway, now: Millis): void {
   if (!teams.isRequired || now - node.startedAt < reserveDelayMs) return
-  const limits = new Map([...teams.byName].filter(([, team]) => team.ratePerSecond > 0))
   const { entryNames, cfg } = node
-  refillReserves(permits, limits, cfg.rateBound, { index: entryNames.indexOf(cfg.name), count: entryNames.length }, now)
+  refillReserves(permits, { limits: teams.limited, bound: cfg.rateBound, index: entryNames.indexOf(cfg.name), count: entryNames.length }, now)
 }
--- a/packages/daemon/src/core/gateway/teamPermits.ts
+++ b/packages/daemon/src/core/gateway/teamPermits.ts
@@ -47,6 +47,8 @@
   readonly queues: Map<TeamName, TeamQueue>
   /** Number of control VMs that may issue permits; undefined before the first answer. */
   members: number | undefined
+  /** What the present reserves were divided by. */
+  divided: (ReserveInputs & { readonly members: number | undefined }) | undefined
   /** Position among the teams at which the next question for reserves begins. */
   nextReserve: number
 }
@@ -67,7 +69,7 @@
 const maxRetryMs: Millis = 5000
 
 export function createTeamPermits (channel: PermitChannel, logs: Logs): TeamPermits {
-  return { channel, logs, store: new Map(), queues: new Map(), failedUntil: new Map(), members: undefined, nextReserve: 0 }
+  return { channel, logs, store: new Map(), queues: new Map(), failedUntil: new Map(), members: undefined, divided: undefined, nextReserve: 0 }
 }
 
 /** Takes a permit for a request, and asks for more if requests come often. */
@@ -88,27 +90,40 @@
   })
 }
 
-/** Describes the entry VMs among which reserves are divided. */
-export interface EntryPosition {
+/** What the reserves of this VM depend on, beside the number of issuers. */
+export interface ReserveInputs {
+  readonly limits: ReadonlyMap<TeamName, RateLimit>
+  readonly bound: RateBound
   /** Position of this VM among the sorted names of all entry VMs. */
   readonly index: number
+  /** Number of entry VMs. */
   readonly count: number
 }
 
-/** Divides the limits of teams among the entry VMs, and asks for the reserves that are missing. */
-export function refillReserves (permits: TeamPermits, limits: ReadonlyMap<TeamName, RateLimit>, bound: RateBound, { index, count }: EntryPosition, now: Millis): void {
-  const { members, store } = permits
+/** Asks for the reserves that are missing, after dividing the limits of teams among the entry VMs. */
+export function refillReserves (permits: TeamPermits, inputs: ReserveInputs, now: Millis): void {
+  const { members } = permits
+  const { limits } = inputs
+  divideReserves(permits, inputs, now)
+  const address = permits.channel.listIssuers().find(issuer => now >= (permits.failedUntil.get(issuer) ?? 0))
+  if (address === undefined) return
+  const requests = listReserveRequests(permits, address, now)
+  // The first answer tells the number of members, even if nothing is asked for.
+  if (requests.length > 0 || (members === undefined && limits.size > 0)) ask(permits, address, requests).catch(logFailure(permits))
+}
+
+/** Sets how many permits of each team this VM may keep, unless nothing has changed since the last time. */
+function divideReserves (permits: TeamPermits, inputs: ReserveInputs, now: Millis): void {
+  const { members, store, divided } = permits
+  const { limits, bound, index, count } = inputs
+  if (divided?.members === members && divided?.limits === limits && divided.bound === bound && divided.index === index && divided.count === count) return
+  permits.divided = { ...inputs, members }
   for (const [team, limit] of limits) {
     getQueue(permits, team)
     if (members === undefined) continue
     const rank = (index + hashText(team)) % count
     setMaxReserved(store, team, computeReserveShare(planRate(limit, bound, members), rank, count), now)
   }
-  const address = permits.channel.listIssuers().find(issuer => now >= (permits.failedUntil.get(issuer) ?? 0))
-  if (address === undefined) return
-  const requests = listReserveRequests(permits, address, now)
-  // The first answer tells the number of members, even if nothing is asked for.
-  if (requests.length > 0 || (members === undefined && limits.size > 0)) ask(permits, address, requests).catch(logFailure(permits))
 }
 
 /** Forgets teams that are no longer limited. */
--- a/packages/routing/src/core/teamTable.ts
+++ b/packages/routing/src/core/teamTable.ts
@@ -7,20 +7,21 @@
   /** Whether callers need a key of a team. */
   readonly isRequired: boolean
   readonly byDigest: ReadonlyMap<KeyDigest, Team>
-  readonly byName: ReadonlyMap<TeamName, Team>
+  /** The teams with a rate limit. */
+  readonly limited: ReadonlyMap<TeamName, Team>
   /** Routes as they apply to teams, created on first use. */
   readonly routes: WeakMap<Team, Map<Route, Route | undefined>>
 }
 
 export function buildTeamTable (items: readonly TeamItem[], isRequired: boolean): TeamTable {
   const byDigest = new Map<KeyDigest, Team>()
-  const byName = new Map<TeamName, Team>()
+  const limited = new Map<TeamName, Team>()
   for (const { team, keyDigests } of items) {
     if (team === undefined) continue
-    byName.set(team.name, team)
+    if (team.ratePerSecond > 0) limited.set(team.name, team)
     for (const digest of keyDigests) byDigest.set(digest, team)
   }
-  return { isRequired, byDigest, byName, routes: new WeakMap() }
+  return { isRequired, byDigest, limited, routes: new WeakMap() }
 }
 
 /** Who sent a request: `anyone` if no key was needed and none is known, `unknown` if the required key is missing or not known. */
