--- a/packages/state/src/core/crashingRequests.ts
+++ b/packages/state/src/core/crashingRequests.ts
@@ -11,6 +11,7 @@
 import type { Chart, Millis, RequestFingerprint, ServerId } from '@lynxcourse/base'
 import type { ChangeAnswer } from '../types/commands.js'
 import type { CrashCommand, CrashingRequestItem, ServerEnd } from '../types/crashes.js'
+import { dropOldest } from '../utils/dropOldest.js'
 import { findItem, listItems, setItem } from './config.js'
 import type { Config } from './config.js'
 
@@ -149,11 +150,6 @@
   if (dropped !== undefined) advance(config, chart, dropped.key, 'release', version)
 }
 
-function dropOldest<Key> (map: Map<Key, unknown>): void {
-  const [oldest] = map.keys()
-  if (oldest !== undefined) map.delete(oldest)
-}
-
 function forgetOldEnds (register: CrashRegister, at: Millis): void {
   for (const [request, { lastAt }] of register) {
     if (at - lastAt < endMemoryMs) return
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -1,11 +1,13 @@
 /** Applies changes of routes, teams, evacuations and announcements of backend servers to the configuration. */
 import type { ServerId, ServiceId } from '@lynxcourse/base'
 import type { ChangeAnswer } from '../types/commands.js'
+import type { ConfigItem } from '../types/items.js'
 import { routingKey } from '../types/routes.js'
 import type {
   BackendAnnouncement, BackendItem, BackendState, CallerLimits, DismissCommand, EvacuateCommand, MissCommand, RouteChangeId,
   ReplaceRoutesCommand, Route, RouteCommand, RouteSet, RoutingItem, Team, UpdateRoutesCommand, Upstream
 } from '../types/routes.js'
+import { dropOldest } from '../utils/dropOldest.js'
 import { findItem, listItems, setItem, getItemVersion } from './config.js'
 import type { Config } from './config.js'
 import { computeKeyDigest, findTeamProblem } from './teams.js'
@@ -84,11 +86,6 @@
   return accept(config)
 }
 
-function dropOldest (acceptedChanges: AcceptedRouteChanges): void {
-  const [oldest] = acceptedChanges.keys()
-  if (oldest !== undefined) acceptedChanges.delete(oldest)
-}
-
 function mergeRoutes (config: Config, command: UpdateRoutesCommand): RouteSet | undefined {
   const current = findRouteSet(config)
   if (current === undefined) return undefined
@@ -151,31 +148,30 @@
 type RouteService = Route['split'][number]
 
 function writeRoutes (config: Config, next: RouteSet, version: number): void {
-  const routes = new Map(next.routes.map(route => [route.name, route]))
-  for (const item of listItems(config, 'route')) {
-    if (item.route !== undefined && !routes.has(item.key)) setItem(config, version, { kind: 'route', key: item.key, route: undefined })
-  }
-  for (const route of next.routes) {
-    if (!hasEqualFields(findItem(config, 'route', route.name)?.route, route)) setItem(config, version, { kind: 'route', key: route.name, route })
-  }
-  const upstreams = new Map<string, Upstream>(next.upstreams.map(upstream => [upstream.name, upstream]))
-  for (const item of listItems(config, 'upstream')) {
-    if (item.upstream !== undefined && !upstreams.has(item.key)) setItem(config, version, { kind: 'upstream', key: item.key, upstream: undefined })
-  }
-  for (const upstream of next.upstreams) {
-    if (!hasEqualFields(findItem(config, 'upstream', upstream.name)?.upstream, upstream)) setItem(config, version, { kind: 'upstream', key: upstream.name, upstream })
-  }
-  writeTeams(config, next.teams ?? [], version)
+  const routes = listItems(config, 'route').map(({ key, route }) => [key, route] as const)
+  writeChanged(config, version, routes, next.routes, (key, route) => ({ kind: 'route', key, route }))
+  const upstreams = listItems(config, 'upstream').map(({ key, upstream }) => [key, upstream] as const)
+  writeChanged(config, version, upstreams, next.upstreams, (key, upstream) => ({ kind: 'upstream', key, upstream }))
+  const teams = listItems(config, 'team').map(({ key, team }) => [key, team] as const)
+  writeChanged(config, version, teams, next.teams ?? [], (key, team) => ({ kind: 'team', key, team, keyDigests: team?.keys.map(computeKeyDigest) ?? [] }))
 }
 
-function writeTeams (config: Config, next: readonly Team[], version: number): void {
-  const names = new Set(next.map(team => team.name))
-  for (const item of listItems(config, 'team')) {
-    if (item.team !== undefined && !names.has(item.key)) setItem(config, version, { kind: 'team', key: item.key, team: undefined, keyDigests: [] })
+/**
+ * Writes the items of one kind that were removed, and then those that are new or differ.
+ *
+ * @param current the items of this kind by name; undefined for one that was removed before
+ * @param createItem creates the item of a name; without a value, the item stands for its removal
+ */
+function writeChanged<Name extends string, Value extends { readonly name: Name }> (
+  config: Config, version: number, current: ReadonlyArray<readonly [Name, Value | undefined]>, next: readonly Value[], createItem: (name: Name, value: Value | undefined) => ConfigItem
+): void {
+  const nextNames = new Set(next.map(({ name }) => name))
+  for (const [name, value] of current) {
+    if (value !== undefined && !nextNames.has(name)) setItem(config, version, createItem(name, undefined))
   }
-  for (const team of next) {
-    if (hasEqualFields(findItem(config, 'team', team.name)?.team, team)) continue
-    setItem(config, version, { kind: 'team', key: team.name, team, keyDigests: team.keys.map(computeKeyDigest) })
+  const currentValues = new Map(current)
+  for (const value of next) {
+    if (!hasEqualFields(currentValues.get(value.name), value)) setItem(config, version, createItem(value.name, value))
   }
 }
 
--- a/packages/state/src/core/stateMachine.ts
+++ b/packages/state/src/core/stateMachine.ts
@@ -5,6 +5,7 @@
 import type { CommandAnswer, Change, ChangeAnswer, Command } from '../types/commands.js'
 import type { ProfileItem, VersionedItem } from '../types/items.js'
 import type { RouteChangeId } from '../types/routes.js'
+import { dropOldest } from '../utils/dropOldest.js'
 import { applyAllocations, createAllocations } from './allocations.js'
 import type { Allocation, Allocations } from './allocations.js'
 import { getCap } from './caps.js'
@@ -110,11 +111,6 @@
   return answer
 }
 
-function dropOldest (answers: Map<ChangeId, ChangeAnswer>): void {
-  const [oldest] = answers.keys()
-  if (oldest !== undefined) answers.delete(oldest)
-}
-
 function appendHistory (machine: StateMachine, change: Change): void {
   if (change.type !== 'publishProfile' && change.type !== 'retireProfile') return
   const name = change.type === 'publishProfile' ? change.profile.name : change.name
