Relay to a fleet's leader, and wait for the answer to a change, by one function each

Four functions of fleetControl chose the leader, refused a call that was forwarded already and called it; relayToLeader does so for all. Cancelling a trial lacked the check that the leader is this VM itself: it called itself and got the same error, which it throws at once now. Three modules checked that a proposal was answered like a change; proposeChange does, and a report of ended servers that can't be applied names the reason in its error, as the others did.

--- a/packages/daemon/src/core/control/proposals.ts
+++ b/packages/daemon/src/core/control/proposals.ts
@@ -1,6 +1,6 @@
 /** Proposals to and linearizable reads from this VM's replica. */
 import { LynxError } from '@lynxcourse/base'
-import type { CommandAnswer, Command } from '@lynxcourse/state'
+import type { ChangeAnswer, CommandAnswer, Command } from '@lynxcourse/state'
 import { enqueueEvent, startProcessing } from './controlHost.js'
 import { finishRead, isLeading, createNotLeaderError } from './hostState.js'
 import type { ControlHost } from './hostState.js'
@@ -32,6 +32,18 @@
   })
 }
 
+/**
+ * Proposes a command that is answered like an operator's change, and waits for the answer.
+ *
+ * @param step name of the operation, for errors
+ * @throws LynxError as `proposeCommand` does, and `badRpc` if the command could not be applied
+ */
+export async function proposeChange (host: ControlHost, command: Command, step: string): Promise<ChangeAnswer> {
+  const answer = await proposeCommand(host, command)
+  if (answer.type === 'change') return answer.change
+  throw new LynxError('badRpc', answer.type === 'failed' ? answer.detail : 'the state machine returned no result for the change', { step })
+}
+
 /**
  * Waits until a quorum has confirmed that this VM is the leader. A read of its state machine afterwards includes every
  * command that was committed before the call.
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -2,8 +2,8 @@
 import { join } from 'node:path'
 import { LynxError, brandId, hashText, createHolderId, isLynxError, getHolderVm } from '@lynxcourse/base'
 import type { HolderId, Incarnation, Millis, RequestFingerprint, ServerId, VmId } from '@lynxcourse/base'
-import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, recordKnownVersion, findRouteSet, getRoutesVersion, getKnownVersionAt, isRestricted, listItems } from '@lynxcourse/state'
-import type { BackendAnnouncement, ChangeAnswer, CommandAnswer, CrashCommand, CrashingRequestItem, KnownVersions, RouteCommand, RouteSet, Team } from '@lynxcourse/state'
+import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, recordKnownVersion, getKnownVersionAt } from '@lynxcourse/state'
+import type { BackendAnnouncement, ChangeAnswer, CrashCommand, KnownVersions, RouteCommand } from '@lynxcourse/state'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { openControl } from '../control/controlHost.js'
@@ -13,7 +13,7 @@
 import { grantControlTrial } from '../control/crashTrials.js'
 import { createControlIssuer, issueTeamPermits, refreshMembers } from '../control/permitIssuing.js'
 import type { ControlIssuer, PermitReply, PermitRequest } from '../control/permitIssuing.js'
-import { confirmRead, proposeCommand } from '../control/proposals.js'
+import { proposeChange } from '../control/proposals.js'
 import { callPeer } from '../rpc/rpcClient.js'
 import { enqueueAnnouncement, createAnnouncementQueue } from './announcementQueue.js'
 import type { AnnouncementQueue } from './announcementQueue.js'
@@ -42,36 +42,6 @@
 /** The commands that a fleet's VMs and operators submit. */
 export type FleetCommand = RouteCommand | CrashCommand
 
-/** Result of a linearizable read of the routes. */
-export interface RoutesReadResult {
-  readonly routesVersion: number
-  readonly set: RouteSet | undefined
-}
-
-/** A team without its keys. */
-export interface TeamSummary extends Omit<Team, 'keys'> { readonly keyCount: number }
-
-/** Result of a linearizable read of the routes, the restricted requests and the teams, without the teams' keys. */
-export interface FleetSummary {
-  readonly routesVersion: number
-  readonly set: Omit<RouteSet, 'teams'> | undefined
-  /** Undefined if callers need no keys. */
-  readonly teams: readonly TeamSummary[] | undefined
-  readonly restricted: readonly CrashingRequestItem[]
-}
-
-/** Returns the result of a read without the teams' keys. */
-export function summarizeTeams ({ routesVersion, set, restricted }: FleetReadResult): FleetSummary {
-  if (set === undefined) return { routesVersion, set, teams: undefined, restricted }
-  const { teams, ...others } = set
-  return { routesVersion, set: others, teams: teams?.map(({ keys, ...team }) => ({ ...team, keyCount: keys.length })), restricted }
-}
-
-/** Result of a linearizable read of the routes and the restricted requests. */
-export interface FleetReadResult extends RoutesReadResult {
-  readonly restricted: readonly CrashingRequestItem[]
-}
-
 /**
  * Incarnation of the seeds' disks when they found the group, so that each seed can derive the holder ids of the others.
  */
@@ -125,6 +95,28 @@
   return leader === undefined ? undefined : getHolderVm(leader)
 }
 
+/** A call to the leader by a VM that does not lead. */
+export interface LeaderCall {
+  /** Name of the operation, for errors. */
+  readonly step: string
+  readonly method: string
+  readonly params: object
+  /** Whether another control VM forwarded the call; it is not forwarded again. */
+  readonly isRelayed: boolean
+}
+
+/**
+ * Calls the leader.
+ *
+ * @throws LynxError `notLeader` if no other VM is known to lead, or if the call was forwarded already
+ */
+export async function relayToLeader<Result> (control: FleetControl, { step, method, params, isRelayed }: LeaderCall): Promise<Result> {
+  const { node } = control
+  const leader = getLeaderAddress(control)
+  if (leader === undefined || leader === node.cfg.rpc || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step })
+  return await callPeer<Result>(node.client, leader, method, params, submitTimeoutMs)
+}
+
 /**
  * Submits a command to the leader and waits until it is committed.
  *
@@ -134,21 +126,14 @@
  * @throws LynxError if the outcome is unknown
  */
 export async function submitFleetCommand (control: FleetControl, submitted: FleetCommand, isRelayed = false, arrivedAt?: Millis): Promise<ChangeAnswer> {
-  const { host, node } = control
+  const { host } = control
   const command = isRelayed ? submitted : withBaseVersion(control, submitted, arrivedAt)
   if (isLeading(host)) {
-    const answer = await proposeCommand(host, command)
-    if (answer.type !== 'change') throw createNoResultError(answer)
-    logCommand(control, command, answer.change)
-    return answer.change
+    const answer = await proposeChange(host, command, 'submit')
+    logCommand(control, command, answer)
+    return answer
   }
-  const leader = getLeaderAddress(control)
-  if (leader === undefined || leader === node.cfg.rpc || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step: 'submit' })
-  return await callPeer<ChangeAnswer>(node.client, leader, 'fleet.submit', { command }, submitTimeoutMs)
-}
-
-function createNoResultError (answer: CommandAnswer): LynxError {
-  return new LynxError('badRpc', answer.type === 'failed' ? answer.detail : 'the state machine returned no result for the change', { step: 'submit' })
+  return await relayToLeader<ChangeAnswer>(control, { step: 'submit', method: 'fleet.submit', params: { command }, isRelayed })
 }
 
 /**
@@ -208,11 +193,9 @@
  * @throws LynxError if no leader can be reached
  */
 export async function claimTrial (control: FleetControl, request: RequestFingerprint, forMs: Millis, isRelayed: boolean): Promise<TrialAnswer> {
-  const { host, node, trials } = control
+  const { host, trials } = control
   if (isLeading(host)) return grantControlTrial(host, trials, request, forMs, getCurrentTime())
-  const leader = getLeaderAddress(control)
-  if (leader === undefined || leader === node.cfg.rpc || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step: 'trial' })
-  return await callPeer<TrialAnswer>(node.client, leader, 'fleet.claimTrial', { request, forMs, isRelayed: true }, submitTimeoutMs)
+  return await relayToLeader<TrialAnswer>(control, { step: 'trial', method: 'fleet.claimTrial', params: { request, forMs, isRelayed: true }, isRelayed })
 }
 
 /**
@@ -222,29 +205,8 @@
  * @throws LynxError if no leader can be reached
  */
 export async function cancelFleetTrial (control: FleetControl, request: RequestFingerprint, isRelayed: boolean): Promise<void> {
-  const { host, node, trials } = control
-  const leader = getLeaderAddress(control)
-  if (isLeading(host)) cancelTrial(trials, request)
-  else if (leader === undefined || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step: 'trial' })
-  else await callPeer(node.client, leader, 'fleet.cancelTrial', { request, isRelayed: true }, submitTimeoutMs)
-}
-
-/**
- * Reads the current routes and restricted requests; a quorum confirms that they are the latest.
- *
- * @param isRelayed whether another control VM forwarded the read; it is not forwarded again
- * @throws LynxError if no quorum confirms that they are the latest
- */
-export async function readRoutes (control: FleetControl, isRelayed = false): Promise<FleetReadResult> {
-  const { host, node } = control
-  if (isLeading(host)) {
-    await confirmRead(host)
-    const { config } = host.machine
-    return { routesVersion: getRoutesVersion(config), set: findRouteSet(config), restricted: listItems(config, 'crashingRequest').filter(isRestricted) }
-  }
-  const leader = getLeaderAddress(control)
-  if (leader === undefined || leader === node.cfg.rpc || isRelayed) throw new LynxError('notLeader', 'no leader is known', { step: 'read' })
-  return await callPeer<FleetReadResult>(node.client, leader, 'fleet.relayRead', {}, submitTimeoutMs)
+  if (isLeading(control.host)) cancelTrial(control.trials, request)
+  else await relayToLeader(control, { step: 'trial', method: 'fleet.cancelTrial', params: { request, isRelayed: true }, isRelayed })
 }
 
 /**
--- /dev/null
+++ b/packages/daemon/src/core/fleet/fleetReads.ts
@@ -0,0 +1,53 @@
+/** Linearizable reads of a fleet's routes, teams and restricted requests. */
+import { findRouteSet, getRoutesVersion, isRestricted, listItems } from '@lynxcourse/state'
+import type { CrashingRequestItem, RouteSet, Team } from '@lynxcourse/state'
+import { isLeading } from '../control/hostState.js'
+import { confirmRead } from '../control/proposals.js'
+import { relayToLeader } from './fleetControl.js'
+import type { FleetControl } from './fleetControl.js'
+
+/** Result of a linearizable read of the routes. */
+export interface RoutesReadResult {
+  readonly routesVersion: number
+  readonly set: RouteSet | undefined
+}
+
+/** Result of a linearizable read of the routes and the restricted requests. */
+export interface FleetReadResult extends RoutesReadResult {
+  readonly restricted: readonly CrashingRequestItem[]
+}
+
+/** A team without its keys. */
+export interface TeamSummary extends Omit<Team, 'keys'> { readonly keyCount: number }
+
+/** Result of a linearizable read of the routes, the restricted requests and the teams, without the teams' keys. */
+export interface FleetSummary {
+  readonly routesVersion: number
+  readonly set: Omit<RouteSet, 'teams'> | undefined
+  /** Undefined if callers need no keys. */
+  readonly teams: readonly TeamSummary[] | undefined
+  readonly restricted: readonly CrashingRequestItem[]
+}
+
+/** Returns the result of a read without the teams' keys. */
+export function summarizeTeams ({ routesVersion, set, restricted }: FleetReadResult): FleetSummary {
+  if (set === undefined) return { routesVersion, set, teams: undefined, restricted }
+  const { teams, ...others } = set
+  return { routesVersion, set: others, teams: teams?.map(({ keys, ...team }) => ({ ...team, keyCount: keys.length })), restricted }
+}
+
+/**
+ * Reads the current routes and restricted requests; a quorum confirms that they are the latest.
+ *
+ * @param isRelayed whether another control VM forwarded the read; it is not forwarded again
+ * @throws LynxError if no quorum confirms that they are the latest
+ */
+export async function readRoutes (control: FleetControl, isRelayed = false): Promise<FleetReadResult> {
+  const { host } = control
+  if (isLeading(host)) {
+    await confirmRead(host)
+    const { config } = host.machine
+    return { routesVersion: getRoutesVersion(config), set: findRouteSet(config), restricted: listItems(config, 'crashingRequest').filter(isRestricted) }
+  }
+  return await relayToLeader<FleetReadResult>(control, { step: 'read', method: 'fleet.relayRead', params: {}, isRelayed })
+}
--- a/packages/daemon/src/core/node/changes.ts
+++ b/packages/daemon/src/core/node/changes.ts
@@ -4,7 +4,7 @@
 import { changeSchema, findItem } from '@lynxcourse/state'
 import type { Change, ChangeAnswer } from '@lynxcourse/state'
 import { findServer } from '@lynxcourse/membership'
-import { proposeCommand } from '../control/proposals.js'
+import { proposeChange } from '../control/proposals.js'
 import { isLeading } from '../control/hostState.js'
 import type { ControlHost } from '../control/hostState.js'
 import { log } from '../../utils/logging.js'
@@ -37,11 +37,10 @@
 }
 
 async function submitChange (node: Node, control: ControlHost, change: Change): Promise<ChangeAnswer> {
-  const answer = await proposeCommand(control, change)
-  if (answer.type !== 'change') throw new LynxError('badRpc', 'the state machine returned no answer to the change', { step: 'change' })
-  const outcome = answer.change.ok ? `version ${answer.change.version}` : answer.change.detail
-  log(node.logs, 'agree', 'info', 'Change applied.', { type: change.type, change: change.changeId, operator: change.operator, ok: answer.change.ok, outcome })
-  return answer.change
+  const answer = await proposeChange(control, change, 'change')
+  const outcome = answer.ok ? `version ${answer.version}` : answer.detail
+  log(node.logs, 'agree', 'info', 'Change applied.', { type: change.type, change: change.changeId, operator: change.operator, ok: answer.ok, outcome })
+  return answer
 }
 
 /** Rejects a change that names an unknown region or drain target; a misspelled name would otherwise have no effect. */
--- a/packages/daemon/src/core/node/crashService.ts
+++ b/packages/daemon/src/core/node/crashService.ts
@@ -1,5 +1,5 @@
 /** The leader's side of recognizing requests that end servers, for VMs of the service-addressed kind. */
-import { LynxError, brandId } from '@lynxcourse/base'
+import { brandId } from '@lynxcourse/base'
 import type { RequestFingerprint } from '@lynxcourse/base'
 import { cancelTrial } from '@lynxcourse/placement'
 import type { Trials } from '@lynxcourse/placement'
@@ -8,7 +8,7 @@
 import { serverEndFields, textSchema, trialFields } from '../../types/fleetCommands.js'
 import { getCurrentTime } from '../../utils/clock.js'
 import { grantControlTrial } from '../control/crashTrials.js'
-import { proposeCommand } from '../control/proposals.js'
+import { proposeChange } from '../control/proposals.js'
 import type { ControlHost } from '../control/hostState.js'
 import { addMethod } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
@@ -18,8 +18,7 @@
   const trials: Trials = new Map()
   addMethod(rpc, 'crashes.report', ['vm'], z.strictObject(serverEndFields), async report => {
     const command: ReportServerEndsCommand = { type: 'reportServerEnds', ...report as unknown as Omit<ReportServerEndsCommand, 'type'> }
-    const answer = await proposeCommand(control, command)
-    if (answer.type !== 'change') throw new LynxError('badRpc', 'the state machine returned no answer to the report', { step: 'report' })
+    await proposeChange(control, command, 'report')
     return {}
   })
   addMethod(rpc, 'crashes.claimTrial', ['vm'], z.strictObject(trialFields), ({ request, forMs }) =>
