Tests: build teams and their updates in one place

The tests of state, routing and daemon each wrote out a team and the command that publishes teams. Both builders stand in state's test support beside the one for routes, exported as @lynxcourse/state/testing. Assertions are unchanged.

--- a/packages/daemon/__tests__/permitReserves.test.ts
+++ b/packages/daemon/__tests__/permitReserves.test.ts
@@ -4,7 +4,7 @@
 import { brandId } from '@lynxcourse/base'
 import type { TeamName } from '@lynxcourse/base'
 import { buildTeamTable } from '@lynxcourse/routing'
-import type { Team } from '@lynxcourse/state'
+import { createTeam } from '@lynxcourse/state/testing'
 import { addPermits } from '@lynxcourse/limits'
 import { PermitChannel, createSilentLogs, createTeamPermits, maySendAgain, obtainPermit, refillReserves } from '@lynxcourse/daemon'
 import type { PermitReply, PermitRequest, TeamPermits } from '@lynxcourse/daemon'
@@ -71,8 +71,7 @@
 /** Guards against a send that is given up for another one that then gets no permit. */
 test('a request may move to another server only if its team has a permit left, or no limit', async () => {
   const [limited, open] = teams as [TeamName, TeamName]
-  const create = (name: TeamName, ratePerSecond: number): Team => ({ name, keys: [], rank: undefined, ratePerSecond, burst: 0, homes: [], annotations: {} })
-  const table = buildTeamTable([create(limited, 5), create(open, 0)].map(team => ({ kind: 'team', key: team.name, team, keyDigests: [] })), true)
+  const table = buildTeamTable([createTeam(limited, [], { ratePerSecond: 5 }), createTeam(open, [])].map(team => ({ kind: 'team', key: team.name, team, keyDigests: [] })), true)
   const permits = createTeamPermits(new RecordingChannel(), createSilentLogs())
   const mayMove = (team: TeamName | undefined): boolean => maySendAgain({ teams: table, permits }, { team, permit: undefined }, 0)
   assert.deepEqual([mayMove(limited), mayMove(open), mayMove(undefined)], [false, true, true])
--- a/packages/daemon/__tests__/teamRates.test.ts
+++ b/packages/daemon/__tests__/teamRates.test.ts
@@ -4,9 +4,9 @@
 import { delay, getCurrentTime, handleAnnouncement } from '@lynxcourse/daemon'
 import type { FleetDaemon } from '@lynxcourse/daemon'
 import type { Team } from '@lynxcourse/state'
+import { createTeam, createTeamsUpdate } from '@lynxcourse/state/testing'
 import { createRouteToDesk, hasServers, publishRoutes, sendRequestTo, startFleetFixture, startTestServer, submitCommand, waitUntil } from './support/fleetFixture.js'
 import type { FleetFixture, TestResponse, TestServer } from './support/fleetFixture.js'
-import { createTeam, createTeamsUpdate } from './support/teams.js'
 
 const controlCount = 3
 const windowMs = 5000
--- a/packages/daemon/__tests__/teams.test.ts
+++ b/packages/daemon/__tests__/teams.test.ts
@@ -7,9 +7,9 @@
 import { delay } from '@lynxcourse/daemon'
 import type { FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
 import type { Route, Team } from '@lynxcourse/state'
+import { createTeam, createTeamsUpdate } from '@lynxcourse/state/testing'
 import { createReplaceRoutesCommand, createRouteToDesk, hasServers, publishRoutes, sendRequest, startFleetFixture, startTestServer, startVm, submitCommand, waitUntil } from './support/fleetFixture.js'
 import type { FleetFixture, TestServer } from './support/fleetFixture.js'
-import { createTeam, createTeamsUpdate } from './support/teams.js'
 
 /** Time after its confirmation within which a change takes effect at every VM. */
 const applyMs = 2500
--- a/packages/routing/__tests__/teamTable.test.ts
+++ b/packages/routing/__tests__/teamTable.test.ts
@@ -6,14 +6,14 @@
 import { applyTeam, buildTeamTable, identifyCaller, isKeyOfTeam } from '@lynxcourse/routing'
 import { computeKeyDigest } from '@lynxcourse/state'
 import type { Team, TeamItem } from '@lynxcourse/state'
-import { createRoute } from '@lynxcourse/state/testing'
+import { createRoute, createTeam } from '@lynxcourse/state/testing'
 
 const kochi = brandId<RegionId>('kochi')
 const chennai = brandId<RegionId>('chennai')
 const mumbai = brandId<RegionId>('mumbai')
 
 function createItem (name: string, keys: readonly string[], fields: Partial<Team> = {}): TeamItem {
-  const team: Team = { name: brandId<TeamName>(name), keys: [], rank: undefined, ratePerSecond: 0, burst: 0, homes: [], annotations: {}, ...fields }
+  const team = createTeam(name, [], fields)
   return { kind: 'team', key: team.name, team, keyDigests: keys.map(computeKeyDigest) }
 }
 
--- a/packages/state/__tests__/support/route.ts
+++ b/packages/state/__tests__/support/route.ts
@@ -1,4 +1,4 @@
-/** Builds routes for the tests of this package and, exported as `@lynxcourse/state/testing`, of other packages. */
+/** Builds routes for tests. */
 import { brandId } from '@lynxcourse/base'
 import type { ServiceId } from '@lynxcourse/base'
 import type { Route } from '@lynxcourse/state'
--- a/packages/daemon/__tests__/support/teams.ts
+++ b/packages/state/__tests__/support/teams.ts
@@ -1,4 +1,4 @@
-/** Teams for the tests of the daemon, and the command that publishes them. */
+/** Builds teams for tests, and the command that publishes them. */
 import { brandId } from '@lynxcourse/base'
 import type { TeamName } from '@lynxcourse/base'
 import type { RouteChangeId, RouteCommand, Team } from '@lynxcourse/state'
@@ -7,8 +7,8 @@
   return { name: brandId<TeamName>(name), keys, rank: undefined, ratePerSecond: 0, burst: 0, homes: [], annotations: {}, ...fields }
 }
 
-/** Creates a command that adds or replaces teams, as the next version after `baseVersion`. */
-export function createTeamsUpdate (baseVersion: number, putTeams: readonly Team[]): RouteCommand {
+/** Creates a command that adds, replaces and removes teams, as the next version after `baseVersion`. */
+export function createTeamsUpdate (baseVersion: number, putTeams: readonly Team[], removeTeams: readonly string[] = []): RouteCommand {
   return {
     type: 'updateRoutes',
     order: `update ${baseVersion}` as RouteChangeId,
@@ -20,6 +20,6 @@
     removeUpstreams: [],
     limits: undefined,
     putTeams,
-    removeTeams: []
+    removeTeams
   }
 }
--- a/packages/state/__tests__/teams.test.ts
+++ b/packages/state/__tests__/teams.test.ts
@@ -2,19 +2,16 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { brandId, loadChart } from '@lynxcourse/base'
-import type { RegionId, ServiceId, TeamName } from '@lynxcourse/base'
+import type { RegionId, ServiceId } from '@lynxcourse/base'
 import { applyDelta, applyEntry, computeKeyDigest, createConfig, createStateMachine, deserializeStateMachine, findRouteSet, getDeltaSince, hideKeys, listItems, maxKeyLength, maxTeamKeys, serializeStateMachine } from '@lynxcourse/state'
 import type { ChangeAnswer, RouteChangeId, RouteCommand, RouteSet, StateMachine, Team } from '@lynxcourse/state'
 import { createRoute } from './support/route.js'
+import { createTeam, createTeamsUpdate } from './support/teams.js'
 
 const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), shift: loadChart('shift') }
 const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 const upstream = { name: brandId<ServiceId>('desk'), healthPath: '/health', maxConnections: 100, warmupMs: 3000, warmupPerSecond: 10, annotations: {} }
 
-function createTeam (name: string, keys: readonly string[], fields: Partial<Team> = {}): Team {
-  return { name: brandId<TeamName>(name), keys, rank: undefined, ratePerSecond: 0, burst: 0, homes: [], annotations: {}, ...fields }
-}
-
 function createSet (teams: readonly Team[] | undefined): RouteSet {
   return { routes: [createRoute('read')], upstreams: [upstream], limits, teams }
 }
@@ -29,19 +26,7 @@
 }
 
 function update (machine: StateMachine, baseVersion: number, putTeams: readonly Team[], removeTeams: readonly string[] = []): ChangeAnswer {
-  return apply(machine, {
-    type: 'updateRoutes',
-    order: `update ${baseVersion}` as RouteChangeId,
-    baseVersion,
-    routesVersion: baseVersion + 1,
-    putRoutes: [],
-    putUpstreams: [],
-    removeRoutes: [],
-    removeUpstreams: [],
-    limits: undefined,
-    putTeams,
-    removeTeams
-  })
+  return apply(machine, createTeamsUpdate(baseVersion, putTeams, removeTeams))
 }
 
 function createMachine (teams: readonly Team[] | undefined): StateMachine {
