Log and count what servers say about the rate that they take

Now a change of a server's limit has a line of its own, a send's line has the limit in force, and lynxcourse_limited_sends_total counts such sends. No decision reads it yet.

--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -27,6 +27,7 @@
   const reportAgeMs = now - reportedAt
   const outcome = result.type === 'answered' ? String(result.status) : result.reason
   gateway.node.metrics.attempts.inc({ end: outcome })
+  if (placement.server.limit.perSecond !== undefined) gateway.node.metrics.limitedSends.inc()
   const level = result.type === 'answered' && !isServerError(result.status) ? 'info' : 'warn'
   log(gateway.node.logs, 'route', level, 'Sent.', {
     id: call.facts.id,
@@ -44,6 +45,7 @@
     expectedMs: Math.round(placement.roundTripMs + placement.waitMs + placement.workMs),
     waitMs: Math.round(placement.waitMs),
     reportAgeMs: Number.isFinite(reportAgeMs) ? Math.round(reportAgeMs) : undefined,
+    serverLimit: placement.server.limit.perSecond,
     ...getStateFields(gateway),
     leftMs: Math.round(call.deadline - now),
     outcome,
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -15,6 +15,7 @@
 import { startExchange } from './exchange.js'
 import type { Exchange, ReceivedAnswer } from './exchange.js'
 import type { Gateway } from './gateway.js'
+import { observeLimit } from './serverLimits.js'
 
 /** The outcome of a send, with the answer or the details of the failure. */
 export type SendResult =
@@ -123,6 +124,7 @@
   // Another server sent this answer, so it doesn't show that the intended server is alive.
   if (kind === 'elsewhere') return { type: 'notRun', reason: 'elsewhere', status }
   recordReply(gateway, placement.server, gateway.servers.parseQueueDepth(rawHeaders), getCurrentTime())
+  observeLimit(gateway, call, placement.server, gateway.servers.parseLimit(rawHeaders), getCurrentTime())
   if (kind === 'notRun') return { type: 'notRun', reason: 'full', status }
   return { type: 'answered', status, headers: removeHopByHopHeaders(rawHeaders), body, connectMs }
 }
--- a/packages/daemon/src/types/answers.ts
+++ b/packages/daemon/src/types/answers.ts
@@ -9,6 +9,8 @@
 export const serverHeader = 'lynx-server'
 export const vmHeader = 'lynx-vm'
 export const loadHeader = 'lynx-load'
+/** Requests per second that a backend server takes from all VMs together. */
+export const serverLimitHeader = 'lynx-server-limit'
 export const notStartedHeader = 'lynx-not-started'
 /** Name of the caller's team; set for servers if callers need keys. */
 export const teamHeader = 'lynx-team'
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -13,6 +13,7 @@
   readonly loopLateSeconds: Histogram
   readonly attempts: Counter<'end'>
   readonly serverEnds: Counter
+  readonly limitedSends: Counter
   readonly lookups: Counter<'result'>
   readonly claims: Counter<'result'>
   readonly claimSeconds: Histogram
@@ -40,6 +41,7 @@
     loopLateSeconds: new Histogram({ name: 'lynxcourse_loop_late_seconds', help: 'How late a timer of the event loop ran, whether the loop worked or waited for the processor.', buckets: latencyBuckets, registers }),
     attempts: new Counter({ name: 'lynxcourse_attempts_total', help: 'Attempts at backend servers by end.', labelNames: ['end'], registers }),
     serverEnds: new Counter({ name: 'lynxcourse_server_ends_total', help: 'Servers found ended after they left a request of this VM without an answer, by request.', registers }),
+    limitedSends: new Counter({ name: 'lynxcourse_limited_sends_total', help: 'Requests that this VM sent to servers that name a limit for all VMs together.', registers }),
     lookups: new Counter({ name: 'lynxcourse_lookups_total', help: 'Look-ups by result.', labelNames: ['result'], registers }),
     claims: new Counter({ name: 'lynxcourse_claims_total', help: 'Claims by result.', labelNames: ['result'], registers }),
     claimSeconds: new Histogram({ name: 'lynxcourse_claim_duration_seconds', help: 'Time to an answer from the register.', buckets: latencyBuckets, registers }),
--- a/packages/placement/src/core/server/fleetServer.ts
+++ b/packages/placement/src/core/server/fleetServer.ts
@@ -1,6 +1,8 @@
 /** The state of one backend server as one entry VM sees it: queue depth, slowdown, health, and request tokens while it is cold. */
 import { hashText } from '@lynxcourse/base'
 import type { FailureDomainId, Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { createServerLimit } from '@lynxcourse/limits'
+import type { ServerLimit } from '@lynxcourse/limits'
 
 /** A server's record in the directory. */
 export interface ServerFacts {
@@ -58,6 +60,8 @@
   /** Token bucket of the requests that this VM may send while the server is cold. */
   coldTokens: number
   coldTokensAt: Millis
+  /** The limit that the server names for the requests of all VMs together. */
+  readonly limit: ServerLimit
 }
 
 /** Smoothing factor of the slowdown; a server that becomes five times slower is recognized after about four answers. */
@@ -111,7 +115,8 @@
     fullUntil: -Infinity,
     coldUntil,
     coldTokens: 1,
-    coldTokensAt: -Infinity
+    coldTokensAt: -Infinity,
+    limit: createServerLimit()
   }
 }
 
