Keep the limits that servers name, over all VMs together

What callers saw: nothing.

Cause: no decision read the limit; placement went by objects, queue depth and health, and each VM decides alone. Ruled out: VMs that keep the limit each for itself (one VM alone exceeded it in single seconds), and retries (nearly all sends are first sends).

Change: a VM reads the limit from each answer and keeps a fraction of it by a token bucket, which sends, retries and trials all draw on. VMs report limits to the leader, which divides them by the demand of each region's callers and the region plan, so that the VMs with requests for a server get its shares; without the leader's word, VMs share equally in an order by hash. The number of sharers is bounded by what full buckets may add to a window. A request that only such servers could take is refused at once with the time of the next token, unless the token comes within the wait that it may have anyway.

Why it holds: the shares of one limit add up to at most one, buckets start empty, and the full buckets of all sharers use half of what the bound allows beyond the limit. A VM that is cut off keeps its last share. An unreadable limit leaves the known one in force; a limit ends with the first answer without it, and all VMs hear of that from the leader.

--- a/packages/daemon/__tests__/presence.test.ts
+++ b/packages/daemon/__tests__/presence.test.ts
@@ -84,7 +84,7 @@
   const board = createLoadBoard()
   const weights = { version: 7, servers: [[server, 0.5] as const] }
   const update: LoadUpdate = { full: [], plans: [], silent: [] }
-  storeLoadUpdate(board, { ...update, weights })
-  storeLoadUpdate(board, update)
+  storeLoadUpdate(board, { ...update, weights }, 0)
+  storeLoadUpdate(board, update, 0)
   assert.deepEqual([board.news.weights, board.weights.get(server)], [weights, 0.5])
 })
--- a/packages/daemon/__tests__/support/limitedServers.ts
+++ b/packages/daemon/__tests__/support/limitedServers.ts
@@ -106,4 +106,3 @@
 export function countArrivals ({ arrivals }: LimitedServer, since: number, until = Infinity): number {
   return arrivals.filter(({ at }) => at >= since && at < until).length
 }
-
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -20,6 +20,7 @@
 import { createGateway } from '../gateway/gateway.js'
 import type { Gateway } from '../gateway/gateway.js'
 import { refillPermits } from '../gateway/permitHolder.js'
+import { logPublishedLimits } from '../gateway/serverLimits.js'
 import { delay, repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
@@ -103,7 +104,7 @@
     refreshGateway(gateway, getCurrentTime())
     applyCallerLimits(gateway, server)
   })
-  node.onLoadUpdate.push(() => applyLoadUpdate(gateway, node.loadUpdate, node.cfg.region, getCurrentTime()))
+  node.onLoadUpdate.push(() => logPublishedLimits(gateway, applyLoadUpdate(gateway, node.loadUpdate, node.cfg.region, getCurrentTime())))
   gateway.pool.onConnect = (address, startedAt) => recordConnectTime(gateway, address, getCurrentTime() - startedAt)
   addResource(stack, repeat(sweepIntervalMs, () => closeStaleConnections(gateway.pool, getCurrentTime()), () => undefined))
   addResource(stack, repeat(refillIntervalMs, () => refillPermits(gateway, getCurrentTime()), () => undefined))
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -3,7 +3,7 @@
 import type { BackendAnnouncement, ChangeAnswer, ConfigDelta, ReportServerEndsCommand } from '@lynxcourse/state'
 import { LynxError, brandId, getErrorMessage } from '@lynxcourse/base'
 import type { Millis, RegionId, RequestFingerprint, ServerId } from '@lynxcourse/base'
-import { selectEntries, isDiscovering, omitKnownWeights, applyDigest, addLoadReport } from '@lynxcourse/placement'
+import { selectEntries, isDiscovering, omitKnownWeights, selectOwnShares, applyDigest, addLoadReport } from '@lynxcourse/placement'
 import type { EntryPresence, LoadUpdate, LoadReport } from '@lynxcourse/placement'
 import * as z from 'zod'
 import type { CancelSignal } from '../../utils/cancelSignal.js'
@@ -47,13 +47,19 @@
 const presenceSchema = z.strictObject({ name: textSchema, address: addressSchema, failureDomain: textSchema, region: textSchema, isReady: z.boolean() })
 const loadAmountSchema = z.number().min(0).max(1e9)
 const serverLoadsSchema = z.array(z.tuple([textSchema, loadAmountSchema])).max(100_000)
-const loadSchema = z.strictObject({ servers: serverLoadsSchema, busy: z.array(z.tuple([textSchema, loadAmountSchema])).max(10_000), failed: z.array(textSchema).max(100_000) })
+const serverLimitsSchema = z.array(z.tuple([textSchema, z.number().min(0).nullable()])).max(100_000)
+const loadSchema = z.strictObject({
+  servers: serverLoadsSchema,
+  busy: z.array(z.tuple([textSchema, loadAmountSchema])).max(10_000),
+  failed: z.array(textSchema).max(100_000),
+  limits: serverLimitsSchema.optional()
+})
 const watchSchema = z.strictObject({ version: z.number().int().min(0), waitMs: z.number().min(0).max(10_000), self: presenceSchema, load: loadSchema.optional(), weights: z.number().int() })
 const reportSchema = z.strictObject({
   from: z.strictObject({ rpc: addressSchema, region: textSchema }),
   entries: z.array(z.strictObject({ presence: presenceSchema, ageMs: z.number().min(0) })).max(10_000),
   heard: z.array(textSchema).max(100_000),
-  load: z.strictObject({ servers: serverLoadsSchema, busy: z.array(z.tuple([textSchema, textSchema, loadAmountSchema])).max(100_000), failed: serverLoadsSchema }),
+  load: z.strictObject({ servers: serverLoadsSchema, busy: z.array(z.tuple([textSchema, textSchema, loadAmountSchema])).max(100_000), failed: serverLoadsSchema, limits: serverLimitsSchema.optional() }),
   weights: z.number().int()
 })
 const submitSchema = z.strictObject({ command: fleetCommandSchema })
@@ -177,10 +183,16 @@
     ageMs: Number.isFinite(stateAgeMs) ? stateAgeMs : null,
     controls: control.node.controls,
     entries: [...control.presence.entries.keys()],
-    news: omitKnownWeights(control.board.news, request.weights)
+    news: selectNewsFor(control.board.news, request)
   }
 }
 
+/** Returns what an entry VM needs of the load update: without the weights that it has, and with its own shares of limits only. */
+function selectNewsFor (news: LoadUpdate, { weights, self }: WatchRequest): LoadUpdate {
+  const { limits, ...others } = omitKnownWeights(news, weights)
+  return limits === undefined ? others : { ...others, limits: selectOwnShares(limits, self.name) }
+}
+
 async function waitForNewVersion (control: FleetControl, request: WatchRequest, signal: CancelSignal): Promise<void> {
   const knownVersion = Math.max(request.version, control.host.machine.config.version)
   await waitForProgress(control, request.waitMs, signal, () => control.host.machine.config.version > knownVersion)
--- a/packages/daemon/src/core/fleet/presenceExchange.ts
+++ b/packages/daemon/src/core/fleet/presenceExchange.ts
@@ -12,6 +12,7 @@
 import { getLeaderAddress, submitFleetCommand } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
 import { describeLoadChanges, applyDigest, flushDigest, storeLoadUpdate, flushPlanLines, updateBoard } from '@lynxcourse/placement'
+import type { EntryPresence } from '@lynxcourse/placement'
 import { countOpenSlots, listKnownServers } from './serverSlots.js'
 import { findMissedServers, recordEntry, recordReported, prunePresence, listUnreportedEntries, applyPresenceReport } from './presence.js'
 import type { PresenceSummary, PresenceReply, PresenceReport } from './presence.js'
@@ -62,7 +63,7 @@
   try {
     const saved = await readPlacement(dataFolder)
     if (saved === undefined || board.news.plans.length > 0) return
-    storeLoadUpdate(board, saved)
+    storeLoadUpdate(board, saved, getCurrentTime())
     log(node.logs, 'member', 'info', 'Placement loaded.', { services: saved.plans.length, weights: saved.weights?.servers.length ?? 0 })
   } catch (err) {
     log(node.logs, 'member', 'warn', 'Placement could not be loaded; objects may move to other servers.', { error: getErrorMessage(err) })
@@ -101,7 +102,7 @@
   recordReported(presence, report.entries)
   presence.lastExchangeAt = getCurrentTime()
   applyReply(control, reply)
-  storeLoadUpdate(control.board, reply.news)
+  storeLoadUpdate(control.board, reply.news, getCurrentTime())
 }
 
 /** At the leader: updates the load board and logs what changes in the published update. */
@@ -110,13 +111,19 @@
   const { config } = host.machine
   const previous = board.news
   applyDigest(board, node.cfg.rpc, report.load, now)
-  updateBoard(board, countOpenSlots(config, node.cfg.regions), listKnownServers(config, node.cfg.regions), now)
+  updateBoard(board, countOpenSlots(config, node.cfg.regions), listKnownServers(config, node.cfg.regions), listReadyEntries(control, now), now)
   for (const { service, region, near, demand, slots } of flushPlanLines(board)) {
     log(node.logs, 'shift', 'info', 'Region plan changed.', { service, from: region, near: Math.round(near * 1000) / 1000, demand: Math.round(demand), slots })
   }
   for (const { message, fields } of describeLoadChanges(previous, board.news)) log(node.logs, 'member', 'info', message, fields)
 }
 
+/** Lists the entry VMs among which the limits of servers are divided. */
+function listReadyEntries ({ presence, node }: FleetControl, now: Millis): EntryPresence[] {
+  const { presenceStaleMs } = node.cfg.times
+  return [...presence.entries.values()].filter(entry => entry.presence.isReady && now - entry.lastSeenAt < presenceStaleMs).map(entry => entry.presence)
+}
+
 function applyReply (control: FleetControl, reply: PresenceSummary): void {
   const { node, presence } = control
   const now = getCurrentTime()
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -1,6 +1,6 @@
 /** Log lines for the decisions on one request. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { estimateQueueDepth, getConcurrency, isServerError } from '@lynxcourse/placement'
+import { estimateQueueDepth, getConcurrency, getLimitShare, isServerError } from '@lynxcourse/placement'
 import type { Placement, Refusal } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
@@ -45,7 +45,7 @@
     expectedMs: Math.round(placement.roundTripMs + placement.waitMs + placement.workMs),
     waitMs: Math.round(placement.waitMs),
     reportAgeMs: Number.isFinite(reportAgeMs) ? Math.round(reportAgeMs) : undefined,
-    serverLimit: placement.server.limit.perSecond,
+    ...getLimitFields(gateway, placement),
     ...getStateFields(gateway),
     leftMs: Math.round(call.deadline - now),
     outcome,
@@ -57,6 +57,12 @@
   })
 }
 
+/** Returns the limit that the server names, and this VM's fraction of it. */
+function getLimitFields ({ fleet }: Gateway, { server }: Placement): LogFields {
+  const { perSecond } = server.limit
+  return perSecond === undefined ? {} : { serverLimit: perSecond, limitShare: getLimitShare(fleet, server) }
+}
+
 /**
  * Returns the read delay of the caller's close, which shows whether the close may have arrived before the request was
  * sent.
--- a/packages/daemon/src/core/gateway/serverLimits.ts
+++ b/packages/daemon/src/core/gateway/serverLimits.ts
@@ -1,16 +1,21 @@
-/** Observes the limits that backend servers name in their answers. */
+/** Observes the limits of backend servers. */
 import type { Millis } from '@lynxcourse/base'
-import { recordNamedLimit } from '@lynxcourse/limits'
 import type { NamedLimit } from '@lynxcourse/limits'
-import type { FleetServer } from '@lynxcourse/placement'
-import { log } from '../../utils/logging.js'
+import { recordAnswerLimit } from '@lynxcourse/placement'
+import type { FleetServer, PublishedLimitChange } from '@lynxcourse/placement'
+import { logLimitChange, logUnreadableLimit } from '../../utils/limitLog.js'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
 
-/** Records the limit that an answer names, and logs a change of it. */
-export function observeLimit ({ node: { logs } }: Gateway, { facts: { id } }: Call, { facts, limit }: FleetServer, named: NamedLimit, now: Millis): void {
-  if (named.type === 'unreadable') log(logs, 'limit', 'warn', 'Limit of a server is unreadable.', { server: facts.id, id, text: named.text, inForce: limit.perSecond })
-  const change = recordNamedLimit(limit, named, now)
-  if (change?.type === 'named') log(logs, 'limit', 'info', 'Server named a limit.', { server: facts.id, id, perSecond: change.perSecond, previous: change.previous })
-  if (change?.type === 'ended') log(logs, 'limit', 'info', 'Limit of a server ended.', { server: facts.id, id, previous: change.previous })
+/** Records the limit that an answer names. */
+export function observeLimit (gateway: Gateway, { facts: { id } }: Call, server: FleetServer, named: NamedLimit, now: Millis): void {
+  const { logs } = gateway.node
+  if (named.type === 'unreadable') logUnreadableLimit(logs, server.facts.id, named.text, server.limit, { id })
+  const change = recordAnswerLimit(gateway, server, named, now)
+  if (change !== undefined) logLimitChange(logs, server.facts.id, change, { id })
+}
+
+/** Logs the limits that changed by the leader's word. */
+export function logPublishedLimits ({ node: { logs } }: Gateway, changes: readonly PublishedLimitChange[]): void {
+  for (const { server, change } of changes) logLimitChange(logs, server, change, { source: 'leader' })
 }
--- a/packages/placement/__tests__/loadBoard.test.ts
+++ b/packages/placement/__tests__/loadBoard.test.ts
@@ -23,7 +23,7 @@
   for (; now < from + seconds * 1000; now += 400) {
     for (let vm = 0; vm < vms; vm++) addLoadReport(aggregate, `vm-${vm}`, chennai, { servers: [[server, 6]], busy: [[desk, busy]], failed: [] }, now)
     applyDigest(board, 'control-1', flushDigest(aggregate, now), now)
-    updateBoard(board, slots, knownServers, now)
+    updateBoard(board, slots, knownServers, [], now)
   }
   return now
 }
@@ -40,14 +40,14 @@
   assert.equal(board.news.full[0]?.[0], server)
   assert.ok((board.news.full[0]?.[1] ?? 0) >= 5.9)
   for (let step = 0; step < 8; step++) applyDigest(board, 'control-1', { servers: [[server, 0]], busy: [], failed: [] }, now)
-  updateBoard(board, slots, knownServers, now)
+  updateBoard(board, slots, knownServers, [], now)
   assert.deepEqual(board.news.full, [])
 })
 
 test('a server without recent reports is forgotten', () => {
   const board = createLoadBoard()
   const now = reportDemand(board, 1, 2, 2)
-  updateBoard(board, slots, knownServers, now + 3000)
+  updateBoard(board, slots, knownServers, [], now + 3000)
   assert.deepEqual([board.news.full, board.queueDepths.size], [[], 0])
 })
 
@@ -64,9 +64,9 @@
   const board = createLoadBoard()
   const now = reportDemand(board, 5, 4, 45)
   const next = createLoadBoard()
-  storeLoadUpdate(next, board.news)
+  storeLoadUpdate(next, board.news, 0)
   applyDigest(next, 'control-1', { servers: [], busy: [[desk, chennai, 20]], failed: [] }, now)
-  updateBoard(next, slots, knownServers, now)
+  updateBoard(next, slots, knownServers, [], now)
   assert.ok(Math.abs(getLocalShare(next) - getLocalShare(board)) < 0.01)
 })
 
@@ -78,7 +78,7 @@
   const before = getLocalShare(board)
   for (let step = 1; step <= 5; step++) {
     applyDigest(board, 'control-1', { servers: [], busy: [[desk, chennai, 20]], failed: [] }, now + step * 400)
-    updateBoard(board, lost, knownServers, now + step * 400)
+    updateBoard(board, lost, knownServers, [], now + step * 400)
   }
   assert.ok(before - getLocalShare(board) > 0.2, `${before} to ${getLocalShare(board)}`)
 })
@@ -110,14 +110,14 @@
   const uneven: KnownServers = new Map([server, ...even].map(id => [id, { service: desk, region: kochi, slots: 3, isSettled: true }]))
   for (let now = 0; now < 8000; now += 400) {
     applyDigest(board, 'control-1', { servers: [[server, 9], ...even.map(id => [id, 1.5] as const)], busy: [], failed: [] }, now)
-    updateBoard(board, slots, uneven, now)
+    updateBoard(board, slots, uneven, [], now)
   }
   const published = new Map(board.news.weights?.servers)
   assert.ok((published.get(server) ?? 1) < 0.8 && (published.get(even[0] as ServerId) ?? 1) > 1.1, JSON.stringify([...published]))
   assert.equal(omitKnownWeights(board.news, board.news.weights?.version ?? 0).weights, undefined)
   assert.deepEqual(omitKnownWeights(board.news, 0).weights, board.news.weights)
   const next = createLoadBoard()
-  storeLoadUpdate(next, board.news)
+  storeLoadUpdate(next, board.news, 0)
   assert.deepEqual(new Map(next.weights), published)
 })
 
@@ -127,7 +127,7 @@
   const aggregate = createLoadAggregate()
   const exchange = (now: number): readonly ServerId[] => {
     applyDigest(board, 'control-1', flushDigest(aggregate, now), now)
-    updateBoard(board, slots, knownServers, now)
+    updateBoard(board, slots, knownServers, [], now)
     return board.news.silent
   }
   const report = (vm: string, answered: boolean, now: number): void =>
@@ -184,7 +184,7 @@
     const deviation = Math.sin(now / 1000 / cycleSeconds * 2 * Math.PI) * amplitude
     const demand = new Map([[kochi, meanSlots * (1 - deviation)], [chennai, meanSlots * (1 + deviation)]])
     applyDigest(board, 'control-1', { servers: [], busy: [...demand].map(([region, busy]) => [desk, region, busy]), failed: [] }, now)
-    updateBoard(board, slotsByService, knownServers, now)
+    updateBoard(board, slotsByService, knownServers, [], now)
     const plan = new Map((board.news.plans[0]?.shares ?? []).map(([region, shares]) => [region, new Map(shares)]))
     const localShares = new Map([kochi, chennai].map(region => [region, plan.get(region)?.get(region) ?? 0]))
     for (const [region, share] of localShares) moved += Math.abs(share - (previousShares.get(region) ?? share))
@@ -208,7 +208,7 @@
 /** Guards against overloading a small region in the first seconds of demand. */
 test('a demand that has just started does not move objects back to their region', () => {
   const board = createLoadBoard()
-  const first = ((): number => { updateBoard(board, slots, knownServers, 0); return getLocalShare(board) })()
+  const first = ((): number => { updateBoard(board, slots, knownServers, [], 0); return getLocalShare(board) })()
   reportDemand(board, 5, 12, 8, 400)
   assert.ok(getLocalShare(board) <= first + 0.01, `${first} to ${getLocalShare(board)}`)
 })
@@ -218,14 +218,14 @@
   const board = createLoadBoard()
   const now = reportDemand(board, 5, 12, 20)
   const next = createLoadBoard()
-  storeLoadUpdate(next, board.news)
-  for (let passed = 0; passed < 2400; passed += 400) updateBoard(next, slots, knownServers, now + passed)
+  storeLoadUpdate(next, board.news, 0)
+  for (let passed = 0; passed < 2400; passed += 400) updateBoard(next, slots, knownServers, [], now + passed)
   assert.ok(Math.abs(getLocalShare(next) - getLocalShare(board)) < 0.01, `${getLocalShare(board)} to ${getLocalShare(next)}`)
 })
 
 test('two leaders never publish different weights under one version', () => {
   const [one, other] = [createLoadBoard(), createLoadBoard()]
-  updateBoard(one, slots, knownServers, 100_000)
-  updateBoard(other, slots, knownServers, 103_000)
+  updateBoard(one, slots, knownServers, [], 100_000)
+  updateBoard(other, slots, knownServers, [], 103_000)
   assert.notEqual(one.news.weights?.version, other.news.weights?.version)
 })
--- a/packages/placement/src/core/board/loadAggregate.ts
+++ b/packages/placement/src/core/board/loadAggregate.ts
@@ -11,17 +11,20 @@
   readonly fresh: Map<ServerId, number>
   /** Number of entry VMs that each server left without an answer, from the same reports. */
   readonly failed: Map<ServerId, number>
+  /** Limits that servers named, from the same reports; the latest report counts. */
+  readonly limits: Map<ServerId, number | null>
   readonly byVm: Map<string, VmDemand>
 }
 
 export function createLoadAggregate (): LoadAggregate {
-  return { fresh: new Map(), failed: new Map(), byVm: new Map() }
+  return { fresh: new Map(), failed: new Map(), limits: new Map(), byVm: new Map() }
 }
 
 /** Adds an entry VM's report. */
 export function addLoadReport (aggregate: LoadAggregate, vm: string, region: RegionId, report: LoadReport, now: Millis): void {
   for (const [server, ahead] of report.servers) aggregate.fresh.set(server, ahead)
   for (const server of report.failed) aggregate.failed.set(server, (aggregate.failed.get(server) ?? 0) + 1)
+  for (const [server, perSecond] of report.limits ?? []) aggregate.limits.set(server, perSecond)
   aggregate.byVm.set(vm, { region, at: now, busy: report.busy })
 }
 
@@ -33,7 +36,9 @@
   const servers = [...aggregate.fresh]
   const failed = [...aggregate.failed]
   aggregate.fresh.clear()
+  const limits = [...aggregate.limits]
   aggregate.failed.clear()
+  aggregate.limits.clear()
   const sums = new Map<string, [ServiceId, RegionId, number]>()
   for (const [vm, { region, at, busy }] of aggregate.byVm) {
     if (now - at > loadReportTtlMs) {
@@ -46,5 +51,5 @@
       sums.set(key, [service, region, (sum?.[2] ?? 0) + slots])
     }
   }
-  return { servers, busy: [...sums.values()], failed }
+  return { servers, busy: [...sums.values()], failed, ...(limits.length === 0 ? {} : { limits }) }
 }
--- a/packages/placement/src/core/board/loadBoard.ts
+++ b/packages/placement/src/core/board/loadBoard.ts
@@ -10,6 +10,8 @@
 import { adjustWeights } from '../object/serverWeights.js'
 import type { ServerUtilization } from '../object/serverWeights.js'
 import type { RegionPlan } from '../region/regionPlan.js'
+import { buildLimitUpdates, recordLimits } from './limitSharing.js'
+import type { SharingVm } from './limitSharing.js'
 import { planRegions, smoothDemand } from './demandPlanning.js'
 import { createSilentServers, recordFailures, listSilentServers } from './silentServers.js'
 import type { SilentServers } from './silentServers.js'
@@ -31,6 +33,8 @@
   readonly peaks: Map<string, number>
   readonly plans: Map<ServiceId, RegionPlan>
   readonly silent: SilentServers
+  /** Limits that servers named to any VM, with the time of the last report; null for a limit that has ended. */
+  readonly limits: Map<ServerId, { readonly perSecond: number | null, readonly at: Millis }>
   readonly weights: Map<ServerId, number>
   weightsPublishedAt: Millis
   /** Services whose plan follows measured demand. */
@@ -84,6 +88,7 @@
     peaks: new Map(),
     plans: new Map(),
     silent: createSilentServers(),
+    limits: new Map(),
     weights: new Map(),
     weightsPublishedAt: -Infinity,
     measuredServices: new Set(),
@@ -102,6 +107,7 @@
 export function applyDigest (board: LoadBoard, control: string, digest: LoadDigest, now: Millis): void {
   board.byControl.set(control, { busy: digest.busy, at: now })
   recordFailures(board.silent, digest, now)
+  recordLimits(board, digest.limits ?? [], now)
   for (const [server, ahead] of digest.servers) {
     const stored = board.queueDepths.get(server)
     const previous = stored === undefined || now - stored.at > maxQueueDepthAgeMs ? ahead : stored.ahead
@@ -109,8 +115,11 @@
   }
 }
 
-/** Smooths the demand, updates plans and weights, and lists the full servers. The leader calls it once per exchange. */
-export function updateBoard (board: LoadBoard, slots: ServiceSlots, knownServers: KnownServers, now: Millis): void {
+/**
+ * Smooths the demand, updates plans and weights, lists the full servers, and divides the limits of servers among the given
+ * entry VMs. The leader calls it once per exchange.
+ */
+export function updateBoard (board: LoadBoard, slots: ServiceSlots, knownServers: KnownServers, vms: readonly SharingVm[], now: Millis): void {
   const passedMs = Number.isFinite(board.plannedAt) ? Math.min(1000, now - board.plannedAt) : 0
   if (now - board.plannedAt > leadershipPauseMs) board.resumedAt = now
   board.plannedAt = now
@@ -120,7 +129,14 @@
   smoothUtilizations(board, knownServers, passedMs)
   adjustWeights(board.weights, listSettledUtilizations(board, knownServers), passedMs)
   const silent = listSilentServers(board.silent, id => knownServers.has(id), now)
-  board.news = { full, silent, plans: encodePlans(board, computeServiceUtilizations(board, knownServers, slots)), weights: buildWeightUpdate(board, knownServers, now) }
+  const limits = buildLimitUpdates(board, knownServers, vms, now)
+  board.news = {
+    full,
+    silent,
+    plans: encodePlans(board, computeServiceUtilizations(board, knownServers, slots)),
+    weights: buildWeightUpdate(board, knownServers, now),
+    ...(limits.length === 0 ? {} : { limits })
+  }
 }
 
 function listFullServers (board: LoadBoard, knownServers: KnownServers, now: Millis): LoadUpdate['full'] {
@@ -149,7 +165,9 @@
   const utilizations: ServerUtilization[] = []
   for (const [id, fill] of board.utilizations) {
     const server = knownServers.get(id)
-    if (server?.region !== undefined && server.isSettled) utilizations.push({ id, service: server.service, region: server.region, fill })
+    // A server with a limit is less utilized, which does not mean that it can take more objects.
+    const isLimited = typeof board.limits.get(id)?.perSecond === 'number'
+    if (server?.region !== undefined && server.isSettled && !isLimited) utilizations.push({ id, service: server.service, region: server.region, fill })
   }
   return utilizations
 }
@@ -173,7 +191,8 @@
  */
 export function omitKnownWeights (update: LoadUpdate, knownVersion: number): LoadUpdate {
   if (update.weights?.version !== knownVersion) return update
-  return { full: update.full, plans: update.plans, silent: update.silent }
+  const { weights, ...others } = update
+  return others
 }
 
 /** Returns the queue depth per slot, by service. A server without a recent report counts as idle. */
@@ -203,11 +222,13 @@
 }
 
 /** Applies the leader's update at another control VM, which continues from these plans if it becomes the leader. */
-export function storeLoadUpdate (board: LoadBoard, update: LoadUpdate): void {
+export function storeLoadUpdate (board: LoadBoard, update: LoadUpdate, now: Millis): void {
   const weights = update.weights ?? board.news.weights
   board.news = weights === undefined ? update : { ...update, weights }
   board.weights.clear()
   for (const [id, weight] of weights?.servers ?? []) board.weights.set(id, weight)
+  board.limits.clear()
+  recordLimits(board, (update.limits ?? []).map(({ server, perSecond }) => [server, perSecond]), now)
   board.plans.clear()
   for (const { service, isMeasured, demand, shares } of update.plans) {
     for (const [region, slots] of demand) {
--- a/packages/placement/src/core/board/loadObservations.ts
+++ b/packages/placement/src/core/board/loadObservations.ts
@@ -7,6 +7,8 @@
   /** Slot time that the requests which arrived since then need if their objects are warm. */
   readonly demandMs: Map<ServiceId, Millis>
   readonly failed: Set<ServerId>
+  /** Limits that servers named, or that have ended (null). */
+  readonly limits: Map<ServerId, number | null>
   /** Smoothed number of slots that this VM's callers need. */
   readonly demand: Map<ServiceId, number>
   startedAt: Millis
@@ -19,7 +21,7 @@
 const demandSmoothing = 0.3
 
 export function createLoadObservations (now: Millis): LoadObservations {
-  return { ahead: new Map(), demandMs: new Map(), failed: new Set(), demand: new Map(), startedAt: now }
+  return { ahead: new Map(), demandMs: new Map(), failed: new Set(), limits: new Map(), demand: new Map(), startedAt: now }
 }
 
 /** Records the queue depth that a server reported in an answer. */
@@ -34,6 +36,11 @@
   observations.failed.add(server)
 }
 
+/** Records the limit that an answer named; null if the answer showed that the limit has ended. */
+export function recordLimit ({ limits }: LoadObservations, server: ServerId, perSecond: number | null): void {
+  limits.set(server, perSecond)
+}
+
 /**
  * Records that a request arrived, whatever its outcome, with the slot time that it needs if its object is warm.
  *
@@ -52,13 +59,15 @@
   const report: LoadReport = {
     servers: [...observations.ahead],
     busy: [...observations.demandMs].map(([service, demandMs]) => [service, Math.round(demandMs / spanMs * 100) / 100]),
-    failed: [...observations.failed]
+    failed: [...observations.failed],
+    ...(observations.limits.size === 0 ? {} : { limits: [...observations.limits] })
   }
   for (const [service, slots] of report.busy) {
     const previous = observations.demand.get(service) ?? slots
     observations.demand.set(service, previous + (slots - previous) * demandSmoothing)
   }
   observations.failed.clear()
+  observations.limits.clear()
   observations.ahead.clear()
   observations.demandMs.clear()
   observations.startedAt = now
--- a/packages/placement/src/core/request/entryState.ts
+++ b/packages/placement/src/core/request/entryState.ts
@@ -1,10 +1,12 @@
 /** The state on which one entry VM bases its decisions: the fleet, the load data, the retry budget and the waiting requests. */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { applyPublishedLimit } from '@lynxcourse/limits'
+import type { LimitChange } from '@lynxcourse/limits'
 import type { RequestRestriction } from '../admission/crashingRequests.js'
 import type { LoadObservations } from '../board/loadObservations.js'
 import type { RetryBudgetCfg, RetryUsage } from '../retries/retryBudget.js'
 import { recordSharedQueueDepth, recordSharedResponsiveness } from '../server/fleetServer.js'
-import type { LoadUpdate, WeightUpdate } from '../../types/loads.js'
+import type { LimitUpdate, LoadUpdate, WeightUpdate } from '../../types/loads.js'
 import type { Fleet } from './fleet.js'
 
 /** The decision state of an entry VM. */
@@ -28,8 +30,18 @@
   readonly needsPermit?: boolean
 }
 
-/** Applies the load data that the leader published: plans, weights, unresponsive servers and queue depths. */
-export function applyLoadUpdate ({ fleet, load }: EntryState, update: LoadUpdate, region: RegionId, now: Millis): void {
+/** A change of a server's limit that the leader published. */
+export interface PublishedLimitChange {
+  readonly server: ServerId
+  readonly change: LimitChange
+}
+
+/**
+ * Applies the load data that the leader published: plans, weights, unresponsive servers, limits and queue depths.
+ *
+ * @returns the limits of servers that changed
+ */
+export function applyLoadUpdate ({ fleet, load }: EntryState, update: LoadUpdate, region: RegionId, now: Millis): PublishedLimitChange[] {
   const { disabledMechanisms } = fleet.setup
   for (const { service, shares, fill, busy } of update.plans) {
     fleet.sharedUtilization.set(service, fill)
@@ -44,11 +56,23 @@
     recordSharedQueueDepth(server, 0, now)
     recordSharedResponsiveness(server, unresponsive.has(server.facts.id), now)
   }
-  if (disabledMechanisms.has('sharedLoad')) return
-  for (const [id, ahead] of update.full) {
+  for (const [id, ahead] of disabledMechanisms.has('sharedLoad') ? [] : update.full) {
     const server = fleet.byId.get(id)
     if (server !== undefined) recordSharedQueueDepth(server, ahead, now)
   }
+  return disabledMechanisms.has('limitShares') ? [] : applyLimits(fleet, update.limits ?? [], now)
+}
+
+function applyLimits ({ byId, setup }: Fleet, limits: readonly LimitUpdate[], now: Millis): PublishedLimitChange[] {
+  const changes: PublishedLimitChange[] = []
+  for (const { server: id, perSecond, shares } of limits) {
+    const server = byId.get(id)
+    if (server === undefined) continue
+    const share = shares.find(([vm]) => vm === setup.self)?.[1] ?? 0
+    const change = applyPublishedLimit(server.limit, perSecond ?? undefined, share, now)
+    if (change !== undefined) changes.push({ server: id, change })
+  }
+  return changes
 }
 
 /**
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -4,6 +4,7 @@
 import { createConcurrencyLimit } from '../admission/concurrencyLimit.js'
 import type { ConcurrencyLimit } from '../admission/concurrencyLimit.js'
 import type { FleetServer } from '../server/fleetServer.js'
+import { countUsableSlots } from '../server/limitedServers.js'
 import type { Mechanism } from '../../types/mechanisms.js'
 import type { HashRank } from '../object/hashRanks.js'
 import type { RegionShares } from '../region/regionPlan.js'
@@ -125,8 +126,8 @@
   const equalFraction = 1 / Math.max(1, fleet.vms.length)
   const demandFraction = fleet.demandFractions.get(service) ?? equalFraction
   let slots = 0
-  for (const { facts } of fleet.byService.get(service) ?? []) {
-    if (!facts.isClosed) slots += facts.slots
+  for (const server of fleet.byService.get(service) ?? []) {
+    if (!server.facts.isClosed) slots += countUsableSlots(server, fleet.meanSlotTimes.get(service))
   }
   return slots * Math.min(maxEqualShareFactor * equalFraction, Math.max(minEqualShareFactor * equalFraction, demandFraction))
 }
--- a/packages/placement/src/core/request/learning.ts
+++ b/packages/placement/src/core/request/learning.ts
@@ -1,9 +1,11 @@
 /** Updates an entry VM's estimates of servers, work times and load from the outcomes of sends. */
 import type { Millis } from '@lynxcourse/base'
+import { recordNamedLimit } from '@lynxcourse/limits'
+import type { LimitChange, NamedLimit } from '@lynxcourse/limits'
 import { isServerError } from '../../types/sendOutcome.js'
 import type { LostReason, SendOutcome } from '../../types/sendOutcome.js'
 import { adaptConcurrencyLimit } from '../admission/concurrencyLimit.js'
-import { recordQueueDepth, recordFailedServer } from '../board/loadObservations.js'
+import { recordLimit, recordQueueDepth, recordFailedServer } from '../board/loadObservations.js'
 import { recordObjectUse } from '../object/warmObjects.js'
 import { recordTimedOutWork, recordWorkTime, getWorkTimes } from '../object/workModel.js'
 import { recordAnswer, recordFailure, recordServerFull, recordSuccess, recordLoadReport, getUnansweredMs } from '../server/fleetServer.js'
@@ -25,6 +27,14 @@
   recordQueueDepth(load, server.facts.id, queueDepth)
 }
 
+/** Records the limit that a server's answer names; returns the change, if there is one. */
+export function recordAnswerLimit ({ load }: EntryState, { facts, limit }: FleetServer, named: NamedLimit, now: Millis): LimitChange | undefined {
+  const change = recordNamedLimit(limit, named, now)
+  const isEnd = change?.type === 'ended'
+  if (limit.perSecond !== undefined || isEnd) recordLimit(load, facts.id, limit.perSecond ?? null)
+  return change
+}
+
 /** Smoothing factor of the mean slot time. */
 const meanSlotTimeSmoothing = 0.05
 
--- a/packages/placement/src/core/request/placeRequest.ts
+++ b/packages/placement/src/core/request/placeRequest.ts
@@ -6,6 +6,7 @@
 import { mayAdmit } from '../admission/concurrencyLimit.js'
 import type { ConcurrencyLimit } from '../admission/concurrencyLimit.js'
 import { isCold } from '../server/coldRateLimit.js'
+import { estimateLimitDelay } from '../server/limitedServers.js'
 import { getConcurrency, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
 import type { HashRank } from '../object/hashRanks.js'
@@ -35,7 +36,7 @@
 /** Why a request is not sent to any server now. */
 export interface Refusal {
   readonly type: 'refuse'
-  readonly reason: 'noServer' | 'noTime' | 'busy' | 'endsServers'
+  readonly reason: 'noServer' | 'noTime' | 'busy' | 'endsServers' | 'limited'
   /** Time until the request is expected to be served. */
   readonly retryAfterMs: Millis
 }
@@ -53,7 +54,7 @@
   const concurrency = getConcurrency(fleet, request.service)
   if (!mayAdmit(concurrency, request.route.rank, missesLatencyObjective(fleet, request, now))) return createRefusal(fleet, 'busy', estimateTimeToCapacity(fleet, request.service, concurrency))
   const best = selectBestServer(fleet, request, now)
-  if (best === undefined) return refuseWithoutServer(fleet, request, concurrency)
+  if (best === undefined) return refuseWithoutServer(fleet, request, concurrency, now)
   const { server, waitMs, roundTripMs, workMs, maxWorkMs, wasWarm, place } = best
   const endsAt = now + roundTripMs + waitMs + workMs
   if (endsAt > request.deadline) return createRefusal(fleet, 'noTime', endsAt - request.deadline)
@@ -67,11 +68,16 @@
   return now - arrivedAt + getWorkTimes(fleet.workModel, workKey({ route, service }), route.aimMs).warmMs > route.aimMs
 }
 
-/** Refuses a request that no server can take: all servers that may serve it are full at the moment, or there is none. */
-function refuseWithoutServer (fleet: Fleet, request: PlacementRequest, concurrency: ConcurrencyLimit): Refusal {
+/**
+ * Refuses a request that no server can take: there is none, or all servers that may serve it are full at the moment or have
+ * used up their limits.
+ */
+function refuseWithoutServer (fleet: Fleet, request: PlacementRequest, concurrency: ConcurrencyLimit, now: Millis): Refusal {
   const { service } = request
-  const isBusy = (fleet.byService.get(service) ?? []).some(server => canServe(request, server))
-  if (isBusy) return createRefusal(fleet, 'busy', estimateTimeToCapacity(fleet, service, concurrency))
+  const servers = (fleet.byService.get(service) ?? []).filter(server => canServe(request, server))
+  const limitDelayMs = estimateLimitDelay(fleet, servers, now)
+  if (servers.length > 0 && limitDelayMs > 0) return createRefusal(fleet, 'limited', limitDelayMs)
+  if (servers.length > 0) return createRefusal(fleet, 'busy', estimateTimeToCapacity(fleet, service, concurrency))
   return { type: 'refuse', reason: 'noServer', retryAfterMs: noServerRetryAfterMs }
 }
 
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -15,6 +15,7 @@
 import { expectsCapacity, computeRecheckDelay, computeWaitEnd } from '../admission/capacityWait.js'
 import { recordDemand } from '../board/loadObservations.js'
 import { recordBudgetedRequest, trySpendRetry } from '../retries/retryBudget.js'
+import { consumeLimitToken } from '@lynxcourse/limits'
 import { isCold, consumeColdToken } from '../server/coldRateLimit.js'
 import { recordRequestStart, recordRequestEnd, computeResponseTimeout } from '../server/fleetServer.js'
 import type { RunningRequest } from '../server/fleetServer.js'
@@ -143,6 +144,7 @@
   state.sends += 1
   state.tried.add(server.facts.id)
   if (isCold(server, now)) consumeColdToken(server)
+  consumeLimitToken(server.limit)
   const expectedMs = roundTripMs + waitMs + workMs
   const running = recordRequestStart(server, expectedMs, maxExpectedMs, now)
   const concurrency = getConcurrency(fleet, service)
@@ -215,9 +217,12 @@
 }
 
 function mayWaitForCapacity ({ fleet, waitingForCapacity }: EntryState, { request, maxWaitUntil }: RequestState, refusal: Refusal, { isStopping }: DecisionConditions, now: Millis): boolean {
-  if (refusal.reason !== 'busy' || isStopping || fleet.setup.disabledMechanisms.has('roomWait')) return false
+  if (isStopping || fleet.setup.disabledMechanisms.has('roomWait')) return false
   const { route, service } = request
+  const waiting = waitingForCapacity.get(service) ?? 0
+  if (refusal.reason === 'limited') return now + refusal.retryAfterMs * (1 + waiting) <= maxWaitUntil
+  if (refusal.reason !== 'busy') return false
   const { limit } = getConcurrency(fleet, service)
-  const pace = { limit, meanMs: fleet.meanSlotTimes.get(service) ?? route.aimMs, waiting: waitingForCapacity.get(service) ?? 0 }
+  const pace = { limit, meanMs: fleet.meanSlotTimes.get(service) ?? route.aimMs, waiting }
   return expectsCapacity(pace, maxWaitUntil, now)
 }
--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -1,6 +1,7 @@
 /** Scores servers for a request by the expected time to completion and the cost for other requests. */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import type { Route } from '@lynxcourse/state'
+import { permitsRequest } from '../server/limitedServers.js'
 import { hasColdToken, isCold, isWarmingVm } from '../server/coldRateLimit.js'
 import { estimateRoundTrip, estimateWarmProbability, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
@@ -163,8 +164,9 @@
   return healthy.length > 0 ? healthy : unhealthy
 }
 
-/** Returns whether the rate limit of a cold server permits a request of this VM; other servers have no such limit. */
+/** Returns whether the limit that a server names and the rate limit of a cold server permit a request of this VM. */
 function mayReceiveRequest (fleet: Fleet, service: ServiceId, server: FleetServer, now: Millis): boolean {
+  if (!permitsRequest(fleet, server, now)) return false
   if (!isCold(server, now)) return true
   return isWarmingVm(server, fleet.setup.self, fleet.vms) && hasColdToken(server, fleet.coldRequestRates.get(service) ?? 0, now)
 }
--- a/packages/placement/src/types/loads.ts
+++ b/packages/placement/src/types/loads.ts
@@ -1,6 +1,9 @@
 /** Load data that the VMs of a fleet exchange. */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 
+/** Requests per second that servers take from all VMs together; null for a limit that has ended. */
+export type ServerLimits = ReadonlyArray<readonly [ServerId, number | null]>
+
 /** What one entry VM observed since its last report. */
 export interface LoadReport {
   /** Queue depth of each server, as of its last answer. */
@@ -9,6 +12,8 @@
   readonly busy: ReadonlyArray<readonly [ServiceId, number]>
   /** Servers that left a request unanswered and have answered none since. */
   readonly failed: readonly ServerId[]
+  /** Limits that servers named since then, or that have ended; omitted if there are none. */
+  readonly limits?: ServerLimits
 }
 
 /** Slots that callers need, by service and region of the entry VMs. */
@@ -20,6 +25,8 @@
   readonly busy: SlotDemand
   /** Servers with the number of entry VMs whose requests they left unanswered. */
   readonly failed: ReadonlyArray<readonly [ServerId, number]>
+  /** Limits of servers; omitted if there are none. */
+  readonly limits?: ServerLimits
 }
 
 /** The region plan of one service, as the leader publishes it. */
@@ -44,10 +51,21 @@
   readonly plans: readonly PlanUpdate[]
   /** Servers that answer no VM now. */
   readonly silent: readonly ServerId[]
+  /** Limits that servers name, and limits that ended recently; omitted if there are none. */
+  readonly limits?: readonly LimitUpdate[]
   /** Omitted for a VM that already has this version of the weights. */
   readonly weights?: WeightUpdate
 }
 
+/** The limit of one server on the requests of all VMs together. */
+export interface LimitUpdate {
+  readonly server: ServerId
+  /** Null if the limit has ended. */
+  readonly perSecond: number | null
+  /** Fractions of the limit that entry VMs may use, by name; other VMs may use none of it. */
+  readonly shares: ReadonlyArray<readonly [string, number]>
+}
+
 /** Weights of servers in rendezvous hashing; servers that are not listed have weight 1. */
 export interface WeightUpdate {
   /** Time at which the leader published the weights, so that two leaders never use one version for different weights. */
--- a/packages/replay/src/core/loadExchange.ts
+++ b/packages/replay/src/core/loadExchange.ts
@@ -12,7 +12,7 @@
 
 /** Starts the periodic reports and exchanges. Every VM has the first plans before the first request arrives. */
 export function startLoadExchange (world: World): void {
-  updateBoard(world.board, countOpenSlots(world), listKnownServers(world), world.timeline.now)
+  updateBoard(world.board, countOpenSlots(world), listKnownServers(world), world.vms, world.timeline.now)
   world.publishedUpdate = world.board.news
   for (const vm of world.vms) applyLoadUpdate(vm.entry, world.publishedUpdate, vm.region, world.timeline.now)
   for (const vm of world.vms) scheduleAfter(world.timeline, world.random() * reportIntervalMs, () => sendReport(world, vm))
@@ -43,7 +43,7 @@
   world.publishedUpdate = world.board.news
   if (!world.isControlCut) {
     for (const [region, reports] of world.reportsByRegion) applyDigest(world.board, region, flushDigest(reports, now), now)
-    updateBoard(world.board, countOpenSlots(world), listKnownServers(world), now)
+    updateBoard(world.board, countOpenSlots(world), listKnownServers(world), world.vms.filter(vm => vm.isUp), now)
   }
   scheduleAfter(world.timeline, exchangeIntervalMs, () => exchangeLoads(world))
 }
