Keep the limits that servers name, on the service-addressed path too

The same fault: 93 requests in 4 s at a server that takes 4.5 a second (32 allowed).

Change: routing passes over a server whose limit leaves this VM no token. Its region's VMs share the limit first, then the others, equally and in an order by hash; there is no load board on this path, so each VM learns of the end by its own requests. Admission counts the time to the next token, so a request that can't get one in time is refused at once, with that time.

--- a/packages/daemon/src/core/entry/forwarding.ts
+++ b/packages/daemon/src/core/entry/forwarding.ts
@@ -3,7 +3,7 @@
 import { isLeaseValid } from '@lynxcourse/membership'
 import { createCallerLiveness } from '@lynxcourse/placement'
 import type { TrialAnswer } from '@lynxcourse/placement'
-import { earnRetry, getRoundTripMs, getMeanServiceMs, countAvailableSlots } from '@lynxcourse/routing'
+import { earnRetry, estimateLimitDelay, getRoundTripMs, getMeanServiceMs, countAvailableSlots } from '@lynxcourse/routing'
 import type { AdmissionInput, CandidateRegion } from '@lynxcourse/routing'
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
@@ -118,6 +118,7 @@
     queueLength: getQueueLength(entry, request.service),
     serviceMs: getMeanServiceMs(entry.router, request.service),
     completionIntervalMs: getCompletionIntervalMs(entry, request.service),
-    overheadMs: roundTripMs
+    overheadMs: roundTripMs,
+    limitDelayMs: estimateLimitDelay(entry.router, route, now)
   }
 }
--- a/packages/routing/src/core/admission.ts
+++ b/packages/routing/src/core/admission.ts
@@ -15,6 +15,8 @@
   readonly completionIntervalMs: Millis
   /** Round-trip time to the first region, plus that of a claim if the request needs one. */
   readonly overheadMs: Millis
+  /** Time until the limits that servers name permit a request of this VM; omitted if they permit one now. */
+  readonly limitDelayMs?: Millis
 }
 
 /** Bounds of the retry delay sent to rejected callers, in milliseconds. */
@@ -39,7 +41,8 @@
 export function estimateWaitMs (input: AdmissionInput): Millis {
   const bySlots = Math.floor(input.queueLength / Math.max(1, input.slots)) * input.serviceMs
   const byCompletions = input.queueLength * input.completionIntervalMs
-  return Math.max(bySlots, byCompletions)
+  const byLimits = (input.limitDelayMs ?? 0) * (1 + input.queueLength)
+  return Math.max(bySlots, byCompletions, byLimits)
 }
 
 /** Returns whether a request is expected to complete before its deadline. */
--- a/packages/routing/src/core/backends.ts
+++ b/packages/routing/src/core/backends.ts
@@ -4,6 +4,8 @@
  */
 import { hasTransition, nextState } from '@lynxcourse/base'
 import type { Chart, Millis, ServerId, ServiceId } from '@lynxcourse/base'
+import { createServerLimit } from '@lynxcourse/limits'
+import type { ServerLimit } from '@lynxcourse/limits'
 import type { Backend } from '../types/view.js'
 
 /** Time constants and thresholds of observation. */
@@ -50,6 +52,8 @@
   /** Requests in flight from all VMs, as last reported by the server. */
   reportedLoad: number
   reportedAt: Millis
+  /** The limit that the server names for the requests of all VMs together. */
+  readonly limit: ServerLimit
 }
 
 export interface Backends {
@@ -105,7 +109,8 @@
     pausedUntil: 0,
     freshSince: now,
     reportedLoad: 0,
-    reportedAt: -Infinity
+    reportedAt: -Infinity,
+    limit: createServerLimit()
   }
 }
 
--- a/packages/routing/src/core/router.ts
+++ b/packages/routing/src/core/router.ts
@@ -1,5 +1,7 @@
 /** Selects the region and the backend server for each request at an entry VM. */
+import { rankByHash } from '@lynxcourse/base'
 import type { Chart, Millis, Random, RegionId, ResourceId, ServiceId, VmId } from '@lynxcourse/base'
+import { computeEqualShare, consumeLimitToken, expireLimit, getTokenDelay, hasLimitToken } from '@lynxcourse/limits'
 import type { RegionLatencies } from '../types/view.js'
 import { getLatencyMs } from '../types/view.js'
 import { createBackends, isServing, isUsable, recordAttemptEnd, recordAttemptStart, refreshBackend } from './backends.js'
@@ -45,7 +47,7 @@
 /** A region that was passed over and why, for `route explain` and the log. */
 export interface PassedOverRegion {
   readonly region: RegionId
-  readonly reason: 'noServer' | 'noSlot' | 'limit'
+  readonly reason: 'noServer' | 'noSlot' | 'limit' | 'serverLimit'
 }
 
 export type RouteDecision =
@@ -78,8 +80,13 @@
       passedOver.push({ region: place.region, reason: 'limit' })
       continue
     }
+    const permitted = usable.filter(observed => permitsRequest(router, observed, now))
+    if (permitted.length === 0) {
+      passedOver.push({ region: place.region, reason: 'serverLimit' })
+      continue
+    }
     const ctx = createPolicyContext(router, place.region, now)
-    const free = usable.filter(observed => observed.inFlight < countUsableSlots(router, observed, ctx))
+    const free = permitted.filter(observed => observed.inFlight < countUsableSlots(router, observed, ctx))
     const observed = router.setup.policy.pick(free, ctx)
     if (observed !== undefined) return { type: 'send', observed, place, resources, passedOver }
     passedOver.push({ region: place.region, reason: 'noSlot' })
@@ -96,6 +103,29 @@
   })
 }
 
+/** Whether the limit of a server, if it names one, permits a request of this VM now. */
+function permitsRequest (router: Router, observed: ObservedServer, now: Millis): boolean {
+  if (observed.limit.perSecond === undefined) return true
+  expireLimit(observed.limit, now)
+  return hasLimitToken(observed.limit, getLimitShare(router, observed), now)
+}
+
+/** Returns the fraction of a server's limit that this VM may use. The VMs of the server's region come first. */
+function getLimitShare ({ peers, setup }: Router, { backend, limit }: ObservedServer): number {
+  if (limit.perSecond === undefined) return 1
+  const local = peers.get(backend.region) ?? []
+  const remote = [...peers].filter(([region]) => region !== backend.region).flatMap(([, vms]) => vms)
+  const vms = [...rankByHash(backend.id, local), ...rankByHash(backend.id, remote)]
+  return computeEqualShare(limit.perSecond, setup.self, vms)
+}
+
+/** Returns the time until the limits of servers permit a request of this VM; 0 if some server has no limit. */
+export function estimateLimitDelay (router: Router, request: RouteRequest, now: Millis): Millis {
+  const servers = request.places.flatMap(place => listServing(router, request, place.region, now))
+  if (servers.length === 0) return 0
+  return Math.min(...servers.map(observed => getTokenDelay(observed.limit, getLimitShare(router, observed), now)))
+}
+
 function countUsableSlots (router: Router, observed: ObservedServer, ctx: PolicyContext): number {
   return router.setup.policy.countUsableSlots(observed, ctx)
 }
@@ -122,9 +152,10 @@
   return 2 * getLatencyMs(router.setup.latencies, router.setup.region, region)
 }
 
-/** Counts an attempt as in flight. Each call needs a matching call of `endAttempt` when the attempt ends. */
+/** Counts an attempt as in flight, and uses a token of the server's limit. Each call needs a matching call of `endAttempt` when the attempt ends. */
 export function beginAttempt (observed: ObservedServer): void {
   recordAttemptStart(observed)
+  consumeLimitToken(observed.limit)
 }
 
 /** Records the end and the outcome of an attempt. */
