--- a/packages/limits/src/core/servers/serverLimit.ts
+++ b/packages/limits/src/core/servers/serverLimit.ts
@@ -32,7 +32,7 @@
 /** Fraction of that excess that full buckets may use up; the rest covers VMs that disagree on their shares. */
 const bucketFraction = 0.5
 /** Time whose tokens a bucket may hold, beyond one token. */
-const burstMs: Millis = 250
+const burstMs: Millis = 500
 /** Rate at which a server with a lower limit is tried: only its answers show when the limit ends. */
 const minPerSecond = 0.1
 /** Time during which a VM trusts an answer more than the leader, whose knowledge comes from earlier answers. */
--- a/packages/replay/src/core/backendModel.ts
+++ b/packages/replay/src/core/backendModel.ts
@@ -3,10 +3,9 @@
 import { scheduleAfter } from '@lynxcourse/base/timeline'
 import type { Timeline } from '@lynxcourse/base/timeline'
 
-/** Result of a request at a server; `ahead` is the server's queue depth. */
+/** Result of a request at a server: `ahead` is the server's queue depth, `limit` the requests per second that it names. */
 export type BackendResult =
-  | { readonly type: 'answered', readonly ahead: number }
-  | { readonly type: 'full', readonly ahead: number }
+  | { readonly type: 'answered' | 'full', readonly ahead: number, readonly limit: number | undefined }
   | { readonly type: 'lost' }
 
 /** One request at a server. */
@@ -37,17 +36,22 @@
   slowdown: number
   /** Fraction of requests that the server sheds although it has capacity. */
   shedPart: number
+  /** Requests per second that the server takes from all VMs together; undefined if it names no limit. */
+  limit: number | undefined
+  /** Arrival times of the requests since the server named a limit. */
+  limitedArrivals: Millis[]
 }
 
 export function createBackend (settings: Pick<Backend, 'id' | 'service' | 'region' | 'failureDomain' | 'slots' | 'queue' | 'warmObjects'>): Backend {
-  return { ...settings, running: new Set(), waiting: [], warm: new Set(), isUp: true, isLeaving: false, slowdown: 1, shedPart: 0 }
+  return { ...settings, running: new Set(), waiting: [], warm: new Set(), isUp: true, isLeaving: false, slowdown: 1, shedPart: 0, limit: undefined, limitedArrivals: [] }
 }
 
 /** Starts, queues or rejects a request that arrives at a server. */
 export function submitJob (timeline: Timeline, backend: Backend, job: Job, isShed: boolean): void {
   if (!backend.isUp) return endJob(job, { type: 'lost' })
+  if (backend.limit !== undefined) backend.limitedArrivals.push(timeline.now)
   const isFull = backend.running.size >= backend.slots && backend.waiting.length >= backend.queue
-  if (isFull || isShed) return endJob(job, { type: 'full', ahead: getQueueDepth(backend) })
+  if (isFull || isShed) return endJob(job, { type: 'full', ...describeLoad(backend) })
   if (backend.running.size < backend.slots) startJob(timeline, backend, job)
   else backend.waiting.push(job)
 }
@@ -69,8 +73,8 @@
   for (const job of jobs) endJob(job, { type: 'lost' })
 }
 
-function getQueueDepth ({ running, waiting }: Backend): number {
-  return running.size + waiting.length
+function describeLoad ({ running, waiting, limit }: Backend): { readonly ahead: number, readonly limit: number | undefined } {
+  return { ahead: running.size + waiting.length, limit }
 }
 
 function startJob (timeline: Timeline, backend: Backend, job: Job): void {
@@ -81,7 +85,7 @@
     if (!backend.running.delete(job)) return
     markWarm(backend, job.object)
     startNextJob(timeline, backend)
-    endJob(job, { type: 'answered', ahead: getQueueDepth(backend) })
+    endJob(job, { type: 'answered', ...describeLoad(backend) })
   })
 }
 
@@ -91,7 +95,7 @@
     if (next === undefined) return
     if (next.isFinished) continue
     if (timeline.now >= next.deadline) {
-      endJob(next, { type: 'full', ahead: getQueueDepth(backend) })
+      endJob(next, { type: 'full', ...describeLoad(backend) })
       continue
     }
     return startJob(timeline, backend, next)
--- a/packages/replay/src/core/disturbances.ts
+++ b/packages/replay/src/core/disturbances.ts
@@ -3,6 +3,7 @@
 import type { Disturbance } from '../types/pattern.js'
 import { crashBackend } from './backendModel.js'
 import type { Backend } from './backendModel.js'
+import { recordLimitUse } from './limitUse.js'
 import { startVm, stopVm } from './vmModel.js'
 import type { World } from './world.js'
 
@@ -49,6 +50,18 @@
     for (const backend of shedding) backend.shedPart = part
     scheduleAfter(world.timeline, forS * 1000, () => { for (const backend of shedding) backend.shedPart = 0 })
   },
+  serversLimited: (world, { share, perSecond, forS }) => {
+    const limited = pickServers(world, share)
+    const since = world.timeline.now
+    for (const backend of limited) backend.limit = perSecond
+    scheduleAfter(world.timeline, forS * 1000, () => {
+      for (const backend of limited) {
+        recordLimitUse(world.score.limitUse, backend, since, world.timeline.now)
+        backend.limit = undefined
+        backend.limitedArrivals = []
+      }
+    })
+  },
   serversLeave: (world, { share, forS }) => {
     const leaving = pickServers(world, share)
     for (const backend of leaving) {
--- a/packages/replay/src/core/score.ts
+++ b/packages/replay/src/core/score.ts
@@ -2,6 +2,8 @@
 import { build } from 'hdr-histogram-js'
 import type { Histogram } from 'hdr-histogram-js'
 import type { Millis } from '@lynxcourse/base'
+import { createLimitUse } from './limitUse.js'
+import type { LimitUse } from './limitUse.js'
 import type { ColdCause } from './coldCauses.js'
 
 /** Outcome of one caller's request, over all its attempts. */
@@ -33,6 +35,7 @@
   remoteSends: number
   openedConnections: number
   shed: number
+  readonly limitUse: LimitUse
 }
 
 export function createScore (): Score {
@@ -48,6 +51,7 @@
     remoteSends: 0,
     openedConnections: 0,
     shed: 0,
+    limitUse: createLimitUse()
   }
 }
 
@@ -91,10 +95,14 @@
   readonly farPart: number
   readonly openedPart: number
   readonly shedPart: number
+  /** Requests at servers that name a limit, as a fraction of what the limits allow. */
+  readonly limitUsedPart: number
+  /** Requests in the busiest window of such a server, as a fraction of the bound. */
+  readonly limitWindowPart: number
 }
 
 export function computeFigures (score: Score): Figures {
-  const { outcomes, latencies, sends } = score
+  const { outcomes, latencies, sends, limitUse } = score
   const ended = Object.values(outcomes).reduce((sum, value) => sum + value, 0)
   const perRequest = (value: number): number => value / Math.max(1, ended)
   const perSend = (value: number): number => value / Math.max(1, sends)
@@ -115,7 +123,9 @@
     coldPart: perSend([...score.cold.values()].reduce((sum, count) => sum + count, 0)),
     farPart: perSend(score.remoteSends),
     openedPart: perSend(score.openedConnections),
-    shedPart: perSend(score.shed)
+    shedPart: perSend(score.shed),
+    limitUsedPart: limitUse.used / Math.max(1, limitUse.allowed),
+    limitWindowPart: limitUse.maxWindowPart
   }
 }
 
--- a/packages/replay/src/types/pattern.ts
+++ b/packages/replay/src/types/pattern.ts
@@ -68,6 +68,8 @@
   z.strictObject({ kind: z.literal('serversSlow'), ...times, share, factor: positive }),
   /** Servers shed a fraction (`part`) of their requests although they have capacity. */
   z.strictObject({ kind: z.literal('serversShed'), ...times, share, part: share }),
+  /** Servers name a limit for the requests of all VMs together. */
+  z.strictObject({ kind: z.literal('serversLimited'), ...times, share, perSecond: z.number().min(0) }),
   /** Servers announce that they leave, and then stop. */
   z.strictObject({ kind: z.literal('serversLeave'), ...times, share }),
   /** Entry VMs receive no load updates. */
