--- a/packages/cli/src/core/commands/fleets.ts
+++ b/packages/cli/src/core/commands/fleets.ts
@@ -1,4 +1,4 @@
-/** Commands for a fleet: `fleet routes`, `fleet match`, `fleet teams`, `fleet restricted`, `fleet release`. */
+/** Commands for a fleet: `fleet routes`, `fleet match`, `fleet teams`, `fleet restricted`, `fleet release`, `fleet limited`. */
 import type { Command } from 'commander'
 import { LynxError } from '@lynxcourse/base'
 import type { FleetSummary, TeamSummary } from '@lynxcourse/daemon'
@@ -48,9 +48,14 @@
   return { request: key, route, state, blockedUntil: blockedUntil === 0 ? undefined : new Date(blockedUntil).toISOString(), failedTrials, servers: servers.join() }
 }
 
+/** Creates the output row of a server that names a limit, with the shares of the VMs in percent. */
+export function createLimitRow ({ server, perSecond, shares }: FleetSummary['limits'][number]): Row {
+  return { server, perSecond: perSecond ?? undefined, shares: shares.map(([vm, share]) => `${vm}=${Math.round(share * 100)}%`).join() }
+}
+
 /** Adds the commands of `lynxcourse fleet`. */
 export function addFleetCommands (program: Command): void {
-  const fleet = program.command('fleet').description('routes, teams and restricted requests of a fleet, read from a quorum of its control VMs')
+  const fleet = program.command('fleet').description('routes, teams, restricted requests and limited servers of a fleet, read from its control VMs')
   fleet.command('routes').description('list routes').action(createAction(async session => {
     const result = await callAnyVm<FleetSummary>(session, 'fleet.read')
     const columns = ['name', 'host', 'pathPrefix', 'services', 'idempotent', 'rank', 'aimMs', 'timeoutMs', 'maxAttempts', 'homes']
@@ -72,6 +77,11 @@
     printRows(session.output, result.restricted.map(createRestrictionRow), ['request', 'route', 'state', 'blockedUntil', 'failedTrials', 'servers'])
     return exitCodes.ok
   }))
+  fleet.command('limited').description('list the servers that name a limit for the requests of all VMs together, with the VMs\' shares').action(createAction(async session => {
+    const { limits } = await callAnyVm<FleetSummary>(session, 'fleet.read')
+    printRows(session.output, limits.filter(({ perSecond }) => perSecond !== null).map(createLimitRow), ['server', 'perSecond', 'shares'])
+    return exitCodes.ok
+  }))
   fleet.command('release <request>').description('let a restricted request be sent again').action(createAction(async (session, [request]) => {
     const answer = await callAnyVm<ChangeAnswer>(session, 'fleet.submit', { command: { type: 'releaseRequest', request } })
     if (!answer.ok) throw new LynxError('notFound', answer.detail, { step: 'release', field: 'request' })
--- a/packages/daemon/src/core/fleet/fleetReads.ts
+++ b/packages/daemon/src/core/fleet/fleetReads.ts
@@ -1,6 +1,7 @@
-/** Linearizable reads of a fleet's routes, teams and restricted requests. */
+/** Reads of a fleet's routes, teams and restricted requests, which are linearizable, and of the limits that servers name. */
 import { findRouteSet, getRoutesVersion, isRestricted, listItems } from '@lynxcourse/state'
 import type { CrashingRequestItem, RouteSet, Team } from '@lynxcourse/state'
+import type { LimitUpdate } from '@lynxcourse/placement'
 import { isLeading } from '../control/hostState.js'
 import { confirmRead } from '../control/proposals.js'
 import { relayToLeader } from './fleetControl.js'
@@ -12,9 +13,10 @@
   readonly set: RouteSet | undefined
 }
 
-/** Result of a linearizable read of the routes and the restricted requests. */
+/** Result of a linearizable read of the routes and the restricted requests, with the limits of servers as the leader knows them. */
 export interface FleetReadResult extends RoutesReadResult {
   readonly restricted: readonly CrashingRequestItem[]
+  readonly limits: readonly LimitUpdate[]
 }
 
 /** A team without its keys. */
@@ -27,13 +29,15 @@
   /** Undefined if callers need no keys. */
   readonly teams: readonly TeamSummary[] | undefined
   readonly restricted: readonly CrashingRequestItem[]
+  /** Limits that servers name for the requests of all VMs together. */
+  readonly limits: readonly LimitUpdate[]
 }
 
 /** Returns the result of a read without the teams' keys. */
-export function summarizeTeams ({ routesVersion, set, restricted }: FleetReadResult): FleetSummary {
-  if (set === undefined) return { routesVersion, set, teams: undefined, restricted }
+export function summarizeTeams ({ routesVersion, set, restricted, limits }: FleetReadResult): FleetSummary {
+  if (set === undefined) return { routesVersion, set, teams: undefined, restricted, limits }
   const { teams, ...others } = set
-  return { routesVersion, set: others, teams: teams?.map(({ keys, ...team }) => ({ ...team, keyCount: keys.length })), restricted }
+  return { routesVersion, set: others, teams: teams?.map(({ keys, ...team }) => ({ ...team, keyCount: keys.length })), restricted, limits }
 }
 
 /**
@@ -43,11 +47,11 @@
  * @throws LynxError if no quorum confirms that they are the latest
  */
 export async function readRoutes (control: FleetControl, isRelayed = false): Promise<FleetReadResult> {
-  const { host } = control
+  const { host, board } = control
   if (isLeading(host)) {
     await confirmRead(host)
     const { config } = host.machine
-    return { routesVersion: getRoutesVersion(config), set: findRouteSet(config), restricted: listItems(config, 'crashingRequest').filter(isRestricted) }
+    return { routesVersion: getRoutesVersion(config), set: findRouteSet(config), restricted: listItems(config, 'crashingRequest').filter(isRestricted), limits: board.news.limits ?? [] }
   }
   return await relayToLeader<FleetReadResult>(control, { step: 'read', method: 'fleet.relayRead', params: {}, isRelayed })
 }
--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -1,6 +1,6 @@
 /** Updates the gateway's routes and servers from the VM's copy of the state. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { createFleetServer, forgetServer, groupServersByService, applyWeights } from '@lynxcourse/placement'
+import { createFleetServer, forgetServer, groupServersByService, applyLimits, applyWeights } from '@lynxcourse/placement'
 import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/placement'
 import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
 import { listItems, findRouteSet } from '@lynxcourse/state'
@@ -8,6 +8,7 @@
 import { refreshRestrictions } from '../crashes/crashWatch.js'
 import type { FleetNode } from '../fleet/fleetNode.js'
 import type { Gateway } from './gateway.js'
+import { logPublishedLimits } from './serverLimits.js'
 import { pruneTeamPermits } from './teamPermits.js'
 
 /** Warm-up time for a server that may have become cold while its failure domain received no requests. */
@@ -27,6 +28,7 @@
   refreshRestrictions(gateway.crashes, node.config)
   fleet.vms = node.entryNames
   refreshServers(fleet, node, routeSet, now)
+  logPublishedLimits(gateway, applyLimits(fleet, node.loadUpdate.limits ?? [], now))
 }
 
 function refreshServers (fleet: Fleet, node: FleetNode, routeSet: RouteSet | undefined, now: Millis): void {
--- a/packages/placement/src/core/request/entryState.ts
+++ b/packages/placement/src/core/request/entryState.ts
@@ -60,10 +60,16 @@
     const server = fleet.byId.get(id)
     if (server !== undefined) recordSharedQueueDepth(server, ahead, now)
   }
-  return disabledMechanisms.has('limitShares') ? [] : applyLimits(fleet, update.limits ?? [], now)
+  return applyLimits(fleet, update.limits ?? [], now)
 }
 
-function applyLimits ({ byId, setup }: Fleet, limits: readonly LimitUpdate[], now: Millis): PublishedLimitChange[] {
+/**
+ * Applies the limits of servers. Must be called again when servers were added, as for weights.
+ *
+ * @returns the limits that changed
+ */
+export function applyLimits ({ byId, setup }: Fleet, limits: readonly LimitUpdate[], now: Millis): PublishedLimitChange[] {
+  if (setup.disabledMechanisms.has('limitShares')) return []
   const changes: PublishedLimitChange[] = []
   for (const { server: id, perSecond, shares } of limits) {
     const server = byId.get(id)
--- a/scripts/explain/causes.ts
+++ b/scripts/explain/causes.ts
@@ -4,7 +4,7 @@
 /** Causes, in order of decreasing cost to the caller. */
 export const causes = [
   'lost with its server', 'timeout under cold work', 'timeout', 'refused: bound of the VM', 'refused: queues at servers', 'refused: no time left',
-  'refused: no server', 'refused: ended servers', 'refused: over the rate of its team', 'refused: no permits', 'rejected: unknown key',
+  'refused: no server', 'refused: limits of servers', 'refused: ended servers', 'refused: over the rate of its team', 'refused: no permits', 'rejected: unknown key',
   'rejected: state not confirmed', 'rejected: no region', 'shed by its server', 'cold: first touch', 'cold: placed anew', 'cold: beside its server', 'slower than expected', 'as expected',
   'caller gone'
 ] as const
@@ -32,6 +32,7 @@
 function getRefusalCause ({ reason, underWay, limit }: Decision): Cause {
   if (reason === 'noTime') return 'refused: no time left'
   if (reason === 'noServer') return 'refused: no server'
+  if (reason === 'limited') return 'refused: limits of servers'
   if (reason === 'endsServers') return 'refused: ended servers'
   if (reason === 'overRate') return 'refused: over the rate of its team'
   if (reason === 'noPermits') return 'refused: no permits'
