--- a/scripts/soak/fakeServer.ts
+++ b/scripts/soak/fakeServer.ts
@@ -36,6 +36,8 @@
   isDisposed: boolean
   running: number
   waiting: Array<() => void>
+  /** Requests per second that the server says it takes from all VMs together; undefined for none. */
+  limit: number | undefined
 }
 
 /** Creates a server and its proxy; the server listens, but is not announced yet. */
@@ -53,6 +55,7 @@
     isDisposed: false,
     running: 0,
     waiting: [],
+    limit: undefined,
     [Symbol.asyncDispose]: async () => {
       fake.isDisposed = true
       await endLifetime(fake)
@@ -68,6 +71,7 @@
   fake.lifetimes += 1
   fake.running = 0
   fake.waiting = []
+  fake.limit = undefined
   const id = brandId<ServerId>(`server-${fake.place}-${fake.lifetimes}`)
   fake.facts = { ...fake.facts, id, service, isDraining: false, seq: 0 }
   const server = createServer((req, res) => {
@@ -113,6 +117,7 @@
   const readAt = performance.now()
   res.setHeader('idempotency-key', id)
   res.setHeader('lynx-load', String(fake.running + fake.waiting.length))
+  if (fake.limit !== undefined) res.setHeader('lynx-server-limit', String(fake.limit))
   if (req.headers['lynx-expect-server'] !== self) {
     res.writeHead(421).end()
     return
--- a/scripts/soak/faultInjection.ts
+++ b/scripts/soak/faultInjection.ts
@@ -54,6 +54,7 @@
     case 'shortage': return await injectCpuShortage(system, step)
     case 'burst': return await injectBurst(system, step)
     case 'crashingCaller': return await sendCrashingRequests(system, step)
+    case 'serverLimit': return await limitServer(system, step)
     case 'evacuate': return await evacuate(system.operator, system.domains[step.domain % system.domains.length] as typeof system.domains[0], step.forMs)
   }
 }
@@ -195,6 +196,18 @@
   await sendRequests(createPathCaller(system, `crashing-${at}`, at, crashPath), () => performance.now() >= until)
 }
 
+/** Lets a server name a limit; a new lifetime of the server names none. */
+async function limitServer ({ servers, history }: SoakSystem, { server: index, perSecond, forMs }: StepOf<'serverLimit'>): Promise<void> {
+  const server = servers[index] as FakeServer
+  if (server.server === undefined || server.limit !== undefined) return
+  const period = { server: server.facts.id, perSecond, from: performance.now(), until: Infinity }
+  history.limits.push(period)
+  server.limit = perSecond
+  await sleep(forMs)
+  period.until = performance.now()
+  if (server.facts.id === period.server) server.limit = undefined
+}
+
 /** Crashes a server; a server of the other service takes over its address. */
 async function crashServer (system: SoakSystem, server: FakeServer): Promise<void> {
   await endLifetime(server)
--- a/scripts/soak/faultPlan.ts
+++ b/scripts/soak/faultPlan.ts
@@ -16,6 +16,7 @@
   | { readonly kind: 'burst', readonly vm?: number, readonly forMs: number }
   | { readonly kind: 'shortage', readonly vm: number, readonly forMs: number }
   | { readonly kind: 'crashingCaller', readonly forMs: number }
+  | { readonly kind: 'serverLimit', readonly server: number, readonly perSecond: number, readonly forMs: number }
 )
 
 type Evacuation = Extract<SoakStep, { readonly kind: 'evacuate' }>
@@ -61,11 +62,16 @@
 const minShortageMs = 3000
 const maxShortageMs = 7000
 
+/** How long a server names a limit, how many servers do in one series, and the limits, in requests per second. */
+const limitMs = 9000
+const limitedServers = 2
+const serverLimits = [0, 0.5, 1.2, 3]
+
 /** How long a caller sends a request that ends servers: longer than VMs may take to stop sending it. */
 const crashingMs = 10_000
 
 /** Kinds that are drawn independently; the others accompany an evacuation or have a generator of their own. */
-type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst' | 'shortage' | 'crashingCaller'>
+type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst' | 'shortage' | 'crashingCaller' | 'serverLimit'>
 
 /** Relative frequencies of the kinds. */
 const weights: ReadonlyArray<readonly [StepKind, number]> = [
@@ -77,7 +83,8 @@
 /** Draws the plan of a seed; the same seed, size and number of series give the same plan. */
 export function planSoak (seed: number, size: SoakSize, series: number): SoakPlan {
   const random = createRandom(seed)
-  // Shortages and crashes use generators of their own, so that they don't affect the other faults of a seed.
+  const limitRandom = createRandom(hashText(`limit ${seed}`))
+  // Shortages, crashes and limits use generators of their own, so that they don't affect the other faults of a seed.
   const shortageRandom = createRandom(hashText(`shortage ${seed}`))
   const crashRandom = createRandom(hashText(`crash ${seed}`))
   const steps: SoakStep[] = []
@@ -94,7 +101,7 @@
       steps.push(step)
       if (step.kind === 'evacuate') steps.push(...drawEvacuationFaults(random, size, step))
     }
-    steps.push(...drawShortage(shortageRandom, size, start), ...drawCrashingCaller(crashRandom, start))
+    steps.push(...drawShortage(shortageRandom, size, start), ...drawCrashingCaller(crashRandom, start), ...drawServerLimits(limitRandom, size, start))
   }
   steps.sort((a, b) => a.at - b.at)
   return { seed, steps, lengthMs: series * (seriesMs + faultFreeMs) }
@@ -168,3 +175,12 @@
   const at = start + drawInt(random, seriesMs / 2)
   return random() < 0.5 ? [{ at, kind: 'crashingCaller', forMs: crashingMs }] : []
 }
+
+/** Draws, for half of the series, servers that name limits for the requests of all VMs together. */
+function drawServerLimits (random: Random, size: SoakSize, start: number): SoakStep[] {
+  if (random() < 0.5) return []
+  return Array.from({ length: limitedServers }, () => {
+    const at = start + drawInt(random, seriesMs / 2)
+    return { at, kind: 'serverLimit', server: drawInt(random, size.servers), perSecond: serverLimits[drawInt(random, serverLimits.length)] ?? 1, forMs: limitMs }
+  })
+}
--- a/scripts/soak/history.ts
+++ b/scripts/soak/history.ts
@@ -77,6 +77,15 @@
   readonly until: number
 }
 
+/** A time in which a server named a limit for the requests of all VMs together. */
+export interface LimitPeriod {
+  readonly server: string
+  readonly perSecond: number
+  readonly from: number
+  /** Infinity until the server names the limit no more. */
+  until: number
+}
+
 /** An answered read of the routes. */
 export interface RouteRead { readonly sentAt: number, readonly version: number }
 
@@ -87,6 +96,7 @@
   readonly confirmed: Confirmed[]
   readonly disturbances: InjectedFault[]
   readonly reads: RouteRead[]
+  readonly limits: LimitPeriod[]
   /** Violations detected during the run: for example a process that exited by itself, or two changes accepted on one base. */
   readonly recordedViolations: string[]
 }
@@ -114,12 +124,17 @@
   /** Rate limit of the limited team, and the window in which the VMs' default settings allow no more. */
   teamRate: { ratePerSecond: 4, burst: 8 },
   teamRateWindowMs: 5000,
+  /**
+   * Requests that a server with a limit may get in a window from VMs that have passed on an answer with it for a while: this
+   * multiple of what the limit allows, and some more.
+   */
+  serverLimit: { windowMs: 4000, overage: 1.5, slack: 5, learningMs: 500 },
   /** The default of the VMs' settings. */
   retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 50 }
 }
 
 export function createHistory (): SoakHistory {
-  return { attempts: new Map(), runs: [], arrivals: [], confirmed: [], disturbances: [], reads: [], recordedViolations: [] }
+  return { attempts: new Map(), runs: [], arrivals: [], confirmed: [], disturbances: [], reads: [], limits: [], recordedViolations: [] }
 }
 
 /** Returns whether neither the VM nor the control VMs had a recent fault at a given time. */
--- a/scripts/soak/invariants.ts
+++ b/scripts/soak/invariants.ts
@@ -2,6 +2,7 @@
 import { checkAbandoned } from './abandonedChecks.js'
 import { bounds, isFaultFree, isVmFaultFree, probePath } from './history.js'
 import type { Attempt, Confirmed, InjectedFault, SoakHistory, Run } from './history.js'
+import { checkServerLimits } from './limitChecks.js'
 import { checkAttemptLimit, checkCrashes, checkRetryBudgets, checkTimeLeft } from './sendChecks.js'
 import { checkTeams } from './teamKeys.js'
 
@@ -19,6 +20,7 @@
     ...checkTimeLeft(history),
     ...checkRetryBudgets(history),
     ...checkCrashes(history),
+    ...checkServerLimits(history),
     ...checkTeams(history),
     ...checkPlannedStops(history)
   ]
