--- a/scripts/__tests__/soak.test.ts
+++ b/scripts/__tests__/soak.test.ts
@@ -7,7 +7,7 @@
 import { planSoak } from '../soak/faultPlan.js'
 import { findViolations } from '../soak/invariants.js'
 import { crashPath, createHistory, probePath } from '../soak/history.js'
-import type { Attempt, AttemptEnd, SoakHistory, Run } from '../soak/history.js'
+import type { Attempt, AttemptEnd, LimitPeriod, SoakHistory, Run } from '../soak/history.js'
 import { runSoak } from '../soak/soakRun.js'
 import { findUnreadPorts } from '../soak/receiveQueue.js'
 
@@ -157,6 +157,27 @@
   }), [])
 })
 
+test('more requests than the limit of a server allows are a violation at fault-free VMs that know the limit', () => {
+  const recordLimit = (history: SoakHistory, count: number, overrides: Partial<LimitPeriod> = {}): void => {
+    history.limits.push({ server: 's-1', perSecond: 2, from: 0, until: 20_000, ...overrides })
+    addAttempt(history, 'told')
+    addRun(history, 'told')
+    for (let index = 0; index < count; index++) {
+      const at = 10_000 + index * 100
+      addAttempt(history, `a${index}`, { sentAt: at })
+      history.arrivals.push({ id: `a${index}`, server: 's-1', service: 'desk', at })
+    }
+  }
+  assert.deepEqual(findViolatedInvariants(history => recordLimit(history, 18)), ['limit'])
+  assert.deepEqual(findViolatedInvariants(history => recordLimit(history, 17)), [])
+  assert.deepEqual(findViolatedInvariants(history => recordLimit(history, 18, { from: 60 })), [], 'the VM passed on no answer with the limit')
+  assert.deepEqual(findViolatedInvariants(history => recordLimit(history, 18, { until: 11_500 })), [], 'the limit ended')
+  assert.deepEqual(findViolatedInvariants(history => {
+    recordLimit(history, 18)
+    history.disturbances.push({ subject: 'entry-0', kind: 'kill', from: 8000, until: 8500 })
+  }), [], 'the VM had a recent fault')
+})
+
 test('a request sent after a confirmed change that runs at the previous service is a violation', () => {
   const confirmed = { type: 'change', subject: 'ledger', at: 1000, sentAt: 900, version: 5 } as const
   const recordProbe = (history: SoakHistory, sentAt: number): void => {
@@ -264,3 +285,16 @@
   assert.deepEqual(result.violations, [], `logs: ${folder}`)
   rmSync(folder, { recursive: true, force: true })
 })
+
+/** The plan of this seed has two servers that name limits, and a killed entry VM. */
+const limitSeed = 8
+
+test('the real daemons keep the limits of servers through a short soak', { timeout: 120_000 }, async () => {
+  const plan = planSoak(limitSeed, size, 1)
+  assert.ok(plan.steps.some(({ kind }) => kind === 'serverLimit'))
+  const folder = mkdtempSync(join(tmpdir(), 'lynx-soak-ci-'))
+  const result = await runSoak(plan, size, folder)
+  console.log(`seed ${limitSeed}: ${result.steps} steps, ${result.requests} requests`)
+  assert.deepEqual(result.violations, [], `logs: ${folder}`)
+  rmSync(folder, { recursive: true, force: true })
+})
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -49,6 +49,7 @@
   const formatPercent = (fraction: number): string => `${(fraction * 100).toFixed(1)} %`
   process.stdout.write(`seed ${seed}: ${result.violations.length === 0 ? 'kept' : 'BROKEN'}  ${result.steps} steps, ${result.requests} requests, served ${formatPercent(result.servedShare)}, after the last fault ${formatPercent(result.finalServedShare)}\n`)
   if (result.gone !== undefined) process.stdout.write(formatAbandoned(result.gone))
+  if (result.longestStallMs !== undefined && result.longestStallMs > 0) process.stdout.write(`  the soak's own process was late by up to ${Math.round(result.longestStallMs)} ms\n`)
   for (const line of result.violations.slice(0, 20)) process.stdout.write(`  ${line}\n`)
   if (result.violations.length > 0) process.stdout.write(`  logs: ${folder}\n`)
   else if (options.folder === undefined) rmSync(folder, { recursive: true, force: true })
@@ -61,7 +62,7 @@
 
 /** Returns the result of a run that did not finish. Such a run proves nothing, so it counts as a violation. */
 function createFailedResult (seed: number, err: unknown): SoakResult {
-  return { seed, violations: [`the run did not finish: ${getErrorMessage(err)}`], requests: 0, servedShare: 0, finalServedShare: 0, steps: 0, gone: undefined }
+  return { seed, violations: [`the run did not finish: ${getErrorMessage(err)}`], requests: 0, servedShare: 0, finalServedShare: 0, steps: 0, gone: undefined, longestStallMs: undefined }
 }
 
 async function main (): Promise<void> {
--- a/scripts/soak/soakRun.ts
+++ b/scripts/soak/soakRun.ts
@@ -17,6 +17,7 @@
 import type { SoakSystem } from './soakSystem.js'
 import { runStep } from './faultInjection.js'
 import type { FakeServer } from './fakeServer.js'
+import { getLongestStallMs, startStallMonitor } from './stallMonitor.js'
 import { checkLogs } from './teamKeys.js'
 import { startVm } from './vmProcess.js'
 import type { SoakVm } from './vmProcess.js'
@@ -32,6 +33,8 @@
   readonly steps: number
   /** Undefined if the run did not finish. */
   readonly gone: AbandonedSummary | undefined
+  /** Longest time in which the soak's own process was late; undefined if the run did not finish. */
+  readonly longestStallMs: number | undefined
 }
 
 const announceIntervalMs = 600
@@ -43,6 +46,7 @@
 /** Runs a plan; settings, state and logs go to the folder. */
 export async function runSoak (plan: SoakPlan, size: SoakSize, folder: string): Promise<SoakResult> {
   await using stack = createResourceStack()
+  using monitor = startStallMonitor()
   const system = await createSoakSystem(plan.seed, size, folder, stack)
   const { history, operator } = system
   let isOver = false
@@ -57,7 +61,7 @@
   isOver = true
   await Promise.all(tasks)
   const total = measureServedShare(history, 0, Infinity)
-  return { seed: plan.seed, violations: [...findViolations(history), ...checkLogs(folder)], requests: total.sent, servedShare: total.share, finalServedShare, steps: plan.steps.length, gone: summarizeAbandoned(history) }
+  return { seed: plan.seed, violations: [...findViolations(history), ...checkLogs(folder)], requests: total.sent, servedShare: total.share, finalServedShare, steps: plan.steps.length, gone: summarizeAbandoned(history), longestStallMs: getLongestStallMs(monitor.stalls) }
 }
 
 async function runSteps (system: SoakSystem, plan: SoakPlan): Promise<void> {
