--- a/packages/placement/src/core/board/limitSharing.ts
+++ b/packages/placement/src/core/board/limitSharing.ts
@@ -40,24 +40,29 @@
 
 /** Divides the limit of a server among the VMs that are expected to have most of the requests for it. */
 function divideLimit (board: LoadBoard, server: ServerId, known: KnownServer, perSecond: number, vms: readonly SharingVm[]): LimitUpdate['shares'] {
-  const ranks = rankByHash(server, vms.map(({ name }) => name))
-  const byName = new Map(vms.map(vm => [vm.name, vm]))
-  const weighted = ranks.map(name => ({ name, weight: estimateWeight(board, known, byName.get(name) as SharingVm, vms) }))
-  const maxWeight = Math.max(0, ...weighted.map(({ weight }) => weight))
-  const usable = maxWeight === 0 ? weighted.map(({ name }) => ({ name, weight: 1 })) : weighted.filter(({ weight }) => weight >= maxWeight * minRelativeShare)
-  const sharers = usable.sort((a, b) => b.weight - a.weight).slice(0, computeMaxSharers(perSecond))
+  const weights = estimateVmWeights(board, known, vms)
+  const maxWeight = Math.max(...weights.values())
+  const getWeight = ({ region }: SharingVm): number => maxWeight === 0 ? 1 : weights.get(region) ?? 0
+  const usable = vms.filter(vm => getWeight(vm) >= maxWeight * minRelativeShare)
+  const byName = new Map(usable.map(vm => [vm.name, vm]))
+  const ranked = rankByHash(server, [...byName.keys()]).map(name => ({ name, weight: getWeight(byName.get(name) as SharingVm) }))
+  const sharers = ranked.sort((a, b) => b.weight - a.weight).slice(0, computeMaxSharers(perSecond))
   const total = sharers.reduce((sum, { weight }) => sum + weight, 0)
   return sharers.map(({ name, weight }) => [name, Math.floor(weight / total * 1000) / 1000])
 }
 
-/** Estimates a VM's requests for a server, relative to those of other VMs. */
-function estimateWeight ({ demand, plans }: LoadBoard, { service, region }: KnownServer, vm: SharingVm, vms: readonly SharingVm[]): number {
-  if (region === undefined) return 0
-  const peers = vms.filter(other => other.region === vm.region).length
-  const isMeasured = vms.some(other => (demand.get(`${service} ${other.region}`) ?? 0) > 0)
-  const regionDemand = isMeasured ? demand.get(`${service} ${vm.region}`) ?? 0 : peers
-  const plannedFraction = plans.get(service)?.get(vm.region)?.get(region) ?? (vm.region === region ? 1 : 0)
-  return regionDemand / peers * plannedFraction
+/** Estimates the requests that one VM of each region has for a server, relative to those of other regions' VMs. */
+function estimateVmWeights ({ demand, plans }: LoadBoard, { service, region: target }: KnownServer, vms: readonly SharingVm[]): Map<RegionId, number> {
+  const counts = new Map<RegionId, number>()
+  for (const { region } of vms) counts.set(region, (counts.get(region) ?? 0) + 1)
+  const getDemand = (region: RegionId): number => demand.get(`${service} ${region}`) ?? 0
+  const isMeasured = [...counts.keys()].some(region => getDemand(region) > 0)
+  const plan = plans.get(service)
+  return new Map([...counts].map(([region, count]) => {
+    if (target === undefined) return [region, 0]
+    const plannedFraction = plan?.get(region)?.get(target) ?? (region === target ? 1 : 0)
+    return [region, (isMeasured ? getDemand(region) / count : 1) * plannedFraction]
+  }))
 }
 
 /** Returns the limits with the shares of one VM only. */
--- a/packages/placement/src/core/request/learning.ts
+++ b/packages/placement/src/core/request/learning.ts
@@ -30,8 +30,8 @@
 /** Records the limit that a server's answer names; returns the change, if there is one. */
 export function recordAnswerLimit ({ load }: EntryState, { facts, limit }: FleetServer, named: NamedLimit, now: Millis): LimitChange | undefined {
   const change = recordNamedLimit(limit, named, now)
-  const isEnd = change?.type === 'ended'
-  if (limit.perSecond !== undefined || isEnd) recordLimit(load, facts.id, limit.perSecond ?? null)
+  if (limit.perSecond !== undefined) recordLimit(load, facts.id, limit.perSecond)
+  else if (change?.type === 'ended') recordLimit(load, facts.id, null)
   return change
 }
 
