Divide limits by the requests that VMs have, and let buckets hold more of what the bound allows

Cause, found in the replay: shares by region miss the VMs' own requests for a server, a VM below a tenth of the largest share got none, and buckets of one token and half a second turned away requests that came in pairs, although the limit had room. Each such request went to a server where its object was cold, and cold work at many servers feeds itself.

Change: VMs report their requests per second for limited servers (those that their limits sent elsewhere included), and the leader divides by them, with a floor for each VM. What the bound allows beyond the limit is used by two fifths for each VM's first token and two fifths for bursts, in proportion to the shares.

Tests start from empty buckets where they count tokens; bounds come from the rule. The replay's test of a server's answer was red since limits came in; mended.

--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -1,7 +1,7 @@
 /** Starts the components of one VM of a fleet and stops them in order. */
 import type { Server } from 'node:http'
 import type { Millis } from '@lynxcourse/base'
-import { applyLoadUpdate } from '@lynxcourse/placement'
+import { applyLoadUpdate, listLimitDemand } from '@lynxcourse/placement'
 import type { EntryPresence } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
 import { closeServer, listen } from '../../utils/httpServer.js'
@@ -105,6 +105,7 @@
     applyCallerLimits(gateway, server)
   })
   node.onLoadUpdate.push(() => logPublishedLimits(gateway, applyLoadUpdate(gateway, node.loadUpdate, node.cfg.region, getCurrentTime())))
+  node.listLimitDemand = now => listLimitDemand(gateway.fleet, now)
   gateway.pool.onConnect = (address, startedAt) => recordConnectTime(gateway, address, getCurrentTime() - startedAt)
   addResource(stack, repeat(sweepIntervalMs, () => closeStaleConnections(gateway.pool, getCurrentTime()), () => undefined))
   addResource(stack, repeat(refillIntervalMs, () => refillPermits(gateway, getCurrentTime()), () => undefined))
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -48,18 +48,20 @@
 const loadAmountSchema = z.number().min(0).max(1e9)
 const serverLoadsSchema = z.array(z.tuple([textSchema, loadAmountSchema])).max(100_000)
 const serverLimitsSchema = z.array(z.tuple([textSchema, z.number().min(0).nullable()])).max(100_000)
+const vmLoadsSchema = z.array(z.tuple([textSchema, textSchema, loadAmountSchema])).max(100_000)
 const loadSchema = z.strictObject({
   servers: serverLoadsSchema,
   busy: z.array(z.tuple([textSchema, loadAmountSchema])).max(10_000),
   failed: z.array(textSchema).max(100_000),
-  limits: serverLimitsSchema.optional()
+  limits: serverLimitsSchema.optional(),
+  limitDemand: serverLoadsSchema.optional()
 })
 const watchSchema = z.strictObject({ version: z.number().int().min(0), waitMs: z.number().min(0).max(10_000), self: presenceSchema, load: loadSchema.optional(), weights: z.number().int() })
 const reportSchema = z.strictObject({
   from: z.strictObject({ rpc: addressSchema, region: textSchema }),
   entries: z.array(z.strictObject({ presence: presenceSchema, ageMs: z.number().min(0) })).max(10_000),
   heard: z.array(textSchema).max(100_000),
-  load: z.strictObject({ servers: serverLoadsSchema, busy: z.array(z.tuple([textSchema, textSchema, loadAmountSchema])).max(100_000), failed: serverLoadsSchema, limits: serverLimitsSchema.optional() }),
+  load: z.strictObject({ servers: serverLoadsSchema, busy: vmLoadsSchema, failed: serverLoadsSchema, limits: serverLimitsSchema.optional(), limitDemand: vmLoadsSchema.optional() }),
   weights: z.number().int()
 })
 const submitSchema = z.strictObject({ command: fleetCommandSchema })
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -13,7 +13,7 @@
 import type { RpcClient } from '../rpc/rpcClient.js'
 import type { FleetSettings } from '../../types/fleetSettings.js'
 import { createLoadObservations } from '@lynxcourse/placement'
-import type { LoadUpdate, LoadObservations } from '@lynxcourse/placement'
+import type { LoadUpdate, LoadObservations, LoadReport } from '@lynxcourse/placement'
 
 /** RPC address and region of a control VM. */
 export interface ControlEndpoint {
@@ -41,6 +41,8 @@
   isLeaving: boolean
   /** Load observations of this VM since its last report. */
   readonly load: LoadObservations
+  /** Lists this VM's requests per second for servers with limits; replaced by the gateway. */
+  listLimitDemand: (now: Millis) => NonNullable<LoadReport['limitDemand']>
   /** Latest load update, aggregated from the observations of all VMs. */
   loadUpdate: LoadUpdate
   /** Called when the copy has changed. */
@@ -74,6 +76,7 @@
     startedAt: now,
     isLeaving: false,
     load: createLoadObservations(now),
+    listLimitDemand: () => [],
     loadUpdate: { full: [], plans: [], silent: [] },
     onChange: [],
     onLoadUpdate: []
--- a/packages/limits/src/core/servers/serverLimit.ts
+++ b/packages/limits/src/core/servers/serverLimit.ts
@@ -29,10 +29,14 @@
 const windowMs: Millis = 4000
 const overage = 0.5
 const slackRequests = 5
-/** Fraction of that excess that full buckets may use up; the rest covers VMs that disagree on their shares. */
-const bucketFraction = 0.5
-/** Time whose tokens a bucket may hold, beyond one token. */
-const burstMs: Millis = 500
+/** Time that a request may take from its send to its arrival. */
+const deliveryMs: Millis = 250
+/**
+ * Fractions of that excess that full buckets may use up: the first token of each VM, and what all VMs share beyond it. The rest
+ * covers VMs that disagree on their shares.
+ */
+const firstTokensFraction = 0.4
+const sharedTokensFraction = 0.4
 /** Rate at which a server with a lower limit is tried: only its answers show when the limit ends. */
 const minPerSecond = 0.1
 /** Time during which a VM trusts an answer more than the leader, whose knowledge comes from earlier answers. */
@@ -64,7 +68,7 @@
  */
 export function applyPublishedLimit (limit: ServerLimit, perSecond: number | undefined, share: number, now: Millis): LimitChange | undefined {
   const isOwnNewer = now - limit.heardAt < ownAnswerMs
-  if (perSecond !== undefined) limit.share = share
+  limit.share = perSecond === undefined ? undefined : share
   return setLimit(limit, isOwnNewer ? limit.perSecond : perSecond, now)
 }
 
@@ -77,11 +81,7 @@
     limit.share = undefined
     return { type: 'ended', previous: previous as number }
   }
-  if (previous === undefined) {
-    // The VM may just have sent requests for which it needed no tokens.
-    limit.tokens = 0
-    limit.refilledAt = now
-  }
+  if (previous === undefined) limit.refilledAt = -Infinity
   return { type: 'named', perSecond, previous }
 }
 
@@ -90,9 +90,14 @@
   return limit.perSecond !== undefined && now - limit.confirmedAt > limitTtlMs ? setLimit(limit, undefined, now) : undefined
 }
 
+/** Returns how many requests a window may contain beyond those that the limit lets through at its rate. */
+function computeExcess (perSecond: number): number {
+  return perSecond * (windowMs * overage - deliveryMs) / 1000 + slackRequests
+}
+
 /** Returns among how many VMs a limit may be divided: each of their buckets may be full at the start of a window. */
 export function computeMaxSharers (perSecond: number): number {
-  return Math.max(1, Math.floor((perSecond * windowMs / 1000 * overage + slackRequests) * bucketFraction))
+  return Math.max(1, Math.floor(computeExcess(perSecond) * firstTokensFraction))
 }
 
 /**
@@ -108,7 +113,7 @@
 /** Whether a request may be sent to the server under this VM's fraction of the limit. */
 export function hasLimitToken (limit: ServerLimit, share: number, now: Millis): boolean {
   if (limit.perSecond === undefined) return true
-  refill(limit, computeRate(limit.perSecond, share), now)
+  refill(limit, limit.perSecond, share, now)
   return limit.tokens >= 1
 }
 
@@ -120,17 +125,19 @@
 /** Returns the time until the next token; 0 if there is one, Infinity if this VM gets none. */
 export function getTokenDelay (limit: ServerLimit, share: number, now: Millis): Millis {
   if (hasLimitToken(limit, share, now)) return 0
-  const rate = computeRate(limit.perSecond ?? 0, share)
+  const rate = computeShareRate(limit.perSecond ?? 0, share)
   return rate === 0 ? Infinity : (1 - limit.tokens) / rate * 1000
 }
 
-function computeRate (perSecond: number, share: number): number {
+/** Returns the requests per second that a VM may send under its share of a limit. */
+export function computeShareRate (perSecond: number, share: number): number {
   return Math.max(minPerSecond, perSecond) * share
 }
 
-function refill (limit: ServerLimit, ratePerSecond: number, now: Millis): void {
-  const capacity = 1 + ratePerSecond * burstMs / 1000
+function refill (limit: ServerLimit, perSecond: number, share: number, now: Millis): void {
+  const ratePerSecond = computeShareRate(perSecond, share)
+  const capacity = 1 + share * computeExcess(perSecond) * sharedTokensFraction
   const seconds = Math.max(0, now - limit.refilledAt) / 1000
-  limit.tokens = Math.min(capacity, limit.tokens + seconds * ratePerSecond)
+  limit.tokens = ratePerSecond === 0 ? 0 : Math.min(capacity, limit.tokens + seconds * ratePerSecond)
   limit.refilledAt = Math.max(limit.refilledAt, now)
 }
--- a/packages/placement/__tests__/limitedServers.test.ts
+++ b/packages/placement/__tests__/limitedServers.test.ts
@@ -1,7 +1,7 @@
 /** Placement among servers that name a limit for the requests of all VMs together. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { recordNamedLimit } from '@lynxcourse/limits'
+import { hasLimitToken, recordNamedLimit } from '@lynxcourse/limits'
 import { beginSend, computeSlotShare, createCallerLiveness, createLoadObservations, decideNextStep, endSend, placeRequest, recordPoll, startRequest, updateWaitingCount } from '@lynxcourse/placement'
 import type { DecisionConditions, EntryState, FleetServer, RequestState, RequestStep } from '@lynxcourse/placement'
 import { createTestFleet, desk, getTargetOrReason, request, server } from './support/fleet.js'
@@ -12,8 +12,11 @@
 /** Time after which a server that was full is tried again. */
 const fullMs = 50
 
+/** Lets a server name a limit, and uses up the tokens that are there at once. */
 function limit (target: FleetServer, perSecond: number, now = start): FleetServer {
   recordNamedLimit(target.limit, { type: 'limited', perSecond }, now)
+  hasLimitToken(target.limit, 1, now)
+  target.limit.tokens = 0
   return target
 }
 
--- a/packages/placement/src/core/board/loadAggregate.ts
+++ b/packages/placement/src/core/board/loadAggregate.ts
@@ -13,11 +13,13 @@
   readonly failed: Map<ServerId, number>
   /** Limits that servers named, from the same reports; the latest report counts. */
   readonly limits: Map<ServerId, number | null>
+  /** Requests per second for servers with limits, by entry VM, from the same reports. */
+  readonly limitDemand: Map<string, NonNullable<LoadReport['limitDemand']>>
   readonly byVm: Map<string, VmDemand>
 }
 
 export function createLoadAggregate (): LoadAggregate {
-  return { fresh: new Map(), failed: new Map(), limits: new Map(), byVm: new Map() }
+  return { fresh: new Map(), failed: new Map(), limits: new Map(), limitDemand: new Map(), byVm: new Map() }
 }
 
 /** Adds an entry VM's report. */
@@ -25,6 +27,7 @@
   for (const [server, ahead] of report.servers) aggregate.fresh.set(server, ahead)
   for (const server of report.failed) aggregate.failed.set(server, (aggregate.failed.get(server) ?? 0) + 1)
   for (const [server, perSecond] of report.limits ?? []) aggregate.limits.set(server, perSecond)
+  if (report.limitDemand !== undefined) aggregate.limitDemand.set(vm, report.limitDemand)
   aggregate.byVm.set(vm, { region, at: now, busy: report.busy })
 }
 
@@ -38,7 +41,9 @@
   aggregate.fresh.clear()
   const limits = [...aggregate.limits]
   aggregate.failed.clear()
+  const limitDemand = [...aggregate.limitDemand].flatMap(([vm, demands]) => demands.map(([server, demand]) => [server, vm, demand] as const))
   aggregate.limits.clear()
+  aggregate.limitDemand.clear()
   const sums = new Map<string, [ServiceId, RegionId, number]>()
   for (const [vm, { region, at, busy }] of aggregate.byVm) {
     if (now - at > loadReportTtlMs) {
@@ -51,5 +56,5 @@
       sums.set(key, [service, region, (sum?.[2] ?? 0) + slots])
     }
   }
-  return { servers, busy: [...sums.values()], failed, ...(limits.length === 0 ? {} : { limits }) }
+  return { servers, busy: [...sums.values()], failed, ...(limits.length === 0 ? {} : { limits }), ...(limitDemand.length === 0 ? {} : { limitDemand }) }
 }
--- a/packages/placement/src/core/board/loadBoard.ts
+++ b/packages/placement/src/core/board/loadBoard.ts
@@ -10,8 +10,8 @@
 import { adjustWeights } from '../object/serverWeights.js'
 import type { ServerUtilization } from '../object/serverWeights.js'
 import type { RegionPlan } from '../region/regionPlan.js'
-import { buildLimitUpdates, recordLimits } from './limitSharing.js'
-import type { SharingVm } from './limitSharing.js'
+import { buildLimitUpdates, recordLimitDemand, recordLimits } from './limitSharing.js'
+import type { BoardLimit, SharingVm } from './limitSharing.js'
 import { planRegions, smoothDemand } from './demandPlanning.js'
 import { createSilentServers, recordFailures, listSilentServers } from './silentServers.js'
 import type { SilentServers } from './silentServers.js'
@@ -33,8 +33,8 @@
   readonly peaks: Map<string, number>
   readonly plans: Map<ServiceId, RegionPlan>
   readonly silent: SilentServers
-  /** Limits that servers named to any VM, with the time of the last report; null for a limit that has ended. */
-  readonly limits: Map<ServerId, { readonly perSecond: number | null, readonly at: Millis }>
+  /** Limits that servers named to any VM. */
+  readonly limits: Map<ServerId, BoardLimit>
   readonly weights: Map<ServerId, number>
   weightsPublishedAt: Millis
   /** Services whose plan follows measured demand. */
@@ -108,6 +108,7 @@
   board.byControl.set(control, { busy: digest.busy, at: now })
   recordFailures(board.silent, digest, now)
   recordLimits(board, digest.limits ?? [], now)
+  recordLimitDemand(board, digest.limitDemand ?? [], now)
   for (const [server, ahead] of digest.servers) {
     const stored = board.queueDepths.get(server)
     const previous = stored === undefined || now - stored.at > maxQueueDepthAgeMs ? ahead : stored.ahead
--- a/packages/placement/src/core/board/loadObservations.ts
+++ b/packages/placement/src/core/board/loadObservations.ts
@@ -52,15 +52,20 @@
   observations.demandMs.set(service, (observations.demandMs.get(service) ?? 0) + warmMs)
 }
 
-/** Returns the report and starts the next interval; undefined if too little time has passed. */
-export function flushLoadReport (observations: LoadObservations, now: Millis): LoadReport | undefined {
+/**
+ * Returns the report and starts the next interval; undefined if too little time has passed.
+ *
+ * @param limitDemand requests per second of this VM for servers with limits
+ */
+export function flushLoadReport (observations: LoadObservations, now: Millis, limitDemand: NonNullable<LoadReport['limitDemand']> = []): LoadReport | undefined {
   const spanMs = now - observations.startedAt
   if (spanMs < minSpanMs) return undefined
   const report: LoadReport = {
     servers: [...observations.ahead],
     busy: [...observations.demandMs].map(([service, demandMs]) => [service, Math.round(demandMs / spanMs * 100) / 100]),
     failed: [...observations.failed],
-    ...(observations.limits.size === 0 ? {} : { limits: [...observations.limits] })
+    ...(observations.limits.size === 0 ? {} : { limits: [...observations.limits] }),
+    ...(limitDemand.length === 0 ? {} : { limitDemand })
   }
   for (const [service, slots] of report.busy) {
     const previous = observations.demand.get(service) ?? slots
--- a/packages/placement/src/core/request/placeRequest.ts
+++ b/packages/placement/src/core/request/placeRequest.ts
@@ -19,6 +19,8 @@
 export interface Placement {
   readonly type: 'send'
   readonly server: FleetServer
+  /** The server that the request would have without limits. */
+  readonly wanted: FleetServer
   /** Whether this VM recently saw the server handle the object. */
   readonly wasWarm: boolean
   /** Hash rank of the server for the object; undefined if it has none. */
@@ -55,12 +57,12 @@
   if (!mayAdmit(concurrency, request.route.rank, missesLatencyObjective(fleet, request, now))) return createRefusal(fleet, 'busy', estimateTimeToCapacity(fleet, request.service, concurrency))
   const best = selectBestServer(fleet, request, now)
   if (best === undefined) return refuseWithoutServer(fleet, request, concurrency, now)
-  const { server, waitMs, roundTripMs, workMs, maxWorkMs, wasWarm, place } = best
+  const { server, wanted, waitMs, roundTripMs, workMs, maxWorkMs, wasWarm, place } = best
   const endsAt = now + roundTripMs + waitMs + workMs
   if (endsAt > request.deadline) return createRefusal(fleet, 'noTime', endsAt - request.deadline)
   const excessWaitMs = waitMs - computeMaxWait(request, roundTripMs + workMs, now)
   if (excessWaitMs > 0) return createRefusal(fleet, 'busy', excessWaitMs)
-  return { type: 'send', server, wasWarm, place, isCold: isCold(server, now), waitMs, roundTripMs, workMs, maxExpectedMs: roundTripMs + waitMs + Math.max(workMs, maxWorkMs) }
+  return { type: 'send', server, wanted, wasWarm, place, isCold: isCold(server, now), waitMs, roundTripMs, workMs, maxExpectedMs: roundTripMs + waitMs + Math.max(workMs, maxWorkMs) }
 }
 
 /** Returns whether a request misses its latency objective even at a server that is warm for its object and has a free slot. */
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -16,6 +16,7 @@
 import { recordDemand } from '../board/loadObservations.js'
 import { recordBudgetedRequest, trySpendRetry } from '../retries/retryBudget.js'
 import { consumeLimitToken } from '@lynxcourse/limits'
+import { recordServerDemand } from '../server/limitedServers.js'
 import { isCold, consumeColdToken } from '../server/coldRateLimit.js'
 import { recordRequestStart, recordRequestEnd, computeResponseTimeout } from '../server/fleetServer.js'
 import type { RunningRequest } from '../server/fleetServer.js'
@@ -145,6 +146,7 @@
   state.tried.add(server.facts.id)
   if (isCold(server, now)) consumeColdToken(server)
   consumeLimitToken(server.limit)
+  recordServerDemand(placement.wanted, now)
   const expectedMs = roundTripMs + waitMs + workMs
   const running = recordRequestStart(server, expectedMs, maxExpectedMs, now)
   const concurrency = getConcurrency(fleet, service)
--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -1,7 +1,7 @@
 /** Scores servers for a request by the expected time to completion and the cost for other requests. */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import type { Route } from '@lynxcourse/state'
-import { permitsRequest } from '../server/limitedServers.js'
+import { selectUnderLimits } from '../server/limitedServers.js'
 import { hasColdToken, isCold, isWarmingVm } from '../server/coldRateLimit.js'
 import { estimateRoundTrip, estimateWarmProbability, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
@@ -68,14 +68,21 @@
   readonly place: HashRank | undefined
 }
 
+/** The server with the lowest cost, and the one that the request would have without limits. */
+export interface BestServer extends ScoredServer {
+  readonly wanted: FleetServer
+}
+
 /** Returns the server with the lowest cost for a request; undefined if no server can take it now. */
-export function selectBestServer (fleet: Fleet, request: PlacementRequest, now: Millis): ScoredServer | undefined {
-  const eligible = findEligibleServers(fleet, request, now)
-  const open = eligible.filter(server => hasCapacity(server, now))
-  const region = choosePlannedRegion(fleet, request, eligible)
+export function selectBestServer (fleet: Fleet, request: PlacementRequest, now: Millis): BestServer | undefined {
+  const found = findEligibleServers(fleet, request, now)
   const isSticky = request.route.isSticky && request.object !== ''
+  const plannedRegion = choosePlannedRegion(fleet, request, found)
+  const { servers: eligible, wanted } = selectUnderLimits(fleet, found, isSticky ? createHashKey(request) : undefined, plannedRegion, now)
+  const open = eligible.filter(server => hasCapacity(server, now))
+  const region = eligible.some(({ facts }) => facts.region === plannedRegion) ? plannedRegion : choosePlannedRegion(fleet, request, eligible)
   // Servers that are full at the moment keep their hash ranks: if all servers are busy, moving objects only makes them cold elsewhere.
-  const places = isSticky ? computeHashRanks(eligible, `${request.service} ${request.object}`, region) : undefined
+  const places = isSticky ? computeHashRanks(eligible, createHashKey(request), region) : undefined
   const utilization = estimateServiceUtilization(fleet, request.service, now)
   const candidates = places === undefined ? open : findCandidates(fleet, request, open, places, utilization, now)
   const times = getWorkTimes(fleet.workModel, workKey(request), request.route.aimMs)
@@ -83,8 +90,12 @@
   const hasWarmNonPrimary = places !== undefined && !disabledMechanisms.has('movedPrimaries') && candidates.some(server => isWarmNonPrimary(fleet, request, server, places, region, now))
   const input: ScoreInput = { times, places, region, workWeight: disabledMechanisms.has('workWeight') ? 1 : 1 + computeExtraWorkWeight(utilization), hasWarmNonPrimary }
   const planned = findCheapest(fleet, request, candidates.filter(server => server.facts.region === region), input, now)
-  if (planned !== undefined && planned.sharedWaitMs <= request.route.aimMs * maxPlannedWaitFraction) return planned
-  return findCheapest(fleet, request, candidates, input, now)
+  const best = planned !== undefined && planned.sharedWaitMs <= request.route.aimMs * maxPlannedWaitFraction ? planned : findCheapest(fleet, request, candidates, input, now)
+  return best === undefined ? undefined : { ...best, wanted: wanted ?? best.server }
+}
+
+function createHashKey ({ service, object }: PlacementRequest): string {
+  return `${service} ${object}`
 }
 
 /** Returns whether the server is in the planned region, not the object's primary server there, and recently handled the object. */
@@ -164,9 +175,8 @@
   return healthy.length > 0 ? healthy : unhealthy
 }
 
-/** Returns whether the limit that a server names and the rate limit of a cold server permit a request of this VM. */
+/** Returns whether the rate limit of a cold server permits a request of this VM; other servers have no such limit. */
 function mayReceiveRequest (fleet: Fleet, service: ServiceId, server: FleetServer, now: Millis): boolean {
-  if (!permitsRequest(fleet, server, now)) return false
   if (!isCold(server, now)) return true
   return isWarmingVm(server, fleet.setup.self, fleet.vms) && hasColdToken(server, fleet.coldRequestRates.get(service) ?? 0, now)
 }
--- a/packages/placement/src/core/server/fleetServer.ts
+++ b/packages/placement/src/core/server/fleetServer.ts
@@ -62,6 +62,9 @@
   coldTokensAt: Millis
   /** The limit that the server names for the requests of all VMs together. */
   readonly limit: ServerLimit
+  /** Smoothed number of this VM's requests per second for the server, including those that its limit sends elsewhere. */
+  demandPerSecond: number
+  demandUpdatedAt: Millis
 }
 
 /** Smoothing factor of the slowdown; a server that becomes five times slower is recognized after about four answers. */
@@ -116,7 +119,9 @@
     coldUntil,
     coldTokens: 1,
     coldTokensAt: -Infinity,
-    limit: createServerLimit()
+    limit: createServerLimit(),
+    demandPerSecond: 0,
+    demandUpdatedAt: -Infinity
   }
 }
 
--- a/packages/placement/src/core/server/limitedServers.ts
+++ b/packages/placement/src/core/server/limitedServers.ts
@@ -1,13 +1,60 @@
 /** Servers that name a limit for the requests of all VMs together. */
 import { rankByHash } from '@lynxcourse/base'
-import type { Millis } from '@lynxcourse/base'
+import type { Millis, RegionId, ServerId } from '@lynxcourse/base'
 import { computeEqualShare, expireLimit, getTokenDelay, hasLimitToken } from '@lynxcourse/limits'
+import { computeHashRanks } from '../object/hashRanks.js'
 import type { Fleet } from '../request/fleet.js'
 import type { FleetServer } from './fleetServer.js'
 
+/** Time constant of the demand for a server. */
+const demandSmoothingMs: Millis = 4000
+
+/** The servers that may get a request under their limits. */
+export interface UsableServers {
+  readonly servers: FleetServer[]
+  /** The primary server of the request's object without limits; undefined if no limit matters or there is no object. */
+  readonly wanted: FleetServer | undefined
+}
+
+/**
+ * Leaves out the servers whose limits don't permit a request of this VM.
+ *
+ * @param hashKey key of the request's object in rendezvous hashing; undefined if it has none
+ * @param region the region that the plan assigns to the object
+ */
+export function selectUnderLimits (fleet: Fleet, servers: FleetServer[], hashKey: string | undefined, region: RegionId | undefined, now: Millis): UsableServers {
+  if (!servers.some(isLimited)) return { servers, wanted: undefined }
+  const wanted = hashKey === undefined ? undefined : findPrimary(servers, hashKey, region)
+  return { servers: servers.filter(server => permitsRequest(fleet, server, now)), wanted }
+}
+
+function isLimited ({ limit }: FleetServer): boolean {
+  return limit.perSecond !== undefined
+}
+
+function findPrimary (servers: readonly FleetServer[], hashKey: string, region: RegionId | undefined): FleetServer | undefined {
+  const ranks = computeHashRanks(servers, hashKey, region)
+  return servers.find(({ facts }) => ranks.get(facts.id) === 'primary')
+}
+
+/** Records a request that would be sent to a server without limits. */
+export function recordServerDemand (server: FleetServer, now: Millis): void {
+  server.demandPerSecond = getDemand(server, now) + 1000 / demandSmoothingMs
+  server.demandUpdatedAt = now
+}
+
+/** Lists this VM's requests per second for servers with limits. */
+export function listLimitDemand ({ byId }: Fleet, now: Millis): Array<[ServerId, number]> {
+  return [...byId.values()].filter(isLimited).map(server => [server.facts.id, Math.round(getDemand(server, now) * 100) / 100])
+}
+
+function getDemand ({ demandPerSecond, demandUpdatedAt }: FleetServer, now: Millis): number {
+  return demandPerSecond * Math.exp(-Math.max(0, now - demandUpdatedAt) / demandSmoothingMs)
+}
+
 /** Whether the limit of a server, if it names one, permits a request of this VM now. */
-export function permitsRequest (fleet: Fleet, server: FleetServer, now: Millis): boolean {
-  if (server.limit.perSecond === undefined) return true
+function permitsRequest (fleet: Fleet, server: FleetServer, now: Millis): boolean {
+  if (!isLimited(server)) return true
   expireLimit(server.limit, now)
   return hasLimitToken(server.limit, getLimitShare(fleet, server), now)
 }
--- a/packages/placement/src/types/loads.ts
+++ b/packages/placement/src/types/loads.ts
@@ -14,6 +14,8 @@
   readonly failed: readonly ServerId[]
   /** Limits that servers named since then, or that have ended; omitted if there are none. */
   readonly limits?: ServerLimits
+  /** Requests per second that this VM has for servers with limits; omitted if there are none. */
+  readonly limitDemand?: ReadonlyArray<readonly [ServerId, number]>
 }
 
 /** Slots that callers need, by service and region of the entry VMs. */
@@ -27,6 +29,8 @@
   readonly failed: ReadonlyArray<readonly [ServerId, number]>
   /** Limits of servers; omitted if there are none. */
   readonly limits?: ServerLimits
+  /** Requests per second of single entry VMs for servers with limits; omitted if there are none. */
+  readonly limitDemand?: ReadonlyArray<readonly [ServerId, string, number]>
 }
 
 /** The region plan of one service, as the leader publishes it. */
--- a/packages/replay/src/core/backendModel.ts
+++ b/packages/replay/src/core/backendModel.ts
@@ -5,7 +5,7 @@
 
 /** Result of a request at a server: `ahead` is the server's queue depth, `limit` the requests per second that it names. */
 export type BackendResult =
-  | { readonly type: 'answered' | 'full', readonly ahead: number, readonly limit: number | undefined }
+  | { readonly type: 'answered' | 'full', readonly ahead: number, readonly limit?: number }
   | { readonly type: 'lost' }
 
 /** One request at a server. */
@@ -73,8 +73,8 @@
   for (const job of jobs) endJob(job, { type: 'lost' })
 }
 
-function describeLoad ({ running, waiting, limit }: Backend): { readonly ahead: number, readonly limit: number | undefined } {
-  return { ahead: running.size + waiting.length, limit }
+function describeLoad ({ running, waiting, limit }: Backend): { readonly ahead: number, readonly limit?: number } {
+  return { ahead: running.size + waiting.length, ...(limit === undefined ? {} : { limit }) }
 }
 
 function startJob (timeline: Timeline, backend: Backend, job: Job): void {
--- a/packages/replay/src/core/loadExchange.ts
+++ b/packages/replay/src/core/loadExchange.ts
@@ -2,7 +2,7 @@
 import { brandId } from '@lynxcourse/base'
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import { scheduleAfter } from '@lynxcourse/base/timeline'
-import { createLoadAggregate, applyDigest, addLoadReport, flushDigest, applyLoadUpdate, flushLoadReport, updateBoard } from '@lynxcourse/placement'
+import { createLoadAggregate, applyDigest, addLoadReport, flushDigest, applyLoadUpdate, flushLoadReport, listLimitDemand, updateBoard } from '@lynxcourse/placement'
 import type { KnownServer, ServiceSlots } from '@lynxcourse/placement'
 import type { VmModel, World } from './world.js'
 
@@ -22,7 +22,7 @@
 function sendReport (world: World, vm: VmModel): void {
   const { now } = world.timeline
   if (vm.isUp && !world.isControlCut) {
-    const loadReport = flushLoadReport(vm.entry.load, now)
+    const loadReport = flushLoadReport(vm.entry.load, now, listLimitDemand(vm.entry.fleet, now))
     if (loadReport !== undefined) addLoadReport(getRegionReports(world, vm.region), vm.name, vm.region, loadReport, now)
     applyLoadUpdate(vm.entry, world.publishedUpdate, vm.region, now)
   }
--- a/packages/routing/__tests__/serverLimits.test.ts
+++ b/packages/routing/__tests__/serverLimits.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test'
 import { brandId, createRandom, loadChart } from '@lynxcourse/base'
 import type { RegionId, ServerId, ServiceId, VmId } from '@lynxcourse/base'
-import { recordNamedLimit } from '@lynxcourse/limits'
+import { hasLimitToken, recordNamedLimit } from '@lynxcourse/limits'
 import { beginAttempt, canCompleteInTime, createRouter, createServerPolicy, defaultObservation, endAttempt, estimateLimitDelay, getRetryAfterMs, routeRequest, setBackends } from '@lynxcourse/routing'
 import type { AdmissionInput, Backend, LimitGate, ObservedServer, RouteDecision, RouteRequest, Router } from '@lynxcourse/routing'
 
@@ -28,6 +28,8 @@
 function limit (router: Router, id: string, perSecond: number): ObservedServer {
   const observed = router.backends.byId.get(brandId<ServerId>(id)) as ObservedServer
   recordNamedLimit(observed.limit, { type: 'limited', perSecond }, settledMs)
+  hasLimitToken(observed.limit, 1, settledMs)
+  observed.limit.tokens = 0
   return observed
 }
 
