--- a/packages/limits/src/core/servers/serverLimit.ts
+++ b/packages/limits/src/core/servers/serverLimit.ts
@@ -81,7 +81,6 @@
     limit.share = undefined
     return { type: 'ended', previous: previous as number }
   }
-  if (previous === undefined) limit.refilledAt = -Infinity
   return { type: 'named', perSecond, previous }
 }
 
--- a/packages/placement/__tests__/limitSharing.test.ts
+++ b/packages/placement/__tests__/limitSharing.test.ts
@@ -4,7 +4,7 @@
 import { brandId } from '@lynxcourse/base'
 import type { RegionId, ServerId } from '@lynxcourse/base'
 import { computeMaxSharers, limitTtlMs } from '@lynxcourse/limits'
-import { addLoadReport, applyDigest, applyLoadUpdate, createLoadAggregate, createLoadBoard, createLoadObservations, flushDigest, flushLoadReport, omitKnownWeights, recordAnswerLimit, selectOwnShares, storeLoadUpdate, updateBoard } from '@lynxcourse/placement'
+import { addLoadReport, applyDigest, applyLoadUpdate, createLoadAggregate, createLoadBoard, createLoadObservations, flushDigest, flushLoadReport, listLimitDemand, omitKnownWeights, recordServerDemand, recordAnswerLimit, selectOwnShares, storeLoadUpdate, updateBoard } from '@lynxcourse/placement'
 import type { EntryState, KnownServers, LimitUpdate, LoadBoard, ServiceSlots, SharingVm } from '@lynxcourse/placement'
 import { createTestFleet, desk, kochi, mumbai, server } from './support/fleet.js'
 
@@ -46,6 +46,17 @@
   assert.ok((shares.get('vm-3') ?? 0) > 0.9, `${shares.get('vm-3')}`)
 })
 
+/** Guards against a VM that sends its requests elsewhere although the limit has room for all. */
+test('VMs share a limit by the requests that they have for the server, and each VM has a small share', () => {
+  const board = createBoard(20)
+  const limitDemand = [[limited, 'vm-1', 6], [limited, 'vm-2', 2]] as const
+  applyDigest(board, 'control-1', { servers: [], busy: [], failed: [], limits: [[limited, 20]], limitDemand }, 400)
+  updateBoard(board, slots, knownServers, vms, 400)
+  const shares = new Map(getLimit(board)?.shares)
+  assert.ok(Math.abs((shares.get('vm-1') ?? 0) / (shares.get('vm-2') ?? 1) - 3) < 0.05)
+  assert.ok((shares.get('vm-3') ?? 0) > 0.02 && (shares.get('vm-3') ?? 0) < 0.1, `${shares.get('vm-3')}`)
+})
+
 test('shares add up to at most one, and few VMs share a small limit', () => {
   for (const perSecond of [0, 0.3, 1, 5.4, 1000]) {
     const many = Array.from({ length: 185 }, (_, index): SharingVm => ({ name: `vm-${index}`, region: index % 2 === 0 ? kochi : mumbai }))
@@ -102,6 +113,8 @@
   }
   const getServer = ({ fleet }: EntryState): ReturnType<typeof server> => fleet.byId.get(limited) as ReturnType<typeof server>
   recordAnswerLimit(first, getServer(first), { type: 'limited', perSecond: 5 }, 500)
+  recordServerDemand(getServer(first), 500)
+  assert.ok((listLimitDemand(first.fleet, 500)[0]?.[1] ?? 0) > 0, 'the demand for the server is reported')
   exchange(1000)
   assert.equal(getServer(second).limit.perSecond, 5)
   recordAnswerLimit(first, getServer(first), { type: 'none' }, 5500)
