--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -13,7 +13,7 @@
 import type { RpcClient } from '../rpc/rpcClient.js'
 import type { FleetSettings } from '../../types/fleetSettings.js'
 import { createLoadObservations } from '@lynxcourse/placement'
-import type { LoadUpdate, LoadObservations, LoadReport } from '@lynxcourse/placement'
+import type { LimitDemand, LoadUpdate, LoadObservations } from '@lynxcourse/placement'
 
 /** RPC address and region of a control VM. */
 export interface ControlEndpoint {
@@ -42,7 +42,7 @@
   /** Load observations of this VM since its last report. */
   readonly load: LoadObservations
   /** Lists this VM's requests per second for servers with limits; replaced by the gateway. */
-  listLimitDemand: (now: Millis) => NonNullable<LoadReport['limitDemand']>
+  listLimitDemand: (now: Millis) => LimitDemand
   /** Latest load update, aggregated from the observations of all VMs. */
   loadUpdate: LoadUpdate
   /** Called when the copy has changed. */
--- a/packages/limits/src/core/servers/serverLimit.ts
+++ b/packages/limits/src/core/servers/serverLimit.ts
@@ -129,7 +129,7 @@
 }
 
 /** Returns the requests per second that a VM may send under its share of a limit. */
-export function computeShareRate (perSecond: number, share: number): number {
+function computeShareRate (perSecond: number, share: number): number {
   return Math.max(minPerSecond, perSecond) * share
 }
 
--- a/packages/placement/src/core/board/limitSharing.ts
+++ b/packages/placement/src/core/board/limitSharing.ts
@@ -10,7 +10,7 @@
 import type { Millis, RegionId, ServerId } from '@lynxcourse/base'
 import { computeMaxSharers, limitTtlMs } from '@lynxcourse/limits'
 import { loadReportTtlMs } from '../../types/loads.js'
-import type { KnownServer, KnownServers, LimitUpdate, LoadDigest, ServerLimits } from '../../types/loads.js'
+import type { KnownServer, KnownServers, LimitDemandByVm, LimitUpdate, ServerLimits } from '../../types/loads.js'
 import type { LoadBoard } from './loadBoard.js'
 
 /** An entry VM that may send requests. */
@@ -42,7 +42,7 @@
 }
 
 /** Applies the requests of entry VMs for servers with limits. */
-export function recordLimitDemand ({ limits }: LoadBoard, reported: NonNullable<LoadDigest['limitDemand']>, now: Millis): void {
+export function recordLimitDemand ({ limits }: LoadBoard, reported: LimitDemandByVm, now: Millis): void {
   for (const [server, vm, perSecond] of reported) limits.get(server)?.demand.set(vm, { perSecond, at: now })
 }
 
--- a/packages/placement/src/core/board/loadAggregate.ts
+++ b/packages/placement/src/core/board/loadAggregate.ts
@@ -1,7 +1,7 @@
 /** Combines the load reports of a control VM's entry VMs into one digest for the leader. */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import { loadReportTtlMs } from '../../types/loads.js'
-import type { LoadDigest, LoadReport } from '../../types/loads.js'
+import type { LimitDemand, LoadDigest, LoadReport } from '../../types/loads.js'
 
 /** The demand that an entry VM last reported. */
 interface VmDemand { readonly region: RegionId, readonly at: Millis, readonly busy: LoadReport['busy'] }
@@ -14,7 +14,7 @@
   /** Limits that servers named, from the same reports; the latest report counts. */
   readonly limits: Map<ServerId, number | null>
   /** Requests per second for servers with limits, by entry VM, from the same reports. */
-  readonly limitDemand: Map<string, NonNullable<LoadReport['limitDemand']>>
+  readonly limitDemand: Map<string, LimitDemand>
   readonly byVm: Map<string, VmDemand>
 }
 
--- a/packages/placement/src/core/board/loadObservations.ts
+++ b/packages/placement/src/core/board/loadObservations.ts
@@ -1,6 +1,6 @@
 /** The load that one entry VM observed since its last report to a control VM. */
 import type { Millis, ServerId, ServiceId } from '@lynxcourse/base'
-import type { LoadReport } from '../../types/loads.js'
+import type { LimitDemand, LoadReport } from '../../types/loads.js'
 
 export interface LoadObservations {
   readonly ahead: Map<ServerId, number>
@@ -57,7 +57,7 @@
  *
  * @param limitDemand requests per second of this VM for servers with limits
  */
-export function flushLoadReport (observations: LoadObservations, now: Millis, limitDemand: NonNullable<LoadReport['limitDemand']> = []): LoadReport | undefined {
+export function flushLoadReport (observations: LoadObservations, now: Millis, limitDemand: LimitDemand = []): LoadReport | undefined {
   const spanMs = now - observations.startedAt
   if (spanMs < minSpanMs) return undefined
   const report: LoadReport = {
--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -75,14 +75,11 @@
 
 /** Returns the server with the lowest cost for a request; undefined if no server can take it now. */
 export function selectBestServer (fleet: Fleet, request: PlacementRequest, now: Millis): BestServer | undefined {
-  const found = findEligibleServers(fleet, request, now)
-  const isSticky = request.route.isSticky && request.object !== ''
-  const plannedRegion = choosePlannedRegion(fleet, request, found)
-  const { servers: eligible, wanted } = selectUnderLimits(fleet, found, isSticky ? createHashKey(request) : undefined, plannedRegion, now)
+  const hashKey = request.route.isSticky && request.object !== '' ? `${request.service} ${request.object}` : undefined
+  const { eligible, region, wanted } = findUsableServers(fleet, request, hashKey, now)
   const open = eligible.filter(server => hasCapacity(server, now))
-  const region = eligible.some(({ facts }) => facts.region === plannedRegion) ? plannedRegion : choosePlannedRegion(fleet, request, eligible)
   // Servers that are full at the moment keep their hash ranks: if all servers are busy, moving objects only makes them cold elsewhere.
-  const places = isSticky ? computeHashRanks(eligible, createHashKey(request), region) : undefined
+  const places = hashKey === undefined ? undefined : computeHashRanks(eligible, hashKey, region)
   const utilization = estimateServiceUtilization(fleet, request.service, now)
   const candidates = places === undefined ? open : findCandidates(fleet, request, open, places, utilization, now)
   const times = getWorkTimes(fleet.workModel, workKey(request), request.route.aimMs)
@@ -94,8 +91,20 @@
   return best === undefined ? undefined : { ...best, wanted: wanted ?? best.server }
 }
 
-function createHashKey ({ service, object }: PlacementRequest): string {
-  return `${service} ${object}`
+/** The servers that may get a request under their limits, and the planned region among them. */
+interface UsableRegion {
+  readonly eligible: readonly FleetServer[]
+  readonly region: RegionId | undefined
+  /** The server that the request would have without limits; undefined if no limit matters. */
+  readonly wanted: FleetServer | undefined
+}
+
+function findUsableServers (fleet: Fleet, request: PlacementRequest, hashKey: string | undefined, now: Millis): UsableRegion {
+  const found = findEligibleServers(fleet, request, now)
+  const planned = choosePlannedRegion(fleet, request, found)
+  const { servers: eligible, wanted } = selectUnderLimits(fleet, found, hashKey, planned, now)
+  const isPlannedUsable = eligible.length === found.length || eligible.some(({ facts }) => facts.region === planned)
+  return { eligible, region: isPlannedUsable ? planned : choosePlannedRegion(fleet, request, eligible), wanted }
 }
 
 /** Returns whether the server is in the planned region, not the object's primary server there, and recently handled the object. */
--- a/packages/placement/src/core/server/limitedServers.ts
+++ b/packages/placement/src/core/server/limitedServers.ts
@@ -1,13 +1,16 @@
 /** Servers that name a limit for the requests of all VMs together. */
 import { rankByHash } from '@lynxcourse/base'
-import type { Millis, RegionId, ServerId } from '@lynxcourse/base'
+import type { Millis, RegionId } from '@lynxcourse/base'
 import { computeEqualShare, expireLimit, getTokenDelay, hasLimitToken } from '@lynxcourse/limits'
 import { computeHashRanks } from '../object/hashRanks.js'
 import type { Fleet } from '../request/fleet.js'
+import type { LimitDemand } from '../../types/loads.js'
 import type { FleetServer } from './fleetServer.js'
 
 /** Time constant of the demand for a server. */
 const demandSmoothingMs: Millis = 4000
+/** Primary servers of an object that are passed over before any server that has a token may take the request. */
+const maxPassedOver = 4
 
 /** The servers that may get a request under their limits. */
 export interface UsableServers {
@@ -17,15 +20,27 @@
 }
 
 /**
- * Leaves out the servers whose limits don't permit a request of this VM.
+ * Leaves out the servers whose limits don't permit a request of this VM. A limited server gets requests only for objects whose
+ * primary server it is, or would be without the servers that are left out: all VMs then warm the same servers, and the tokens of
+ * a server are left to its own objects.
  *
  * @param hashKey key of the request's object in rendezvous hashing; undefined if it has none
  * @param region the region that the plan assigns to the object
  */
 export function selectUnderLimits (fleet: Fleet, servers: FleetServer[], hashKey: string | undefined, region: RegionId | undefined, now: Millis): UsableServers {
   if (!servers.some(isLimited)) return { servers, wanted: undefined }
-  const wanted = hashKey === undefined ? undefined : findPrimary(servers, hashKey, region)
-  return { servers: servers.filter(server => permitsRequest(fleet, server, now)), wanted }
+  const permitted = servers.filter(server => permitsRequest(fleet, server, now))
+  if (hashKey === undefined) return { servers: permitted, wanted: undefined }
+  const wanted = findPrimary(servers, hashKey, region)
+  let primary = wanted
+  let remaining = servers
+  for (let passedOver = 0; primary !== undefined && passedOver < maxPassedOver; passedOver++) {
+    const chosen = primary
+    if (permitted.includes(chosen)) return { servers: remaining.filter(server => server === chosen || !isLimited(server)), wanted }
+    remaining = remaining.filter(server => server !== chosen)
+    primary = findPrimary(remaining, hashKey, region)
+  }
+  return { servers: permitted, wanted }
 }
 
 function isLimited ({ limit }: FleetServer): boolean {
@@ -44,7 +59,7 @@
 }
 
 /** Lists this VM's requests per second for servers with limits. */
-export function listLimitDemand ({ byId }: Fleet, now: Millis): Array<[ServerId, number]> {
+export function listLimitDemand ({ byId }: Fleet, now: Millis): LimitDemand {
   return [...byId.values()].filter(isLimited).map(server => [server.facts.id, Math.round(getDemand(server, now) * 100) / 100])
 }
 
--- a/packages/placement/src/types/loads.ts
+++ b/packages/placement/src/types/loads.ts
@@ -4,6 +4,12 @@
 /** Requests per second that servers take from all VMs together; null for a limit that has ended. */
 export type ServerLimits = ReadonlyArray<readonly [ServerId, number | null]>
 
+/** Requests per second of one entry VM for servers with limits. */
+export type LimitDemand = ReadonlyArray<readonly [ServerId, number]>
+
+/** Requests per second for servers with limits, by entry VM. */
+export type LimitDemandByVm = ReadonlyArray<readonly [ServerId, string, number]>
+
 /** What one entry VM observed since its last report. */
 export interface LoadReport {
   /** Queue depth of each server, as of its last answer. */
@@ -15,7 +21,7 @@
   /** Limits that servers named since then, or that have ended; omitted if there are none. */
   readonly limits?: ServerLimits
   /** Requests per second that this VM has for servers with limits; omitted if there are none. */
-  readonly limitDemand?: ReadonlyArray<readonly [ServerId, number]>
+  readonly limitDemand?: LimitDemand
 }
 
 /** Slots that callers need, by service and region of the entry VMs. */
@@ -30,7 +36,7 @@
   /** Limits of servers; omitted if there are none. */
   readonly limits?: ServerLimits
   /** Requests per second of single entry VMs for servers with limits; omitted if there are none. */
-  readonly limitDemand?: ReadonlyArray<readonly [ServerId, string, number]>
+  readonly limitDemand?: LimitDemandByVm
 }
 
 /** The region plan of one service, as the leader publishes it. */
