Test of team rates: a server with room, so that only rates can refuse

The server has three slots; after a stall the permitted requests arrive at once, and refusing some of them is right. The test is about rates, so its server gets 300 slots; all checks stay, and a refusal for any other reason still fails them.

--- a/packages/daemon/__tests__/teamRates.test.ts
+++ b/packages/daemon/__tests__/teamRates.test.ts
@@ -13,6 +13,7 @@
 const overage = 0.1
 const slack = 20
 const announceMs = 1000
+const ampleSlots = 300
 
 interface RatesFixture extends AsyncDisposable {
   readonly fixture: FleetFixture
@@ -20,7 +21,9 @@
 }
 
 async function startFleet (entryCount: number, teams: readonly Team[]): Promise<RatesFixture> {
-  const server = await startTestServer('s1', (_req, res) => { res.end('ok') })
+  const started = await startTestServer('s1', (_req, res) => { res.end('ok') })
+  // Only rates may refuse a request here, also if requests arrive all at once after a stall.
+  const server: TestServer = { ...started, facts: { ...started.facts, slots: ampleSlots } }
   const fixture = await startFleetFixture(entryCount)
   await publishRoutes(fixture, [server], [createRouteToDesk('read')])
   assert.ok((await submitCommand(fixture, createTeamsUpdate(1, teams))).ok)
