--- a/packages/daemon/__tests__/support/fleetFixture.ts
+++ b/packages/daemon/__tests__/support/fleetFixture.ts
@@ -9,7 +9,7 @@
 import { brandId } from '@lynxcourse/base'
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import {
-  DefaultCallerDialect, DefaultServerDialect, defaultFleetTimes, isFleetReady, getCurrentTime, createSilentLogs, startFleetDaemon, submitFleetCommand, handleAnnouncement
+  DefaultCallerDialect, DefaultServerDialect, defaultFleetTimes, delay, isFleetReady, getCurrentTime, createSilentLogs, startFleetDaemon, submitFleetCommand, handleAnnouncement
 } from '@lynxcourse/daemon'
 import type { FleetCommand, FleetControl, FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
 import type { BackendAnnouncement, ChangeAnswer, RouteChangeId, Route, RouteCommand } from '@lynxcourse/state'
@@ -21,6 +21,8 @@
 const domain = brandId<FailureDomainId>('kochi-a')
 const pollMs = 20
 const waitTimeoutMs = 15_000
+const announceMs = 1000
+const sendCheckMs = 5
 
 export interface FleetFixture extends AsyncDisposable {
   readonly folder: string
@@ -154,6 +156,19 @@
   await waitUntil(() => hasServers(entry, servers.length))
 }
 
+/** Announces servers periodically until disposal: a server that is not announced again counts as lost after some seconds. */
+export function keepAnnouncing (fixture: FleetFixture, servers: readonly TestServer[]): Disposable {
+  const timer = setInterval(() => { for (const server of servers) announce(fixture, server) }, announceMs)
+  return { [Symbol.dispose]: () => clearInterval(timer) }
+}
+
+function announce (fixture: FleetFixture, { facts }: TestServer): void {
+  for (const daemon of fixture.daemons) {
+    // A control VM that is stopping or has no leader does not answer; the others do.
+    if (daemon?.control !== undefined) handleAnnouncement(daemon.control, facts, getCurrentTime()).catch(() => undefined)
+  }
+}
+
 /** Whether an entry VM is ready, and knows the routes and the given number of servers. */
 export function hasServers (entry: FleetDaemon, count: number): boolean {
   return isFleetReady(entry) && entry.gateway?.fleet.byId.size === count && entry.gateway.routeTable.size > 0
@@ -176,3 +191,19 @@
   const res = await request(`http://${address}${path}`, { method, headers: { host: 'a.example', ...headers }, body: method === 'POST' ? body : null })
   return { status: res.statusCode, body: await res.body.text(), headers: res.headers }
 }
+
+/**
+ * Sends requests at a steady rate for some time; returns all responses.
+ *
+ * @param send sends the request with the given number, counted from 0
+ */
+export async function sendSteadily (send: (index: number) => Promise<TestResponse>, perSecond: number, durationMs: number): Promise<TestResponse[]> {
+  const responses: Array<Promise<TestResponse>> = []
+  const startedAt = getCurrentTime()
+  while (getCurrentTime() - startedAt < durationMs) {
+    const due = (getCurrentTime() - startedAt) / 1000 * perSecond
+    while (responses.length < due) responses.push(send(responses.length))
+    await delay(sendCheckMs)
+  }
+  return await Promise.all(responses)
+}
--- a/packages/daemon/__tests__/support/limitedServers.ts
+++ b/packages/daemon/__tests__/support/limitedServers.ts
@@ -1,7 +1,7 @@
 /** Backend servers that name a limit for the requests of all VMs together, and callers that send at a steady rate. */
-import { delay, getCurrentTime, handleAnnouncement } from '@lynxcourse/daemon'
+import { getCurrentTime } from '@lynxcourse/daemon'
 import type { FleetDaemon } from '@lynxcourse/daemon'
-import { createRouteToDesk, hasServers, publishRoutes, sendRequestTo, startFleetFixture, startTestServer, waitUntil } from './fleetFixture.js'
+import { createRouteToDesk, hasServers, keepAnnouncing, publishRoutes, sendRequestTo, sendSteadily, startFleetFixture, startTestServer, waitUntil } from './fleetFixture.js'
 import type { FleetFixture, TestResponse, TestServer } from './fleetFixture.js'
 
 export const controlCount = 3
@@ -11,7 +11,6 @@
 const slack = 5
 /** Time after a VM has passed on an answer with the limit from which its requests count. */
 const learningMs = 500
-const announceMs = 1000
 const entryHeader = 'x-entry'
 
 interface Arrival { readonly at: number, readonly entry: string }
@@ -53,26 +52,18 @@
   const fixture = await startFleetFixture(entryCount)
   await publishRoutes(fixture, servers.map(({ test }) => test), [createRouteToDesk('read')])
   for (const daemon of fixture.daemons.slice(controlCount)) await waitUntil(() => hasServers(daemon as FleetDaemon, serverCount))
-  // A server that is not announced again counts as lost after some seconds.
-  const announcing = setInterval(() => { for (const { test } of servers) announce(fixture, test) }, announceMs)
+  const announcing = keepAnnouncing(fixture, servers.map(({ test }) => test))
   return {
     fixture,
     servers,
     [Symbol.asyncDispose]: async () => {
-      clearInterval(announcing)
+      announcing[Symbol.dispose]()
       await fixture[Symbol.asyncDispose]()
       for (const { test } of servers) await test[Symbol.asyncDispose]()
     }
   }
 }
 
-function announce (fixture: FleetFixture, { facts }: TestServer): void {
-  for (const daemon of fixture.daemons) {
-    // A control VM that is stopping or has no leader does not answer; the others do.
-    if (daemon?.control !== undefined) handleAnnouncement(daemon.control, facts, getCurrentTime()).catch(() => undefined)
-  }
-}
-
 /** Sends a request to one entry VM. */
 export async function sendTo (fixture: FleetFixture, entry: number): Promise<TestResponse> {
   return await sendRequestTo(fixture.settings[controlCount + entry]?.callers ?? '', '/read/1', 'GET', { [entryHeader]: String(entry) })
@@ -80,14 +71,7 @@
 
 /** Sends requests to some entry VMs in turn at a steady rate; returns all responses. */
 export async function sendForMs (fixture: FleetFixture, entries: readonly number[], perSecond: number, durationMs: number): Promise<TestResponse[]> {
-  const responses: Array<Promise<TestResponse>> = []
-  const startedAt = getCurrentTime()
-  while (getCurrentTime() - startedAt < durationMs) {
-    const due = (getCurrentTime() - startedAt) / 1000 * perSecond
-    while (responses.length < due) responses.push(sendTo(fixture, entries[responses.length % entries.length] ?? 0))
-    await delay(5)
-  }
-  return await Promise.all(responses)
+  return await sendSteadily(async index => await sendTo(fixture, entries[index % entries.length] ?? 0), perSecond, durationMs)
 }
 
 /** Returns the most requests that a server got in one window from VMs that knew its limit. */
--- a/packages/daemon/__tests__/teamRates.test.ts
+++ b/packages/daemon/__tests__/teamRates.test.ts
@@ -1,18 +1,17 @@
 /** Rate limits of teams over several entry VMs. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { delay, getCurrentTime, handleAnnouncement } from '@lynxcourse/daemon'
+import { delay } from '@lynxcourse/daemon'
 import type { FleetDaemon } from '@lynxcourse/daemon'
 import type { Team } from '@lynxcourse/state'
 import { createTeam, createTeamsUpdate } from '@lynxcourse/state/testing'
-import { createRouteToDesk, hasServers, publishRoutes, sendRequestTo, startFleetFixture, startTestServer, submitCommand, waitUntil } from './support/fleetFixture.js'
+import { createRouteToDesk, hasServers, keepAnnouncing, publishRoutes, sendRequestTo, sendSteadily, startFleetFixture, startTestServer, submitCommand, waitUntil } from './support/fleetFixture.js'
 import type { FleetFixture, TestResponse, TestServer } from './support/fleetFixture.js'
 
 const controlCount = 3
 const windowMs = 5000
 const overage = 0.1
 const slack = 20
-const announceMs = 1000
 const ampleSlots = 300
 
 interface RatesFixture extends AsyncDisposable {
@@ -28,26 +27,18 @@
   await publishRoutes(fixture, [server], [createRouteToDesk('read')])
   assert.ok((await submitCommand(fixture, createTeamsUpdate(1, teams))).ok)
   for (const daemon of fixture.daemons.slice(controlCount)) await waitUntil(() => hasServers(daemon as FleetDaemon, 1) && daemon?.gateway?.teams.isRequired === true)
-  // A server that is not announced again counts as lost after some seconds.
-  const announcing = setInterval(() => announce(fixture, server), announceMs)
+  const announcing = keepAnnouncing(fixture, [server])
   return {
     fixture,
     server,
     [Symbol.asyncDispose]: async () => {
-      clearInterval(announcing)
+      announcing[Symbol.dispose]()
       await fixture[Symbol.asyncDispose]()
       await server[Symbol.asyncDispose]()
     }
   }
 }
 
-function announce (fixture: FleetFixture, { facts }: TestServer): void {
-  for (const daemon of fixture.daemons) {
-    // A control VM that is stopping or has no leader does not answer; the others do.
-    if (daemon?.control !== undefined) handleAnnouncement(daemon.control, facts, getCurrentTime()).catch(() => undefined)
-  }
-}
-
 async function sendAs (fixture: FleetFixture, entry: number, key: string): Promise<TestResponse> {
   return await sendRequestTo(fixture.settings[controlCount + entry]?.callers ?? '', '/read/1', 'GET', { authorization: `Bearer ${key}` })
 }
@@ -55,14 +46,7 @@
 /** Sends requests through all entry VMs at a rate for some time; returns all responses. */
 async function sendForMs (fixture: FleetFixture, key: string, perSecond: number, durationMs: number): Promise<TestResponse[]> {
   const entryCount = fixture.settings.length - controlCount
-  const responses: Array<Promise<TestResponse>> = []
-  const startedAt = getCurrentTime()
-  while (getCurrentTime() - startedAt < durationMs) {
-    const due = (getCurrentTime() - startedAt) / 1000 * perSecond
-    while (responses.length < due) responses.push(sendAs(fixture, responses.length % entryCount, key))
-    await delay(5)
-  }
-  return await Promise.all(responses)
+  return await sendSteadily(async index => await sendAs(fixture, index % entryCount, key), perSecond, durationMs)
 }
 
 function countStatus (responses: readonly TestResponse[], status: number): number {
