Record, log and count what servers say about pauses and leaving; no decision reads it

With the lines of a send alone it could not be told whether a refusal asked for rest, nor whether a pause was not read, not asked or lost. What an answer says is now parsed in one place and read when its head comes, so that an answer that is cut off counts too. Limits are read there as well; their decisions are unchanged.

--- a/packages/daemon/__tests__/serverLimits.test.ts
+++ b/packages/daemon/__tests__/serverLimits.test.ts
@@ -4,7 +4,8 @@
 import { delay, getCurrentTime } from '@lynxcourse/daemon'
 import type { FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
 import { hasServers, startVm, waitUntil } from './support/fleetFixture.js'
-import { computeWindowBound, controlCount, countArrivals, countBusiestWindow, sendForMs, sendTo, startLimitedFleet } from './support/limitedServers.js'
+import { computeWindowBound, countBusiestWindow, startLimitedFleet } from './support/limitedServers.js'
+import { controlCount, countArrivals, sendForMs, sendTo } from './support/servingFleet.js'
 
 /** Guards against a server that gets its usual load although it names a limit. */
 test('a server that names a limit gets no more from all VMs together, and other servers take the rest', async () => {
@@ -31,7 +32,7 @@
   await fixture.daemons[restarted]?.[Symbol.asyncDispose]()
   fixture.daemons[restarted] = await startVm(fixture.settings[restarted] as FleetSettings)
   await waitUntil(() => hasServers(fixture.daemons[restarted] as FleetDaemon, 2))
-  assert.equal(fixture.daemons[restarted]?.gateway?.fleet.byId.get(limited.test.facts.id)?.limit.perSecond, 4.5)
+  assert.equal(fixture.daemons[restarted]?.gateway?.fleet.byId.get(limited.test.facts.id)?.notice.limit.perSecond, 4.5)
   for (const index of [0, 1, 2]) {
     await fixture.daemons[index]?.[Symbol.asyncDispose]()
     fixture.daemons[index] = undefined
@@ -71,7 +72,7 @@
   await sendForMs(fixture, [0], 60, 5000)
   assert.ok(countArrivals(limited, fallenAt + 1000) <= computeWindowBound(1.5), `${countArrivals(limited, fallenAt + 1000)} requests in 4 s`)
   limited.named = undefined
-  const hasEnded = (): boolean => fixture.daemons.every(daemon => daemon?.gateway?.fleet.byId.get(limited.test.facts.id)?.limit.perSecond === undefined)
+  const hasEnded = (): boolean => fixture.daemons.every(daemon => daemon?.gateway?.fleet.byId.get(limited.test.facts.id)?.notice.limit.perSecond === undefined)
   await waitUntil(async () => {
     await sendForMs(fixture, [0], 60, 200)
     return hasEnded()
@@ -90,7 +91,7 @@
     server.named = named
     assert.equal((await sendTo(fixture, 0)).status, 200, named)
   }
-  const limit = (): number | undefined => fixture.daemons.at(-1)?.gateway?.fleet.byId.get(server.test.facts.id)?.limit.perSecond
+  const limit = (): number | undefined => fixture.daemons.at(-1)?.gateway?.fleet.byId.get(server.test.facts.id)?.notice.limit.perSecond
   assert.equal(limit(), undefined)
   server.named = ['7', '3']
   await sendTo(fixture, 0)
--- a/packages/daemon/src/core/entry/attempts.ts
+++ b/packages/daemon/src/core/entry/attempts.ts
@@ -13,7 +13,7 @@
 import { closeConnection, closeSilentConnection, isConnectError, recordConnectionProgress, releaseConnection, acquireConnection } from './connectionPool.js'
 import type { Connection } from './connectionPool.js'
 import type { EntryState } from './entry.js'
-import { observeLimit } from './serviceLimits.js'
+import { observeStatements } from './serviceNotices.js'
 import type { ServiceRequest } from './serviceRequest.js'
 import type { Slot } from './serviceQueue.js'
 
@@ -49,7 +49,7 @@
     recordConnectionProgress(entry.pool, connection, getCurrentTime())
     const load = Number(res.headers[loadHeader])
     if (res.headers[loadHeader] !== undefined) recordReportedLoad(slot.observed, load, getCurrentTime())
-    observeLimit(entry, request, slot.observed, res.headers)
+    observeStatements(entry, request, slot.observed, res.statusCode, res.headers)
     if (isShed(res)) {
       await res.body.dump()
       watch.stop()
--- a/packages/daemon/src/core/gateway/dialects.ts
+++ b/packages/daemon/src/core/gateway/dialects.ts
@@ -4,11 +4,11 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Millis, ServerId, TeamName } from '@lynxcourse/base'
-import { parseNamedLimit } from '@lynxcourse/limits'
-import type { NamedLimit } from '@lynxcourse/limits'
+import { parseStatements } from '@lynxcourse/limits'
+import type { ServerStatements } from '@lynxcourse/limits'
 import { maxKeyLength } from '@lynxcourse/state'
 import { getCallerIdentity } from '../crashes/requestFingerprint.js'
-import { deadlineHeader, loadHeader, notStartedHeader, requestIdHeader, serverLimitHeader, teamHeader } from '../../types/answers.js'
+import { deadlineHeader, leavingHeader, loadHeader, notStartedHeader, requestIdHeader, serverLimitHeader, teamHeader } from '../../types/answers.js'
 import type { HeaderMap } from '../../types/answers.js'
 
 /** Information from the headers of a caller's request. */
@@ -77,8 +77,8 @@
   /** Returns the number of requests running and waiting at the server; undefined if the server did not report it. */
   abstract parseQueueDepth (headers: HeaderMap): number | undefined
 
-  /** Returns the limit that the server names for the requests of all VMs together. */
-  abstract parseLimit (headers: HeaderMap): NamedLimit
+  /** Returns what an answer says about its server, apart from its load. */
+  abstract parseStatements (status: number, headers: HeaderMap): ServerStatements
 
   /** Checks by an answer's head whether it belongs to the request, and whether the request ran. */
   abstract classifyAnswer (call: CallFacts, status: number, headers: HeaderMap): AnswerKind
@@ -114,8 +114,8 @@
     return headers[loadHeader] !== undefined && Number.isFinite(queueDepth) && queueDepth >= 0 ? queueDepth : undefined
   }
 
-  override parseLimit (headers: HeaderMap): NamedLimit {
-    return parseNamedLimit(headers[serverLimitHeader])
+  override parseStatements (status: number, headers: HeaderMap): ServerStatements {
+    return parseStatements(status, { limit: headers[serverLimitHeader], leaving: headers[leavingHeader], retryAfter: headers['retry-after'], date: headers.date })
   }
 
   override classifyAnswer (call: CallFacts, status: number, headers: HeaderMap): AnswerKind {
--- a/packages/daemon/src/core/gateway/exchange.ts
+++ b/packages/daemon/src/core/gateway/exchange.ts
@@ -12,10 +12,14 @@
 const maxAnswerBytes = 16_777_216
 const firstFinalStatus = 200
 
-/** A server's whole answer. */
-export interface ReceivedAnswer {
+/** The head of a server's final answer. */
+export interface AnswerHead {
   readonly status: number
   readonly headers: HeaderMap
+}
+
+/** A server's whole answer. */
+export interface ReceivedAnswer extends AnswerHead {
   /** Undefined if the body exceeds the size limit. */
   readonly body: Buffer | undefined
 }
@@ -35,9 +39,9 @@
  *
  * @param writeDeadline the request is not written if the connection opens after this time, since the VM was suspended
  * meanwhile and the choice of the server may be outdated
- * @param onProgress called when the head of the final answer is received
+ * @param onHead called when the head of the final answer is received
  */
-export function startExchange (client: Client, options: Dispatcher.DispatchOptions, writeDeadline: Millis, onProgress: () => void): Exchange {
+export function startExchange (client: Client, options: Dispatcher.DispatchOptions, writeDeadline: Millis, onHead: (head: AnswerHead) => void): Exchange {
   let controller: Dispatcher.DispatchController | undefined
   let isAborted = false
   let rejectAnswer: (err: Error) => void = () => undefined
@@ -50,7 +54,7 @@
         if (isAborted || now > writeDeadline) requestController.abort(createCancelledError())
         else exchange.startedAt = now
       },
-      ...createAnswerCollector(resolve, onProgress),
+      ...createAnswerCollector(resolve, onHead),
       onResponseError: (_controller, err) => reject(err)
     })
   })
@@ -72,15 +76,15 @@
 
 type AnswerCollector = Pick<Dispatcher.DispatchHandler, 'onResponseStart' | 'onResponseData' | 'onResponseEnd'>
 
-function createAnswerCollector (resolve: (received: ReceivedAnswer) => void, onProgress: () => void): AnswerCollector {
+function createAnswerCollector (resolve: (received: ReceivedAnswer) => void, onHead: (head: AnswerHead) => void): AnswerCollector {
   const chunks: Buffer[] = []
-  let head: Omit<ReceivedAnswer, 'body'> | undefined
+  let head: AnswerHead | undefined
   let size = 0
   return {
     onResponseStart: (_controller, status, headers) => {
       if (status < firstFinalStatus) return
       head = { status, headers: headers as HeaderMap }
-      onProgress()
+      onHead(head)
     },
     onResponseData: (_controller, chunk) => {
       size += chunk.length
--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -8,7 +8,7 @@
 import { refreshRestrictions } from '../crashes/crashWatch.js'
 import type { FleetNode } from '../fleet/fleetNode.js'
 import type { Gateway } from './gateway.js'
-import { logPublishedLimits } from './serverLimits.js'
+import { logPublishedLimits } from './serverNotices.js'
 import { pruneTeamPermits } from './teamPermits.js'
 
 /** Warm-up time for a server that may have become cold while its failure domain received no requests. */
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -1,5 +1,7 @@
 /** Log lines for the decisions on one request. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
+import { isPaused } from '@lynxcourse/limits'
+import type { ServerNotice } from '@lynxcourse/limits'
 import { estimateQueueDepth, getConcurrency, getLimitShare, isServerError } from '@lynxcourse/placement'
 import type { Placement, Refusal } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
@@ -27,7 +29,7 @@
   const reportAgeMs = now - reportedAt
   const outcome = result.type === 'answered' ? String(result.status) : result.reason
   gateway.node.metrics.attempts.inc({ end: outcome })
-  if (placement.server.limit.perSecond !== undefined) gateway.node.metrics.limitedSends.inc()
+  if (placement.server.notice.limit.perSecond !== undefined) gateway.node.metrics.limitedSends.inc()
   const level = result.type === 'answered' && !isServerError(result.status) ? 'info' : 'warn'
   log(gateway.node.logs, 'route', level, 'Sent.', {
     id: call.facts.id,
@@ -46,6 +48,7 @@
     waitMs: Math.round(placement.waitMs),
     reportAgeMs: Number.isFinite(reportAgeMs) ? Math.round(reportAgeMs) : undefined,
     ...getLimitFields(gateway, placement),
+    ...getNoticeFields(placement, startedAt, now),
     ...getStateFields(gateway),
     leftMs: Math.round(call.deadline - now),
     outcome,
@@ -59,10 +62,19 @@
 
 /** Returns the limit that the server names, and this VM's fraction of it. */
 function getLimitFields ({ fleet }: Gateway, { server }: Placement): LogFields {
-  const { perSecond } = server.limit
+  const { perSecond } = server.notice.limit
   return perSecond === undefined ? {} : { serverLimit: perSecond, limitShare: getLimitShare(fleet, server) }
 }
 
+/** Returns how long the server wanted no requests, counted from the start and from the end of the send, and whether it leaves. */
+function getNoticeFields ({ server: { notice } }: Placement, startedAt: Millis, now: Millis): LogFields {
+  return { pausedMs: getPauseMs(notice, startedAt), pausedNowMs: getPauseMs(notice, now), leaving: notice.isLeaving ? true : undefined }
+}
+
+function getPauseMs (notice: ServerNotice, now: Millis): Millis | undefined {
+  return isPaused(notice, now) ? Math.round(notice.pausedUntil - now) : undefined
+}
+
 /**
  * Returns the read delay of the caller's close, which shows whether the close may have arrived before the request was
  * sent.
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -15,7 +15,7 @@
 import { startExchange } from './exchange.js'
 import type { Exchange, ReceivedAnswer } from './exchange.js'
 import type { Gateway } from './gateway.js'
-import { observeLimit } from './serverLimits.js'
+import { observeStatements } from './serverNotices.js'
 
 /** The outcome of a send, with the answer or the details of the failure. */
 export type SendResult =
@@ -72,9 +72,10 @@
   const remainingMs = Math.max(1, Math.floor(call.deadline - now))
   const headers = { ...call.headers, ...gateway.servers.buildRequestHeaders(call.facts, facts.id, remainingMs, call.caller?.name) }
   const options: Dispatcher.DispatchOptions = { method: call.method as Dispatcher.HttpMethod, path: call.path, headers, body: call.body }
-  const exchange = startExchange(connection.client, options, now + gateway.pool.connectTimeoutMs + lateConnectionMs, () => {
+  const exchange = startExchange(connection.client, options, now + gateway.pool.connectTimeoutMs + lateConnectionMs, head => {
     recordIteration(gateway.loop)
     recordConnectionProgress(gateway.pool, connection, getCurrentTime())
+    observeStatements(gateway, call, placement.server, head)
   })
   const result = await awaitResult(gateway, call, placement, { connection, exchange, startedAt: now, timeouts })
   return { result, writtenAt: exchange.startedAt, restedMs }
@@ -124,7 +125,6 @@
   // Another server sent this answer, so it doesn't show that the intended server is alive.
   if (kind === 'elsewhere') return { type: 'notRun', reason: 'elsewhere', status }
   recordReply(gateway, placement.server, gateway.servers.parseQueueDepth(rawHeaders), getCurrentTime())
-  observeLimit(gateway, call, placement.server, gateway.servers.parseLimit(rawHeaders), getCurrentTime())
   if (kind === 'notRun') return { type: 'notRun', reason: 'full', status }
   return { type: 'answered', status, headers: removeHopByHopHeaders(rawHeaders), body, connectMs }
 }
--- a/packages/daemon/src/types/answers.ts
+++ b/packages/daemon/src/types/answers.ts
@@ -11,6 +11,8 @@
 export const loadHeader = 'lynx-load'
 /** Requests per second that a backend server takes from all VMs together. */
 export const serverLimitHeader = 'lynx-server-limit'
+/** `1` if a backend server is leaving. */
+export const leavingHeader = 'lynx-server-leaving'
 export const notStartedHeader = 'lynx-not-started'
 /** Name of the caller's team; set for servers if callers need keys. */
 export const teamHeader = 'lynx-team'
--- a/packages/placement/__tests__/limitSharing.test.ts
+++ b/packages/placement/__tests__/limitSharing.test.ts
@@ -3,8 +3,8 @@
 import { test } from 'node:test'
 import { brandId } from '@lynxcourse/base'
 import type { RegionId, ServerId } from '@lynxcourse/base'
-import { computeMaxSharers, limitTtlMs } from '@lynxcourse/limits'
-import { addLoadReport, applyDigest, applyLoadUpdate, createLoadAggregate, createLoadBoard, createLoadObservations, flushDigest, flushLoadReport, listLimitDemand, omitKnownWeights, recordServerDemand, recordAnswerLimit, selectOwnShares, storeLoadUpdate, updateBoard } from '@lynxcourse/placement'
+import { computeMaxSharers, limitTtlMs, noStatements } from '@lynxcourse/limits'
+import { addLoadReport, applyDigest, applyLoadUpdate, createLoadAggregate, createLoadBoard, createLoadObservations, flushDigest, flushLoadReport, listLimitDemand, omitKnownWeights, recordServerDemand, recordAnswerStatements, selectOwnShares, storeLoadUpdate, updateBoard } from '@lynxcourse/placement'
 import type { EntryState, KnownServers, LimitUpdate, LoadBoard, ServiceSlots, SharingVm } from '@lynxcourse/placement'
 import { createTestFleet, desk, kochi, mumbai, server } from './support/fleet.js'
 
@@ -112,14 +112,14 @@
     applyLoadUpdate(second, board.news, kochi, now)
   }
   const getServer = ({ fleet }: EntryState): ReturnType<typeof server> => fleet.byId.get(limited) as ReturnType<typeof server>
-  recordAnswerLimit(first, getServer(first), { type: 'limited', perSecond: 5 }, 500)
+  recordAnswerStatements(first, getServer(first), { ...noStatements, limit: { type: 'limited', perSecond: 5 } }, 500)
   recordServerDemand(getServer(first), 500)
   assert.ok((listLimitDemand(first.fleet, 500)[0]?.[1] ?? 0) > 0, 'the demand for the server is reported')
   exchange(1000)
-  assert.equal(getServer(second).limit.perSecond, 5)
-  recordAnswerLimit(first, getServer(first), { type: 'none' }, 5500)
+  assert.equal(getServer(second).notice.limit.perSecond, 5)
+  recordAnswerStatements(first, getServer(first), noStatements, 5500)
   exchange(6000)
-  assert.equal(getServer(second).limit.perSecond, undefined)
+  assert.equal(getServer(second).notice.limit.perSecond, undefined)
   assert.equal(flushLoadReport(first.load, 7000)?.limits, undefined, 'nothing is reported once there is no limit')
 })
 
--- a/packages/placement/__tests__/limitedServers.test.ts
+++ b/packages/placement/__tests__/limitedServers.test.ts
@@ -14,9 +14,9 @@
 
 /** Lets a server name a limit, and uses up the tokens that are there at once. */
 function limit (target: FleetServer, perSecond: number, now = start): FleetServer {
-  recordNamedLimit(target.limit, { type: 'limited', perSecond }, now)
-  hasLimitToken(target.limit, 1, now)
-  target.limit.tokens = 0
+  recordNamedLimit(target.notice.limit, { type: 'limited', perSecond }, now)
+  hasLimitToken(target.notice.limit, 1, now)
+  target.notice.limit.tokens = 0
   return target
 }
 
@@ -104,7 +104,7 @@
   const target = limit(server('s1'), 5)
   const fleet = createTestFleet(target, server('s2'))
   const limitedShare = computeSlotShare(fleet, desk)
-  recordNamedLimit(target.limit, { type: 'none' }, start)
+  recordNamedLimit(target.notice.limit, { type: 'none' }, start)
   assert.ok(limitedShare < computeSlotShare(fleet, desk), `${limitedShare}`)
 })
 
@@ -112,6 +112,6 @@
   const target = limit(server('s1'), 0)
   const fleet = createTestFleet(target)
   assert.equal(placeRequest(fleet, request(), start).type, 'refuse')
-  recordNamedLimit(target.limit, { type: 'none' }, start)
+  recordNamedLimit(target.notice.limit, { type: 'none' }, start)
   assert.equal(placeRequest(fleet, request(), start).type, 'send')
 })
--- a/packages/placement/src/core/request/entryState.ts
+++ b/packages/placement/src/core/request/entryState.ts
@@ -75,7 +75,7 @@
     const server = byId.get(id)
     if (server === undefined) continue
     const share = shares.find(([vm]) => vm === setup.self)?.[1] ?? 0
-    const change = applyPublishedLimit(server.limit, perSecond ?? undefined, share, now)
+    const change = applyPublishedLimit(server.notice.limit, perSecond ?? undefined, share, now)
     if (change !== undefined) changes.push({ server: id, change })
   }
   return changes
--- a/packages/placement/src/core/request/learning.ts
+++ b/packages/placement/src/core/request/learning.ts
@@ -1,7 +1,7 @@
 /** Updates an entry VM's estimates of servers, work times and load from the outcomes of sends. */
 import type { Millis } from '@lynxcourse/base'
-import { recordNamedLimit } from '@lynxcourse/limits'
-import type { LimitChange, NamedLimit } from '@lynxcourse/limits'
+import { recordStatements } from '@lynxcourse/limits'
+import type { NoticeChange, ServerStatements } from '@lynxcourse/limits'
 import { isServerError } from '../../types/sendOutcome.js'
 import type { LostReason, SendOutcome } from '../../types/sendOutcome.js'
 import { adaptConcurrencyLimit } from '../admission/concurrencyLimit.js'
@@ -27,12 +27,13 @@
   recordQueueDepth(load, server.facts.id, queueDepth)
 }
 
-/** Records the limit that a server's answer names; returns the change, if there is one. */
-export function recordAnswerLimit ({ load }: EntryState, { facts, limit }: FleetServer, named: NamedLimit, now: Millis): LimitChange | undefined {
-  const change = recordNamedLimit(limit, named, now)
-  if (limit.perSecond !== undefined) recordLimit(load, facts.id, limit.perSecond)
-  else if (change?.type === 'ended') recordLimit(load, facts.id, null)
-  return change
+/** Records what a server's answer says about the server; returns what changed. */
+export function recordAnswerStatements ({ load }: EntryState, { facts, notice }: FleetServer, statements: ServerStatements, now: Millis): NoticeChange[] {
+  const changes = recordStatements(notice, statements, now)
+  const { perSecond } = notice.limit
+  if (perSecond !== undefined) recordLimit(load, facts.id, perSecond)
+  else if (changes.some(change => change.type === 'limit')) recordLimit(load, facts.id, null)
+  return changes
 }
 
 /** Smoothing factor of the mean slot time. */
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -145,7 +145,7 @@
   state.sends += 1
   state.tried.add(server.facts.id)
   if (isCold(server, now)) consumeColdToken(server)
-  consumeLimitToken(server.limit)
+  consumeLimitToken(server.notice.limit)
   recordServerDemand(placement.wanted, now)
   const expectedMs = roundTripMs + waitMs + workMs
   const running = recordRequestStart(server, expectedMs, maxExpectedMs, now)
--- a/packages/placement/src/core/server/fleetServer.ts
+++ b/packages/placement/src/core/server/fleetServer.ts
@@ -1,8 +1,8 @@
 /** The state of one backend server as one entry VM sees it: queue depth, slowdown, health, and request tokens while it is cold. */
 import { hashText } from '@lynxcourse/base'
 import type { FailureDomainId, Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { createServerLimit } from '@lynxcourse/limits'
-import type { ServerLimit } from '@lynxcourse/limits'
+import { createServerNotice } from '@lynxcourse/limits'
+import type { ServerNotice } from '@lynxcourse/limits'
 
 /** A server's record in the directory. */
 export interface ServerFacts {
@@ -60,8 +60,8 @@
   /** Token bucket of the requests that this VM may send while the server is cold. */
   coldTokens: number
   coldTokensAt: Millis
-  /** The limit that the server names for the requests of all VMs together. */
-  readonly limit: ServerLimit
+  /** What the server has said about itself. */
+  readonly notice: ServerNotice
   /** Smoothed number of this VM's requests per second for the server, including those that its limit sends elsewhere. */
   demandPerSecond: number
   demandUpdatedAt: Millis
@@ -119,7 +119,7 @@
     coldUntil,
     coldTokens: 1,
     coldTokensAt: -Infinity,
-    limit: createServerLimit(),
+    notice: createServerNotice(),
     demandPerSecond: 0,
     demandUpdatedAt: -Infinity
   }
--- a/packages/placement/src/core/server/limitedServers.ts
+++ b/packages/placement/src/core/server/limitedServers.ts
@@ -43,7 +43,7 @@
   return { servers: permitted, wanted }
 }
 
-function isLimited ({ limit }: FleetServer): boolean {
+function isLimited ({ notice: { limit } }: FleetServer): boolean {
   return limit.perSecond !== undefined
 }
 
@@ -70,22 +70,22 @@
 /** Whether the limit of a server, if it names one, permits a request of this VM now. */
 function permitsRequest (fleet: Fleet, server: FleetServer, now: Millis): boolean {
   if (!isLimited(server)) return true
-  expireLimit(server.limit, now)
-  return hasLimitToken(server.limit, getLimitShare(fleet, server), now)
+  expireLimit(server.notice.limit, now)
+  return hasLimitToken(server.notice.limit, getLimitShare(fleet, server), now)
 }
 
 /** Returns the fraction of a server's limit that this VM may use. */
-export function getLimitShare ({ setup, vms }: Fleet, { facts, limit }: FleetServer): number {
+export function getLimitShare ({ setup, vms }: Fleet, { facts, notice: { limit } }: FleetServer): number {
   if (limit.perSecond === undefined) return 1
   return limit.share ?? computeEqualShare(limit.perSecond, setup.self, rankByHash(facts.id, vms))
 }
 
 /** Returns the time until the limit of one of these servers permits a request of this VM; Infinity if none will. */
 export function estimateLimitDelay (fleet: Fleet, servers: readonly FleetServer[], now: Millis): Millis {
-  return Math.min(...servers.map(server => getTokenDelay(server.limit, getLimitShare(fleet, server), now)))
+  return Math.min(...servers.map(server => getTokenDelay(server.notice.limit, getLimitShare(fleet, server), now)))
 }
 
 /** Returns the number of slots that requests can occupy at a server under its limit. */
-export function countUsableSlots ({ facts: { slots }, limit: { perSecond } }: FleetServer, meanSlotMs: Millis | undefined): number {
+export function countUsableSlots ({ facts: { slots }, notice: { limit: { perSecond } } }: FleetServer, meanSlotMs: Millis | undefined): number {
   return perSecond === undefined || meanSlotMs === undefined ? slots : Math.min(slots, perSecond * meanSlotMs / 1000)
 }
--- a/packages/replay/src/core/vmModel.ts
+++ b/packages/replay/src/core/vmModel.ts
@@ -2,8 +2,9 @@
 import { LynxError } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { scheduleAfter } from '@lynxcourse/base/timeline'
-import { beginSend, createCallerLiveness, endSend, mayFailOver, decideNextStep, recordAnswerLimit, recordPoll, recordReply, updateWaitingCount, startRequest, applyLoadUpdate } from '@lynxcourse/placement'
-import type { NamedLimit } from '@lynxcourse/limits'
+import { beginSend, createCallerLiveness, endSend, mayFailOver, decideNextStep, recordAnswerStatements, recordPoll, recordReply, updateWaitingCount, startRequest, applyLoadUpdate } from '@lynxcourse/placement'
+import { noStatements } from '@lynxcourse/limits'
+import type { ServerStatements } from '@lynxcourse/limits'
 import type { EntryState, DecisionConditions, Placement, RequestState, SendOutcome, InFlightSend } from '@lynxcourse/placement'
 import { submitJob, cancelJob } from './backendModel.js'
 import type { Backend, BackendResult, Job } from './backendModel.js'
@@ -107,7 +108,7 @@
     if (isFinished) return
     if (result.type !== 'lost') {
       recordReply(entry, placement.server, result.ahead, timeline.now)
-      recordAnswerLimit(entry, placement.server, toNamedLimit(result.limit), timeline.now)
+      recordAnswerStatements(entry, placement.server, toStatements(result), timeline.now)
       returnIdleConnection(vm, backend, timeline.now)
     }
     recordSend(world, result, job, cause)
@@ -144,8 +145,8 @@
   return (random() + random() + random() - 1.5) * 2
 }
 
-function toNamedLimit (perSecond: number | undefined): NamedLimit {
-  return perSecond === undefined ? { type: 'none' } : { type: 'limited', perSecond }
+function toStatements ({ limit }: Exclude<BackendResult, { type: 'lost' }>): ServerStatements {
+  return limit === undefined ? noStatements : { ...noStatements, limit: { type: 'limited', perSecond: limit } }
 }
 
 function toSendOutcome (result: BackendResult, connectMs: Millis): SendOutcome {
--- a/packages/routing/__tests__/serverLimits.test.ts
+++ b/packages/routing/__tests__/serverLimits.test.ts
@@ -27,9 +27,9 @@
 
 function limit (router: Router, id: string, perSecond: number): ObservedServer {
   const observed = router.backends.byId.get(brandId<ServerId>(id)) as ObservedServer
-  recordNamedLimit(observed.limit, { type: 'limited', perSecond }, settledMs)
-  hasLimitToken(observed.limit, 1, settledMs)
-  observed.limit.tokens = 0
+  recordNamedLimit(observed.notice.limit, { type: 'limited', perSecond }, settledMs)
+  hasLimitToken(observed.notice.limit, 1, settledMs)
+  observed.notice.limit.tokens = 0
   return observed
 }
 
--- a/packages/routing/src/core/backends.ts
+++ b/packages/routing/src/core/backends.ts
@@ -4,8 +4,8 @@
  */
 import { hasTransition, nextState } from '@lynxcourse/base'
 import type { Chart, Millis, ServerId, ServiceId } from '@lynxcourse/base'
-import { createServerLimit } from '@lynxcourse/limits'
-import type { ServerLimit } from '@lynxcourse/limits'
+import { createServerNotice } from '@lynxcourse/limits'
+import type { ServerNotice } from '@lynxcourse/limits'
 import type { Backend } from '../types/view.js'
 
 /** Time constants and thresholds of observation. */
@@ -52,8 +52,8 @@
   /** Requests in flight from all VMs, as last reported by the server. */
   reportedLoad: number
   reportedAt: Millis
-  /** The limit that the server names for the requests of all VMs together. */
-  readonly limit: ServerLimit
+  /** What the server has said about itself. */
+  readonly notice: ServerNotice
 }
 
 export interface Backends {
@@ -110,7 +110,7 @@
     freshSince: now,
     reportedLoad: 0,
     reportedAt: -Infinity,
-    limit: createServerLimit()
+    notice: createServerNotice()
   }
 }
 
--- a/packages/routing/src/core/router.ts
+++ b/packages/routing/src/core/router.ts
@@ -105,13 +105,13 @@
 
 /** Whether the limit of a server, if it names one, permits a request of this VM now. */
 function permitsRequest (router: Router, observed: ObservedServer, now: Millis): boolean {
-  if (observed.limit.perSecond === undefined) return true
-  expireLimit(observed.limit, now)
-  return hasLimitToken(observed.limit, getLimitShare(router, observed), now)
+  if (observed.notice.limit.perSecond === undefined) return true
+  expireLimit(observed.notice.limit, now)
+  return hasLimitToken(observed.notice.limit, getLimitShare(router, observed), now)
 }
 
 /** Returns the fraction of a server's limit that this VM may use. The VMs of the server's region come first. */
-function getLimitShare ({ peers, setup }: Router, { backend, limit }: ObservedServer): number {
+function getLimitShare ({ peers, setup }: Router, { backend, notice: { limit } }: ObservedServer): number {
   if (limit.perSecond === undefined) return 1
   const local = peers.get(backend.region) ?? []
   const remote = [...peers].filter(([region]) => region !== backend.region).flatMap(([, vms]) => vms)
@@ -123,7 +123,7 @@
 export function estimateLimitDelay (router: Router, request: RouteRequest, now: Millis): Millis {
   const servers = request.places.flatMap(place => listServing(router, request, place.region, now))
   if (servers.length === 0) return 0
-  return Math.min(...servers.map(observed => getTokenDelay(observed.limit, getLimitShare(router, observed), now)))
+  return Math.min(...servers.map(observed => getTokenDelay(observed.notice.limit, getLimitShare(router, observed), now)))
 }
 
 function countUsableSlots (router: Router, observed: ObservedServer, ctx: PolicyContext): number {
@@ -155,7 +155,7 @@
 /** Counts an attempt as in flight, and uses a token of the server's limit. Each call needs a matching call of `endAttempt` when the attempt ends. */
 export function beginAttempt (observed: ObservedServer): void {
   recordAttemptStart(observed)
-  consumeLimitToken(observed.limit)
+  consumeLimitToken(observed.notice.limit)
 }
 
 /** Records the end and the outcome of an attempt. */
