--- /dev/null
+++ b/packages/daemon/__tests__/serviceResting.test.ts
@@ -0,0 +1,69 @@
+/** Servers of a service that turn this VM away for a time, or say that they leave. */
+import assert from 'node:assert/strict'
+import { test } from 'node:test'
+import { delay, getCurrentTime } from '@lynxcourse/daemon'
+import { request } from 'undici'
+import { startDaemonFixture, startTestBackend, waitForEvent } from './support/daemonFixture.js'
+import type { DaemonFixture, TestBackend } from './support/daemonFixture.js'
+import { maxStrayRequests } from './support/restingServers.js'
+
+const sendIntervalMs = 20
+const learningMs = 500
+
+async function send ({ http }: DaemonFixture): Promise<number> {
+  const res = await request(`${http}/s/offers/read`)
+  await res.body.dump()
+  return res.statusCode
+}
+
+/** Sends requests at a steady rate for some time; returns their statuses. */
+async function sendForMs (fixture: DaemonFixture, forMs: number): Promise<number[]> {
+  const statuses: Array<Promise<number>> = []
+  const endsAt = getCurrentTime() + forMs
+  while (getCurrentTime() < endsAt) {
+    statuses.push(send(fixture))
+    await delay(sendIntervalMs)
+  }
+  return await Promise.all(statuses)
+}
+
+/** Records the requests that a server gets, polls of its load included, and sets the headers of its answers. */
+function record (backend: TestBackend, headers: Record<string, string>, status = 200): number[] {
+  const arrivals: number[] = []
+  backend.handler = (_req, res) => {
+    arrivals.push(getCurrentTime())
+    res.writeHead(status, headers).end('ok')
+  }
+  return arrivals
+}
+
+/** Guards against a server that gets its usual load by service, or polls, although it asked the VM for rest. */
+test('a server of a service that turns the VM away with Retry-After gets nothing for so long', async () => {
+  await using fixture = await startDaemonFixture()
+  await using resting = await startTestBackend(fixture)
+  await using other = await startTestBackend(fixture)
+  await waitForEvent('requests are served', async () => await send(fixture) === 200)
+  const arrivals = record(resting, { 'lynx-not-started': 'true', 'retry-after': '4' }, 503)
+  record(other, {})
+  const statuses = await sendForMs(fixture, 3500)
+  const [firstAt] = arrivals
+  assert.ok(firstAt !== undefined)
+  const strays = arrivals.filter(at => at > firstAt + learningMs).length
+  assert.ok(strays <= maxStrayRequests, `${strays} requests`)
+  assert.ok(statuses.every(status => status === 200), 'the other server has room for all')
+})
+
+/** Guards against a server that gets requests by service until it is gone, because only its announcements can close it. */
+test('a server of a service whose answers say that it leaves gets no more requests', async () => {
+  await using fixture = await startDaemonFixture()
+  await using leaving = await startTestBackend(fixture)
+  await using other = await startTestBackend(fixture)
+  await waitForEvent('requests are served', async () => await send(fixture) === 200)
+  const arrivals = record(leaving, { 'lynx-server-leaving': '1' })
+  record(other, {})
+  const statuses = await sendForMs(fixture, 2500)
+  const [firstAt] = arrivals
+  assert.ok(firstAt !== undefined)
+  assert.equal(arrivals.filter(at => at > firstAt + learningMs).length, 0)
+  assert.ok(statuses.every(status => status === 200))
+})
