--- a/packages/cli/src/core/commands/views.ts
+++ b/packages/cli/src/core/commands/views.ts
@@ -38,7 +38,7 @@
   }))
   const server = program.command('server').description('backend servers')
   server.command('list').description('list backend servers as observed by the VM that answers').action(createAction(async session => {
-    printRows(session.output, await callAnyVm<Row[]>(session, 'query.servers'), ['key', 'service', 'state', 'seenAs', 'region', 'failureDomain', 'address', 'slots', 'inFlight', 'latencyMs'])
+    printRows(session.output, await callAnyVm<Row[]>(session, 'query.servers'), ['key', 'service', 'state', 'seenAs', 'region', 'failureDomain', 'address', 'slots', 'inFlight', 'latencyMs', 'takesPerSecond', 'pausedMs', 'saysLeaving'])
     return exitCodes.ok
   }))
   const limit = program.command('limit').description('grants of limits on requests in flight')
--- a/packages/daemon/__tests__/exchange.test.ts
+++ b/packages/daemon/__tests__/exchange.test.ts
@@ -48,10 +48,10 @@
  */
 test('an exchange that is aborted while its connection opens is never written', async () => {
   await using fixture = await startSlowOpeningFixture()
-  const exchange = startExchange(fixture.client, options, Infinity, () => undefined)
+  const exchange = startExchange(fixture.client, options, () => true, () => undefined)
   exchange.abort()
   await assert.rejects(exchange.answer, err => isLynxError(err, 'cancelled'))
-  const nextExchange = startExchange(fixture.client, { ...options, path: '/next' }, Infinity, () => undefined)
+  const nextExchange = startExchange(fixture.client, { ...options, path: '/next' }, () => true, () => undefined)
   assert.equal((await nextExchange.answer).body?.toString(), 'done')
   assert.deepEqual([exchange.startedAt, fixture.paths], [undefined, ['/next']])
 })
@@ -59,7 +59,7 @@
 test('an exchange records when writing began, after its connection was open', async () => {
   await using fixture = await startSlowOpeningFixture()
   const dispatchedAt = getCurrentTime()
-  const exchange = startExchange(fixture.client, options, Infinity, () => undefined)
+  const exchange = startExchange(fixture.client, options, () => true, () => undefined)
   const { status, body } = await exchange.answer
   assert.deepEqual([status, body?.toString()], [200, 'done'])
   assert.ok((exchange.startedAt ?? 0) - dispatchedAt >= openingMs - 5)
@@ -71,9 +71,10 @@
  */
 test('a request whose connection opens after its write deadline is never written', async () => {
   await using fixture = await startSlowOpeningFixture()
-  const exchange = startExchange(fixture.client, options, getCurrentTime() + openingMs / 2, () => undefined)
+  const openedBy = getCurrentTime() + openingMs / 2
+  const exchange = startExchange(fixture.client, options, now => now <= openedBy, () => undefined)
   await assert.rejects(exchange.answer, err => isLynxError(err, 'cancelled'))
-  const nextExchange = startExchange(fixture.client, { ...options, path: '/next' }, Infinity, () => undefined)
+  const nextExchange = startExchange(fixture.client, { ...options, path: '/next' }, () => true, () => undefined)
   assert.equal((await nextExchange.answer).body?.toString(), 'done')
   assert.deepEqual([exchange.startedAt, fixture.paths], [undefined, ['/next']])
 })
--- a/packages/daemon/__tests__/lateConnection.test.ts
+++ b/packages/daemon/__tests__/lateConnection.test.ts
@@ -37,7 +37,7 @@
   await using pool = createConnectionPool({ staleMs: Infinity, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop.polls)
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   const { client } = acquireConnection(pool, address, false, getCurrentTime() - connectionAgeMs)
-  const exchange = startExchange(client, { method: 'GET', path: '/' }, Infinity, () => undefined)
+  const exchange = startExchange(client, { method: 'GET', path: '/' }, () => true, () => undefined)
   await assert.rejects(exchange.answer, { code: 'ECONNRESET', syscall: 'connect' })
   assert.equal(exchange.startedAt, undefined)
   assert.equal(opened, 1)
@@ -55,6 +55,6 @@
   await using loop = startLoopMonitor()
   await using pool = createConnectionPool({ staleMs: Infinity, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop.polls)
   const { client } = acquireConnection(pool, address, false, getCurrentTime() - connectionAgeMs)
-  const exchange = startExchange(client, { method: 'GET', path: '/' }, Infinity, () => undefined)
+  const exchange = startExchange(client, { method: 'GET', path: '/' }, () => true, () => undefined)
   await assert.rejects(exchange.answer, { code: 'ECONNREFUSED', syscall: 'connect' })
 })
--- a/packages/daemon/src/core/entry/attemptSteps.ts
+++ b/packages/daemon/src/core/entry/attemptSteps.ts
@@ -1,6 +1,7 @@
 /** Steps of all requests, idempotent or not: acquiring a slot, running an attempt, logging. */
 import { brandId, getErrorMessage, isFinal, nextState } from '@lynxcourse/base'
 import { findServer, isLeaseValid } from '@lynxcourse/membership'
+import { mayStillWrite } from '@lynxcourse/limits'
 import { isServerError, needsPoll, recordPoll } from '@lynxcourse/placement'
 import type { Millis, ServerId } from '@lynxcourse/base'
 import type { AttemptOutcome } from '@lynxcourse/routing'
@@ -43,9 +44,14 @@
 export async function acquireUsableSlot (serving: ServedRequest, triedServers: ReadonlySet<string>, latestSendTime: Millis): Promise<Slot | SlotFailure> {
   const { entry, request, places, signal } = serving
   const gate = createLimitGate(entry, request.service, request.profile, getCurrentTime)
-  const slot = await acquireSlot(entry, { service: request.service, places, triedServers }, gate, latestSendTime, signal)
-  if (typeof slot === 'string') return slot
-  await refreshCallerLiveness(serving)
+  let slot: Slot | SlotFailure
+  for (;;) {
+    slot = await acquireSlot(entry, { service: request.service, places, triedServers }, gate, latestSendTime, signal)
+    if (typeof slot === 'string') return slot
+    await refreshCallerLiveness(serving)
+    if (mayStillWrite(slot.observed.notice, getCurrentTime())) break
+    releaseSlot(entry, slot, 'cancelled')
+  }
   if (signal.aborted) {
     releaseSlot(entry, slot, 'cancelled')
     return 'gone'
--- a/packages/daemon/src/core/entry/entry.ts
+++ b/packages/daemon/src/core/entry/entry.ts
@@ -175,6 +175,7 @@
     region: server.region,
     failureDomain: server.failureDomain,
     address: server.address,
+    incarnation: server.incarnation,
     slots: server.slots,
     maxConnections: server.maxConnections,
     leaving: server.state === 'leaving' || drains.some(drain => coversBackend(drain, server, server.key)),
--- a/packages/daemon/src/core/entry/forwarding.ts
+++ b/packages/daemon/src/core/entry/forwarding.ts
@@ -3,7 +3,7 @@
 import { isLeaseValid } from '@lynxcourse/membership'
 import { createCallerLiveness } from '@lynxcourse/placement'
 import type { TrialAnswer } from '@lynxcourse/placement'
-import { earnRetry, estimateLimitDelay, getRoundTripMs, getMeanServiceMs, countAvailableSlots } from '@lynxcourse/routing'
+import { earnRetry, estimateRequestDelay, getRoundTripMs, getMeanServiceMs, countAvailableSlots } from '@lynxcourse/routing'
 import type { AdmissionInput, CandidateRegion } from '@lynxcourse/routing'
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
@@ -119,6 +119,6 @@
     serviceMs: getMeanServiceMs(entry.router, request.service),
     completionIntervalMs: getCompletionIntervalMs(entry, request.service),
     overheadMs: roundTripMs,
-    limitDelayMs: estimateLimitDelay(entry.router, route, now)
+    requestDelayMs: estimateRequestDelay(entry.router, route, now)
   }
 }
--- a/packages/daemon/src/core/entry/loadPolling.ts
+++ b/packages/daemon/src/core/entry/loadPolling.ts
@@ -4,6 +4,7 @@
  */
 import { request } from 'undici'
 import type { Millis } from '@lynxcourse/base'
+import { isClosedToRequests } from '@lynxcourse/limits'
 import { recordAttemptEnd, recordReportedLoad, recordAttemptStart } from '@lynxcourse/routing'
 import type { ObservedServer } from '@lynxcourse/routing'
 import { getCurrentTime } from '../../utils/clock.js'
@@ -36,7 +37,7 @@
 
 function needsLoadPoll (entry: EntryState, observed: ObservedServer, now: Millis): boolean {
   const isLocal = observed.backend.region === entry.node.cfg.region
-  return isLocal && observed.state !== 'gone' && now - observed.reportedAt > maxReportAgeMs
+  return isLocal && observed.state !== 'gone' && !isClosedToRequests(observed.notice, now) && now - observed.reportedAt > maxReportAgeMs
 }
 
 async function pollOne (entry: EntryState, observed: ObservedServer): Promise<void> {
--- a/packages/daemon/src/core/entry/servedRequest.ts
+++ b/packages/daemon/src/core/entry/servedRequest.ts
@@ -1,5 +1,5 @@
 /** A request in progress, as both ways of serving it need it: at most once, or with retries. */
-import { canCompleteInTime, createRetryBudget, getRetryAfterMs } from '@lynxcourse/routing'
+import { canCompleteInTime, createRetryBudget, estimateRequestDelay, getRetryAfterMs } from '@lynxcourse/routing'
 import type { CallerLiveness } from '@lynxcourse/placement'
 import type { AdmissionInput, CandidateRegion, RetryBudget } from '@lynxcourse/routing'
 import type { Millis, ServiceId } from '@lynxcourse/base'
@@ -38,8 +38,11 @@
 }
 
 /** Returns the delay after which a rejected caller should retry. */
-export function getRetryDelayMs (serving: ServedRequest): Millis {
-  return serving.restrictedForMs ?? getRetryAfterMs(serving.admission)
+export function getRetryDelayMs ({ entry, request, places, admission, restrictedForMs }: ServedRequest): Millis {
+  if (restrictedForMs !== undefined) return restrictedForMs
+  // Servers may have asked for a pause since the request arrived.
+  const requestDelayMs = estimateRequestDelay(entry.router, { service: request.service, places, triedServers: new Set() }, getCurrentTime())
+  return getRetryAfterMs({ ...admission, requestDelayMs })
 }
 
 /** Returns the retry budget of a service, creating it on first use. */
--- a/packages/daemon/src/core/entry/slots.ts
+++ b/packages/daemon/src/core/entry/slots.ts
@@ -5,7 +5,7 @@
 import { acquireCapacity, releaseCapacity, hasCapacity, recordDemand } from '@lynxcourse/limits'
 import {
   createCompletionRate, createDeadlineQueue, dequeue, enqueue, beginAttempt, findUnservable, endAttempt, recordCompletion, pauseCompletionRate, removeItem, routeRequest,
-  getMeanServiceMs
+  estimateRequestDelay, getMeanServiceMs, hasRestrictedServers
 } from '@lynxcourse/routing'
 import type { AttemptOutcome, LimitGate, RouteRequest } from '@lynxcourse/routing'
 import { createLinkResourceId, findServiceProfile, createRegionResourceId, createShiftResourceId } from '@lynxcourse/state'
@@ -121,7 +121,7 @@
 function tryAcquireSlot (entry: EntryState, request: RouteRequest, gate: LimitGate, now: Millis): Slot | undefined {
   const decision = routeRequest(entry.router, request, gate, now)
   if (decision.type === 'wait') return undefined
-  beginAttempt(decision.observed)
+  beginAttempt(decision.observed, now)
   acquireCapacity(entry.node.limits, decision.resources)
   const { observed, place, resources, passedOver } = decision
   return { observed, place, resources, passedOver, startedAt: now }
@@ -161,7 +161,11 @@
   if (now - serviceQueue.prunedAt < pruneIntervalMs) return
   serviceQueue.prunedAt = now
   const minServiceMs = getMeanServiceMs(entry.router, service) / 2
-  for (const waiter of findUnservable(serviceQueue.queue.heap, serviceQueue.completionRate, minServiceMs, now)) {
+  const { heap } = serviceQueue.queue
+  const isTooLate = (waiter: Waiter): boolean => now + estimateRequestDelay(entry.router, waiter.request, now) + minServiceMs > waiter.deadline
+  const closed = hasRestrictedServers(entry.router, service, now) ? heap.filter(isTooLate) : []
+  const unservable = findUnservable(heap, serviceQueue.completionRate, minServiceMs, now)
+  for (const waiter of new Set([...closed, ...unservable])) {
     removeItem(serviceQueue.queue, waiter)
     waiter.resolve('late')
   }
--- a/packages/daemon/src/core/gateway/exchange.ts
+++ b/packages/daemon/src/core/gateway/exchange.ts
@@ -37,11 +37,11 @@
 /**
  * Starts an exchange.
  *
- * @param writeDeadline the request is not written if the connection opens after this time, since the VM was suspended
- * meanwhile and the choice of the server may be outdated
+ * @param mayWrite asked when the connection is open and the request is about to be written, which may be long after the server was
+ * chosen; otherwise the exchange is cancelled
  * @param onHead called when the head of the final answer is received
  */
-export function startExchange (client: Client, options: Dispatcher.DispatchOptions, writeDeadline: Millis, onHead: (head: AnswerHead) => void): Exchange {
+export function startExchange (client: Client, options: Dispatcher.DispatchOptions, mayWrite: (now: Millis) => boolean, onHead: (head: AnswerHead) => void): Exchange {
   let controller: Dispatcher.DispatchController | undefined
   let isAborted = false
   let rejectAnswer: (err: Error) => void = () => undefined
@@ -51,7 +51,7 @@
       onRequestStart: requestController => {
         controller = requestController
         const now = getCurrentTime()
-        if (isAborted || now > writeDeadline) requestController.abort(createCancelledError())
+        if (isAborted || !mayWrite(now)) requestController.abort(createCancelledError())
         else exchange.startedAt = now
       },
       ...createAnswerCollector(resolve, onHead),
--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -1,5 +1,6 @@
 /** Updates the gateway's routes and servers from the VM's copy of the state. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
+import { getNotice, pruneNotices } from '@lynxcourse/limits'
 import { createFleetServer, forgetServer, groupServersByService, applyLimits, applyWeights } from '@lynxcourse/placement'
 import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/placement'
 import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
@@ -45,6 +46,7 @@
     fleet.byId.delete(id)
     forgetServer(fleet.warmObjects, id)
   }
+  pruneNotices(fleet.notices, now)
   groupServersByService(fleet)
   applyWeights(fleet, node.loadUpdate.weights)
 }
@@ -84,10 +86,11 @@
   const hasRestarted = known !== undefined && known.facts.bornAt !== facts.bornAt
   if (hasRestarted) forgetServer(fleet.warmObjects, key)
   const current = hasRestarted ? undefined : known
+  const notice = getNotice(fleet.notices, key, facts.bornAt, now)
   if (current === undefined) {
     // A server announces how long it stays cold; without an announced time it counts as warm. If a VM that has just
     // started counted all servers as cold, it would refuse nearly all requests for the length of a warm-up.
-    fleet.byId.set(key, createFleetServer(newFacts, facts.coldMs > 0 ? now + facts.coldMs : -Infinity))
+    fleet.byId.set(key, createFleetServer(newFacts, facts.coldMs > 0 ? now + facts.coldMs : -Infinity, notice))
     return
   }
   const hasReopened = current.facts.isClosed && !newFacts.isClosed
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -72,7 +72,7 @@
 }
 
 function getPauseMs (notice: ServerNotice, now: Millis): Millis | undefined {
-  return isPaused(notice, now) ? Math.round(notice.pausedUntil - now) : undefined
+  return isPaused(notice.pause, now) ? Math.round(notice.pause.until - now) : undefined
 }
 
 /**
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from 'undici'
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
+import { mayStillWrite } from '@lynxcourse/limits'
 import { recordReply, estimateRoundTrip } from '@lynxcourse/placement'
 import type { LostReason, Placement, SendOutcome } from '@lynxcourse/placement'
 import type { HeaderMap } from '../../types/answers.js'
@@ -72,12 +73,18 @@
   const remainingMs = Math.max(1, Math.floor(call.deadline - now))
   const headers = { ...call.headers, ...gateway.servers.buildRequestHeaders(call.facts, facts.id, remainingMs, call.caller?.name) }
   const options: Dispatcher.DispatchOptions = { method: call.method as Dispatcher.HttpMethod, path: call.path, headers, body: call.body }
-  const exchange = startExchange(connection.client, options, now + gateway.pool.connectTimeoutMs + lateConnectionMs, head => {
+  const writeDeadline = now + gateway.pool.connectTimeoutMs + lateConnectionMs
+  let isWithdrawn = false
+  const mayWrite = (at: Millis): boolean => {
+    isWithdrawn = !mayStillWrite(placement.server.notice, at)
+    return !isWithdrawn && at <= writeDeadline
+  }
+  const exchange = startExchange(connection.client, options, mayWrite, head => {
     recordIteration(gateway.loop)
     recordConnectionProgress(gateway.pool, connection, getCurrentTime())
     observeStatements(gateway, call, placement.server, head)
   })
-  const result = await awaitResult(gateway, call, placement, { connection, exchange, startedAt: now, timeouts })
+  const result = await awaitResult(gateway, call, placement, { connection, exchange, startedAt: now, timeouts, wasWithdrawn: () => isWithdrawn })
   return { result, writtenAt: exchange.startedAt, restedMs }
 }
 
@@ -87,9 +94,11 @@
   readonly exchange: Exchange
   readonly startedAt: Millis
   readonly timeouts: SendTimeouts
+  /** Whether the request was not written because its server wants no requests any more. */
+  readonly wasWithdrawn: () => boolean
 }
 
-async function awaitResult (gateway: Gateway, call: Call, placement: Placement, { connection, exchange, startedAt, timeouts }: ActiveSend): Promise<SendResult> {
+async function awaitResult (gateway: Gateway, call: Call, placement: Placement, { connection, exchange, startedAt, timeouts, wasWithdrawn }: ActiveSend): Promise<SendResult> {
   const { facts } = placement.server
   const watch = watchSend(gateway, call, timeouts, startedAt, exchange.abort)
   try {
@@ -104,7 +113,7 @@
     if (watch.reason() === 'failed' && isPrompt) recordUnansweredReset(gateway.pool, connection, now)
     if (watch.reason() === 'gone') return { type: 'lost', reason: 'gone', detail: getErrorMessage(err) }
     // A request that was never written can't have run.
-    if (exchange.startedAt === undefined) return { type: 'notRun', reason: 'unreached', status: undefined }
+    if (exchange.startedAt === undefined) return { type: 'notRun', reason: wasWithdrawn() ? 'withdrawn' : 'unreached', status: undefined }
     return { type: 'lost', reason: watch.reason(), detail: getErrorMessage(err) }
   } finally {
     watch.end()
--- a/packages/daemon/src/core/node/queries.ts
+++ b/packages/daemon/src/core/node/queries.ts
@@ -1,8 +1,10 @@
 /** Operators' queries. A VM answers them from its own state or relays them to the leader. */
 import { LynxError, getHolderVm } from '@lynxcourse/base'
-import type { ServiceId } from '@lynxcourse/base'
+import type { Millis, ServiceId } from '@lynxcourse/base'
+import { isPaused } from '@lynxcourse/limits'
 import { isLeaseValid, listServers, listVms } from '@lynxcourse/membership'
 import { refreshBackend, routeRequest } from '@lynxcourse/routing'
+import type { ObservedServer } from '@lynxcourse/routing'
 import { listItems, findServiceProfile } from '@lynxcourse/state'
 import * as z from 'zod'
 import { confirmRead } from '../control/proposals.js'
@@ -101,12 +103,20 @@
 }
 
 function listObservedServers (node: Node, entry: EntryState | undefined): unknown[] {
+  const now = getCurrentTime()
   return listServers(node.directory).map(server => {
     const observed = entry?.router.backends.byId.get(server.key)
-    return { ...server, seenAs: observed?.state, inFlight: observed?.inFlight, latencyMs: observed === undefined ? undefined : Math.round(observed.latencyMs * 10) / 10 }
+    return { ...server, seenAs: observed?.state, ...describeNotice(observed, now), inFlight: observed?.inFlight, latencyMs: observed === undefined ? undefined : Math.round(observed.latencyMs * 10) / 10 }
   })
 }
 
+/** Returns what a server has said about itself to this VM. */
+function describeNotice (observed: ObservedServer | undefined, now: Millis): object {
+  if (observed === undefined) return {}
+  const { limit, pause, isLeaving } = observed.notice
+  return { pausedMs: isPaused(pause, now) ? Math.round(pause.until - now) : undefined, saysLeaving: isLeaving || undefined, takesPerSecond: limit.perSecond }
+}
+
 /** Returns the answer to `query.status`: this VM's roles, lease, configuration version and replica. */
 function createStatus (context: QueryContext): object {
   const { node, control } = context
@@ -151,7 +161,7 @@
   const servers = (entry.router.backends.byService.get(service) ?? []).map(observed => {
     refreshBackend(entry.router.backends, observed, now)
     const { backend, state, inFlight, latencyMs } = observed
-    return { server: backend.id, region: backend.region, state, leaving: backend.leaving, inFlight, slots: backend.slots, latencyMs: Math.round(latencyMs * 10) / 10 }
+    return { server: backend.id, region: backend.region, state, leaving: backend.leaving, inFlight, slots: backend.slots, latencyMs: Math.round(latencyMs * 10) / 10, ...describeNotice(observed, now) }
   })
   return {
     service,
--- a/packages/placement/__tests__/serverWeights.test.ts
+++ b/packages/placement/__tests__/serverWeights.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test'
 import { brandId, createRandom } from '@lynxcourse/base'
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { createServerNotice } from '@lynxcourse/limits'
 import { createFleetServer, minWeight, computeHashRanks, adjustWeights } from '@lynxcourse/placement'
 import type { FleetServer } from '@lynxcourse/placement'
 
@@ -15,7 +16,7 @@
 function createServers (count: number): FleetServer[] {
   return Array.from({ length: count }, (_, index) => createFleetServer({
     id: brandId<ServerId>(`i-${index}`), service: desk, address: `10.0.0.${index}:80`, failureDomain: brandId<FailureDomainId>('kochi-a'), region: kochi, bornAt: 0, slots, isClosed: false
-  }, -Infinity))
+  }, -Infinity, createServerNotice()))
 }
 
 /** Returns the primary servers of all objects, and the resulting utilization of each server. */
--- a/packages/placement/__tests__/support/fleet.ts
+++ b/packages/placement/__tests__/support/fleet.ts
@@ -1,6 +1,7 @@
 /** Builds a small fleet as one entry VM knows it, and requests for it. */
 import { brandId, createRandom } from '@lynxcourse/base'
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { createServerNotice } from '@lynxcourse/limits'
 import { createFleet, createFleetServer, placeRequest } from '@lynxcourse/placement'
 import type { Fleet, FleetServer, PlacementRequest, ServerFacts } from '@lynxcourse/placement'
 import { createRoute } from '@lynxcourse/state/testing'
@@ -16,7 +17,7 @@
 /** Creates a server of the service `desk` with three slots, past its warm-up and without observations. */
 export function server (id: string, region = kochi, parts: Partial<ServerFacts> = {}): FleetServer {
   const facts: ServerFacts = { id: brandId<ServerId>(id), service: desk, address: `${id}:80`, failureDomain: brandId<FailureDomainId>(`${region}-a`), region, bornAt: 0, slots: 3, isClosed: false, ...parts }
-  return createFleetServer(facts, -Infinity)
+  return createFleetServer(facts, -Infinity, createServerNotice())
 }
 
 /** Creates the fleet of a VM in Kochi that has learned the work times of the route and has no region plan. */
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -3,6 +3,8 @@
 import type { Route } from '@lynxcourse/state'
 import { createConcurrencyLimit } from '../admission/concurrencyLimit.js'
 import type { ConcurrencyLimit } from '../admission/concurrencyLimit.js'
+import type { ServerNotices } from '@lynxcourse/limits'
+import { takesNewWork } from '../server/fleetServer.js'
 import type { FleetServer } from '../server/fleetServer.js'
 import { countUsableSlots } from '../server/limitedServers.js'
 import type { Mechanism } from '../../types/mechanisms.js'
@@ -28,6 +30,8 @@
   readonly setup: FleetSetup
   readonly byId: Map<ServerId, FleetServer>
   byService: Map<ServiceId, FleetServer[]>
+  /** What servers have said about themselves. */
+  readonly notices: ServerNotices
   readonly warmObjects: WarmObjects
   readonly workModel: WorkModel
   /** Smoothed time that a request occupies a slot, by service. */
@@ -58,6 +62,7 @@
     setup,
     byId: new Map(),
     byService: new Map(),
+    notices: new Map(),
     warmObjects: createWarmObjects(),
     workModel: new Map(),
     meanSlotTimes: new Map(),
@@ -127,7 +132,7 @@
   const demandFraction = fleet.demandFractions.get(service) ?? equalFraction
   let slots = 0
   for (const server of fleet.byService.get(service) ?? []) {
-    if (!server.facts.isClosed) slots += countUsableSlots(server, fleet.meanSlotTimes.get(service))
+    if (takesNewWork(server)) slots += countUsableSlots(server, fleet.meanSlotTimes.get(service))
   }
   return slots * Math.min(maxEqualShareFactor * equalFraction, Math.max(minEqualShareFactor * equalFraction, demandFraction))
 }
--- a/packages/placement/src/core/request/learning.ts
+++ b/packages/placement/src/core/request/learning.ts
@@ -56,6 +56,7 @@
         recordServerFull(server, now)
         break
       }
+      if (outcome.reason === 'withdrawn') break
       recordFailure(server, true, now)
       recordFailedServer(entry.load, server.facts.id)
       break
--- a/packages/placement/src/core/request/placeRequest.ts
+++ b/packages/placement/src/core/request/placeRequest.ts
@@ -5,8 +5,9 @@
 import type { Millis, ServiceId } from '@lynxcourse/base'
 import { mayAdmit } from '../admission/concurrencyLimit.js'
 import type { ConcurrencyLimit } from '../admission/concurrencyLimit.js'
+import { isClosedToRequests, slowStartMs } from '@lynxcourse/limits'
 import { isCold } from '../server/coldRateLimit.js'
-import { estimateLimitDelay } from '../server/limitedServers.js'
+import { estimateRequestDelay } from '../server/limitedServers.js'
 import { getConcurrency, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
 import type { HashRank } from '../object/hashRanks.js'
@@ -38,7 +39,7 @@
 /** Why a request is not sent to any server now. */
 export interface Refusal {
   readonly type: 'refuse'
-  readonly reason: 'noServer' | 'noTime' | 'busy' | 'endsServers' | 'limited'
+  readonly reason: 'noServer' | 'noTime' | 'busy' | 'endsServers' | 'limited' | 'paused'
   /** Time until the request is expected to be served. */
   readonly retryAfterMs: Millis
 }
@@ -51,6 +52,9 @@
 /** Retry time if no server exists: about the interval at which servers announce themselves. */
 const noServerRetryAfterMs = 500
 
+/** Time over which callers return after a pause, as a fraction of the pause. */
+const pauseSpreadFraction = 0.5
+
 /** Selects a server for a request, or refuses it with a time for the retry. */
 export function placeRequest (fleet: Fleet, request: PlacementRequest, now: Millis): Placement | Refusal {
   const concurrency = getConcurrency(fleet, request.service)
@@ -71,14 +75,17 @@
 }
 
 /**
- * Refuses a request that no server can take: there is none, or all servers that may serve it are full at the moment or have
- * used up their limits.
+ * Refuses a request that no server can take: there is none, or all servers that may serve it are full at the moment, have used up
+ * their limits or want no requests.
  */
 function refuseWithoutServer (fleet: Fleet, request: PlacementRequest, concurrency: ConcurrencyLimit, now: Millis): Refusal {
   const { service } = request
   const servers = (fleet.byService.get(service) ?? []).filter(server => canServe(request, server))
-  const limitDelayMs = estimateLimitDelay(fleet, servers, now)
-  if (servers.length > 0 && limitDelayMs > 0) return createRefusal(fleet, 'limited', limitDelayMs)
+  const delayMs = estimateRequestDelay(fleet, servers, now)
+  if (servers.length > 0 && delayMs > 0) {
+    const arePaused = servers.every(({ notice }) => isClosedToRequests(notice, now))
+    return arePaused ? refuseUntil(fleet, delayMs) : createRefusal(fleet, 'limited', delayMs)
+  }
   if (servers.length > 0) return createRefusal(fleet, 'busy', estimateTimeToCapacity(fleet, service, concurrency))
   return { type: 'refuse', reason: 'noServer', retryAfterMs: noServerRetryAfterMs }
 }
@@ -99,6 +106,12 @@
   return Math.max(slack * (factor >= 1 ? 1 : factor), serviceMs * factor)
 }
 
+/** Refuses a request until a server takes requests again. Callers return after that time, spread over the slow start or longer. */
+function refuseUntil (fleet: Fleet, delayMs: Millis): Refusal {
+  const spreadMs = Math.max(slowStartMs, delayMs * pauseSpreadFraction)
+  return { type: 'refuse', reason: 'paused', retryAfterMs: Math.max(minRetryAfterMs, delayMs + fleet.setup.random() * spreadMs) }
+}
+
 function createRefusal (fleet: Fleet, reason: Refusal['reason'], afterMs: Millis): Refusal {
   // The retries are spread over 0.5 to 2 times the time, since slots become free one by one.
   const spread = afterMs * (0.5 + fleet.setup.random() * 1.5)
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -15,7 +15,7 @@
 import { expectsCapacity, computeRecheckDelay, computeWaitEnd } from '../admission/capacityWait.js'
 import { recordDemand } from '../board/loadObservations.js'
 import { recordBudgetedRequest, trySpendRetry } from '../retries/retryBudget.js'
-import { consumeLimitToken } from '@lynxcourse/limits'
+import { recordRequestUnderNotice } from '@lynxcourse/limits'
 import { recordServerDemand } from '../server/limitedServers.js'
 import { isCold, consumeColdToken } from '../server/coldRateLimit.js'
 import { recordRequestStart, recordRequestEnd, computeResponseTimeout } from '../server/fleetServer.js'
@@ -145,7 +145,7 @@
   state.sends += 1
   state.tried.add(server.facts.id)
   if (isCold(server, now)) consumeColdToken(server)
-  consumeLimitToken(server.notice.limit)
+  recordRequestUnderNotice(server.notice, now)
   recordServerDemand(placement.wanted, now)
   const expectedMs = roundTripMs + waitMs + workMs
   const running = recordRequestStart(server, expectedMs, maxExpectedMs, now)
@@ -187,6 +187,7 @@
   updateConcurrencyLimit(entry, state.request, placement, outcome, tookMs, now)
   if (outcome.type === 'answered' || outcome.type === 'lost') state.possibleRuns += 1
   if (outcome.type === 'notRun' && outcome.reason === 'full') state.full += 1
+  if (outcome.type === 'notRun' && outcome.reason === 'withdrawn') state.sends -= 1
   state.last = outcome
 }
 
@@ -222,7 +223,7 @@
   if (isStopping || fleet.setup.disabledMechanisms.has('roomWait')) return false
   const { route, service } = request
   const waiting = waitingForCapacity.get(service) ?? 0
-  if (refusal.reason === 'limited') return now + refusal.retryAfterMs * (1 + waiting) <= maxWaitUntil
+  if (refusal.reason === 'limited' || refusal.reason === 'paused') return now + refusal.retryAfterMs * (1 + waiting) <= maxWaitUntil
   if (refusal.reason !== 'busy') return false
   const { limit } = getConcurrency(fleet, service)
   const pace = { limit, meanMs: fleet.meanSlotTimes.get(service) ?? route.aimMs, waiting }
--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -1,11 +1,12 @@
 /** Scores servers for a request by the expected time to completion and the cost for other requests. */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import { isClosedToRequests } from '@lynxcourse/limits'
 import type { Route } from '@lynxcourse/state'
 import { selectUnderLimits } from '../server/limitedServers.js'
 import { hasColdToken, isCold, isWarmingVm } from '../server/coldRateLimit.js'
 import { estimateRoundTrip, estimateWarmProbability, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
-import { estimateQueueDepth, hasCapacity, isStalled, isHealthy, estimateSharedQueueDepth, getSlowdown } from '../server/fleetServer.js'
+import { estimateQueueDepth, hasCapacity, isStalled, isHealthy, estimateSharedQueueDepth, getSlowdown, takesNewWork } from '../server/fleetServer.js'
 import type { FleetServer } from '../server/fleetServer.js'
 import { computeHashRanks } from '../object/hashRanks.js'
 import type { HashRank } from '../object/hashRanks.js'
@@ -158,7 +159,7 @@
   let queueDepth = 0
   let slots = 0
   for (const server of servers) {
-    if (server.facts.isClosed) continue
+    if (!takesNewWork(server)) continue
     queueDepth += estimateQueueDepth(server, now)
     slots += server.facts.slots
   }
@@ -166,8 +167,9 @@
 }
 
 /** Returns whether a server is open to requests like this one, whatever its load and health are now. */
-export function canServe ({ route: { homes }, tried }: PlacementRequest, { facts }: FleetServer): boolean {
-  return !facts.isClosed && !tried.has(facts.id) && (homes.length === 0 || homes.includes(facts.region))
+export function canServe ({ route: { homes }, tried }: PlacementRequest, server: FleetServer): boolean {
+  const { id, region } = server.facts
+  return takesNewWork(server) && !tried.has(id) && (homes.length === 0 || homes.includes(region))
 }
 
 /** Returns the servers that may get a request, now or once they have capacity. */
@@ -176,7 +178,7 @@
   const unhealthy: FleetServer[] = []
   for (const server of fleet.byService.get(request.service) ?? []) {
     if (!canServe(request, server)) continue
-    if (!mayReceiveRequest(fleet, request.service, server, now)) continue
+    if (isClosedToRequests(server.notice, now) || !mayReceiveRequest(fleet, request.service, server, now)) continue
     if (isHealthy(server, now)) healthy.push(server)
     else if (!isStalled(server, now)) unhealthy.push(server)
   }
--- a/packages/placement/src/core/server/fleetServer.ts
+++ b/packages/placement/src/core/server/fleetServer.ts
@@ -1,7 +1,6 @@
 /** The state of one backend server as one entry VM sees it: queue depth, slowdown, health, and request tokens while it is cold. */
 import { hashText } from '@lynxcourse/base'
 import type { FailureDomainId, Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { createServerNotice } from '@lynxcourse/limits'
 import type { ServerNotice } from '@lynxcourse/limits'
 
 /** A server's record in the directory. */
@@ -98,7 +97,7 @@
 const slowdownHalfLifeMs = 4000
 
 /** Creates a server without observations that is cold until `coldUntil`. */
-export function createFleetServer (facts: ServerFacts, coldUntil: Millis): FleetServer {
+export function createFleetServer (facts: ServerFacts, coldUntil: Millis, notice: ServerNotice): FleetServer {
   return {
     facts,
     hash: hashText(facts.id),
@@ -119,7 +118,7 @@
     coldUntil,
     coldTokens: 1,
     coldTokensAt: -Infinity,
-    notice: createServerNotice(),
+    notice,
     demandPerSecond: 0,
     demandUpdatedAt: -Infinity
   }
@@ -155,9 +154,14 @@
   server.unresponsiveUntil = isUnresponsive ? now + sharedReportTtlMs : -Infinity
 }
 
-/** Returns whether a server is open, not ejected, responsive and not stalled. It may be full at the moment. */
+/** Returns whether a server takes new work, by its announcements, the operators' orders and its answers. */
+export function takesNewWork ({ facts, notice }: FleetServer): boolean {
+  return !facts.isClosed && !notice.isLeaving
+}
+
+/** Returns whether a server takes new work, is not ejected, responsive and not stalled. It may be full at the moment. */
 export function isHealthy (server: FleetServer, now: Millis): boolean {
-  return !server.facts.isClosed && now >= server.ejectedUntil && now >= server.unresponsiveUntil && !isStalled(server, now)
+  return takesNewWork(server) && now >= server.ejectedUntil && now >= server.unresponsiveUntil && !isStalled(server, now)
 }
 
 /** Returns whether a server may have capacity: it has not rejected a request as full within `fullBackoffMs`. */
--- a/packages/placement/src/core/server/limitedServers.ts
+++ b/packages/placement/src/core/server/limitedServers.ts
@@ -1,7 +1,7 @@
-/** Servers that name a limit for the requests of all VMs together. */
+/** Servers that name a limit for the requests of all VMs together, and the time until servers take requests again. */
 import { rankByHash } from '@lynxcourse/base'
 import type { Millis, RegionId } from '@lynxcourse/base'
-import { computeEqualShare, expireLimit, getTokenDelay, hasLimitToken } from '@lynxcourse/limits'
+import { computeEqualShare, getRequestDelay, permitsRequest } from '@lynxcourse/limits'
 import { computeHashRanks } from '../object/hashRanks.js'
 import type { Fleet } from '../request/fleet.js'
 import type { LimitDemand } from '../../types/loads.js'
@@ -29,7 +29,7 @@
  */
 export function selectUnderLimits (fleet: Fleet, servers: FleetServer[], hashKey: string | undefined, region: RegionId | undefined, now: Millis): UsableServers {
   if (!servers.some(isLimited)) return { servers, wanted: undefined }
-  const permitted = servers.filter(server => permitsRequest(fleet, server, now))
+  const permitted = servers.filter(server => permitsRequest(server.notice, getLimitShare(fleet, server), now))
   if (hashKey === undefined) return { servers: permitted, wanted: undefined }
   const wanted = findPrimary(servers, hashKey, region)
   let primary = wanted
@@ -67,22 +67,15 @@
   return demandPerSecond * Math.exp(-Math.max(0, now - demandUpdatedAt) / demandSmoothingMs)
 }
 
-/** Whether the limit of a server, if it names one, permits a request of this VM now. */
-function permitsRequest (fleet: Fleet, server: FleetServer, now: Millis): boolean {
-  if (!isLimited(server)) return true
-  expireLimit(server.notice.limit, now)
-  return hasLimitToken(server.notice.limit, getLimitShare(fleet, server), now)
-}
-
 /** Returns the fraction of a server's limit that this VM may use. */
 export function getLimitShare ({ setup, vms }: Fleet, { facts, notice: { limit } }: FleetServer): number {
   if (limit.perSecond === undefined) return 1
   return limit.share ?? computeEqualShare(limit.perSecond, setup.self, rankByHash(facts.id, vms))
 }
 
-/** Returns the time until the limit of one of these servers permits a request of this VM; Infinity if none will. */
-export function estimateLimitDelay (fleet: Fleet, servers: readonly FleetServer[], now: Millis): Millis {
-  return Math.min(...servers.map(server => getTokenDelay(server.notice.limit, getLimitShare(fleet, server), now)))
+/** Returns the time until one of these servers takes a request of this VM, by what they have said; Infinity if none will. */
+export function estimateRequestDelay (fleet: Fleet, servers: readonly FleetServer[], now: Millis): Millis {
+  return Math.min(...servers.map(server => getRequestDelay(server.notice, getLimitShare(fleet, server), now)))
 }
 
 /** Returns the number of slots that requests can occupy at a server under its limit. */
--- a/packages/placement/src/types/sendOutcome.ts
+++ b/packages/placement/src/types/sendOutcome.ts
@@ -6,10 +6,10 @@
   /** The server answered; opening the connection took `connectMs`. */
   | { readonly type: 'answered', readonly status: number, readonly connectMs: Millis }
   /**
-   * The request certainly did not run: the server rejected it as full, could not be reached, or is not the server that the request
-   * names (`elsewhere`).
+   * The request certainly did not run: the server rejected it as full, could not be reached, is not the server that the request
+   * names (`elsewhere`), or asked for no requests before this one was written (`withdrawn`).
    */
-  | { readonly type: 'notRun', readonly reason: 'full' | 'elsewhere' | 'unreached' }
+  | { readonly type: 'notRun', readonly reason: 'full' | 'elsewhere' | 'unreached' | 'withdrawn' }
   /** The request got no usable answer and may have run. */
   | { readonly type: 'lost', readonly reason: LostReason }
 
--- a/packages/replay/src/core/world.ts
+++ b/packages/replay/src/core/world.ts
@@ -3,6 +3,7 @@
 import type { FailureDomainId, Millis, Random, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import { createTimeline } from '@lynxcourse/base/timeline'
 import type { Timeline } from '@lynxcourse/base/timeline'
+import { createServerNotice } from '@lynxcourse/limits'
 import { createFleet, createFleetServer, createLoadBoard, createLoadObservations, groupServersByService } from '@lynxcourse/placement'
 import type { EntryState, FleetServer, LoadBoard, LoadAggregate, LoadUpdate, Mechanism } from '@lynxcourse/placement'
 import type { Route } from '@lynxcourse/state'
@@ -133,7 +134,7 @@
 function toFleetServer (backend: Backend): FleetServer {
   const { id, service, region, slots, isUp, isLeaving } = backend
   const failureDomain = brandId<FailureDomainId>(backend.failureDomain)
-  return createFleetServer({ id, service, address: id, failureDomain, region, bornAt: 0, slots, isClosed: !isUp || isLeaving }, -Infinity)
+  return createFleetServer({ id, service, address: id, failureDomain, region, bornAt: 0, slots, isClosed: !isUp || isLeaving }, -Infinity, createServerNotice())
 }
 
 /** Returns the one-way network delay between hosts of two regions. */
--- a/packages/routing/__tests__/routing.test.ts
+++ b/packages/routing/__tests__/routing.test.ts
@@ -68,7 +68,7 @@
 })
 
 function backend (name: string, fields: Partial<Backend> = {}): Backend {
-  return { id: brandId(name), service: brandId('s'), region: kochi, failureDomain: brandId('d'), address: '127.0.0.1:1', slots: 3, maxConnections: 330, leaving: false, starting: false, ...fields }
+  return { id: brandId(name), service: brandId('s'), region: kochi, failureDomain: brandId('d'), address: '127.0.0.1:1', incarnation: 1, slots: 3, maxConnections: 330, leaving: false, starting: false, ...fields }
 }
 
 const chart = loadChart('server')
@@ -153,7 +153,7 @@
         assert.ok(isOpen)
         assert.ok(!leavingIds.has(decision.observed.backend.id))
         assert.ok(decision.observed.inFlight < 3)
-        beginAttempt(decision.observed)
+        beginAttempt(decision.observed, now)
         inFlight.push(decision.observed)
       } else {
         const [observed] = inFlight.splice(pick % Math.max(1, inFlight.length), 1)
--- a/packages/routing/__tests__/serverLimits.test.ts
+++ b/packages/routing/__tests__/serverLimits.test.ts
@@ -4,7 +4,7 @@
 import { brandId, createRandom, loadChart } from '@lynxcourse/base'
 import type { RegionId, ServerId, ServiceId, VmId } from '@lynxcourse/base'
 import { hasLimitToken, recordNamedLimit } from '@lynxcourse/limits'
-import { beginAttempt, canCompleteInTime, createRouter, createServerPolicy, defaultObservation, endAttempt, estimateLimitDelay, getRetryAfterMs, routeRequest, setBackends } from '@lynxcourse/routing'
+import { beginAttempt, canCompleteInTime, createRouter, createServerPolicy, defaultObservation, endAttempt, estimateRequestDelay, getRetryAfterMs, routeRequest, setBackends } from '@lynxcourse/routing'
 import type { AdmissionInput, Backend, LimitGate, ObservedServer, RouteDecision, RouteRequest, Router } from '@lynxcourse/routing'
 
 const [kochi, mumbai] = ['kochi', 'mumbai'].map(name => brandId<RegionId>(name)) as [RegionId, RegionId]
@@ -15,7 +15,7 @@
 const settledMs = 10_000
 
 function backend (id: string): Backend {
-  return { id: brandId<ServerId>(id), service: offers, region: kochi, failureDomain: brandId('kochi-a'), address: `${id}:80`, slots: 3, maxConnections: 100, leaving: false, starting: false }
+  return { id: brandId<ServerId>(id), service: offers, region: kochi, failureDomain: brandId('kochi-a'), address: `${id}:80`, incarnation: 1, slots: 3, maxConnections: 100, leaving: false, starting: false }
 }
 
 function createTestRouter (self: string, ...ids: string[]): Router {
@@ -40,7 +40,7 @@
     const decision = routeRequest(router, request, gate, now)
     decisions.push(decision)
     if (decision.type === 'wait') continue
-    beginAttempt(decision.observed)
+    beginAttempt(decision.observed, now)
     endAttempt(router, decision.observed, 'answered', 5, now)
   }
   return decisions
@@ -78,9 +78,9 @@
   limit(router, 's1', 0.5)
   const decision = routeRequest(router, request, gate, settledMs)
   assert.deepEqual(decision, { type: 'wait', passedOver: [{ region: kochi, reason: 'serverLimit' }] })
-  const limitDelayMs = estimateLimitDelay(router, request, settledMs)
-  assert.ok(limitDelayMs >= 2000, `${limitDelayMs}`)
-  const input = { ...admission, limitDelayMs }
+  const requestDelayMs = estimateRequestDelay(router, request, settledMs)
+  assert.ok(requestDelayMs >= 2000, `${requestDelayMs}`)
+  const input = { ...admission, requestDelayMs }
   assert.equal(canCompleteInTime(input, 0), false)
   assert.ok(getRetryAfterMs(input) >= 2000)
   assert.equal(canCompleteInTime(admission, 0), true)
@@ -89,6 +89,6 @@
 test('a limit delays nothing while another server has none, nor where no server is known', () => {
   const router = createTestRouter('vm-1', 's1', 's2')
   limit(router, 's1', 0)
-  assert.equal(estimateLimitDelay(router, request, settledMs), 0)
-  assert.equal(estimateLimitDelay(createTestRouter('vm-1'), request, settledMs), 0)
+  assert.equal(estimateRequestDelay(router, request, settledMs), 0)
+  assert.equal(estimateRequestDelay(createTestRouter('vm-1'), request, settledMs), 0)
 })
--- a/packages/routing/src/core/admission.ts
+++ b/packages/routing/src/core/admission.ts
@@ -15,8 +15,8 @@
   readonly completionIntervalMs: Millis
   /** Round-trip time to the first region, plus that of a claim if the request needs one. */
   readonly overheadMs: Millis
-  /** Time until the limits that servers name permit a request of this VM; omitted if they permit one now. */
-  readonly limitDelayMs?: Millis
+  /** Time until some server takes a request of this VM, by what the servers have said; omitted if one takes it now. */
+  readonly requestDelayMs?: Millis
 }
 
 /** Bounds of the retry delay sent to rejected callers, in milliseconds. */
@@ -41,8 +41,8 @@
 export function estimateWaitMs (input: AdmissionInput): Millis {
   const bySlots = Math.floor(input.queueLength / Math.max(1, input.slots)) * input.serviceMs
   const byCompletions = input.queueLength * input.completionIntervalMs
-  const byLimits = (input.limitDelayMs ?? 0) * (1 + input.queueLength)
-  return Math.max(bySlots, byCompletions, byLimits)
+  const byServers = (input.requestDelayMs ?? 0) * (1 + input.queueLength)
+  return Math.max(bySlots, byCompletions, byServers)
 }
 
 /** Returns whether a request is expected to complete before its deadline. */
@@ -79,9 +79,14 @@
   return deadline - Math.min(maxResponseMs, (deadline - arrivedAt) * responseFraction)
 }
 
-/** Returns the delay after which a rejected caller should retry: the estimated time to serve the present queue. */
+/**
+ * Returns the delay after which a rejected caller should retry: the estimated time to serve the present queue, and not before some
+ * server takes requests.
+ */
 export function getRetryAfterMs (input: AdmissionInput): Millis {
-  return Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, Math.ceil(estimateWaitMs(input))))
+  const { requestDelayMs = 0 } = input
+  const closedMs = Number.isFinite(requestDelayMs) ? requestDelayMs : 0
+  return Math.max(closedMs, Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, Math.ceil(estimateWaitMs(input)))))
 }
 
 /** Tracks the rate at which requests complete while others wait. */
--- a/packages/routing/src/core/backends.ts
+++ b/packages/routing/src/core/backends.ts
@@ -4,8 +4,8 @@
  */
 import { hasTransition, nextState } from '@lynxcourse/base'
 import type { Chart, Millis, ServerId, ServiceId } from '@lynxcourse/base'
-import { createServerNotice } from '@lynxcourse/limits'
-import type { ServerNotice } from '@lynxcourse/limits'
+import { getNotice, isClosedToRequests, pruneNotices } from '@lynxcourse/limits'
+import type { ServerNotice, ServerNotices } from '@lynxcourse/limits'
 import type { Backend } from '../types/view.js'
 
 /** Time constants and thresholds of observation. */
@@ -45,7 +45,7 @@
   ejections: number
   /** End of the present ejection. */
   ejectedUntil: Millis
-  /** End of the pause after a shed. */
+  /** End of the short pause after a shed, for which the server did not ask. */
   pausedUntil: Millis
   /** Start of the last slow start. */
   freshSince: Millis
@@ -53,7 +53,7 @@
   reportedLoad: number
   reportedAt: Millis
   /** What the server has said about itself. */
-  readonly notice: ServerNotice
+  notice: ServerNotice
 }
 
 export interface Backends {
@@ -61,13 +61,15 @@
   readonly chart: Chart
   byId: Map<ServerId, ObservedServer>
   byService: Map<ServiceId, ObservedServer[]>
+  /** What servers have said about themselves. */
+  readonly notices: ServerNotices
 }
 
 const latencySmoothing = 0.1
 const initialLatencyMs = 10
 
 export function createBackends (cfg: ObservationCfg, chart: Chart): Backends {
-  return { cfg, chart, byId: new Map(), byService: new Map() }
+  return { cfg, chart, byId: new Map(), byService: new Map(), notices: new Map() }
 }
 
 /** Replaces the set of servers by that of the directory. Servers that are still listed keep their observations. */
@@ -79,16 +81,19 @@
     if (observed.inFlight === 0) backends.byId.delete(id)
   }
   for (const backend of list) updateBackend(backends, backend, now)
+  pruneNotices(backends.notices, now)
   backends.byService = groupByService(backends)
 }
 
 function updateBackend (backends: Backends, backend: Backend, now: Millis): void {
+  const notice = getNotice(backends.notices, backend.id, backend.incarnation, now)
   let observed = backends.byId.get(backend.id)
   if (observed === undefined) {
-    observed = createObserved(backends.chart.initial, backend, now)
+    observed = createObserved(backends.chart.initial, backend, notice, now)
     backends.byId.set(backend.id, observed)
   }
   observed.backend = backend
+  observed.notice = notice
   if (backend.leaving) {
     applyServerEvent(backends, observed, 'leaving')
   } else if (hasTransition(backends.chart, observed.state, 'returned')) {
@@ -97,7 +102,7 @@
   }
 }
 
-function createObserved (state: string, backend: Backend, now: Millis): ObservedServer {
+function createObserved (state: string, backend: Backend, notice: ServerNotice, now: Millis): ObservedServer {
   return {
     backend,
     state,
@@ -110,7 +115,7 @@
     freshSince: now,
     reportedLoad: 0,
     reportedAt: -Infinity,
-    notice: createServerNotice()
+    notice
   }
 }
 
@@ -141,14 +146,14 @@
   }
 }
 
-/** Returns whether a server takes part in routing; it may still be paused for a moment after a shed. */
+/** Returns whether a server takes part in routing; it may still want no requests for a time. */
 export function isServing (observed: ObservedServer): boolean {
-  return (observed.state === 'fresh' || observed.state === 'serving') && !observed.backend.starting
+  return (observed.state === 'fresh' || observed.state === 'serving') && !observed.backend.starting && !observed.notice.isLeaving
 }
 
 /** Returns whether a server may receive a new request now. */
 export function isUsable (observed: ObservedServer, now: Millis): boolean {
-  return isServing(observed) && now >= observed.pausedUntil
+  return isServing(observed) && now >= observed.pausedUntil && !isClosedToRequests(observed.notice, now)
 }
 
 /** Returns the number of slots open now: all slots or, during the slow start, a growing number of at least one. */
--- a/packages/routing/src/core/router.ts
+++ b/packages/routing/src/core/router.ts
@@ -1,7 +1,7 @@
 /** Selects the region and the backend server for each request at an entry VM. */
 import { rankByHash } from '@lynxcourse/base'
 import type { Chart, Millis, Random, RegionId, ResourceId, ServiceId, VmId } from '@lynxcourse/base'
-import { computeEqualShare, consumeLimitToken, expireLimit, getTokenDelay, hasLimitToken } from '@lynxcourse/limits'
+import { computeEqualShare, getRequestDelay, isClosedToRequests, permitsRequest, recordRequestUnderNotice } from '@lynxcourse/limits'
 import type { RegionLatencies } from '../types/view.js'
 import { getLatencyMs } from '../types/view.js'
 import { createBackends, isServing, isUsable, recordAttemptEnd, recordAttemptStart, refreshBackend } from './backends.js'
@@ -47,7 +47,7 @@
 /** A region that was passed over and why, for `route explain` and the log. */
 export interface PassedOverRegion {
   readonly region: RegionId
-  readonly reason: 'noServer' | 'noSlot' | 'limit' | 'serverLimit'
+  readonly reason: 'noServer' | 'noSlot' | 'limit' | 'serverLimit' | 'serverPause'
 }
 
 export type RouteDecision =
@@ -70,9 +70,11 @@
 export function routeRequest (router: Router, request: RouteRequest, gate: LimitGate, now: Millis): RouteDecision {
   const passedOver: PassedOverRegion[] = []
   for (const place of request.places) {
-    const usable = listServing(router, request, place.region, now).filter(observed => isUsable(observed, now))
+    const serving = listServing(router, request, place.region, now)
+    const usable = serving.filter(observed => isUsable(observed, now))
     if (usable.length === 0) {
-      passedOver.push({ region: place.region, reason: 'noServer' })
+      const isPaused = serving.some(({ notice }) => isClosedToRequests(notice, now))
+      passedOver.push({ region: place.region, reason: isPaused ? 'serverPause' : 'noServer' })
       continue
     }
     const resources = gate.getResources(place)
@@ -80,7 +82,7 @@
       passedOver.push({ region: place.region, reason: 'limit' })
       continue
     }
-    const permitted = usable.filter(observed => permitsRequest(router, observed, now))
+    const permitted = usable.filter(observed => permitsRequest(observed.notice, getLimitShare(router, observed), now))
     if (permitted.length === 0) {
       passedOver.push({ region: place.region, reason: 'serverLimit' })
       continue
@@ -103,13 +105,6 @@
   })
 }
 
-/** Whether the limit of a server, if it names one, permits a request of this VM now. */
-function permitsRequest (router: Router, observed: ObservedServer, now: Millis): boolean {
-  if (observed.notice.limit.perSecond === undefined) return true
-  expireLimit(observed.notice.limit, now)
-  return hasLimitToken(observed.notice.limit, getLimitShare(router, observed), now)
-}
-
 /** Returns the fraction of a server's limit that this VM may use. The VMs of the server's region come first. */
 function getLimitShare ({ peers, setup }: Router, { backend, notice: { limit } }: ObservedServer): number {
   if (limit.perSecond === undefined) return 1
@@ -119,11 +114,17 @@
   return computeEqualShare(limit.perSecond, setup.self, vms)
 }
 
-/** Returns the time until the limits of servers permit a request of this VM; 0 if some server has no limit. */
-export function estimateLimitDelay (router: Router, request: RouteRequest, now: Millis): Millis {
+/** Returns the time until some server takes a request of this VM, by what the servers have said. */
+export function estimateRequestDelay (router: Router, request: RouteRequest, now: Millis): Millis {
   const servers = request.places.flatMap(place => listServing(router, request, place.region, now))
   if (servers.length === 0) return 0
-  return Math.min(...servers.map(observed => getTokenDelay(observed.notice.limit, getLimitShare(router, observed), now)))
+  return Math.min(...servers.map(observed => getRequestDelay(observed.notice, getLimitShare(router, observed), now)))
+}
+
+/** Whether some server of a service wants no requests now, or takes a limited number of them. */
+export function hasRestrictedServers ({ backends }: Router, service: ServiceId, now: Millis): boolean {
+  const servers = backends.byService.get(service) ?? []
+  return servers.some(({ notice }) => notice.limit.perSecond !== undefined || isClosedToRequests(notice, now))
 }
 
 function countUsableSlots (router: Router, observed: ObservedServer, ctx: PolicyContext): number {
@@ -152,10 +153,10 @@
   return 2 * getLatencyMs(router.setup.latencies, router.setup.region, region)
 }
 
-/** Counts an attempt as in flight, and uses a token of the server's limit. Each call needs a matching call of `endAttempt` when the attempt ends. */
-export function beginAttempt (observed: ObservedServer): void {
+/** Counts an attempt as in flight, and under what its server has said. Each call needs a matching call of `endAttempt` when the attempt ends. */
+export function beginAttempt (observed: ObservedServer, now: Millis): void {
   recordAttemptStart(observed)
-  consumeLimitToken(observed.notice.limit)
+  recordRequestUnderNotice(observed.notice, now)
 }
 
 /** Records the end and the outcome of an attempt. */
--- a/packages/routing/src/types/view.ts
+++ b/packages/routing/src/types/view.ts
@@ -19,6 +19,8 @@
   readonly region: RegionId
   readonly failureDomain: FailureDomainId
   readonly address: string
+  /** Start of the server's process. */
+  readonly incarnation: number
   readonly slots: number
   readonly maxConnections: number
   /** Takes no new requests, as announced by the server or because of an operator's drain. */
