Replay servers that ask for pauses; no trial after a pause

A VM sends about 1.5 requests a second to a server, and what waits for it is bounded by its slots and the accepted wait, so a trial keeps no crowd away; it moves objects to cold servers for longer.

--- a/packages/daemon/src/core/entry/attemptSteps.ts
+++ b/packages/daemon/src/core/entry/attemptSteps.ts
@@ -1,7 +1,7 @@
 /** Steps of all requests, idempotent or not: acquiring a slot, running an attempt, logging. */
 import { brandId, getErrorMessage, isFinal, nextState } from '@lynxcourse/base'
 import { findServer, isLeaseValid } from '@lynxcourse/membership'
-import { mayStillWrite } from '@lynxcourse/limits'
+import { isClosedToRequests } from '@lynxcourse/limits'
 import { isServerError, needsPoll, recordPoll } from '@lynxcourse/placement'
 import type { Millis, ServerId } from '@lynxcourse/base'
 import type { AttemptOutcome } from '@lynxcourse/routing'
@@ -49,7 +49,8 @@
     slot = await acquireSlot(entry, { service: request.service, places, triedServers }, gate, latestSendTime, signal)
     if (typeof slot === 'string') return slot
     await refreshCallerLiveness(serving)
-    if (mayStillWrite(slot.observed.notice, getCurrentTime())) break
+    // The server may have spoken meanwhile.
+    if (!isClosedToRequests(slot.observed.notice, getCurrentTime())) break
     releaseSlot(entry, slot, 'cancelled')
   }
   if (signal.aborted) {
--- a/packages/daemon/src/core/entry/slots.ts
+++ b/packages/daemon/src/core/entry/slots.ts
@@ -121,7 +121,7 @@
 function tryAcquireSlot (entry: EntryState, request: RouteRequest, gate: LimitGate, now: Millis): Slot | undefined {
   const decision = routeRequest(entry.router, request, gate, now)
   if (decision.type === 'wait') return undefined
-  beginAttempt(decision.observed, now)
+  beginAttempt(decision.observed)
   acquireCapacity(entry.node.limits, decision.resources)
   const { observed, place, resources, passedOver } = decision
   return { observed, place, resources, passedOver, startedAt: now }
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -1,6 +1,6 @@
 /** Log lines for the decisions on one request. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { isPaused } from '@lynxcourse/limits'
+import { getPauseMs } from '@lynxcourse/limits'
 import type { ServerNotice } from '@lynxcourse/limits'
 import { estimateQueueDepth, getConcurrency, getLimitShare, isServerError } from '@lynxcourse/placement'
 import type { Placement, Refusal } from '@lynxcourse/placement'
@@ -68,11 +68,12 @@
 
 /** Returns how long the server wanted no requests, counted from the start and from the end of the send, and whether it leaves. */
 function getNoticeFields ({ server: { notice } }: Placement, startedAt: Millis, now: Millis): LogFields {
-  return { pausedMs: getPauseMs(notice, startedAt), pausedNowMs: getPauseMs(notice, now), leaving: notice.isLeaving ? true : undefined }
+  return { pausedMs: describePause(notice, startedAt), pausedNowMs: describePause(notice, now), leaving: notice.isLeaving || undefined }
 }
 
-function getPauseMs (notice: ServerNotice, now: Millis): Millis | undefined {
-  return isPaused(notice.pause, now) ? Math.round(notice.pause.until - now) : undefined
+function describePause (notice: ServerNotice, now: Millis): Millis | undefined {
+  const pauseMs = getPauseMs(notice, now)
+  return pauseMs > 0 ? Math.round(pauseMs) : undefined
 }
 
 /**
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -2,7 +2,7 @@
 import type { Dispatcher } from 'undici'
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { mayStillWrite } from '@lynxcourse/limits'
+import { isClosedToRequests } from '@lynxcourse/limits'
 import { recordReply, estimateRoundTrip } from '@lynxcourse/placement'
 import type { LostReason, Placement, SendOutcome } from '@lynxcourse/placement'
 import type { HeaderMap } from '../../types/answers.js'
@@ -76,7 +76,7 @@
   const writeDeadline = now + gateway.pool.connectTimeoutMs + lateConnectionMs
   let isWithdrawn = false
   const mayWrite = (at: Millis): boolean => {
-    isWithdrawn = !mayStillWrite(placement.server.notice, at)
+    isWithdrawn = isClosedToRequests(placement.server.notice, at)
     return !isWithdrawn && at <= writeDeadline
   }
   const exchange = startExchange(connection.client, options, mayWrite, head => {
--- a/packages/daemon/src/core/node/queries.ts
+++ b/packages/daemon/src/core/node/queries.ts
@@ -1,7 +1,7 @@
 /** Operators' queries. A VM answers them from its own state or relays them to the leader. */
 import { LynxError, getHolderVm } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { isPaused } from '@lynxcourse/limits'
+import { getPauseMs } from '@lynxcourse/limits'
 import { isLeaseValid, listServers, listVms } from '@lynxcourse/membership'
 import { refreshBackend, routeRequest } from '@lynxcourse/routing'
 import type { ObservedServer } from '@lynxcourse/routing'
@@ -113,8 +113,8 @@
 /** Returns what a server has said about itself to this VM. */
 function describeNotice (observed: ObservedServer | undefined, now: Millis): object {
   if (observed === undefined) return {}
-  const { limit, pause, isLeaving } = observed.notice
-  return { pausedMs: isPaused(pause, now) ? Math.round(pause.until - now) : undefined, saysLeaving: isLeaving || undefined, takesPerSecond: limit.perSecond }
+  const { notice } = observed
+  return { takesPerSecond: notice.limit.perSecond, pausedMs: Math.round(getPauseMs(notice, now)) || undefined, saysLeaving: notice.isLeaving || undefined }
 }
 
 /** Returns the answer to `query.status`: this VM's roles, lease, configuration version and replica. */
--- a/packages/limits/__tests__/serverStatements.test.ts
+++ b/packages/limits/__tests__/serverStatements.test.ts
@@ -1,7 +1,7 @@
 /** What answers of backend servers say about the servers. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createServerNotice, isPaused, noStatements, parseStatements, recordStatements } from '@lynxcourse/limits'
+import { createServerNotice, isClosedToRequests, noStatements, parseStatements, recordStatements } from '@lynxcourse/limits'
 import type { LeavingFlag, RequestedPause, ServerStatements, StatementHeaders } from '@lynxcourse/limits'
 
 const noHeaders: StatementHeaders = { limit: undefined, leaving: undefined, retryAfter: undefined, date: undefined }
@@ -57,9 +57,9 @@
   const notice = createServerNotice()
   assert.equal(recordStatements(notice, pause(3000), 1000).length, 1)
   assert.deepEqual(recordStatements(notice, pause(500), 1500), [])
-  assert.ok(isPaused(notice.pause, 3999) && !isPaused(notice.pause, 4000))
+  assert.ok(isClosedToRequests(notice, 3999) && !isClosedToRequests(notice, 4000))
   assert.deepEqual(recordStatements(notice, pause(3000), 2000), [{ type: 'paused', forMs: 3000 }])
-  assert.ok(isPaused(notice.pause, 4999) && !isPaused(notice.pause, 5000))
+  assert.ok(isClosedToRequests(notice, 4999) && !isClosedToRequests(notice, 5000))
 })
 
 test('a pause of no time and unreadable statements change nothing', () => {
@@ -67,7 +67,7 @@
   assert.deepEqual(recordStatements(notice, pause(0), 1000), [])
   const changes = recordStatements(notice, { ...noStatements, pause: { type: 'unreadable', text: 'x' }, leaving: { type: 'unreadable', text: 'y' } }, 1000)
   assert.deepEqual(changes.map(change => change.type), ['unreadable', 'unreadable'])
-  assert.ok(!isPaused(notice.pause, 1000) && !notice.isLeaving)
+  assert.ok(!isClosedToRequests(notice, 1000) && !notice.isLeaving)
 })
 
 /** Guards against a server that counts as staying again because of an answer that it wrote before it left. */
--- a/packages/limits/src/core/servers/serverNotice.ts
+++ b/packages/limits/src/core/servers/serverNotice.ts
@@ -5,16 +5,15 @@
  * The VM's own record is enough: no message of another VM can shorten a pause or take back that a server leaves.
  */
 import type { Millis } from '@lynxcourse/base'
-import { consumeLimitToken, createServerLimit, expireLimit, getTokenDelay, hasLimitToken, recordNamedLimit } from './serverLimit.js'
+import { createServerLimit, expireLimit, getTokenDelay, hasLimitToken, recordNamedLimit } from './serverLimit.js'
 import type { LimitChange, ServerLimit } from './serverLimit.js'
-import { createServerPause, getPauseDelay, isPaused, recordRequestAfterPause, startPause } from './serverPause.js'
-import type { ServerPause } from './serverPause.js'
 import type { ServerStatements } from './serverStatements.js'
 
 export interface ServerNotice {
   /** The limit that the server names for the requests of all VMs together. */
   readonly limit: ServerLimit
-  readonly pause: ServerPause
+  /** End of the time for which the server wants no requests from this VM. */
+  pausedUntil: Millis
   /** Whether the server wants no new requests any more; this lasts until its process ends. */
   isLeaving: boolean
 }
@@ -34,7 +33,7 @@
   | UnreadableStatement
 
 export function createServerNotice (): ServerNotice {
-  return { limit: createServerLimit(), pause: createServerPause(), isLeaving: false }
+  return { limit: createServerLimit(), pausedUntil: -Infinity, isLeaving: false }
 }
 
 /** Records what an answer says about its server; returns what changed. Of two pauses, the one that ends later counts. */
@@ -42,7 +41,7 @@
   const changes: NoticeChange[] = listUnreadable(statements)
   const change = recordNamedLimit(notice.limit, statements.limit, now)
   if (change !== undefined) changes.push({ type: 'limit', change })
-  if (statements.pause.type === 'paused' && startPause(notice.pause, statements.pause.forMs, now)) changes.push(statements.pause)
+  if (statements.pause.type === 'paused' && extendPause(notice, statements.pause.forMs, now)) changes.push(statements.pause)
   if (statements.leaving.type === 'leaving' && !notice.isLeaving) {
     notice.isLeaving = true
     changes.push({ type: 'leaving' })
@@ -57,17 +56,20 @@
   })
 }
 
-/** Whether a server wants no new requests now: it leaves, or its pause or slow start keeps them away. */
-export function isClosedToRequests ({ pause, isLeaving }: ServerNotice, now: Millis): boolean {
-  return isLeaving || getPauseDelay(pause, now) > 0
+function extendPause (notice: ServerNotice, forMs: Millis, now: Millis): boolean {
+  if (now + forMs <= Math.max(now, notice.pausedUntil)) return false
+  notice.pausedUntil = now + forMs
+  return true
 }
 
-/**
- * Whether a request that was assigned to a server may still be written to its connection: the server may have spoken while the
- * connection was opened.
- */
-export function mayStillWrite ({ pause, isLeaving }: ServerNotice, now: Millis): boolean {
-  return !isLeaving && !isPaused(pause, now)
+/** Returns how long a server still wants no requests from this VM. */
+export function getPauseMs ({ pausedUntil }: ServerNotice, now: Millis): Millis {
+  return Math.max(0, pausedUntil - now)
+}
+
+/** Whether a server wants no new requests from this VM now: it leaves, or asked for a pause. */
+export function isClosedToRequests (notice: ServerNotice, now: Millis): boolean {
+  return notice.isLeaving || getPauseMs(notice, now) > 0
 }
 
 /**
@@ -82,12 +84,6 @@
 }
 
 /** Returns the time until a request of this VM may be sent to the server; Infinity if none will be. */
-export function getRequestDelay ({ limit, pause, isLeaving }: ServerNotice, share: number, now: Millis): Millis {
-  return isLeaving ? Infinity : Math.max(getPauseDelay(pause, now), getTokenDelay(limit, share, now))
-}
-
-/** Counts a request that is sent to the server. */
-export function recordRequestUnderNotice ({ limit, pause }: ServerNotice, now: Millis): void {
-  consumeLimitToken(limit)
-  recordRequestAfterPause(pause, now)
+export function getRequestDelay (notice: ServerNotice, share: number, now: Millis): Millis {
+  return notice.isLeaving ? Infinity : Math.max(getPauseMs(notice, now), getTokenDelay(notice.limit, share, now))
 }
--- a/packages/limits/src/core/servers/serverNotices.ts
+++ b/packages/limits/src/core/servers/serverNotices.ts
@@ -5,8 +5,7 @@
  * for still holds when it is listed again.
  */
 import type { Millis, ServerId } from '@lynxcourse/base'
-import { isPaused } from './serverPause.js'
-import { createServerNotice } from './serverNotice.js'
+import { createServerNotice, isClosedToRequests } from './serverNotice.js'
 import type { ServerNotice } from './serverNotice.js'
 
 interface NoticeEntry {
@@ -42,6 +41,6 @@
   }
 }
 
-function isInForce ({ limit, pause, isLeaving }: ServerNotice, now: Millis): boolean {
-  return isLeaving || isPaused(pause, now) || limit.perSecond !== undefined
+function isInForce (notice: ServerNotice, now: Millis): boolean {
+  return isClosedToRequests(notice, now) || notice.limit.perSecond !== undefined
 }
--- a/packages/placement/src/core/request/learning.ts
+++ b/packages/placement/src/core/request/learning.ts
@@ -1,6 +1,6 @@
 /** Updates an entry VM's estimates of servers, work times and load from the outcomes of sends. */
 import type { Millis } from '@lynxcourse/base'
-import { recordStatements } from '@lynxcourse/limits'
+import { noStatements, recordStatements } from '@lynxcourse/limits'
 import type { NoticeChange, ServerStatements } from '@lynxcourse/limits'
 import { isServerError } from '../../types/sendOutcome.js'
 import type { LostReason, SendOutcome } from '../../types/sendOutcome.js'
@@ -28,8 +28,9 @@
 }
 
 /** Records what a server's answer says about the server; returns what changed. */
-export function recordAnswerStatements ({ load }: EntryState, { facts, notice }: FleetServer, statements: ServerStatements, now: Millis): NoticeChange[] {
-  const changes = recordStatements(notice, statements, now)
+export function recordAnswerStatements ({ fleet, load }: EntryState, { facts, notice }: FleetServer, statements: ServerStatements, now: Millis): NoticeChange[] {
+  const heard = fleet.setup.disabledMechanisms.has('serverPauses') ? { ...statements, pause: noStatements.pause } : statements
+  const changes = recordStatements(notice, heard, now)
   const { perSecond } = notice.limit
   if (perSecond !== undefined) recordLimit(load, facts.id, perSecond)
   else if (changes.some(change => change.type === 'limit')) recordLimit(load, facts.id, null)
--- a/packages/placement/src/core/request/placeRequest.ts
+++ b/packages/placement/src/core/request/placeRequest.ts
@@ -5,7 +5,7 @@
 import type { Millis, ServiceId } from '@lynxcourse/base'
 import { mayAdmit } from '../admission/concurrencyLimit.js'
 import type { ConcurrencyLimit } from '../admission/concurrencyLimit.js'
-import { isClosedToRequests, slowStartMs } from '@lynxcourse/limits'
+import { isClosedToRequests } from '@lynxcourse/limits'
 import { isCold } from '../server/coldRateLimit.js'
 import { estimateRequestDelay } from '../server/limitedServers.js'
 import { getConcurrency, workKey } from './fleet.js'
@@ -52,8 +52,9 @@
 /** Retry time if no server exists: about the interval at which servers announce themselves. */
 const noServerRetryAfterMs = 500
 
-/** Time over which callers return after a pause, as a fraction of the pause. */
+/** Time over which callers return after a pause: a fraction of the pause, and at least `minPauseSpreadMs`. */
 const pauseSpreadFraction = 0.5
+const minPauseSpreadMs = 500
 
 /** Selects a server for a request, or refuses it with a time for the retry. */
 export function placeRequest (fleet: Fleet, request: PlacementRequest, now: Millis): Placement | Refusal {
@@ -106,9 +107,9 @@
   return Math.max(slack * (factor >= 1 ? 1 : factor), serviceMs * factor)
 }
 
-/** Refuses a request until a server takes requests again. Callers return after that time, spread over the slow start or longer. */
+/** Refuses a request until a server takes requests again. Callers return after that time, and not all at once. */
 function refuseUntil (fleet: Fleet, delayMs: Millis): Refusal {
-  const spreadMs = Math.max(slowStartMs, delayMs * pauseSpreadFraction)
+  const spreadMs = Math.max(minPauseSpreadMs, delayMs * pauseSpreadFraction)
   return { type: 'refuse', reason: 'paused', retryAfterMs: Math.max(minRetryAfterMs, delayMs + fleet.setup.random() * spreadMs) }
 }
 
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -15,7 +15,7 @@
 import { expectsCapacity, computeRecheckDelay, computeWaitEnd } from '../admission/capacityWait.js'
 import { recordDemand } from '../board/loadObservations.js'
 import { recordBudgetedRequest, trySpendRetry } from '../retries/retryBudget.js'
-import { recordRequestUnderNotice } from '@lynxcourse/limits'
+import { consumeLimitToken } from '@lynxcourse/limits'
 import { recordServerDemand } from '../server/limitedServers.js'
 import { isCold, consumeColdToken } from '../server/coldRateLimit.js'
 import { recordRequestStart, recordRequestEnd, computeResponseTimeout } from '../server/fleetServer.js'
@@ -145,7 +145,7 @@
   state.sends += 1
   state.tried.add(server.facts.id)
   if (isCold(server, now)) consumeColdToken(server)
-  recordRequestUnderNotice(server.notice, now)
+  consumeLimitToken(server.notice.limit)
   recordServerDemand(placement.wanted, now)
   const expectedMs = roundTripMs + waitMs + workMs
   const running = recordRequestStart(server, expectedMs, maxExpectedMs, now)
--- a/packages/placement/src/types/mechanisms.ts
+++ b/packages/placement/src/types/mechanisms.ts
@@ -5,6 +5,7 @@
   sharedLoad: 'each VM knows queue depths only from the answers that it receives',
   silentServers: 'each VM detects unresponsive servers by itself',
   limitShares: 'each VM computes its share of a server\'s limit from the number of VMs',
+  serverPauses: 'a server that asks for no requests for a time is left alone for as little time as any full one',
   weights: 'all servers have the same weight in hashing',
   regionPlan: 'objects are served in the region of their callers',
   roomWait: 'a request that finds no capacity is refused at once',
--- a/packages/replay/__tests__/replay.test.ts
+++ b/packages/replay/__tests__/replay.test.ts
@@ -15,7 +15,7 @@
 }
 
 function createTestJob (object: string, results: BackendResult[]): Job {
-  return { object, coldMs: 100, warmPart: 0.25, deadline: 10_000, onResult: result => results.push(result), wasWarm: false, isFinished: false }
+  return { vm: 'vm-1', object, coldMs: 100, warmPart: 0.25, deadline: 10_000, onResult: result => results.push(result), wasWarm: false, isFinished: false }
 }
 
 test('equal seeds give equal figures, different seeds different ones', () => {
@@ -33,7 +33,7 @@
   const timeline = createTimeline()
   const backend = createTestBackend()
   const results: BackendResult[] = []
-  for (const object of ['a', 'a', 'b']) submitJob(timeline, backend, createTestJob(object, results), false)
+  for (const object of ['a', 'a', 'b']) submitJob(timeline, backend, createTestJob(object, results), undefined)
   assert.deepEqual(results, [{ type: 'full', ahead: 2 }])
   runUntil(timeline, 100)
   assert.equal(results.length, 2)
--- a/packages/replay/src/core/backendModel.ts
+++ b/packages/replay/src/core/backendModel.ts
@@ -2,14 +2,27 @@
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import { scheduleAfter } from '@lynxcourse/base/timeline'
 import type { Timeline } from '@lynxcourse/base/timeline'
+import { countPausedRequest, createPauseUse, recordTurnedAway } from './pauseUse.js'
+import type { PauseUse } from './pauseUse.js'
 
-/** Result of a request at a server: `ahead` is the server's queue depth, `limit` the requests per second that it names. */
+/** An answer's head: the server's queue depth, and what the server says about itself. */
+interface AnswerHead {
+  readonly ahead: number
+  /** Requests per second that it names. */
+  readonly limit?: number
+  readonly isLeaving?: boolean
+}
+
+/** Result of a request at a server; one that is full may ask the VM for no requests for a time. */
 export type BackendResult =
-  | { readonly type: 'answered' | 'full', readonly ahead: number, readonly limit?: number }
+  | { readonly type: 'answered' } & AnswerHead
+  | { readonly type: 'full', readonly pauseMs?: Millis } & AnswerHead
   | { readonly type: 'lost' }
 
 /** One request at a server. */
 export interface Job {
+  /** Name of the entry VM that sent it. */
+  readonly vm: string
   readonly object: string
   readonly coldMs: Millis
   readonly warmPart: number
@@ -36,6 +49,10 @@
   slowdown: number
   /** Fraction of requests that the server sheds although it has capacity. */
   shedPart: number
+  /** Fraction of requests that the server turns away with a request for a pause of `pauseMs`. */
+  pausePart: number
+  pauseMs: Millis
+  readonly pauseUse: PauseUse
   /** Requests per second that the server takes from all VMs together; undefined if it names no limit. */
   limit: number | undefined
   /** Arrival times of the requests since the server named a limit. */
@@ -43,15 +60,23 @@
 }
 
 export function createBackend (settings: Pick<Backend, 'id' | 'service' | 'region' | 'failureDomain' | 'slots' | 'queue' | 'warmObjects'>): Backend {
-  return { ...settings, running: new Set(), waiting: [], warm: new Set(), isUp: true, isLeaving: false, slowdown: 1, shedPart: 0, limit: undefined, limitedArrivals: [] }
+  return { ...settings, running: new Set(), waiting: [], warm: new Set(), isUp: true, isLeaving: false, slowdown: 1, shedPart: 0, pausePart: 0, pauseMs: 0, pauseUse: createPauseUse(), limit: undefined, limitedArrivals: [] }
 }
 
+/** How a server rejects a request although it has capacity: as if it were full, or with a request for a pause. */
+export type Rejection = 'shed' | 'pause'
+
 /** Starts, queues or rejects a request that arrives at a server. */
-export function submitJob (timeline: Timeline, backend: Backend, job: Job, isShed: boolean): void {
+export function submitJob (timeline: Timeline, backend: Backend, job: Job, rejection: Rejection | undefined): void {
   if (!backend.isUp) return endJob(job, { type: 'lost' })
   if (backend.limit !== undefined) backend.limitedArrivals.push(timeline.now)
+  countPausedRequest(backend.pauseUse, job.vm, timeline.now)
+  if (rejection === 'pause') {
+    recordTurnedAway(backend.pauseUse, job.vm, backend.pauseMs, timeline.now)
+    return endJob(job, { type: 'full', pauseMs: backend.pauseMs, ...describeLoad(backend) })
+  }
   const isFull = backend.running.size >= backend.slots && backend.waiting.length >= backend.queue
-  if (isFull || isShed) return endJob(job, { type: 'full', ...describeLoad(backend) })
+  if (isFull || rejection === 'shed') return endJob(job, { type: 'full', ...describeLoad(backend) })
   if (backend.running.size < backend.slots) startJob(timeline, backend, job)
   else backend.waiting.push(job)
 }
@@ -73,8 +98,8 @@
   for (const job of jobs) endJob(job, { type: 'lost' })
 }
 
-function describeLoad ({ running, waiting, limit }: Backend): { readonly ahead: number, readonly limit?: number } {
-  return { ahead: running.size + waiting.length, ...(limit === undefined ? {} : { limit }) }
+function describeLoad ({ running, waiting, limit, isLeaving }: Backend): AnswerHead {
+  return { ahead: running.size + waiting.length, ...(isLeaving ? { isLeaving } : {}), ...(limit === undefined ? {} : { limit }) }
 }
 
 function startJob (timeline: Timeline, backend: Backend, job: Job): void {
--- a/packages/replay/src/core/disturbances.ts
+++ b/packages/replay/src/core/disturbances.ts
@@ -50,6 +50,14 @@
     for (const backend of shedding) backend.shedPart = part
     scheduleAfter(world.timeline, forS * 1000, () => { for (const backend of shedding) backend.shedPart = 0 })
   },
+  serversPause: (world, { share, part, pauseS, forS }) => {
+    const pausing = pickServers(world, share)
+    for (const backend of pausing) {
+      backend.pausePart = part
+      backend.pauseMs = pauseS * 1000
+    }
+    scheduleAfter(world.timeline, forS * 1000, () => { for (const backend of pausing) backend.pausePart = 0 })
+  },
   serversLimited: (world, { share, perSecond, forS }) => {
     const limited = pickServers(world, share)
     const since = world.timeline.now
@@ -110,7 +118,10 @@
   scheduleAfter(world.timeline, directoryDelayMs, () => {
     for (const vm of world.vms) {
       const server = vm.entry.fleet.byId.get(id)
-      if (server !== undefined) server.facts = { ...server.facts, isClosed: !isUp || isLeaving }
+      if (server === undefined) continue
+      server.facts = { ...server.facts, isClosed: !isUp || isLeaving }
+      // A server that is back is another process, which has not said that it leaves.
+      if (isUp && !isLeaving) server.notice.isLeaving = false
     }
   })
 }
--- a/packages/replay/src/core/replayPattern.ts
+++ b/packages/replay/src/core/replayPattern.ts
@@ -25,5 +25,5 @@
   scheduleDisturbances(world)
   startCallers(world)
   runUntil(world.timeline, pattern.seconds * 1000 + drainTimeMs)
-  return computeFigures(world.score)
+  return computeFigures(world.score, [...world.backends.values()].map(({ pauseUse }) => pauseUse))
 }
--- a/packages/replay/src/core/score.ts
+++ b/packages/replay/src/core/score.ts
@@ -5,6 +5,7 @@
 import { createLimitUse } from './limitUse.js'
 import type { LimitUse } from './limitUse.js'
 import type { ColdCause } from './coldCauses.js'
+import type { PauseUse } from './pauseUse.js'
 
 /** Outcome of one caller's request, over all its attempts. */
 export interface CompletedRequest {
@@ -99,9 +100,11 @@
   readonly limitUsedPart: number
   /** Requests in the busiest window of such a server, as a fraction of the bound. */
   readonly limitWindowPart: number
+  /** Most requests that a server got from one VM within a pause that it had asked for. */
+  readonly pausedRequests: number
 }
 
-export function computeFigures (score: Score): Figures {
+export function computeFigures (score: Score, pauseUses: readonly PauseUse[]): Figures {
   const { outcomes, latencies, sends, limitUse } = score
   const ended = Object.values(outcomes).reduce((sum, value) => sum + value, 0)
   const perRequest = (value: number): number => value / Math.max(1, ended)
@@ -125,7 +128,8 @@
     openedPart: perSend(score.openedConnections),
     shedPart: perSend(score.shed),
     limitUsedPart: limitUse.used / Math.max(1, limitUse.allowed),
-    limitWindowPart: limitUse.maxWindowPart
+    limitWindowPart: limitUse.maxWindowPart,
+    pausedRequests: Math.max(0, ...pauseUses.map(({ mostRequests }) => mostRequests))
   }
 }
 
--- a/packages/replay/src/core/vmModel.ts
+++ b/packages/replay/src/core/vmModel.ts
@@ -7,7 +7,7 @@
 import type { ServerStatements } from '@lynxcourse/limits'
 import type { EntryState, DecisionConditions, Placement, RequestState, SendOutcome, InFlightSend } from '@lynxcourse/placement'
 import { submitJob, cancelJob } from './backendModel.js'
-import type { Backend, BackendResult, Job } from './backendModel.js'
+import type { Backend, BackendResult, Job, Rejection } from './backendModel.js'
 import { classifyColdRequest } from './coldCauses.js'
 import type { ColdCause } from './coldCauses.js'
 import { createEntryState, getOneWayDelay } from './world.js'
@@ -96,7 +96,7 @@
   if (!isReused) score.openedConnections += 1
   if (vm.region !== backend.region) score.remoteSends += 1
   const inFlight = beginSend(entry, run, placement, timeline.now)
-  const job = createJob(world, arrival, result => scheduleAfter(timeline, oneWayMs, () => handleResult(result)))
+  const job = createJob(world, vm.name, arrival, result => scheduleAfter(timeline, oneWayMs, () => handleResult(result)))
   let isFinished = false
   const finish = (outcome: SendOutcome): void => {
     if (isFinished) return
@@ -123,7 +123,7 @@
   scheduleAfter(timeline, connectMs + oneWayMs, () => {
     if (isFinished) return
     if (backend.isUp && !backend.warm.has(job.object)) cause = classifyColdRequest(world, backend, job, placement)
-    submitJob(timeline, backend, job, random() < backend.shedPart)
+    submitJob(timeline, backend, job, drawRejection(backend, random))
   })
   scheduleAfter(timeline, arrival.deadline - timeline.now, () => abandon('deadline'))
   scheduleFailover(world, active, inFlight, () => abandon('slow'))
@@ -135,9 +135,14 @@
   scheduleAfter(timeline, failoverAt - timeline.now, () => { if (mayFailOver(entry, run, conditions, timeline.now)) abandon() })
 }
 
-function createJob ({ pattern, random }: World, { route, object, deadline }: IncomingRequest, onResult: Job['onResult']): Job {
+function drawRejection ({ shedPart, pausePart }: Backend, random: () => number): Rejection | undefined {
+  if (random() < shedPart) return 'shed'
+  return pausePart > 0 && random() < pausePart ? 'pause' : undefined
+}
+
+function createJob ({ pattern, random }: World, vm: string, { route, object, deadline }: IncomingRequest, onResult: Job['onResult']): Job {
   const { workMs, warmPart, spread } = pattern.routes[route] as World['pattern']['routes'][string]
-  return { object: `${route}|${object}`, coldMs: workMs * (1 + spread * sampleNormal(random)), warmPart, deadline, onResult, wasWarm: false, isFinished: false }
+  return { vm, object: `${route}|${object}`, coldMs: workMs * (1 + spread * sampleNormal(random)), warmPart, deadline, onResult, wasWarm: false, isFinished: false }
 }
 
 /** Returns an approximately normal value with standard deviation 1, within three deviations. */
@@ -145,8 +150,13 @@
   return (random() + random() + random() - 1.5) * 2
 }
 
-function toStatements ({ limit }: Exclude<BackendResult, { type: 'lost' }>): ServerStatements {
-  return limit === undefined ? noStatements : { ...noStatements, limit: { type: 'limited', perSecond: limit } }
+function toStatements (result: Exclude<BackendResult, { type: 'lost' }>): ServerStatements {
+  const { limit, isLeaving } = result
+  return {
+    limit: limit === undefined ? noStatements.limit : { type: 'limited', perSecond: limit },
+    pause: result.type === 'full' && result.pauseMs !== undefined ? { type: 'paused', forMs: result.pauseMs } : noStatements.pause,
+    leaving: isLeaving === true ? { type: 'leaving' } : noStatements.leaving
+  }
 }
 
 function toSendOutcome (result: BackendResult, connectMs: Millis): SendOutcome {
--- a/packages/replay/src/types/pattern.ts
+++ b/packages/replay/src/types/pattern.ts
@@ -70,7 +70,9 @@
   z.strictObject({ kind: z.literal('serversShed'), ...times, share, part: share }),
   /** Servers name a limit for the requests of all VMs together. */
   z.strictObject({ kind: z.literal('serversLimited'), ...times, share, perSecond: z.number().min(0) }),
-  /** Servers announce that they leave, and then stop. */
+  /** Servers turn away a fraction (`part`) of their requests, and ask each VM for no requests for `pauseS`. */
+  z.strictObject({ kind: z.literal('serversPause'), ...times, share, part: share, pauseS: positive }),
+  /** Servers announce that they leave, and say so in their answers; then they stop. */
   z.strictObject({ kind: z.literal('serversLeave'), ...times, share }),
   /** Entry VMs receive no load updates. */
   z.strictObject({ kind: z.literal('controlCut'), ...times })
--- a/packages/routing/__tests__/routing.test.ts
+++ b/packages/routing/__tests__/routing.test.ts
@@ -153,7 +153,7 @@
         assert.ok(isOpen)
         assert.ok(!leavingIds.has(decision.observed.backend.id))
         assert.ok(decision.observed.inFlight < 3)
-        beginAttempt(decision.observed, now)
+        beginAttempt(decision.observed)
         inFlight.push(decision.observed)
       } else {
         const [observed] = inFlight.splice(pick % Math.max(1, inFlight.length), 1)
--- a/packages/routing/__tests__/serverLimits.test.ts
+++ b/packages/routing/__tests__/serverLimits.test.ts
@@ -40,7 +40,7 @@
     const decision = routeRequest(router, request, gate, now)
     decisions.push(decision)
     if (decision.type === 'wait') continue
-    beginAttempt(decision.observed, now)
+    beginAttempt(decision.observed)
     endAttempt(router, decision.observed, 'answered', 5, now)
   }
   return decisions
--- a/packages/routing/src/core/router.ts
+++ b/packages/routing/src/core/router.ts
@@ -1,7 +1,7 @@
 /** Selects the region and the backend server for each request at an entry VM. */
 import { rankByHash } from '@lynxcourse/base'
 import type { Chart, Millis, Random, RegionId, ResourceId, ServiceId, VmId } from '@lynxcourse/base'
-import { computeEqualShare, getRequestDelay, isClosedToRequests, permitsRequest, recordRequestUnderNotice } from '@lynxcourse/limits'
+import { computeEqualShare, consumeLimitToken, getRequestDelay, isClosedToRequests, permitsRequest } from '@lynxcourse/limits'
 import type { RegionLatencies } from '../types/view.js'
 import { getLatencyMs } from '../types/view.js'
 import { createBackends, isServing, isUsable, recordAttemptEnd, recordAttemptStart, refreshBackend } from './backends.js'
@@ -153,10 +153,10 @@
   return 2 * getLatencyMs(router.setup.latencies, router.setup.region, region)
 }
 
-/** Counts an attempt as in flight, and under what its server has said. Each call needs a matching call of `endAttempt` when the attempt ends. */
-export function beginAttempt (observed: ObservedServer, now: Millis): void {
+/** Counts an attempt as in flight, and uses a token of the server's limit. Each call needs a matching call of `endAttempt` when the attempt ends. */
+export function beginAttempt (observed: ObservedServer): void {
   recordAttemptStart(observed)
-  recordRequestUnderNotice(observed.notice, now)
+  consumeLimitToken(observed.notice.limit)
 }
 
 /** Records the end and the outcome of an attempt. */
--- a/scripts/replay/spread.ts
+++ b/scripts/replay/spread.ts
@@ -3,7 +3,7 @@
 
 type NumericFigure = { [Name in keyof Figures]: Figures[Name] extends number ? Name : never }[keyof Figures]
 
-const numericFigures: readonly NumericFigure[] = ['benefit', 'worstTwoSeconds', 'inTime', 'late', 'refused', 'failed', 'p50Ms', 'p99Ms', 'coldPart', 'farPart', 'openedPart', 'shedPart', 'limitUsedPart', 'limitWindowPart']
+const numericFigures: readonly NumericFigure[] = ['benefit', 'worstTwoSeconds', 'inTime', 'late', 'refused', 'failed', 'p50Ms', 'p99Ms', 'coldPart', 'farPart', 'openedPart', 'shedPart', 'limitUsedPart', 'limitWindowPart', 'pausedRequests']
 
 /** Mean, minimum and maximum of one figure over all seeds. */
 interface Spread {
