Leave servers that want no requests out of the utilization of their service

Their idle slots made the service look emptier than it is, so that work was placed as if there were room.

--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -159,7 +159,7 @@
   let queueDepth = 0
   let slots = 0
   for (const server of servers) {
-    if (!takesNewWork(server)) continue
+    if (server.facts.isClosed || isClosedToRequests(server.notice, now)) continue
     queueDepth += estimateQueueDepth(server, now)
     slots += server.facts.slots
   }
