Keep to the connections that servers accept, let requests wait for short pauses, and show notices to operators

Connections: the number that a server accepts from all VMs together was read and used by nobody, by route and by service. Each VM keeps to an equal fraction of them; a request in flight takes one.

A request that could wait for a pause of 50 ms was refused, because the wait was judged by the time for callers, which is spread.

--- a/packages/cli/src/core/commands/fleets.ts
+++ b/packages/cli/src/core/commands/fleets.ts
@@ -1,7 +1,8 @@
-/** Commands for a fleet: `fleet routes`, `fleet match`, `fleet teams`, `fleet restricted`, `fleet release`, `fleet limited`. */
+/** Commands for a fleet: `fleet routes`, `fleet match`, `fleet teams`, `fleet restricted`, `fleet release`, `fleet limited`, `fleet notices`. */
 import type { Command } from 'commander'
 import { LynxError } from '@lynxcourse/base'
-import type { FleetSummary, TeamSummary } from '@lynxcourse/daemon'
+import { callPeer } from '@lynxcourse/daemon'
+import type { FleetSummary, NoticeSummary, TeamSummary } from '@lynxcourse/daemon'
 import { buildRouteTable, matchRoute } from '@lynxcourse/routing'
 import { getRouteServices } from '@lynxcourse/state'
 import type { ChangeAnswer, CrashingRequestItem, Route } from '@lynxcourse/state'
@@ -9,6 +10,7 @@
 import { printRecord, printRows } from '../../utils/printing.js'
 import type { Row } from '../../utils/printing.js'
 import { callAnyVm } from '../session.js'
+import type { Session } from '../session.js'
 import { createAction } from './action.js'
 
 /** Formats the services of a route with their shares in percent. */
@@ -53,6 +55,21 @@
   return { server, perSecond: perSecond ?? undefined, shares: shares.map(([vm, share]) => `${vm}=${Math.round(share * 100)}%`).join() }
 }
 
+/** Creates the output row of what a server has said to one entry VM. */
+export function createNoticeRow (vm: string, { server, service, perSecond, share, pausedMs, isLeaving }: NoticeSummary): Row {
+  return { vm, server, service, perSecond: perSecond ?? undefined, share: share === null ? undefined : `${Math.round(share * 100)}%`, pausedMs: pausedMs || undefined, leaving: isLeaving || undefined }
+}
+
+/** Reads the notices of one entry VM; an address that can't answer gets a row with the error. */
+async function readNotices (session: Session, address: string): Promise<Row[]> {
+  try {
+    const { vm, notices } = await callPeer<{ vm: string, notices: NoticeSummary[] }>(session.client, address, 'fleet.notices', {})
+    return notices.map(notice => createNoticeRow(vm, notice))
+  } catch (err) {
+    return [{ vm: address, error: (err as Error).message }]
+  }
+}
+
 /** Adds the commands of `lynxcourse fleet`. */
 export function addFleetCommands (program: Command): void {
   const fleet = program.command('fleet').description('routes, teams, restricted requests and limited servers of a fleet, read from its control VMs')
@@ -82,6 +99,11 @@
     printRows(session.output, limits.filter(({ perSecond }) => perSecond !== null).map(createLimitRow), ['server', 'perSecond', 'shares'])
     return exitCodes.ok
   }))
+  fleet.command('notices').description('list what servers have said about themselves to the entry VMs at the given addresses: limits, pauses, leaving').action(createAction(async session => {
+    const rows = (await Promise.all(session.addresses.map(async address => await readNotices(session, address)))).flat()
+    printRows(session.output, rows, ['vm', 'server', 'service', 'perSecond', 'share', 'pausedMs', 'leaving', 'error'])
+    return rows.some(row => row['error'] !== undefined) ? exitCodes.failed : exitCodes.ok
+  }))
   fleet.command('release <request>').description('let a restricted request be sent again').action(createAction(async (session, [request]) => {
     const answer = await callAnyVm<ChangeAnswer>(session, 'fleet.submit', { command: { type: 'releaseRequest', request } })
     if (!answer.ok) throw new LynxError('notFound', answer.detail, { step: 'release', field: 'request' })
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -19,6 +19,7 @@
 import { recordConnectTime, refreshGateway } from '../gateway/gatewayRefresh.js'
 import { createGateway } from '../gateway/gateway.js'
 import type { Gateway } from '../gateway/gateway.js'
+import { addNoticeMethod } from '../gateway/noticeQuery.js'
 import { refillPermits } from '../gateway/permitHolder.js'
 import { logPublishedLimits } from '../gateway/serverNotices.js'
 import { delay, repeat } from '../node/timers.js'
@@ -68,6 +69,7 @@
   const rpc = createRpcServer({ maxBytes: maxRpcBytes, perSecond: rpcPerSecond }, node.metrics, undefined, node.loop)
   const control = cfg.roles.includes('control') ? await startControl(stack, node, rpc) : undefined
   const gateway = cfg.roles.includes('entry') ? openGateway(stack, node, dialects) : undefined
+  if (gateway !== undefined) addNoticeMethod(rpc, gateway)
   const metricsServer = createMetricsServer(node.metrics, () => isServing(node, control))
   for (const server of [rpc.server, metricsServer]) ownServer(stack, server)
   await listenRpc(rpc, cfg.rpcListen ?? cfg.rpc)
--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -24,7 +24,10 @@
   pruneTeamPermits(gateway.permits, team => gateway.teams.limited.has(team))
   if (routeSet !== undefined) {
     gateway.limits = routeSet.limits
-    for (const upstream of routeSet.upstreams) fleet.coldRequestRates.set(upstream.name, upstream.warmupPerSecond)
+    for (const { name, warmupPerSecond, maxConnections } of routeSet.upstreams) {
+      fleet.coldRequestRates.set(name, warmupPerSecond)
+      fleet.maxConnections.set(name, maxConnections)
+    }
   }
   refreshRestrictions(gateway.crashes, node.config)
   fleet.vms = node.entryNames
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -40,6 +40,8 @@
   readonly roundTripTimes: Map<RegionId, Millis>
   /** Requests per second that a cold server can handle, by service. */
   readonly coldRequestRates: Map<ServiceId, number>
+  /** Connections that a server accepts from all VMs together, by service. */
+  readonly maxConnections: Map<ServiceId, number>
   /** Names of the entry VMs, this one included. */
   vms: readonly string[]
   /** Fractions of this region's objects that each region serves, by service; empty until the first plan arrives. */
@@ -68,6 +70,7 @@
     meanSlotTimes: new Map(),
     roundTripTimes: new Map(),
     coldRequestRates: new Map(),
+    maxConnections: new Map(),
     vms,
     shares: new Map(),
     sharedUtilization: new Map(),
@@ -137,6 +140,12 @@
   return slots * Math.min(maxEqualShareFactor * equalFraction, Math.max(minEqualShareFactor * equalFraction, demandFraction))
 }
 
+/** Returns how many requests this VM may have in flight at one server: each needs a connection, and all VMs share those of a server. */
+export function getConnectionShare ({ maxConnections, vms }: Fleet, service: ServiceId): number {
+  const connections = maxConnections.get(service) ?? 0
+  return connections <= 0 ? Infinity : Math.max(1, Math.floor(connections / Math.max(1, vms.length)))
+}
+
 /** Returns the key of the work times that are learned for a request. */
 export function workKey (request: RoutedService): string {
   return `${request.route.name} ${request.service}`
--- a/packages/placement/src/core/request/placeRequest.ts
+++ b/packages/placement/src/core/request/placeRequest.ts
@@ -42,6 +42,8 @@
   readonly reason: 'noServer' | 'noTime' | 'busy' | 'endsServers' | 'limited' | 'paused'
   /** Time until the request is expected to be served. */
   readonly retryAfterMs: Millis
+  /** Time until a server takes requests again, for `paused`: callers return later, spread over some time. */
+  readonly pausedMs?: Millis
 }
 
 /** Accepted wait beyond the latency objective, by rank, as a factor of the time without the wait: the most urgent wait longest. */
@@ -84,7 +86,7 @@
   const servers = (fleet.byService.get(service) ?? []).filter(server => canServe(request, server))
   const delayMs = estimateRequestDelay(fleet, servers, now)
   if (servers.length > 0 && delayMs > 0) {
-    const arePaused = servers.every(({ notice }) => isClosedToRequests(notice, now))
+    const arePaused = Number.isFinite(delayMs) && servers.every(({ notice }) => isClosedToRequests(notice, now))
     return arePaused ? refuseUntil(fleet, delayMs) : createRefusal(fleet, 'limited', delayMs)
   }
   if (servers.length > 0) return createRefusal(fleet, 'busy', estimateTimeToCapacity(fleet, service, concurrency))
@@ -110,7 +112,7 @@
 /** Refuses a request until a server takes requests again. Callers return after that time, and not all at once. */
 function refuseUntil (fleet: Fleet, delayMs: Millis): Refusal {
   const spreadMs = Math.max(minPauseSpreadMs, delayMs * pauseSpreadFraction)
-  return { type: 'refuse', reason: 'paused', retryAfterMs: Math.max(minRetryAfterMs, delayMs + fleet.setup.random() * spreadMs) }
+  return { type: 'refuse', reason: 'paused', retryAfterMs: Math.max(minRetryAfterMs, delayMs + fleet.setup.random() * spreadMs), pausedMs: delayMs }
 }
 
 function createRefusal (fleet: Fleet, reason: Refusal['reason'], afterMs: Millis): Refusal {
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -223,7 +223,7 @@
   if (isStopping || fleet.setup.disabledMechanisms.has('roomWait')) return false
   const { route, service } = request
   const waiting = waitingForCapacity.get(service) ?? 0
-  if (refusal.reason === 'limited' || refusal.reason === 'paused') return now + refusal.retryAfterMs * (1 + waiting) <= maxWaitUntil
+  if (refusal.reason === 'limited' || refusal.reason === 'paused') return now + (refusal.pausedMs ?? refusal.retryAfterMs) * (1 + waiting) <= maxWaitUntil
   if (refusal.reason !== 'busy') return false
   const { limit } = getConcurrency(fleet, service)
   const pace = { limit, meanMs: fleet.meanSlotTimes.get(service) ?? route.aimMs, waiting }
--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -4,7 +4,7 @@
 import type { Route } from '@lynxcourse/state'
 import { selectUnderLimits } from '../server/limitedServers.js'
 import { hasColdToken, isCold, isWarmingVm } from '../server/coldRateLimit.js'
-import { estimateRoundTrip, estimateWarmProbability, workKey } from './fleet.js'
+import { estimateRoundTrip, estimateWarmProbability, getConnectionShare, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
 import { estimateQueueDepth, hasCapacity, isStalled, isHealthy, estimateSharedQueueDepth, getSlowdown, takesNewWork } from '../server/fleetServer.js'
 import type { FleetServer } from '../server/fleetServer.js'
@@ -176,9 +176,11 @@
 function findEligibleServers (fleet: Fleet, request: PlacementRequest, now: Millis): FleetServer[] {
   const healthy: FleetServer[] = []
   const unhealthy: FleetServer[] = []
+  const connectionShare = getConnectionShare(fleet, request.service)
   for (const server of fleet.byService.get(request.service) ?? []) {
     if (!canServe(request, server)) continue
-    if (isClosedToRequests(server.notice, now) || !mayReceiveRequest(fleet, request.service, server, now)) continue
+    if (isClosedToRequests(server.notice, now) || server.running.size >= connectionShare) continue
+    if (!mayReceiveRequest(fleet, request.service, server, now)) continue
     if (isHealthy(server, now)) healthy.push(server)
     else if (!isStalled(server, now)) unhealthy.push(server)
   }
--- a/packages/routing/src/core/router.ts
+++ b/packages/routing/src/core/router.ts
@@ -127,8 +127,11 @@
   return servers.some(({ notice }) => notice.limit.perSecond !== undefined || isClosedToRequests(notice, now))
 }
 
+/** Returns how many slots of a server this VM may use. Each request needs a connection, and all VMs share those of a server. */
 function countUsableSlots (router: Router, observed: ObservedServer, ctx: PolicyContext): number {
-  return router.setup.policy.countUsableSlots(observed, ctx)
+  const vmCount = [...router.peers.values()].reduce((sum, vms) => sum + vms.length, 0)
+  const connectionShare = Math.max(1, Math.floor(observed.backend.maxConnections / Math.max(1, vmCount)))
+  return Math.min(connectionShare, router.setup.policy.countUsableSlots(observed, ctx))
 }
 
 /** Returns the number of slots, busy or free, that this VM may use for a request; includes servers paused after a shed. */
--- a/scripts/explain/causes.ts
+++ b/scripts/explain/causes.ts
@@ -4,8 +4,8 @@
 /** Causes, in order of decreasing cost to the caller. */
 export const causes = [
   'lost with its server', 'timeout under cold work', 'timeout', 'refused: bound of the VM', 'refused: queues at servers', 'refused: no time left',
-  'refused: no server', 'refused: limits of servers', 'refused: ended servers', 'refused: over the rate of its team', 'refused: no permits', 'rejected: unknown key',
-  'rejected: state not confirmed', 'rejected: no region', 'shed by its server', 'cold: first touch', 'cold: placed anew', 'cold: beside its server', 'slower than expected', 'as expected',
+  'refused: no server', 'refused: limits of servers', 'refused: servers pause', 'refused: ended servers', 'refused: over the rate of its team', 'refused: no permits', 'rejected: unknown key',
+  'rejected: state not confirmed', 'rejected: no region', 'shed by its server', 'turned away for a time', 'server closed before the send', 'cold: first touch', 'cold: placed anew', 'cold: beside its server', 'slower than expected', 'as expected',
   'caller gone'
 ] as const
 
@@ -33,6 +33,7 @@
   if (reason === 'noTime') return 'refused: no time left'
   if (reason === 'noServer') return 'refused: no server'
   if (reason === 'limited') return 'refused: limits of servers'
+  if (reason === 'paused') return 'refused: servers pause'
   if (reason === 'endsServers') return 'refused: ended servers'
   if (reason === 'overRate') return 'refused: over the rate of its team'
   if (reason === 'noPermits') return 'refused: no permits'
@@ -45,10 +46,11 @@
 }
 
 function getSendCause (seenServers: SeenServers, decision: Decision): Cause {
-  const { outcome, tookMs, expectedMs } = decision
+  const { outcome, tookMs, expectedMs, pausedNowMs } = decision
   const cold = getColdCause(seenServers, decision)
   switch (outcome) {
-    case 'full': return 'shed by its server'
+    case 'full': return pausedNowMs > 0 ? 'turned away for a time' : 'shed by its server'
+    case 'withdrawn': return 'server closed before the send'
     case 'gone': return 'caller gone'
     case 'deadline':
     case 'slow': return cold === undefined ? 'timeout' : 'timeout under cold work'
--- a/scripts/explain/readDecision.ts
+++ b/scripts/explain/readDecision.ts
@@ -16,6 +16,8 @@
   readonly waitMs: number
   readonly underWay: number
   readonly limit: number
+  /** Time for which the server wanted no requests when the send ended. */
+  readonly pausedNowMs: number
 }
 
 const messages = new Set(['Sent.', 'Refused.', 'Failed.', 'Caller rejected.'])
@@ -46,7 +48,8 @@
     expectedMs: toNumber(fields.expectedMs),
     waitMs: toNumber(fields.waitMs),
     underWay: toNumber(fields.underWay),
-    limit: toNumber(fields.limit)
+    limit: toNumber(fields.limit),
+    pausedNowMs: toNumber(fields.pausedNowMs)
   }
 }
 
