Soak: servers that ask for pauses and that say that they leave; tests of what pauses and leaving must leave alone

Each VM has to keep to both, checked on the history: two requests may reach a server within a pause, none a leaving one 2.5 s after its VM passed on that it leaves.

--- a/packages/daemon/__tests__/serviceResting.test.ts
+++ b/packages/daemon/__tests__/serviceResting.test.ts
@@ -67,3 +67,36 @@
   assert.equal(arrivals.filter(at => at > firstAt + learningMs).length, 0)
   assert.ok(statuses.every(status => status === 200))
 })
+
+/** Guards against callers that are held until their deadline, and told to come back too early, while no server takes requests. */
+test('while all servers of a service pause, new requests and those that wait are refused at once until then', async () => {
+  await using fixture = await startDaemonFixture()
+  await using resting = await startTestBackend(fixture)
+  await waitForEvent('requests are served', async () => await send(fixture) === 200)
+  const arrivals = record(resting, { 'lynx-not-started': 'true', 'retry-after': '40' }, 503)
+  const startedAt = getCurrentTime()
+  const responses = await Promise.all(Array.from({ length: 12 }, async () => await request(`${fixture.http}/s/offers/read`, { headers: { 'lynx-deadline-ms': '5000' } })))
+  for (const res of responses) await res.body.dump()
+  assert.ok(getCurrentTime() - startedAt < 3000, 'nothing waits for the deadline')
+  assert.ok(responses.every(({ statusCode }) => statusCode === 503))
+  const refusedUntil = arrivals[0] as number + 40_000
+  const res = await request(`${fixture.http}/s/offers/read`)
+  await res.body.dump()
+  assert.ok(getCurrentTime() + Number(res.headers['lynx-retry-after-ms']) >= refusedUntil - 50, `${String(res.headers['lynx-retry-after-ms'])}`)
+})
+
+/** Guards against the second attempt of a slow request, which doesn't ask before it chooses a server. */
+test('a hedge keeps away from a paused server', async () => {
+  await using fixture = await startDaemonFixture({}, { hedgeAfterMs: 40, maxAttempts: 2 })
+  await using slow = await startTestBackend(fixture)
+  await using resting = await startTestBackend(fixture)
+  await waitForEvent('both servers are used', async () => await send(fixture) === 200 && fixture.daemon.entry?.router.backends.byId.size === 2)
+  const arrivals = record(resting, { 'lynx-not-started': 'true', 'retry-after': '30' }, 503)
+  slow.handler = (_req, res) => { setTimeout(() => res.end('late'), 150) }
+  const statuses = await Promise.all(Array.from({ length: 10 }, async () => await send(fixture)))
+  assert.ok(statuses.every(status => status === 200))
+  const before = arrivals.length
+  assert.ok(before >= 1)
+  for (let sent = 0; sent < 10; sent++) assert.equal(await send(fixture), 200)
+  assert.equal(arrivals.length, before)
+})
--- a/packages/daemon/__tests__/support/servingFleet.ts
+++ b/packages/daemon/__tests__/support/servingFleet.ts
@@ -35,10 +35,10 @@
   return { test, arrivals }
 }
 
-/** Starts entry VMs and waits until each of them knows all servers. */
+/** Starts entry VMs and waits until each of them knows all servers. The route `read` is for requests, `sticky` for those of one object. */
 export async function startServingFleet<Server extends RecordingServer> (entryCount: number, servers: readonly Server[]): Promise<ServingFleet<Server>> {
   const fixture = await startFleetFixture(entryCount)
-  await publishRoutes(fixture, servers.map(({ test }) => test), [createRouteToDesk('read')])
+  await publishRoutes(fixture, servers.map(({ test }) => test), [createRouteToDesk('read'), createRouteToDesk('sticky', { isSticky: true }), createRouteToDesk('write', { isIdempotent: false })])
   for (const daemon of fixture.daemons.slice(controlCount)) await waitUntil(() => hasServers(daemon as FleetDaemon, servers.length))
   const announcing = keepAnnouncing(fixture, servers.map(({ test }) => test))
   return {
@@ -53,8 +53,9 @@
 }
 
 /** Sends a request to one entry VM. */
-export async function sendTo (fixture: FleetFixture, entry: number, method: 'GET' | 'POST' = 'GET'): Promise<TestResponse> {
-  return await sendRequestTo(fixture.settings[controlCount + entry]?.callers ?? '', '/read/1', method, { [entryHeader]: String(entry) })
+export async function sendTo (fixture: FleetFixture, entry: number, path = '/read/1', headers: Record<string, string> = {}): Promise<TestResponse> {
+  const method = path.startsWith('/write/') ? 'POST' : 'GET'
+  return await sendRequestTo(fixture.settings[controlCount + entry]?.callers ?? '', path, method, { [entryHeader]: String(entry), ...headers })
 }
 
 /** Sends requests to some entry VMs in turn at a steady rate; returns all responses. */
--- a/scripts/__tests__/soak.test.ts
+++ b/scripts/__tests__/soak.test.ts
@@ -22,7 +22,7 @@
 }
 
 function addRun (history: SoakHistory, id: string, overrides: Partial<Run> = {}): void {
-  history.runs.push({ id, path: '/offer/', body: id, server: 's-1', service: 'desk', failureDomain: 'kochi-a', team: 'blue', headerText: 'lynx-team,blue', at: 50, readAt: 50, leftMs: 1400, workMs: 40, endedAt: 90, cutAt: undefined, ...overrides })
+  history.runs.push({ id, path: '/offer/', body: id, server: 's-1', service: 'desk', failureDomain: 'kochi-a', team: 'blue', headerText: 'lynx-team,blue', at: 50, readAt: 50, leftMs: 1400, workMs: 40, saysLeaving: false, endedAt: 90, cutAt: undefined, ...overrides })
 }
 
 function findViolatedInvariants (record: (history: SoakHistory) => void): string[] {
@@ -178,6 +178,44 @@
   }), [], 'the VM had a recent fault')
 })
 
+test('more than two requests of a VM within a pause are a violation, unless a fault explains them', () => {
+  const recordPause = (history: SoakHistory, count: number, firstAt = 700): void => {
+    addAttempt(history, 'refused', { end: answered(503) })
+    history.pauses.push({ id: 'refused', server: 's-1', at: 100, forMs: 3000 })
+    for (let index = 0; index < count; index++) {
+      addAttempt(history, `a${index}`, { sentAt: firstAt, end: answered(503) })
+      history.arrivals.push({ id: `a${index}`, server: 's-1', service: 'desk', at: firstAt + index })
+    }
+  }
+  assert.deepEqual(findViolatedInvariants(history => recordPause(history, 3)), ['pause'])
+  assert.deepEqual(findViolatedInvariants(history => recordPause(history, 2)), [])
+  assert.deepEqual(findViolatedInvariants(history => recordPause(history, 3, 500)), [], 'they were under way')
+  assert.deepEqual(findViolatedInvariants(history => recordPause(history, 3, 3100)), [], 'the pause is over')
+  for (const subject of ['entry-0', 's-1']) {
+    assert.deepEqual(findViolatedInvariants(history => {
+      recordPause(history, 3)
+      history.disturbances.push({ subject, kind: 'link silence', from: 50, until: 200 })
+    }), [], `fault of ${subject}`)
+  }
+})
+
+test('a request that reaches a server long after its VM passed on that the server leaves is a violation, unless the VM restarted', () => {
+  const recordLeaving = (history: SoakHistory, sentAt: number): void => {
+    addAttempt(history, 'told', { endedAt: 100 })
+    addRun(history, 'told', { saysLeaving: true })
+    addAttempt(history, 'a', { sentAt, end: answered(503) })
+    history.arrivals.push({ id: 'a', server: 's-1', service: 'desk', at: sentAt + 10 })
+  }
+  assert.deepEqual(findViolatedInvariants(history => recordLeaving(history, 2700)), ['leaving'])
+  assert.deepEqual(findViolatedInvariants(history => recordLeaving(history, 2600)), [])
+  for (const [kind, violations] of [['kill', []], ['link silence', ['leaving']]] as const) {
+    assert.deepEqual(findViolatedInvariants(history => {
+      recordLeaving(history, 2700)
+      history.disturbances.push({ subject: 'entry-0', kind, from: 1000, until: 1500 })
+    }), violations, kind)
+  }
+})
+
 test('a request sent after a confirmed change that runs at the previous service is a violation', () => {
   const confirmed = { type: 'change', subject: 'ledger', at: 1000, sentAt: 900, version: 5 } as const
   const recordProbe = (history: SoakHistory, sentAt: number): void => {
@@ -274,7 +312,7 @@
 
 /**
  * The plan of this seed has an evacuation, a paused entry VM, an entry VM that starts short of processor time, a control VM
- * that is stopped and killed, and racing operators.
+ * that is stopped and killed, racing operators, servers that ask for pauses, and one that says that it leaves.
  */
 const ciSeed = 5
 
--- a/scripts/soak/fakeServer.ts
+++ b/scripts/soak/fakeServer.ts
@@ -38,6 +38,10 @@
   waiting: Array<() => void>
   /** Requests per second that the server says it takes from all VMs together; undefined for none. */
   limit: number | undefined
+  /** Time for which the server asks each VM for no requests, while it turns all requests away; undefined if it serves them. */
+  pauseMs: number | undefined
+  /** Whether its answers say that it leaves. */
+  saysLeaving: boolean
 }
 
 /** Creates a server and its proxy; the server listens, but is not announced yet. */
@@ -56,6 +60,8 @@
     running: 0,
     waiting: [],
     limit: undefined,
+    pauseMs: undefined,
+    saysLeaving: false,
     [Symbol.asyncDispose]: async () => {
       fake.isDisposed = true
       await endLifetime(fake)
@@ -72,6 +78,8 @@
   fake.running = 0
   fake.waiting = []
   fake.limit = undefined
+  fake.pauseMs = undefined
+  fake.saysLeaving = false
   const id = brandId<ServerId>(`server-${fake.place}-${fake.lifetimes}`)
   fake.facts = { ...fake.facts, id, service, isDraining: false, seq: 0 }
   const server = createServer((req, res) => {
@@ -118,11 +126,17 @@
   res.setHeader('idempotency-key', id)
   res.setHeader('lynx-load', String(fake.running + fake.waiting.length))
   if (fake.limit !== undefined) res.setHeader('lynx-server-limit', String(fake.limit))
+  if (fake.saysLeaving) res.setHeader('lynx-server-leaving', '1')
   if (req.headers['lynx-expect-server'] !== self) {
     res.writeHead(421).end()
     return
   }
   fake.history.arrivals.push({ id, server: self, service: fake.facts.service, at: readAt })
+  if (fake.pauseMs !== undefined) {
+    fake.history.pauses.push({ id, server: self, at: performance.now(), forMs: fake.pauseMs })
+    res.writeHead(503, { 'lynx-not-started': 'paused', 'retry-after': String(fake.pauseMs / 1000) }).end()
+    return
+  }
   if (fake.waiting.length >= queueLimit) {
     res.writeHead(503, { 'lynx-not-started': 'full' }).end()
     return
@@ -158,7 +172,7 @@
   const leftMs = left === undefined ? undefined : Number(left)
   const workMs = req.url === longPath ? longWorkMs : minWorkMs + fake.random() * (maxWorkMs - minWorkMs)
   const team = req.headers['lynx-team']?.toString()
-  const run: Run = { id, path: req.url ?? '', body, server: self, service, failureDomain, team, headerText: req.rawHeaders.join(), at: performance.now(), readAt, leftMs, workMs, endedAt: undefined, cutAt: undefined }
+  const run: Run = { id, path: req.url ?? '', body, server: self, service, failureDomain, team, headerText: req.rawHeaders.join(), at: performance.now(), readAt, leftMs, workMs, saysLeaving: false, endedAt: undefined, cutAt: undefined }
   fake.history.runs.push(run)
   return run
 }
@@ -173,6 +187,8 @@
   fake.waiting.shift()?.()
   if (res.destroyed) return
   res.setHeader('lynx-server', run.server)
+  if (fake.saysLeaving) res.setHeader('lynx-server-leaving', '1')
+  run.saysLeaving = fake.saysLeaving
   res.end(createAnswerText(run.server, run.id))
 }
 
--- a/scripts/soak/faultInjection.ts
+++ b/scripts/soak/faultInjection.ts
@@ -55,6 +55,8 @@
     case 'burst': return await injectBurst(system, step)
     case 'crashingCaller': return await sendCrashingRequests(system, step)
     case 'serverLimit': return await limitServer(system, step)
+    case 'serverPause': return await pauseServer(system, step)
+    case 'serverLeave': return await leaveByAnswers(system, step)
     case 'evacuate': return await evacuate(system.operator, system.domains[step.domain % system.domains.length] as typeof system.domains[0], step.forMs)
   }
 }
@@ -208,6 +210,26 @@
   if (server.facts.id === period.server) server.limit = undefined
 }
 
+/** Lets a server turn all requests away, and ask for no requests for a time; a new lifetime of the server serves them. */
+async function pauseServer ({ servers }: SoakSystem, { server: index, pauseMs, forMs }: StepOf<'serverPause'>): Promise<void> {
+  const server = servers[index] as FakeServer
+  if (server.server === undefined || server.pauseMs !== undefined) return
+  const { id } = server.facts
+  server.pauseMs = pauseMs
+  await sleep(forMs)
+  if (server.facts.id === id) server.pauseMs = undefined
+}
+
+/** Lets a server say in its answers that it leaves, while its announcements don't; then it ends. */
+async function leaveByAnswers (system: SoakSystem, { server: index }: StepOf<'serverLeave'>): Promise<void> {
+  const server = system.servers[index] as FakeServer
+  if (server.server === undefined || server.facts.isDraining || server.saysLeaving) return
+  const { id, service } = server.facts
+  server.saysLeaving = true
+  await sleep(2 * serveAfterDrainMs)
+  if (server.facts.id === id && !server.facts.isDraining) await replaceServer(system, server, service)
+}
+
 /** Crashes a server; a server of the other service takes over its address. */
 async function crashServer (system: SoakSystem, server: FakeServer): Promise<void> {
   await endLifetime(server)
@@ -224,9 +246,16 @@
 async function drainServer (system: SoakSystem, server: FakeServer): Promise<void> {
   const { id, service } = server.facts
   server.facts = { ...server.facts, isDraining: true }
+  server.saysLeaving = true
   const isConfirmed = (): boolean => system.history.confirmed.some(({ type, subject }) => type === 'drain' && subject === id)
   for (let waitedMs = 0; waitedMs < serveAfterDrainMs && !isConfirmed(); waitedMs += 100) await sleep(100)
   await sleep(serveAfterDrainMs)
+  await replaceServer(system, server, service)
+}
+
+/** Ends a server that has left, and starts another one of the service at its address. */
+async function replaceServer (system: SoakSystem, server: FakeServer, service: ServiceId): Promise<void> {
+  const { id } = server.facts
   await callUntilAnswered(system.client, 'fleet.dismiss', { server: id }, serveAfterDrainMs)
   const end = recordFault(system, [id], 'ended')
   await endLifetime(server)
--- a/scripts/soak/faultPlan.ts
+++ b/scripts/soak/faultPlan.ts
@@ -17,6 +17,8 @@
   | { readonly kind: 'shortage', readonly vm: number, readonly forMs: number }
   | { readonly kind: 'crashingCaller', readonly forMs: number }
   | { readonly kind: 'serverLimit', readonly server: number, readonly perSecond: number, readonly forMs: number }
+  | { readonly kind: 'serverPause', readonly server: number, readonly pauseMs: number, readonly forMs: number }
+  | { readonly kind: 'serverLeave', readonly server: number }
 )
 
 type Evacuation = Extract<SoakStep, { readonly kind: 'evacuate' }>
@@ -67,11 +69,16 @@
 const limitedServers = 2
 const serverLimits = [0, 0.5, 1.2, 3]
 
+/** How long a server turns requests away, for how long it then wants none, and how many servers do in one series. */
+const pausingMs = 4000
+const serverPausesMs = [700, 1500, 3000]
+const pausingServers = 2
+
 /** How long a caller sends a request that ends servers: longer than VMs may take to stop sending it. */
 const crashingMs = 10_000
 
 /** Kinds that are drawn independently; the others accompany an evacuation or have a generator of their own. */
-type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst' | 'shortage' | 'crashingCaller' | 'serverLimit'>
+type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst' | 'shortage' | 'crashingCaller' | 'serverLimit' | 'serverPause' | 'serverLeave'>
 
 /** Relative frequencies of the kinds. */
 const weights: ReadonlyArray<readonly [StepKind, number]> = [
@@ -84,6 +91,7 @@
 export function planSoak (seed: number, size: SoakSize, series: number): SoakPlan {
   const random = createRandom(seed)
   const limitRandom = createRandom(hashText(`limit ${seed}`))
+  const noticeRandom = createRandom(hashText(`notice ${seed}`))
   // Shortages, crashes and limits use generators of their own, so that they don't affect the other faults of a seed.
   const shortageRandom = createRandom(hashText(`shortage ${seed}`))
   const crashRandom = createRandom(hashText(`crash ${seed}`))
@@ -101,7 +109,7 @@
       steps.push(step)
       if (step.kind === 'evacuate') steps.push(...drawEvacuationFaults(random, size, step))
     }
-    steps.push(...drawShortage(shortageRandom, size, start), ...drawCrashingCaller(crashRandom, start), ...drawServerLimits(limitRandom, size, start))
+    steps.push(...drawShortage(shortageRandom, size, start), ...drawCrashingCaller(crashRandom, start), ...drawServerLimits(limitRandom, size, start), ...drawNotices(noticeRandom, size, start))
   }
   steps.sort((a, b) => a.at - b.at)
   return { seed, steps, lengthMs: series * (seriesMs + faultFreeMs) }
@@ -184,3 +192,16 @@
     return { at, kind: 'serverLimit', server: drawInt(random, size.servers), perSecond: serverLimits[drawInt(random, serverLimits.length)] ?? 1, forMs: limitMs }
   })
 }
+
+/** Draws, for half of the series, servers that turn requests away and ask for pauses, and for half, one that says that it leaves. */
+function drawNotices (random: Random, size: SoakSize, start: number): SoakStep[] {
+  const steps: SoakStep[] = []
+  if (random() < 0.5) {
+    for (let count = 0; count < pausingServers; count++) {
+      const pauseMs = serverPausesMs[drawInt(random, serverPausesMs.length)] ?? 1000
+      steps.push({ at: start + drawInt(random, seriesMs / 2), kind: 'serverPause', server: drawInt(random, size.servers), pauseMs, forMs: pausingMs })
+    }
+  }
+  if (random() < 0.5) steps.push({ at: start + drawInt(random, seriesMs / 2), kind: 'serverLeave', server: drawInt(random, size.servers) })
+  return steps
+}
--- a/scripts/soak/history.ts
+++ b/scripts/soak/history.ts
@@ -44,6 +44,8 @@
   readonly leftMs: number | undefined
   /** Processing time if nothing interrupts it. */
   readonly workMs: number
+  /** Whether its answer says that the server leaves. */
+  saysLeaving: boolean
   /** When processing ended, with or without an answer. */
   endedAt: number | undefined
   /** When the connection closed, if that was before the whole answer was sent. */
@@ -86,6 +88,15 @@
   until: number
 }
 
+/** An answer in which a server turned a VM away and asked it for no requests for a time. */
+export interface PauseRequest {
+  /** The request that was turned away. */
+  readonly id: string
+  readonly server: string
+  readonly at: number
+  readonly forMs: number
+}
+
 /** An answered read of the routes. */
 export interface RouteRead { readonly sentAt: number, readonly version: number }
 
@@ -97,6 +108,7 @@
   readonly disturbances: InjectedFault[]
   readonly reads: RouteRead[]
   readonly limits: LimitPeriod[]
+  readonly pauses: PauseRequest[]
   /** Violations detected during the run: for example a process that exited by itself, or two changes accepted on one base. */
   readonly recordedViolations: string[]
 }
@@ -129,12 +141,14 @@
    * multiple of what the limit allows, and some more.
    */
   serverLimit: { windowMs: 4000, overage: 1.5, slack: 5, learningMs: 500 },
+  /** Requests that a VM may send to a server within a pause, from some time after the refusal that asked for it. */
+  serverPause: { learningMs: 500, maxStrays: 2 },
   /** The default of the VMs' settings. */
   retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 50 }
 }
 
 export function createHistory (): SoakHistory {
-  return { attempts: new Map(), runs: [], arrivals: [], confirmed: [], disturbances: [], reads: [], limits: [], recordedViolations: [] }
+  return { attempts: new Map(), runs: [], arrivals: [], confirmed: [], disturbances: [], reads: [], limits: [], pauses: [], recordedViolations: [] }
 }
 
 /** Returns whether neither the VM nor the control VMs had a recent fault at a given time. */
--- a/scripts/soak/invariants.ts
+++ b/scripts/soak/invariants.ts
@@ -3,6 +3,7 @@
 import { bounds, isFaultFree, isVmFaultFree, probePath } from './history.js'
 import type { Attempt, Confirmed, InjectedFault, SoakHistory, Run } from './history.js'
 import { checkServerLimits } from './limitChecks.js'
+import { checkNotices } from './noticeChecks.js'
 import { checkAttemptLimit, checkCrashes, checkRetryBudgets, checkTimeLeft } from './sendChecks.js'
 import { checkTeams } from './teamKeys.js'
 
@@ -21,6 +22,7 @@
     ...checkRetryBudgets(history),
     ...checkCrashes(history),
     ...checkServerLimits(history),
+    ...checkNotices(history),
     ...checkTeams(history),
     ...checkPlannedStops(history)
   ]
