--- a/scripts/__tests__/explain.test.ts
+++ b/scripts/__tests__/explain.test.ts
@@ -37,6 +37,11 @@
     ['refused: over the rate of its team', 'refused: no permits', 'rejected: unknown key', 'rejected: state not confirmed', 'rejected: no region'])
 })
 
+test('what servers ask for is told apart from full servers', () => {
+  assert.deepEqual(classifyLines(line({ outcome: 'full', pausedNowMs: 2900 }), line({ outcome: 'withdrawn' }), line({ message: 'Refused.', reason: 'paused' })),
+    ['turned away for a time', 'server closed before the send', 'refused: servers pause'])
+})
+
 test('lines with other messages and truncated lines are ignored', () => {
   assert.deepEqual(classifyLines('no json', line({ message: 'Started.' }), line({}).slice(0, 60)), [undefined, undefined, undefined])
 })
--- a/scripts/soak/sendChecks.ts
+++ b/scripts/soak/sendChecks.ts
@@ -53,7 +53,17 @@
 
 /** Checks that VMs without a recent fault stop sending a request under which several servers have ended. */
 export function checkCrashes (history: SoakHistory): string[] {
-  const runs = history.runs.filter(({ path }) => path === crashPath)
+  const runsByKey = new Map<string, Run[]>()
+  for (const run of history.runs) {
+    if (run.path !== crashPath) continue
+    // Requests with different keys are different requests: the key is a part of what a server gets to process.
+    const key = history.attempts.get(run.id)?.sentKey.key ?? ''
+    runsByKey.set(key, [...runsByKey.get(key) ?? [], run])
+  }
+  return [...runsByKey.values()].flatMap(runs => checkCrashesOfRequest(history, runs))
+}
+
+function checkCrashesOfRequest (history: SoakHistory, runs: readonly Run[]): string[] {
   const lastTolerated = runs[bounds.toleratedCrashes - 1]
   if (lastTolerated === undefined) return []
   const late = runs.filter(({ id, at }) => at > lastTolerated.at + bounds.vmRecoveryMs && isVmFaultFree(history, history.attempts.get(id)?.entry ?? '', at))
