--- a/packages/placement/src/core/board/demandPlanning.ts
+++ b/packages/placement/src/core/board/demandPlanning.ts
@@ -4,7 +4,7 @@
 import type { RegionLoad } from '../region/regionPlan.js'
 import { loadReportTtlMs } from '../../types/loads.js'
 import type { KnownServers, ServiceSlots } from '../../types/loads.js'
-import type { LoadBoard } from './loadBoard.js'
+import type { LoadBoard } from './boardState.js'
 
 /** Smoothing of the demand per second: averages about three seconds of a wave of callers. */
 const demandSmoothingPerSecond = 0.3
--- a/packages/placement/src/core/board/limitSharing.ts
+++ b/packages/placement/src/core/board/limitSharing.ts
@@ -11,7 +11,7 @@
 import { computeMaxSharers, limitTtlMs } from '@lynxcourse/limits'
 import { loadReportTtlMs } from '../../types/loads.js'
 import type { KnownServer, KnownServers, LimitDemandByVm, LimitUpdate, ServerLimits } from '../../types/loads.js'
-import type { LoadBoard } from './loadBoard.js'
+import type { BoardLimit, LoadBoard } from './boardState.js'
 
 /** An entry VM that may send requests. */
 export interface SharingVm {
@@ -19,16 +19,6 @@
   readonly region: RegionId
 }
 
-/** The limit of one server at the leader. */
-export interface BoardLimit {
-  /** Null for a limit that has ended. */
-  readonly perSecond: number | null
-  /** Time of the last report. */
-  readonly at: Millis
-  /** Requests per second for the server, by entry VM. */
-  readonly demand: Map<string, { readonly perSecond: number, readonly at: Millis }>
-}
-
 /** Largest number of servers in one update: about 9 KB for each entry VM. */
 const maxLimits = 200
 /** Demand that is assumed of each VM, as a fraction of the mean demand: a VM without a share can't use even an ample limit. */
--- a/packages/placement/src/core/board/loadBoard.ts
+++ b/packages/placement/src/core/board/loadBoard.ts
@@ -9,53 +9,12 @@
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import { adjustWeights } from '../object/serverWeights.js'
 import type { ServerUtilization } from '../object/serverWeights.js'
-import type { RegionPlan } from '../region/regionPlan.js'
 import { buildLimitUpdates, recordLimitDemand, recordLimits } from './limitSharing.js'
-import type { BoardLimit, SharingVm } from './limitSharing.js'
+import type { SharingVm } from './limitSharing.js'
+import type { LoadBoard } from './boardState.js'
 import { planRegions, smoothDemand } from './demandPlanning.js'
-import { createSilentServers, recordFailures, listSilentServers } from './silentServers.js'
-import type { SilentServers } from './silentServers.js'
-import type { SlotDemand, LoadDigest, LoadUpdate, PlanUpdate, KnownServers, ServiceSlots, WeightUpdate } from '../../types/loads.js'
-
-/**
- * Maintained by the leader. Every other control VM stores the last published update and plans, so that it can continue
- * from them when it becomes the leader.
- */
-export interface LoadBoard {
-  /** Smoothed queue depth by server: requests running and waiting there. */
-  readonly queueDepths: Map<ServerId, { ahead: number, at: Millis }>
-  /** Utilization of servers, smoothed over some seconds; weights are adjusted by it. */
-  readonly utilizations: Map<ServerId, number>
-  /** Demand in slots, by the control VM that reported it. */
-  readonly byControl: Map<string, { readonly busy: SlotDemand, readonly at: Millis }>
-  /** Smoothed demand by service and region, and its recent peak. */
-  readonly demand: Map<string, number>
-  readonly peaks: Map<string, number>
-  readonly plans: Map<ServiceId, RegionPlan>
-  readonly silent: SilentServers
-  /** Limits that servers named to any VM. */
-  readonly limits: Map<ServerId, BoardLimit>
-  readonly weights: Map<ServerId, number>
-  weightsPublishedAt: Millis
-  /** Services whose plan follows measured demand. */
-  readonly measuredServices: Set<ServiceId>
-  plannedAt: Millis
-  /** Time of the first reports of demand; undefined before them. */
-  measurementStartedAt: Millis | undefined
-  /**
-   * Time at which this VM began to lead or continued after a pause. Until all VMs have reported, the measured demand is
-   * too low.
-   */
-  resumedAt: Millis
-  /** Slots of each region at the last plan, and the time until which the loss of some lets objects move fast. */
-  readonly slots: Map<string, number>
-  fastMoveUntil: Millis
-  /** Time at which the published update was last written to disk. */
-  savedAt: Millis
-  /** Fraction of objects that stays in its own region, by service and region, as last logged. */
-  readonly loggedShares: Map<string, number>
-  news: LoadUpdate
-}
+import { recordFailures, listSilentServers } from './silentServers.js'
+import type { LoadDigest, LoadUpdate, PlanUpdate, KnownServers, ServiceSlots, WeightUpdate } from '../../types/loads.js'
 
 /** Smoothing of a server's queue depth per report; about five reports arrive per second. */
 const queueDepthSmoothing = 0.35
@@ -79,29 +38,6 @@
 const minPublishedWeightChange = 0.03
 /** A leader that did not plan for this long may have just begun to lead. Entry VMs report within this time. */
 const leadershipPauseMs: Millis = 2000
-export function createLoadBoard (): LoadBoard {
-  return {
-    queueDepths: new Map(),
-    utilizations: new Map(),
-    byControl: new Map(),
-    demand: new Map(),
-    peaks: new Map(),
-    plans: new Map(),
-    silent: createSilentServers(),
-    limits: new Map(),
-    weights: new Map(),
-    weightsPublishedAt: -Infinity,
-    measuredServices: new Set(),
-    plannedAt: -Infinity,
-    measurementStartedAt: undefined,
-    resumedAt: -Infinity,
-    slots: new Map(),
-    fastMoveUntil: -Infinity,
-    savedAt: -Infinity,
-    loggedShares: new Map(),
-    news: { full: [], plans: [], silent: [] }
-  }
-}
 
 /** Applies a control VM's digest at the leader. */
 export function applyDigest (board: LoadBoard, control: string, digest: LoadDigest, now: Millis): void {
--- a/packages/placement/src/core/board/loadLog.ts
+++ b/packages/placement/src/core/board/loadLog.ts
@@ -1,7 +1,7 @@
 /** Log lines for the leader's decisions about load: region plans, silent servers, weights. */
 import type { RegionId, ServiceId } from '@lynxcourse/base'
 import type { LoadUpdate } from '../../types/loads.js'
-import type { LoadBoard } from './loadBoard.js'
+import type { LoadBoard } from './boardState.js'
 
 /** Change of a region's share that is logged again. A plan changes by up to 1.2 % per exchange. */
 const minLoggedChange = 0.02
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -1,12 +1,9 @@
 /** The state of a fleet as one entry VM knows it: its servers, and estimates of work times and network delays. */
 import type { Millis, Random, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import type { Route } from '@lynxcourse/state'
-import { createConcurrencyLimit } from '../admission/concurrencyLimit.js'
 import type { ConcurrencyLimit } from '../admission/concurrencyLimit.js'
 import type { ServerNotices } from '@lynxcourse/limits'
-import { takesNewWork } from '../server/fleetServer.js'
 import type { FleetServer } from '../server/fleetServer.js'
-import { countUsableSlots } from '../server/limitedServers.js'
 import type { Mechanism } from '../../types/mechanisms.js'
 import type { HashRank } from '../object/hashRanks.js'
 import type { RegionShares } from '../region/regionPlan.js'
@@ -113,33 +110,6 @@
 const maxSlowdownSample = 10
 const meanSlowdownSmoothing = 0.02
 
-/** Returns the concurrency state of a service at this VM and creates it on first use. */
-export function getConcurrency (fleet: Fleet, service: ServiceId): ConcurrencyLimit {
-  const known = fleet.concurrency.get(service)
-  if (known !== undefined) return known
-  const created = createConcurrencyLimit(computeSlotShare(fleet, service))
-  fleet.concurrency.set(service, created)
-  return created
-}
-
-/** Bounds of a VM's slot share, as multiples of an equal share of all VMs. */
-const minEqualShareFactor = 0.5
-const maxEqualShareFactor = 3
-
-/**
- * Computes this VM's share of a service's open slots, in proportion to its fraction of the demand. Equal shares would refuse
- * requests in a failure domain with a single VM, or in a region at its daily peak, while slots in the shares of other VMs are idle.
- */
-export function computeSlotShare (fleet: Fleet, service: ServiceId): number {
-  const equalFraction = 1 / Math.max(1, fleet.vms.length)
-  const demandFraction = fleet.demandFractions.get(service) ?? equalFraction
-  let slots = 0
-  for (const server of fleet.byService.get(service) ?? []) {
-    if (takesNewWork(server)) slots += countUsableSlots(server, fleet.meanSlotTimes.get(service))
-  }
-  return slots * Math.min(maxEqualShareFactor * equalFraction, Math.max(minEqualShareFactor * equalFraction, demandFraction))
-}
-
 /** Returns how many requests this VM may have in flight at one server: each needs a connection, and all VMs share those of a server. */
 export function getConnectionShare ({ maxConnections, vms }: Fleet, service: ServiceId): number {
   const connections = maxConnections.get(service) ?? 0
--- a/packages/placement/src/core/request/learning.ts
+++ b/packages/placement/src/core/request/learning.ts
@@ -11,7 +11,8 @@
 import { recordAnswer, recordFailure, recordServerFull, recordSuccess, recordLoadReport, getUnansweredMs } from '../server/fleetServer.js'
 import type { FleetServer } from '../server/fleetServer.js'
 import type { EntryState } from './entryState.js'
-import { getConcurrency, updateMeanSlowdown, updateWarmProbability, computeSlotShare, estimateRoundTrip, workKey } from './fleet.js'
+import { updateMeanSlowdown, updateWarmProbability, estimateRoundTrip, workKey } from './fleet.js'
+import { computeSlotShare, getConcurrency } from './slotShares.js'
 import type { Placement } from './placeRequest.js'
 import type { PlacementRequest } from './scoring.js'
 
