By service, write no request to a server that closed while the connection to it was opened

Callers: the request was sent to a server that had asked for none, and turned away or lost with it. Cause: the choice of the server was not checked again when its connection opened, up to its time-out later; by route it is. Holds because a new connection's opening comes before its first write; connections that are used again write at once.

--- a/packages/daemon/__tests__/serviceResting.test.ts
+++ b/packages/daemon/__tests__/serviceResting.test.ts
@@ -1,7 +1,7 @@
 /** Servers of a service that turn this VM away for a time, or say that they leave. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { delay, getCurrentTime } from '@lynxcourse/daemon'
+import { delay, getCurrentTime, refreshRoutingState } from '@lynxcourse/daemon'
 import { request } from 'undici'
 import { startDaemonFixture, startTestBackend, waitForEvent } from './support/daemonFixture.js'
 import type { DaemonFixture, TestBackend } from './support/daemonFixture.js'
@@ -100,3 +100,26 @@
   for (let sent = 0; sent < 10; sent++) assert.equal(await send(fixture), 200)
   assert.equal(arrivals.length, before)
 })
+
+/** Guards against a request that reaches a server of a service which spoke while the connection to it was opened. */
+test('a request is not written to a server of a service that closed while its connection was opened', async () => {
+  await using fixture = await startDaemonFixture()
+  await using first = await startTestBackend(fixture)
+  await using second = await startTestBackend(fixture)
+  const { entry } = fixture.daemon
+  assert.ok(entry !== undefined)
+  await waitForEvent('both servers are known', () => {
+    refreshRoutingState(entry, getCurrentTime())
+    return entry.router.backends.byId.size === 2
+  })
+  const arrivals = [record(first, {}), record(second, {})]
+  let closed: string | undefined
+  entry.pool.onConnect = address => {
+    const opened = [...entry.router.backends.byId.values()].find(({ backend }) => backend.address === address)
+    if (closed !== undefined || opened === undefined) return
+    closed = address
+    opened.notice.pausedUntil = getCurrentTime() + 10_000
+  }
+  assert.equal(await send(fixture), 200)
+  assert.deepEqual(arrivals.map(({ length }) => length), [first, second].map(({ address }) => address === closed ? 0 : 1))
+})
--- a/packages/daemon/src/core/entry/attempts.ts
+++ b/packages/daemon/src/core/entry/attempts.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from 'undici'
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
+import { isClosedToRequests } from '@lynxcourse/limits'
 import { isSilent, recordReportedLoad } from '@lynxcourse/routing'
 import { CancelSignal } from '../../utils/cancelSignal.js'
 import { getCurrentTime } from '../../utils/clock.js'
@@ -26,8 +27,8 @@
 /** Result of an attempt. */
 export type AttemptResult =
   | { readonly type: 'answered', readonly status: number, readonly headers: HeaderMap, readonly body: Buffer | Readable }
-  /** The server states that it did not start the request. */
-  | { readonly type: 'shed', readonly retryAfterMs: Millis | undefined }
+  /** The server states that it did not start the request, or wanted no requests before this one was written. */
+  | { readonly type: 'shed' }
   /** No byte of the request was written to a connection. */
   | { readonly type: 'notSent', readonly detail: string }
   /** The request was sent, and no complete answer arrived. */
@@ -43,6 +44,8 @@
   const now = getCurrentTime()
   const connection = acquireConnection(entry.pool, slot.observed.backend.address, !request.isIdempotent, now)
   const watch = watchAttempt(entry, request, connection, signal, now)
+  // Only a new connection shows by opening that nothing was written yet.
+  connection.onOpen = connection.isReused ? undefined : () => { if (isClosedToRequests(slot.observed.notice, getCurrentTime())) watch.withdraw() }
   try {
     const res = await connection.client.request({ ...buildRequestOptions(request, now), signal: watch.signal })
     watch.onHeaders()
@@ -54,7 +57,7 @@
       await res.body.dump()
       watch.stop()
       releaseConnection(entry.pool, connection, getCurrentTime())
-      return { type: 'shed', retryAfterMs: parseRetryAfter(res) }
+      return { type: 'shed' }
     }
     return await readAnswer(entry, connection, res, watch)
   } catch (err) {
@@ -62,8 +65,10 @@
     const wasSent = !isConnectError(err)
     if (watch.reason() === 'silent') closeSilentConnection(entry.pool, connection, now, getCurrentTime())
     else closeConnection(entry.pool, connection, 'close')
+    const reason = watch.reason()
+    if (reason === 'withdrawn') return { type: 'shed' }
     if (!wasSent) return { type: 'notSent', detail: getErrorMessage(err) }
-    return { type: 'lost', detail: getErrorMessage(err), reason: watch.reason() }
+    return { type: 'lost', detail: getErrorMessage(err), reason }
   }
 }
 
@@ -77,11 +82,6 @@
   return res.statusCode === 503 && res.headers[notStartedHeader] === 'true'
 }
 
-function parseRetryAfter (res: Dispatcher.ResponseData): Millis | undefined {
-  const seconds = Number(res.headers['retry-after'])
-  return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : undefined
-}
-
 /** Aborts an attempt when a timeout expires or the caller disconnects. */
 interface AttemptWatch {
   /** Aborts the attempt. */
@@ -89,7 +89,9 @@
   /** Ends the check for silence, since the head of the answer has arrived. */
   onHeaders: () => void
   /** Returns why the attempt was aborted; `failed` if the watch did not abort it. */
-  reason: () => 'failed' | 'deadline' | 'gone' | 'silent'
+  reason: () => 'failed' | 'deadline' | 'gone' | 'silent' | 'withdrawn'
+  /** Aborts the attempt before it is written. */
+  withdraw: () => void
   stop: () => void
 }
 
@@ -121,6 +123,7 @@
     signal: attemptSignal,
     onHeaders: () => clearTimeout(silenceTimer),
     reason: () => reason,
+    withdraw: abortWith('withdrawn'),
     stop: () => {
       isOver = true
       clearTimeout(silenceTimer)
--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -22,6 +22,8 @@
   restedMs: Millis
   /** Whether the peer reset the connection: `undici` takes a reset for the end of a body without a length. */
   wasReset: boolean
+  /** Called when the connection is open and its request is about to be written. */
+  onOpen: (() => void) | undefined
 }
 
 /** Connections to backend servers. Disposing the pool closes all of them. */
@@ -100,7 +102,7 @@
   client.on('connectionError', () => undefined)
   const state = createConnectionState(pool.chart, now)
   applyConnectionEvent(pool.chart, state, 'take')
-  const connection: Connection = { client, state, address, isReused: false, restedMs: 0, wasReset: false }
+  const connection: Connection = { client, state, address, isReused: false, restedMs: 0, wasReset: false, onOpen: undefined }
   return connection
 }
 
@@ -116,6 +118,10 @@
   const connect = buildConnector({ timeout: pool.connectTimeoutMs, keepAlive: false })
   return (options, callback) => connect(options, (...result) => {
     const [err, socket] = result
+    const handOver: typeof callback = (...opened) => {
+      if (opened[0] === null) getConnection().onOpen?.()
+      callback(...opened)
+    }
     if (err === null) {
       pool.onConnect?.(getConnection().address, requestedAt)
       // If data and a reset arrive together, libuv reports an ordinary end. The socket still shows the difference: it has
@@ -124,8 +130,8 @@
       resetIfUnanswered(socket)
       socket.on('error', error => { if ((error as NodeJS.ErrnoException).code === 'ECONNRESET') getConnection().wasReset = true })
     }
-    if (err !== null || !isLateConnection(requestedAt, getCurrentTime())) callback(...result)
-    else handOverAfterPoll(pool.polls, socket, callback).catch(error => callback(error as Error, null))
+    if (err !== null || !isLateConnection(requestedAt, getCurrentTime())) handOver(...result)
+    else handOverAfterPoll(pool.polls, socket, handOver).catch(error => callback(error as Error, null))
   })
 }
 
