--- a/packages/daemon/src/core/entry/attemptSteps.ts
+++ b/packages/daemon/src/core/entry/attemptSteps.ts
@@ -42,17 +42,9 @@
  * @param latestSendTime the time after which the request no longer needs a slot
  */
 export async function acquireUsableSlot (serving: ServedRequest, triedServers: ReadonlySet<string>, latestSendTime: Millis): Promise<Slot | SlotFailure> {
-  const { entry, request, places, signal } = serving
-  const gate = createLimitGate(entry, request.service, request.profile, getCurrentTime)
-  let slot: Slot | SlotFailure
-  for (;;) {
-    slot = await acquireSlot(entry, { service: request.service, places, triedServers }, gate, latestSendTime, signal)
-    if (typeof slot === 'string') return slot
-    await refreshCallerLiveness(serving)
-    // The server may have spoken meanwhile.
-    if (!isClosedToRequests(slot.observed.notice, getCurrentTime())) break
-    releaseSlot(entry, slot, 'cancelled')
-  }
+  const { entry, signal } = serving
+  const slot = await acquireOpenSlot(serving, triedServers, latestSendTime)
+  if (typeof slot === 'string') return slot
   if (signal.aborted) {
     releaseSlot(entry, slot, 'cancelled')
     return 'gone'
@@ -63,6 +55,19 @@
   return 'late'
 }
 
+/** Acquires a slot at a server that takes requests once it is known that the caller is still connected. */
+async function acquireOpenSlot (serving: ServedRequest, triedServers: ReadonlySet<string>, latestSendTime: Millis): Promise<Slot | SlotFailure> {
+  const { entry, request, places, signal } = serving
+  const gate = createLimitGate(entry, request.service, request.profile, getCurrentTime)
+  for (;;) {
+    const slot = await acquireSlot(entry, { service: request.service, places, triedServers }, gate, latestSendTime, signal)
+    if (typeof slot === 'string') return slot
+    await refreshCallerLiveness(serving)
+    if (!isClosedToRequests(slot.observed.notice, getCurrentTime())) return slot
+    releaseSlot(entry, slot, 'cancelled')
+  }
+}
+
 /** Waits until the sockets have been polled recently enough to rely on the caller still being connected. */
 async function refreshCallerLiveness ({ entry, liveness, signal, request }: ServedRequest): Promise<void> {
   while (!signal.aborted && getCurrentTime() < request.deadline && needsPoll(liveness, getCurrentTime())) recordPoll(liveness, (await waitForPoll(entry.loop.polls)).beganAt)
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -1,8 +1,8 @@
 /** The state of a fleet as one entry VM knows it: its servers, and estimates of work times and network delays. */
 import type { Millis, Random, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import type { ServerNotices } from '@lynxcourse/limits'
 import type { Route } from '@lynxcourse/state'
 import type { ConcurrencyLimit } from '../admission/concurrencyLimit.js'
-import type { ServerNotices } from '@lynxcourse/limits'
 import type { FleetServer } from '../server/fleetServer.js'
 import type { Mechanism } from '../../types/mechanisms.js'
 import type { HashRank } from '../object/hashRanks.js'
