Tell callers whose own sends were all turned away when a server takes requests

Callers: a request that met every server of its service, each of which asked for a pause of 3 s, was refused with 'noServer' and told to come back in 0.5 s, or with 'busy' and 0.15 s, and was refused again. Cause: the time was computed from the servers that the request had not been sent to. It is now that of the first pause to end, over all servers. The test failed before (500 ms told for 3,000 ms).

--- a/packages/placement/__tests__/closedServers.test.ts
+++ b/packages/placement/__tests__/closedServers.test.ts
@@ -169,3 +169,23 @@
   })
   assert.equal(steps.filter(type => type === 'send').length, 2)
 })
+
+/** Guards against callers that come back at once because their own request met the servers that then wanted no more. */
+test('a request whose sends were all turned away with a pause is refused until a server takes requests', () => {
+  for (const count of [1, 2, 3, 4]) {
+    const servers = Array.from({ length: count }, (_, index) => server(`s${index}`))
+    const entry = createEntry(...servers)
+    const state = begin(entry)
+    let step = decide(entry, state, start)
+    while (step.type === 'send') {
+      const sending = beginSend(entry, state, step.placement, start)
+      pause(step.placement.server, 3000)
+      endSend(entry, state, sending, { type: 'notRun', reason: 'full' }, start)
+      step = decide(entry, state, start)
+    }
+    assert.ok(step.type === 'refuse', `${count} servers: ${step.type}`)
+    const isAnyOpen = servers.some(({ notice }) => notice.pausedUntil <= start)
+    assert.equal(isAnyOpen, count === 4)
+    assert.ok(isAnyOpen || step.refused.retryAfterMs >= 3000, `${count} servers: ${step.refused.retryAfterMs} ms`)
+  }
+})
--- a/packages/placement/src/core/request/placeRequest.ts
+++ b/packages/placement/src/core/request/placeRequest.ts
@@ -3,14 +3,14 @@
  * work, which is shorter if the object is warm. Refuses at once a request that can't be served in time.
  */
 import type { Millis, ServiceId } from '@lynxcourse/base'
+import { isClosedToRequests } from '@lynxcourse/limits'
 import { mayAdmit } from '../admission/concurrencyLimit.js'
 import type { ConcurrencyLimit } from '../admission/concurrencyLimit.js'
-import { isClosedToRequests } from '@lynxcourse/limits'
 import { isCold } from '../server/coldRateLimit.js'
 import { estimateRequestDelay } from '../server/limitedServers.js'
 import { workKey } from './fleet.js'
-import { getConcurrency } from './slotShares.js'
 import type { Fleet } from './fleet.js'
+import { getConcurrency } from './slotShares.js'
 import type { HashRank } from '../object/hashRanks.js'
 import type { FleetServer } from '../server/fleetServer.js'
 import { selectBestServer, canServe } from './scoring.js'
@@ -43,7 +43,7 @@
   readonly reason: 'noServer' | 'noTime' | 'busy' | 'endsServers' | 'limited' | 'paused'
   /** Time until the request is expected to be served. */
   readonly retryAfterMs: Millis
-  /** Time until a server takes requests again, for `paused`: callers return later, spread over some time. */
+  /** Time until a server takes requests again, if the request may wait for it; callers return later, spread over some time. */
   readonly pausedMs?: Millis
 }
 
@@ -54,7 +54,6 @@
 const maxRetryAfterMs = 5000
 /** Retry time if no server exists: about the interval at which servers announce themselves. */
 const noServerRetryAfterMs = 500
-
 /** Time over which callers return after a pause: a fraction of the pause, and at least `minPauseSpreadMs`. */
 const pauseSpreadFraction = 0.5
 const minPauseSpreadMs = 500
@@ -84,14 +83,29 @@
  */
 function refuseWithoutServer (fleet: Fleet, request: PlacementRequest, concurrency: ConcurrencyLimit, now: Millis): Refusal {
   const { service } = request
-  const servers = (fleet.byService.get(service) ?? []).filter(server => canServe(request, server))
+  const servers = listServersFor(fleet, request)
+  if (servers.length > 0) return refuseWhileClosed(fleet, servers, now) ?? createRefusal(fleet, 'busy', estimateTimeToCapacity(fleet, service, concurrency))
+  return refuseAfterSends(fleet, request, now) ?? { type: 'refuse', reason: 'noServer', retryAfterMs: noServerRetryAfterMs }
+}
+
+/** Refuses a request that is not sent again, if all servers are paused, also those that it was sent to. */
+export function refuseAfterSends (fleet: Fleet, request: PlacementRequest, now: Millis): Refusal | undefined {
+  const refusal = refuseWhileClosed(fleet, listServersFor(fleet, { ...request, tried: new Set() }), now)
+  if (refusal?.reason !== 'paused') return undefined
+  // The request itself can't wait: it goes to no server twice.
+  return { type: 'refuse', reason: 'paused', retryAfterMs: refusal.retryAfterMs }
+}
+
+function listServersFor (fleet: Fleet, request: PlacementRequest): FleetServer[] {
+  return (fleet.byService.get(request.service) ?? []).filter(server => canServe(request, server))
+}
+
+/** Refuses a request until one of these servers takes requests; returns undefined if one takes them now. */
+function refuseWhileClosed (fleet: Fleet, servers: readonly FleetServer[], now: Millis): Refusal | undefined {
   const delayMs = estimateRequestDelay(fleet, servers, now)
-  if (servers.length > 0 && delayMs > 0) {
-    const arePaused = Number.isFinite(delayMs) && servers.every(({ notice }) => isClosedToRequests(notice, now))
-    return arePaused ? refuseUntil(fleet, delayMs) : createRefusal(fleet, 'limited', delayMs)
-  }
-  if (servers.length > 0) return createRefusal(fleet, 'busy', estimateTimeToCapacity(fleet, service, concurrency))
-  return { type: 'refuse', reason: 'noServer', retryAfterMs: noServerRetryAfterMs }
+  if (servers.length === 0 || delayMs === 0) return undefined
+  const arePaused = Number.isFinite(delayMs) && servers.every(({ notice }) => isClosedToRequests(notice, now))
+  return arePaused ? refuseUntil(fleet, delayMs) : createRefusal(fleet, 'limited', delayMs)
 }
 
 /** Estimates the time until the requests in flight complete, from the present response times. */
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -24,7 +24,7 @@
 import { estimateSlotTime } from './fleet.js'
 import { getConcurrency } from './slotShares.js'
 import { updateConcurrencyLimit, recordSendOutcome } from './learning.js'
-import { placeRequest } from './placeRequest.js'
+import { placeRequest, refuseAfterSends } from './placeRequest.js'
 import type { Placement, Refusal } from './placeRequest.js'
 import type { PlacementRequest } from './scoring.js'
 
@@ -99,26 +99,26 @@
 
 /** Decides the next step for a request that is not in flight at a server. */
 export function decideNextStep (entry: EntryState, state: RequestState, conditions: DecisionConditions, now: Millis): RequestStep {
-  if (state.last !== undefined && isFinalOutcome(state, state.last)) return stepAfterOutcome(state, state.last)
+  if (state.last !== undefined && isFinalOutcome(state, state.last)) return stepAfterOutcome(entry, state, state.last, now)
   if (now >= state.request.deadline) return state.possibleRuns === 0 ? createRefuseStep('noTime') : { type: 'fail', reason: 'deadline' }
   if (needsPoll(state.caller, now)) return { type: 'poll' }
-  const restricted = conditions.restriction === undefined ? undefined : stepByRestriction(state, conditions.restriction)
+  const restricted = conditions.restriction === undefined ? undefined : stepByRestriction(entry, state, conditions.restriction, now)
   if (restricted !== undefined) return restricted
   const placement = placeRequest(entry.fleet, state.request, now)
   if (placement.type === 'refuse') {
     if (mayWaitForCapacity(entry, state, placement, conditions, now)) return { type: 'wait', pauseMs: computeRecheckDelay(entry.fleet.setup.random) }
-    return state.possibleRuns > 0 ? stepWithoutRetry(state) : { type: 'refuse', refused: placement }
+    return state.possibleRuns > 0 ? stepWithoutRetry(entry, state, now) : { type: 'refuse', refused: placement }
   }
   if (conditions.needsPermit === true) return { type: 'takePermit' }
   const { retries, fleet } = entry
   const isFirstSend = state.sends === 0
-  if (!isFirstSend && !trySpendRetry(retries, conditions.retryBudget, state.request.service, fleet.vms.length, now)) return stepWithoutRetry(state)
+  if (!isFirstSend && !trySpendRetry(retries, conditions.retryBudget, state.request.service, fleet.vms.length, now)) return stepWithoutRetry(entry, state, now)
   return { type: 'send', placement }
 }
 
 /** Returns the step that the restriction of a request requires; undefined if it may be sent as a trial. */
-function stepByRestriction (state: RequestState, restriction: RequestRestriction): RequestStep | undefined {
-  if (state.possibleRuns > 0) return stepWithoutRetry(state)
+function stepByRestriction (entry: EntryState, state: RequestState, restriction: RequestRestriction, now: Millis): RequestStep | undefined {
+  if (state.possibleRuns > 0) return stepWithoutRetry(entry, state, now)
   if (restriction.type === 'blocked') return createRefuseStep('endsServers', restriction.retryAfterMs)
   if (state.trial === undefined) return { type: 'claimTrial' }
   return state.trial.isGranted ? undefined : createRefuseStep('endsServers', state.trial.retryAfterMs)
@@ -200,10 +200,10 @@
   return !isFailure || !route.isIdempotent || state.possibleRuns >= route.maxAttempts
 }
 
-function stepAfterOutcome (state: RequestState, outcome: SendOutcome): RequestStep {
+function stepAfterOutcome (entry: EntryState, state: RequestState, outcome: SendOutcome, now: Millis): RequestStep {
   switch (outcome.type) {
     case 'answered': return { type: 'answer' }
-    case 'notRun': return stepWithoutRetry(state)
+    case 'notRun': return stepWithoutRetry(entry, state, now)
     case 'lost':
       if (outcome.reason === 'gone') return { type: 'gone' }
       return { type: 'fail', reason: outcome.reason === 'deadline' || outcome.reason === 'stranded' ? 'unanswered' : 'serverFailed' }
@@ -211,9 +211,11 @@
 }
 
 /** Returns the step for a request that is not sent again, from the results of its sends so far. */
-function stepWithoutRetry ({ last, possibleRuns }: RequestState): RequestStep {
+function stepWithoutRetry ({ fleet }: EntryState, { request, last, possibleRuns }: RequestState, now: Millis): RequestStep {
   if (last?.type === 'answered') return { type: 'answer' }
-  return possibleRuns > 0 ? { type: 'fail', reason: 'serverFailed' } : createRefuseStep('busy')
+  if (possibleRuns > 0) return { type: 'fail', reason: 'serverFailed' }
+  const refused = refuseAfterSends(fleet, request, now)
+  return refused === undefined ? createRefuseStep('busy') : { type: 'refuse', refused }
 }
 
 function createRefuseStep (reason: Refusal['reason'], retryAfterMs = fullRetryAfterMs): RequestStep {
@@ -224,7 +226,8 @@
   if (isStopping || fleet.setup.disabledMechanisms.has('roomWait')) return false
   const { route, service } = request
   const waiting = waitingForCapacity.get(service) ?? 0
-  if (refusal.reason === 'limited' || refusal.reason === 'paused') return now + (refusal.pausedMs ?? refusal.retryAfterMs) * (1 + waiting) <= maxWaitUntil
+  if (refusal.reason === 'limited') return now + refusal.retryAfterMs * (1 + waiting) <= maxWaitUntil
+  if (refusal.reason === 'paused') return refusal.pausedMs !== undefined && now + refusal.pausedMs * (1 + waiting) <= maxWaitUntil
   if (refusal.reason !== 'busy') return false
   const { limit } = getConcurrency(fleet, service)
   const pace = { limit, meanMs: fleet.meanSlotTimes.get(service) ?? route.aimMs, waiting }
