--- a/packages/replay/__tests__/replay.test.ts
+++ b/packages/replay/__tests__/replay.test.ts
@@ -43,6 +43,19 @@
   assert.deepEqual(results.at(-1), { type: 'answered', ahead: 0 })
 })
 
+/** Guards against a model that shows no difference between VMs that keep the pauses of servers and VMs that don't. */
+test('VMs keep the pauses that servers ask for, and exceed them without that mechanism', () => {
+  const region = { failureDomains: 1, entryVms: 1, callers: 0.333, phase: 0 }
+  const pattern = createSmallPattern({
+    seconds: 8,
+    regions: { north: region, south: region, west: region },
+    services: { desk: { slots: 9, queue: 9, warmObjects: 40, servers: { north: 4, south: 4, west: 4 } } },
+    disturbances: [{ kind: 'serversPause', atS: 2, forS: 4, share: 0.5, part: 1, pauseS: 3 }]
+  })
+  assert.ok(replayPattern(pattern, 3).pausedRequests <= 2)
+  assert.ok(replayPattern(pattern, 3, new Set(['serverPauses'])).pausedRequests > 2)
+})
+
 test('an invalid pattern is rejected with its file and field', () => {
   const folder = mkdtempSync(join(tmpdir(), 'lynx-pattern-'))
   try {
