--- a/packages/daemon/__tests__/serverLeaving.test.ts
+++ b/packages/daemon/__tests__/serverLeaving.test.ts
@@ -4,7 +4,7 @@
 import { getCurrentTime, handleAnnouncement } from '@lynxcourse/daemon'
 import { getControl, waitUntil } from './support/fleetFixture.js'
 import { countLateRequests, startRestingFleet, startRestingServer } from './support/restingServers.js'
-import { controlCount, countArrivals, sendForMs, sendTo } from './support/servingFleet.js'
+import { countArrivals, sendForMs, sendTo, stopControlVms } from './support/servingFleet.js'
 
 /** Guards against a server that gets requests until it is gone, because only its announcements can close it. */
 test('a server whose answers say that it leaves gets no requests after the drain time, and other servers take them', async () => {
@@ -23,10 +23,7 @@
   await using fleet = await startRestingFleet(1, 2)
   const { fixture, servers: [leaving] } = fleet
   assert.ok(leaving !== undefined)
-  for (let index = 0; index < controlCount; index++) {
-    await fixture.daemons[index]?.[Symbol.asyncDispose]()
-    fixture.daemons[index] = undefined
-  }
+  await stopControlVms(fixture)
   leaving.leaving = '1'
   const responses = await sendForMs(fixture, [0], 40, 4000)
   assert.equal(leaving.leftAt.size, 1)
--- a/packages/daemon/__tests__/serverLimits.test.ts
+++ b/packages/daemon/__tests__/serverLimits.test.ts
@@ -5,7 +5,7 @@
 import type { FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
 import { hasServers, startVm, waitUntil } from './support/fleetFixture.js'
 import { computeWindowBound, countBusiestWindow, startLimitedFleet } from './support/limitedServers.js'
-import { controlCount, countArrivals, sendForMs, sendTo } from './support/servingFleet.js'
+import { controlCount, countArrivals, sendForMs, sendTo, stopControlVms } from './support/servingFleet.js'
 
 /** Guards against a server that gets its usual load although it names a limit. */
 test('a server that names a limit gets no more from all VMs together, and other servers take the rest', async () => {
@@ -33,10 +33,7 @@
   fixture.daemons[restarted] = await startVm(fixture.settings[restarted] as FleetSettings)
   await waitUntil(() => hasServers(fixture.daemons[restarted] as FleetDaemon, 2))
   assert.equal(fixture.daemons[restarted]?.gateway?.fleet.byId.get(limited.test.facts.id)?.notice.limit.perSecond, 4.5)
-  for (const index of [0, 1, 2]) {
-    await fixture.daemons[index]?.[Symbol.asyncDispose]()
-    fixture.daemons[index] = undefined
-  }
+  await stopControlVms(fixture)
   const cutAt = getCurrentTime()
   const responses = await sendForMs(fixture, [0, 1], 60, 5000)
   assert.ok(countBusiestWindow(limited) <= computeWindowBound(4.5), `${countBusiestWindow(limited)} requests in one window`)
--- a/packages/daemon/__tests__/serverRetryAfter.test.ts
+++ b/packages/daemon/__tests__/serverRetryAfter.test.ts
@@ -4,7 +4,7 @@
 import { delay, getCurrentTime, listNotices } from '@lynxcourse/daemon'
 import type { FleetDaemon } from '@lynxcourse/daemon'
 import { countStrayRequests, maxStrayRequests, startRestingFleet } from './support/restingServers.js'
-import { controlCount, countArrivals, sendForMs, sendTo } from './support/servingFleet.js'
+import { countArrivals, sendForMs, sendTo, stopControlVms } from './support/servingFleet.js'
 
 /** Guards against a server that gets its usual load from a VM although it asked the VM for rest, and against VMs that it did not ask. */
 test('a server that turns a VM away with Retry-After gets nothing from it for so long, and other servers take the rest', async () => {
@@ -27,10 +27,7 @@
   await sendTo(fixture, 0, '/sticky/1', { 'lynx-object': '7' })
   const primary = servers.find(({ arrivals }) => arrivals.length > 0)
   assert.ok(primary !== undefined)
-  for (let index = 0; index < controlCount; index++) {
-    await fixture.daemons[index]?.[Symbol.asyncDispose]()
-    fixture.daemons[index] = undefined
-  }
+  await stopControlVms(fixture)
   primary.refuse = () => '2'
   const sends = ['/sticky/1', '/write/1', '/read/1'].map(async path => {
     for (let sent = 0; sent < 40; sent++) {
--- a/packages/daemon/__tests__/support/servingFleet.ts
+++ b/packages/daemon/__tests__/support/servingFleet.ts
@@ -52,6 +52,14 @@
   }
 }
 
+/** Stops all control VMs for good. */
+export async function stopControlVms ({ daemons }: FleetFixture): Promise<void> {
+  for (let index = 0; index < controlCount; index++) {
+    await daemons[index]?.[Symbol.asyncDispose]()
+    daemons[index] = undefined
+  }
+}
+
 /** Sends a request to one entry VM. */
 export async function sendTo (fixture: FleetFixture, entry: number, path = '/read/1', headers: Record<string, string> = {}): Promise<TestResponse> {
   const method = path.startsWith('/write/') ? 'POST' : 'GET'
