Ask in one place whether a server's words restrict requests, and parse this system's own headers once

The check stood in three places, the parse of four headers in two. By service, each routed request counted all VMs once for each server, and each admitted one listed all servers again for a delay that is 0 while no server restricts requests: counted once, and left at once.

--- a/packages/daemon/src/core/gateway/dialects.ts
+++ b/packages/daemon/src/core/gateway/dialects.ts
@@ -4,12 +4,12 @@
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Millis, ServerId, TeamName } from '@lynxcourse/base'
-import { parseStatements } from '@lynxcourse/limits'
 import type { ServerStatements } from '@lynxcourse/limits'
 import { maxKeyLength } from '@lynxcourse/state'
 import { getCallerIdentity } from '../crashes/requestFingerprint.js'
-import { deadlineHeader, leavingHeader, loadHeader, notStartedHeader, requestIdHeader, serverLimitHeader, teamHeader } from '../../types/answers.js'
+import { deadlineHeader, loadHeader, notStartedHeader, requestIdHeader, teamHeader } from '../../types/answers.js'
 import type { HeaderMap } from '../../types/answers.js'
+import { parseServerStatements } from '../../utils/headers.js'
 
 /** Information from the headers of a caller's request. */
 export interface CallFacts {
@@ -115,7 +115,7 @@
   }
 
   override parseStatements (status: number, headers: HeaderMap): ServerStatements {
-    return parseStatements(status, { limit: headers[serverLimitHeader], leaving: headers[leavingHeader], retryAfter: headers['retry-after'], date: headers.date })
+    return parseServerStatements(status, headers)
   }
 
   override classifyAnswer (call: CallFacts, status: number, headers: HeaderMap): AnswerKind {
--- a/packages/daemon/src/core/gateway/noticeQuery.ts
+++ b/packages/daemon/src/core/gateway/noticeQuery.ts
@@ -1,5 +1,5 @@
 /** The operators' query for what backend servers have said about themselves to one entry VM. */
-import { isClosedToRequests, getPauseMs } from '@lynxcourse/limits'
+import { getPauseMs, restrictsRequests } from '@lynxcourse/limits'
 import { getLimitShare } from '@lynxcourse/placement'
 import type { FleetServer } from '@lynxcourse/placement'
 import type { Millis } from '@lynxcourse/base'
@@ -29,7 +29,7 @@
 /** Lists the servers that have said something that still holds. */
 export function listNotices (gateway: Gateway, now: Millis): NoticeSummary[] {
   const servers = [...gateway.fleet.byId.values()]
-  return servers.filter(({ notice }) => isClosedToRequests(notice, now) || notice.limit.perSecond !== undefined).map(server => summarize(gateway, server, now))
+  return servers.filter(({ notice }) => restrictsRequests(notice, now)).map(server => summarize(gateway, server, now))
 }
 
 function summarize ({ fleet }: Gateway, server: FleetServer, now: Millis): NoticeSummary {
--- a/packages/daemon/src/utils/headers.ts
+++ b/packages/daemon/src/utils/headers.ts
@@ -1,5 +1,8 @@
-/** Hop-by-hop headers, which are not forwarded. */
+/** Hop-by-hop headers, which are not forwarded, and the headers in which servers speak of themselves. */
 import type { IncomingHttpHeaders } from 'node:http'
+import { parseStatements } from '@lynxcourse/limits'
+import type { ServerStatements } from '@lynxcourse/limits'
+import { leavingHeader, serverLimitHeader } from '../types/answers.js'
 import type { HeaderMap } from '../types/answers.js'
 
 const hopByHopHeaders = new Set([
@@ -20,3 +23,8 @@
   }
   return headers
 }
+
+/** Parses what the answer of a backend server says about the server, in this system's own headers. */
+export function parseServerStatements (status: number, headers: IncomingHttpHeaders): ServerStatements {
+  return parseStatements(status, { limit: headers[serverLimitHeader], leaving: headers[leavingHeader], retryAfter: headers['retry-after'], date: headers.date })
+}
--- a/packages/limits/src/core/servers/serverNotice.ts
+++ b/packages/limits/src/core/servers/serverNotice.ts
@@ -72,6 +72,11 @@
   return notice.isLeaving || getPauseMs(notice, now) > 0
 }
 
+/** Whether something that the server has said keeps requests away now: it is closed to them, or takes a limited number. */
+export function restrictsRequests (notice: ServerNotice, now: Millis): boolean {
+  return isClosedToRequests(notice, now) || notice.limit.perSecond !== undefined
+}
+
 /**
  * Whether a request of this VM may be sent to the server now.
  *
--- a/packages/limits/src/core/servers/serverNotices.ts
+++ b/packages/limits/src/core/servers/serverNotices.ts
@@ -5,7 +5,7 @@
  * for still holds when it is listed again.
  */
 import type { Millis, ServerId } from '@lynxcourse/base'
-import { createServerNotice, isClosedToRequests } from './serverNotice.js'
+import { createServerNotice, restrictsRequests } from './serverNotice.js'
 import type { ServerNotice } from './serverNotice.js'
 
 interface NoticeEntry {
@@ -37,10 +37,6 @@
 export function pruneNotices (notices: ServerNotices, now: Millis): void {
   for (const [server, { notice, listedAt }] of notices) {
     if (listedAt === now) continue
-    if (!isInForce(notice, now) || now - listedAt > unlistedTtlMs) notices.delete(server)
+    if (!restrictsRequests(notice, now) || now - listedAt > unlistedTtlMs) notices.delete(server)
   }
 }
-
-function isInForce (notice: ServerNotice, now: Millis): boolean {
-  return isClosedToRequests(notice, now) || notice.limit.perSecond !== undefined
-}
--- a/packages/routing/src/core/router.ts
+++ b/packages/routing/src/core/router.ts
@@ -1,7 +1,7 @@
 /** Selects the region and the backend server for each request at an entry VM. */
 import { rankByHash } from '@lynxcourse/base'
 import type { Chart, Millis, Random, RegionId, ResourceId, ServiceId, VmId } from '@lynxcourse/base'
-import { computeEqualShare, consumeLimitToken, getRequestDelay, isClosedToRequests, permitsRequest } from '@lynxcourse/limits'
+import { computeEqualShare, consumeLimitToken, getRequestDelay, isClosedToRequests, permitsRequest, restrictsRequests } from '@lynxcourse/limits'
 import type { RegionLatencies } from '../types/view.js'
 import { getLatencyMs } from '../types/view.js'
 import { createBackends, isServing, isUsable, recordAttemptEnd, recordAttemptStart, refreshBackend } from './backends.js'
@@ -69,6 +69,7 @@
 /** Selects a server in the first region, in order, that has a free slot and capacity under its limits. */
 export function routeRequest (router: Router, request: RouteRequest, gate: LimitGate, now: Millis): RouteDecision {
   const passedOver: PassedOverRegion[] = []
+  const vmCount = countVms(router)
   for (const place of request.places) {
     const serving = listServing(router, request, place.region, now)
     const usable = serving.filter(observed => isUsable(observed, now))
@@ -88,7 +89,7 @@
       continue
     }
     const ctx = createPolicyContext(router, place.region, now)
-    const free = permitted.filter(observed => observed.inFlight < countUsableSlots(router, observed, ctx))
+    const free = permitted.filter(observed => observed.inFlight < countUsableSlots(router, observed, vmCount, ctx))
     const observed = router.setup.policy.pick(free, ctx)
     if (observed !== undefined) return { type: 'send', observed, place, resources, passedOver }
     passedOver.push({ region: place.region, reason: 'noSlot' })
@@ -116,6 +117,7 @@
 
 /** Returns the time until some server takes a request of this VM, by what the servers have said. */
 export function estimateRequestDelay (router: Router, request: RouteRequest, now: Millis): Millis {
+  if (!hasRestrictedServers(router, request.service, now)) return 0
   const servers = request.places.flatMap(place => listServing(router, request, place.region, now))
   if (servers.length === 0) return 0
   return Math.min(...servers.map(observed => getRequestDelay(observed.notice, getLimitShare(router, observed), now)))
@@ -124,12 +126,15 @@
 /** Whether some server of a service wants no requests now, or takes a limited number of them. */
 export function hasRestrictedServers ({ backends }: Router, service: ServiceId, now: Millis): boolean {
   const servers = backends.byService.get(service) ?? []
-  return servers.some(({ notice }) => notice.limit.perSecond !== undefined || isClosedToRequests(notice, now))
+  return servers.some(({ notice }) => restrictsRequests(notice, now))
+}
+
+function countVms ({ peers }: Router): number {
+  return [...peers.values()].reduce((sum, vms) => sum + vms.length, 0)
 }
 
 /** Returns how many slots of a server this VM may use. Each request needs a connection, and all VMs share those of a server. */
-function countUsableSlots (router: Router, observed: ObservedServer, ctx: PolicyContext): number {
-  const vmCount = [...router.peers.values()].reduce((sum, vms) => sum + vms.length, 0)
+function countUsableSlots (router: Router, observed: ObservedServer, vmCount: number, ctx: PolicyContext): number {
   const connectionShare = Math.max(1, Math.floor(observed.backend.maxConnections / Math.max(1, vmCount)))
   return Math.min(connectionShare, router.setup.policy.countUsableSlots(observed, ctx))
 }
@@ -137,9 +142,10 @@
 /** Returns the number of slots, busy or free, that this VM may use for a request; includes servers paused after a shed. */
 export function countAvailableSlots (router: Router, request: RouteRequest, now: Millis): number {
   let slots = 0
+  const vmCount = countVms(router)
   for (const place of request.places) {
     const ctx = createPolicyContext(router, place.region, now)
-    for (const observed of listServing(router, request, place.region, now)) slots += countUsableSlots(router, observed, ctx)
+    for (const observed of listServing(router, request, place.region, now)) slots += countUsableSlots(router, observed, vmCount, ctx)
   }
   return slots
 }
