Large answers as a kind of route, and the interfaces of rollouts and VM capacity

Cause: a configuration with a route of large answers (`download`) was refused as invalid, so a deployment with one was not served at all; the settings' bounds on new server versions and the machine's own limits were not read.

Nothing decides on the new types yet.

--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -103,10 +103,10 @@
   return [...rankByHash(node.cfg.name, inRegion), ...rankByHash(node.cfg.name, others)]
 }
 
-/** Applies the settings that may change while the process runs: seeds, times, the retry budget, the bound of rates and the log settings. */
+/** Applies the settings that may change while the process runs: seeds, times, the retry budget, the bounds of rates and rollouts, the VM's capacity and the log settings. */
 export function reloadFleetSettings (node: FleetNode, settings: FleetSettings): void {
-  const { seeds, times, retryBudget, rateBound, log } = settings
-  node.cfg = { ...node.cfg, seeds, times, retryBudget, rateBound, log }
+  const { seeds, times, retryBudget, rateBound, rollouts, capacity, log } = settings
+  node.cfg = { ...node.cfg, seeds, times, retryBudget, rateBound, rollouts, capacity, log }
 }
 
 export function notifyFleetChange (node: FleetNode): void {
--- a/packages/daemon/src/types/fleetCommands.ts
+++ b/packages/daemon/src/types/fleetCommands.ts
@@ -41,6 +41,7 @@
   host: z.string(),
   pathPrefix: z.string(),
   isIdempotent: z.boolean(),
+  hasLargeAnswers: z.boolean().optional(),
   timeoutMs: z.number(),
   aimMs: z.number(),
   rank: z.number(),
--- a/packages/daemon/src/types/fleetFile.ts
+++ b/packages/daemon/src/types/fleetFile.ts
@@ -61,6 +61,21 @@
     /** Requests in a window beyond that, for all VMs together. */
     slack: z.number().min(0).default(defaultRateBound.slack)
   }).prefault({}),
+  /** Bounds of rollouts of server versions; without them, servers of all versions are treated alike. */
+  rollouts: z.strictObject({
+    /** Fraction of a service's requests that a bad version may get. */
+    exposureFraction: z.number().positive().max(1).default(0.1),
+    /** Requests that it may get beyond that, for all VMs together. */
+    exposureSlack: z.number().min(0).default(0),
+    /** Time after its 50th bad answer from which a bad version gets no requests. */
+    rollbackMs: millis.default(5000)
+  }).optional(),
+  /** What the VM can do; omitted values are unknown. */
+  capacity: z.strictObject({
+    cores: z.number().positive().optional(),
+    /** Bandwidth of the VM's own network link in Mbit/s, in each direction. */
+    linkMbps: z.number().positive().optional()
+  }).optional(),
   times: timesSchema,
   log: logSchema
 }).superRefine((cfg, ctx) => {
@@ -100,6 +115,8 @@
     dataFolder: file.dataFolder,
     retryBudget: file.retryBudget,
     rateBound: file.rateBound,
+    rollouts: file.rollouts,
+    capacity: file.capacity === undefined ? undefined : { cores: file.capacity.cores, linkMbps: file.capacity.linkMbps },
     times: { ...defaultFleetTimes, ...omitUndefined(file.times) },
     log: file.log
   }
--- a/packages/daemon/src/types/fleetSettings.ts
+++ b/packages/daemon/src/types/fleetSettings.ts
@@ -2,6 +2,7 @@
 import type { FailureDomainId, Millis, RegionId } from '@lynxcourse/base'
 import type { RateBound } from '@lynxcourse/limits'
 import type { RetryBudgetCfg } from '@lynxcourse/placement'
+import type { RolloutBounds } from '@lynxcourse/rollouts'
 import type { LogSettings } from '../utils/logging.js'
 
 /** Time constants of a fleet's VMs, in milliseconds. */
@@ -55,6 +56,14 @@
 /** Default bound on the requests of a team: exactly its rate limit, over any five seconds. */
 export const defaultRateBound: RateBound = { windowMs: 5000, overage: 0, slack: 0 }
 
+/** What a VM can do; undefined fields are unknown. */
+export interface VmCapacity {
+  /** Processor cores, with fractions. */
+  readonly cores: number | undefined
+  /** Bandwidth of the VM's own network link in Mbit/s, in each direction. */
+  readonly linkMbps: number | undefined
+}
+
 /** Settings of one VM. */
 export interface FleetSettings {
   readonly name: string
@@ -78,6 +87,9 @@
   readonly retryBudget: RetryBudgetCfg
   /** How far the requests of a team may exceed its rate limit. */
   readonly rateBound: RateBound
+  /** Bounds of rollouts; undefined if this fleet doesn't tell versions of servers apart. */
+  readonly rollouts?: RolloutBounds | undefined
+  readonly capacity?: VmCapacity | undefined
   readonly times: FleetTimes
   readonly log: LogSettings
 }
--- a/packages/placement/src/types/loads.ts
+++ b/packages/placement/src/types/loads.ts
@@ -1,5 +1,6 @@
 /** Load data that the VMs of a fleet exchange. */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import type { RolloutReport, RolloutReportsByVm } from '@lynxcourse/rollouts'
 
 /** Requests per second that servers take from all VMs together; null for a limit that has ended. */
 export type ServerLimits = ReadonlyArray<readonly [ServerId, number | null]>
@@ -22,6 +23,8 @@
   readonly limits?: ServerLimits
   /** Requests per second that this VM has for servers with limits; omitted if there are none. */
   readonly limitDemand?: LimitDemand
+  /** Reports of running rollouts; omitted if there are none. */
+  readonly rollouts?: readonly RolloutReport[]
 }
 
 /** Slots that callers need, by service and region of the entry VMs. */
@@ -37,6 +40,8 @@
   readonly limits?: ServerLimits
   /** Requests per second of single entry VMs for servers with limits; omitted if there are none. */
   readonly limitDemand?: LimitDemandByVm
+  /** Reports of running rollouts by entry VM; omitted if there are none. */
+  readonly rollouts?: RolloutReportsByVm
 }
 
 /** The region plan of one service, as the leader publishes it. */
--- a/packages/state/src/internal.ts
+++ b/packages/state/src/internal.ts
@@ -2,6 +2,7 @@
 export * from './types/profile.js'
 export * from './types/routes.js'
 export * from './types/crashes.js'
+export * from './types/rollouts.js'
 export * from './types/commands.js'
 export * from './types/items.js'
 export * from './core/config.js'
--- a/packages/state/src/types/items.ts
+++ b/packages/state/src/types/items.ts
@@ -3,6 +3,7 @@
 import type { DrainTarget } from './commands.js'
 import type { CrashingRequestItem } from './crashes.js'
 import type { Profile } from './profile.js'
+import type { RolloutItem, ServiceVersionItem } from './rollouts.js'
 import type { BackendItem, EvacuationItem, RouteItem, RoutingItem, TeamItem, UpstreamItem } from './routes.js'
 
 /** The change that set an item, its operator and the log's time at which it was applied. */
@@ -58,7 +59,7 @@
 export type ConfigItem =
   | ProfileItem | ServiceItem | DrainItem | ShiftItem
   | RouteItem | UpstreamItem | TeamItem | RoutingItem | EvacuationItem | BackendItem
-  | CrashingRequestItem
+  | CrashingRequestItem | ServiceVersionItem | RolloutItem
 
 /** An item with the configuration version at which it last changed. */
 export interface VersionedItem {
--- a/packages/state/src/types/routes.ts
+++ b/packages/state/src/types/routes.ts
@@ -18,6 +18,8 @@
   readonly pathPrefix: string
   /** Whether a request may run more than once. */
   readonly isIdempotent: boolean
+  /** Whether answers are large, so that they are passed on in pieces; undefined means no. */
+  readonly hasLargeAnswers?: boolean | undefined
   /** Maximum time that a caller waits for the answer. */
   readonly timeoutMs: Millis
   /** Latency objective: an answer within this time has the highest value. */
