Rollouts in the replicated state, and their orders

The state machine starts, advances and aborts rollouts and keeps the version in force of each service: the first version that a server announces, until a rollout completes. Repeated orders are accepted without effect, other targets conflict with a running rollout, and a service that leaves the configuration ends its rollout. Ended rollouts and the versions of removed services are bounded.

Operators order and read rollouts through the platform's interface and with 'lynxcourse fleet rollouts'. Reads are linearizable. A fleet whose settings have no bound on the exposure answers orders with 404.

Steps are accepted from the leader, which doesn't plan any yet.

--- a/packages/cli/src/core/commands/fleets.ts
+++ b/packages/cli/src/core/commands/fleets.ts
@@ -1,4 +1,4 @@
-/** Commands for a fleet: `fleet routes`, `fleet match`, `fleet teams`, `fleet restricted`, `fleet release`, `fleet limited`, `fleet notices`. */
+/** Commands for a fleet: `fleet routes`, `fleet match`, `fleet teams`, `fleet restricted`, `fleet release`, `fleet limited`, `fleet notices`, `fleet rollouts`. */
 import type { Command } from 'commander'
 import { LynxError } from '@lynxcourse/base'
 import { callPeer } from '@lynxcourse/daemon'
@@ -12,6 +12,7 @@
 import { callAnyVm } from '../session.js'
 import type { Session } from '../session.js'
 import { createAction } from './action.js'
+import { addRolloutCommands } from './rollouts.js'
 
 /** Formats the services of a route with their shares in percent. */
 function formatShares (route: Route): string {
@@ -104,6 +105,7 @@
     printRows(session.output, rows, ['vm', 'server', 'service', 'perSecond', 'share', 'pausedMs', 'leaving', 'error'])
     return rows.some(row => row['error'] !== undefined) ? exitCodes.failed : exitCodes.ok
   }))
+  addRolloutCommands(fleet)
   fleet.command('release <request>').description('let a restricted request be sent again').action(createAction(async (session, [request]) => {
     const answer = await callAnyVm<ChangeAnswer>(session, 'fleet.submit', { command: { type: 'releaseRequest', request } })
     if (!answer.ok) throw new LynxError('notFound', answer.detail, { step: 'release', field: 'request' })
--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -26,7 +26,7 @@
   const { storage, stored } = await openStorage(env.folder)
   const identity = await readIdentity(env.folder)
   const incarnation = (identity?.incarnation ?? env.firstIncarnation ?? randomUUID().slice(0, 8)) as Incarnation
-  const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), shift: loadChart('shift') }
+  const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), rollout: loadChart('rollout'), shift: loadChart('shift') }
   const host: ControlHost = {
     env,
     storage,
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -3,7 +3,7 @@
 import { LynxError, brandId, hashText, createHolderId, isLynxError, getHolderVm } from '@lynxcourse/base'
 import type { HolderId, Incarnation, Millis, RequestFingerprint, ServerId, VmId } from '@lynxcourse/base'
 import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, recordKnownVersion, getKnownVersionAt } from '@lynxcourse/state'
-import type { BackendAnnouncement, ChangeAnswer, CrashCommand, KnownVersions, RouteCommand } from '@lynxcourse/state'
+import type { BackendAnnouncement, ChangeAnswer, CrashCommand, KnownVersions, RolloutCommand, RouteCommand } from '@lynxcourse/state'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { openControl } from '../control/controlHost.js'
@@ -40,7 +40,7 @@
 }
 
 /** The commands that a fleet's VMs and operators submit. */
-export type FleetCommand = RouteCommand | CrashCommand
+export type FleetCommand = RouteCommand | CrashCommand | RolloutCommand
 
 /**
  * Incarnation of the seeds' disks when they found the group, so that each seed can derive the holder ids of the others.
@@ -126,7 +126,10 @@
  * @throws LynxError if the outcome is unknown
  */
 export async function submitFleetCommand (control: FleetControl, submitted: FleetCommand, isRelayed = false, arrivedAt?: Millis): Promise<ChangeAnswer> {
-  const { host } = control
+  const { host, node } = control
+  if (submitted.type === 'startRollout' && node.cfg.rollouts === undefined) {
+    return { ok: false, code: 'notFound', detail: 'the settings of this fleet allow no rollouts', winner: undefined }
+  }
   const command = isRelayed ? submitted : withBaseVersion(control, submitted, arrivedAt)
   if (isLeading(host)) {
     const answer = await proposeChange(host, command, 'submit')
@@ -165,6 +168,11 @@
     case 'releaseRequest':
       log(logs, 'route', 'info', 'Release of a request processed.', { request: command.request, outcome })
       break
+    case 'startRollout':
+    case 'advanceRollout':
+    case 'abortRollout':
+      logRollout(control, command, outcome)
+      break
     case 'evacuate':
       log(logs, 'drain', 'info', 'Evacuation processed.', { failureDomain: command.failureDomain, active: command.isActive, base: command.baseVersion, outcome, version: control.host.machine.config.version })
       break
@@ -177,6 +185,12 @@
   log(node.logs, 'announce', 'info', 'Server announced itself.', { server: id, service, draining: isDraining, seq, coldMs, version: host.machine.config.version })
 }
 
+/** Logs an order or step of a rollout with the rollout's state after it; the reason of a step contains its evidence. */
+function logRollout ({ node, host }: FleetControl, { type, service }: RolloutCommand, outcome: string): void {
+  const item = findItem(host.machine.config, 'rollout', service)
+  log(node.logs, 'rollout', item?.state === 'rolledBack' ? 'warn' : 'info', 'Rollout command processed.', { type, service, outcome, state: item?.state, baseline: item?.baseline, target: item?.target, percent: item?.percent, order: item?.order, step: item?.step, reason: item?.reason })
+}
+
 /** Logs the state of the requests that a report was about, unless they are not restricted. */
 function logRestrictions ({ node, host }: FleetControl, requests: readonly RequestFingerprint[]): void {
   for (const request of new Set(requests)) {
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -16,7 +16,7 @@
 import type { RpcCall, RpcServer } from '../rpc/rpcServer.js'
 import { claimTrial, dismissServer, cancelFleetTrial, getStateAge, submitFleetCommand, handleAnnouncement, takePermits } from './fleetControl.js'
 import type { FleetCommand, FleetControl } from './fleetControl.js'
-import { readRoutes, summarizeTeams } from './fleetReads.js'
+import { readRollouts, readRoutes, summarizeTeams } from './fleetReads.js'
 import type { PermitRequest } from '../control/permitIssuing.js'
 import type { ControlEndpoint } from './fleetNode.js'
 import { recordWatchingEntry, applyPresenceReport } from './presence.js'
@@ -103,6 +103,10 @@
     await ensureCallerConnected(control, 'fleet.relayRead', call)
     return await readRoutes(control, true)
   })
+  addMethod(rpc, 'fleet.readRollouts', ['vm', 'operator'], z.strictObject({}), async (_params, call) => {
+    await ensureCallerConnected(control, 'fleet.readRollouts', call)
+    return await readRollouts(control, true)
+  })
   addMethod(rpc, 'fleet.presence', ['vm'], reportSchema, params => handlePresence(control, params as unknown as PresenceReport))
   addMethod(rpc, 'fleet.announce', ['server'], announceSchema, async ({ facts }) => {
     await handleAnnouncement(control, facts as unknown as BackendAnnouncement, getCurrentTime())
--- a/packages/daemon/src/core/fleet/fleetReads.ts
+++ b/packages/daemon/src/core/fleet/fleetReads.ts
@@ -1,6 +1,6 @@
 /** Reads of a fleet's routes, teams and restricted requests, which are linearizable, and of the limits that servers name. */
 import { findRouteSet, getRoutesVersion, isRestricted, listItems } from '@lynxcourse/state'
-import type { CrashingRequestItem, RouteSet, Team } from '@lynxcourse/state'
+import type { CrashingRequestItem, RolloutItem, RouteSet, Team } from '@lynxcourse/state'
 import type { LimitUpdate } from '@lynxcourse/placement'
 import { isLeading } from '../control/hostState.js'
 import { confirmRead } from '../control/proposals.js'
@@ -13,6 +13,12 @@
   readonly set: RouteSet | undefined
 }
 
+/** Result of a linearizable read of the rollouts. */
+export interface RolloutsReadResult {
+  /** The last rollout of each service, except of services whose rollout ended long ago. */
+  readonly rollouts: readonly RolloutItem[]
+}
+
 /** Result of a linearizable read of the routes and the restricted requests, with the limits of servers as the leader knows them. */
 export interface FleetReadResult extends RoutesReadResult {
   readonly restricted: readonly CrashingRequestItem[]
@@ -55,3 +61,16 @@
   }
   return await relayToLeader<FleetReadResult>(control, { step: 'read', method: 'fleet.relayRead', params: {}, isRelayed })
 }
+
+/**
+ * Reads the rollouts; a quorum confirms that they are the latest.
+ *
+ * @param isRelayed whether another control VM forwarded the read; it is not forwarded again
+ * @throws LynxError if no quorum confirms that they are the latest
+ */
+export async function readRollouts (control: FleetControl, isRelayed = false): Promise<RolloutsReadResult> {
+  const { host } = control
+  if (!isLeading(host)) return await relayToLeader<RolloutsReadResult>(control, { step: 'read', method: 'fleet.readRollouts', params: {}, isRelayed })
+  await confirmRead(host)
+  return { rollouts: listItems(host.machine.config, 'rollout') }
+}
--- a/packages/daemon/src/types/fleetCommands.ts
+++ b/packages/daemon/src/types/fleetCommands.ts
@@ -70,6 +70,10 @@
 /** Fields of a claim of a trial. */
 export const trialFields = { request: textSchema, forMs: z.number().min(0).max(maxTrialMs) }
 
+/** Longest duration that an operator may give a rollout. */
+export const maxRolloutMs: Millis = 86_400_000
+const softwareVersion = z.string().min(1).max(maxNameLength)
+
 /** Schema of a command. */
 export const fleetCommandSchema = z.discriminatedUnion('type', [
   z.looseObject({ type: z.literal('replaceRoutes'), ...routeChangeFields, set: z.looseObject({ routes: z.array(routeSchema).max(maxRoutes), upstreams: z.array(upstreamSchema).max(maxRoutes), limits: limitsSchema, teams: teamsSchema }) }),
@@ -80,5 +84,8 @@
   z.looseObject({ type: z.literal('dismiss'), ids: names, bornAt: count.optional() }),
   z.looseObject({ type: z.literal('miss'), ids: names }),
   z.looseObject({ type: z.literal('reportServerEnds'), ...serverEndFields }),
-  z.looseObject({ type: z.literal('releaseRequest'), request: textSchema })
+  z.looseObject({ type: z.literal('releaseRequest'), request: textSchema }),
+  z.looseObject({ type: z.literal('startRollout'), service: name, target: softwareVersion, durationMs: z.number().positive().max(maxRolloutMs) }),
+  z.looseObject({ type: z.literal('advanceRollout'), service: name, order: count, step: count, event: z.enum(['promote', 'grow', 'drain', 'complete', 'rollBack']), percent: z.number().min(0).max(100), reason: z.string().max(maxNameLength) }),
+  z.looseObject({ type: z.literal('abortRollout'), service: name })
 ])
--- a/packages/faults/src/core/scene.ts
+++ b/packages/faults/src/core/scene.ts
@@ -35,7 +35,7 @@
 let charts: Charts | undefined
 
 function loadCharts (): Charts {
-  charts ??= { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), shift: loadChart('shift'), attempt: loadChart('attempt'), role: loadChart('agreementRole') }
+  charts ??= { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), rollout: loadChart('rollout'), shift: loadChart('shift'), attempt: loadChart('attempt'), role: loadChart('agreementRole') }
   return charts
 }
 
--- a/packages/state/__tests__/crashingRequests.test.ts
+++ b/packages/state/__tests__/crashingRequests.test.ts
@@ -13,7 +13,7 @@
 const seed = 59
 console.log(`seed ${seed}`)
 
-const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), shift: loadChart('shift') }
+const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), rollout: loadChart('rollout'), shift: loadChart('shift') }
 const startTime = 1_800_000_000_000
 const crashing = brandId<RequestFingerprint>('crashing')
 
--- a/packages/state/__tests__/incarnations.test.ts
+++ b/packages/state/__tests__/incarnations.test.ts
@@ -10,7 +10,7 @@
 const seed = 47
 console.log(`seed ${seed}`)
 
-const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), shift: loadChart('shift') }
+const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), rollout: loadChart('rollout'), shift: loadChart('shift') }
 const desk = brandId<ServiceId>('desk')
 const id = brandId<ServerId>('s')
 const earlierStart = 1000
--- a/packages/state/__tests__/routes.test.ts
+++ b/packages/state/__tests__/routes.test.ts
@@ -10,7 +10,7 @@
 import type { BackendAnnouncement, ChangeAnswer, StateMachine, RouteChangeId, Route, RouteCommand, RouteSet, Upstream } from '@lynxcourse/state'
 import { createRoute } from './support/route.js'
 
-const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), shift: loadChart('shift') }
+const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), rollout: loadChart('rollout'), shift: loadChart('shift') }
 const desk = brandId<ServiceId>('desk')
 const ledger = brandId<ServiceId>('ledger')
 const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
--- a/packages/state/__tests__/state.test.ts
+++ b/packages/state/__tests__/state.test.ts
@@ -13,7 +13,7 @@
 const runOptions = { seed, numRuns: 150 }
 console.log(`seed ${seed}`)
 
-const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), shift: loadChart('shift') }
+const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), rollout: loadChart('rollout'), shift: loadChart('shift') }
 const startTime = 1_800_000_000_000
 
 interface Log { machine: StateMachine, index: number, at: number }
--- a/packages/state/__tests__/teams.test.ts
+++ b/packages/state/__tests__/teams.test.ts
@@ -8,7 +8,7 @@
 import { createRoute } from './support/route.js'
 import { createTeam, createTeamsUpdate } from './support/teams.js'
 
-const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), shift: loadChart('shift') }
+const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), rollout: loadChart('rollout'), shift: loadChart('shift') }
 const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 const upstream = { name: brandId<ServiceId>('desk'), healthPath: '/health', maxConnections: 100, warmupMs: 3000, warmupPerSecond: 10, annotations: {} }
 
--- a/packages/state/src/core/config.ts
+++ b/packages/state/src/core/config.ts
@@ -51,6 +51,7 @@
     case 'backend': return item.state === 'gone'
     case 'evacuation': return !item.isActive
     case 'crashingRequest': return item.state === 'released'
+    case 'rollout': return item.state === 'completed' || item.state === 'rolledBack'
     default: return false
   }
 }
@@ -58,10 +59,19 @@
 function pruneFinished (config: Config, kind: ConfigItem['kind']): void {
   const maxKept = kind === 'backend' ? maxEndedServers : maxFinishedItems
   const finished = [...config.items].filter(([, entry]) => entry.item.kind === kind && isFinished(entry.item))
-  for (const [key, entry] of finished.slice(0, -maxKept)) {
-    config.items.delete(key)
-    config.prunedBelow = Math.max(config.prunedBelow, entry.version)
-  }
+  for (const [key] of finished.slice(0, -maxKept)) deleteEntry(config, key)
+}
+
+/** Deletes an item; copies that may hold it need a full delta. */
+export function deleteItem (config: Config, kind: ConfigItem['kind'], key: string): void {
+  deleteEntry(config, createItemKey(kind, key))
+}
+
+function deleteEntry (config: Config, key: string): void {
+  const entry = config.items.get(key)
+  if (entry === undefined) return
+  config.items.delete(key)
+  config.prunedBelow = Math.max(config.prunedBelow, entry.version)
 }
 
 /** Returns the delta that brings a copy at version `from` to this version. */
--- a/packages/state/src/core/stateMachine.ts
+++ b/packages/state/src/core/stateMachine.ts
@@ -17,6 +17,7 @@
 import type { Config } from './config.js'
 import { applyCrashCommand, isCrashCommand, restoreCrashRegister, serializeCrashRegister } from './crashingRequests.js'
 import type { CrashRegister, StoredEnds } from './crashingRequests.js'
+import { applyRolloutCommand, followRouteCommand, isRolloutCommand } from './rollouts.js'
 import { applyRouteCommand, isRouteCommand } from './routeChanges.js'
 import type { AcceptedRouteChanges } from './routeChanges.js'
 
@@ -30,6 +31,7 @@
 export interface StateMachineCharts extends ChangeCharts {
   readonly claim: Chart
   readonly crashingRequest: Chart
+  readonly rollout: Chart
 }
 
 export interface StateMachine {
@@ -76,7 +78,12 @@
 
 function applyCommand (machine: StateMachine, command: Command, version: number, at: Millis): CommandAnswer {
   if (isRouteCommand(command)) {
-    return { type: 'change', change: applyRouteCommand(machine.config, machine.orders, command, version) }
+    const change = applyRouteCommand(machine.config, machine.orders, command, version)
+    if (change.ok) followRouteCommand(machine.config, machine.charts.rollout, command, version)
+    return { type: 'change', change }
+  }
+  if (isRolloutCommand(command)) {
+    return { type: 'change', change: applyRolloutCommand(machine.config, machine.charts.rollout, command, version, at) }
   }
   if (isCrashCommand(command)) {
     return { type: 'change', change: applyCrashCommand(machine.config, machine.crashes, machine.charts.crashingRequest, command, version, at) }
--- a/packages/state/src/types/commands.ts
+++ b/packages/state/src/types/commands.ts
@@ -5,6 +5,7 @@
 import * as z from 'zod'
 import type { CrashCommand } from './crashes.js'
 import { createNameSchema, profileSchema } from './profile.js'
+import type { RolloutCommand } from './rollouts.js'
 import type { RouteCommand } from './routes.js'
 
 /** The kinds of targets that a drain can empty. */
@@ -130,6 +131,7 @@
   | AdvanceDrainCommand
   | RouteCommand
   | CrashCommand
+  | RolloutCommand
 
 /** The accepted change that caused another change's version conflict. */
 export interface WinningChange {
--- a/scripts/bench/capacityModules.ts
+++ b/scripts/bench/capacityModules.ts
@@ -80,7 +80,7 @@
 /** Measures memory, snapshot size and apply time per claim. */
 export function measureStateMachine (figures: CapacityFigures, quick: boolean): void {
   const sizes = quick ? [2000, 4000, 8000] : [20_000, 50_000, 100_000]
-  const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), shift: loadChart('shift') }
+  const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), rollout: loadChart('rollout'), shift: loadChart('shift') }
   const random = createRandom(3)
   const memory: Array<[number, number]> = []
   const snapshotSizes: Array<[number, number]> = []
