Entry VMs place requests by software version, within an exposure budget, and count evidence of rollouts

Cause: an entry VM sent requests to servers of any version. A version that nobody ordered, or a bad one under observation, got its full share of the requests, and nothing was counted by which the leader could judge a version.

Change, only if the settings hold bounds of rollouts: each server has a role by its version, assigned when the state changes, and servers without one are closed to all sends, also right before a request is written; their slots are not counted. While a rollout runs, objects are assigned to versions by hash, and servers are ranked within one version, so objects of the baseline keep their servers. A VM earns sends to a version under observation by answers to its own requests, and stops if its state is not confirmed or its own counts show a bad version. It learns no work times from that version, since they would hide slow answers. Load reports carry cumulative counts of answers, failures and slow answers, and the requests in flight at the baseline. Sends log the version; start, stop and resumption of sends to a target are logged.

--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -1,7 +1,7 @@
 /** Starts the components of one VM of a fleet and stops them in order. */
 import type { Server } from 'node:http'
 import type { Millis } from '@lynxcourse/base'
-import { applyLoadUpdate, listLimitDemand } from '@lynxcourse/placement'
+import { applyLoadUpdate, listLimitDemand, listRolloutReports } from '@lynxcourse/placement'
 import type { EntryPresence } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
 import { closeServer, listen } from '../../utils/httpServer.js'
@@ -21,6 +21,7 @@
 import type { Gateway } from '../gateway/gateway.js'
 import { addNoticeMethod } from '../gateway/noticeQuery.js'
 import { refillPermits } from '../gateway/permitHolder.js'
+import { logTargetUse } from '../gateway/requestLog.js'
 import { logPublishedLimits } from '../gateway/serverNotices.js'
 import { delay, repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
@@ -108,6 +109,11 @@
   })
   node.onLoadUpdate.push(() => logPublishedLimits(gateway, applyLoadUpdate(gateway, node.loadUpdate, node.cfg.region, getCurrentTime())))
   node.listLimitDemand = now => listLimitDemand(gateway.fleet, now)
+  node.listRolloutReports = now => {
+    const reports = listRolloutReports(gateway.fleet.rollouts, now)
+    logTargetUse(gateway)
+    return reports
+  }
   gateway.pool.onConnect = (address, startedAt) => recordConnectTime(gateway, address, getCurrentTime() - startedAt)
   addResource(stack, repeat(sweepIntervalMs, () => closeStaleConnections(gateway.pool, getCurrentTime()), () => undefined))
   addResource(stack, repeat(refillIntervalMs, () => refillPermits(gateway, getCurrentTime()), () => undefined))
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -13,6 +13,7 @@
 import type { RpcClient } from '../rpc/rpcClient.js'
 import type { FleetSettings } from '../../types/fleetSettings.js'
 import { createLoadObservations } from '@lynxcourse/placement'
+import type { RolloutReport } from '@lynxcourse/rollouts'
 import type { LimitDemand, LoadUpdate, LoadObservations } from '@lynxcourse/placement'
 
 /** RPC address and region of a control VM. */
@@ -43,6 +44,8 @@
   readonly load: LoadObservations
   /** Lists this VM's requests per second for servers with limits; replaced by the gateway. */
   listLimitDemand: (now: Millis) => LimitDemand
+  /** Returns this VM's reports of running rollouts; replaced by the gateway. */
+  listRolloutReports: (now: Millis) => readonly RolloutReport[]
   /** Latest load update, aggregated from the observations of all VMs. */
   loadUpdate: LoadUpdate
   /** Called when the copy has changed. */
@@ -77,6 +80,7 @@
     isLeaving: false,
     load: createLoadObservations(now),
     listLimitDemand: () => [],
+    listRolloutReports: () => [],
     loadUpdate: { full: [], plans: [], silent: [] },
     onChange: [],
     onLoadUpdate: []
--- a/packages/daemon/src/core/fleet/stateWatch.ts
+++ b/packages/daemon/src/core/fleet/stateWatch.ts
@@ -90,7 +90,7 @@
 async function watchOnce (watch: StateWatch, control: string, waitMs: Millis): Promise<WatchReply> {
   const { node } = watch
   const now = getCurrentTime()
-  const load = flushLoadReport(node.load, now, node.listLimitDemand(now))
+  const load = flushLoadReport(node.load, now, node.listLimitDemand(now), node.listRolloutReports(now))
   const request: WatchRequest = { version: node.config.version, waitMs, self: watch.self(), weights: node.loadUpdate.weights?.version ?? 0, ...(load === undefined ? {} : { load }) }
   return await callPeer<WatchReply>(node.client, control, 'fleet.watch', request, waitMs + node.cfg.times.rpcTimeoutMs)
 }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -46,12 +46,14 @@
   const { connectTimeoutMs, staleConnectionMs } = node.cfg.times
   const setup = { self: node.cfg.name, region: node.cfg.region, random: node.random, disabledMechanisms: new Set<Mechanism>() }
   const { loop } = node
+  const fleet = createFleet(setup, node.entryNames)
+  fleet.rollouts.isStateConfirmed = now => now - node.upToDateAt <= node.cfg.times.staleMs
   return {
     node,
     callers,
     servers,
     pool: createConnectionPool({ staleMs: staleConnectionMs, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop.polls),
-    fleet: createFleet(setup, node.entryNames),
+    fleet,
     load: node.load,
     splits: new Map(),
     crashes: createCrashWatch(node.logs, node.metrics, new FleetCrashChannel(node), connectTimeoutMs),
--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -1,14 +1,15 @@
 /** Updates the gateway's routes and servers from the VM's copy of the state. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
 import { getNotice, pruneNotices } from '@lynxcourse/limits'
-import { createFleetServer, forgetServer, groupServersByService, applyLimits, applyWeights } from '@lynxcourse/placement'
+import { applyVersions, createFleetServer, forgetServer, groupServersByService, applyLimits, applyWeights } from '@lynxcourse/placement'
 import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/placement'
 import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
 import { listItems, findRouteSet } from '@lynxcourse/state'
-import type { BackendItem, Config, RouteSet } from '@lynxcourse/state'
+import type { BackendItem, Config, RouteSet, SoftwareVersion } from '@lynxcourse/state'
 import { refreshRestrictions } from '../crashes/crashWatch.js'
 import type { FleetNode } from '../fleet/fleetNode.js'
 import type { Gateway } from './gateway.js'
+import { logTargetUse } from './requestLog.js'
 import { logPublishedLimits } from './serverNotices.js'
 import { pruneTeamPermits } from './teamPermits.js'
 
@@ -32,6 +33,7 @@
   refreshRestrictions(gateway.crashes, node.config)
   fleet.vms = node.entryNames
   refreshServers(fleet, node, routeSet, now)
+  logTargetUse(gateway)
   logPublishedLimits(gateway, applyLimits(fleet, node.loadUpdate.limits ?? [], now))
 }
 
@@ -44,13 +46,15 @@
     presentIds.add(item.key)
     refreshServer(fleet, node, item, evacuatedDomains.has(item.facts.failureDomain), warmupTimes, now)
   }
-  for (const id of fleet.byId.keys()) {
+  for (const [id, server] of fleet.byId) {
     if (presentIds.has(id)) continue
+    closeByVersion(node, server)
     fleet.byId.delete(id)
     forgetServer(fleet.warmObjects, id)
   }
   pruneNotices(fleet.notices, now)
   groupServersByService(fleet)
+  applyVersions(fleet, { versions: listItems(node.config, 'serviceVersion'), rollouts: listItems(node.config, 'rollout') }, node.cfg.rollouts, now)
   applyWeights(fleet, node.loadUpdate.weights)
 }
 
@@ -66,6 +70,11 @@
   fleet.roundTripTimes.set(region, roundTripMs === undefined ? connectMs : Math.min(connectMs, roundTripMs * minConnectTimeGrowth))
 }
 
+/** Withdraws requests that were placed at a server and not written yet: another version may have taken over its address. */
+function closeByVersion ({ cfg }: FleetNode, server: FleetServer): void {
+  if (cfg.rollouts !== undefined) server.role = 'unused'
+}
+
 function getEvacuatedDomains (config: Config): Set<string> {
   return new Set(listItems(config, 'evacuation').filter(item => item.isActive).map(item => item.key))
 }
@@ -81,13 +90,17 @@
     region: node.cfg.regions.get(facts.failureDomain) ?? node.cfg.region,
     bornAt: facts.bornAt,
     slots: Math.max(1, facts.slots),
-    isClosed: item.state !== 'serving' || isEvacuated
+    isClosed: item.state !== 'serving' || isEvacuated,
+    ...(node.cfg.rollouts === undefined ? {} : { software: facts.software as SoftwareVersion })
   }
   const known = fleet.byId.get(key)
   // A server that restarted under its id has lost its caches, and what was learned about the previous process doesn't
   // apply.
   const hasRestarted = known !== undefined && known.facts.bornAt !== facts.bornAt
-  if (hasRestarted) forgetServer(fleet.warmObjects, key)
+  if (hasRestarted) {
+    forgetServer(fleet.warmObjects, key)
+    if (known.facts.software !== newFacts.software) closeByVersion(node, known)
+  }
   const current = hasRestarted ? undefined : known
   const notice = getNotice(fleet.notices, key, facts.bornAt, now)
   if (current === undefined) {
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -2,8 +2,8 @@
 import type { Millis, ServiceId } from '@lynxcourse/base'
 import { getPauseMs } from '@lynxcourse/limits'
 import type { ServerNotice } from '@lynxcourse/limits'
-import { estimateQueueDepth, getConcurrency, getLimitShare, isServerError } from '@lynxcourse/placement'
-import type { Placement, Refusal } from '@lynxcourse/placement'
+import { estimateQueueDepth, getConcurrency, getLimitShare, isServerError, takeUseChanges } from '@lynxcourse/placement'
+import type { Placement, Refusal, TargetUseChange } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import type { LogFields } from '../../utils/logging.js'
@@ -30,6 +30,8 @@
   const outcome = result.type === 'answered' ? String(result.status) : result.reason
   gateway.node.metrics.attempts.inc({ end: outcome })
   if (placement.server.notice.limit.perSecond !== undefined) gateway.node.metrics.limitedSends.inc()
+  if (isTargetSend(gateway, placement)) gateway.node.metrics.targetSends.inc()
+  logTargetUse(gateway)
   const level = result.type === 'answered' && !isServerError(result.status) ? 'info' : 'warn'
   log(gateway.node.logs, 'route', level, 'Sent.', {
     id: call.facts.id,
@@ -38,6 +40,7 @@
     service: call.service,
     server: facts.id,
     region: facts.region,
+    version: facts.software,
     ahead: Math.round(estimateQueueDepth(placement.server, now) * 10) / 10,
     try: sends,
     object: call.facts.object,
@@ -60,6 +63,24 @@
   })
 }
 
+function isTargetSend ({ fleet }: Gateway, { server: { facts } }: Placement): boolean {
+  return facts.software !== undefined && fleet.rollouts.byService.get(facts.service)?.item.target === facts.software
+}
+
+const targetUseMessages: Record<TargetUseChange['type'], string> = {
+  started: 'Sending to the target version started.',
+  stopped: 'Sending to the target version stopped.',
+  resumed: 'Sending to the target version resumed.'
+}
+
+/** Logs when this VM started, stopped or resumed sending to the target version of a rollout. */
+export function logTargetUse ({ fleet, node }: Pick<Gateway, 'fleet' | 'node'>): void {
+  for (const { item, type, reason, exposure } of takeUseChanges(fleet.rollouts)) {
+    const { key, target, order, step, state, percent } = item
+    log(node.logs, 'route', 'info', targetUseMessages[type], { service: key, version: target, order, step, state, percent, reason, ...exposure, stateAgeMs: Math.round(getCurrentTime() - node.upToDateAt) })
+  }
+}
+
 /** Returns the limit that the server names, and this VM's fraction of it. */
 function getLimitFields ({ fleet }: Gateway, { server }: Placement): LogFields {
   const { perSecond } = server.notice.limit
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -3,7 +3,7 @@
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { isClosedToRequests } from '@lynxcourse/limits'
-import { recordReply, estimateRoundTrip } from '@lynxcourse/placement'
+import { isClosedByVersion, recordReply, estimateRoundTrip } from '@lynxcourse/placement'
 import type { LostReason, Placement, SendOutcome } from '@lynxcourse/placement'
 import type { HeaderMap } from '../../types/answers.js'
 import { getCurrentTime } from '../../utils/clock.js'
@@ -76,7 +76,7 @@
   const writeDeadline = now + gateway.pool.connectTimeoutMs + lateConnectionMs
   let isWithdrawn = false
   const mayWrite = (at: Millis): boolean => {
-    isWithdrawn = isClosedToRequests(placement.server.notice, at)
+    isWithdrawn = isClosedToRequests(placement.server.notice, at) || isClosedByVersion(gateway.fleet.rollouts, placement.server, at)
     return !isWithdrawn && at <= writeDeadline
   }
   const exchange = startExchange(connection.client, options, mayWrite, head => {
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -14,6 +14,7 @@
   readonly attempts: Counter<'end'>
   readonly serverEnds: Counter
   readonly limitedSends: Counter
+  readonly targetSends: Counter
   readonly serverPauses: Counter
   readonly serverDepartures: Counter
   readonly lookups: Counter<'result'>
@@ -44,6 +45,7 @@
     attempts: new Counter({ name: 'lynxcourse_attempts_total', help: 'Attempts at backend servers by end.', labelNames: ['end'], registers }),
     serverEnds: new Counter({ name: 'lynxcourse_server_ends_total', help: 'Servers found ended after they left a request of this VM without an answer, by request.', registers }),
     limitedSends: new Counter({ name: 'lynxcourse_limited_sends_total', help: 'Requests that this VM sent to servers that name a limit for all VMs together.', registers }),
+    targetSends: new Counter({ name: 'lynxcourse_target_sends_total', help: 'Requests that this VM sent to the target version of a running rollout.', registers }),
     serverPauses: new Counter({ name: 'lynxcourse_server_pauses_total', help: 'Times for which backend servers wanted no requests from this VM.', registers }),
     serverDepartures: new Counter({ name: 'lynxcourse_server_departures_total', help: 'Backend servers that said in an answer to this VM that they leave.', registers }),
     lookups: new Counter({ name: 'lynxcourse_lookups_total', help: 'Look-ups by result.', labelNames: ['result'], registers }),
--- a/packages/placement/src/core/board/loadObservations.ts
+++ b/packages/placement/src/core/board/loadObservations.ts
@@ -1,5 +1,6 @@
 /** The load that one entry VM observed since its last report to a control VM. */
 import type { Millis, ServerId, ServiceId } from '@lynxcourse/base'
+import type { RolloutReport } from '@lynxcourse/rollouts'
 import type { LimitDemand, LoadReport } from '../../types/loads.js'
 
 export interface LoadObservations {
@@ -56,8 +57,9 @@
  * Returns the report and starts the next interval; undefined if too little time has passed.
  *
  * @param limitDemand requests per second of this VM for servers with limits
+ * @param rollouts reports of running rollouts
  */
-export function flushLoadReport (observations: LoadObservations, now: Millis, limitDemand: LimitDemand = []): LoadReport | undefined {
+export function flushLoadReport (observations: LoadObservations, now: Millis, limitDemand: LimitDemand = [], rollouts: readonly RolloutReport[] = []): LoadReport | undefined {
   const spanMs = now - observations.startedAt
   if (spanMs < minSpanMs) return undefined
   const report: LoadReport = {
@@ -65,7 +67,8 @@
     busy: [...observations.demandMs].map(([service, demandMs]) => [service, Math.round(demandMs / spanMs * 100) / 100]),
     failed: [...observations.failed],
     ...(observations.limits.size === 0 ? {} : { limits: [...observations.limits] }),
-    ...(limitDemand.length === 0 ? {} : { limitDemand })
+    ...(limitDemand.length === 0 ? {} : { limitDemand }),
+    ...(rollouts.length === 0 ? {} : { rollouts })
   }
   for (const [service, slots] of report.busy) {
     const previous = observations.demand.get(service) ?? slots
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -7,6 +7,8 @@
 import type { Mechanism } from '../../types/mechanisms.js'
 import type { HashRank } from '../object/hashRanks.js'
 import type { RegionShares } from '../region/regionPlan.js'
+import { createActiveRollouts } from '../rollout/activeRollouts.js'
+import type { ActiveRollouts } from '../rollout/activeRollouts.js'
 import { createWarmObjects } from '../object/warmObjects.js'
 import type { WarmObjects } from '../object/warmObjects.js'
 import { getWorkTimes } from '../object/workModel.js'
@@ -53,6 +55,7 @@
   readonly meanSlowdowns: Map<ServiceId, number>
   /** Requests in flight and their limit, by service. */
   readonly concurrency: Map<ServiceId, ConcurrencyLimit>
+  readonly rollouts: ActiveRollouts
 }
 
 /** Creates a fleet without servers or learned estimates. */
@@ -74,7 +77,8 @@
     demandFractions: new Map(),
     warmProbabilities: new Map(),
     meanSlowdowns: new Map(),
-    concurrency: new Map()
+    concurrency: new Map(),
+    rollouts: createActiveRollouts()
   }
 }
 
--- a/packages/placement/src/core/request/learning.ts
+++ b/packages/placement/src/core/request/learning.ts
@@ -8,6 +8,7 @@
 import { recordLimit, recordQueueDepth, recordFailedServer } from '../board/loadObservations.js'
 import { recordObjectUse } from '../object/warmObjects.js'
 import { recordTimedOutWork, recordWorkTime, getWorkTimes } from '../object/workModel.js'
+import { isUnderObservation } from '../rollout/activeRollouts.js'
 import { recordAnswer, recordFailure, recordServerFull, recordSuccess, recordLoadReport, getUnansweredMs } from '../server/fleetServer.js'
 import type { FleetServer } from '../server/fleetServer.js'
 import type { EntryState } from './entryState.js'
@@ -87,6 +88,7 @@
   const overdueMs = placement.maxExpectedMs * overdueFactor
   const isOverdue = isTimeout && tookMs > overdueMs
   if (isTimeout && !isOverdue && getUnansweredMs(server, now) <= overdueMs) {
+    if (isUnderObservation(entry.fleet.rollouts, server)) return
     recordTimedOutWork(getWorkTimes(entry.fleet.workModel, workKey(request), request.route.aimMs), estimateServerTime(entry, placement, tookMs))
     return
   }
@@ -97,6 +99,7 @@
 /** Updates the limit of the service's requests in flight with the outcome of a send. */
 export function updateConcurrencyLimit (entry: EntryState, request: PlacementRequest, placement: Placement, outcome: SendOutcome, tookMs: Millis, now: Millis): void {
   const { fleet } = entry
+  if (isUnderObservation(fleet.rollouts, placement.server)) return
   const isTimeout = outcome.type === 'lost' && (outcome.reason === 'deadline' || outcome.reason === 'slow')
   const isSuccess = outcome.type === 'answered' && !isServerError(outcome.status)
   if (!isTimeout && !isSuccess) return
@@ -127,11 +130,13 @@
   const ratio = serverMs / expectedMs
   const wasFast = serverMs - waitMs < (times.warmMs + times.coldMs) / 2
   recordSuccess(server, ratio < minSlowRatio ? 1 : ratio, now)
+  if (request.object !== '') recordObjectUse(fleet.warmObjects, server.facts.id, request.object, now)
+  // The expectations of the service must not adapt to a version that may be slow.
+  if (isUnderObservation(fleet.rollouts, server)) return
   updateMeanSlowdown(fleet, request.service, ratio < minSlowRatio ? 1 : ratio)
   if (placement.place !== undefined && !wasWarm) updateWarmProbability(fleet, request, placement.place, wasFast)
   // `wasWarm` doesn't show whether the object was warm: another VM may have warmed it. The time of the answer does.
   if (!placement.isCold && waitMs === 0) recordWorkTime(times, wasFast, serverMs)
   const mean = fleet.meanSlotTimes.get(request.service) ?? times.coldMs
   fleet.meanSlotTimes.set(request.service, mean + (Math.min(serverMs, times.coldMs) - mean) * meanSlotTimeSmoothing)
-  if (request.object !== '') recordObjectUse(fleet.warmObjects, server.facts.id, request.object, now)
 }
--- a/packages/placement/src/core/request/placeRequest.ts
+++ b/packages/placement/src/core/request/placeRequest.ts
@@ -12,9 +12,10 @@
 import type { Fleet } from './fleet.js'
 import { getConcurrency } from './slotShares.js'
 import type { HashRank } from '../object/hashRanks.js'
+import { listVersionGroups } from '../rollout/versionChoice.js'
 import type { FleetServer } from '../server/fleetServer.js'
 import { selectBestServer, canServe } from './scoring.js'
-import type { PlacementRequest } from './scoring.js'
+import type { PlacementRequest, ServerChoice } from './scoring.js'
 import { getWorkTimes } from '../object/workModel.js'
 
 /** The server that a request is sent to, and the expected times there. */
@@ -62,8 +63,18 @@
 export function placeRequest (fleet: Fleet, request: PlacementRequest, now: Millis): Placement | Refusal {
   const concurrency = getConcurrency(fleet, request.service)
   if (!mayAdmit(concurrency, request.route.rank, missesLatencyObjective(fleet, request, now))) return createRefusal(fleet, 'busy', estimateTimeToCapacity(fleet, request.service, concurrency))
-  const best = selectBestServer(fleet, request, now)
-  if (best === undefined) return refuseWithoutServer(fleet, request, concurrency, now)
+  const groups = listVersionGroups(fleet, request, now)
+  let placement: Placement | Refusal = { type: 'refuse', reason: 'noServer', retryAfterMs: noServerRetryAfterMs }
+  for (const [index, servers] of groups.entries()) {
+    placement = placeAmong(fleet, request, { servers, needsHealth: index < groups.length - 1 }, concurrency, now)
+    if (placement.type === 'send') break
+  }
+  return placement
+}
+
+function placeAmong (fleet: Fleet, request: PlacementRequest, choice: ServerChoice, concurrency: ConcurrencyLimit, now: Millis): Placement | Refusal {
+  const best = selectBestServer(fleet, request, choice, now)
+  if (best === undefined) return refuseWithoutServer(fleet, request, choice.servers, concurrency, now)
   const { server, wanted, waitMs, roundTripMs, workMs, maxWorkMs, wasWarm, place } = best
   const endsAt = now + roundTripMs + waitMs + workMs
   if (endsAt > request.deadline) return createRefusal(fleet, 'noTime', endsAt - request.deadline)
@@ -81,23 +92,23 @@
  * Refuses a request that no server can take: there is none, or all servers that may serve it are full at the moment, have used up
  * their limits or want no requests.
  */
-function refuseWithoutServer (fleet: Fleet, request: PlacementRequest, concurrency: ConcurrencyLimit, now: Millis): Refusal {
+function refuseWithoutServer (fleet: Fleet, request: PlacementRequest, candidates: readonly FleetServer[], concurrency: ConcurrencyLimit, now: Millis): Refusal {
   const { service } = request
-  const servers = listServersFor(fleet, request)
+  const servers = candidates.filter(server => canServe(request, server))
   if (servers.length > 0) return refuseWhileClosed(fleet, servers, now) ?? createRefusal(fleet, 'busy', estimateTimeToCapacity(fleet, service, concurrency))
   return refuseAfterSends(fleet, request, now) ?? { type: 'refuse', reason: 'noServer', retryAfterMs: noServerRetryAfterMs }
 }
 
 /** Refuses a request that is not sent again, if all servers are paused, also those that it was sent to. */
 export function refuseAfterSends (fleet: Fleet, request: PlacementRequest, now: Millis): Refusal | undefined {
-  const refusal = refuseWhileClosed(fleet, listServersFor(fleet, { ...request, tried: new Set() }), now)
+  const refusal = refuseWhileClosed(fleet, listServersFor(fleet, { ...request, tried: new Set() }, now), now)
   if (refusal?.reason !== 'paused') return undefined
   // The request itself can't wait: it goes to no server twice.
   return { type: 'refuse', reason: 'paused', retryAfterMs: refusal.retryAfterMs }
 }
 
-function listServersFor (fleet: Fleet, request: PlacementRequest): FleetServer[] {
-  return (fleet.byService.get(request.service) ?? []).filter(server => canServe(request, server))
+function listServersFor (fleet: Fleet, request: PlacementRequest, now: Millis): FleetServer[] {
+  return listVersionGroups(fleet, request, now).flat().filter(server => canServe(request, server))
 }
 
 /** Refuses a request until one of these servers takes requests; returns undefined if one takes them now. */
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -16,6 +16,8 @@
 import { recordDemand } from '../board/loadObservations.js'
 import { recordBudgetedRequest, trySpendRetry } from '../retries/retryBudget.js'
 import { consumeLimitToken } from '@lynxcourse/limits'
+import { recordVersionEvidence, spendExposure } from '../rollout/sendEvidence.js'
+import { drawVersion } from '../rollout/versionChoice.js'
 import { recordServerDemand } from '../server/limitedServers.js'
 import { isCold, consumeColdToken } from '../server/coldRateLimit.js'
 import { recordRequestStart, recordRequestEnd, computeResponseTimeout } from '../server/fleetServer.js'
@@ -94,7 +96,7 @@
   recordBudgetedRequest(retries, conditions.retryBudget, service, now)
   recordDemand(load, service, estimateSlotTime(fleet, request, object))
   const tried = new Set<ServerId>()
-  return { request: { ...request, tried }, tried, caller, maxWaitUntil: computeWaitEnd(route.aimMs, deadline, now), possibleRuns: 0, full: 0, sends: 0, trial: undefined, last: undefined }
+  return { request: { ...request, tried, versionDraw: drawVersion(fleet, request) }, tried, caller, maxWaitUntil: computeWaitEnd(route.aimMs, deadline, now), possibleRuns: 0, full: 0, sends: 0, trial: undefined, last: undefined }
 }
 
 /** Decides the next step for a request that is not in flight at a server. */
@@ -147,6 +149,7 @@
   state.tried.add(server.facts.id)
   if (isCold(server, now)) consumeColdToken(server)
   consumeLimitToken(server.notice.limit)
+  spendExposure(fleet, server)
   recordServerDemand(placement.wanted, now)
   const expectedMs = roundTripMs + waitMs + workMs
   const running = recordRequestStart(server, expectedMs, maxExpectedMs, now)
@@ -179,11 +182,13 @@
 }
 
 /** Records the outcome of a send and learns from it. */
-export function endSend (entry: EntryState, state: RequestState, { placement, running, startedAt }: InFlightSend, outcome: SendOutcome, now: Millis): void {
+export function endSend (entry: EntryState, state: RequestState, { placement, running, startedAt, isTrial }: InFlightSend, outcome: SendOutcome, now: Millis): void {
   getConcurrency(entry.fleet, state.request.service).underWay -= 1
   recordRequestEnd(placement.server, running)
   // Opening a connection takes a round trip. Counted as server time, it would make servers in remote regions look overloaded.
   const tookMs = now - startedAt - (outcome.type === 'answered' ? outcome.connectMs : 0)
+  // A request under which servers ended shows nothing about their version.
+  if (!isTrial) recordVersionEvidence(entry.fleet, state.request, placement, outcome, tookMs, now)
   recordSendOutcome(entry, state.request, placement, outcome, tookMs, now)
   updateConcurrencyLimit(entry, state.request, placement, outcome, tookMs, now)
   if (outcome.type === 'answered' || outcome.type === 'lost') state.possibleRuns += 1
--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -26,6 +26,15 @@
   /** When the request arrived at this VM. */
   readonly arrivedAt: Millis
   readonly deadline: Millis
+  /** Percentage that assigns a request without an object to a version of a rollout; undefined if there was none when it arrived. */
+  readonly versionDraw?: number | undefined
+}
+
+/** The servers that may get a request by their versions. */
+export interface ServerChoice {
+  readonly servers: readonly FleetServer[]
+  /** Whether only healthy servers are eligible, since others can take the request. */
+  readonly needsHealth: boolean
 }
 
 /** Cost of a server outside the planned region: traffic between regions, and longer exposure to network faults. */
@@ -75,9 +84,9 @@
 }
 
 /** Returns the server with the lowest cost for a request; undefined if no server can take it now. */
-export function selectBestServer (fleet: Fleet, request: PlacementRequest, now: Millis): BestServer | undefined {
+export function selectBestServer (fleet: Fleet, request: PlacementRequest, choice: ServerChoice, now: Millis): BestServer | undefined {
   const hashKey = request.route.isSticky && request.object !== '' ? `${request.service} ${request.object}` : undefined
-  const { eligible, region, wanted } = findUsableServers(fleet, request, hashKey, now)
+  const { eligible, region, wanted } = findUsableServers(fleet, request, choice, hashKey, now)
   const open = eligible.filter(server => hasCapacity(server, now))
   // Servers that are full at the moment keep their hash ranks: if all servers are busy, moving objects only makes them cold elsewhere.
   const places = hashKey === undefined ? undefined : computeHashRanks(eligible, hashKey, region)
@@ -100,8 +109,8 @@
   readonly wanted: FleetServer | undefined
 }
 
-function findUsableServers (fleet: Fleet, request: PlacementRequest, hashKey: string | undefined, now: Millis): UsableRegion {
-  const found = findEligibleServers(fleet, request, now)
+function findUsableServers (fleet: Fleet, request: PlacementRequest, choice: ServerChoice, hashKey: string | undefined, now: Millis): UsableRegion {
+  const found = findEligibleServers(fleet, request, choice, now)
   const planned = choosePlannedRegion(fleet, request, found)
   const { servers: eligible, wanted } = selectUnderLimits(fleet, found, hashKey, planned, now)
   const isPlannedUsable = eligible.length === found.length || eligible.some(({ facts }) => facts.region === planned)
@@ -159,7 +168,7 @@
   let queueDepth = 0
   let slots = 0
   for (const server of servers) {
-    if (server.facts.isClosed || isClosedToRequests(server.notice, now)) continue
+    if (server.facts.isClosed || server.role === 'unused' || isClosedToRequests(server.notice, now)) continue
     queueDepth += estimateQueueDepth(server, now)
     slots += server.facts.slots
   }
@@ -173,11 +182,11 @@
 }
 
 /** Returns the servers that may get a request, now or once they have capacity. */
-function findEligibleServers (fleet: Fleet, request: PlacementRequest, now: Millis): FleetServer[] {
+function findEligibleServers (fleet: Fleet, request: PlacementRequest, { servers, needsHealth }: ServerChoice, now: Millis): FleetServer[] {
   const healthy: FleetServer[] = []
   const unhealthy: FleetServer[] = []
   const connectionShare = getConnectionShare(fleet, request.service)
-  for (const server of fleet.byService.get(request.service) ?? []) {
+  for (const server of servers) {
     if (!canServe(request, server)) continue
     if (isClosedToRequests(server.notice, now) || server.running.size >= connectionShare) continue
     if (!mayReceiveRequest(fleet, request.service, server, now)) continue
@@ -185,7 +194,7 @@
     else if (!isStalled(server, now)) unhealthy.push(server)
   }
   // If every server is unhealthy, ejection doesn't distinguish them: all servers but the stalled ones are eligible.
-  return healthy.length > 0 ? healthy : unhealthy
+  return healthy.length > 0 || needsHealth ? healthy : unhealthy
 }
 
 /** Returns whether the rate limit of a cold server permits a request of this VM; other servers have no such limit. */
--- a/packages/placement/src/core/server/fleetServer.ts
+++ b/packages/placement/src/core/server/fleetServer.ts
@@ -2,6 +2,7 @@
 import { hashText } from '@lynxcourse/base'
 import type { FailureDomainId, Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import type { ServerNotice } from '@lynxcourse/limits'
+import type { SoftwareVersion } from '@lynxcourse/state'
 
 /** A server's record in the directory. */
 export interface ServerFacts {
@@ -15,8 +16,13 @@
   readonly slots: number
   /** Whether the server takes no new work: it is leaving or unresponsive, or its failure domain is being evacuated. */
   readonly isClosed: boolean
+  /** Version of the server's software; undefined if this fleet doesn't tell versions apart. */
+  readonly software?: SoftwareVersion | undefined
 }
 
+/** Which requests a server gets by its software version; `unused` servers get none. */
+export type VersionRole = 'baseline' | 'target' | 'unused'
+
 /** A request of this VM that is in flight at a server. */
 export interface RunningRequest {
   readonly startedAt: Millis
@@ -28,6 +34,8 @@
 /** A backend server with this VM's observations of its load and health. */
 export interface FleetServer {
   facts: ServerFacts
+  /** Assigned when the state of the fleet changes; `baseline` for all servers if versions are not told apart. */
+  role: VersionRole
   /** Hash of the server ID, for rendezvous hashing. */
   readonly hash: number
   /** Weight in rendezvous hashing, which the leader publishes to all VMs. */
@@ -100,6 +108,7 @@
 export function createFleetServer (facts: ServerFacts, coldUntil: Millis, notice: ServerNotice): FleetServer {
   return {
     facts,
+    role: 'baseline',
     hash: hashText(facts.id),
     weight: 1,
     running: new Set(),
@@ -154,9 +163,9 @@
   server.unresponsiveUntil = isUnresponsive ? now + sharedReportTtlMs : -Infinity
 }
 
-/** Returns whether a server takes new work, by its announcements, the operators' orders and its answers. */
-export function takesNewWork ({ facts, notice }: FleetServer): boolean {
-  return !facts.isClosed && !notice.isLeaving
+/** Returns whether a server takes new work, by its announcements, its version, the operators' orders and its answers. */
+export function takesNewWork ({ facts, role, notice }: FleetServer): boolean {
+  return !facts.isClosed && role !== 'unused' && !notice.isLeaving
 }
 
 /** Returns whether a server takes new work, is not ejected, responsive and not stalled. It may be full at the moment. */
