--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -54,7 +54,9 @@
   }
   pruneNotices(fleet.notices, now)
   groupServersByService(fleet)
-  applyVersions(fleet, { versions: listItems(node.config, 'serviceVersion'), rollouts: listItems(node.config, 'rollout') }, node.cfg.rollouts, now)
+  const { rollouts: bounds } = node.cfg
+  const items = bounds === undefined ? { versions: [], rollouts: [] } : { versions: listItems(node.config, 'serviceVersion'), rollouts: listItems(node.config, 'rollout') }
+  applyVersions(fleet, items, bounds, now)
   applyWeights(fleet, node.loadUpdate.weights)
 }
 
