--- a/packages/placement/__tests__/rollouts.test.ts
+++ b/packages/placement/__tests__/rollouts.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { isTargetObject } from '@lynxcourse/rollouts'
-import { beginSend, computeSlotShare, endSend, isClosedByVersion, listRolloutReports, mayFailOver, takeUseChanges } from '@lynxcourse/placement'
+import { beginSend, computeSlotShare, endSend, flushLoadReport, isClosedByVersion, listRolloutReports, mayFailOver, takeUseChanges } from '@lynxcourse/placement'
 import type { EntryState } from '@lynxcourse/placement'
 import { desk, request, getTargetOrReason } from './support/fleet.js'
 import { answered, applyRollout, begin, createEntry, createRollout, decide, failed, sendObject, sendOnce, v1, v2, v3, versioned } from './support/rollouts.js'
@@ -164,6 +164,10 @@
   assert.deepEqual(report(), [[6, 1]], 'a server that left the directory still runs the request')
   endSend(entry, state, sending, answered, start + 200)
   assert.deepEqual(report(), [[6, 0]])
+  const load = flushLoadReport(entry.load, start + 1000, [], listRolloutReports(entry.fleet.rollouts, start + 1000))
+  assert.deepEqual(load?.rollouts?.map(({ step, inFlightAtBaseline }) => [step, inFlightAtBaseline]), [[6, 0]], 'load reports carry the counts')
+  applyRollout(entry, createRollout({ state: 'completed', percent: 100, step: 7 }), start)
+  assert.equal(flushLoadReport(entry.load, start + 2000, [], listRolloutReports(entry.fleet.rollouts, start + 2000))?.rollouts, undefined)
 })
 
 /** Guards against evidence from refusals, callers that left, short deadlines and warm-ups, and slow answers that go unseen. */
--- a/scripts/__tests__/explain.test.ts
+++ b/scripts/__tests__/explain.test.ts
@@ -4,6 +4,7 @@
 import { classifyDecision } from '../explain/causes.js'
 import type { Cause, SeenServers } from '../explain/causes.js'
 import { readDecision } from '../explain/readDecision.js'
+import { countByVersion } from '../explain/versions.js'
 
 function line (fields: Record<string, unknown>): string {
   return `  12.5 entry-1 ${JSON.stringify({ timestamp: '2026-01-01T00:00:01.000Z', message: 'Sent.', route: 'r', object: '7', server: 's1', place: 'primary', outcome: '200', tookMs: 100, expectedMs: 90, waitMs: 0, ...fields })}`
@@ -45,3 +46,10 @@
 test('lines with other messages and truncated lines are ignored', () => {
   assert.deepEqual(classifyLines('no json', line({ message: 'Started.' }), line({}).slice(0, 60)), [undefined, undefined, undefined])
 })
+
+test('sends are counted by the version of their servers, if lines name versions', () => {
+  const count = (...lines: string[]): unknown[] => countByVersion(lines.flatMap(text => readDecision(text) ?? []))
+  assert.deepEqual(count(line({})), [])
+  const sends = [line({ version: 'v2', outcome: '500' }), line({ version: 'v2', outcome: 'deadline' }), line({ version: 'v2', outcome: 'full' }), line({ version: 'v1' }), line({ message: 'Refused.', version: 'v2' })]
+  assert.deepEqual(count(...sends), [{ service: '', version: 'v1', sends: 1, failed: 0, medianMs: 100 }, { service: '', version: 'v2', sends: 3, failed: 2, medianMs: 100 }])
+})
--- a/scripts/explain.ts
+++ b/scripts/explain.ts
@@ -6,6 +6,7 @@
 import type { Cause, SeenServers } from './explain/causes.js'
 import { readDecision } from './explain/readDecision.js'
 import type { Decision } from './explain/readDecision.js'
+import { countByVersion } from './explain/versions.js'
 import { percentile, printTable } from './support/tables.js'
 
 const defaultSpanS = 2
@@ -67,12 +68,15 @@
 
 async function main (): Promise<void> {
   program.parse()
-  const rows = explain(await readAll(program.args))
+  const decisions = await readAll(program.args)
+  const rows = explain(decisions)
   if (rows.length === 0) program.error('error: the files contain no request decisions')
   const spanMs = Number(program.opts<Arguments>().span) * millisPerSecond
   if (!(spanMs > 0)) program.error('error: --span must be greater than 0')
   printCauses(rows)
   printOverTime(rows, spanMs)
+  const versions = countByVersion(decisions)
+  if (versions.length > 0) printTable('Sends by version', versions)
 }
 
 await main()
--- a/scripts/explain/readDecision.ts
+++ b/scripts/explain/readDecision.ts
@@ -6,8 +6,11 @@
   /** Unix time in milliseconds, by the clock of the VM that wrote the line. */
   readonly at: number
   readonly route: string
+  readonly service: string
   readonly object: string
   readonly server: string
+  /** Software version of the server; empty if the fleet doesn't tell versions apart. */
+  readonly version: string
   readonly place: string | undefined
   readonly outcome: string
   readonly reason: string
@@ -39,8 +42,10 @@
     message: message as Decision['message'],
     at: Date.parse(toText(fields.timestamp)),
     route: toText(fields.route),
+    service: toText(fields.service),
     object: toText(fields.object),
     server: toText(fields.server),
+    version: toText(fields.version),
     place: typeof fields.place === 'string' ? fields.place : undefined,
     outcome: toText(fields.outcome),
     reason: toText(fields.reason ?? fields.detail),
