Test that a server restarted with another version gets nothing

Guards against a server that restarts under its id with a version that no order allowed and gets requests placed at the process before.

--- a/packages/daemon/__tests__/serverVersions.test.ts
+++ b/packages/daemon/__tests__/serverVersions.test.ts
@@ -86,6 +86,23 @@
   assert.equal(countArrivals(next, 0), 0)
 })
 
+/** Guards against a server that restarts with another version under its id and gets the requests of the version before. */
+test('a server that restarts with a version that no order allowed gets nothing more, and what was placed at it is withdrawn', async () => {
+  await using fleet = await startVersions()
+  const { fixture, servers: [, next] } = fleet
+  assert.ok(next !== undefined)
+  const entry = getEntry(fixture)
+  applyItems(entry, inForce, { ...observing, state: 'promoting', percent: 100 })
+  assert.equal((await sendTo(fixture, 0)).body, 'new')
+  const before = entry.gateway?.fleet.byId.get(next.test.facts.id)
+  Object.assign(next.test, { facts: { ...next.test.facts, software: 'v3', bornAt: Date.now(), seq: 1 } })
+  await waitUntil(() => entry.gateway?.fleet.byId.get(next.test.facts.id) !== before)
+  const since = getCurrentTime()
+  assert.equal(before?.role, 'unused')
+  assert.ok((await sendForMs(fixture, [0], 30, 500)).every(({ body }) => body === 'old'))
+  assert.equal(countArrivals(next, since), 0)
+})
+
 /** Guards against requests in flight at the baseline that are cut, repeated or lost when a rollout drains. */
 test('requests in flight at the baseline finish while a rollout drains, and new ones go to the target', async () => {
   await using fleet = await startVersions(slowMs)
