Rank the entry VMs once for each list of VMs, not for each cold server and request

While servers are cold, each choice of a server asked for each of them which VMs warm it: 69 cold servers and 56 entry VMs are 3,900 text hashes and 69 sorts for one request, and again every 25 to 50 ms for each request that waits. The ranking is now kept with the server for as long as the list of VMs is the same array; the state watch replaces the array only when a name changed.

npm run bench -- processor measures the processor time of the deployed program on loopback.

--- a/packages/daemon/src/core/fleet/stateWatch.ts
+++ b/packages/daemon/src/core/fleet/stateWatch.ts
@@ -118,7 +118,9 @@
   for (const listener of node.onLoadUpdate) listener()
   for (const name of reply.entries) watch.entryNamesSeenAt.set(name, now)
   for (const [name, at] of watch.entryNamesSeenAt) if (now - at > entryNameTtlMs) watch.entryNamesSeenAt.delete(name)
-  node.entryNames = [...new Set([node.cfg.name, ...watch.entryNamesSeenAt.keys()])].sort()
+  const entryNames = [...new Set([node.cfg.name, ...watch.entryNamesSeenAt.keys()])].sort()
+  // Rankings of the VMs are kept for as long as the list is the same array.
+  if (entryNames.length !== node.entryNames.length || entryNames.some((name, index) => name !== node.entryNames[index])) node.entryNames = entryNames
   const isStale = reply.ageMs === null || reply.ageMs > node.cfg.times.staleMs
   // A control VM that was partitioned or has just started may have a stale state. A VM that already has a state can
   // apply it safely, since versions only increase, but it must not be the first state of a VM.
--- a/packages/placement/src/core/server/coldRateLimit.ts
+++ b/packages/placement/src/core/server/coldRateLimit.ts
@@ -5,9 +5,9 @@
  * enforces by itself is exceeded by all VMs together. Rendezvous hashing therefore assigns a few VMs to each cold server, and
  * each of them may use an equal share of its rate. The VMs exchange no messages for this, so a lost message can't break the limit.
  */
-import { rankByHash } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import type { FleetServer } from './fleetServer.js'
+import { rankVms } from './vmRanking.js'
 
 /** Number of VMs that may send to one cold server: two remain after the loss of two. */
 export const warmingVmCount = 4
@@ -18,7 +18,8 @@
 /** Returns whether VM `self` may send requests to the server while it is cold. */
 export function isWarmingVm (server: FleetServer, self: string, vms: readonly string[]): boolean {
   if (vms.length <= warmingVmCount) return true
-  return rankByHash(server.facts.id, vms).slice(0, warmingVmCount).includes(self)
+  const rank = rankVms(server, vms).indexOf(self)
+  return rank >= 0 && rank < warmingVmCount
 }
 
 /** Returns whether a server is still in its warm-up. */
--- a/packages/placement/src/core/server/fleetServer.ts
+++ b/packages/placement/src/core/server/fleetServer.ts
@@ -2,6 +2,7 @@
 import { hashText } from '@lynxcourse/base'
 import type { FailureDomainId, Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import type { ServerNotice } from '@lynxcourse/limits'
+import type { VmRanking } from './vmRanking.js'
 
 /** A server's record in the directory. */
 export interface ServerFacts {
@@ -64,6 +65,8 @@
   /** Smoothed number of this VM's requests per second for the server, including those that its limit sends elsewhere. */
   demandPerSecond: number
   demandUpdatedAt: Millis
+  /** The ranking of the entry VMs for this server, kept while their list is the same; undefined before it was needed. */
+  vmRanking: VmRanking | undefined
 }
 
 /** Smoothing factor of the slowdown; a server that becomes five times slower is recognized after about four answers. */
@@ -120,7 +123,8 @@
     coldTokensAt: -Infinity,
     notice,
     demandPerSecond: 0,
-    demandUpdatedAt: -Infinity
+    demandUpdatedAt: -Infinity,
+    vmRanking: undefined
   }
 }
 
--- a/packages/placement/src/core/server/limitedServers.ts
+++ b/packages/placement/src/core/server/limitedServers.ts
@@ -1,11 +1,11 @@
 /** Servers that name a limit for the requests of all VMs together, and the time until servers take requests again. */
-import { rankByHash } from '@lynxcourse/base'
 import type { Millis, RegionId } from '@lynxcourse/base'
 import { computeEqualShare, getRequestDelay, permitsRequest } from '@lynxcourse/limits'
 import { computeHashRanks } from '../object/hashRanks.js'
 import type { Fleet } from '../request/fleet.js'
 import type { LimitDemand } from '../../types/loads.js'
 import type { FleetServer } from './fleetServer.js'
+import { rankVms } from './vmRanking.js'
 
 /** Time constant of the demand for a server. */
 const demandSmoothingMs: Millis = 4000
@@ -68,9 +68,10 @@
 }
 
 /** Returns the fraction of a server's limit that this VM may use. */
-export function getLimitShare ({ setup, vms }: Fleet, { facts, notice: { limit } }: FleetServer): number {
+export function getLimitShare ({ setup, vms }: Fleet, server: FleetServer): number {
+  const { limit } = server.notice
   if (limit.perSecond === undefined) return 1
-  return limit.share ?? computeEqualShare(limit.perSecond, setup.self, rankByHash(facts.id, vms))
+  return limit.share ?? computeEqualShare(limit.perSecond, setup.self, rankVms(server, vms))
 }
 
 /** Returns the time until one of these servers takes a request of this VM, by what they have said; Infinity if none will. */
--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -1,10 +1,11 @@
-/** `npm run bench -- path | policy [choice|overload|shift|claims] | capacity [--quick] [--page]`. */
+/** `npm run bench -- path | policy [choice|overload|shift|claims] | capacity [--quick] [--page] | processor [--quick] [--profiles FOLDER]`. */
 import { parseArgs } from 'node:util'
 import { benchCapacity, regeneratePage } from './bench/capacity.js'
 import { benchPolicy } from './bench/policy.js'
 import { benchPath } from './bench/path.js'
+import { benchProcessor } from './bench/processor.js'
 
-const { values, positionals } = parseArgs({ allowPositionals: true, options: { quick: { type: 'boolean', default: false }, page: { type: 'boolean', default: false } } })
+const { values, positionals } = parseArgs({ allowPositionals: true, options: { quick: { type: 'boolean', default: false }, page: { type: 'boolean', default: false }, profiles: { type: 'string' } } })
 const seconds = values.quick ? 2 : 8
 
 switch (positionals[0]) {
@@ -18,7 +19,10 @@
   case 'policy':
     await benchPolicy(positionals[1], values.quick)
     break
+  case 'processor':
+    await benchProcessor(values.quick, values.profiles)
+    break
   default:
-    process.stderr.write('bench: expected path, policy or capacity\n')
+    process.stderr.write('bench: expected path, policy, capacity or processor\n')
     process.exitCode = 2
 }
