RPC client: dispatch calls without streams, signals and a client object for each

A call created a JSON-RPC client with its generators, a stream with an iterator for the response, and an abort signal whose timeout creates an error object also after a call that was answered. Calls are now sent by the handler interface of undici with a plain timer; messages, errors and what a timeout does to the connection are as before.

--- a/packages/daemon/src/core/rpc/rpcClient.ts
+++ b/packages/daemon/src/core/rpc/rpcClient.ts
@@ -1,15 +1,15 @@
 /**
  * JSON-RPC 2.0 client for calls to other VMs over HTTP. Every call has a timeout; errors name the step and the peer.
  */
-import { JSONRPCClient } from 'json-rpc-2.0'
+import { JSONRPCErrorException, createJSONRPCRequest } from 'json-rpc-2.0'
 import type { JSONRPCResponse } from 'json-rpc-2.0'
 import { Pool, buildConnector } from 'undici'
-import type { Dispatcher } from 'undici'
 import { LynxError, errorTemplates, isLynxError, getErrorMessage, parseJson } from '@lynxcourse/base'
 import type { ErrorCode, Millis } from '@lynxcourse/base'
 import type { Metrics } from '../../utils/metrics.js'
 import { resetIfUnanswered } from '../../utils/resetIfUnanswered.js'
-import { supportedEncoding, decompressText } from './compression.js'
+import { decompressText } from './compression.js'
+import { postMessage } from './rpcPost.js'
 
 /** Configuration of an RPC client. */
 export interface RpcClientCfg {
@@ -26,6 +26,8 @@
   readonly pools: Map<string, Pool>
 }
 
+/** Each HTTP request carries one call, so that all calls may have the same id. */
+const requestId = 1
 const maxConnectionsPerPeer = 16
 const maxPeers = 256
 /** Maximum size of a decompressed response; more than the whole state at the target size (docs/CAPACITY.md). */
@@ -94,35 +96,24 @@
 export async function callPeer<Result> (client: RpcClient, address: string, method: string, params: object, timeoutMs?: Millis): Promise<Result> {
   client.cfg.metrics?.rpc.inc({ method, side: 'out' })
   const pool = getPool(client, address)
-  const rpc: JSONRPCClient = new JSONRPCClient(async request => {
-    const body = JSON.stringify(request)
+  try {
+    const body = JSON.stringify(createJSONRPCRequest(requestId, method, params))
     client.cfg.metrics?.rpcBytes.inc({ direction: 'out' }, body.length)
     const text = await post(pool, body, timeoutMs ?? client.cfg.timeoutMs)
     client.cfg.metrics?.rpcBytes.inc({ direction: 'in' }, text.length)
     const response = parseJson(text) as JSONRPCResponse
-    // The JSON-RPC client ignores a response with another id, and the call would never end.
-    if (response.id !== request.id) throw new LynxError('peerFailed', getErrorMessage(response.error), { step: method, peer: address })
-    rpc.receive(response)
-  })
-  try {
-    return await rpc.request(method, params) as Result
+    if (response.id !== requestId) throw new LynxError('peerFailed', getErrorMessage(response.error), { step: method, peer: address })
+    if (response.error !== undefined) throw new JSONRPCErrorException(response.error.message, response.error.code, response.error.data)
+    return response.result as Result
   } catch (err) {
     throw rebuildError(err, method, address)
   }
 }
 
 async function post (pool: Pool, body: string, timeoutMs: Millis): Promise<string> {
-  const options: Dispatcher.RequestOptions = {
-    method: 'POST',
-    path: '/rpc',
-    headers: { 'content-type': 'application/json', 'accept-encoding': supportedEncoding },
-    body,
-    signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)))
-  }
-  const res = await pool.request(options)
-  const received = Buffer.from(await res.body.arrayBuffer())
-  const text = decompressText(received, res.headers['content-encoding']?.toString(), maxResponseBytes)
-  if (res.statusCode !== 200) throw createStatusError(res.statusCode, text)
+  const response = await postMessage(pool, body, timeoutMs)
+  const text = decompressText(response.body, response.encoding, maxResponseBytes)
+  if (response.status !== 200) throw createStatusError(response.status, text)
   return text
 }
 
