Send a restricted request to entry VMs at once, and bound the servers that the tests of crashing requests end

Four tests of crashingRequests.test.ts failed with a 503 for a harmless request. Traced: the reason was noServer, and all 14 servers had ended. The tests repeated the crashing request every 22 ms; entry VMs learned of the restriction 315 ms after it was committed, since a watch delays changes by 200 ms to coalesce them. 12 to 14 servers ended meanwhile, so the refusal was right.

A watch now sends a new restriction at once. The tests send the request as often as it takes, wait for the restriction, and check that no more servers ended than the promise allows (three, and three more).

--- a/packages/daemon/__tests__/crashingRequests.test.ts
+++ b/packages/daemon/__tests__/crashingRequests.test.ts
@@ -7,7 +7,7 @@
 import { listItems } from '@lynxcourse/state'
 import type { CrashingRequestItem } from '@lynxcourse/state'
 import { createRouteToDesk, getControl, hasServers, publishRoutes, sendRequestTo, startFleetFixture, startVm, submitCommand, waitUntil } from './support/fleetFixture.js'
-import type { FleetFixture, TestServer } from './support/fleetFixture.js'
+import type { FleetFixture, TestResponse, TestServer } from './support/fleetFixture.js'
 import { endServer, startCrashableServers } from './support/crashableServers.js'
 import type { CrashableServers } from './support/crashableServers.js'
 
@@ -20,6 +20,8 @@
 /** Precision of the retry time in an answer. */
 const roundingMs = 1
 const crashingPath = '/read/crash'
+/** Time in which entry VMs learn of a restriction; changes that can wait are sent 200 ms after they were made. */
+const maxLearningMs = 150
 
 async function startFleet (entryCount: number, crashable: CrashableServers): Promise<FleetFixture> {
   const fixture = await startFleetFixture(entryCount)
@@ -78,21 +80,45 @@
   await waitUntil(() => fixture.daemons.every(daemon => daemon?.gateway === undefined || daemon.gateway.crashes.restricted.size === count))
 }
 
-/** Sends the crashing request until it is blocked at all VMs. */
-async function blockCrashingRequest (fixture: FleetFixture): Promise<void> {
+/**
+ * Sends a crashing request until it is blocked at all VMs, and checks that it ended no more servers than that takes.
+ *
+ * Each send ends a server. A request that was repeated without a wait would end all servers before the VMs learn of the
+ * restriction, and the other requests of these tests would rightly find none.
+ */
+async function blockCrashingRequest (fixture: FleetFixture, crashable: CrashableServers, send: () => Promise<TestResponse>): Promise<void> {
+  for (let sent = 0; sent < toleratedEnds; sent++) await send()
+  await waitForRestrictions(fixture, 1)
   await waitUntil(async () => {
-    await sendRequestTo(getEntryAddress(fixture, 0), crashingPath)
+    await send()
     return listRestricted(fixture).some(({ state }) => state === 'blocked')
   })
   const { blockedUntil } = listRestricted(fixture)[0] as CrashingRequestItem
   await waitUntil(() => fixture.daemons.every(daemon => daemon?.gateway === undefined || [...daemon.gateway.crashes.restricted.values()].includes(blockedUntil)))
+  assert.ok(crashable.ended <= toleratedEnds + maxLateSends, `${crashable.ended} servers ended`)
 }
 
+/** Guards against a restriction that waits for other changes of the state, while a caller that repeats the request ends further servers. */
+test('entry VMs learn of a restricted request at once', async () => {
+  await using crashable = await startCrashableServers(serverCount, req => req.url === crashingPath)
+  await using fixture = await startFleet(1, crashable)
+  const gateway = fixture.daemons.at(-1)?.gateway as NonNullable<FleetDaemon['gateway']>
+  let restrictedAt = Infinity
+  let learnedAt = Infinity
+  for (const { control } of fixture.daemons as FleetDaemon[]) {
+    control?.host.progressListeners.push(() => { if (listItems(control.host.machine.config, 'crashingRequest').length > 0) restrictedAt = Math.min(restrictedAt, getCurrentTime()) })
+  }
+  gateway.node.onChange.push(() => { if (gateway.crashes.restricted.size > 0) learnedAt = Math.min(learnedAt, getCurrentTime()) })
+  for (let sent = 0; sent < toleratedEnds; sent++) await sendRequestTo(getEntryAddress(fixture, 0), crashingPath)
+  await waitForRestrictions(fixture, 1)
+  assert.ok(learnedAt - restrictedAt < maxLearningMs, `learned after ${learnedAt - restrictedAt} ms`)
+})
+
 /** Guards against other requests that are turned away with the one that ends servers. */
 test('while a request is blocked, requests with another path, method, body or caller are served', async () => {
   await using crashable = await startCrashableServers(serverCount, req => req.url === crashingPath && req.method === 'GET' && req.headers.authorization === undefined)
   await using fixture = await startFleet(2, crashable)
-  await blockCrashingRequest(fixture)
+  await blockCrashingRequest(fixture, crashable, async () => await sendRequestTo(getEntryAddress(fixture, 0), crashingPath))
   const endedBefore = crashable.ended
   for (const address of [getEntryAddress(fixture, 0), getEntryAddress(fixture, 1)]) {
     const sentAt = getCurrentTime()
@@ -116,14 +142,11 @@
   await using crashable = await startCrashableServers(serverCount, req => req.headers['content-length'] === crashingLength)
   await using fixture = await startFleet(1, crashable)
   const address = getEntryAddress(fixture, 0)
-  await waitUntil(async () => {
-    await sendRequestTo(address, '/write/1', 'POST', {}, 'crash')
-    return listRestricted(fixture).some(({ state }) => state === 'blocked')
-  })
-  await waitForRestrictions(fixture, 1)
-  await waitUntil(async () => (await sendRequestTo(address, '/write/1', 'POST', {}, 'crash')).status === 503)
+  await blockCrashingRequest(fixture, crashable, async () => await sendRequestTo(address, '/write/1', 'POST', {}, 'crash'))
   const endedBefore = crashable.ended
-  assert.match((await sendRequestTo(address, '/write/1', 'POST', {}, 'crash')).body, /^not run/)
+  const refused = await sendRequestTo(address, '/write/1', 'POST', {}, 'crash')
+  assert.equal(refused.status, 503)
+  assert.match(refused.body, /^not run/)
   assert.equal((await sendRequestTo(address, '/write/1', 'POST', {}, 'harmless')).status, 200)
   assert.equal(crashable.ended, endedBefore)
 })
@@ -204,7 +227,7 @@
 test('a VM that starts refuses a blocked request from its first request on', async () => {
   await using crashable = await startCrashableServers(serverCount, req => req.url === crashingPath)
   await using fixture = await startFleet(2, crashable)
-  await blockCrashingRequest(fixture)
+  await blockCrashingRequest(fixture, crashable, async () => await sendRequestTo(getEntryAddress(fixture, 0), crashingPath))
   const endedBefore = crashable.ended
   await fixture.daemons.pop()?.[Symbol.asyncDispose]()
   fixture.daemons.push(await startVm({ ...fixture.settings.at(-1) as FleetSettings, isFirstStart: false }))
@@ -218,7 +241,7 @@
   let isFixed = false
   await using crashable = await startCrashableServers(serverCount, req => req.url === crashingPath && !isFixed)
   await using fixture = await startFleet(1, crashable)
-  await blockCrashingRequest(fixture)
+  await blockCrashingRequest(fixture, crashable, async () => await sendRequestTo(getEntryAddress(fixture, 0), crashingPath))
   isFixed = true
   const [item] = listRestricted(fixture)
   assert.equal((await submitCommand(fixture, { type: 'releaseRequest', request: (item as CrashingRequestItem).key })).ok, true)
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -1,5 +1,5 @@
 /** The RPC methods of a fleet's control VMs. */
-import { getDeltaSince, hideKeys } from '@lynxcourse/state'
+import { getDeltaSince, hasRestrictionSince, hideKeys } from '@lynxcourse/state'
 import type { BackendAnnouncement, ChangeAnswer, ConfigDelta, ReportServerEndsCommand } from '@lynxcourse/state'
 import { LynxError, brandId, getErrorMessage } from '@lynxcourse/base'
 import type { Millis, RegionId, RequestFingerprint, ServerId } from '@lynxcourse/base'
@@ -12,7 +12,6 @@
 import { announcementSchema, fleetCommandSchema, serverEndFields, textSchema, trialFields } from '../../types/fleetCommands.js'
 import { addressSchema } from '../../types/settings.js'
 import { addMethod } from '../rpc/rpcServer.js'
-import { delay } from '../node/timers.js'
 import type { RpcCall, RpcServer } from '../rpc/rpcServer.js'
 import { claimTrial, dismissServer, cancelFleetTrial, getStateAge, submitFleetCommand, handleAnnouncement, takePermits } from './fleetControl.js'
 import type { FleetCommand, FleetControl } from './fleetControl.js'
@@ -84,7 +83,8 @@
 
 /**
  * Delay before a change is sent, so that further changes can be sent with it. While servers are replaced, changes occur
- * every few milliseconds, and each one that is sent makes all VMs of the region rebuild their tables.
+ * every few milliseconds, and each one that is sent makes all VMs of the region rebuild their tables. A request that was
+ * restricted is sent at once: until VMs know of it, a caller that repeats it every 20 ms ends ten more servers.
  */
 const changeDelayMs: Millis = 200
 
@@ -177,7 +177,7 @@
   // are read.
   if (getCurrentTime() - startedAt > request.waitMs + maxTimerDelayMs) await ensureCallerConnected(control, 'fleet.watch', call)
   if (call.gone.aborted) throw new LynxError('cancelled', 'the caller closed the connection', { step: 'fleet.watch', peer: call.address })
-  if (request.version > 0 && control.host.machine.config.version > request.version) await delay(changeDelayMs)
+  if (request.version > 0 && control.host.machine.config.version > request.version) await waitForFurtherChanges(control, request.version, call.gone)
   const { config } = control.host.machine
   const stateAgeMs = getStateAge(control, getCurrentTime())
   return {
@@ -189,6 +189,14 @@
   }
 }
 
+/** Waits for changes that can be sent with those after a version, but not if one of them is urgent. */
+async function waitForFurtherChanges (control: FleetControl, version: number, signal: CancelSignal): Promise<void> {
+  const { host } = control
+  // A restriction follows from counted ends. Without any, which is nearly always, the items need not be searched.
+  const isUrgent = (): boolean => host.machine.crashes.size > 0 && hasRestrictionSince(host.machine.config, version)
+  if (!isUrgent()) await waitForProgress(control, changeDelayMs, signal, isUrgent)
+}
+
 /** Returns what an entry VM needs of the load update: without the weights that it has, and with its own shares of limits only. */
 function selectNewsFor (news: LoadUpdate, { weights, self }: WatchRequest): LoadUpdate {
   const { limits, ...others } = omitKnownWeights(news, weights)
--- a/packages/state/src/core/crashingRequests.ts
+++ b/packages/state/src/core/crashingRequests.ts
@@ -53,6 +53,14 @@
   return state !== 'released'
 }
 
+/** Whether a request was suspected or blocked after a version. */
+export function hasRestrictionSince (config: Config, version: number): boolean {
+  for (const entry of config.items.values()) {
+    if (entry.version > version && entry.item.kind === 'crashingRequest' && isRestricted(entry.item)) return true
+  }
+  return false
+}
+
 /**
  * Applies a command as the given version of the configuration.
  *
