Plan regions and weights by the servers of the version that gets most requests

Cause: the leader counted the slots of all servers, also of those whose software version gets few requests or none. During a rollout the fleet looked twice as large as it is, and a region whose servers are mostly of another version drew objects that it can't serve.

Change: where settings tell versions apart, open slots and the servers whose weights move are those of the version in force, and of a rollout's target once it serves more than half of the objects.

--- a/packages/daemon/src/core/fleet/presenceExchange.ts
+++ b/packages/daemon/src/core/fleet/presenceExchange.ts
@@ -111,7 +111,8 @@
   const { config } = host.machine
   const previous = board.news
   applyDigest(board, node.cfg.rpc, report.load, now)
-  updateBoard(board, countOpenSlots(config, node.cfg.regions), listKnownServers(config, node.cfg.regions), listReadyEntries(control, now), now)
+  const layout = { regions: node.cfg.regions, hasVersions: node.cfg.rollouts !== undefined }
+  updateBoard(board, countOpenSlots(config, layout), listKnownServers(config, layout), listReadyEntries(control, now), now)
   for (const { service, region, near, demand, slots } of flushPlanLines(board)) {
     log(node.logs, 'shift', 'info', 'Region plan changed.', { service, from: region, near: Math.round(near * 1000) / 1000, demand: Math.round(demand), slots })
   }
