Rollouts: the leader judges versions and plans steps

Control VMs relay the entry VMs' reports of rollouts with the load digest.

While rollouts run, the leader exchanges presence every 200 ms instead of 400 ms, since a rollout has six steps that each wait for an exchange.

--- a/packages/daemon/__tests__/support/fleetFixture.ts
+++ b/packages/daemon/__tests__/support/fleetFixture.ts
@@ -30,8 +30,8 @@
   readonly daemons: Array<FleetDaemon | undefined>
 }
 
-/** Starts three control VMs, which form the initial group, and then the entry VMs. */
-export async function startFleetFixture (entryCount: number): Promise<FleetFixture> {
+/** Starts three control VMs, which form the initial group, and then the entry VMs; `fields` replace settings of all VMs. */
+export async function startFleetFixture (entryCount: number, fields: Partial<FleetSettings> = {}): Promise<FleetFixture> {
   const controlCount = 3
   const ports = await findFreePorts((controlCount + entryCount) * 3)
   const folder = await mkdtemp(join(tmpdir(), 'lynx-fleet-'))
@@ -52,7 +52,8 @@
     retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 50 },
     rateBound: { windowMs: 5000, overage: 0.1, slack: 20 },
     times: { ...defaultFleetTimes, stopMs: 2000 },
-    log: { format: 'json', level: 'error', parts: {} }
+    log: { format: 'json', level: 'error', parts: {} },
+    ...fields
   }))
   const fixture: FleetFixture = {
     folder,
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -23,6 +23,8 @@
 import type { LoadBoard, LoadAggregate, TrialAnswer, Trials } from '@lynxcourse/placement'
 import { createPresence, hasRecentExchange } from './presence.js'
 import type { Presence } from './presence.js'
+import { createRolloutLeader } from './rolloutLeader.js'
+import type { RolloutLeader } from './rolloutLeader.js'
 
 /** State of a control VM. */
 export interface FleetControl {
@@ -37,6 +39,8 @@
   readonly permits: ControlIssuer
   /** At the leader: trials of restricted requests. */
   readonly trials: Trials
+  /** At the leader: running rollouts. */
+  readonly rollouts: RolloutLeader
 }
 
 /** The commands that a fleet's VMs and operators submit. */
@@ -69,7 +73,7 @@
   }
   recordProgress()
   host.progressListeners.push(recordProgress)
-  return { node, host, knownVersions, presence: createPresence(), loadAggregate: createLoadAggregate(), board: createLoadBoard(), announcementQueue: createAnnouncementQueue(), permits, trials: new Map() }
+  return { node, host, knownVersions, presence: createPresence(), loadAggregate: createLoadAggregate(), board: createLoadBoard(), announcementQueue: createAnnouncementQueue(), permits, trials: new Map(), rollouts: createRolloutLeader() }
 }
 
 function createControlEnv (node: FleetNode, isFounder: boolean): ControlEnv {
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -10,6 +10,7 @@
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { announcementSchema, fleetCommandSchema, serverEndFields, textSchema, trialFields } from '../../types/fleetCommands.js'
+import { rolloutReportsByVmSchema, rolloutReportsSchema } from '../../types/rolloutReports.js'
 import { addressSchema } from '../../types/settings.js'
 import { addMethod } from '../rpc/rpcServer.js'
 import { delay } from '../node/timers.js'
@@ -22,6 +23,7 @@
 import { recordWatchingEntry, applyPresenceReport } from './presence.js'
 import type { PresenceReply, PresenceReport } from './presence.js'
 import type { PresenceExchange } from './presenceExchange.js'
+import { recordRolloutReports } from './rolloutLeader.js'
 
 /** A request of an entry VM for changes after a version; the call stays open until there is one. */
 export interface WatchRequest {
@@ -54,14 +56,15 @@
   busy: z.array(z.tuple([textSchema, loadAmountSchema])).max(10_000),
   failed: z.array(textSchema).max(100_000),
   limits: serverLimitsSchema.optional(),
-  limitDemand: serverLoadsSchema.optional()
+  limitDemand: serverLoadsSchema.optional(),
+  rollouts: rolloutReportsSchema.optional()
 })
 const watchSchema = z.strictObject({ version: z.number().int().min(0), waitMs: z.number().min(0).max(10_000), self: presenceSchema, load: loadSchema.optional(), weights: z.number().int() })
 const reportSchema = z.strictObject({
   from: z.strictObject({ rpc: addressSchema, region: textSchema }),
   entries: z.array(z.strictObject({ presence: presenceSchema, ageMs: z.number().min(0) })).max(10_000),
   heard: z.array(textSchema).max(100_000),
-  load: z.strictObject({ servers: serverLoadsSchema, busy: vmLoadsSchema, failed: serverLoadsSchema, limits: serverLimitsSchema.optional(), limitDemand: vmLoadsSchema.optional() }),
+  load: z.strictObject({ servers: serverLoadsSchema, busy: vmLoadsSchema, failed: serverLoadsSchema, limits: serverLimitsSchema.optional(), limitDemand: vmLoadsSchema.optional(), rollouts: rolloutReportsByVmSchema.optional() }),
   weights: z.number().int()
 })
 const submitSchema = z.strictObject({ command: fleetCommandSchema })
@@ -145,6 +148,7 @@
 function handlePresence (control: FleetControl, report: PresenceReport): PresenceReply {
   const now = getCurrentTime()
   applyDigest(control.board, report.from.rpc, report.load, now)
+  recordRolloutReports(control.rollouts, report.load.rollouts)
   return { ...applyPresenceReport(control.presence, report, now), news: omitKnownWeights(control.board.news, report.weights) }
 }
 
--- a/packages/daemon/src/core/fleet/presenceExchange.ts
+++ b/packages/daemon/src/core/fleet/presenceExchange.ts
@@ -16,6 +16,8 @@
 import { countOpenSlots, listKnownServers } from './serverSlots.js'
 import { findMissedServers, recordEntry, recordReported, prunePresence, listUnreportedEntries, applyPresenceReport } from './presence.js'
 import type { PresenceSummary, PresenceReply, PresenceReport } from './presence.js'
+import { recordRolloutReports, resetRolloutLeader } from './rolloutLeader.js'
+import { advanceRollouts, hasRunningRollouts } from './rolloutTask.js'
 
 /** Delay before an urgent exchange. */
 const urgentDelayMs = 60
@@ -34,7 +36,7 @@
   const state = { stopped: false }
   let wake: (() => void) | undefined
   const pause = async (): Promise<void> => await new Promise(resolve => {
-    const timer = setTimeout(resolve, presenceMs)
+    const timer = setTimeout(resolve, hasRunningRollouts(control) ? presenceMs / 2 : presenceMs)
     wake = () => { clearTimeout(timer); setTimeout(resolve, urgentDelayMs) }
   })
   const run = async (): Promise<void> => {
@@ -91,10 +93,12 @@
     presence.lastExchangeAt = now
     updateLoads(control, report, now)
     applyReply(control, applyPresenceReport(presence, report, now))
-    await submitMissedServers(control, now)
+    recordRolloutReports(control.rollouts, report.load.rollouts)
+    await Promise.all([submitMissedServers(control, now), advanceRollouts(control, now)])
     return
   }
   presence.leadingSince = undefined
+  resetRolloutLeader(control.rollouts)
   const leader = getLeaderAddress(control)
   if (leader === undefined || leader === node.cfg.rpc) return
   const reply = await callPeer<PresenceReply>(node.client, leader, 'fleet.presence', report)
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -29,6 +29,7 @@
   readonly current: Gauge
   readonly records: Gauge<'kind'>
   readonly diskSyncs: Counter
+  readonly rolloutSteps: Counter<'event'>
 }
 
 export function createMetrics (): Metrics {
@@ -58,6 +59,7 @@
     configVersion: new Gauge({ name: 'lynxcourse_config_version', help: 'Version of the configuration in force.', registers }),
     current: new Gauge({ name: 'lynxcourse_current', help: 'Whether this VM holds a lease on being current.', registers }),
     records: new Gauge({ name: 'lynxcourse_directory_records', help: 'Records in the directory.', labelNames: ['kind'], registers }),
-    diskSyncs: new Counter({ name: 'lynxcourse_disk_syncs_total', help: 'Times that a file was synced.', registers })
+    diskSyncs: new Counter({ name: 'lynxcourse_disk_syncs_total', help: 'Times that a file was synced.', registers }),
+    rolloutSteps: new Counter({ name: 'lynxcourse_rollout_steps_total', help: 'Steps of rollouts that this VM submitted as the leader, by event.', labelNames: ['event'], registers })
   }
 }
--- a/packages/placement/src/core/board/loadAggregate.ts
+++ b/packages/placement/src/core/board/loadAggregate.ts
@@ -1,5 +1,6 @@
 /** Combines the load reports of a control VM's entry VMs into one digest for the leader. */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
+import type { RolloutReport } from '@lynxcourse/rollouts'
 import { loadReportTtlMs } from '../../types/loads.js'
 import type { LimitDemand, LoadDigest, LoadReport } from '../../types/loads.js'
 
@@ -15,11 +16,13 @@
   readonly limits: Map<ServerId, number | null>
   /** Requests per second for servers with limits, by entry VM, from the same reports. */
   readonly limitDemand: Map<string, LimitDemand>
+  /** The latest reports of running rollouts by entry VM, from the same reports. */
+  readonly rollouts: Map<string, readonly RolloutReport[]>
   readonly byVm: Map<string, VmDemand>
 }
 
 export function createLoadAggregate (): LoadAggregate {
-  return { fresh: new Map(), failed: new Map(), limits: new Map(), limitDemand: new Map(), byVm: new Map() }
+  return { fresh: new Map(), failed: new Map(), limits: new Map(), limitDemand: new Map(), rollouts: new Map(), byVm: new Map() }
 }
 
 /** Adds an entry VM's report. */
@@ -28,6 +31,7 @@
   for (const server of report.failed) aggregate.failed.set(server, (aggregate.failed.get(server) ?? 0) + 1)
   for (const [server, perSecond] of report.limits ?? []) aggregate.limits.set(server, perSecond)
   if (report.limitDemand !== undefined) aggregate.limitDemand.set(vm, report.limitDemand)
+  if (report.rollouts !== undefined) aggregate.rollouts.set(vm, report.rollouts)
   aggregate.byVm.set(vm, { region, at: now, busy: report.busy })
 }
 
@@ -44,6 +48,8 @@
   const limitDemand = [...aggregate.limitDemand].flatMap(([vm, demands]) => demands.map(([server, demand]) => [server, vm, demand] as const))
   aggregate.limits.clear()
   aggregate.limitDemand.clear()
+  const rollouts = [...aggregate.rollouts]
+  aggregate.rollouts.clear()
   const sums = new Map<string, [ServiceId, RegionId, number]>()
   for (const [vm, { region, at, busy }] of aggregate.byVm) {
     if (now - at > loadReportTtlMs) {
@@ -56,5 +62,5 @@
       sums.set(key, [service, region, (sum?.[2] ?? 0) + slots])
     }
   }
-  return { servers, busy: [...sums.values()], failed, ...(limits.length === 0 ? {} : { limits }), ...(limitDemand.length === 0 ? {} : { limitDemand }) }
+  return { servers, busy: [...sums.values()], failed, ...(limits.length === 0 ? {} : { limits }), ...(limitDemand.length === 0 ? {} : { limitDemand }), ...(rollouts.length === 0 ? {} : { rollouts }) }
 }
