Hand leadership over when the leader's disk fails or stalls, and relay orders meanwhile

A leader whose disk refused a write stopped, and the group waited one to two election timeouts. A stalled disk had the same effect, and the stalled VM kept accepting orders that timed out. A VM without a replica knew no leader, so a control VM with a full disk refused every order, read and announcement for as long as the disk was full. Its log was opened and rewritten again each second, and an incomplete new file stayed on the disk.

- Agreement: a leader can name the voter with the most entries, which requests votes at once, without a pre-vote.
- The host hands over when a save fails, or takes half an election timeout.
- Each VM remembers the leader that it last heard from.
It relays to that one while its own replica is stopped or stalled, and no longer counts as leading once it has heard from a leader of a higher term.
- A stopped replica probes its disk with 64 KB every 300 ms, and opens its log only when the probe succeeds.
Files that could not be replaced are removed, also the placement file.
- A failed disk is a reason to call another control VM.

--- a/packages/agreement/src/core/election.ts
+++ b/packages/agreement/src/core/election.ts
@@ -1,6 +1,7 @@
 /** Elections: pre-votes, votes and stepping down. */
+import { hasTransition } from '@lynxcourse/base'
 import type { HolderId, Millis } from '@lynxcourse/base'
-import type { ReplicaOutput, VoteAnswer, VoteRequest } from '../types/messages.js'
+import type { HandOver, ReplicaOutput, VoteAnswer, VoteRequest } from '../types/messages.js'
 import { appendEntry, broadcast } from './leaderReplication.js'
 import {
   startVoteTimeout, isLeader, isVoter, lastIndex, lastTerm, quorumSize, resetElectionTimer, saveHardState, send, applyRoleEvent, voters
@@ -30,8 +31,19 @@
   countVotes(replica, now, out)
 }
 
-function startVote (replica: Replica, now: Millis, out: ReplicaOutput): void {
-  applyRoleEvent(replica, 'preVotesWon')
+/**
+ * Requests votes at once if the present leader hands its leadership to this copy. A pre-vote would be denied: the other
+ * copies have just heard from the leader.
+ */
+export function handleHandOver (replica: Replica, from: HolderId, message: HandOver, now: Millis, out: ReplicaOutput): void {
+  const isFromLeader = message.term === replica.term && replica.leader === from
+  if (!isFromLeader || !isVoter(replica) || !hasTransition(replica.chart, replica.role, 'handedOver')) return
+  startVote(replica, 'handedOver', now, out)
+}
+
+function startVote (replica: Replica, event: 'preVotesWon' | 'handedOver', now: Millis, out: ReplicaOutput): void {
+  applyRoleEvent(replica, event)
+  replica.leader = undefined
   replica.term += 1
   replica.votedFor = replica.id
   replica.votes = new Set([replica.id])
@@ -57,7 +69,7 @@
 function countVotes (replica: Replica, now: Millis, out: ReplicaOutput): void {
   const hasQuorum = voters(replica).filter(voter => replica.votes.has(voter)).length >= quorumSize(replica)
   if (!hasQuorum) return
-  if (replica.role === 'preCandidate') startVote(replica, now, out)
+  if (replica.role === 'preCandidate') startVote(replica, 'preVotesWon', now, out)
   else if (replica.role === 'candidate') becomeLeader(replica, now, out)
 }
 
--- a/packages/agreement/src/core/leaderReplication.ts
+++ b/packages/agreement/src/core/leaderReplication.ts
@@ -3,7 +3,7 @@
 import type { EntryBody } from '../types/log.js'
 import type { AppendAnswer, ReplicaOutput } from '../types/messages.js'
 import {
-  commitUpTo, entryAt, isEstablishedLeader, lastEntryAt, lastIndex, maxReachedByQuorum, send, termAt
+  commitUpTo, entryAt, isEstablishedLeader, isLeader, lastEntryAt, lastIndex, maxReachedByQuorum, send, termAt, voters
 } from './replica.js'
 import type { Progress, Replica } from './replica.js'
 
@@ -84,6 +84,18 @@
   send(replica, out, to, { type: 'snapshot', term, snapshot, round })
 }
 
+/**
+ * Hands leadership to the voter that has the most entries, and among those to the one that answered last. Votes for a copy
+ * with fewer entries could be denied, and a copy that doesn't answer can't request them. The leader stays in its role
+ * until it hears of a higher term.
+ */
+export function handOver (replica: Replica, now: Millis, out: ReplicaOutput): void {
+  if (!isLeader(replica)) return
+  const candidates = voters(replica).filter(id => id !== replica.id).map(id => ({ id, progress: getProgress(replica, id, now) }))
+  const [best] = candidates.sort((a, b) => b.progress.match - a.progress.match || b.progress.lastSeenAt - a.progress.lastSeenAt)
+  if (best !== undefined) send(replica, out, best.id, { type: 'handOver', term: replica.term })
+}
+
 /** Updates a member's progress by its answer and sends the entries that it still lacks. */
 export function handleAppendAnswer (replica: Replica, from: HolderId, answer: AppendAnswer, now: Millis, out: ReplicaOutput): void {
   const progress = getProgress(replica, from, now)
--- a/packages/agreement/src/core/step.ts
+++ b/packages/agreement/src/core/step.ts
@@ -1,10 +1,10 @@
 /** Entry point of a copy of the log: processes an event and returns the resulting work for the host. */
 import type { Millis } from '@lynxcourse/base'
 import type { Envelope, ReplicaOutput, ReplicaEvent } from '../types/messages.js'
-import { adoptTerm, handleVoteRequest, isElectionDue, startPreVote, stepDown, handleVoteAnswer } from './election.js'
+import { adoptTerm, handleHandOver, handleVoteRequest, isElectionDue, startPreVote, stepDown, handleVoteAnswer } from './election.js'
 import { handleAppend, handleSnapshot } from './followerReplication.js'
 import { proposeMemberChange } from './memberChanges.js'
-import { advanceCommit, appendEntry, broadcast, handleAppendAnswer } from './leaderReplication.js'
+import { advanceCommit, appendEntry, broadcast, handOver, handleAppendAnswer } from './leaderReplication.js'
 import {
   createOutput, entryAt, isLeader, isVoter, lastIndex, termAt
 } from './replica.js'
@@ -26,6 +26,7 @@
     case 'join': if (isLeader(replica)) replica.joinRequests.add(event.id); break
     case 'compact': compact(replica, event.index, event.data, out); break
     case 'read': startRead(replica, event.token, now, out); break
+    case 'handOver': handOver(replica, now, out); break
   }
   return out
 }
@@ -57,6 +58,7 @@
     case 'voteAnswer': handleVoteAnswer(replica, from, message, now, out); break
     case 'append': handleAppend(replica, from, message, now, out); break
     case 'snapshot': handleSnapshot(replica, from, message, now, out); break
+    case 'handOver': handleHandOver(replica, from, message, now, out); break
     case 'appendAnswer':
       if (isLeader(replica) && message.term === replica.term) handleAppendAnswer(replica, from, message, now, out)
       break
--- a/packages/agreement/src/types/messages.ts
+++ b/packages/agreement/src/types/messages.ts
@@ -46,7 +46,13 @@
   readonly round: number
 }
 
-export type Message = VoteRequest | VoteAnswer | AppendRequest | SnapshotRequest | AppendAnswer
+/** The leader can't continue; the recipient, a follower with all that the leader replicated, requests votes at once. */
+export interface HandOver {
+  readonly type: 'handOver'
+  readonly term: number
+}
+
+export type Message = VoteRequest | VoteAnswer | AppendRequest | SnapshotRequest | AppendAnswer | HandOver
 
 /** A message with its sender and recipient. `cluster` separates clusters that share addresses. */
 export interface Envelope {
@@ -65,6 +71,8 @@
   | { readonly type: 'propose', readonly commands: readonly unknown[] }
   /** A copy with an empty disk requests to become a member. */
   | { readonly type: 'join', readonly id: HolderId }
+  /** The leader's disk failed or stalls: leadership goes to another copy without the wait for an election timeout. */
+  | { readonly type: 'handOver' }
   /** The host serialized the state after `index`; the entries up to that index may be discarded. */
   | { readonly type: 'compact', readonly index: number, readonly data: string }
   /** Requests a read that a quorum confirms; the result appears in `Output.reads` or `Output.failedReads`. */
--- a/packages/daemon/__tests__/support/fleetFixture.ts
+++ b/packages/daemon/__tests__/support/fleetFixture.ts
@@ -30,9 +30,8 @@
   readonly daemons: Array<FleetDaemon | undefined>
 }
 
-/** Starts three control VMs, which form the initial group, and then the entry VMs. */
-export async function startFleetFixture (entryCount: number): Promise<FleetFixture> {
-  const controlCount = 3
+/** Starts the control VMs, which form the initial group, and then the entry VMs. */
+export async function startFleetFixture (entryCount: number, controlCount = 3): Promise<FleetFixture> {
   const ports = await findFreePorts((controlCount + entryCount) * 3)
   const folder = await mkdtemp(join(tmpdir(), 'lynx-fleet-'))
   const getAddress = (portIndex: number): string => `127.0.0.1:${ports[portIndex]}`
--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -9,12 +9,12 @@
 import type { Envelope, ReplicaOutput, Replica, ReplicaEvent } from '@lynxcourse/agreement'
 import { applyEntry, createStateMachine, deserializeStateMachine, serializeStateMachine } from '@lynxcourse/state'
 import { randomUUID } from 'node:crypto'
-import { openStorage, readIdentity, rewriteLog, saveOutput, writeIdentity } from '../../plugins/logStorage.js'
+import { openStorage, probeDisk, readIdentity, rewriteLog, saveOutput, writeIdentity } from '../../plugins/logStorage.js'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { callPeer } from '../rpc/rpcClient.js'
 import type { LogStorage } from '../../plugins/logStorage.js'
-import { resolveProposal, rejectAll, finishRead, createNotLeaderError } from './hostState.js'
+import { resolveProposal, recordHeardLeader, rejectAll, finishRead, createNotLeaderError } from './hostState.js'
 import type { ControlEnv, ControlHost } from './hostState.js'
 import { startReplica } from './membership.js'
 
@@ -37,6 +37,7 @@
     replica: undefined,
     machine: createStateMachine(charts),
     appliedUpToDateAt: -Infinity,
+    heardLeader: undefined,
     events: [],
     proposals: [],
     appendedProposals: new Map(),
@@ -65,6 +66,7 @@
 
 /** Queues an event for the replica; drops it if no replica is running. */
 export function enqueueEvent (host: ControlHost, event: ReplicaEvent): void {
+  if (event.type === 'receive') recordHeardLeader(host, event.envelope, getCurrentTime())
   if (host.replica === undefined || host.failed !== undefined) return
   host.events.push(event)
   startProcessing(host)
@@ -81,28 +83,42 @@
     })
 }
 
-/** Delay before a replica whose disk failed is restarted; a full or stalled disk often recovers without help. */
-const restartDelayMs = 1000
+/**
+ * Delay before a replica whose disk failed is restarted; a full or stalled disk often recovers without help. With a longer
+ * delay and the election after it, a group whose disks were full would write again only after a second.
+ */
+const restartDelayMs = 300
 
 /**
  * Stops the replica after a failure and schedules its restart. A replica that can't write to its disk must not
  * acknowledge anything. The other parts of the daemon keep running.
  */
 function stopFailedReplica (host: ControlHost, err: unknown): void {
+  const isFirstFailure = host.failed === undefined
+  if (host.replica !== undefined) handOverLeadership(host, host.replica)
   host.failed = isLynxError(err) ? err : new LynxError('diskFailed', getErrorMessage(err), { step: 'save', cause: err })
   host.replica = undefined
   host.events = []
-  log(host.env.logs, 'agree', 'error', 'Replica stopped.', { error: host.failed.message, step: host.failed.step })
+  const level = isFirstFailure ? 'error' : 'debug'
+  log(host.env.logs, 'agree', level, 'Replica stopped.', { error: host.failed.message, step: host.failed.step })
   rejectAll(host, host.failed)
   setTimeout(() => { restartReplica(host).catch((restartErr: unknown) => stopFailedReplica(host, restartErr)) }, restartDelayMs).unref()
 }
 
+/** Lets another copy lead at once if this one does: without a working disk, it can confirm nothing. */
+function handOverLeadership (host: ControlHost, replica: Replica): void {
+  const { messages } = stepReplica(replica, { type: 'handOver' }, getCurrentTime())
+  for (const { to } of messages) log(host.env.logs, 'agree', 'warn', 'Leadership handed over.', { to, term: replica.term })
+  sendMessages(host, messages)
+}
+
 /**
  * Restarts a failed replica from its disk. Data of a failed sync can be read back from the page cache although it never
  * reached the disk, so all entries that are read are written and synced again before the replica relies on them.
  */
 async function restartReplica (host: ControlHost): Promise<void> {
   if (host.closed || host.cluster === undefined) return
+  await probeDisk(host.env.folder)
   const { storage, stored } = await openStorage(host.env.folder)
   await closeQuietly(host.storage)
   host.storage = storage
@@ -156,7 +172,7 @@
   const { upToDateAt } = replica
   const needsSync = output.hardState !== undefined || output.entries.length > 0 || output.snapshot !== undefined
   if (needsSync) {
-    await saveOutput(host.storage, output, replica.entries)
+    await withStallWatch(host, replica, saveOutput(host.storage, output, replica.entries))
     host.env.metrics.diskSyncs.inc()
   }
   sendMessages(host, output.messages)
@@ -172,6 +188,25 @@
   await compactLogIfLong(host, replica)
 }
 
+/**
+ * Waits for a save. A leader whose disk stalls sends no heartbeats meanwhile. It hands its leadership over after half an
+ * election timeout; otherwise the group would be without a leader for one to two of them. A sync normally takes
+ * milliseconds.
+ */
+async function withStallWatch (host: ControlHost, replica: Replica, saving: Promise<void>): Promise<void> {
+  let isSaved = false
+  const timer = setTimeout(() => {
+    // After the process itself was suspended, the timer runs before the end of the save is read.
+    setImmediate(() => { if (!isSaved && host.replica === replica) handOverLeadership(host, replica) })
+  }, host.env.times.electionMs / 2)
+  try {
+    await saving
+  } finally {
+    isSaved = true
+    clearTimeout(timer)
+  }
+}
+
 function sendMessages (host: ControlHost, messages: readonly Envelope[]): void {
   for (const envelope of messages) {
     const address = host.env.getAddress(getHolderVm(envelope.to))
--- a/packages/daemon/src/core/control/hostState.ts
+++ b/packages/daemon/src/core/control/hostState.ts
@@ -2,9 +2,10 @@
 import { LynxError } from '@lynxcourse/base'
 import type { HolderId, Incarnation, Millis, Random, VmId } from '@lynxcourse/base'
 import { isEstablishedLeader } from '@lynxcourse/agreement'
-import type { Entry, Replica, ReplicaEvent } from '@lynxcourse/agreement'
+import type { Entry, Envelope, Replica, ReplicaEvent } from '@lynxcourse/agreement'
 import type { CommandAnswer, Command, StateMachine, StateMachineCharts } from '@lynxcourse/state'
 import type { LogStorage } from '../../plugins/logStorage.js'
+import { getCurrentTime } from '../../utils/clock.js'
 import type { Logs } from '../../utils/logging.js'
 import type { Metrics } from '../../utils/metrics.js'
 import type { RpcClient } from '../rpc/rpcClient.js'
@@ -39,6 +40,12 @@
   readonly term: number
 }
 
+export interface HeardLeader {
+  readonly id: HolderId
+  readonly term: number
+  readonly at: Millis
+}
+
 /** The control role of a daemon: the replica, its state machine, and the proposals and reads that wait for it. */
 export interface ControlHost extends AsyncDisposable {
   readonly env: ControlEnv
@@ -57,6 +64,8 @@
    * vouch for a state that it has not applied yet.
    */
   appliedUpToDateAt: Millis
+  /** The last leader whose entries or heartbeats arrived here, whether or not the replica has processed them. */
+  heardLeader: HeardLeader | undefined
   events: ReplicaEvent[]
   proposals: PendingProposal[]
   /** By the index of their entries. */
@@ -72,9 +81,35 @@
   readonly progressListeners: Array<() => void>
 }
 
-/** Whether this VM is the leader and knows which entries are committed. */
+/**
+ * Whether this VM is the leader and knows which entries are committed. While its disk stalls, the replica doesn't process
+ * that another VM leads; proposals that it accepted meanwhile would time out.
+ */
 export function isLeading (host: ControlHost | undefined): boolean {
-  return host?.replica !== undefined && isEstablishedLeader(host.replica)
+  return host?.replica !== undefined && isEstablishedLeader(host.replica) && !isSuperseded(host, host.replica)
+}
+
+function isSuperseded ({ heardLeader }: ControlHost, { term }: Replica): boolean {
+  return heardLeader !== undefined && heardLeader.term > term
+}
+
+/** Number of election timeouts without a message from a leader after which a VM without a replica names it no more. */
+const heardLeaderElectionTimeouts = 3
+
+/**
+ * Returns the leader that this VM knows. If its disk failed or stalls, that is the one that it last heard from, so that it
+ * can still relay orders.
+ */
+export function findLeader (host: ControlHost, now: Millis): HolderId | undefined {
+  const { replica, heardLeader, env } = host
+  if (replica !== undefined && !isSuperseded(host, replica)) return replica.leader
+  return heardLeader !== undefined && now - heardLeader.at < heardLeaderElectionTimeouts * env.times.electionMs ? heardLeader.id : undefined
+}
+
+/** Records that a message of a leader has arrived. */
+export function recordHeardLeader (host: ControlHost, { from, cluster, message }: Envelope, now: Millis): void {
+  if (cluster !== host.cluster || (message.type !== 'append' && message.type !== 'snapshot')) return
+  if (message.term >= (host.heardLeader?.term ?? 0)) host.heardLeader = { id: from, term: message.term, at: now }
 }
 
 /** Rejects all waiting proposals and reads. */
@@ -108,6 +143,6 @@
 
 /** Creates the error for a call that only the leader can answer. */
 export function createNotLeaderError (host: ControlHost): LynxError {
-  const leader = host.replica?.leader
+  const leader = findLeader(host, getCurrentTime())
   return new LynxError('notLeader', leader === undefined ? 'no leader is known' : `the leader is ${leader}`, { step: 'propose' })
 }
--- a/packages/daemon/src/core/control/joining.ts
+++ b/packages/daemon/src/core/control/joining.ts
@@ -82,6 +82,7 @@
     z.strictObject({ type: z.literal('voteAnswer'), pre: z.boolean(), term: nonNegativeInt, granted: z.boolean() }),
     z.strictObject({ type: z.literal('append'), term: nonNegativeInt, prevIndex: nonNegativeInt, prevTerm: nonNegativeInt, entries: z.array(entrySchema), commit: nonNegativeInt, round: nonNegativeInt }),
     z.strictObject({ type: z.literal('snapshot'), term: nonNegativeInt, snapshot: snapshotSchema, round: nonNegativeInt }),
+    z.strictObject({ type: z.literal('handOver'), term: nonNegativeInt }),
     z.strictObject({ type: z.literal('appendAnswer'), term: nonNegativeInt, ok: z.boolean(), index: z.number().int(), round: nonNegativeInt })
   ])
 })
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -7,7 +7,7 @@
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { openControl } from '../control/controlHost.js'
-import { isLeading } from '../control/hostState.js'
+import { findLeader, isLeading } from '../control/hostState.js'
 import type { ControlEnv, ControlHost } from '../control/hostState.js'
 import { initCluster, isBlank } from '../control/membership.js'
 import { grantControlTrial } from '../control/crashTrials.js'
@@ -91,7 +91,7 @@
 
 /** Returns the RPC address of the leader; undefined if this VM knows none. */
 export function getLeaderAddress (control: FleetControl): string | undefined {
-  const leader = control.host.replica?.leader
+  const leader = findLeader(control.host, getCurrentTime())
   return leader === undefined ? undefined : getHolderVm(leader)
 }
 
@@ -215,7 +215,8 @@
  *
  * If this VM is partitioned from the leader and confirms announcements all the same, none of these servers tries
  * another VM, and the leader marks all of them as lost. The symptom is log lines about silent servers that still answer
- * requests. So an unchanged announcement is confirmed only after a recent exchange with the leader.
+ * requests. So an unchanged announcement is confirmed only after a recent exchange with the leader, and not while this
+ * VM's disk fails, since its copy of the state is old then.
  *
  * @throws LynxError if the leader can't be reached, or if the failure domain is unknown
  */
@@ -225,7 +226,8 @@
   }
   const { config } = control.host.machine
   const hasChanged = hasBackendChanged(config, facts)
-  if (!hasChanged && !hasRecentExchange(control.presence, control.node.cfg.times.presenceMs, now)) {
+  const isConfirmed = control.host.replica !== undefined && hasRecentExchange(control.presence, control.node.cfg.times.presenceMs, now)
+  if (!hasChanged && !isConfirmed) {
     throw new LynxError('notLeader', 'no recent exchange with the leader', { step: 'announce' })
   }
   if (acceptsAnnouncement(config, facts)) control.presence.heard.add(facts.id)
@@ -262,5 +264,5 @@
 
 /** Whether a call that failed with this error may succeed at another VM. */
 export function isRetryableElsewhere (err: unknown): boolean {
-  return isLynxError(err, 'notLeader') || isLynxError(err, 'noQuorum') || isLynxError(err, 'peerFailed') || isLynxError(err, 'overCapacity')
+  return isLynxError(err, 'notLeader') || isLynxError(err, 'noQuorum') || isLynxError(err, 'peerFailed') || isLynxError(err, 'overCapacity') || isLynxError(err, 'diskFailed')
 }
--- a/packages/daemon/src/plugins/logStorage.ts
+++ b/packages/daemon/src/plugins/logStorage.ts
@@ -191,16 +191,46 @@
   const path = join(storage.folder, name)
   const temporary = `${path}.new`
   await rm(temporary, { force: true })
-  const file = await open(temporary, 'w')
+  try {
+    await writeSynced(temporary, bytes)
+    await rename(temporary, path)
+  } catch (err) {
+    // On a full disk, the incomplete file would take the space that the next attempt needs.
+    await rm(temporary, { force: true }).catch(() => undefined)
+    throw err
+  }
+  await syncFolder(storage.folder)
+  storage.syncs += 2
+}
+
+/** Writes a file and syncs it to the disk. */
+export async function writeSynced (path: string, bytes: Buffer): Promise<void> {
+  const file = await open(path, 'w')
   try {
     await file.writeFile(bytes)
     await file.sync()
   } finally {
     await file.close()
   }
-  await rename(temporary, path)
-  await syncFolder(storage.folder)
-  storage.syncs += 2
+}
+
+/** Number of bytes that a disk must be able to store before a log on it is opened again. */
+const probeBytes = 65_536
+
+/**
+ * Checks that the disk of a folder can be written.
+ *
+ * @throws LynxError `diskFailed` if not
+ */
+export async function probeDisk (folder: string): Promise<void> {
+  const path = join(folder, 'probe')
+  await withDiskErrors('probe disk', async () => {
+    try {
+      await writeSynced(path, Buffer.alloc(probeBytes))
+    } finally {
+      await rm(path, { force: true })
+    }
+  })
 }
 
 async function syncFolder (folder: string): Promise<void> {
--- a/packages/daemon/src/plugins/placementFile.ts
+++ b/packages/daemon/src/plugins/placementFile.ts
@@ -7,11 +7,12 @@
  * for two seconds more after such a start. Every control VM has the leader's last update in memory; the file makes it
  * survive a restart. The file is a hint: a missing or damaged file only loses this benefit.
  */
-import { open, readFile, rename } from 'node:fs/promises'
+import { readFile, rename, rm } from 'node:fs/promises'
 import { join } from 'node:path'
 import { LynxError, getErrorMessage } from '@lynxcourse/base'
 import * as z from 'zod'
 import type { LoadUpdate } from '@lynxcourse/placement'
+import { writeSynced } from './logStorage.js'
 
 const fileName = 'placement.json'
 const keyedNumber = z.tuple([z.string(), z.number()])
@@ -31,14 +32,14 @@
 export async function writePlacement (folder: string, { plans, weights }: LoadUpdate): Promise<void> {
   const path = join(folder, fileName)
   const temporary = `${path}.new`
-  const file = await open(temporary, 'w')
   try {
-    await file.writeFile(JSON.stringify({ plans, weights }))
-    await file.sync()
-  } finally {
-    await file.close()
+    await writeSynced(temporary, Buffer.from(JSON.stringify({ plans, weights })))
+    await rename(temporary, path)
+  } catch (err) {
+    // On a full disk, the incomplete file would take space that the log needs.
+    await rm(temporary, { force: true }).catch(() => undefined)
+    throw err
   }
-  await rename(temporary, path)
 }
 
 /**
