Tests: two failure domains of a group that can't reach each other, and a leader that hands over

The leader stays, in its term, and commits while a third domain reaches both; nothing was missing there.

--- a/packages/agreement/__tests__/agreement.test.ts
+++ b/packages/agreement/__tests__/agreement.test.ts
@@ -102,10 +102,11 @@
   { weight: 1, arbitrary: fc.record({ do: fc.constant('double' as const), pick: fc.nat() }) },
   { weight: 1, arbitrary: fc.record({ do: fc.constant('crash' as const), pick: fc.nat() }) },
   { weight: 1, arbitrary: fc.record({ do: fc.constant('restart' as const), pick: fc.nat() }) },
-  { weight: 1, arbitrary: fc.record({ do: fc.constant('compact' as const), pick: fc.nat() }) }
+  { weight: 1, arbitrary: fc.record({ do: fc.constant('compact' as const), pick: fc.nat() }) },
+  { weight: 1, arbitrary: fc.record({ do: fc.constant('handOver' as const), pick: fc.nat() }) }
 )
 
-type Action = { do: 'deliver' | 'tick' | 'propose' | 'drop' | 'double' | 'crash' | 'restart' | 'compact', pick: number }
+type Action = { do: 'deliver' | 'tick' | 'propose' | 'drop' | 'double' | 'crash' | 'restart' | 'compact' | 'handOver', pick: number }
 
 function applyAction (group: Group, { do: kind, pick }: Action): void {
   const copy = group.copies[pick % group.copies.length] as Copy
@@ -118,6 +119,7 @@
     case 'restart': if (copy.replica === undefined) start(group, copy); break
     case 'propose': step(group, copy, { type: 'propose', commands: [{ n: group.commands++ }] }); break
     case 'compact': if (copy.replica !== undefined) step(group, copy, { type: 'compact', index: copy.replica.commit, data: 'x' }); break
+    case 'handOver': step(group, copy, { type: 'handOver' }); break
     case 'tick':
       group.now += tickMs
       step(group, copy, { type: 'tick' })
@@ -141,19 +143,63 @@
   })
 }
 
-/** Runs the given number of ticks while the network drops all messages from and to one copy. */
-function runWithIsolatedCopy (group: Group, copy: Copy, rounds: number): void {
+/** Runs the given number of ticks while the network drops some messages. */
+function runWithDrops (group: Group, isDropped: (envelope: Envelope) => boolean, rounds: number): void {
   for (let round = 0; round < rounds; round++) {
     group.now += tickMs
     for (const other of group.copies) step(group, other, { type: 'tick' })
     for (let left = 500; group.inFlight.length > 0 && left > 0; left--) {
       const [first] = group.inFlight
-      if (first?.from === copy.id || first?.to === copy.id) group.inFlight.shift()
+      if (first !== undefined && isDropped(first)) group.inFlight.shift()
       else deliver(group, 0)
     }
   }
 }
 
+/** Runs the given number of ticks while the network drops all messages from and to one copy. */
+function runWithIsolatedCopy (group: Group, { id }: Copy, rounds: number): void {
+  runWithDrops(group, ({ from, to }) => from === id || to === id, rounds)
+}
+
+test('while two failure domains of a group can\'t reach each other, its leader stays and commits', () => {
+  // Guards against this failure: copies that can't reach the leader force one election after the other.
+  for (const leaderDomain of [0, 1, 2]) {
+    const group = buildGroup(5)
+    runRounds(group, 30)
+    const leader = findLeader(group)
+    const others = group.copies.filter(copy => copy !== leader)
+    // Domain 2 has one copy and reaches the other two, which have two copies each.
+    const order = leaderDomain === 2 ? [...others, leader] : leaderDomain === 0 ? [leader, ...others] : [...others.slice(0, 2), leader, ...others.slice(2)]
+    const domains = new Map(order.map(({ id }, index) => [id, Math.floor(index / 2)]))
+    const { term } = leader.replica as Replica
+    const isCut = ({ from, to }: Envelope): boolean => Math.abs((domains.get(from) ?? 0) - (domains.get(to) ?? 0)) === 1 && domains.get(from) !== 2 && domains.get(to) !== 2
+    for (let round = 0; round < 100; round++) {
+      step(group, leader, { type: 'propose', commands: [{ n: group.commands++ }] })
+      runWithDrops(group, isCut, 4)
+    }
+    assert.deepEqual([findLeader(group).id, (leader.replica as Replica).term], [leader.id, term])
+    assert.ok(group.committed.size > 100, 'the leader commits meanwhile')
+    runRounds(group, 60)
+    assert.ok(group.copies.every(({ replica }) => replica?.term === term && replica.commit === (leader.replica as Replica).commit))
+  }
+})
+
+test('a leader that hands over is followed by another within a few messages, and loses no committed entry', () => {
+  // Guards against this failure: a leader whose disk fails leaves the group without one for an election timeout.
+  const group = buildGroup(5)
+  runRounds(group, 30)
+  const old = findLeader(group)
+  const [behind] = group.copies.filter(copy => copy !== old)
+  step(group, old, { type: 'propose', commands: [1] })
+  runWithIsolatedCopy(group, behind as Copy, 4)
+  const committed = (old.replica as Replica).commit
+  step(group, old, { type: 'handOver' })
+  old.replica = undefined
+  runRounds(group, 2)
+  const next = findLeader(group)
+  assert.ok(next !== old && next !== behind && (next.replica as Replica).commit > committed)
+})
+
 test('a partitioned leader steps down and returns without disrupting the new leader', () => {
   // Guards against this failure: two VMs act as leader, or a returning VM forces a working leader to step down.
   const group = buildGroup(3)
