Let a recent answer outweigh reports that a server answers no VM

While two failure domains can't reach each other, the VMs of each report the other's servers as failed. The leader listed them as silent for all VMs as soon as such a report arrived between two reports of the VMs that reach them, and then no VM got answers that would have ended the exclusion. An answer now counts for 600 ms, longer than an exchange.

--- a/packages/placement/src/core/board/silentServers.ts
+++ b/packages/placement/src/core/board/silentServers.ts
@@ -15,8 +15,8 @@
 export interface SilentServers {
   /** Number of entry VMs that a server failed since its last answer to any VM. */
   readonly failed: Map<ServerId, ServerFailures>
-  /** Servers that answered some VM with their load. For other servers, an answer would not show here. */
-  readonly answered: Set<ServerId>
+  /** When some VM last reported an answer with the load of a server. For other servers, an answer would not show here. */
+  readonly answered: Map<ServerId, Millis>
 }
 
 /** A single VM's failure may be caused by its own link. */
@@ -27,8 +27,15 @@
  */
 const exclusionMs: Millis = 3000
 
+/**
+ * Time in which a reported answer outweighs failures: longer than an exchange, in which each control VM reports what its
+ * VMs observed. Otherwise, when two failure domains can't reach each other, the failures that each of them reports about the
+ * other's servers would exclude these servers for all VMs between two reports of those that reach them.
+ */
+const answerTtlMs: Millis = 600
+
 export function createSilentServers (): SilentServers {
-  return { failed: new Map(), answered: new Set() }
+  return { failed: new Map(), answered: new Map() }
 }
 
 /** Applies a control VM's digest. An answer in it outweighs a failure, since their order is not known. */
@@ -39,18 +46,18 @@
     silent.failed.set(id, { vms: previous + vms, at: now })
   }
   for (const [id] of digest.servers) {
-    silent.answered.add(id)
+    silent.answered.set(id, now)
     silent.failed.delete(id)
   }
 }
 
 /** Returns the servers to exclude now, and forgets servers that are not known any more. */
 export function listSilentServers (silent: SilentServers, isKnown: (id: ServerId) => boolean, now: Millis): ServerId[] {
-  for (const id of silent.answered) if (!isKnown(id)) silent.answered.delete(id)
+  for (const id of silent.answered.keys()) if (!isKnown(id)) silent.answered.delete(id)
   const excluded: ServerId[] = []
   for (const [id, { vms, at }] of silent.failed) {
     if (!isKnown(id) || now - at > exclusionMs) silent.failed.delete(id)
-    else if (vms >= minFailedVms && silent.answered.has(id)) excluded.push(id)
+    else if (vms >= minFailedVms && now - (silent.answered.get(id) ?? Infinity) >= answerTtlMs) excluded.push(id)
   }
   return excluded
 }
