--- a/packages/daemon/__tests__/rollouts.test.ts
+++ b/packages/daemon/__tests__/rollouts.test.ts
@@ -19,7 +19,7 @@
 }
 
 async function startConfigured (): Promise<FleetFixture> {
-  const fixture = await startFleetFixture(0, bounds)
+  const fixture = await startFleetFixture(0, { fields: bounds })
   await submitCommand(fixture, createReplaceRoutesCommand('one', 0, 1, [createRouteToDesk('read')]))
   return fixture
 }
--- a/packages/daemon/__tests__/support/fleetFixture.ts
+++ b/packages/daemon/__tests__/support/fleetFixture.ts
@@ -30,9 +30,13 @@
   readonly daemons: Array<FleetDaemon | undefined>
 }
 
-/** Starts three control VMs, which form the initial group, and then the entry VMs; `fields` replace settings of all VMs. */
-export async function startFleetFixture (entryCount: number, fields: Partial<FleetSettings> = {}): Promise<FleetFixture> {
-  const controlCount = 3
+interface FixtureOptions {
+  readonly fields?: Partial<FleetSettings>
+  readonly controlCount?: number
+}
+
+/** Starts the control VMs, which form the initial group, and then the entry VMs; `fields` replace settings of all VMs. */
+export async function startFleetFixture (entryCount: number, { fields = {}, controlCount = 3 }: FixtureOptions = {}): Promise<FleetFixture> {
   const ports = await findFreePorts((controlCount + entryCount) * 3)
   const folder = await mkdtemp(join(tmpdir(), 'lynx-fleet-'))
   const getAddress = (portIndex: number): string => `127.0.0.1:${ports[portIndex]}`
--- a/packages/placement/src/core/rollout/activeRollouts.ts
+++ b/packages/placement/src/core/rollout/activeRollouts.ts
@@ -1,7 +1,7 @@
 /** The rollouts of software versions as one entry VM applies them: the servers of each version, and what the VM sent and observed. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
 import { createEvidence, createExposure, createRolloutReport, mayExpose } from '@lynxcourse/rollouts'
-import type { Evidence, Exposure, RolloutBounds, RolloutReport } from '@lynxcourse/rollouts'
+import type { Exposure, RolloutBounds, RolloutReport, VmEvidence } from '@lynxcourse/rollouts'
 import type { RolloutItem } from '@lynxcourse/state'
 import type { FleetServer } from '../server/fleetServer.js'
 
@@ -18,7 +18,7 @@
   /** Servers of the baseline version, and those that have left the directory with requests of this VM in flight. */
   tracked: readonly FleetServer[]
   readonly exposure: Exposure
-  readonly evidence: Evidence
+  readonly evidence: VmEvidence
   /** Whether this VM's own counts have shown that the target version is bad. */
   isBad: boolean
   stopReason: StopReason | undefined
--- a/packages/rollouts/__tests__/evidence.test.ts
+++ b/packages/rollouts/__tests__/evidence.test.ts
@@ -5,12 +5,12 @@
 import { brandId } from '@lynxcourse/base'
 import type { ServerId, ServiceId } from '@lynxcourse/base'
 import { createEvidence, createRolloutReport, hasOwnBadVerdict, isTargetObject, recordEvidence } from '@lynxcourse/rollouts'
-import type { AnswerKind, Evidence } from '@lynxcourse/rollouts'
+import type { AnswerKind, VmEvidence } from '@lynxcourse/rollouts'
 import type { RolloutItem, SoftwareVersion } from '@lynxcourse/state'
 
 const item: RolloutItem = { kind: 'rollout', key: brandId<ServiceId>('desk'), baseline: 'v1' as SoftwareVersion, target: 'v2' as SoftwareVersion, orderedAt: 0, durationMs: 12_000, state: 'observing', percent: 8, order: 5, step: 3, reason: '' }
 
-function observe (evidence: Evidence, server: string, kinds: readonly AnswerKind[], route = 'read'): void {
+function observe (evidence: VmEvidence, server: string, kinds: readonly AnswerKind[], route = 'read'): void {
   for (const kind of kinds) recordEvidence(evidence, route, 'target', brandId<ServerId>(server), kind)
 }
 
--- a/packages/rollouts/src/core/evidence.ts
+++ b/packages/rollouts/src/core/evidence.ts
@@ -12,7 +12,7 @@
 type MutableCounts = { -readonly [Name in keyof AnswerCounts]: AnswerCounts[Name] }
 
 /** Counts of one VM since it learned of the rollout. */
-export interface Evidence {
+export interface VmEvidence {
   readonly routes: Map<string, Record<RolloutSide, MutableCounts>>
   /** Answers of servers of the target version, and the bad ones among them. */
   readonly servers: Map<ServerId, { answers: number, bad: number }>
@@ -22,12 +22,12 @@
 const maxRoutes = 64
 const maxServers = 256
 
-export function createEvidence (): Evidence {
+export function createEvidence (): VmEvidence {
   return { routes: new Map(), servers: new Map() }
 }
 
 /** Records what a send showed. */
-export function recordEvidence ({ routes, servers }: Evidence, route: string, side: RolloutSide, server: ServerId, kind: AnswerKind): void {
+export function recordEvidence ({ routes, servers }: VmEvidence, route: string, side: RolloutSide, server: ServerId, kind: AnswerKind): void {
   const counts = getOrAdd(routes, route, maxRoutes, () => ({ baseline: createCounts(), target: createCounts() }))?.[side]
   if (counts !== undefined) {
     counts.answers += 1
@@ -54,7 +54,7 @@
 }
 
 /** Creates the report of a rollout. */
-export function createRolloutReport ({ key, order, step }: RolloutItem, { routes, servers }: Evidence, inFlightAtBaseline: number): RolloutReport {
+export function createRolloutReport ({ key, order, step }: RolloutItem, { routes, servers }: VmEvidence, inFlightAtBaseline: number): RolloutReport {
   return {
     service: key,
     order,
--- a/packages/rollouts/src/core/ownVerdict.ts
+++ b/packages/rollouts/src/core/ownVerdict.ts
@@ -3,7 +3,7 @@
  * requests even if the leader's verdict takes long; the leader judges the version by the counts of all VMs.
  */
 import type { AnswerCounts } from '../types/evidence.js'
-import type { Evidence } from './evidence.js'
+import type { VmEvidence } from './evidence.js'
 
 /** Bad answers beyond the baseline's rate that a good version may have. */
 const toleratedExcess = 0.03
@@ -19,7 +19,7 @@
 const minAnswersOfServer = 4
 
 /** Returns whether this VM's counts alone show that the version is bad, on one route or over all routes. */
-export function hasOwnBadVerdict ({ routes, servers }: Evidence): boolean {
+export function hasOwnBadVerdict ({ routes, servers }: VmEvidence): boolean {
   const bad = [...servers.values()].filter(server => server.bad >= minBadOfServer).length
   const others = [...servers.values()].filter(server => server.bad < minBadOfServer && server.answers >= minAnswersOfServer).length
   // A single bad server among several is ejected like any bad server, and says nothing about its version.
