--- a/packages/rollouts/__tests__/support/simulation.ts
+++ b/packages/rollouts/__tests__/support/simulation.ts
@@ -34,6 +34,10 @@
   /** Period in which no leader acts and no report arrives. */
   readonly cut?: readonly [Millis, Millis]
   readonly targetServers?: number
+  /** Servers of the baseline, entry VMs and requests per second; default 45, 24 and 400. */
+  readonly baselineServers?: number
+  readonly entryVms?: number
+  readonly requestsPerSecond?: number
 }
 
 export interface Result {
@@ -47,10 +51,7 @@
   readonly lateSends: number
 }
 
-const entryVms = 24
-const baselineServers = 45
 const slots = 9
-const requestsPerSecond = 400
 const periodMs = 36_000
 const stepMs = 50
 const tickMs = 200
@@ -110,7 +111,7 @@
 
 /** Runs one rollout until it ends. */
 export function simulateRollout (scenario: Scenario, judge: RolloutJudge, seed: number): Result {
-  const { trouble, targetStartMs = 500, durationMs = 12_000, leaderLostAt = [], cut = [Infinity, Infinity], targetServers = baselineServers } = scenario
+  const { trouble, targetStartMs = 500, durationMs = 12_000, leaderLostAt = [], cut = [Infinity, Infinity], baselineServers = 45, targetServers = baselineServers, entryVms = 24, requestsPerSecond = 400 } = scenario
   const random = createRandom(seed)
   const phase = random() * 2 * Math.PI
   const vms = Array.from({ length: entryVms }, createVmCounts)
