--- a/packages/daemon/__tests__/rollouts.test.ts
+++ b/packages/daemon/__tests__/rollouts.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { brandId } from '@lynxcourse/base'
-import { callPeer, getCurrentTime, handleAnnouncement, readRollouts, submitFleetCommand } from '@lynxcourse/daemon'
+import { callPeer, getCurrentTime, handleAnnouncement, isRetryableElsewhere, readRollouts, submitFleetCommand } from '@lynxcourse/daemon'
 import type { FleetControl, WatchRequest } from '@lynxcourse/daemon'
 import type { RolloutReport } from '@lynxcourse/rollouts'
 import { findItem, getVersionInForce, isRunningRollout } from '@lynxcourse/state'
@@ -100,6 +100,19 @@
   assert.deepEqual(await readRollout(fixture), before)
 })
 
+/** Guards against an order that is acknowledged, or a state that is read, while most disks don't have it. */
+test('without a quorum, orders and reads fail with an error that sends the operator to another control VM', async () => {
+  await using fixture = await startConfigured()
+  await findLeader(fixture)
+  for (const index of [0, 1]) {
+    await fixture.daemons[index]?.[Symbol.asyncDispose]()
+    fixture.daemons[index] = undefined
+  }
+  const control = getControl(fixture, 2)
+  await assert.rejects(submitFleetCommand(control, createOrder()), isRetryableElsewhere)
+  await assert.rejects(readRollouts(control), isRetryableElsewhere)
+})
+
 async function announceAll (fixture: FleetFixture, servers: readonly TestServer[]): Promise<void> {
   for (const { facts } of servers) await waitUntil(async () => await handleAnnouncement(getControl(fixture, 0), facts, getCurrentTime()).then(() => true, () => false))
 }
