--- a/packages/daemon/__tests__/invalidCommands.test.ts
+++ b/packages/daemon/__tests__/invalidCommands.test.ts
@@ -16,7 +16,11 @@
   [{ ...validCommand, set: { routes: [{}], upstreams: [], limits: {} } }, 'set.routes.0.name'],
   [{ ...validCommand, type: 'updateRoutes' }, 'putRoutes'],
   [{ type: 'reportServerEnds', ends: [] }, 'answered'],
-  [{ type: 'releaseRequest' }, 'request']
+  [{ type: 'releaseRequest' }, 'request'],
+  [{ type: 'startRollout', service: 'desk', target: '', durationMs: 1000 }, 'target'],
+  [{ type: 'startRollout', service: 'desk', target: 'v2', durationMs: 0 }, 'durationMs'],
+  [{ type: 'advanceRollout', service: 'desk', order: 1, step: 1, event: 'finish', percent: 8, reason: '' }, 'event'],
+  [{ type: 'abortRollout' }, 'service']
 ] as const
 
 /** Guards against a command that stops the replica of each control VM that applies it, again after each restart. */
