--- a/packages/rollouts/__tests__/judgement.test.ts
+++ b/packages/rollouts/__tests__/judgement.test.ts
@@ -73,6 +73,13 @@
   }), { seed, numRuns: 200 })
 })
 
+/** Guards against a good version that is rolled back since a route with hardly any requests sent it none. */
+test('a route with hardly any requests needs no answers of the target version', () => {
+  const servers = [[20, 0], [20, 0]] as const
+  assert.equal(judgeCounts({ lookup: { baseline: count(2000), target: count(40) }, rare: { baseline: count(1), target: count(0) } }, servers), 'good')
+  assert.equal(judgeCounts({ lookup: { baseline: count(2000), target: count(40) }, used: { baseline: count(200), target: count(0) } }, servers), 'open')
+})
+
 /** Guards against a defect that the other routes hide. */
 test('a defect on one route makes the version bad', () => {
   const routes = { lookup: { baseline: count(2000), target: count(180) }, export: { baseline: count(200), target: count(18, 9) } }
