--- a/packages/daemon/src/core/control/permitIssuing.ts
+++ b/packages/daemon/src/core/control/permitIssuing.ts
@@ -3,8 +3,9 @@
 import type { Millis, TeamName, VmId } from '@lynxcourse/base'
 import type { Member } from '@lynxcourse/agreement'
 import { createPermitIssuer, dropBucket, issuePermits, planRate, pruneBuckets } from '@lynxcourse/limits'
-import type { PermitIssuer, RateBound } from '@lynxcourse/limits'
+import type { PermitIssuer, RateBound, RateLimit, RatePlan } from '@lynxcourse/limits'
 import { findItem } from '@lynxcourse/state'
+import type { Config } from '@lynxcourse/state'
 import type { ControlHost } from './hostState.js'
 
 /** Permits of one team. */
@@ -30,6 +31,22 @@
   readonly wanted: number
 }
 
+/** What issuing needs of a control host. */
+export interface IssuingHost {
+  readonly env: { readonly vm: VmId }
+  readonly machine: { readonly config: Config }
+}
+
+/** How a team's limit is divided, and what this was computed from. */
+interface TeamDivision {
+  readonly limit: RateLimit
+  readonly bound: RateBound
+  readonly vms: readonly VmId[]
+  readonly plan: RatePlan
+  /** The VMs that issue the team's permits. */
+  readonly issuers: readonly VmId[]
+}
+
 /** The permits that a control VM issues. */
 export interface ControlIssuer {
   readonly issuer: PermitIssuer
@@ -37,6 +54,8 @@
   members: readonly Member[] | undefined
   /** Names of the VMs of these members. */
   vms: readonly VmId[]
+  /** By team; computed once for each change of its limit, of the bound and of the members. */
+  readonly divisions: Map<TeamName, TeamDivision>
 }
 
 /**
@@ -50,7 +69,7 @@
 const unknownTeamRetryMs: Millis = 500
 
 export function createControlIssuer (now: Millis): ControlIssuer {
-  return { issuer: createPermitIssuer(now), members: undefined, vms: [] }
+  return { issuer: createPermitIssuer(now), members: undefined, vms: [], divisions: new Map() }
 }
 
 /** Follows the members of the cluster. Called after each progress of the log. */
@@ -71,19 +90,19 @@
  * @param stateAgeMs time since this VM's state was last known to be the current one
  * @throws LynxError `notLeader` if this VM may not issue permits now; another one may
  */
-export function issueTeamPermits (control: ControlIssuer, host: ControlHost, bound: RateBound, requests: readonly PermitRequest[], stateAgeMs: Millis, now: Millis): PermitReply {
+export function issueTeamPermits (control: ControlIssuer, host: IssuingHost, bound: RateBound, requests: readonly PermitRequest[], stateAgeMs: Millis, now: Millis): PermitReply {
   if (stateAgeMs > maxStateAgeMs || !control.vms.includes(host.env.vm)) throw new LynxError('notLeader', 'this VM issues no permits now', { step: 'take permits' })
   return { members: control.vms.length, teams: requests.map(request => issueForTeam(control, host, bound, request, now)) }
 }
 
-function issueForTeam ({ issuer, vms }: ControlIssuer, { env, machine }: ControlHost, bound: RateBound, { team, wanted }: PermitRequest, now: Millis): TeamGrant {
+function issueForTeam (control: ControlIssuer, { env, machine }: IssuingHost, bound: RateBound, { team, wanted }: PermitRequest, now: Millis): TeamGrant {
+  const { issuer, vms } = control
   const limit = findItem(machine.config, 'team', team)?.team
   // This VM does not know the team yet, or not any more.
   if (limit === undefined) return { team, granted: 0, retryAfterMs: unknownTeamRetryMs, issuers: vms }
   // The limit was lifted after the entry VM asked.
   if (limit.ratePerSecond === 0) return { team, granted: wanted, retryAfterMs: 0 }
-  const plan = planRate(limit, bound, vms.length)
-  const issuers = plan.issuers >= vms.length ? vms : rankByHash(team, vms).slice(0, plan.issuers)
+  const { plan, issuers } = getDivision(control, team, limit, bound)
   if (issuers.includes(env.vm)) {
     const grant = issuePermits(issuer, team, plan, wanted, now)
     return grant.granted === wanted ? { team, ...grant } : { team, ...grant, issuers }
@@ -92,7 +111,19 @@
   return { team, granted: 0, retryAfterMs: 0, issuers }
 }
 
+function getDivision ({ divisions, vms }: ControlIssuer, team: TeamName, limit: RateLimit, bound: RateBound): TeamDivision {
+  const known = divisions.get(team)
+  if (known?.limit === limit && known.bound === bound && known.vms === vms) return known
+  const plan = planRate(limit, bound, vms.length)
+  const issuers = plan.issuers >= vms.length ? vms : rankByHash(team, vms).slice(0, plan.issuers)
+  const created = { limit, bound, vms, plan, issuers }
+  divisions.set(team, created)
+  return created
+}
+
 /** Forgets the buckets of teams that were removed. */
-export function pruneTeamBuckets ({ issuer }: ControlIssuer, { machine }: ControlHost, now: Millis): void {
-  pruneBuckets(issuer, team => findItem(machine.config, 'team', team)?.team !== undefined, now)
+export function pruneTeamBuckets ({ issuer, divisions }: ControlIssuer, { machine }: IssuingHost, now: Millis): void {
+  const isKnown = (team: TeamName): boolean => findItem(machine.config, 'team', team)?.team !== undefined
+  pruneBuckets(issuer, isKnown, now)
+  for (const team of divisions.keys()) if (!isKnown(team)) divisions.delete(team)
 }
--- a/packages/daemon/src/core/gateway/permitReserves.ts
+++ b/packages/daemon/src/core/gateway/permitReserves.ts
@@ -4,7 +4,8 @@
 import { computeMissingPermits, computeReserveShare, countUsedReserve, getRetryTime, isAsked, mayIssue, planRate, setMaxReserved } from '@lynxcourse/limits'
 import type { RateBound, RateLimit } from '@lynxcourse/limits'
 import type { PermitRequest } from '../control/permitIssuing.js'
-import type { TeamPermits, TeamQueue } from './teamPermits.js'
+import type { TeamQueue } from './permitQueue.js'
+import type { TeamPermits } from './teamPermits.js'
 
 /** What the reserves of this VM depend on, beside the number of issuers. */
 export interface ReserveInputs {
--- a/packages/daemon/src/core/gateway/teamPermits.ts
+++ b/packages/daemon/src/core/gateway/teamPermits.ts
@@ -9,10 +9,10 @@
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis, Random, TeamName } from '@lynxcourse/base'
 import {
-  addPermits, askTimeoutMs, beginQuestion, computeMissingPermits, createTeamIssuers, endQuestion, estimateRefillTime, failQuestion, isAsked, isHealthy, isLate, isOverRate, isRunningLow, permitTtlMs,
+  addPermits, askTimeoutMs, beginQuestion, computeMissingPermits, endQuestion, failQuestion, isAsked, isHealthy, isLate, isOverRate, isRunningLow, permitTtlMs,
   prunePermits, recordIssuerAnswer, recordIssuerFailure, recordPermitDemand, selectIssuer, takePermit
 } from '@lynxcourse/limits'
-import type { IssuerHealth, Permit, PermitStore, TeamIssuers } from '@lynxcourse/limits'
+import type { IssuerHealth, PermitStore } from '@lynxcourse/limits'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import type { Logs } from '../../utils/logging.js'
@@ -20,33 +20,10 @@
 import type { PermitChannel } from './permitChannel.js'
 import { divideReserves, listReserveRequests, mayRefill } from './permitReserves.js'
 import type { DividedReserves, ReserveInputs } from './permitReserves.js'
+import { createRefusal, forgetQuestion, getQueue, refuseExpired, serveWaiting, settleAll } from './permitQueue.js'
+import type { PermitResult, TeamQueue } from './permitQueue.js'
 
-/** Why a request gets no permit: its team is over its rate, or issuers that may have some can't be reached. */
-export interface PermitRefusal {
-  readonly type: 'refuse'
-  readonly reason: 'overRate' | 'noPermits'
-  readonly retryAfterMs: Millis
-}
-
-export type PermitResult = { readonly type: 'permit', readonly permit: Permit } | PermitRefusal
-
-interface Waiter {
-  readonly settle: (result: PermitResult) => void
-  /** Time until which the request may wait. */
-  readonly until: Millis
-}
-
-/** One team's requests that wait for permits. */
-export interface TeamQueue {
-  readonly issuers: TeamIssuers
-  waiting: Waiter[]
-  /** Issuers that had no permit left since the first of these requests began to wait. */
-  empty: Set<string>
-  /** Whether no issuer was asked for these requests yet. */
-  isFresh: boolean
-  /** Issuer that these requests were last asked for at; undefined if it answered. */
-  askedFrom: string | undefined
-}
+export type { PermitRefusal, PermitResult } from './permitQueue.js'
 
 /** The permits of one entry VM. */
 export interface TeamPermits {
@@ -82,11 +59,6 @@
 const batchDelayMs: Millis = 50
 /** Time in which used reserves are collected for one question. */
 const refillDelayMs: Millis = 400
-/** Bounds of the retry times, and the fraction by which they vary, so that callers don't return together. */
-const minRetryMs: Millis = 100
-const maxRetryMs: Millis = 5000
-const minNoPermitsRetryMs: Millis = 500
-const retrySpread = 1
 
 export function createTeamPermits (channel: PermitChannel, logs: Logs, random: Random = Math.random): TeamPermits {
   return {
@@ -161,14 +133,6 @@
   for (const [team, { waiting }] of queues) if (!isLimited(team) && waiting.length === 0) queues.delete(team)
 }
 
-function getQueue ({ queues }: TeamPermits, team: TeamName): TeamQueue {
-  const known = queues.get(team)
-  if (known !== undefined) return known
-  const created: TeamQueue = { issuers: createTeamIssuers(), waiting: [], empty: new Set(), isFresh: true, askedFrom: undefined }
-  queues.set(team, created)
-  return created
-}
-
 /** Asks for the teams whose requests began to wait, after a time in which more of them come. */
 function scheduleBatch (permits: TeamPermits): void {
   if (permits.isBatchDue) return
@@ -200,11 +164,13 @@
  */
 function askForWaiting (permits: TeamPermits, now: Millis, low?: TeamName): void {
   const { store, queues, waiting } = permits
+  if (waiting.size === 0 && low === undefined) return
+  const nearest = permits.channel.listIssuers()
   const questions = new Map<string, PermitRequest[]>()
   for (const team of low === undefined || waiting.has(low) ? waiting : [...waiting, low]) {
     const queue = queues.get(team) as TeamQueue
     if (queue.isFresh && permits.isBatchDue && team !== low) continue
-    const address = chooseIssuer(permits, team, queue, now)
+    const address = chooseIssuer(permits, team, queue, nearest, now)
     if (address === undefined) continue
     queue.isFresh = false
     queue.askedFrom = address
@@ -215,11 +181,10 @@
 }
 
 /** Chooses the issuer to ask for a team now; undefined if its requests wait for an answer or for another time. */
-function chooseIssuer (permits: TeamPermits, team: TeamName, queue: TeamQueue, now: Millis): string | undefined {
-  const { health, channel } = permits
+function chooseIssuer (permits: TeamPermits, team: TeamName, queue: TeamQueue, nearest: readonly string[], now: Millis): string | undefined {
+  const { health } = permits
   const { issuers, empty, askedFrom } = queue
   if (askedFrom !== undefined && !isLate(health, askedFrom, now)) return undefined
-  const nearest = channel.listIssuers()
   let address = selectIssuer(issuers, health, nearest, empty, now)
   if (address === undefined) {
     if (isOverRate(issuers, empty, now)) {
@@ -252,10 +217,6 @@
   }).catch((err: unknown) => { log(logs, 'limit', 'error', 'Asking for permits failed.', { error: getErrorMessage(err) }) })
 }
 
-function forgetQuestion (queue: TeamQueue | undefined, address: string): void {
-  if (queue?.askedFrom === address) queue.askedFrom = undefined
-}
-
 function applyGrant (permits: TeamPermits, address: string, { team, granted, retryAfterMs, issuers }: TeamGrant, askedAt: Millis): void {
   const { store } = permits
   const queue = getQueue(permits, team)
@@ -268,33 +229,3 @@
   if (queue.waiting.length > 0 && granted === 0) queue.empty.add(address)
   else queue.empty.delete(address)
 }
-
-function serveWaiting (permits: TeamPermits, team: TeamName, queue: TeamQueue, now: Millis): void {
-  while (queue.waiting.length > 0) {
-    const permit = takePermit(permits.store, team, now)
-    if (permit === undefined) return
-    queue.waiting.shift()?.settle({ type: 'permit', permit })
-  }
-  permits.waiting.delete(team)
-}
-
-function refuseExpired (permits: TeamPermits, team: TeamName, now: Millis): void {
-  const queue = permits.queues.get(team) as TeamQueue
-  const expired = queue.waiting.filter(({ until }) => now >= until)
-  if (expired.length === 0) return
-  queue.waiting = queue.waiting.filter(({ until }) => now < until)
-  if (queue.waiting.length === 0) permits.waiting.delete(team)
-  for (const { settle } of expired) settle(createRefusal(permits, queue, now))
-}
-
-function settleAll ({ waiting }: TeamPermits, team: TeamName, queue: TeamQueue, result: PermitResult): void {
-  waiting.delete(team)
-  for (const { settle } of queue.waiting.splice(0)) settle(result)
-}
-
-function createRefusal ({ health, channel, random }: TeamPermits, { issuers, empty }: TeamQueue, now: Millis): PermitRefusal {
-  const reason = isOverRate(issuers, empty, now) ? 'overRate' : 'noPermits'
-  const least = reason === 'overRate' ? minRetryMs : minNoPermitsRetryMs
-  const refillMs = estimateRefillTime(issuers, health, channel.listIssuers(), now)
-  return { type: 'refuse', reason, retryAfterMs: Math.min(maxRetryMs, Math.max(least, refillMs) * (1 + retrySpread * random())) }
-}
