--- a/packages/replay/src/core/score.ts
+++ b/packages/replay/src/core/score.ts
@@ -17,8 +17,16 @@
   readonly tookMs: Millis
   readonly attainable: number
   readonly earned: number
+  /** Why it earned less than `attainable`; undefined if it didn't. */
+  readonly cause: LossCause | undefined
 }
 
+/**
+ * Why a request lost benefit. `timeout` and `late` tell whether the object was cold at the last server; `lost` is a request whose
+ * VM or server stopped, and `late after refusal` one that was served at its second attempt.
+ */
+export type LossCause = 'refused' | 'lost' | 'timeout cold' | 'timeout warm' | 'late cold' | 'late warm' | 'late after refusal'
+
 interface BenefitSums { attainable: number, earned: number }
 
 /** Counters that are updated while a replay runs. */
@@ -27,6 +35,7 @@
   readonly byRoute: Map<string, BenefitSums>
   readonly byRegion: Map<string, BenefitSums>
   readonly bySecond: Map<number, BenefitSums>
+  readonly lossByCause: Map<LossCause, number>
   readonly outcomes: Record<CompletedRequest['outcome'], number>
   readonly latencies: Histogram
   sends: number
@@ -45,6 +54,7 @@
     byRoute: new Map(),
     byRegion: new Map(),
     bySecond: new Map(),
+    lossByCause: new Map(),
     outcomes: { inTime: 0, late: 0, refused: 0, failed: 0 },
     latencies: build({ lowestDiscernibleValue: 1, highestTrackableValue: 600_000, numberOfSignificantValueDigits: 3 }),
     sends: 0,
@@ -60,6 +70,7 @@
 export function recordCompletedRequest (score: Score, request: CompletedRequest): void {
   score.outcomes[request.outcome] += 1
   score.latencies.recordValue(Math.max(1, Math.round(request.tookMs)))
+  if (request.cause !== undefined) score.lossByCause.set(request.cause, (score.lossByCause.get(request.cause) ?? 0) + request.attainable - request.earned)
   const second = Math.floor(request.startedAt / 1000)
   for (const sums of [score.total, getSums(score.byRoute, request.route), getSums(score.byRegion, request.region), getSums(score.bySecond, second)]) {
     sums.attainable += request.attainable
@@ -84,6 +95,14 @@
   readonly bySecond: readonly number[]
   /** Minimum of the benefit over two consecutive seconds. */
   readonly worstTwoSeconds: number
+  /** Minimum of the benefit over the regions of callers. */
+  readonly worstRegion: number
+  /** Requests that were answered in time or late, as a fraction of all. */
+  readonly served: number
+  /** Requests that were not answered, on a log scale: 0 if none was answered, 1 if at most one in a thousand was not. */
+  readonly nines: number
+  /** Benefit lost by cause, as a fraction of the attainable benefit. */
+  readonly lost: Readonly<Record<string, number>>
   readonly p50Ms: Millis
   readonly p99Ms: Millis
   readonly inTime: number
@@ -116,6 +135,10 @@
     byRegion: getBenefitRatios(score.byRegion),
     bySecond: seconds.map(getBenefitRatio),
     worstTwoSeconds: computeWorstTwoSeconds(seconds),
+    worstRegion: Math.min(1, ...Object.values(getBenefitRatios(score.byRegion))),
+    served: perRequest(outcomes.inTime + outcomes.late),
+    nines: computeNines(perRequest(outcomes.refused + outcomes.failed)),
+    lost: Object.fromEntries([...score.lossByCause].map(([cause, value]) => [cause, value / Math.max(1, score.total.attainable)])),
     p50Ms: latencies.getValueAtPercentile(50),
     p99Ms: latencies.getValueAtPercentile(99),
     inTime: perRequest(outcomes.inTime),
@@ -133,6 +156,13 @@
   }
 }
 
+/** Nines that count as perfect: one failure in a thousand. */
+const maxNines = 3
+
+function computeNines (unserved: number): number {
+  return Math.min(1, -Math.log10(Math.max(unserved, 10 ** -maxNines)) / maxNines)
+}
+
 function getBenefitRatio ({ attainable, earned }: BenefitSums): number {
   return attainable === 0 ? 1 : earned / attainable
 }
--- a/packages/replay/src/core/vmModel.ts
+++ b/packages/replay/src/core/vmModel.ts
@@ -23,9 +23,10 @@
 }
 
 export type VmAnswer =
-  | { readonly type: 'answered' }
+  | { readonly type: 'answered', readonly wasCold: boolean }
   | { readonly type: 'refused', readonly retryAfterMs: Millis }
-  | { readonly type: 'failed' }
+  /** `timeout`: a server may still work on the request; `lost`: its VM or server stopped. */
+  | { readonly type: 'failed', readonly reason: 'timeout' | 'lost', readonly wasCold: boolean }
 
 interface ActiveRequest {
   readonly vm: VmModel
@@ -33,8 +34,12 @@
   readonly entry: EntryState
   readonly arrival: IncomingRequest
   readonly run: RequestState
+  /** Whether the object was cold at the server of the last send. */
+  wasCold: boolean
 }
 
+const lostAnswer: VmAnswer = { type: 'failed', reason: 'lost', wasCold: false }
+
 const okStatus = 200
 const retryBudget = { ratio: 0.2, windowMs: 10_000, slack: 200 }
 const conditions: DecisionConditions = { retryBudget, isStopping: false }
@@ -43,15 +48,15 @@
 export function handleRequest (world: World, vm: VmModel, arrival: IncomingRequest): void {
   const { timeline, routes } = world
   const route = routes.get(arrival.route)
-  if (!vm.isUp || route?.service === undefined) return arrival.answer({ type: 'failed' })
+  if (!vm.isUp || route?.service === undefined) return arrival.answer(lostAnswer)
   const arrivedAt = timeline.now
   const { life, entry } = vm
   const { service } = route
   const { object, deadline } = arrival
   useProcessor(world, vm, () => {
-    if (vm.life !== life) return arrival.answer({ type: 'failed' })
+    if (vm.life !== life) return arrival.answer(lostAnswer)
     const run = startRequest(entry, { route, service, object: `${route.name}|${object}`, arrivedAt, deadline }, createCallerLiveness(), conditions, timeline.now)
-    performNextStep(world, { vm, life, entry, arrival, run })
+    performNextStep(world, { vm, life, entry, arrival, run, wasCold: false })
   })
 }
 
@@ -64,7 +69,7 @@
 
 function performNextStep (world: World, active: ActiveRequest): void {
   const { vm, life, entry, arrival, run } = active
-  if (vm.life !== life) return arrival.answer({ type: 'failed' })
+  if (vm.life !== life) return arrival.answer(lostAnswer)
   const step = decideNextStep(entry, run, conditions, world.timeline.now)
   switch (step.type) {
     case 'send': return send(world, active, step.placement)
@@ -78,10 +83,10 @@
         performNextStep(world, active)
       })
     case 'claimTrial': throw new LynxError('badRequest', 'the model has no requests that end servers', { step: 'replay' })
-    case 'answer': return useProcessor(world, vm, () => arrival.answer({ type: 'answered' }))
+    case 'answer': return useProcessor(world, vm, () => arrival.answer({ type: 'answered', wasCold: active.wasCold }))
     case 'refuse': return arrival.answer({ type: 'refused', retryAfterMs: step.refused.retryAfterMs })
-    case 'fail':
-    case 'gone': return arrival.answer({ type: 'failed' })
+    case 'fail': return arrival.answer({ type: 'failed', reason: step.reason === 'serverFailed' ? 'lost' : 'timeout', wasCold: active.wasCold })
+    case 'gone': return arrival.answer(lostAnswer)
   }
 }
 
@@ -122,7 +127,8 @@
   let cause: ColdCause | undefined
   scheduleAfter(timeline, connectMs + oneWayMs, () => {
     if (isFinished) return
-    if (backend.isUp && !backend.warm.has(job.object)) cause = classifyColdRequest(world, backend, job, placement)
+    active.wasCold = !backend.warm.has(job.object)
+    if (backend.isUp && active.wasCold) cause = classifyColdRequest(world, backend, job, placement)
     submitJob(timeline, backend, job, drawRejection(backend, random))
   })
   scheduleAfter(timeline, arrival.deadline - timeline.now, () => abandon('deadline'))
--- a/packages/replay/src/types/pattern.ts
+++ b/packages/replay/src/types/pattern.ts
@@ -94,6 +94,12 @@
     /** Idle timeout of connections to servers. */
     restMs: positive
   }),
+  callers: z.strictObject({
+    /** Fraction of refused requests that callers repeat at once, whatever Retry-After says. */
+    impatient: share.default(0),
+    /** Interval at which a caller that finds no running VM tries again, without using up its retry; undefined if the request fails. */
+    reconnectMs: positive.optional()
+  }).default({ impatient: 0 }),
   regions: z.record(z.string(), regionSchema),
   services: z.record(z.string(), serviceSchema),
   routes: z.record(z.string(), routeSchema),
--- a/scripts/replay/spread.ts
+++ b/scripts/replay/spread.ts
@@ -3,7 +3,7 @@
 
 type NumericFigure = { [Name in keyof Figures]: Figures[Name] extends number ? Name : never }[keyof Figures]
 
-const numericFigures: readonly NumericFigure[] = ['benefit', 'worstTwoSeconds', 'inTime', 'late', 'refused', 'failed', 'p50Ms', 'p99Ms', 'coldPart', 'farPart', 'openedPart', 'shedPart', 'limitUsedPart', 'limitWindowPart', 'pausedRequests']
+const numericFigures: readonly NumericFigure[] = ['benefit', 'worstTwoSeconds', 'worstRegion', 'served', 'nines', 'inTime', 'late', 'refused', 'failed', 'p50Ms', 'p99Ms', 'coldPart', 'farPart', 'openedPart', 'shedPart', 'limitUsedPart', 'limitWindowPart', 'pausedRequests']
 
 /** Mean, minimum and maximum of one figure over all seeds. */
 interface Spread {
@@ -16,7 +16,7 @@
 /** Builds a row for each figure. The figures by route, by region and by cause of cold work come last. */
 export function buildSpreadRows (runs: readonly Figures[]): Spread[] {
   const rows = numericFigures.map(name => computeSpread(name, runs.map(run => run[name])))
-  for (const group of ['byRoute', 'byRegion', 'cold'] as const) {
+  for (const group of ['byRoute', 'byRegion', 'lost', 'cold'] as const) {
     const names = new Set(runs.flatMap(run => Object.keys(run[group])))
     for (const name of names) rows.push(computeSpread(`${group} ${name}`, runs.map(run => run[group][name] ?? 0)))
   }
