Gateway: keep the tables of routes and teams while only servers change

Each change of a server made each entry VM build both tables again, discard the routes worked out for each team, and divide the limits of all teams again. The tables are now built when an item that they come from is another object than before.

--- a/packages/daemon/__tests__/teams.test.ts
+++ b/packages/daemon/__tests__/teams.test.ts
@@ -8,7 +8,7 @@
 import type { FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
 import type { Route, Team } from '@lynxcourse/state'
 import { createTeam, createTeamsUpdate } from '@lynxcourse/state/testing'
-import { createReplaceRoutesCommand, createRouteToDesk, hasServers, publishRoutes, sendRequest, startFleetFixture, startTestServer, startVm, submitCommand, waitUntil } from './support/fleetFixture.js'
+import { createReplaceRoutesCommand, createRouteToDesk, hasServers, keepAnnouncing, publishRoutes, sendRequest, startFleetFixture, startTestServer, startVm, submitCommand, waitUntil } from './support/fleetFixture.js'
 import type { FleetFixture, TestServer } from './support/fleetFixture.js'
 
 /** Time after its confirmation within which a change takes effect at every VM. */
@@ -183,3 +183,20 @@
   assert.ok((await submitCommand(fixture, createReplaceRoutesCommand('second', 2, 3, routes))).ok)
   await waitUntil(async () => await getStatus(fixture, '/read/1', {}) === 200)
 })
+
+/** Guards against this failure: while servers start or are replaced, each change of a server costs each VM new tables of all routes and teams. */
+test('a change of a server leaves the tables of routes and teams as they are; a change of a team replaces them', async () => {
+  await using fleet = await startFleet([createTeam('a', ['k1'])])
+  const { fixture, server } = fleet
+  const entry = getEntry(fixture)
+  const before = { ...entry.gateway }
+  await using second = await startTestServer('s2', (_req, res) => { res.end('ok') })
+  using announcing = keepAnnouncing(fixture, [server, second])
+  assert.ok(announcing !== undefined)
+  await waitUntil(() => hasServers(entry, 2))
+  assert.equal(entry.gateway?.routeTable, before.routeTable)
+  assert.equal(entry.gateway?.teams, before.teams)
+  assert.ok((await submitCommand(fixture, createTeamsUpdate(2, [createTeam('b', ['k2'])]))).ok)
+  await waitUntil(() => entry.gateway?.teams !== before.teams)
+  assert.equal(await getStatus(fixture, '/read/1', { authorization: 'Bearer k2' }), 200)
+})
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -5,7 +5,7 @@
 import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
 import type { RouteTable, SplitStates, TeamTable } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
-import type { CallerLimits } from '@lynxcourse/state'
+import type { CallerLimits, ConfigItem } from '@lynxcourse/state'
 import type { LoopMonitor } from '../../utils/loopMonitor.js'
 import { createCrashWatch } from '../crashes/crashWatch.js'
 import type { CrashWatch } from '../crashes/crashWatch.js'
@@ -31,6 +31,8 @@
   readonly loop: LoopMonitor
   routeTable: RouteTable
   teams: TeamTable
+  /** The items of the state that both tables were built from. */
+  tableItems: readonly ConfigItem[]
   limits: CallerLimits
   /** Number of requests in progress in this VM. */
   open: number
@@ -60,6 +62,7 @@
     loop,
     routeTable: buildRouteTable([]),
     teams: buildTeamTable([], false),
+    tableItems: [],
     limits: defaultCallerLimits,
     pipelines: new WeakMap(),
     open: 0,
--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -3,12 +3,12 @@
 import { getNotice, pruneNotices } from '@lynxcourse/limits'
 import { createFleetServer, forgetServer, groupServersByService, applyLimits, applyWeights } from '@lynxcourse/placement'
 import type { Fleet, FleetServer, ServerFacts } from '@lynxcourse/placement'
-import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
 import { listItems, findRouteSet } from '@lynxcourse/state'
 import type { BackendItem, Config, RouteSet } from '@lynxcourse/state'
 import { refreshRestrictions } from '../crashes/crashWatch.js'
 import type { FleetNode } from '../fleet/fleetNode.js'
 import type { Gateway } from './gateway.js'
+import { refreshTables } from './gatewayTables.js'
 import { logPublishedLimits } from './serverNotices.js'
 import { pruneTeamPermits } from './teamPermits.js'
 
@@ -19,8 +19,7 @@
 export function refreshGateway (gateway: Gateway, now: Millis): void {
   const { node, fleet } = gateway
   const routeSet = findRouteSet(node.config)
-  gateway.routeTable = buildRouteTable(routeSet?.routes ?? [])
-  gateway.teams = buildTeamTable(listItems(node.config, 'team'), routeSet?.teams !== undefined)
+  refreshTables(gateway, routeSet)
   pruneTeamPermits(gateway.permits, team => gateway.teams.limited.has(team))
   if (routeSet !== undefined) {
     gateway.limits = routeSet.limits
