--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -34,7 +34,7 @@
   /** Poll phases of the event loop that reads the sockets. */
   readonly polls: PollTracker
   /** Called when a connection is open, with the time at which it was requested. */
-  onConnect: ((address: string, requestedAt: Millis) => void) | undefined
+  onConnect: ((address: string, requestedAt: Millis, socket: Socket) => void) | undefined
   /** Connections by server address, in the order in which they were opened. */
   readonly byAddress: Map<string, Connection[]>
   /** Resets and missing answers on reused connections; they limit the idle time for requests that must not repeat. */
@@ -123,7 +123,7 @@
       callback(...opened)
     }
     if (err === null) {
-      pool.onConnect?.(getConnection().address, requestedAt)
+      pool.onConnect?.(getConnection().address, requestedAt, socket)
       // If data and a reset arrive together, libuv reports an ordinary end. The socket still shows the difference: it has
       // a remote address after a close, and none after a reset.
       socket.once('end', () => { if (socket.remoteAddress === undefined) getConnection().wasReset = true })
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -9,6 +9,7 @@
 import { createMetricsServer } from '../../utils/metricsServer.js'
 import { createResourceStack, moveResources, addResource } from '../../utils/resourceStack.js'
 import type { ResourceStack } from '../../utils/resourceStack.js'
+import { countTraffic } from '../../utils/trafficMeter.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
 import type { FleetSettings } from '../../types/fleetSettings.js'
 import { enqueueEvent } from '../control/controlHost.js'
@@ -34,6 +35,7 @@
 import { startPresenceExchange } from './presenceExchange.js'
 import { startStateWatch, publishPresence } from './stateWatch.js'
 import type { StateWatch } from './stateWatch.js'
+import { publishUsage, readUsageTotals, sampleUsage } from './vmUsage.js'
 
 /** The protocols that this VM uses with callers and with backend servers. */
 export interface Dialects {
@@ -53,6 +55,7 @@
 const tickIntervalMs: Millis = 30
 const sweepIntervalMs: Millis = 500
 const refillIntervalMs: Millis = 1000
+const usageIntervalMs: Millis = 1000
 const drainPollIntervalMs: Millis = 20
 /**
  * Time after the stop signal during which new connections are accepted, until lookups that named this VM have expired.
@@ -114,14 +117,24 @@
     logTargetUse(gateway)
     return reports
   }
-  gateway.pool.onConnect = (address, startedAt) => recordConnectTime(gateway, address, getCurrentTime() - startedAt)
+  gateway.pool.onConnect = (address, startedAt, socket) => {
+    recordConnectTime(gateway, address, getCurrentTime() - startedAt)
+    if (node.cfg.capacity !== undefined) countTraffic(node.usage.traffic, socket)
+  }
+  server.on('connection', socket => { if (node.cfg.capacity !== undefined) countTraffic(node.usage.traffic, socket) })
   addResource(stack, repeat(sweepIntervalMs, () => closeStaleConnections(gateway.pool, getCurrentTime()), () => undefined))
+  addResource(stack, repeat(usageIntervalMs, () => updateUsage(node, getCurrentTime()), () => undefined))
   addResource(stack, repeat(refillIntervalMs, () => refillPermits(gateway, getCurrentTime()), () => undefined))
   ownServer(stack, server)
   await listen(server, node.cfg.callers ?? '')
   return server
 }
 
+/** Measures the use of the processor and the link, if the settings name their capacity. */
+function updateUsage ({ cfg: { capacity }, usage }: FleetNode, now: Millis): void {
+  if (capacity !== undefined) sampleUsage(usage, capacity, readUsageTotals(usage), now)
+}
+
 /** Registers a server for disposal before it listens. If a later server fails to listen, this server is closed too. */
 function ownServer (stack: ResourceStack, server: Server): void {
   addResource(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
@@ -129,7 +142,8 @@
 
 function describeSelf (node: FleetNode): EntryPresence {
   const { cfg } = node
-  return { name: cfg.name, address: cfg.callers ?? '', failureDomain: cfg.failureDomain, region: cfg.region, isReady: isReadyForCallers(node) }
+  const resources = publishUsage(node.usage, cfg.capacity)
+  return { name: cfg.name, address: cfg.callers ?? '', failureDomain: cfg.failureDomain, region: cfg.region, isReady: isReadyForCallers(node), ...(resources === undefined ? {} : { resources }) }
 }
 
 /**
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -43,7 +43,15 @@
   readonly news: LoadUpdate
 }
 
-const presenceSchema = z.strictObject({ name: textSchema, address: addressSchema, failureDomain: textSchema, region: textSchema, isReady: z.boolean() })
+const resourceSchema = z.number().min(0).max(1e9).optional()
+const presenceSchema = z.strictObject({
+  name: textSchema,
+  address: addressSchema,
+  failureDomain: textSchema,
+  region: textSchema,
+  isReady: z.boolean(),
+  resources: z.strictObject({ cores: resourceSchema, linkMbps: resourceSchema, cpuUse: resourceSchema, linkUse: resourceSchema }).optional()
+})
 const loadAmountSchema = z.number().min(0).max(1e9)
 const serverLoadsSchema = z.array(z.tuple([textSchema, loadAmountSchema])).max(100_000)
 const serverLimitsSchema = z.array(z.tuple([textSchema, z.number().min(0).nullable()])).max(100_000)
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -12,6 +12,8 @@
 import { createRpcClient } from '../rpc/rpcClient.js'
 import type { RpcClient } from '../rpc/rpcClient.js'
 import type { FleetSettings } from '../../types/fleetSettings.js'
+import { createVmUsage } from './vmUsage.js'
+import type { VmUsage } from './vmUsage.js'
 import { createLoadObservations } from '@lynxcourse/placement'
 import type { RolloutReport } from '@lynxcourse/rollouts'
 import type { LimitDemand, LoadUpdate, LoadObservations } from '@lynxcourse/placement'
@@ -31,6 +33,8 @@
   readonly random: Random
   readonly client: RpcClient
   readonly loop: LoopMonitor
+  /** Use of the processor and the link; measured only if the settings name their capacity. */
+  readonly usage: VmUsage
   /** An entry VM's copy of the routes and the directory; its watch updates it. */
   config: Config
   controls: readonly ControlEndpoint[]
@@ -72,6 +76,7 @@
       forMs => log(logs, 'daemon', 'warn', 'Event loop was blocked.', { forMs: Math.round(forMs) }),
       lateMs => metrics.loopLateSeconds.observe(lateMs / 1000)
     ),
+    usage: createVmUsage(),
     config: createConfig(),
     controls: [],
     entryNames: cfg.roles.includes('entry') ? [cfg.name] : [],
