--- a/packages/daemon/__tests__/diskFailures.test.ts
+++ b/packages/daemon/__tests__/diskFailures.test.ts
@@ -16,6 +16,8 @@
 /** Time in which control VMs confirm valid orders. */
 const confirmMs = 5000
 const attempts = 3
+/** Time that a leader leads at least before it hands over because of a stalled disk. */
+const minLedMs = 3000
 
 interface Group {
   readonly fixture: FleetFixture
@@ -167,6 +169,7 @@
   const group = await startGroup(fixture)
   const { electionMs } = getLeader(group).node.cfg.times
   await assertFasterThan(electionMs, async () => {
+    await delay(minLedMs)
     const leader = getLeader(group)
     const others = group.controls.filter(control => control !== leader)
     let endStall = (): void => undefined
--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -37,6 +37,7 @@
     replica: undefined,
     machine: createStateMachine(charts),
     appliedUpToDateAt: -Infinity,
+    roleChangedAt: -Infinity,
     heardLeader: undefined,
     events: [],
     proposals: [],
@@ -163,6 +164,7 @@
   const output = stepReplica(replica, event, getCurrentTime())
   await executeOutput(host, replica, output)
   if (replica.role !== roleBefore) {
+    host.roleChangedAt = getCurrentTime()
     log(host.env.logs, 'agree', 'info', 'Role changed.', { from: roleBefore, to: replica.role, term: replica.term })
     for (const listener of host.progressListeners) listener()
   }
@@ -188,17 +190,24 @@
   await compactLogIfLong(host, replica)
 }
 
+/** Number of election timeouts that a leader leads at least before it hands over because of a stalled disk. */
+const minElectionTimeoutsLed = 4
+
 /**
  * Waits for a save. A leader whose disk stalls sends no heartbeats meanwhile. It hands its leadership over after half an
  * election timeout; otherwise the group would be without a leader for one to two of them. A sync normally takes
- * milliseconds.
+ * milliseconds. A new leader does not hand over: when all disks are slow at once, leadership would move on and on.
  */
 async function withStallWatch (host: ControlHost, replica: Replica, saving: Promise<void>): Promise<void> {
+  const { electionMs } = host.env.times
   let isSaved = false
   const timer = setTimeout(() => {
     // After the process itself was suspended, the timer runs before the end of the save is read.
-    setImmediate(() => { if (!isSaved && host.replica === replica) handOverLeadership(host, replica) })
-  }, host.env.times.electionMs / 2)
+    setImmediate(() => {
+      const hasLedLong = getCurrentTime() - host.roleChangedAt > electionMs * minElectionTimeoutsLed
+      if (!isSaved && hasLedLong && host.replica === replica) handOverLeadership(host, replica)
+    })
+  }, electionMs / 2)
   try {
     await saving
   } finally {
--- a/packages/daemon/src/core/control/hostState.ts
+++ b/packages/daemon/src/core/control/hostState.ts
@@ -64,6 +64,8 @@
    * vouch for a state that it has not applied yet.
    */
   appliedUpToDateAt: Millis
+  /** When this replica last changed its role. */
+  roleChangedAt: Millis
   /** The last leader whose entries or heartbeats arrived here, whether or not the replica has processed them. */
   heardLeader: HeardLeader | undefined
   events: ReplicaEvent[]
