Accept a repeated release of a restricted request

A request that is already released is now accepted again; one that was never restricted is still refused.

--- a/packages/state/__tests__/crashingRequests.test.ts
+++ b/packages/state/__tests__/crashingRequests.test.ts
@@ -96,6 +96,12 @@
   assert.equal(apply(createMachine(), { type: 'releaseRequest', request: crashing }).ok, false)
 })
 
+/** Guards against an operator whose repeated call is refused since the answer to the first one was lost. */
+test('a release that is repeated is accepted again', () => {
+  const machine = createSuspecting()
+  for (let call = 0; call < 2; call++) assert.equal(apply(machine, { type: 'releaseRequest', request: crashing }).ok, true)
+})
+
 /** Guards against a popular request that is suspected since it was at some of many servers that ended in ten minutes. */
 test('an answer clears the ends that were counted before it', () => {
   const machine = createMachine()
--- a/packages/state/src/core/crashingRequests.ts
+++ b/packages/state/src/core/crashingRequests.ts
@@ -68,8 +68,10 @@
  */
 export function applyCrashCommand (config: Config, register: CrashRegister, chart: Chart, command: CrashCommand, version: number, at: Millis): ChangeAnswer {
   if (command.type === 'releaseRequest') {
-    const released = advance(config, chart, command.request, 'release', version)
-    if (!released) return { ok: false, code: 'notFound', detail: `no restricted request '${command.request}'`, winner: undefined }
+    const isReleased = advance(config, chart, command.request, 'release', version)
+    // An operator whose first call got no answer repeats it.
+    const wasReleased = findItem(config, 'crashingRequest', command.request)?.state === 'released'
+    if (!isReleased && !wasReleased) return { ok: false, code: 'notFound', detail: `no restricted request '${command.request}'`, winner: undefined }
     register.delete(command.request)
     return accept(config)
   }
