--- a/scripts/bench/processorFleet.ts
+++ b/scripts/bench/processorFleet.ts
@@ -141,7 +141,7 @@
   const name = `${role}-${index}`
   const ip = `127.0.${role === 'control' ? 20 : 21}.${index + 1}`
   const seeds = Array.from({ length: controls }, (_, control) => `"127.0.20.${control + 1}:${controlPort}"`)
-  const common = `NodeName = "${name}"\nIp = "${ip}"\nZone = "z${index % 3}"\nRegion = "r${index % 3}"\nInternalPorts = [${internalPort}, ${internalPort}]\nSeeds = [${seeds.join()}]\nFirstStart = true\nBounds = ["GraceS=6"]\n`
+  const common = `NodeName = "${name}"\nIp = "${ip}"\nZone = "z${index % 3}"\nRegion = "r${index % 3}"\nInternalPorts = [${internalPort}, ${internalPort}]\nSeeds = [${seeds.join()}]\nFirstStart = true\nBounds = ["GraceS=6", "QuotaWindowS=5", "QuotaOverage=0.1", "QuotaSlack=20"]\n`
   const own = role === 'control' ? `Serves = ["control_plane", "directory"]\nDataDir = "${join(folder, name)}"\n` : 'Serves = ["edge"]\n'
   const listen = role === 'control' ? `Control = "${ip}:${controlPort}"\nDirectory = "${ip}:${directoryPort}"\n` : `Frontend = "${ip}:${callerPort}"\nReady = "${ip}:${readyPort}"\n`
   mkdirSync(join(folder, name))
@@ -155,6 +155,8 @@
 }
 
 const teamCount = 73
+/** Requests per second and burst of a team: about what 1,400 requests per second over all teams need. */
+const teamRate = 25
 const routes = {
   Version: '00000001',
   Routes: {
@@ -162,7 +164,7 @@
     Rows: ['a', 'b', 'c', 'd'].map(name => [name, host, `/${name}/`, name === 'b' ? 'unsafe' : 'safe', 2, 0.7, 1, service, 2, true])
   },
   Services: { Columns: ['Name', 'HealthPath', 'MaxConns', 'WarmupS', 'WarmupPerS'], Rows: [[service, '/health', 1200, warmupS, 7.2]] },
-  Tenants: { Columns: ['Name', 'ApiKeys', 'RatePerS', 'Burst'], Rows: Array.from({ length: teamCount }, (_, team) => [`team-${team}`, [`key-${team}`], 100, 100]) },
+  Tenants: { Columns: ['Name', 'ApiKeys', 'RatePerS', 'Burst'], Rows: Array.from({ length: teamCount }, (_, team) => [`team-${team}`, [`key-${team}`], teamRate, teamRate]) },
   Limits: { MaxHeaderBytes: 16_384, MaxBodyBytes: 1_048_576, HeaderTimeoutS: 3, IdleTimeoutS: 15 }
 }
 
