Forward large answers while they are received, in paced pieces

On routes with large answers, a VM whose settings name its link forwards an answer of over 16 KB piece by piece instead of reading it whole first. The head is checked before: only a success of the server itself is forwarded; other answers are read whole, as before. A caller that reads slowly holds the server back, and at most 16 KB and one read of 64 KB of an answer are in memory. Once the head has been written the request is not sent again, and if the rest does not come (close, reset, wrong length, deadline), the caller's connection is reset. Until then it can still go to another server.

The pieces share the link by the rate and order of LinkPacing. The answer counts until its end: for the log line, for the requests in flight that a planned stop waits for, and for what is learned about the server. The time for which the caller or the link held the server back is not counted as the server's; without this, three callers that stopped reading ejected a good server (6 consecutive failures in the test).

Routes without large answers, and VMs that don't know their link, read answers as before.

--- a/packages/base/src/plugins/chartFiles.ts
+++ b/packages/base/src/plugins/chartFiles.ts
@@ -8,7 +8,7 @@
 const chartFolder = chartFolders.find(folder => existsSync(folder)) ?? chartFolders[0]
 
 /** Names of the charts in the `charts` folder. */
-export type ChartName = 'agreementRole' | 'attempt' | 'claim' | 'connection' | 'crashingRequest' | 'drain' | 'rollout' | 'server' | 'shift' | 'vm'
+export type ChartName = 'agreementRole' | 'answerStream' | 'attempt' | 'claim' | 'connection' | 'crashingRequest' | 'drain' | 'rollout' | 'server' | 'shift' | 'vm'
 
 /**
  * Reads, checks and expands one chart.
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -99,6 +99,7 @@
 function openGateway (stack: ResourceStack, node: FleetNode, { callers, servers }: Dialects): Gateway {
   const gateway = createGateway(node, callers, servers)
   addResource(stack, gateway.pool)
+  addResource(stack, gateway.link)
   return gateway
 }
 
--- a/packages/daemon/src/core/gateway/call.ts
+++ b/packages/daemon/src/core/gateway/call.ts
@@ -4,6 +4,7 @@
 import type { Route } from '@lynxcourse/state'
 import type { HeaderMap } from '../../types/answers.js'
 import type { CancelSignal } from '../../utils/cancelSignal.js'
+import type { AnswerStream } from './answerStream.js'
 import type { CallFacts } from './dialects.js'
 
 /** A caller's team, and the key that proves it. */
@@ -42,6 +43,8 @@
   readonly gone: CancelSignal
   /** Time up to which a close of the caller's connection would have been noticed. */
   readonly liveness: CallerLiveness
+  /** Forwards a large answer while it is received; undefined if all answers are read whole. */
+  readonly stream: AnswerStream | undefined
   /** Returns the upper bound of the read delay of the caller's close; undefined until the close is read. */
   readonly closeUnreadMs: () => Millis | undefined
 }
@@ -53,6 +56,8 @@
   readonly body: Buffer
   /** Whether to close the connection, so that the caller reconnects, possibly to another VM. */
   readonly endsConnection?: boolean
+  /** Whether the answer was written while it was received, to its end or until its connection was reset. */
+  readonly streamed?: 'complete' | 'broken'
 }
 
 /** Returns a key for the object of a request; it has the name of the route, since two routes may use the same keys. */
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -7,6 +7,7 @@
 import { createCallerLiveness, fitsIterationBudget, recordPoll, invalidateLiveness, getIterationTime } from '@lynxcourse/placement'
 import type { RoutedService, IterationTime } from '@lynxcourse/placement'
 import { matchRoute, selectService } from '@lynxcourse/routing'
+import type { Route } from '@lynxcourse/state'
 import type { HeaderMap } from '../../types/answers.js'
 import type { CancelSignal } from '../../utils/cancelSignal.js'
 import { getCurrentTime } from '../../utils/clock.js'
@@ -16,6 +17,8 @@
 import { waitForPoll } from '../../utils/pollPhase.js'
 import { createLazyFingerprint } from '../crashes/requestFingerprint.js'
 import { createRefusal, createTextAnswer } from './answers.js'
+import { createAnswerStream } from './answerStream.js'
+import type { AnswerStream } from './answerStream.js'
 import { authenticateCaller } from './authentication.js'
 import type { Call, CallAnswer, CallerTeam } from './call.js'
 import { startReadingBody } from './callBody.js'
@@ -78,10 +81,10 @@
   const pipelined = await joinPipeline(gateway.pipelines, req.socket)
   const { gone } = pipelined
   try {
-    const { service, answer } = await processCall(gateway, { req, body, gone, arrival })
-    metrics.requests.inc({ service, outcome: answer === undefined ? 'gone' : String(answer.status) })
+    const { service, answer } = await processCall(gateway, { req, res, pipelined, body, gone, arrival })
+    metrics.requests.inc({ service, outcome: answer === undefined ? 'gone' : answer.streamed === 'broken' ? 'broken' : String(answer.status) })
     metrics.requestSeconds.observe({ service }, (getCurrentTime() - arrivedAt) / 1000)
-    if (answer !== undefined && await waitForEarlierAnswers(pipelined, answer.body.length)) writeAnswer(gateway, res, answer, pipelined)
+    if (answer !== undefined && answer.streamed === undefined && await waitForEarlierAnswers(pipelined, answer.body.length)) writeAnswer(gateway, res, answer, pipelined)
   } finally {
     body.release()
     if (!res.writableEnded) leavePipeline(pipelined)
@@ -95,6 +98,8 @@
 /** A request whose head was read. */
 interface IncomingCall {
   readonly req: IncomingMessage
+  readonly res: ServerResponse
+  readonly pipelined: PipelinedRequest
   readonly body: CallBody
   readonly gone: CancelSignal
   readonly arrival: Arrival
@@ -124,7 +129,7 @@
   const authenticated = authenticateCaller(gateway, req, target.route, getCurrentTime())
   if ('rejection' in authenticated) return { service: target.service, answer: authenticated.rejection }
   const routed = { route: authenticated.route, service: target.service, caller: authenticated.caller }
-  return { service: target.service, answer: await serveRoutedCall(gateway, { req, body, gone, arrival }, routed) }
+  return { service: target.service, answer: await serveRoutedCall(gateway, { ...incoming, arrival }, routed) }
 }
 
 /**
@@ -173,7 +178,8 @@
   readonly caller: CallerTeam | undefined
 }
 
-async function serveRoutedCall (gateway: Gateway, { req, body: callBody, gone, arrival }: IncomingCall, { route, service, caller }: AuthenticatedTarget): Promise<CallAnswer | undefined> {
+async function serveRoutedCall (gateway: Gateway, incoming: IncomingCall, { route, service, caller }: AuthenticatedTarget): Promise<CallAnswer | undefined> {
+  const { req, body: callBody, gone, arrival } = incoming
   const { arrivedAt, readAt, liveness, readIteration, workStartedAt } = arrival
   const facts = gateway.callers.parseCallFacts(req.headers)
   const deadline = arrivedAt + Math.min(facts.remainingMs ?? Infinity, route.timeoutMs)
@@ -205,6 +211,7 @@
     deadline,
     gone,
     liveness,
+    stream: createStream(gateway, incoming, route),
     closeUnreadMs: () => gateway.loop.closeReadDelays.get(req.socket)
   }
   try {
@@ -255,12 +262,22 @@
   return headers
 }
 
+/** Creates the stream for a large answer, on routes that have such; undefined if this VM's link is unknown. */
+function createStream (gateway: Gateway, { res, pipelined }: IncomingCall, { hasLargeAnswers }: Route): AnswerStream | undefined {
+  if (hasLargeAnswers !== true || gateway.node.cfg.capacity?.linkMbps === undefined) return undefined
+  return createAnswerStream(gateway.link, res, pipelined, () => getConnectionHeaders(gateway, pipelined, false))
+}
+
+/**
+ * Returns the header by which a VM that is leaving announces the close, so that the caller's next request goes to another
+ * VM and doesn't arrive after the close.
+ */
+function getConnectionHeaders ({ node }: Gateway, pipelined: PipelinedRequest, endsConnection: boolean): HeaderMap {
+  return (node.isLeaving || endsConnection) && tryMarkClosing(pipelined) ? { connection: 'close' } : {}
+}
+
 function writeAnswer (gateway: Gateway, res: ServerResponse, answer: CallAnswer, pipelined: PipelinedRequest): void {
-  const headers: HeaderMap = { ...answer.headers, 'content-length': String(answer.body.length) }
-  // A VM that is leaving announces the close, so that the caller's next request goes to another VM and doesn't arrive
-  // after the close.
-  const isClosing = gateway.node.isLeaving || answer.endsConnection === true
-  if (isClosing && tryMarkClosing(pipelined)) headers.connection = 'close'
+  const headers: HeaderMap = { ...answer.headers, 'content-length': String(answer.body.length), ...getConnectionHeaders(gateway, pipelined, answer.endsConnection === true) }
   res.once('finish', () => leavePipeline(pipelined))
   res.writeHead(answer.status, headers)
   res.end(answer.body)
--- a/packages/daemon/src/core/gateway/exchange.ts
+++ b/packages/daemon/src/core/gateway/exchange.ts
@@ -1,5 +1,5 @@
 /**
- * Sends one request over one connection and reads its whole answer, by the handler interface of `undici`. The promise
+ * Sends one request over one connection and reads its answer, by the handler interface of `undici`. The promise
  * interface creates a stream, an iterator and a signal for each request, which cost more than reading the answer.
  */
 import type { Client, Dispatcher } from 'undici'
@@ -20,10 +20,25 @@
 
 /** A server's whole answer. */
 export interface ReceivedAnswer extends AnswerHead {
-  /** Undefined if the body exceeds the size limit. */
+  /** Undefined if the body exceeds the size limit; empty if a receiver took it over. */
   readonly body: Buffer | undefined
 }
 
+/** Controls how fast a server's answer is read. */
+export interface BodyFlow {
+  readonly pause: () => void
+  readonly resume: () => void
+}
+
+/** Takes over the body of a large answer while it is received. */
+export interface BodyReceiver {
+  /** Bodies up to this size are read whole. */
+  readonly minBytes: number
+  /** Returns whether the body is passed to `receive` from its start, instead of being read whole. */
+  readonly accept: (head: AnswerHead, flow: BodyFlow) => boolean
+  readonly receive: (part: Buffer) => void
+}
+
 /** An exchange in progress. */
 export interface Exchange {
   /** Rejects when the connection fails or `abort` is called. */
@@ -40,8 +55,9 @@
  * @param mayWrite asked when the connection is open and the request is about to be written, which may be long after the server was
  * chosen; otherwise the exchange is cancelled
  * @param onHead called when the head of the final answer is received
+ * @param receiver takes over the bodies of large answers; undefined if all answers are read whole
  */
-export function startExchange (client: Client, options: Dispatcher.DispatchOptions, mayWrite: (now: Millis) => boolean, onHead: (head: AnswerHead) => void): Exchange {
+export function startExchange (client: Client, options: Dispatcher.DispatchOptions, mayWrite: (now: Millis) => boolean, onHead: (head: AnswerHead) => void, receiver?: BodyReceiver): Exchange {
   let controller: Dispatcher.DispatchController | undefined
   let isAborted = false
   let rejectAnswer: (err: Error) => void = () => undefined
@@ -54,7 +70,7 @@
         if (isAborted || !mayWrite(now)) requestController.abort(createCancelledError())
         else exchange.startedAt = now
       },
-      ...createAnswerCollector(resolve, onHead),
+      ...createAnswerCollector(resolve, onHead, receiver),
       onResponseError: (_controller, err) => reject(err)
     })
   })
@@ -76,23 +92,36 @@
 
 type AnswerCollector = Pick<Dispatcher.DispatchHandler, 'onResponseStart' | 'onResponseData' | 'onResponseEnd'>
 
-function createAnswerCollector (resolve: (received: ReceivedAnswer) => void, onHead: (head: AnswerHead) => void): AnswerCollector {
+function createAnswerCollector (resolve: (received: ReceivedAnswer) => void, onHead: (head: AnswerHead) => void, receiver: BodyReceiver | undefined): AnswerCollector {
   const chunks: Buffer[] = []
   let head: AnswerHead | undefined
   let size = 0
+  // Whether the body is passed on; undefined until it is known to be large.
+  let isPassedOn: boolean | undefined
   return {
     onResponseStart: (_controller, status, headers) => {
       if (status < firstFinalStatus) return
       head = { status, headers: headers as HeaderMap }
       onHead(head)
     },
-    onResponseData: (_controller, chunk) => {
+    onResponseData: (controller, chunk) => {
+      if (head === undefined) return
       size += chunk.length
-      if (size <= maxAnswerBytes) chunks.push(chunk)
-      else if (head !== undefined) resolve({ ...head, body: undefined })
+      if (receiver !== undefined && isPassedOn === undefined && Math.max(size, parseLength(head.headers) ?? 0) > receiver.minBytes) {
+        isPassedOn = receiver.accept(head, { pause: () => controller.pause(), resume: () => controller.resume() })
+        if (isPassedOn) for (const earlier of chunks.splice(0)) receiver.receive(earlier)
+      }
+      if (isPassedOn === true) receiver?.receive(chunk)
+      else if (size <= maxAnswerBytes) chunks.push(chunk)
+      else resolve({ ...head, body: undefined })
     },
     onResponseEnd: () => {
       if (head !== undefined) resolve({ ...head, body: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks) })
     }
   }
 }
+
+/** Returns the length of the body that a server announced; undefined if it announced none. */
+export function parseLength ({ 'content-length': length }: HeaderMap): number | undefined {
+  return typeof length === 'string' && /^\d{1,15}$/.test(length) ? Number(length) : undefined
+}
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -14,6 +14,8 @@
 import { createConnectionPool } from '../entry/connectionPool.js'
 import type { ConnectionPool } from '../entry/connectionPool.js'
 import type { CallerDialect, ServerDialect } from './dialects.js'
+import { createLinkPacer } from './linkPacer.js'
+import type { LinkPacer } from './linkPacer.js'
 import { FleetPermitChannel } from './permitChannel.js'
 import type { Pipelines } from './pipeline.js'
 import { createTeamPermits } from './teamPermits.js'
@@ -34,6 +36,8 @@
   limits: CallerLimits
   /** Number of requests in progress in this VM. */
   open: number
+  /** Writes large answers. */
+  readonly link: LinkPacer
   /** Unanswered requests by caller connection. */
   readonly pipelines: Pipelines
   /** Number of requests that wait until the VM has the current state. */
@@ -63,6 +67,7 @@
     routeTable: buildRouteTable([]),
     teams: buildTeamTable([], false),
     limits: defaultCallerLimits,
+    link: createLinkPacer(node),
     pipelines: new WeakMap(),
     open: 0,
     waitingForCapacity: new Map(),
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -58,6 +58,7 @@
     tookMs: Math.round(now - startedAt),
     writtenAfterMs: writtenAt === undefined ? undefined : Math.round(writtenAt - startedAt),
     restedMs: restedMs === undefined ? undefined : Math.round(restedMs),
+    ...getStreamFields(call),
     ...getTimeFields(call),
     ...getCloseFields(call)
   })
@@ -106,6 +107,12 @@
   return { closeUnreadMs: readDelayMs === undefined ? undefined : Math.round(readDelayMs) }
 }
 
+/** Returns how much of a large answer was forwarded, and for how long its server waited for the caller or the link. */
+function getStreamFields ({ stream }: Call): LogFields {
+  if (stream === undefined || stream.state === 'idle') return {}
+  return { streamed: stream.state, streamedBytes: stream.writtenBytes, heldMs: Math.round(stream.heldMs) }
+}
+
 /**
  * Returns this VM's requests in flight to a service, their limit, their slowdown, and the utilization of the service
  * over all VMs.
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -1,4 +1,4 @@
-/** Sends one request to one backend server and reads its whole answer. */
+/** Sends one request to one backend server and reads its whole answer, or forwards it while it is received. */
 import type { Dispatcher } from 'undici'
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
@@ -12,9 +12,10 @@
 import { afterPoll } from '../../utils/pollPhase.js'
 import { closeConnection, closeSilentConnection, recordUnansweredReset, recordConnectionProgress, releaseConnection, acquireConnection } from '../entry/connectionPool.js'
 import type { Connection } from '../entry/connectionPool.js'
+import { acceptAnswer, deliverRest, dropAnswer, isHeldBack, receivePart } from './answerStream.js'
 import type { Call } from './call.js'
 import { startExchange } from './exchange.js'
-import type { Exchange, ReceivedAnswer } from './exchange.js'
+import type { BodyReceiver, Exchange, ReceivedAnswer } from './exchange.js'
 import type { Gateway } from './gateway.js'
 import { observeStatements } from './serverNotices.js'
 
@@ -56,6 +57,10 @@
   readonly isUnresponsive: () => boolean
 }
 
+/** Answers up to this size are read whole and can be replaced by another server's; they occupy a link of 5.8 Mbit/s for 23 ms. */
+const minStreamedBytes = 16_384
+const firstRedirectStatus = 300
+
 /** Interval of the checks whether the server of an overdue request is unresponsive. */
 const unresponsiveCheckMs: Millis = 250
 
@@ -83,35 +88,60 @@
     recordIteration(gateway.loop)
     recordConnectionProgress(gateway.pool, connection, getCurrentTime())
     observeStatements(gateway, call, placement.server, head)
-  })
-  const result = await awaitResult(gateway, call, placement, { connection, exchange, startedAt: now, timeouts, wasWithdrawn: () => isWithdrawn })
+  }, createReceiver(gateway, call, () => watch.pin()))
+  const watch = watchSend(gateway, call, timeouts, now, exchange.abort)
+  const result = await awaitResult(gateway, call, placement, { connection, exchange, startedAt: now, watch, wasWithdrawn: () => isWithdrawn })
   return { result, writtenAt: exchange.startedAt, restedMs }
 }
 
+/**
+ * Creates the receiver of large answers of a call; undefined if the call's answers are read whole. Only answers of the
+ * server itself with a status of success are forwarded before they are complete.
+ *
+ * @param onAccept called when an answer is accepted: no other server may replace it from then on
+ */
+function createReceiver ({ servers }: Gateway, { stream, facts }: Call, onAccept: () => void): BodyReceiver | undefined {
+  if (stream === undefined) return undefined
+  return {
+    minBytes: minStreamedBytes,
+    accept: (head, flow) => {
+      if (head.status >= firstRedirectStatus || servers.classifyAnswer(facts, head.status, head.headers) !== 'answered') return false
+      onAccept()
+      acceptAnswer(stream, head, flow)
+      return true
+    },
+    receive: part => receivePart(stream, part)
+  }
+}
+
 /** A send in flight over a connection. */
 interface ActiveSend {
   readonly connection: Connection
   readonly exchange: Exchange
   readonly startedAt: Millis
-  readonly timeouts: SendTimeouts
+  readonly watch: SendWatch
   /** Whether the request was not written because its server wants no requests any more. */
   readonly wasWithdrawn: () => boolean
 }
 
-async function awaitResult (gateway: Gateway, call: Call, placement: Placement, { connection, exchange, startedAt, timeouts, wasWithdrawn }: ActiveSend): Promise<SendResult> {
+async function awaitResult (gateway: Gateway, call: Call, placement: Placement, { connection, exchange, startedAt, watch, wasWithdrawn }: ActiveSend): Promise<SendResult> {
   const { facts } = placement.server
-  const watch = watchSend(gateway, call, timeouts, startedAt, exchange.abort)
   try {
     const received = await exchange.answer
-    return handleAnswer(gateway, call, placement, connection, received, (exchange.startedAt ?? startedAt) - startedAt)
+    watch.end()
+    const result = handleAnswer(gateway, call, placement, connection, received, (exchange.startedAt ?? startedAt) - startedAt)
+    return await finishStream(call, result)
   } catch (err) {
     const now = getCurrentTime()
+    const wasHeldBack = call.stream !== undefined && isHeldBack(call.stream, now)
+    if (call.stream !== undefined) dropAnswer(call.stream)
     const wasSilent = connection.isReused && silentReasons.has(watch.reason())
     if (wasSilent) closeSilentConnection(gateway.pool, connection, startedAt, now)
     else closeConnection(gateway.pool, connection, 'close')
     const isPrompt = now - startedAt < promptResetMs + estimateRoundTrip(gateway.fleet, facts.region)
     if (watch.reason() === 'failed' && isPrompt) recordUnansweredReset(gateway.pool, connection, now)
-    if (watch.reason() === 'gone') return { type: 'lost', reason: 'gone', detail: getErrorMessage(err) }
+    // A server that had to wait for the caller or the link is not late.
+    if (watch.reason() === 'gone' || (watch.reason() === 'deadline' && wasHeldBack)) return { type: 'lost', reason: 'gone', detail: getErrorMessage(err) }
     // A request that was never written can't have run.
     if (exchange.startedAt === undefined) return { type: 'notRun', reason: wasWithdrawn() ? 'withdrawn' : 'unreached', status: undefined }
     return { type: 'lost', reason: watch.reason(), detail: getErrorMessage(err) }
@@ -120,6 +150,20 @@
   }
 }
 
+/**
+ * Waits until the caller has the whole of an answer that is forwarded while it is received. The time for which the server
+ * waited for the caller or the link is not the server's.
+ */
+async function finishStream ({ stream, gone, deadline }: Call, result: SendResult): Promise<SendResult> {
+  if (stream === undefined || stream.state === 'idle') return result
+  if (result.type !== 'answered') {
+    dropAnswer(stream)
+    return result
+  }
+  await deliverRest(stream, gone, deadline)
+  return { ...result, connectMs: result.connectMs + stream.heldMs }
+}
+
 function handleAnswer (gateway: Gateway, call: Call, placement: Placement, connection: Connection, received: ReceivedAnswer, connectMs: Millis): SendResult {
   const { status, headers: rawHeaders, body } = received
   const kind = gateway.servers.classifyAnswer(call.facts, status, rawHeaders)
@@ -148,6 +192,8 @@
 
 interface SendWatch {
   readonly reason: () => LostReason
+  /** Keeps the request at its server until the deadline. */
+  readonly pin: () => void
   readonly end: () => void
 }
 
@@ -158,6 +204,7 @@
 function watchSend ({ loop: { polls: looks } }: Gateway, call: Call, timeouts: SendTimeouts, now: Millis, abort: () => void): SendWatch {
   let reason: LostReason = 'failed'
   let hasEnded = false
+  let isPinned = false
   const stop = (stopReason: typeof reason): void => {
     if (hasEnded) return
     reason = stopReason
@@ -167,16 +214,21 @@
   call.gone.on('abort', onGone)
   if (call.gone.aborted) onGone()
   const deadlineTimer = setTimeout(afterPoll(looks, () => stop('deadline')), Math.max(1, call.deadline - now))
-  const tryFailover = afterPoll(looks, () => { if (!hasEnded && timeouts.mayFailOver()) stop('slow') })
+  const tryFailover = afterPoll(looks, () => { if (!hasEnded && !isPinned && timeouts.mayFailOver()) stop('slow') })
   const failoverTimer = timeouts.failoverAt === undefined ? undefined : setTimeout(tryFailover, Math.max(1, timeouts.failoverAt - now))
   const checkUnresponsive = afterPoll(looks, () => {
-    if (hasEnded) return
+    if (hasEnded || isPinned) return
     if (timeouts.isUnresponsive()) stop('stranded')
     else unresponsiveTimer = setTimeout(checkUnresponsive, unresponsiveCheckMs)
   })
   let unresponsiveTimer = setTimeout(checkUnresponsive, Math.max(1, timeouts.overdueAt - now))
   return {
     reason: () => reason,
+    pin: () => {
+      isPinned = true
+      clearTimeout(failoverTimer)
+      clearTimeout(unresponsiveTimer)
+    },
     end: () => {
       hasEnded = true
       clearTimeout(deadlineTimer)
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -10,6 +10,8 @@
 import type { WatchedRequest } from '../crashes/crashWatch.js'
 import { delay } from '../node/timers.js'
 import { createRateRefusal, createRefusal, createTextAnswer } from './answers.js'
+import { hasBegun } from './answerStream.js'
+import type { AnswerStream } from './answerStream.js'
 import { answerUnknownKey, isStillAuthorized } from './authentication.js'
 import { createObjectKey } from './call.js'
 import type { Call, CallAnswer } from './call.js'
@@ -54,6 +56,7 @@
       case 'send':
         lastResult = await sendToServer(gateway, call, state, step.placement, holder)
         if (lastResult.type !== 'notRun') consumePermit(holder)
+        if (call.stream !== undefined && hasBegun(call.stream)) return describeStreamed(call.stream)
         break
       case 'takePermit': {
         const refusal = await fetchPermit(gateway, holder, now)
@@ -77,6 +80,11 @@
   }
 }
 
+/** Returns the answer of which the caller has got all or a part. */
+function describeStreamed ({ status, state }: AnswerStream): CallAnswer {
+  return { status, headers: {}, body: Buffer.alloc(0), streamed: state === 'complete' ? 'complete' : 'broken' }
+}
+
 /** Answers a request that can't be sent any more by its sends so far; returns undefined if no server may have run it. */
 function answerFromSends (gateway: Gateway, call: Call, state: RequestState, lastResult: SendResult | undefined): CallAnswer | undefined {
   if (state.possibleRuns === 0) return undefined
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -30,6 +30,7 @@
   readonly current: Gauge
   readonly records: Gauge<'kind'>
   readonly diskSyncs: Counter
+  readonly largeAnswerBytes: Counter
 }
 
 export function createMetrics (): Metrics {
@@ -60,6 +61,7 @@
     configVersion: new Gauge({ name: 'lynxcourse_config_version', help: 'Version of the configuration in force.', registers }),
     current: new Gauge({ name: 'lynxcourse_current', help: 'Whether this VM holds a lease on being current.', registers }),
     records: new Gauge({ name: 'lynxcourse_directory_records', help: 'Records in the directory.', labelNames: ['kind'], registers }),
-    diskSyncs: new Counter({ name: 'lynxcourse_disk_syncs_total', help: 'Times that a file was synced.', registers })
+    diskSyncs: new Counter({ name: 'lynxcourse_disk_syncs_total', help: 'Times that a file was synced.', registers }),
+    largeAnswerBytes: new Counter({ name: 'lynxcourse_large_answer_bytes_total', help: 'Bytes of large answers written to callers while they were received.', registers })
   }
 }
