--- a/packages/daemon/__tests__/configurationStorm.test.ts
+++ b/packages/daemon/__tests__/configurationStorm.test.ts
@@ -29,7 +29,7 @@
 
 /** Guards against configurations that are refused or reordered, and against VMs that spend their processor time on each of them. */
 test('configurations in quick succession are confirmed in order by any control VM, and entry VMs apply several at once', async () => {
-  await using fixture = await startFleetFixture(1, controlCount)
+  await using fixture = await startFleetFixture(1, { controlCount })
   await using server = await startTestServer('s1', (_req, res) => res.end('ok'))
   const kept = createRouteToDesk('read')
   await publishRoutes(fixture, [server], [kept])
@@ -60,7 +60,7 @@
 
 /** Guards against two operators whose changes of the same version are both confirmed, or both refused. */
 test('of two changes of the same version, one is confirmed, and the other is refused as a conflict', async () => {
-  await using fixture = await startFleetFixture(0, controlCount)
+  await using fixture = await startFleetFixture(0, { controlCount })
   await submitUntilAnswered(fixture, 0, createReplaceRoutesCommand('first', 0, 1, [createRouteToDesk('read')]))
   for (let round = 1; round <= 5; round++) {
     const answers = await Promise.all(['a', 'b'].map(async (operator, index) =>
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -31,6 +31,7 @@
   readonly records: Gauge<'kind'>
   readonly diskSyncs: Counter
   readonly rolloutSteps: Counter<'event'>
+  readonly largeAnswerBytes: Counter
 }
 
 export function createMetrics (): Metrics {
@@ -62,6 +63,7 @@
     current: new Gauge({ name: 'lynxcourse_current', help: 'Whether this VM holds a lease on being current.', registers }),
     records: new Gauge({ name: 'lynxcourse_directory_records', help: 'Records in the directory.', labelNames: ['kind'], registers }),
     diskSyncs: new Counter({ name: 'lynxcourse_disk_syncs_total', help: 'Times that a file was synced.', registers }),
-    rolloutSteps: new Counter({ name: 'lynxcourse_rollout_steps_total', help: 'Steps of rollouts that this VM submitted as the leader, by event.', labelNames: ['event'], registers })
+    rolloutSteps: new Counter({ name: 'lynxcourse_rollout_steps_total', help: 'Steps of rollouts that this VM submitted as the leader, by event.', labelNames: ['event'], registers }),
+    largeAnswerBytes: new Counter({ name: 'lynxcourse_large_answer_bytes_total', help: 'Bytes of large answers written to callers while they were received.', registers })
   }
 }
