--- a/packages/daemon/__tests__/permitVerdict.test.ts
+++ b/packages/daemon/__tests__/permitVerdict.test.ts
@@ -4,7 +4,7 @@
 import { brandId } from '@lynxcourse/base'
 import type { Millis, TeamName } from '@lynxcourse/base'
 import { hasPermit, permitTtlMs, setMaxReserved } from '@lynxcourse/limits'
-import { PermitChannel, createSilentLogs, createTeamPermits, delay, getCurrentTime, obtainPermit } from '@lynxcourse/daemon'
+import { PermitChannel, createSilentLogs, createTeamPermits, delay, getCurrentTime, mayObtainPermit, obtainPermit } from '@lynxcourse/daemon'
 import type { PermitReply, PermitRequest, PermitResult, TeamPermits } from '@lynxcourse/daemon'
 
 const team = brandId<TeamName>('team')
@@ -99,3 +99,18 @@
   await delay(permitTtlMs + 100)
   assert.equal(hasPermit(permits.store, team, getCurrentTime()), false)
 })
+
+/** Guards against requests of small teams that stay with a frozen server, and against moves to another one that get no permit. */
+test('a request may move to another server if an issuer granted permits and is not empty or late', async () => {
+  const { channel, permits } = start({ a: 'grant', b: 'grant' })
+  assert.equal(mayObtainPermit(permits, team, getCurrentTime()), false, 'no issuer answered yet')
+  assert.equal((await obtain(permits)).type, 'permit')
+  assert.equal(hasPermit(permits.store, team, getCurrentTime()), false)
+  assert.equal(mayObtainPermit(permits, team, getCurrentTime()), true)
+  channel.answers = { a: 'empty', b: 'grant' }
+  assert.equal((await obtain(permits)).type, 'permit')
+  assert.equal(mayObtainPermit(permits, team, getCurrentTime()), false, 'an issuer is empty')
+  channel.answers = { a: 'fail', b: 'fail' }
+  assert.equal(getReason(await obtain(permits, team, 1000)), 'noPermits')
+  assert.equal(mayObtainPermit(permits, team, getCurrentTime()), false, 'no issuer answers')
+})
--- a/packages/daemon/__tests__/support/permitReplay.ts
+++ b/packages/daemon/__tests__/support/permitReplay.ts
@@ -23,7 +23,7 @@
   readonly weights: readonly number[]
   /** Rate of each team as a multiple of its mean load; the burst is one second of it. */
   readonly headroom: number
-  /** Factor by which the first team's load exceeds its share of the load, and with it its rate's base. */
+  /** Factor of the first team's weight in the load, but not in its rate; the sum of the load stays the same. */
   readonly excess: number
   /** Time before the load begins, in which buckets and reserves fill. */
   readonly warmupMs: Millis
--- a/packages/daemon/src/core/gateway/permitHolder.ts
+++ b/packages/daemon/src/core/gateway/permitHolder.ts
@@ -1,10 +1,10 @@
 /** The permit of one request of a rate-limited team: held from just before a send until the request has run. */
 import type { Millis, TeamName } from '@lynxcourse/base'
-import { hasPermit, returnPermit } from '@lynxcourse/limits'
+import { returnPermit } from '@lynxcourse/limits'
 import type { Permit } from '@lynxcourse/limits'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
-import { obtainPermit, refillReserves } from './teamPermits.js'
+import { mayObtainPermit, obtainPermit, refillReserves } from './teamPermits.js'
 import type { PermitRefusal } from './teamPermits.js'
 
 export interface PermitHolder {
@@ -25,9 +25,12 @@
   return permit === undefined || now >= permit.expiresAt
 }
 
-/** Whether a request that may have run can be sent again at once: a team that is not limited needs no permit. */
+/**
+ * Whether a request that may have run can be sent again: a team that is not limited needs no permit, and another one needs
+ * one in hand or an issuer that is likely to grant one at once. Small limits have no reserve at most VMs.
+ */
 export function maySendAgain ({ teams, permits }: Pick<Gateway, 'teams' | 'permits'>, { team }: Pick<PermitHolder, 'team'>, now: Millis): boolean {
-  return team === undefined || !teams.limited.has(team) || hasPermit(permits.store, team, now)
+  return team === undefined || !teams.limited.has(team) || mayObtainPermit(permits, team, now)
 }
 
 /** Obtains a permit; returns the refusal if there is none. */
--- a/packages/daemon/src/core/gateway/teamPermits.ts
+++ b/packages/daemon/src/core/gateway/teamPermits.ts
@@ -9,7 +9,7 @@
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis, Random, TeamName } from '@lynxcourse/base'
 import {
-  addPermits, askTimeoutMs, beginQuestion, computeMissingPermits, endQuestion, failQuestion, isAsked, isHealthy, isLate, isOverRate, isRunningLow, permitTtlMs,
+  addPermits, askTimeoutMs, beginQuestion, computeMissingPermits, endQuestion, failQuestion, hasPermit, isAsked, isHealthy, isLate, isLikelyIssued, isOverRate, isRunningLow, permitTtlMs,
   prunePermits, recordIssuerAnswer, recordIssuerFailure, recordPermitDemand, selectIssuer, takePermit
 } from '@lynxcourse/limits'
 import type { IssuerHealth, PermitStore } from '@lynxcourse/limits'
@@ -96,6 +96,13 @@
   })
 }
 
+/** Whether a request would probably get a permit without waiting for long. */
+export function mayObtainPermit ({ store, queues, health }: TeamPermits, team: TeamName, now: Millis): boolean {
+  if (hasPermit(store, team, now)) return true
+  const queue = queues.get(team)
+  return queue !== undefined && queue.waiting.length === 0 && isLikelyIssued(queue.issuers, health, now)
+}
+
 /** Asks for the reserves that are missing, after dividing the limits of teams among the entry VMs. */
 export function refillReserves (permits: TeamPermits, inputs: ReserveInputs, now: Millis): void {
   for (const team of inputs.limits.keys()) getQueue(permits, team)
--- a/packages/limits/src/core/rates/issuerChoice.ts
+++ b/packages/limits/src/core/rates/issuerChoice.ts
@@ -71,6 +71,12 @@
   return issuers !== undefined && issuers.length > 0 && issuers.every(address => empty.has(address) || !mayIssue(team, address, now))
 }
 
+/** Whether some issuer that answered for the team can be asked now, and none is known to be empty. */
+export function isLikelyIssued ({ emptyUntil }: TeamIssuers, health: IssuerHealth, now: Millis): boolean {
+  const known = [...emptyUntil]
+  return known.every(([, until]) => now >= until) && known.some(([address]) => isHealthy(health, address) && !isLate(health, address, now))
+}
+
 /** Returns the time until some issuer may have a permit again. */
 export function estimateRefillTime (team: TeamIssuers, health: IssuerHealth, nearest: readonly string[], now: Millis): Millis {
   const known = listIssuers(team, nearest)
