Metrics and commands for the link of a VM and its large answers

`lynxcourse_link_bytes_total`, `lynxcourse_utilization`, `lynxcourse_large_answers` and `lynxcourse_large_answer_bytes_total`; `lynxcourse fleet vms` lists the entry VMs with capacity and utilization. A test runs small and large answers through a stand-in for a VM's link.

--- a/packages/cli/src/core/commands/fleets.ts
+++ b/packages/cli/src/core/commands/fleets.ts
@@ -1,8 +1,8 @@
-/** Commands for a fleet: `fleet routes`, `fleet match`, `fleet teams`, `fleet restricted`, `fleet release`, `fleet limited`, `fleet notices`, `fleet rollouts`. */
+/** Commands for a fleet: `fleet routes`, `fleet match`, `fleet teams`, `fleet restricted`, `fleet release`, `fleet limited`, `fleet notices`, `fleet rollouts`, `fleet vms`. */
 import type { Command } from 'commander'
 import { LynxError } from '@lynxcourse/base'
 import { callPeer } from '@lynxcourse/daemon'
-import type { FleetSummary, NoticeSummary, TeamSummary } from '@lynxcourse/daemon'
+import type { AgedEntry, FleetSummary, NoticeSummary, TeamSummary } from '@lynxcourse/daemon'
 import { buildRouteTable, matchRoute } from '@lynxcourse/routing'
 import { getRouteServices } from '@lynxcourse/state'
 import type { ChangeAnswer, CrashingRequestItem, Route } from '@lynxcourse/state'
@@ -61,6 +61,12 @@
   return { vm, server, service, perSecond: perSecond ?? undefined, share: share === null ? undefined : `${Math.round(share * 100)}%`, pausedMs: pausedMs || undefined, leaving: isLeaving || undefined }
 }
 
+/** Creates the output row of an entry VM, with its capacity and its utilization in percent if they are known. */
+export function createVmRow ({ presence: { name, region, failureDomain, isReady, resources }, ageMs }: AgedEntry): Row {
+  const formatUse = (use: number | undefined): string | undefined => use === undefined ? undefined : `${Math.round(use * 100)}%`
+  return { name, region, failureDomain, ready: isReady, cores: resources?.cores, linkMbps: resources?.linkMbps, cpu: formatUse(resources?.cpuUse), link: formatUse(resources?.linkUse), ageMs: Math.round(ageMs) }
+}
+
 /** Reads the notices of one entry VM; an address that can't answer gets a row with the error. */
 async function readNotices (session: Session, address: string): Promise<Row[]> {
   try {
@@ -105,6 +111,11 @@
     printRows(session.output, rows, ['vm', 'server', 'service', 'perSecond', 'share', 'pausedMs', 'leaving', 'error'])
     return rows.some(row => row['error'] !== undefined) ? exitCodes.failed : exitCodes.ok
   }))
+  fleet.command('vms').description('list the entry VMs that a control VM has seen lately, with their capacity and utilization').action(createAction(async session => {
+    const entries = await callAnyVm<AgedEntry[]>(session, 'fleet.listEntries')
+    printRows(session.output, entries.map(createVmRow), ['name', 'region', 'failureDomain', 'ready', 'cores', 'linkMbps', 'cpu', 'link', 'ageMs'])
+    return exitCodes.ok
+  }))
   addRolloutCommands(fleet)
   fleet.command('release <request>').description('let a restricted request be sent again').action(createAction(async (session, [request]) => {
     const answer = await callAnyVm<ChangeAnswer>(session, 'fleet.submit', { command: { type: 'releaseRequest', request } })
--- a/packages/daemon/__tests__/vmUsage.test.ts
+++ b/packages/daemon/__tests__/vmUsage.test.ts
@@ -52,4 +52,8 @@
     const resources = [...getControl(fixture, 1).presence.entries.values()][0]?.presence.resources
     return resources?.linkMbps === 2 && (resources.linkUse ?? 0) > 0.05 && (resources.cpuUse ?? 0) > 0
   })
+  const { metrics } = fixture.daemons[last]?.node ?? getControl(fixture, 0).node
+  const { values } = await metrics.linkBytes.get()
+  assert.ok(values.some(({ labels, value }) => labels.direction === 'sent' && value > 50_000))
+  assert.equal((await metrics.utilization.get()).values.length, 2)
 })
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -132,8 +132,13 @@
 }
 
 /** Measures the use of the processor and the link, if the settings name their capacity. */
-function updateUsage ({ cfg: { capacity }, usage }: FleetNode, now: Millis): void {
-  if (capacity !== undefined) sampleUsage(usage, capacity, readUsageTotals(usage), now)
+function updateUsage ({ cfg: { capacity }, usage, metrics }: FleetNode, now: Millis): void {
+  if (capacity === undefined) return
+  const change = sampleUsage(usage, capacity, readUsageTotals(usage), now)
+  metrics.linkBytes.inc({ direction: 'received' }, Math.max(0, change?.received ?? 0))
+  metrics.linkBytes.inc({ direction: 'sent' }, Math.max(0, change?.sent ?? 0))
+  if (usage.cpuUse !== undefined) metrics.utilization.set({ resource: 'cpu' }, usage.cpuUse)
+  if (usage.linkUse !== undefined) metrics.utilization.set({ resource: 'link' }, usage.linkUse)
 }
 
 /** Registers a server for disposal before it listens. If a later server fails to listen, this server is closed too. */
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -18,7 +18,7 @@
 import { readRollouts, readRoutes, summarizeTeams } from './fleetReads.js'
 import type { PermitRequest } from '../control/permitIssuing.js'
 import type { ControlEndpoint } from './fleetNode.js'
-import { recordWatchingEntry, applyPresenceReport } from './presence.js'
+import { recordWatchingEntry, applyPresenceReport, listRecentEntries } from './presence.js'
 import type { PresenceReply, PresenceReport } from './presence.js'
 import type { PresenceExchange } from './presenceExchange.js'
 
@@ -116,6 +116,7 @@
     return await readRollouts(control, true)
   })
   addMethod(rpc, 'fleet.presence', ['vm'], reportSchema, params => handlePresence(control, params as unknown as PresenceReport))
+  addMethod(rpc, 'fleet.listEntries', ['vm', 'operator'], z.strictObject({}), () => listRecentEntries(control.presence, getCurrentTime()))
   addMethod(rpc, 'fleet.announce', ['server'], announceSchema, async ({ facts }) => {
     await handleAnnouncement(control, facts as unknown as BackendAnnouncement, getCurrentTime())
     return {}
--- a/packages/daemon/src/core/gateway/answerStream.ts
+++ b/packages/daemon/src/core/gateway/answerStream.ts
@@ -115,6 +115,7 @@
   res.once('close', () => breakStream(stream))
   res.writeHead(head.status, { ...removeHopByHopHeaders(head.headers), ...(length === undefined ? {} : { 'content-length': String(length) }), ...stream.getConnectionHeaders() })
   addPacedAnswer(pacer.pacing, paced)
+  pacer.node.metrics.largeAnswers.set(pacer.pacing.answers.size)
   continueAnswer(stream)
 }
 
@@ -231,6 +232,7 @@
   if (paced !== undefined) {
     paced.readyBytes = 0
     pacer.pacing.answers.delete(paced)
+    pacer.node.metrics.largeAnswers.set(pacer.pacing.answers.size)
   }
   stream.paced = undefined
   stream.queue = []
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -31,6 +31,9 @@
   readonly records: Gauge<'kind'>
   readonly diskSyncs: Counter
   readonly largeAnswerBytes: Counter
+  readonly largeAnswers: Gauge
+  readonly linkBytes: Counter<'direction'>
+  readonly utilization: Gauge<'resource'>
 }
 
 export function createMetrics (): Metrics {
@@ -62,6 +65,9 @@
     current: new Gauge({ name: 'lynxcourse_current', help: 'Whether this VM holds a lease on being current.', registers }),
     records: new Gauge({ name: 'lynxcourse_directory_records', help: 'Records in the directory.', labelNames: ['kind'], registers }),
     diskSyncs: new Counter({ name: 'lynxcourse_disk_syncs_total', help: 'Times that a file was synced.', registers }),
-    largeAnswerBytes: new Counter({ name: 'lynxcourse_large_answer_bytes_total', help: 'Bytes of large answers written to callers while they were received.', registers })
+    largeAnswerBytes: new Counter({ name: 'lynxcourse_large_answer_bytes_total', help: 'Bytes of large answers written to callers while they were received.', registers }),
+    largeAnswers: new Gauge({ name: 'lynxcourse_large_answers', help: 'Large answers that are being forwarded, written or waiting for the link.', registers }),
+    linkBytes: new Counter({ name: 'lynxcourse_link_bytes_total', help: 'Bytes over the connections with callers and backend servers, if the capacity of this VM is known.', labelNames: ['direction'], registers }),
+    utilization: new Gauge({ name: 'lynxcourse_utilization', help: 'Smoothed utilization of this VM by resource, cpu or link, if its capacity is known.', labelNames: ['resource'], registers })
   }
 }
