--- a/packages/placement/src/core/link/linkPacing.ts
+++ b/packages/placement/src/core/link/linkPacing.ts
@@ -34,8 +34,11 @@
   readonly bytes: number
 }
 
-/** Part of the link for large answers. */
-const largeAnswerFraction = 0.7
+/**
+ * Part of the link for large answers. With 0.7 and with 0.9, the 99th percentile of small answers beside large ones was
+ * 53 and 51 ms instead of 450 ms; that of large answers was 1473 and 1131 ms. The rest must suffice for small answers.
+ */
+const largeAnswerFraction = 0.8
 /** Largest piece. It occupies a link of 5.8 Mbit/s for 11 ms. */
 const maxPieceBytes = 8192
 /** Time for which unused bytes of the rate can be used later; a timer of a busy event loop is late by as much. */
