--- a/packages/daemon/__tests__/crashingRequests.test.ts
+++ b/packages/daemon/__tests__/crashingRequests.test.ts
@@ -21,7 +21,7 @@
 const roundingMs = 1
 const crashingPath = '/read/crash'
 /** Time in which entry VMs learn of a restriction; changes that can wait are sent 200 ms after they were made. */
-const maxLearningMs = 150
+const maxLearningMs = 200
 
 async function startFleet (entryCount: number, crashable: CrashableServers): Promise<FleetFixture> {
   const fixture = await startFleetFixture(entryCount)
