Placement: in a busy service, use other servers than the primary for cold work that would miss its deadline there

While nearly all slots are busy, requests went to their objects' primary servers only. Where cold work hardly fits its route's timeout, those of a queued primary then ran into it one after another beside free slots elsewhere. A request may now use the other candidates if its primary server is not known to be warm and can't answer by the deadline; a server that is briefly full is waited for as before. No further scan over servers: the check covers the primary server alone.

--- a/packages/placement/__tests__/placement.test.ts
+++ b/packages/placement/__tests__/placement.test.ts
@@ -121,3 +121,15 @@
   assert.notEqual(getTargetOrReason(fleet, request({ deadline: 2200 })), primary, 'a cold server is selected while the deadline leaves time for cold work')
   assert.equal(getTargetOrReason(fleet, request({ deadline: 1239 })), primary)
 })
+
+/** Guards against cold work that waits at a busy primary server until its route's timeout, while other servers have free slots. */
+test('a busy service uses only the primary server, but for requests that miss their deadline there', () => {
+  const servers = [server('first'), server('second')]
+  const fleet = createTestFleet(...servers)
+  fleet.sharedUtilization.set(desk, 1)
+  const primary = getTargetOrReason(fleet, request())
+  for (const known of servers) if (known.facts.id === primary) recordSharedQueueDepth(known, 8, 1000)
+  const urgent = createRoute('read', { rank: 0 })
+  assert.equal(getTargetOrReason(fleet, request({ route: urgent })), primary)
+  assert.notEqual(getTargetOrReason(fleet, request({ route: urgent, deadline: 1400 })), primary)
+})
--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -4,6 +4,7 @@
 import type { Route } from '@lynxcourse/state'
 import { selectUnderLimits } from '../server/limitedServers.js'
 import { hasColdToken, isCold, isWarmingVm } from '../server/coldRateLimit.js'
+import { estimateQueueWait, selectReachable } from './deadlineReach.js'
 import { estimateRoundTrip, estimateWarmProbability, getConnectionShare, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
 import { estimateQueueDepth, hasCapacity, isStalled, isHealthy, estimateSharedQueueDepth, getSlowdown, takesNewWork } from '../server/fleetServer.js'
@@ -119,13 +120,14 @@
 
 /**
  * Returns the servers that may get a request for an object: those with a hash rank, and those that are warm for it. If nearly
- * all slots are busy, only the object's primary server is a candidate: work at other servers is cold, takes four times the slot
+ * all slots are busy, only the object's primary server is a candidate, if it can answer by the request's deadline: work at other servers is cold, takes four times the slot
  * time and evicts other objects from their caches, so that cold work keeps the fleet full although warm work would fit.
  */
-function findCandidates (fleet: Fleet, request: PlacementRequest, open: readonly FleetServer[], hashRanks: ReadonlyMap<ServerId, HashRank>, utilization: number, now: Millis): FleetServer[] {
-  if (utilization > primaryOnlyUtilization) return open.filter(server => hashRanks.get(server.facts.id) === 'primary')
+function findCandidates (fleet: Fleet, request: PlacementRequest, open: readonly FleetServer[], hashRanks: ReadonlyMap<ServerId, HashRank>, utilization: number, now: Millis): readonly FleetServer[] {
   const holders = getWarmCandidates(fleet.warmObjects, request.object)
-  return open.filter(({ facts: { id } }) => hashRanks.has(id) || (holders.has(id) && isWarm(fleet.warmObjects, id, request.object, now)))
+  const all = open.filter(({ facts: { id } }) => hashRanks.has(id) || (holders.has(id) && isWarm(fleet.warmObjects, id, request.object, now)))
+  if (utilization <= primaryOnlyUtilization) return all
+  return selectReachable(fleet, request, all.filter(server => hashRanks.get(server.facts.id) === 'primary'), all, now)
 }
 
 /** Returns the region that the plan assigns to an object. A request without an object gets a random region, with the same shares. */
@@ -238,8 +240,3 @@
 function adjustHashRank (hashRank: HashRank | undefined, wasWarm: boolean, { hasWarmNonPrimary }: ScoreInput): HashRank | undefined {
   return hashRank === 'primary' && hasWarmNonPrimary && !wasWarm ? 'movedPrimary' : hashRank
 }
-
-/** Estimates the wait of a request for a slot at a server with the given queue depth. */
-function estimateQueueWait (queueDepth: number, slots: number, meanSlotMs: Millis): Millis {
-  return queueDepth < slots ? 0 : (queueDepth - slots + 1) * meanSlotMs / slots
-}
--- a/packages/placement/src/types/mechanisms.ts
+++ b/packages/placement/src/types/mechanisms.ts
@@ -8,6 +8,7 @@
   serverPauses: 'a server that asks for no requests for a time is left alone for as little time as any full one',
   weights: 'all servers have the same weight in hashing',
   regionPlan: 'objects are served in the region of their callers',
+  deadlineReach: 'a busy service uses only primary servers, also for requests that miss their deadline there',
   roomWait: 'a request that finds no capacity is refused at once',
   workWeight: 'work costs its own time, whatever the utilization',
   movedPrimaries: 'a new primary server is as likely to be warm as others, even if the object is warm at another server',
