Pace large answers by both directions of the link, and refuse those that it can't deliver in time

These had 0.8 of the link in one direction, and cross it twice.

Change: the rate of large answers counts both crossings (0.45 of the link); the utilization of a link is that of both directions together; a request whose large answer can't be delivered by its deadline behind those in flight is refused before it is sent.

--- a/packages/daemon/src/core/fleet/vmUsage.ts
+++ b/packages/daemon/src/core/fleet/vmUsage.ts
@@ -47,7 +47,7 @@
   const elapsedMs = now - last.at
   const change = { cpuMs: totals.cpuMs - last.cpuMs, received: totals.received - last.received, sent: totals.sent - last.sent }
   usage.cpuUse = cores === undefined ? undefined : smoothUtilization(usage.cpuUse, change.cpuMs / elapsedMs / getUsableCores(cores), elapsedMs)
-  const bits = Math.max(change.received, change.sent) * bitsPerByte
+  const bits = (change.received + change.sent) * bitsPerByte
   usage.linkUse = linkMbps === undefined ? undefined : smoothUtilization(usage.linkUse, bits / elapsedMs / bitsPerMillisecondAndMbps / linkMbps, elapsedMs)
   return change
 }
--- a/packages/daemon/src/core/gateway/answerStream.ts
+++ b/packages/daemon/src/core/gateway/answerStream.ts
@@ -8,7 +8,7 @@
 import type { ServerResponse } from 'node:http'
 import { nextState } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { addPacedAnswer } from '@lynxcourse/placement'
+import { addPacedAnswer, recordLargeAnswerSize } from '@lynxcourse/placement'
 import type { HeaderMap } from '../../types/answers.js'
 import type { CancelSignal } from '../../utils/cancelSignal.js'
 import { getCurrentTime } from '../../utils/clock.js'
@@ -110,6 +110,7 @@
   })
   res.once('finish', () => {
     leavePipeline(pipelined)
+    recordLargeAnswerSize(pacer.demand, stream.writtenBytes)
     endStream(stream, 'complete')
   })
   res.once('close', () => breakStream(stream))
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -19,6 +19,7 @@
 import { consumePermit, createPermitHolder, fetchPermit, maySendAgain, needsPermit, releasePermit } from './permitHolder.js'
 import type { PermitHolder } from './permitHolder.js'
 import type { PermitRefusal } from './teamPermits.js'
+import { refuseLargeAnswer } from './linkPacer.js'
 import { logRefusal, logSend, getTimeFields } from './requestLog.js'
 import { sendOnce } from './sending.js'
 import type { SendTimeouts, SendResult } from './sending.js'
@@ -35,10 +36,15 @@
 /** Serves a request until its final answer; returns undefined if the caller disconnects. */
 export async function serveCall (gateway: Gateway, call: Call): Promise<CallAnswer | undefined> {
   const state = startRequest(gateway, buildPlacementRequest(call), call.liveness, getConditions(gateway, call), getCurrentTime())
+  const largeAnswers = call.stream?.pacer
+  const refusal = largeAnswers === undefined ? undefined : refuseLargeAnswer(largeAnswers, call.deadline, getCurrentTime())
+  if (refusal !== undefined) return refuse(gateway, call, state, refusal)
   const holder = createPermitHolder(call)
+  if (largeAnswers !== undefined) largeAnswers.demand.inFlight += 1
   try {
     return await performSteps(gateway, call, state, holder)
   } finally {
+    if (largeAnswers !== undefined) largeAnswers.demand.inFlight -= 1
     releasePermit(gateway, holder, getCurrentTime())
     if (isUnusedTrial(state)) cancelTrial(gateway.crashes, getWatchedRequest(call)).catch(logFailure(gateway, call))
   }
--- a/packages/daemon/src/types/fleetFile.ts
+++ b/packages/daemon/src/types/fleetFile.ts
@@ -73,7 +73,7 @@
   /** What the VM can do; omitted values are unknown. */
   capacity: z.strictObject({
     cores: z.number().positive().optional(),
-    /** Bandwidth of the VM's own network link in Mbit/s, in each direction. */
+    /** Bandwidth of the VM's own network link in Mbit/s, for both directions together. */
     linkMbps: z.number().positive().optional()
   }).optional(),
   times: timesSchema,
--- a/packages/daemon/src/types/fleetSettings.ts
+++ b/packages/daemon/src/types/fleetSettings.ts
@@ -60,7 +60,7 @@
 export interface VmCapacity {
   /** Processor cores, with fractions. */
   readonly cores: number | undefined
-  /** Bandwidth of the VM's own network link in Mbit/s, in each direction. */
+  /** Bandwidth of the VM's own network link in Mbit/s, for both directions together. */
   readonly linkMbps: number | undefined
 }
 
--- a/packages/placement/src/core/entries/vmResources.ts
+++ b/packages/placement/src/core/entries/vmResources.ts
@@ -10,11 +10,11 @@
 export interface VmResources {
   /** Processor cores, with fractions. */
   readonly cores?: number | undefined
-  /** Bandwidth of its own network link in Mbit/s, in each direction. */
+  /** Bandwidth of its own network link in Mbit/s. */
   readonly linkMbps?: number | undefined
   /** Utilization of the processor, in steps of `utilizationStep`. */
   readonly cpuUse?: number | undefined
-  /** Utilization of the busier direction of the link, in steps of `utilizationStep`. */
+  /** Utilization of the link by both directions together, in steps of `utilizationStep`. */
   readonly linkUse?: number | undefined
 }
 
--- a/packages/placement/src/core/link/linkPacing.ts
+++ b/packages/placement/src/core/link/linkPacing.ts
@@ -35,10 +35,11 @@
 }
 
 /**
- * Part of the link for large answers. With 0.7 and with 0.9, the 99th percentile of small answers beside large ones was
- * 53 and 51 ms instead of 450 ms; that of large answers was 1473 and 1131 ms. The rest must suffice for small answers.
+ * Part of the link for large answers. Their bytes cross it twice, from the server and to the caller, and both count: paced by one
+ * direction alone, 0.55 to 0.8 of a link in each, packets waited for hundreds of milliseconds where the directions share the link.
  */
-const largeAnswerFraction = 0.8
+const largeAnswerFraction = 0.9
+const linkCrossings = 2
 /** Largest piece. It occupies a link of 5.8 Mbit/s for 11 ms. */
 const maxPieceBytes = 8192
 /** Time for which unused bytes of the rate can be used later; a timer of a busy event loop is late by as much. */
@@ -56,7 +57,7 @@
 
 /** Returns the rate of large answers in bytes per millisecond; Infinity if the link is unknown or not scarce. */
 export function computeLargeAnswerRate (linkMbps: number | undefined): number {
-  return linkMbps === undefined || linkMbps >= scarceLinkMbps ? Infinity : linkMbps * bytesPerMsAndMbps * largeAnswerFraction
+  return linkMbps === undefined || linkMbps >= scarceLinkMbps ? Infinity : linkMbps * bytesPerMsAndMbps * largeAnswerFraction / linkCrossings
 }
 
 /** Adds an answer of the given length; undefined if the length is unknown. */
