--- a/packages/cli/src/core/commands/rollouts.ts
+++ b/packages/cli/src/core/commands/rollouts.ts
@@ -1,7 +1,7 @@
 /** Commands for the rollouts of a fleet: `fleet rollouts list`, `start`, `show` and `abort`. */
 import type { Command } from 'commander'
 import { LynxError } from '@lynxcourse/base'
-import { delay } from '@lynxcourse/daemon'
+import { delay, getCurrentTime } from '@lynxcourse/daemon'
 import type { RolloutsReadResult } from '@lynxcourse/daemon'
 import { isRunningRollout } from '@lynxcourse/state'
 import type { ChangeAnswer, RolloutItem } from '@lynxcourse/state'
@@ -52,9 +52,9 @@
 /** Waits until a rollout has ended, or until long after its deadline; returns the exit code. */
 async function awaitEnd (session: Session, service: string, format: OutputFormat): Promise<number> {
   const first = await findRollout(session, service)
-  const giveUpAt = Date.now() + first.durationMs + waitSlackMs
+  const giveUpAt = getCurrentTime() + first.durationMs + waitSlackMs
   let last = first
-  while (isRunningRollout(last) && Date.now() < giveUpAt) {
+  while (isRunningRollout(last) && getCurrentTime() < giveUpAt) {
     await delay(pollMs)
     const next = await findRollout(session, service)
     if (next.step !== last.step) printProgress(`${next.state}: ${next.reason}`)
