Rollouts: a version that is clearly worse than the baseline is not promoted

The test for a bad version looks for a quarter of bad answers and assumes that a good one may have 3 %.

Change: more bad answers than chance explains, also without the worst server, are a doubt; in doubt a version is not promoted, and rolled back when the observation ends.

Measured: the new test fails before (good instead of open).

--- a/packages/rollouts/__tests__/judgement.test.ts
+++ b/packages/rollouts/__tests__/judgement.test.ts
@@ -80,6 +80,14 @@
   assert.equal(judgeCounts({ lookup: { baseline: count(2000), target: count(40) }, used: { baseline: count(200), target: count(0) } }, servers), 'open')
 })
 
+/** Guards against a version that is bad under load and is promoted since a tenth of its answers at little load look harmless. */
+test('a version that is clearly worse than the baseline is not good, unless one server explains it', () => {
+  const routes = { lookup: { baseline: count(2122, 1), target: count(71, 7) } }
+  assert.equal(judgeCounts(routes, [[24, 3], [24, 2], [23, 2]]), 'open')
+  assert.equal(judgeCounts(routes, [[10, 7], [31, 0], [30, 0]]), 'good')
+  assert.equal(judgeCounts({ lookup: { baseline: count(2122, 127), target: count(71, 7) } }, [[24, 3], [24, 2], [23, 2]]), 'good')
+})
+
 /** Guards against a defect that the other routes hide. */
 test('a defect on one route makes the version bad', () => {
   const routes = { lookup: { baseline: count(2000), target: count(180) }, export: { baseline: count(200), target: count(18, 9) } }
--- a/packages/rollouts/src/core/judgement.ts
+++ b/packages/rollouts/src/core/judgement.ts
@@ -48,6 +48,10 @@
  * version then, and a disturbance of the network must not roll a good version back.
  */
 const unknownRate = 0.2
+/** Smallest rate of bad answers, and probabilities of the counts of all servers and of all but the worst one, for a doubt. */
+const minDoubtRate = 0.01
+const doubtProbability = 0.001
+const doubtProbabilityOfOthers = 0.02
 /** Answers of the target version, of all routes and of one route, that a good verdict needs. */
 const minAnswers = 16
 const minRouteAnswers = 16
@@ -104,6 +108,7 @@
 
 /** Returns a description of counts that are neither good nor bad yet. */
 function findDoubt ({ whole, recent }: Evidence): string | undefined {
+  if (isWorseThanBaseline(whole)) return `worse than the baseline: ${describeCounts('all routes', whole.all)}`
   for (const window of [whole, ...recent]) {
     for (const { name, counts, rate, isAll } of listTests(window, whole)) {
       const { ratio, othersRatio } = computeRatios(counts.target, rate, window, whole)
@@ -114,6 +119,29 @@
   return undefined
 }
 
+/**
+ * Returns whether more answers of the target version were bad than chance explains, also without its worst server. A version that is bad
+ * under load only shows a small defect while it is observed: a tenth of its answers, where the test for a bad version looks for a quarter.
+ */
+function isWorseThanBaseline (whole: EvidenceWindow): boolean {
+  const { baseline, target } = whole.all
+  const rate = Math.max(minDoubtRate, (getBad(baseline) + priorRate * priorAnswers) / (baseline.answers + priorAnswers))
+  const worst = [...whole.servers.values()].reduce<ServerCounts>((most, server) => server.bad > most.bad ? server : most, { answers: 0, bad: 0 })
+  const others = { answers: Math.max(0, target.answers - worst.answers), bad: Math.max(0, getBad(target) - worst.bad) }
+  return computeTail(getBad(target), target.answers * rate) < doubtProbability && computeTail(others.bad, others.answers * rate) < doubtProbabilityOfOthers
+}
+
+/** Returns the probability of at least `count` events where `expected` are expected (Poisson). */
+function computeTail (count: number, expected: number): number {
+  let term = Math.exp(-expected)
+  let below = 0
+  for (let events = 0; events < count; events++) {
+    below += term
+    term *= expected / (events + 1)
+  }
+  return Math.max(0, 1 - below)
+}
+
 interface RateTest {
   readonly name: string
   readonly isAll: boolean
