Rollouts: one worst server hardly excuses a version that is worse than the baseline

Change: the counts without the worst server need a probability below 0.45 instead of 0.02; with a few dozen answers, one bad answer elsewhere is a doubt. A good version with one gray server and a bad answer at another one is rolled back.

--- a/packages/rollouts/src/core/judgement.ts
+++ b/packages/rollouts/src/core/judgement.ts
@@ -51,7 +51,7 @@
 /** Smallest rate of bad answers, and probabilities of the counts of all servers and of all but the worst one, for a doubt. */
 const minDoubtRate = 0.01
 const doubtProbability = 0.001
-const doubtProbabilityOfOthers = 0.02
+const doubtProbabilityOfOthers = 0.45
 /** Answers of the target version, of all routes and of one route, that a good verdict needs. */
 const minAnswers = 16
 const minRouteAnswers = 16
