Read large answers whole if they end with their connection

Servers that leave send `Connection: close`, and pacing pauses connections.

Change: only answers that keep their connection, with a length or in chunks, are forwarded while they arrive; others are read whole as before.

--- a/packages/daemon/src/core/gateway/exchange.ts
+++ b/packages/daemon/src/core/gateway/exchange.ts
@@ -121,6 +121,15 @@
   }
 }
 
+/**
+ * Whether a server's connection can be paused within an answer: the connection stays open after it, and its end is told by a length or by
+ * chunks. The HTTP client ends the process if a connection closes while it is paused in any other answer.
+ */
+export function canBePaused (headers: HeaderMap): boolean {
+  const isKept = !/(^|,)\s*close\s*(,|$)/i.test(String(headers.connection ?? ''))
+  return isKept && (parseLength(headers) !== undefined || headers['transfer-encoding'] !== undefined)
+}
+
 /** Returns the length of the body that a server announced; undefined if it announced none. */
 export function parseLength ({ 'content-length': length }: HeaderMap): number | undefined {
   return typeof length === 'string' && /^\d{1,15}$/.test(length) ? Number(length) : undefined
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -14,7 +14,7 @@
 import type { Connection } from '../entry/connectionPool.js'
 import { acceptAnswer, deliverRest, dropAnswer, isHeldBack, receivePart } from './answerStream.js'
 import type { Call } from './call.js'
-import { startExchange } from './exchange.js'
+import { canBePaused, startExchange } from './exchange.js'
 import type { BodyReceiver, Exchange, ReceivedAnswer } from './exchange.js'
 import type { Gateway } from './gateway.js'
 import { observeStatements } from './serverNotices.js'
@@ -105,7 +105,7 @@
   return {
     minBytes: minStreamedBytes,
     accept: (head, flow) => {
-      if (head.status >= firstRedirectStatus || servers.classifyAnswer(facts, head.status, head.headers) !== 'answered') return false
+      if (head.status >= firstRedirectStatus || servers.classifyAnswer(facts, head.status, head.headers) !== 'answered' || !canBePaused(head.headers)) return false
       onAccept()
       acceptAnswer(stream, head, flow)
       return true
