Rollouts: one predicate for a running rollout, one estimate of the baseline's rate

`isRolloutRunning` of rollouts and `isRunningRollout` of state were the same test; the second one serves both. The baseline's rate since the order was computed in two places of the judgement. Behaviour as before: lint, build and 53 tests of rollouts, placement and daemon pass.

--- a/packages/daemon/src/core/fleet/serverSlots.ts
+++ b/packages/daemon/src/core/fleet/serverSlots.ts
@@ -1,7 +1,6 @@
 /** Derives the slots and regions of a fleet's servers from the state. */
 import type { FailureDomainId, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
-import { isRolloutRunning } from '@lynxcourse/rollouts'
-import { findItem, listItems } from '@lynxcourse/state'
+import { findItem, isRunningRollout, listItems } from '@lynxcourse/state'
 import type { BackendAnnouncement, Config } from '@lynxcourse/state'
 import type { KnownServer, KnownServers, ServiceSlots } from '@lynxcourse/placement'
 
@@ -19,7 +18,7 @@
   if (!hasVersions) return true
   const rollout = findItem(config, 'rollout', service)
   const inForce = findItem(config, 'serviceVersion', service)?.version
-  if (rollout === undefined || !isRolloutRunning(rollout)) return inForce === undefined || software === inForce
+  if (rollout === undefined || !isRunningRollout(rollout)) return inForce === undefined || software === inForce
   const { state, baseline, target, percent } = rollout
   return software === (state === 'draining' || percent > mainPercent ? target : baseline)
 }
--- a/packages/placement/src/core/rollout/serverVersions.ts
+++ b/packages/placement/src/core/rollout/serverVersions.ts
@@ -1,7 +1,7 @@
 /** Assigns each server its role by its software version, whenever the state of the fleet changes. */
 import type { FailureDomainId, Millis, ServiceId } from '@lynxcourse/base'
-import { isRolloutRunning } from '@lynxcourse/rollouts'
 import type { RolloutBounds } from '@lynxcourse/rollouts'
+import { isRunningRollout } from '@lynxcourse/state'
 import type { RolloutItem, ServiceVersionItem, SoftwareVersion } from '@lynxcourse/state'
 import type { Fleet } from '../request/fleet.js'
 import type { FleetServer } from '../server/fleetServer.js'
@@ -30,7 +30,7 @@
     return
   }
   const inForce = findVersionsInForce(versions, rollouts)
-  const running = new Map(rollouts.filter(isRolloutRunning).map(item => [item.key, item]))
+  const running = new Map(rollouts.filter(isRunningRollout).map(item => [item.key, item]))
   for (const [service, rollout] of active.byService) {
     if (!running.has(service)) endRollout(active, rollout, rollouts.find(item => item.key === service))
   }
--- a/packages/rollouts/src/core/assignment.ts
+++ b/packages/rollouts/src/core/assignment.ts
@@ -1,14 +1,8 @@
 /** Which requests of a service belong to the target version of a rollout. All VMs decide alike, without communication. */
 import { hashText } from '@lynxcourse/base'
-import type { RolloutItem, RolloutState } from '@lynxcourse/state'
+import type { RolloutItem } from '@lynxcourse/state'
 
 const hashRange = 2 ** 32
-const runningStates: ReadonlySet<RolloutState> = new Set<RolloutState>(['observing', 'promoting', 'draining'])
-
-/** Returns whether requests of the service may go to two versions. */
-export function isRolloutRunning ({ state }: RolloutItem): boolean {
-  return runningStates.has(state)
-}
 
 /**
  * Returns whether an object belongs to the target version. An object that belongs to it at some percentage still does at any
--- a/packages/rollouts/src/core/judgement.ts
+++ b/packages/rollouts/src/core/judgement.ts
@@ -125,7 +125,7 @@
  */
 function isWorseThanBaseline (whole: EvidenceWindow): boolean {
   const { baseline, target } = whole.all
-  const rate = Math.max(minDoubtRate, (getBad(baseline) + priorRate * priorAnswers) / (baseline.answers + priorAnswers))
+  const rate = Math.max(minDoubtRate, estimateWholeRate(baseline))
   const worst = [...whole.servers.values()].reduce<ServerCounts>((most, server) => server.bad > most.bad ? server : most, { answers: 0, bad: 0 })
   const others = { answers: Math.max(0, target.answers - worst.answers), bad: Math.max(0, getBad(target) - worst.bad) }
   return computeTail(getBad(target), target.answers * rate) < doubtProbability && computeTail(others.bad, others.answers * rate) < doubtProbabilityOfOthers
@@ -158,11 +158,15 @@
 
 /** Estimates the baseline's rate of bad answers in a period; where it has few answers, the rate since the order counts more. */
 function estimateRate ({ baseline }: VersionCounts, whole: VersionCounts): number {
-  const wholeRate = (getBad(whole.baseline) + priorRate * priorAnswers) / (whole.baseline.answers + priorAnswers)
-  const rate = (getBad(baseline) + wholeRate * priorAnswers) / (baseline.answers + priorAnswers)
+  const rate = (getBad(baseline) + estimateWholeRate(whole.baseline) * priorAnswers) / (baseline.answers + priorAnswers)
   return Math.min(0.99, Math.max(baseline.answers < minBaselineAnswers ? unknownRate : minRate, rate))
 }
 
+/** Estimates the baseline's rate of bad answers since the order. */
+function estimateWholeRate (baseline: AnswerCounts): number {
+  return (getBad(baseline) + priorRate * priorAnswers) / (baseline.answers + priorAnswers)
+}
+
 /** Logarithms of the likelihood ratios of a bad to a good version. */
 interface Ratios {
   readonly ratio: number
