Retry budget: metrics and log lines of what it allows, spends and denies

An on-call engineer couldn't tell from logs what the budget had allowed a VM, among how many VMs its slack was divided, nor that a retry was denied at all. Each VM now counts the retries that requests wanted, by service and by the outcome of the previous send, and logs one line for each service and window in which there were any, under a log part of its own so that a flood of other lines doesn't crowd it out.

--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -22,6 +22,7 @@
 import type { Gateway } from '../gateway/gateway.js'
 import { addNoticeMethod } from '../gateway/noticeQuery.js'
 import { refillPermits } from '../gateway/permitHolder.js'
+import { reportRetries } from '../gateway/retryReport.js'
 import { logTargetUse } from '../gateway/requestLog.js'
 import { logPublishedLimits } from '../gateway/serverNotices.js'
 import { delay, repeat } from '../node/timers.js'
@@ -56,6 +57,7 @@
 const sweepIntervalMs: Millis = 500
 const refillIntervalMs: Millis = 1000
 const usageIntervalMs: Millis = 1000
+const retryReportIntervalMs: Millis = 1000
 const drainPollIntervalMs: Millis = 20
 /**
  * Time after the stop signal during which new connections are accepted, until lookups that named this VM have expired.
@@ -125,6 +127,7 @@
   server.on('connection', socket => { if (node.cfg.capacity !== undefined) countTraffic(node.usage.traffic, socket) })
   addResource(stack, repeat(sweepIntervalMs, () => closeStaleConnections(gateway.pool, getCurrentTime()), () => undefined))
   addResource(stack, repeat(usageIntervalMs, () => updateUsage(node, getCurrentTime()), () => undefined))
+  addResource(stack, repeat(retryReportIntervalMs, () => reportRetries(gateway, getCurrentTime()), () => undefined))
   addResource(stack, repeat(refillIntervalMs, () => refillPermits(gateway, getCurrentTime()), () => undefined))
   ownServer(stack, server)
   await listen(server, node.cfg.callers ?? '')
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -228,7 +228,7 @@
 function refuseOverloaded (gateway: Gateway, req: IncomingMessage, call: RefusedCall): CallAnswer {
   req.resume()
   const retryAfterMs = overloadedRetryMs * (1 + gateway.node.random())
-  logRefusal(gateway, call, 0, { type: 'refuse', reason: 'overloaded', retryAfterMs })
+  logRefusal(gateway, call, undefined, { type: 'refuse', reason: 'overloaded', retryAfterMs })
   // Closing a connection before its request was read completely resets the connection, and the answer is lost.
   return { ...createRefusal(gateway.callers, 'this VM is overloaded', retryAfterMs), endsConnection: req.complete }
 }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -17,6 +17,8 @@
 import { createLinkPacer } from './linkPacer.js'
 import type { LinkPacer } from './linkPacer.js'
 import { FleetPermitChannel } from './permitChannel.js'
+import { createRetryReport } from './retryReport.js'
+import type { RetryReport } from './retryReport.js'
 import type { Pipelines } from './pipeline.js'
 import { createTeamPermits } from './teamPermits.js'
 import type { TeamPermits } from './teamPermits.js'
@@ -29,6 +31,7 @@
   readonly splits: SplitStates
   readonly crashes: CrashWatch
   readonly permits: TeamPermits
+  readonly retryReport: RetryReport
   /** Bounds the read delay of requests. */
   readonly loop: LoopMonitor
   routeTable: RouteTable
@@ -65,6 +68,7 @@
     crashes: createCrashWatch(node.logs, node.metrics, new FleetCrashChannel(node), connectTimeoutMs),
     permits: createTeamPermits(new FleetPermitChannel(node), node.logs, node.random),
     retries: new Map(),
+    retryReport: createRetryReport(node.startedAt),
     loop,
     routeTable: buildRouteTable([]),
     teams: buildTeamTable([], false),
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -3,12 +3,13 @@
 import { getPauseMs } from '@lynxcourse/limits'
 import type { ServerNotice } from '@lynxcourse/limits'
 import { estimateQueueDepth, getConcurrency, getLimitShare, isServerError, takeUseChanges } from '@lynxcourse/placement'
-import type { Placement, Refusal, TargetUseChange } from '@lynxcourse/placement'
+import type { Placement, Refusal, RequestState, TargetUseChange } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import type { LogFields } from '../../utils/logging.js'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
+import { getRetryFields } from './retryReport.js'
 import type { SendReport } from './sending.js'
 import type { PermitRefusal } from './teamPermits.js'
 
@@ -23,7 +24,7 @@
 }
 
 /** Logs a send with the values that its placement was based on, and its outcome. */
-export function logSend (gateway: Gateway, call: Call, sends: number, placement: Placement, report: SendReport, startedAt: Millis, now: Millis): void {
+export function logSend (gateway: Gateway, call: Call, state: RequestState, placement: Placement, report: SendReport, startedAt: Millis, now: Millis): void {
   const { result, writtenAt, restedMs } = report
   const { facts, reportedAt } = placement.server
   const reportAgeMs = now - reportedAt
@@ -42,7 +43,8 @@
     region: facts.region,
     version: facts.software,
     ahead: Math.round(estimateQueueDepth(placement.server, now) * 10) / 10,
-    try: sends,
+    try: state.sends,
+    ...getRetryFields(gateway, call.service, state, now),
     object: call.facts.object,
     place: placement.place,
     cold: placement.isCold,
@@ -135,8 +137,12 @@
   return { unreadMs: Math.round(readAt - arrivedAt), inVmMs: Math.round(getCurrentTime() - readAt) }
 }
 
-/** Logs a refusal of a request. */
-export function logRefusal (gateway: Gateway, call: RefusedCall, sends: number, refusal: Refusal | OverloadRefusal | PermitRefusal): void {
+/**
+ * Logs a refusal of a request.
+ *
+ * @param state undefined if the request was refused before any placement
+ */
+export function logRefusal (gateway: Gateway, call: RefusedCall, state: RequestState | undefined, refusal: Refusal | OverloadRefusal | PermitRefusal): void {
   gateway.node.metrics.refusals.inc({ reason: refusal.reason })
   log(gateway.node.logs, 'route', 'info', 'Refused.', {
     id: call.facts.id,
@@ -147,7 +153,8 @@
     object: call.facts.object,
     retryAfterMs: Math.round(refusal.retryAfterMs),
     ...getLoadFields(gateway, call.service),
-    sends,
+    sends: state?.sends ?? 0,
+    ...(state === undefined ? {} : getRetryFields(gateway, call.service, state, getCurrentTime())),
     leftMs: Math.round(call.deadline - getCurrentTime()),
     ...getTimeFields(call),
     ...getStateFields(gateway)
--- /dev/null
+++ b/packages/daemon/src/core/gateway/retryReport.ts
@@ -0,0 +1,71 @@
+/** Reports, by service, what the retry budget allows this VM and what it spends: in metrics, and in a log line for each window with retries. */
+import type { Millis, ServiceId } from '@lynxcourse/base'
+import { addRetryCounts, createRetryCounts, getRetryAllowance, takeRetryCounts } from '@lynxcourse/placement'
+import type { RetryCause, RetryCounts } from '@lynxcourse/placement'
+import { log } from '../../utils/logging.js'
+import type { LogFields } from '../../utils/logging.js'
+import type { Gateway } from './gateway.js'
+
+/** Counts that were not logged yet. */
+export interface RetryReport {
+  readonly counts: Map<ServiceId, RetryCounts>
+  loggedAt: Millis
+}
+
+export function createRetryReport (now: Millis): RetryReport {
+  return { counts: new Map(), loggedAt: now }
+}
+
+/** Updates the metrics, and logs what was spent since the last line once a window has passed. Called periodically. */
+export function reportRetries (gateway: Gateway, now: Millis): void {
+  const { retries, retryReport, node } = gateway
+  for (const [service, counts] of takeRetryCounts(retries)) {
+    updateMetrics(gateway, service, counts, now)
+    const sum = retryReport.counts.get(service) ?? createRetryCounts()
+    addRetryCounts(sum, counts)
+    retryReport.counts.set(service, sum)
+  }
+  if (now - retryReport.loggedAt < node.cfg.retryBudget.windowMs) return
+  for (const [service, counts] of retryReport.counts) logRetries(gateway, service, counts, now)
+  retryReport.counts.clear()
+  retryReport.loggedAt = now
+}
+
+function updateMetrics ({ node: { metrics, cfg }, retries, fleet }: Gateway, service: ServiceId, { sent, denied }: RetryCounts, now: Millis): void {
+  const { used, allowed } = getRetryAllowance(retries, cfg.retryBudget, service, fleet.vms.length, now)
+  metrics.retryBudget.set({ service, part: 'allowed' }, allowed)
+  metrics.retryBudget.set({ service, part: 'used' }, used)
+  metrics.retryBudgetVms.set(fleet.vms.length)
+  for (const [cause, count] of sent) metrics.retries.inc({ service, cause, result: 'sent' }, count)
+  for (const [cause, count] of denied) metrics.retries.inc({ service, cause, result: 'denied' }, count)
+}
+
+function logRetries (gateway: Gateway, service: ServiceId, { requests, sent, denied }: RetryCounts, now: Millis): void {
+  if (sent.size === 0 && denied.size === 0) return
+  const { node, retryReport } = gateway
+  log(node.logs, 'retry', denied.size > 0 ? 'warn' : 'info', 'Retry budget.', {
+    service,
+    forMs: Math.round(now - retryReport.loggedAt),
+    requests,
+    sent: formatCounts(sent),
+    denied: formatCounts(denied),
+    ...describeAllowance(gateway, service, now),
+    runningMs: Math.round(now - node.startedAt)
+  })
+}
+
+function formatCounts (counts: ReadonlyMap<RetryCause, number>): string | undefined {
+  return counts.size === 0 ? undefined : [...counts].map(([cause, count]) => `${cause} ${count}`).join(', ')
+}
+
+/** Returns what the budget of a service allows this VM within the present window, for log lines. */
+export function describeAllowance ({ node, retries, fleet }: Gateway, service: ServiceId, now: Millis): { readonly budgetUsed: number, readonly budgetAllowed: number, readonly budgetVms: number } {
+  const { used, allowed } = getRetryAllowance(retries, node.cfg.retryBudget, service, fleet.vms.length, now)
+  return { budgetUsed: used, budgetAllowed: Math.round(allowed * 10) / 10, budgetVms: fleet.vms.length }
+}
+
+/** Returns the fields of a log line on a request that was sent again, or was not for lack of a retry. */
+export function getRetryFields (gateway: Gateway, service: ServiceId, { retryCause, isOverBudget }: { readonly retryCause: RetryCause | undefined, readonly isOverBudget: boolean }, now: Millis): LogFields {
+  if (retryCause === undefined) return {}
+  return { retryAfter: retryCause, overBudget: isOverBudget || undefined, ...describeAllowance(gateway, service, now) }
+}
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -20,6 +20,7 @@
 import type { PermitHolder } from './permitHolder.js'
 import type { PermitRefusal } from './teamPermits.js'
 import { refuseLargeAnswer } from './linkPacer.js'
+import { getRetryFields } from './retryReport.js'
 import { logRefusal, logSend, getTimeFields } from './requestLog.js'
 import { sendOnce } from './sending.js'
 import type { SendTimeouts, SendResult } from './sending.js'
@@ -136,7 +137,7 @@
   const { result } = report
   const now = getCurrentTime()
   endSend(gateway, state, sending, result, now)
-  logSend(gateway, call, state.sends, placement, report, startedAt, now)
+  logSend(gateway, call, state, placement, report, startedAt, now)
   learnOfEnds(gateway, call, sending, result).catch(logFailure(gateway, call))
   return result
 }
@@ -157,13 +158,13 @@
 }
 
 function refuse (gateway: Gateway, call: Call, state: RequestState, refusal: Refusal | PermitRefusal): CallAnswer {
-  logRefusal(gateway, call, state.sends, refusal)
+  logRefusal(gateway, call, state, refusal)
   const { reason, retryAfterMs } = refusal
   return reason === 'overRate' ? createRateRefusal(gateway.callers, reason, retryAfterMs) : createRefusal(gateway.callers, reason, retryAfterMs)
 }
 
 function fail (gateway: Gateway, call: Call, state: RequestState, reason: FailureReason): CallAnswer {
   const { status, detail } = failureAnswers[reason]
-  log(gateway.node.logs, 'route', 'warn', 'Failed.', { id: call.facts.id, route: call.route.name, status, detail, sends: state.sends, ...getTimeFields(call) })
+  log(gateway.node.logs, 'route', 'warn', 'Failed.', { id: call.facts.id, route: call.route.name, status, detail, sends: state.sends, ...getRetryFields(gateway, call.service, state, getCurrentTime()), ...getTimeFields(call) })
   return createTextAnswer(status, detail)
 }
--- a/packages/daemon/src/utils/logging.ts
+++ b/packages/daemon/src/utils/logging.ts
@@ -7,7 +7,7 @@
 import { openLogStream } from './logStream.js'
 
 /** Parts of the program that log; the name is the prefix of their lines. */
-export type LogPart = 'access' | 'agree' | 'announce' | 'claim' | 'daemon' | 'drain' | 'limit' | 'lookup' | 'member' | 'notice' | 'rollout' | 'route' | 'rpc' | 'shift' | 'sync'
+export type LogPart = 'access' | 'agree' | 'announce' | 'claim' | 'daemon' | 'drain' | 'limit' | 'lookup' | 'member' | 'notice' | 'retry' | 'rollout' | 'route' | 'rpc' | 'shift' | 'sync'
 
 export type LogLevel = 'error' | 'warn' | 'info' | 'debug'
 
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -35,6 +35,9 @@
   readonly largeAnswers: Gauge
   readonly linkBytes: Counter<'direction'>
   readonly utilization: Gauge<'resource'>
+  readonly retries: Counter<'service' | 'cause' | 'result'>
+  readonly retryBudget: Gauge<'service' | 'part'>
+  readonly retryBudgetVms: Gauge
 }
 
 export function createMetrics (): Metrics {
@@ -70,6 +73,9 @@
     largeAnswerBytes: new Counter({ name: 'lynxcourse_large_answer_bytes_total', help: 'Bytes of large answers written to callers while they were received.', registers }),
     largeAnswers: new Gauge({ name: 'lynxcourse_large_answers', help: 'Large answers that are being forwarded, written or waiting for the link.', registers }),
     linkBytes: new Counter({ name: 'lynxcourse_link_bytes_total', help: 'Bytes over the connections with callers and backend servers, if the capacity of this VM is known.', labelNames: ['direction'], registers }),
-    utilization: new Gauge({ name: 'lynxcourse_utilization', help: 'Smoothed utilization of this VM by resource, cpu or link, if its capacity is known.', labelNames: ['resource'], registers })
+    utilization: new Gauge({ name: 'lynxcourse_utilization', help: 'Smoothed utilization of this VM by resource, cpu or link, if its capacity is known.', labelNames: ['resource'], registers }),
+    retries: new Counter({ name: 'lynxcourse_retries_total', help: 'Retries at other servers that requests wanted, by service, outcome of the previous send, and whether the retry budget allowed them.', labelNames: ['service', 'cause', 'result'], registers }),
+    retryBudget: new Gauge({ name: 'lynxcourse_retry_budget', help: 'Retries that the budget allows this VM within its window, and those used, by service.', labelNames: ['service', 'part'], registers }),
+    retryBudgetVms: new Gauge({ name: 'lynxcourse_retry_budget_vms', help: 'Entry VMs among which this VM divides the slack of the retry budget.', registers })
   }
 }
--- a/packages/placement/__tests__/fleetBounds.test.ts
+++ b/packages/placement/__tests__/fleetBounds.test.ts
@@ -41,7 +41,7 @@
           recordBudgetedRequest(share, cfg, desk, at)
           events.push({ at, repeat: false })
         }
-        if (trySpendRetry(share, cfg, desk, rates.length, at)) events.push({ at, repeat: true })
+        if (trySpendRetry(share, cfg, desk, 'full', rates.length, at)) events.push({ at, repeat: true })
       }
     }
     for (let start = 0; start < 15_000; start += 1000) {
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -15,6 +15,8 @@
 import { expectsCapacity, computeRecheckDelay, computeWaitEnd } from '../admission/capacityWait.js'
 import { recordDemand } from '../board/loadObservations.js'
 import { recordBudgetedRequest, trySpendRetry } from '../retries/retryBudget.js'
+import { getRetryCause } from '../retries/retryCounts.js'
+import type { RetryCause } from '../retries/retryCounts.js'
 import { consumeLimitToken } from '@lynxcourse/limits'
 import { recordVersionEvidence, spendExposure } from '../rollout/sendEvidence.js'
 import { drawVersion } from '../rollout/versionChoice.js'
@@ -54,6 +56,10 @@
   trial: TrialAnswer | undefined
   /** Outcome of the last send. */
   last: SendOutcome | undefined
+  /** Why the request was sent again, or would have been with a larger budget; undefined before. */
+  retryCause: RetryCause | undefined
+  /** Whether the request was not sent again for lack of a retry in the budget. */
+  isOverBudget: boolean
 }
 
 /** The next step for a request. */
@@ -96,7 +102,7 @@
   recordBudgetedRequest(retries, conditions.retryBudget, service, now)
   recordDemand(load, service, estimateSlotTime(fleet, request, object))
   const tried = new Set<ServerId>()
-  return { request: { ...request, tried, versionDraw: drawVersion(fleet, request) }, tried, caller, maxWaitUntil: computeWaitEnd(route.aimMs, deadline, now), possibleRuns: 0, full: 0, sends: 0, trial: undefined, last: undefined }
+  return { request: { ...request, tried, versionDraw: drawVersion(fleet, request) }, tried, caller, maxWaitUntil: computeWaitEnd(route.aimMs, deadline, now), possibleRuns: 0, full: 0, sends: 0, trial: undefined, last: undefined, retryCause: undefined, isOverBudget: false }
 }
 
 /** Decides the next step for a request that is not in flight at a server. */
@@ -112,12 +118,16 @@
     return state.possibleRuns > 0 ? stepWithoutRetry(entry, state, now) : { type: 'refuse', refused: placement }
   }
   if (conditions.needsPermit === true) return { type: 'takePermit' }
-  const { retries, fleet } = entry
-  const isFirstSend = state.sends === 0
-  if (!isFirstSend && !trySpendRetry(retries, conditions.retryBudget, state.request.service, fleet.vms.length, now)) return stepWithoutRetry(entry, state, now)
+  if (state.sends > 0 && state.last !== undefined && !spendRetry(entry, state, state.last, conditions, now)) return stepWithoutRetry(entry, state, now)
   return { type: 'send', placement }
 }
 
+function spendRetry ({ retries, fleet }: EntryState, state: RequestState, last: SendOutcome, { retryBudget }: DecisionConditions, now: Millis): boolean {
+  state.retryCause = getRetryCause(last)
+  state.isOverBudget = !trySpendRetry(retries, retryBudget, state.request.service, state.retryCause, fleet.vms.length, now)
+  return !state.isOverBudget
+}
+
 /** Returns the step that the restriction of a request requires; undefined if it may be sent as a trial. */
 function stepByRestriction (entry: EntryState, state: RequestState, restriction: RequestRestriction, now: Millis): RequestStep | undefined {
   if (state.possibleRuns > 0) return stepWithoutRetry(entry, state, now)
--- a/packages/placement/src/core/retries/retryBudget.ts
+++ b/packages/placement/src/core/retries/retryBudget.ts
@@ -6,6 +6,8 @@
  * what the others use.
  */
 import type { Millis, ServiceId } from '@lynxcourse/base'
+import { createRetryCounts, countRetry } from './retryCounts.js'
+import type { RetryCause, RetryCounts } from './retryCounts.js'
 
 /** The retry budget that all VMs share. */
 export interface RetryBudgetCfg {
@@ -18,26 +20,56 @@
 
 interface Bin { at: number, requests: number, retries: number }
 
-/** Requests and retries by service, in bins of a tenth of the window. */
-export type RetryUsage = Map<ServiceId, Bin[]>
+/** Requests and retries of one service. */
+interface ServiceRetries {
+  /** Bins of a tenth of the window. */
+  bins: Bin[]
+  /** Counts since they were last taken. */
+  counts: RetryCounts
+}
+
+/** Requests and retries by service. */
+export type RetryUsage = Map<ServiceId, ServiceRetries>
+
+/** What a VM may use of the retry budget of a service, and what it has used, within the window. */
+export interface RetryAllowance {
+  /** Number of requests in the window. */
+  readonly requests: number
+  readonly used: number
+  readonly allowed: number
+}
 
 const binsPerWindow = 10
 /** Fraction of the budget that is used, since requests reach VMs unevenly. */
 const usedFraction = 0.8
 
-function getBins (usage: RetryUsage, cfg: RetryBudgetCfg, service: ServiceId, now: Millis): Bin[] {
-  const size = cfg.windowMs / binsPerWindow
-  const at = Math.floor(now / size)
-  const bins = (usage.get(service) ?? []).filter(bin => bin.at > at - binsPerWindow - 1)
-  if (bins.at(-1)?.at !== at) bins.push({ at, requests: 0, retries: 0 })
-  usage.set(service, bins)
-  return bins
+function getServiceRetries (usage: RetryUsage, cfg: RetryBudgetCfg, service: ServiceId, now: Millis): ServiceRetries {
+  const retries = usage.get(service) ?? { bins: [], counts: createRetryCounts() }
+  const at = Math.floor(now / (cfg.windowMs / binsPerWindow))
+  retries.bins = retries.bins.filter(bin => bin.at > at - binsPerWindow - 1)
+  if (retries.bins.at(-1)?.at !== at) retries.bins.push({ at, requests: 0, retries: 0 })
+  usage.set(service, retries)
+  return retries
 }
 
 /** Counts a request from a caller. */
 export function recordBudgetedRequest (usage: RetryUsage, cfg: RetryBudgetCfg, service: ServiceId, now: Millis): void {
-  const bin = getBins(usage, cfg, service, now).at(-1)
+  const { bins, counts } = getServiceRetries(usage, cfg, service, now)
+  const bin = bins.at(-1)
   if (bin !== undefined) bin.requests += 1
+  counts.requests += 1
+}
+
+/**
+ * Returns what this VM may use of the budget.
+ *
+ * @param vms number of VMs that share the slack
+ */
+export function getRetryAllowance (usage: RetryUsage, cfg: RetryBudgetCfg, service: ServiceId, vms: number, now: Millis): RetryAllowance {
+  const { bins } = getServiceRetries(usage, cfg, service, now)
+  const requests = bins.reduce((sum, bin) => sum + bin.requests, 0)
+  const used = bins.reduce((sum, bin) => sum + bin.retries, 0)
+  return { requests, used, allowed: (requests * cfg.ratio + cfg.slack / Math.max(1, vms)) * usedFraction }
 }
 
 /**
@@ -46,13 +78,22 @@
  * @param vms number of VMs that share the slack
  * @returns whether a retry was left
  */
-export function trySpendRetry (usage: RetryUsage, cfg: RetryBudgetCfg, service: ServiceId, vms: number, now: Millis): boolean {
-  const bins = getBins(usage, cfg, service, now)
-  const requests = bins.reduce((sum, bin) => sum + bin.requests, 0)
-  const retries = bins.reduce((sum, bin) => sum + bin.retries, 0)
-  const allowed = (requests * cfg.ratio + cfg.slack / Math.max(1, vms)) * usedFraction
+export function trySpendRetry (usage: RetryUsage, cfg: RetryBudgetCfg, service: ServiceId, cause: RetryCause, vms: number, now: Millis): boolean {
+  const { used, allowed } = getRetryAllowance(usage, cfg, service, vms, now)
+  const { bins, counts } = getServiceRetries(usage, cfg, service, now)
   const bin = bins.at(-1)
-  if (bin === undefined || retries + 1 > allowed) return false
-  bin.retries += 1
-  return true
+  const isAllowed = bin !== undefined && used + 1 <= allowed
+  if (isAllowed) bin.retries += 1
+  countRetry(counts, isAllowed ? 'sent' : 'denied', cause)
+  return isAllowed
+}
+
+/** Returns the counts of each service since the last call, and starts new ones. */
+export function takeRetryCounts (usage: RetryUsage): Map<ServiceId, RetryCounts> {
+  const taken = new Map<ServiceId, RetryCounts>()
+  for (const [service, retries] of usage) {
+    taken.set(service, retries.counts)
+    retries.counts = createRetryCounts()
+  }
+  return taken
 }
