Bounds by shares: no share for a VM before the others can know of it

The same cause as with retries, elsewhere: a VM that has just started knows few others, and took itself for one of the four that warm a cold server, for the only one that shares a server's limit, and for one of few that keep permits in reserve. A cold server then got more than its rate by a start of all VMs alone, and a limited server got its limit once more from each VM that was added.

Such shares are now used only with a list of VMs that the leader confirmed in the last five seconds, a window after the list first had the VM.

--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -1,12 +1,13 @@
 /** State of the gateway: the part of an entry VM that forwards callers' requests by route. */
 import { loadChart } from '@lynxcourse/base'
-import { createFleet } from '@lynxcourse/placement'
+import { createFleet, mayUseShare } from '@lynxcourse/placement'
 import type { EntryState, Mechanism } from '@lynxcourse/placement'
 import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
 import type { RouteTable, SplitStates, TeamTable } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
 import type { CallerLimits, ConfigItem } from '@lynxcourse/state'
 import type { LoopMonitor } from '../../utils/loopMonitor.js'
+import { readClocks } from '../../utils/clock.js'
 import { createCrashWatch } from '../crashes/crashWatch.js'
 import type { CrashWatch } from '../crashes/crashWatch.js'
 import { FleetCrashChannel } from '../fleet/fleetCrashChannel.js'
@@ -56,6 +57,7 @@
   const setup = { self: node.cfg.name, region: node.cfg.region, random: node.random, disabledMechanisms: new Set<Mechanism>() }
   const { loop } = node
   const fleet = createFleet(setup, node.entryNames)
+  fleet.mayUseShare = windowMs => mayUseShare(node.membership, windowMs, readClocks())
   fleet.rollouts.isStateConfirmed = now => now - node.upToDateAt <= node.cfg.times.staleMs
   return {
     node,
--- a/packages/daemon/src/core/gateway/permitHolder.ts
+++ b/packages/daemon/src/core/gateway/permitHolder.ts
@@ -53,12 +53,9 @@
   holder.permit = undefined
 }
 
-/** Time after its start during which a VM keeps no permits in reserve: it may not know all entry VMs yet. */
-const reserveDelayMs: Millis = 4000
-
-/** Refills the VM's reserves of permits. Called periodically. */
-export function refillPermits ({ permits, teams, node }: Gateway, now: Millis): void {
-  if (!teams.isRequired || now - node.startedAt < reserveDelayMs) return
+/** Refills the VM's reserves of permits, once it knows among how many VMs they are divided. Called periodically. */
+export function refillPermits ({ permits, teams, node, fleet }: Gateway, now: Millis): void {
   const { entryNames, cfg } = node
+  if (!teams.isRequired || !fleet.mayUseShare(cfg.rateBound.windowMs)) return
   refillReserves(permits, { limits: teams.limited, bound: cfg.rateBound, index: entryNames.indexOf(cfg.name), count: entryNames.length }, now)
 }
--- a/packages/daemon/src/core/gateway/retryReport.ts
+++ b/packages/daemon/src/core/gateway/retryReport.ts
@@ -1,11 +1,9 @@
 /** Reports, by service, what the retry budget allows this VM and what it spends: in metrics, and in a log line for each window with retries. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { addRetryCounts, computeSlackShare, createRetryCounts, getRetryAllowance, mayUseShare, takeRetryCounts } from '@lynxcourse/placement'
+import { addRetryCounts, computeSlackShare, createRetryCounts, getRetryAllowance, takeRetryCounts } from '@lynxcourse/placement'
 import type { RetryAllowance, RetryCause, RetryCounts } from '@lynxcourse/placement'
-import { readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import type { LogFields } from '../../utils/logging.js'
-import type { FleetNode } from '../fleet/fleetNode.js'
 import type { Gateway } from './gateway.js'
 
 /** Counts that were not logged yet. */
@@ -66,12 +64,7 @@
 
 function getAllowance ({ node, retries, fleet }: Gateway, service: ServiceId, now: Millis): RetryAllowance {
   const { retryBudget } = node.cfg
-  return getRetryAllowance(retries, retryBudget, service, hasSlackShare(node) ? computeSlackShare(retryBudget, fleet.vms.length) : 0, now)
-}
-
-/** Whether this VM may use its share of the retry budget's slack: it knows all entry VMs, and all of them know it. */
-export function hasSlackShare ({ membership, cfg }: FleetNode): boolean {
-  return mayUseShare(membership, cfg.retryBudget.windowMs, readClocks())
+  return getRetryAllowance(retries, retryBudget, service, fleet.mayUseShare(retryBudget.windowMs) ? computeSlackShare(retryBudget, fleet.vms.length) : 0, now)
 }
 
 /** Returns the fields of a log line on a request that was sent again, or was not for lack of a retry. */
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -20,7 +20,7 @@
 import type { PermitHolder } from './permitHolder.js'
 import type { PermitRefusal } from './teamPermits.js'
 import { refuseLargeAnswer } from './linkPacer.js'
-import { getRetryFields, hasSlackShare } from './retryReport.js'
+import { getRetryFields } from './retryReport.js'
 import { logRefusal, logSend, getTimeFields } from './requestLog.js'
 import { sendOnce } from './sending.js'
 import type { SendTimeouts, SendResult } from './sending.js'
@@ -111,7 +111,7 @@
 
 function getConditions (gateway: Gateway, call: Call): DecisionConditions {
   const { node, crashes } = gateway
-  return { retryBudget: node.cfg.retryBudget, hasSlackShare: hasSlackShare(node), isStopping: node.isLeaving, restriction: findRestriction(crashes, call, getCurrentTime()) }
+  return { retryBudget: node.cfg.retryBudget, isStopping: node.isLeaving, restriction: findRestriction(crashes, call, getCurrentTime()) }
 }
 
 function getWatchedRequest ({ facts, route, callerAddress, deadline, getFingerprint }: Call): WatchedRequest {
--- a/packages/limits/src/core/servers/serverLimit.ts
+++ b/packages/limits/src/core/servers/serverLimit.ts
@@ -25,8 +25,8 @@
   | { readonly type: 'named', readonly perSecond: number, readonly previous: number | undefined }
   | { readonly type: 'ended', readonly previous: number }
 
-/** How far the requests of a window may exceed what the limit allows. */
-const windowMs: Millis = 4000
+/** Window in which the requests of all VMs together stay within the limit and the excess that follows. */
+export const limitWindowMs: Millis = 4000
 const overage = 0.5
 const slackRequests = 5
 /** Time that a request may take from its send to its arrival. */
@@ -91,7 +91,7 @@
 
 /** Returns how many requests a window may contain beyond those that the limit lets through at its rate. */
 function computeExcess (perSecond: number): number {
-  return perSecond * (windowMs * overage - deliveryMs) / 1000 + slackRequests
+  return perSecond * (limitWindowMs * overage - deliveryMs) / 1000 + slackRequests
 }
 
 /** Returns among how many VMs a limit may be divided: each of their buckets may be full at the start of a window. */
--- a/packages/placement/__tests__/callerLiveness.test.ts
+++ b/packages/placement/__tests__/callerLiveness.test.ts
@@ -13,7 +13,7 @@
 const deadline = 100_000
 /** 500 ms less the time in which a connection opens and the network delay to a server in another region. */
 const maxAgeMs = 250
-const terms: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, hasSlackShare: true, isStopping: false }
+const terms: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, isStopping: false }
 
 function createEntry (): EntryState {
   return { fleet: createTestFleet(server('s0'), server('s1')), load: createLoadObservations(arrivedAt), retries: new Map(), waitingForCapacity: new Map() }
--- a/packages/placement/__tests__/closedServers.test.ts
+++ b/packages/placement/__tests__/closedServers.test.ts
@@ -6,7 +6,7 @@
 import type { DecisionConditions, EntryState, FleetServer, RequestState, RequestStep, SendOutcome } from '@lynxcourse/placement'
 import { createRoute, createTestFleet, desk, getTargetOrReason, kochi, mumbai, request, server } from './support/fleet.js'
 
-const conditions: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, hasSlackShare: true, isStopping: false }
+const conditions: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, isStopping: false }
 const start = 1000
 const objects = Array.from({ length: 30 }, (_, index) => `read|${index}`)
 
--- a/packages/placement/__tests__/crashingRequests.test.ts
+++ b/packages/placement/__tests__/crashingRequests.test.ts
@@ -14,7 +14,7 @@
 const crashing = brandId<RequestFingerprint>('crashing')
 const startedAt = 1000
 const retryAfterMs = 60_000
-const open: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, hasSlackShare: true, isStopping: false }
+const open: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, isStopping: false }
 const trialOnly: DecisionConditions = { ...open, restriction: { type: 'trialOnly' } }
 const blocked: DecisionConditions = { ...open, restriction: { type: 'blocked', retryAfterMs } }
 const lost: SendOutcome = { type: 'lost', reason: 'failed' }
--- a/packages/placement/__tests__/fleetBounds.test.ts
+++ b/packages/placement/__tests__/fleetBounds.test.ts
@@ -2,9 +2,14 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { hasColdToken, isWarmingVm, recordBudgetedRequest, computeSlackShare, computeSlotShare, settleRetry, trySpendRetry, consumeColdToken } from '@lynxcourse/placement'
-import type { RetryUsage } from '@lynxcourse/placement'
-import { desk, createTestFleet, server } from './support/fleet.js'
+import { consumeLimitToken, hasLimitToken, limitWindowMs, recordNamedLimit } from '@lynxcourse/limits'
+import { getLimitShare, hasColdToken, isWarmingVm, listMembers, mayUseShare, placeRequest, recordBudgetedRequest, computeSlackShare, computeSlotShare, settleRetry, trySpendRetry, consumeColdToken } from '@lynxcourse/placement'
+import type { Fleet, RetryUsage } from '@lynxcourse/placement'
+import { desk, createTestFleet, request, server } from './support/fleet.js'
+import { playFleet, readClocks } from './support/fleetModel.js'
+import type { ModelVm } from './support/fleetModel.js'
+import { countWithin } from './support/retryModel.js'
+import { disturbanceArbitrary } from './support/schedules.js'
 
 const seed = 23
 console.log(`seed ${seed}`)
@@ -30,6 +35,44 @@
   }), { seed })
 })
 
+/** Guards against this failure: VMs that have just started, or that are cut off, each take themselves for the VMs that warm a server. */
+test('all VMs together observe the rate limit of a cold server under any schedule of disturbances', () => {
+  const perSecond = 6.8
+  const limit = perSecond * 1.5 + 5
+  const endsAt = 30_000
+  fc.assert(fc.property(fc.integer({ min: 1, max: 14 }), fc.array(disturbanceArbitrary(endsAt), { maxLength: 10 }), (vmCount, disturbances) => {
+    const arrivals: number[] = []
+    const fleets = new WeakMap<ModelVm, Fleet>()
+    playFleet(vmCount, disturbances, endsAt, {
+      step: (running, _all, now) => {
+        for (const vm of running) {
+          const fleet = fleets.get(vm) ?? createColdFleet(vm.name, perSecond)
+          fleets.set(vm, fleet)
+          updateMembers(fleet, vm, now)
+          const { steady } = readClocks(vm, now)
+          const placement = placeRequest(fleet, request({ arrivedAt: steady, deadline: steady + 5000 }), steady)
+          if (placement.type !== 'send') continue
+          consumeColdToken(placement.server)
+          arrivals.push(now)
+        }
+      }
+    })
+    for (const from of new Set(arrivals)) {
+      const count = countWithin(arrivals, from, 1000)
+      assert.ok(count <= limit, `${count} requests from ${from} on, ${limit} are allowed`)
+    }
+  }), { seed, numRuns: Number(process.env.RUNS ?? 60) })
+})
+
+/** Creates the fleet of a VM with one server, which is cold all the time. */
+function createColdFleet (self: string, perSecond: number): Fleet {
+  const cold = server('cold')
+  cold.coldUntil = Infinity
+  const fleet = createTestFleet(cold)
+  fleet.coldRequestRates.set(desk, perSecond)
+  return { ...fleet, setup: { ...fleet.setup, self } }
+}
+
 test('all VMs together observe the retry budget in any window, whatever share of the requests each VM gets', () => {
   const cfg = { ratio: 0.2, windowMs: 10_000, slack: 56 }
   fc.assert(fc.property(fc.array(fc.integer({ min: 0, max: 60 }), { minLength: 1, maxLength: 12 }), rates => {
@@ -65,3 +108,55 @@
   fleet.demandFractions.set(desk, 0)
   assert.equal(computeSlotShare(fleet, desk), 1.5)
 })
+
+/** Guards against this failure: a VM that has just started takes itself for the only one, and sends a limited server all that it takes. */
+test('all VMs together observe a server\'s limit under restarts and changes of the fleet, without the leader\'s word', () => {
+  const perSecond = 20
+  const limit = perSecond * limitWindowMs / 1000 * 1.5 + 5
+  const endsAt = 30_000
+  const schedule = fc.array(disturbanceArbitrary(endsAt), { maxLength: 10 })
+  fc.assert(fc.property(fc.integer({ min: 1, max: 14 }), schedule, (vmCount, disturbances) => {
+    const arrivals: number[] = []
+    const fleets = new WeakMap<ModelVm, Fleet>()
+    playFleet(vmCount, disturbances, endsAt, {
+      step: (running, _all, now) => {
+        for (const vm of running) {
+          const fleet = fleets.get(vm) ?? createLimitedFleet(vm.name, perSecond)
+          fleets.set(vm, fleet)
+          updateMembers(fleet, vm, now)
+          sendAllowed(fleet, readClocks(vm, now).steady, () => arrivals.push(now))
+        }
+      }
+    })
+    for (const from of new Set(arrivals)) {
+      const count = countWithin(arrivals, from, limitWindowMs)
+      assert.ok(count <= limit, `${count} requests from ${from} on, ${limit} are allowed`)
+    }
+  }), { seed, numRuns: Number(process.env.RUNS ?? 60) })
+})
+
+/** Creates the fleet of a VM that has heard of a server's limit by an answer. */
+function createLimitedFleet (self: string, perSecond: number): Fleet {
+  const limited = server('limited')
+  recordNamedLimit(limited.notice.limit, { type: 'limited', perSecond }, 0)
+  const fleet = createTestFleet(limited)
+  return { ...fleet, setup: { ...fleet.setup, self } }
+}
+
+/** Sends as many requests to the limited server as the VM's share of its limit permits. */
+function sendAllowed (fleet: Fleet, now: number, onSend: () => void): void {
+  const [limited] = fleet.byId.values()
+  if (limited === undefined) return
+  const { limit } = limited.notice
+  while (hasLimitToken(limit, getLimitShare(fleet, limited), now)) {
+    consumeLimitToken(limit)
+    onSend()
+  }
+}
+
+/** Tells a fleet what its VM knows of the others. */
+function updateMembers (fleet: Fleet, vm: ModelVm, now: number): void {
+  const members = listMembers(vm.membership)
+  if (members.join() !== fleet.vms.join()) fleet.vms = members
+  fleet.mayUseShare = windowMs => mayUseShare(vm.membership, windowMs, readClocks(vm, now))
+}
--- a/packages/placement/__tests__/limitedServers.test.ts
+++ b/packages/placement/__tests__/limitedServers.test.ts
@@ -6,7 +6,7 @@
 import type { DecisionConditions, EntryState, FleetServer, RequestState, RequestStep } from '@lynxcourse/placement'
 import { createTestFleet, desk, getTargetOrReason, request, server } from './support/fleet.js'
 
-const conditions: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, hasSlackShare: true, isStopping: false }
+const conditions: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, isStopping: false }
 const start = 1000
 const objectCount = 20
 /** Time after which a server that was full is tried again. */
--- a/packages/placement/__tests__/requestSteps.test.ts
+++ b/packages/placement/__tests__/requestSteps.test.ts
@@ -9,7 +9,7 @@
 const seed = 53
 console.log(`seed ${seed}`)
 
-const conditions: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, hasSlackShare: true, isStopping: false }
+const conditions: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, isStopping: false }
 const startedAt = 1000
 const serverCount = 8
 
--- a/packages/placement/__tests__/retryBudget.test.ts
+++ b/packages/placement/__tests__/retryBudget.test.ts
@@ -6,7 +6,8 @@
 import type { RetryUsage } from '@lynxcourse/placement'
 import { desk } from './support/fleet.js'
 import { findExceededWindow, playRetries } from './support/retryModel.js'
-import type { Disturbance, LeftOut } from './support/retryModel.js'
+import type { LeftOut } from './support/retryModel.js'
+import { disturbanceArbitrary } from './support/schedules.js'
 
 const seed = Number(process.env.SEED ?? 58)
 const runs = Number(process.env.RUNS ?? 60)
@@ -15,18 +16,11 @@
 const cfg = { ratio: 0.2, windowMs: 10_000, slack: 62 }
 const endsAt = 60_000
 
-const disturbance = fc.record<Disturbance>({
-  kind: fc.constantFrom('kill', 'freeze', 'cutOff', 'holdSends', 'add', 'restartControl', 'burst', 'shift'),
-  at: fc.integer({ min: 0, max: endsAt - 10_000 }),
-  forMs: fc.integer({ min: 200, max: 9000 }),
-  vm: fc.nat(20),
-  share: fc.constantFrom(0.1, 0.3, 0.6, 1)
-})
 const schedule = fc.record({
   vmCount: fc.integer({ min: 1, max: 12 }),
   perStep: fc.integer({ min: 1, max: 20 }),
   workMs: fc.integer({ min: 0, max: 2500 }),
-  disturbances: fc.array(disturbance, { maxLength: 12 })
+  disturbances: fc.array(disturbanceArbitrary(endsAt - 10_000), { maxLength: 12 })
 })
 
 function breaksWithout (leftOut: LeftOut): boolean {
--- a/packages/placement/__tests__/rollouts.test.ts
+++ b/packages/placement/__tests__/rollouts.test.ts
@@ -12,7 +12,7 @@
 const observing = createRollout({ percent: 50 })
 const targetObject = objects.find(object => isTargetObject(observing, object)) ?? ''
 const baselineObject = objects.find(object => !isTargetObject(observing, object)) ?? ''
-const retryConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, hasSlackShare: true, isStopping: false }
+const retryConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, isStopping: false }
 
 function createMixed (): EntryState {
   return createEntry(versioned('a1', v1), versioned('a2', v1), versioned('a3', v1), versioned('b1', v2), versioned('b2', v2))
--- a/packages/placement/__tests__/support/retryModel.ts
+++ b/packages/placement/__tests__/support/retryModel.ts
@@ -1,21 +1,11 @@
-/**
- * Model of the entry VMs of a fleet that spend the retry budget: one clock, and VMs that are killed, frozen, cut off, added and whose
- * sends are held up. The decisions are the product's.
- */
-import { computeSlackShare, createFleetMembership, listMembers, mayUseShare, recordBudgetedRequest, recordEntryList, refundRetry, maxRetryIdleMs, settleRetry, trySpendRetry } from '@lynxcourse/placement'
-import type { ClockReading, FleetMembership, RetryBudgetCfg, RetryCharge, RetryUsage } from '@lynxcourse/placement'
+/** Model of a fleet whose servers turn nearly all requests away, so that VMs spend what the retry budget allows. */
+import { computeSlackShare, listMembers, maxRetryIdleMs, mayUseShare, recordBudgetedRequest, refundRetry, settleRetry, trySpendRetry } from '@lynxcourse/placement'
+import type { RetryBudgetCfg, RetryCharge, RetryUsage } from '@lynxcourse/placement'
 import { desk } from './fleet.js'
+import { isDisturbed, playFleet, readClocks } from './fleetModel.js'
+import type { Disturbance, ModelVm } from './fleetModel.js'
 
-/** A disturbance; `vm` is taken modulo the number of VMs, and `share` of all VMs from there on are affected. */
-export interface Disturbance {
-  readonly kind: 'kill' | 'freeze' | 'cutOff' | 'holdSends' | 'add' | 'restartControl' | 'burst' | 'shift'
-  readonly at: number
-  readonly forMs: number
-  readonly vm: number
-  readonly share: number
-}
-
-/** Parts of the mend that a run leaves out. */
+/** Rules that a run leaves out. */
 export interface LeftOut {
   /** A VM uses its share of the slack from its start on, divided among the VMs that it knows. */
   readonly membership?: boolean
@@ -23,137 +13,81 @@
   readonly freshConnections?: boolean
 }
 
-export interface ModelArrival { readonly at: number, readonly isRepeat: boolean }
+/** What a run plays. */
+export interface ModelSetup {
+  readonly vmCount: number
+  /** Requests that callers send in a step. */
+  readonly perStep: number
+  /** Time that a server takes for a request. */
+  readonly workMs: number
+  readonly disturbances: readonly Disturbance[]
+}
 
+/** Times at which callers sent requests, and at which requests reached a server beyond their first arrival. */
 export interface ModelRun {
-  /** Times at which callers sent requests. */
   readonly requests: number[]
   readonly repeats: number[]
-  /** Number of retries that the budget denied. */
-  denied: number
 }
 
-interface ModelVm {
-  readonly name: string
-  usage: RetryUsage
-  membership: FleetMembership
-  downUntil: number
-  frozenUntil: number
-  cutUntil: number
-  /** Sends over connections that were in use before a partition are held up until it heals. */
-  heldFrom: number
-  heldUntil: number
-  /** Time for which the steady clock has stood still. */
-  stoodStillMs: number
-  nextListAt: number
+interface Budget {
+  readonly usage: RetryUsage
   open: Array<{ readonly charge: RetryCharge, readonly settlesAt: number }>
 }
 
-const stepMs = 50
-const listIntervalMs = 1000
-const presenceTtlMs = 5000
-const learnMs = 2600
 const transitMs = 50
-/** Retries that each request wants: servers turn nearly all requests away. */
+/** Retries that each request wants. */
 const wantedRetries = 2
 const burstFactor = 1.7
 
-/** What a run plays. */
-export interface ModelSetup {
-  readonly vmCount: number
-  /** Requests that callers send in a step. */
-  readonly perStep: number
-  /** Time that a server takes for a request. */
-  readonly workMs: number
-  readonly disturbances: readonly Disturbance[]
-}
-
 /** Plays a fleet for `endsAt` milliseconds. */
 export function playRetries (cfg: RetryBudgetCfg, { vmCount, perStep, workMs, disturbances }: ModelSetup, endsAt: number, leftOut: LeftOut = {}): ModelRun {
-  const run: ModelRun = { requests: [], repeats: [], denied: 0 }
-  const vms = Array.from({ length: vmCount }, (_, index) => createVm(`vm-${index}`))
-  const listed = new Map<string, number>()
-  let learnsUntil = learnMs
+  const run: ModelRun = { requests: [], repeats: [] }
+  const budgets = new WeakMap<ModelVm, Budget>()
   let next = 0
-  for (let now = 0; now < endsAt; now += stepMs) {
-    for (const disturbance of disturbances) {
-      if (disturbance.at < now || disturbance.at >= now + stepMs) continue
-      if (disturbance.kind === 'restartControl') {
-        listed.clear()
-        learnsUntil = now + disturbance.forMs + learnMs
-      } else if (disturbance.kind === 'add') vms.push(createVm(`vm-${vms.length}`))
-      else for (const vm of selectVms(vms, disturbance)) disturb(vm, disturbance, now)
-    }
-    for (const vm of vms) updateVm(vm, listed, learnsUntil, now)
-    const isActive = (wanted: Disturbance['kind']): boolean => disturbances.some(({ kind, at, forMs }) => kind === wanted && now >= at && now < at + forMs)
-    const isBurst = isActive('burst')
-    const used = isActive('shift') ? Math.ceil(vms.length / 3) : vms.length
-    for (let sent = 0; sent < perStep * (isBurst ? burstFactor : 1); sent++) {
-      run.requests.push(now)
-      const vm = vms[next++ % used]
-      if (vm !== undefined && now >= vm.downUntil && now >= vm.frozenUntil) serve(vm, cfg, run, { workMs, leftOut }, now)
+  playFleet(vmCount, disturbances, endsAt, {
+    step: (running, all, now) => {
+      for (const vm of running) settleOpen(getBudget(budgets, vm), vm, now)
+      const count = perStep * (isDisturbed(disturbances, 'burst', now) ? burstFactor : 1)
+      const usedVms = isDisturbed(disturbances, 'shift', now) ? Math.ceil(all.length / 3) : all.length
+      for (let sent = 0; sent < count; sent++) {
+        run.requests.push(now)
+        const vm = all[next++ % usedVms] as ModelVm
+        if (running.includes(vm)) serve(vm, getBudget(budgets, vm), cfg, run, { workMs, leftOut }, now)
+      }
     }
-  }
+  })
   return run
 }
 
-function createVm (name: string): ModelVm {
-  return { name, usage: new Map(), membership: createFleetMembership(name), downUntil: 0, frozenUntil: 0, cutUntil: 0, heldFrom: 0, heldUntil: 0, stoodStillMs: 0, nextListAt: 0, open: [] }
-}
-
-function selectVms (vms: readonly ModelVm[], { vm, share }: Disturbance): ModelVm[] {
-  const count = Math.max(1, Math.round(vms.length * share))
-  return Array.from({ length: count }, (_, index) => vms[(vm + index) % vms.length] as ModelVm)
-}
-
-/** A process that starts during a partition has no connection across it, so that nothing that it sends is held up. */
-function disturb (vm: ModelVm, { kind, forMs }: Disturbance, now: number): void {
-  if (kind === 'kill') {
-    Object.assign(vm, { ...createVm(vm.name), downUntil: now + Math.min(forMs, 2000), cutUntil: vm.cutUntil })
-  } else if (kind === 'freeze') vm.frozenUntil = Math.max(vm.frozenUntil, now + forMs)
-  else if (kind === 'cutOff') vm.cutUntil = Math.max(vm.cutUntil, now + forMs)
-  else if (kind === 'holdSends') Object.assign(vm, { heldFrom: now, heldUntil: now + forMs })
+function getBudget (budgets: WeakMap<ModelVm, Budget>, vm: ModelVm): Budget {
+  const budget = budgets.get(vm) ?? { usage: new Map(), open: [] }
+  budgets.set(vm, budget)
+  return budget
 }
 
-function updateVm (vm: ModelVm, listed: Map<string, number>, learnsUntil: number, now: number): void {
-  if (now < vm.downUntil) return
-  if (now < vm.frozenUntil) {
-    vm.stoodStillMs += stepMs
-    return
-  }
-  const clock = readClocks(vm, now)
-  for (const { charge, settlesAt } of vm.open) if (settlesAt <= now) settleRetry(charge, clock.steady)
-  vm.open = vm.open.filter(({ settlesAt }) => settlesAt > now)
-  if (now < vm.nextListAt || now < vm.cutUntil) return
-  vm.nextListAt = now + listIntervalMs
-  listed.set(vm.name, now)
-  const names = [...listed].filter(([, at]) => now - at < presenceTtlMs).map(([name]) => name)
-  recordEntryList(vm.membership, { names, ageMs: now >= learnsUntil ? 0 : null }, clock, clock.steady)
+function settleOpen (budget: Budget, vm: ModelVm, now: number): void {
+  for (const { charge, settlesAt } of budget.open) if (settlesAt <= now) settleRetry(charge, readClocks(vm, now).steady)
+  budget.open = budget.open.filter(({ settlesAt }) => settlesAt > now)
 }
 
-function readClocks (vm: ModelVm, now: number): ClockReading {
-  return { steady: now - vm.stoodStillMs, wall: now }
-}
+interface Serving { readonly workMs: number, readonly leftOut: LeftOut }
 
-function serve (vm: ModelVm, cfg: RetryBudgetCfg, run: ModelRun, { workMs, leftOut }: { readonly workMs: number, readonly leftOut: LeftOut }, now: number): void {
+function serve (vm: ModelVm, { usage, open }: Budget, cfg: RetryBudgetCfg, run: ModelRun, { workMs, leftOut }: Serving, now: number): void {
   const clock = readClocks(vm, now)
-  recordBudgetedRequest(vm.usage, cfg, desk, clock.steady, clock.steady)
+  recordBudgetedRequest(usage, cfg, desk, clock.steady, clock.steady)
   const hasShare = leftOut.membership === true || mayUseShare(vm.membership, cfg.windowMs, clock)
   const slackShare = hasShare ? computeSlackShare(cfg, listMembers(vm.membership).length) : 0
   for (let retry = 0; retry < wantedRetries; retry++) {
-    const charge = trySpendRetry(vm.usage, cfg, desk, 'full', slackShare, clock.steady)
-    if (charge === undefined) {
-      run.denied += 1
-      continue
-    }
+    const charge = trySpendRetry(usage, cfg, desk, 'full', slackShare, clock.steady)
+    if (charge === undefined) return
     const isHeld = now >= vm.heldFrom && now < vm.heldUntil
     if (isHeld && now >= vm.heldFrom + maxRetryIdleMs && leftOut.freshConnections !== true) {
-      refundRetry(vm.usage, charge)
+      refundRetry(usage, charge)
       continue
     }
     const arrivesAt = isHeld ? vm.heldUntil : now + transitMs
     run.repeats.push(arrivesAt)
-    vm.open.push({ charge, settlesAt: arrivesAt + workMs })
+    open.push({ charge, settlesAt: arrivesAt + workMs })
   }
 }
 
@@ -168,11 +102,11 @@
   return undefined
 }
 
-function countWithin (times: readonly number[], from: number, forMs: number): number {
+/** Counts the times of a sorted list within a window. */
+export function countWithin (times: readonly number[], from: number, forMs: number): number {
   return countBefore(times, from + forMs) - countBefore(times, from)
 }
 
-/** Counts the times before another one, in a sorted list. */
 function countBefore (times: readonly number[], end: number): number {
   let low = 0
   let high = times.length
--- a/packages/placement/__tests__/support/rollouts.ts
+++ b/packages/placement/__tests__/support/rollouts.ts
@@ -10,7 +10,7 @@
 export const inForce: ServiceVersionItem = { kind: 'serviceVersion', key: desk, version: v1 }
 export const answered: SendOutcome = { type: 'answered', status: 200, connectMs: 0 }
 export const failed: SendOutcome = { type: 'answered', status: 500, connectMs: 0 }
-const conditions: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, hasSlackShare: true, isStopping: false }
+const conditions: DecisionConditions = { retryBudget: { ratio: 0.2, windowMs: 10_000, slack: 1000 }, isStopping: false }
 
 export function createRollout (parts: Partial<RolloutItem> = {}): RolloutItem {
   return { kind: 'rollout', key: desk, baseline: v1, target: v2, orderedAt: 0, durationMs: 12_000, state: 'observing', percent: 8, order: 5, step: 1, reason: '', ...parts }
--- a/packages/placement/src/core/entries/fleetMembership.ts
+++ b/packages/placement/src/core/entries/fleetMembership.ts
@@ -34,8 +34,8 @@
 /** Time for which a VM that is no longer listed still counts: a control VM that has just started lists few of them. */
 const forgetMs: Millis = 30_000
 
-/** How long a VM uses its list without a confirmation, as a fraction of the window of the limit. */
-const maxAgeFraction = 0.5
+/** How long a VM uses its list without a confirmation. */
+const maxListAgeMs: Millis = 5000
 
 export function createFleetMembership (self: string): FleetMembership {
   return { self, listedAt: new Map(), confirmedAt: undefined, announcedAt: undefined }
@@ -67,8 +67,7 @@
  */
 export function mayUseShare ({ confirmedAt, announcedAt }: FleetMembership, windowMs: Millis, now: ClockReading): boolean {
   if (confirmedAt === undefined || announcedAt === undefined) return false
-  const maxAgeMs = windowMs * maxAgeFraction
-  return getElapsed(confirmedAt, now) <= maxAgeMs && now.steady - announcedAt >= windowMs + maxAgeMs
+  return getElapsed(confirmedAt, now) <= maxListAgeMs && now.steady - announcedAt >= windowMs + maxListAgeMs
 }
 
 function getElapsed (from: ClockReading, to: ClockReading): Millis {
--- a/packages/placement/src/core/request/entryState.ts
+++ b/packages/placement/src/core/request/entryState.ts
@@ -22,8 +22,6 @@
 /** Conditions of one decision; they may differ at the next one. */
 export interface DecisionConditions {
   readonly retryBudget: RetryBudgetCfg
-  /** Whether this VM may use its share of the retry budget's slack. */
-  readonly hasSlackShare: boolean
   /** Whether this VM is stopping: it then aborts no request in flight and lets no request wait for capacity. */
   readonly isStopping: boolean
   /** How the request may be sent if servers ended under it; undefined for all other requests. */
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -43,6 +43,8 @@
   readonly maxConnections: Map<ServiceId, number>
   /** Names of the entry VMs, this one included. */
   vms: readonly string[]
+  /** Returns whether this VM may use its share of a bound that all VMs together observe in any window; always if nothing replaces it. */
+  mayUseShare: (windowMs: Millis) => boolean
   /** Fractions of this region's objects that each region serves, by service; empty until the first plan arrives. */
   readonly shares: Map<ServiceId, RegionShares>
   /** Utilization over the reports of all VMs: running and waiting requests per slot, by service. */
@@ -72,6 +74,7 @@
     coldRequestRates: new Map(),
     maxConnections: new Map(),
     vms,
+    mayUseShare: () => true,
     shares: new Map(),
     sharedUtilization: new Map(),
     demandFractions: new Map(),
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -132,8 +132,8 @@
 }
 
 /** Uses a retry of the budget for the next send of a request that may have reached a server; returns whether one was left. */
-function spendRetry ({ retries, fleet }: EntryState, state: RequestState, last: SendOutcome, { retryBudget, hasSlackShare }: DecisionConditions, now: Millis): boolean {
-  const slackShare = hasSlackShare ? computeSlackShare(retryBudget, fleet.vms.length) : 0
+function spendRetry ({ retries, fleet }: EntryState, state: RequestState, last: SendOutcome, { retryBudget }: DecisionConditions, now: Millis): boolean {
+  const slackShare = fleet.mayUseShare(retryBudget.windowMs) ? computeSlackShare(retryBudget, fleet.vms.length) : 0
   state.retryCause = getRetryCause(last)
   state.charge = trySpendRetry(retries, retryBudget, state.request.service, state.retryCause, slackShare, now)
   state.isOverBudget = state.charge === undefined
--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -199,10 +199,13 @@
   return healthy.length > 0 || needsHealth ? healthy : unhealthy
 }
 
+/** Window in which all VMs together observe the rate of a cold server. */
+const coldRateWindowMs: Millis = 1000
+
 /** Returns whether the rate limit of a cold server permits a request of this VM; other servers have no such limit. */
 function mayReceiveRequest (fleet: Fleet, service: ServiceId, server: FleetServer, now: Millis): boolean {
   if (!isCold(server, now)) return true
-  return isWarmingVm(server, fleet.setup.self, fleet.vms) && hasColdToken(server, fleet.coldRequestRates.get(service) ?? 0, now)
+  return fleet.mayUseShare(coldRateWindowMs) && isWarmingVm(server, fleet.setup.self, fleet.vms) && hasColdToken(server, fleet.coldRequestRates.get(service) ?? 0, now)
 }
 
 interface ScoreInput {
--- a/packages/placement/src/core/server/limitedServers.ts
+++ b/packages/placement/src/core/server/limitedServers.ts
@@ -1,6 +1,6 @@
 /** Servers that name a limit for the requests of all VMs together, and the time until servers take requests again. */
 import type { Millis, RegionId } from '@lynxcourse/base'
-import { computeEqualShare, getRequestDelay, permitsRequest } from '@lynxcourse/limits'
+import { computeEqualShare, limitWindowMs, getRequestDelay, permitsRequest } from '@lynxcourse/limits'
 import { computeHashRanks } from '../object/hashRanks.js'
 import type { Fleet } from '../request/fleet.js'
 import type { LimitDemand } from '../../types/loads.js'
@@ -67,11 +67,12 @@
   return demandPerSecond * Math.exp(-Math.max(0, now - demandUpdatedAt) / demandSmoothingMs)
 }
 
-/** Returns the fraction of a server's limit that this VM may use. */
-export function getLimitShare ({ setup, vms }: Fleet, server: FleetServer): number {
+/** Returns the fraction of a server's limit that this VM may use: the leader's word, or an equal part once this VM knows the others. */
+export function getLimitShare ({ setup, vms, mayUseShare }: Fleet, server: FleetServer): number {
   const { limit } = server.notice
   if (limit.perSecond === undefined) return 1
-  return limit.share ?? computeEqualShare(limit.perSecond, setup.self, rankVms(server, vms))
+  if (limit.share !== undefined) return limit.share
+  return mayUseShare(limitWindowMs) ? computeEqualShare(limit.perSecond, setup.self, rankVms(server, vms)) : 0
 }
 
 /** Returns the time until one of these servers takes a request of this VM, by what they have said; Infinity if none will. */
--- a/packages/replay/src/core/vmModel.ts
+++ b/packages/replay/src/core/vmModel.ts
@@ -42,7 +42,7 @@
 
 const okStatus = 200
 const retryBudget = { ratio: 0.2, windowMs: 10_000, slack: 200 }
-const conditions: DecisionConditions = { retryBudget, hasSlackShare: true, isStopping: false }
+const conditions: DecisionConditions = { retryBudget, isStopping: false }
 
 /** Handles a request once the VM's processor is free. */
 export function handleRequest (world: World, vm: VmModel, arrival: IncomingRequest): void {
