Soak: servers that turn most requests away while entry VMs are killed again and again

The soak checked the retry budget, but its servers rarely turned so many requests away that every VM spent all that it may.

--- a/scripts/soak/fakeServer.ts
+++ b/scripts/soak/fakeServer.ts
@@ -40,6 +40,8 @@
   limit: number | undefined
   /** Time for which the server asks each VM for no requests, while it turns all requests away; undefined if it serves them. */
   pauseMs: number | undefined
+  /** Fraction of the requests that the server turns away although it has room. */
+  shedFraction: number
   /** Whether its answers say that it leaves. */
   saysLeaving: boolean
 }
@@ -61,6 +63,7 @@
     waiting: [],
     limit: undefined,
     pauseMs: undefined,
+    shedFraction: 0,
     saysLeaving: false,
     [Symbol.asyncDispose]: async () => {
       fake.isDisposed = true
@@ -137,7 +140,7 @@
     res.writeHead(503, { 'lynx-not-started': 'paused', 'retry-after': String(fake.pauseMs / 1000) }).end()
     return
   }
-  if (fake.waiting.length >= queueLimit) {
+  if (fake.waiting.length >= queueLimit || (fake.shedFraction > 0 && fake.random() < fake.shedFraction)) {
     res.writeHead(503, { 'lynx-not-started': 'full' }).end()
     return
   }
--- a/scripts/soak/faultInjection.ts
+++ b/scripts/soak/faultInjection.ts
@@ -56,6 +56,7 @@
     case 'crashingCaller': return await sendCrashingRequests(system, step)
     case 'serverLimit': return await limitServer(system, step)
     case 'serverPause': return await pauseServer(system, step)
+    case 'shedding': return await shedRequests(system, step)
     case 'serverLeave': return await leaveByAnswers(system, step)
     case 'evacuate': return await evacuate(system.operator, system.domains[step.domain % system.domains.length] as typeof system.domains[0], step.forMs)
   }
@@ -210,6 +211,13 @@
   if (server.facts.id === period.server) server.limit = undefined
 }
 
+/** Lets all servers turn a part of their requests away as if they were full. */
+async function shedRequests ({ servers }: SoakSystem, { fraction, forMs }: StepOf<'shedding'>): Promise<void> {
+  for (const server of servers) server.shedFraction = fraction
+  await sleep(forMs)
+  for (const server of servers) server.shedFraction = 0
+}
+
 /** Lets a server turn all requests away, and ask for no requests for a time; a new lifetime of the server serves them. */
 async function pauseServer ({ servers }: SoakSystem, { server: index, pauseMs, forMs }: StepOf<'serverPause'>): Promise<void> {
   const server = servers[index] as FakeServer
--- a/scripts/soak/faultPlan.ts
+++ b/scripts/soak/faultPlan.ts
@@ -19,6 +19,7 @@
   | { readonly kind: 'serverLimit', readonly server: number, readonly perSecond: number, readonly forMs: number }
   | { readonly kind: 'serverPause', readonly server: number, readonly pauseMs: number, readonly forMs: number }
   | { readonly kind: 'serverLeave', readonly server: number }
+  | { readonly kind: 'shedding', readonly fraction: number, readonly forMs: number }
 )
 
 type Evacuation = Extract<SoakStep, { readonly kind: 'evacuate' }>
@@ -74,11 +75,17 @@
 const serverPausesMs = [700, 1500, 3000]
 const pausingServers = 2
 
+/** How long all servers turn a part of their requests away, and how often all entry VMs are killed meanwhile. */
+const sheddingMs = 10_000
+const shedFraction = 0.8
+const sheddingKills = 3
+const sheddingKillIntervalMs = 2200
+
 /** How long a caller sends a request that ends servers: longer than VMs may take to stop sending it. */
 const crashingMs = 10_000
 
 /** Kinds that are drawn independently; the others accompany an evacuation or have a generator of their own. */
-type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst' | 'shortage' | 'crashingCaller' | 'serverLimit' | 'serverPause' | 'serverLeave'>
+type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst' | 'shortage' | 'crashingCaller' | 'serverLimit' | 'serverPause' | 'serverLeave' | 'shedding'>
 
 /** Relative frequencies of the kinds. */
 const weights: ReadonlyArray<readonly [StepKind, number]> = [
@@ -94,6 +101,7 @@
   const noticeRandom = createRandom(hashText(`notice ${seed}`))
   // Shortages, crashes and limits use generators of their own, so that they don't affect the other faults of a seed.
   const shortageRandom = createRandom(hashText(`shortage ${seed}`))
+  const sheddingRandom = createRandom(hashText(`shedding ${seed}`))
   const crashRandom = createRandom(hashText(`crash ${seed}`))
   const steps: SoakStep[] = []
   for (let seriesIndex = 0; seriesIndex < series; seriesIndex++) {
@@ -109,7 +117,7 @@
       steps.push(step)
       if (step.kind === 'evacuate') steps.push(...drawEvacuationFaults(random, size, step))
     }
-    steps.push(...drawShortage(shortageRandom, size, start), ...drawCrashingCaller(crashRandom, start), ...drawServerLimits(limitRandom, size, start), ...drawNotices(noticeRandom, size, start))
+    steps.push(...drawShortage(shortageRandom, size, start), ...drawCrashingCaller(crashRandom, start), ...drawServerLimits(limitRandom, size, start), ...drawNotices(noticeRandom, size, start), ...drawShedding(sheddingRandom, size, start))
   }
   steps.sort((a, b) => a.at - b.at)
   return { seed, steps, lengthMs: series * (seriesMs + faultFreeMs) }
@@ -193,6 +201,15 @@
   })
 }
 
+/** Draws, for a third of the series, servers that turn most requests away while entry VMs are killed again and again. */
+function drawShedding (random: Random, size: SoakSize, start: number): SoakStep[] {
+  if (random() < 2 / 3) return []
+  const at = start + drawInt(random, seriesMs / 2)
+  const kills = Array.from({ length: sheddingKills }, (_, round) => Array.from({ length: size.entries }, (_, entry): SoakStep =>
+    ({ at: at + (round + 1) * sheddingKillIntervalMs, kind: 'kill', vm: size.controls + entry, forMs: minFaultMs })))
+  return [{ at, kind: 'shedding', fraction: shedFraction, forMs: sheddingMs }, ...kills.flat()]
+}
+
 /** Draws, for half of the series, servers that turn requests away and ask for pauses, and for half, one that says that it leaves. */
 function drawNotices (random: Random, size: SoakSize, start: number): SoakStep[] {
   const steps: SoakStep[] = []
