Control VM: events that wait for a replica no longer keep the event loop busy

A pause of the process showed startProcessing in a chain of promises without an end.

Cause: while a VM that joined a cluster by itself is initialized, its replica is replaced. An event that waited in that moment made startProcessing start again at once, since the queue was not empty, and processQueues return at once, since there was no replica. It is independent of the retry budget and of load; load makes it likely that an event waits.

Change: the queues count as work only with a replica.

--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -80,7 +80,7 @@
     .catch((err: unknown) => stopFailedReplica(host, err))
     .then(() => {
       host.busy = undefined
-      if (host.events.length > 0 || host.proposals.length > 0) startProcessing(host)
+      if (hasWork(host)) startProcessing(host)
     })
 }
 
@@ -139,8 +139,13 @@
   }
 }
 
+/** Whether a running replica has events or proposals to process; without one, they wait until it runs. */
+function hasWork (host: ControlHost): host is ControlHost & { replica: Replica } {
+  return host.replica !== undefined && (host.events.length > 0 || host.proposals.length > 0)
+}
+
 async function processQueues (host: ControlHost): Promise<void> {
-  while (host.replica !== undefined && (host.events.length > 0 || host.proposals.length > 0)) {
+  while (hasWork(host)) {
     const event = host.events.shift()
     if (event !== undefined) await processEvent(host, host.replica, event)
     else await processProposals(host, host.replica)
