Entry VMs count a new VM at once, not with the next change of routes or servers

The list of VMs by which an entry VM divides bounds was taken from its watch only when routes or servers had changed. A VM that was added in a calm time was not counted by the others until then, while it used its own share. The list is now applied as it arrives. fleetMembership.test.ts is red without that; found by reading the proof of the budget.

--- a/packages/daemon/__tests__/fleetMembership.test.ts
+++ b/packages/daemon/__tests__/fleetMembership.test.ts
@@ -37,3 +37,13 @@
   }
   await waitUntil(() => !mayUseShare({ ...membership, announcedAt: -Infinity }, windowMs, readClocks()))
 })
+
+/** Guards against a VM that learns of a new one only with the next change of routes or servers, and divides bounds by too few until then. */
+test('an entry VM counts a new one although nothing else has changed', async () => {
+  await using fixture = await startFleetFixture(2)
+  const [first] = fixture.daemons.slice(controlCount) as FleetDaemon[]
+  const cfg = fixture.settings.at(-1)
+  assert.ok(first !== undefined && cfg !== undefined)
+  await waitUntil(() => listMembers(first.node.membership).length === 2)
+  assert.deepEqual(first.gateway?.fleet.vms, ['vm-3', 'vm-4'])
+})
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -113,6 +113,7 @@
     refreshGateway(gateway, getCurrentTime())
     applyCallerLimits(gateway, server)
   })
+  node.onEntriesChange.push(() => { gateway.fleet.vms = node.entryNames })
   node.onLoadUpdate.push(() => logPublishedLimits(gateway, applyLoadUpdate(gateway, node.loadUpdate, node.cfg.region, getCurrentTime())))
   node.listLimitDemand = now => listLimitDemand(gateway.fleet, now)
   node.listRolloutReports = now => {
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -56,6 +56,8 @@
   loadUpdate: LoadUpdate
   /** Called when the copy has changed. */
   readonly onChange: Array<() => void>
+  /** Called when `entryNames` has changed. */
+  readonly onEntriesChange: Array<() => void>
   /** Called when a load update has arrived. */
   readonly onLoadUpdate: Array<() => void>
 }
@@ -91,6 +93,7 @@
     listRolloutReports: () => [],
     loadUpdate: { full: [], plans: [], silent: [] },
     onChange: [],
+    onEntriesChange: [],
     onLoadUpdate: []
   }
 }
--- a/packages/daemon/src/core/fleet/stateWatch.ts
+++ b/packages/daemon/src/core/fleet/stateWatch.ts
@@ -3,7 +3,7 @@
 import type { Millis } from '@lynxcourse/base'
 import { applyDelta } from '@lynxcourse/state'
 import { flushLoadReport, listMembers, recordEntryList } from '@lynxcourse/placement'
-import type { ClockReading, EntryPresence } from '@lynxcourse/placement'
+import type { ClockReading, EntryList, EntryPresence } from '@lynxcourse/placement'
 import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { delay } from '../node/timers.js'
@@ -104,6 +104,15 @@
   if (watch.currentControl === address) watch.currentControl = undefined
 }
 
+function applyEntryList (node: FleetNode, list: EntryList, askedAt: ClockReading, now: Millis): void {
+  recordEntryList(node.membership, list, askedAt, now)
+  const entryNames = listMembers(node.membership)
+  // Rankings of the VMs are kept for as long as the list is the same array.
+  if (entryNames.length === node.entryNames.length && entryNames.every((name, index) => name === node.entryNames[index])) return
+  node.entryNames = entryNames
+  for (const listener of node.onEntriesChange) listener()
+}
+
 function applyWatchReply (watch: StateWatch, control: string, reply: WatchReply, askedAt: ClockReading, now: Millis): void {
   const { node } = watch
   if (reply.controls.length > 0) node.controls = reply.controls
@@ -112,10 +121,7 @@
   const plans = reply.news.plans.length > 0 ? reply.news.plans : node.loadUpdate.plans
   node.loadUpdate = { ...reply.news, plans, ...(weights === undefined ? {} : { weights }) }
   for (const listener of node.onLoadUpdate) listener()
-  recordEntryList(node.membership, { names: reply.entries, ageMs: reply.entriesAgeMs }, askedAt, now)
-  const entryNames = listMembers(node.membership)
-  // Rankings of the VMs are kept for as long as the list is the same array.
-  if (entryNames.length !== node.entryNames.length || entryNames.some((name, index) => name !== node.entryNames[index])) node.entryNames = entryNames
+  applyEntryList(node, { names: reply.entries, ageMs: reply.entriesAgeMs }, askedAt, now)
   const isStale = reply.ageMs === null || reply.ageMs > node.cfg.times.staleMs
   // A control VM that was partitioned or has just started may have a stale state. A VM that already has a state can
   // apply it safely, since versions only increase, but it must not be the first state of a VM.
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -18,8 +18,8 @@
 import { createLinkPacer } from './linkPacer.js'
 import type { LinkPacer } from './linkPacer.js'
 import { FleetPermitChannel } from './permitChannel.js'
-import { createRetryReport } from './retryReport.js'
-import type { RetryReport } from './retryReport.js'
+import { createRetryTotals } from './retryTotals.js'
+import type { RetryTotals } from './retryTotals.js'
 import type { Pipelines } from './pipeline.js'
 import { createTeamPermits } from './teamPermits.js'
 import type { TeamPermits } from './teamPermits.js'
@@ -32,7 +32,7 @@
   readonly splits: SplitStates
   readonly crashes: CrashWatch
   readonly permits: TeamPermits
-  readonly retryReport: RetryReport
+  readonly retryTotals: RetryTotals
   /** Bounds the read delay of requests. */
   readonly loop: LoopMonitor
   routeTable: RouteTable
@@ -70,7 +70,7 @@
     crashes: createCrashWatch(node.logs, node.metrics, new FleetCrashChannel(node), connectTimeoutMs),
     permits: createTeamPermits(new FleetPermitChannel(node), node.logs, node.random),
     retries: new Map(),
-    retryReport: createRetryReport(node.startedAt),
+    retryTotals: createRetryTotals(node.startedAt),
     loop,
     routeTable: buildRouteTable([]),
     teams: buildTeamTable([], false),
--- a/packages/daemon/src/core/gateway/gatewayRefresh.ts
+++ b/packages/daemon/src/core/gateway/gatewayRefresh.ts
@@ -30,7 +30,6 @@
     }
   }
   refreshRestrictions(gateway.crashes, node.config)
-  fleet.vms = node.entryNames
   refreshServers(fleet, node, routeSet, now)
   logTargetUse(gateway)
   logPublishedLimits(gateway, applyLimits(fleet, node.loadUpdate.limits ?? [], now))
--- a/packages/daemon/src/core/gateway/retryReport.ts
+++ b/packages/daemon/src/core/gateway/retryReport.ts
@@ -6,29 +6,19 @@
 import type { LogFields } from '../../utils/logging.js'
 import type { Gateway } from './gateway.js'
 
-/** Counts that were not logged yet. */
-export interface RetryReport {
-  readonly counts: Map<ServiceId, RetryCounts>
-  loggedAt: Millis
-}
-
-export function createRetryReport (now: Millis): RetryReport {
-  return { counts: new Map(), loggedAt: now }
-}
-
 /** Updates the metrics, and logs what was spent since the last line once a window has passed. Called periodically. */
 export function reportRetries (gateway: Gateway, now: Millis): void {
-  const { retries, retryReport, node } = gateway
+  const { retries, retryTotals, node } = gateway
   for (const [service, counts] of takeRetryCounts(retries)) {
     updateMetrics(gateway, service, counts, now)
-    const sum = retryReport.counts.get(service) ?? createRetryCounts()
+    const sum = retryTotals.counts.get(service) ?? createRetryCounts()
     addRetryCounts(sum, counts)
-    retryReport.counts.set(service, sum)
+    retryTotals.counts.set(service, sum)
   }
-  if (now - retryReport.loggedAt < node.cfg.retryBudget.windowMs) return
-  for (const [service, counts] of retryReport.counts) logRetries(gateway, service, counts, now)
-  retryReport.counts.clear()
-  retryReport.loggedAt = now
+  if (now - retryTotals.loggedAt < node.cfg.retryBudget.windowMs) return
+  for (const [service, counts] of retryTotals.counts) logRetries(gateway, service, counts, now)
+  retryTotals.counts.clear()
+  retryTotals.loggedAt = now
 }
 
 function updateMetrics (gateway: Gateway, service: ServiceId, { sent, denied }: RetryCounts, now: Millis): void {
@@ -41,10 +31,10 @@
 
 function logRetries (gateway: Gateway, service: ServiceId, { requests, sent, denied }: RetryCounts, now: Millis): void {
   if (sent.size === 0 && denied.size === 0) return
-  const { node, retryReport } = gateway
+  const { node, retryTotals } = gateway
   log(node.logs, 'retry', denied.size > 0 ? 'warn' : 'info', 'Retry budget.', {
     service,
-    forMs: Math.round(now - retryReport.loggedAt),
+    forMs: Math.round(now - retryTotals.loggedAt),
     requests,
     sent: formatCounts(sent),
     denied: formatCounts(denied),
