--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -22,7 +22,7 @@
 import type { RetryTotals } from './retryTotals.js'
 import type { Pipelines } from './pipeline.js'
 import { createTeamPermits } from './teamPermits.js'
-import type { TeamPermits } from './teamPermits.js'
+import type { TeamPermits } from './permitState.js'
 
 export interface Gateway extends EntryState {
   readonly node: FleetNode
--- a/packages/daemon/src/core/gateway/permitHolder.ts
+++ b/packages/daemon/src/core/gateway/permitHolder.ts
@@ -5,7 +5,7 @@
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
 import { mayObtainPermit, obtainPermit, refillReserves } from './teamPermits.js'
-import type { PermitRefusal } from './teamPermits.js'
+import type { PermitRefusal } from './permitState.js'
 
 export interface PermitHolder {
   /** Undefined if the caller has no team. */
--- a/packages/daemon/src/core/gateway/permitQueue.ts
+++ b/packages/daemon/src/core/gateway/permitQueue.ts
@@ -1,35 +1,7 @@
 /** The requests of each team that wait for permits at one entry VM, and the results that they get. */
 import type { Millis, TeamName } from '@lynxcourse/base'
 import { createTeamIssuers, estimateRefillTime, isOverRate, takePermit } from '@lynxcourse/limits'
-import type { Permit, TeamIssuers } from '@lynxcourse/limits'
-import type { TeamPermits } from './teamPermits.js'
-
-/** Why a request gets no permit: its team is over its rate, or issuers that may have some can't be reached. */
-export interface PermitRefusal {
-  readonly type: 'refuse'
-  readonly reason: 'overRate' | 'noPermits'
-  readonly retryAfterMs: Millis
-}
-
-export type PermitResult = { readonly type: 'permit', readonly permit: Permit } | PermitRefusal
-
-interface Waiter {
-  readonly settle: (result: PermitResult) => void
-  /** Time until which the request may wait. */
-  readonly until: Millis
-}
-
-/** One team's requests that wait for permits. */
-export interface TeamQueue {
-  readonly issuers: TeamIssuers
-  waiting: Waiter[]
-  /** Issuers that had no permit left since the first of these requests began to wait. */
-  empty: Set<string>
-  /** Whether no issuer was asked for these requests yet. */
-  isFresh: boolean
-  /** Issuer that these requests were last asked for at; undefined if it answered. */
-  askedFrom: string | undefined
-}
+import type { PermitRefusal, PermitResult, TeamPermits, TeamQueue } from './permitState.js'
 
 /** Bounds of the retry times, and the fraction by which they vary, so that callers don't return together. */
 const minRetryMs: Millis = 100
--- a/packages/daemon/src/core/gateway/permitReserves.ts
+++ b/packages/daemon/src/core/gateway/permitReserves.ts
@@ -2,22 +2,8 @@
 import { hashText } from '@lynxcourse/base'
 import type { Millis, TeamName } from '@lynxcourse/base'
 import { computeMissingPermits, computeReserveShare, countUsedReserve, getRetryTime, isAsked, mayIssue, planRate, setMaxReserved } from '@lynxcourse/limits'
-import type { RateBound, RateLimit } from '@lynxcourse/limits'
 import type { PermitRequest } from '../control/permitIssuing.js'
-import type { TeamQueue } from './permitQueue.js'
-import type { TeamPermits } from './teamPermits.js'
-
-/** What the reserves of this VM depend on, beside the number of issuers. */
-export interface ReserveInputs {
-  readonly limits: ReadonlyMap<TeamName, RateLimit>
-  readonly bound: RateBound
-  /** Position of this VM among the sorted names of all entry VMs. */
-  readonly index: number
-  /** Number of entry VMs. */
-  readonly count: number
-}
-
-export type DividedReserves = ReserveInputs & { readonly members: number | undefined }
+import type { ReserveInputs, TeamPermits, TeamQueue } from './permitState.js'
 
 /**
  * Teams whose unused reserves one question fills. After a restart of all VMs, reserves that were filled at once would use up
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -11,7 +11,7 @@
 import type { Gateway } from './gateway.js'
 import { getRetryFields } from './retryReport.js'
 import type { SendReport } from './sending.js'
-import type { PermitRefusal } from './teamPermits.js'
+import type { PermitRefusal } from './permitState.js'
 
 /** The members of a request that the log line of a refusal needs; the body of the request may not have been read. */
 export type RefusedCall = Pick<Call, 'facts' | 'caller' | 'route' | 'service' | 'arrivedAt' | 'readAt' | 'deadline'>
--- a/packages/daemon/src/core/gateway/teamPermits.ts
+++ b/packages/daemon/src/core/gateway/teamPermits.ts
@@ -12,43 +12,14 @@
   addPermits, askTimeoutMs, beginQuestion, computeMissingPermits, endQuestion, failQuestion, hasPermit, isAsked, isHealthy, isLate, isLikelyIssued, isOverRate, isRunningLow, permitTtlMs,
   prunePermits, recordIssuerAnswer, recordIssuerFailure, recordPermitDemand, selectIssuer, takePermit
 } from '@lynxcourse/limits'
-import type { IssuerHealth, PermitStore } from '@lynxcourse/limits'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import type { Logs } from '../../utils/logging.js'
 import type { PermitRequest, TeamGrant } from '../control/permitIssuing.js'
 import type { PermitChannel } from './permitChannel.js'
 import { divideReserves, listReserveRequests, mayRefill } from './permitReserves.js'
-import type { DividedReserves, ReserveInputs } from './permitReserves.js'
 import { createRefusal, forgetQuestion, getQueue, refuseExpired, serveWaiting, settleAll } from './permitQueue.js'
-import type { PermitResult, TeamQueue } from './permitQueue.js'
-
-export type { PermitRefusal, PermitResult } from './permitQueue.js'
-
-/** The permits of one entry VM. */
-export interface TeamPermits {
-  readonly channel: PermitChannel
-  readonly logs: Logs
-  readonly random: Random
-  readonly store: PermitStore
-  readonly health: IssuerHealth
-  readonly queues: Map<TeamName, TeamQueue>
-  /** Teams with requests that wait. */
-  readonly waiting: Set<TeamName>
-  /** Number of control VMs that may issue permits; undefined before the first answer. */
-  members: number | undefined
-  /** What the present reserves were divided by. */
-  divided: DividedReserves | undefined
-  /** Position among the teams at which the next question for reserves begins. */
-  nextReserve: number
-  /** Whether a look at the requests that wait, or at the reserves, is due. */
-  isWatching: boolean
-  isRefillDue: boolean
-  /** Whether requests began to wait whose question is still to be asked. */
-  isBatchDue: boolean
-  /** When such a question was last asked. */
-  batchAt: Millis
-}
+import type { PermitResult, ReserveInputs, TeamPermits, TeamQueue } from './permitState.js'
 
 /** Requests of one team that may wait at once; each takes a few kilobytes. */
 const maxWaiting = 500
--- a/packages/placement/src/core/request/deadlineReach.ts
+++ b/packages/placement/src/core/request/deadlineReach.ts
@@ -13,7 +13,7 @@
 import type { FleetServer } from '../server/fleetServer.js'
 import { estimateRoundTrip, workKey } from './fleet.js'
 import type { Fleet } from './fleet.js'
-import type { PlacementRequest } from './scoring.js'
+import type { PlacementRequest } from '../../types/placementRequest.js'
 
 /** Returns whether a server that is cold for the request's object is expected to answer by the deadline. */
 function canMeetDeadline (fleet: Fleet, request: PlacementRequest, server: FleetServer, now: Millis): boolean {
--- a/packages/placement/src/core/request/learning.ts
+++ b/packages/placement/src/core/request/learning.ts
@@ -15,7 +15,7 @@
 import { updateMeanSlowdown, updateWarmProbability, estimateRoundTrip, workKey } from './fleet.js'
 import { computeSlotShare, getConcurrency } from './slotShares.js'
 import type { Placement } from './placeRequest.js'
-import type { PlacementRequest } from './scoring.js'
+import type { PlacementRequest } from '../../types/placementRequest.js'
 
 /**
  * Records that a server answered, whatever the status.
--- a/packages/placement/src/core/request/placeRequest.ts
+++ b/packages/placement/src/core/request/placeRequest.ts
@@ -15,7 +15,8 @@
 import { listVersionGroups } from '../rollout/versionChoice.js'
 import type { FleetServer } from '../server/fleetServer.js'
 import { selectBestServer, canServe } from './scoring.js'
-import type { PlacementRequest, ServerChoice } from './scoring.js'
+import type { ServerChoice } from './scoring.js'
+import type { PlacementRequest } from '../../types/placementRequest.js'
 import { getWorkTimes } from '../object/workModel.js'
 
 /** The server that a request is sent to, and the expected times there. */
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -31,7 +31,7 @@
 import { updateConcurrencyLimit, recordSendOutcome } from './learning.js'
 import { placeRequest, refuseAfterSends } from './placeRequest.js'
 import type { Placement, Refusal } from './placeRequest.js'
-import type { PlacementRequest } from './scoring.js'
+import type { PlacementRequest } from '../../types/placementRequest.js'
 
 /** Number of full servers after which a request is still sent again: each send costs a round trip and a unit of the retry budget. */
 const maxFullServers = 2
--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -1,7 +1,6 @@
 /** Scores servers for a request by the expected time to completion and the cost for other requests. */
 import type { Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import { isClosedToRequests } from '@lynxcourse/limits'
-import type { Route } from '@lynxcourse/state'
 import { selectUnderLimits } from '../server/limitedServers.js'
 import { hasColdToken, isCold, isWarmingVm } from '../server/coldRateLimit.js'
 import { estimateQueueWait, selectReachable } from './deadlineReach.js'
@@ -15,21 +14,7 @@
 import { getWarmCandidates, isWarm } from '../object/warmObjects.js'
 import { getWorkTimes } from '../object/workModel.js'
 import type { WorkTimes } from '../object/workModel.js'
-
-/** A request for which a server is to be selected. */
-export interface PlacementRequest {
-  readonly route: Route
-  readonly service: ServiceId
-  /** Key of the request's object; empty if unknown. */
-  readonly object: string
-  /** Servers to which the request was already sent. */
-  readonly tried: ReadonlySet<ServerId>
-  /** When the request arrived at this VM. */
-  readonly arrivedAt: Millis
-  readonly deadline: Millis
-  /** Percentage that assigns a request without an object to a version of a rollout; undefined if there was none when it arrived. */
-  readonly versionDraw?: number | undefined
-}
+import type { PlacementRequest } from '../../types/placementRequest.js'
 
 /** The servers that may get a request by their versions. */
 export interface ServerChoice {
--- a/packages/placement/src/core/rollout/versionChoice.ts
+++ b/packages/placement/src/core/rollout/versionChoice.ts
@@ -3,7 +3,7 @@
 import { isTargetObject } from '@lynxcourse/rollouts'
 import type { RolloutItem } from '@lynxcourse/state'
 import type { Fleet } from '../request/fleet.js'
-import type { PlacementRequest } from '../request/scoring.js'
+import type { PlacementRequest } from '../../types/placementRequest.js'
 import type { FleetServer } from '../server/fleetServer.js'
 import { maySendToTarget } from './activeRollouts.js'
 
--- a/packages/placement/src/core/server/fleetServer.ts
+++ b/packages/placement/src/core/server/fleetServer.ts
@@ -3,7 +3,7 @@
 import type { FailureDomainId, Millis, RegionId, ServerId, ServiceId } from '@lynxcourse/base'
 import type { ServerNotice } from '@lynxcourse/limits'
 import type { SoftwareVersion } from '@lynxcourse/state'
-import type { VmRanking } from './vmRanking.js'
+import type { VmRanking } from '../../types/vmRanking.js'
 
 /** A server's record in the directory. */
 export interface ServerFacts {
--- a/packages/placement/src/core/server/vmRanking.ts
+++ b/packages/placement/src/core/server/vmRanking.ts
@@ -2,12 +2,6 @@
 import { rankByHash } from '@lynxcourse/base'
 import type { FleetServer } from './fleetServer.js'
 
-/** The ranking of one list of VMs. */
-export interface VmRanking {
-  readonly vms: readonly string[]
-  readonly ranked: readonly string[]
-}
-
 /**
  * Returns the VMs in their order for a server. Each choice of a server asks this for each cold or limited server: hashing 56 names
  * for each of 69 cold servers takes several milliseconds, for one request and again each time that a waiting request is checked.
--- a/packages/placement/src/internal.ts
+++ b/packages/placement/src/internal.ts
@@ -1,6 +1,7 @@
 /** Fixes the order in which the modules of this package load. */
 export * from './types/loads.js'
 export * from './types/mechanisms.js'
+export * from './types/placementRequest.js'
 export * from './types/sendOutcome.js'
 export * from './core/admission/readDelay.js'
 export * from './core/admission/iterationBudget.js'
--- a/packages/replay/src/core/coldCauses.ts
+++ b/packages/replay/src/core/coldCauses.ts
@@ -1,14 +1,8 @@
 /** Classifies why a request's object is cold at its server. */
-import type { HashRank, Placement } from '@lynxcourse/placement'
+import type { Placement } from '@lynxcourse/placement'
 import type { Backend, Job } from './backendModel.js'
 import type { World } from './world.js'
-
-/**
- * Why an object is cold. `first`: no server has handled the object yet. `beside`: another request for the object is running or
- * waiting at the same server. `forgotten`: no server has the object warm any more. `moved to RANK`: another server has it warm;
- * RANK is the hash rank of the server that got the request, or `unnamed` if it has none.
- */
-export type ColdCause = 'first' | 'beside' | 'forgotten' | `moved to ${HashRank | 'unnamed'}`
+import type { ColdCause } from '../types/coldCause.js'
 
 /** Returns the cause for a request that has just arrived at a server. */
 export function classifyColdRequest (world: World, backend: Backend, job: Job, placement: Placement): ColdCause {
--- a/packages/replay/src/core/score.ts
+++ b/packages/replay/src/core/score.ts
@@ -4,7 +4,7 @@
 import type { Millis } from '@lynxcourse/base'
 import { createLimitUse } from './limitUse.js'
 import type { LimitUse } from './limitUse.js'
-import type { ColdCause } from './coldCauses.js'
+import type { ColdCause } from '../types/coldCause.js'
 import type { PauseUse } from './pauseUse.js'
 
 /** Outcome of one caller's request, over all its attempts. */
--- a/packages/replay/src/core/vmModel.ts
+++ b/packages/replay/src/core/vmModel.ts
@@ -9,7 +9,7 @@
 import { submitJob, cancelJob } from './backendModel.js'
 import type { Backend, BackendResult, Job, Rejection } from './backendModel.js'
 import { classifyColdRequest } from './coldCauses.js'
-import type { ColdCause } from './coldCauses.js'
+import type { ColdCause } from '../types/coldCause.js'
 import { createEntryState, getOneWayDelay } from './world.js'
 import type { VmModel, World } from './world.js'
 
--- a/scripts/soak/history.ts
+++ b/scripts/soak/history.ts
@@ -1,7 +1,7 @@
 /** The history of a soak run: what callers, servers and operators observed, and the injected faults. */
 
-import { isOwed } from './teamKeys.js'
-import type { SentKey } from './teamKeys.js'
+import { isOwed } from './sentKey.js'
+import type { SentKey } from './sentKey.js'
 
 /** How an attempt ended for its caller. */
 export type AttemptEnd =
--- a/scripts/soak/teamKeys.ts
+++ b/scripts/soak/teamKeys.ts
@@ -5,25 +5,17 @@
 import type { Random, TeamName } from '@lynxcourse/base'
 import type { Team } from '@lynxcourse/state'
 import { bounds, isVmFaultFree } from './history.js'
-import type { Attempt, Run, SoakHistory } from './history.js'
+import { isOwed, limitedTeam } from './sentKey.js'
+import type { SentKey } from './sentKey.js'
+import type { Run, SoakHistory } from './history.js'
 
 /** Beginning of every key, so that a key is found wherever it does not belong. */
 const keyPrefix = 'soakkey-'
-const limitedTeam = 'slow'
 /** The teams without a limit, to which callers belong. */
 const openTeams = ['blue', 'green']
 /** The team whose second key changes with each version of the routes. */
 const rotatingTeam = 'blue'
 
-/** A key that a caller sends, and what servers must hear of it. */
-export interface SentKey {
-  readonly key: string
-  /** The team that holds the key; undefined if no configuration ever held it. */
-  readonly team: string | undefined
-  /** Version of the routes with which the key was added; undefined for a key that stays. */
-  readonly version: number | undefined
-}
-
 /** Shares of requests with other keys than the caller's own. */
 const limitedShare = 0.06
 const unknownShare = 0.05
@@ -62,11 +54,6 @@
   return { key: getStandingKey(team), team, version: undefined }
 }
 
-/** Whether the request must be served: its key stays in force, and its team has no limit. */
-export function isOwed ({ sentKey: { team, version } }: Attempt): boolean {
-  return team !== undefined && team !== limitedTeam && version === undefined
-}
-
 /** Checks what servers saw of keys and teams, and which keys were accepted. */
 export function checkTeams (history: SoakHistory): string[] {
   return [...history.runs.flatMap(run => checkRunTeam(history, run)), ...checkDenied(history), ...checkTeamRate(history)]
