Tests: sends that reached no server use no retry, and end after several

Only requests that a server may have got need a retry of the budget; one that was never written to a connection is placed again, at most four times, since each may take a connect timeout.

--- a/packages/placement/__tests__/requestSteps.test.ts
+++ b/packages/placement/__tests__/requestSteps.test.ts
@@ -38,13 +38,13 @@
 }
 
 /** Runs a request to its final step; its sends have the given outcomes, each after `tookMs`. */
-function runRequest (entry: EntryState, isIdempotent: boolean, maxAttempts: number, outcomes: readonly SendOutcome[], tookMs: number): Course {
+function runRequest (entry: EntryState, isIdempotent: boolean, maxAttempts: number, outcomes: readonly SendOutcome[], tookMs: number, given = conditions): Course {
   const { tried: _, ...incoming } = request({ route: createRoute('read', { isIdempotent, maxAttempts }), arrivedAt: startedAt, deadline: startedAt + 1000 })
   let now = startedAt
-  const run = startRequest(entry, incoming, createPolledCaller(), conditions, now)
+  const run = startRequest(entry, incoming, createPolledCaller(), given, now)
   const sent: SendOutcome[] = []
   for (;;) {
-    const step = decideNextStep(entry, run, conditions, now)
+    const step = decideNextStep(entry, run, given, now)
     if (step.type === 'poll') {
       recordPoll(run.caller, now)
       continue
@@ -125,3 +125,25 @@
   placed.server.lastAnsweredAt = startedAt + 1
   assert.equal(isServerUnresponsive(entry, sending, conditions, overdueAt), false)
 })
+
+const withoutRetries: DecisionConditions = { ...conditions, retryBudget: { ratio: 0, windowMs: 10_000, slack: 0 } }
+const unreached: SendOutcome = { type: 'notRun', reason: 'unreached' }
+const answered: SendOutcome = { type: 'answered', status: 200, connectMs: 0 }
+const full: SendOutcome = { type: 'notRun', reason: 'full' }
+
+/** Guards against requests that are refused for lack of a retry although no server has got them. */
+test('a send that reached no server uses no retry, and the next one may be the first to arrive', () => {
+  const { sent, last } = runRequest(createEntry(), false, 2, [unreached, unreached, answered], 10, withoutRetries)
+  assert.deepEqual([sent.length, last.type], [3, 'answer'])
+})
+
+/** Guards against a request that tries one server after another, each for as long as a connection may take to open. */
+test('a request is refused after several servers that could not be reached', () => {
+  const { sent, last } = runRequest(createEntry(), false, 2, Array.from({ length: serverCount }, () => unreached), 10)
+  assert.deepEqual([sent.length, last.type], [4, 'refuse'])
+})
+
+test('a request that a server turned away is refused if the budget has no retry left', () => {
+  const { run, sent, last } = runRequest(createEntry(), false, 2, [unreached, full, answered], 10, withoutRetries)
+  assert.deepEqual([sent.length, last.type, run.retryCause, run.isOverBudget], [2, 'refuse', 'full', true])
+})
