--- a/packages/daemon/src/core/gateway/retryReport.ts
+++ b/packages/daemon/src/core/gateway/retryReport.ts
@@ -34,6 +34,7 @@
   const { node, retryTotals } = gateway
   log(node.logs, 'retry', denied.size > 0 ? 'warn' : 'info', 'Retry budget.', {
     service,
+    vm: node.cfg.name,
     forMs: Math.round(now - retryTotals.loggedAt),
     requests,
     sent: formatCounts(sent),
--- a/scripts/__tests__/explain.test.ts
+++ b/scripts/__tests__/explain.test.ts
@@ -4,6 +4,7 @@
 import { classifyDecision } from '../explain/causes.js'
 import type { Cause, SeenServers } from '../explain/causes.js'
 import { readDecision } from '../explain/readDecision.js'
+import { countRetries, readRetryLine } from '../explain/retries.js'
 import { countByVersion } from '../explain/versions.js'
 
 function line (fields: Record<string, unknown>): string {
@@ -53,3 +54,12 @@
   const sends = [line({ version: 'v2', outcome: '500' }), line({ version: 'v2', outcome: 'deadline' }), line({ version: 'v2', outcome: 'full' }), line({ version: 'v1' }), line({ message: 'Refused.', version: 'v2' })]
   assert.deepEqual(count(...sends), [{ service: '', version: 'v1', sends: 1, failed: 0, medianMs: 100 }, { service: '', version: 'v2', sends: 3, failed: 2, medianMs: 100 }])
 })
+
+test('lines on the retry budget are added up by service and VM', () => {
+  const createLine = (vm: string, sent: string | undefined, denied?: string): string => `edge-1 ${JSON.stringify({ message: 'Retry budget.', service: 'desk', vm, requests: 40, sent, denied, budgetVms: 11 })}`
+  const lines = [createLine('b', 'full 2'), createLine('a', 'full 3, failed 1', 'full 4'), createLine('a', undefined, 'lost 2'), '{"message":"Retry budget.","service"'].flatMap(line => readRetryLine(line) ?? [])
+  assert.deepEqual(countRetries(lines), [
+    { service: 'desk', vm: 'a', requests: 80, sent: '4 (full 3, failed 1)', denied: '6 (full 4, lost 2)', vms: '11' },
+    { service: 'desk', vm: 'b', requests: 40, sent: '2 (full 2)', denied: '0', vms: '11' }
+  ])
+})
--- a/scripts/explain.ts
+++ b/scripts/explain.ts
@@ -6,6 +6,8 @@
 import type { Cause, SeenServers } from './explain/causes.js'
 import { readDecision } from './explain/readDecision.js'
 import type { Decision } from './explain/readDecision.js'
+import { countRetries, readRetryLine } from './explain/retries.js'
+import type { RetryLine } from './explain/retries.js'
 import { countByVersion } from './explain/versions.js'
 import { percentile, printTable } from './support/tables.js'
 
@@ -19,15 +21,21 @@
   .argument('<log...>', 'log files of entry VMs')
   .option('--span <seconds>', 'length of the time span of each row', String(defaultSpanS))
 
-async function readAll (files: readonly string[]): Promise<Decision[]> {
+interface ReadLines { readonly decisions: Decision[], readonly retries: RetryLine[] }
+
+async function readAll (files: readonly string[]): Promise<ReadLines> {
   const decisions: Decision[] = []
+  const retries: RetryLine[] = []
   for (const file of files) {
     for await (const line of createInterface({ input: createReadStream(file) })) {
       const decision = readDecision(line)
       if (decision !== undefined) decisions.push(decision)
+      const retryLine = readRetryLine(line)
+      if (retryLine !== undefined) retries.push(retryLine)
     }
   }
-  return decisions.sort((a, b) => a.at - b.at)
+  decisions.sort((a, b) => a.at - b.at)
+  return { decisions, retries }
 }
 
 interface Row { readonly cause: Cause, readonly decision: Decision }
@@ -68,7 +76,7 @@
 
 async function main (): Promise<void> {
   program.parse()
-  const decisions = await readAll(program.args)
+  const { decisions, retries } = await readAll(program.args)
   const rows = explain(decisions)
   if (rows.length === 0) program.error('error: the files contain no request decisions')
   const spanMs = Number(program.opts<Arguments>().span) * millisPerSecond
@@ -77,6 +85,7 @@
   printOverTime(rows, spanMs)
   const versions = countByVersion(decisions)
   if (versions.length > 0) printTable('Sends by version', versions)
+  if (retries.length > 0) printTable('Retries by service and VM', countRetries(retries))
 }
 
 await main()
