--- a/packages/daemon/src/core/gateway/permitHolder.ts
+++ b/packages/daemon/src/core/gateway/permitHolder.ts
@@ -2,6 +2,7 @@
 import type { Millis, TeamName } from '@lynxcourse/base'
 import { returnPermit } from '@lynxcourse/limits'
 import type { Permit } from '@lynxcourse/limits'
+import { hasJoined } from '@lynxcourse/placement'
 import type { Call } from './call.js'
 import type { Gateway } from './gateway.js'
 import { mayObtainPermit, obtainPermit, refillReserves } from './teamPermits.js'
@@ -54,8 +55,8 @@
 }
 
 /** Refills the VM's reserves of permits, once it knows among how many VMs they are divided. Called periodically. */
-export function refillPermits ({ permits, teams, node, fleet }: Gateway, now: Millis): void {
+export function refillPermits ({ permits, teams, node }: Gateway, now: Millis): void {
   const { entryNames, cfg } = node
-  if (!teams.isRequired || !fleet.mayUseShare(cfg.rateBound.windowMs)) return
+  if (!teams.isRequired || !hasJoined(node.membership, cfg.rateBound.windowMs, now)) return
   refillReserves(permits, { limits: teams.limited, bound: cfg.rateBound, index: entryNames.indexOf(cfg.name), count: entryNames.length }, now)
 }
--- a/packages/placement/__tests__/retryBudget.test.ts
+++ b/packages/placement/__tests__/retryBudget.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { createFleetMembership, mayUseShare, recordBudgetedRequest, recordEntryList, refundRetry, settleRetry, trySpendRetry } from '@lynxcourse/placement'
+import { createFleetMembership, hasJoined, mayUseShare, recordBudgetedRequest, recordEntryList, refundRetry, settleRetry, trySpendRetry } from '@lynxcourse/placement'
 import type { RetryUsage } from '@lynxcourse/placement'
 import { desk } from './support/fleet.js'
 import { findExceededWindow, playRetries } from './support/retryModel.js'
@@ -96,6 +96,8 @@
   assert.equal(mayUseShare(membership, windowMs, { steady: 34_000, wall: 34_000 }), false)
   assert.equal(mayUseShare(membership, windowMs, { steady: 35_000, wall: 35_000 }), true)
   assert.equal(mayUseShare(membership, windowMs, { steady: 35_000, wall: 41_000 }), false, 'the VM was suspended')
+  assert.equal(hasJoined(membership, windowMs, 29_999), false)
+  assert.equal(hasJoined(membership, windowMs, 30_000), true)
   list(60_000)
   assert.equal(mayUseShare(membership, windowMs, { steady: 61_000, wall: 61_000 }), false, 'others may have forgotten the VM')
 })
--- a/packages/placement/src/core/entries/fleetMembership.ts
+++ b/packages/placement/src/core/entries/fleetMembership.ts
@@ -70,6 +70,14 @@
   return getElapsed(confirmedAt, now) <= maxListAgeMs && now.steady - announcedAt >= windowMs + maxListAgeMs
 }
 
+/**
+ * Returns whether the others have counted this VM for the whole of the last window. This suffices for shares that only control VMs refill: a VM that
+ * is cut off keeps at most what it has.
+ */
+export function hasJoined ({ announcedAt }: FleetMembership, windowMs: Millis, now: Millis): boolean {
+  return announcedAt !== undefined && now - announcedAt >= windowMs
+}
+
 function getElapsed (from: ClockReading, to: ClockReading): Millis {
   return Math.max(to.steady - from.steady, to.wall - from.wall)
 }
