Retry budget: one function for a VM's share of the slack

The decision and its report worked out the share by the same expression; if one had changed, metrics would have told another share than the one in force. Behaviour is unchanged: 161 tests of placement pass, 18 of replay and of the daemon's files on retries, membership and exchanges; lint and build pass. The whole suite was not run again.

--- a/packages/daemon/src/core/gateway/retryReport.ts
+++ b/packages/daemon/src/core/gateway/retryReport.ts
@@ -1,6 +1,6 @@
 /** Reports, by service, what the retry budget allows this VM and what it spends: in metrics, and in a log line for each window with retries. */
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { addRetryCounts, computeSlackShare, createRetryCounts, getRetryAllowance, takeRetryCounts } from '@lynxcourse/placement'
+import { addRetryCounts, createRetryCounts, getRetryAllowance, getSlackShare, takeRetryCounts } from '@lynxcourse/placement'
 import type { RetryAllowance, RetryCause, RetryCounts } from '@lynxcourse/placement'
 import { log } from '../../utils/logging.js'
 import type { LogFields } from '../../utils/logging.js'
@@ -55,7 +55,7 @@
 
 function getAllowance ({ node, retries, fleet }: Gateway, service: ServiceId, now: Millis): RetryAllowance {
   const { retryBudget } = node.cfg
-  return getRetryAllowance(retries, retryBudget, service, fleet.mayUseShare(retryBudget.windowMs) ? computeSlackShare(retryBudget, fleet.vms.length) : 0, now)
+  return getRetryAllowance(retries, retryBudget, service, getSlackShare(fleet, retryBudget), now)
 }
 
 /** Returns the fields of a log line on a request that was sent again, or was not for lack of a retry. */
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -6,6 +6,8 @@
 import type { FleetServer } from '../server/fleetServer.js'
 import type { Mechanism } from '../../types/mechanisms.js'
 import type { HashRank } from '../object/hashRanks.js'
+import { computeSlackShare } from '../retries/retryBudget.js'
+import type { RetryBudgetCfg } from '../retries/retryBudget.js'
 import type { RegionShares } from '../region/regionPlan.js'
 import { createActiveRollouts } from '../rollout/activeRollouts.js'
 import type { ActiveRollouts } from '../rollout/activeRollouts.js'
@@ -123,6 +125,11 @@
   return connections <= 0 ? Infinity : Math.max(1, Math.floor(connections / Math.max(1, vms.length)))
 }
 
+/** Returns how many retries of each window this VM may send beyond those that its requests earn. */
+export function getSlackShare ({ vms, mayUseShare }: Fleet, budget: RetryBudgetCfg): number {
+  return mayUseShare(budget.windowMs) ? computeSlackShare(budget, vms.length) : 0
+}
+
 /** Returns the key of the work times that are learned for a request. */
 export function workKey (request: RoutedService): string {
   return `${request.route.name} ${request.service}`
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -14,7 +14,7 @@
 import { hasNormalLatency } from '../admission/concurrencyLimit.js'
 import { expectsCapacity, computeRecheckDelay, computeWaitEnd } from '../admission/capacityWait.js'
 import { recordDemand } from '../board/loadObservations.js'
-import { computeSlackShare, recordBudgetedRequest, refundRetry, settleRetry, trySpendRetry } from '../retries/retryBudget.js'
+import { recordBudgetedRequest, refundRetry, settleRetry, trySpendRetry } from '../retries/retryBudget.js'
 import type { RetryCharge } from '../retries/retryBudget.js'
 import { getRetryCause } from '../retries/retryCounts.js'
 import type { RetryCause } from '../retries/retryCounts.js'
@@ -26,7 +26,7 @@
 import { recordRequestStart, recordRequestEnd, computeResponseTimeout } from '../server/fleetServer.js'
 import type { RunningRequest } from '../server/fleetServer.js'
 import type { EntryState, DecisionConditions } from './entryState.js'
-import { estimateSlotTime } from './fleet.js'
+import { estimateSlotTime, getSlackShare } from './fleet.js'
 import { getConcurrency } from './slotShares.js'
 import { updateConcurrencyLimit, recordSendOutcome } from './learning.js'
 import { placeRequest, refuseAfterSends } from './placeRequest.js'
@@ -133,9 +133,8 @@
 
 /** Uses a retry of the budget for the next send of a request that may have reached a server; returns whether one was left. */
 function spendRetry ({ retries, fleet }: EntryState, state: RequestState, last: SendOutcome, { retryBudget }: DecisionConditions, now: Millis): boolean {
-  const slackShare = fleet.mayUseShare(retryBudget.windowMs) ? computeSlackShare(retryBudget, fleet.vms.length) : 0
   state.retryCause = getRetryCause(last)
-  state.charge = trySpendRetry(retries, retryBudget, state.request.service, state.retryCause, slackShare, now)
+  state.charge = trySpendRetry(retries, retryBudget, state.request.service, state.retryCause, getSlackShare(fleet, retryBudget), now)
   state.isOverBudget = state.charge === undefined
   return !state.isOverBudget
 }
