Metric of the state's age at each routing decision, and how long a change of the state took

Nothing told whether a request was routed by an old state that the VM knew to be old, by one that it took for current, or by one that it was still working on. lynxcourse_state_age_seconds counts the age for each request that is routed; 'State applied.' has the time since the VM asked and the time that it worked on the change; 'No route.' has the age as well. Behaviour is unchanged.

--- a/packages/daemon/src/core/fleet/stateWatch.ts
+++ b/packages/daemon/src/core/fleet/stateWatch.ts
@@ -130,11 +130,12 @@
     return
   }
   const previousVersion = node.config.version
+  const startedAt = getCurrentTime()
   const isComplete = reply.delta === undefined || applyDelta(node.config, reply.delta)
   if (isStale) avoidControl(watch, control, now)
   else if (isComplete) node.upToDateAt = now - (reply.ageMs ?? 0)
   if (node.config.version !== previousVersion) {
-    log(node.logs, 'sync', 'info', 'State applied.', { version: node.config.version, from: previousVersion, items: reply.delta?.items.length, peer: control })
     notifyFleetChange(node)
+    log(node.logs, 'sync', 'info', 'State applied.', { version: node.config.version, from: previousVersion, items: reply.delta?.items.length, isFull: reply.delta?.full, peer: control, askedMs: Math.round(now - askedAt.steady), tookMs: Math.round(getCurrentTime() - startedAt) })
   }
 }
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -26,7 +26,7 @@
 import type { Gateway } from './gateway.js'
 import { joinPipeline, leavePipeline, tryMarkClosing, waitForEarlierAnswers } from './pipeline.js'
 import type { PipelinedRequest } from './pipeline.js'
-import { logRefusal, getTimeFields } from './requestLog.js'
+import { logRefusal, getStateFields, getTimeFields } from './requestLog.js'
 import type { RefusedCall } from './requestLog.js'
 import { serveCall } from './serving.js'
 import { hasRoutes, waitForRoutes } from './routeWait.js'
@@ -124,6 +124,7 @@
     log(gateway.node.logs, 'route', 'info', 'Caller disconnected before its request was started.', { path: req.url, ...getTimeFields(arrival) })
     return { service: 'none', answer: undefined }
   }
+  gateway.node.metrics.stateAgeSeconds.observe((getCurrentTime() - gateway.node.upToDateAt) / 1000)
   const target = selectTarget(gateway, req)
   if (target === undefined) return { service: 'none', answer: answerNoRoute(gateway, req) }
   const authenticated = authenticateCaller(gateway, req, target.route, getCurrentTime())
@@ -237,7 +238,7 @@
   req.resume()
   // Without the current routes, the VM doesn't know whether a route exists.
   if (!hasRoutes(gateway)) return createRefusal(gateway.callers, 'the routes are not known yet', notReadyRetryMs)
-  log(gateway.node.logs, 'route', 'info', 'No route.', { host: req.headers.host, path: req.url, stateVersion: gateway.node.config.version })
+  log(gateway.node.logs, 'route', 'info', 'No route.', { host: req.headers.host, path: req.url, ...getStateFields(gateway) })
   return createTextAnswer(404, 'no route')
 }
 
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -127,7 +127,7 @@
 /**
  * Returns the version of the state used for the decision, and the time since that state was last confirmed as current.
  */
-function getStateFields (gateway: Gateway): LogFields {
+export function getStateFields (gateway: Gateway): LogFields {
   const { node } = gateway
   return { stateVersion: node.config.version, stateAgeMs: Math.round(getCurrentTime() - node.upToDateAt) }
 }
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -11,6 +11,7 @@
   readonly unreadSeconds: Histogram
   readonly closeUnreadSeconds: Histogram
   readonly loopLateSeconds: Histogram
+  readonly stateAgeSeconds: Histogram
   readonly attempts: Counter<'end'>
   readonly serverEnds: Counter
   readonly limitedSends: Counter
@@ -50,6 +51,7 @@
     unreadSeconds: new Histogram({ name: 'lynxcourse_request_unread_seconds', help: 'Longest time that a request can have lain unread before this VM got to it.', buckets: latencyBuckets, registers }),
     closeUnreadSeconds: new Histogram({ name: 'lynxcourse_close_unread_seconds', help: 'Longest time that the close of a caller with an open request can have lain unread before this VM read it.', buckets: latencyBuckets, registers }),
     loopLateSeconds: new Histogram({ name: 'lynxcourse_loop_late_seconds', help: 'How late a timer of the event loop ran, whether the loop worked or waited for the processor.', buckets: latencyBuckets, registers }),
+    stateAgeSeconds: new Histogram({ name: 'lynxcourse_state_age_seconds', help: 'Age of the state by which a request was routed: time since it was last known to have all changes.', buckets: latencyBuckets, registers }),
     attempts: new Counter({ name: 'lynxcourse_attempts_total', help: 'Attempts at backend servers by end.', labelNames: ['end'], registers }),
     serverEnds: new Counter({ name: 'lynxcourse_server_ends_total', help: 'Servers found ended after they left a request of this VM without an answer, by request.', registers }),
     limitedSends: new Counter({ name: 'lynxcourse_limited_sends_total', help: 'Requests that this VM sent to servers that name a limit for all VMs together.', registers }),
