--- a/packages/daemon/__tests__/support/fleetFixture.ts
+++ b/packages/daemon/__tests__/support/fleetFixture.ts
@@ -15,6 +15,8 @@
 import type { BackendAnnouncement, ChangeAnswer, RouteChangeId, Route, RouteCommand } from '@lynxcourse/state'
 import { createRoute } from '@lynxcourse/state/testing'
 import { findFreePorts } from './freePorts.js'
+import { startPausableForwarder } from './pausableForwarder.js'
+import type { PausableForwarder } from './pausableForwarder.js'
 
 export const desk = brandId<ServiceId>('desk')
 const region = brandId<RegionId>('kochi')
@@ -28,26 +30,33 @@
   readonly folder: string
   readonly settings: readonly FleetSettings[]
   readonly daemons: Array<FleetDaemon | undefined>
+  /** The links over which other VMs reach each control VM; empty without `hasControlLinks`. */
+  readonly controlLinks: readonly PausableForwarder[]
 }
 
 interface FixtureOptions {
   readonly fields?: Partial<FleetSettings>
   readonly controlCount?: number
+  /** Whether other VMs reach the control VMs over links that a test can pause. */
+  readonly hasControlLinks?: boolean
 }
 
 /** Starts the control VMs, which form the initial group, and then the entry VMs; `fields` replace settings of all VMs. */
-export async function startFleetFixture (entryCount: number, { fields = {}, controlCount = 3 }: FixtureOptions = {}): Promise<FleetFixture> {
+export async function startFleetFixture (entryCount: number, { fields = {}, controlCount = 3, hasControlLinks = false }: FixtureOptions = {}): Promise<FleetFixture> {
   const ports = await findFreePorts((controlCount + entryCount) * 3)
   const folder = await mkdtemp(join(tmpdir(), 'lynx-fleet-'))
   const getAddress = (portIndex: number): string => `127.0.0.1:${ports[portIndex]}`
-  const seeds = Array.from({ length: controlCount }, (_, index) => getAddress(index * 3))
+  const controlAddresses = Array.from({ length: controlCount }, (_, index) => getAddress(index * 3))
+  const controlLinks = hasControlLinks ? await Promise.all(controlAddresses.map(async address => await startPausableForwarder(address, true))) : []
+  const seeds = hasControlLinks ? controlLinks.map(({ address }) => address) : controlAddresses
   const settings = Array.from({ length: controlCount + entryCount }, (_, index): FleetSettings => ({
     name: `vm-${index}`,
     roles: index < controlCount ? ['control'] : ['entry'],
     region,
     failureDomain: domain,
     regions: new Map([[domain, region]]),
-    rpc: getAddress(index * 3),
+    rpc: seeds[index] ?? getAddress(index * 3),
+    rpcListen: getAddress(index * 3),
     callers: index < controlCount ? undefined : getAddress(index * 3 + 1),
     metrics: getAddress(index * 3 + 2),
     seeds,
@@ -64,8 +73,10 @@
     folder,
     settings,
     daemons: [],
+    controlLinks,
     [Symbol.asyncDispose]: async () => {
       for (const daemon of fixture.daemons) await daemon?.[Symbol.asyncDispose]()
+      for (const link of controlLinks) await link[Symbol.asyncDispose]()
       await rm(folder, { recursive: true, force: true })
     }
   }
--- a/packages/daemon/__tests__/support/pausableForwarder.ts
+++ b/packages/daemon/__tests__/support/pausableForwarder.ts
@@ -18,18 +18,24 @@
   readonly far: Socket
   /** Data that the client's kernel would resend until the partition ends. */
   pendingChunks: Buffer[]
+  /** The same of the target's kernel. */
+  pendingAnswers: Buffer[]
   isEnded: boolean
 }
 
-/** Starts a forwarder to `IP:port`. */
-export async function startPausableForwarder (target: string): Promise<PausableForwarder> {
+/**
+ * Starts a forwarder to `IP:port`.
+ *
+ * @param holdsAnswers whether a partition also holds back what the target sends
+ */
+export async function startPausableForwarder (target: string, holdsAnswers = false): Promise<PausableForwarder> {
   const [host, port] = target.split(':')
   const links = new Set<Link>()
   let isPaused = false
   const server = createServer({ allowHalfOpen: true }, near => {
-    const link: Link = { near, far: connect(Number(port), host), pendingChunks: [], isEnded: false }
+    const link: Link = { near, far: connect(Number(port), host), pendingChunks: [], pendingAnswers: [], isEnded: false }
     links.add(link)
-    forward(link, () => isPaused)
+    forward(link, () => isPaused, () => isPaused && holdsAnswers)
   }).listen(0, '127.0.0.1')
   await once(server, 'listening')
   return {
@@ -49,7 +55,7 @@
   }
 }
 
-function forward (link: Link, isPaused: () => boolean): void {
+function forward (link: Link, isPaused: () => boolean, holdsAnswers: () => boolean): void {
   const { near, far } = link
   near.on('data', chunk => {
     link.pendingChunks.push(chunk)
@@ -65,11 +71,16 @@
     far.destroy()
   })
   far.on('error', () => near.destroy())
-  far.pipe(near)
+  far.on('data', chunk => {
+    if (holdsAnswers()) link.pendingAnswers.push(chunk)
+    else near.write(chunk)
+  })
+  far.on('end', () => near.end())
 }
 
-/** Sends the buffered data to the target. */
+/** Sends the buffered data on. */
 function deliver (link: Link): void {
   for (const chunk of link.pendingChunks.splice(0)) link.far.write(chunk)
+  for (const chunk of link.pendingAnswers.splice(0)) link.near.write(chunk)
   if (link.isEnded) link.far.end()
 }
