Control VMs: the age of a copy counts from a message's origin, not from when it is processed

A follower counted as up to date at the moment in which it processed a message of the leader. A message that waited for seconds, unread by a busy event loop or behind a sync, made an old copy look current: entry VMs took its state as confirmed, and permits were issued by it.

The leader now echoes when the follower answered last, by the follower's clock, and tells how old its newest confirmed round is. The follower's copy is complete as of the answer less that age, however late the message is read. A leader counts a time as applied after the entries of that step are applied.

The test of a stalled sync used a message without an echo; it now has one.

--- a/packages/agreement/__tests__/agreement.test.ts
+++ b/packages/agreement/__tests__/agreement.test.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check'
 import { brandId, hashText, loadChart, createRandom } from '@lynxcourse/base'
 import type { HolderId } from '@lynxcourse/base'
-import { createReplica, createInitialSnapshot, isLeader, isEstablishedLeader, stepReplica, voters } from '@lynxcourse/agreement'
+import { createReplica, createInitialSnapshot, getUpToDateAt, isLeader, isEstablishedLeader, stepReplica, voters } from '@lynxcourse/agreement'
 import type { Entry, Envelope, ReplicaOutput, Replica, ReplicaEvent, StoredLog } from '@lynxcourse/agreement'
 
 const seed = 11
@@ -26,6 +26,8 @@
   copies: Copy[]
   inFlight: Envelope[]
   committed: Map<number, string>
+  /** When each index was first committed at a copy. */
+  committedAt: Map<number, number>
   leaders: Map<number, string>
   commands: number
 }
@@ -37,7 +39,7 @@
 
 function buildGroup (size: number): Group {
   const ids = Array.from({ length: size }, (_, number) => brandId<HolderId>(`v${number}/i1`))
-  const group: Group = { now: 1000, copies: [], inFlight: [], committed: new Map(), leaders: new Map(), commands: 0 }
+  const group: Group = { now: 1000, copies: [], inFlight: [], committed: new Map(), committedAt: new Map(), leaders: new Map(), commands: 0 }
   for (const id of ids) {
     const copy: Copy = { id, disk: { hardState: { term: 0, votedFor: undefined }, snapshot: createInitialSnapshot(ids, ''), entries: [] }, replica: undefined }
     group.copies.push(copy)
@@ -52,6 +54,7 @@
     const known = group.committed.get(entry.index) ?? text
     assert.equal(text, known, `two different entries committed at index ${entry.index}`)
     group.committed.set(entry.index, text)
+    if (!group.committedAt.has(entry.index)) group.committedAt.set(entry.index, group.now)
   }
   if (!isLeader(replica)) return
   const known = group.leaders.get(replica.term) ?? replica.id
@@ -143,6 +146,34 @@
   })
 }
 
+/** Checks that each copy has all entries that were committed before the time as of which it counts its copy as complete. */
+function checkFreshness (group: Group): void {
+  for (const { replica, id } of group.copies) {
+    if (replica === undefined) continue
+    const completeAt = getUpToDateAt(replica)
+    for (const [index, at] of group.committedAt) {
+      assert.ok(at >= completeAt || index <= replica.commit, `${id} counts as complete at ${completeAt} without entry ${index}, committed at ${at}`)
+    }
+  }
+}
+
+// Guards against copies that count as current because they process an old message of the leader late.
+test('a copy has every entry that was committed before the time as of which it counts as up to date, however late messages come', () => {
+  fc.assert(fc.property(fc.array(actionArbitrary, { minLength: 50, maxLength: 400 }), actions => {
+    const group = buildGroup(3)
+    runRounds(group, 30)
+    for (const action of actions) {
+      applyAction(group, action)
+      checkFreshness(group)
+    }
+    runRounds(group)
+    checkFreshness(group)
+    const leader = findLeader(group)
+    const ages = group.copies.filter(copy => copy !== leader).map(({ replica }) => group.now - (replica as Replica).upToDateAt)
+    assert.ok(ages.every(age => age <= 4 * times.heartbeatMs), `ages ${ages.join()} once the network recovered`)
+  }), { seed, numRuns: 200 })
+})
+
 /** Runs the given number of ticks while the network drops some messages. */
 function runWithDrops (group: Group, isDropped: (envelope: Envelope) => boolean, rounds: number): void {
   for (let round = 0; round < rounds; round++) {
--- a/packages/agreement/src/core/followerReplication.ts
+++ b/packages/agreement/src/core/followerReplication.ts
@@ -9,14 +9,14 @@
 /** Stores the leader's entries, or answers with the last index at which the two logs may match. */
 export function handleAppend (replica: Replica, from: HolderId, request: AppendRequest, now: Millis, out: ReplicaOutput): void {
   if (request.term < replica.term) {
-    sendAppendAnswer(replica, from, false, lastIndex(replica), request.round, out)
+    sendAppendAnswer(replica, from, false, lastIndex(replica), request.round, now, out)
     return
   }
   recordLeaderContact(replica, from, now)
   const isMatching = matchesPreviousEntry(replica, request)
   if (!isMatching) {
     const lastPossibleMatch = Math.min(lastIndex(replica), request.prevIndex - 1)
-    sendAppendAnswer(replica, from, false, lastPossibleMatch, request.round, out)
+    sendAppendAnswer(replica, from, false, lastPossibleMatch, request.round, now, out)
     return
   }
   for (const entry of request.entries) storeEntry(replica, entry, out)
@@ -24,8 +24,21 @@
   commitUpTo(replica, Math.min(request.commit, matchIndex), out)
   // A heartbeat in place of a snapshot, or from a leader without a committed entry of its own term, has commit index 0
   // and doesn't show whether this follower is up to date.
-  if (request.commit > 0 && replica.commit >= request.commit) replica.upToDateAt = now
-  sendAppendAnswer(replica, from, true, matchIndex, request.round, out)
+  if (request.commit > 0 && replica.commit >= request.commit) recordUpToDate(replica, request, now)
+  sendAppendAnswer(replica, from, true, matchIndex, request.round, now, out)
+}
+
+/**
+ * Records the time as of which this follower has every committed entry.
+ *
+ * The request may have waited unread for seconds, so the time at which it is processed proves nothing. The leader created it after
+ * this follower's answer that it echoes, and its commit index includes every entry that was committed when it sent the round that
+ * a quorum last answered.
+ */
+function recordUpToDate (replica: Replica, { answeredAt, confirmedAgeMs }: AppendRequest, now: Millis): void {
+  if (answeredAt === null || confirmedAgeMs === null) return
+  const isOwnAnswer = answeredAt >= replica.startedAt && answeredAt <= now
+  if (isOwnAnswer) replica.upToDateAt = Math.max(replica.upToDateAt, answeredAt - confirmedAgeMs)
 }
 
 function matchesPreviousEntry (replica: Replica, request: AppendRequest): boolean {
@@ -51,7 +64,7 @@
 /** Installs the leader's snapshot if it is ahead of the commit index; keeps later entries only if the log matches it. */
 export function handleSnapshot (replica: Replica, from: HolderId, request: SnapshotRequest, now: Millis, out: ReplicaOutput): void {
   if (request.term < replica.term) {
-    sendAppendAnswer(replica, from, false, lastIndex(replica), request.round, out)
+    sendAppendAnswer(replica, from, false, lastIndex(replica), request.round, now, out)
     return
   }
   recordLeaderContact(replica, from, now)
@@ -66,7 +79,7 @@
     out.snapshot = snapshot
     out.installSnapshot = true
   }
-  sendAppendAnswer(replica, from, true, snapshot.index, request.round, out)
+  sendAppendAnswer(replica, from, true, snapshot.index, request.round, now, out)
 }
 
 function recordLeaderContact (replica: Replica, leader: HolderId, now: Millis): void {
@@ -76,6 +89,6 @@
   resetElectionTimer(replica, now)
 }
 
-function sendAppendAnswer (replica: Replica, to: HolderId, ok: boolean, index: number, round: number, out: ReplicaOutput): void {
-  send(replica, out, to, { type: 'appendAnswer', term: replica.term, ok, index, round })
+function sendAppendAnswer (replica: Replica, to: HolderId, ok: boolean, index: number, round: number, now: Millis, out: ReplicaOutput): void {
+  send(replica, out, to, { type: 'appendAnswer', term: replica.term, ok, index, round, at: now })
 }
--- a/packages/agreement/src/core/leaderReplication.ts
+++ b/packages/agreement/src/core/leaderReplication.ts
@@ -1,7 +1,7 @@
 /** The leader's side of replication: appends entries, sends them and processes answers. */
 import type { HolderId, Millis } from '@lynxcourse/base'
 import type { EntryBody } from '../types/log.js'
-import type { AppendAnswer, ReplicaOutput } from '../types/messages.js'
+import type { AppendAnswer, AppendRequest, ReplicaOutput } from '../types/messages.js'
 import {
   commitUpTo, entryAt, isEstablishedLeader, isLeader, lastEntryAt, lastIndex, maxReachedByQuorum, send, termAt, voters
 } from './replica.js'
@@ -41,7 +41,7 @@
 export function getProgress (replica: Replica, id: HolderId, now: Millis): Progress {
   let progress = replica.progress.get(id)
   if (progress === undefined) {
-    progress = { next: lastIndex(replica) + 1, match: 0, ackedRound: 0, lastSeenAt: now, snapshotSentAt: -Infinity }
+    progress = { next: lastIndex(replica) + 1, match: 0, ackedRound: 0, answeredAt: undefined, lastSeenAt: now, snapshotSentAt: -Infinity }
     replica.progress.set(id, progress)
   }
   return progress
@@ -58,7 +58,7 @@
   const first = prevIndex - replica.snapshot.index
   const entries = replica.entries.slice(first, first + maxEntriesPerMessage)
   const { term, round } = replica
-  send(replica, out, to, { type: 'append', term, prevIndex, prevTerm, entries, commit: getAdvertisedCommit(replica), round })
+  send(replica, out, to, { type: 'append', term, prevIndex, prevTerm, entries, commit: getAdvertisedCommit(replica), round, ...describeFreshness(replica, progress, now) })
   progress.next += entries.length
 }
 
@@ -71,12 +71,17 @@
   return isEstablishedLeader(replica) ? replica.commit : 0
 }
 
+/** Returns the fields by which a follower bounds the age of the leader's commit index, however late it processes the request. */
+function describeFreshness ({ quorumConfirmedAt }: Replica, { answeredAt }: Progress, now: Millis): Pick<AppendRequest, 'answeredAt' | 'confirmedAgeMs'> {
+  return { answeredAt: answeredAt ?? null, confirmedAgeMs: quorumConfirmedAt === -Infinity ? null : now - quorumConfirmedAt }
+}
+
 function sendSnapshot (replica: Replica, to: HolderId, progress: Progress, now: Millis, out: ReplicaOutput): void {
   const { term, round, snapshot } = replica
   if (now - progress.snapshotSentAt < replica.times.electionMs * snapshotResendElectionTimeouts) {
     // The heartbeat prevents the copy from starting an election while the snapshot is in flight.
     send(replica, out, to, {
-      type: 'append', term, prevIndex: snapshot.index, prevTerm: snapshot.term, entries: [], commit: 0, round
+      type: 'append', term, prevIndex: snapshot.index, prevTerm: snapshot.term, entries: [], commit: 0, round, answeredAt: null, confirmedAgeMs: null
     })
     return
   }
@@ -101,6 +106,7 @@
   const progress = getProgress(replica, from, now)
   progress.lastSeenAt = now
   progress.ackedRound = Math.max(progress.ackedRound, answer.round)
+  progress.answeredAt = answer.at
   if (answer.ok) {
     progress.match = Math.max(progress.match, answer.index)
     progress.next = Math.max(progress.next, progress.match + 1)
--- a/packages/agreement/src/core/replica.ts
+++ b/packages/agreement/src/core/replica.ts
@@ -11,6 +11,8 @@
   /** Last index known to be synced by the member. */
   match: number
   ackedRound: number
+  /** `at` of the member's last answer; undefined before the first. */
+  answeredAt: Millis | undefined
   lastSeenAt: Millis
   /** When a snapshot was last sent; prevents sending a slow copy a snapshot with each heartbeat. */
   snapshotSentAt: Millis
@@ -46,8 +48,9 @@
   /** The candidate that last received a pre-vote from this copy, and when. */
   preVotedFor: HolderId | undefined
   preVotedAt: Millis
-  /** When this follower last had every entry that the leader reported as committed. */
+  /** Time as of which this follower has every committed entry; -Infinity if it can't tell. */
   upToDateAt: Millis
+  readonly startedAt: Millis
   votes: Set<HolderId>
   progress: Map<HolderId, Progress>
   nextHeartbeatAt: Millis
@@ -107,6 +110,7 @@
     preVotedFor: undefined,
     preVotedAt: -Infinity,
     upToDateAt: -Infinity,
+    startedAt: now,
     votes: new Set(),
     progress: new Map(),
     nextHeartbeatAt: 0,
@@ -127,6 +131,12 @@
   return replica
 }
 
+/** Returns the time as of which this copy has every committed entry; -Infinity if it can't tell. */
+export function getUpToDateAt (replica: Replica): Millis {
+  const { quorumConfirmedAt, upToDateAt } = replica
+  return isEstablishedLeader(replica) ? Math.max(upToDateAt, quorumConfirmedAt) : upToDateAt
+}
+
 /** Returns the rank of this copy among the voters sorted by id, equal on all copies; 0 if this copy is not a voter. */
 function getVoterRank (replica: Replica): number {
   return Math.max(0, voters(replica).sort().indexOf(replica.id))
--- a/packages/agreement/src/types/messages.ts
+++ b/packages/agreement/src/types/messages.ts
@@ -28,6 +28,10 @@
   readonly commit: number
   /** Number of the leader's broadcast round. Answers echo it, so that the leader knows when a quorum last confirmed it. */
   readonly round: number
+  /** `at` of the recipient's last answer that the leader had processed when it created this request; null for none. */
+  readonly answeredAt: Millis | null
+  /** Time between the newest round that a quorum answered and the creation of this request; null for no such round. */
+  readonly confirmedAgeMs: Millis | null
 }
 
 export interface SnapshotRequest {
@@ -44,6 +48,8 @@
   /** With `ok`, the last index known to match the leader's log; otherwise the last index that may match. */
   readonly index: number
   readonly round: number
+  /** When the sender created the answer, by its own clock. Only the sender interprets it, when the leader echoes it. */
+  readonly at: Millis
 }
 
 /** The leader can't continue; the recipient, a follower with all that the leader replicated, requests votes at once. */
--- a/packages/daemon/__tests__/fleetControl.test.ts
+++ b/packages/daemon/__tests__/fleetControl.test.ts
@@ -96,8 +96,8 @@
   const version = host.machine.config.version
   const [index, term] = [lastIndex(replica) + 1, replica.term + 1]
   const command = createReplaceRoutesCommand('two', 1, 2, [createRouteToDesk('other')])
-  const message = { type: 'append', term, prevIndex: index - 1, prevTerm: replica.entries.at(-1)?.term ?? 0, entries: [{ index, term, at: getCurrentTime(), body: { type: 'command', command } }], commit: index, round: 1 }
   const sentAt = getCurrentTime()
+  const message = { type: 'append', term, prevIndex: index - 1, prevTerm: replica.entries.at(-1)?.term ?? 0, entries: [{ index, term, at: getCurrentTime(), body: { type: 'command', command } }], commit: index, round: 1, answeredAt: sentAt, confirmedAgeMs: 0 }
   await callPeer(control.node.client, control.node.cfg.rpc, 'log.message', { cluster: replica.cluster, from, to: host.id, message })
   await waitUntil(() => replica.commit === index)
   const confirmedAt = getCurrentTime() - getStateAge(control, getCurrentTime())
--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -5,7 +5,7 @@
  */
 import { LynxError, createHolderId, isLynxError, loadChart, getErrorMessage, getHolderVm } from '@lynxcourse/base'
 import type { Incarnation } from '@lynxcourse/base'
-import { stepReplica } from '@lynxcourse/agreement'
+import { getUpToDateAt, stepReplica } from '@lynxcourse/agreement'
 import type { Envelope, ReplicaOutput, Replica, ReplicaEvent } from '@lynxcourse/agreement'
 import { applyEntry, createStateMachine, deserializeStateMachine, serializeStateMachine } from '@lynxcourse/state'
 import { randomUUID } from 'node:crypto'
@@ -176,7 +176,7 @@
 }
 
 async function executeOutput (host: ControlHost, replica: Replica, output: ReplicaOutput): Promise<void> {
-  const { upToDateAt } = replica
+  const upToDateAt = getUpToDateAt(replica)
   const needsSync = output.hardState !== undefined || output.entries.length > 0 || output.snapshot !== undefined
   if (needsSync) {
     await withStallWatch(host, replica, saveOutput(host.storage, output, replica.entries))
--- a/packages/daemon/src/core/control/hostState.ts
+++ b/packages/daemon/src/core/control/hostState.ts
@@ -59,9 +59,9 @@
   replica: Replica | undefined
   machine: StateMachine
   /**
-   * When this follower last had applied every entry that the leader reported as committed. The replica's `upToDateAt`
-   * advances sooner, because entries are synced to disk before they are applied: a VM that answered by `upToDateAt` would
-   * vouch for a state that it has not applied yet.
+   * Time as of which every committed entry is applied here. For the replica this time advances sooner, because entries are synced
+   * to disk before they are applied: a VM that answered by the replica's time would vouch for a state that it has not applied
+   * yet.
    */
   appliedUpToDateAt: Millis
   /** When this replica last changed its role. */
--- a/packages/daemon/src/core/control/joining.ts
+++ b/packages/daemon/src/core/control/joining.ts
@@ -80,10 +80,10 @@
   message: z.discriminatedUnion('type', [
     z.strictObject({ type: z.literal('vote'), pre: z.boolean(), term: nonNegativeInt, lastIndex: nonNegativeInt, lastTerm: nonNegativeInt }),
     z.strictObject({ type: z.literal('voteAnswer'), pre: z.boolean(), term: nonNegativeInt, granted: z.boolean() }),
-    z.strictObject({ type: z.literal('append'), term: nonNegativeInt, prevIndex: nonNegativeInt, prevTerm: nonNegativeInt, entries: z.array(entrySchema), commit: nonNegativeInt, round: nonNegativeInt }),
+    z.strictObject({ type: z.literal('append'), term: nonNegativeInt, prevIndex: nonNegativeInt, prevTerm: nonNegativeInt, entries: z.array(entrySchema), commit: nonNegativeInt, round: nonNegativeInt, answeredAt: z.number().nullable(), confirmedAgeMs: z.number().min(0).nullable() }),
     z.strictObject({ type: z.literal('snapshot'), term: nonNegativeInt, snapshot: snapshotSchema, round: nonNegativeInt }),
     z.strictObject({ type: z.literal('handOver'), term: nonNegativeInt }),
-    z.strictObject({ type: z.literal('appendAnswer'), term: nonNegativeInt, ok: z.boolean(), index: z.number().int(), round: nonNegativeInt })
+    z.strictObject({ type: z.literal('appendAnswer'), term: nonNegativeInt, ok: z.boolean(), index: z.number().int(), round: nonNegativeInt, at: z.number() })
   ])
 })
 
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -276,8 +276,7 @@
 /** Returns how long ago the local copy was last known to be the current state. */
 export function getStateAge (control: FleetControl, now: Millis): Millis {
   const { replica, appliedUpToDateAt } = control.host
-  if (replica === undefined) return Infinity
-  return now - (isLeading(control.host) ? replica.quorumConfirmedAt : appliedUpToDateAt)
+  return replica === undefined ? Infinity : now - appliedUpToDateAt
 }
 
 /** Whether a call that failed with this error may succeed at another VM. */
