Entry VMs decide only by a state that had all changes a short time ago

Callers saw requests routed by a configuration that had been replaced 2.7 s before. Nothing on the path of a request asked how old the copy of the state was: whatever held up the next one (the VM's event loop, a control VM, a link) delayed a confirmed change by as much. The age that was known counted from when a reply was read, so a reply that had lain unread made an old copy look new.

A VM now decides, and writes to a server, only by a copy that had all changes at most four fifths of the allowed time ago, counted from its question. Otherwise it asks the control VMs, and the request waits up to a second. A VM that reaches none with the current state serves on as before; one that is only slow to answer is reached, since its kernel opens a connection. A server that was closed since a request was placed there is not written to any more. The timeout of a call to another VM counts between the parts of a response, and only after a poll of the sockets: a large change over a slow link timed out and was fetched anew.

--- a/packages/daemon/__tests__/closeDetection.test.ts
+++ b/packages/daemon/__tests__/closeDetection.test.ts
@@ -123,11 +123,11 @@
   using caller = await connectCaller(fixture.settings.at(-1)?.callers ?? '')
   const restoreRoutes = removeRoutes(gateway)
   caller.socket.write(buildPost('/read/left', 90_000))
-  await waitUntil(() => gateway.waitingForRoutes === 1)
+  await waitUntil(() => gateway.waitingForState === 1)
   await waitForPolls()
   await caller.leave()
   await waitForPolls()
-  const { waitingForRoutes: waiting } = gateway
+  const { waitingForState: waiting } = gateway
   restoreRoutes()
   await waitUntil(() => gateway.open === 0)
   assert.equal(waiting, 0)
@@ -170,7 +170,7 @@
   gateway.limits = { ...limits, maxBodyBytes: 1000 }
   const answer = once(caller.socket, 'data')
   caller.socket.write(buildPost('/read/large', 90_000))
-  await waitUntil(() => gateway.waitingForRoutes === 1)
+  await waitUntil(() => gateway.waitingForState === 1)
   await waitForPolls()
   gateway.limits = limits
   restoreRoutes()
--- a/packages/daemon/__tests__/fleetRestart.test.ts
+++ b/packages/daemon/__tests__/fleetRestart.test.ts
@@ -43,7 +43,7 @@
   const settings = fixture.settings.map(cfg => ({ ...cfg, isFirstStart: false }))
   fixture.daemons[3] = await startVm(settings[3] as typeof settings[0])
   const earlyResponse = sendRequest(fixture, '/read/1')
-  await waitUntil(() => fixture.daemons[3]?.gateway?.waitingForRoutes === 1)
+  await waitUntil(() => fixture.daemons[3]?.gateway?.waitingForState === 1)
   await new Promise(resolve => setTimeout(resolve, 300))
   for (const index of [0, 1, 2]) fixture.daemons[index] = await startVm(settings[index] as typeof settings[0])
   assert.equal((await earlyResponse).status, 200)
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -1,5 +1,6 @@
 /** Starts the components of one VM of a fleet and stops them in order. */
 import type { Server } from 'node:http'
+import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { applyLoadUpdate, listLimitDemand, listRolloutReports } from '@lynxcourse/placement'
 import type { EntryPresence } from '@lynxcourse/placement'
@@ -34,6 +35,7 @@
 import { createFleetNode, isReadyForCallers } from './fleetNode.js'
 import type { FleetDeps, FleetNode } from './fleetNode.js'
 import { startPresenceExchange } from './presenceExchange.js'
+import { confirmState, keepConfirming } from './stateConfirmation.js'
 import { startStateWatch, publishPresence } from './stateWatch.js'
 import type { StateWatch } from './stateWatch.js'
 import { publishUsage, readUsageTotals, sampleUsage } from './vmUsage.js'
@@ -81,12 +83,22 @@
   await listenRpc(rpc, cfg.rpcListen ?? cfg.rpc)
   await listen(metricsServer, cfg.metrics)
   const callerServer = gateway === undefined ? undefined : await startCallerServer(stack, gateway)
-  const stateWatch = gateway === undefined ? undefined : addResource(stack, startStateWatch(node, () => describeSelf(node)))
+  const stateWatch = gateway === undefined ? undefined : startWatch(stack, node)
   log(node.logs, 'daemon', 'info', 'Started.', { vm: cfg.name, region: cfg.region, failureDomain: cfg.failureDomain, roles: cfg.roles.join(), rpc: cfg.rpc, callers: cfg.callers, firstStart: cfg.isFirstStart })
   const owned = moveResources(stack)
   return { node, control, gateway, stateWatch, callerServer, [Symbol.asyncDispose]: async () => await owned[Symbol.asyncDispose]() }
 }
 
+/** Starts to follow the state, and to confirm it while the watch is late. */
+function startWatch (stack: ResourceStack, node: FleetNode): StateWatch {
+  const watch = addResource(stack, startStateWatch(node, () => describeSelf(node)))
+  node.confirmState = () => {
+    confirmState(watch).catch((err: unknown) => log(node.logs, 'sync', 'error', 'Confirmation of the state failed.', { error: getErrorMessage(err) }))
+  }
+  addResource(stack, keepConfirming(watch))
+  return watch
+}
+
 async function startControl (stack: ResourceStack, node: FleetNode, rpc: RpcServer): Promise<FleetControl> {
   const control = await openFleetControl(node)
   addResource(stack, control.host)
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -47,6 +47,14 @@
   /** How long ago these were all entry VMs that the leader had heard of; null if that isn't known. */
   readonly entriesAgeMs: Millis | null
   readonly news: LoadUpdate
+  /** How long the call stayed open. */
+  readonly heldMs: Millis
+}
+
+/** The answer to the question whether a copy of the state is current. */
+export interface ConfirmReply extends Pick<WatchReply, 'ageMs' | 'heldMs'> {
+  /** Version of the answering VM's state. */
+  readonly version: number
 }
 
 const resourceSchema = z.number().min(0).max(1e9).optional()
@@ -109,6 +117,7 @@
 /** Adds the fleet's methods to the RPC server of a control VM. */
 export function addFleetMethods (rpc: RpcServer, control: FleetControl, exchange: PresenceExchange): void {
   addMethod(rpc, 'fleet.watch', ['vm'], watchSchema, async (params, call) => await handleWatch(control, exchange, params as unknown as WatchRequest, call))
+  addMethod(rpc, 'fleet.confirm', ['vm'], z.strictObject({}), (): ConfirmReply => ({ version: control.host.machine.config.version, ageMs: getFiniteStateAge(control), heldMs: 0 }))
   addMethod(rpc, 'fleet.submit', ['vm', 'operator'], submitSchema, async (params, call) => await handleSubmit(control, params.command as unknown as FleetCommand, call))
   addMethod(rpc, 'fleet.read', ['vm', 'operator'], z.strictObject({}), async (_params, call) => {
     await ensureCallerConnected(control, 'fleet.read', call)
@@ -201,17 +210,22 @@
   if (call.gone.aborted) throw new LynxError('cancelled', 'the caller closed the connection', { step: 'fleet.watch', peer: call.address })
   if (request.version > 0 && control.host.machine.config.version > request.version) await waitForFurtherChanges(control, request.version, call.gone)
   const { config } = control.host.machine
-  const stateAgeMs = getStateAge(control, getCurrentTime())
   return {
     delta: config.version > request.version ? hideKeys(getDeltaSince(config, request.version)) : undefined,
-    ageMs: Number.isFinite(stateAgeMs) ? stateAgeMs : null,
+    ageMs: getFiniteStateAge(control),
     controls: control.node.controls,
     entries: [...control.presence.entries.keys()],
     entriesAgeMs: getEntriesAge(control, getCurrentTime()),
-    news: selectNewsFor(control.board.news, request)
+    news: selectNewsFor(control.board.news, request),
+    heldMs: getCurrentTime() - startedAt
   }
 }
 
+function getFiniteStateAge (control: FleetControl): Millis | null {
+  const ageMs = getStateAge(control, getCurrentTime())
+  return Number.isFinite(ageMs) ? ageMs : null
+}
+
 function getEntriesAge ({ presence: { entriesConfirmedAt } }: FleetControl, now: Millis): Millis | null {
   return Number.isFinite(entriesConfirmedAt) ? Math.max(0, now - entriesConfirmedAt) : null
 }
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -14,9 +14,9 @@
 import type { FleetSettings } from '../../types/fleetSettings.js'
 import { createVmUsage } from './vmUsage.js'
 import type { VmUsage } from './vmUsage.js'
-import { createFleetMembership, createLoadObservations } from '@lynxcourse/placement'
+import { createFleetMembership, createLoadObservations, createStateFreshness, hasState } from '@lynxcourse/placement'
 import type { RolloutReport } from '@lynxcourse/rollouts'
-import type { FleetMembership, LimitDemand, LoadUpdate, LoadObservations } from '@lynxcourse/placement'
+import type { FleetMembership, LimitDemand, LoadUpdate, LoadObservations, StateFreshness } from '@lynxcourse/placement'
 
 /** RPC address and region of a control VM. */
 export interface ControlEndpoint {
@@ -42,8 +42,8 @@
   entryNames: readonly string[]
   /** What this VM knows of the other entry VMs. */
   readonly membership: FleetMembership
-  /** Time at which the copy was last known to be the current state; -Infinity before the first time. */
-  upToDateAt: Millis
+  /** What this VM knows of the age of its copy. */
+  readonly freshness: StateFreshness
   readonly startedAt: Millis
   isLeaving: boolean
   /** Load observations of this VM since its last report. */
@@ -56,6 +56,10 @@
   loadUpdate: LoadUpdate
   /** Called when the copy has changed. */
   readonly onChange: Array<() => void>
+  /** Asks the control VMs whether the copy is current; replaced once the watch of the state runs. */
+  confirmState: () => void
+  /** Called when the copy was confirmed or can't be, so that decisions that waited for it may go on. */
+  readonly onStateUse: Array<() => void>
   /** Called when `entryNames` has changed. */
   readonly onEntriesChange: Array<() => void>
   /** Called when a load update has arrived. */
@@ -85,7 +89,7 @@
     controls: [],
     membership: createFleetMembership(cfg.name),
     entryNames: cfg.roles.includes('entry') ? [cfg.name] : [],
-    upToDateAt: -Infinity,
+    freshness: createStateFreshness(),
     startedAt: now,
     isLeaving: false,
     load: createLoadObservations(now),
@@ -93,6 +97,8 @@
     listRolloutReports: () => [],
     loadUpdate: { full: [], plans: [], silent: [] },
     onChange: [],
+    confirmState: () => undefined,
+    onStateUse: [],
     onEntriesChange: [],
     onLoadUpdate: []
   }
@@ -100,7 +106,7 @@
 
 /** Whether callers may be sent to this VM: it has received the current state and is not stopping. */
 export function isReadyForCallers (node: FleetNode): boolean {
-  return node.upToDateAt > -Infinity && !node.isLeaving
+  return hasState(node.freshness) && !node.isLeaving
 }
 
 /** Lists the RPC addresses of other control VMs: the known ones first, then the seeds. */
@@ -127,3 +133,7 @@
 export function notifyFleetChange (node: FleetNode): void {
   for (const listener of node.onChange) listener()
 }
+
+export function notifyStateUse (node: FleetNode): void {
+  for (const listener of [...node.onStateUse]) listener()
+}
--- a/packages/daemon/src/core/fleet/stateWatch.ts
+++ b/packages/daemon/src/core/fleet/stateWatch.ts
@@ -2,13 +2,13 @@
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { applyDelta } from '@lynxcourse/state'
-import { flushLoadReport, listMembers, recordEntryList } from '@lynxcourse/placement'
+import { flushLoadReport, hasState, listMembers, recordConfirmation, recordEntryList } from '@lynxcourse/placement'
 import type { ClockReading, EntryList, EntryPresence } from '@lynxcourse/placement'
 import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { delay } from '../node/timers.js'
 import { callPeer } from '../rpc/rpcClient.js'
-import { notifyFleetChange, rankControls } from './fleetNode.js'
+import { notifyFleetChange, notifyStateUse, rankControls } from './fleetNode.js'
 import type { FleetNode } from './fleetNode.js'
 import type { WatchReply, WatchRequest } from './fleetMethods.js'
 
@@ -27,6 +27,10 @@
   readonly self: () => EntryPresence
   readonly avoidedUntil: Map<string, Millis>
   currentControl: string | undefined
+  /** The question to the control VMs whether the copy is current, while it is open. */
+  confirmation: Promise<void> | undefined
+  /** A fetch of the state outside the watch, while it is running. */
+  fetch: Promise<boolean> | undefined
   stopped: boolean
 }
 
@@ -36,6 +40,8 @@
     self,
     avoidedUntil: new Map(),
     currentControl: undefined,
+    confirmation: undefined,
+    fetch: undefined,
     stopped: false,
     [Symbol.asyncDispose]: async () => { watch.stopped = true }
   }
@@ -73,7 +79,7 @@
  */
 function getWatchTimeout ({ node }: StateWatch, isFirst: boolean): Millis {
   if (!isFirst) return node.cfg.times.watchMs
-  return node.upToDateAt === -Infinity ? firstWatchTimeoutMs : 0
+  return hasState(node.freshness) ? 0 : firstWatchTimeoutMs
 }
 
 /** Sends a change of this VM's presence to one control VM immediately. */
@@ -83,6 +89,16 @@
   await watchOnce(watch, control, 0).catch((err: unknown) => log(watch.node.logs, 'sync', 'warn', 'Presence could not be published.', { peer: control, error: getErrorMessage(err) }))
 }
 
+/** Fetches the state from one control VM, unless a fetch is running already; returns whether the copy is now the current state. */
+export async function fetchState (watch: StateWatch, control: string): Promise<boolean> {
+  const fetchOnce = async (): Promise<boolean> => {
+    const askedAt = readClocks()
+    return applyWatchReply(watch, control, await watchOnce(watch, control, 0), askedAt, getCurrentTime())
+  }
+  watch.fetch ??= fetchOnce().finally(() => { watch.fetch = undefined })
+  return await watch.fetch
+}
+
 async function watchOnce (watch: StateWatch, control: string, waitMs: Millis): Promise<WatchReply> {
   const { node } = watch
   const now = getCurrentTime()
@@ -113,7 +129,8 @@
   for (const listener of node.onEntriesChange) listener()
 }
 
-function applyWatchReply (watch: StateWatch, control: string, reply: WatchReply, askedAt: ClockReading, now: Millis): void {
+/** Applies a reply; returns whether the copy is now the current state. */
+function applyWatchReply (watch: StateWatch, control: string, reply: WatchReply, askedAt: ClockReading, now: Millis): boolean {
   const { node } = watch
   if (reply.controls.length > 0) node.controls = reply.controls
   const weights = reply.news.weights ?? node.loadUpdate.weights
@@ -125,17 +142,19 @@
   const isStale = reply.ageMs === null || reply.ageMs > node.cfg.times.staleMs
   // A control VM that was partitioned or has just started may have a stale state. A VM that already has a state can
   // apply it safely, since versions only increase, but it must not be the first state of a VM.
-  if (isStale && node.upToDateAt === -Infinity) {
+  if (isStale && !hasState(node.freshness)) {
     avoidControl(watch, control, now)
-    return
+    return false
   }
   const previousVersion = node.config.version
   const startedAt = getCurrentTime()
   const isComplete = reply.delta === undefined || applyDelta(node.config, reply.delta)
   if (isStale) avoidControl(watch, control, now)
-  else if (isComplete) node.upToDateAt = now - (reply.ageMs ?? 0)
+  else if (isComplete) recordConfirmation(node.freshness, { askedAt, heldMs: reply.heldMs, ageMs: reply.ageMs ?? 0 })
   if (node.config.version !== previousVersion) {
     notifyFleetChange(node)
     log(node.logs, 'sync', 'info', 'State applied.', { version: node.config.version, from: previousVersion, items: reply.delta?.items.length, isFull: reply.delta?.full, peer: control, askedMs: Math.round(now - askedAt.steady), tookMs: Math.round(getCurrentTime() - startedAt) })
   }
+  notifyStateUse(node)
+  return !isStale && isComplete
 }
--- a/packages/daemon/src/core/gateway/answers.ts
+++ b/packages/daemon/src/core/gateway/answers.ts
@@ -4,6 +4,9 @@
 import type { CallAnswer } from './call.js'
 import type { CallerDialect } from './dialects.js'
 
+/** Retry time for callers of a VM that may not use its state: other VMs are likely to be able to serve them. */
+export const unconfirmedStateRetryMs: Millis = 500
+
 const statusTooMany = 429
 const statusUnavailable = 503
 
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -4,19 +4,19 @@
 import type { Socket } from 'node:net'
 import { LynxError, getErrorMessage } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { createCallerLiveness, fitsIterationBudget, recordPoll, invalidateLiveness, getIterationTime } from '@lynxcourse/placement'
+import { createCallerLiveness, fitsIterationBudget, getStateAge, recordPoll, invalidateLiveness, getIterationTime } from '@lynxcourse/placement'
 import type { RoutedService, IterationTime } from '@lynxcourse/placement'
 import { matchRoute, selectService } from '@lynxcourse/routing'
 import type { Route } from '@lynxcourse/state'
 import type { HeaderMap } from '../../types/answers.js'
 import type { CancelSignal } from '../../utils/cancelSignal.js'
-import { getCurrentTime } from '../../utils/clock.js'
+import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { isHopByHop } from '../../utils/headers.js'
 import { log } from '../../utils/logging.js'
 import { recordRequestRead, recordAcceptedConnection, recordCloseRead } from '../../utils/loopMonitor.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
 import { createLazyFingerprint } from '../crashes/requestFingerprint.js'
-import { createRefusal, createTextAnswer } from './answers.js'
+import { createRefusal, createTextAnswer, unconfirmedStateRetryMs } from './answers.js'
 import { createAnswerStream } from './answerStream.js'
 import type { AnswerStream } from './answerStream.js'
 import { authenticateCaller } from './authentication.js'
@@ -29,7 +29,7 @@
 import { logRefusal, getStateFields, getTimeFields } from './requestLog.js'
 import type { RefusedCall } from './requestLog.js'
 import { serveCall } from './serving.js'
-import { hasRoutes, waitForRoutes } from './routeWait.js'
+import { mayUseState, waitForState } from './stateWait.js'
 
 /** Largest head of a request that the parser accepts; a route may have a lower limit. */
 const maxHeaderBytes = 65_536
@@ -43,8 +43,8 @@
  * have capacity now, but not for all callers at the same moment.
  */
 const overloadedRetryMs: Millis = 150
-/** Retry time for callers of a VM that still doesn't have the current state after `waitForRoutes`. */
-const notReadyRetryMs: Millis = 500
+/** Retry time for callers of a VM that has no memory left for their bodies. */
+const tooManyBodiesRetryMs: Millis = 500
 
 /** Creates the server; it does not listen yet. */
 export function createCallerServer (gateway: Gateway): Server {
@@ -115,8 +115,8 @@
 async function processCall (gateway: Gateway, incoming: IncomingCall): Promise<CallOutcome> {
   const { req, body, gone } = incoming
   const arrival = await pollForClose(gateway, incoming.arrival)
-  if (!hasRoutes(gateway)) {
-    await waitForRoutes(gateway, gone)
+  if (!mayUseState(gateway)) {
+    await waitForState(gateway, gone)
     arrival.workStartedAt = getCurrentTime()
   }
   body.confirmLimits()
@@ -124,10 +124,11 @@
     log(gateway.node.logs, 'route', 'info', 'Caller disconnected before its request was started.', { path: req.url, ...getTimeFields(arrival) })
     return { service: 'none', answer: undefined }
   }
-  gateway.node.metrics.stateAgeSeconds.observe((getCurrentTime() - gateway.node.upToDateAt) / 1000)
+  if (!mayUseState(gateway)) return { service: 'none', answer: refuseUnconfirmed(gateway, req) }
+  gateway.node.metrics.stateAgeSeconds.observe(getStateAge(gateway.node.freshness, readClocks()) / 1000)
   const target = selectTarget(gateway, req)
   if (target === undefined) return { service: 'none', answer: answerNoRoute(gateway, req) }
-  const authenticated = authenticateCaller(gateway, req, target.route, getCurrentTime())
+  const authenticated = authenticateCaller(gateway, req, target.route)
   if ('rejection' in authenticated) return { service: target.service, answer: authenticated.rejection }
   const routed = { route: authenticated.route, service: target.service, caller: authenticated.caller }
   return { service: target.service, answer: await serveRoutedCall(gateway, { ...incoming, arrival }, routed) }
@@ -234,10 +235,16 @@
   return { ...createRefusal(gateway.callers, 'this VM is overloaded', retryAfterMs), endsConnection: req.complete }
 }
 
+/** Refuses a request that this VM can't route: its copy of the state may lack a change, or it has none yet. */
+function refuseUnconfirmed (gateway: Gateway, req: IncomingMessage): CallAnswer {
+  req.resume()
+  gateway.node.metrics.refusals.inc({ reason: 'unconfirmedState' })
+  log(gateway.node.logs, 'route', 'info', 'Refused before routing.', { path: req.url, reason: 'unconfirmedState', ...getStateFields(gateway) })
+  return createRefusal(gateway.callers, 'the state is not confirmed', unconfirmedStateRetryMs)
+}
+
 function answerNoRoute (gateway: Gateway, req: IncomingMessage): CallAnswer {
   req.resume()
-  // Without the current routes, the VM doesn't know whether a route exists.
-  if (!hasRoutes(gateway)) return createRefusal(gateway.callers, 'the routes are not known yet', notReadyRetryMs)
   log(gateway.node.logs, 'route', 'info', 'No route.', { host: req.headers.host, path: req.url, ...getStateFields(gateway) })
   return createTextAnswer(404, 'no route')
 }
@@ -245,7 +252,7 @@
 /** Returns the answer to a request whose body can't be read or buffered; undefined if the caller has disconnected. */
 function answerBodyFailure (gateway: Gateway, end: Exclude<BodyResult, { type: 'whole' }>): CallAnswer | undefined {
   switch (end.type) {
-    case 'tooMany': return createRefusal(gateway.callers, 'too many bodies are held', notReadyRetryMs)
+    case 'tooMany': return createRefusal(gateway.callers, 'too many bodies are held', tooManyBodiesRetryMs)
     case 'tooLarge': return createTextAnswer(413, `body over ${gateway.limits.maxBodyBytes} bytes`)
     case 'failed': throw new LynxError('badRequest', getErrorMessage(end.err), { step: 'read body', cause: end.err })
     case 'gone': return undefined
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -1,6 +1,6 @@
 /** State of the gateway: the part of an entry VM that forwards callers' requests by route. */
 import { loadChart } from '@lynxcourse/base'
-import { createFleet, mayUseShare } from '@lynxcourse/placement'
+import { createFleet, getStateAge, mayUseShare } from '@lynxcourse/placement'
 import type { EntryState, Mechanism } from '@lynxcourse/placement'
 import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
 import type { RouteTable, SplitStates, TeamTable } from '@lynxcourse/routing'
@@ -46,8 +46,8 @@
   readonly link: LinkPacer
   /** Unanswered requests by caller connection. */
   readonly pipelines: Pipelines
-  /** Number of requests that wait until the VM has the current state. */
-  waitingForRoutes: number
+  /** Number of requests that wait until the VM may use its state. */
+  waitingForState: number
   /** Bytes of request bodies in memory. */
   bufferedBodyBytes: number
 }
@@ -58,7 +58,7 @@
   const { loop } = node
   const fleet = createFleet(setup, node.entryNames)
   fleet.mayUseShare = windowMs => mayUseShare(node.membership, windowMs, readClocks())
-  fleet.rollouts.isStateConfirmed = now => now - node.upToDateAt <= node.cfg.times.staleMs
+  fleet.rollouts.isStateConfirmed = () => getStateAge(node.freshness, readClocks()) <= node.cfg.times.maxStateAgeMs
   return {
     node,
     callers,
@@ -80,7 +80,7 @@
     pipelines: new WeakMap(),
     open: 0,
     waitingForCapacity: new Map(),
-    waitingForRoutes: 0,
+    waitingForState: 0,
     bufferedBodyBytes: 0
   }
 }
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -2,9 +2,9 @@
 import type { Millis, ServiceId } from '@lynxcourse/base'
 import { getPauseMs } from '@lynxcourse/limits'
 import type { ServerNotice } from '@lynxcourse/limits'
-import { estimateQueueDepth, getConcurrency, getLimitShare, isServerError, takeUseChanges } from '@lynxcourse/placement'
+import { estimateQueueDepth, getConcurrency, getLimitShare, getStateAge, isServerError, takeUseChanges } from '@lynxcourse/placement'
 import type { Placement, Refusal, RequestState, TargetUseChange } from '@lynxcourse/placement'
-import { getCurrentTime } from '../../utils/clock.js'
+import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import type { LogFields } from '../../utils/logging.js'
 import type { Call } from './call.js'
@@ -16,10 +16,10 @@
 /** The members of a request that the log line of a refusal needs; the body of the request may not have been read. */
 export type RefusedCall = Pick<Call, 'facts' | 'caller' | 'route' | 'service' | 'arrivedAt' | 'readAt' | 'deadline'>
 
-/** A refusal for lack of processor time on this VM, before any placement. */
-export interface OverloadRefusal {
+/** A refusal for the state of this VM, not of the servers: it lacks processor time, or its copy of the state may be out of date. */
+export interface VmRefusal {
   readonly type: 'refuse'
-  readonly reason: 'overloaded'
+  readonly reason: 'overloaded' | 'unconfirmedState'
   readonly retryAfterMs: Millis
 }
 
@@ -80,7 +80,7 @@
 export function logTargetUse ({ fleet, node }: Pick<Gateway, 'fleet' | 'node'>): void {
   for (const { item, type, reason, exposure } of takeUseChanges(fleet.rollouts)) {
     const { key, target, order, step, state, percent } = item
-    log(node.logs, 'route', 'info', targetUseMessages[type], { service: key, version: target, order, step, state, percent, reason, ...exposure, stateAgeMs: Math.round(getCurrentTime() - node.upToDateAt) })
+    log(node.logs, 'route', 'info', targetUseMessages[type], { service: key, version: target, order, step, state, percent, reason, ...exposure, stateAgeMs: Math.round(getStateAge(node.freshness, readClocks())) })
   }
 }
 
@@ -129,7 +129,7 @@
  */
 export function getStateFields (gateway: Gateway): LogFields {
   const { node } = gateway
-  return { stateVersion: node.config.version, stateAgeMs: Math.round(getCurrentTime() - node.upToDateAt) }
+  return { stateVersion: node.config.version, stateAgeMs: Math.round(getStateAge(node.freshness, readClocks())) }
 }
 
 /** Returns the upper bound of a request's read delay, and the time since the request was read. */
@@ -142,7 +142,7 @@
  *
  * @param state undefined if the request was refused before any placement
  */
-export function logRefusal (gateway: Gateway, call: RefusedCall, state: RequestState | undefined, refusal: Refusal | OverloadRefusal | PermitRefusal): void {
+export function logRefusal (gateway: Gateway, call: RefusedCall, state: RequestState | undefined, refusal: Refusal | VmRefusal | PermitRefusal): void {
   gateway.node.metrics.refusals.inc({ reason: refusal.reason })
   log(gateway.node.logs, 'route', 'info', 'Refused.', {
     id: call.facts.id,
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -3,7 +3,7 @@
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { isClosedToRequests } from '@lynxcourse/limits'
-import { isClosedByVersion, maxRetryIdleMs, recordReply, estimateRoundTrip } from '@lynxcourse/placement'
+import { isClosedByState, isClosedByVersion, maxRetryIdleMs, recordReply, estimateRoundTrip } from '@lynxcourse/placement'
 import type { LostReason, Placement, SendOutcome } from '@lynxcourse/placement'
 import type { HeaderMap } from '../../types/answers.js'
 import { getCurrentTime } from '../../utils/clock.js'
@@ -18,6 +18,7 @@
 import type { BodyReceiver, Exchange, ReceivedAnswer } from './exchange.js'
 import type { Gateway } from './gateway.js'
 import { observeStatements } from './serverNotices.js'
+import { mayUseState } from './stateWait.js'
 
 /** The outcome of a send, with the answer or the details of the failure. */
 export type SendResult =
@@ -82,7 +83,7 @@
   const writeDeadline = now + gateway.pool.connectTimeoutMs + lateConnectionMs
   let isWithdrawn = false
   const mayWrite = (at: Millis): boolean => {
-    isWithdrawn = isClosedToRequests(placement.server.notice, at) || isClosedByVersion(gateway.fleet.rollouts, placement.server, at)
+    isWithdrawn = isClosedToRequests(placement.server.notice, at) || isClosedByVersion(gateway.fleet.rollouts, placement.server, at) || isClosedByState(gateway.fleet, placement.server) || !mayUseState(gateway)
     return !isWithdrawn && at <= writeDeadline
   }
   const exchange = startExchange(connection.client, options, mayWrite, head => {
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -9,7 +9,7 @@
 import { cancelTrial, claimTrial, findRestriction, inspectFailedSend, reportAnswered } from '../crashes/crashWatch.js'
 import type { WatchedRequest } from '../crashes/crashWatch.js'
 import { delay } from '../node/timers.js'
-import { createRateRefusal, createRefusal, createTextAnswer } from './answers.js'
+import { createRateRefusal, createRefusal, createTextAnswer, unconfirmedStateRetryMs } from './answers.js'
 import { hasBegun } from './answerStream.js'
 import type { AnswerStream } from './answerStream.js'
 import { answerUnknownKey, isStillAuthorized } from './authentication.js'
@@ -22,7 +22,9 @@
 import { refuseLargeAnswer } from './linkPacer.js'
 import { getRetryFields } from './retryReport.js'
 import { logRefusal, logSend, getTimeFields } from './requestLog.js'
+import type { VmRefusal } from './requestLog.js'
 import { sendOnce } from './sending.js'
+import { mayUseState, waitForState } from './stateWait.js'
 import type { SendTimeouts, SendResult } from './sending.js'
 
 type FailureReason = Extract<RequestStep, { type: 'fail' }>['reason']
@@ -34,6 +36,9 @@
   serverFailed: { status: 502, detail: 'the server failed' }
 }
 
+/** Refusal of a request that waited in vain for a state by which this VM may decide. */
+const stateRefusal: VmRefusal = { type: 'refuse', reason: 'unconfirmedState', retryAfterMs: unconfirmedStateRetryMs }
+
 /** Serves a request until its final answer; returns undefined if the caller disconnects. */
 export async function serveCall (gateway: Gateway, call: Call): Promise<CallAnswer | undefined> {
   const state = startRequest(gateway, buildPlacementRequest(call), call.liveness, getConditions(gateway, call), getCurrentTime())
@@ -56,6 +61,10 @@
   let lastResult: SendResult | undefined
   for (;;) {
     if (call.gone.aborted) return undefined
+    // Without a wait there is no pause here: the admission of other requests reckons with the processor time of this one.
+    if (!mayUseState(gateway) && !await waitForState(gateway, call.gone, call.deadline - getCurrentTime())) {
+      return call.gone.aborted ? undefined : answerFromSends(gateway, call, state, lastResult) ?? refuse(gateway, call, state, stateRefusal)
+    }
     if (!isStillAuthorized(gateway, call.caller)) return answerFromSends(gateway, call, state, lastResult) ?? rejectRevoked(gateway, call)
     const now = getCurrentTime()
     const step = decideNextStep(gateway, state, { ...getConditions(gateway, call), needsPermit: needsPermit(gateway, holder, now) }, now)
@@ -157,7 +166,7 @@
   return lastResult?.type === 'answered' ? { status: lastResult.status, headers: lastResult.headers, body: lastResult.body } : undefined
 }
 
-function refuse (gateway: Gateway, call: Call, state: RequestState, refusal: Refusal | PermitRefusal): CallAnswer {
+function refuse (gateway: Gateway, call: Call, state: RequestState, refusal: Refusal | VmRefusal | PermitRefusal): CallAnswer {
   logRefusal(gateway, call, state, refusal)
   const { reason, retryAfterMs } = refusal
   return reason === 'overRate' ? createRateRefusal(gateway.callers, reason, retryAfterMs) : createRefusal(gateway.callers, reason, retryAfterMs)
--- a/packages/daemon/src/core/gateway/stateWait.ts
+++ b/packages/daemon/src/core/gateway/stateWait.ts
@@ -1,5 +1,6 @@
 /**
- * Holds requests that reach a VM which has just started and does not have the current state yet.
+ * Holds requests while this VM may not decide by its copy of the state: it has just started and has none, or the copy may lack a
+ * change that is in force elsewhere.
  *
  * After all VMs start at once, the state is available within half a second. A caller that is refused in that time and
  * retries finds the VM still without the state and has no retry left. The symptoms are callers that are refused twice,
@@ -7,7 +8,9 @@
  * available are served.
  */
 import type { Millis } from '@lynxcourse/base'
+import { hasState, mayDecide } from '@lynxcourse/placement'
 import type { CancelSignal } from '../../utils/cancelSignal.js'
+import { readClocks } from '../../utils/clock.js'
 import { afterPoll } from '../../utils/pollPhase.js'
 import type { Gateway } from './gateway.js'
 
@@ -16,32 +19,42 @@
 /** Requests that wait at once; each takes a few kilobytes. */
 const maxWaitingRequests = 500
 
-/** Returns whether this VM can route requests: it has read the current state, and the state has routes. */
+/** Returns whether this VM knows routes: it has read the state, and the state has routes. */
 export function hasRoutes (gateway: Gateway): boolean {
-  return gateway.node.upToDateAt > -Infinity && gateway.routeTable.size > 0
+  return hasState(gateway.node.freshness) && gateway.routeTable.size > 0
+}
+
+/** Returns whether this VM may decide on requests now: it knows routes, and its copy of the state is recent or the VM is cut off. */
+export function mayUseState (gateway: Gateway): boolean {
+  const { freshness, cfg } = gateway.node
+  return hasRoutes(gateway) && mayDecide(freshness, cfg.times.maxStateAgeMs, readClocks())
 }
 
 /**
- * Waits until the routes are available, the caller disconnects or the maximum wait has passed. Returns at once if too
- * many requests wait already.
+ * Waits until this VM may use its state, the caller disconnects or the maximum wait has passed. Returns at once if too many requests
+ * wait already.
+ *
+ * @returns whether the VM may use its state
  */
-export async function waitForRoutes (gateway: Gateway, gone: CancelSignal): Promise<void> {
-  if (hasRoutes(gateway) || gateway.waitingForRoutes >= maxWaitingRequests) return
-  const { onChange } = gateway.node
-  gateway.waitingForRoutes += 1
+export async function waitForState (gateway: Gateway, gone: CancelSignal, leftMs: Millis = maxWaitMs): Promise<boolean> {
+  if (mayUseState(gateway)) return true
+  if (gateway.waitingForState >= maxWaitingRequests) return false
+  if (hasRoutes(gateway)) gateway.node.confirmState()
+  const { onStateUse } = gateway.node
+  gateway.waitingForState += 1
   await new Promise<void>(resolve => {
     const finish = (): void => {
       clearTimeout(timer)
       gone.off('abort', finish)
-      const index = onChange.indexOf(check)
-      if (index >= 0) onChange.splice(index, 1)
+      const index = onStateUse.indexOf(check)
+      if (index >= 0) onStateUse.splice(index, 1)
       resolve()
     }
-    // Listeners run while the state change is still being applied; the request continues after that.
-    const check = (): void => queueMicrotask(() => { if (hasRoutes(gateway)) finish() })
-    const timer = setTimeout(afterPoll(gateway.loop.polls, finish), maxWaitMs)
+    const check = (): void => { if (mayUseState(gateway)) finish() }
+    const timer = setTimeout(afterPoll(gateway.loop.polls, finish), Math.max(0, Math.min(maxWaitMs, leftMs)))
     gone.on('abort', finish)
-    onChange.push(check)
+    onStateUse.push(check)
   })
-  gateway.waitingForRoutes -= 1
+  gateway.waitingForState -= 1
+  return mayUseState(gateway)
 }
--- a/packages/daemon/src/core/rpc/rpcPost.ts
+++ b/packages/daemon/src/core/rpc/rpcPost.ts
@@ -19,6 +19,7 @@
 /**
  * Sends a message.
  *
+ * @param timeoutMs longest time until the response begins, and between its parts: a large one over a slow link takes longer
  * @throws Error after the timeout, which also closes the connection; a message that was not written by then is never written
  */
 export async function postMessage (pool: Pool, text: string, timeoutMs: Millis): Promise<RpcResponse> {
@@ -32,14 +33,22 @@
     const chunks: Buffer[] = []
     let controller: Dispatcher.DispatchController | undefined
     let isTimedOut = false
+    let isFinished = false
     let head: Omit<RpcResponse, 'body'> | undefined
-    const timer = setTimeout(() => {
+    const expire = (receivedCount: number): void => {
+      if (isFinished || chunks.length > receivedCount) return
       const err = createTimeoutError(timeoutMs)
       isTimedOut = true
       reject(err)
       controller?.abort(err)
+    }
+    // If the event loop was blocked, the response may have arrived and is read after this timer.
+    const timer = setTimeout(() => {
+      const receivedCount = chunks.length
+      setImmediate(() => expire(receivedCount))
     }, Math.max(1, Math.ceil(timeoutMs)))
     const fail = (err: Error): void => {
+      isFinished = true
       clearTimeout(timer)
       reject(err)
     }
@@ -51,8 +60,12 @@
       onResponseStart: (_controller, status, headers) => {
         if (status >= firstFinalStatus) head = { status, encoding: headers['content-encoding']?.toString() }
       },
-      onResponseData: (_controller, chunk) => { chunks.push(chunk) },
+      onResponseData: (_controller, chunk) => {
+        chunks.push(chunk)
+        timer.refresh()
+      },
       onResponseEnd: () => {
+        isFinished = true
         clearTimeout(timer)
         if (head !== undefined) resolve({ ...head, body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks) })
       },
--- a/packages/daemon/src/types/fleetFile.ts
+++ b/packages/daemon/src/types/fleetFile.ts
@@ -16,6 +16,7 @@
   rpcTimeoutMs: millis,
   watchMs: millis,
   staleMs: millis,
+  maxStateAgeMs: millis,
   presenceMs: millis,
   presenceStaleMs: millis,
   missMs: millis,
--- a/packages/daemon/src/types/fleetSettings.ts
+++ b/packages/daemon/src/types/fleetSettings.ts
@@ -16,6 +16,11 @@
   readonly watchMs: Millis
   /** A control VM whose state was not confirmed for this long is not used. */
   readonly staleMs: Millis
+  /**
+   * Maximum age of the state by which an entry VM in contact with control VMs decides. It is less than the time in which a confirmed
+   * change has to be in force, since a request may reach its server some time after the decision.
+   */
+  readonly maxStateAgeMs: Millis
   /** Interval of the exchange of presence among control VMs. */
   readonly presenceMs: Millis
   /** Lookups no longer return an entry VM that was not seen for this long. */
@@ -42,6 +47,7 @@
   rpcTimeoutMs: 800,
   watchMs: 1000,
   staleMs: 1600,
+  maxStateAgeMs: 2000,
   presenceMs: 400,
   presenceStaleMs: 2600,
   missMs: 5000,
--- a/packages/placement/src/core/entries/fleetMembership.ts
+++ b/packages/placement/src/core/entries/fleetMembership.ts
@@ -6,12 +6,8 @@
  * confirm its list. It then divides by at least as many VMs as use a share, whatever restarts and partitions there are.
  */
 import type { Millis } from '@lynxcourse/base'
-
-/** The time by two clocks: a steady clock may stand still while a VM is suspended, and the wall clock may be set. */
-export interface ClockReading {
-  readonly steady: Millis
-  readonly wall: Millis
-}
+import { getElapsed } from '../../types/clockReading.js'
+import type { ClockReading } from '../../types/clockReading.js'
 
 /** The entry VMs that a control VM lists. */
 export interface EntryList {
@@ -77,7 +73,3 @@
 export function hasJoined ({ announcedAt }: FleetMembership, windowMs: Millis, now: Millis): boolean {
   return announcedAt !== undefined && now - announcedAt >= windowMs
 }
-
-function getElapsed (from: ClockReading, to: ClockReading): Millis {
-  return Math.max(to.steady - from.steady, to.wall - from.wall)
-}
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -24,9 +24,10 @@
 import { recordServerDemand } from '../server/limitedServers.js'
 import { isCold, consumeColdToken } from '../server/coldRateLimit.js'
 import { recordRequestStart, recordRequestEnd, computeResponseTimeout } from '../server/fleetServer.js'
-import type { RunningRequest } from '../server/fleetServer.js'
+import type { FleetServer, RunningRequest } from '../server/fleetServer.js'
 import type { EntryState, DecisionConditions } from './entryState.js'
 import { estimateSlotTime, getSlackShare } from './fleet.js'
+import type { Fleet } from './fleet.js'
 import { getConcurrency } from './slotShares.js'
 import { updateConcurrencyLimit, recordSendOutcome } from './learning.js'
 import { placeRequest, refuseAfterSends } from './placeRequest.js'
@@ -202,6 +203,11 @@
  */
 export function isServerUnresponsive ({ fleet }: EntryState, { placement: { server }, startedAt, overdueAt }: InFlightSend, { isStopping }: DecisionConditions, now: Millis): boolean {
   if (isStopping || now < overdueAt || server.lastAnsweredAt > startedAt) return false
+  return isClosedByState(fleet, server)
+}
+
+/** Returns whether a server drains, has ended, is evacuated or was replaced since a request was placed there. */
+export function isClosedByState (fleet: Fleet, server: FleetServer): boolean {
   return server.facts.isClosed || fleet.byId.get(server.facts.id) !== server
 }
 
--- a/packages/placement/src/internal.ts
+++ b/packages/placement/src/internal.ts
@@ -1,4 +1,5 @@
 /** Fixes the order in which the modules of this package load. */
+export * from './types/clockReading.js'
 export * from './types/loads.js'
 export * from './types/mechanisms.js'
 export * from './types/placementRequest.js'
@@ -45,4 +46,5 @@
 export * from './core/link/linkAdmission.js'
 export * from './core/entries/entrySelection.js'
 export * from './core/entries/fleetMembership.js'
+export * from './core/entries/stateFreshness.js'
 export * from './core/entries/entryDiscovery.js'
--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -1,8 +1,9 @@
-/** `npm run bench -- path | policy [choice|overload|shift|claims] | capacity [--quick] [--page] | processor [--quick] [--profiles FOLDER]`. */
+/** `npm run bench -- path | policy [choice|overload|shift|claims] | capacity [--quick] [--page] | processor [--quick] [--profiles FOLDER] | changes [--quick]`. */
 import { parseArgs } from 'node:util'
 import { benchCapacity, regeneratePage } from './bench/capacity.js'
 import { benchPolicy } from './bench/policy.js'
 import { benchPath } from './bench/path.js'
+import { benchChanges } from './bench/changes.js'
 import { benchProcessor } from './bench/processor.js'
 
 const { values, positionals } = parseArgs({ allowPositionals: true, options: { quick: { type: 'boolean', default: false }, page: { type: 'boolean', default: false }, profiles: { type: 'string' } } })
@@ -22,7 +23,10 @@
   case 'processor':
     await benchProcessor(values.quick, values.profiles)
     break
+  case 'changes':
+    await benchChanges(values.quick)
+    break
   default:
-    process.stderr.write('bench: expected path, policy, capacity or processor\n')
+    process.stderr.write('bench: expected path, policy, capacity, processor or changes\n')
     process.exitCode = 2
 }
--- a/scripts/bench/processorFleet.ts
+++ b/scripts/bench/processorFleet.ts
@@ -157,7 +157,7 @@
 const teamCount = 73
 /** Requests per second and burst of a team: about what 1,400 requests per second over all teams need. */
 const teamRate = 25
-const routes = {
+export const routes = {
   Version: '00000001',
   Routes: {
     Columns: ['Name', 'Host', 'PathPrefix', 'Kind', 'TimeoutS', 'TargetLatencyS', 'Priority', 'Service', 'MaxAttempts', 'Sticky'],
@@ -208,6 +208,39 @@
   return await send({ host: ip, port, path, method: 'POST', headers: { 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(text)), ...headers } }, text)
 }
 
+/** Adds routes by one change of the operator; returns the time that the confirmation took, in milliseconds. */
+export async function addRoutes (fleet: MeasuredFleet, baseVersion: number, names: readonly string[]): Promise<number> {
+  const encode = (version: number): string => version.toString(16).padStart(8, '0')
+  const update = { Version: encode(baseVersion + 1), Upsert: { Routes: { Columns: routes.Routes.Columns, Rows: names.map(name => [name, host, `/${name}/`, 'safe', 2, 0.7, 1, service, 2, true]) } } }
+  const startedAt = performance.now()
+  const status = await post(getControlIp(fleet, 0), controlPort, '/api/config/update', update, { 'x-lynxcourse-base-version': encode(baseVersion) })
+  if (status !== 200) throw new Error(`the change was answered with ${status}`)
+  return performance.now() - startedAt
+}
+
+/** Waits until an entry VM routes requests to a path; asks every few milliseconds. */
+export async function waitUntilRouted ({ ip }: MeasuredVm, name: string): Promise<void> {
+  await waitUntil(`${ip} knows ${name}`, async () => await send({ host: ip, port: callerPort, path: `/${name}/1`, headers: { host, authorization: 'Token key-0', 'x-lynxcourse-request-id': `${ip}-${name}-${performance.now()}` } }) !== 404)
+}
+
+/** Asks a VM for something small until disposal, and records the longest time that it took to answer. */
+export function watchStalls ({ ip, role }: MeasuredVm): { readonly longestMs: () => number } & Disposable {
+  const state = { isStopped: false, longestMs: 0 }
+  const run = async (): Promise<void> => {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+    while (!state.isStopped) {
+      const startedAt = performance.now()
+      await receive(role === 'entry' ? { host: ip, port: readyPort, path: '/api/ready', agent } : { host: ip, port: directoryPort, path: '/api/resolve?Name=example.test&Region=r0&Zone=z0', agent }).catch(() => undefined)
+      state.longestMs = Math.max(state.longestMs, performance.now() - startedAt)
+      await sleep(stallProbeMs)
+    }
+    agent.destroy()
+  }
+  run().catch(() => undefined)
+  return { longestMs: () => state.longestMs, [Symbol.dispose]: () => { state.isStopped = true } }
+}
+
+const stallProbeMs = 2
 const minWorkMs = 20
 const workSpreadMs = 60
 const slots = 9
