State: a change that removes many routes prunes finished items once, and a delta carries it

Each removed route searched all items for finished ones: a change that removes 1,400 of 7,100 routes took 480 ms to 650 ms on a free core, on all control VMs at once, three times an election timeout at the processor share of small VMs; 5,600 took 840 ms. Since only 64 removed items were kept, every entry VM then needed the whole state. Items of one change are now pruned once, and 4,000 removed routes are kept, as for servers.

The test counts visited items and is red before (1,075,496 for 1,400 routes).

--- a/packages/state/__tests__/routes.test.ts
+++ b/packages/state/__tests__/routes.test.ts
@@ -100,6 +100,45 @@
 })
 
 /** Guards against a new server at a reused address that gets no requests. */
+/** A map that counts the entries that were visited one by one. */
+class CountingMap<Key, Value> extends Map<Key, Value> {
+  visited = 0
+
+  override * values (): ReturnType<Map<Key, Value>['values']> {
+    for (const value of super.values()) {
+      this.visited += 1
+      yield value
+    }
+  }
+
+  override * [Symbol.iterator] (): ReturnType<Map<Key, Value>['entries']> {
+    for (const entry of super.entries()) {
+      this.visited += 1
+      yield entry
+    }
+  }
+}
+
+/** Guards against a change that keeps all control VMs busy for seconds, and against VMs that all need the whole state after it. */
+test('a change that removes many routes visits the items a few times only, and a delta carries it', () => {
+  const routeCount = 1400
+  const machine = createTestMachine()
+  const kept = createRoute('kept')
+  apply(machine, createReplaceCommand('one', 0, 1, createRouteSet(kept, ...Array.from({ length: routeCount }, (_, index) => createRoute(`extra-${index}`)))))
+  const { version } = machine.config
+  const copy = createConfig()
+  applyDelta(copy, getDeltaSince(machine.config, 0))
+  const items = new CountingMap(machine.config.items)
+  machine.config.items = items
+  items.visited = 0
+  apply(machine, createReplaceCommand('two', 1, 2, createRouteSet(kept)))
+  assert.ok(items.visited < 20 * routeCount, `${items.visited} items visited`)
+  const delta = getDeltaSince(machine.config, version)
+  assert.equal(delta.full, false)
+  applyDelta(copy, delta)
+  assert.deepEqual(findRouteSet(copy)?.routes.map(({ name }) => name), ['kept'])
+})
+
 test('a late announcement of a server whose address now belongs to another server changes nothing', () => {
   const machine = createTestMachine()
   apply(machine, { type: 'announce', facts: createFacts('old', { seq: 4 }) })
--- a/packages/state/src/core/config.ts
+++ b/packages/state/src/core/config.ts
@@ -6,16 +6,15 @@
 import type { ConfigDelta, ConfigItem, DrainItem, ProfileItem, ShiftItem, VersionedItem } from '../types/items.js'
 import type { Profile } from '../types/profile.js'
 
-/**
- * Maximum number of finished items kept of each kind, such as ended drains and shifts and removed routes. The oldest are
- * dropped first.
- */
+/** Maximum number of finished items kept of each kind, such as ended drains and shifts. The oldest are dropped first. */
 export const maxFinishedItems = 64
 /**
  * Maximum number of ended backend servers kept. A late announcement of an ended server must be recognised, or it would
  * revive that server and end the one that now has its address. A release replaces some hundred servers in a minute.
  */
 export const maxEndedServers = 4000
+/** Maximum number of removed routes kept. A change may remove thousands, and without them each VM would need the whole state. */
+export const maxRemovedRoutes = 4000
 
 export interface Config {
   version: number
@@ -34,11 +33,20 @@
 
 /** Sets an item at a new version. The items stay in the order of their versions. */
 export function setItem (config: Config, version: number, item: ConfigItem): void {
-  const key = createItemKey(item.kind, item.key)
-  config.items.delete(key)
-  config.items.set(key, { version, item })
-  config.version = version
-  if (isFinished(item)) pruneFinished(config, item.kind)
+  setItems(config, version, [item])
+}
+
+/** Sets items of one change at a new version, in this order. */
+export function setItems (config: Config, version: number, items: readonly ConfigItem[]): void {
+  const finishedKinds = new Set<ConfigItem['kind']>()
+  for (const item of items) {
+    const key = createItemKey(item.kind, item.key)
+    config.items.delete(key)
+    config.items.set(key, { version, item })
+    config.version = version
+    if (isFinished(item)) finishedKinds.add(item.kind)
+  }
+  for (const kind of finishedKinds) pruneFinished(config, kind)
 }
 
 function isFinished (item: ConfigItem): boolean {
@@ -57,9 +65,14 @@
 }
 
 function pruneFinished (config: Config, kind: ConfigItem['kind']): void {
-  const maxKept = kind === 'backend' ? maxEndedServers : maxFinishedItems
-  const finished = [...config.items].filter(([, entry]) => entry.item.kind === kind && isFinished(entry.item))
-  for (const [key] of finished.slice(0, -maxKept)) deleteEntry(config, key)
+  const finishedKeys: string[] = []
+  for (const [key, { item }] of config.items) if (item.kind === kind && isFinished(item)) finishedKeys.push(key)
+  for (const key of finishedKeys.slice(0, -getMaxKept(kind))) deleteEntry(config, key)
+}
+
+function getMaxKept (kind: ConfigItem['kind']): number {
+  if (kind === 'backend') return maxEndedServers
+  return kind === 'route' ? maxRemovedRoutes : maxFinishedItems
 }
 
 /** Deletes an item; copies that may hold it need a full delta. */
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -8,7 +8,7 @@
   ReplaceRoutesCommand, Route, RouteCommand, RouteSet, RoutingItem, Team, UpdateRoutesCommand, Upstream
 } from '../types/routes.js'
 import { dropOldest } from '../utils/dropOldest.js'
-import { findItem, listItems, setItem, getItemVersion } from './config.js'
+import { findItem, listItems, setItem, setItems, getItemVersion } from './config.js'
 import type { Config } from './config.js'
 import { computeKeyDigest, findTeamProblem } from './teams.js'
 
@@ -166,13 +166,10 @@
   config: Config, version: number, current: ReadonlyArray<readonly [Name, Value | undefined]>, next: readonly Value[], createItem: (name: Name, value: Value | undefined) => ConfigItem
 ): void {
   const nextNames = new Set(next.map(({ name }) => name))
-  for (const [name, value] of current) {
-    if (value !== undefined && !nextNames.has(name)) setItem(config, version, createItem(name, undefined))
-  }
+  const removed = current.filter(([name, value]) => value !== undefined && !nextNames.has(name))
   const currentValues = new Map(current)
-  for (const value of next) {
-    if (!hasEqualFields(currentValues.get(value.name), value)) setItem(config, version, createItem(value.name, value))
-  }
+  const changed = next.filter(value => !hasEqualFields(currentValues.get(value.name), value))
+  setItems(config, version, [...removed.map(([name]) => createItem(name, undefined)), ...changed.map(value => createItem(value.name, value))])
 }
 
 function hasEqualFields (current: object | undefined, next: object): boolean {
