--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -1,4 +1,4 @@
-/** `npm run bench -- path | policy [choice|overload|shift|claims] | capacity [--quick] [--page] | processor [--quick] [--profiles FOLDER] | changes [--quick]`. */
+/** `npm run bench -- path | policy [choice|overload|shift|claims] | capacity [--quick] [--page] | processor [--quick] [--profiles FOLDER] | changes [--quick] [--profiles FOLDER]`. */
 import { parseArgs } from 'node:util'
 import { benchCapacity, regeneratePage } from './bench/capacity.js'
 import { benchPolicy } from './bench/policy.js'
@@ -24,7 +24,7 @@
     await benchProcessor(values.quick, values.profiles)
     break
   case 'changes':
-    await benchChanges(values.quick)
+    await benchChanges(values.quick, values.profiles)
     break
   default:
     process.stderr.write('bench: expected path, policy, capacity, processor or changes\n')
--- a/scripts/bench/changes.ts
+++ b/scripts/bench/changes.ts
@@ -4,7 +4,7 @@
  */
 import { printTable } from '../support/tables.js'
 import { sleep } from '../support/processes.js'
-import { addRoutes, findLeader, getProcessorMs, listVms, readDeployedFlags, startMeasuredFleet, startStandIns, waitUntilRouted, watchStalls } from './processorFleet.js'
+import { changeRoutes, findLeader, getProcessorMs, listVms, readDeployedFlags, startMeasuredFleet, startStandIns, waitUntilInForce, watchStalls } from './processorFleet.js'
 import type { FleetPlan, MeasuredFleet, MeasuredVm } from './processorFleet.js'
 
 const settleMs = 4000
@@ -12,8 +12,11 @@
 const measuredMs = 2000
 const routeCounts = [1, 350, 1400, 5600]
 
+type ChangeKind = 'add' | 'remove'
+
 /** What one change cost. */
 interface ChangeCost {
+  readonly kind: ChangeKind
   readonly routes: number
   readonly confirmedMs: number
   /** From the confirmation until the last entry VM routed by the change. */
@@ -22,42 +25,44 @@
   readonly costs: ReadonlyArray<{ readonly role: string, readonly processorMs: number, readonly stallMs: number }>
 }
 
-export async function benchChanges (isQuick: boolean): Promise<void> {
-  const plan: FleetPlan = { controls: 3, entries: 4, servers: 130, watchers: 20, runtimeFlags: readDeployedFlags(), profileFolder: undefined }
+export async function benchChanges (isQuick: boolean, profileFolder: string | undefined): Promise<void> {
+  const plan: FleetPlan = { controls: 3, entries: 4, servers: 130, watchers: 20, runtimeFlags: readDeployedFlags(), profileFolder }
   await using fleet = await startMeasuredFleet(plan)
   await startStandIns(fleet)
   await sleep(settleMs)
-  const idle = await measureCosts(fleet, async () => await sleep(measuredMs))
   const changes: ChangeCost[] = []
   let version = 1
   for (const routes of isQuick ? routeCounts.slice(0, 3) : routeCounts) {
-    changes.push(await measureChange(fleet, version, routes, idle))
-    version += 1
-    await sleep(settleMs)
+    const names = Array.from({ length: routes }, (_, index) => `extra-${version}-${index}`)
+    for (const kind of ['add', 'remove'] as const) {
+      const idle = await measureCosts(fleet, async () => await sleep(measuredMs))
+      changes.push(await measureChange(fleet, version, kind, names, idle))
+      version += 1
+      await sleep(settleMs)
+    }
   }
   const round = (value: number): string => value.toFixed(0)
-  printTable('Cost of a change', changes.map(({ routes, confirmedMs, inForceMs, costs }) => ({
-    'routes added': routes,
+  printTable('Cost of a change', changes.map(({ kind, routes, confirmedMs, inForceMs, costs }) => ({
+    change: `${kind} ${routes}`,
     'confirmed after, ms': round(confirmedMs),
     'in force after, ms': round(inForceMs),
     ...Object.fromEntries(costs.flatMap(({ role, processorMs, stallMs }) => [[`${role}, processor ms`, round(processorMs)], [`${role}, longest stall, ms`, round(stallMs)]]))
   })))
 }
 
-async function measureChange (fleet: MeasuredFleet, baseVersion: number, routes: number, idle: ChangeCost['costs']): Promise<ChangeCost> {
-  const names = Array.from({ length: routes }, (_, index) => `extra-${baseVersion}-${index}`)
+async function measureChange (fleet: MeasuredFleet, baseVersion: number, kind: ChangeKind, names: readonly string[], idle: ChangeCost['costs']): Promise<ChangeCost> {
   let confirmedMs = 0
   let inForceMs = 0
   const costs = await measureCosts(fleet, async () => {
     const startedAt = performance.now()
-    confirmedMs = await addRoutes(fleet, baseVersion, names)
+    confirmedMs = await changeRoutes(fleet, baseVersion, kind, names)
     const confirmedAt = performance.now()
-    await Promise.all(listVms(fleet, 'entry').map(async vm => await waitUntilRouted(vm, names.at(-1) ?? '')))
+    await Promise.all(listVms(fleet, 'entry').map(async vm => await waitUntilInForce(vm, kind, names.at(-1) ?? '')))
     inForceMs = performance.now() - confirmedAt
     await sleep(measuredMs - (performance.now() - startedAt))
   })
   const isMore = (cost: ChangeCost['costs'][number], index: number): ChangeCost['costs'][number] => ({ ...cost, processorMs: cost.processorMs - (idle[index]?.processorMs ?? 0) })
-  return { routes, confirmedMs, inForceMs, costs: costs.map(isMore) }
+  return { kind, routes: names.length, confirmedMs, inForceMs, costs: costs.map(isMore) }
 }
 
 /** Returns the mean processor time and the longest stall of each role's VMs during some work. */
--- a/scripts/bench/processorFleet.ts
+++ b/scripts/bench/processorFleet.ts
@@ -208,19 +208,20 @@
   return await send({ host: ip, port, path, method: 'POST', headers: { 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(text)), ...headers } }, text)
 }
 
-/** Adds routes by one change of the operator; returns the time that the confirmation took, in milliseconds. */
-export async function addRoutes (fleet: MeasuredFleet, baseVersion: number, names: readonly string[]): Promise<number> {
+/** Adds or removes routes by one change of the operator; returns the time that the confirmation took, in milliseconds. */
+export async function changeRoutes (fleet: MeasuredFleet, baseVersion: number, kind: 'add' | 'remove', names: readonly string[]): Promise<number> {
   const encode = (version: number): string => version.toString(16).padStart(8, '0')
-  const update = { Version: encode(baseVersion + 1), Upsert: { Routes: { Columns: routes.Routes.Columns, Rows: names.map(name => [name, host, `/${name}/`, 'safe', 2, 0.7, 1, service, 2, true]) } } }
+  const added = { Upsert: { Routes: { Columns: routes.Routes.Columns, Rows: names.map(name => [name, host, `/${name}/`, 'safe', 2, 0.7, 1, service, 2, true]) } } }
+  const update = { Version: encode(baseVersion + 1), ...(kind === 'add' ? added : { Remove: { Routes: names } }) }
   const startedAt = performance.now()
   const status = await post(getControlIp(fleet, 0), controlPort, '/api/config/update', update, { 'x-lynxcourse-base-version': encode(baseVersion) })
   if (status !== 200) throw new Error(`the change was answered with ${status}`)
   return performance.now() - startedAt
 }
 
-/** Waits until an entry VM routes requests to a path; asks every few milliseconds. */
-export async function waitUntilRouted ({ ip }: MeasuredVm, name: string): Promise<void> {
-  await waitUntil(`${ip} knows ${name}`, async () => await send({ host: ip, port: callerPort, path: `/${name}/1`, headers: { host, authorization: 'Token key-0', 'x-lynxcourse-request-id': `${ip}-${name}-${performance.now()}` } }) !== 404)
+/** Waits until an entry VM has a route or no longer has it; asks every few milliseconds. */
+export async function waitUntilInForce ({ ip }: MeasuredVm, kind: 'add' | 'remove', name: string): Promise<void> {
+  await waitUntil(`${ip}: ${kind} ${name}`, async () => (kind === 'add') === (await send({ host: ip, port: callerPort, path: `/${name}/1`, headers: { host, authorization: 'Token key-0', 'x-lynxcourse-request-id': `${ip}-${name}-${performance.now()}` } }) !== 404))
 }
 
 /** Asks a VM for something small until disposal, and records the longest time that it took to answer. */
