--- a/packages/daemon/src/core/fleet/stateWatch.ts
+++ b/packages/daemon/src/core/fleet/stateWatch.ts
@@ -78,7 +78,9 @@
  * VM knows the current state. A VM that has no state yet waits for one.
  */
 function getWatchTimeout ({ node }: StateWatch, isFirst: boolean): Millis {
-  if (!isFirst) return node.cfg.times.watchMs
+  const { watchMs, maxStateAgeMs } = node.cfg.times
+  // The copy has to be confirmed again well before it is too old to decide by.
+  if (!isFirst) return Math.min(watchMs, maxStateAgeMs / 2)
   return hasState(node.freshness) ? 0 : firstWatchTimeoutMs
 }
 
