Connections to a server: a VM that does not know the others yet reckons with many

A VM that had just started divided the connections of a server by the VMs that it knew, itself only, and could open them all. Until a control VM has sent a complete list it now divides by 256. The test is red before: 185 VMs that know only themselves opened 185 times what a server takes.

Listed as red: a VM that the leader no longer hears keeps its fraction of a server's limit while the leader gives it to others (152 requests in a window, 125 allowed). Found by reading for the postmortem of the retry budget; now it has a test. A mend needs fractions that expire, a leader that keeps them back until then, and a new leader that waits until it knows all VMs; begun on paper only.

--- a/packages/placement/__tests__/fleetBounds.test.ts
+++ b/packages/placement/__tests__/fleetBounds.test.ts
@@ -2,8 +2,9 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
+import { brandId } from '@lynxcourse/base'
 import { consumeLimitToken, hasLimitToken, limitWindowMs, recordNamedLimit } from '@lynxcourse/limits'
-import { getLimitShare, hasColdToken, isWarmingVm, listMembers, mayUseShare, placeRequest, recordBudgetedRequest, computeSlackShare, computeSlotShare, settleRetry, trySpendRetry, consumeColdToken } from '@lynxcourse/placement'
+import { applyLimits, getConnectionShare, getLimitShare, hasColdToken, isWarmingVm, listMembers, mayUseShare, placeRequest, recordBudgetedRequest, computeSlackShare, computeSlotShare, settleRetry, trySpendRetry, consumeColdToken } from '@lynxcourse/placement'
 import type { Fleet, RetryUsage } from '@lynxcourse/placement'
 import { desk, createTestFleet, request, server } from './support/fleet.js'
 import { playFleet, readClocks } from './support/fleetModel.js'
@@ -135,6 +136,42 @@
   }), { seed, numRuns: Number(process.env.RUNS ?? 60) })
 })
 
+/** Guards against VMs that have just started, each of which takes itself for the only one and opens all connections of a server. */
+test('all VMs together keep to the connections of a server, also while each of them knows only itself', () => {
+  const connections = 1290
+  for (const vmCount of [1, 8, 62, 185]) {
+    const names = Array.from({ length: vmCount }, (_, index) => `vm-${index}`)
+    const sum = (knows: boolean): number => names.map(name => {
+      const fleet = { ...createTestFleet(server('a')), vms: knows ? names : [name], knowsOthers: () => knows }
+      fleet.maxConnections.set(desk, connections)
+      return getConnectionShare(fleet, desk)
+    }).reduce((total, share) => total + share, 0)
+    assert.ok(sum(false) <= connections, `${vmCount} VMs that know only themselves open ${sum(false)}`)
+    assert.ok(sum(true) <= connections && sum(true) > connections - vmCount)
+  }
+})
+
+/** Guards against a VM that the leader no longer hears, and that keeps its fraction of a limit while the leader gives it to others. */
+test('fractions of a limit that the leader gives to other VMs are not used any more by a VM that it does not hear', () => {
+  const perSecond = 20
+  const limit = perSecond * limitWindowMs / 1000 * 1.5 + 5
+  const cutAt = 5000
+  const [heard, unheard] = ['vm-1', 'vm-2'].map(name => createLimitedFleet(name, perSecond)) as [Fleet, Fleet]
+  const arrivals: number[] = []
+  for (let now = 0; now < 30_000; now += 50) {
+    for (const fleet of [heard, unheard]) {
+      const isHeard = fleet === heard || now < cutAt
+      // The leader leaves out a VM that it has not heard of for 2.6 s.
+      const share = now >= cutAt + 2600 ? 1 : fleet === heard ? 0.1 : 0.9
+      if (isHeard && now % 400 === 0) applyLimits(fleet, [{ server: brandId('limited'), perSecond, shares: [[fleet.setup.self, share]] }], now)
+      fleet.mayUseShare = () => isHeard
+      sendAllowed(fleet, now, () => arrivals.push(now))
+    }
+  }
+  const most = Math.max(...arrivals.map(from => countWithin(arrivals, from, limitWindowMs)))
+  assert.ok(most <= limit, `${most} requests in a window, ${limit} are allowed`)
+})
+
 /** Creates the fleet of a VM that has heard of a server's limit by an answer. */
 function createLimitedFleet (self: string, perSecond: number): Fleet {
   const limited = server('limited')
--- a/packages/placement/src/core/entries/fleetMembership.ts
+++ b/packages/placement/src/core/entries/fleetMembership.ts
@@ -52,6 +52,11 @@
   membership.confirmedAt = { steady: askedAt.steady - ageMs, wall: askedAt.wall - ageMs }
 }
 
+/** Returns whether this VM has had a complete list of the entry VMs since it started. */
+export function hasCompleteList ({ confirmedAt }: FleetMembership): boolean {
+  return confirmedAt !== undefined
+}
+
 /** Lists the entry VMs that count, this one included, in alphabetical order. */
 export function listMembers ({ self, listedAt }: FleetMembership): string[] {
   return [...new Set([self, ...listedAt.keys()])].sort()
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -47,6 +47,8 @@
   vms: readonly string[]
   /** Returns whether this VM may use its share of a bound that all VMs together observe in any window; always if nothing replaces it. */
   mayUseShare: (windowMs: Millis) => boolean
+  /** Returns whether this VM has had a complete list of the entry VMs; always if nothing replaces it. */
+  knowsOthers: () => boolean
   /** Fractions of this region's objects that each region serves, by service; empty until the first plan arrives. */
   readonly shares: Map<ServiceId, RegionShares>
   /** Utilization over the reports of all VMs: running and waiting requests per slot, by service. */
@@ -77,6 +79,7 @@
     maxConnections: new Map(),
     vms,
     mayUseShare: () => true,
+    knowsOthers: () => true,
     shares: new Map(),
     sharedUtilization: new Map(),
     demandFractions: new Map(),
@@ -119,10 +122,14 @@
 const maxSlowdownSample = 10
 const meanSlowdownSmoothing = 0.02
 
+/** Number of entry VMs that a VM reckons with until it knows them. */
+const assumedVms = 256
+
 /** Returns how many requests this VM may have in flight at one server: each needs a connection, and all VMs share those of a server. */
-export function getConnectionShare ({ maxConnections, vms }: Fleet, service: ServiceId): number {
+export function getConnectionShare ({ maxConnections, vms, knowsOthers }: Fleet, service: ServiceId): number {
   const connections = maxConnections.get(service) ?? 0
-  return connections <= 0 ? Infinity : Math.max(1, Math.floor(connections / Math.max(1, vms.length)))
+  const vmCount = knowsOthers() ? vms.length : Math.max(assumedVms, vms.length)
+  return connections <= 0 ? Infinity : Math.max(1, Math.floor(connections / Math.max(1, vmCount)))
 }
 
 /** Returns how many retries of each window this VM may send beyond those that its requests earn. */
