A leader that stood still keeps its role if a quorum has answered meanwhile; unchanged routes are not compared

The leader of the first election (0.47 s after the start) applied the log's entries for longer than an election timeout, and its next tick ran before it had read any answer: it gave up, the next leader came 1.7 s later, and entry VMs had a state 2.4 s instead of 1.2 s after the start. A leader whose tick is late now gives the answers an election timeout from then on, at most three in all.

An update of some routes compared all routes by their text, two texts for each; those that an update does not name are the same objects, and are kept at once. agreement.test.ts is red before for the leader.

--- a/packages/agreement/__tests__/agreement.test.ts
+++ b/packages/agreement/__tests__/agreement.test.ts
@@ -245,6 +245,18 @@
   assert.equal((old.replica as Replica).term, term)
 })
 
+// Guards against a leader that gives up its role because it applied large entries for longer than an election timeout.
+test('a leader that stood still keeps its role if a quorum has answered meanwhile', () => {
+  const group = buildGroup(3)
+  runRounds(group, 30)
+  const leader = findLeader(group)
+  const { term } = leader.replica as Replica
+  group.now += times.electionMs * 2
+  step(group, leader, { type: 'tick' })
+  runRounds(group, 10)
+  assert.deepEqual([findLeader(group).id, (leader.replica as Replica).term], [leader.id, term])
+})
+
 test('a read is answered only after a quorum confirms a round that started after the read', () => {
   // Guards against this failure: a partitioned leader answers a read with outdated state.
   const group = buildGroup(3)
--- a/packages/agreement/src/core/replica.ts
+++ b/packages/agreement/src/core/replica.ts
@@ -51,6 +51,9 @@
   /** Time as of which this follower has every committed entry; -Infinity if it can't tell. */
   upToDateAt: Millis
   readonly startedAt: Millis
+  lastTickAt: Millis
+  /** When this copy last went on after it had processed nothing for long. */
+  resumedAt: Millis
   votes: Set<HolderId>
   progress: Map<HolderId, Progress>
   nextHeartbeatAt: Millis
@@ -111,6 +114,8 @@
     preVotedAt: -Infinity,
     upToDateAt: -Infinity,
     startedAt: now,
+    lastTickAt: now,
+    resumedAt: now,
     votes: new Set(),
     progress: new Map(),
     nextHeartbeatAt: 0,
--- a/packages/agreement/src/core/step.ts
+++ b/packages/agreement/src/core/step.ts
@@ -31,14 +31,18 @@
   return out
 }
 
+/** A tick that is later than this many election timeouts after the one before shows that this copy itself stood still. */
+const lateTickElectionTimeouts = 0.25
+
 function tick (replica: Replica, now: Millis, out: ReplicaOutput): void {
+  if (now - replica.lastTickAt > replica.times.electionMs * lateTickElectionTimeouts) replica.resumedAt = now
+  replica.lastTickAt = now
   if (isElectionDue(replica, now)) {
     startPreVote(replica, now, out)
     return
   }
   if (!isLeader(replica)) return
-  // A partitioned leader stays in its role until it detects that no quorum answers.
-  if (now - replica.quorumConfirmedAt > replica.times.electionMs) {
+  if (hasLostQuorum(replica, now)) {
     stepDown(replica, 'quorumLost', now, out)
     return
   }
@@ -46,6 +50,19 @@
   if (now >= replica.nextHeartbeatAt) broadcast(replica, now, out)
 }
 
+/** Number of election timeouts after which a leader without answers gives up even if it stood still meanwhile. */
+const maxUnconfirmedElectionTimeouts = 3
+
+/**
+ * Returns whether a leader has to give up: no quorum answers it. Answers that arrived while it stood still are processed after
+ * the next tick, so they get an election timeout from then on.
+ */
+function hasLostQuorum ({ quorumConfirmedAt, resumedAt, times: { electionMs } }: Replica, now: Millis): boolean {
+  const unconfirmedMs = now - quorumConfirmedAt
+  if (unconfirmedMs > electionMs * maxUnconfirmedElectionTimeouts) return true
+  return unconfirmedMs > electionMs && now - resumedAt > electionMs
+}
+
 function receive (replica: Replica, envelope: Envelope, now: Millis, out: ReplicaOutput): void {
   // A message to an earlier incarnation of this disk, or from another cluster, must not be answered: the answer would
   // acknowledge entries that this disk has never stored.
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -173,7 +173,8 @@
 }
 
 function hasEqualFields (current: object | undefined, next: object): boolean {
-  return current !== undefined && JSON.stringify(current) === JSON.stringify(next)
+  // An update keeps the objects of all items that it doesn't name.
+  return current === next || (current !== undefined && JSON.stringify(current) === JSON.stringify(next))
 }
 
 function evacuate (config: Config, command: EvacuateCommand, version: number): ChangeAnswer {
