--- a/packages/placement/__tests__/fleetBounds.test.ts
+++ b/packages/placement/__tests__/fleetBounds.test.ts
@@ -142,9 +142,10 @@
   for (const vmCount of [1, 8, 62, 185]) {
     const names = Array.from({ length: vmCount }, (_, index) => `vm-${index}`)
     const sum = (knows: boolean): number => names.map(name => {
-      const fleet = { ...createTestFleet(server('a')), vms: knows ? names : [name], knowsOthers: () => knows }
+      const target = server('a')
+      const fleet = { ...createTestFleet(target), vms: knows ? names : [name], knowsOthers: () => knows }
       fleet.maxConnections.set(desk, connections)
-      return getConnectionShare(fleet, desk)
+      return getConnectionShare(fleet, target)
     }).reduce((total, share) => total + share, 0)
     assert.ok(sum(false) <= connections, `${vmCount} VMs that know only themselves open ${sum(false)}`)
     assert.ok(sum(true) <= connections && sum(true) > connections - vmCount)
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -122,14 +122,15 @@
 const maxSlowdownSample = 10
 const meanSlowdownSmoothing = 0.02
 
-/** Number of entry VMs that a VM reckons with until it knows them. */
-const assumedVms = 256
-
-/** Returns how many requests this VM may have in flight at one server: each needs a connection, and all VMs share those of a server. */
-export function getConnectionShare ({ maxConnections, vms, knowsOthers }: Fleet, service: ServiceId): number {
+/**
+ * Returns how many requests this VM may have in flight at one server: each needs a connection, and all VMs share those of a server. A
+ * VM that does not know the others yet uses no more than the server has slots.
+ */
+export function getConnectionShare ({ maxConnections, vms, knowsOthers }: Fleet, { facts: { service, slots } }: FleetServer): number {
   const connections = maxConnections.get(service) ?? 0
-  const vmCount = knowsOthers() ? vms.length : Math.max(assumedVms, vms.length)
-  return connections <= 0 ? Infinity : Math.max(1, Math.floor(connections / Math.max(1, vmCount)))
+  if (connections <= 0) return Infinity
+  const share = Math.max(1, Math.floor(connections / Math.max(1, vms.length)))
+  return knowsOthers() ? share : Math.min(slots, share)
 }
 
 /** Returns how many retries of each window this VM may send beyond those that its requests earn. */
--- a/packages/placement/src/core/request/scoring.ts
+++ b/packages/placement/src/core/request/scoring.ts
@@ -172,10 +172,9 @@
 function findEligibleServers (fleet: Fleet, request: PlacementRequest, { servers, needsHealth }: ServerChoice, now: Millis): FleetServer[] {
   const healthy: FleetServer[] = []
   const unhealthy: FleetServer[] = []
-  const connectionShare = getConnectionShare(fleet, request.service)
   for (const server of servers) {
     if (!canServe(request, server)) continue
-    if (isClosedToRequests(server.notice, now) || server.running.size >= connectionShare) continue
+    if (isClosedToRequests(server.notice, now) || server.running.size >= getConnectionShare(fleet, server)) continue
     if (!mayReceiveRequest(fleet, request.service, server, now)) continue
     if (isHealthy(server, now)) healthy.push(server)
     else if (!isStalled(server, now)) unhealthy.push(server)
