Control VMs that were blocked hold the question whether a copy is current; the time is an argument again

A control VM that had been blocked answered that it has no current state until it had read what its leader sent meanwhile. If all of them were blocked by one change, entry VMs in touch took the group for lost and went on by the state that they had. A question is now held for up to 0.6 s.

Read as a newcomer: two functions were called getStateAge, decisions of the gateway read the clocks by themselves, and the retry time of an unconfirmed state stood twice.

--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -18,6 +18,7 @@
 import type { FleetCommand, FleetControl } from './fleetControl.js'
 import { readRollouts, readRoutes, summarizeTeams } from './fleetReads.js'
 import { isLeading } from '../control/hostState.js'
+import { delay } from '../node/timers.js'
 import type { PermitRequest } from '../control/permitIssuing.js'
 import type { ControlEndpoint } from './fleetNode.js'
 import { recordWatchingEntry, applyPresenceReport, listRecentEntries } from './presence.js'
@@ -117,7 +118,7 @@
 /** Adds the fleet's methods to the RPC server of a control VM. */
 export function addFleetMethods (rpc: RpcServer, control: FleetControl, exchange: PresenceExchange): void {
   addMethod(rpc, 'fleet.watch', ['vm'], watchSchema, async (params, call) => await handleWatch(control, exchange, params as unknown as WatchRequest, call))
-  addMethod(rpc, 'fleet.confirm', ['vm'], z.strictObject({}), (): ConfirmReply => ({ version: control.host.machine.config.version, ageMs: getFiniteStateAge(control), heldMs: 0 }))
+  addMethod(rpc, 'fleet.confirm', ['vm'], z.strictObject({}), async (_params, call) => await handleConfirm(control, call))
   addMethod(rpc, 'fleet.submit', ['vm', 'operator'], submitSchema, async (params, call) => await handleSubmit(control, params.command as unknown as FleetCommand, call))
   addMethod(rpc, 'fleet.read', ['vm', 'operator'], z.strictObject({}), async (_params, call) => {
     await ensureCallerConnected(control, 'fleet.read', call)
@@ -221,6 +222,22 @@
   }
 }
 
+/** Longest time for which a question is held while this VM does not have the current state. */
+const maxConfirmHoldMs: Millis = 600
+const confirmCheckMs: Millis = 30
+
+/**
+ * Answers the question whether a copy is current. A VM that was blocked has an old state until it has read what the leader sent
+ * meanwhile. If it said so at once, entry VMs would take the group for lost, and go on with what they have.
+ */
+async function handleConfirm (control: FleetControl, { gone }: RpcCall): Promise<ConfirmReply> {
+  const { host, node } = control
+  const startedAt = getCurrentTime()
+  const isOld = (): boolean => host.replica !== undefined && getStateAge(control, getCurrentTime()) > node.cfg.times.staleMs
+  while (isOld() && !gone.aborted && getCurrentTime() - startedAt < maxConfirmHoldMs) await delay(confirmCheckMs)
+  return { version: host.machine.config.version, ageMs: getFiniteStateAge(control), heldMs: getCurrentTime() - startedAt }
+}
+
 function getFiniteStateAge (control: FleetControl): Millis | null {
   const ageMs = getStateAge(control, getCurrentTime())
   return Number.isFinite(ageMs) ? ageMs : null
--- a/packages/daemon/src/core/fleet/stateConfirmation.ts
+++ b/packages/daemon/src/core/fleet/stateConfirmation.ts
@@ -5,7 +5,7 @@
  */
 import type { Millis } from '@lynxcourse/base'
 import { getErrorMessage } from '@lynxcourse/base'
-import { getStateAge, hasState, isCutOff, recordConfirmation, recordContacts } from '@lynxcourse/placement'
+import { getCopyAge, hasState, isCutOff, recordConfirmation, recordContacts } from '@lynxcourse/placement'
 import type { ControlContact } from '@lynxcourse/placement'
 import { readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
@@ -36,7 +36,7 @@
 export function keepConfirming (watch: StateWatch): AsyncDisposable {
   const { node } = watch
   return repeat(checkIntervalMs, async () => {
-    const isLate = hasState(node.freshness) && getStateAge(node.freshness, readClocks()) > node.cfg.times.maxStateAgeMs * confirmAgeFraction
+    const isLate = hasState(node.freshness) && getCopyAge(node.freshness, readClocks()) > node.cfg.times.maxStateAgeMs * confirmAgeFraction
     if (!isLate) return
     await confirmState(watch)
     if (isCutOff(node.freshness, readClocks())) await delay(cutOffPauseMs)
@@ -56,7 +56,7 @@
   const contacts = await askInStages(watch, controls)
   if (!contacts.includes('confirmed')) {
     recordContacts(node.freshness, contacts, askedAt)
-    log(node.logs, 'sync', 'warn', 'The state could not be confirmed.', { asked: controls.length, contacts: contacts.join(), isCutOff: isCutOff(node.freshness, readClocks()), ageMs: Math.round(getStateAge(node.freshness, readClocks())) })
+    log(node.logs, 'sync', 'warn', 'The state could not be confirmed.', { asked: controls.length, contacts: contacts.join(), isCutOff: isCutOff(node.freshness, readClocks()), ageMs: Math.round(getCopyAge(node.freshness, readClocks())) })
   }
   notifyStateUse(node)
 }
--- a/packages/daemon/src/core/gateway/authentication.ts
+++ b/packages/daemon/src/core/gateway/authentication.ts
@@ -1,19 +1,15 @@
 /** Identifies the team of a caller by the key in its request, and rejects requests without a known key. */
 import type { IncomingMessage } from 'node:http'
-import type { Millis } from '@lynxcourse/base'
-import { getStateAge } from '@lynxcourse/placement'
+import { getCopyAge } from '@lynxcourse/placement'
+import type { ClockReading } from '@lynxcourse/placement'
 import { applyTeam, identifyCaller, isKeyOfTeam } from '@lynxcourse/routing'
 import { computeKeyDigest } from '@lynxcourse/state'
 import type { Route } from '@lynxcourse/state'
-import { readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
-import { createRefusal, createTextAnswer } from './answers.js'
+import { createRefusal, createTextAnswer, unconfirmedStateRetryMs } from './answers.js'
 import type { CallAnswer, CallerTeam } from './call.js'
 import type { Gateway } from './gateway.js'
 
-/** Retry time for the caller of a VM that may have missed the caller's key. */
-const unconfirmedRetryMs: Millis = 500
-
 /** Why a caller is not served. */
 type RejectReason = 'unknownKey' | 'unconfirmedState' | 'noCommonRegion'
 
@@ -23,14 +19,14 @@
   | { readonly rejection: CallAnswer }
 
 /** Authenticates the caller of a request. */
-export function authenticateCaller (gateway: Gateway, req: IncomingMessage, route: Route): AuthenticatedCaller {
+export function authenticateCaller (gateway: Gateway, req: IncomingMessage, route: Route, now: ClockReading): AuthenticatedCaller {
   const { teams, callers } = gateway
   if (!teams.isRequired) return { caller: undefined, route }
   const key = callers.parseKey(req.headersDistinct)
   const identity = identifyCaller(teams, route, key === undefined ? undefined : computeKeyDigest(key))
   switch (identity.type) {
     case 'anyone': return { caller: undefined, route }
-    case 'unknown': return { rejection: rejectUnknownKey(gateway, req, route, key !== undefined) }
+    case 'unknown': return { rejection: rejectUnknownKey(gateway, req, route, key !== undefined, now) }
     case 'team': {
       const teamRoute = applyTeam(teams, route, identity.team)
       if (teamRoute === undefined) return { rejection: reject(gateway, req, route, 'noCommonRegion') }
@@ -44,10 +40,10 @@
   return caller === undefined || !teams.isRequired || isKeyOfTeam(teams, caller.digest, caller.name)
 }
 
-function rejectUnknownKey (gateway: Gateway, req: IncomingMessage, route: Route, hasKey: boolean): CallAnswer {
+function rejectUnknownKey (gateway: Gateway, req: IncomingMessage, route: Route, hasKey: boolean, now: ClockReading): CallAnswer {
   const { freshness, cfg } = gateway.node
   // A VM that is cut off may have missed that a key was added.
-  const isConfirmed = getStateAge(freshness, readClocks()) <= cfg.times.maxStateAgeMs
+  const isConfirmed = getCopyAge(freshness, now) <= cfg.times.maxStateAgeMs
   return reject(gateway, req, route, hasKey && !isConfirmed ? 'unconfirmedState' : 'unknownKey')
 }
 
@@ -63,7 +59,7 @@
   const { callers } = gateway
   switch (reason) {
     case 'unknownKey': return answerUnknownKey(gateway)
-    case 'unconfirmedState': return createRefusal(callers, 'the key is not known, and the configuration may be out of date', unconfirmedRetryMs)
+    case 'unconfirmedState': return createRefusal(callers, 'the key is not known, and the configuration may be out of date', unconfirmedStateRetryMs)
     case 'noCommonRegion': return createRefusal(callers, "no region is allowed by both the route and the caller's team", undefined)
   }
 }
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net'
 import { LynxError, getErrorMessage } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { createCallerLiveness, fitsIterationBudget, getStateAge, recordPoll, invalidateLiveness, getIterationTime } from '@lynxcourse/placement'
+import { createCallerLiveness, fitsIterationBudget, getCopyAge, recordPoll, invalidateLiveness, getIterationTime } from '@lynxcourse/placement'
 import type { RoutedService, IterationTime } from '@lynxcourse/placement'
 import { matchRoute, selectService } from '@lynxcourse/routing'
 import type { Route } from '@lynxcourse/state'
@@ -115,7 +115,7 @@
 async function processCall (gateway: Gateway, incoming: IncomingCall): Promise<CallOutcome> {
   const { req, body, gone } = incoming
   const arrival = await pollForClose(gateway, incoming.arrival)
-  if (!mayUseState(gateway)) {
+  if (!mayUseState(gateway, readClocks())) {
     await waitForState(gateway, gone)
     arrival.workStartedAt = getCurrentTime()
   }
@@ -124,11 +124,12 @@
     log(gateway.node.logs, 'route', 'info', 'Caller disconnected before its request was started.', { path: req.url, ...getTimeFields(arrival) })
     return { service: 'none', answer: undefined }
   }
-  if (!mayUseState(gateway)) return { service: 'none', answer: refuseUnconfirmed(gateway, req) }
-  gateway.node.metrics.stateAgeSeconds.observe(getStateAge(gateway.node.freshness, readClocks()) / 1000)
+  const now = readClocks()
+  if (!mayUseState(gateway, now)) return { service: 'none', answer: refuseUnconfirmed(gateway, req) }
+  gateway.node.metrics.stateAgeSeconds.observe(getCopyAge(gateway.node.freshness, now) / 1000)
   const target = selectTarget(gateway, req)
   if (target === undefined) return { service: 'none', answer: answerNoRoute(gateway, req) }
-  const authenticated = authenticateCaller(gateway, req, target.route)
+  const authenticated = authenticateCaller(gateway, req, target.route, now)
   if ('rejection' in authenticated) return { service: target.service, answer: authenticated.rejection }
   const routed = { route: authenticated.route, service: target.service, caller: authenticated.caller }
   return { service: target.service, answer: await serveRoutedCall(gateway, { ...incoming, arrival }, routed) }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -1,6 +1,6 @@
 /** State of the gateway: the part of an entry VM that forwards callers' requests by route. */
 import { loadChart } from '@lynxcourse/base'
-import { createFleet, getStateAge, hasCompleteList, mayUseShare } from '@lynxcourse/placement'
+import { createFleet, getCopyAge, hasCompleteList, mayUseShare } from '@lynxcourse/placement'
 import type { EntryState, Mechanism } from '@lynxcourse/placement'
 import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
 import type { RouteTable, SplitStates, TeamTable } from '@lynxcourse/routing'
@@ -59,7 +59,7 @@
   const fleet = createFleet(setup, node.entryNames)
   fleet.mayUseShare = windowMs => mayUseShare(node.membership, windowMs, readClocks())
   fleet.knowsOthers = () => hasCompleteList(node.membership)
-  fleet.rollouts.isStateConfirmed = () => getStateAge(node.freshness, readClocks()) <= node.cfg.times.maxStateAgeMs
+  fleet.rollouts.isStateConfirmed = () => getCopyAge(node.freshness, readClocks()) <= node.cfg.times.maxStateAgeMs
   return {
     node,
     callers,
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -2,7 +2,7 @@
 import type { Millis, ServiceId } from '@lynxcourse/base'
 import { getPauseMs } from '@lynxcourse/limits'
 import type { ServerNotice } from '@lynxcourse/limits'
-import { estimateQueueDepth, getConcurrency, getLimitShare, getStateAge, isServerError, takeUseChanges } from '@lynxcourse/placement'
+import { estimateQueueDepth, getConcurrency, getLimitShare, getCopyAge, isServerError, takeUseChanges } from '@lynxcourse/placement'
 import type { Placement, Refusal, RequestState, TargetUseChange } from '@lynxcourse/placement'
 import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
@@ -80,7 +80,7 @@
 export function logTargetUse ({ fleet, node }: Pick<Gateway, 'fleet' | 'node'>): void {
   for (const { item, type, reason, exposure } of takeUseChanges(fleet.rollouts)) {
     const { key, target, order, step, state, percent } = item
-    log(node.logs, 'route', 'info', targetUseMessages[type], { service: key, version: target, order, step, state, percent, reason, ...exposure, stateAgeMs: Math.round(getStateAge(node.freshness, readClocks())) })
+    log(node.logs, 'route', 'info', targetUseMessages[type], { service: key, version: target, order, step, state, percent, reason, ...exposure, stateAgeMs: Math.round(getCopyAge(node.freshness, readClocks())) })
   }
 }
 
@@ -129,7 +129,7 @@
  */
 export function getStateFields (gateway: Gateway): LogFields {
   const { node } = gateway
-  return { stateVersion: node.config.version, stateAgeMs: Math.round(getStateAge(node.freshness, readClocks())) }
+  return { stateVersion: node.config.version, stateAgeMs: Math.round(getCopyAge(node.freshness, readClocks())) }
 }
 
 /** Returns the upper bound of a request's read delay, and the time since the request was read. */
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -6,7 +6,7 @@
 import { isClosedByState, isClosedByVersion, maxRetryIdleMs, recordReply, estimateRoundTrip } from '@lynxcourse/placement'
 import type { LostReason, Placement, SendOutcome } from '@lynxcourse/placement'
 import type { HeaderMap } from '../../types/answers.js'
-import { getCurrentTime } from '../../utils/clock.js'
+import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { removeHopByHopHeaders } from '../../utils/headers.js'
 import { recordIteration } from '../../utils/loopMonitor.js'
 import { afterPoll } from '../../utils/pollPhase.js'
@@ -83,7 +83,7 @@
   const writeDeadline = now + gateway.pool.connectTimeoutMs + lateConnectionMs
   let isWithdrawn = false
   const mayWrite = (at: Millis): boolean => {
-    isWithdrawn = isClosedToRequests(placement.server.notice, at) || isClosedByVersion(gateway.fleet.rollouts, placement.server, at) || isClosedByState(gateway.fleet, placement.server) || !mayUseState(gateway)
+    isWithdrawn = isClosedToRequests(placement.server.notice, at) || isClosedByVersion(gateway.fleet.rollouts, placement.server, at) || isClosedByState(gateway.fleet, placement.server) || !mayUseState(gateway, readClocks())
     return !isWithdrawn && at <= writeDeadline
   }
   const exchange = startExchange(connection.client, options, mayWrite, head => {
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -3,7 +3,7 @@
 import type { Millis } from '@lynxcourse/base'
 import { beginSend, endSend, isServerError, isServerUnresponsive, isUnusedTrial, mayFailOver, decideNextStep, recordPoll, recordTrialAnswer, updateWaitingCount, startRequest } from '@lynxcourse/placement'
 import type { DecisionConditions, InFlightSend, Placement, PlacementRequest, Refusal, RequestState, RequestStep } from '@lynxcourse/placement'
-import { getCurrentTime } from '../../utils/clock.js'
+import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
 import { cancelTrial, claimTrial, findRestriction, inspectFailedSend, reportAnswered } from '../crashes/crashWatch.js'
@@ -62,7 +62,7 @@
   for (;;) {
     if (call.gone.aborted) return undefined
     // Without a wait there is no pause here: the admission of other requests reckons with the processor time of this one.
-    if (!mayUseState(gateway) && !await waitForState(gateway, call.gone, call.deadline - getCurrentTime())) {
+    if (!mayUseState(gateway, readClocks()) && !await waitForState(gateway, call.gone, call.deadline - getCurrentTime())) {
       return call.gone.aborted ? undefined : answerFromSends(gateway, call, state, lastResult) ?? refuse(gateway, call, state, stateRefusal)
     }
     if (!isStillAuthorized(gateway, call.caller)) return answerFromSends(gateway, call, state, lastResult) ?? rejectRevoked(gateway, call)
--- a/packages/daemon/src/core/gateway/stateWait.ts
+++ b/packages/daemon/src/core/gateway/stateWait.ts
@@ -9,6 +9,7 @@
  */
 import type { Millis } from '@lynxcourse/base'
 import { hasState, mayDecide } from '@lynxcourse/placement'
+import type { ClockReading } from '@lynxcourse/placement'
 import type { CancelSignal } from '../../utils/cancelSignal.js'
 import { readClocks } from '../../utils/clock.js'
 import { afterPoll } from '../../utils/pollPhase.js'
@@ -24,20 +25,21 @@
   return hasState(gateway.node.freshness) && gateway.routeTable.size > 0
 }
 
-/** Returns whether this VM may decide on requests now: it knows routes, and its copy of the state is recent or the VM is cut off. */
-export function mayUseState (gateway: Gateway): boolean {
+/** Returns whether this VM may decide on requests: it knows routes, and its copy of the state is recent or the VM is cut off. */
+export function mayUseState (gateway: Gateway, now: ClockReading): boolean {
   const { freshness, cfg } = gateway.node
-  return hasRoutes(gateway) && mayDecide(freshness, cfg.times.maxStateAgeMs, readClocks())
+  return hasRoutes(gateway) && mayDecide(freshness, cfg.times.maxStateAgeMs, now)
 }
 
 /**
  * Waits until this VM may use its state, the caller disconnects or the maximum wait has passed. Returns at once if too many requests
  * wait already.
  *
+ * @param leftMs time that the request has left
  * @returns whether the VM may use its state
  */
 export async function waitForState (gateway: Gateway, gone: CancelSignal, leftMs: Millis = maxWaitMs): Promise<boolean> {
-  if (mayUseState(gateway)) return true
+  if (mayUseState(gateway, readClocks())) return true
   if (gateway.waitingForState >= maxWaitingRequests) return false
   if (hasRoutes(gateway)) gateway.node.confirmState()
   const { onStateUse } = gateway.node
@@ -50,11 +52,11 @@
       if (index >= 0) onStateUse.splice(index, 1)
       resolve()
     }
-    const check = (): void => { if (mayUseState(gateway)) finish() }
+    const check = (): void => { if (mayUseState(gateway, readClocks())) finish() }
     const timer = setTimeout(afterPoll(gateway.loop.polls, finish), Math.max(0, Math.min(maxWaitMs, leftMs)))
     gone.on('abort', finish)
     onStateUse.push(check)
   })
   gateway.waitingForState -= 1
-  return mayUseState(gateway)
+  return mayUseState(gateway, readClocks())
 }
--- a/packages/placement/__tests__/stateFreshness.test.ts
+++ b/packages/placement/__tests__/stateFreshness.test.ts
@@ -22,9 +22,10 @@
   disturbances: fc.array(disturbance, { maxLength: 12 })
 })
 
-/** Schedules that need events which rarely come together: all control VMs are blocked, or a VM is while the group comes back. */
+/** Schedules that need events which rarely come together: all control VMs are blocked for long or shortly, or a VM is while the group comes back. */
 const rareSchedules: FreshnessSchedule[] = [
   { changes: [{ confirmedAt: 7990, transferMs: 0 }], disturbances: [0, 1, 2].map(vm => ({ kind: 'controlBlocked', vm, at: 8000, forMs: 6000 })) },
+  { changes: [{ confirmedAt: 7990, transferMs: 0 }], disturbances: [0, 1, 2].map(vm => ({ kind: 'controlBlocked', vm, at: 8000, forMs: 2500 })) },
   { changes: [{ confirmedAt: 9951, transferMs: 0 }], disturbances: [{ kind: 'groupCut', vm: 0, at: 9950, forMs: 5776 }, { kind: 'loopBlocked', vm: 0, at: 15_380, forMs: 4346 }] }
 ]
 const examples = rareSchedules.map((setup): [FreshnessSchedule] => [setup])
@@ -46,7 +47,7 @@
 })
 
 /** Guards against a model that no longer shows the failure: without any one part of the rule, it is broken. */
-for (const leftOut of [{ bound: true }, { question: true }, { reachability: true }, { expiry: true }] satisfies FreshnessLeftOut[]) {
+for (const leftOut of [{ bound: true }, { question: true }, { reachability: true }, { hold: true }, { expiry: true }] satisfies FreshnessLeftOut[]) {
   test(`some schedule breaks the rule without its part '${Object.keys(leftOut).join()}'`, () => {
     assert.equal(isBrokenWithout(leftOut), true)
   })
--- a/packages/placement/__tests__/support/freshnessModel.ts
+++ b/packages/placement/__tests__/support/freshnessModel.ts
@@ -4,7 +4,7 @@
  * Messages take time, are read late by VMs whose event loop is blocked, and are lost by VMs that are cut off. The decisions are those
  * of `stateFreshness`; the model only carries out what they ask for.
  */
-import { createStateFreshness, getStateAge, hasState, mayDecide, recordConfirmation, recordContacts } from '@lynxcourse/placement'
+import { createStateFreshness, getCopyAge, hasState, mayDecide, recordConfirmation, recordContacts } from '@lynxcourse/placement'
 import type { ClockReading, ControlContact, StateFreshness } from '@lynxcourse/placement'
 
 /** Kinds of disturbances: of an entry VM's event loop, link, contact, process or clock, of a control VM's event loop, or of the group of control VMs. */
@@ -36,6 +36,8 @@
   readonly question?: boolean
   /** Control VMs that do not answer count as unreachable. */
   readonly reachability?: boolean
+  /** Control VMs that do not have the current state say so at once. */
+  readonly hold?: boolean
   /** A VM counts as cut off until it has asked again. */
   readonly expiry?: boolean
 }
@@ -51,12 +53,14 @@
   readonly isCutOff: boolean
 }
 
-export const times = { applyMs: 2500, maxStateAgeMs: 2000, contactMs: 4000, watchMs: 1000, timeoutMs: 800, questionTimeoutMs: 1000, cutOffPauseMs: 500, staleMs: 1600, confirmAgeMs: 1500 }
+export const times = { applyMs: 2500, maxStateAgeMs: 2000, contactMs: 4000, watchMs: 1000, timeoutMs: 800, questionTimeoutMs: 1000, cutOffPauseMs: 500, confirmHoldMs: 600, staleMs: 1600, confirmAgeMs: 1500 }
 const stepMs = 25
 const linkMs = 25
 const slowLinkMs = 450
 const controlCount = 3
 const groupAgeMs = 350
+/** Time until a control VM that was blocked has read what its leader sent meanwhile. */
+const catchUpMs = 300
 
 interface Question {
   readonly control: number
@@ -126,8 +130,10 @@
     if (isDisturbed(model, 'cutOff', entry.vm)) question.isLost = true
     if (question.isLost || question.reply !== undefined || question.arrivesAt > now || isDisturbed(model, 'controlBlocked', question.control)) continue
     question.receivedAt ??= now
-    const { version, ageMs } = getControlState(model)
+    const { version, ageMs } = getControlState(model, question.control)
     const heldMs = now - question.receivedAt
+    const isHeld = !question.isWatch && ageMs > times.staleMs && heldMs < times.confirmHoldMs
+    if (isHeld && model.leftOut.hold !== true) continue
     if (question.isWatch && version <= question.version && heldMs < times.watchMs) continue
     const transferMs = model.schedule.changes.slice(question.version, version).reduce((sum, change) => sum + change.transferMs, 0)
     question.reply = { version, ageMs, heldMs, arrivesAt: now + getLinkDelay(model, entry) + (question.isWatch ? transferMs : 0) }
@@ -135,10 +141,11 @@
 }
 
 /** Returns the newest version that a control VM has, and the age as of which it has all changes. */
-function getControlState (model: Model): { readonly version: number, readonly ageMs: number } {
+function getControlState (model: Model, control: number): { readonly version: number, readonly ageMs: number } {
   const { schedule: { changes, disturbances }, now } = model
-  const cut = disturbances.find(({ kind, at, forMs }) => kind === 'groupCut' && now >= at && now < at + forMs)
-  const completeAt = Math.min(now - groupAgeMs, cut?.at ?? Infinity)
+  const isOld = ({ kind, vm, at, forMs }: PlannedDisturbance): boolean =>
+    (kind === 'groupCut' && now >= at && now < at + forMs) || (kind === 'controlBlocked' && vm === control && now >= at && now < at + forMs + catchUpMs)
+  const completeAt = Math.min(now - groupAgeMs, ...disturbances.filter(isOld).map(({ at }) => at))
   return { version: changes.filter(({ confirmedAt }) => confirmedAt <= completeAt).length, ageMs: now - completeAt }
 }
 
@@ -156,7 +163,7 @@
   readWatch(model, entry)
   readConfirmation(model, entry)
   entry.watch ??= ask(model, entry, entry.nextControl % controlCount, true)
-  const age = getStateAge(entry.freshness, readClocks(model, entry))
+  const age = getCopyAge(entry.freshness, readClocks(model, entry))
   if (entry.confirmation === undefined && hasState(entry.freshness) && age > times.confirmAgeMs && model.now >= entry.askAgainAt) {
     entry.confirmation = { askedAt: readClocks(model, entry), questions: Array.from({ length: controlCount }, (_, control) => ask(model, entry, control, false)), contacts: [] }
   }
--- a/packages/placement/src/core/entries/stateFreshness.ts
+++ b/packages/placement/src/core/entries/stateFreshness.ts
@@ -68,7 +68,7 @@
 }
 
 /** Returns the time since the copy was last known to have all confirmed changes; Infinity before the first state. */
-export function getStateAge ({ confirmedAt }: StateFreshness, now: ClockReading): Millis {
+export function getCopyAge ({ confirmedAt }: StateFreshness, now: ClockReading): Millis {
   return confirmedAt === undefined ? Infinity : getElapsed(confirmedAt, now)
 }
 
@@ -79,5 +79,5 @@
 
 /** Returns whether the VM may decide by its copy; otherwise it has to ask the control VMs first. */
 export function mayDecide (freshness: StateFreshness, maxAgeMs: Millis, now: ClockReading): boolean {
-  return hasState(freshness) && (getStateAge(freshness, now) <= maxAgeMs || isCutOff(freshness, now))
+  return hasState(freshness) && (getCopyAge(freshness, now) <= maxAgeMs || isCutOff(freshness, now))
 }
