--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -122,15 +122,15 @@
 const maxSlowdownSample = 10
 const meanSlowdownSmoothing = 0.02
 
-/**
- * Returns how many requests this VM may have in flight at one server: each needs a connection, and all VMs share those of a server. A
- * VM that does not know the others yet uses no more than the server has slots.
- */
+/** Requests in flight for each slot of a server, of a VM that does not know the others yet: one runs and one waits. */
+const requestsPerSlot = 2
+
+/** Returns how many requests this VM may have in flight at one server: each needs a connection, and all VMs share those of a server. */
 export function getConnectionShare ({ maxConnections, vms, knowsOthers }: Fleet, { facts: { service, slots } }: FleetServer): number {
   const connections = maxConnections.get(service) ?? 0
   if (connections <= 0) return Infinity
   const share = Math.max(1, Math.floor(connections / Math.max(1, vms.length)))
-  return knowsOthers() ? share : Math.min(slots, share)
+  return knowsOthers() ? share : Math.min(requestsPerSlot * slots, share)
 }
 
 /** Returns how many retries of each window this VM may send beyond those that its requests earn. */
