One predicate for control VMs of the own region

Read of the whole change: stateConfirmation repeated the check of a control VM's region that rankControls has; both call isInOwnRegion now. hasRoutes is used in its own file only and is no longer exported; the table of serverProbe stands before its use. Behaviour is unchanged: lint and build pass, and the tests of staleState, fleet, crashingRequests, fleetRestart, the platform and three more files. The whole suite was not run again.

--- a/packages/daemon/src/core/crashes/serverProbe.ts
+++ b/packages/daemon/src/core/crashes/serverProbe.ts
@@ -6,6 +6,8 @@
 /** `ended` if the server's port refuses connections, `unknown` if nothing answered in time. */
 export type ProbeResult = 'ended' | 'running' | 'unknown'
 
+const resultByPortState: Record<PortState, ProbeResult> = { open: 'running', refused: 'ended', silent: 'unknown' }
+
 /** Probes in progress; all requests that a server failed at the same moment share one. */
 export type ServerProbes = Map<ServerId, Promise<ProbeResult>>
 
@@ -24,5 +26,3 @@
   probes.delete(id)
   return result
 }
-
-const resultByPortState: Record<PortState, ProbeResult> = { open: 'running', refused: 'ended', silent: 'unknown' }
--- a/packages/daemon/src/core/fleet/fleetNode.ts
+++ b/packages/daemon/src/core/fleet/fleetNode.ts
@@ -115,12 +115,16 @@
   return [...new Set(known)].filter(address => address !== node.cfg.rpc)
 }
 
+/** Returns whether a control VM is known to be in this VM's region. */
+export function isInOwnRegion ({ controls, cfg }: FleetNode, address: string): boolean {
+  return controls.some(({ rpc, region }) => rpc === address && region === cfg.region)
+}
+
 /** Lists the control VMs that `isUsable` accepts: those of this region first if there are any, in this VM's own order. */
 export function rankControls (node: FleetNode, isUsable: (address: string) => boolean): string[] {
   const available = listControlAddresses(node).filter(isUsable)
-  const isInRegion = (address: string): boolean => node.controls.some(endpoint => endpoint.rpc === address && endpoint.region === node.cfg.region)
-  const inRegion = available.filter(isInRegion)
-  const others = available.filter(address => !isInRegion(address))
+  const inRegion = available.filter(address => isInOwnRegion(node, address))
+  const others = available.filter(address => !isInOwnRegion(node, address))
   return [...rankByHash(node.cfg.name, inRegion), ...rankByHash(node.cfg.name, others)]
 }
 
--- a/packages/daemon/src/core/fleet/stateConfirmation.ts
+++ b/packages/daemon/src/core/fleet/stateConfirmation.ts
@@ -12,7 +12,7 @@
 import { canOpenConnection } from '../../utils/portProbe.js'
 import { delay, repeat } from '../node/timers.js'
 import { callPeer } from '../rpc/rpcClient.js'
-import { notifyStateUse, rankControls } from './fleetNode.js'
+import { isInOwnRegion, notifyStateUse, rankControls } from './fleetNode.js'
 import type { ConfirmReply } from './fleetMethods.js'
 import { fetchState } from './stateWatch.js'
 import type { StateWatch } from './stateWatch.js'
@@ -65,7 +65,7 @@
 function mixRegions ({ node }: StateWatch): string[] {
   const [first, ...others] = rankControls(node, () => true)
   if (first === undefined) return []
-  const firstElsewhere = others.find(address => !node.controls.some(({ rpc, region }) => rpc === address && region === node.cfg.region))
+  const firstElsewhere = others.find(address => !isInOwnRegion(node, address))
   return firstElsewhere === undefined ? [first, ...others] : [first, firstElsewhere, ...others.filter(address => address !== firstElsewhere)]
 }
 
--- a/packages/daemon/src/core/gateway/stateWait.ts
+++ b/packages/daemon/src/core/gateway/stateWait.ts
@@ -21,7 +21,7 @@
 const maxWaitingRequests = 500
 
 /** Returns whether this VM knows routes: it has read the state, and the state has routes. */
-export function hasRoutes (gateway: Gateway): boolean {
+function hasRoutes (gateway: Gateway): boolean {
   return hasState(gateway.node.freshness) && gateway.routeTable.size > 0
 }
 
