review: a control VM with an empty disk can't catch up with a log of large changes

Cause: up to 512 entries go into one message, whatever their size; the recipient refuses over 32 MiB, and the leader sends the same again.

The stand-in for the platform also enforces MemoryMb.

--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -147,15 +147,31 @@
   record(`${vm.name} killed${wipe ? ', its disk is lost' : ''}`)
 }
 
-/** Resident memory of a VM's process in MB. */
+/** Memory of a VM's process in MB, without the pages of its program and libraries. */
 export function readMemory (vm) {
   try {
-    return Math.round(Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${vm.child.pid}/status`, 'utf8'))[1]) / 1024)
+    return Math.round(Number(/RssAnon:\s+(\d+)/.exec(readFileSync(`/proc/${vm.child.pid}/status`, 'utf8'))[1]) / 1024)
   } catch {
     return 0
   }
 }
 
+const memoryMb = { control: 346, entry: 350 }
+const memoryCheckMs = 50
+
+/** Does what the platform does: "A process that uses more than `MemoryMb` is killed." */
+export function enforceMemory (world, vms, record) {
+  const timer = setInterval(() => {
+    for (const vm of vms) {
+      const usedMb = vm.child === undefined ? 0 : readMemory(vm)
+      if (usedMb <= memoryMb[vm.role]) continue
+      record(`${vm.name} uses ${usedMb} MB and is killed`)
+      vm.child.kill('SIGKILL')
+    }
+  }, memoryCheckMs)
+  world.servers.push({ stop: () => clearInterval(timer) })
+}
+
 export async function stopAll (world) {
   world.isEnding = true
   for (const server of world.servers) server.stop()
@@ -365,6 +381,9 @@
 export async function runCase (setUp) {
   let exitCode = 2
   let world
+  for (const signal of ['SIGTERM', 'SIGINT']) {
+    process.once(signal, () => { (world === undefined ? Promise.resolve() : stopAll(world)).finally(() => process.exit(2)) })
+  }
   try {
     const prepared = await setUp()
     world = prepared.world
