--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -69,6 +69,8 @@
   if (hasTrouble) await loseDisk(vms[0])
   await watch(recoveryMs)
   const read = await operator.read(readForMs)
+  // For the record only: an order after the losses.
+  await operator.replace(acknowledged, acknowledged + 2, buildConfig(changes))
   const ends = vms.map(vm => vm.ends.length)
   record(`ends by themselves: ${ends.join()}`)
   const isBroken = read === undefined || parseInt(read.Version, 16) < acknowledged
