--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -181,7 +181,9 @@
   if (needsSync) {
     await withStallWatch(host, replica, saveOutput(host.storage, output, replica.entries))
     host.env.metrics.diskSyncs.inc()
+    host.env.metrics.logEntries.set(replica.entries.length)
   }
+  logMemberChanges(host, output)
   sendMessages(host, output.messages)
   if (output.installSnapshot && output.snapshot !== undefined) host.machine = deserializeStateMachine(host.charts, output.snapshot.data)
   applyOutput(host, output)
@@ -224,11 +226,43 @@
 function sendMessages (host: ControlHost, messages: readonly Envelope[]): void {
   for (const envelope of messages) {
     const address = host.env.getAddress(getHolderVm(envelope.to))
-    // A lost message does no harm: the leader's next heartbeat or the next election sends its content again.
-    if (address !== undefined) callPeer(host.env.client, address, 'log.message', envelope).catch(() => undefined)
+    if (address !== undefined) sendMessage(host, address, envelope).catch((err: unknown) => logSendFailure(host, envelope, err))
   }
 }
 
+async function sendMessage (host: ControlHost, address: string, envelope: Envelope): Promise<void> {
+  const { client, metrics } = host.env
+  const labels = { peer: getHolderVm(envelope.to), type: envelope.message.type }
+  const entries = countEntries(envelope)
+  if (entries > 0) metrics.logEntriesSent.inc({ peer: labels.peer }, entries)
+  try {
+    await callPeer(client, address, 'log.message', envelope)
+    metrics.logMessages.inc({ ...labels, result: 'delivered' })
+  } catch (err) {
+    metrics.logMessages.inc({ ...labels, result: 'failed' })
+    throw err
+  }
+}
+
+/** Logs a lost message that carried data; the next heartbeat or the next election replaces all others. */
+function logSendFailure (host: ControlHost, { to, message }: Envelope, err: unknown): void {
+  const entries = countEntries({ message })
+  const hasData = entries > 0 || message.type === 'snapshot'
+  log(host.env.logs, 'agree', hasData ? 'warn' : 'debug', 'Message of the log was not delivered.', { to, type: message.type, entries, error: getErrorMessage(err), step: 'send' })
+}
+
+function logMemberChanges (host: ControlHost, { entries }: ReplicaOutput): void {
+  for (const { index, body } of entries) {
+    if (body.type !== 'members') continue
+    const members = body.members.map(({ id, voter }) => voter ? id : `${id} (learner)`)
+    log(host.env.logs, 'member', 'info', 'Members changed.', { index, members: members.join() })
+  }
+}
+
+function countEntries ({ message }: Pick<Envelope, 'message'>): number {
+  return message.type === 'append' ? message.entries.length : 0
+}
+
 function applyOutput (host: ControlHost, output: ReplicaOutput): void {
   for (const entry of output.committed) {
     const answer = applyEntry(host.machine, entry)
--- a/packages/daemon/src/core/rpc/rpcPost.ts
+++ b/packages/daemon/src/core/rpc/rpcPost.ts
@@ -37,7 +37,7 @@
     let head: Omit<RpcResponse, 'body'> | undefined
     const expire = (receivedCount: number): void => {
       if (isFinished || chunks.length > receivedCount) return
-      const err = createTimeoutError(timeoutMs)
+      const err = createTimeoutError(timeoutMs, text.length)
       isTimedOut = true
       reject(err)
       controller?.abort(err)
@@ -55,7 +55,7 @@
     pool.dispatch(options, {
       onRequestStart: requestController => {
         controller = requestController
-        if (isTimedOut) requestController.abort(createTimeoutError(timeoutMs))
+        if (isTimedOut) requestController.abort(createTimeoutError(timeoutMs, text.length))
       },
       onResponseStart: (_controller, status, headers) => {
         if (status >= firstFinalStatus) head = { status, encoding: headers['content-encoding']?.toString() }
@@ -74,6 +74,6 @@
   })
 }
 
-function createTimeoutError (timeoutMs: Millis): Error {
-  return new Error(`no response within ${Math.round(timeoutMs)} ms`)
+function createTimeoutError (timeoutMs: Millis, size: number): Error {
+  return new Error(`no response within ${Math.round(timeoutMs)} ms to a message of ${size} bytes`)
 }
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -31,6 +31,9 @@
   readonly current: Gauge
   readonly records: Gauge<'kind'>
   readonly diskSyncs: Counter
+  readonly logMessages: Counter<'peer' | 'type' | 'result'>
+  readonly logEntriesSent: Counter<'peer'>
+  readonly logEntries: Gauge
   readonly rolloutSteps: Counter<'event'>
   readonly largeAnswerBytes: Counter
   readonly largeAnswers: Gauge
@@ -71,6 +74,9 @@
     current: new Gauge({ name: 'lynxcourse_current', help: 'Whether this VM holds a lease on being current.', registers }),
     records: new Gauge({ name: 'lynxcourse_directory_records', help: 'Records in the directory.', labelNames: ['kind'], registers }),
     diskSyncs: new Counter({ name: 'lynxcourse_disk_syncs_total', help: 'Times that a file was synced.', registers }),
+    logMessages: new Counter({ name: 'lynxcourse_log_messages_total', help: 'Messages of the replicated log to other control VMs, by type and whether they were delivered.', labelNames: ['peer', 'type', 'result'], registers }),
+    logEntriesSent: new Counter({ name: 'lynxcourse_log_entries_sent_total', help: 'Entries of the log in messages to other control VMs, resent ones included.', labelNames: ['peer'], registers }),
+    logEntries: new Gauge({ name: 'lynxcourse_log_entries', help: 'Entries of the log after its snapshot.', registers }),
     rolloutSteps: new Counter({ name: 'lynxcourse_rollout_steps_total', help: 'Steps of rollouts that this VM submitted as the leader, by event.', labelNames: ['event'], registers }),
     largeAnswerBytes: new Counter({ name: 'lynxcourse_large_answer_bytes_total', help: 'Bytes of large answers written to callers while they were received.', registers }),
     largeAnswers: new Gauge({ name: 'lynxcourse_large_answers', help: 'Large answers that are being forwarded, written or waiting for the link.', registers }),
