Messages of the log are bounded by size, and entries in flight are not sent again

What callers saw: after many or large changes, a control VM with an empty disk never caught up; the next loss of a disk left no quorum, and what was confirmed could not be read back.

Cause: a message held up to 512 entries of any size. Its call ended after 800 ms, and the next message was the same. A heartbeat that overtook entries was answered as if they were lost, so that the leader sent them again while they were on their way.

Change: a message holds up to 256 Ki characters of entries, or one entry; up to four are in flight; a lost one halves the size of the next.

--- a/packages/agreement/src/core/leaderReplication.ts
+++ b/packages/agreement/src/core/leaderReplication.ts
@@ -1,14 +1,12 @@
 /** The leader's side of replication: appends entries, sends them and processes answers. */
 import type { HolderId, Millis } from '@lynxcourse/base'
 import type { EntryBody } from '../types/log.js'
-import type { AppendAnswer, AppendRequest, ReplicaOutput } from '../types/messages.js'
+import type { AppendAnswer, AppendRequest, Message, ReplicaOutput } from '../types/messages.js'
 import {
   commitUpTo, entryAt, isEstablishedLeader, isLeader, lastEntryAt, lastIndex, maxReachedByQuorum, send, termAt, voters
 } from './replica.js'
 import type { Progress, Replica } from './replica.js'
-
-/** Maximum number of entries in one message; bounds the message size and the memory that the recipient needs. */
-export const maxEntriesPerMessage = 512
+import { createProgress, recordAcknowledged, recordMissing, recordSent, recordUndelivered, takeEntries } from './sendWindow.js'
 
 /** Minimum interval between two snapshots sent to the same copy, in election timeouts. */
 const snapshotResendElectionTimeouts = 3
@@ -41,7 +39,7 @@
 export function getProgress (replica: Replica, id: HolderId, now: Millis): Progress {
   let progress = replica.progress.get(id)
   if (progress === undefined) {
-    progress = { next: lastIndex(replica) + 1, match: 0, ackedRound: 0, answeredAt: undefined, lastSeenAt: now, snapshotSentAt: -Infinity }
+    progress = createProgress(lastIndex(replica) + 1, now)
     replica.progress.set(id, progress)
   }
   return progress
@@ -55,11 +53,22 @@
     sendSnapshot(replica, to, progress, now, out)
     return
   }
-  const first = prevIndex - replica.snapshot.index
-  const entries = replica.entries.slice(first, first + maxEntriesPerMessage)
+  const entries = takeEntries(replica, progress)
   const { term, round } = replica
   send(replica, out, to, { type: 'append', term, prevIndex, prevTerm, entries, commit: getAdvertisedCommit(replica), round, ...describeFreshness(replica, progress, now) })
-  progress.next += entries.length
+  recordSent(progress, entries.length, now)
+}
+
+/** Sends a member the entries that it lacks, if its window has space for any of them. */
+function sendMissingEntries (replica: Replica, to: HolderId, progress: Progress, now: Millis, out: ReplicaOutput): void {
+  if (takeEntries(replica, progress).length > 0) replicateTo(replica, to, now, out)
+}
+
+/** Processes a host's report that it could not deliver a message of this leader; the next broadcast sends its content again. */
+export function handleUndelivered (replica: Replica, to: HolderId, message: Message, now: Millis): void {
+  const isFromThisTerm = isLeader(replica) && message.term === replica.term
+  if (!isFromThisTerm || message.type !== 'append' || message.entries.length === 0) return
+  recordUndelivered(getProgress(replica, to, now), message.prevIndex + 1)
 }
 
 /**
@@ -108,15 +117,13 @@
   progress.ackedRound = Math.max(progress.ackedRound, answer.round)
   progress.answeredAt = answer.at
   if (answer.ok) {
-    progress.match = Math.max(progress.match, answer.index)
-    progress.next = Math.max(progress.next, progress.match + 1)
+    recordAcknowledged(progress, answer.index, now)
     advanceCommit(replica, out)
-  } else {
-    progress.next = Math.max(progress.match + 1, Math.min(progress.next, answer.index + 1))
+  } else if (recordMissing(replica, progress, answer.index, now)) {
     replicateTo(replica, from, now, out)
   }
   confirmRounds(replica, out)
-  if (answer.ok && progress.next <= lastIndex(replica)) replicateTo(replica, from, now, out)
+  if (answer.ok) sendMissingEntries(replica, from, progress, now, out)
 }
 
 /** Commits the entries that a quorum has synced, if the last of them is of the current term. */
--- a/packages/agreement/src/core/replica.ts
+++ b/packages/agreement/src/core/replica.ts
@@ -6,8 +6,14 @@
 
 /** Replication progress of one other member, as the leader tracks it. */
 export interface Progress {
-  /** Next index to send; greater than `match + 1` while appends are in flight. */
+  /** Next index to send; greater than `sentFrom` while appends are in flight. */
   next: number
+  /** Index of the first entry that was sent and not yet acknowledged. */
+  sentFrom: number
+  /** Size of the entries in one message, in characters; smaller after lost messages. */
+  messageSize: number
+  /** When the first of the entries in flight was sent, or the last acknowledgement of entries arrived. */
+  waitingSince: Millis
   /** Last index known to be synced by the member. */
   match: number
   ackedRound: number
--- a/packages/agreement/src/core/step.ts
+++ b/packages/agreement/src/core/step.ts
@@ -4,7 +4,7 @@
 import { adoptTerm, handleHandOver, handleVoteRequest, isElectionDue, startPreVote, stepDown, handleVoteAnswer } from './election.js'
 import { handleAppend, handleSnapshot } from './followerReplication.js'
 import { proposeMemberChange } from './memberChanges.js'
-import { advanceCommit, appendEntry, broadcast, handOver, handleAppendAnswer } from './leaderReplication.js'
+import { advanceCommit, appendEntry, broadcast, handOver, handleAppendAnswer, handleUndelivered } from './leaderReplication.js'
 import {
   createOutput, entryAt, isLeader, isVoter, lastIndex, termAt
 } from './replica.js'
@@ -27,6 +27,7 @@
     case 'compact': compact(replica, event.index, event.data, out); break
     case 'read': startRead(replica, event.token, now, out); break
     case 'handOver': handOver(replica, now, out); break
+    case 'undelivered': handleUndelivered(replica, event.envelope.to, event.envelope.message, now); break
   }
   return out
 }
--- a/packages/agreement/src/internal.ts
+++ b/packages/agreement/src/internal.ts
@@ -2,6 +2,7 @@
 export * from './types/log.js'
 export * from './types/messages.js'
 export * from './core/replica.js'
+export * from './core/sendWindow.js'
 export * from './core/leaderReplication.js'
 export * from './core/election.js'
 export * from './core/followerReplication.js'
--- a/packages/agreement/src/types/messages.ts
+++ b/packages/agreement/src/types/messages.ts
@@ -72,6 +72,8 @@
 export type ReplicaEvent =
   | { readonly type: 'tick' }
   | { readonly type: 'receive', readonly envelope: Envelope }
+  /** The host could not deliver a message of this copy. */
+  | { readonly type: 'undelivered', readonly envelope: Envelope }
   /** The host synced everything that earlier steps asked it to save. */
   | { readonly type: 'synced' }
   | { readonly type: 'propose', readonly commands: readonly unknown[] }
--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -226,7 +226,7 @@
 function sendMessages (host: ControlHost, messages: readonly Envelope[]): void {
   for (const envelope of messages) {
     const address = host.env.getAddress(getHolderVm(envelope.to))
-    if (address !== undefined) sendMessage(host, address, envelope).catch((err: unknown) => logSendFailure(host, envelope, err))
+    if (address !== undefined) sendMessage(host, address, envelope).catch((err: unknown) => handleSendFailure(host, envelope, err))
   }
 }
 
@@ -244,11 +244,13 @@
   }
 }
 
-/** Logs a lost message that carried data; the next heartbeat or the next election replaces all others. */
-function logSendFailure (host: ControlHost, { to, message }: Envelope, err: unknown): void {
-  const entries = countEntries({ message })
+/** Reports a lost message to the replica; logs one that carried data, since the next heartbeat or election replaces all others. */
+function handleSendFailure (host: ControlHost, envelope: Envelope, err: unknown): void {
+  const { to, message } = envelope
+  const entries = countEntries(envelope)
   const hasData = entries > 0 || message.type === 'snapshot'
   log(host.env.logs, 'agree', hasData ? 'warn' : 'debug', 'Message of the log was not delivered.', { to, type: message.type, entries, error: getErrorMessage(err), step: 'send' })
+  if (hasData) enqueueEvent(host, { type: 'undelivered', envelope })
 }
 
 function logMemberChanges (host: ControlHost, { entries }: ReplicaOutput): void {
@@ -259,7 +261,7 @@
   }
 }
 
-function countEntries ({ message }: Pick<Envelope, 'message'>): number {
+function countEntries ({ message }: Envelope): number {
   return message.type === 'append' ? message.entries.length : 0
 }
 
