--- a/packages/agreement/__tests__/catchUp.test.ts
+++ b/packages/agreement/__tests__/catchUp.test.ts
@@ -1,8 +1,8 @@
 /** Copies with empty disks and slow copies become whole again, over slow links and with large entries. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createSlowGroup, isWhole, loseDisk, runFor, runUntil, write } from './support/slowGroup.js'
-import type { Links, SlowCopy } from './support/slowGroup.js'
+import { createSlowGroup, describe, findLeader, isWhole, loseDisk, runFor, runUntil, startCopy, stopCopy, write } from './support/slowGroup.js'
+import type { Links, SlowCopy, SlowGroup } from './support/slowGroup.js'
 
 /** The longest delay between regions, and links on which a log of some megabytes takes longer than a call may take. */
 const betweenRegions: Links = { delayMs: 55, bandwidth: 700, callMs: 800 }
@@ -28,3 +28,59 @@
   runFor(group, 1000)
   assert.equal(group.sent, 2, 'messages with entries to two copies')
 })
+
+/** Fills the state with values that together are larger than a call can carry in its time, and compacts the log. */
+function fillState (group: SlowGroup): void {
+  for (let slot = 0; slot < 24; slot++) write(group, slot, 51_000, 3000)
+  runFor(group, 1000)
+}
+
+// Guards against a snapshot that is sent in one message, which never arrives before its call ends.
+test('a copy with an empty disk catches up with a snapshot that is too large for one message', () => {
+  const group = createSlowGroup(3, betweenRegions, 3)
+  fillState(group)
+  const [, , copy] = group.copies as [SlowCopy, SlowCopy, SlowCopy]
+  assert.ok((findLeader(group)?.replica?.snapshot.data.length ?? 0) > 1_000_000, 'the state is a large snapshot')
+  loseDisk(group, copy)
+  runUntil(group, () => isWhole(group, copy), 12_000, 'a copy with an empty disk is whole')
+  assert.ok(group.largest < 300_000, `a message of ${group.largest} characters`)
+})
+
+// Guards against a transfer that starts over after each short cut and never ends on a link that is cut again and again.
+test('a snapshot goes on where it stopped when the link is cut again and again', () => {
+  const group = createSlowGroup(3, { ...betweenRegions, bandwidth: 300 }, 4)
+  fillState(group)
+  const copy = group.copies.find(other => other !== findLeader(group)) as SlowCopy
+  loseDisk(group, copy)
+  const isCut = (): boolean => group.now % 2500 > 1500
+  group.isCut = ({ from, to }) => isCut() && (from === copy.id || to === copy.id)
+  runUntil(group, () => isWhole(group, copy), 40_000, 'a copy behind a link that is cut 40% of the time is whole')
+})
+
+// Guards against a copy that loses what has arrived, or a group without a quorum, when the leader is lost during a transfer.
+test('a transfer is completed by the next leader when the leader restarts in its middle', () => {
+  const group = createSlowGroup(5, betweenRegions, 5)
+  fillState(group)
+  const copy = group.copies.find(other => other !== findLeader(group)) as SlowCopy
+  loseDisk(group, copy)
+  runFor(group, 1500)
+  const leader = findLeader(group) as SlowCopy
+  stopCopy(leader)
+  runFor(group, 300)
+  startCopy(group, leader)
+  runUntil(group, () => isWhole(group, copy), 20_000, 'a copy with an empty disk is whole')
+})
+
+// Guards against copies that are sent one snapshot after the other because the log is compacted faster than a snapshot arrives.
+test('a copy catches up while large changes go on and the log is compacted', () => {
+  const group = createSlowGroup(3, { ...betweenRegions, bandwidth: 1500 }, 6)
+  fillState(group)
+  const copy = group.copies.find(other => other !== findLeader(group)) as SlowCopy
+  loseDisk(group, copy)
+  const startedAt = group.now
+  for (let round = 0; !isWhole(group, copy) && round < 60; round++) {
+    write(group, round % 24, 51_000, 3000)
+    runFor(group, 150)
+  }
+  assert.ok(isWhole(group, copy), `not whole after ${group.now - startedAt} ms: ${describe(group)}`)
+})
--- a/packages/agreement/__tests__/support/slowGroup.ts
+++ b/packages/agreement/__tests__/support/slowGroup.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { brandId, createRandom, getHolderVm, hashText, loadChart } from '@lynxcourse/base'
 import type { HolderId, Millis, Random } from '@lynxcourse/base'
-import { createInitialSnapshot, createReplica, isEstablishedLeader, lastIndex, stepReplica, voters } from '@lynxcourse/agreement'
+import { createInitialSnapshot, createReplica, getEntrySize, isEstablishedLeader, isTransferring, lastIndex, stepReplica, voters } from '@lynxcourse/agreement'
 import type { Entry, Envelope, Replica, ReplicaEvent, ReplicaOutput, StoredLog } from '@lynxcourse/agreement'
 
 const chart = loadChart('agreementRole')
@@ -24,6 +24,9 @@
 /** Size of the log at which a host replaces it by a snapshot, in characters. */
 const maxLogSize = 1_048_576
 
+/** Size up to which a host delays this while a snapshot is on its way. */
+const maxDelayedLogSize = 4 * maxLogSize
+
 /** The values of the state by their slots, and the number of commands that were applied. */
 interface State {
   count: number
@@ -50,16 +53,18 @@
   readonly random: Random
   copies: SlowCopy[]
   transmissions: Transmission[]
-  /** Messages that carried entries or a snapshot, and those of them that were lost, by recipient. */
+  /** Messages that carried entries or parts of a snapshot, and those of them that were lost, by recipient. */
   sent: number
   failed: number
   largest: number
   committed: Map<number, string>
+  /** Whether a message can't pass; it fails once its call has ended. */
+  isCut: (envelope: Envelope) => boolean
 }
 
 export function createSlowGroup (size: number, links: Links, seed: number): SlowGroup {
   const ids = Array.from({ length: size }, (_, number) => brandId<HolderId>(`v${number}/i1`))
-  const group: SlowGroup = { now: 1000, links, random: createRandom(seed), copies: [], transmissions: [], sent: 0, failed: 0, largest: 0, committed: new Map() }
+  const group: SlowGroup = { now: 1000, links, random: createRandom(seed), copies: [], transmissions: [], sent: 0, failed: 0, largest: 0, committed: new Map(), isCut: () => false }
   for (const id of ids) {
     group.copies.push({ id, disk: { ...lostDisk, snapshot: createInitialSnapshot(ids, '') }, replica: undefined, state: { count: 0, slots: [] }, joinAt: Infinity })
   }
@@ -148,7 +153,7 @@
   }
   const done: Transmission[] = []
   for (const link of perLink.values()) {
-    for (const transmission of link) transmission.left -= bandwidth * stepMs / link.length
+    for (const transmission of link) if (!group.isCut(transmission.envelope)) transmission.left -= bandwidth * stepMs / link.length
     done.push(...link.filter(({ left, sentAt }) => left <= 0 && group.now - sentAt >= delayMs))
   }
   const isExpired = ({ sentAt }: Transmission): boolean => group.now - sentAt > callMs
@@ -182,7 +187,8 @@
 function compactIfLarge (group: SlowGroup, copy: SlowCopy): void {
   const { replica } = copy
   if (replica === undefined || replica.commit === replica.snapshot.index) return
-  if (replica.entries.length * 100 < maxLogSize && JSON.stringify(replica.entries).length < maxLogSize) return
+  const size = replica.entries.reduce((sum, entry) => sum + getEntrySize(entry), 0)
+  if (size < maxLogSize || (size < maxDelayedLogSize && isTransferring(replica, group.now))) return
   step(group, copy, { type: 'compact', index: replica.commit, data: JSON.stringify(copy.state) })
 }
 
--- a/packages/agreement/src/core/followerReplication.ts
+++ b/packages/agreement/src/core/followerReplication.ts
@@ -1,10 +1,11 @@
 /** The follower's side of replication: stores entries and snapshots from the leader. */
 import type { HolderId, Millis } from '@lynxcourse/base'
-import type { Entry } from '../types/log.js'
+import type { Entry, Snapshot } from '../types/log.js'
 import type { AppendRequest, ReplicaOutput, SnapshotRequest } from '../types/messages.js'
 import { hasTransition } from '@lynxcourse/base'
 import { commitUpTo, lastIndex, refreshMembers, resetElectionTimer, send, applyRoleEvent, termAt } from './replica.js'
 import type { Replica } from './replica.js'
+import { receivePart } from './snapshotTransfer.js'
 
 /** Stores the leader's entries, or answers with the last index at which the two logs may match. */
 export function handleAppend (replica: Replica, from: HolderId, request: AppendRequest, now: Millis, out: ReplicaOutput): void {
@@ -61,25 +62,35 @@
   if (storedTerm !== undefined || entry.body.type === 'members') refreshMembers(replica)
 }
 
-/** Installs the leader's snapshot if it is ahead of the commit index; keeps later entries only if the log matches it. */
+/** Stores a part of the leader's snapshot, and installs the snapshot once it is complete. */
 export function handleSnapshot (replica: Replica, from: HolderId, request: SnapshotRequest, now: Millis, out: ReplicaOutput): void {
+  const { head, round } = request
   if (request.term < replica.term) {
-    sendAppendAnswer(replica, from, false, lastIndex(replica), request.round, now, out)
+    sendAppendAnswer(replica, from, false, lastIndex(replica), round, now, out)
     return
   }
   recordLeaderContact(replica, from, now)
-  const { snapshot } = request
-  if (snapshot.index > replica.commit) {
-    const hasMatchingEntry = termAt(replica, snapshot.index) === snapshot.term
-    replica.entries = hasMatchingEntry ? replica.entries.slice(snapshot.index - replica.snapshot.index) : []
-    replica.snapshot = snapshot
-    replica.commit = snapshot.index
-    replica.syncedIndex = lastIndex(replica)
-    refreshMembers(replica)
-    out.snapshot = snapshot
-    out.installSnapshot = true
+  if (head.index > replica.commit) {
+    const received = receivePart(replica, request)
+    if (typeof received === 'number') {
+      send(replica, out, from, { type: 'snapshotAnswer', term: replica.term, index: head.index, offset: received, round, at: now })
+      return
+    }
+    installSnapshot(replica, received, out)
   }
-  sendAppendAnswer(replica, from, true, snapshot.index, request.round, now, out)
+  sendAppendAnswer(replica, from, true, head.index, round, now, out)
+}
+
+/** Replaces the log up to the snapshot; keeps later entries only if the log matches it. */
+function installSnapshot (replica: Replica, snapshot: Snapshot, out: ReplicaOutput): void {
+  const hasMatchingEntry = termAt(replica, snapshot.index) === snapshot.term
+  replica.entries = hasMatchingEntry ? replica.entries.slice(snapshot.index - replica.snapshot.index) : []
+  replica.snapshot = snapshot
+  replica.commit = snapshot.index
+  replica.syncedIndex = lastIndex(replica)
+  refreshMembers(replica)
+  out.snapshot = snapshot
+  out.installSnapshot = true
 }
 
 function recordLeaderContact (replica: Replica, leader: HolderId, now: Millis): void {
--- a/packages/agreement/src/core/leaderReplication.ts
+++ b/packages/agreement/src/core/leaderReplication.ts
@@ -1,15 +1,13 @@
 /** The leader's side of replication: appends entries, sends them and processes answers. */
 import type { HolderId, Millis } from '@lynxcourse/base'
 import type { EntryBody } from '../types/log.js'
-import type { AppendAnswer, AppendRequest, Message, ReplicaOutput } from '../types/messages.js'
+import type { AppendAnswer, AppendRequest, Message, ReplicaOutput, SnapshotAnswer } from '../types/messages.js'
 import {
   commitUpTo, entryAt, isEstablishedLeader, isLeader, lastEntryAt, lastIndex, maxReachedByQuorum, send, termAt, voters
 } from './replica.js'
 import type { Progress, Replica } from './replica.js'
 import { createProgress, recordAcknowledged, recordMissing, recordSent, recordUndelivered, takeEntries } from './sendWindow.js'
-
-/** Minimum interval between two snapshots sent to the same copy, in election timeouts. */
-const snapshotResendElectionTimeouts = 3
+import { createTransfer, recordLostPart, recordPart, sendPart } from './snapshotTransfer.js'
 
 /** Appends an entry to the leader's log. Its timestamp is never lower than that of the entry before it. */
 export function appendEntry (replica: Replica, body: EntryBody, now: Millis, out: ReplicaOutput): number {
@@ -49,7 +47,7 @@
   const progress = getProgress(replica, to, now)
   const prevIndex = progress.next - 1
   const prevTerm = termAt(replica, prevIndex)
-  if (prevTerm === undefined) {
+  if (prevTerm === undefined || progress.transfer !== undefined) {
     sendSnapshot(replica, to, progress, now, out)
     return
   }
@@ -66,9 +64,10 @@
 
 /** Processes a host's report that it could not deliver a message of this leader; the next broadcast sends its content again. */
 export function handleUndelivered (replica: Replica, to: HolderId, message: Message, now: Millis): void {
-  const isFromThisTerm = isLeader(replica) && message.term === replica.term
-  if (!isFromThisTerm || message.type !== 'append' || message.entries.length === 0) return
-  recordUndelivered(getProgress(replica, to, now), message.prevIndex + 1)
+  if (!isLeader(replica) || message.term !== replica.term) return
+  const progress = getProgress(replica, to, now)
+  if (message.type === 'append' && message.entries.length > 0) recordUndelivered(progress, message.prevIndex + 1)
+  if (message.type === 'snapshot' && progress.transfer !== undefined) recordLostPart(progress.transfer, message)
 }
 
 /**
@@ -87,15 +86,27 @@
 
 function sendSnapshot (replica: Replica, to: HolderId, progress: Progress, now: Millis, out: ReplicaOutput): void {
   const { term, round, snapshot } = replica
-  if (now - progress.snapshotSentAt < replica.times.electionMs * snapshotResendElectionTimeouts) {
-    // The heartbeat prevents the copy from starting an election while the snapshot is in flight.
-    send(replica, out, to, {
-      type: 'append', term, prevIndex: snapshot.index, prevTerm: snapshot.term, entries: [], commit: 0, round, answeredAt: null, confirmedAgeMs: null
-    })
-    return
-  }
-  progress.snapshotSentAt = now
-  send(replica, out, to, { type: 'snapshot', term, snapshot, round })
+  progress.transfer ??= createTransfer(snapshot, now)
+  if (sendPart(replica, to, progress.transfer, now, out)) return
+  // The heartbeat prevents the copy from starting an election while a part is in flight.
+  send(replica, out, to, {
+    type: 'append', term, prevIndex: snapshot.index, prevTerm: snapshot.term, entries: [], commit: 0, round, answeredAt: null, confirmedAgeMs: null
+  })
+}
+
+/** Sends the next part of a snapshot once the one before has arrived. */
+export function handleSnapshotAnswer (replica: Replica, from: HolderId, answer: SnapshotAnswer, now: Millis, out: ReplicaOutput): void {
+  const progress = getProgress(replica, from, now)
+  recordAnswer(progress, answer, now)
+  const { transfer } = progress
+  if (transfer !== undefined && recordPart(transfer, answer, now)) sendPart(replica, from, transfer, now, out)
+  confirmRounds(replica, out)
+}
+
+function recordAnswer (progress: Progress, { round, at }: AppendAnswer | SnapshotAnswer, now: Millis): void {
+  progress.lastSeenAt = now
+  progress.ackedRound = Math.max(progress.ackedRound, round)
+  progress.answeredAt = at
 }
 
 /**
@@ -113,13 +124,12 @@
 /** Updates a member's progress by its answer and sends the entries that it still lacks. */
 export function handleAppendAnswer (replica: Replica, from: HolderId, answer: AppendAnswer, now: Millis, out: ReplicaOutput): void {
   const progress = getProgress(replica, from, now)
-  progress.lastSeenAt = now
-  progress.ackedRound = Math.max(progress.ackedRound, answer.round)
-  progress.answeredAt = answer.at
+  recordAnswer(progress, answer, now)
   if (answer.ok) {
+    if (progress.transfer !== undefined && answer.index >= progress.transfer.head.index) progress.transfer = undefined
     recordAcknowledged(progress, answer.index, now)
     advanceCommit(replica, out)
-  } else if (recordMissing(replica, progress, answer.index, now)) {
+  } else if (progress.transfer === undefined && recordMissing(replica, progress, answer.index, now)) {
     replicateTo(replica, from, now, out)
   }
   confirmRounds(replica, out)
--- a/packages/agreement/src/core/replica.ts
+++ b/packages/agreement/src/core/replica.ts
@@ -3,6 +3,7 @@
 import { nextState } from '@lynxcourse/base'
 import type { Entry, Member, Snapshot, StoredLog } from '../types/log.js'
 import type { Envelope, Message, ReplicaOutput, ReplicaTimes } from '../types/messages.js'
+import type { IncomingSnapshot, Transfer } from '../types/transfer.js'
 
 /** Replication progress of one other member, as the leader tracks it. */
 export interface Progress {
@@ -20,8 +21,8 @@
   /** `at` of the member's last answer; undefined before the first. */
   answeredAt: Millis | undefined
   lastSeenAt: Millis
-  /** When a snapshot was last sent; prevents sending a slow copy a snapshot with each heartbeat. */
-  snapshotSentAt: Millis
+  /** The snapshot that the member is being sent; undefined if it has what comes before the leader's log. */
+  transfer: Transfer | undefined
 }
 
 /** A read that is pending until a quorum confirms its round. */
@@ -73,6 +74,8 @@
   /** Index of this term's first entry: once it is committed, all earlier entries are known to be committed. */
   termStartIndex: number
   pendingReads: PendingRead[]
+  /** The snapshot that arrives from the leader in parts. */
+  incoming: IncomingSnapshot | undefined
   joinRequests: Set<HolderId>
 }
 
@@ -132,6 +135,7 @@
     confirmedRound: 0,
     termStartIndex: 0,
     pendingReads: [],
+    incoming: undefined,
     joinRequests: new Set()
   }
   replica.syncedIndex = lastIndex(replica)
--- a/packages/agreement/src/core/sendWindow.ts
+++ b/packages/agreement/src/core/sendWindow.ts
@@ -15,10 +15,12 @@
 export const maxMessageSize = 262_144
 /** Size below which a message is not made smaller, in characters. */
 export const minMessageSize = 8192
+/** How much larger each acknowledgement makes the next messages, in characters. */
+const messageSizeStep = 16_384
 /** Number of messages of the present size that may be on their way to one copy. */
-const messagesInFlight = 4
+const messagesInFlight = 2
 /** Entries on their way are sent again at once if they are smaller than this, in characters; larger ones wait for an answer. */
-const maxResentSize = 65_536
+const maxResentSize = 8192
 /** Time after which entries on their way count as lost although no failure was reported, in election timeouts. */
 const lostElectionTimeouts = 3
 
@@ -36,7 +38,7 @@
 
 /** Creates the progress of a member that is assumed to have all entries before `next`. */
 export function createProgress (next: number, now: Millis): Progress {
-  return { next, match: 0, sentFrom: next, messageSize: maxMessageSize, waitingSince: now, ackedRound: 0, answeredAt: undefined, lastSeenAt: now, snapshotSentAt: -Infinity }
+  return { next, match: 0, sentFrom: next, messageSize: maxMessageSize, waitingSince: now, ackedRound: 0, answeredAt: undefined, lastSeenAt: now, transfer: undefined }
 }
 
 /** Returns the size of the entries between two indexes, the first included; stops once it exceeds `limit`. */
@@ -78,7 +80,7 @@
   if (index < progress.sentFrom) return
   progress.sentFrom = index + 1
   progress.waitingSince = now
-  progress.messageSize = Math.min(maxMessageSize, progress.messageSize * 2)
+  progress.messageSize = Math.min(maxMessageSize, progress.messageSize + messageSizeStep)
 }
 
 /**
--- a/packages/agreement/src/core/step.ts
+++ b/packages/agreement/src/core/step.ts
@@ -4,7 +4,7 @@
 import { adoptTerm, handleHandOver, handleVoteRequest, isElectionDue, startPreVote, stepDown, handleVoteAnswer } from './election.js'
 import { handleAppend, handleSnapshot } from './followerReplication.js'
 import { proposeMemberChange } from './memberChanges.js'
-import { advanceCommit, appendEntry, broadcast, handOver, handleAppendAnswer, handleUndelivered } from './leaderReplication.js'
+import { advanceCommit, appendEntry, broadcast, handOver, handleAppendAnswer, handleSnapshotAnswer, handleUndelivered } from './leaderReplication.js'
 import {
   createOutput, entryAt, isLeader, isVoter, lastIndex, termAt
 } from './replica.js'
@@ -76,6 +76,9 @@
     case 'voteAnswer': handleVoteAnswer(replica, from, message, now, out); break
     case 'append': handleAppend(replica, from, message, now, out); break
     case 'snapshot': handleSnapshot(replica, from, message, now, out); break
+    case 'snapshotAnswer':
+      if (isLeader(replica) && message.term === replica.term) handleSnapshotAnswer(replica, from, message, now, out)
+      break
     case 'handOver': handleHandOver(replica, from, message, now, out); break
     case 'appendAnswer':
       if (isLeader(replica) && message.term === replica.term) handleAppendAnswer(replica, from, message, now, out)
--- a/packages/agreement/src/internal.ts
+++ b/packages/agreement/src/internal.ts
@@ -1,8 +1,10 @@
 /** Re-exports the modules of this package in a fixed load order. */
 export * from './types/log.js'
 export * from './types/messages.js'
+export * from './types/transfer.js'
 export * from './core/replica.js'
 export * from './core/sendWindow.js'
+export * from './core/snapshotTransfer.js'
 export * from './core/leaderReplication.js'
 export * from './core/election.js'
 export * from './core/followerReplication.js'
--- a/packages/agreement/src/types/messages.ts
+++ b/packages/agreement/src/types/messages.ts
@@ -34,11 +34,33 @@
   readonly confirmedAgeMs: Millis | null
 }
 
+/** Position of a snapshot in the log, and the length and the checksum of its data. */
+export interface SnapshotHead extends Omit<Snapshot, 'data'> {
+  readonly size: number
+  /** CRC-32 of the data in UTF-8. */
+  readonly checksum: number
+}
+
+/** Carries a part of a snapshot's data. */
 export interface SnapshotRequest {
   readonly type: 'snapshot'
   readonly term: number
-  readonly snapshot: Snapshot
+  readonly head: SnapshotHead
+  /** Position of the part in the data, in characters. */
+  readonly offset: number
+  readonly part: string
+  readonly round: number
+}
+
+/** Says how much of a snapshot the sender has; a complete snapshot is answered like entries. */
+export interface SnapshotAnswer {
+  readonly type: 'snapshotAnswer'
+  readonly term: number
+  readonly index: number
+  /** Position of the next part that the sender needs. */
+  readonly offset: number
   readonly round: number
+  readonly at: Millis
 }
 
 export interface AppendAnswer {
@@ -58,7 +80,7 @@
   readonly term: number
 }
 
-export type Message = VoteRequest | VoteAnswer | AppendRequest | SnapshotRequest | AppendAnswer | HandOver
+export type Message = VoteRequest | VoteAnswer | AppendRequest | SnapshotRequest | SnapshotAnswer | AppendAnswer | HandOver
 
 /** A message with its sender and recipient. `cluster` separates clusters that share addresses. */
 export interface Envelope {
--- a/packages/daemon/src/core/control/joining.ts
+++ b/packages/daemon/src/core/control/joining.ts
@@ -71,7 +71,7 @@
   ])
 })
 
-const snapshotSchema = z.object({ index: nonNegativeInt, term: nonNegativeInt, at: z.number(), members: z.array(memberSchema), data: z.string() })
+const snapshotHeadSchema = z.object({ index: nonNegativeInt, term: nonNegativeInt, at: z.number(), members: z.array(memberSchema), size: nonNegativeInt, checksum: nonNegativeInt })
 
 const envelopeSchema = z.strictObject({
   cluster: z.string(),
@@ -81,7 +81,8 @@
     z.strictObject({ type: z.literal('vote'), pre: z.boolean(), term: nonNegativeInt, lastIndex: nonNegativeInt, lastTerm: nonNegativeInt }),
     z.strictObject({ type: z.literal('voteAnswer'), pre: z.boolean(), term: nonNegativeInt, granted: z.boolean() }),
     z.strictObject({ type: z.literal('append'), term: nonNegativeInt, prevIndex: nonNegativeInt, prevTerm: nonNegativeInt, entries: z.array(entrySchema), commit: nonNegativeInt, round: nonNegativeInt, answeredAt: z.number().nullable(), confirmedAgeMs: z.number().min(0).nullable() }),
-    z.strictObject({ type: z.literal('snapshot'), term: nonNegativeInt, snapshot: snapshotSchema, round: nonNegativeInt }),
+    z.strictObject({ type: z.literal('snapshot'), term: nonNegativeInt, head: snapshotHeadSchema, offset: nonNegativeInt, part: z.string(), round: nonNegativeInt }),
+    z.strictObject({ type: z.literal('snapshotAnswer'), term: nonNegativeInt, index: nonNegativeInt, offset: nonNegativeInt, round: nonNegativeInt, at: z.number() }),
     z.strictObject({ type: z.literal('handOver'), term: nonNegativeInt }),
     z.strictObject({ type: z.literal('appendAnswer'), term: nonNegativeInt, ok: z.boolean(), index: z.number().int(), round: nonNegativeInt, at: z.number() })
   ])
