--- a/packages/daemon/__tests__/support/fleetFixture.ts
+++ b/packages/daemon/__tests__/support/fleetFixture.ts
@@ -17,6 +17,8 @@
 import { findFreePorts } from './freePorts.js'
 import { startPausableForwarder } from './pausableForwarder.js'
 import type { PausableForwarder } from './pausableForwarder.js'
+import { startSlowForwarder } from './slowForwarder.js'
+import type { SlowLinkCfg } from './slowForwarder.js'
 
 export const desk = brandId<ServiceId>('desk')
 const region = brandId<RegionId>('kochi')
@@ -39,16 +41,20 @@
   readonly controlCount?: number
   /** Whether other VMs reach the control VMs over links that a test can pause. */
   readonly hasControlLinks?: boolean
+  /** Delay and bandwidth of the links over which other VMs reach each control VM. */
+  readonly slowLinks?: SlowLinkCfg
 }
 
 /** Starts the control VMs, which form the initial group, and then the entry VMs; `fields` replace settings of all VMs. */
-export async function startFleetFixture (entryCount: number, { fields = {}, controlCount = 3, hasControlLinks = false }: FixtureOptions = {}): Promise<FleetFixture> {
+export async function startFleetFixture (entryCount: number, { fields = {}, controlCount = 3, hasControlLinks = false, slowLinks }: FixtureOptions = {}): Promise<FleetFixture> {
   const ports = await findFreePorts((controlCount + entryCount) * 3)
   const folder = await mkdtemp(join(tmpdir(), 'lynx-fleet-'))
   const getAddress = (portIndex: number): string => `127.0.0.1:${ports[portIndex]}`
   const controlAddresses = Array.from({ length: controlCount }, (_, index) => getAddress(index * 3))
   const controlLinks = hasControlLinks ? await Promise.all(controlAddresses.map(async address => await startPausableForwarder(address, true))) : []
-  const seeds = hasControlLinks ? controlLinks.map(({ address }) => address) : controlAddresses
+  const slowForwarders = slowLinks === undefined ? [] : await Promise.all(controlAddresses.map(async address => await startSlowForwarder(address, slowLinks)))
+  const links = [...controlLinks, ...slowForwarders]
+  const seeds = links.length > 0 ? links.map(({ address }) => address) : controlAddresses
   const settings = Array.from({ length: controlCount + entryCount }, (_, index): FleetSettings => ({
     name: `vm-${index}`,
     roles: index < controlCount ? ['control'] : ['entry'],
@@ -76,7 +82,7 @@
     controlLinks,
     [Symbol.asyncDispose]: async () => {
       for (const daemon of fixture.daemons) await daemon?.[Symbol.asyncDispose]()
-      for (const link of controlLinks) await link[Symbol.asyncDispose]()
+      for (const link of links) await link[Symbol.asyncDispose]()
       await rm(folder, { recursive: true, force: true })
     }
   }
@@ -100,6 +106,15 @@
   return fixture.daemons[index]?.control as FleetControl
 }
 
+/** Ends a VM, empties its disk and starts it again. */
+export async function loseDisk (fixture: FleetFixture, index: number): Promise<void> {
+  const cfg = fixture.settings[index] as FleetSettings
+  await fixture.daemons[index]?.[Symbol.asyncDispose]()
+  fixture.daemons[index] = undefined
+  await rm(cfg.dataFolder ?? '', { recursive: true, force: true })
+  fixture.daemons[index] = await startVm({ ...cfg, isFirstStart: false })
+}
+
 /** Waits until a condition is true; fails after 15 s. */
 export async function waitUntil (condition: () => boolean | Promise<boolean>): Promise<void> {
   const deadline = Date.now() + waitTimeoutMs
--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -4,14 +4,15 @@
  * appended together and share the next sync.
  */
 import { LynxError, createHolderId, isLynxError, loadChart, getErrorMessage, getHolderVm } from '@lynxcourse/base'
-import type { Incarnation } from '@lynxcourse/base'
-import { getUpToDateAt, stepReplica } from '@lynxcourse/agreement'
+import type { Incarnation, Millis } from '@lynxcourse/base'
+import { getUpToDateAt, isTransferring, stepReplica } from '@lynxcourse/agreement'
 import type { Envelope, ReplicaOutput, Replica, ReplicaEvent } from '@lynxcourse/agreement'
 import { applyEntry, createStateMachine, deserializeStateMachine, serializeStateMachine } from '@lynxcourse/state'
 import { randomUUID } from 'node:crypto'
 import { openStorage, probeDisk, readIdentity, rewriteLog, saveOutput, writeIdentity } from '../../plugins/logStorage.js'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
+import { packState, unpackState } from '../../utils/snapshotText.js'
 import { callPeer } from '../rpc/rpcClient.js'
 import type { LogStorage } from '../../plugins/logStorage.js'
 import { resolveProposal, recordHeardLeader, rejectAll, finishRead, createNotLeaderError } from './hostState.js'
@@ -20,6 +21,12 @@
 
 /** Number of applied entries after which a snapshot replaces them in the log. */
 const entriesPerSnapshot = 5000
+/** Size of the log file from which a snapshot replaces it, as long as the snapshot itself is small. */
+const minCompactedBytes = 1_048_576
+/** A log that is this many times as large as its snapshot is replaced by a new one. */
+const logBytesPerSnapshotByte = 4
+/** A snapshot on its way to another copy delays the next one until the log is this many times as large as otherwise. */
+const maxCompactionDelay = 4
 
 /** Opens the data folder and starts the replica stored there; an empty folder starts none. */
 export async function openControl (env: ControlEnv): Promise<ControlHost> {
@@ -182,10 +189,11 @@
     await withStallWatch(host, replica, saveOutput(host.storage, output, replica.entries))
     host.env.metrics.diskSyncs.inc()
     host.env.metrics.logEntries.set(replica.entries.length)
+    host.env.metrics.logBytes.set(host.storage.logBytes)
   }
   logMemberChanges(host, output)
   sendMessages(host, output.messages)
-  if (output.installSnapshot && output.snapshot !== undefined) host.machine = deserializeStateMachine(host.charts, output.snapshot.data)
+  if (output.installSnapshot && output.snapshot !== undefined) host.machine = deserializeStateMachine(host.charts, unpackState(output.snapshot.data))
   applyOutput(host, output)
   const isFirstUpToDate = host.appliedUpToDateAt === -Infinity && upToDateAt > -Infinity
   host.appliedUpToDateAt = upToDateAt
@@ -276,10 +284,25 @@
   if (output.committed.length > 0 || output.installSnapshot) for (const listener of host.progressListeners) listener()
 }
 
+/**
+ * Replaces applied entries by a snapshot once there are many or large ones. The log is held in memory, is read at each start, and is what a copy
+ * with an empty disk needs besides the snapshot.
+ */
 async function compactLogIfLong (host: ControlHost, replica: Replica): Promise<void> {
-  if (host.machine.applied - replica.snapshot.index < entriesPerSnapshot) return
-  const output = stepReplica(replica, { type: 'compact', index: host.machine.applied, data: serializeStateMachine(host.machine) }, getCurrentTime())
+  if (!isCompactionDue(host, replica, getCurrentTime())) return
+  const { machine, storage } = host
+  const logBytes = storage.logBytes
+  const output = stepReplica(replica, { type: 'compact', index: machine.applied, data: packState(serializeStateMachine(machine)) }, getCurrentTime())
   if (output.snapshot === undefined) return
-  await saveOutput(host.storage, output, replica.entries)
-  log(host.env.logs, 'agree', 'info', 'Snapshot written.', { index: output.snapshot.index, bytes: output.snapshot.data.length })
+  await withStallWatch(host, replica, saveOutput(storage, output, replica.entries))
+  log(host.env.logs, 'agree', 'info', 'Snapshot written.', { index: output.snapshot.index, bytes: output.snapshot.data.length, logBytes })
+}
+
+function isCompactionDue ({ machine, storage }: ControlHost, replica: Replica, now: Millis): boolean {
+  const { index, data } = replica.snapshot
+  const appliedCount = machine.applied - index
+  if (appliedCount <= 0) return false
+  const maxBytes = Math.max(minCompactedBytes, data.length * logBytesPerSnapshotByte)
+  if (appliedCount < entriesPerSnapshot && storage.logBytes < maxBytes) return false
+  return storage.logBytes >= maxBytes * maxCompactionDelay || !isTransferring(replica, now)
 }
--- a/packages/daemon/src/core/control/membership.ts
+++ b/packages/daemon/src/core/control/membership.ts
@@ -7,12 +7,13 @@
 import { writeIdentity, writeSnapshot } from '../../plugins/logStorage.js'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
+import { unpackState } from '../../utils/snapshotText.js'
 import type { ControlHost } from './hostState.js'
 
 /** Starts the replica from its stored state, with the state machine restored from the snapshot. */
 export function startReplica (host: ControlHost, snapshot: Snapshot, hardState: HardState, entries: readonly Entry[]): void {
   const { heartbeatMs, electionMs } = host.env.times
-  host.machine = deserializeStateMachine(host.charts, snapshot.data)
+  host.machine = deserializeStateMachine(host.charts, unpackState(snapshot.data))
   host.replica = createReplica({
     id: host.id,
     cluster: host.cluster ?? '',
--- a/packages/daemon/src/plugins/logStorage.ts
+++ b/packages/daemon/src/plugins/logStorage.ts
@@ -29,6 +29,8 @@
   readonly folder: string
   file: FileHandle
   hardState: HardState
+  /** Size of the log file. */
+  logBytes: number
   /** Number of syncs to disk so far. */
   syncs: number
 }
@@ -100,7 +102,7 @@
     await file.truncate(parsed.validBytes)
     const stored = snapshot === undefined ? undefined : replay(snapshot, parsed.records)
     const hardState = stored?.hardState ?? { term: 0, votedFor: undefined }
-    const storage: LogStorage = { folder, file, hardState, syncs: 0, [Symbol.asyncDispose]: async () => await storage.file.close() }
+    const storage: LogStorage = { folder, file, hardState, logBytes: parsed.validBytes, syncs: 0, [Symbol.asyncDispose]: async () => await storage.file.close() }
     return { storage, stored }
   } catch (err) {
     if (err instanceof LynxError) throw err
@@ -171,7 +173,9 @@
   if (out.hardState !== undefined) records.unshift({ kind: 'hardState', hardState: out.hardState })
   if (records.length === 0) return
   await withDiskErrors('append', async () => {
-    await storage.file.appendFile(Buffer.concat(records.map(encode)))
+    const bytes = Buffer.concat(records.map(encode))
+    storage.logBytes += bytes.length
+    await storage.file.appendFile(bytes)
     await storage.file.datasync()
     storage.syncs += 1
   })
@@ -255,7 +259,9 @@
 export async function rewriteLog (storage: LogStorage, remaining: readonly Entry[]): Promise<void> {
   await withDiskErrors('rewrite log', async () => {
     const records: StoredRecord[] = [{ kind: 'hardState', hardState: storage.hardState }, ...remaining.map((entry): StoredRecord => ({ kind: 'entry', entry }))]
-    await replaceFile(storage, logFileName, Buffer.concat(records.map(encode)))
+    const bytes = Buffer.concat(records.map(encode))
+    await replaceFile(storage, logFileName, bytes)
+    storage.logBytes = bytes.length
     await storage.file.close()
     storage.file = await open(join(storage.folder, logFileName), 'a+')
   })
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -34,6 +34,7 @@
   readonly logMessages: Counter<'peer' | 'type' | 'result'>
   readonly logEntriesSent: Counter<'peer'>
   readonly logEntries: Gauge
+  readonly logBytes: Gauge
   readonly rolloutSteps: Counter<'event'>
   readonly largeAnswerBytes: Counter
   readonly largeAnswers: Gauge
@@ -77,6 +78,7 @@
     logMessages: new Counter({ name: 'lynxcourse_log_messages_total', help: 'Messages of the replicated log to other control VMs, by type and whether they were delivered.', labelNames: ['peer', 'type', 'result'], registers }),
     logEntriesSent: new Counter({ name: 'lynxcourse_log_entries_sent_total', help: 'Entries of the log in messages to other control VMs, resent ones included.', labelNames: ['peer'], registers }),
     logEntries: new Gauge({ name: 'lynxcourse_log_entries', help: 'Entries of the log after its snapshot.', registers }),
+    logBytes: new Gauge({ name: 'lynxcourse_log_bytes', help: 'Size of the log file, without the snapshot.', registers }),
     rolloutSteps: new Counter({ name: 'lynxcourse_rollout_steps_total', help: 'Steps of rollouts that this VM submitted as the leader, by event.', labelNames: ['event'], registers }),
     largeAnswerBytes: new Counter({ name: 'lynxcourse_large_answer_bytes_total', help: 'Bytes of large answers written to callers while they were received.', registers }),
     largeAnswers: new Gauge({ name: 'lynxcourse_large_answers', help: 'Large answers that are being forwarded, written or waiting for the link.', registers }),
