A copy whose VM has come back with an empty disk leaves the voters when the new one joins

What callers saw: once a second disk was lost, no order was confirmed and no read answered for good.

Cause: the copy on the lost disk counted as a voter until the new one had caught up. Two such copies of three, or three of five, leave too few voters for a quorum, whatever the others have.

Change: the old copy, if it has been silent for an election timeout, is removed in the step that adds the new one as a learner, or in the next one. This never makes a quorum larger, and it changes one voter in a step. The new one becomes a voter in a step of its own.

--- a/packages/agreement/__tests__/catchUp.test.ts
+++ b/packages/agreement/__tests__/catchUp.test.ts
@@ -1,7 +1,8 @@
 /** Copies with empty disks and slow copies become whole again, over slow links and with large entries. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { createSlowGroup, describe, findLeader, isWhole, loseDisk, runFor, runUntil, startCopy, stopCopy, write } from './support/slowGroup.js'
+import { voters } from '@lynxcourse/agreement'
+import { createSlowGroup, describe, findLeader, hasData, isWhole, loseDisk, runFor, runUntil, startCopy, stopCopy, write } from './support/slowGroup.js'
 import type { Links, SlowCopy, SlowGroup } from './support/slowGroup.js'
 
 /** The longest delay between regions, and links on which a log of some megabytes takes longer than a call may take. */
@@ -84,3 +85,19 @@
   }
   assert.ok(isWhole(group, copy), `not whole after ${group.now - startedAt} ms: ${describe(group)}`)
 })
+
+// Guards against copies that are gone but still count as voters, so that the loss of another disk leaves too few voters.
+test('a voter is removed once its VM has come back with an empty disk, before the new copy has caught up', () => {
+  const group = createSlowGroup(5, betweenRegions, 7)
+  write(group, 0, 10, 3000)
+  const [first, second] = group.copies.filter(copy => copy !== findLeader(group)) as [SlowCopy, SlowCopy]
+  const [firstId, secondId] = [first.id, second.id]
+  group.isCut = envelope => (envelope.to === first.id || envelope.to === second.id) && hasData(envelope)
+  for (const copy of [first, second]) {
+    loseDisk(group, copy)
+    runFor(group, 4000)
+  }
+  const leader = findLeader(group)
+  assert.ok(leader?.replica !== undefined, describe(group))
+  assert.ok(!voters(leader.replica).some(id => id === firstId || id === secondId), `voters ${voters(leader.replica).join()}`)
+})
--- a/packages/agreement/__tests__/support/slowGroup.ts
+++ b/packages/agreement/__tests__/support/slowGroup.ts
@@ -123,7 +123,8 @@
   group.transmissions.push({ envelope, sentAt: group.now, left: size })
 }
 
-function hasData ({ message }: Envelope): boolean {
+/** Whether a message carries entries or a part of a snapshot. */
+export function hasData ({ message }: Envelope): boolean {
   return message.type === 'snapshot' || (message.type === 'append' && message.entries.length > 0)
 }
 
--- a/packages/agreement/src/core/memberChanges.ts
+++ b/packages/agreement/src/core/memberChanges.ts
@@ -4,11 +4,12 @@
  *
  * A VM that lost its disk has lost the record of its votes and the entries that it acknowledged. If it counted as the
  * same voter again, a quorum that lacks a committed entry could form. Therefore the VM returns under a new incarnation,
- * first as a learner. Its old copy is removed before the new one becomes a voter, because a swap in one step allows
- * quorums that don't overlap.
+ * first as a learner. Its old copy can't return. It is removed when the new one joins, before that one has any entries: as long as
+ * it counts as a voter, the loss of other disks can leave too few voters for a quorum. The new copy becomes a voter in a
+ * step of its own, because a swap in one step allows quorums that don't overlap.
  */
 import { getHolderVm } from '@lynxcourse/base'
-import type { HolderId, Millis } from '@lynxcourse/base'
+import type { HolderId, Millis, VmId } from '@lynxcourse/base'
 import type { Member } from '../types/log.js'
 import type { ReplicaOutput } from '../types/messages.js'
 import { appendEntry, broadcast } from './leaderReplication.js'
@@ -30,7 +31,7 @@
 }
 
 function planMemberChange (replica: Replica, now: Millis): readonly Member[] | undefined {
-  return planLearner(replica) ?? planPromotion(replica, now) ?? planRemoval(replica, now)
+  return planLearner(replica, now) ?? planReplacement(replica, now) ?? planPromotion(replica, now) ?? planRemoval(replica, now)
 }
 
 /** Number of election timeouts without an answer after which a voter may be removed; a few seconds, longer than a restart takes. */
@@ -48,33 +49,47 @@
   if (voters.length <= minVoters) return undefined
   const hasSuccessor = replica.members.some(member => !member.voter && isCaughtUp(replica, member.id, now))
   if (voters.length % 2 === 1 && !hasSuccessor) return undefined
-  const silent = voters.find(member => member.id !== replica.id && isSilent(replica, member.id, now))
+  const silent = voters.find(member => member.id !== replica.id && isSilent(replica, member.id, silentElectionTimeouts, now))
   return silent === undefined ? undefined : replica.members.filter(member => member !== silent)
 }
 
-function isSilent (replica: Replica, id: HolderId, now: Millis): boolean {
+function isSilent (replica: Replica, id: HolderId, electionTimeouts: number, now: Millis): boolean {
   const progress = replica.progress.get(id)
-  return progress !== undefined && now - progress.lastSeenAt > replica.times.electionMs * silentElectionTimeouts
+  return progress !== undefined && now - progress.lastSeenAt > replica.times.electionMs * electionTimeouts
 }
 
-function planLearner (replica: Replica): readonly Member[] | undefined {
+/** Whether a voter is an earlier copy of a VM that has joined again with an empty disk. A copy that still answers is none. */
+function isReplaced (replica: Replica, member: Member, vm: VmId, now: Millis): boolean {
+  return member.voter && member.id !== replica.id && getHolderVm(member.id) === vm && isSilent(replica, member.id, 1, now)
+}
+
+function planLearner (replica: Replica, now: Millis): readonly Member[] | undefined {
   for (const id of replica.joinRequests) {
     replica.joinRequests.delete(id)
     if (replica.members.some(member => member.id === id)) continue
     const vm = getHolderVm(id)
-    // Learners don't count towards quorums, so an outdated learner of the same VM can be removed in the same step.
-    const remaining = replica.members.filter(member => member.voter || getHolderVm(member.id) !== vm)
+    // Learners don't count towards quorums, so the step can add one and remove another one together with one voter.
+    const remaining = replica.members.filter(member => getHolderVm(member.id) !== vm || (member.voter && !isReplaced(replica, member, vm, now)))
     return [...remaining, { id, voter: false }]
   }
   return undefined
 }
 
+/** Plans the removal of a voter whose VM has a new copy, if it was not known to be gone yet when that copy joined. */
+function planReplacement (replica: Replica, now: Millis): readonly Member[] | undefined {
+  for (const learner of replica.members) {
+    if (learner.voter) continue
+    const replaced = replica.members.find(member => isReplaced(replica, member, getHolderVm(learner.id), now))
+    if (replaced !== undefined) return replica.members.filter(member => member !== replaced)
+  }
+  return undefined
+}
+
 function planPromotion (replica: Replica, now: Millis): readonly Member[] | undefined {
   for (const learner of replica.members) {
     if (learner.voter || !isCaughtUp(replica, learner.id, now)) continue
     const vm = getHolderVm(learner.id)
-    const outdated = replica.members.find(member => member.voter && getHolderVm(member.id) === vm)
-    if (outdated !== undefined) return replica.members.filter(member => member !== outdated)
+    if (replica.members.some(member => member.voter && getHolderVm(member.id) === vm)) continue
     if (replica.members.filter(member => member.voter).length >= maxVoters) continue
     return replica.members.map(member => member === learner ? { id: member.id, voter: true } : member)
   }
