A new copy becomes a voter while changes go on

What callers saw: nothing yet; a VM with a new disk added no safety for as long as changes came faster than a round trip.

Cause: a learner had to have the very last entry. While small changes go on, no copy but the leader has it.

Change: a learner counts as caught up if what it lacks fits into one message.

Measured: with a change each 30 ms and 55 ms of delay, the new test's learner is no voter after 6 s before (red), and is one now.

--- a/packages/agreement/__tests__/catchUp.test.ts
+++ b/packages/agreement/__tests__/catchUp.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { voters } from '@lynxcourse/agreement'
-import { createSlowGroup, describe, findLeader, hasData, isWhole, loseDisk, runFor, runUntil, startCopy, stopCopy, write } from './support/slowGroup.js'
+import { createSlowGroup, describe, findLeader, hasData, isWhole, loseDisk, runFor, runUntil, startCopy, step, stopCopy, write } from './support/slowGroup.js'
 import type { Links, SlowCopy, SlowGroup } from './support/slowGroup.js'
 
 /** The longest delay between regions, and links on which a log of some megabytes takes longer than a call may take. */
@@ -101,3 +101,23 @@
   assert.ok(leader?.replica !== undefined, describe(group))
   assert.ok(!voters(leader.replica).some(id => id === firstId || id === secondId), `voters ${voters(leader.replica).join()}`)
 })
+
+// Guards against a new copy that stays a learner for as long as changes go on, since it never has the very last entry.
+test('a copy with an empty disk becomes a voter while many small changes go on', () => {
+  const group = createSlowGroup(3, betweenRegions, 8)
+  for (let slot = 0; slot < 5; slot++) write(group, slot, 100, 3000)
+  const copy = group.copies.find(other => other !== findLeader(group)) as SlowCopy
+  loseDisk(group, copy)
+  const startedAt = group.now
+  while (!isVoterAtLeader(group, copy) && group.now - startedAt < 6000) {
+    const leader = findLeader(group)
+    if (leader !== undefined) step(group, leader, { type: 'propose', commands: [{ type: 'put', slot: 0, value: String(group.now) }] })
+    runFor(group, 30)
+  }
+  assert.ok(isVoterAtLeader(group, copy), `no voter after ${group.now - startedAt} ms: ${describe(group)}`)
+})
+
+function isVoterAtLeader (group: SlowGroup, { id }: SlowCopy): boolean {
+  const leader = findLeader(group)?.replica
+  return leader !== undefined && voters(leader).includes(id)
+}
--- a/packages/agreement/src/core/memberChanges.ts
+++ b/packages/agreement/src/core/memberChanges.ts
@@ -13,8 +13,9 @@
 import type { Member } from '../types/log.js'
 import type { ReplicaOutput } from '../types/messages.js'
 import { appendEntry, broadcast } from './leaderReplication.js'
-import { isEstablishedLeader, lastIndex } from './replica.js'
+import { isEstablishedLeader } from './replica.js'
 import type { Replica } from './replica.js'
+import { isAlmostCaughtUp } from './sendWindow.js'
 
 /** More voters would slow down commits and tolerate the loss of more failure domains than deployments plan for. */
 const maxVoters = 7
@@ -96,10 +97,13 @@
   return undefined
 }
 
-/** Whether a member has synced the leader's whole log and has answered within the last election timeout. */
+/**
+ * Whether a member has answered within the last election timeout and has synced the leader's log, but for entries that fit into one
+ * message: while changes go on, no member but the leader has all of it.
+ */
 function isCaughtUp (replica: Replica, id: HolderId, now: Millis): boolean {
   const progress = replica.progress.get(id)
   if (progress === undefined) return false
   const isRecentlySeen = now - progress.lastSeenAt < replica.times.electionMs
-  return isRecentlySeen && progress.match >= replica.commit && progress.match >= lastIndex(replica)
+  return isRecentlySeen && isAlmostCaughtUp(replica, progress)
 }
--- a/packages/agreement/src/core/sendWindow.ts
+++ b/packages/agreement/src/core/sendWindow.ts
@@ -109,8 +109,8 @@
 }
 
 /** Whether all entries that a member lacks fit into one message. */
-export function isAlmostCaughtUp (replica: Replica, { match }: Progress): boolean {
+export function isAlmostCaughtUp (replica: Replica, { match, transfer }: Progress): boolean {
   const last = lastIndex(replica)
-  if (match < replica.snapshot.index || last - match > maxEntriesPerMessage) return false
+  if (transfer !== undefined || match === 0 || match < replica.snapshot.index || last - match > maxEntriesPerMessage) return false
   return measureEntries(replica, match + 1, last + 1, maxMessageSize) <= maxMessageSize
 }
