--- a/packages/daemon/__tests__/storage.test.ts
+++ b/packages/daemon/__tests__/storage.test.ts
@@ -5,7 +5,7 @@
 import { test } from 'node:test'
 import fc from 'fast-check'
 import { createInitialSnapshot } from '@lynxcourse/agreement'
-import type { Entry, ReplicaOutput } from '@lynxcourse/agreement'
+import type { Entry, ReplicaOutput, Snapshot } from '@lynxcourse/agreement'
 import { brandId, isLynxError } from '@lynxcourse/base'
 import type { HolderId } from '@lynxcourse/base'
 import { openStorage, parseLog, parseSnapshot, saveOutput, writeSnapshot } from '@lynxcourse/daemon'
@@ -132,3 +132,46 @@
     assert.equal((await stat(created)).mode & 0o077, 0)
   })
 })
+
+/** Index and term of the entries that a start reads after a crash between the two files of an installed snapshot, and after one more entry. */
+async function readAfterInterruptedInstall (folder: string, snapshot: Snapshot, next: Entry): Promise<Array<Array<[number, number]> | undefined>> {
+  const { storage } = await openStorage(folder)
+  await writeSnapshot(storage, snapshot)
+  await storage[Symbol.asyncDispose]()
+  const first = await readEntryIds(folder)
+  const { storage: reopened } = await openStorage(folder)
+  await saveOutput(reopened, output({ entries: [next] }), [])
+  await reopened[Symbol.asyncDispose]()
+  return [first, await readEntryIds(folder)]
+}
+
+// Guards against entries of a former leader that count again because the process ended between the snapshot and the log.
+test('entries after a snapshot whose predecessor was replaced don\'t count after a crash, and later ones do', async () => {
+  await withFolder(async folder => {
+    await writeLog(folder)
+    const snapshot = { ...createInitialSnapshot([voter], ''), index: 2, term: 3 }
+    assert.deepEqual(await readAfterInterruptedInstall(folder, snapshot, entry(3, 3)), [[], [[3, 3]]])
+  })
+})
+
+// Guards against entries that were removed from the log and count again because a snapshot covers the ones that replaced them.
+test('entries that were replaced below a snapshot don\'t count after a crash', async () => {
+  await withFolder(async folder => {
+    const { storage } = await openStorage(folder)
+    await writeSnapshot(storage, createInitialSnapshot([voter], ''))
+    await saveOutput(storage, output({ entries: [entry(1), entry(2), entry(3), entry(4)] }), [])
+    await saveOutput(storage, output({ entries: [entry(2, 2)] }), [])
+    await storage[Symbol.asyncDispose]()
+    const snapshot = { ...createInitialSnapshot([voter], ''), index: 3, term: 2 }
+    assert.deepEqual(await readAfterInterruptedInstall(folder, snapshot, entry(4, 2)), [[], [[4, 2]]])
+  })
+})
+
+// Guards against a start that loses entries because the process ended between the snapshot and the log.
+test('entries after a snapshot that the log matches are kept after a crash', async () => {
+  await withFolder(async folder => {
+    await writeLog(folder)
+    const snapshot = { ...createInitialSnapshot([voter], ''), index: 2, term: 1 }
+    assert.deepEqual(await readAfterInterruptedInstall(folder, snapshot, entry(4, 2)), [[[3, 2]], [[3, 2], [4, 2]]])
+  })
+})
--- a/packages/daemon/src/plugins/logStorage.ts
+++ b/packages/daemon/src/plugins/logStorage.ts
@@ -100,10 +100,12 @@
     const parsed = parseLog(await readFileIfExists(path) ?? Buffer.alloc(0))
     const file = await open(path, 'a+')
     await file.truncate(parsed.validBytes)
-    const stored = snapshot === undefined ? undefined : replay(snapshot, parsed.records)
-    const hardState = stored?.hardState ?? { term: 0, votedFor: undefined }
+    const restored = snapshot === undefined ? undefined : replay(snapshot, parsed.records)
+    const hardState = restored?.stored.hardState ?? { term: 0, votedFor: undefined }
     const storage: LogStorage = { folder, file, hardState, logBytes: parsed.validBytes, syncs: 0, [Symbol.asyncDispose]: async () => await storage.file.close() }
-    return { storage, stored }
+    // Otherwise later entries would follow the ones that don't count, and be left out at the next start.
+    if (restored?.hasForeignEntries === true) await rewriteLog(storage, [])
+    return { storage, stored: restored?.stored }
   } catch (err) {
     if (err instanceof LynxError) throw err
     throw new LynxError('diskFailed', getErrorMessage(err), { step: 'open log', cause: err })
@@ -138,22 +140,39 @@
   return parseJson(payload.toString('utf8')) as Snapshot
 }
 
-/** Combines a snapshot with the records of the log file after it. */
-function replay (snapshot: Snapshot, records: readonly StoredRecord[]): StoredLog {
+/** The hard state and the entries of a log file; entries that were replaced later are left out. */
+function readRecords (snapshot: Snapshot, records: readonly StoredRecord[]): { hardState: HardState, entries: Entry[] } {
   let hardState: HardState = { term: snapshot.term, votedFor: undefined }
-  const entries: Entry[] = []
+  let entries: Entry[] = []
   for (const record of records) {
     if (record.kind === 'hardState') {
       hardState = record.hardState
       continue
     }
-    const { entry } = record
-    if (entry.index <= snapshot.index) continue
-    // An entry that is written again at an index replaces the old entry there and all entries after it.
-    entries.length = Math.min(entries.length, entry.index - snapshot.index - 1)
-    if (entry.index === snapshot.index + entries.length + 1) entries.push(entry)
+    // An entry that is written again at an index replaces the old entry there and all entries after it. After a crash between the
+    // installation of a snapshot and the replacement of the log, the next entry may not follow the old ones.
+    const position = record.entry.index - (entries[0]?.index ?? record.entry.index)
+    if (position < 0 || position > entries.length) entries = []
+    else entries.length = position
+    entries.push(record.entry)
   }
-  return { hardState, snapshot, entries }
+  return { hardState, entries }
+}
+
+/**
+ * Combines a snapshot with the records of the log file.
+ *
+ * A crash can leave a log file that is older than the snapshot. Entries after the snapshot count only if they continue it: after
+ * another entry at the snapshot's index they were never committed, and must not count in votes.
+ *
+ * @returns the restored state, and whether the file holds entries after the snapshot that don't count
+ */
+function replay (snapshot: Snapshot, records: readonly StoredRecord[]): { stored: StoredLog, hasForeignEntries: boolean } {
+  const { hardState, entries } = readRecords(snapshot, records)
+  const later = entries.filter(entry => entry.index > snapshot.index)
+  const covered = entries.find(entry => entry.index === snapshot.index)
+  const isContinuation = later[0]?.index === snapshot.index + 1 && (covered === undefined || covered.term === snapshot.term)
+  return { stored: { hardState, snapshot, entries: isContinuation ? later : [] }, hasForeignEntries: later.length > 0 && !isContinuation }
 }
 
 /**
