--- a/packages/daemon/__tests__/rpcClient.test.ts
+++ b/packages/daemon/__tests__/rpcClient.test.ts
@@ -3,11 +3,15 @@
 import { test } from 'node:test'
 import { once } from 'node:events'
 import { createServer } from 'node:http'
+import { randomBytes } from 'node:crypto'
+import { createServer as createTcpServer } from 'node:net'
+import { gunzipSync } from 'node:zlib'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { isLynxError } from '@lynxcourse/base'
 import { callPeer, createRpcClient } from '@lynxcourse/daemon'
 import type { RpcClient } from '@lynxcourse/daemon'
+import { startSlowForwarder } from './support/slowForwarder.js'
 
 interface TestPeer extends AsyncDisposable {
   readonly address: string
@@ -60,3 +64,53 @@
   await using client = createClient()
   await assert.rejects(callPeer(client, peer.address, 'test.ping', {}), err => isLynxError(err, 'badRequest') && err.field === 'version' && err.message.includes('too old'))
 })
+
+async function startEchoPeer (sizes: number[], accepted: string | undefined): Promise<TestPeer> {
+  return await startPeer((req, res) => {
+    const chunks: Buffer[] = []
+    req.on('data', chunk => chunks.push(chunk))
+    req.on('end', () => {
+      const body = Buffer.concat(chunks)
+      sizes.push(body.length)
+      const text = req.headers['content-encoding'] === 'gzip' ? gunzipSync(body).toString() : body.toString()
+      const { params } = JSON.parse(text) as { params: { text: string } }
+      if (accepted !== undefined) res.setHeader('accept-encoding', accepted)
+      res.end(JSON.stringify({ jsonrpc: '2.0', id: 1, result: params.text.length }))
+    })
+  })
+}
+
+/** Guards against a large message over a slow link whose call always ends before it is written, however often it is sent. */
+test('a large message that takes longer than the timeout arrives as long as the link takes more of it', async () => {
+  const sizes: number[] = []
+  await using peer = await startEchoPeer(sizes, undefined)
+  await using link = await startSlowForwarder(peer.address, { delayMs: 20, bytesPerSecond: 1_000_000 })
+  await using client = createClient()
+  const text = randomBytes(600_000).toString('hex')
+  assert.equal(await callPeer(client, link.address, 'test.store', { text }), text.length)
+})
+
+/** Guards against a call to a peer that reads nothing and blocks its caller for good. */
+test('a large message to a peer that takes none of it fails after the timeout', async () => {
+  const server = createTcpServer(socket => socket.pause()).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  await using client = createClient()
+  const startedAt = performance.now()
+  const text = 'x'.repeat(1_000_000)
+  await assert.rejects(callPeer(client, `127.0.0.1:${(server.address() as AddressInfo).port}`, 'test.store', { text }), err => isLynxError(err, 'peerFailed'))
+  assert.ok(performance.now() - startedAt < 10_000)
+  server.close()
+})
+
+/** Guards against large messages that are sent uncompressed, and against compressed ones to a peer that can't read them. */
+test('large messages are compressed once the peer has said that it reads them', async () => {
+  const text = 'route '.repeat(20_000)
+  for (const [accepted, isCompressed] of [['gzip', true], [undefined, false]] as const) {
+    const sizes: number[] = []
+    await using peer = await startEchoPeer(sizes, accepted)
+    await using client = createClient()
+    for (let count = 0; count < 2; count++) assert.equal(await callPeer(client, peer.address, 'test.store', { text }), text.length)
+    assert.ok((sizes[0] ?? 0) > text.length, 'the first message is plain')
+    assert.equal((sizes[1] ?? 0) < text.length / 10, isCompressed)
+  }
+})
--- a/packages/daemon/src/core/rpc/compression.ts
+++ b/packages/daemon/src/core/rpc/compression.ts
@@ -37,6 +37,6 @@
   try {
     return gunzipSync(body, { maxOutputLength: maxBytes }).toString('utf8')
   } catch (err) {
-    throw new LynxError('peerFailed', 'the response can\'t be decompressed', { step: 'unpack', cause: err })
+    throw new LynxError('peerFailed', 'the message can\'t be decompressed', { step: 'unpack', cause: err })
   }
 }
--- a/packages/daemon/src/core/rpc/rpcClient.ts
+++ b/packages/daemon/src/core/rpc/rpcClient.ts
@@ -8,7 +8,7 @@
 import type { ErrorCode, Millis } from '@lynxcourse/base'
 import type { Metrics } from '../../utils/metrics.js'
 import { resetIfUnanswered } from '../../utils/resetIfUnanswered.js'
-import { decompressText } from './compression.js'
+import { compressText, decompressText, shouldCompress, supportedEncoding } from './compression.js'
 import { postMessage } from './rpcPost.js'
 
 /** Configuration of an RPC client. */
@@ -24,6 +24,8 @@
 export interface RpcClient extends AsyncDisposable {
   readonly cfg: RpcClientCfg
   readonly pools: Map<string, Pool>
+  /** Content codings that each peer has said it accepts; a peer of an earlier version says nothing. */
+  readonly acceptedEncodings: WeakMap<Pool, string>
 }
 
 /** Each HTTP request carries one call, so that all calls may have the same id. */
@@ -34,7 +36,7 @@
 const maxResponseBytes = 67_108_864
 
 export function createRpcClient (cfg: RpcClientCfg): RpcClient {
-  const client: RpcClient = { cfg, pools: new Map(), [Symbol.asyncDispose]: async () => await closeClient(client) }
+  const client: RpcClient = { cfg, pools: new Map(), acceptedEncodings: new WeakMap(), [Symbol.asyncDispose]: async () => await closeClient(client) }
   return client
 }
 
@@ -99,7 +101,7 @@
   try {
     const body = JSON.stringify(createJSONRPCRequest(requestId, method, params))
     client.cfg.metrics?.rpcBytes.inc({ direction: 'out' }, body.length)
-    const text = await post(pool, body, timeoutMs ?? client.cfg.timeoutMs)
+    const text = await post(client, pool, body, timeoutMs ?? client.cfg.timeoutMs)
     client.cfg.metrics?.rpcBytes.inc({ direction: 'in' }, text.length)
     const response = parseJson(text) as JSONRPCResponse
     if (response.id !== requestId) throw new LynxError('peerFailed', getErrorMessage(response.error), { step: method, peer: address })
@@ -110,11 +112,14 @@
   }
 }
 
-async function post (pool: Pool, body: string, timeoutMs: Millis): Promise<string> {
-  const response = await postMessage(pool, body, timeoutMs)
-  const text = decompressText(response.body, response.encoding, maxResponseBytes)
-  if (response.status !== 200) throw createStatusError(response.status, text)
-  return text
+async function post ({ acceptedEncodings }: RpcClient, pool: Pool, text: string, timeoutMs: Millis): Promise<string> {
+  const isCompressed = shouldCompress(acceptedEncodings.get(pool), text.length)
+  const message = isCompressed ? { body: compressText(text), encoding: supportedEncoding } : { body: text, encoding: undefined }
+  const response = await postMessage(pool, message, timeoutMs)
+  if (response.acceptedEncodings !== undefined) acceptedEncodings.set(pool, response.acceptedEncodings)
+  const answer = decompressText(response.body, response.encoding, maxResponseBytes)
+  if (response.status !== 200) throw createStatusError(response.status, answer)
+  return answer
 }
 
 /** Creates the error for a response that the peer sent before it processed the message as RPC. */
--- a/packages/daemon/src/core/rpc/rpcServer.ts
+++ b/packages/daemon/src/core/rpc/rpcServer.ts
@@ -15,7 +15,7 @@
 import type { RateLimit } from '../../utils/rateLimit.js'
 import { checkSenderConnected } from '../../utils/senderCheck.js'
 import type { TlsFiles } from '../../plugins/tlsFiles.js'
-import { shouldCompress, compressText, supportedEncoding } from './compression.js'
+import { shouldCompress, compressText, decompressText, supportedEncoding } from './compression.js'
 
 /**
  * The sender of a call, identified by the common name of its certificate: `vm:NAME`, `operator:NAME` or `server:NAME`.
@@ -102,9 +102,10 @@
   const ensureConnected = async (): Promise<void> => await checkSenderConnected(loop.polls, req.socket, 'receive')
   const gone = new CancelSignal()
   res.once('close', () => gone.abort())
-  const answer = await methods.receiveJSON(body.toString('utf8'), { ...caller, ensureConnected, gone })
+  const message = decompressText(body, req.headers['content-encoding'], maxBytes)
+  const answer = await methods.receiveJSON(message, { ...caller, ensureConnected, gone })
   const text = JSON.stringify(answer ?? null)
-  const type = { 'content-type': 'application/json' }
+  const type = { 'content-type': 'application/json', 'accept-encoding': supportedEncoding }
   if (shouldCompress(req.headers['accept-encoding']?.toString(), text.length)) {
     res.writeHead(200, { ...type, 'content-encoding': supportedEncoding }).end(compressText(text))
     return
