A known server drains also while its service is not configured

What callers saw: requests reached a draining server up to a second later than is allowed after its drain was confirmed.

Cause: announcements for a service that is left out of the routes were ignored, and confirmed as if nothing had changed. The server's item stayed as it was, and entry VMs used it as soon as the service was back.

Change: such an announcement counts if it comes from a server that is known by its id, service and address.

--- a/packages/state/__tests__/routes.test.ts
+++ b/packages/state/__tests__/routes.test.ts
@@ -214,3 +214,19 @@
   apply(machine, { type: 'announce', facts: createFacts('old-0', { address: '10.0.1.0:80', seq: 7 }) })
   assert.deepEqual(listPresentBackends(machine.config), ['new'])
 })
+
+/** Guards against requests to a draining server whose drain was confirmed while its service was not configured. */
+test('a known server drains while its service is left out of the routes, and an unknown one is not added', () => {
+  const machine = createTestMachine()
+  const withDesk = createRouteSet(createRoute('read'))
+  apply(machine, createReplaceCommand('one', 0, 1, withDesk))
+  apply(machine, { type: 'announce', facts: createFacts('a') })
+  apply(machine, createReplaceCommand('two', 1, 2, { ...withDesk, routes: [createRoute('read', { service: ledger })], upstreams: [createUpstream(ledger)] }))
+  const draining = createFacts('a', { isDraining: true, seq: 2 })
+  assert.equal(hasBackendChanged(machine.config, draining), true, 'the drain has to be recorded before it is confirmed')
+  apply(machine, { type: 'announce', facts: draining })
+  apply(machine, { type: 'announce', facts: createFacts('b', { address: '10.0.0.2:80' }) })
+  apply(machine, createReplaceCommand('three', 2, 3, withDesk))
+  assert.equal(findItem(machine.config, 'backend', 'a')?.state, 'draining')
+  assert.equal(findItem(machine.config, 'backend', 'b'), undefined)
+})
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -210,7 +210,7 @@
  * requests, or requests would go to a server that has ended.
  */
 export function acceptsAnnouncement (config: Config, facts: BackendAnnouncement, current = findItem(config, 'backend', facts.id)): boolean {
-  if (!isKnownService(config, facts.service)) return false
+  if (!isKnownService(config, facts.service) && !isSameServer(facts, current)) return false
   if (listOthersAtAddress(config, facts).some(other => other.state !== 'lost' && isEarlierIncarnation(facts, other))) return false
   if (current === undefined || isLaterIncarnation(facts, current)) return true
   if (current.state === 'gone') return false
@@ -228,6 +228,14 @@
   return getRoutesVersion(config) === 0 || findItem(config, 'upstream', service)?.upstream !== undefined
 }
 
+/**
+ * Whether an announcement comes from a known server. While its service is left out of the configuration, the server may begin to drain,
+ * and must not get requests once the service is back.
+ */
+function isSameServer (facts: BackendAnnouncement, current: BackendItem | undefined): boolean {
+  return current !== undefined && current.facts.service === facts.service && current.facts.address === facts.address
+}
+
 /** Returns the other servers at the same address that have not ended. */
 function listOthersAtAddress (config: Config, facts: BackendAnnouncement): BackendItem[] {
   return listItems(config, 'backend').filter(other => other.key !== facts.id && other.facts.address === facts.address && other.state !== 'gone')
