Routes match their hosts in whatever case they are written

What callers saw: a route whose host has an upper-case letter was accepted, and each request for it got 404.

Cause: the host of a request is compared in lower case, the one of the route was taken as it is.

Change: the table and the search for duplicates use hosts in lower case; what operators read back stays as they wrote it.

Measured: the new test fails before and passes now.

--- a/packages/routing/__tests__/routeTable.test.ts
+++ b/packages/routing/__tests__/routeTable.test.ts
@@ -32,3 +32,9 @@
     return split.every(part => Math.abs((picked.get(part.service) ?? 0) - count * part.weight / total) <= list.length)
   }), { seed })
 })
+
+// Guards against routes that are accepted and never match, since host names of requests are compared in lower case.
+test('a route matches its host in whatever case either is written', () => {
+  const table = buildRouteTable([createRoute('a', { host: 'Desk.Example', pathPrefix: '/a/' })])
+  for (const host of ['desk.example', 'DESK.example:80', 'Desk.Example']) assert.equal(matchRoute(table, host, '/a/1')?.name, 'a')
+})
--- a/packages/routing/src/core/routeTable.ts
+++ b/packages/routing/src/core/routeTable.ts
@@ -3,14 +3,15 @@
 import type { Route } from '@lynxcourse/state'
 import type { ServiceId } from '@lynxcourse/base'
 
-/** Routes by host, ordered by descending length of the path prefix. */
+/** Routes by host in lower case, ordered by descending length of the path prefix. */
 export type RouteTable = ReadonlyMap<string, readonly Route[]>
 
 export function buildRouteTable (routes: readonly Route[]): RouteTable {
   const table = new Map<string, Route[]>()
   for (const route of routes) {
-    const group = table.get(route.host)
-    if (group === undefined) table.set(route.host, [route])
+    const host = route.host.toLowerCase()
+    const group = table.get(host)
+    if (group === undefined) table.set(host, [route])
     else group.push(route)
   }
   for (const group of table.values()) group.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -118,7 +118,7 @@
   for (const route of set.routes) {
     const problem = findRouteProblem(route, services)
     if (problem !== undefined) return `route '${route.name}': ${problem}`
-    const match = `${route.host} ${route.pathPrefix}`
+    const match = `${route.host.toLowerCase()} ${route.pathPrefix}`
     if (usedMatches.has(match)) return `route '${route.name}': pathPrefix is taken by another route of the same host`
     if (usedNames.has(route.name)) return `route '${route.name}': name is used by another route`
     usedMatches.add(match)
