A route that names an unknown service beside its own is invalid

What callers saw: an operator's mistake was accepted: a route with a service and a split that names an unknown one.

Cause: the split was not looked at if the route had a service.

Change: both are checked.

Measured: the new case of the test fails before and passes now.

--- a/packages/state/__tests__/routes.test.ts
+++ b/packages/state/__tests__/routes.test.ts
@@ -70,6 +70,8 @@
   apply(machine, createReplaceCommand('one', 0, 5, createRouteSet(createRoute('read'))))
   const cases: Array<[RouteSet, RegExp]> = [
     [createRouteSet(createRoute('x', { service: brandId<ServiceId>('nobody') })), /route 'x'.*'nobody' is not known/],
+    // Guards against a route that names an unknown service beside the one that it uses.
+    [createRouteSet(createRoute('x', { split: [{ service: brandId<ServiceId>('nobody'), weight: 0 }] })), /route 'x'.*'nobody' is not known/],
     [createRouteSet(createRoute('x', { timeoutMs: 0 })), /route 'x'.*timeout/],
     [createRouteSet(createRoute('x', { aimMs: 61_001 })), /route 'x'.*objective/],
     [createRouteSet(createRoute('x', { service: undefined, split: [{ service: desk, weight: 0 }] })), /weights add up to 0/],
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -133,7 +133,7 @@
   if (!route.pathPrefix.startsWith('/') || !route.pathPrefix.endsWith('/')) return 'pathPrefix must begin and end with a slash'
   const routeServices = getRouteServices(route)
   if (routeServices.length === 0) return 'has no service'
-  const unknownService = routeServices.find(entry => !services.has(entry.service))
+  const unknownService = [...routeServices, ...route.split].find(entry => !services.has(entry.service))
   if (unknownService !== undefined) return `service '${unknownService.service}' is not known`
   if (routeServices.some(entry => entry.weight < 0)) return 'a weight is negative'
   if (routeServices.reduce((sum, entry) => sum + entry.weight, 0) <= 0) return 'weights add up to 0'
