The reload signal no longer ends a process that starts

What callers saw: a VM ended and started again if its settings changed within some 250 ms after its start.

Cause: the handler of SIGHUP was set once the start was complete. Without one, the signal ends the process.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -10,6 +10,7 @@
 import { DefaultCallerDialect, DefaultServerDialect } from './core/gateway/dialects.js'
 import { log } from './utils/logging.js'
 import { readAnySettings, readCallerBlocks } from './utils/readSettings.js'
+import { listenForReload } from './utils/reloadSignal.js'
 
 const exitFailed = 1
 const exitBadInput = 2
@@ -48,8 +49,9 @@
 async function start (file: string): Promise<RunningVm> {
   const settings = readAnySettings(file)
   if (settings.kind === 'fleet') {
+    const reloadSignal = listenForReload()
     const vm = await startFleetDaemon(settings.cfg, { callers: new DefaultCallerDialect(), servers: new DefaultServerDialect() })
-    process.on('SIGHUP', () => reloadFleetFile(vm, file))
+    reloadSignal.handle(() => reloadFleetFile(vm, file))
     return { leave: async () => await leaveFleet(vm), [Symbol.asyncDispose]: async () => await vm[Symbol.asyncDispose]() }
   }
   const daemon = await startDaemon(settings.cfg, readCallerBlocks(settings.cfg, file))
