Bytes without end from a backend server are cut off, and answers in progress share a bounded memory

Cause: only header fields were limited, by the HTTP client's parser. Each answer could take 16 MiB, so that some 20 of them took an entry VM's memory.

The connection is closed, the send counts as spoiled, and a line names the server, its address and what it sent.

--- a/packages/daemon/__tests__/exchange.test.ts
+++ b/packages/daemon/__tests__/exchange.test.ts
@@ -10,6 +10,7 @@
 import { Client, buildConnector } from 'undici'
 import { isLynxError } from '@lynxcourse/base'
 import { getCurrentTime, startExchange } from '@lynxcourse/daemon'
+import type { Exchange, ReceivedAnswer } from '@lynxcourse/daemon'
 
 const openingMs = 120
 const options = { method: 'POST' as const, path: '/offer', body: 'offer' }
@@ -42,6 +43,12 @@
   }
 }
 
+async function readWhole (exchange: Exchange): Promise<ReceivedAnswer> {
+  const received = await exchange.answer
+  assert.ok(received.type === 'whole')
+  return received
+}
+
 /**
  * Guards against this failure: a caller gets the answer that its request may have run, although no server received the
  * request.
@@ -52,7 +59,7 @@
   exchange.abort()
   await assert.rejects(exchange.answer, err => isLynxError(err, 'cancelled'))
   const nextExchange = startExchange(fixture.client, { ...options, path: '/next' }, () => true, () => undefined)
-  assert.equal((await nextExchange.answer).body?.toString(), 'done')
+  assert.equal((await readWhole(nextExchange)).body.toString(), 'done')
   assert.deepEqual([exchange.startedAt, fixture.paths], [undefined, ['/next']])
 })
 
@@ -60,8 +67,8 @@
   await using fixture = await startSlowOpeningFixture()
   const dispatchedAt = getCurrentTime()
   const exchange = startExchange(fixture.client, options, () => true, () => undefined)
-  const { status, body } = await exchange.answer
-  assert.deepEqual([status, body?.toString()], [200, 'done'])
+  const { status, body } = await readWhole(exchange)
+  assert.deepEqual([status, body.toString()], [200, 'done'])
   assert.ok((exchange.startedAt ?? 0) - dispatchedAt >= openingMs - 5)
 })
 
@@ -75,6 +82,6 @@
   const exchange = startExchange(fixture.client, options, now => now <= openedBy, () => undefined)
   await assert.rejects(exchange.answer, err => isLynxError(err, 'cancelled'))
   const nextExchange = startExchange(fixture.client, { ...options, path: '/next' }, () => true, () => undefined)
-  assert.equal((await nextExchange.answer).body?.toString(), 'done')
+  assert.equal((await readWhole(nextExchange)).body.toString(), 'done')
   assert.deepEqual([exchange.startedAt, fixture.paths], [undefined, ['/next']])
 })
--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -24,6 +24,10 @@
   wasReset: boolean
   /** Called when the connection is open and its request is about to be written. */
   onOpen: (() => void) | undefined
+  /** The socket, once the connection is open. */
+  socket: Socket | undefined
+  /** Called when bytes have arrived, before they are parsed. */
+  onReadable: (() => void) | undefined
 }
 
 /** Connections to backend servers. Disposing the pool closes all of them. */
@@ -103,7 +107,7 @@
   client.on('connectionError', () => undefined)
   const state = createConnectionState(pool.chart, now)
   applyConnectionEvent(pool.chart, state, 'take')
-  const connection: Connection = { client, state, address, isReused: false, restedMs: 0, wasReset: false, onOpen: undefined }
+  const connection: Connection = { client, state, address, isReused: false, restedMs: 0, wasReset: false, onOpen: undefined, socket: undefined, onReadable: undefined }
   return connection
 }
 
@@ -125,6 +129,8 @@
     }
     if (err === null) {
       pool.onConnect?.(getConnection().address, requestedAt, socket)
+      getConnection().socket = socket
+      socket.on('readable', () => getConnection().onReadable?.())
       // If data and a reset arrive together, libuv reports an ordinary end. The socket still shows the difference: it has
       // a remote address after a close, and none after a reset.
       socket.once('end', () => { if (socket.remoteAddress === undefined) getConnection().wasReset = true })
--- a/packages/daemon/src/core/gateway/exchange.ts
+++ b/packages/daemon/src/core/gateway/exchange.ts
@@ -7,9 +7,9 @@
 import type { Millis } from '@lynxcourse/base'
 import type { HeaderMap } from '../../types/answers.js'
 import { getCurrentTime } from '../../utils/clock.js'
+import { createAnswerBudget, createAnswerMeter, hasExcessiveOverhead, recordBodyPart, releaseMeter } from './answerLimits.js'
+import type { AnswerBudget, AnswerMeter } from './answerLimits.js'
 
-/** Maximum size of an answer in memory; a caller gets an answer only after the whole of it was checked. */
-const maxAnswerBytes = 16_777_216
 const firstFinalStatus = 200
 
 /** The head of a server's final answer. */
@@ -20,8 +20,16 @@
 
 /** A server's whole answer. */
 export interface ReceivedAnswer extends AnswerHead {
-  /** Undefined if the body exceeds the size limit; empty if a receiver took it over. */
-  readonly body: Buffer | undefined
+  readonly type: 'whole'
+  /** Empty if a receiver took the body over. */
+  readonly body: Buffer
+}
+
+/** An answer that exceeds a limit. */
+export interface ExcessiveAnswer {
+  readonly type: 'excessive'
+  /** The limit, and what the server had sent. */
+  readonly detail: string
 }
 
 /** Controls how fast a server's answer is read. */
@@ -42,13 +50,21 @@
 /** An exchange in progress. */
 export interface Exchange {
   /** Rejects when the connection fails or `abort` is called. */
-  readonly answer: Promise<ReceivedAnswer>
+  readonly answer: Promise<ReceivedAnswer | ExcessiveAnswer>
   /** When writing of the request began; undefined before. */
   startedAt: Millis | undefined
+  /** Checks what the connection has received, before it is parsed. */
+  readonly checkReceived: () => void
   /** Ends the exchange at once; a request that is not being written yet is never written. */
   readonly abort: () => void
 }
 
+/** The memory for answers, and the bytes that the connection has received so far. */
+export interface ReceiveCfg {
+  readonly budget: AnswerBudget
+  readonly getBytesRead: () => number
+}
+
 /**
  * Starts an exchange.
  *
@@ -56,27 +72,40 @@
  * chosen; otherwise the exchange is cancelled
  * @param onHead called when the head of the final answer is received
  * @param receiver takes over the bodies of large answers; undefined if all answers are read whole
+ * @param receiving bounds what the server may send; by default only the size of its body
  */
-export function startExchange (client: Client, options: Dispatcher.DispatchOptions, mayWrite: (now: Millis) => boolean, onHead: (head: AnswerHead) => void, receiver?: BodyReceiver): Exchange {
+export function startExchange (client: Client, options: Dispatcher.DispatchOptions, mayWrite: (now: Millis) => boolean, onHead: (head: AnswerHead) => void, receiver?: BodyReceiver, receiving: ReceiveCfg = { budget: createAnswerBudget(), getBytesRead: () => 0 }): Exchange {
   let controller: Dispatcher.DispatchController | undefined
+  let meter: AnswerMeter | undefined
   let isAborted = false
+  let resolveAnswer: (received: ReceivedAnswer | ExcessiveAnswer) => void = () => undefined
   let rejectAnswer: (err: Error) => void = () => undefined
-  const answer = new Promise<ReceivedAnswer>((resolve, reject) => {
+  const answer = new Promise<ReceivedAnswer | ExcessiveAnswer>((resolve, reject) => {
+    resolveAnswer = resolve
     rejectAnswer = reject
     client.dispatch(options, {
       onRequestStart: requestController => {
         controller = requestController
         const now = getCurrentTime()
-        if (isAborted || !mayWrite(now)) requestController.abort(createCancelledError())
-        else exchange.startedAt = now
+        if (isAborted || !mayWrite(now)) {
+          requestController.abort(createCancelledError())
+          return
+        }
+        exchange.startedAt = now
+        meter = createAnswerMeter(receiving.budget, receiving.getBytesRead())
       },
-      ...createAnswerCollector(resolve, onHead, receiver),
+      ...createAnswerCollector(resolve, onHead, () => meter, receiver),
       onResponseError: (_controller, err) => reject(err)
     })
   })
   const exchange: Exchange = {
-    answer,
+    answer: answer.finally(() => { if (meter !== undefined) releaseMeter(meter) }),
     startedAt: undefined,
+    checkReceived: () => {
+      if (meter === undefined || meter.isReleased || !hasExcessiveOverhead(meter, receiving.getBytesRead())) return
+      resolveAnswer({ type: 'excessive', detail: `${receiving.getBytesRead() - meter.readBefore} bytes with ${meter.bodyBytes} bytes of a body are no answer` })
+      controller?.abort(createCancelledError())
+    },
     abort: () => {
       isAborted = true
       controller?.abort(createCancelledError())
@@ -92,8 +121,8 @@
 
 type AnswerCollector = Pick<Dispatcher.DispatchHandler, 'onResponseStart' | 'onResponseData' | 'onResponseEnd'>
 
-function createAnswerCollector (resolve: (received: ReceivedAnswer) => void, onHead: (head: AnswerHead) => void, receiver: BodyReceiver | undefined): AnswerCollector {
-  const chunks: Buffer[] = []
+function createAnswerCollector (resolve: (received: ReceivedAnswer | ExcessiveAnswer) => void, onHead: (head: AnswerHead) => void, getMeter: () => AnswerMeter | undefined, receiver: BodyReceiver | undefined): AnswerCollector {
+  let chunks: Buffer[] = []
   let head: AnswerHead | undefined
   let size = 0
   // Whether the body is passed on; undefined until it is known to be large.
@@ -111,12 +140,18 @@
         isPassedOn = receiver.accept(head, { pause: () => controller.pause(), resume: () => controller.resume() })
         if (isPassedOn) for (const earlier of chunks.splice(0)) receiver.receive(earlier)
       }
-      if (isPassedOn === true) receiver?.receive(chunk)
-      else if (size <= maxAnswerBytes) chunks.push(chunk)
-      else resolve({ ...head, body: undefined })
+      const meter = getMeter()
+      if (meter === undefined || recordBodyPart(meter, chunk.length, isPassedOn !== true)) {
+        if (isPassedOn === true) receiver?.receive(chunk)
+        else chunks.push(chunk)
+        return
+      }
+      chunks = []
+      resolve({ type: 'excessive', detail: `the body exceeds the limit after ${size} bytes` })
+      controller.abort(createCancelledError())
     },
     onResponseEnd: () => {
-      if (head !== undefined) resolve({ ...head, body: chunks.length === 1 ? chunks[0] : Buffer.concat(chunks) })
+      if (head !== undefined) resolve({ type: 'whole', ...head, body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks) })
     }
   }
 }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -21,6 +21,8 @@
 import { createRetryTotals } from './retryTotals.js'
 import type { RetryTotals } from './retryTotals.js'
 import type { Pipelines } from './pipeline.js'
+import { createAnswerBudget } from './answerLimits.js'
+import type { AnswerBudget } from './answerLimits.js'
 import { createTeamPermits } from './teamPermits.js'
 import type { TeamPermits } from './permitState.js'
 
@@ -50,6 +52,8 @@
   waitingForState: number
   /** Bytes of request bodies in memory. */
   bufferedBodyBytes: number
+  /** Memory of the answers that are being received from servers. */
+  readonly answerBudget: AnswerBudget
 }
 
 export function createGateway (node: FleetNode, callers: CallerDialect, servers: ServerDialect): Gateway {
@@ -82,6 +86,7 @@
     open: 0,
     waitingForCapacity: new Map(),
     waitingForState: 0,
-    bufferedBodyBytes: 0
+    bufferedBodyBytes: 0,
+    answerBudget: createAnswerBudget()
   }
 }
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -8,6 +8,7 @@
 import type { HeaderMap } from '../../types/answers.js'
 import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { removeHopByHopHeaders } from '../../utils/headers.js'
+import { log } from '../../utils/logging.js'
 import { recordIteration } from '../../utils/loopMonitor.js'
 import { afterPoll } from '../../utils/pollPhase.js'
 import { closeConnection, closeSilentConnection, recordUnansweredReset, recordConnectionProgress, releaseConnection, acquireConnection } from '../entry/connectionPool.js'
@@ -15,7 +16,7 @@
 import { acceptAnswer, deliverRest, dropAnswer, isHeldBack, receivePart } from './answerStream.js'
 import type { Call } from './call.js'
 import { canBePaused, startExchange } from './exchange.js'
-import type { BodyReceiver, Exchange, ReceivedAnswer } from './exchange.js'
+import type { BodyReceiver, ExcessiveAnswer, Exchange, ReceivedAnswer } from './exchange.js'
 import type { Gateway } from './gateway.js'
 import { observeStatements } from './serverNotices.js'
 import { mayUseState } from './stateWait.js'
@@ -90,7 +91,8 @@
     recordIteration(gateway.loop)
     recordConnectionProgress(gateway.pool, connection, getCurrentTime())
     observeStatements(gateway, call, placement.server, head)
-  }, createReceiver(gateway, call, () => watch.pin()))
+  }, createReceiver(gateway, call, () => watch.pin()), { budget: gateway.answerBudget, getBytesRead: () => connection.socket?.bytesRead ?? 0 })
+  connection.onReadable = exchange.checkReceived
   const watch = watchSend(gateway, call, timeouts, now, exchange.abort)
   const result = await awaitResult(gateway, call, placement, { connection, exchange, startedAt: now, watch, wasWithdrawn: () => isWithdrawn })
   return { result, writtenAt: exchange.startedAt, restedMs }
@@ -166,15 +168,20 @@
   return { ...result, connectMs: result.connectMs + stream.heldMs }
 }
 
-function handleAnswer (gateway: Gateway, call: Call, placement: Placement, connection: Connection, received: ReceivedAnswer, connectMs: Millis): SendResult {
+function handleAnswer (gateway: Gateway, call: Call, placement: Placement, connection: Connection, received: ReceivedAnswer | ExcessiveAnswer, connectMs: Millis): SendResult {
+  if (received.type === 'excessive') {
+    closeConnection(gateway.pool, connection, 'close')
+    log(gateway.node.logs, 'route', 'warn', 'Answer of a server exceeds the limits.', { id: call.facts.id, server: placement.server.facts.id, address: placement.server.facts.address, detail: received.detail })
+    return { type: 'lost', reason: 'spoiled', detail: received.detail }
+  }
   const { status, headers: rawHeaders, body } = received
   const kind = gateway.servers.classifyAnswer(call.facts, status, rawHeaders)
   const isTruncated = connection.wasReset && !hasBodyFraming(rawHeaders)
-  if (body === undefined || isTruncated || kind === 'spoiled') {
+  if (isTruncated || kind === 'spoiled') {
     // The answer is incomplete, belongs to another request or is not the server's own, so the rest of this connection
     // can't be trusted.
     closeConnection(gateway.pool, connection, 'close')
-    return { type: 'lost', reason: 'spoiled', detail: body === undefined ? 'the answer exceeds the size limit' : isTruncated ? 'the connection was reset while the body was read' : 'the answer does not belong to the request' }
+    return { type: 'lost', reason: 'spoiled', detail: isTruncated ? 'the connection was reset while the body was read' : 'the answer does not belong to the request' }
   }
   releaseConnection(gateway.pool, connection, getCurrentTime())
   // Another server sent this answer, so it doesn't show that the intended server is alive.
