A change of routes is proposed once, and one that can't be taken is refused

What callers saw: whole configurations of 4 MB were answered with 503 each time, although some of them were accepted; each repetition was another entry of the log, and the leader changed meanwhile.

Cause: an order whose outcome was unknown was proposed again. Bodies up to 16 MiB and any number of routes were taken, whatever the memory and the time that they need.

Change: the leader keeps the changes that it has proposed and the ones that were accepted; a repetition waits for these.

--- a/packages/daemon/src/core/control/proposals.ts
+++ b/packages/daemon/src/core/control/proposals.ts
@@ -1,5 +1,6 @@
 /** Proposals to and linearizable reads from this VM's replica. */
 import { LynxError } from '@lynxcourse/base'
+import type { Millis } from '@lynxcourse/base'
 import type { ChangeAnswer, CommandAnswer, Command } from '@lynxcourse/state'
 import { enqueueEvent, startProcessing } from './controlHost.js'
 import { finishRead, isLeading, createNotLeaderError } from './hostState.js'
@@ -11,16 +12,16 @@
 /**
  * Proposes a command and waits until it is committed and applied.
  *
+ * @param timeoutMs time after which the outcome counts as unknown
  * @throws LynxError `notLeader` when this VM is not the leader, `noQuorum` when the outcome is unknown, `overCapacity`
  *   when too many proposals are waiting, or the error that stopped the replica
  */
-export async function proposeCommand (host: ControlHost, command: Command): Promise<CommandAnswer> {
+export async function proposeCommand (host: ControlHost, command: Command, timeoutMs: Millis = host.env.times.rpcTimeoutMs): Promise<CommandAnswer> {
   if (host.failed !== undefined) throw host.failed
   if (!isLeading(host)) throw createNotLeaderError(host)
   if (host.proposals.length + host.appendedProposals.size >= maxProposals) {
     throw new LynxError('overCapacity', `${maxProposals} proposals are already waiting`, { step: 'propose' })
   }
-  const timeoutMs = host.env.times.rpcTimeoutMs
   return await new Promise<CommandAnswer>((resolve, reject) => {
     const timer = setTimeout(() => reject(new LynxError('noQuorum', `no quorum within ${timeoutMs} ms`, { step: 'propose' })), timeoutMs)
     const clearTimerThen = <Value>(finish: (value: Value) => void) => (value: Value): void => {
@@ -36,10 +37,11 @@
  * Proposes a command that is answered like an operator's change, and waits for the answer.
  *
  * @param step name of the operation, for errors
+ * @param timeoutMs time after which the outcome counts as unknown
  * @throws LynxError as `proposeCommand` does, and `badRpc` if the command could not be applied
  */
-export async function proposeChange (host: ControlHost, command: Command, step: string): Promise<ChangeAnswer> {
-  const answer = await proposeCommand(host, command)
+export async function proposeChange (host: ControlHost, command: Command, step: string, timeoutMs: Millis = host.env.times.rpcTimeoutMs): Promise<ChangeAnswer> {
+  const answer = await proposeCommand(host, command, timeoutMs)
   if (answer.type === 'change') return answer.change
   throw new LynxError('badRpc', answer.type === 'failed' ? answer.detail : 'the state machine returned no result for the change', { step })
 }
--- /dev/null
+++ b/packages/daemon/src/core/fleet/changesInProgress.ts
@@ -0,0 +1,85 @@
+/**
+ * Changes of routes that a control VM processes.
+ *
+ * An operator who gets no answer in time sends a change again. A large one takes longer than a call waits; if each repetition were another entry of the
+ * log, the leader would fall further behind with each of them. Several large ones at once would not fit into a control VM's memory.
+ */
+import { LynxError } from '@lynxcourse/base'
+import type { Millis } from '@lynxcourse/base'
+import { getRoutesVersion } from '@lynxcourse/state'
+import type { ChangeAnswer, ReplaceRoutesCommand, RouteChangeId, UpdateRoutesCommand } from '@lynxcourse/state'
+import type { ControlHost } from '../control/hostState.js'
+import { confirmRead, proposeChange } from '../control/proposals.js'
+
+/** Maximum size of the changes that are decoded at once, in bytes of their bodies. A larger one is decoded alone. */
+const maxBytesInProgress = 2_097_152
+/** Time after which a change that was proposed is proposed again if it is sent again. */
+const proposedMs: Millis = 10_000
+
+interface ProposedChange {
+  readonly term: number
+  readonly answer: Promise<ChangeAnswer>
+}
+
+/** The changes in progress at one control VM. */
+export interface ChangesInProgress {
+  bytes: number
+  /** At the leader: changes that were proposed and have no result yet. */
+  readonly proposed: Map<RouteChangeId, ProposedChange>
+}
+
+export function createChangesInProgress (): ChangesInProgress {
+  return { bytes: 0, proposed: new Map() }
+}
+
+/**
+ * Processes a change if there is memory for it.
+ *
+ * @throws LynxError `overCapacity` if the changes in progress are too large already
+ */
+export async function admitChange<Result> (changes: ChangesInProgress, bytes: number, work: () => Promise<Result>): Promise<Result> {
+  if (changes.bytes > 0 && changes.bytes + bytes > maxBytesInProgress) {
+    throw new LynxError('overCapacity', `changes of ${changes.bytes} bytes are in progress`, { step: 'admit change' })
+  }
+  changes.bytes += bytes
+  try {
+    return await work()
+  } finally {
+    changes.bytes -= bytes
+  }
+}
+
+/**
+ * Proposes a change of routes at the leader, unless it has been accepted or proposed already.
+ *
+ * @throws LynxError as `proposeChange` does; a change without a result in time may still be accepted
+ */
+export async function proposeRouteChange (changes: ChangesInProgress, host: ControlHost, command: ReplaceRoutesCommand | UpdateRoutesCommand): Promise<ChangeAnswer> {
+  if (host.machine.orders.has(command.order)) {
+    await confirmRead(host)
+    const { config } = host.machine
+    return { ok: true, version: config.version, itemVersion: getRoutesVersion(config) }
+  }
+  const term = host.replica?.term ?? 0
+  const known = changes.proposed.get(command.order)
+  if (known?.term === term) return await waitForAnswer(known.answer, host.env.times.rpcTimeoutMs)
+  const answer = proposeChange(host, command, 'submit', proposedMs)
+  const proposed: ProposedChange = { term, answer }
+  changes.proposed.set(command.order, proposed)
+  const forget = (): void => { if (changes.proposed.get(command.order) === proposed) changes.proposed.delete(command.order) }
+  // Callers get errors by `waitForAnswer`; after it, the answer may have no caller left.
+  answer.then(forget, forget)
+  return await waitForAnswer(answer, host.env.times.rpcTimeoutMs)
+}
+
+async function waitForAnswer (answer: Promise<ChangeAnswer>, timeoutMs: Millis): Promise<ChangeAnswer> {
+  let timer: NodeJS.Timeout | undefined
+  const timeout = new Promise<never>((_resolve, reject) => {
+    timer = setTimeout(() => reject(new LynxError('noQuorum', `no quorum within ${timeoutMs} ms`, { step: 'propose' })), timeoutMs)
+  })
+  try {
+    return await Promise.race([answer, timeout])
+  } finally {
+    clearTimeout(timer)
+  }
+}
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -17,6 +17,8 @@
 import { callPeer } from '../rpc/rpcClient.js'
 import { enqueueAnnouncement, createAnnouncementQueue } from './announcementQueue.js'
 import type { AnnouncementQueue } from './announcementQueue.js'
+import { createChangesInProgress, proposeRouteChange } from './changesInProgress.js'
+import type { ChangesInProgress } from './changesInProgress.js'
 import { listControlAddresses } from './fleetNode.js'
 import type { FleetNode } from './fleetNode.js'
 import { cancelTrial, createLoadBoard, createLoadAggregate } from '@lynxcourse/placement'
@@ -37,6 +39,7 @@
   readonly board: LoadBoard
   readonly announcementQueue: AnnouncementQueue
   readonly permits: ControlIssuer
+  readonly changes: ChangesInProgress
   /** At the leader: trials of restricted requests. */
   readonly trials: Trials
   /** At the leader: running rollouts. */
@@ -73,7 +76,7 @@
   }
   recordProgress()
   host.progressListeners.push(recordProgress)
-  return { node, host, knownVersions, presence: createPresence(), loadAggregate: createLoadAggregate(), board: createLoadBoard(), announcementQueue: createAnnouncementQueue(), permits, trials: new Map(), rollouts: createRolloutLeader() }
+  return { node, host, knownVersions, presence: createPresence(), loadAggregate: createLoadAggregate(), board: createLoadBoard(), announcementQueue: createAnnouncementQueue(), changes: createChangesInProgress(), permits, trials: new Map(), rollouts: createRolloutLeader() }
 }
 
 function createControlEnv (node: FleetNode, isFounder: boolean): ControlEnv {
@@ -136,7 +139,8 @@
   }
   const command = isRelayed ? submitted : withBaseVersion(control, submitted, arrivedAt)
   if (isLeading(host)) {
-    const answer = await proposeChange(host, command, 'submit')
+    const isRouteSetChange = command.type === 'replaceRoutes' || command.type === 'updateRoutes'
+    const answer = isRouteSetChange ? await proposeRouteChange(control.changes, host, command) : await proposeChange(host, command, 'submit')
     logCommand(control, command, answer)
     return answer
   }
--- a/packages/state/__tests__/routes.test.ts
+++ b/packages/state/__tests__/routes.test.ts
@@ -4,7 +4,7 @@
 import { brandId, loadChart } from '@lynxcourse/base'
 import type { FailureDomainId, ServerId, ServiceId } from '@lynxcourse/base'
 import {
-  applyEntry, createConfig, createStateMachine, getDeltaSince, findItem, hasBackendChanged, listItems, listPresentBackends, deserializeStateMachine, findRouteSet, getRoutesVersion,
+  applyEntry, createConfig, createStateMachine, getDeltaSince, findItem, hasBackendChanged, listItems, listPresentBackends, deserializeStateMachine, findRouteSet, getRoutesVersion, maxRoutes,
   applyDelta, serializeStateMachine
 } from '@lynxcourse/state'
 import type { BackendAnnouncement, ChangeAnswer, StateMachine, RouteChangeId, Route, RouteCommand, RouteSet, Upstream } from '@lynxcourse/state'
@@ -232,3 +232,13 @@
   assert.equal(findItem(machine.config, 'backend', 'a')?.state, 'draining')
   assert.equal(findItem(machine.config, 'backend', 'b'), undefined)
 })
+
+// Guards against control VMs that fall behind or run out of memory with a configuration that grew step by step.
+test('an update that makes more routes than are possible is rejected, and the routes stay as they are', () => {
+  const machine = createTestMachine()
+  const first = Array.from({ length: maxRoutes }, (_, index) => createRoute(`r${index}`, { pathPrefix: `/r${index}/` }))
+  assert.equal(getCode(apply(machine, createReplaceCommand('one', 0, 1, createRouteSet(...first)))), 'ok')
+  const answer = apply(machine, { type: 'updateRoutes', order: 'two' as RouteChangeId, baseVersion: 1, routesVersion: 2, putRoutes: [createRoute('more')], putUpstreams: [], removeRoutes: [], removeUpstreams: [], limits: undefined })
+  assert.match(answer.ok ? '' : answer.detail, /40001 routes, at most 40000/)
+  assert.equal(getRoutesVersion(machine.config), 1)
+})
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -15,6 +15,9 @@
 /** A latency objective that exceeds the timeout by this much or more is rejected as a probable mistake. */
 const maxAimAboveTimeoutMs = 60_000
 
+/** Maximum number of routes; each change of more of them would take a control VM longer than an election timeout. */
+export const maxRoutes = 40_000
+
 /** Maximum number of accepted route changes that are kept: two days at 9,800 changes a day. */
 export const maxAcceptedRouteChanges = 20_000
 
@@ -112,6 +115,7 @@
 
 /** Returns a description of the first invalid route or team, with its name and field; undefined if all are valid. */
 export function findRouteSetProblem (set: RouteSet): string | undefined {
+  if (set.routes.length > maxRoutes) return `routes: ${set.routes.length} routes, at most ${maxRoutes} are possible`
   const services = new Set(set.upstreams.map(upstream => upstream.name))
   const usedMatches = new Set<string>()
   const usedNames = new Set<string>()
