--- a/packages/daemon/__tests__/fleetControl.test.ts
+++ b/packages/daemon/__tests__/fleetControl.test.ts
@@ -73,6 +73,12 @@
   assert.equal((await readRoutes(getControl(fixture, 0))).routesVersion, 2)
 })
 
+/** Whether a control VM counts its state as current as of a time. Both ages are taken at one reading of the clock, and rounded in the same way. */
+function isCurrentAsOf (control: FleetControl, at: number): boolean {
+  const now = getCurrentTime()
+  return getStateAge(control, now) <= now - at
+}
+
 /** Guards against a restarted entry VM that is ready without routes or servers and rejects all requests. */
 test('a control VM does not confirm its state as current before committed entries are on its disk', async () => {
   await using fixture = await startFleetFixture(0)
@@ -100,9 +106,8 @@
   const message = { type: 'append', term, prevIndex: index - 1, prevTerm: replica.entries.at(-1)?.term ?? 0, entries: [{ index, term, at: getCurrentTime(), body: { type: 'command', command } }], commit: index, round: 1, answeredAt: sentAt, confirmedAgeMs: 0 }
   await callPeer(control.node.client, control.node.cfg.rpc, 'log.message', { cluster: replica.cluster, from, to: host.id, message })
   await waitUntil(() => replica.commit === index)
-  const confirmedAt = getCurrentTime() - getStateAge(control, getCurrentTime())
-  assert.deepEqual([host.machine.config.version, confirmedAt < sentAt], [version, true])
+  assert.deepEqual([host.machine.config.version, isCurrentAsOf(control, sentAt)], [version, false])
   releaseSync()
   await waitUntil(() => host.machine.config.version > version)
-  await waitUntil(() => getCurrentTime() - getStateAge(control, getCurrentTime()) >= sentAt)
+  await waitUntil(() => isCurrentAsOf(control, sentAt))
 })
