--- a/packages/agreement/__tests__/catchUp.test.ts
+++ b/packages/agreement/__tests__/catchUp.test.ts
@@ -1,8 +1,9 @@
 /** Copies with empty disks and slow copies become whole again, over slow links and with large entries. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { voters } from '@lynxcourse/agreement'
-import { createSlowGroup, describe, findLeader, hasData, isWhole, loseDisk, runFor, runUntil, startCopy, step, stopCopy, write } from './support/slowGroup.js'
+import fc from 'fast-check'
+import { getEntrySize, voters } from '@lynxcourse/agreement'
+import { createSlowGroup, describe, findLeader, hasData, isWhole, loseDisk, readState, runFor, runUntil, startCopy, step, stopCopy, tryWrite, write } from './support/slowGroup.js'
 import type { Links, SlowCopy, SlowGroup } from './support/slowGroup.js'
 
 /** The longest delay between regions, and links on which a log of some megabytes takes longer than a call may take. */
@@ -121,3 +122,61 @@
   const leader = findLeader(group)?.replica
   return leader !== undefined && voters(leader).includes(id)
 }
+
+const seed = 68
+const slotCount = 8
+const largestValue = 150_000
+/** Writes before the first loss: with 5 of them there is a log, with more a snapshot. */
+const firstWrites = 9
+
+const actionArbitrary = fc.oneof(
+  { weight: 6, arbitrary: fc.record({ do: fc.constant('writeLarge' as const), pick: fc.nat(), size: fc.integer({ min: 20_000, max: largestValue }) }) },
+  { weight: 3, arbitrary: fc.record({ do: fc.constant('writeSmall' as const), pick: fc.nat(), size: fc.integer({ min: 20, max: 2000 }) }) },
+  { weight: 2, arbitrary: fc.record({ do: fc.constant('loseDisk' as const), pick: fc.nat(), size: fc.integer({ min: 100, max: 3000 }) }) },
+  { weight: 1, arbitrary: fc.record({ do: fc.constant('restart' as const), pick: fc.nat(), size: fc.integer({ min: 100, max: 3000 }) }) },
+  { weight: 1, arbitrary: fc.record({ do: fc.constant('cut' as const), pick: fc.nat(), size: fc.integer({ min: 100, max: 900 }) }) }
+)
+const linksArbitrary = fc.record({ delayMs: fc.integer({ min: 1, max: 55 }), bandwidth: fc.integer({ min: 400, max: 1500 }), callMs: fc.constant(800) })
+
+/** Time in which an empty copy is whole: it joins, gets the snapshot and the log at half of the bandwidth, and becomes a voter. */
+function getCatchUpMs (group: SlowGroup): number {
+  const { bandwidth, delayMs } = group.links
+  const sizes = group.copies.map(({ replica }) => (replica?.snapshot.data.length ?? 0) + (replica?.entries ?? []).reduce((sum, entry) => sum + getEntrySize(entry), 0))
+  const size = Math.max(...sizes)
+  return 4000 + 2 * size / bandwidth + size / 32_768 * 2 * delayMs
+}
+
+// Guards against any of the ways in which a copy doesn't become whole again, and against the loss of what was confirmed.
+test('what was confirmed can be read back, and empty copies are whole in their time, with entries of any size and disks lost in turn', () => {
+  fc.assert(fc.property(fc.constantFrom(3, 5), linksArbitrary, fc.array(actionArbitrary, { minLength: 8, maxLength: 24 }), (size, links, actions) => {
+    const group = createSlowGroup(size, links, seed)
+    const written = new Map<number, string>()
+    const unknown = new Set<number>()
+    for (let slot = 0; slot < firstWrites; slot++) tryWrite(group, slotCount + slot, largestValue, 10_000)
+    for (const { do: kind, pick, size: amount } of actions) {
+      const copy = group.copies[pick % size] as SlowCopy
+      if (kind === 'writeLarge' || kind === 'writeSmall') {
+        const slot = pick % slotCount
+        const value = tryWrite(group, slot, amount, 10_000)
+        if (value === undefined) unknown.add(slot)
+        else written.set(slot, value)
+      } else if (kind === 'cut') {
+        group.isCut = ({ from, to }) => from === copy.id || to === copy.id
+        runFor(group, amount)
+        group.isCut = () => false
+      } else {
+        if (kind === 'loseDisk') loseDisk(group, copy)
+        else stopCopy(copy)
+        copy.joinAt = Infinity
+        runFor(group, amount)
+        startCopy(group, copy)
+        copy.joinAt = group.now
+        runUntil(group, () => isWhole(group, copy), getCatchUpMs(group), `the copy is whole after '${kind}'`)
+      }
+    }
+    const state = readState(group)
+    for (const [slot, value] of written) {
+      if (!unknown.has(slot)) assert.equal(state.get(slot), value, `slot ${slot}`)
+    }
+  }), { seed, numRuns: 40 })
+})
--- a/packages/agreement/__tests__/support/slowGroup.ts
+++ b/packages/agreement/__tests__/support/slowGroup.ts
@@ -218,13 +218,25 @@
 
 /** Proposes a command that writes a value of the given size, once there is a leader, and waits until it is committed there. */
 export function write (group: SlowGroup, slot: number, size: number, limitMs: Millis): void {
+  assert.ok(tryWrite(group, slot, size, limitMs) !== undefined, `the leader changed during a command: ${describe(group)}`)
+}
+
+/** Does the same; returns the written value, or undefined if the leader changed meanwhile, so that the outcome is unknown. */
+export function tryWrite (group: SlowGroup, slot: number, size: number, limitMs: Millis): string | undefined {
   runUntil(group, () => findLeader(group) !== undefined, limitMs, 'a leader')
   const leader = findLeader(group) as SlowCopy
   const replica = leader.replica as Replica
   const index = lastIndex(replica) + 1
-  step(group, leader, { type: 'propose', commands: [{ type: 'put', slot, value: `${index}:`.padEnd(size, 'x') }] })
-  runUntil(group, () => replica.commit >= index || leader.replica !== replica || findLeader(group) !== leader, limitMs, `a command of ${size} characters`)
-  assert.ok(leader.replica === replica && replica.commit >= index, `the leader changed during a command: ${describe(group)}`)
+  const value = `${index}:`.padEnd(size, 'x')
+  step(group, leader, { type: 'propose', commands: [{ type: 'put', slot, value }] })
+  runUntil(group, () => replica.commit >= index || findLeader(group) !== leader, limitMs, `a command of ${size} characters`)
+  return leader.replica === replica && replica.commit >= index ? value : undefined
+}
+
+/** Returns the values of the state at the leader. */
+export function readState (group: SlowGroup): Map<number, string> {
+  runUntil(group, () => findLeader(group) !== undefined, 10_000, 'a leader that can be read')
+  return new Map(findLeader(group)?.state.slots)
 }
 
 /** Whether a copy is a voter that has applied all that its leader has committed. */
