--- a/packages/agreement/__tests__/catchUp.test.ts
+++ b/packages/agreement/__tests__/catchUp.test.ts
@@ -2,8 +2,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { getEntrySize, voters } from '@lynxcourse/agreement'
-import { createSlowGroup, describe, findLeader, hasData, isWhole, loseDisk, readState, runFor, runUntil, startCopy, step, stopCopy, tryWrite, write } from './support/slowGroup.js'
+import { getEntrySize, hasData, voters } from '@lynxcourse/agreement'
+import { createSlowGroup, describe, findLeader, isWhole, loseDisk, readState, runFor, runUntil, startCopy, step, stopCopy, tryWrite, write } from './support/slowGroup.js'
 import type { Links, SlowCopy, SlowGroup } from './support/slowGroup.js'
 
 /** The longest delay between regions, and links on which a log of some megabytes takes longer than a call may take. */
@@ -93,7 +93,7 @@
   write(group, 0, 10, 3000)
   const [first, second] = group.copies.filter(copy => copy !== findLeader(group)) as [SlowCopy, SlowCopy]
   const [firstId, secondId] = [first.id, second.id]
-  group.isCut = envelope => (envelope.to === first.id || envelope.to === second.id) && hasData(envelope)
+  group.isCut = envelope => (envelope.to === first.id || envelope.to === second.id) && hasData(envelope.message)
   for (const copy of [first, second]) {
     loseDisk(group, copy)
     runFor(group, 4000)
--- a/packages/agreement/__tests__/support/slowGroup.ts
+++ b/packages/agreement/__tests__/support/slowGroup.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { brandId, createRandom, getHolderVm, hashText, loadChart } from '@lynxcourse/base'
 import type { HolderId, Millis, Random } from '@lynxcourse/base'
-import { createInitialSnapshot, createReplica, getEntrySize, isEstablishedLeader, isTransferring, lastIndex, stepReplica, voters } from '@lynxcourse/agreement'
+import { createInitialSnapshot, createReplica, getEntrySize, hasData, isEstablishedLeader, isTransferring, lastIndex, stepReplica, voters } from '@lynxcourse/agreement'
 import type { Entry, Envelope, Replica, ReplicaEvent, ReplicaOutput, StoredLog } from '@lynxcourse/agreement'
 
 const chart = loadChart('agreementRole')
@@ -119,15 +119,10 @@
 function transmit (group: SlowGroup, envelope: Envelope): void {
   const size = JSON.stringify(envelope).length
   group.largest = Math.max(group.largest, size)
-  if (hasData(envelope)) group.sent += 1
+  if (hasData(envelope.message)) group.sent += 1
   group.transmissions.push({ envelope, sentAt: group.now, left: size })
 }
 
-/** Whether a message carries entries or a part of a snapshot. */
-export function hasData ({ message }: Envelope): boolean {
-  return message.type === 'snapshot' || (message.type === 'append' && message.entries.length > 0)
-}
-
 export function step (group: SlowGroup, copy: SlowCopy, event: ReplicaEvent): void {
   if (copy.replica === undefined) return
   executeOutput(group, copy, stepReplica(copy.replica, event, group.now))
@@ -171,7 +166,7 @@
 }
 
 function reportFailure (group: SlowGroup, envelope: Envelope): void {
-  if (!hasData(envelope)) return
+  if (!hasData(envelope.message)) return
   group.failed += 1
   const sender = group.copies.find(({ id }) => id === envelope.from)
   if (sender !== undefined) step(group, sender, { type: 'undelivered', envelope })
--- a/packages/agreement/src/agreement.ts
+++ b/packages/agreement/src/agreement.ts
@@ -5,7 +5,7 @@
  */
 export { createReplica, getEntrySize, getUpToDateAt, isLeader, isEstablishedLeader, isTransferring, isVoter, lastIndex, voters } from './internal.js'
 export { stepReplica } from './internal.js'
-export { createInitialSnapshot } from './internal.js'
+export { createInitialSnapshot, hasData } from './internal.js'
 export type { Replica, ReplicaSetup } from './internal.js'
 export type { Entry, EntryBody, HardState, Member, Snapshot, StoredLog } from './internal.js'
 export type { Envelope, Message, ReplicaOutput, ReplicaEvent, ReplicaTimes } from './internal.js'
--- a/packages/agreement/src/core/leaderReplication.ts
+++ b/packages/agreement/src/core/leaderReplication.ts
@@ -1,6 +1,6 @@
 /** The leader's side of replication: appends entries, sends them and processes answers. */
 import type { HolderId, Millis } from '@lynxcourse/base'
-import type { EntryBody } from '../types/log.js'
+import type { Entry, EntryBody } from '../types/log.js'
 import type { AppendAnswer, AppendRequest, Message, ReplicaOutput, SnapshotAnswer } from '../types/messages.js'
 import {
   commitUpTo, entryAt, isEstablishedLeader, isLeader, lastEntryAt, lastIndex, maxReachedByQuorum, send, termAt, voters
@@ -45,13 +45,17 @@
 
 function replicateTo (replica: Replica, to: HolderId, now: Millis, out: ReplicaOutput): void {
   const progress = getProgress(replica, to, now)
+  sendEntries(replica, to, progress, takeEntries(replica, progress), now, out)
+}
+
+/** Sends a member entries from its next one on, or a heartbeat without any; sends a snapshot instead if it lacks what comes before. */
+function sendEntries (replica: Replica, to: HolderId, progress: Progress, entries: readonly Entry[], now: Millis, out: ReplicaOutput): void {
   const prevIndex = progress.next - 1
   const prevTerm = termAt(replica, prevIndex)
   if (prevTerm === undefined || progress.transfer !== undefined) {
     sendSnapshot(replica, to, progress, now, out)
     return
   }
-  const entries = takeEntries(replica, progress)
   const { term, round } = replica
   send(replica, out, to, { type: 'append', term, prevIndex, prevTerm, entries, commit: getAdvertisedCommit(replica), round, ...describeFreshness(replica, progress, now) })
   recordSent(progress, entries.length, now)
@@ -59,7 +63,8 @@
 
 /** Sends a member the entries that it lacks, if its window has space for any of them. */
 function sendMissingEntries (replica: Replica, to: HolderId, progress: Progress, now: Millis, out: ReplicaOutput): void {
-  if (takeEntries(replica, progress).length > 0) replicateTo(replica, to, now, out)
+  const entries = takeEntries(replica, progress)
+  if (entries.length > 0) sendEntries(replica, to, progress, entries, now, out)
 }
 
 /** Processes a host's report that it could not deliver a message of this leader; the next broadcast sends its content again. */
--- a/packages/agreement/src/core/sendWindow.ts
+++ b/packages/agreement/src/core/sendWindow.ts
@@ -21,8 +21,8 @@
 const messagesInFlight = 2
 /** Entries on their way are sent again at once if they are smaller than this, in characters; larger ones wait for an answer. */
 const maxResentSize = 8192
-/** Time after which entries on their way count as lost although no failure was reported, in election timeouts. */
-const lostElectionTimeouts = 3
+/** Time after which entries or a part of a snapshot on their way count as lost although no failure was reported, in election timeouts. */
+export const lostElectionTimeouts = 3
 
 const sizes = new WeakMap<Entry, number>()
 
--- a/packages/agreement/src/core/snapshotTransfer.ts
+++ b/packages/agreement/src/core/snapshotTransfer.ts
@@ -9,14 +9,13 @@
 import type { Snapshot } from '../types/log.js'
 import type { ReplicaOutput, SnapshotAnswer, SnapshotHead, SnapshotRequest } from '../types/messages.js'
 import { send } from './replica.js'
+import { lostElectionTimeouts } from './sendWindow.js'
 import type { IncomingSnapshot, Transfer } from '../types/transfer.js'
 import type { Replica } from './replica.js'
 
 /** Maximum size of a part, in characters. */
 export const maxPartSize = 65_536
 const minPartSize = 4096
-/** Time after which a part counts as lost although no failure was reported, in election timeouts. */
-const lostElectionTimeouts = 3
 
 export function createTransfer (snapshot: Snapshot, now: Millis): Transfer {
   const { data, ...position } = snapshot
--- a/packages/agreement/src/types/messages.ts
+++ b/packages/agreement/src/types/messages.ts
@@ -82,6 +82,11 @@
 
 export type Message = VoteRequest | VoteAnswer | AppendRequest | SnapshotRequest | SnapshotAnswer | AppendAnswer | HandOver
 
+/** Whether a message carries entries or a part of a snapshot. The next heartbeat or election replaces all others. */
+export function hasData (message: Message): boolean {
+  return message.type === 'snapshot' || (message.type === 'append' && message.entries.length > 0)
+}
+
 /** A message with its sender and recipient. `cluster` separates clusters that share addresses. */
 export interface Envelope {
   readonly cluster: string
--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -5,14 +5,14 @@
  */
 import { LynxError, createHolderId, isLynxError, loadChart, getErrorMessage, getHolderVm } from '@lynxcourse/base'
 import type { Incarnation, Millis } from '@lynxcourse/base'
-import { getUpToDateAt, isTransferring, stepReplica } from '@lynxcourse/agreement'
+import { getUpToDateAt, hasData, isTransferring, stepReplica } from '@lynxcourse/agreement'
 import type { Envelope, ReplicaOutput, Replica, ReplicaEvent } from '@lynxcourse/agreement'
 import { applyEntry, createStateMachine, deserializeStateMachine, serializeStateMachine } from '@lynxcourse/state'
 import { randomUUID } from 'node:crypto'
 import { openStorage, probeDisk, readIdentity, rewriteLog, saveOutput, writeIdentity } from '../../plugins/logStorage.js'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
-import { packState, unpackState } from '../../utils/snapshotText.js'
+import { packState, unpackState } from './snapshotText.js'
 import { callPeer } from '../rpc/rpcClient.js'
 import type { LogStorage } from '../../plugins/logStorage.js'
 import { resolveProposal, recordHeardLeader, rejectAll, finishRead, createNotLeaderError } from './hostState.js'
@@ -252,13 +252,12 @@
   }
 }
 
-/** Reports a lost message to the replica; logs one that carried data, since the next heartbeat or election replaces all others. */
+/** Logs a lost message; reports one that carried data to the replica. */
 function handleSendFailure (host: ControlHost, envelope: Envelope, err: unknown): void {
   const { to, message } = envelope
-  const entries = countEntries(envelope)
-  const hasData = entries > 0 || message.type === 'snapshot'
-  log(host.env.logs, 'agree', hasData ? 'warn' : 'debug', 'Message of the log was not delivered.', { to, type: message.type, entries, error: getErrorMessage(err), step: 'send' })
-  if (hasData) enqueueEvent(host, { type: 'undelivered', envelope })
+  const carriedData = hasData(message)
+  log(host.env.logs, 'agree', carriedData ? 'warn' : 'debug', 'Message of the log was not delivered.', { to, type: message.type, entries: countEntries(envelope), error: getErrorMessage(err), step: 'send' })
+  if (carriedData) enqueueEvent(host, { type: 'undelivered', envelope })
 }
 
 function logMemberChanges (host: ControlHost, { entries }: ReplicaOutput): void {
--- a/packages/daemon/src/core/control/hostState.ts
+++ b/packages/daemon/src/core/control/hostState.ts
@@ -143,6 +143,11 @@
   else reader?.reject(err)
 }
 
+/** Creates the error for a proposal or a read whose outcome is unknown, since no quorum answered in time. */
+export function createNoQuorumError (timeoutMs: Millis, step: string): LynxError {
+  return new LynxError('noQuorum', `no quorum within ${timeoutMs} ms`, { step })
+}
+
 /** Creates the error for a call that only the leader can answer. */
 export function createNotLeaderError (host: ControlHost): LynxError {
   const leader = findLeader(host, getCurrentTime())
--- a/packages/daemon/src/core/control/membership.ts
+++ b/packages/daemon/src/core/control/membership.ts
@@ -7,7 +7,7 @@
 import { writeIdentity, writeSnapshot } from '../../plugins/logStorage.js'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
-import { unpackState } from '../../utils/snapshotText.js'
+import { unpackState } from './snapshotText.js'
 import type { ControlHost } from './hostState.js'
 
 /** Starts the replica from its stored state, with the state machine restored from the snapshot. */
--- a/packages/daemon/src/core/control/proposals.ts
+++ b/packages/daemon/src/core/control/proposals.ts
@@ -3,7 +3,7 @@
 import type { Millis } from '@lynxcourse/base'
 import type { ChangeAnswer, CommandAnswer, Command } from '@lynxcourse/state'
 import { enqueueEvent, startProcessing } from './controlHost.js'
-import { finishRead, isLeading, createNotLeaderError } from './hostState.js'
+import { createNoQuorumError, finishRead, isLeading, createNotLeaderError } from './hostState.js'
 import type { ControlHost } from './hostState.js'
 
 /** Maximum number of waiting proposals; beyond it, new ones are rejected at once. */
@@ -23,7 +23,7 @@
     throw new LynxError('overCapacity', `${maxProposals} proposals are already waiting`, { step: 'propose' })
   }
   return await new Promise<CommandAnswer>((resolve, reject) => {
-    const timer = setTimeout(() => reject(new LynxError('noQuorum', `no quorum within ${timeoutMs} ms`, { step: 'propose' })), timeoutMs)
+    const timer = setTimeout(() => reject(createNoQuorumError(timeoutMs, 'propose')), timeoutMs)
     const clearTimerThen = <Value>(finish: (value: Value) => void) => (value: Value): void => {
       clearTimeout(timer)
       finish(value)
@@ -57,7 +57,7 @@
   const token = host.nextReadToken++
   const timeoutMs = host.env.times.rpcTimeoutMs
   await new Promise<void>((resolve, reject) => {
-    const timer = setTimeout(() => finishRead(host, token, new LynxError('noQuorum', `no quorum within ${timeoutMs} ms`, { step: 'read' })), timeoutMs)
+    const timer = setTimeout(() => finishRead(host, token, createNoQuorumError(timeoutMs, 'read')), timeoutMs)
     host.pendingReads.set(token, {
       resolve: () => { clearTimeout(timer); resolve() },
       reject: err => { clearTimeout(timer); reject(err) }
--- a/packages/daemon/src/utils/snapshotText.ts
+++ b/packages/daemon/src/core/control/snapshotText.ts
@@ -1,6 +1,7 @@
 /** Compresses the state for snapshots, which are kept in memory, stored on disk and sent to other control VMs. */
-import { constants, gunzipSync, gzipSync } from 'node:zlib'
+import { gunzipSync } from 'node:zlib'
 import { LynxError } from '@lynxcourse/base'
+import { compressText } from '../rpc/compression.js'
 
 /** Maximum length of the uncompressed state in bytes; a longer one does not fit into the memory of a control VM. */
 const maxStateBytes = 134_217_728
@@ -9,7 +10,7 @@
 
 /** Compresses the serialized state; the result is base64 text. */
 export function packState (text: string): string {
-  return gzipSync(text, { level: constants.Z_BEST_SPEED }).toString('base64')
+  return compressText(text).toString('base64')
 }
 
 /**
--- a/packages/daemon/src/core/fleet/changesInProgress.ts
+++ b/packages/daemon/src/core/fleet/changesInProgress.ts
@@ -8,6 +8,7 @@
 import type { Millis } from '@lynxcourse/base'
 import { getRoutesVersion } from '@lynxcourse/state'
 import type { ChangeAnswer, ReplaceRoutesCommand, RouteChangeId, UpdateRoutesCommand } from '@lynxcourse/state'
+import { createNoQuorumError } from '../control/hostState.js'
 import type { ControlHost } from '../control/hostState.js'
 import { confirmRead, proposeChange } from '../control/proposals.js'
 
@@ -75,7 +76,7 @@
 async function waitForAnswer (answer: Promise<ChangeAnswer>, timeoutMs: Millis): Promise<ChangeAnswer> {
   let timer: NodeJS.Timeout | undefined
   const timeout = new Promise<never>((_resolve, reject) => {
-    timer = setTimeout(() => reject(new LynxError('noQuorum', `no quorum within ${timeoutMs} ms`, { step: 'propose' })), timeoutMs)
+    timer = setTimeout(() => reject(createNoQuorumError(timeoutMs, 'propose')), timeoutMs)
   })
   try {
     return await Promise.race([answer, timeout])
--- a/packages/daemon/src/core/rpc/rpcPost.ts
+++ b/packages/daemon/src/core/rpc/rpcPost.ts
@@ -6,6 +6,7 @@
 import { Readable } from 'node:stream'
 import type { Dispatcher, Pool } from 'undici'
 import type { Millis } from '@lynxcourse/base'
+import { getCurrentTime } from '../../utils/clock.js'
 import { supportedEncoding } from './compression.js'
 
 /** A message, compressed or not. */
@@ -50,7 +51,7 @@
 export async function postMessage (pool: Pool, { body, encoding }: RpcMessage, timeoutMs: Millis): Promise<RpcResponse> {
   const size = Buffer.byteLength(body)
   const isLarge = size > chunkBytes
-  const latestAt = performance.now() + timeoutMs + size / minRate
+  const latestAt = getCurrentTime() + timeoutMs + size / minRate
   const waitMs = isLarge ? timeoutMs + size / slowLinkRate : timeoutMs
   const headers = { 'content-type': 'application/json', 'accept-encoding': supportedEncoding, 'content-length': String(size), ...(encoding === undefined ? {} : { 'content-encoding': encoding }) }
   return await new Promise<RpcResponse>((resolve, reject) => {
@@ -72,7 +73,7 @@
       setImmediate(() => expire(receivedCount))
     }, Math.max(1, Math.ceil(waitMs)))
     const recordWritten = (): void => {
-      if (!isFinished && performance.now() < latestAt) timer.refresh()
+      if (!isFinished && getCurrentTime() < latestAt) timer.refresh()
     }
     const options: Dispatcher.DispatchOptions = {
       method: 'POST',
