Logs and metrics: which answers a VM leaves incomplete, and why it closes callers' connections

Cause: a request that ended with its connection while a VM stopped left no line that named it, the step it was in, or the reason of the close. A metric counted an answer as given though its connection was destroyed with bytes unsent, since Node reports its end as usual.

Change: each open request has a record with its step, the time of the step, its server and the bytes written before its answer. A VM that stops logs the phases with their times, the connections it closes by kind, and at the exit each incomplete answer with id, step, ages, server and bytes; a second signal does the same before it ends the process. Two counters: incomplete answers by step and cause, closed connections by reason. What is accepted, awaited, closed and cut stays as it was.

--- a/packages/daemon/__tests__/support/fleetFixture.ts
+++ b/packages/daemon/__tests__/support/fleetFixture.ts
@@ -11,7 +11,7 @@
 import {
   DefaultCallerDialect, DefaultServerDialect, defaultFleetTimes, delay, isFleetReady, getCurrentTime, createSilentLogs, startFleetDaemon, submitFleetCommand, handleAnnouncement
 } from '@lynxcourse/daemon'
-import type { FleetCommand, FleetControl, FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
+import type { FleetCommand, FleetControl, FleetDaemon, FleetSettings, Logs } from '@lynxcourse/daemon'
 import type { BackendAnnouncement, ChangeAnswer, RouteChangeId, Route, RouteCommand } from '@lynxcourse/state'
 import { createRoute } from '@lynxcourse/state/testing'
 import { findFreePorts } from './freePorts.js'
@@ -43,10 +43,12 @@
   readonly hasControlLinks?: boolean
   /** Delay and bandwidth of the links over which other VMs reach each control VM. */
   readonly slowLinks?: SlowLinkCfg
+  /** The log of all VMs; by default nothing is logged. */
+  readonly logs?: Logs
 }
 
 /** Starts the control VMs, which form the initial group, and then the entry VMs; `fields` replace settings of all VMs. */
-export async function startFleetFixture (entryCount: number, { fields = {}, controlCount = 3, hasControlLinks = false, slowLinks }: FixtureOptions = {}): Promise<FleetFixture> {
+export async function startFleetFixture (entryCount: number, { fields = {}, controlCount = 3, hasControlLinks = false, slowLinks, logs }: FixtureOptions = {}): Promise<FleetFixture> {
   const ports = await findFreePorts((controlCount + entryCount) * 3)
   const folder = await mkdtemp(join(tmpdir(), 'lynx-fleet-'))
   const getAddress = (portIndex: number): string => `127.0.0.1:${ports[portIndex]}`
@@ -87,7 +89,7 @@
     }
   }
   try {
-    for (const cfg of settings) fixture.daemons.push(await startVm(cfg))
+    for (const cfg of settings) fixture.daemons.push(await startVm(cfg, logs))
   } catch (err) {
     // A daemon fails to start if another process takes its port first. The other daemons would keep the test process running.
     await fixture[Symbol.asyncDispose]()
@@ -96,9 +98,9 @@
   return fixture
 }
 
-/** Starts one VM, without logs. */
-export async function startVm (cfg: FleetSettings): Promise<FleetDaemon> {
-  return await startFleetDaemon(cfg, { callers: new DefaultCallerDialect(), servers: new DefaultServerDialect() }, { logs: createSilentLogs() })
+/** Starts one VM, by default without logs. */
+export async function startVm (cfg: FleetSettings, logs = createSilentLogs()): Promise<FleetDaemon> {
+  return await startFleetDaemon(cfg, { callers: new DefaultCallerDialect(), servers: new DefaultServerDialect() }, { logs })
 }
 
 /** Returns the control role of a VM. */
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -16,6 +16,7 @@
 import { enqueueEvent } from '../control/controlHost.js'
 import { addClusterMethods, keepJoining } from '../control/joining.js'
 import { closeStaleConnections } from '../entry/connectionPool.js'
+import { closeIdleConnections } from '../gateway/callerConnections.js'
 import { applyCallerLimits, createCallerServer } from '../gateway/callerServer.js'
 import type { CallerDialect, ServerDialect } from '../gateway/dialects.js'
 import { recordConnectTime, refreshGateway } from '../gateway/gatewayRefresh.js'
@@ -26,6 +27,7 @@
 import { reportRetries } from '../gateway/retryReport.js'
 import { logTargetUse } from '../gateway/requestLog.js'
 import { logPublishedLimits } from '../gateway/serverNotices.js'
+import { logListenerClosed, reportIncomplete, reportStopEnd } from '../gateway/stopReport.js'
 import { delay, repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
@@ -182,6 +184,16 @@
   return daemon.gateway !== undefined && isReadyForCallers(daemon.node)
 }
 
+/**
+ * Logs a signal to stop. The second one ends the process at once, so that the answers that it leaves incomplete are logged too.
+ *
+ * @param firstAt when the first signal arrived; undefined if this is the first
+ */
+export function reportSignal ({ node, gateway }: FleetDaemon, signal: string, firstAt: Millis | undefined, now: Millis): void {
+  log(node.logs, 'daemon', firstAt === undefined ? 'info' : 'warn', 'Signal received.', { signal, afterMs: firstAt === undefined ? undefined : Math.round(now - firstAt), open: gateway?.open ?? 0 })
+  if (firstAt !== undefined && gateway !== undefined && gateway.open > 0) reportIncomplete(gateway, firstAt, now)
+}
+
 /** Stops the VM gracefully: lookups stop returning its address, and requests in flight are completed. */
 export async function leaveFleet (daemon: FleetDaemon): Promise<void> {
   const { node, gateway, stateWatch, callerServer } = daemon
@@ -191,7 +203,7 @@
   if (gateway !== undefined && stateWatch !== undefined && callerServer !== undefined) {
     await Promise.all([publishPresence(stateWatch), drainCallers(gateway, callerServer, startedAt)])
   }
-  log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0 })
+  log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0, afterMs: Math.round(getCurrentTime() - startedAt) })
 }
 
 async function drainCallers (gateway: Gateway, server: Server, startedAt: Millis): Promise<void> {
@@ -199,7 +211,8 @@
   await delay(Math.min(acceptAfterStopMs, stopMs / 2))
   // A connection with an unread request counts as idle until the event loop has polled its socket.
   await waitForPoll(gateway.loop.polls)
-  server.close()
-  server.closeIdleConnections()
+  const closure = closeIdleConnections(gateway, server)
+  logListenerClosed(gateway, closure, startedAt, getCurrentTime())
   while (gateway.open > 0 && getCurrentTime() - startedAt < stopMs) await delay(drainPollIntervalMs)
+  reportStopEnd(gateway, startedAt, getCurrentTime())
 }
--- a/packages/daemon/src/core/gateway/answerStream.ts
+++ b/packages/daemon/src/core/gateway/answerStream.ts
@@ -17,6 +17,8 @@
 import type { AnswerHead, BodyFlow } from './exchange.js'
 import { writeReadyPieces } from './linkPacer.js'
 import type { LinkPacer, PacedStream } from './linkPacer.js'
+import { enterStep, enterWriting, leaveServer, recordFinish } from './openRequests.js'
+import type { OpenRequest } from './openRequests.js'
 import { leavePipeline, waitForEarlierAnswers } from './pipeline.js'
 import type { PipelinedRequest } from './pipeline.js'
 
@@ -25,6 +27,7 @@
   readonly pacer: LinkPacer
   readonly res: ServerResponse
   readonly pipelined: PipelinedRequest
+  readonly open: OpenRequest
   /** Returns the headers that concern the caller's connection. */
   readonly getConnectionHeaders: () => HeaderMap
   /** State by the `answerStream` chart. */
@@ -54,11 +57,12 @@
 /** Time for a server that was held back to continue: round trips between regions, and a timer that is late. */
 const resumeMs: Millis = 300
 
-export function createAnswerStream (pacer: LinkPacer, res: ServerResponse, pipelined: PipelinedRequest, getConnectionHeaders: () => HeaderMap): AnswerStream {
+export function createAnswerStream (pacer: LinkPacer, res: ServerResponse, pipelined: PipelinedRequest, open: OpenRequest, getConnectionHeaders: () => HeaderMap): AnswerStream {
   return {
     pacer,
     res,
     pipelined,
+    open,
     getConnectionHeaders,
     state: pacer.chart.initial,
     status: 0,
@@ -92,6 +96,7 @@
   stream.state = nextState(pacer.chart, stream.state, 'accept')
   stream.status = head.status
   stream.flow = flow
+  enterStep(stream.open, 'earlierAnswers', getCurrentTime())
   const paced: PacedStream = { remainingBytes: parseLength(head.headers), readyBytes: 0, lastTurn: 0, writePiece: bytes => writePiece(stream, bytes) }
   stream.paced = paced
   // Resolves later than this function returns, also if the answer is the first.
@@ -104,11 +109,13 @@
   const { pacer, res, pipelined } = stream
   stream.state = nextState(pacer.chart, stream.state, 'begin')
   const length = paced.remainingBytes
+  enterWriting(stream.open, getCurrentTime())
   res.on('drain', () => {
     stream.isBlocked = false
     continueAnswer(stream)
   })
   res.once('finish', () => {
+    recordFinish(stream.open)
     leavePipeline(pipelined)
     recordLargeAnswerSize(pacer.demand, stream.writtenBytes)
     endStream(stream, 'complete')
@@ -180,6 +187,7 @@
  */
 export async function deliverRest (stream: AnswerStream, gone: CancelSignal, deadline: Millis): Promise<void> {
   stream.isWhole = true
+  leaveServer(stream.open)
   stream.heldSince ??= getCurrentTime()
   if (stream.state !== 'complete' && stream.state !== 'broken') {
     await new Promise<void>(resolve => {
@@ -214,6 +222,7 @@
 /** Resets the caller's connection, unless the answer is complete. */
 function breakStream (stream: AnswerStream): void {
   if (stream.state === 'complete' || stream.state === 'broken') return
+  if (!stream.pipelined.gone.aborted) stream.pipelined.pipeline.closeReason ??= 'reset'
   endStream(stream, 'break')
   // Closed in the normal way, an answer without a length over HTTP/1.0 would look complete.
   stream.res.socket?.resetAndDestroy()
--- a/packages/daemon/src/core/gateway/call.ts
+++ b/packages/daemon/src/core/gateway/call.ts
@@ -6,6 +6,7 @@
 import type { CancelSignal } from '../../utils/cancelSignal.js'
 import type { AnswerStream } from './answerStream.js'
 import type { CallFacts } from './dialects.js'
+import type { OpenRequest } from './openRequests.js'
 
 /** A caller's team, and the key that proves it. */
 export interface CallerTeam {
@@ -45,6 +46,8 @@
   readonly liveness: CallerLiveness
   /** Forwards a large answer while it is received; undefined if all answers are read whole. */
   readonly stream: AnswerStream | undefined
+  /** The step of the request. */
+  readonly open: OpenRequest
   /** Returns the upper bound of the read delay of the caller's close; undefined until the close is read. */
   readonly closeUnreadMs: () => Millis | undefined
 }
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -23,12 +23,16 @@
 import type { Call, CallAnswer, CallerTeam } from './call.js'
 import { startReadingBody } from './callBody.js'
 import type { BodyResult, CallBody } from './callBody.js'
+import { markClose, trackConnection } from './callerConnections.js'
 import type { Gateway } from './gateway.js'
+import { addOpenRequest, enterStep, enterWriting, recordFinish } from './openRequests.js'
+import type { OpenRequest } from './openRequests.js'
 import { joinPipeline, leavePipeline, tryMarkClosing, waitForEarlierAnswers } from './pipeline.js'
 import type { PipelinedRequest } from './pipeline.js'
 import { logRefusal, getStateFields, getTimeFields } from './requestLog.js'
 import type { RefusedCall } from './requestLog.js'
 import { serveCall } from './serving.js'
+import { endOpenRequest } from './stopReport.js'
 import { mayUseState, waitForState } from './stateWait.js'
 
 /** Largest head of a request that the parser accepts; a route may have a lower limit. */
@@ -55,6 +59,7 @@
     })
   })
   server.on('connection', (socket: Socket) => {
+    trackConnection(gateway, socket)
     recordAcceptedConnection(gateway.loop, socket, getCurrentTime())
     recordCloseRead(gateway.loop, socket, readDelayMs => {
       const hasRequests = (gateway.pipelines.get(socket)?.requests.length ?? 0) > 0
@@ -77,18 +82,27 @@
   metrics.unreadSeconds.observe((arrival.readAt - arrivedAt) / 1000)
   gateway.open += 1
   metrics.inFlight.set(gateway.open)
+  const open = addOpenRequest(gateway.openRequests, req, arrivedAt, arrival.readAt)
   const body = startReadingBody(gateway, req)
   const pipelined = await joinPipeline(gateway.pipelines, req.socket)
   const { gone } = pipelined
+  open.gone = gone
   try {
-    const { service, answer } = await processCall(gateway, { req, res, pipelined, body, gone, arrival })
+    const { service, answer } = await processCall(gateway, { req, res, open, pipelined, body, gone, arrival })
     metrics.requests.inc({ service, outcome: answer === undefined ? 'gone' : answer.streamed === 'broken' ? 'broken' : String(answer.status) })
     metrics.requestSeconds.observe({ service }, (getCurrentTime() - arrivedAt) / 1000)
-    if (answer !== undefined && answer.streamed === undefined && await waitForEarlierAnswers(pipelined, answer.body.length)) writeAnswer(gateway, res, answer, pipelined)
+    if (answer === undefined || answer.streamed !== undefined) return
+    enterStep(open, 'earlierAnswers', getCurrentTime())
+    if (await waitForEarlierAnswers(pipelined, answer.body.length)) writeAnswer(gateway, res, answer, pipelined, open)
+  } catch (err) {
+    markClose(gateway, req.socket, 'failed')
+    throw err
   } finally {
     body.release()
     if (!res.writableEnded) leavePipeline(pipelined)
     afterAnswerSent(res, () => {
+      if (res.writableFinished) recordFinish(open)
+      endOpenRequest(gateway, open, getCurrentTime())
       gateway.open -= 1
       metrics.inFlight.set(gateway.open)
     })
@@ -99,6 +113,7 @@
 interface IncomingCall {
   readonly req: IncomingMessage
   readonly res: ServerResponse
+  readonly open: OpenRequest
   readonly pipelined: PipelinedRequest
   readonly body: CallBody
   readonly gone: CancelSignal
@@ -113,11 +128,13 @@
 
 /** Serves a request once the routes are available and a poll has shown that the caller is still connected. */
 async function processCall (gateway: Gateway, incoming: IncomingCall): Promise<CallOutcome> {
-  const { req, body, gone } = incoming
+  const { req, open, body, gone } = incoming
   const arrival = await pollForClose(gateway, incoming.arrival)
   if (!mayUseState(gateway, readClocks())) {
+    enterStep(open, 'state', getCurrentTime())
     await waitForState(gateway, gone)
     arrival.workStartedAt = getCurrentTime()
+    enterStep(open, 'start', arrival.workStartedAt)
   }
   body.confirmLimits()
   if (gone.aborted) {
@@ -182,13 +199,15 @@
 }
 
 async function serveRoutedCall (gateway: Gateway, incoming: IncomingCall, { route, service, caller }: AuthenticatedTarget): Promise<CallAnswer | undefined> {
-  const { req, body: callBody, gone, arrival } = incoming
+  const { req, open, body: callBody, gone, arrival } = incoming
   const { arrivedAt, readAt, liveness, readIteration, workStartedAt } = arrival
   const facts = gateway.callers.parseCallFacts(req.headers)
   const deadline = arrivedAt + Math.min(facts.remainingMs ?? Infinity, route.timeoutMs)
   const refusedCall: RefusedCall = { facts, caller, route, service, arrivedAt, readAt, deadline }
   if (!fitsIterationBudget(readIteration, route.rank)) return refuseOverloaded(gateway, req, refusedCall)
+  enterStep(open, 'body', getCurrentTime())
   const end = await callBody.end
+  enterStep(open, 'decision', getCurrentTime())
   if (end.type !== 'whole') return answerBodyFailure(gateway, end)
   if (end.at > liveness.polledAt) invalidateLiveness(liveness)
   // Checked immediately before the work, so that later requests of this iteration include the time of that work.
@@ -215,6 +234,7 @@
     gone,
     liveness,
     stream: createStream(gateway, incoming, route),
+    open,
     closeUnreadMs: () => gateway.loop.closeReadDelays.get(req.socket)
   }
   try {
@@ -272,9 +292,9 @@
 }
 
 /** Creates the stream for a large answer, on routes that have such; undefined if this VM's link is unknown. */
-function createStream (gateway: Gateway, { res, pipelined }: IncomingCall, { hasLargeAnswers }: Route): AnswerStream | undefined {
+function createStream (gateway: Gateway, { res, pipelined, open }: IncomingCall, { hasLargeAnswers }: Route): AnswerStream | undefined {
   if (hasLargeAnswers !== true || gateway.node.cfg.capacity?.linkMbps === undefined) return undefined
-  return createAnswerStream(gateway.link, res, pipelined, () => getConnectionHeaders(gateway, pipelined, false))
+  return createAnswerStream(gateway.link, res, pipelined, open, () => getConnectionHeaders(gateway, pipelined, false))
 }
 
 /**
@@ -285,9 +305,14 @@
   return (node.isLeaving || endsConnection) && tryMarkClosing(pipelined) ? { connection: 'close' } : {}
 }
 
-function writeAnswer (gateway: Gateway, res: ServerResponse, answer: CallAnswer, pipelined: PipelinedRequest): void {
+function writeAnswer (gateway: Gateway, res: ServerResponse, answer: CallAnswer, pipelined: PipelinedRequest, open: OpenRequest): void {
   const headers: HeaderMap = { ...answer.headers, 'content-length': String(answer.body.length), ...getConnectionHeaders(gateway, pipelined, answer.endsConnection === true) }
-  res.once('finish', () => leavePipeline(pipelined))
+  res.once('finish', () => {
+    recordFinish(open)
+    if (pipelined.pipeline.isClosing && !open.req.complete) markClose(gateway, open.req.socket, 'announcedUnread')
+    leavePipeline(pipelined)
+  })
+  enterWriting(open, getCurrentTime())
   res.writeHead(answer.status, headers)
   res.end(answer.body)
 }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -1,4 +1,5 @@
 /** State of the gateway: the part of an entry VM that forwards callers' requests by route. */
+import type { Socket } from 'node:net'
 import { loadChart } from '@lynxcourse/base'
 import { createFleet, getCopyAge, hasCompleteList, mayUseShare } from '@lynxcourse/placement'
 import type { EntryState, Mechanism } from '@lynxcourse/placement'
@@ -20,6 +21,8 @@
 import { FleetPermitChannel } from './permitChannel.js'
 import { createRetryTotals } from './retryTotals.js'
 import type { RetryTotals } from './retryTotals.js'
+import { createOpenRequests } from './openRequests.js'
+import type { OpenRequests } from './openRequests.js'
 import type { Pipelines } from './pipeline.js'
 import { createAnswerBudget } from './answerLimits.js'
 import type { AnswerBudget } from './answerLimits.js'
@@ -44,6 +47,10 @@
   limits: CallerLimits
   /** Number of requests in progress in this VM. */
   open: number
+  /** The requests in progress with their steps. */
+  readonly openRequests: OpenRequests
+  /** Open connections from callers. */
+  readonly connections: Set<Socket>
   /** Writes large answers. */
   readonly link: LinkPacer
   /** Unanswered requests by caller connection. */
@@ -84,6 +91,8 @@
     link: createLinkPacer(node),
     pipelines: new WeakMap(),
     open: 0,
+    openRequests: createOpenRequests(),
+    connections: new Set(),
     waitingForCapacity: new Map(),
     waitingForState: 0,
     bufferedBodyBytes: 0,
--- a/packages/daemon/src/core/gateway/pipeline.ts
+++ b/packages/daemon/src/core/gateway/pipeline.ts
@@ -10,6 +10,7 @@
  */
 import type { Socket } from 'node:net'
 import { CancelSignal } from '../../utils/cancelSignal.js'
+import type { CloseReason } from './callerConnections.js'
 
 /** Maximum number of requests of one connection in progress, which also bounds the number of buffered answers. */
 const maxConcurrentRequests = 8
@@ -32,6 +33,10 @@
   requests: PipelinedRequest[]
   /** Whether an answer will close the connection; later requests on it count as not received. */
   isClosing: boolean
+  /** Requests that arrived after the announcement of the close. */
+  discardedRequests: number
+  /** Why this VM closed the connection; undefined unless it closed it without an announcement. */
+  closeReason: CloseReason | undefined
 }
 
 /** Pipelines by connection. */
@@ -40,7 +45,7 @@
 function getOrCreatePipeline (pipelines: Pipelines, socket: Socket): Pipeline {
   const known = pipelines.get(socket)
   if (known !== undefined) return known
-  const pipeline: Pipeline = { requests: [], isClosing: false }
+  const pipeline: Pipeline = { requests: [], isClosing: false, discardedRequests: 0, closeReason: undefined }
   pipelines.set(socket, pipeline)
   const cancelAll = (): void => { for (const request of pipeline.requests) cancel(request) }
   // The end of the caller's data is read one event loop iteration before the socket emits `close`.
@@ -54,6 +59,7 @@
   const pipeline = getOrCreatePipeline(pipelines, socket)
   const request: PipelinedRequest = { pipeline, gone: new CancelSignal(), bufferedAnswerBytes: 0, wake: () => undefined }
   pipeline.requests.push(request)
+  if (pipeline.isClosing) pipeline.discardedRequests += 1
   if (socket.destroyed || pipeline.isClosing) cancel(request)
   await waitUntil(request, mayStart)
   return request
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -20,6 +20,7 @@
 import type { PermitHolder } from './permitHolder.js'
 import type { PermitRefusal } from './permitState.js'
 import { refuseLargeAnswer } from './linkPacer.js'
+import { enterServer, enterStep, leaveServer } from './openRequests.js'
 import { getRetryFields } from './retryReport.js'
 import { logRefusal, logSend, getTimeFields } from './requestLog.js'
 import type { VmRefusal } from './requestLog.js'
@@ -62,7 +63,7 @@
   for (;;) {
     if (call.gone.aborted) return undefined
     // Without a wait there is no pause here: the admission of other requests reckons with the processor time of this one.
-    if (!mayUseState(gateway, readClocks()) && !await waitForState(gateway, call.gone, call.deadline - getCurrentTime())) {
+    if (!mayUseState(gateway, readClocks()) && !await waitForUsableState(gateway, call)) {
       return call.gone.aborted ? undefined : answerFromSends(gateway, call, state, lastResult) ?? refuse(gateway, call, state, stateRefusal)
     }
     if (!isStillAuthorized(gateway, call.caller)) return answerFromSends(gateway, call, state, lastResult) ?? rejectRevoked(gateway, call)
@@ -86,7 +87,7 @@
         recordTrialAnswer(state, await claimTrial(gateway.crashes, getWatchedRequest(call), getCurrentTime()))
         break
       case 'wait':
-        await waitForCapacity(gateway, state, step.pauseMs)
+        await waitForCapacity(gateway, call, state, step.pauseMs)
         break
       case 'answer': return buildAnswer(lastResult)
       case 'refuse': return refuse(gateway, call, state, step.refused)
@@ -127,7 +128,18 @@
   return { id: facts.id, route: route.name, callerAddress, deadline, getFingerprint }
 }
 
-async function waitForCapacity (gateway: Gateway, state: RequestState, pauseMs: Millis): Promise<void> {
+/** Waits for the state in a step of its own. */
+async function waitForUsableState (gateway: Gateway, { open, gone, deadline }: Call): Promise<boolean> {
+  const now = getCurrentTime()
+  enterStep(open, 'state', now)
+  const isUsable = await waitForState(gateway, gone, deadline - now)
+  enterStep(open, 'decision', getCurrentTime())
+  return isUsable
+}
+
+async function waitForCapacity (gateway: Gateway, { open }: Call, state: RequestState, pauseMs: Millis): Promise<void> {
+  // A request that waits on keeps the time at which it began to wait.
+  if (open.step !== 'capacity') enterStep(open, 'capacity', getCurrentTime())
   updateWaitingCount(gateway, state, 1)
   await delay(pauseMs)
   updateWaitingCount(gateway, state, -1)
@@ -142,9 +154,12 @@
     overdueAt,
     isUnresponsive: () => isServerUnresponsive(gateway, sending, getConditions(gateway, call), getCurrentTime())
   }
+  enterServer(call.open, placement.server.facts.id, startedAt)
   const report = await sendOnce(gateway, call, placement, timeouts, sending.charge !== undefined)
   const { result } = report
   const now = getCurrentTime()
+  leaveServer(call.open)
+  enterStep(call.open, 'decision', now)
   endSend(gateway, state, sending, result, now)
   logSend(gateway, call, state, placement, report, startedAt, now)
   learnOfEnds(gateway, call, sending, result).catch(logFailure(gateway, call))
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -2,12 +2,14 @@
 /** Command line program of the daemon. Exit codes: 0 stopped by a signal, 1 failed, 2 invalid settings or arguments. */
 import { Command } from 'commander'
 import { LynxError, isLynxError, getErrorMessage } from '@lynxcourse/base'
+import type { Millis } from '@lynxcourse/base'
 import { buildBlockTable } from '@lynxcourse/routing'
 import { leaveGracefully, startDaemon } from './core/daemon.js'
-import { leaveFleet, startFleetDaemon } from './core/fleet/fleetDaemon.js'
+import { leaveFleet, reportSignal, startFleetDaemon } from './core/fleet/fleetDaemon.js'
 import type { FleetDaemon } from './core/fleet/fleetDaemon.js'
 import { reloadFleetSettings } from './core/fleet/fleetNode.js'
 import { DefaultCallerDialect, DefaultServerDialect } from './core/gateway/dialects.js'
+import { getCurrentTime } from './utils/clock.js'
 import { log } from './utils/logging.js'
 import { readAnySettings, readCallerBlocks } from './utils/readSettings.js'
 import { listenForReload } from './utils/reloadSignal.js'
@@ -44,6 +46,8 @@
 interface RunningVm extends AsyncDisposable {
   /** Stops the VM gracefully: requests in progress are finished. */
   readonly leave: () => Promise<void>
+  /** Logs a signal to stop; `firstAt` is the time of the first one, undefined for the first itself. */
+  readonly reportSignal: (signal: string, firstAt: Millis | undefined) => void
 }
 
 async function start (file: string): Promise<RunningVm> {
@@ -52,10 +56,10 @@
     const reloadSignal = listenForReload()
     const vm = await startFleetDaemon(settings.cfg, { callers: new DefaultCallerDialect(), servers: new DefaultServerDialect() })
     reloadSignal.handle(() => reloadFleetFile(vm, file))
-    return { leave: async () => await leaveFleet(vm), [Symbol.asyncDispose]: async () => await vm[Symbol.asyncDispose]() }
+    return { leave: async () => await leaveFleet(vm), reportSignal: (signal, firstAt) => reportSignal(vm, signal, firstAt, getCurrentTime()), [Symbol.asyncDispose]: async () => await vm[Symbol.asyncDispose]() }
   }
   const daemon = await startDaemon(settings.cfg, readCallerBlocks(settings.cfg, file))
-  return { leave: async () => await leaveGracefully(daemon), [Symbol.asyncDispose]: async () => await daemon[Symbol.asyncDispose]() }
+  return { leave: async () => await leaveGracefully(daemon), reportSignal: signal => log(daemon.node.logs, 'daemon', 'info', 'Signal received.', { signal }), [Symbol.asyncDispose]: async () => await daemon[Symbol.asyncDispose]() }
 }
 
 function reloadFleetFile (vm: FleetDaemon, file: string): void {
@@ -72,11 +76,12 @@
 
 async function run (file: string): Promise<void> {
   const vm = await start(file)
-  let signalCount = 0
+  let firstAt: Millis | undefined
   await new Promise<void>(resolve => {
-    const onSignal = (): void => {
-      signalCount += 1
-      if (signalCount > 1) process.exit(exitFailed)
+    const onSignal = (signal: string): void => {
+      vm.reportSignal(signal, firstAt)
+      if (firstAt !== undefined) process.exit(exitFailed)
+      firstAt = getCurrentTime()
       vm.leave().then(resolve, resolve)
     }
     process.on('SIGTERM', onSignal)
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -26,6 +26,8 @@
   readonly rpcBytes: Counter<'direction'>
   readonly rpcWireBytes: Counter<'direction'>
   readonly inFlight: Gauge
+  readonly incompleteAnswers: Counter<'step' | 'cause'>
+  readonly callerCloses: Counter<'reason'>
   readonly waiting: Gauge
   readonly configVersion: Gauge
   readonly current: Gauge
@@ -70,6 +72,8 @@
     rpcBytes: new Counter({ name: 'lynxcourse_rpc_bytes_total', help: 'Bytes of RPC bodies.', labelNames: ['direction'], registers }),
     rpcWireBytes: new Counter({ name: 'lynxcourse_rpc_wire_bytes_total', help: 'Bytes over the connections of the RPC server, heads included.', labelNames: ['direction'], registers }),
     inFlight: new Gauge({ name: 'lynxcourse_requests_in_flight', help: 'Requests in this VM.', registers }),
+    incompleteAnswers: new Counter({ name: 'lynxcourse_incomplete_answers_total', help: 'Requests whose answer was not sent to its end, by the step they were in and what ended them.', labelNames: ['step', 'cause'], registers }),
+    callerCloses: new Counter({ name: 'lynxcourse_caller_connections_closed_total', help: 'Connections from callers that were closed, by reason.', labelNames: ['reason'], registers }),
     waiting: new Gauge({ name: 'lynxcourse_requests_waiting', help: 'Requests that wait for a slot.', registers }),
     configVersion: new Gauge({ name: 'lynxcourse_config_version', help: 'Version of the configuration in force.', registers }),
     current: new Gauge({ name: 'lynxcourse_current', help: 'Whether this VM holds a lease on being current.', registers }),
