--- a/packages/daemon/src/core/gateway/callerConnections.ts
+++ b/packages/daemon/src/core/gateway/callerConnections.ts
@@ -1,16 +1,9 @@
 /** The connections from callers, and the reasons for which they are closed. */
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
+import type { CloseReason } from './closeReason.js'
 import type { Gateway } from './gateway.js'
 
-/**
- * Why a caller's connection was closed. By this VM at a stop: `idle`, or `unsent` if Node took it for idle while a part of an
- * answer was unsent. By this VM after an announced close: `announced`, `announcedUnread` if a body was not read to its end, or `announcedLater` if
- * requests arrived after the announcement. By this VM otherwise: `reset` of a broken answer, `failed` on an error, `timeout` of Node's
- * server or the end of the process. `caller` if the caller closed it.
- */
-export type CloseReason = 'idle' | 'unsent' | 'announced' | 'announcedUnread' | 'announcedLater' | 'reset' | 'failed' | 'timeout' | 'caller'
-
 /** Open connections by kind. */
 export interface ConnectionCounts {
   /** With open requests. */
--- a/packages/daemon/src/core/gateway/pipeline.ts
+++ b/packages/daemon/src/core/gateway/pipeline.ts
@@ -10,7 +10,7 @@
  */
 import type { Socket } from 'node:net'
 import { CancelSignal } from '../../utils/cancelSignal.js'
-import type { CloseReason } from './callerConnections.js'
+import type { CloseReason } from './closeReason.js'
 
 /** Maximum number of requests of one connection in progress, which also bounds the number of buffered answers. */
 const maxConcurrentRequests = 8
