Judge of planned stops on recorded histories

Finds requests that a stop or reload of an entry VM left without a whole answer, answers that the VM gave in place of a server at work, and stops that took longer than the grace period or failed.

--- a/scripts/shutdown/types.ts
+++ b/scripts/shutdown/types.ts
@@ -44,6 +44,8 @@
   readonly isIdempotent: boolean
   /** Time limit that the caller named. */
   readonly limitMs: number
+  /** Timeout of the request's route; undefined if only the caller's limit applies. */
+  readonly timeoutMs?: number | undefined
   /** When the first and the last byte of the request were sent; the last one is undefined if it never was. */
   readonly startedAt: number
   sentAt: number | undefined
@@ -72,6 +74,8 @@
   endedAt: number | undefined
   /** Whether the server itself broke off, turned the request away or was cut off. */
   hasFailed: boolean
+  /** Whether the connection closed while the server was at work. */
+  isCut?: boolean
 }
 
 /** A signal to a VM, or the end of its process. */
