--- a/scripts/shutdown/types.ts
+++ b/scripts/shutdown/types.ts
@@ -46,6 +46,8 @@
   readonly limitMs: number
   /** When the first and the last byte of the request were sent; the last one is undefined if it never was. */
   readonly startedAt: number
+  /** Connection that carried the request; the requests of one connection share the name. */
+  readonly connection?: string
   sentAt: number | undefined
   /** When the answer was complete or the connection ended; undefined while neither has happened. */
   endedAt: number | undefined
@@ -72,6 +74,18 @@
   endedAt: number | undefined
   /** Whether the server itself broke off, turned the request away or was cut off. */
   hasFailed: boolean
+  /** Whether the connection closed before the server had finished, although the server had not failed. */
+  wasCutOff?: boolean
+  /** Whether the request's body arrived as its caller sent it. */
+  readonly hasWholeBody?: boolean
+}
+
+/** Bytes that no caller may receive, such as an answer without a request. */
+export interface ObservedAnomaly {
+  readonly vm: string
+  readonly connection: string
+  readonly at: number
+  readonly detail: string
 }
 
 /** A signal to a VM, or the end of its process. */
@@ -88,6 +102,7 @@
   readonly requests: Map<string, ObservedRequest>
   readonly runs: ObservedRun[]
   readonly signals: ObservedSignal[]
+  readonly anomalies: ObservedAnomaly[]
 }
 
 /** Bounds of the promise, in milliseconds. */
@@ -101,5 +116,5 @@
 }
 
 export function createShutdownHistory (): ShutdownHistory {
-  return { requests: new Map(), runs: [], signals: [] }
+  return { requests: new Map(), runs: [], signals: [], anomalies: [] }
 }
