A rig that stops and reloads real daemons under traffic

Callers and servers outside the VMs record what they see; the judge finds requests that the stops lost.

--- a/scripts/__tests__/shutdownJudge.test.ts
+++ b/scripts/__tests__/shutdownJudge.test.ts
@@ -101,7 +101,7 @@
   const recordAnswer = (end: RequestEnd, run: Partial<ObservedRun>) => (history: ShutdownHistory): void => { addRequest(history, { end }); addRun(history, run) }
   assert.deepEqual(findKinds(recordAnswer(answered(504, false), {})), ['ownAnswer'])
   assert.deepEqual(findKinds(recordAnswer(answered(504, false), { endedAt: 10_495 })), ['ownAnswer'])
-  assert.deepEqual(findKinds(recordAnswer(answered(504, false), { endedAt: 10_300, isCut: true })), ['ownAnswer'])
+  assert.deepEqual(findKinds(recordAnswer(answered(504, false), { endedAt: 10_300, wasCutOff: true })), ['ownAnswer'])
   assert.deepEqual(findKinds(recordAnswer(answered(504, false), { endedAt: 10_300 })), [], 'the server had finished')
   assert.deepEqual(findKinds(recordAnswer(answered(502, false), { hasFailed: true })), [])
   assert.deepEqual(findKinds(recordAnswer(answered(500, true), {})), [])
@@ -130,6 +130,13 @@
   assert.deepEqual(findKinds(history => addSignal(history, 'terminate', 12_000), { at: 16_001, code: 0 }), ['lateExit'], 'from the first signal on')
 })
 
+test('a VM that exits without a stop signal is a loss', () => {
+  const history = createShutdownHistory()
+  addSignal(history, 'start', 0)
+  addSignal(history, 'exit', 5000, 0)
+  assert.deepEqual(findLosses(history, bounds).map(({ kind }) => kind), ['badExit'])
+})
+
 test('each process is judged by its own signals', () => {
   const kinds = findKinds(history => {
     addSignal(history, 'start', 15_200)
--- a/scripts/shutdown/callers.ts
+++ b/scripts/shutdown/callers.ts
@@ -18,6 +18,8 @@
   readonly requestsPerSecond: number
   /** Time limits that the caller names, in milliseconds; one is drawn for each request. */
   readonly limitsMs: readonly number[]
+  /** Timeouts of the routes of idempotent and of other requests; undefined if they are unknown. */
+  readonly timeoutsMs?: { readonly idempotent: number, readonly other: number }
   /** Share of the requests that the caller abandons when their time limit has passed; it waits for the others. */
   readonly abandonShare: number
   /** Share of the requests that are idempotent. */
@@ -172,6 +174,7 @@
       habit: options.habit,
       isIdempotent,
       limitMs,
+      timeoutMs: isIdempotent ? options.timeoutsMs?.idempotent : options.timeoutsMs?.other,
       startedAt: performance.now(),
       connection: connection.name,
       sentAt: undefined,
--- a/scripts/shutdown/judge.ts
+++ b/scripts/shutdown/judge.ts
@@ -11,7 +11,7 @@
  * - `refusedButRun`: a request that is not idempotent was answered as not run, and ran
  * - `twice`: a request that is not idempotent ran more than once
  * - `lateExit`: the process ran for longer than the grace period
- * - `badExit`: a stopped process ended by a signal or with an exit code other than 0
+ * - `badExit`: the process ended by a signal or with an exit code other than 0, or without a stop signal
  */
 export type LossKind = 'cutAtExit' | 'cutByClose' | 'ownAnswer' | 'refusedButRun' | 'twice' | 'lateExit' | 'badExit'
 
@@ -164,7 +164,7 @@
 }
 
 function isUnfinished (run: ObservedRun, at: number): boolean {
-  return run.isCut === true || run.endedAt === undefined || run.endedAt > at - closeToleranceMs
+  return run.wasCutOff === true || run.endedAt === undefined || run.endedAt > at - closeToleranceMs
 }
 
 /** Whether no process of the VM can have read the request: it was sent after one had exited, and no other had started. */
@@ -207,10 +207,17 @@
 }
 
 function judgeExit (lifetime: Lifetime, { graceMs }: ShutdownBounds): Loss[] {
-  const { vm, terminatedAt, code, exitedAt } = lifetime
+  const { vm, startedAt, terminatedAt, code, exitedAt } = lifetime
+  if (exitedAt === undefined) return []
   const durationMs = getStopDuration(lifetime)
-  if (exitedAt === undefined || durationMs === undefined) return []
-  const loss = { vm, signal: 'terminate' as const, stopSignals: terminatedAt.length, request: undefined, endedAfterMs: durationMs, detail: `exited with ${code}` }
-  if (durationMs > graceMs) return [{ ...loss, kind: 'lateExit' }]
-  return code === 0 ? [] : [{ ...loss, kind: 'badExit' }]
+  const kind = classifyExit(durationMs, code, graceMs)
+  if (kind === undefined) return []
+  const detail = `exited with ${code} ${Math.round(exitedAt - startedAt)} ms after its start`
+  return [{ kind, vm, signal: durationMs === undefined ? undefined : 'terminate', stopSignals: terminatedAt.length, request: undefined, endedAfterMs: durationMs, detail }]
+}
+
+function classifyExit (durationMs: number | undefined, code: Lifetime['code'], graceMs: number): LossKind | undefined {
+  if (durationMs === undefined) return 'badExit'
+  if (durationMs > graceMs) return 'lateExit'
+  return code === 0 ? undefined : 'badExit'
 }
--- /dev/null
+++ b/scripts/shutdown/vms.ts
@@ -0,0 +1,162 @@
+/** VMs of the shutdown rig: real daemons in separate processes, whose signals and exits are recorded. */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { openSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { brandId } from '@lynxcourse/base'
+import type { FailureDomainId, RegionId } from '@lynxcourse/base'
+import type { FleetFileInput } from '@lynxcourse/daemon'
+import { request } from 'undici'
+import { stringify } from 'yaml'
+import { kill, sleep, waitForExit, waitUntil } from '../support/processes.js'
+import type { ObservedSignal } from './types.js'
+
+const daemonScript = fileURLToPath(import.meta.resolve('@lynxcourse/daemon').replace('daemon.js', 'main.js'))
+/** Failure domains of each region. */
+const regions: Record<string, string[]> = { kochi: ['kochi-a', 'kochi-b'], chennai: ['chennai-a', 'chennai-b'], mumbai: ['mumbai-a', 'mumbai-b'] }
+export const domains = Object.values(regions).flat().map(name => brandId<FailureDomainId>(name))
+/** Heap of a VM that is not short of memory. */
+export const defaultMemoryMb = 150
+
+/** A VM and its current process. */
+export interface RigVm extends AsyncDisposable {
+  readonly name: string
+  readonly settings: FleetFileInput
+  readonly folder: string
+  readonly memoryMb: number
+  /** Time from the stop signal until the process is killed. */
+  readonly graceMs: number
+  readonly signals: ObservedSignal[]
+  child: ChildProcess | undefined
+}
+
+/** Properties of a new VM. */
+export interface VmProperties {
+  readonly index: number
+  readonly role: 'control' | 'entry'
+  readonly folder: string
+  readonly seeds: readonly string[]
+  readonly memoryMb: number
+  readonly graceMs: number
+  /** The daemon's own bound on a stop. */
+  readonly stopMs: number
+}
+
+/** Creates a VM; its process is not started yet. */
+export function createVm (properties: VmProperties, signals: ObservedSignal[]): RigVm {
+  const { folder, memoryMb, graceMs } = properties
+  const settings = createSettings(properties)
+  const vm: RigVm = {
+    name: settings.vm,
+    settings,
+    folder,
+    memoryMb,
+    graceMs,
+    signals,
+    child: undefined,
+    [Symbol.asyncDispose]: async () => { if (vm.child !== undefined) await kill(vm.child) }
+  }
+  return vm
+}
+
+/** Returns the RPC address of the VM with the given index. */
+export function getRpcAddress (index: number): string {
+  return `${getVmIp(index)}:7100`
+}
+
+/**
+ * Returns a separate loopback address for each VM. On a shared address, an outgoing connection could take the port of a
+ * VM that is down, and the VM could not start again.
+ */
+function getVmIp (index: number): string {
+  return `127.${160 + process.pid % 64}.${(process.pid >> 6) % 256}.${index + 1}`
+}
+
+function createSettings ({ index, role, folder, seeds, stopMs }: VmProperties): FleetFileInput {
+  const ip = getVmIp(index)
+  const [rpc, callers, metrics] = [getRpcAddress(index), `${ip}:7000`, `${ip}:7200`]
+  const domain = domains[index % domains.length] as FailureDomainId
+  const name = `${role}-${index}`
+  return {
+    vm: name,
+    roles: [role],
+    region: brandId<RegionId>(domain.slice(0, -2)),
+    failureDomain: domain,
+    regions: regions as FleetFileInput['regions'],
+    listen: role === 'control' ? { rpc, metrics } : { rpc, callers, metrics },
+    seeds: [...seeds],
+    isFirstStart: true,
+    dataFolder: role === 'control' ? join(folder, name) : undefined,
+    times: { stopMs },
+    log: { format: 'json', level: 'info' }
+  }
+}
+
+/** Running daemon processes, which are killed when the rig is interrupted. */
+const children = new Set<ChildProcess>()
+process.on('exit', () => { for (const child of children) child.kill('SIGKILL') })
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1))
+
+/** Writes the VM's settings and starts its process. */
+export function startVm (vm: RigVm): void {
+  const file = join(vm.folder, `${vm.name}.yaml`)
+  writeFileSync(file, stringify({ fleet: vm.settings }))
+  const out = openSync(join(vm.folder, `${vm.name}.log`), 'a')
+  vm.signals.push({ vm: vm.name, type: 'start', at: performance.now() })
+  const child = spawn(process.execPath, [`--max-old-space-size=${vm.memoryMb}`, daemonScript, '--config', file], { stdio: ['ignore', out, out] })
+  vm.child = child
+  children.add(child)
+  child.once('exit', (code, signal) => {
+    vm.signals.push({ vm: vm.name, type: 'exit', at: performance.now(), code: code ?? signal ?? undefined })
+    children.delete(child)
+  })
+}
+
+/** Whether the VM's process runs. */
+export function isRunning ({ child }: RigVm): boolean {
+  return child !== undefined && child.exitCode === null && child.signalCode === null
+}
+
+/** Sends a reload signal, if the process runs. */
+export function reloadVm (vm: RigVm): void {
+  if (!isRunning(vm)) return
+  vm.signals.push({ vm: vm.name, type: 'reload', at: performance.now() })
+  vm.child?.kill('SIGHUP')
+}
+
+/** Sends a stop signal, if the process runs. */
+export function terminateVm (vm: RigVm): void {
+  if (!isRunning(vm)) return
+  vm.signals.push({ vm: vm.name, type: 'terminate', at: performance.now() })
+  vm.child?.kill('SIGTERM')
+}
+
+/** Stops the VM, kills it after the grace period, and resolves when its process has exited. */
+export async function stopVm (vm: RigVm): Promise<void> {
+  const { child } = vm
+  if (child === undefined || !isRunning(vm)) return
+  terminateVm(vm)
+  const timer = setTimeout(() => child.kill('SIGKILL'), vm.graceMs)
+  await waitForExit(child)
+  clearTimeout(timer)
+}
+
+/** Pauses the process for short times, as a lack of processor time does. */
+export async function starveVm (vm: RigVm, pauseMs: number, intervalMs: number, untilMs: number): Promise<void> {
+  while (performance.now() < untilMs && isRunning(vm)) {
+    vm.child?.kill('SIGSTOP')
+    await sleep(pauseMs)
+    vm.child?.kill('SIGCONT')
+    await sleep(intervalMs)
+  }
+}
+
+/** Resolves when the VM says that it is ready; throws an error after the timeout. */
+export async function waitUntilReady (vm: RigVm, timeoutMs?: number): Promise<void> {
+  await waitUntil(`${vm.name} is ready`, async () => {
+    const res = await request(`http://${vm.settings.listen.metrics}/readyz`)
+    await res.body.dump()
+    return res.statusCode === 200
+  }, timeoutMs)
+}
