--- a/scripts/shutdown/plan.ts
+++ b/scripts/shutdown/plan.ts
@@ -100,7 +100,7 @@
 const serverCount = 6
 const memoryMb = 150
 /** A heap in which collections are frequent. */
-const scarceMemoryMb = 32
+const scarceMemoryMb = 48
 /** Traffic before the first round of stops, and length of a round: a stop takes the grace period at most, and a start follows. */
 const warmUpMs = 1500
 const roundMs = 9000
--- a/scripts/shutdown/run.ts
+++ b/scripts/shutdown/run.ts
@@ -12,7 +12,7 @@
 import type { Traffic } from './traffic.js'
 import { createShutdownHistory } from './types.js'
 import type { ObservedRequest, ShutdownHistory } from './types.js'
-import { isRunning, reloadVm, starveVm, startVm, stopVm, terminateVm } from './vms.js'
+import { isRunning, reloadVm, starveVm, startVm, stopVm, terminateVm, watchReady } from './vms.js'
 import type { RigVm } from './vms.js'
 
 /** Result of one run; times in milliseconds. */
@@ -36,8 +36,6 @@
 
 /** Callers wait this long for the answers to their last requests. */
 const finalWaitMs = 4000
-/** A process that is younger may not listen for reload signals yet. */
-const minReloadAgeMs = 1500
 
 /** Runs a plan; settings, state and logs go to the folder. */
 export async function runShutdown (plan: ShutdownPlan, folder: string): Promise<ShutdownResult> {
@@ -50,7 +48,7 @@
   const tasks = [keepAnnouncing(fleet, servers.servers, () => isOver)]
   await startFleet(fleet)
   const traffic = createTraffic(fleet, history, stack)
-  tasks.push(keepLookingUp(traffic, () => isOver))
+  tasks.push(keepLookingUp(traffic, () => isOver), ...fleet.entries.map(async vm => await watchReady(vm, () => isOver)))
   await Promise.all(plan.groups.map(async (group, index) => await startGroup(traffic, group, `${group.habit}-${index}`, plan.seed * 1000 + index * 10)))
   await runSteps(traffic, plan)
   await Promise.all(traffic.callers.map(async caller => await caller.stop(finalWaitMs)))
@@ -76,17 +74,12 @@
   }
   const vm = fleet.entries[step.vm]
   if (vm === undefined) throw new Error(`the plan names entry VM ${step.vm}, but there are ${fleet.entries.length}`)
-  if (step.kind === 'reload') reloadIfStarted(vm)
+  if (step.kind === 'reload') reloadVm(vm)
   else if (step.kind === 'burst') await sendBurst(traffic, step, index)
   else if (step.kind === 'starve') await starveVm(vm, step.pauseMs, step.intervalMs, performance.now() + step.forMs)
   else await stopAndStart(vm, step)
 }
 
-function reloadIfStarted (vm: RigVm): void {
-  const start = vm.signals.findLast(({ vm: name, type }) => name === vm.name && type === 'start')
-  if (start !== undefined && performance.now() - start.at >= minReloadAgeMs) reloadVm(vm)
-}
-
 async function sendBurst (traffic: Traffic, { vm, callers, forMs }: Extract<ShutdownStep, { kind: 'burst' }>, index: number): Promise<void> {
   const group = { vm, habit: 'pool' as const, callers, followsLookups: false, delayMs: 0, bytesPerSecond: Infinity }
   const started = await startGroup(traffic, group, `burst-${index}`, traffic.fleet.plan.seed * 1000 + 500 + index)
@@ -111,12 +104,12 @@
     return
   }
   if (reloadAfterMs !== undefined && reloadAfterMs < 0) {
-    reloadIfStarted(vm)
+    reloadVm(vm)
     await sleep(-reloadAfterMs)
   }
   const stopped = stopVm(vm)
   const later: Array<Promise<void>> = []
-  if (reloadAfterMs !== undefined && reloadAfterMs >= 0) later.push(sleep(reloadAfterMs).then(() => reloadIfStarted(vm)))
+  if (reloadAfterMs !== undefined && reloadAfterMs >= 0) later.push(sleep(reloadAfterMs).then(() => reloadVm(vm)))
   if (repeatAfterMs !== undefined) later.push(Promise.race([sleep(repeatAfterMs), stopped]).then(() => { terminateVm(vm) }))
   await stopped
   await Promise.all(later)
--- a/scripts/shutdown/vms.ts
+++ b/scripts/shutdown/vms.ts
@@ -13,6 +13,7 @@
 import type { ObservedSignal } from './types.js'
 
 const daemonScript = fileURLToPath(import.meta.resolve('@lynxcourse/daemon').replace('daemon.js', 'main.js'))
+const readyIntervalMs = 200
 /** Failure domains of each region. */
 const regions: Record<string, string[]> = { kochi: ['kochi-a', 'kochi-b'], chennai: ['chennai-a', 'chennai-b'], mumbai: ['mumbai-a', 'mumbai-b'] }
 export const domains = Object.values(regions).flat().map(name => brandId<FailureDomainId>(name))
@@ -31,6 +32,8 @@
   readonly graceMs: number
   readonly signals: ObservedSignal[]
   child: ChildProcess | undefined
+  /** Whether the current process has been ready. */
+  hasBeenReady: boolean
 }
 
 /** Properties of a new VM. */
@@ -57,6 +60,7 @@
     graceMs,
     signals,
     child: undefined,
+    hasBeenReady: false,
     [Symbol.asyncDispose]: async () => { if (vm.child !== undefined) await kill(vm.child) }
   }
   return vm
@@ -109,6 +113,7 @@
   vm.signals.push({ vm: vm.name, type: 'start', at: performance.now() })
   const child = spawn(process.execPath, [`--max-old-space-size=${vm.memoryMb}`, daemonScript, '--config', file], { stdio: ['ignore', out, out] })
   vm.child = child
+  vm.hasBeenReady = false
   children.add(child)
   child.once('exit', (code, signal) => {
     vm.signals.push({ vm: vm.name, type: 'exit', at: performance.now(), code: code ?? signal ?? undefined })
@@ -121,9 +126,9 @@
   return child !== undefined && child.exitCode === null && child.signalCode === null
 }
 
-/** Sends a reload signal, if the process runs. */
+/** Sends a reload signal, if the process runs and has been ready. A process that is starting may not listen for it yet. */
 export function reloadVm (vm: RigVm): void {
-  if (!isRunning(vm)) return
+  if (!isRunning(vm) || !vm.hasBeenReady) return
   vm.signals.push({ vm: vm.name, type: 'reload', at: performance.now() })
   vm.child?.kill('SIGHUP')
 }
@@ -157,9 +162,23 @@
 
 /** Resolves when the VM says that it is ready; throws an error after the timeout. */
 export async function waitUntilReady (vm: RigVm, timeoutMs?: number): Promise<void> {
-  await waitUntil(`${vm.name} is ready`, async () => {
-    const res = await request(`http://${vm.settings.listen.metrics}/readyz`)
-    await res.body.dump()
-    return res.statusCode === 200
-  }, timeoutMs)
+  await waitUntil(`${vm.name} is ready`, async () => await checkReady(vm), timeoutMs)
+}
+
+/** Notes at intervals whether the VM's process has been ready, until `isOver` returns true. */
+export async function watchReady (vm: RigVm, isOver: () => boolean): Promise<void> {
+  while (!isOver()) {
+    // A VM that does not answer is not ready.
+    if (!vm.hasBeenReady && isRunning(vm)) await checkReady(vm).catch(() => false)
+    await sleep(readyIntervalMs)
+  }
+}
+
+async function checkReady (vm: RigVm): Promise<boolean> {
+  const { child } = vm
+  const res = await request(`http://${vm.settings.listen.metrics}/readyz`)
+  await res.body.dump()
+  const isReady = res.statusCode === 200
+  if (isReady && vm.child === child) vm.hasBeenReady = true
+  return isReady
 }
