--- a/scripts/shutdown/run.ts
+++ b/scripts/shutdown/run.ts
@@ -1,7 +1,7 @@
 /** Runs a plan of the shutdown rig: starts the system, sends traffic, signals VMs and judges the records. */
 import { createResourceStack } from '@lynxcourse/daemon'
 import { getLongestStallMs, startStallMonitor } from '../soak/stallMonitor.js'
-import { sleep, waitForExit } from '../support/processes.js'
+import { sleep } from '../support/processes.js'
 import { createFleet, keepAnnouncing, publishRoutes, startFleet } from './fleet.js'
 import { findLosses, findPlannedWork } from './judge.js'
 import type { Loss } from './judge.js'
@@ -12,7 +12,7 @@
 import type { Traffic } from './traffic.js'
 import { createShutdownHistory } from './types.js'
 import type { ObservedRequest, ShutdownHistory } from './types.js'
-import { isRunning, reloadVm, starveVm, startVm, stopVm, terminateVm, watchReady } from './vms.js'
+import { reloadVm, starveVm, startVm, stopVm, terminateVm, watchReady } from './vms.js'
 import type { RigVm } from './vms.js'
 
 /** Result of one run; times in milliseconds. */
@@ -87,7 +87,15 @@
   await Promise.all(started.map(async caller => await caller.stop(finalWaitMs)))
 }
 
+/** Stops the VM and starts it again; does nothing if an earlier step is still doing so. */
 async function stopAndStart (vm: RigVm, step: StopStep): Promise<void> {
+  if (vm.isCycling) return
+  vm.isCycling = true
+  await runCycle(vm, step)
+  vm.isCycling = false
+}
+
+async function runCycle (vm: RigVm, step: StopStep): Promise<void> {
   await stopOnce(vm, step)
   await sleep(step.restartAfterMs)
   startVm(vm)
@@ -98,11 +106,6 @@
 }
 
 async function stopOnce (vm: RigVm, { reloadAfterMs, repeatAfterMs }: StopStep): Promise<void> {
-  // A VM that an earlier step is still stopping is waited for, so that its signals are not mixed up.
-  if (isStopping(vm) && vm.child !== undefined) {
-    await waitForExit(vm.child)
-    return
-  }
   if (reloadAfterMs !== undefined && reloadAfterMs < 0) {
     reloadVm(vm)
     await sleep(-reloadAfterMs)
@@ -115,11 +118,6 @@
   await Promise.all(later)
 }
 
-function isStopping (vm: RigVm): boolean {
-  const last = listLifetimes(vm.signals.filter(({ vm: name }) => name === vm.name)).at(-1)
-  return isRunning(vm) && last !== undefined && last.terminatedAt.length > 0
-}
-
 function summarizeRun ({ seed, bounds }: ShutdownPlan, history: ShutdownHistory, longestStallMs: number): ShutdownResult {
   const lifetimes = listLifetimes(history.signals)
   const stopped = lifetimes.filter(({ terminatedAt }) => terminatedAt.length > 0)
--- a/scripts/shutdown/vms.ts
+++ b/scripts/shutdown/vms.ts
@@ -32,6 +32,8 @@
   readonly graceMs: number
   readonly signals: ObservedSignal[]
   child: ChildProcess | undefined
+  /** Whether a step of the plan is stopping and starting the VM. */
+  isCycling: boolean
   /** Whether the current process has been ready. */
   hasBeenReady: boolean
 }
@@ -60,6 +62,7 @@
     graceMs,
     signals,
     child: undefined,
+    isCycling: false,
     hasBeenReady: false,
     [Symbol.asyncDispose]: async () => { if (vm.child !== undefined) await kill(vm.child) }
   }
@@ -105,8 +108,9 @@
 process.on('exit', () => { for (const child of children) child.kill('SIGKILL') })
 for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1))
 
-/** Writes the VM's settings and starts its process. */
+/** Writes the VM's settings and starts its process; throws an error if it runs already. */
 export function startVm (vm: RigVm): void {
+  if (isRunning(vm)) throw new Error(`${vm.name} runs already`)
   const file = join(vm.folder, `${vm.name}.yaml`)
   writeFileSync(file, stringify({ fleet: vm.settings }))
   const out = openSync(join(vm.folder, `${vm.name}.log`), 'a')
