--- a/scripts/__tests__/shutdownCallers.test.ts
+++ b/scripts/__tests__/shutdownCallers.test.ts
@@ -181,6 +181,59 @@
   await assert.rejects(forwarder.whenConnected(near.localPort ?? 0), { code: 'ECONNREFUSED' })
 })
 
+test('the forwarder forwards the reset of a caller, and discards what was on its way to the caller', async () => {
+  await using server = await startTcpServer()
+  await using forwarder = await startForwarder(server.address, { delayMs: 30, bytesPerSecond: Infinity })
+  const near = await connectTo(forwarder.address)
+  near.write('question')
+  const far = await server.accepted
+  const received: Buffer[] = []
+  far.on('data', chunk => received.push(chunk))
+  const error = waitForError(far)
+  await sleep(60)
+  far.write('answer')
+  near.resetAndDestroy()
+  assert.equal(await error, 'ECONNRESET')
+  assert.equal(Buffer.concat(received).toString(), 'question')
+})
+
+test('the forwarder ends a connection whose caller resets it after its half-close', async () => {
+  await using server = await startTcpServer()
+  await using forwarder = await startForwarder(server.address, fastLink)
+  const near = await connectTo(forwarder.address)
+  near.write('question')
+  const far = await server.accepted
+  near.end()
+  assert.equal(await readAll(far), 'question')
+  const error = waitForError(far)
+  // A socket with unread bytes is reset when it is closed.
+  near.pause()
+  far.write('answer')
+  await sleep(50)
+  near.destroy()
+  await sleep(50)
+  const timer = setInterval(() => { if (far.writable) far.write('more') }, 10)
+  const code = await error
+  clearInterval(timer)
+  assert.ok(code === 'ECONNRESET' || code === 'EPIPE', code)
+})
+
+test('the forwarder resets a caller that sends to a closed target', async () => {
+  await using server = await startTcpServer()
+  await using forwarder = await startForwarder(server.address, fastLink)
+  const near = await connectTo(forwarder.address)
+  const far = await server.accepted
+  near.resume()
+  const ended = new Promise(resolve => near.once('end', resolve))
+  far.destroy()
+  await ended
+  const error = waitForError(near)
+  const timer = setInterval(() => { if (near.writable) near.write('question') }, 10)
+  const code = await error
+  clearInterval(timer)
+  assert.ok(code === 'ECONNRESET' || code === 'EPIPE', code)
+})
+
 test('the forwarder delays bytes and keeps their order', async () => {
   await using server = await startTcpServer()
   await using forwarder = await startForwarder(server.address, { delayMs: 60, bytesPerSecond: Infinity })
@@ -312,6 +365,66 @@
   })
 }
 
+/** Records what arrives on the first connection of a caller, and never answers. */
+async function recordFirstConnection (habit: CallerHabit): Promise<{ readonly text: string, readonly pieces: number, readonly hasEnded: boolean }> {
+  await using server = await startTcpServer()
+  const caller = startCaller(createOptions(habit, server.address, createShutdownHistory()))
+  const socket = await server.accepted
+  const chunks: Buffer[] = []
+  let hasEnded = false
+  socket.on('data', chunk => chunks.push(chunk))
+  socket.on('end', () => { hasEnded = true })
+  await sleep(1500)
+  const result = { text: Buffer.concat(chunks).toString(), pieces: chunks.length, hasEnded }
+  await caller[Symbol.asyncDispose]()
+  return result
+}
+
+test('a caller that closes its half does so before the answer, others keep it open', async () => {
+  assert.equal((await recordFirstConnection('halfClose')).hasEnded, true)
+  assert.equal((await recordFirstConnection('fresh')).hasEnded, false)
+})
+
+test('a caller announces the close of its connections only if that is its habit', async () => {
+  assert.match((await recordFirstConnection('announcedClose')).text, /\r\nconnection: close\r\n/)
+  assert.doesNotMatch((await recordFirstConnection('fresh')).text, /\r\nconnection:/)
+})
+
+test('a slow body arrives whole and in pieces', async () => {
+  const { text, pieces } = await recordFirstConnection('slowBody')
+  const [head = '', rest = ''] = text.split('\r\n\r\n', 2)
+  const id = /idempotency-key: (\S+)/.exec(head)?.[1] ?? ''
+  const body = head.includes('chunked') ? rest.split('\r\n').filter((_, index) => index % 2 === 1).join('') : rest
+  assert.ok(pieces >= 3, `${pieces} pieces`)
+  assert.equal(isWholeText(body, 'caller', id), true)
+})
+
+test('the answer to a request that is not sent completely is recorded, and the rest is not sent', async () => {
+  const history = createShutdownHistory()
+  await using server = await startTcpServer()
+  const caller = startCaller(createOptions('slowBody', server.address, history, { requestsPerSecond: 1 }))
+  const socket = await server.accepted
+  socket.once('data', () => socket.write('HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n'))
+  assert.doesNotMatch(await readAll(socket), /0\r\n\r\n$/)
+  socket.end()
+  const [first] = history.requests.values()
+  await caller[Symbol.asyncDispose]()
+  assert.equal(first?.end?.type, 'whole')
+  assert.equal(first.sentAt, undefined)
+})
+
+test('a caller through a forwarder sends nothing to a VM that refuses the connection', async () => {
+  const history = createShutdownHistory()
+  const refusing = await startTcpServer()
+  await refusing[Symbol.asyncDispose]()
+  await using forwarder = await startForwarder(refusing.address, fastLink)
+  const caller = startCaller(createOptions('fresh', refusing.address, history, { getTarget: () => ({ vm: 'entry-0', address: refusing.address, forwarder }) }))
+  await sleep(200)
+  await caller.stop(1000)
+  assert.ok(caller.connectFailures > 1)
+  assert.equal(history.requests.size, 0)
+})
+
 test('a slow reader takes long for a large answer, and gets it whole', async () => {
   const history = createShutdownHistory()
   await using vm = await startFakeVm((id, _req, res) => answerWhole(id, res, 200_000))
@@ -398,7 +511,7 @@
 
 test('refusals and refused connections don\'t stop a caller', async () => {
   const history = createShutdownHistory()
-  await using vm = await startFakeVm((_id, _req, res) => { res.writeHead(503, { 'retry-after': '0.250' }).end() })
+  await using vm = await startFakeVm((_id, _req, res) => { res.writeHead(503, { 'retry-after': '0.250' }).end('not run: full\n') })
   const refusing = await startTcpServer()
   await refusing[Symbol.asyncDispose]()
   let turns = 0
@@ -407,7 +520,7 @@
   await caller.stop(1000)
   assert.ok(caller.connectFailures > 1)
   assert.ok(history.requests.size > 1)
-  for (const { end } of history.requests.values()) assert.deepEqual(end, { type: 'whole', status: 503, isFromServer: false, retryAfterMs: 250 })
+  for (const { end } of history.requests.values()) assert.deepEqual(end, { type: 'whole', status: 503, isFromServer: false, retryAfterMs: 250, text: 'not run: full' })
 })
 
 test('a caller that follows lookups sends nothing more on connections to a VM that is no longer named', async () => {
--- a/scripts/shutdown/callerConnection.ts
+++ b/scripts/shutdown/callerConnection.ts
@@ -18,6 +18,9 @@
 /** Detail of requests that were sent before the caller received `Connection: close` with an earlier answer. */
 export const crossedClose = 'crossed close'
 
+/** Bytes of a refusal's body that are recorded. */
+const maxTextBytes = 200
+
 interface Outstanding {
   readonly request: ObservedRequest
   readonly timer: NodeJS.Timeout | undefined
@@ -122,7 +125,8 @@
     const isFromServer = server !== undefined && echoedId === request.id && isWholeText(body.toString('latin1'), server, request.id)
     if (echoedId !== undefined && echoedId !== request.id) this.noteAnomaly(`answer to ${echoedId} instead of ${request.id}`, now)
     if (status === 200 && !isFromServer) this.noteAnomaly(`answer to ${request.id} is not its server's`, now)
-    return { type: 'whole', status, isFromServer, retryAfterMs: parseRetryAfter(headers.get('retry-after')) }
+    const end = { type: 'whole', status, isFromServer, retryAfterMs: parseRetryAfter(headers.get('retry-after')) } as const
+    return isFromServer ? end : { ...end, text: body.toString('utf8', 0, maxTextBytes).trimEnd() }
   }
 
   private takeEnd (now: number): void {
--- a/scripts/shutdown/callers.ts
+++ b/scripts/shutdown/callers.ts
@@ -6,6 +6,7 @@
 import type { Habit } from './callerHabits.js'
 import { openConnection } from './connecting.js'
 import type { CallerTarget } from './connecting.js'
+import type { RequestContent } from './requestParts.js'
 import type { CallerHabit, ObservedRequest, ShutdownHistory } from './types.js'
 
 /** Settings of a caller. */
@@ -24,7 +25,7 @@
   readonly idempotentShare: number
   readonly idempotentPath: string
   readonly otherPath: string
-  /** Further headers of all requests. */
+  /** Further headers of all requests by lower-case name; `host` replaces the default one. */
   readonly headers?: Readonly<Record<string, string>>
   readonly history: ShutdownHistory
   /** Returns the VM to which the next new connection goes; undefined if none is known. */
@@ -115,23 +116,23 @@
     }
     // A pipeline waits for its new connection instead of opening several.
     if (this.opening > 0 && this.habit.isSingle) return
-    this.openAndSend().catch(() => { this.connectFailures += 1 })
+    const target = this.options.getTarget()
+    if (target !== undefined) this.openAndSend(target)
   }
 
-  private async openAndSend (): Promise<void> {
-    const target = this.options.getTarget()
-    if (target === undefined) return
+  private async openAndSend (target: CallerTarget): Promise<void> {
     this.opening += 1
     this.opened += 1
-    try {
-      const name = `${this.options.name}/${this.opened}`
-      const connection = await openConnection(name, target, this.options.history, this.habit.readsSlowly)
-      this.track(connection)
-      if (this.stopController.signal.aborted) connection.retire()
-      else this.sendRequests(connection)
-    } finally {
-      this.opening -= 1
+    const name = `${this.options.name}/${this.opened}`
+    const connection = await openConnection(name, target, this.options.history, this.habit.readsSlowly).catch(() => undefined)
+    this.opening -= 1
+    if (connection === undefined) {
+      this.connectFailures += 1
+      return
     }
+    this.track(connection)
+    if (this.stopController.signal.aborted) connection.retire()
+    else this.sendRequests(connection)
   }
 
   private track (connection: CallerConnection): void {
@@ -148,23 +149,28 @@
   private sendRequest (connection: CallerConnection): void {
     const { random, habit, options } = this
     const request = this.createRequest(connection)
-    const parts = habit.createParts({
-      id: request.id,
-      method: request.isIdempotent ? 'GET' : 'POST',
-      path: request.isIdempotent ? options.idempotentPath : options.otherPath,
-      limitMs: request.limitMs,
-      headers: options.headers ?? {},
-      closes: habit.announcesClose
-    }, random)
+    const parts = habit.createParts(this.createContent(request), random)
     const abandonMs = random() < options.abandonShare ? request.limitMs : undefined
     this.sending += 1
     connection.send(request, parts, abandonMs, habit.halfCloses).finally(() => { this.sending -= 1 })
   }
 
+  private createContent ({ id, isIdempotent, limitMs }: ObservedRequest): RequestContent {
+    const { options, habit } = this
+    return {
+      id,
+      method: isIdempotent && !habit.hasBody ? 'GET' : 'POST',
+      path: isIdempotent ? options.idempotentPath : options.otherPath,
+      limitMs,
+      headers: options.headers ?? {},
+      closes: habit.announcesClose
+    }
+  }
+
   private createRequest (connection: CallerConnection): ObservedRequest {
     const { options, random } = this
     this.sent += 1
-    const isIdempotent = random() < options.idempotentShare && !this.habit.hasBody
+    const isIdempotent = random() < options.idempotentShare
     const limitMs = options.limitsMs[Math.floor(random() * options.limitsMs.length)] ?? 1000
     return {
       id: `${options.name}-${this.sent}`,
--- a/scripts/shutdown/requestParts.ts
+++ b/scripts/shutdown/requestParts.ts
@@ -17,7 +17,8 @@
 
 const bodyBytes = 300
 const slowPieces = { min: 3, max: 6 }
-const slowPauseMs = { min: 20, max: 150 }
+/** Share of the time limit in which a slow body is sent. */
+const slowShare = { min: 0.1, max: 0.4 }
 
 /** Creates the text that a caller sends as a request's body. */
 export function createRequestText (id: string, bytes = bodyBytes): string {
@@ -37,11 +38,10 @@
   const isChunked = random() < 0.5
   const head = createHead(content, [isChunked ? ['transfer-encoding', 'chunked'] : ['content-length', String(body.length)]])
   const parts: RequestPart[] = [{ bytes: Buffer.from(head, 'latin1'), pauseMs: 0 }]
-  for (const piece of splitText(body, Math.floor(drawBetween(slowPieces, random)))) {
-    const text = isChunked ? `${piece.length.toString(16)}\r\n${piece}\r\n` : piece
-    parts.push({ bytes: Buffer.from(text, 'latin1'), pauseMs: drawBetween(slowPauseMs, random) })
-  }
-  if (isChunked) parts.push({ bytes: Buffer.from('0\r\n\r\n', 'latin1'), pauseMs: drawBetween(slowPauseMs, random) })
+  const pieces = splitText(body, Math.floor(drawBetween(slowPieces, random)))
+  const texts = isChunked ? [...pieces.map(createChunk), '0\r\n\r\n'] : pieces
+  const pauseMs = content.limitMs * drawBetween(slowShare, random) / texts.length
+  for (const text of texts) parts.push({ bytes: Buffer.from(text, 'latin1'), pauseMs })
   return parts
 }
 
@@ -53,6 +53,10 @@
   return `${lines.join('\r\n')}\r\n\r\n`
 }
 
+function createChunk (text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`
+}
+
 function splitText (text: string, pieces: number): string[] {
   const length = Math.ceil(text.length / pieces)
   return Array.from({ length: pieces }, (_, index) => text.slice(index * length, (index + 1) * length))
--- a/scripts/shutdown/servers.ts
+++ b/scripts/shutdown/servers.ts
@@ -13,6 +13,8 @@
 
 /** Settings of a group of servers. */
 export interface ServerOptions {
+  /** Prefix of the servers' ids; `server` if undefined. */
+  readonly name?: string
   readonly count: number
   readonly seed: number
   readonly history: ShutdownHistory
@@ -50,7 +52,7 @@
   const tried = new Set<string>()
   const started: Array<{ server: Server, forwarder: Forwarder | undefined, facts: ShutdownServer }> = []
   for (let place = 0; place < options.count; place++) {
-    started.push(await startServer({ id: `server-${place}`, options, tried, running: 0 }, `127.0.60.${place + 1}`))
+    started.push(await startServer({ id: `${options.name ?? 'server'}-${place}`, options, tried, running: 0 }, `127.0.60.${place + 1}`))
   }
   return {
     servers: started.map(({ facts }) => facts),
--- a/scripts/shutdown/types.ts
+++ b/scripts/shutdown/types.ts
@@ -56,7 +56,14 @@
 
 /** How a request ended. */
 export type RequestEnd =
-  | { readonly type: 'whole', readonly status: number, readonly isFromServer: boolean, readonly retryAfterMs: number | undefined }
+  | {
+    readonly type: 'whole'
+    readonly status: number
+    readonly isFromServer: boolean
+    readonly retryAfterMs: number | undefined
+    /** Start of the body, if it is not a server's. */
+    readonly text?: string
+  }
   /** The connection ended before a complete answer. */
   | { readonly type: 'broken', readonly receivedBytes: number, readonly detail: string }
   /** The caller gave up: its time limit passed, or it abandoned the request. */
