--- a/scripts/__tests__/shutdownCallers.test.ts
+++ b/scripts/__tests__/shutdownCallers.test.ts
@@ -498,6 +498,22 @@
   assert.equal(closed, requests.length)
 })
 
+test('a caller that abandons a request of a pipeline abandons all requests on the connection', async () => {
+  const history = createShutdownHistory()
+  await using vm = await startFakeVm(() => undefined)
+  const requests = await runCaller(createOptions('busyPipeline', vm.address, history, { limitsMs: [300], abandonShare: 1 }), 700)
+  const first = requests.filter(({ connection }) => connection === requests[0]?.connection)
+  assert.ok(first.length > 2)
+  assert.deepEqual(new Set(first.map(({ end }) => end?.type)), new Set(['abandoned']))
+  assert.equal(new Set(first.map(({ endedAt }) => endedAt)).size, 1)
+  assert.ok(new Set(requests.map(({ connection }) => connection)).size >= 2)
+})
+
+test('a caller without a target sends nothing', async () => {
+  const history = createShutdownHistory()
+  assert.deepEqual(await runCaller(createOptions('pool', '', history, { getTarget: () => undefined }), 100), [])
+})
+
 test('a request without an answer keeps no end when its caller is stopped', async () => {
   const history = createShutdownHistory()
   await using vm = await startFakeVm(() => undefined)
--- a/scripts/shutdown/callerConnection.ts
+++ b/scripts/shutdown/callerConnection.ts
@@ -1,11 +1,20 @@
 /** A connection of a caller: sends requests, matches answers to them and records how each request ended. */
 import type { Socket } from 'node:net'
-import type { CallerTarget } from './connecting.js'
+import type { Forwarder } from './forwarder.js'
 import { MalformedAnswerError, ResponseReader } from './responseReader.js'
 import type { ReceivedAnswer } from './responseReader.js'
 import { isWholeText } from './texts.js'
 import type { ObservedRequest, RequestEnd, ShutdownHistory } from './types.js'
 
+/** An entry VM as callers reach it. */
+export interface CallerTarget {
+  readonly vm: string
+  /** `IP:port` of the VM; unused if there is a forwarder. */
+  readonly address: string
+  /** Forwarder between callers and the VM; undefined for a direct connection. */
+  readonly forwarder?: Forwarder | undefined
+}
+
 /** Bytes of a request and the pause in milliseconds after which they are sent. */
 export interface RequestPart {
   readonly bytes: Buffer
--- a/scripts/shutdown/callers.ts
+++ b/scripts/shutdown/callers.ts
@@ -1,14 +1,15 @@
 /** Callers outside the VMs: each sends requests by its habit and records what it sees. */
 import { createRandom } from '@lynxcourse/base'
 import type { Random } from '@lynxcourse/base'
-import type { CallerConnection } from './callerConnection.js'
+import type { CallerConnection, CallerTarget } from './callerConnection.js'
 import { habits } from './callerHabits.js'
 import type { Habit } from './callerHabits.js'
 import { openConnection } from './connecting.js'
-import type { CallerTarget } from './connecting.js'
 import type { RequestContent } from './requestParts.js'
 import type { CallerHabit, ObservedRequest, ShutdownHistory } from './types.js'
 
+export type { CallerTarget } from './callerConnection.js'
+
 /** Settings of a caller. */
 export interface CallerOptions {
   /** Prefix of the ids of its requests. */
@@ -100,13 +101,15 @@
   }
 
   private dropUnnamed (): void {
-    const { isNamed } = this.options
-    if (isNamed === undefined) return
     for (const connection of this.connections) {
-      if (!isNamed(connection.target)) connection.retire()
+      if (!this.isNamed(connection.target)) connection.retire()
     }
   }
 
+  private isNamed (target: CallerTarget): boolean {
+    return this.options.isNamed?.(target) ?? true
+  }
+
   /** Sends the next requests on an open connection, or on a new one as soon as it is open. */
   private takeTurn (): void {
     const connection = this.habit.chooseConnection([...this.connections])
@@ -131,7 +134,7 @@
       return
     }
     this.track(connection)
-    if (this.stopController.signal.aborted) connection.retire()
+    if (this.stopController.signal.aborted || !this.isNamed(target)) connection.retire()
     else this.sendRequests(connection)
   }
 
--- a/scripts/shutdown/connecting.ts
+++ b/scripts/shutdown/connecting.ts
@@ -2,18 +2,10 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import { CallerConnection } from './callerConnection.js'
+import type { CallerTarget } from './callerConnection.js'
 import type { Forwarder } from './forwarder.js'
 import type { ShutdownHistory } from './types.js'
 
-/** An entry VM as callers reach it. */
-export interface CallerTarget {
-  readonly vm: string
-  /** `IP:port` of the VM; unused if there is a forwarder. */
-  readonly address: string
-  /** Forwarder between callers and the VM; undefined for a direct connection. */
-  readonly forwarder?: Forwarder | undefined
-}
-
 const connectTimeoutMs = 2000
 /** A slow reader takes this many bytes, then pauses. */
 const slowReadBytes = 8 * 1024
