--- a/scripts/__tests__/shutdownCallers.test.ts
+++ b/scripts/__tests__/shutdownCallers.test.ts
@@ -456,6 +456,22 @@
   assert.ok(new Set(requests.map(({ connection }) => connection)).size >= 2)
 })
 
+test('a caller sends nothing more on a connection once it has seen `Connection: close`, even before the body', async () => {
+  const history = createShutdownHistory()
+  let announcedAt = Infinity
+  await using vm = await startFakeVm((id, _req, res) => {
+    const text = createText('server-0', id, 300)
+    res.writeHead(200, { connection: 'close', 'content-length': 300, 'lynx-server': 'server-0', 'idempotency-key': id }).write(text.slice(0, 100))
+    announcedAt = Math.min(announcedAt, performance.now())
+    setTimeout(() => res.end(text.slice(100)), 800)
+  })
+  const requests = await runCaller(createOptions('busyPipeline', vm.address, history), 1000)
+  const first = requests.filter(({ connection }) => connection === requests[0]?.connection)
+  assert.equal(first[0]?.end?.type, 'whole')
+  for (const { startedAt } of first) assert.ok(startedAt < announcedAt + 500)
+  assert.ok(first.length < requests.length)
+})
+
 test('truncated and reset answers are recorded as broken', async () => {
   for (const [isReset, detail] of [[true, 'ECONNRESET'], [false, 'end']] as const) {
     const history = createShutdownHistory()
