--- a/scripts/__tests__/shutdownCallers.test.ts
+++ b/scripts/__tests__/shutdownCallers.test.ts
@@ -11,6 +11,7 @@
 import { startCaller } from '../shutdown/callers.js'
 import type { CallerOptions } from '../shutdown/callers.js'
 import { startForwarder } from '../shutdown/forwarder.js'
+import { createRequestText } from '../shutdown/requestParts.js'
 import { MalformedAnswerError, ResponseReader } from '../shutdown/responseReader.js'
 import type { ReceivedAnswer } from '../shutdown/responseReader.js'
 import { startServers } from '../shutdown/servers.js'
@@ -181,6 +182,59 @@
   await assert.rejects(forwarder.whenConnected(near.localPort ?? 0), { code: 'ECONNREFUSED' })
 })
 
+test('the forwarder forwards the reset of a caller, and discards what was on its way to the caller', async () => {
+  await using server = await startTcpServer()
+  await using forwarder = await startForwarder(server.address, { delayMs: 30, bytesPerSecond: Infinity })
+  const near = await connectTo(forwarder.address)
+  near.write('question')
+  const far = await server.accepted
+  const received: Buffer[] = []
+  far.on('data', chunk => received.push(chunk))
+  const error = waitForError(far)
+  await sleep(60)
+  far.write('answer')
+  near.resetAndDestroy()
+  assert.equal(await error, 'ECONNRESET')
+  assert.equal(Buffer.concat(received).toString(), 'question')
+})
+
+test('the forwarder ends a connection whose caller resets it after its half-close', async () => {
+  await using server = await startTcpServer()
+  await using forwarder = await startForwarder(server.address, fastLink)
+  const near = await connectTo(forwarder.address)
+  near.write('question')
+  const far = await server.accepted
+  near.end()
+  assert.equal(await readAll(far), 'question')
+  const error = waitForError(far)
+  // A socket with unread bytes is reset when it is closed.
+  near.pause()
+  far.write('answer')
+  await sleep(50)
+  near.destroy()
+  await sleep(50)
+  const timer = setInterval(() => { if (far.writable) far.write('more') }, 10)
+  const code = await error
+  clearInterval(timer)
+  assert.ok(code === 'ECONNRESET' || code === 'EPIPE', code)
+})
+
+test('the forwarder resets a caller that sends to a closed target', async () => {
+  await using server = await startTcpServer()
+  await using forwarder = await startForwarder(server.address, fastLink)
+  const near = await connectTo(forwarder.address)
+  const far = await server.accepted
+  near.resume()
+  const ended = new Promise(resolve => near.once('end', resolve))
+  far.destroy()
+  await ended
+  const error = waitForError(near)
+  const timer = setInterval(() => { if (near.writable) near.write('question') }, 10)
+  const code = await error
+  clearInterval(timer)
+  assert.ok(code === 'ECONNRESET' || code === 'EPIPE', code)
+})
+
 test('the forwarder delays bytes and keeps their order', async () => {
   await using server = await startTcpServer()
   await using forwarder = await startForwarder(server.address, { delayMs: 60, bytesPerSecond: Infinity })
@@ -280,6 +334,8 @@
   res.setHeader('lynx-server', 'server-0').setHeader('idempotency-key', id).end(createText('server-0', id, bytes))
 }
 
+const basis: AnswerBasis = { seed: 3, weights: defaultWeights, limitMs: 1000, habit: undefined, isSecondTry: false }
+
 function createOptions (habit: CallerHabit, address: string, history: ShutdownHistory, overrides: Partial<CallerOptions> = {}): CallerOptions {
   return { name: habit, habit, seed: 7, requestsPerSecond: 60, limitsMs: [1000], abandonShare: 0, idempotentShare: 0.5, idempotentPath: '/read/', otherPath: '/offer/', history, getTarget: () => ({ vm: 'entry-0', address }), ...overrides }
 }
@@ -296,7 +352,7 @@
 for (const habit of habitNames) {
   test(`a caller with the habit ${habit} gets whole answers and records all times`, async () => {
     const history = createShutdownHistory()
-    await using vm = await startFakeVm((id, _req, res) => { setTimeout(() => answerWhole(id, res), habit === 'busyPipeline' ? 150 : 20) }, habit === 'halfClose')
+    await using vm = await startFakeVm((id, _req, res) => { setTimeout(() => answerWhole(id, res), habit === 'busyPipeline' ? 400 : 20) }, habit === 'halfClose')
     await using forwarder = await startForwarder(vm.address, fastLink)
     const requests = await runCaller(createOptions(habit, vm.address, history, { getTarget: () => ({ vm: 'entry-0', address: vm.address, forwarder }) }))
     assert.ok(requests.length >= 4, `${requests.length} requests`)
@@ -312,6 +368,67 @@
   })
 }
 
+/** Records what arrives on the first connection of a caller, and never answers. */
+async function recordFirstConnection (habit: CallerHabit): Promise<{ readonly text: string, readonly pieces: number, readonly hasEnded: boolean }> {
+  await using server = await startTcpServer()
+  const caller = startCaller(createOptions(habit, server.address, createShutdownHistory()))
+  const socket = await server.accepted
+  const chunks: Buffer[] = []
+  let hasEnded = false
+  socket.on('data', chunk => chunks.push(chunk))
+  socket.on('end', () => { hasEnded = true })
+  await sleep(1500)
+  const result = { text: Buffer.concat(chunks).toString(), pieces: chunks.length, hasEnded }
+  await caller[Symbol.asyncDispose]()
+  return result
+}
+
+test('a caller that closes its half does so before the answer, others keep it open', async () => {
+  assert.equal((await recordFirstConnection('halfClose')).hasEnded, true)
+  assert.equal((await recordFirstConnection('fresh')).hasEnded, false)
+})
+
+test('a caller announces the close of its connections only if that is its habit', async () => {
+  assert.match((await recordFirstConnection('announcedClose')).text, /\r\nconnection: close\r\n/)
+  assert.doesNotMatch((await recordFirstConnection('fresh')).text, /\r\nconnection:/)
+})
+
+test('a slow body arrives whole and in pieces', async () => {
+  const { text, pieces } = await recordFirstConnection('slowBody')
+  const [head = '', rest = ''] = text.split('\r\n\r\n', 2)
+  const id = /idempotency-key: (\S+)/.exec(head)?.[1] ?? ''
+  const body = head.includes('chunked') ? rest.split('\r\n').filter((_, index) => index % 2 === 1).join('') : rest
+  assert.ok(pieces >= 3, `${pieces} pieces`)
+  assert.equal(isWholeText(body, 'caller', id), true)
+})
+
+test('the answer to a request that is not sent completely is recorded, and the rest is not sent', async () => {
+  const history = createShutdownHistory()
+  await using server = await startTcpServer()
+  const caller = startCaller(createOptions('slowBody', server.address, history, { requestsPerSecond: 1 }))
+  const socket = await server.accepted
+  socket.once('data', () => socket.write('HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n'))
+  const text = await readAll(socket)
+  assert.ok(text.length < createRequestText('', 3000).length, `${text.length} bytes`)
+  socket.end()
+  const [first] = history.requests.values()
+  await caller[Symbol.asyncDispose]()
+  assert.equal(first?.end?.type, 'whole')
+  assert.equal(first.sentAt, undefined)
+})
+
+test('a caller through a forwarder sends nothing to a VM that refuses the connection', async () => {
+  const history = createShutdownHistory()
+  const refusing = await startTcpServer()
+  await refusing[Symbol.asyncDispose]()
+  await using forwarder = await startForwarder(refusing.address, fastLink)
+  const caller = startCaller(createOptions('fresh', refusing.address, history, { getTarget: () => ({ vm: 'entry-0', address: refusing.address, forwarder }) }))
+  await sleep(200)
+  await caller.stop(1000)
+  assert.ok(caller.connectFailures > 1)
+  assert.equal(history.requests.size, 0)
+})
+
 test('a slow reader takes long for a large answer, and gets it whole', async () => {
   const history = createShutdownHistory()
   await using vm = await startFakeVm((id, _req, res) => answerWhole(id, res, 200_000))
@@ -339,6 +456,22 @@
   assert.ok(new Set(requests.map(({ connection }) => connection)).size >= 2)
 })
 
+test('a caller sends nothing more on a connection once it has seen `Connection: close`, even before the body', async () => {
+  const history = createShutdownHistory()
+  let announcedAt = Infinity
+  await using vm = await startFakeVm((id, _req, res) => {
+    const text = createText('server-0', id, 300)
+    res.writeHead(200, { connection: 'close', 'content-length': 300, 'lynx-server': 'server-0', 'idempotency-key': id }).write(text.slice(0, 100))
+    announcedAt = Math.min(announcedAt, performance.now())
+    setTimeout(() => res.end(text.slice(100)), 800)
+  })
+  const requests = await runCaller(createOptions('busyPipeline', vm.address, history), 1000)
+  const first = requests.filter(({ connection }) => connection === requests[0]?.connection)
+  assert.equal(first[0]?.end?.type, 'whole')
+  for (const { startedAt } of first) assert.ok(startedAt < announcedAt + 500)
+  assert.ok(first.length < requests.length)
+})
+
 test('truncated and reset answers are recorded as broken', async () => {
   for (const [isReset, detail] of [[true, 'ECONNRESET'], [false, 'end']] as const) {
     const history = createShutdownHistory()
@@ -381,8 +514,23 @@
     assert.equal(end?.type, 'abandoned')
     assert.ok((endedAt ?? 0) - startedAt >= 95)
   }
-  await sleep(50)
-  assert.equal(closed, requests.length)
+  await waitUntil('all connections are closed', async () => closed === requests.length)
+})
+
+test('a caller that abandons a request of a pipeline abandons all requests on the connection', async () => {
+  const history = createShutdownHistory()
+  await using vm = await startFakeVm(() => undefined)
+  const requests = await runCaller(createOptions('busyPipeline', vm.address, history, { limitsMs: [300], abandonShare: 1 }), 700)
+  const first = requests.filter(({ connection }) => connection === requests[0]?.connection)
+  assert.ok(first.length > 2)
+  assert.deepEqual(new Set(first.map(({ end }) => end?.type)), new Set(['abandoned']))
+  assert.equal(new Set(first.map(({ endedAt }) => endedAt)).size, 1)
+  assert.ok(new Set(requests.map(({ connection }) => connection)).size >= 2)
+})
+
+test('a caller without a target sends nothing', async () => {
+  const history = createShutdownHistory()
+  assert.deepEqual(await runCaller(createOptions('pool', '', history, { getTarget: () => undefined }), 100), [])
 })
 
 test('a request without an answer keeps no end when its caller is stopped', async () => {
@@ -398,7 +546,7 @@
 
 test('refusals and refused connections don\'t stop a caller', async () => {
   const history = createShutdownHistory()
-  await using vm = await startFakeVm((_id, _req, res) => { res.writeHead(503, { 'retry-after': '0.250' }).end() })
+  await using vm = await startFakeVm((_id, _req, res) => { res.writeHead(503, { 'retry-after': '0.250' }).end('not run: full\n') })
   const refusing = await startTcpServer()
   await refusing[Symbol.asyncDispose]()
   let turns = 0
@@ -407,7 +555,7 @@
   await caller.stop(1000)
   assert.ok(caller.connectFailures > 1)
   assert.ok(history.requests.size > 1)
-  for (const { end } of history.requests.values()) assert.deepEqual(end, { type: 'whole', status: 503, isFromServer: false, retryAfterMs: 250 })
+  for (const { end } of history.requests.values()) assert.deepEqual(end, { type: 'whole', status: 503, isFromServer: false, retryAfterMs: 250, text: 'not run: full' })
 })
 
 test('a caller that follows lookups sends nothing more on connections to a VM that is no longer named', async () => {
@@ -426,7 +574,18 @@
   for (const { vm, startedAt } of requests) assert.equal(vm === 'entry-1', startedAt > movedAt)
 })
 
-const basis: AnswerBasis = { seed: 3, weights: defaultWeights, limitMs: 1000, habit: undefined, isSecondTry: false }
+test('a busy pipeline is never idle at servers that answer in all ways', async () => {
+  const history = createShutdownHistory()
+  const weights = { ...defaultWeights, reset: 0, turnedAway: 0 }
+  await using vm = await startFakeVm((id, _req, res) => {
+    const plan = planAnswer(id, { ...basis, weights, habit: 'busyPipeline' })
+    setTimeout(() => answerWhole(id, res), plan.delayMs + plan.pauseMs)
+  })
+  const requests = await runCaller(createOptions('busyPipeline', vm.address, history), 4000)
+  assert.ok(requests.length > 20)
+  assert.equal(new Set(requests.map(({ connection }) => connection)).size, 1)
+  assert.equal(vm.idleMoments(), 0)
+})
 
 test('answers are drawn reproducibly, within the limit, and a second try is answered', () => {
   const kinds = new Set<AnswerKind>()
@@ -438,7 +597,7 @@
     assert.ok(plan.delayMs + plan.pauseMs < 1000)
     const second = planAnswer(`a-${index}`, { ...basis, isSecondTry: true })
     assert.ok(second.kind !== 'turnedAway' && second.kind !== 'reset')
-    assert.ok(planAnswer(`a-${index}`, { ...basis, habit: 'busyPipeline' }).delayMs >= 150)
+    assert.ok(planAnswer(`a-${index}`, { ...basis, habit: 'busyPipeline' }).delayMs >= 250)
   }
   assert.equal(kinds.size, 8)
 })
@@ -477,8 +636,8 @@
   const [server] = group.servers
   const headers = { 'idempotency-key': 'a-1', 'lynx-deadline-ms': '5000', 'lynx-expect-server': 'server-0' }
   await assert.rejects(request(`http://${server?.address}/read/`, { headers, signal: AbortSignal.timeout(100) }))
-  await sleep(100)
   const [run] = history.runs
+  await waitUntil('the run has ended', async () => run?.endedAt !== undefined)
   assert.equal(run?.wasCutOff, true)
   assert.equal(run.hasFailed, false)
   assert.ok((run.endedAt ?? Infinity) - run.startedAt < 2000)
--- a/scripts/shutdown/callerConnection.ts
+++ b/scripts/shutdown/callerConnection.ts
@@ -1,11 +1,20 @@
 /** A connection of a caller: sends requests, matches answers to them and records how each request ended. */
 import type { Socket } from 'node:net'
-import type { CallerTarget } from './connecting.js'
+import type { Forwarder } from './forwarder.js'
 import { MalformedAnswerError, ResponseReader } from './responseReader.js'
 import type { ReceivedAnswer } from './responseReader.js'
 import { isWholeText } from './texts.js'
 import type { ObservedRequest, RequestEnd, ShutdownHistory } from './types.js'
 
+/** An entry VM as callers reach it. */
+export interface CallerTarget {
+  readonly vm: string
+  /** `IP:port` of the VM; unused if there is a forwarder. */
+  readonly address: string
+  /** Forwarder between callers and the VM; undefined for a direct connection. */
+  readonly forwarder?: Forwarder | undefined
+}
+
 /** Bytes of a request and the pause in milliseconds after which they are sent. */
 export interface RequestPart {
   readonly bytes: Buffer
@@ -18,6 +27,9 @@
 /** Detail of requests that were sent before the caller received `Connection: close` with an earlier answer. */
 export const crossedClose = 'crossed close'
 
+/** Bytes of a refusal's body that are recorded. */
+const maxTextBytes = 200
+
 interface Outstanding {
   readonly request: ObservedRequest
   readonly timer: NodeJS.Timeout | undefined
@@ -122,7 +134,8 @@
     const isFromServer = server !== undefined && echoedId === request.id && isWholeText(body.toString('latin1'), server, request.id)
     if (echoedId !== undefined && echoedId !== request.id) this.noteAnomaly(`answer to ${echoedId} instead of ${request.id}`, now)
     if (status === 200 && !isFromServer) this.noteAnomaly(`answer to ${request.id} is not its server's`, now)
-    return { type: 'whole', status, isFromServer, retryAfterMs: parseRetryAfter(headers.get('retry-after')) }
+    const end = { type: 'whole', status, isFromServer, retryAfterMs: parseRetryAfter(headers.get('retry-after')) } as const
+    return isFromServer ? end : { ...end, text: body.toString('utf8', 0, maxTextBytes).trimEnd() }
   }
 
   private takeEnd (now: number): void {
