--- a/scripts/shutdown/judge.ts
+++ b/scripts/shutdown/judge.ts
@@ -204,7 +204,7 @@
 }
 
 function describeEnd (end: RequestEnd): string {
-  if (end.type === 'whole') return `answered ${end.status}`
+  if (end.type === 'whole') return `answered ${end.status}${end.text === undefined ? '' : ` ${end.text}`}`
   return end.type === 'broken' ? end.detail : end.type
 }
 
