--- a/scripts/shutdown/plan.ts
+++ b/scripts/shutdown/plan.ts
@@ -1,5 +1,5 @@
 /** Draws a run of the shutdown rig from its seed: the system, its callers, and the signals to its entry VMs. */
-import { createRandom } from '@lynxcourse/base'
+import { createRandom, hashText } from '@lynxcourse/base'
 import type { Random } from '@lynxcourse/base'
 import type { AnswerWeights } from './answerPlan.js'
 import type { CallerHabit, ShutdownBounds } from './types.js'
@@ -108,13 +108,14 @@
 
 /** Draws the run of a seed. */
 export function planShutdown (seed: number, options: PlanOptions = {}): ShutdownPlan {
-  const random = createRandom(seed)
+  // The first draws of small seeds resemble each other, so the seed is hashed.
+  const random = createRandom(hashText(`plan ${seed}`))
   const drawnEntries = 2 + drawIndex(random, 2)
   const entries = options.entries ?? drawnEntries
   const rounds = options.rounds ?? defaultRounds
   const steps = Array.from({ length: rounds }, (_, round) => drawRound(random, warmUpMs + round * roundMs, entries)).flat()
   // Drawn apart, so that a seed has the same stops with and without pauses.
-  const pauses = options.starves === true ? drawPauses(createRandom(seed + 1), steps) : []
+  const pauses = options.starves === true ? drawPauses(createRandom(hashText(`pauses ${seed}`)), steps) : []
   return {
     seed,
     entries,
