A server that still has time is not given up since its request may have waited unread

Cause: one deadline served two purposes. It counts from the earliest moment at which the request can have arrived, which bounds what servers are given and what is begun. The same deadline ended the answer, although the request may have arrived as late as it was read. On a busy machine the two are 100 ms and more apart.

Change: an answer is given up when the whole time has passed since the request was read, at most 200 ms after its deadline. Servers are still given the time until the earlier deadline. The timer checks the clock, since timers count from the start of an iteration.

Evidence: the new test of readDelay.test.ts is red on the code before (504), green with the change; the rest of the file stays green.

--- a/packages/daemon/__tests__/readDelay.test.ts
+++ b/packages/daemon/__tests__/readDelay.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import type { LoopIterations } from '@lynxcourse/placement'
+import { getCurrentTime } from '@lynxcourse/daemon'
 import { sendRequest, publishRoutes, createRouteToDesk, startFleetFixture, startTestServer } from './support/fleetFixture.js'
 import { startTestBackend, startDaemonFixture as startServiceFixture } from './support/daemonFixture.js'
 import { connectWorkerCaller } from './support/workerCaller.js'
@@ -40,6 +41,18 @@
   assert.match(await caller.answer, /^HTTP\/1\.1 200 /)
 })
 
+// Guards against a VM that answers in place of a server that still has time, since the request may have waited unread.
+test('a server that answers within the time after the request was read is not given up', async () => {
+  await using fixture = await startFleetFixture(1)
+  await using server = await startTestServer('s1', (_req, res) => { setTimeout(() => res.end('ok'), timeoutMs - 60) })
+  await publishRoutes(fixture, [server], [createRouteToDesk('read', { timeoutMs })])
+  const iterations = fixture.daemons.at(-1)?.gateway?.loop.iterations as LoopIterations
+  const now = getCurrentTime()
+  const earliest = now - 150
+  Object.assign(iterations, { isIterationRecorded: true, wasIdle: false, recordedAt: now, earliestArrivalAt: earliest, earliestFirstArrivalAt: earliest })
+  assert.equal((await sendRequest(fixture, '/read/1')).status, 200)
+})
+
 /*
  * Guards against callers that stay at an overloaded VM: the VM that had the callers of a whole region kept their
  * connections for ten seconds, 984 of them, while the median VM had 114 and used a quarter of its processor.
--- a/packages/daemon/src/core/gateway/call.ts
+++ b/packages/daemon/src/core/gateway/call.ts
@@ -40,6 +40,8 @@
   readonly readAt: Millis
   /** End of the caller's timeout or of the route's, whichever is earlier. */
   readonly deadline: Millis
+  /** When a server that still works on the request is given up; later than the deadline if the request may have waited unread. */
+  readonly giveUpAt: Millis
   /** Aborted when the caller has closed its connection. */
   readonly gone: CancelSignal
   /** Time up to which a close of the caller's connection would have been noticed. */
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net'
 import { LynxError, getErrorMessage } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { createCallerLiveness, fitsIterationBudget, getCopyAge, recordPoll, invalidateLiveness, getIterationTime } from '@lynxcourse/placement'
+import { createCallerLiveness, fitsIterationBudget, getCopyAge, getGiveUpTime, recordPoll, invalidateLiveness, getIterationTime } from '@lynxcourse/placement'
 import type { RoutedService, IterationTime } from '@lynxcourse/placement'
 import { matchRoute, selectService } from '@lynxcourse/routing'
 import type { Route } from '@lynxcourse/state'
@@ -231,6 +231,7 @@
     arrivedAt,
     readAt,
     deadline,
+    giveUpAt: getGiveUpTime(deadline, arrivedAt, readAt),
     gone,
     liveness,
     stream: createStream(gateway, incoming, route),
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -158,13 +158,13 @@
  * Waits until the caller has the whole of an answer that is forwarded while it is received. The time for which the server
  * waited for the caller or the link is not the server's.
  */
-async function finishStream ({ stream, gone, deadline }: Call, result: SendResult): Promise<SendResult> {
+async function finishStream ({ stream, gone, giveUpAt }: Call, result: SendResult): Promise<SendResult> {
   if (stream === undefined || stream.state === 'idle') return result
   if (result.type !== 'answered') {
     dropAnswer(stream)
     return result
   }
-  await deliverRest(stream, gone, deadline)
+  await deliverRest(stream, gone, giveUpAt)
   return { ...result, connectMs: result.connectMs + stream.heldMs }
 }
 
@@ -207,7 +207,7 @@
 }
 
 /**
- * Ends a send at the deadline, when the caller disconnects, or when another server should take over. Timers run before
+ * Ends a send when its time is over, when the caller disconnects, or when another server should take over. Timers run before
  * sockets are read, so a timer's decision waits for a poll: the answer may already be in the kernel.
  */
 function watchSend ({ loop: { polls: looks } }: Gateway, call: Call, timeouts: SendTimeouts, now: Millis, abort: () => void): SendWatch {
@@ -222,7 +222,13 @@
   const onGone = (): void => stop('gone')
   call.gone.on('abort', onGone)
   if (call.gone.aborted) onGone()
-  const deadlineTimer = setTimeout(afterPoll(looks, () => stop('deadline')), Math.max(1, call.deadline - now))
+  const giveUp = afterPoll(looks, () => {
+    const leftMs = call.giveUpAt - getCurrentTime()
+    // Timers count from the start of their event loop iteration, so that they run early.
+    if (leftMs > 0 && !hasEnded) giveUpTimer = setTimeout(giveUp, Math.ceil(leftMs))
+    else stop('deadline')
+  })
+  let giveUpTimer = setTimeout(giveUp, Math.max(1, call.giveUpAt - now))
   const tryFailover = afterPoll(looks, () => { if (!hasEnded && !isPinned && timeouts.mayFailOver()) stop('slow') })
   const failoverTimer = timeouts.failoverAt === undefined ? undefined : setTimeout(tryFailover, Math.max(1, timeouts.failoverAt - now))
   const checkUnresponsive = afterPoll(looks, () => {
@@ -240,7 +246,7 @@
     },
     end: () => {
       hasEnded = true
-      clearTimeout(deadlineTimer)
+      clearTimeout(giveUpTimer)
       clearTimeout(failoverTimer)
       clearTimeout(unresponsiveTimer)
       call.gone.off('abort', onGone)
--- a/packages/placement/src/core/admission/readDelay.ts
+++ b/packages/placement/src/core/admission/readDelay.ts
@@ -146,3 +146,16 @@
   const mayHaveArrivedTogether = since < at && now - at < maxFirstRequestDelayMs
   return mayHaveArrivedTogether ? Math.min(earliest, since) : earliest
 }
+
+/** A request that may have arrived earlier is given up at most this long after its deadline. */
+const maxGiveUpDelayMs: Millis = 200
+
+/**
+ * Returns when to give up a request at a server: its whole time after it was read. Counted from its earliest arrival, the VM would end
+ * an answer that its caller still waits for. Later work is bounded by the deadline, which counts from the earliest arrival.
+ *
+ * @param deadline end of its whole time after its earliest arrival
+ */
+export function getGiveUpTime (deadline: Millis, arrivedAt: Millis, readAt: Millis): Millis {
+  return deadline + Math.min(readAt - arrivedAt, maxGiveUpDelayMs)
+}
