An answer arrives whole although its connection or the process ends

Callers of a VM that stops lost answers that their servers had completed.

- The close of the listener destroyed connections whose answer was ended but not sent to the operating system: Node counts them as idle, and server.close() closes idle connections too.
A caller that read slowly got 3.9 of 14 MB.
- An answer with 'connection: close' closed its socket at once.
With unread bytes, or with bytes that came later, the kernel resets the connection and drops what the caller doesn't have yet: a request sent behind, the rest of a body.
The same for answers that end a connection at other times, such as the refusals of an overloaded VM.
- The process ended as soon as the last answer was written, whatever its caller had of it.

Change: a connection ends with a half-close; what still arrives is read and discarded until the caller closes, for 2 s at most. Only connections without a request and without unsent bytes are closed with the listener. A VM that stops waits for the callers' closes, for at most 250 ms after its time is over.

--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -16,7 +16,7 @@
 import { enqueueEvent } from '../control/controlHost.js'
 import { addClusterMethods, keepJoining } from '../control/joining.js'
 import { closeStaleConnections } from '../entry/connectionPool.js'
-import { closeIdleConnections } from '../gateway/callerConnections.js'
+import { closeAnsweredConnections, closeIdleConnections } from '../gateway/callerConnections.js'
 import { applyCallerLimits, createCallerServer } from '../gateway/callerServer.js'
 import type { CallerDialect, ServerDialect } from '../gateway/dialects.js'
 import { recordConnectTime, refreshGateway } from '../gateway/gatewayRefresh.js'
@@ -67,6 +67,8 @@
  * Time after the stop signal during which new connections are accepted, until lookups that named this VM have expired.
  */
 const acceptAfterStopMs: Millis = 3500
+/** Time for which connections may linger after the last answer of a VM that stops. */
+const lingerAfterStopMs: Millis = 250
 const maxRpcBytes = 33_554_432
 const rpcPerSecond = 20_000
 
@@ -215,4 +217,7 @@
   logListenerClosed(gateway, closure, startedAt, getCurrentTime())
   while (gateway.open > 0 && getCurrentTime() - startedAt < stopMs) await delay(drainPollIntervalMs)
   reportStopEnd(gateway, startedAt, getCurrentTime())
+  // The process must not end before the callers have received their last answers.
+  closeAnsweredConnections(gateway)
+  while (gateway.lingering.size > 0 && getCurrentTime() - startedAt < stopMs + lingerAfterStopMs) await delay(drainPollIntervalMs)
 }
--- a/packages/daemon/src/core/gateway/callerConnections.ts
+++ b/packages/daemon/src/core/gateway/callerConnections.ts
@@ -1,6 +1,8 @@
 /** The connections from callers, and the reasons for which they are closed. */
 import type { Server } from 'node:http'
+import { Server as NetServer } from 'node:net'
 import type { Socket } from 'node:net'
+import { closeLingering } from '../../utils/lingeringClose.js'
 import type { CloseReason } from './closeReason.js'
 import type { Gateway } from './gateway.js'
 
@@ -17,8 +19,6 @@
 /** Connections that a stop closed, and those that it left open. */
 export interface StopClosure {
   readonly idle: number
-  /** Closed with a part of an answer unsent. */
-  readonly unsent: number
   readonly left: ConnectionCounts
 }
 
@@ -38,16 +38,30 @@
   return hadError || socket.readableEnded ? 'caller' : 'timeout'
 }
 
-/** Closes the listener and the connections that Node takes for idle. */
+/** Closes the listener and the idle connections. */
 export function closeIdleConnections (gateway: Gateway, server: Server): StopClosure {
-  const before = [...gateway.connections].filter(socket => !socket.destroyed)
-  const unsentBefore = new Set(before.filter(socket => socket.writableLength > 0))
-  server.close()
-  server.closeIdleConnections()
-  const closed = before.filter(socket => socket.destroyed)
-  const unsent = closed.filter(socket => unsentBefore.has(socket))
-  for (const socket of closed) markClose(gateway, socket, unsentBefore.has(socket) ? 'unsent' : 'idle')
-  return { idle: closed.length - unsent.length, unsent: unsent.length, left: countConnections(gateway) }
+  // The HTTP server's own method also destroys connections whose answer is not sent completely.
+  if (server.listening) NetServer.prototype.close.call(server)
+  const idle = [...gateway.connections].filter(socket => isIdle(gateway, socket))
+  for (const socket of idle) {
+    markClose(gateway, socket, 'idle')
+    socket.destroy()
+  }
+  return { idle: idle.length, left: countConnections(gateway) }
+}
+
+/** Half-closes the connections whose answers were written without an announced close, so that the end of the process doesn't cut them. */
+export function closeAnsweredConnections (gateway: Gateway): void {
+  for (const socket of gateway.connections) {
+    if (gateway.pipelines.get(socket)?.requests.length === 0) closeLingering(gateway.lingering, socket)
+  }
+}
+
+/** Whether a connection had a request, all its answers are sent, and no part of another request was read. */
+function isIdle ({ pipelines, lingering }: Gateway, socket: Socket): boolean {
+  const pipeline = pipelines.get(socket)
+  if (pipeline === undefined || lingering.has(socket)) return false
+  return pipeline.requests.length === 0 && socket.writableLength === 0 && socket.bytesRead === pipeline.answeredBytesRead
 }
 
 /** Sets the reason of a close by this VM, unless there is one. */
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -12,6 +12,7 @@
 import type { CancelSignal } from '../../utils/cancelSignal.js'
 import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { isHopByHop } from '../../utils/headers.js'
+import { lingerAfterLastAnswer } from '../../utils/lingeringClose.js'
 import { log } from '../../utils/logging.js'
 import { recordRequestRead, recordAcceptedConnection, recordCloseRead } from '../../utils/loopMonitor.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
@@ -60,6 +61,7 @@
   })
   server.on('connection', (socket: Socket) => {
     trackConnection(gateway, socket)
+    lingerAfterLastAnswer(gateway.lingering, socket)
     recordAcceptedConnection(gateway.loop, socket, getCurrentTime())
     recordCloseRead(gateway.loop, socket, readDelayMs => {
       const hasRequests = (gateway.pipelines.get(socket)?.requests.length ?? 0) > 0
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import type { RouteTable, SplitStates, TeamTable } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
 import type { CallerLimits, ConfigItem } from '@lynxcourse/state'
+import type { LingeringSockets } from '../../utils/lingeringClose.js'
 import type { LoopMonitor } from '../../utils/loopMonitor.js'
 import { readClocks } from '../../utils/clock.js'
 import { createCrashWatch } from '../crashes/crashWatch.js'
@@ -51,6 +52,8 @@
   readonly openRequests: OpenRequests
   /** Open connections from callers. */
   readonly connections: Set<Socket>
+  /** Connections from callers that are half-closed after their last answer. */
+  readonly lingering: LingeringSockets
   /** Writes large answers. */
   readonly link: LinkPacer
   /** Unanswered requests by caller connection. */
@@ -93,6 +96,7 @@
     open: 0,
     openRequests: createOpenRequests(),
     connections: new Set(),
+    lingering: new Set(),
     waitingForCapacity: new Map(),
     waitingForState: 0,
     bufferedBodyBytes: 0,
--- a/packages/daemon/src/core/gateway/pipeline.ts
+++ b/packages/daemon/src/core/gateway/pipeline.ts
@@ -30,6 +30,7 @@
 
 /** Requests of one connection whose answers are not fully written, in the order of their arrival. */
 export interface Pipeline {
+  readonly socket: Socket
   requests: PipelinedRequest[]
   /** Whether an answer will close the connection; later requests on it count as not received. */
   isClosing: boolean
@@ -37,6 +38,8 @@
   discardedRequests: number
   /** Why this VM closed the connection; undefined unless it closed it without an announcement. */
   closeReason: CloseReason | undefined
+  /** Bytes read from the connection when the last of its requests was answered; undefined before. */
+  answeredBytesRead: number | undefined
 }
 
 /** Pipelines by connection. */
@@ -45,7 +48,7 @@
 function getOrCreatePipeline (pipelines: Pipelines, socket: Socket): Pipeline {
   const known = pipelines.get(socket)
   if (known !== undefined) return known
-  const pipeline: Pipeline = { requests: [], isClosing: false, discardedRequests: 0, closeReason: undefined }
+  const pipeline: Pipeline = { socket, requests: [], isClosing: false, discardedRequests: 0, closeReason: undefined, answeredBytesRead: undefined }
   pipelines.set(socket, pipeline)
   const cancelAll = (): void => { for (const request of pipeline.requests) cancel(request) }
   // The end of the caller's data is read one event loop iteration before the socket emits `close`.
@@ -82,6 +85,7 @@
 export function leavePipeline (request: PipelinedRequest): void {
   const { pipeline } = request
   pipeline.requests = pipeline.requests.filter(other => other !== request)
+  if (pipeline.requests.length === 0) pipeline.answeredBytesRead = pipeline.socket.bytesRead
   for (const next of pipeline.requests.slice(0, maxConcurrentRequests)) next.wake()
 }
 
--- a/packages/daemon/src/core/gateway/stopReport.ts
+++ b/packages/daemon/src/core/gateway/stopReport.ts
@@ -39,8 +39,8 @@
 }
 
 /** Logs that the listener is closed, with the connections that were closed with it and those that are left. */
-export function logListenerClosed ({ node, open }: Gateway, { idle, unsent, left }: StopClosure, startedAt: Millis, now: Millis): void {
-  log(node.logs, 'daemon', 'info', 'Listener closed.', { afterMs: Math.round(now - startedAt), closedIdle: idle, closedUnsent: unsent, ...left, open })
+export function logListenerClosed ({ node, open }: Gateway, { idle, left }: StopClosure, startedAt: Millis, now: Millis): void {
+  log(node.logs, 'daemon', 'info', 'Listener closed.', { afterMs: Math.round(now - startedAt), closedIdle: idle, ...left, open })
 }
 
 /** Logs the end of the wait for open requests, and each answer that is incomplete by then. */
--- /dev/null
+++ b/packages/daemon/src/utils/lingeringClose.ts
@@ -0,0 +1,35 @@
+/**
+ * Closes connections of an HTTP server so that their last answer arrives whole.
+ *
+ * A socket that is closed with unread bytes, or that receives bytes after its close, is reset. The reset discards what the peer has not
+ * received yet, and a peer that is still writing may see its own write fail before it reads the answer. A connection therefore ends with a
+ * half-close, and what still arrives is read and discarded until the peer closes.
+ */
+import type { Socket } from 'node:net'
+import type { Millis } from '@lynxcourse/base'
+
+/** Longest time for which a half-closed connection waits for the peer's close. */
+const lingerMs: Millis = 2000
+
+/** Sockets that are half-closed and wait for the peer's close. */
+export type LingeringSockets = Set<Socket>
+
+/** Replaces the way in which Node closes a connection after an answer with `connection: close`. */
+export function lingerAfterLastAnswer (lingering: LingeringSockets, socket: Socket): void {
+  socket.destroySoon = () => closeLingering(lingering, socket)
+}
+
+/** Half-closes a connection once everything that was written is sent, and discards what arrives until the peer closes. */
+export function closeLingering (lingering: LingeringSockets, socket: Socket): void {
+  if (lingering.has(socket) || socket.destroyed) return
+  lingering.add(socket)
+  socket.once('close', () => lingering.delete(socket))
+  // Nothing of it can be answered any more, so it must not reach the HTTP parser.
+  socket.removeAllListeners('data')
+  socket.on('data', () => undefined)
+  // Node stopped reading if the body of a request was not consumed; an empty push lets the stream start to read again.
+  socket.push('')
+  socket.resume()
+  socket.once('finish', () => setTimeout(() => socket.destroy(), lingerMs).unref())
+  socket.end()
+}
