A VM that stops takes only requests that it can answer before it ends

Callers of a VM that stops lost requests that servers were working on, or had answered: on a connection that is never without a request, no answer could announce the close, since an announcement discards the requests behind it. The VM read and sent requests until its process ended and cut all of them; answers that had arrived waited behind the one that was cut.

Class: work that is taken without looking at the end of the one who takes it.

Change: a stop has a schedule. In its first half everything is taken. Then a request is taken if its whole time ends before the answers are given up and if none of its connection is unanswered; all others are refused at once as not run, with a retry time of 20 ms, since lookups name only other VMs. So each connection has a last answer, which announces the close. The accept queue is emptied for up to 500 ms before the listener closes, which resets the connections in it.

--- a/packages/daemon/__tests__/pipeline.test.ts
+++ b/packages/daemon/__tests__/pipeline.test.ts
@@ -98,3 +98,61 @@
   await waitUntil(() => findBodies(caller.text()).length === 60)
   assert.ok(maxSeen <= maxConcurrent, `${maxSeen} at once`)
 })
+
+/** Sends requests that take longer than the pauses between them, until an answer announces the close. */
+async function sendWithoutGap ({ socket, text, isClosed }: Caller): Promise<void> {
+  for (let sent = 0; !isClosed() && !/connection: close/i.test(text()); sent++) {
+    socket.write(buildGet(`/read/slow${sent}`))
+    await new Promise(resolve => setTimeout(resolve, 100))
+  }
+}
+
+function countAnswers (text: string): number {
+  return [...text.matchAll(/HTTP\/1\.1 \d+ /g)].length
+}
+
+/** Guards against a VM that serves a connection until its process ends, since the connection is never without a request. */
+test('a VM that stops ends a connection that is never without a request, and answers each of its requests', async () => {
+  await using fixture = await startFleetFixture(1)
+  await using server = await startTestServer('s1', answerAfterDelay)
+  await publishRoutes(fixture, [server], [createRouteToDesk('read')])
+  const entry = fixture.daemons.at(-1) as FleetDaemon
+  using caller = connectCaller(fixture)
+  const sending = sendWithoutGap(caller)
+  await waitUntil(() => countAnswers(caller.text()) > 2)
+  await leaveFleet(entry)
+  assert.equal(entry.gateway?.open, 0)
+  await sending
+  // A request that crosses the close is not passed on.
+  assert.equal(findBodies(caller.text()).length, server.requests.length)
+})
+
+/** Guards against a request that is taken shortly before the process ends, and that its end cuts off. */
+test('a VM that stops refuses a request that may take longer than the VM runs, and serves the others', async () => {
+  await using fixture = await startFleetFixture(1)
+  const held: ServerResponse[] = []
+  const answer = (req: IncomingMessage, res: ServerResponse): void => {
+    if (req.url?.endsWith('held') === true) held.push(res)
+    else res.end('whole')
+  }
+  await using first = await startTestServer('s1', answer)
+  await using second = await startTestServer('s2', answer)
+  await publishRoutes(fixture, [first, second], [createRouteToDesk('read', { timeoutMs: 300 }), createRouteToDesk('long', { timeoutMs: 3000 })])
+  const entry = fixture.daemons.at(-1) as FleetDaemon
+  using holding = connectCaller(fixture)
+  using short = connectCaller(fixture)
+  using long = connectCaller(fixture)
+  holding.socket.write(buildGet('/long/held'))
+  await waitUntil(() => held.length === 1 && entry.gateway?.connections.size === 3)
+  const leaving = leaveFleet(entry)
+  await waitUntil(() => entry.callerServer?.listening === false)
+  short.socket.write(buildGet('/read/b'))
+  long.socket.write(buildGet('/long/b'))
+  await waitUntil(() => short.text() !== '' && long.text() !== '')
+  for (const res of held) res.end('whole')
+  await leaving
+  assert.match(short.text(), /^HTTP\/1\.1 200 /)
+  assert.match(long.text(), /^HTTP\/1\.1 503 /)
+  assert.match(long.text(), /\r\nretry-after: \d+/i)
+  assert.equal(first.requests.length + second.requests.length, 2)
+})
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -2,8 +2,8 @@
 import type { Server } from 'node:http'
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { applyLoadUpdate, listLimitDemand, listRolloutReports } from '@lynxcourse/placement'
-import type { EntryPresence } from '@lynxcourse/placement'
+import { applyLoadUpdate, createStopSchedule, listLimitDemand, listRolloutReports } from '@lynxcourse/placement'
+import type { EntryPresence, StopSchedule } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
 import { closeServer, listen } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
@@ -63,10 +63,8 @@
 const usageIntervalMs: Millis = 1000
 const retryReportIntervalMs: Millis = 1000
 const drainPollIntervalMs: Millis = 20
-/**
- * Time after the stop signal during which new connections are accepted, until lookups that named this VM have expired.
- */
-const acceptAfterStopMs: Millis = 3500
+/** Limit on the time that accepting the waiting connections takes before the listener is closed. */
+const maxAcceptDrainMs: Millis = 500
 /** Time for which connections may linger after the last answer of a VM that stops. */
 const lingerAfterStopMs: Millis = 250
 const maxRpcBytes = 33_554_432
@@ -203,21 +201,32 @@
   node.isLeaving = true
   log(node.logs, 'daemon', 'info', 'Leaving.', { open: gateway?.open ?? 0 })
   if (gateway !== undefined && stateWatch !== undefined && callerServer !== undefined) {
-    await Promise.all([publishPresence(stateWatch), drainCallers(gateway, callerServer, startedAt)])
+    const stop = createStopSchedule(startedAt, node.cfg.times.stopMs)
+    await Promise.all([publishPresence(stateWatch), drainCallers(gateway, callerServer, stop)])
   }
   log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0, afterMs: Math.round(getCurrentTime() - startedAt) })
 }
 
-async function drainCallers (gateway: Gateway, server: Server, startedAt: Millis): Promise<void> {
-  const { stopMs } = gateway.node.cfg.times
-  await delay(Math.min(acceptAfterStopMs, stopMs / 2))
-  // A connection with an unread request counts as idle until the event loop has polled its socket.
-  await waitForPoll(gateway.loop.polls)
+async function drainCallers (gateway: Gateway, server: Server, stop: StopSchedule): Promise<void> {
+  const { startedAt, acceptsUntil, endsAt } = stop
+  gateway.stop = stop
+  await delay(acceptsUntil - getCurrentTime())
+  await drainAcceptQueue(gateway)
   const closure = closeIdleConnections(gateway, server)
   logListenerClosed(gateway, closure, startedAt, getCurrentTime())
-  while (gateway.open > 0 && getCurrentTime() - startedAt < stopMs) await delay(drainPollIntervalMs)
+  while (gateway.open > 0 && getCurrentTime() < endsAt) await delay(drainPollIntervalMs)
   reportStopEnd(gateway, startedAt, getCurrentTime())
   // The process must not end before the callers have received their last answers.
   closeAnsweredConnections(gateway)
-  while (gateway.lingering.size > 0 && getCurrentTime() - startedAt < stopMs + lingerAfterStopMs) await delay(drainPollIntervalMs)
+  while (gateway.lingering.size > 0 && getCurrentTime() < endsAt + lingerAfterStopMs) await delay(drainPollIntervalMs)
+}
+
+/** Reads the requests of connections that wait to be accepted, since closing the listener resets these. */
+async function drainAcceptQueue ({ loop: { polls } }: Gateway): Promise<void> {
+  const latestAt = getCurrentTime() + maxAcceptDrainMs
+  let countBefore: number
+  do {
+    countBefore = polls.acceptCount
+    await waitForPoll(polls)
+  } while (polls.acceptCount !== countBefore && getCurrentTime() < latestAt)
 }
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net'
 import { LynxError, getErrorMessage } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
-import { createCallerLiveness, fitsIterationBudget, getCopyAge, getGiveUpTime, recordPoll, invalidateLiveness, getIterationTime } from '@lynxcourse/placement'
+import { createCallerLiveness, fitsIterationBudget, fitsStop, getCopyAge, getGiveUpTime, recordPoll, invalidateLiveness, getIterationTime } from '@lynxcourse/placement'
 import type { RoutedService, IterationTime } from '@lynxcourse/placement'
 import { matchRoute, selectService } from '@lynxcourse/routing'
 import type { Route } from '@lynxcourse/state'
@@ -28,7 +28,7 @@
 import type { Gateway } from './gateway.js'
 import { addOpenRequest, enterStep, enterWriting, recordFinish } from './openRequests.js'
 import type { OpenRequest } from './openRequests.js'
-import { joinPipeline, leavePipeline, tryMarkClosing, waitForEarlierAnswers } from './pipeline.js'
+import { isBehindOthers, joinPipeline, leavePipeline, tryMarkClosing, waitForEarlierAnswers } from './pipeline.js'
 import type { PipelinedRequest } from './pipeline.js'
 import { logRefusal, getStateFields, getTimeFields } from './requestLog.js'
 import type { RefusedCall } from './requestLog.js'
@@ -48,6 +48,8 @@
  * have capacity now, but not for all callers at the same moment.
  */
 const overloadedRetryMs: Millis = 150
+/** Retry time for callers of a VM that stops: other VMs can serve them at once, and lookups name only those. */
+const stoppingRetryMs: Millis = 20
 /** Retry time for callers of a VM that has no memory left for their bodies. */
 const tooManyBodiesRetryMs: Millis = 500
 
@@ -201,17 +203,20 @@
 }
 
 async function serveRoutedCall (gateway: Gateway, incoming: IncomingCall, { route, service, caller }: AuthenticatedTarget): Promise<CallAnswer | undefined> {
-  const { req, open, body: callBody, gone, arrival } = incoming
+  const { req, open, body: callBody, gone, arrival, pipelined } = incoming
   const { arrivedAt, readAt, liveness, readIteration, workStartedAt } = arrival
   const facts = gateway.callers.parseCallFacts(req.headers)
   const deadline = arrivedAt + Math.min(facts.remainingMs ?? Infinity, route.timeoutMs)
+  const giveUpAt = getGiveUpTime(deadline, arrivedAt, readAt)
   const refusedCall: RefusedCall = { facts, caller, route, service, arrivedAt, readAt, deadline }
+  if (!mayTake(gateway, pipelined, giveUpAt)) return refuseStopping(gateway, req, refusedCall)
   if (!fitsIterationBudget(readIteration, route.rank)) return refuseOverloaded(gateway, req, refusedCall)
   enterStep(open, 'body', getCurrentTime())
   const end = await callBody.end
   enterStep(open, 'decision', getCurrentTime())
   if (end.type !== 'whole') return answerBodyFailure(gateway, end)
   if (end.at > liveness.polledAt) invalidateLiveness(liveness)
+  if (!mayTake(gateway, pipelined, giveUpAt)) return refuseStopping(gateway, req, refusedCall)
   // Checked immediately before the work, so that later requests of this iteration include the time of that work.
   const elapsedMs = getCurrentTime() - Math.max(workStartedAt, end.at)
   if (!fitsIterationBudget({ ...readIteration, elapsedMs }, route.rank)) return refuseOverloaded(gateway, req, refusedCall)
@@ -233,7 +238,7 @@
     arrivedAt,
     readAt,
     deadline,
-    giveUpAt: getGiveUpTime(deadline, arrivedAt, readAt),
+    giveUpAt,
     gone,
     liveness,
     stream: createStream(gateway, incoming, route),
@@ -259,6 +264,18 @@
   return { ...createRefusal(gateway.callers, 'this VM is overloaded', retryAfterMs), endsConnection: req.complete }
 }
 
+/** Whether this VM runs for long enough to take a request. */
+function mayTake ({ stop }: Gateway, pipelined: PipelinedRequest, giveUpAt: Millis): boolean {
+  return stop === undefined || fitsStop(stop, { giveUpAt, isBehindOthers: isBehindOthers(pipelined) }, getCurrentTime())
+}
+
+/** Refuses a request that this VM might not answer before it ends. */
+function refuseStopping (gateway: Gateway, req: IncomingMessage, call: RefusedCall): CallAnswer {
+  req.resume()
+  logRefusal(gateway, call, undefined, { type: 'refuse', reason: 'stopping', retryAfterMs: stoppingRetryMs })
+  return createRefusal(gateway.callers, 'this VM is stopping', stoppingRetryMs)
+}
+
 /** Refuses a request that this VM can't route: its copy of the state may lack a change, or it has none yet. */
 function refuseUnconfirmed (gateway: Gateway, req: IncomingMessage): CallAnswer {
   req.resume()
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net'
 import { loadChart } from '@lynxcourse/base'
 import { createFleet, getCopyAge, hasCompleteList, mayUseShare } from '@lynxcourse/placement'
-import type { EntryState, Mechanism } from '@lynxcourse/placement'
+import type { EntryState, Mechanism, StopSchedule } from '@lynxcourse/placement'
 import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
 import type { RouteTable, SplitStates, TeamTable } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
@@ -46,6 +46,8 @@
   /** The items of the state that both tables were built from. */
   tableItems: readonly ConfigItem[]
   limits: CallerLimits
+  /** The times of the stop; undefined unless this VM stops. */
+  stop: StopSchedule | undefined
   /** Number of requests in progress in this VM. */
   open: number
   /** The requests in progress with their steps. */
@@ -93,6 +95,7 @@
     limits: defaultCallerLimits,
     link: createLinkPacer(node),
     pipelines: new WeakMap(),
+    stop: undefined,
     open: 0,
     openRequests: createOpenRequests(),
     connections: new Set(),
--- a/packages/daemon/src/core/gateway/pipeline.ts
+++ b/packages/daemon/src/core/gateway/pipeline.ts
@@ -89,6 +89,11 @@
   for (const next of pipeline.requests.slice(0, maxConcurrentRequests)) next.wake()
 }
 
+/** Whether an earlier request of the connection has no answer yet. */
+export function isBehindOthers (request: PipelinedRequest): boolean {
+  return !isFirst(request)
+}
+
 function isFirst (request: PipelinedRequest): boolean {
   return request.pipeline.requests[0] === request
 }
--- a/packages/placement/src/core/admission/stopAdmission.ts
+++ b/packages/placement/src/core/admission/stopAdmission.ts
@@ -15,8 +15,8 @@
 
 /** A request that a VM that stops has read. */
 export interface LateRequest {
-  /** When its caller or its route stops waiting. */
-  readonly deadline: Millis
+  /** When a server that still works on it is given up. */
+  readonly giveUpAt: Millis
   /** Whether an earlier request of its connection has no answer yet. */
   readonly isBehindOthers: boolean
 }
@@ -37,6 +37,6 @@
  * Returns whether a VM that stops takes a request. Later on it takes only those that have their whole time, and none behind others:
  * a connection that is never without a request would stay in use until the process ends.
  */
-export function fitsStop ({ acceptsUntil, endsAt }: StopSchedule, { deadline, isBehindOthers }: LateRequest, now: Millis): boolean {
-  return now < acceptsUntil || (!isBehindOthers && deadline <= endsAt)
+export function fitsStop ({ acceptsUntil, endsAt }: StopSchedule, { giveUpAt, isBehindOthers }: LateRequest, now: Millis): boolean {
+  return now < acceptsUntil || (!isBehindOthers && giveUpAt <= endsAt)
 }
