A server at work is given up only if the request may be sent again

Cause: the check before a fail-over asked whether a server could take the request, not whether a retry was left. Several requests of one poll phase could also pass the check for the same retry. The next step could be barred by a restriction of the request, or by a state that is not confirmed.

Change: the check uses the retry of the budget that the next send needs; a request that ends without it gives it back. Restricted requests and VMs that may not use their state don't fail over.

Evidence: two new tests of requestSteps.test.ts.

--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -1,7 +1,7 @@
 /** Serves one request: carries out the steps that placement decides on, until there is a final answer. */
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { beginSend, endSend, isServerError, isServerUnresponsive, isUnusedTrial, mayFailOver, decideNextStep, recordPoll, recordTrialAnswer, updateWaitingCount, startRequest } from '@lynxcourse/placement'
+import { beginSend, endSend, isServerError, isServerUnresponsive, isUnusedTrial, mayFailOver, decideNextStep, recordPoll, recordTrialAnswer, releaseRetry, updateWaitingCount, startRequest } from '@lynxcourse/placement'
 import type { DecisionConditions, InFlightSend, Placement, PlacementRequest, Refusal, RequestState, RequestStep } from '@lynxcourse/placement'
 import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
@@ -53,6 +53,7 @@
   } finally {
     if (largeAnswers !== undefined) largeAnswers.demand.inFlight -= 1
     releasePermit(gateway, holder, getCurrentTime())
+    releaseRetry(gateway, state)
     if (isUnusedTrial(state)) cancelTrial(gateway.crashes, getWatchedRequest(call)).catch(logFailure(gateway, call))
   }
 }
@@ -150,7 +151,7 @@
   const { startedAt, failoverAt, overdueAt } = sending
   const timeouts: SendTimeouts = {
     failoverAt,
-    mayFailOver: () => maySendAgain(gateway, holder, getCurrentTime()) && mayFailOver(gateway, state, getConditions(gateway, call), getCurrentTime()),
+    mayFailOver: () => mayUseState(gateway, readClocks()) && maySendAgain(gateway, holder, getCurrentTime()) && mayFailOver(gateway, state, getConditions(gateway, call), getCurrentTime()),
     overdueAt,
     isUnresponsive: () => isServerUnresponsive(gateway, sending, getConditions(gateway, call), getCurrentTime())
   }
--- a/packages/placement/__tests__/requestSteps.test.ts
+++ b/packages/placement/__tests__/requestSteps.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { beginSend, getConcurrency, createCallerLiveness, createLoadObservations, endSend, isServerUnresponsive, decideNextStep, recordPoll, startRequest } from '@lynxcourse/placement'
+import { beginSend, getConcurrency, createCallerLiveness, createLoadObservations, endSend, isServerUnresponsive, decideNextStep, mayFailOver, recordPoll, releaseRetry, startRequest } from '@lynxcourse/placement'
 import type { CallerLiveness, EntryState, DecisionConditions, RequestState, RequestStep, SendOutcome } from '@lynxcourse/placement'
 import { desk, createTestFleet, request, createRoute, server } from './support/fleet.js'
 
@@ -147,3 +147,31 @@
   const { run, sent, last } = runRequest(createEntry(), false, 2, [unreached, full, answered], 10, withoutRetries)
   assert.deepEqual([sent.length, last.type, run.retryCause, run.isOverBudget], [2, 'refuse', 'full', true])
 })
+
+/** Starts an idempotent request and its first send. */
+function startSend (entry: EntryState, given: DecisionConditions): RequestState {
+  const { tried: _, ...incoming } = request({ route: createRoute('read', { isIdempotent: true, maxAttempts: 3 }), arrivedAt: startedAt, deadline: startedAt + 1000 })
+  const run = startRequest(entry, incoming, createPolledCaller(), given, startedAt)
+  const step = decideNextStep(entry, run, given, startedAt)
+  assert.ok(step.type === 'send')
+  beginSend(entry, run, step.placement, startedAt)
+  return run
+}
+
+/** Guards against a server at work that is given up, and a failure in place of its answer, since the budget has no retry. */
+test('a request fails over only with a retry of the budget, and two requests do not use the same one', () => {
+  const oneRetry: DecisionConditions = { ...conditions, retryBudget: { ratio: 0, windowMs: 10_000, slack: 2 } }
+  const entry = createEntry()
+  const [first, second, third] = [startSend(entry, oneRetry), startSend(entry, oneRetry), startSend(entry, oneRetry)]
+  assert.equal(mayFailOver(entry, first, oneRetry, startedAt + 100), true)
+  assert.equal(mayFailOver(entry, second, oneRetry, startedAt + 100), false)
+  releaseRetry(entry, first)
+  assert.equal(mayFailOver(entry, third, oneRetry, startedAt + 100), true)
+})
+
+/** Guards against a fail-over whose next send may not happen, since servers ended under the request meanwhile. */
+test('a restricted request does not fail over', () => {
+  const entry = createEntry()
+  const run = startSend(entry, conditions)
+  assert.equal(mayFailOver(entry, run, { ...conditions, restriction: { type: 'trialOnly' } }, startedAt + 100), false)
+})
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -128,14 +128,15 @@
     return state.possibleRuns > 0 ? stepWithoutRetry(entry, state, now) : { type: 'refuse', refused: placement }
   }
   if (conditions.needsPermit === true) return { type: 'takePermit' }
-  if (state.arrivals > 0 && state.last !== undefined && !spendRetry(entry, state, state.last, conditions, now)) return stepWithoutRetry(entry, state, now)
+  const needsRetry = state.arrivals > 0 && state.charge === undefined
+  if (needsRetry && state.last !== undefined && !spendRetry(entry, state, getRetryCause(state.last), conditions, now)) return stepWithoutRetry(entry, state, now)
   return { type: 'send', placement }
 }
 
 /** Uses a retry of the budget for the next send of a request that may have reached a server; returns whether one was left. */
-function spendRetry ({ retries, fleet }: EntryState, state: RequestState, last: SendOutcome, { retryBudget }: DecisionConditions, now: Millis): boolean {
-  state.retryCause = getRetryCause(last)
-  state.charge = trySpendRetry(retries, retryBudget, state.request.service, state.retryCause, getSlackShare(fleet, retryBudget), now)
+function spendRetry ({ retries, fleet }: EntryState, state: RequestState, cause: RetryCause, { retryBudget }: DecisionConditions, now: Millis): boolean {
+  state.retryCause = cause
+  state.charge = trySpendRetry(retries, retryBudget, state.request.service, cause, getSlackShare(fleet, retryBudget), now)
   state.isOverBudget = state.charge === undefined
   return !state.isOverBudget
 }
@@ -187,11 +188,20 @@
 }
 
 /**
- * Returns whether a request may fail over to another server now. Without a server to take it, failing over would replace a late
- * answer by a failure. A VM that is stopping must not abort requests in flight.
+ * Returns whether a request may fail over to another server now, and uses the retry of the budget that its next send needs. If no
+ * server may take it, or no retry is left, failing over would replace a late answer by a failure. A VM that is stopping must not abort
+ * requests in flight.
  */
-export function mayFailOver ({ fleet }: EntryState, state: RequestState, { isStopping }: DecisionConditions, now: Millis): boolean {
-  return !isStopping && placeRequest(fleet, state.request, now).type === 'send'
+export function mayFailOver (entry: EntryState, state: RequestState, conditions: DecisionConditions, now: Millis): boolean {
+  if (conditions.isStopping || conditions.restriction !== undefined) return false
+  if (placeRequest(entry.fleet, state.request, now).type !== 'send') return false
+  return spendRetry(entry, state, 'slow', conditions, now)
+}
+
+/** Takes back the retry that a request has not used for a send. Called at its end. */
+export function releaseRetry ({ retries }: EntryState, state: RequestState): void {
+  if (state.charge !== undefined) refundRetry(retries, state.charge)
+  state.charge = undefined
 }
 
 /**
