--- a/packages/daemon/src/utils/httpServer.ts
+++ b/packages/daemon/src/utils/httpServer.ts
@@ -25,9 +25,15 @@
   })
 }
 
-/** Closes a server and all of its connections, including those with a request in flight. */
+/**
+ * Closes a server and all of its connections at once, including those with a request in flight. `closeGracefully` answers these first.
+ */
 export async function closeServer (server: Server): Promise<void> {
-  if (!server.listening) return
+  if (!server.listening) {
+    // The listener may have been closed before its connections.
+    server.closeAllConnections()
+    return
+  }
   await new Promise<void>(resolve => {
     server.close(() => resolve())
     server.closeAllConnections()
