A control VM that stops answers the calls in progress and hands over

Cause: a control VM had no wait at a stop: it logged `Left.` and exited. Operators (a change that may be committed), servers and look-ups got a closed connection in place of an answer, other VMs' calls ended without one, and a leader vanished without telling the group.

Callers saw: no answer to a change and an announcement in progress at SIGTERM; after a leader's stop, the next change at another VM got 503 until an election was over.

--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -113,8 +113,8 @@
   setTimeout(() => { restartReplica(host).catch((restartErr: unknown) => stopFailedReplica(host, restartErr)) }, restartDelayMs).unref()
 }
 
-/** Lets another copy lead at once if this one does: without a working disk, it can confirm nothing. */
-function handOverLeadership (host: ControlHost, replica: Replica): void {
+/** Lets another copy lead at once if this one does, for example because it can confirm nothing without a working disk. */
+export function handOverLeadership (host: ControlHost, replica: Replica): void {
   const { messages } = stepReplica(replica, { type: 'handOver' }, getCurrentTime())
   for (const { to } of messages) log(host.env.logs, 'agree', 'warn', 'Leadership handed over.', { to, term: replica.term })
   sendMessages(host, messages)
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -44,6 +44,8 @@
   readonly trials: Trials
   /** At the leader: running rollouts. */
   readonly rollouts: RolloutLeader
+  /** Whether calls that are held until there is a change have to end, because this VM stops. */
+  hasEndedWatches: boolean
 }
 
 /** The commands that a fleet's VMs and operators submit. */
@@ -76,7 +78,7 @@
   }
   recordProgress()
   host.progressListeners.push(recordProgress)
-  return { node, host, knownVersions, presence: createPresence(), loadAggregate: createLoadAggregate(), board: createLoadBoard(), announcementQueue: createAnnouncementQueue(), changes: createChangesInProgress(), permits, trials: new Map(), rollouts: createRolloutLeader() }
+  return { node, host, knownVersions, presence: createPresence(), loadAggregate: createLoadAggregate(), board: createLoadBoard(), announcementQueue: createAnnouncementQueue(), changes: createChangesInProgress(), permits, trials: new Map(), rollouts: createRolloutLeader(), hasEndedWatches: false }
 }
 
 function createControlEnv (node: FleetNode, isFounder: boolean): ControlEnv {
@@ -287,3 +289,9 @@
 export function isRetryableElsewhere (err: unknown): boolean {
   return isLynxError(err, 'notLeader') || isLynxError(err, 'noQuorum') || isLynxError(err, 'peerFailed') || isLynxError(err, 'overCapacity') || isLynxError(err, 'diskFailed')
 }
+
+/** Ends the calls that this VM holds until there is a change, so that their senders continue at other VMs. */
+export function endWatches (control: FleetControl): void {
+  control.hasEndedWatches = true
+  for (const listener of [...control.host.progressListeners]) listener()
+}
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -5,6 +5,8 @@
 import { applyLoadUpdate, listLimitDemand, listRolloutReports } from '@lynxcourse/placement'
 import type { EntryPresence } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
+import { closeGracefully, trackConnections } from '../../utils/gracefulServer.js'
+import type { ConnectionTracker } from '../../utils/gracefulServer.js'
 import { closeServer, listen } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
 import { createMetricsServer } from '../../utils/metricsServer.js'
@@ -15,6 +17,7 @@
 import type { FleetSettings } from '../../types/fleetSettings.js'
 import { enqueueEvent } from '../control/controlHost.js'
 import { addClusterMethods, keepJoining } from '../control/joining.js'
+import { resignLeadership } from '../control/leaving.js'
 import { closeStaleConnections } from '../entry/connectionPool.js'
 import { applyCallerLimits, createCallerServer } from '../gateway/callerServer.js'
 import type { CallerDialect, ServerDialect } from '../gateway/dialects.js'
@@ -29,7 +32,7 @@
 import { delay, repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
-import { openFleetControl, getStateAge } from './fleetControl.js'
+import { endWatches, openFleetControl, getStateAge } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
 import { addFleetMethods } from './fleetMethods.js'
 import { createFleetNode, isReadyForCallers } from './fleetNode.js'
@@ -53,6 +56,8 @@
   readonly gateway: Gateway | undefined
   readonly stateWatch: StateWatch | undefined
   readonly callerServer: Server | undefined
+  /** The servers for other VMs and for metrics. */
+  readonly internalServers: readonly ConnectionTracker[]
 }
 
 const tickIntervalMs: Millis = 30
@@ -65,6 +70,8 @@
  * Time after the stop signal during which new connections are accepted, until lookups that named this VM have expired.
  */
 const acceptAfterStopMs: Millis = 3500
+/** Longest time that the servers for other VMs and for metrics take to close at a stop. */
+const internalCloseMs: Millis = 500
 const maxRpcBytes = 33_554_432
 const rpcPerSecond = 20_000
 
@@ -79,14 +86,15 @@
   const gateway = cfg.roles.includes('entry') ? openGateway(stack, node, dialects) : undefined
   if (gateway !== undefined) addNoticeMethod(rpc, gateway)
   const metricsServer = createMetricsServer(node.metrics, () => isServing(node, control))
-  for (const server of [rpc.server, metricsServer]) ownServer(stack, server)
+  const internalServers = [rpc.server, metricsServer].map(server => trackConnections(server))
+  for (const { server } of internalServers) ownServer(stack, server)
   await listenRpc(rpc, cfg.rpcListen ?? cfg.rpc)
   await listen(metricsServer, cfg.metrics)
   const callerServer = gateway === undefined ? undefined : await startCallerServer(stack, gateway)
   const stateWatch = gateway === undefined ? undefined : startWatch(stack, node)
   log(node.logs, 'daemon', 'info', 'Started.', { vm: cfg.name, region: cfg.region, failureDomain: cfg.failureDomain, roles: cfg.roles.join(), rpc: cfg.rpc, callers: cfg.callers, firstStart: cfg.isFirstStart })
   const owned = moveResources(stack)
-  return { node, control, gateway, stateWatch, callerServer, [Symbol.asyncDispose]: async () => await owned[Symbol.asyncDispose]() }
+  return { node, control, gateway, stateWatch, callerServer, internalServers, [Symbol.asyncDispose]: async () => await owned[Symbol.asyncDispose]() }
 }
 
 /** Starts to follow the state, and to confirm it while the watch is late. */
@@ -182,16 +190,33 @@
   return daemon.gateway !== undefined && isReadyForCallers(daemon.node)
 }
 
-/** Stops the VM gracefully: lookups stop returning its address, and requests in flight are completed. */
-export async function leaveFleet (daemon: FleetDaemon): Promise<void> {
-  const { node, gateway, stateWatch, callerServer } = daemon
+/**
+ * Stops the VM gracefully: lookups stop returning its address, requests in flight are completed, another VM leads, and calls of other
+ * VMs in progress are answered.
+ *
+ * @param closeInterfaces closes the interfaces of the control role that are not part of the daemon
+ */
+export async function leaveFleet (daemon: FleetDaemon, closeInterfaces: () => Promise<void> = async () => undefined): Promise<void> {
+  const { node, control, gateway, stateWatch, callerServer, internalServers } = daemon
   const startedAt = getCurrentTime()
   node.isLeaving = true
   log(node.logs, 'daemon', 'info', 'Leaving.', { open: gateway?.open ?? 0 })
+  const steps: Array<Promise<void>> = []
   if (gateway !== undefined && stateWatch !== undefined && callerServer !== undefined) {
-    await Promise.all([publishPresence(stateWatch), drainCallers(gateway, callerServer, startedAt)])
+    steps.push(publishPresence(stateWatch), drainCallers(gateway, callerServer, startedAt))
   }
-  log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0 })
+  if (control !== undefined) steps.push(leaveControl(control, closeInterfaces))
+  await Promise.all(steps)
+  if (control !== undefined) endWatches(control)
+  const closeBy = getCurrentTime() + internalCloseMs
+  const unanswered = await Promise.all(internalServers.map(async server => await closeGracefully(server, closeBy)))
+  log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0, unanswered: unanswered.reduce((sum, count) => sum + count, 0) })
+}
+
+/** Completes the calls of operators and servers while this VM can still commit their changes, then lets another VM lead. */
+async function leaveControl ({ host }: FleetControl, closeInterfaces: () => Promise<void>): Promise<void> {
+  await closeInterfaces()
+  await resignLeadership(host)
 }
 
 async function drainCallers (gateway: Gateway, server: Server, startedAt: Millis): Promise<void> {
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -209,6 +209,7 @@
   // are read.
   if (getCurrentTime() - startedAt > request.waitMs + maxTimerDelayMs) await ensureCallerConnected(control, 'fleet.watch', call)
   if (call.gone.aborted) throw new LynxError('cancelled', 'the caller closed the connection', { step: 'fleet.watch', peer: call.address })
+  if (control.hasEndedWatches) throw new LynxError('peerFailed', 'this VM is stopping', { step: 'fleet.watch' })
   if (request.version > 0 && control.host.machine.config.version > request.version) await waitForFurtherChanges(control, request.version, call.gone)
   const { config } = control.host.machine
   return {
@@ -234,7 +235,7 @@
   const { host, node } = control
   const startedAt = getCurrentTime()
   const isOld = (): boolean => host.replica !== undefined && getStateAge(control, getCurrentTime()) > node.cfg.times.staleMs
-  while (isOld() && !gone.aborted && getCurrentTime() - startedAt < maxConfirmHoldMs) await delay(confirmCheckMs)
+  while (isOld() && !gone.aborted && !control.hasEndedWatches && getCurrentTime() - startedAt < maxConfirmHoldMs) await delay(confirmCheckMs)
   return { version: host.machine.config.version, ageMs: getFiniteStateAge(control), heldMs: getCurrentTime() - startedAt }
 }
 
@@ -283,7 +284,7 @@
 
 /** Waits until the copy reaches a condition, the time is over, or the caller disconnects. */
 async function waitForProgress (control: FleetControl, waitMs: Millis, signal: CancelSignal, isReached: () => boolean): Promise<void> {
-  if (signal.aborted) return
+  if (signal.aborted || control.hasEndedWatches) return
   const { progressListeners } = control.host
   await new Promise<void>(resolve => {
     const finish = (): void => {
@@ -293,7 +294,7 @@
       if (index >= 0) progressListeners.splice(index, 1)
       resolve()
     }
-    const check = (): void => { if (isReached()) queueMicrotask(finish) }
+    const check = (): void => { if (control.hasEndedWatches || isReached()) queueMicrotask(finish) }
     const timer = setTimeout(finish, waitMs)
     progressListeners.push(check)
     signal.once('abort', finish)
