A stop signal during the start or during a stop doesn't end the process

The daemon's program exited on any second signal.

Later signals are logged; a second SIGINT, from a terminal, ends the process at once. Errors of a stop are logged instead of dropped.

--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -5,7 +5,7 @@
 import { applyLoadUpdate, listLimitDemand, listRolloutReports } from '@lynxcourse/placement'
 import type { EntryPresence } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
-import { closeGracefully, trackConnections } from '../../utils/gracefulServer.js'
+import { closeAllGracefully, trackConnections } from '../../utils/gracefulServer.js'
 import type { ConnectionTracker } from '../../utils/gracefulServer.js'
 import { closeServer, listen } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
@@ -208,9 +208,8 @@
   if (control !== undefined) steps.push(leaveControl(control, closeInterfaces))
   await Promise.all(steps)
   if (control !== undefined) endWatches(control)
-  const closeBy = getCurrentTime() + internalCloseMs
-  const unanswered = await Promise.all(internalServers.map(async server => await closeGracefully(server, closeBy)))
-  log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0, unanswered: unanswered.reduce((sum, count) => sum + count, 0) })
+  const unanswered = await closeAllGracefully(internalServers, internalCloseMs)
+  log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0, unanswered })
 }
 
 /** Completes the calls of operators and servers while this VM can still commit their changes, then lets another VM lead. */
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -9,8 +9,10 @@
 import { reloadFleetSettings } from './core/fleet/fleetNode.js'
 import { DefaultCallerDialect, DefaultServerDialect } from './core/gateway/dialects.js'
 import { log } from './utils/logging.js'
+import type { Logs } from './utils/logging.js'
 import { readAnySettings, readCallerBlocks } from './utils/readSettings.js'
 import { listenForReload } from './utils/reloadSignal.js'
+import { listenForStop } from './utils/stopSignal.js'
 
 const exitFailed = 1
 const exitBadInput = 2
@@ -42,6 +44,7 @@
 
 /** A running VM, either service-addressed or of a fleet. */
 interface RunningVm extends AsyncDisposable {
+  readonly logs: Logs
   /** Stops the VM gracefully: requests in progress are finished. */
   readonly leave: () => Promise<void>
 }
@@ -52,10 +55,10 @@
     const reloadSignal = listenForReload()
     const vm = await startFleetDaemon(settings.cfg, { callers: new DefaultCallerDialect(), servers: new DefaultServerDialect() })
     reloadSignal.handle(() => reloadFleetFile(vm, file))
-    return { leave: async () => await leaveFleet(vm), [Symbol.asyncDispose]: async () => await vm[Symbol.asyncDispose]() }
+    return { logs: vm.node.logs, leave: async () => await leaveFleet(vm), [Symbol.asyncDispose]: async () => await vm[Symbol.asyncDispose]() }
   }
   const daemon = await startDaemon(settings.cfg, readCallerBlocks(settings.cfg, file))
-  return { leave: async () => await leaveGracefully(daemon), [Symbol.asyncDispose]: async () => await daemon[Symbol.asyncDispose]() }
+  return { logs: daemon.node.logs, leave: async () => await leaveGracefully(daemon), [Symbol.asyncDispose]: async () => await daemon[Symbol.asyncDispose]() }
 }
 
 function reloadFleetFile (vm: FleetDaemon, file: string): void {
@@ -71,17 +74,11 @@
 }
 
 async function run (file: string): Promise<void> {
+  const stopSignal = listenForStop(() => process.exit(exitFailed))
   const vm = await start(file)
-  let signalCount = 0
-  await new Promise<void>(resolve => {
-    const onSignal = (): void => {
-      signalCount += 1
-      if (signalCount > 1) process.exit(exitFailed)
-      vm.leave().then(resolve, resolve)
-    }
-    process.on('SIGTERM', onSignal)
-    process.on('SIGINT', onSignal)
-  })
+  stopSignal.onRepeat = signal => log(vm.logs, 'daemon', 'info', 'Signal ignored: the VM is stopping already.', { signal })
+  await stopSignal.received
+  await vm.leave().catch((err: unknown) => log(vm.logs, 'daemon', 'error', 'The stop failed.', { error: getErrorMessage(err) }))
   await vm[Symbol.asyncDispose]()
   process.exit(0)
 }
--- a/packages/daemon/src/utils/gracefulServer.ts
+++ b/packages/daemon/src/utils/gracefulServer.ts
@@ -8,7 +8,6 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import { Server as NetServer } from 'node:net'
 import type { Socket } from 'node:net'
-import { Server as TlsServer } from 'node:tls'
 import { setImmediate as checkPhase, setTimeout as delay } from 'node:timers/promises'
 import type { Millis } from '@lynxcourse/base'
 import { getCurrentTime } from './clock.js'
@@ -43,7 +42,9 @@
 /** Starts tracking the connections of a server, which has accepted none yet. Takes over its listeners for requests. */
 export function trackConnections (server: Server): ConnectionTracker {
   const tracker: ConnectionTracker = { server, connections: new Map(), isLeaving: false, acceptCount: 0, onEmpty: () => undefined }
-  server.on(server instanceof TlsServer ? 'secureConnection' : 'connection', (socket: Socket) => addConnection(tracker, socket))
+  // A check by class would load the module of TLS, which a VM without TLS does not need.
+  const isTls = 'setSecureContext' in server
+  server.on(isTls ? 'secureConnection' : 'connection', (socket: Socket) => addConnection(tracker, socket))
   const handlers = server.listeners('request') as RequestListener[]
   server.removeAllListeners('request')
   server.on('request', (req: IncomingMessage, res: ServerResponse) => {
@@ -159,6 +160,18 @@
   return lostCount
 }
 
+/**
+ * Closes several servers.
+ *
+ * @param maxMs time after which the remaining connections are destroyed
+ * @returns the number of calls whose answers were not sent by then
+ */
+export async function closeAllGracefully (trackers: readonly ConnectionTracker[], maxMs: Millis): Promise<number> {
+  const deadline = getCurrentTime() + maxMs
+  const lostCounts = await Promise.all(trackers.map(async tracker => await closeGracefully(tracker, deadline)))
+  return lostCounts.reduce((sum, count) => sum + count, 0)
+}
+
 /** Accepts the connections that are waiting and reads what has arrived on them: closing the listener would reset them. */
 async function drainAcceptQueue (tracker: ConnectionTracker): Promise<void> {
   const deadline = getCurrentTime() + maxAcceptDrainMs
