A leader that stops refuses proposals before it hands over

Cause: the leader went on to accept proposals while it handed over. The chosen voter then lacked an entry that the others had, didn't get their votes, and the group waited for a regular election.

Change: `resignLeadership` refuses proposals, so that the entries in progress are committed and the logs are equal, and then hands over. A refused sender tries another VM.

--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -54,6 +54,7 @@
     busy: undefined,
     failed: undefined,
     closed: false,
+    isResigning: false,
     progressListeners: [],
     [Symbol.asyncDispose]: async () => await closeControl(host)
   }
--- a/packages/daemon/src/core/control/hostState.ts
+++ b/packages/daemon/src/core/control/hostState.ts
@@ -79,6 +79,8 @@
   /** Why the replica stopped; undefined while it runs. A stopped replica is restarted after a delay. */
   failed: LynxError | undefined
   closed: boolean
+  /** Whether this VM accepts no proposals because it hands its leadership over for a stop. */
+  isResigning: boolean
   /** Listeners called after entries were applied, after a change of role, and when the state first becomes up to date. */
   readonly progressListeners: Array<() => void>
 }
--- a/packages/daemon/src/core/control/leaving.ts
+++ b/packages/daemon/src/core/control/leaving.ts
@@ -7,7 +7,7 @@
 import { findLeader, isLeading } from './hostState.js'
 import type { ControlHost } from './hostState.js'
 
-/** Longest wait until the proposals in progress are committed. A successor may lack them. */
+/** Longest wait until the proposals in progress are committed. */
 const maxProposalWaitMs: Millis = 300
 const pollMs: Millis = 5
 
@@ -15,11 +15,14 @@
  * Lets another voter lead, if this VM leads and there is another. Otherwise the group could confirm nothing until it has noticed
  * that its leader is gone and has elected another.
  *
+ * Proposals are refused from here on: a voter that lacks an entry which others have can't win their votes.
+ *
  * Returns when this VM has heard the new leader, or after the length of an election.
  */
 export async function resignLeadership (host: ControlHost): Promise<void> {
   const { replica } = host
   if (replica === undefined || !isLeading(host) || voters(replica).length < 2) return
+  host.isResigning = true
   await waitWhile(() => hasProposals(host), maxProposalWaitMs)
   if (host.replica === replica) handOverLeadership(host, replica)
   await waitWhile(() => !hasSuccessor(host), host.env.times.electionMs)
--- a/packages/daemon/src/core/control/proposals.ts
+++ b/packages/daemon/src/core/control/proposals.ts
@@ -19,6 +19,7 @@
 export async function proposeCommand (host: ControlHost, command: Command, timeoutMs: Millis = host.env.times.rpcTimeoutMs): Promise<CommandAnswer> {
   if (host.failed !== undefined) throw host.failed
   if (!isLeading(host)) throw createNotLeaderError(host)
+  if (host.isResigning) throw new LynxError('notLeader', 'this VM is stopping and hands its leadership over', { step: 'propose' })
   if (host.proposals.length + host.appendedProposals.size >= maxProposals) {
     throw new LynxError('overCapacity', `${maxProposals} proposals are already waiting`, { step: 'propose' })
   }
