A service-addressed VM that stops sends all answers before it exits

Cause: the stop counted a request as done when its answer was written, not when it was sent, then destroyed all connections, calls of other VMs and operators included. Every answer after the signal carried `connection: close`, also those with more requests behind them on the connection.

Callers saw: 1 of 300 pipelined answers at a caller that read slowly, 1 of 2 answers to requests that arrived together, no answer to a status call in progress.

Change: `stopDaemon` leaves as before, then closes the callers' server gracefully within `times.stopMs`, hands leadership over, and closes the servers for other VMs and for metrics gracefully. Only the last answer on a connection closes it.

--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -8,6 +8,8 @@
 import { openTlsFiles } from '../plugins/tlsFiles.js'
 import type { Settings } from '../types/settings.js'
 import { getCurrentTime } from '../utils/clock.js'
+import { announceClose, closeAllGracefully, trackConnections } from '../utils/gracefulServer.js'
+import type { ConnectionTracker } from '../utils/gracefulServer.js'
 import { closeServer, listen } from '../utils/httpServer.js'
 import { log } from '../utils/logging.js'
 import { startLoopMonitor } from '../utils/loopMonitor.js'
@@ -17,6 +19,7 @@
 import { enqueueEvent, openControl } from './control/controlHost.js'
 import type { ControlHost } from './control/hostState.js'
 import { addClusterMethods, keepJoining } from './control/joining.js'
+import { resignLeadership } from './control/leaving.js'
 import { startLeaderTasks } from './control/leaderTasks.js'
 import type { LeaderTasks } from './control/leaderState.js'
 import { addReportMethod } from './control/vmReports.js'
@@ -48,13 +51,23 @@
   readonly leaderTasks: LeaderTasks | undefined
   readonly entry: EntryState | undefined
   readonly syncing: Syncing
-  readonly servers: readonly Server[]
+  readonly servers: DaemonServers
+}
+
+/** The servers of a daemon with the calls in progress at them. */
+export interface DaemonServers {
+  readonly rpc: ConnectionTracker
+  readonly metrics: ConnectionTracker
+  /** For callers and backend servers; undefined without the entry role. */
+  readonly callers: ConnectionTracker | undefined
 }
 
 const tickIntervalMs = 20
 const sweepIntervalMs = 250
 const drainPollIntervalMs = 50
 const lookupCountIntervalMs = 500
+/** Longest time that the servers for other VMs and for metrics take to close at a stop. */
+const internalCloseMs: Millis = 500
 
 /**
  * Starts a daemon.
@@ -78,21 +91,26 @@
   addChangeMethod(rpc, node, control)
   addQueryMethods(rpc, { node, control, leaderTasks, entry })
   const metricsServer = createMetricsServer(node.metrics, () => isLeaseValid(node.configLease, getCurrentTime()))
-  const servers = [rpc.server, metricsServer]
-  if (entry !== undefined) {
-    addAnnounceMethod(rpc, entry, syncing)
-    servers.push(startEntryRole(stack, entry, syncing))
+  if (entry !== undefined) addAnnounceMethod(rpc, entry, syncing)
+  const servers: DaemonServers = {
+    rpc: trackConnections(rpc.server),
+    metrics: trackConnections(metricsServer),
+    callers: entry === undefined ? undefined : trackConnections(startEntryRole(stack, entry, syncing))
   }
   // Owned before they listen: if one of them fails to listen, those already listening are closed.
-  for (const server of servers) addResource(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
+  for (const { server } of listServers(servers)) addResource(stack, { [Symbol.asyncDispose]: async () => await closeServer(server) })
   await listenRpc(rpc, cfg.listen.rpc)
   await listen(metricsServer, cfg.listen.metrics)
-  if (entry !== undefined) await listen(servers[2] as Server, cfg.listen.http)
+  if (servers.callers !== undefined) await listen(servers.callers.server, cfg.listen.http)
   log(node.logs, 'daemon', 'info', 'Started.', { vm: cfg.vm, region: cfg.region, roles: cfg.roles.join(), http: cfg.listen.http, rpc: cfg.listen.rpc })
   const owned = moveResources(stack)
   return { node, control, leaderTasks, entry, syncing, servers, [Symbol.asyncDispose]: async () => await owned[Symbol.asyncDispose]() }
 }
 
+function listServers ({ rpc, metrics, callers }: DaemonServers): ConnectionTracker[] {
+  return callers === undefined ? [rpc, metrics] : [rpc, metrics, callers]
+}
+
 function startControlRole (stack: ResourceStack, node: Node, control: ControlHost, rpc: RpcServer): LeaderTasks {
   const leaderTasks = addResource(stack, startLeaderTasks(node, control))
   addClusterMethods(rpc, control)
@@ -124,20 +142,34 @@
  * have cached expire, then waits for the requests in flight, for at most `times.stopMs`.
  */
 export async function leaveGracefully (daemon: Daemon): Promise<void> {
-  const { node, entry, syncing } = daemon
+  const { node, entry, syncing, servers } = daemon
   log(node.logs, 'daemon', 'info', 'Leaving.', { open: entry?.open ?? 0 })
   node.self = { ...node.self, state: nextState(node.directory.vmChart, node.self.state, 'leave') }
   renewOwnRecord(node, getCurrentTime())
   syncing.syncSoon()
+  if (servers.callers !== undefined) announceClose(servers.callers)
   if (entry !== undefined) await drainEntry(entry, node)
   log(node.logs, 'daemon', 'info', 'Left.', { open: entry?.open ?? 0 })
 }
 
 async function drainEntry (entry: EntryState, node: Node): Promise<void> {
-  entry.leaving = true
   const ttls = listItems(node.config, 'profile').map(item => item.profile.lookupTtlS * 1000)
   const propagationMs = node.cfg.times.syncMs * 3
   await delay(Math.max(0, ...ttls) + propagationMs)
   const deadline: Millis = getCurrentTime() + node.cfg.times.stopMs
   while (entry.open > 0 && getCurrentTime() < deadline) await delay(drainPollIntervalMs)
 }
+
+/**
+ * Stops the VM gracefully: takes it out of service, waits until callers have their whole answers, for at most `times.stopMs`, lets
+ * another VM lead, and answers the calls of other VMs and operators in progress.
+ */
+export async function stopDaemon (daemon: Daemon): Promise<void> {
+  const { node, control, servers } = daemon
+  const { rpc, metrics, callers } = servers
+  await leaveGracefully(daemon)
+  const unanswered = callers === undefined ? 0 : await closeAllGracefully([callers], node.cfg.times.stopMs)
+  if (control !== undefined) await resignLeadership(control)
+  const unansweredInternal = await closeAllGracefully([rpc, metrics], internalCloseMs)
+  log(node.logs, 'daemon', 'info', 'Servers closed.', { unanswered: unanswered + unansweredInternal })
+}
--- a/packages/daemon/src/core/entry/callerServer.ts
+++ b/packages/daemon/src/core/entry/callerServer.ts
@@ -38,7 +38,6 @@
 
 function handleRequest (entry: EntryState, syncing: Syncing, req: IncomingMessage, res: ServerResponse): void {
   const url = req.url ?? ''
-  if (entry.leaving) res.shouldKeepAlive = false
   if (url.startsWith(lookupPath)) {
     answerLookup(entry, req, res)
     return
--- a/packages/daemon/src/core/entry/entry.ts
+++ b/packages/daemon/src/core/entry/entry.ts
@@ -60,8 +60,6 @@
    * much.
    */
   uncountedLookups: number
-  /** Whether this VM is shutting down: callers' connections are closed after their next answer. */
-  leaving: boolean
   readonly announcementRateLimit: RateLimit
   /** Whether the directory or the configuration changed since the last `refreshRoutingState`. */
   needsRefresh: boolean
@@ -101,7 +99,6 @@
     open: 0,
     nextSequence: 1,
     uncountedLookups: 0,
-    leaving: false,
     announcementRateLimit: createRateLimit(node.cfg.limits.announcementsPerSecond),
     needsRefresh: true,
     remaining: () => countRemainingByDrain(entry),
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -3,7 +3,7 @@
 import { Command } from 'commander'
 import { LynxError, isLynxError, getErrorMessage } from '@lynxcourse/base'
 import { buildBlockTable } from '@lynxcourse/routing'
-import { leaveGracefully, startDaemon } from './core/daemon.js'
+import { startDaemon, stopDaemon } from './core/daemon.js'
 import { leaveFleet, startFleetDaemon } from './core/fleet/fleetDaemon.js'
 import type { FleetDaemon } from './core/fleet/fleetDaemon.js'
 import { reloadFleetSettings } from './core/fleet/fleetNode.js'
@@ -58,7 +58,7 @@
     return { logs: vm.node.logs, leave: async () => await leaveFleet(vm), [Symbol.asyncDispose]: async () => await vm[Symbol.asyncDispose]() }
   }
   const daemon = await startDaemon(settings.cfg, readCallerBlocks(settings.cfg, file))
-  return { logs: daemon.node.logs, leave: async () => await leaveGracefully(daemon), [Symbol.asyncDispose]: async () => await daemon[Symbol.asyncDispose]() }
+  return { logs: daemon.node.logs, leave: async () => await stopDaemon(daemon), [Symbol.asyncDispose]: async () => await daemon[Symbol.asyncDispose]() }
 }
 
 function reloadFleetFile (vm: FleetDaemon, file: string): void {
