Merge: control VMs that stop, stop signals

A second SIGTERM doesn't end a process any more, so that the function that ended it by the signal, and its test, are gone; a second SIGINT logs what it cuts and ends the process with status 1.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,15 +4,17 @@
 import { LynxError, isLynxError, getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { buildBlockTable } from '@lynxcourse/routing'
-import { leaveGracefully, startDaemon } from './core/daemon.js'
+import { startDaemon, stopDaemon } from './core/daemon.js'
 import { leaveFleet, reportSignal, startFleetDaemon } from './core/fleet/fleetDaemon.js'
 import type { FleetDaemon } from './core/fleet/fleetDaemon.js'
 import { reloadFleetSettings } from './core/fleet/fleetNode.js'
 import { DefaultCallerDialect, DefaultServerDialect } from './core/gateway/dialects.js'
 import { getCurrentTime } from './utils/clock.js'
 import { log } from './utils/logging.js'
+import type { Logs } from './utils/logging.js'
 import { readAnySettings, readCallerBlocks } from './utils/readSettings.js'
 import { listenForReload } from './utils/reloadSignal.js'
+import { listenForStop } from './utils/stopSignal.js'
 
 const exitFailed = 1
 const exitBadInput = 2
@@ -44,6 +46,7 @@
 
 /** A running VM, either service-addressed or of a fleet. */
 interface RunningVm extends AsyncDisposable {
+  readonly logs: Logs
   /** Stops the VM gracefully: requests in progress are finished. */
   readonly leave: () => Promise<void>
   /** Logs a signal to stop; `firstAt` is the time of the first one, undefined for the first itself. */
@@ -56,10 +59,11 @@
     const reloadSignal = listenForReload()
     const vm = await startFleetDaemon(settings.cfg, { callers: new DefaultCallerDialect(), servers: new DefaultServerDialect() })
     reloadSignal.handle(() => reloadFleetFile(vm, file))
-    return { leave: async () => await leaveFleet(vm), reportSignal: (signal, firstAt) => reportSignal(vm, signal, firstAt, getCurrentTime()), [Symbol.asyncDispose]: async () => await vm[Symbol.asyncDispose]() }
+    return { logs: vm.node.logs, leave: async () => await leaveFleet(vm), reportSignal: (signal, firstAt) => reportSignal(vm, signal, firstAt, getCurrentTime()), [Symbol.asyncDispose]: async () => await vm[Symbol.asyncDispose]() }
   }
   const daemon = await startDaemon(settings.cfg, readCallerBlocks(settings.cfg, file))
-  return { leave: async () => await leaveGracefully(daemon), reportSignal: signal => log(daemon.node.logs, 'daemon', 'info', 'Signal received.', { signal }), [Symbol.asyncDispose]: async () => await daemon[Symbol.asyncDispose]() }
+  const { logs } = daemon.node
+  return { logs, leave: async () => await stopDaemon(daemon), reportSignal: signal => log(logs, 'daemon', 'info', 'Signal received.', { signal }), [Symbol.asyncDispose]: async () => await daemon[Symbol.asyncDispose]() }
 }
 
 function reloadFleetFile (vm: FleetDaemon, file: string): void {
@@ -75,19 +79,18 @@
 }
 
 async function run (file: string): Promise<void> {
-  const vm = await start(file)
-  let firstAt: Millis | undefined
-  await new Promise<void>(resolve => {
-    const onSignal = (signal: string): void => {
-      vm.reportSignal(signal, firstAt)
-      if (firstAt !== undefined) process.exit(exitFailed)
-      firstAt = getCurrentTime()
-      vm.leave().then(resolve, resolve)
-    }
-    process.on('SIGTERM', onSignal)
-    process.on('SIGINT', onSignal)
+  const state: { vm?: RunningVm, stoppedAt?: Millis } = {}
+  const stopSignal = listenForStop(() => {
+    state.vm?.reportSignal('SIGINT', state.stoppedAt)
+    process.exit(exitFailed)
   })
-  await vm[Symbol.asyncDispose]()
+  const running = state.vm = await start(file)
+  stopSignal.onRepeat = signal => log(running.logs, 'daemon', 'info', 'Signal ignored: the VM is stopping already.', { signal })
+  const signal = await stopSignal.received
+  running.reportSignal(signal, undefined)
+  state.stoppedAt = getCurrentTime()
+  await running.leave().catch((err: unknown) => log(running.logs, 'daemon', 'error', 'The stop failed.', { error: getErrorMessage(err) }))
+  await running[Symbol.asyncDispose]()
   process.exit(0)
 }
 
