--- a/packages/daemon/__tests__/gracefulServer.test.ts
+++ b/packages/daemon/__tests__/gracefulServer.test.ts
@@ -5,9 +5,13 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { connect } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
+import { createServer as createTlsServer } from 'node:https'
+import { connect as connectTls } from 'node:tls'
 import { test } from 'node:test'
 import { closeGracefully, closeServer, countOpenCalls, getCurrentTime, trackConnections } from '@lynxcourse/daemon'
 import type { ConnectionTracker } from '@lynxcourse/daemon'
+import { createCertificateAuthority } from './support/certificates.js'
+import type { TlsIdentity } from './support/certificates.js'
 
 const answerDelayMs = 150
 const limitMs = 3000
@@ -22,12 +26,13 @@
   readonly handled: string[]
 }
 
-async function startServer (handler: (req: IncomingMessage, res: ServerResponse) => void): Promise<TestServer> {
+async function startServer (handler: (req: IncomingMessage, res: ServerResponse) => void, identity?: TlsIdentity): Promise<TestServer> {
   const handled: string[] = []
-  const server = createServer((req, res) => {
+  const listener = (req: IncomingMessage, res: ServerResponse): void => {
     handled.push(req.url ?? '')
     handler(req, res)
-  })
+  }
+  const server = identity === undefined ? createServer(listener) : createTlsServer(identity, listener)
   const tracker = trackConnections(server)
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   return { server, tracker, port: (server.address() as AddressInfo).port, handled, [Symbol.asyncDispose]: async () => await closeServer(server) }
@@ -44,15 +49,15 @@
   readonly closed: Promise<string | undefined>
 }
 
-async function connectCaller (port: number): Promise<Caller> {
-  const socket = connect(port, '127.0.0.1')
+async function connectCaller (port: number, hasTls = false): Promise<Caller> {
+  const socket = hasTls ? connectTls({ port, host: '127.0.0.1', rejectUnauthorized: false }) : connect(port, '127.0.0.1')
   let text = ''
   let error: string | undefined
   socket.setEncoding('latin1')
   socket.on('data', (chunk: string) => { text += chunk })
   socket.on('error', err => { error = String(err) })
   const closed = new Promise<string | undefined>(resolve => socket.once('close', () => resolve(error)))
-  await once(socket, 'connect')
+  await once(socket, hasTls ? 'secureConnect' : 'connect')
   return { socket, text: () => text, closed }
 }
 
@@ -68,21 +73,23 @@
   }
 }
 
-// Guards against a call that is cut, or a stop that waits for connections that have no call.
-test('a call in progress gets its whole answer with connection: close, and connections without a call close', async () => {
-  await using site = await startServer(answerLate)
-  const [busy, kept, unused] = [await connectCaller(site.port), await connectCaller(site.port), await connectCaller(site.port)]
-  kept.socket.write(formatGet('/kept'))
-  await waitUntil(() => kept.text().endsWith('whole'))
-  busy.socket.write(formatGet('/busy'))
-  await waitUntil(() => countOpenCalls(site.tracker) === 1)
-  const startedAt = getCurrentTime()
-  assert.equal(await closeGracefully(site.tracker, startedAt + limitMs), 0)
-  assert.ok(getCurrentTime() - startedAt < limitMs / 2)
-  for (const caller of [busy, kept, unused]) assert.equal(await caller.closed, undefined)
-  assert.match(busy.text(), /connection: close\r\n[^]*whole$/i)
-  assert.equal(unused.text(), '')
-})
+for (const hasTls of [false, true]) {
+  // Guards against a call that is cut, or a stop that waits for connections that have no call.
+  test(`a call in progress gets its whole answer with connection: close, and connections without a call close, ${hasTls ? 'with' : 'without'} TLS`, async () => {
+    await using site = await startServer(answerLate, hasTls ? await (await createCertificateAuthority()).sign('vm:vm-1') : undefined)
+    const [busy, kept, unused] = [await connectCaller(site.port, hasTls), await connectCaller(site.port, hasTls), await connectCaller(site.port, hasTls)]
+    kept.socket.write(formatGet('/kept'))
+    await waitUntil(() => kept.text().endsWith('whole'))
+    busy.socket.write(formatGet('/busy'))
+    await waitUntil(() => countOpenCalls(site.tracker) === 1)
+    const startedAt = getCurrentTime()
+    assert.equal(await closeGracefully(site.tracker, startedAt + limitMs), 0)
+    assert.ok(getCurrentTime() - startedAt < limitMs / 2)
+    for (const caller of [busy, kept, unused]) assert.equal(await caller.closed, undefined)
+    assert.match(busy.text(), /connection: close\r\n[^]*whole$/i)
+    assert.equal(unused.text(), '')
+  })
+}
 
 // Guards against a connection that closes between two calls of a caller that always has one under way.
 test('a caller that sends the next call after each answer gets a whole answer to every call', async () => {
--- a/packages/daemon/src/core/control/leaving.ts
+++ b/packages/daemon/src/core/control/leaving.ts
@@ -15,7 +15,7 @@
  * Lets another voter lead, if this VM leads and there is another. Otherwise the group could confirm nothing until it has noticed
  * that its leader is gone and has elected another.
  *
- * Proposals are refused from here on: a voter that lacks an entry which others have can't win their votes.
+ * Proposals are refused meanwhile: a voter that lacks an entry which others have can't win their votes.
  *
  * Returns when this VM has heard the new leader, or after the length of an election.
  */
@@ -26,6 +26,7 @@
   await waitWhile(() => hasProposals(host), maxProposalWaitMs)
   if (host.replica === replica) handOverLeadership(host, replica)
   await waitWhile(() => !hasSuccessor(host), host.env.times.electionMs)
+  host.isResigning = false
 }
 
 /** Whether this VM has heard another one as the leader. */
