--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -2,9 +2,11 @@
 import type { Server } from 'node:http'
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { applyLoadUpdate, listLimitDemand, listRolloutReports } from '@lynxcourse/placement'
-import type { EntryPresence } from '@lynxcourse/placement'
+import { applyLoadUpdate, createStopSchedule, listLimitDemand, listRolloutReports } from '@lynxcourse/placement'
+import type { EntryPresence, StopSchedule } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
+import { closeAllGracefully, trackConnections } from '../../utils/gracefulServer.js'
+import type { ConnectionTracker } from '../../utils/gracefulServer.js'
 import { closeServer, listen } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
 import { createMetricsServer } from '../../utils/metricsServer.js'
@@ -15,8 +17,9 @@
 import type { FleetSettings } from '../../types/fleetSettings.js'
 import { enqueueEvent } from '../control/controlHost.js'
 import { addClusterMethods, keepJoining } from '../control/joining.js'
+import { resignLeadership } from '../control/leaving.js'
 import { closeStaleConnections } from '../entry/connectionPool.js'
-import { closeIdleConnections } from '../gateway/callerConnections.js'
+import { closeAnsweredConnections, closeIdleConnections } from '../gateway/callerConnections.js'
 import { applyCallerLimits, createCallerServer } from '../gateway/callerServer.js'
 import type { CallerDialect, ServerDialect } from '../gateway/dialects.js'
 import { recordConnectTime, refreshGateway } from '../gateway/gatewayRefresh.js'
@@ -31,7 +34,7 @@
 import { delay, repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
-import { openFleetControl, getStateAge } from './fleetControl.js'
+import { endWatches, openFleetControl, getStateAge } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
 import { addFleetMethods } from './fleetMethods.js'
 import { createFleetNode, isReadyForCallers } from './fleetNode.js'
@@ -55,6 +58,8 @@
   readonly gateway: Gateway | undefined
   readonly stateWatch: StateWatch | undefined
   readonly callerServer: Server | undefined
+  /** The servers for other VMs and for metrics. */
+  readonly internalServers: readonly ConnectionTracker[]
 }
 
 const tickIntervalMs: Millis = 30
@@ -63,10 +68,13 @@
 const usageIntervalMs: Millis = 1000
 const retryReportIntervalMs: Millis = 1000
 const drainPollIntervalMs: Millis = 20
-/**
- * Time after the stop signal during which new connections are accepted, until lookups that named this VM have expired.
- */
-const acceptAfterStopMs: Millis = 3500
+/** Limit on the time that accepting the waiting connections takes before the listener is closed. */
+const maxAcceptDrainMs: Millis = 500
+/** Time for which connections may linger after the last answer of a VM that stops. */
+const lingerAfterStopMs: Millis = 250
+/** Longest and shortest time that the servers for other VMs and for metrics may take to close at a stop. */
+const maxInternalCloseMs: Millis = 500
+const minInternalCloseMs: Millis = 100
 const maxRpcBytes = 33_554_432
 const rpcPerSecond = 20_000
 
@@ -81,14 +89,15 @@
   const gateway = cfg.roles.includes('entry') ? openGateway(stack, node, dialects) : undefined
   if (gateway !== undefined) addNoticeMethod(rpc, gateway)
   const metricsServer = createMetricsServer(node.metrics, () => isServing(node, control))
-  for (const server of [rpc.server, metricsServer]) ownServer(stack, server)
+  const internalServers = [rpc.server, metricsServer].map(server => trackConnections(server))
+  for (const { server } of internalServers) ownServer(stack, server)
   await listenRpc(rpc, cfg.rpcListen ?? cfg.rpc)
   await listen(metricsServer, cfg.metrics)
   const callerServer = gateway === undefined ? undefined : await startCallerServer(stack, gateway)
   const stateWatch = gateway === undefined ? undefined : startWatch(stack, node)
   log(node.logs, 'daemon', 'info', 'Started.', { vm: cfg.name, region: cfg.region, failureDomain: cfg.failureDomain, roles: cfg.roles.join(), rpc: cfg.rpc, callers: cfg.callers, firstStart: cfg.isFirstStart })
   const owned = moveResources(stack)
-  return { node, control, gateway, stateWatch, callerServer, [Symbol.asyncDispose]: async () => await owned[Symbol.asyncDispose]() }
+  return { node, control, gateway, stateWatch, callerServer, internalServers, [Symbol.asyncDispose]: async () => await owned[Symbol.asyncDispose]() }
 }
 
 /** Starts to follow the state, and to confirm it while the watch is late. */
@@ -185,7 +194,7 @@
 }
 
 /**
- * Logs a signal to stop. The second one ends the process at once, so that the answers that it leaves incomplete are logged too.
+ * Logs a signal to stop. A second interrupt ends the process at once, so that the answers that it leaves incomplete are logged too.
  *
  * @param firstAt when the first signal arrived; undefined if this is the first
  */
@@ -194,25 +203,55 @@
   if (firstAt !== undefined && gateway !== undefined && gateway.open > 0) reportIncomplete(gateway, firstAt, now)
 }
 
-/** Stops the VM gracefully: lookups stop returning its address, and requests in flight are completed. */
-export async function leaveFleet (daemon: FleetDaemon): Promise<void> {
-  const { node, gateway, stateWatch, callerServer } = daemon
+/**
+ * Stops the VM gracefully: lookups stop returning its address, requests in flight are completed, another VM leads, and calls of other
+ * VMs in progress are answered.
+ *
+ * @param closeInterfaces closes the interfaces of the control role that are not part of the daemon
+ */
+export async function leaveFleet (daemon: FleetDaemon, closeInterfaces: () => Promise<void> = async () => undefined): Promise<void> {
+  const { node, control, gateway, stateWatch, callerServer, internalServers } = daemon
   const startedAt = getCurrentTime()
   node.isLeaving = true
   log(node.logs, 'daemon', 'info', 'Leaving.', { open: gateway?.open ?? 0 })
+  const steps: Array<Promise<void>> = []
   if (gateway !== undefined && stateWatch !== undefined && callerServer !== undefined) {
-    await Promise.all([publishPresence(stateWatch), drainCallers(gateway, callerServer, startedAt)])
+    steps.push(publishPresence(stateWatch), drainCallers(gateway, callerServer, createStopSchedule(startedAt, node.cfg.times.stopMs)))
   }
-  log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0, afterMs: Math.round(getCurrentTime() - startedAt) })
+  if (control !== undefined) steps.push(leaveControl(control, closeInterfaces))
+  await Promise.all(steps)
+  if (control !== undefined) endWatches(control)
+  const leftMs = startedAt + node.cfg.times.stopMs + lingerAfterStopMs - getCurrentTime()
+  const unanswered = await closeAllGracefully(internalServers, Math.max(minInternalCloseMs, Math.min(maxInternalCloseMs, leftMs)))
+  log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0, unanswered, afterMs: Math.round(getCurrentTime() - startedAt) })
 }
 
-async function drainCallers (gateway: Gateway, server: Server, startedAt: Millis): Promise<void> {
-  const { stopMs } = gateway.node.cfg.times
-  await delay(Math.min(acceptAfterStopMs, stopMs / 2))
-  // A connection with an unread request counts as idle until the event loop has polled its socket.
-  await waitForPoll(gateway.loop.polls)
+/** Completes the calls of operators and servers while this VM can still commit their changes, then lets another VM lead. */
+async function leaveControl ({ host }: FleetControl, closeInterfaces: () => Promise<void>): Promise<void> {
+  await closeInterfaces()
+  await resignLeadership(host)
+}
+
+async function drainCallers (gateway: Gateway, server: Server, stop: StopSchedule): Promise<void> {
+  const { startedAt, acceptsUntil, endsAt } = stop
+  gateway.stop = stop
+  await delay(acceptsUntil - getCurrentTime())
+  await drainAcceptQueue(gateway)
   const closure = closeIdleConnections(gateway, server)
   logListenerClosed(gateway, closure, startedAt, getCurrentTime())
-  while (gateway.open > 0 && getCurrentTime() - startedAt < stopMs) await delay(drainPollIntervalMs)
+  while (gateway.open > 0 && getCurrentTime() < endsAt) await delay(drainPollIntervalMs)
   reportStopEnd(gateway, startedAt, getCurrentTime())
+  // The process must not end before the callers have received their last answers.
+  closeAnsweredConnections(gateway)
+  while (gateway.lingering.size > 0 && getCurrentTime() < endsAt + lingerAfterStopMs) await delay(drainPollIntervalMs)
+}
+
+/** Reads the requests of connections that wait to be accepted, since closing the listener resets these. */
+async function drainAcceptQueue ({ loop: { polls } }: Gateway): Promise<void> {
+  const latestAt = getCurrentTime() + maxAcceptDrainMs
+  let countBefore: number
+  do {
+    countBefore = polls.acceptCount
+    await waitForPoll(polls)
+  } while (polls.acceptCount !== countBefore && getCurrentTime() < latestAt)
 }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -2,11 +2,12 @@
 import type { Socket } from 'node:net'
 import { loadChart } from '@lynxcourse/base'
 import { createFleet, getCopyAge, hasCompleteList, mayUseShare } from '@lynxcourse/placement'
-import type { EntryState, Mechanism } from '@lynxcourse/placement'
+import type { EntryState, Mechanism, StopSchedule } from '@lynxcourse/placement'
 import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
 import type { RouteTable, SplitStates, TeamTable } from '@lynxcourse/routing'
 import { defaultCallerLimits } from '@lynxcourse/state'
 import type { CallerLimits, ConfigItem } from '@lynxcourse/state'
+import type { LingeringSockets } from '../../utils/lingeringClose.js'
 import type { LoopMonitor } from '../../utils/loopMonitor.js'
 import { readClocks } from '../../utils/clock.js'
 import { createCrashWatch } from '../crashes/crashWatch.js'
@@ -45,12 +46,16 @@
   /** The items of the state that both tables were built from. */
   tableItems: readonly ConfigItem[]
   limits: CallerLimits
+  /** The times of the stop; undefined unless this VM stops. */
+  stop: StopSchedule | undefined
   /** Number of requests in progress in this VM. */
   open: number
   /** The requests in progress with their steps. */
   readonly openRequests: OpenRequests
   /** Open connections from callers. */
   readonly connections: Set<Socket>
+  /** Connections from callers that are half-closed after their last answer. */
+  readonly lingering: LingeringSockets
   /** Writes large answers. */
   readonly link: LinkPacer
   /** Unanswered requests by caller connection. */
@@ -90,9 +95,11 @@
     limits: defaultCallerLimits,
     link: createLinkPacer(node),
     pipelines: new WeakMap(),
+    stop: undefined,
     open: 0,
     openRequests: createOpenRequests(),
     connections: new Set(),
+    lingering: new Set(),
     waitingForCapacity: new Map(),
     waitingForState: 0,
     bufferedBodyBytes: 0,
