Answers behind a request that outlasts a VM's stop are sent

Change: when the time of a stop is over, requests at servers are given up with a 504 of the VM's own, so that the answers behind them go out before the process ends.

Evidence: 'a VM that stops sends the answers behind a request that outlasts it', which is red without the give-up.

--- a/packages/daemon/__tests__/pipeline.test.ts
+++ b/packages/daemon/__tests__/pipeline.test.ts
@@ -156,3 +156,16 @@
   assert.match(long.text(), /\r\nretry-after: \d+/i)
   assert.equal(first.requests.length + second.requests.length, 2)
 })
+
+/** Guards against answers that wait behind one that doesn't come, and that the end of the process cuts off. */
+test('a VM that stops sends the answers behind a request that outlasts it', async () => {
+  await using fixture = await startFleetFixture(1)
+  await using server = await startTestServer('s1', (req, res) => { if (req.url?.endsWith('held') !== true) res.end('body-last') })
+  await publishRoutes(fixture, [server], [createRouteToDesk('read', { timeoutMs: 10_000 })])
+  using caller = connectCaller(fixture)
+  caller.socket.write(buildGet('/read/held') + buildGet('/read/last'))
+  await waitUntil(() => server.requests.length === 2)
+  await Promise.all([leaveFleet(fixture.daemons.at(-1) as FleetDaemon), waitUntil(() => caller.isClosed())])
+  assert.match(caller.text(), /^HTTP\/1\.1 504 /)
+  assert.deepEqual(findBodies(caller.text()), ['body-last'])
+})
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -30,7 +30,8 @@
 import { reportRetries } from '../gateway/retryReport.js'
 import { logTargetUse } from '../gateway/requestLog.js'
 import { logPublishedLimits } from '../gateway/serverNotices.js'
-import { logListenerClosed, reportIncomplete, reportStopEnd } from '../gateway/stopReport.js'
+import { giveUpRequests } from '../gateway/openRequests.js'
+import { logListenerClosed, logWaitEnd, reportIncomplete } from '../gateway/stopReport.js'
 import { delay, repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
@@ -200,7 +201,7 @@
  */
 export function reportSignal ({ node, gateway }: FleetDaemon, signal: string, firstAt: Millis | undefined, now: Millis): void {
   log(node.logs, 'daemon', firstAt === undefined ? 'info' : 'warn', 'Signal received.', { signal, afterMs: firstAt === undefined ? undefined : Math.round(now - firstAt), open: gateway?.open ?? 0 })
-  if (firstAt !== undefined && gateway !== undefined && gateway.open > 0) reportIncomplete(gateway, firstAt, now)
+  if (firstAt !== undefined && gateway !== undefined) reportIncomplete(gateway, firstAt, now)
 }
 
 /**
@@ -240,10 +241,17 @@
   const closure = closeIdleConnections(gateway, server)
   logListenerClosed(gateway, closure, startedAt, getCurrentTime())
   while (gateway.open > 0 && getCurrentTime() < endsAt) await delay(drainPollIntervalMs)
-  reportStopEnd(gateway, startedAt, getCurrentTime())
-  // The process must not end before the callers have received their last answers.
+  logWaitEnd(gateway, startedAt, getCurrentTime())
+  giveUpRequests(gateway.openRequests)
+  await deliverLastAnswers(gateway, endsAt + lingerAfterStopMs)
+  reportIncomplete(gateway, startedAt, getCurrentTime())
+}
+
+/** Waits until the callers have received their last answers, which the end of the process may cut off. */
+async function deliverLastAnswers (gateway: Gateway, latestAt: Millis): Promise<void> {
+  while (gateway.open > 0 && getCurrentTime() < latestAt) await delay(drainPollIntervalMs)
   closeAnsweredConnections(gateway)
-  while (gateway.lingering.size > 0 && getCurrentTime() < endsAt + lingerAfterStopMs) await delay(drainPollIntervalMs)
+  while (gateway.lingering.size > 0 && getCurrentTime() < latestAt) await delay(drainPollIntervalMs)
 }
 
 /** Reads the requests of connections that wait to be accepted, since closing the listener resets these. */
--- a/packages/daemon/src/core/gateway/openRequests.ts
+++ b/packages/daemon/src/core/gateway/openRequests.ts
@@ -32,6 +32,8 @@
   isSent: boolean
   /** Aborted when the caller has closed its connection; undefined before the request has joined its pipeline. */
   gone: CancelSignal | undefined
+  /** Gives up the server that works on the request, so that it fails with an answer of this VM; undefined while none does. */
+  giveUp: (() => void) | undefined
 }
 
 /** All open requests of one VM. */
@@ -63,7 +65,7 @@
 
 /** Adds a request whose head was read. */
 export function addOpenRequest ({ all }: OpenRequests, req: IncomingMessage, arrivedAt: Millis, now: Millis): OpenRequest {
-  const request: OpenRequest = { req, arrivedAt, step: 'start', stepSince: now, server: undefined, sends: 0, bytesBefore: undefined, isSent: false, gone: undefined }
+  const request: OpenRequest = { req, arrivedAt, step: 'start', stepSince: now, server: undefined, sends: 0, bytesBefore: undefined, isSent: false, gone: undefined, giveUp: undefined }
   all.add(request)
   return request
 }
@@ -104,6 +106,11 @@
   requests.lastEndedAt = now
 }
 
+/** Gives up all requests at servers. Answers that wait behind theirs can be sent then. */
+export function giveUpRequests ({ all }: OpenRequests): void {
+  for (const request of all) request.giveUp?.()
+}
+
 export function getOpenStatus (request: OpenRequest, now: Millis): OpenRequestStatus {
   const { req: { socket }, arrivedAt, step, stepSince, sends, server, bytesBefore } = request
   const writtenBytes = bytesBefore === undefined ? 0 : socket.bytesWritten - bytesBefore
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -220,6 +220,7 @@
     abort()
   }
   const onGone = (): void => stop('gone')
+  call.open.giveUp = () => stop('deadline')
   call.gone.on('abort', onGone)
   if (call.gone.aborted) onGone()
   const giveUp = afterPoll(looks, () => {
@@ -246,6 +247,7 @@
     },
     end: () => {
       hasEnded = true
+      call.open.giveUp = undefined
       clearTimeout(giveUpTimer)
       clearTimeout(failoverTimer)
       clearTimeout(unresponsiveTimer)
--- a/packages/daemon/src/core/gateway/stopReport.ts
+++ b/packages/daemon/src/core/gateway/stopReport.ts
@@ -43,18 +43,18 @@
   log(node.logs, 'daemon', 'info', 'Listener closed.', { afterMs: Math.round(now - startedAt), closedIdle: idle, ...left, open })
 }
 
-/** Logs the end of the wait for open requests, and each answer that is incomplete by then. */
-export function reportStopEnd (gateway: Gateway, startedAt: Millis, now: Millis): void {
+/** Logs the end of the wait for open requests, with the number of those that are given up by step. */
+export function logWaitEnd (gateway: Gateway, startedAt: Millis, now: Millis): void {
   const { node, openRequests: { all, lastEndedAt } } = gateway
   const lastEndMs = lastEndedAt < startedAt ? undefined : Math.round(lastEndedAt - startedAt)
-  log(node.logs, 'daemon', 'info', all.size === 0 ? 'No request is open.' : 'Time to stop is over.', { afterMs: Math.round(now - startedAt), lastEndMs, ...countConnections(gateway) })
-  if (all.size > 0) reportIncomplete(gateway, startedAt, now)
+  log(node.logs, 'daemon', 'info', all.size === 0 ? 'No request is open.' : 'Time to stop is over.', { afterMs: Math.round(now - startedAt), lastEndMs, ...countConnections(gateway), ...countSteps(all) })
 }
 
 /** Logs the open requests at the end of the process: their number by step, and a line for each up to a limit. */
 export function reportIncomplete (gateway: Gateway, startedAt: Millis, now: Millis): void {
   const { node, openRequests: { all } } = gateway
   const requests = [...all]
+  if (requests.length === 0) return
   for (const { step } of requests) node.metrics.incompleteAnswers.inc({ step, cause: 'exit' })
   const serverWorks = requests.filter(({ server }) => server !== undefined).length
   log(node.logs, 'daemon', 'warn', 'Answers are incomplete at the exit.', { afterMs: Math.round(now - startedAt), answers: requests.length, serverWorks, ...countSteps(requests) })
--- a/packages/placement/src/core/admission/stopAdmission.ts
+++ b/packages/placement/src/core/admission/stopAdmission.ts
@@ -9,7 +9,7 @@
   readonly startedAt: Millis
   /** When the VM stops accepting connections. Until then it takes every request: most take far less than their whole time. */
   readonly acceptsUntil: Millis
-  /** When the answers that are still open are given up. */
+  /** When the requests that are still at servers are given up. */
   readonly endsAt: Millis
 }
 
--- a/scripts/shutdown/plan.ts
+++ b/scripts/shutdown/plan.ts
@@ -87,7 +87,7 @@
 
 const bounds: ShutdownBounds = { graceMs: 6000, lossSlackMs: 200, reloadMs: 2500 }
 /** Fraction of the grace period that a daemon may take, as the platform's settings have it. */
-const stopFraction = 0.84
+const stopFraction = 0.875
 const habits: readonly CallerHabit[] = ['pool', 'fresh', 'pipeline', 'busyPipeline', 'slowBody', 'slowReader', 'halfClose', 'announcedClose']
 const callersPerGroup = 3
 const answerWeights: readonly AnswerWeights[] = [
