A large answer that is dropped behind an earlier one is replaced by a failure

Callers that send several requests on one connection got no further answer on it: a large answer whose time ended while it waited behind an earlier one was dropped without any answer, since its caller counted as gone.

Change: if the caller is still connected, it gets a 504. The server, which waited for the caller, is still not blamed.

Evidence: the new test of largeAnswers.test.ts; red with the line as it was (the third answer never came), green with the change.

--- a/packages/daemon/__tests__/largeAnswers.test.ts
+++ b/packages/daemon/__tests__/largeAnswers.test.ts
@@ -218,6 +218,20 @@
   caller.socket.destroy()
 })
 
+/** Guards against a connection on which no answer is sent any more, since one was dropped while it waited behind earlier ones. */
+test('a large answer whose time ends behind an earlier one is replaced by a failure, and later answers follow', async () => {
+  await using server = await startTestServer('s1', (req, res) => {
+    if (req.url === '/read/slow') setTimeout(() => res.end('first'), 900)
+    else res.end(req.url === '/read/last' ? 'third' : large)
+  })
+  await using fixture = await startFixture([server])
+  const short = buildGet('/export/1').replace('\r\n\r\n', '\r\nLynx-Deadline-Ms: 300\r\n\r\n')
+  const caller = connectCaller(fixture, buildGet('/read/slow') + short + buildGet('/read/last'))
+  await waitUntil(() => caller.read().includes('third'))
+  assert.deepEqual([...caller.read().toString('latin1').matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status), ['200', '504', '200'])
+  caller.socket.destroy()
+})
+
 test('a planned stop waits for large answers in progress', async () => {
   await using server = await startTestServer('s1', (_req, res) => {
     res.writeHead(200, { 'content-length': largeBytes }).write(large.subarray(0, 100_000))
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -93,7 +93,8 @@
       case 'answer': return buildAnswer(lastResult)
       case 'refuse': return refuse(gateway, call, state, step.refused)
       case 'fail': return fail(gateway, call, state, step.reason)
-      case 'gone': return undefined
+      // A large answer may have been dropped for a caller that is still connected. Without an answer, later ones of its connection would wait for good.
+      case 'gone': return call.gone.aborted ? undefined : fail(gateway, call, state, 'unanswered')
     }
   }
 }
