--- a/scripts/shutdown.ts
+++ b/scripts/shutdown.ts
@@ -10,9 +10,10 @@
 import { Command, InvalidArgumentError } from 'commander'
 import { getErrorMessage } from '@lynxcourse/base'
 import { formatLoss, summarize } from './shutdown/lossTable.js'
-import { planShutdown } from './shutdown/plan.js'
+import { allHabits, planShutdown } from './shutdown/plan.js'
 import { runShutdown } from './shutdown/run.js'
 import type { ShutdownResult } from './shutdown/run.js'
+import type { CallerHabit } from './shutdown/types.js'
 
 interface Options {
   readonly seed: number
@@ -20,6 +21,7 @@
   readonly jobs: number
   readonly entries?: number
   readonly rounds?: number
+  readonly habits?: readonly CallerHabit[]
   readonly starve?: boolean
   readonly folder?: string
   readonly lines: number
@@ -37,6 +39,14 @@
   return value
 }
 
+function parseHabits (text: string): CallerHabit[] {
+  return text.split(',').map(name => {
+    const habit = allHabits.find(known => known === name)
+    if (habit === undefined) throw new InvalidArgumentError(`expected some of ${allHabits.join()}`)
+    return habit
+  })
+}
+
 const options = new Command('shutdown')
   .description('Stops and reloads real daemons under traffic; the same seed draws the same signals.')
   .option('--seed <n>', 'first seed', parsePositiveCount, 1)
@@ -44,6 +54,7 @@
   .option('--jobs <n>', 'number of seeds to run at the same time', parsePositiveCount, 1)
   .option('--entries <n>', 'number of entry VMs; drawn by default', parsePositiveCount)
   .option('--rounds <n>', 'number of rounds of stops, 9 s each', parsePositiveCount)
+  .option('--habits <names>', `habits of the callers, separated by commas; default: ${allHabits.join()}`, parseHabits)
   .option('--starve', 'pause VMs for short times before some stops')
   .option('--folder <folder>', 'folder for state and logs; default: a temporary folder, kept only for failed runs')
   .option('--lines <n>', 'number of losses to print for each seed', parseCount, 20)
@@ -66,7 +77,7 @@
 }
 
 async function runPlan (seed: number, folder: string): Promise<Outcome> {
-  const plan = planShutdown(seed, { entries: options.entries, rounds: options.rounds, starves: options.starve })
+  const plan = planShutdown(seed, { entries: options.entries, rounds: options.rounds, habits: options.habits, starves: options.starve })
   try {
     return { seed, result: await runShutdown(plan, folder), error: undefined }
   } catch (err) {
--- a/scripts/shutdown/plan.ts
+++ b/scripts/shutdown/plan.ts
@@ -83,12 +83,15 @@
   readonly starves?: boolean | undefined
   /** Number of rounds of stops. */
   readonly rounds?: number | undefined
+  /** Habits of the callers; undefined for all. */
+  readonly habits?: readonly CallerHabit[] | undefined
 }
 
 const bounds: ShutdownBounds = { graceMs: 6000, lossSlackMs: 200, reloadMs: 2500 }
 /** Fraction of the grace period that a daemon may take, as the platform's settings have it. */
 const stopFraction = 0.84
-const habits: readonly CallerHabit[] = ['pool', 'fresh', 'pipeline', 'busyPipeline', 'slowBody', 'slowReader', 'halfClose', 'announcedClose']
+/** All habits of callers. */
+export const allHabits: readonly CallerHabit[] = ['pool', 'fresh', 'pipeline', 'busyPipeline', 'slowBody', 'slowReader', 'halfClose', 'announcedClose']
 const callersPerGroup = 3
 const answerWeights: readonly AnswerWeights[] = [
   { prompt: 70, late: 8, lastMoment: 2, chunked: 8, large: 4, headFirst: 4, turnedAway: 3, reset: 1 },
@@ -125,7 +128,7 @@
     longTimeoutMs: drawPick(random, longTimeoutsMs),
     passesPieces: chance(random, 0.5),
     weights: drawPick(random, answerWeights),
-    groups: Array.from({ length: entries }, (_, vm) => drawGroups(random, vm)).flat(),
+    groups: Array.from({ length: entries }, (_, vm) => drawGroups(random, vm)).flat().filter(({ habit }) => options.habits?.includes(habit) ?? true),
     steps: [...steps, ...pauses].sort((a, b) => a.at - b.at),
     lengthMs: warmUpMs + rounds * roundMs,
     bounds,
@@ -170,7 +173,7 @@
 }
 
 function drawGroups (random: Random, vm: number): CallerGroup[] {
-  return habits.map(habit => ({ vm, habit, callers: callersPerGroup, followsLookups: chance(random, 0.5), delayMs: drawPick(random, delaysMs), bytesPerSecond: drawPick(random, bandwidths) }))
+  return allHabits.map(habit => ({ vm, habit, callers: callersPerGroup, followsLookups: chance(random, 0.5), delayMs: drawPick(random, delaysMs), bytesPerSecond: drawPick(random, bandwidths) }))
 }
 
 function chance (random: Random, probability: number): boolean {
