--- a/scripts/shutdown/lossTable.ts
+++ b/scripts/shutdown/lossTable.ts
@@ -11,6 +11,7 @@
   const repeated = stopSignals > 1 ? ', repeated signal' : ''
   const sentAfterMs = request?.sentAfterMs
   if (sentAfterMs === undefined) return `stop${repeated}`
+  if (request?.isAfterExit === true) return `sent after the exit${repeated}`
   const phase = sendPhases.find(([untilMs]) => sentAfterMs < untilMs)?.[1] ?? ''
   return `${phase}${repeated}`
 }
@@ -30,10 +31,10 @@
   const { kind, vm, signal, stopSignals, endedAfterMs, detail, request } = loss
   const work = signal === undefined ? 'no signal' : `${signal}${stopSignals > 1 ? ` x${stopSignals}` : ''}, ended ${formatMs(endedAfterMs)} after`
   if (request === undefined) return `${kind} ${vm}: ${work}, ${detail}`
-  const { id, habit, isIdempotent, answer, sentAfterMs, durationMs, limitMs, receivedBytes, runs, isServerWorking } = request
+  const { id, habit, isIdempotent, answer, sentAfterMs, durationMs, limitMs, receivedBytes, runs, isServerWorking, isAfterExit } = request
   const facts = [
     `${habit} ${isIdempotent ? 'read' : 'order'} ${answer ?? 'not passed on'}`,
-    `${work}, sent ${formatMs(sentAfterMs)} after`,
+    `${work}, sent ${formatMs(sentAfterMs)} after${isAfterExit ? ', to the next process' : ''}`,
     `took ${formatMs(durationMs)} of ${formatMs(limitMs)}`,
     `${receivedBytes} bytes`,
     `${runs} runs${isServerWorking ? ', server at work' : ''}`,
