A large entry goes on where it stopped after its connection or its call ended

Cause: an entry of up to 2 MiB is one message. After a loss the leader sent all of it again, so that it never arrived over a link on which it takes longer than a connection lasts or a call may take. If that held for a quorum, the change was never confirmed. A committed entry below the size at which the log is compacted never reached a copy behind such a link.

Evidence, on the code as it was: of the new tests in catchUp.test.ts, 'an entry that takes longer than a connection lasts goes on where it stopped', '... is committed although the connections of all followers are reset', 'an entry that takes longer than a call is committed' and 'the next leader continues an entry that has arrived in part' failed; 20 of 25, 40 of 44, 28 of 34 and 28 of 34 messages with data were lost.

Change: after a loss, and to a member that has acknowledged nothing in this term, an entry that is larger than a message is sent in parts, one at a time. The answer to a part says how much has arrived, and a copy keeps it for the next leader. Lost parts get smaller. An append request without a part and its answer are as before; a member of an earlier version refuses parts and gets the whole entry.

Result: the tests of agreement pass, and largeChanges, fleetControl, badInput and storage of the daemon. The new tests fail without the continuation, without smaller parts, without the rule for a new leader and without the rule for refusals. That a host reports a refusal has no test of its own.

--- a/packages/agreement/__tests__/catchUp.test.ts
+++ b/packages/agreement/__tests__/catchUp.test.ts
@@ -2,8 +2,8 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { getEntrySize, hasData, voters } from '@lynxcourse/agreement'
-import { createSlowGroup, describe, findLeader, isWhole, loseDisk, readState, runFor, runUntil, startCopy, step, stopCopy, tryWrite, write } from './support/slowGroup.js'
+import { getEntrySize, hasData, lastIndex, voters } from '@lynxcourse/agreement'
+import { createSlowGroup, describe, findLeader, isWhole, loseDisk, readState, resetConnections, runFor, runUntil, startCopy, step, stopCopy, tryWrite, write } from './support/slowGroup.js'
 import type { Links, SlowCopy, SlowGroup } from './support/slowGroup.js'
 
 /** The longest delay between regions, and links on which a log of some megabytes takes longer than a call may take. */
@@ -118,6 +118,92 @@
   assert.ok(isVoterAtLeader(group, copy), `no voter after ${group.now - startedAt} ms: ${describe(group)}`)
 })
 
+/** An entry of the largest size that an operator may send, and one that is not replaced by a snapshot once it is committed. */
+const largestEntry = 2_000_000
+const uncompactedEntry = 900_000
+/** Links on which these entries take longer than a connection lasts. */
+const resetIntervalMs = 1000
+const resetLinks: Links = { delayMs: 55, bandwidth: 700, callMs: 800, minBandwidth: 32 }
+
+/** Runs until a condition holds, while the connections of some copies are reset again and again. */
+function runWithResets (group: SlowGroup, copies: readonly SlowCopy[], isTrue: () => boolean, limitMs: number, what: string): void {
+  const startedAt = group.now
+  while (!isTrue()) {
+    assert.ok(group.now - startedAt < limitMs, `${what} within ${limitMs} ms: ${describe(group)}`)
+    runFor(group, resetIntervalMs)
+    for (const copy of copies) resetConnections(group, copy)
+  }
+}
+
+/** Appends an entry of about the given size at the leader; returns whether it is committed there. */
+function proposeEntry (group: SlowGroup, size: number): () => boolean {
+  const { replica } = findLeader(group) as SlowCopy
+  assert.ok(replica !== undefined)
+  const index = lastIndex(replica) + 1
+  step(group, findLeader(group) as SlowCopy, { type: 'propose', commands: [{ type: 'put', slot: 0, value: 'x'.repeat(size) }] })
+  return () => replica.commit >= index
+}
+
+// Guards against a large entry that starts over after each reset of its connection and never arrives.
+test('an entry that takes longer than a connection lasts goes on where it stopped', () => {
+  const group = createSlowGroup(3, resetLinks, 9)
+  write(group, 0, 10, 3000)
+  const copy = group.copies.find(other => other !== findLeader(group)) as SlowCopy
+  const isCommitted = proposeEntry(group, uncompactedEntry)
+  runWithResets(group, [copy], () => isCommitted() && isWhole(group, copy), 20_000, 'a copy whose connections are reset has the entry')
+})
+
+// Guards against a large change that is never confirmed when each copy that could confirm it has a bad link.
+test('an entry that takes longer than a connection lasts is committed although the connections of all followers are reset', () => {
+  const group = createSlowGroup(3, resetLinks, 10)
+  write(group, 0, 10, 3000)
+  const followers = group.copies.filter(other => other !== findLeader(group))
+  const isCommitted = proposeEntry(group, largestEntry)
+  runWithResets(group, followers, isCommitted, 20_000, 'the entry is committed')
+})
+
+// Guards against a large entry that never arrives over a steady link on which it takes longer than a call may take.
+test('an entry that takes longer than a call is committed', () => {
+  const group = createSlowGroup(3, betweenRegions, 11)
+  write(group, 0, 10, 3000)
+  runUntil(group, proposeEntry(group, largestEntry), 12_000, 'the entry is committed')
+})
+
+// Guards against parts that are all lost because each takes longer than a call may take.
+test('an entry is committed over a link on which the first parts of it take longer than a call', () => {
+  const group = createSlowGroup(3, { ...betweenRegions, bandwidth: 60 }, 14)
+  write(group, 0, 10, 3000)
+  runUntil(group, proposeEntry(group, 400_000), 20_000, 'the entry is committed')
+})
+
+// Guards against a new leader that sends a large entry from its beginning although a copy has most of it.
+test('the next leader continues an entry that has arrived in part', () => {
+  const group = createSlowGroup(3, betweenRegions, 12)
+  write(group, 0, 10, 3000)
+  const leader = findLeader(group) as SlowCopy
+  const copy = group.copies.find(other => other !== leader) as SlowCopy
+  group.isCut = envelope => envelope.to === copy.id && hasData(envelope.message)
+  runUntil(group, proposeEntry(group, uncompactedEntry), 12_000, 'the entry is committed')
+  group.isCut = () => false
+  runFor(group, 2000)
+  stopCopy(leader)
+  group.dataSize = 0
+  runUntil(group, () => findLeader(group) !== undefined && isWhole(group, copy), 12_000, 'the copy has the entry')
+  assert.ok(group.dataSize < uncompactedEntry / 2, `${group.dataSize} characters were sent`)
+})
+
+// Guards against a copy of an earlier version that refuses parts of entries and never gets the entry.
+test('a copy that refuses parts gets a lost entry as a whole again', () => {
+  const group = createSlowGroup(3, resetLinks, 13)
+  write(group, 0, 10, 3000)
+  const copy = group.copies.find(other => other !== findLeader(group)) as SlowCopy
+  group.isRefused = ({ to, message }) => to === copy.id && message.type === 'append' && message.part !== undefined
+  const isCommitted = proposeEntry(group, uncompactedEntry)
+  runFor(group, resetIntervalMs)
+  resetConnections(group, copy)
+  runUntil(group, () => isCommitted() && isWhole(group, copy), 8000, 'a copy of an earlier version has the entry')
+})
+
 function isVoterAtLeader (group: SlowGroup, { id }: SlowCopy): boolean {
   const leader = findLeader(group)?.replica
   return leader !== undefined && voters(leader).includes(id)
--- a/packages/agreement/__tests__/support/slowGroup.ts
+++ b/packages/agreement/__tests__/support/slowGroup.ts
@@ -19,6 +19,8 @@
   readonly bandwidth: number
   /** Time after which a call that was not delivered fails. */
   readonly callMs: Millis
+  /** Rate in characters per millisecond at which a call gets more time for a larger message; undefined for none. */
+  readonly minBandwidth?: number
 }
 
 /** Size of the log at which a host replaces it by a snapshot, in characters. */
@@ -44,6 +46,7 @@
 interface Transmission {
   readonly envelope: Envelope
   readonly sentAt: Millis
+  readonly failsAt: Millis
   left: number
 }
 
@@ -57,14 +60,18 @@
   sent: number
   failed: number
   largest: number
+  /** Characters of the messages that carried entries or parts. */
+  dataSize: number
   committed: Map<number, string>
   /** Whether a message can't pass; it fails once its call has ended. */
   isCut: (envelope: Envelope) => boolean
+  /** Whether the recipient refuses a message as malformed. */
+  isRefused: (envelope: Envelope) => boolean
 }
 
 export function createSlowGroup (size: number, links: Links, seed: number): SlowGroup {
   const ids = Array.from({ length: size }, (_, number) => brandId<HolderId>(`v${number}/i1`))
-  const group: SlowGroup = { now: 1000, links, random: createRandom(seed), copies: [], transmissions: [], sent: 0, failed: 0, largest: 0, committed: new Map(), isCut: () => false }
+  const group: SlowGroup = { now: 1000, links, random: createRandom(seed), copies: [], transmissions: [], sent: 0, failed: 0, largest: 0, dataSize: 0, committed: new Map(), isCut: () => false, isRefused: () => false }
   for (const id of ids) {
     group.copies.push({ id, disk: { ...lostDisk, snapshot: createInitialSnapshot(ids, '') }, replica: undefined, state: { count: 0, slots: [] }, joinAt: Infinity })
   }
@@ -119,8 +126,19 @@
 function transmit (group: SlowGroup, envelope: Envelope): void {
   const size = JSON.stringify(envelope).length
   group.largest = Math.max(group.largest, size)
-  if (hasData(envelope.message)) group.sent += 1
-  group.transmissions.push({ envelope, sentAt: group.now, left: size })
+  if (hasData(envelope.message)) {
+    group.sent += 1
+    group.dataSize += size
+  }
+  const { callMs, minBandwidth = Infinity } = group.links
+  group.transmissions.push({ envelope, sentAt: group.now, failsAt: group.now + callMs + size / minBandwidth, left: size })
+}
+
+/** Ends all connections of a copy: the messages on their way from and to it fail. */
+export function resetConnections (group: SlowGroup, { id }: SlowCopy): void {
+  const failed = group.transmissions.filter(({ envelope: { from, to } }) => from === id || to === id)
+  group.transmissions = group.transmissions.filter(transmission => !failed.includes(transmission))
+  for (const { envelope } of failed) reportFailure(group, envelope)
 }
 
 export function step (group: SlowGroup, copy: SlowCopy, event: ReplicaEvent): void {
@@ -141,7 +159,7 @@
 }
 
 function moveBytes (group: SlowGroup): void {
-  const { delayMs, bandwidth, callMs } = group.links
+  const { delayMs, bandwidth } = group.links
   const perLink = new Map<string, Transmission[]>()
   for (const transmission of group.transmissions) {
     const { from, to } = transmission.envelope
@@ -152,7 +170,7 @@
     for (const transmission of link) if (!group.isCut(transmission.envelope)) transmission.left -= bandwidth * stepMs / link.length
     done.push(...link.filter(({ left, sentAt }) => left <= 0 && group.now - sentAt >= delayMs))
   }
-  const isExpired = ({ sentAt }: Transmission): boolean => group.now - sentAt > callMs
+  const isExpired = ({ failsAt }: Transmission): boolean => group.now > failsAt
   const expired = group.transmissions.filter(transmission => !done.includes(transmission) && isExpired(transmission))
   group.transmissions = group.transmissions.filter(transmission => !done.includes(transmission) && !isExpired(transmission))
   for (const { envelope } of done) deliver(group, envelope)
@@ -161,7 +179,7 @@
 
 function deliver (group: SlowGroup, envelope: Envelope): void {
   const target = group.copies.find(({ id, replica }) => id === envelope.to && replica !== undefined)
-  if (target === undefined) reportFailure(group, envelope)
+  if (target === undefined || group.isRefused(envelope)) reportFailure(group, envelope)
   else step(group, target, { type: 'receive', envelope: structuredClone(envelope) })
 }
 
@@ -169,7 +187,7 @@
   if (!hasData(envelope.message)) return
   group.failed += 1
   const sender = group.copies.find(({ id }) => id === envelope.from)
-  if (sender !== undefined) step(group, sender, { type: 'undelivered', envelope })
+  if (sender !== undefined) step(group, sender, { type: 'undelivered', envelope, isRefused: group.isRefused(envelope) })
 }
 
 function requestJoin (group: SlowGroup, copy: SlowCopy): void {
--- a/packages/agreement/src/core/followerReplication.ts
+++ b/packages/agreement/src/core/followerReplication.ts
@@ -5,28 +5,35 @@
 import { hasTransition } from '@lynxcourse/base'
 import { commitUpTo, lastIndex, refreshMembers, resetElectionTimer, send, applyRoleEvent, termAt } from './replica.js'
 import type { Replica } from './replica.js'
+import { getReceivedSize, receiveEntryPart } from './entryParts.js'
 import { receivePart } from './snapshotTransfer.js'
 
 /** Stores the leader's entries, or answers with the last index at which the two logs may match. */
 export function handleAppend (replica: Replica, from: HolderId, request: AppendRequest, now: Millis, out: ReplicaOutput): void {
   if (request.term < replica.term) {
-    sendAppendAnswer(replica, from, false, lastIndex(replica), request.round, now, out)
+    sendAppendAnswer(replica, from, false, lastIndex(replica), request, now, out)
     return
   }
   recordLeaderContact(replica, from, now)
   const isMatching = matchesPreviousEntry(replica, request)
   if (!isMatching) {
     const lastPossibleMatch = Math.min(lastIndex(replica), request.prevIndex - 1)
-    sendAppendAnswer(replica, from, false, lastPossibleMatch, request.round, now, out)
+    sendAppendAnswer(replica, from, false, lastPossibleMatch, request, now, out)
     return
   }
-  for (const entry of request.entries) storeEntry(replica, entry, out)
-  const matchIndex = request.prevIndex + request.entries.length
+  const entries = listReceivedEntries(replica, request)
+  for (const entry of entries) storeEntry(replica, entry, out)
+  const matchIndex = request.prevIndex + entries.length
   commitUpTo(replica, Math.min(request.commit, matchIndex), out)
   // A heartbeat in place of a snapshot, or from a leader without a committed entry of its own term, has commit index 0
   // and doesn't show whether this follower is up to date.
   if (request.commit > 0 && replica.commit >= request.commit) recordUpToDate(replica, request, now)
-  sendAppendAnswer(replica, from, true, matchIndex, request.round, now, out)
+  sendAppendAnswer(replica, from, true, matchIndex, request, now, out)
+}
+
+function listReceivedEntries (replica: Replica, { prevIndex, entries, part }: AppendRequest): readonly Entry[] {
+  const entry = part === undefined ? undefined : receiveEntryPart(replica, prevIndex + 1, part)
+  return entry === undefined ? entries : [entry]
 }
 
 /**
@@ -66,7 +73,7 @@
 export function handleSnapshot (replica: Replica, from: HolderId, request: SnapshotRequest, now: Millis, out: ReplicaOutput): void {
   const { head, round } = request
   if (request.term < replica.term) {
-    sendAppendAnswer(replica, from, false, lastIndex(replica), round, now, out)
+    sendAppendAnswer(replica, from, false, lastIndex(replica), { round }, now, out)
     return
   }
   recordLeaderContact(replica, from, now)
@@ -78,7 +85,7 @@
     }
     installSnapshot(replica, received, out)
   }
-  sendAppendAnswer(replica, from, true, head.index, round, now, out)
+  sendAppendAnswer(replica, from, true, head.index, { round }, now, out)
 }
 
 /** Replaces the log up to the snapshot; keeps later entries only if the log matches it. */
@@ -100,6 +107,7 @@
   resetElectionTimer(replica, now)
 }
 
-function sendAppendAnswer (replica: Replica, to: HolderId, ok: boolean, index: number, round: number, now: Millis, out: ReplicaOutput): void {
-  send(replica, out, to, { type: 'appendAnswer', term: replica.term, ok, index, round, at: now })
+function sendAppendAnswer (replica: Replica, to: HolderId, ok: boolean, index: number, { round, part }: Pick<AppendRequest, 'round' | 'part'>, now: Millis, out: ReplicaOutput): void {
+  const received = part === undefined ? undefined : getReceivedSize(replica, index + 1)
+  send(replica, out, to, { type: 'appendAnswer', term: replica.term, ok, index, received, round, at: now })
 }
--- a/packages/agreement/src/core/leaderReplication.ts
+++ b/packages/agreement/src/core/leaderReplication.ts
@@ -1,11 +1,12 @@
 /** The leader's side of replication: appends entries, sends them and processes answers. */
 import type { HolderId, Millis } from '@lynxcourse/base'
-import type { Entry, EntryBody } from '../types/log.js'
+import type { EntryBody } from '../types/log.js'
 import type { AppendAnswer, AppendRequest, Message, ReplicaOutput, SnapshotAnswer } from '../types/messages.js'
 import {
   commitUpTo, entryAt, isEstablishedLeader, isLeader, lastEntryAt, lastIndex, maxReachedByQuorum, send, termAt, voters
 } from './replica.js'
 import type { Progress, Replica } from './replica.js'
+import { getEntryTransfer, recordLostEntryPart, recordReceived, takePart } from './entryParts.js'
 import { createProgress, recordAcknowledged, recordMissing, recordSent, recordUndelivered, takeEntries } from './sendWindow.js'
 import { createTransfer, recordLostPart, recordPart, sendPart } from './snapshotTransfer.js'
 
@@ -45,11 +46,20 @@
 
 function replicateTo (replica: Replica, to: HolderId, now: Millis, out: ReplicaOutput): void {
   const progress = getProgress(replica, to, now)
-  sendEntries(replica, to, progress, takeEntries(replica, progress), now, out)
+  sendPayload(replica, to, progress, takePayload(replica, progress, now), now, out)
+}
+
+type Payload = Pick<AppendRequest, 'entries' | 'part'>
+
+/** Returns the entries of the next message to a member, or the part of one. */
+function takePayload (replica: Replica, progress: Progress, now: Millis): Payload {
+  const entryTransfer = getEntryTransfer(replica, progress)
+  if (entryTransfer === undefined) return { entries: takeEntries(replica, progress) }
+  return { entries: [], part: takePart(replica, entryTransfer, progress, now) }
 }
 
 /** Sends a member entries from its next one on, or a heartbeat without any; sends a snapshot instead if it lacks what comes before. */
-function sendEntries (replica: Replica, to: HolderId, progress: Progress, entries: readonly Entry[], now: Millis, out: ReplicaOutput): void {
+function sendPayload (replica: Replica, to: HolderId, progress: Progress, payload: Payload, now: Millis, out: ReplicaOutput): void {
   const prevIndex = progress.next - 1
   const prevTerm = termAt(replica, prevIndex)
   if (prevTerm === undefined || progress.transfer !== undefined) {
@@ -57,21 +67,22 @@
     return
   }
   const { term, round } = replica
-  send(replica, out, to, { type: 'append', term, prevIndex, prevTerm, entries, commit: getAdvertisedCommit(replica), round, ...describeFreshness(replica, progress, now) })
-  recordSent(progress, entries.length, now)
+  send(replica, out, to, { type: 'append', term, prevIndex, prevTerm, ...payload, commit: getAdvertisedCommit(replica), round, ...describeFreshness(replica, progress, now) })
+  recordSent(progress, payload.entries.length, now)
 }
 
 /** Sends a member the entries that it lacks, if its window has space for any of them. */
 function sendMissingEntries (replica: Replica, to: HolderId, progress: Progress, now: Millis, out: ReplicaOutput): void {
-  const entries = takeEntries(replica, progress)
-  if (entries.length > 0) sendEntries(replica, to, progress, entries, now, out)
+  const payload = takePayload(replica, progress, now)
+  if (payload.entries.length > 0 || payload.part !== undefined) sendPayload(replica, to, progress, payload, now, out)
 }
 
 /** Processes a host's report that it could not deliver a message of this leader; the next broadcast sends its content again. */
-export function handleUndelivered (replica: Replica, to: HolderId, message: Message, now: Millis): void {
+export function handleUndelivered (replica: Replica, to: HolderId, message: Message, isRefused: boolean, now: Millis): void {
   if (!isLeader(replica) || message.term !== replica.term) return
   const progress = getProgress(replica, to, now)
   if (message.type === 'append' && message.entries.length > 0) recordUndelivered(progress, message.prevIndex + 1)
+  if (message.type === 'append' && message.part !== undefined) recordLostEntryPart(progress, message, isRefused)
   if (message.type === 'snapshot' && progress.transfer !== undefined) recordLostPart(progress.transfer, message)
 }
 
@@ -130,6 +141,7 @@
 export function handleAppendAnswer (replica: Replica, from: HolderId, answer: AppendAnswer, now: Millis, out: ReplicaOutput): void {
   const progress = getProgress(replica, from, now)
   recordAnswer(progress, answer, now)
+  recordReceived(progress, answer)
   if (answer.ok) {
     if (progress.transfer !== undefined && answer.index >= progress.transfer.head.index) progress.transfer = undefined
     recordAcknowledged(progress, answer.index, now)
--- a/packages/agreement/src/core/replica.ts
+++ b/packages/agreement/src/core/replica.ts
@@ -3,7 +3,7 @@
 import { nextState } from '@lynxcourse/base'
 import type { Entry, Member, Snapshot, StoredLog } from '../types/log.js'
 import type { Envelope, Message, ReplicaOutput, ReplicaTimes } from '../types/messages.js'
-import type { IncomingSnapshot, Transfer } from '../types/transfer.js'
+import type { EntryTransfer, IncomingEntry, IncomingSnapshot, Transfer } from '../types/transfer.js'
 
 /** Replication progress of one other member, as the leader tracks it. */
 export interface Progress {
@@ -23,6 +23,10 @@
   lastSeenAt: Millis
   /** The snapshot that the member is being sent; undefined if it has what comes before the leader's log. */
   transfer: Transfer | undefined
+  /** The entry that the member is being sent in parts. */
+  entryTransfer: EntryTransfer | undefined
+  /** False once the member has refused a part of an entry. */
+  readsParts: boolean
 }
 
 /** A read that is pending until a quorum confirms its round. */
@@ -76,6 +80,8 @@
   pendingReads: PendingRead[]
   /** The snapshot that arrives from the leader in parts. */
   incoming: IncomingSnapshot | undefined
+  /** The entry that arrives from the leader in parts. */
+  incomingEntry: IncomingEntry | undefined
   joinRequests: Set<HolderId>
 }
 
@@ -136,6 +142,7 @@
     termStartIndex: 0,
     pendingReads: [],
     incoming: undefined,
+    incomingEntry: undefined,
     joinRequests: new Set()
   }
   replica.syncedIndex = lastIndex(replica)
--- a/packages/agreement/src/core/sendWindow.ts
+++ b/packages/agreement/src/core/sendWindow.ts
@@ -38,7 +38,7 @@
 
 /** Creates the progress of a member that is assumed to have all entries before `next`. */
 export function createProgress (next: number, now: Millis): Progress {
-  return { next, match: 0, sentFrom: next, messageSize: maxMessageSize, waitingSince: now, ackedRound: 0, answeredAt: undefined, lastSeenAt: now, transfer: undefined }
+  return { next, match: 0, sentFrom: next, messageSize: maxMessageSize, waitingSince: now, ackedRound: 0, answeredAt: undefined, lastSeenAt: now, transfer: undefined, entryTransfer: undefined, readsParts: true }
 }
 
 /** Returns the size of the entries between two indexes, the first included; stops once it exceeds `limit`. */
@@ -80,7 +80,7 @@
   if (index < progress.sentFrom) return
   progress.sentFrom = index + 1
   progress.waitingSince = now
-  progress.messageSize = Math.min(maxMessageSize, progress.messageSize + messageSizeStep)
+  growMessages(progress, messageSizeStep)
 }
 
 /**
@@ -100,6 +100,16 @@
 export function recordUndelivered (progress: Progress, firstIndex: number): void {
   if (firstIndex < progress.sentFrom || firstIndex >= progress.next) return
   restartFrom(progress, progress.sentFrom)
+  shrinkMessages(progress)
+}
+
+/** Makes the next messages to a member larger, after one was delivered. */
+export function growMessages (progress: Progress, step: number): void {
+  progress.messageSize = Math.min(maxMessageSize, progress.messageSize + step)
+}
+
+/** Makes the next messages to a member smaller, after one was lost. */
+export function shrinkMessages (progress: Progress): void {
   progress.messageSize = Math.max(minMessageSize, Math.floor(progress.messageSize / 2))
 }
 
--- a/packages/agreement/src/core/step.ts
+++ b/packages/agreement/src/core/step.ts
@@ -27,7 +27,7 @@
     case 'compact': compact(replica, event.index, event.data, out); break
     case 'read': startRead(replica, event.token, now, out); break
     case 'handOver': handOver(replica, now, out); break
-    case 'undelivered': handleUndelivered(replica, event.envelope.to, event.envelope.message, now); break
+    case 'undelivered': handleUndelivered(replica, event.envelope.to, event.envelope.message, event.isRefused === true, now); break
   }
   return out
 }
--- a/packages/agreement/src/types/messages.ts
+++ b/packages/agreement/src/types/messages.ts
@@ -18,13 +18,27 @@
   readonly granted: boolean
 }
 
-/** Carries the entries after `prevIndex`; a request without entries is a heartbeat. */
+/** A part of the JSON text of an entry, with the length and the checksum of the whole text. */
+export interface EntryPart {
+  /** Term of the entry. */
+  readonly term: number
+  readonly size: number
+  /** CRC-32 of the whole text in UTF-8. */
+  readonly checksum: number
+  /** Position of the part in the text, in characters. */
+  readonly offset: number
+  readonly text: string
+}
+
+/** Carries the entries after `prevIndex`, or a part of the entry after it; a request without both is a heartbeat. */
 export interface AppendRequest {
   readonly type: 'append'
   readonly term: number
   readonly prevIndex: number
   readonly prevTerm: number
   readonly entries: readonly Entry[]
+  /** Undefined for none. */
+  readonly part?: EntryPart | undefined
   readonly commit: number
   /** Number of the leader's broadcast round. Answers echo it, so that the leader knows when a quorum last confirmed it. */
   readonly round: number
@@ -69,6 +83,8 @@
   readonly ok: boolean
   /** With `ok`, the last index known to match the leader's log; otherwise the last index that may match. */
   readonly index: number
+  /** Characters of the entry after `index` that arrived in parts; undefined in the answer to a request without a part. */
+  readonly received?: number | undefined
   readonly round: number
   /** When the sender created the answer, by its own clock. Only the sender interprets it, when the leader echoes it. */
   readonly at: Millis
@@ -82,9 +98,9 @@
 
 export type Message = VoteRequest | VoteAnswer | AppendRequest | SnapshotRequest | SnapshotAnswer | AppendAnswer | HandOver
 
-/** Whether a message carries entries or a part of a snapshot. The next heartbeat or election replaces all others. */
+/** Whether a message carries entries, or a part of an entry or of a snapshot. The next heartbeat or election replaces all others. */
 export function hasData (message: Message): boolean {
-  return message.type === 'snapshot' || (message.type === 'append' && message.entries.length > 0)
+  return message.type === 'snapshot' || (message.type === 'append' && (message.entries.length > 0 || message.part !== undefined))
 }
 
 /** A message with its sender and recipient. `cluster` separates clusters that share addresses. */
@@ -99,8 +115,8 @@
 export type ReplicaEvent =
   | { readonly type: 'tick' }
   | { readonly type: 'receive', readonly envelope: Envelope }
-  /** The host could not deliver a message of this copy. */
-  | { readonly type: 'undelivered', readonly envelope: Envelope }
+  /** The host could not deliver a message of this copy, or its recipient refused it as malformed. */
+  | { readonly type: 'undelivered', readonly envelope: Envelope, readonly isRefused?: boolean }
   /** The host synced everything that earlier steps asked it to save. */
   | { readonly type: 'synced' }
   | { readonly type: 'propose', readonly commands: readonly unknown[] }
--- a/packages/agreement/src/types/transfer.ts
+++ b/packages/agreement/src/types/transfer.ts
@@ -1,4 +1,4 @@
-/** Snapshots that are sent from copy to copy in parts. */
+/** Snapshots and large entries that are sent from copy to copy in parts. */
 import type { Millis } from '@lynxcourse/base'
 import type { Snapshot } from './log.js'
 import type { SnapshotHead } from './messages.js'
@@ -16,6 +16,28 @@
   advancedAt: Millis
 }
 
+/** A large entry on its way to another copy. */
+export interface EntryTransfer {
+  readonly index: number
+  readonly term: number
+  /** The entry as JSON text, and the CRC-32 of this in UTF-8. */
+  readonly text: string
+  readonly checksum: number
+  /** Characters that the recipient has. */
+  offset: number
+  /** When the part in flight was sent; undefined if none is. */
+  sentAt: Millis | undefined
+}
+
+/** An entry of which the first part or more has arrived. */
+export interface IncomingEntry {
+  readonly index: number
+  readonly term: number
+  readonly size: number
+  readonly checksum: number
+  text: string
+}
+
 /** A snapshot of which the first part or more has arrived. */
 export interface IncomingSnapshot {
   readonly head: SnapshotHead
--- a/packages/daemon/__tests__/largeChanges.test.ts
+++ b/packages/daemon/__tests__/largeChanges.test.ts
@@ -3,9 +3,12 @@
 import { stat } from 'node:fs/promises'
 import { join } from 'node:path'
 import { test } from 'node:test'
-import { voters } from '@lynxcourse/agreement'
+import { crc32 } from 'node:zlib'
+import { lastIndex, voters } from '@lynxcourse/agreement'
+import type { Replica } from '@lynxcourse/agreement'
 import { getHolderVm } from '@lynxcourse/base'
-import { getCurrentTime, isLeading, readRoutes } from '@lynxcourse/daemon'
+import type { HolderId } from '@lynxcourse/base'
+import { callPeer, getCurrentTime, isLeading, readRoutes } from '@lynxcourse/daemon'
 import type { FleetControl } from '@lynxcourse/daemon'
 import { getRoutesVersion } from '@lynxcourse/state'
 import type { Route } from '@lynxcourse/state'
@@ -66,6 +69,32 @@
   assert.equal(await readVersion(fixture), version)
 })
 
+// Guards against a control VM that refuses the parts in which a large entry arrives over a link that loses it as a whole.
+test('an entry that arrives in parts is applied', async () => {
+  await using fixture = await startFleetFixture(0)
+  const version = await replaceRoutes(fixture, 1, 1)
+  const { host, node } = getControl(fixture, 2)
+  await waitUntil(() => getRoutesVersion(host.machine.config) === version)
+  for (const index of [0, 1]) {
+    await fixture.daemons[index]?.[Symbol.asyncDispose]()
+    fixture.daemons[index] = undefined
+  }
+  const replica = host.replica as Replica
+  const from = replica.members.find(member => member.id !== host.id)?.id as HolderId
+  const term = replica.term + 1
+  const prevIndex = lastIndex(replica)
+  const command = createReplaceRoutesCommand('parts', version, version + 1, createRoutes(700, 1))
+  const text = JSON.stringify({ index: prevIndex + 1, term, at: getCurrentTime(), body: { type: 'command', command } })
+  const partSize = 65_536
+  for (let offset = 0; offset < text.length; offset += partSize) {
+    const part = { term, size: text.length, checksum: crc32(text), offset, text: text.slice(offset, offset + partSize) }
+    const message = { type: 'append', term, prevIndex, prevTerm: replica.entries.at(-1)?.term ?? 0, entries: [], part, commit: prevIndex + 1, round: 1, answeredAt: null, confirmedAgeMs: null }
+    await callPeer(node.client, node.cfg.rpc, 'log.message', { cluster: replica.cluster, from, to: host.id, message })
+  }
+  assert.ok(text.length > partSize)
+  await waitUntil(() => getRoutesVersion(host.machine.config) === version + 1)
+})
+
 for (const controlCount of [3, 5]) {
   // Guards against copies that never catch up and copies that are gone but still count as voters: the next loss then takes the quorum.
   test(`${controlCount} control VMs lose their disks in turn over slow links and nothing confirmed is lost`, async () => {
--- a/packages/daemon/src/core/control/joining.ts
+++ b/packages/daemon/src/core/control/joining.ts
@@ -73,6 +73,8 @@
 
 const snapshotHeadSchema = z.object({ index: nonNegativeInt, term: nonNegativeInt, at: z.number(), members: z.array(memberSchema), size: nonNegativeInt, checksum: nonNegativeInt })
 
+const entryPartSchema = z.object({ term: nonNegativeInt, size: nonNegativeInt, checksum: nonNegativeInt, offset: nonNegativeInt, text: z.string() })
+
 const envelopeSchema = z.strictObject({
   cluster: z.string(),
   from: holderSchema,
@@ -80,11 +82,11 @@
   message: z.discriminatedUnion('type', [
     z.strictObject({ type: z.literal('vote'), pre: z.boolean(), term: nonNegativeInt, lastIndex: nonNegativeInt, lastTerm: nonNegativeInt }),
     z.strictObject({ type: z.literal('voteAnswer'), pre: z.boolean(), term: nonNegativeInt, granted: z.boolean() }),
-    z.strictObject({ type: z.literal('append'), term: nonNegativeInt, prevIndex: nonNegativeInt, prevTerm: nonNegativeInt, entries: z.array(entrySchema), commit: nonNegativeInt, round: nonNegativeInt, answeredAt: z.number().nullable(), confirmedAgeMs: z.number().min(0).nullable() }),
+    z.strictObject({ type: z.literal('append'), term: nonNegativeInt, prevIndex: nonNegativeInt, prevTerm: nonNegativeInt, entries: z.array(entrySchema), part: entryPartSchema.optional(), commit: nonNegativeInt, round: nonNegativeInt, answeredAt: z.number().nullable(), confirmedAgeMs: z.number().min(0).nullable() }),
     z.strictObject({ type: z.literal('snapshot'), term: nonNegativeInt, head: snapshotHeadSchema, offset: nonNegativeInt, part: z.string(), round: nonNegativeInt }),
     z.strictObject({ type: z.literal('snapshotAnswer'), term: nonNegativeInt, index: nonNegativeInt, offset: nonNegativeInt, round: nonNegativeInt, at: z.number() }),
     z.strictObject({ type: z.literal('handOver'), term: nonNegativeInt }),
-    z.strictObject({ type: z.literal('appendAnswer'), term: nonNegativeInt, ok: z.boolean(), index: z.number().int(), round: nonNegativeInt, at: z.number() })
+    z.strictObject({ type: z.literal('appendAnswer'), term: nonNegativeInt, ok: z.boolean(), index: z.number().int(), received: nonNegativeInt.optional(), round: nonNegativeInt, at: z.number() })
   ])
 })
 
