Test that a control VM that refuses parts of an entry is sent the whole entry

Cause: the mapping of a refused message to the replica's event had no test.

Change: a stand-in for a control VM of an earlier version refuses parts and has to receive the whole entry.

--- a/packages/daemon/__tests__/largeChanges.test.ts
+++ b/packages/daemon/__tests__/largeChanges.test.ts
@@ -1,15 +1,17 @@
 /** Many and large changes, and control VMs whose disks are lost meanwhile. */
 import assert from 'node:assert/strict'
 import { stat } from 'node:fs/promises'
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
 import { join } from 'node:path'
 import { test } from 'node:test'
-import { crc32 } from 'node:zlib'
+import { crc32, gunzipSync } from 'node:zlib'
 import { lastIndex, voters } from '@lynxcourse/agreement'
 import type { Replica } from '@lynxcourse/agreement'
 import { getHolderVm } from '@lynxcourse/base'
 import type { HolderId } from '@lynxcourse/base'
 import { callPeer, getCurrentTime, isLeading, readRoutes } from '@lynxcourse/daemon'
-import type { FleetControl } from '@lynxcourse/daemon'
+import type { FleetControl, FleetSettings } from '@lynxcourse/daemon'
 import { getRoutesVersion } from '@lynxcourse/state'
 import type { Route } from '@lynxcourse/state'
 import { createReplaceRoutesCommand, createRouteToDesk, getControl, loseDisk, startFleetFixture, submitCommand, waitUntil } from './support/fleetFixture.js'
@@ -18,6 +20,8 @@
 
 /** Bound on the log file of a control VM whose snapshot is small; it is compacted at half of this. */
 const maxLogBytes = 2_097_152
+/** An entry that is larger than a message with several entries may be, in characters. */
+const largeEntrySize = 262_144
 const betweenRegions: SlowLinkCfg = { delayMs: 55, bytesPerSecond: 700_000 }
 
 function createRoutes (count: number, change: number): Route[] {
@@ -95,6 +99,42 @@
   await waitUntil(() => getRoutesVersion(host.machine.config) === version + 1)
 })
 
+/** What the tests read of a message of the log. */
+interface LogCall { readonly method: string, readonly params: { readonly message: { readonly part?: object, readonly entries?: readonly object[] } } }
+
+/** Answers as a control VM of an earlier version, which refuses parts of entries, and records the calls. */
+function startEarlierVm (address: string, calls: LogCall[]): Server {
+  const [host, port] = address.split(':')
+  return createServer((req, res) => {
+    const chunks: Buffer[] = []
+    req.on('data', (chunk: Buffer) => chunks.push(chunk))
+    req.once('end', () => {
+      const body = Buffer.concat(chunks)
+      const call = JSON.parse((req.headers['content-encoding'] === undefined ? body : gunzipSync(body)).toString()) as LogCall
+      calls.push(call)
+      const outcome = call.params.message?.part === undefined ? { result: {} } : { error: { code: 1, message: 'request is not valid: part', data: { code: 'badRequest' } } }
+      res.end(JSON.stringify({ jsonrpc: '2.0', id: 1, ...outcome }))
+    })
+  }).listen(Number(port), host)
+}
+
+// Guards against a control VM that sends parts again and again to one of an earlier version, which refuses each of them.
+test('a control VM that refuses parts of an entry is sent the whole entry', async () => {
+  await using fixture = await startFleetFixture(0)
+  const version = await replaceRoutes(fixture, 1, 1)
+  const follower = [0, 1, 2].find(index => !isLeading(getControl(fixture, index).host)) as number
+  const { rpc } = fixture.settings[follower] as FleetSettings
+  await fixture.daemons[follower]?.[Symbol.asyncDispose]()
+  fixture.daemons[follower] = undefined
+  await replaceRoutes(fixture, 2000, 1, version)
+  const calls: LogCall[] = []
+  await using server = startEarlierVm(rpc, calls)
+  const isRefused = ({ params }: LogCall): boolean => params.message?.part !== undefined
+  const isWhole = ({ params }: LogCall): boolean => JSON.stringify(params.message?.entries ?? []).length > largeEntrySize
+  await waitUntil(() => calls.some(isRefused) && calls.slice(calls.findIndex(isRefused)).some(isWhole))
+  server.closeAllConnections()
+})
+
 for (const controlCount of [3, 5]) {
   // Guards against copies that never catch up and copies that are gone but still count as voters: the next loss then takes the quorum.
   test(`${controlCount} control VMs lose their disks in turn over slow links and nothing confirmed is lost`, async () => {
--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -257,7 +257,7 @@
   const { to, message } = envelope
   const carriedData = hasData(message)
   log(host.env.logs, 'agree', carriedData ? 'warn' : 'debug', 'Message of the log was not delivered.', { to, type: message.type, entries: countEntries(envelope), error: getErrorMessage(err), step: 'send' })
-  if (carriedData) enqueueEvent(host, { type: 'undelivered', envelope, isRefused: isLynxError(err) && err.code === 'badRequest' })
+  if (carriedData) enqueueEvent(host, { type: 'undelivered', envelope, isRefused: isLynxError(err, 'badRequest') })
 }
 
 function logMemberChanges (host: ControlHost, { entries }: ReplicaOutput): void {
