Benchmark of control VMs that lost their disks, by numbers of routes and changes

Cause: the time until a copy is whole, and what it costs the other control VMs, had been measured for single cases only.

--- a/scripts/bench/processorFleet.ts
+++ b/scripts/bench/processorFleet.ts
@@ -9,7 +9,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { sleep, waitForExit, waitUntil } from '../support/processes.js'
+import { kill, sleep, waitForExit, waitUntil } from '../support/processes.js'
 
 const program = fileURLToPath(new URL('../../../target/lynxcourse.cjs', import.meta.url))
 const host = 'example.test'
@@ -136,12 +136,21 @@
   rmSync(fleet.folder, { recursive: true, force: true })
 }
 
-function startVm (fleet: MeasuredFleet, role: MeasuredVm['role'], index: number): MeasuredVm {
+/** Kills a control VM, empties its disk and starts it again; returns the VM with its new process. */
+export async function restartWithEmptyDisk (fleet: MeasuredFleet, vm: MeasuredVm): Promise<MeasuredVm> {
+  await kill(vm.child)
+  rmSync(join(fleet.folder, vm.name), { recursive: true, force: true })
+  const started = startVm(fleet, vm.role, listVms(fleet, vm.role).indexOf(vm), false)
+  fleet.vms.splice(fleet.vms.indexOf(vm), 1, started)
+  return started
+}
+
+function startVm (fleet: MeasuredFleet, role: MeasuredVm['role'], index: number, isFirstStart = true): MeasuredVm {
   const { folder, plan: { profileFolder, runtimeFlags, controls } } = fleet
   const name = `${role}-${index}`
   const ip = `127.0.${role === 'control' ? 20 : 21}.${index + 1}`
   const seeds = Array.from({ length: controls }, (_, control) => `"127.0.20.${control + 1}:${controlPort}"`)
-  const common = `NodeName = "${name}"\nIp = "${ip}"\nZone = "z${index % 3}"\nRegion = "r${index % 3}"\nInternalPorts = [${internalPort}, ${internalPort}]\nSeeds = [${seeds.join()}]\nFirstStart = true\nBounds = ["GraceS=6", "QuotaWindowS=5", "QuotaOverage=0.1", "QuotaSlack=20"]\n`
+  const common = `NodeName = "${name}"\nIp = "${ip}"\nZone = "z${index % 3}"\nRegion = "r${index % 3}"\nInternalPorts = [${internalPort}, ${internalPort}]\nSeeds = [${seeds.join()}]\nFirstStart = ${String(isFirstStart)}\nBounds = ["GraceS=6", "QuotaWindowS=5", "QuotaOverage=0.1", "QuotaSlack=20"]\n`
   const own = role === 'control' ? `Serves = ["control_plane", "directory"]\nDataDir = "${join(folder, name)}"\n` : 'Serves = ["edge"]\n'
   const listen = role === 'control' ? `Control = "${ip}:${controlPort}"\nDirectory = "${ip}:${directoryPort}"\n` : `Frontend = "${ip}:${callerPort}"\nReady = "${ip}:${readyPort}"\n`
   mkdirSync(join(folder, name))
@@ -154,6 +163,7 @@
   return { name, ip, role, child, logFile }
 }
 
+const routeTimeoutS = 2
 const teamCount = 73
 /** Requests per second and burst of a team: about what 1,400 requests per second over all teams need. */
 const teamRate = 25
@@ -210,15 +220,23 @@
 
 /** Adds or removes routes by one change of the operator; returns the time that the confirmation took, in milliseconds. */
 export async function changeRoutes (fleet: MeasuredFleet, baseVersion: number, kind: 'add' | 'remove', names: readonly string[]): Promise<number> {
-  const encode = (version: number): string => version.toString(16).padStart(8, '0')
-  const added = { Upsert: { Routes: { Columns: routes.Routes.Columns, Rows: names.map(name => [name, host, `/${name}/`, 'safe', 2, 0.7, 1, service, 2, true]) } } }
-  const update = { Version: encode(baseVersion + 1), ...(kind === 'add' ? added : { Remove: { Routes: names } }) }
   const startedAt = performance.now()
-  const status = await post(getControlIp(fleet, 0), controlPort, '/api/config/update', update, { 'x-lynxcourse-base-version': encode(baseVersion) })
+  const status = await sendChange(fleet, baseVersion, kind === 'add' ? createUpsert(names, routeTimeoutS) : { Remove: { Routes: names } })
   if (status !== 200) throw new Error(`the change was answered with ${status}`)
   return performance.now() - startedAt
 }
 
+/** Creates the body of a change that adds routes, or replaces those of the same names. */
+export function createUpsert (names: readonly string[], timeoutS: number): object {
+  return { Upsert: { Routes: { Columns: routes.Routes.Columns, Rows: names.map(name => [name, host, `/${name}/`, 'safe', timeoutS, 0.7, 1, service, 2, true]) } } }
+}
+
+/** Sends a change that is based on a version and results in the next one; returns the status. */
+export async function sendChange (fleet: MeasuredFleet, baseVersion: number, change: object): Promise<number> {
+  const encode = (version: number): string => version.toString(16).padStart(8, '0')
+  return await post(getControlIp(fleet, 0), controlPort, '/api/config/update', { Version: encode(baseVersion + 1), ...change }, { 'x-lynxcourse-base-version': encode(baseVersion) })
+}
+
 /** Waits until an entry VM has a route or no longer has it; asks every few milliseconds. */
 export async function waitUntilInForce ({ ip }: MeasuredVm, kind: 'add' | 'remove', name: string): Promise<void> {
   await waitUntil(`${ip}: ${kind} ${name}`, async () => (kind === 'add') === (await send({ host: ip, port: callerPort, path: `/${name}/1`, headers: { host, authorization: 'Token key-0', 'x-lynxcourse-request-id': `${ip}-${name}-${performance.now()}` } }) !== 404))
