Soak: large changes in series while a control VM loses its disk

Cause: the soak lost disks and made large changes, but not in series and not together.

Change: in two of three series, 4 to 11 changes of 300 to 1,399 routes follow each other around the loss of a control VM's disk, which is drawn if the series has none. No check was changed.

--- a/scripts/__tests__/soak.test.ts
+++ b/scripts/__tests__/soak.test.ts
@@ -296,6 +296,13 @@
   }
 })
 
+test('large changes of a plan go on while a control VM loses its disk', () => {
+  const plans = Array.from({ length: 50 }, (_, seed) => planSoak(seed, size, 4).steps)
+  const changes = plans.flatMap(steps => steps.filter(({ kind }) => kind === 'largeChanges').map(step => ({ step, steps })))
+  assert.ok(changes.length > 50)
+  for (const { step, steps } of changes) assert.ok(steps.some(({ kind, at }) => kind === 'wipe' && Math.abs(at - step.at) <= 1500), `at ${step.at} ms`)
+})
+
 test('each evacuation of a plan has a link fault at the servers of its failure domain', () => {
   for (let seed = 1; seed <= 50; seed++) {
     const { steps } = planSoak(seed, size, 4)
--- a/scripts/soak/faultInjection.ts
+++ b/scripts/soak/faultInjection.ts
@@ -10,7 +10,7 @@
 import type { FaultProxy, LinkFault } from './faultProxy.js'
 import { crashPath } from './history.js'
 import type { InjectedFault } from './history.js'
-import { changeRoutes, evacuate, raceChanges } from './operator.js'
+import { changeManyRoutes, changeRoutes, evacuate, raceChanges } from './operator.js'
 import type { SoakSystem } from './soakSystem.js'
 import { endLifetime, startLifetime } from './fakeServer.js'
 import type { FakeServer } from './fakeServer.js'
@@ -49,6 +49,7 @@
       await changeRoutes(system.operator)
       return
     }
+    case 'largeChanges': return await changeManyRoutes(system.operator, step.count, step.routes)
     case 'race': return await raceChanges(system.operator)
     case 'domainLink': return await injectDomainFault(system, step)
     case 'shortage': return await injectCpuShortage(system, step)
--- a/scripts/soak/faultPlan.ts
+++ b/scripts/soak/faultPlan.ts
@@ -11,6 +11,7 @@
   | { readonly kind: 'serverLink', readonly server: number, readonly fault: Exclude<LinkFault, 'none'>, readonly forMs: number }
   | { readonly kind: 'serverReset' | 'serverCrash' | 'serverDrain', readonly server: number }
   | { readonly kind: 'change' | 'race' }
+  | { readonly kind: 'largeChanges', readonly count: number, readonly routes: number }
   | { readonly kind: 'evacuate', readonly domain: number, readonly forMs: number }
   | { readonly kind: 'domainLink', readonly domain: number, readonly fault: Exclude<LinkFault, 'none'>, readonly forMs: number }
   | { readonly kind: 'burst', readonly vm?: number, readonly forMs: number }
@@ -84,8 +85,15 @@
 /** How long a caller sends a request that ends servers: longer than VMs may take to stop sending it. */
 const crashingMs = 10_000
 
+/** Numbers of large changes that follow each other without a pause, of their routes, and how long before or after the first one a disk is lost. */
+const minLargeChanges = 4
+const maxLargeChanges = 12
+const minChangedRoutes = 300
+const maxChangedRoutes = 1400
+const largeChangesOffsetMs = 1500
+
 /** Kinds that are drawn independently; the others accompany an evacuation or have a generator of their own. */
-type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst' | 'shortage' | 'crashingCaller' | 'serverLimit' | 'serverPause' | 'serverLeave' | 'shedding'>
+type StepKind = Exclude<SoakStep['kind'], 'domainLink' | 'burst' | 'shortage' | 'crashingCaller' | 'serverLimit' | 'serverPause' | 'serverLeave' | 'shedding' | 'largeChanges'>
 
 /** Relative frequencies of the kinds. */
 const weights: ReadonlyArray<readonly [StepKind, number]> = [
@@ -103,21 +111,22 @@
   const shortageRandom = createRandom(hashText(`shortage ${seed}`))
   const sheddingRandom = createRandom(hashText(`shedding ${seed}`))
   const crashRandom = createRandom(hashText(`crash ${seed}`))
+  const largeChangesRandom = createRandom(hashText(`large changes ${seed}`))
   const steps: SoakStep[] = []
   for (let seriesIndex = 0; seriesIndex < series; seriesIndex++) {
     const start = seriesIndex * (seriesMs + faultFreeMs)
     const count = 1 + drawInt(random, maxStepsPerSeries)
-    let isDiskLost = false
+    let lostDisk: SoakStep | undefined
     for (let stepIndex = 0; stepIndex < count; stepIndex++) {
       const kind = drawKind(random)
       // At most one disk per series: confirmed changes survive the loss of a minority of disks only.
-      if (kind === 'wipe' && isDiskLost) continue
-      isDiskLost ||= kind === 'wipe'
+      if (kind === 'wipe' && lostDisk !== undefined) continue
       const step = drawStep(random, size, kind, start + drawInt(random, seriesMs))
+      if (kind === 'wipe') lostDisk = step
       steps.push(step)
       if (step.kind === 'evacuate') steps.push(...drawEvacuationFaults(random, size, step))
     }
-    steps.push(...drawShortage(shortageRandom, size, start), ...drawCrashingCaller(crashRandom, start), ...drawServerLimits(limitRandom, size, start), ...drawNotices(noticeRandom, size, start), ...drawShedding(sheddingRandom, size, start))
+    steps.push(...drawShortage(shortageRandom, size, start), ...drawCrashingCaller(crashRandom, start), ...drawServerLimits(limitRandom, size, start), ...drawNotices(noticeRandom, size, start), ...drawShedding(sheddingRandom, size, start), ...drawLargeChanges(largeChangesRandom, size, start, lostDisk))
   }
   steps.sort((a, b) => a.at - b.at)
   return { seed, steps, lengthMs: series * (seriesMs + faultFreeMs) }
@@ -210,6 +219,21 @@
   return [{ at, kind: 'shedding', fraction: shedFraction, forMs: sheddingMs }, ...kills.flat()]
 }
 
+/**
+ * Draws, for two thirds of the series, large changes in quick succession around the loss of a control VM's disk. A series that has no
+ * lost disk gets one.
+ */
+function drawLargeChanges (random: Random, size: SoakSize, start: number, lostDisk: SoakStep | undefined): SoakStep[] {
+  const isDrawn = random() < 2 / 3
+  const wipe = { at: start + drawInt(random, seriesMs / 2), kind: 'wipe' as const, vm: drawInt(random, size.controls), forMs: minFaultMs + drawInt(random, maxFaultMs - minFaultMs) }
+  const at = Math.max(start, (lostDisk ?? wipe).at - largeChangesOffsetMs + drawInt(random, 2 * largeChangesOffsetMs))
+  const count = minLargeChanges + drawInt(random, maxLargeChanges - minLargeChanges)
+  const routes = minChangedRoutes + drawInt(random, maxChangedRoutes - minChangedRoutes)
+  if (!isDrawn) return []
+  const changes: SoakStep = { at, kind: 'largeChanges', count, routes }
+  return lostDisk === undefined ? [wipe, changes] : [changes]
+}
+
 /** Draws, for half of the series, servers that turn requests away and ask for pauses, and for half, one that says that it leaves. */
 function drawNotices (random: Random, size: SoakSize, start: number): SoakStep[] {
   const steps: SoakStep[] = []
--- a/scripts/soak/operator.ts
+++ b/scripts/soak/operator.ts
@@ -36,7 +36,7 @@
 }
 
 /** Creates a command that replaces all routes; the version determines the service of the probe route. */
-function createReplaceCommand (operator: Operator, version: number): ReplaceRoutesCommand {
+function createReplaceCommand (operator: Operator, version: number, extraRoutes = createExtraRoutes(operator, version)): ReplaceRoutesCommand {
   const [first, second] = operator.services as [ServiceId, ServiceId]
   operator.orders += 1
   return {
@@ -45,7 +45,7 @@
     baseVersion: operator.version,
     routesVersion: version,
     set: {
-      routes: [...createExtraRoutes(version, second), createRoute('read', '/read/', first, true, 1), createRoute('offer', '/offer/', second, false, 0), createRoute('probe', probePath, getProbeService(operator, version), true, 1)],
+      routes: [...extraRoutes, createRoute('read', '/read/', first, true, 1), createRoute('offer', '/offer/', second, false, 0), createRoute('probe', probePath, getProbeService(operator, version), true, 1)],
       upstreams: operator.services.map(name => ({ name, healthPath: '/health', maxConnections: 200, warmupMs: 0, warmupPerSecond: 1000, annotations: {} })),
       limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
       teams: createTeams(version)
@@ -54,9 +54,13 @@
 }
 
 /** Every third version has many more routes than the others, so that changes of all sizes follow each other. */
-function createExtraRoutes (version: number, service: ServiceId): Route[] {
-  const count = version % 3 === 0 ? 1400 : 0
-  return Array.from({ length: count }, (_, index) => createRoute(`extra-${index}`, `/extra-${index}/`, service, true, 1))
+function createExtraRoutes (operator: Operator, version: number): Route[] {
+  return createRoutes(operator, 'extra', version % 3 === 0 ? 1400 : 0)
+}
+
+function createRoutes ({ services }: Operator, name: string, count: number): Route[] {
+  const [, service] = services as [ServiceId, ServiceId]
+  return Array.from({ length: count }, (_, index) => createRoute(`${name}-${index}`, `/${name}-${index}/`, service, true, 1))
 }
 
 function getProbeService (operator: Operator, version: number): ServiceId {
@@ -74,6 +78,14 @@
   return await submitRoutes(operator, createReplaceCommand(operator, version), version)
 }
 
+/** Sends changes of many routes one after the other; each replaces all routes of the one before. */
+export async function changeManyRoutes (operator: Operator, changeCount: number, routeCount: number): Promise<void> {
+  for (let sent = 0; sent < changeCount; sent++) {
+    const version = allocateVersion(operator)
+    await submitRoutes(operator, createReplaceCommand(operator, version, createRoutes(operator, `large-${version}`, routeCount)), version)
+  }
+}
+
 /** Sends two changes based on the same version concurrently; if both are accepted, records a violation. */
 export async function raceChanges (operator: Operator): Promise<void> {
   const versions = [allocateVersion(operator), allocateVersion(operator)]
