A stop counts from the earliest time at which its signal can have arrived

Change: the stop starts at the earliest arrival that the iterations of the event loop allow, as it does for requests. After the end of the schedule only requests whose body was read are waited for. A test of the gateway covers its use of the lingering close, which no test did.

--- a/packages/daemon/__tests__/openRequests.test.ts
+++ b/packages/daemon/__tests__/openRequests.test.ts
@@ -234,6 +234,38 @@
   assert.equal(server.requests.length, 0)
 })
 
+/** Guards against the rest of an answer that is lost since its caller sends another request behind the announced close. */
+test('a request that crosses an announced close does not reset the connection', async () => {
+  const bytes = 1_000_000
+  await using fixture = await startFleetFixture(1)
+  await using server = await startTestServer('s1', (_req, res) => res.end(Buffer.alloc(bytes)))
+  await publishRoutes(fixture, [server], [createRouteToDesk('read', { timeoutMs: 10_000 })])
+  const entry = fixture.daemons.at(-1) as FleetDaemon
+  using caller = asDisposable(connectCaller(fixture))
+  caller.socket.pause()
+  await waitUntil(() => entry.gateway?.connections.size === 1)
+  const leaving = leaveFleet(entry)
+  caller.socket.write(buildGet('large'))
+  await waitUntil(() => server.requests.length === 1 && entry.gateway?.open === 0)
+  const { received, error } = await readAfterWriting(caller.socket, buildGet('crossing'))
+  assert.equal(error, undefined)
+  assert.ok(received > bytes, `received ${received} bytes`)
+  await leaving
+})
+
+/** Writes to a connection, then reads until it ends. */
+async function readAfterWriting (socket: Socket, text: string): Promise<{ received: number, error: Error | undefined }> {
+  let received = 0
+  let error: Error | undefined
+  socket.on('error', err => { error = err })
+  socket.on('data', chunk => { received += chunk.length })
+  socket.pause()
+  await new Promise<void>(resolve => socket.write(text, () => resolve()))
+  socket.resume()
+  await new Promise<void>(resolve => socket.once('close', () => resolve()))
+  return { received, error }
+}
+
 /** Guards against the rest of an answer that is lost since its caller sends a request to a connection that was closed as idle. */
 test('a request that crosses the close of an idle connection does not reset it', async () => {
   const { logs, lines } = createKeptLogs()
@@ -248,13 +280,7 @@
   await waitUntil(() => server.requests.length === 1 && entry.gateway?.open === 0)
   await leaveFleet(entry)
   assert.equal(findLine(lines, 'Listener closed.').closedIdle, 1)
-  let received = 0
-  let error: Error | undefined
-  caller.socket.on('error', err => { error = err })
-  caller.socket.on('data', chunk => { received += chunk.length })
-  caller.socket.write(buildGet('crossing'))
-  caller.socket.resume()
-  await new Promise<void>(resolve => caller.socket.once('end', () => resolve()))
+  const { received, error } = await readAfterWriting(caller.socket, buildGet('crossing'))
   assert.equal(error, undefined)
   assert.ok(received > bytes, `received ${received} bytes`)
   assert.equal(server.requests.length, 1)
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -2,13 +2,14 @@
 import type { Server } from 'node:http'
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { applyLoadUpdate, createStopSchedule, listLimitDemand, listRolloutReports } from '@lynxcourse/placement'
+import { applyLoadUpdate, createStopSchedule, getEarliestArrival, listLimitDemand, listRolloutReports } from '@lynxcourse/placement'
 import type { EntryPresence, StopSchedule } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
 import { closeAllGracefully, trackConnections } from '../../utils/gracefulServer.js'
 import type { ConnectionTracker } from '../../utils/gracefulServer.js'
 import { closeServer, listen } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
+import { recordIteration } from '../../utils/loopMonitor.js'
 import { createMetricsServer } from '../../utils/metricsServer.js'
 import { createResourceStack, moveResources, addResource } from '../../utils/resourceStack.js'
 import type { ResourceStack } from '../../utils/resourceStack.js'
@@ -30,7 +31,7 @@
 import { reportRetries } from '../gateway/retryReport.js'
 import { logTargetUse } from '../gateway/requestLog.js'
 import { logPublishedLimits } from '../gateway/serverNotices.js'
-import { giveUpRequests } from '../gateway/openRequests.js'
+import { giveUpRequests, hasWholeRequests } from '../gateway/openRequests.js'
 import { logListenerClosed, logWaitEnd, reportIncomplete } from '../gateway/stopReport.js'
 import { delay, repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
@@ -214,7 +215,7 @@
  */
 export async function leaveFleet (daemon: FleetDaemon, closeInterfaces: () => Promise<void> = async () => undefined): Promise<void> {
   const { node, control, gateway, stateWatch, callerServer, internalServers } = daemon
-  const startedAt = getCurrentTime()
+  const startedAt = getSignalTime(node)
   node.isLeaving = true
   log(node.logs, 'daemon', 'info', 'Leaving.', { open: gateway?.open ?? 0 })
   const steps: Array<Promise<void>> = []
@@ -230,6 +231,12 @@
   log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0, unanswered, afterMs: Math.round(getCurrentTime() - startedAt) })
 }
 
+/** Returns the earliest time at which the signal to stop can have arrived: a VM without processor time reads it late. */
+function getSignalTime ({ loop }: FleetNode): Millis {
+  recordIteration(loop)
+  return getEarliestArrival(loop.iterations, false, getCurrentTime())
+}
+
 /** Completes the calls of operators and servers while this VM can still commit their changes, then lets another VM lead. */
 async function leaveControl ({ host }: FleetControl, closeInterfaces: () => Promise<void>): Promise<void> {
   await closeInterfaces()
@@ -254,10 +261,10 @@
 
 /** Waits until the callers have received their last answers, which the end of the process may cut off. */
 async function deliverLastAnswers (gateway: Gateway, latestAt: Millis): Promise<void> {
-  while (gateway.open > 0 && getCurrentTime() < latestAt) await delay(drainPollIntervalMs)
+  while (hasWholeRequests(gateway.openRequests) && getCurrentTime() < latestAt) await delay(drainPollIntervalMs)
   closeAnsweredConnections(gateway)
   const waitsUntil = Math.min(latestAt, getCurrentTime() + maxLingerWaitMs)
-  while ((gateway.open > 0 || gateway.lingering.size > 0) && getCurrentTime() < waitsUntil) await delay(drainPollIntervalMs)
+  while ((hasWholeRequests(gateway.openRequests) || gateway.lingering.size > 0) && getCurrentTime() < waitsUntil) await delay(drainPollIntervalMs)
 }
 
 /** Reads the requests of connections that wait to be accepted, since closing the listener resets these. */
--- a/packages/daemon/src/core/gateway/openRequests.ts
+++ b/packages/daemon/src/core/gateway/openRequests.ts
@@ -106,6 +106,11 @@
   requests.lastEndedAt = now
 }
 
+/** Whether a request is open whose body was read. */
+export function hasWholeRequests ({ all }: OpenRequests): boolean {
+  return [...all].some(({ step }) => step !== 'body')
+}
+
 /** Gives up all requests at servers. Answers that wait behind theirs can be sent then. */
 export function giveUpRequests ({ all }: OpenRequests): void {
   for (const request of all) request.giveUp?.()
