One half-close for all servers; a failed step of a stop doesn't end the others

The graceful close of servers and the lingering close of callers' connections did the same in two places. A stop that failed on the control side ended a VM with both roles at once, with its callers' requests; now the other steps go on and the failure is logged. A test covers the second check of a request whose body is read during a stop.

--- a/packages/daemon/__tests__/pipeline.test.ts
+++ b/packages/daemon/__tests__/pipeline.test.ts
@@ -157,6 +157,23 @@
   assert.equal(first.requests.length + second.requests.length, 2)
 })
 
+/** Guards against a request that is sent to a server long after its head was read, shortly before the process ends. */
+test('a VM that stops refuses a request whose body ends too late for its whole time', async () => {
+  await using fixture = await startFleetFixture(1)
+  await using server = await startTestServer('s1', answerAfterDelay)
+  await publishRoutes(fixture, [server], [createRouteToDesk('read', { timeoutMs: 3000 })])
+  const entry = fixture.daemons.at(-1) as FleetDaemon
+  using caller = connectCaller(fixture)
+  caller.socket.write('POST /read/b HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbo')
+  await waitUntil(() => entry.gateway?.open === 1)
+  const leaving = leaveFleet(entry)
+  await waitUntil(() => entry.callerServer?.listening === false)
+  caller.socket.write('dy')
+  await leaving
+  assert.match(caller.text(), /^HTTP\/1\.1 503 /)
+  assert.equal(server.requests.length, 0)
+})
+
 /** Guards against answers that wait behind one that doesn't come, and that the end of the process cuts off. */
 test('a VM that stops sends the answers behind a request that outlasts it', async () => {
   await using fixture = await startFleetFixture(1)
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -223,7 +223,9 @@
     steps.push(publishPresence(stateWatch), drainCallers(gateway, callerServer, createStopSchedule(startedAt, node.cfg.times.stopMs)))
   }
   if (control !== undefined) steps.push(leaveControl(control, closeInterfaces))
-  await Promise.all(steps)
+  for (const step of await Promise.allSettled(steps)) {
+    if (step.status === 'rejected') log(node.logs, 'daemon', 'error', 'A step of the stop failed.', { error: getErrorMessage(step.reason) })
+  }
   if (control !== undefined) endWatches(control)
   const leftMs = startedAt + node.cfg.times.stopMs + lingerAfterStopMs - getCurrentTime()
   const unanswered = await closeAllGracefully(internalServers, Math.max(minInternalCloseMs, Math.min(maxInternalCloseMs, leftMs)))
--- a/packages/daemon/src/utils/gracefulServer.ts
+++ b/packages/daemon/src/utils/gracefulServer.ts
@@ -11,6 +11,7 @@
 import { setImmediate as checkPhase, setTimeout as delay } from 'node:timers/promises'
 import type { Millis } from '@lynxcourse/base'
 import { getCurrentTime } from './clock.js'
+import { halfClose } from './lingeringClose.js'
 
 interface Connection {
   /** Responses to the requests that were read, in their order, until each of them is sent. */
@@ -112,14 +113,7 @@
 function endConnection (connection: Connection, socket: Socket): void {
   if (connection.isEnding || socket.destroyed) return
   connection.isEnding = true
-  // Later requests can't be answered, so they must not be parsed and executed.
-  socket.removeAllListeners('data')
-  socket.on('data', () => undefined)
-  // Node stopped reading if the request's body was not consumed. An empty push lets the stream start to read again.
-  socket.push('')
-  socket.resume()
-  socket.once('finish', () => setTimeout(() => socket.destroy(), lingerMs).unref())
-  socket.end()
+  halfClose(socket, lingerMs)
 }
 
 /**
--- a/packages/daemon/src/utils/lingeringClose.ts
+++ b/packages/daemon/src/utils/lingeringClose.ts
@@ -8,7 +8,7 @@
 import type { Socket } from 'node:net'
 import type { Millis } from '@lynxcourse/base'
 
-/** Longest time for which a half-closed connection waits for the peer's close, after the operating system has taken the last answer. */
+/** Longest wait for the close of a caller, after the operating system has taken the last answer. */
 const lingerMs: Millis = 5000
 
 /** Sockets that are half-closed and wait for the peer's close. */
@@ -19,17 +19,26 @@
   socket.destroySoon = () => closeLingering(lingering, socket)
 }
 
-/** Half-closes a connection once everything that was written is sent, and discards what arrives until the peer closes. */
+/** Half-closes a connection and keeps it in the set until it has closed. */
 export function closeLingering (lingering: LingeringSockets, socket: Socket): void {
   if (lingering.has(socket) || socket.destroyed) return
   lingering.add(socket)
   socket.once('close', () => lingering.delete(socket))
+  halfClose(socket, lingerMs)
+}
+
+/**
+ * Half-closes a connection once everything that was written is sent, and discards what arrives until the peer closes.
+ *
+ * @param waitMs longest wait for the peer's close
+ */
+export function halfClose (socket: Socket, waitMs: Millis): void {
   // Nothing of it can be answered any more, so it must not reach the HTTP parser.
   socket.removeAllListeners('data')
   socket.on('data', () => undefined)
   // Node stopped reading if the body of a request was not consumed; an empty push lets the stream start to read again.
   socket.push('')
   socket.resume()
-  socket.once('finish', () => setTimeout(() => socket.destroy(), lingerMs).unref())
+  socket.once('finish', () => setTimeout(() => socket.destroy(), waitMs).unref())
   socket.end()
 }
