A request that fails over goes to the server that was found for it

Change: the server that the check found is kept for the next send, as the retry is.

Evidence: the new test of requestSteps.test.ts, red without the kept server.

--- a/packages/placement/__tests__/requestSteps.test.ts
+++ b/packages/placement/__tests__/requestSteps.test.ts
@@ -175,3 +175,20 @@
   const run = startSend(entry, conditions)
   assert.equal(mayFailOver(entry, run, { ...conditions, restriction: { type: 'trialOnly' } }, startedAt + 100), false)
 })
+
+/** Guards against a server at work that is given up, and a failure in place of its answer, since its slowness lowers the limit of its service. */
+test('a request that fails over is sent although its service takes no more requests by then', () => {
+  const entry = createEntry()
+  const { tried: _, ...incoming } = request({ route: createRoute('read', { isIdempotent: true, maxAttempts: 3 }), arrivedAt: startedAt, deadline: startedAt + 1000 })
+  const run = startRequest(entry, incoming, createPolledCaller(), conditions, startedAt)
+  const first = decideNextStep(entry, run, conditions, startedAt)
+  assert.ok(first.type === 'send')
+  const sending = beginSend(entry, run, first.placement, startedAt)
+  assert.ok(mayFailOver(entry, run, conditions, startedAt + 100))
+  endSend(entry, run, sending, { type: 'lost', reason: 'slow' }, startedAt + 100)
+  const concurrency = getConcurrency(entry.fleet, desk)
+  concurrency.limit = 0
+  concurrency.underWay = 1
+  recordPoll(run.caller, startedAt + 100)
+  assert.equal(decideNextStep(entry, run, conditions, startedAt + 100).type, 'send')
+})
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -60,6 +60,8 @@
   arrivals: number
   /** The retry of the budget that the next send uses; undefined if it needs none. */
   charge: RetryCharge | undefined
+  /** The server that takes the request over from the one that is given up; undefined unless it fails over. */
+  failover: Placement | undefined
   /** The leader's answer for a restricted request; undefined if it was not asked. */
   trial: TrialAnswer | undefined
   /** Outcome of the last send. */
@@ -112,7 +114,7 @@
   recordBudgetedRequest(retries, conditions.retryBudget, service, arrivedAt, now)
   recordDemand(load, service, estimateSlotTime(fleet, request, object))
   const tried = new Set<ServerId>()
-  return { request: { ...request, tried, versionDraw: drawVersion(fleet, request) }, tried, caller, maxWaitUntil: computeWaitEnd(route.aimMs, deadline, now), possibleRuns: 0, full: 0, sends: 0, arrivals: 0, charge: undefined, trial: undefined, last: undefined, retryCause: undefined, isOverBudget: false }
+  return { request: { ...request, tried, versionDraw: drawVersion(fleet, request) }, tried, caller, maxWaitUntil: computeWaitEnd(route.aimMs, deadline, now), possibleRuns: 0, full: 0, sends: 0, arrivals: 0, charge: undefined, failover: undefined, trial: undefined, last: undefined, retryCause: undefined, isOverBudget: false }
 }
 
 /** Decides the next step for a request that is not in flight at a server. */
@@ -122,7 +124,8 @@
   if (needsPoll(state.caller, now)) return { type: 'poll' }
   const restricted = conditions.restriction === undefined ? undefined : stepByRestriction(entry, state, conditions.restriction, now)
   if (restricted !== undefined) return restricted
-  const placement = placeRequest(entry.fleet, state.request, now)
+  // The send that was given up lowers the limits by which the request would be placed again.
+  const placement = state.failover ?? placeRequest(entry.fleet, state.request, now)
   if (placement.type === 'refuse') {
     if (mayWaitForCapacity(entry, state, placement, conditions, now)) return { type: 'wait', pauseMs: computeRecheckDelay(entry.fleet.setup.random) }
     return state.possibleRuns > 0 ? stepWithoutRetry(entry, state, now) : { type: 'refuse', refused: placement }
@@ -172,6 +175,7 @@
   state.arrivals += 1
   const { charge } = state
   state.charge = undefined
+  state.failover = undefined
   state.tried.add(server.facts.id)
   if (isCold(server, now)) consumeColdToken(server)
   consumeLimitToken(server.notice.limit)
@@ -188,14 +192,16 @@
 }
 
 /**
- * Returns whether a request may fail over to another server now, and uses the retry of the budget that its next send needs. If no
+ * Returns whether a request may fail over to another server now, and reserves the server and the retry of the budget that its next send needs. If no
  * server may take it, or no retry is left, failing over would replace a late answer by a failure. A VM that is stopping must not abort
  * requests in flight.
  */
 export function mayFailOver (entry: EntryState, state: RequestState, conditions: DecisionConditions, now: Millis): boolean {
   if (conditions.isStopping || conditions.restriction !== undefined) return false
-  if (placeRequest(entry.fleet, state.request, now).type !== 'send') return false
-  return spendRetry(entry, state, 'slow', conditions, now)
+  const placement = placeRequest(entry.fleet, state.request, now)
+  if (placement.type !== 'send' || !spendRetry(entry, state, 'slow', conditions, now)) return false
+  state.failover = placement
+  return true
 }
 
 /** Takes back the retry that a request has not used for a send. Called at its end. */
