A VM that stops takes no request behind others

So the connection gets its announced close with the answers that were pending at the signal, and what it still has to carry is bounded by those.

--- a/packages/placement/src/core/admission/stopAdmission.ts
+++ b/packages/placement/src/core/admission/stopAdmission.ts
@@ -7,7 +7,7 @@
 /** The times of a stop, by the VM's steady clock. */
 export interface StopSchedule {
   readonly startedAt: Millis
-  /** When the VM stops accepting connections. Until then it takes every request: most take far less than their whole time. */
+  /** When the VM stops accepting connections. Until then it takes requests that may outlast it: most take far less than their whole time. */
   readonly acceptsUntil: Millis
   /** When the requests that are still at servers are given up. */
   readonly endsAt: Millis
@@ -34,9 +34,9 @@
 }
 
 /**
- * Returns whether a VM that stops takes a request. Later on it takes only those that have their whole time, and none behind others:
- * a connection that is never without a request would stay in use until the process ends.
+ * Returns whether a VM that stops takes a request. It takes none behind others: a connection that is never without a request would stay
+ * in use until the process ends. Once no more connections are accepted, it takes only requests that have their whole time.
  */
 export function fitsStop ({ acceptsUntil, endsAt }: StopSchedule, { giveUpAt, isBehindOthers }: LateRequest, now: Millis): boolean {
-  return now < acceptsUntil || (!isBehindOthers && giveUpAt <= endsAt)
+  return !isBehindOthers && (now < acceptsUntil || giveUpAt <= endsAt)
 }
