--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -1,26 +1,22 @@
-/** Starts the components of one VM of a fleet and stops them in order. */
+/** Starts the components of one VM of a fleet. */
 import type { Server } from 'node:http'
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { applyLoadUpdate, createStopSchedule, getEarliestArrival, listLimitDemand, listRolloutReports } from '@lynxcourse/placement'
-import type { EntryPresence, StopSchedule } from '@lynxcourse/placement'
+import { applyLoadUpdate, listLimitDemand, listRolloutReports } from '@lynxcourse/placement'
+import type { EntryPresence } from '@lynxcourse/placement'
 import { getCurrentTime } from '../../utils/clock.js'
-import { closeAllGracefully, trackConnections } from '../../utils/gracefulServer.js'
+import { trackConnections } from '../../utils/gracefulServer.js'
 import type { ConnectionTracker } from '../../utils/gracefulServer.js'
 import { closeServer, listen } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
-import { recordIteration } from '../../utils/loopMonitor.js'
 import { createMetricsServer } from '../../utils/metricsServer.js'
 import { createResourceStack, moveResources, addResource } from '../../utils/resourceStack.js'
 import type { ResourceStack } from '../../utils/resourceStack.js'
 import { countTraffic } from '../../utils/trafficMeter.js'
-import { waitForPoll } from '../../utils/pollPhase.js'
 import type { FleetSettings } from '../../types/fleetSettings.js'
 import { enqueueEvent } from '../control/controlHost.js'
 import { addClusterMethods, keepJoining } from '../control/joining.js'
-import { resignLeadership } from '../control/leaving.js'
 import { closeStaleConnections } from '../entry/connectionPool.js'
-import { closeAnsweredConnections, closeIdleConnections } from '../gateway/callerConnections.js'
 import { applyCallerLimits, createCallerServer } from '../gateway/callerServer.js'
 import type { CallerDialect, ServerDialect } from '../gateway/dialects.js'
 import { recordConnectTime, refreshGateway } from '../gateway/gatewayRefresh.js'
@@ -31,19 +27,17 @@
 import { reportRetries } from '../gateway/retryReport.js'
 import { logTargetUse } from '../gateway/requestLog.js'
 import { logPublishedLimits } from '../gateway/serverNotices.js'
-import { giveUpRequests, hasWholeRequests } from '../gateway/openRequests.js'
-import { logListenerClosed, logWaitEnd, reportIncomplete } from '../gateway/stopReport.js'
-import { delay, repeat } from '../node/timers.js'
+import { repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
-import { endWatches, openFleetControl, getStateAge } from './fleetControl.js'
+import { openFleetControl, getStateAge } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
 import { addFleetMethods } from './fleetMethods.js'
 import { createFleetNode, isReadyForCallers } from './fleetNode.js'
 import type { FleetDeps, FleetNode } from './fleetNode.js'
 import { startPresenceExchange } from './presenceExchange.js'
 import { confirmState, keepConfirming } from './stateConfirmation.js'
-import { startStateWatch, publishPresence } from './stateWatch.js'
+import { startStateWatch } from './stateWatch.js'
 import type { StateWatch } from './stateWatch.js'
 import { publishUsage, readUsageTotals, sampleUsage } from './vmUsage.js'
 
@@ -69,16 +63,6 @@
 const refillIntervalMs: Millis = 1000
 const usageIntervalMs: Millis = 1000
 const retryReportIntervalMs: Millis = 1000
-const drainPollIntervalMs: Millis = 20
-/** Limit on the time that accepting the waiting connections takes before the listener is closed. */
-const maxAcceptDrainMs: Millis = 500
-/** Time after the end of a stop's schedule for the delivery of answers. */
-const lingerAfterStopMs: Millis = 250
-/** Longest time for which a VM that stops waits for its callers' closes: some keep their half of a connection open for long. */
-const maxLingerWaitMs: Millis = 1000
-/** Longest and shortest time that the servers for other VMs and for metrics may take to close at a stop. */
-const maxInternalCloseMs: Millis = 500
-const minInternalCloseMs: Millis = 100
 const maxRpcBytes = 33_554_432
 const rpcPerSecond = 20_000
 
@@ -196,85 +180,3 @@
 export function isFleetReady (daemon: FleetDaemon): boolean {
   return daemon.gateway !== undefined && isReadyForCallers(daemon.node)
 }
-
-/**
- * Logs a signal to stop. A second interrupt ends the process at once, so that the answers that it leaves incomplete are logged too.
- *
- * @param firstAt when the first signal arrived; undefined if this is the first
- */
-export function reportSignal ({ node, gateway }: FleetDaemon, signal: string, firstAt: Millis | undefined, now: Millis): void {
-  log(node.logs, 'daemon', firstAt === undefined ? 'info' : 'warn', 'Signal received.', { signal, afterMs: firstAt === undefined ? undefined : Math.round(now - firstAt), open: gateway?.open ?? 0 })
-  if (firstAt !== undefined && gateway !== undefined) reportIncomplete(gateway, firstAt, now)
-}
-
-/**
- * Stops the VM gracefully: lookups stop returning its address, requests in flight are completed, another VM leads, and calls of other
- * VMs in progress are answered.
- *
- * @param closeInterfaces closes the interfaces of the control role that are not part of the daemon
- */
-export async function leaveFleet (daemon: FleetDaemon, closeInterfaces: () => Promise<void> = async () => undefined): Promise<void> {
-  const { node, control, gateway, stateWatch, callerServer, internalServers } = daemon
-  const startedAt = getSignalTime(node)
-  node.isLeaving = true
-  log(node.logs, 'daemon', 'info', 'Leaving.', { open: gateway?.open ?? 0 })
-  const steps: Array<Promise<void>> = []
-  if (gateway !== undefined && stateWatch !== undefined && callerServer !== undefined) {
-    steps.push(publishPresence(stateWatch), drainCallers(gateway, callerServer, createStopSchedule(startedAt, node.cfg.times.stopMs)))
-  }
-  if (control !== undefined) steps.push(leaveControl(control, closeInterfaces))
-  for (const step of await Promise.allSettled(steps)) {
-    if (step.status === 'rejected') log(node.logs, 'daemon', 'error', 'A step of the stop failed.', { error: getErrorMessage(step.reason) })
-  }
-  if (control !== undefined) endWatches(control)
-  const leftMs = startedAt + node.cfg.times.stopMs + lingerAfterStopMs - getCurrentTime()
-  const unanswered = await closeAllGracefully(internalServers, Math.max(minInternalCloseMs, Math.min(maxInternalCloseMs, leftMs)))
-  if (gateway !== undefined) await deliverLastAnswers(gateway, getCurrentTime() + minInternalCloseMs)
-  log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0, unanswered, afterMs: Math.round(getCurrentTime() - startedAt) })
-}
-
-/** Returns the earliest time at which the signal to stop can have arrived: a VM without processor time reads it late. */
-function getSignalTime ({ loop }: FleetNode): Millis {
-  recordIteration(loop)
-  return getEarliestArrival(loop.iterations, false, getCurrentTime())
-}
-
-/** Completes the calls of operators and servers while this VM can still commit their changes, then lets another VM lead. */
-async function leaveControl ({ host }: FleetControl, closeInterfaces: () => Promise<void>): Promise<void> {
-  await closeInterfaces()
-  await resignLeadership(host)
-}
-
-async function drainCallers (gateway: Gateway, server: Server, stop: StopSchedule): Promise<void> {
-  const { startedAt, acceptsUntil, endsAt } = stop
-  gateway.stop = stop
-  await delay(acceptsUntil - getCurrentTime())
-  await drainAcceptQueue(gateway)
-  const closure = closeIdleConnections(gateway, server)
-  logListenerClosed(gateway, closure, startedAt, getCurrentTime())
-  while (gateway.open > 0 && getCurrentTime() < endsAt) await delay(drainPollIntervalMs)
-  logWaitEnd(gateway, startedAt, getCurrentTime())
-  // A connection may get its first request from now on, which this VM can't answer any more.
-  gateway.stop = { ...stop, endsAt: getCurrentTime() }
-  giveUpRequests(gateway.openRequests)
-  await deliverLastAnswers(gateway, endsAt + lingerAfterStopMs)
-  reportIncomplete(gateway, startedAt, getCurrentTime())
-}
-
-/** Waits until the callers have received their last answers, which the end of the process may cut off. */
-async function deliverLastAnswers (gateway: Gateway, latestAt: Millis): Promise<void> {
-  while (hasWholeRequests(gateway.openRequests) && getCurrentTime() < latestAt) await delay(drainPollIntervalMs)
-  closeAnsweredConnections(gateway)
-  const waitsUntil = Math.min(latestAt, getCurrentTime() + maxLingerWaitMs)
-  while ((hasWholeRequests(gateway.openRequests) || gateway.lingering.size > 0) && getCurrentTime() < waitsUntil) await delay(drainPollIntervalMs)
-}
-
-/** Reads the requests of connections that wait to be accepted, since closing the listener resets these. */
-async function drainAcceptQueue ({ loop: { polls } }: Gateway): Promise<void> {
-  const latestAt = getCurrentTime() + maxAcceptDrainMs
-  let countBefore: number
-  do {
-    countBefore = polls.acceptCount
-    await waitForPoll(polls)
-  } while (polls.acceptCount !== countBefore && getCurrentTime() < latestAt)
-}
