A VM stops using its fraction of a server's limit before the leader gives it to others

Cause: an entry VM used the fraction that the leader gave it for as long as the limit lasted. The leader left out a VM that it had not heard of for 2.6 s, and gave its fraction to the others at once.

What servers saw: more requests than their limit allows while a VM reached them and not the leader.

Change: a VM uses its fractions in full for 5 s after a leader that a majority had confirmed gave them, counted from the VM's own question; then half, and after a minute a twentieth, so that it hears whether the limit lasts. The age of the load update travels in the replies of control VMs (newsAgeMs). The leader gives others none of the fraction of a VM that it doesn't hear for 8 s, then half, and all of it after 63 s. The half is for the loss of all control VMs, in which limited servers would otherwise get next to nothing after 5 s.

What callers and servers see: after a VM is lost or stops, a limited server can get less than its limit until the VM is back, or for up to 66 s. Without control VMs, limited servers get half of their limits after 5 s, and a twentieth after a minute.

The new test in limitSharing.test.ts is red if the leader keeps nothing. There is no test in which a running VM is cut off from the control VMs while others are not.

Not covered: a control VM that has just started, leads, and never heard of a VM that is cut off, gives the fraction away at once. A new leader takes the half that was kept for a silent VM for its whole fraction, and keeps a quarter after 8 s. The twentieth is not kept free. Control VMs have to be updated before entry VMs, which use a twentieth if newsAgeMs is missing.

--- a/packages/daemon/__tests__/fleetMembership.test.ts
+++ b/packages/daemon/__tests__/fleetMembership.test.ts
@@ -1,7 +1,7 @@
 /** What entry VMs hear of each other, and when they may use shares of bounds over all VMs. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { listMembers, mayUseShare } from '@lynxcourse/placement'
+import { listMembers, mayUseReducedShare, mayUseShare } from '@lynxcourse/placement'
 import type { FleetDaemon } from '@lynxcourse/daemon'
 import { readClocks } from '@lynxcourse/daemon'
 import { startFleetFixture, waitUntil } from './support/fleetFixture.js'
@@ -30,12 +30,14 @@
   await using fixture = await startFleetFixture(1)
   const entry = fixture.daemons.at(-1) as FleetDaemon
   const { membership } = entry.node
-  await waitUntil(() => membership.confirmedAt !== undefined)
+  await waitUntil(() => membership.confirmedAt !== undefined && mayUseShare(membership, undefined, readClocks()))
   for (let index = 1; index < controlCount; index++) {
     await fixture.daemons[index]?.[Symbol.asyncDispose]()
     fixture.daemons[index] = undefined
   }
   await waitUntil(() => !mayUseShare({ ...membership, announcedAt: -Infinity }, windowMs, readClocks()))
+  await waitUntil(() => !mayUseShare(membership, undefined, readClocks()))
+  assert.equal(mayUseReducedShare(membership, readClocks()), true)
 })
 
 /** Guards against a VM that learns of a new one only with the next change of routes or servers, and divides bounds by too few until then. */
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -48,6 +48,8 @@
   /** How long ago these were all entry VMs that the leader had heard of; null if that isn't known. */
   readonly entriesAgeMs: Millis | null
   readonly news: LoadUpdate
+  /** How long ago a majority confirmed the leader that published `news`; null if that isn't known. */
+  readonly newsAgeMs: Millis | null
   /** How long the call stayed open. */
   readonly heldMs: Millis
 }
@@ -173,7 +175,7 @@
   applyDigest(control.board, report.from.rpc, report.load, now)
   recordRolloutReports(control.rollouts, report.load.rollouts)
   if (isLeading(control.host)) confirmEntriesAsLeader(control)
-  return { ...applyPresenceReport(control.presence, report, now), entriesAgeMs: getEntriesAge(control, now), news: omitKnownWeights(control.board.news, report.weights) }
+  return { ...applyPresenceReport(control.presence, report, now), entriesAgeMs: getEntriesAge(control, now), news: omitKnownWeights(control.board.news, report.weights), newsAgeMs: getNewsAge(control, now) }
 }
 
 /** @throws LynxError `cancelled` if the caller closed its connection */
@@ -219,6 +221,7 @@
     entries: [...control.presence.entries.keys()],
     entriesAgeMs: getEntriesAge(control, getCurrentTime()),
     news: selectNewsFor(control.board.news, request),
+    newsAgeMs: getNewsAge(control, getCurrentTime()),
     heldMs: getCurrentTime() - startedAt
   }
 }
@@ -248,6 +251,10 @@
   return Number.isFinite(entriesConfirmedAt) ? Math.max(0, now - entriesConfirmedAt) : null
 }
 
+function getNewsAge ({ presence: { newsConfirmedAt } }: FleetControl, now: Millis): Millis | null {
+  return Number.isFinite(newsConfirmedAt) ? Math.max(0, now - newsConfirmedAt) : null
+}
+
 /** Waits for changes that can be sent with those after a version, but not if one of them is urgent. */
 async function waitForFurtherChanges (control: FleetControl, version: number, signal: CancelSignal): Promise<void> {
   const { host } = control
--- a/packages/daemon/src/core/fleet/presence.ts
+++ b/packages/daemon/src/core/fleet/presence.ts
@@ -22,6 +22,8 @@
   lastExchangeAt: Millis
   /** Time as of which `entries` held all entry VMs that the leader had heard of; -Infinity before the first time. */
   entriesConfirmedAt: Millis
+  /** Time as of which the load update came from a leader that a majority had confirmed; -Infinity before the first one. */
+  newsConfirmedAt: Millis
   /** Time since which this VM leads; undefined while it doesn't. */
   leadingSince: Millis | undefined
 }
@@ -47,6 +49,8 @@
   /** How long ago the entries were all entry VMs that the leader had heard of; null if it may not know all of them yet. */
   readonly entriesAgeMs: Millis | null
   readonly news: LoadUpdate
+  /** How long ago a majority confirmed the leader that published `news`; null if it is unknown. */
+  readonly newsAgeMs: Millis | null
 }
 
 /** The entry VMs and control VMs that the leader knows. */
@@ -70,6 +74,7 @@
     serverLastSeenAt: new Map(),
     lastExchangeAt: -Infinity,
     entriesConfirmedAt: -Infinity,
+    newsConfirmedAt: -Infinity,
     leadingSince: undefined
   }
 }
--- a/packages/daemon/src/core/fleet/presenceExchange.ts
+++ b/packages/daemon/src/core/fleet/presenceExchange.ts
@@ -103,6 +103,7 @@
   const leader = getLeaderAddress(control)
   if (leader === undefined || leader === node.cfg.rpc) return
   const reply = await callPeer<PresenceReply>(node.client, leader, 'fleet.presence', report)
+  presence.newsConfirmedAt = reply.newsAgeMs === null ? -Infinity : now - reply.newsAgeMs
   if (reply.entriesAgeMs !== null) presence.entriesConfirmedAt = now - reply.entriesAgeMs
   for (const id of report.heard) presence.heard.delete(id)
   recordReported(presence, report.entries)
@@ -111,10 +112,11 @@
   storeLoadUpdate(control.board, reply.news, getCurrentTime())
 }
 
-/** At the leader: records whether it knows all entry VMs. A new leader hears of them as they repeat their watches. */
+/** At the leader: records the age of its load update, and whether it knows all entry VMs. A new leader hears of them as they repeat their watches. */
 export function confirmEntriesAsLeader ({ node, host, presence }: FleetControl): void {
   const confirmedAt = getLeaderEntriesConfirmedAt(presence, host.replica?.quorumConfirmedAt ?? -Infinity, node.cfg.times.presenceStaleMs)
   presence.entriesConfirmedAt = Math.max(presence.entriesConfirmedAt, confirmedAt)
+  presence.newsConfirmedAt = Math.min(presence.lastExchangeAt, host.replica?.quorumConfirmedAt ?? -Infinity)
 }
 
 /** At the leader: updates the load board and logs what changes in the published update. */
--- a/packages/daemon/src/core/fleet/stateWatch.ts
+++ b/packages/daemon/src/core/fleet/stateWatch.ts
@@ -2,7 +2,7 @@
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { applyDelta } from '@lynxcourse/state'
-import { flushLoadReport, hasState, listMembers, recordConfirmation, recordEntryList } from '@lynxcourse/placement'
+import { flushLoadReport, hasState, listMembers, recordConfirmation, recordEntryList, recordGivenShares } from '@lynxcourse/placement'
 import type { ClockReading, EntryList, EntryPresence } from '@lynxcourse/placement'
 import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
@@ -139,6 +139,7 @@
   // A control VM that has just started knows no plans yet; the previous plans of this VM stay valid until it does.
   const plans = reply.news.plans.length > 0 ? reply.news.plans : node.loadUpdate.plans
   node.loadUpdate = { ...reply.news, plans, ...(weights === undefined ? {} : { weights }) }
+  recordGivenShares(node.membership, reply.newsAgeMs, askedAt)
   for (const listener of node.onLoadUpdate) listener()
   applyEntryList(node, { names: reply.entries, ageMs: reply.entriesAgeMs }, askedAt, now)
   const isStale = reply.ageMs === null || reply.ageMs > node.cfg.times.staleMs
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -1,7 +1,7 @@
 /** State of the gateway: the part of an entry VM that forwards callers' requests by route. */
 import type { Socket } from 'node:net'
 import { loadChart } from '@lynxcourse/base'
-import { createFleet, getCopyAge, hasCompleteList, mayUseShare } from '@lynxcourse/placement'
+import { createFleet, getCopyAge, hasCompleteList, mayUseReducedShare, mayUseShare } from '@lynxcourse/placement'
 import type { EntryState, Mechanism, StopSchedule } from '@lynxcourse/placement'
 import { buildRouteTable, buildTeamTable } from '@lynxcourse/routing'
 import type { RouteTable, SplitStates, TeamTable } from '@lynxcourse/routing'
@@ -74,6 +74,7 @@
   const { loop } = node
   const fleet = createFleet(setup, node.entryNames)
   fleet.mayUseShare = windowMs => mayUseShare(node.membership, windowMs, readClocks())
+  fleet.mayUseReducedShare = () => mayUseReducedShare(node.membership, readClocks())
   fleet.knowsOthers = () => hasCompleteList(node.membership)
   fleet.rollouts.isStateConfirmed = () => getCopyAge(node.freshness, readClocks()) <= node.cfg.times.maxStateAgeMs
   return {
--- a/packages/limits/src/core/servers/serverLimit.ts
+++ b/packages/limits/src/core/servers/serverLimit.ts
@@ -1,8 +1,8 @@
 /**
  * The limit of one backend server on the requests of all VMs together, as one VM knows it.
  *
- * Each VM may use a fraction of the limit, by a token bucket. The bucket needs no messages, so a VM that is cut off keeps its
- * fraction. If every VM kept the whole limit by itself, all of them together would exceed it as many times as there are VMs.
+ * Each VM may use a fraction of the limit, by a token bucket. The bucket needs no messages, so a VM that is cut off keeps a part
+ * of its fraction. If every VM kept the whole limit by itself, all of them together would exceed it as many times as there are VMs.
  */
 import type { Millis } from '@lynxcourse/base'
 import type { NamedLimit } from './namedLimit.js'
--- a/packages/placement/__tests__/limitSharing.test.ts
+++ b/packages/placement/__tests__/limitSharing.test.ts
@@ -94,6 +94,27 @@
   assert.equal(own?.shares.length, 1)
 })
 
+/** Guards against a VM that is cut off and uses its share together with those to whom the leader gave it. */
+test('the share of a VM that is not heard is kept for as long as the VM may use it', () => {
+  const board = createBoard(20)
+  const others = vms.filter(({ name }) => name !== 'vm-1')
+  const own = new Map(getLimit(board)?.shares).get('vm-1') ?? 0
+  const playUntil = (until: number, heard: readonly SharingVm[]): number => {
+    for (let now = board.plannedAt + 400; now <= until; now += 400) {
+      applyDigest(board, 'control-1', { servers: [], busy: [], failed: [], limits: [[limited, 20]], limitDemand: [[limited, 'vm-2', 6]] }, now)
+      updateBoard(board, slots, knownServers, heard, now)
+    }
+    const limit = getLimit(board)
+    assert.ok(sumShares(limit) <= 1 && sumShares(limit) > 0.98, `${sumShares(limit)}`)
+    return new Map(limit?.shares).get('vm-1') ?? 0
+  }
+  assert.equal(playUntil(8000, others), own)
+  assert.equal(playUntil(9000, others), own / 2)
+  assert.equal(playUntil(63_000, others), own / 2)
+  assert.equal(playUntil(64_000, others), 0)
+  assert.ok(playUntil(65_000, vms) > 0)
+})
+
 function createEntry (): EntryState {
   return { fleet: createTestFleet(server('s1'), server('s2')), load: createLoadObservations(0), retries: new Map(), waitingForCapacity: new Map() }
 }
--- a/packages/placement/__tests__/limitedServers.test.ts
+++ b/packages/placement/__tests__/limitedServers.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { hasLimitToken, recordNamedLimit } from '@lynxcourse/limits'
-import { beginSend, computeSlotShare, createCallerLiveness, createLoadObservations, decideNextStep, endSend, placeRequest, recordPoll, startRequest, updateWaitingCount } from '@lynxcourse/placement'
+import { applyLimits, beginSend, computeSlotShare, createCallerLiveness, createLoadObservations, decideNextStep, endSend, getLimitShare, placeRequest, recordPoll, startRequest, updateWaitingCount } from '@lynxcourse/placement'
 import type { DecisionConditions, EntryState, FleetServer, RequestState, RequestStep } from '@lynxcourse/placement'
 import { createTestFleet, desk, getTargetOrReason, request, server } from './support/fleet.js'
 
@@ -115,3 +115,16 @@
   recordNamedLimit(target.notice.limit, { type: 'none' }, start)
   assert.equal(placeRequest(fleet, request(), start).type, 'send')
 })
+
+/** Guards against limited servers without any requests while the control VMs are lost, and against a VM that uses what others were given. */
+test('a VM uses less and less of its fraction of a limit after the leader last confirmed it', () => {
+  const target = server('a')
+  recordNamedLimit(target.notice.limit, { type: 'limited', perSecond: 20 }, 0)
+  const fleet = createTestFleet(target)
+  applyLimits(fleet, [{ server: target.facts.id, perSecond: 20, shares: [[fleet.setup.self, 0.8]] }], 0)
+  assert.equal(getLimitShare(fleet, target), 0.8)
+  fleet.mayUseShare = () => false
+  assert.equal(getLimitShare(fleet, target), 0.4)
+  fleet.mayUseReducedShare = () => false
+  assert.ok(Math.abs(getLimitShare(fleet, target) - 0.04) < 1e-9)
+})
--- a/packages/placement/__tests__/retryBudget.test.ts
+++ b/packages/placement/__tests__/retryBudget.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { createFleetMembership, hasJoined, mayUseShare, recordBudgetedRequest, recordEntryList, refundRetry, settleRetry, trySpendRetry } from '@lynxcourse/placement'
+import { createFleetMembership, hasJoined, mayUseReducedShare, mayUseShare, recordBudgetedRequest, recordEntryList, recordGivenShares, refundRetry, settleRetry, trySpendRetry } from '@lynxcourse/placement'
 import type { RetryUsage } from '@lynxcourse/placement'
 import { desk } from './support/fleet.js'
 import { findExceededWindow, playRetries } from './support/retryModel.js'
@@ -96,6 +96,11 @@
   assert.equal(mayUseShare(membership, windowMs, { steady: 34_000, wall: 34_000 }), false)
   assert.equal(mayUseShare(membership, windowMs, { steady: 35_000, wall: 35_000 }), true)
   assert.equal(mayUseShare(membership, windowMs, { steady: 35_000, wall: 41_000 }), false, 'the VM was suspended')
+  recordGivenShares(membership, 400, { steady: 34_400, wall: 34_400 })
+  assert.equal(mayUseShare(membership, undefined, { steady: 39_000, wall: 39_000 }), true)
+  assert.equal(mayUseShare(membership, undefined, { steady: 39_001, wall: 39_001 }), false, 'the leader may have given it to others')
+  assert.equal(mayUseReducedShare(membership, { steady: 94_000, wall: 94_000 }), true)
+  assert.equal(mayUseReducedShare(membership, { steady: 94_001, wall: 94_001 }), false)
   assert.equal(hasJoined(membership, windowMs, 29_999), false)
   assert.equal(hasJoined(membership, windowMs, 30_000), true)
   list(60_000)
--- a/packages/placement/src/core/board/boardState.ts
+++ b/packages/placement/src/core/board/boardState.ts
@@ -15,6 +15,13 @@
   readonly demand: Map<string, { readonly perSecond: number, readonly at: Millis }>
 }
 
+/** An entry VM that is not heard any more. */
+export interface SilentSharer {
+  readonly since: Millis
+  /** The fractions of limits that it was last given. */
+  readonly shares: Map<ServerId, number>
+}
+
 /**
  * Maintained by the leader. Every other control VM stores the last published update and plans, so that it can continue
  * from them when it becomes the leader.
@@ -53,6 +60,8 @@
   /** Fraction of objects that stays in its own region, by service and region, as last logged. */
   readonly loggedShares: Map<string, number>
   news: LoadUpdate
+  /** Entry VMs that are not heard any more and may still use shares of limits, by name. */
+  readonly silentSharers: Map<string, SilentSharer>
 }
 
 /** Creates a board without reports. */
@@ -76,6 +85,7 @@
     fastMoveUntil: -Infinity,
     savedAt: -Infinity,
     loggedShares: new Map(),
-    news: { full: [], plans: [], silent: [] }
+    news: { full: [], plans: [], silent: [] },
+    silentSharers: new Map()
   }
 }
--- a/packages/placement/src/core/board/loadBoard.ts
+++ b/packages/placement/src/core/board/loadBoard.ts
@@ -165,6 +165,7 @@
   board.weights.clear()
   for (const [id, weight] of weights?.servers ?? []) board.weights.set(id, weight)
   board.limits.clear()
+  board.silentSharers.clear()
   recordLimits(board, (update.limits ?? []).map(({ server, perSecond }) => [server, perSecond]), now)
   board.plans.clear()
   for (const { service, isMeasured, demand, shares } of update.plans) {
--- a/packages/placement/src/core/entries/fleetMembership.ts
+++ b/packages/placement/src/core/entries/fleetMembership.ts
@@ -8,6 +8,7 @@
 import type { Millis } from '@lynxcourse/base'
 import { getElapsed } from '../../types/clockReading.js'
 import type { ClockReading } from '../../types/clockReading.js'
+import { reducedShareMs } from '../../types/loads.js'
 
 /** The entry VMs that a control VM lists. */
 export interface EntryList {
@@ -25,16 +26,18 @@
   confirmedAt: ClockReading | undefined
   /** When a complete list first had this VM; starts again after a time in which the others may have forgotten it. */
   announcedAt: Millis | undefined
+  /** Time as of which the leader gave this VM its shares of limits; undefined before it first did. */
+  sharesGivenAt: ClockReading | undefined
 }
 
 /** Time for which a VM that is no longer listed still counts: a control VM that has just started lists few of them. */
 const forgetMs: Millis = 30_000
 
-/** How long a VM uses its list without a confirmation. */
-const maxListAgeMs: Millis = 5000
+/** How long a VM uses its list, and shares that the leader gave it, without a confirmation. */
+export const maxListAgeMs: Millis = 5000
 
 export function createFleetMembership (self: string): FleetMembership {
-  return { self, listedAt: new Map(), confirmedAt: undefined, announcedAt: undefined }
+  return { self, listedAt: new Map(), confirmedAt: undefined, announcedAt: undefined, sharesGivenAt: undefined }
 }
 
 /**
@@ -52,6 +55,16 @@
   membership.confirmedAt = { steady: askedAt.steady - ageMs, wall: askedAt.wall - ageMs }
 }
 
+/**
+ * Records that a control VM passed on the shares that the leader gives to this VM.
+ *
+ * @param ageMs how long ago the control VM got them from the leader; null if it doesn't know
+ * @param askedAt when this VM asked
+ */
+export function recordGivenShares (membership: FleetMembership, ageMs: Millis | null, askedAt: ClockReading): void {
+  membership.sharesGivenAt = ageMs === null ? undefined : { steady: askedAt.steady - ageMs, wall: askedAt.wall - ageMs }
+}
+
 /** Returns whether this VM has had a complete list of the entry VMs since it started. */
 export function hasCompleteList ({ confirmedAt }: FleetMembership): boolean {
   return confirmedAt !== undefined
@@ -65,10 +78,22 @@
 /**
  * Returns whether this VM may use its share of a limit over all VMs in any window: its list is confirmed, and in the whole of the last
  * window the others have counted it. A process that ran under the same name before used its share before that window.
+ *
+ * @param windowMs undefined for a share that the leader gave: it counts this VM already
  */
-export function mayUseShare ({ confirmedAt, announcedAt }: FleetMembership, windowMs: Millis, now: ClockReading): boolean {
-  if (confirmedAt === undefined || announcedAt === undefined) return false
-  return getElapsed(confirmedAt, now) <= maxListAgeMs && now.steady - announcedAt >= windowMs + maxListAgeMs
+export function mayUseShare ({ confirmedAt, announcedAt, sharesGivenAt }: FleetMembership, windowMs: Millis | undefined, now: ClockReading): boolean {
+  if (windowMs === undefined) return isWithin(sharesGivenAt, maxListAgeMs, now)
+  if (announcedAt === undefined || !isWithin(confirmedAt, maxListAgeMs, now)) return false
+  return now.steady - announcedAt >= windowMs + maxListAgeMs
+}
+
+/** Returns whether this VM was in touch with the leader recently enough to use a reduced part of the shares that the leader gave it. */
+export function mayUseReducedShare ({ sharesGivenAt }: FleetMembership, now: ClockReading): boolean {
+  return isWithin(sharesGivenAt, reducedShareMs, now)
+}
+
+function isWithin (from: ClockReading | undefined, maxMs: Millis, now: ClockReading): boolean {
+  return from !== undefined && getElapsed(from, now) <= maxMs
 }
 
 /**
--- a/packages/placement/src/core/request/fleet.ts
+++ b/packages/placement/src/core/request/fleet.ts
@@ -45,8 +45,13 @@
   readonly maxConnections: Map<ServiceId, number>
   /** Names of the entry VMs, this one included. */
   vms: readonly string[]
-  /** Returns whether this VM may use its share of a bound that all VMs together observe in any window; always if nothing replaces it. */
-  mayUseShare: (windowMs: Millis) => boolean
+  /**
+   * Returns whether this VM may use its share of a bound that all VMs together observe in any window; always if nothing replaces it.
+   * The window is undefined for a share that the leader gave.
+   */
+  mayUseShare: (windowMs: Millis | undefined) => boolean
+  /** Returns whether this VM may use a reduced part of a share that the leader gave and no longer confirms; always if nothing replaces it. */
+  mayUseReducedShare: () => boolean
   /** Returns whether this VM has had a complete list of the entry VMs; always if nothing replaces it. */
   knowsOthers: () => boolean
   /** Fractions of this region's objects that each region serves, by service; empty until the first plan arrives. */
@@ -79,6 +84,7 @@
     maxConnections: new Map(),
     vms,
     mayUseShare: () => true,
+    mayUseReducedShare: () => true,
     knowsOthers: () => true,
     shares: new Map(),
     sharedUtilization: new Map(),
--- a/packages/placement/src/core/server/limitedServers.ts
+++ b/packages/placement/src/core/server/limitedServers.ts
@@ -3,12 +3,18 @@
 import { computeEqualShare, limitWindowMs, getRequestDelay, permitsRequest } from '@lynxcourse/limits'
 import { computeHashRanks } from '../object/hashRanks.js'
 import type { Fleet } from '../request/fleet.js'
+import { reducedPart } from '../../types/loads.js'
 import type { LimitDemand } from '../../types/loads.js'
 import type { FleetServer } from './fleetServer.js'
 import { rankVms } from './vmRanking.js'
 
 /** Time constant of the demand for a server. */
 const demandSmoothingMs: Millis = 4000
+/**
+ * Part of its fraction that a VM uses when the leader may have given all of it to others, so that it hears whether the limit
+ * lasts. Full buckets leave more than this of what the bound allows.
+ */
+const leastPart = 0.05
 /** Primary servers of an object that are passed over before any server that has a token may take the request. */
 const maxPassedOver = 4
 
@@ -67,14 +73,24 @@
   return demandPerSecond * Math.exp(-Math.max(0, now - demandUpdatedAt) / demandSmoothingMs)
 }
 
-/** Returns the fraction of a server's limit that this VM may use: the leader's word, or an equal part once this VM knows the others. */
-export function getLimitShare ({ setup, vms, mayUseShare }: Fleet, server: FleetServer): number {
+/**
+ * Returns the fraction of a server's limit that this VM may use: the leader's word while it is confirmed, or an equal part once
+ * this VM knows the others.
+ */
+export function getLimitShare (fleet: Fleet, server: FleetServer): number {
+  const { setup, vms, mayUseShare } = fleet
   const { limit } = server.notice
   if (limit.perSecond === undefined) return 1
-  if (limit.share !== undefined) return limit.share
+  if (limit.share !== undefined) return limit.share * getUsablePart(fleet)
   return mayUseShare(limitWindowMs) ? computeEqualShare(limit.perSecond, setup.self, rankVms(server, vms)) : 0
 }
 
+/** Returns the part of the fractions given by the leader that it does not give to others meanwhile. */
+function getUsablePart ({ mayUseShare, mayUseReducedShare }: Fleet): number {
+  if (mayUseShare(undefined)) return 1
+  return mayUseReducedShare() ? reducedPart : leastPart
+}
+
 /** Returns the time until one of these servers takes a request of this VM, by what they have said; Infinity if none will. */
 export function estimateRequestDelay (fleet: Fleet, servers: readonly FleetServer[], now: Millis): Millis {
   return Math.min(...servers.map(server => getRequestDelay(server.notice, getLimitShare(fleet, server), now)))
--- a/packages/placement/src/types/loads.ts
+++ b/packages/placement/src/types/loads.ts
@@ -103,5 +103,11 @@
 /** The servers that the load board knows. */
 export type KnownServers = ReadonlyMap<ServerId, KnownServer>
 
+/** Part of its fractions of limits that a VM still uses once they are not confirmed any more; the leader keeps it free for the VM. */
+export const reducedPart = 0.5
+
+/** How long after the last confirmation a VM uses the reduced part. */
+export const reducedShareMs: Millis = 60_000
+
 /** How long a load report is valid: longer than the maximum interval between two watch calls. */
 export const loadReportTtlMs: Millis = 3000
