A stop whose signal was read late keeps its length, and delivers in less time

Change: a late signal shortens the time for the delivery of answers first, and the stop itself by 150 ms at most.

Control VMs of earlier versions don't say how old the fractions of limits are that they pass on. Entry VMs use these in full, as before, so that the order of an update doesn't matter.

--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -48,8 +48,8 @@
   /** How long ago these were all entry VMs that the leader had heard of; null if that isn't known. */
   readonly entriesAgeMs: Millis | null
   readonly news: LoadUpdate
-  /** How long ago a majority confirmed the leader that published `news`; null if that isn't known. */
-  readonly newsAgeMs: Millis | null
+  /** How long ago a majority confirmed the leader that published `news`; null if that isn't known, undefined from control VMs of earlier versions. */
+  readonly newsAgeMs?: Millis | null
   /** How long the call stayed open. */
   readonly heldMs: Millis
 }
--- a/packages/daemon/src/core/fleet/leaveFleet.ts
+++ b/packages/daemon/src/core/fleet/leaveFleet.ts
@@ -7,7 +7,7 @@
 import { log } from '../../utils/logging.js'
 import { recordIteration } from '../../utils/loopMonitor.js'
 import { resignLeadership } from '../control/leaving.js'
-import { deliverLastAnswers, deliveryMs, drainCallers } from '../gateway/callerDrain.js'
+import { deliverLastAnswers, drainCallers } from '../gateway/callerDrain.js'
 import { reportIncomplete } from '../gateway/stopReport.js'
 import { endWatches } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
@@ -37,22 +37,22 @@
  */
 export async function leaveFleet (daemon: FleetDaemon, closeInterfaces: () => Promise<void> = async () => undefined): Promise<void> {
   const { node, control, gateway, stateWatch, callerServer, internalServers } = daemon
-  const startedAt = getSignalTime(node)
+  const stop = createStopSchedule(getSignalTime(node), getCurrentTime(), node.cfg.times.stopMs)
   node.isLeaving = true
   log(node.logs, 'daemon', 'info', 'Leaving.', { open: gateway?.open ?? 0 })
   const steps: Array<Promise<void>> = []
   if (gateway !== undefined && stateWatch !== undefined && callerServer !== undefined) {
-    steps.push(publishPresence(stateWatch), drainCallers(gateway, callerServer, createStopSchedule(startedAt, node.cfg.times.stopMs)))
+    steps.push(publishPresence(stateWatch), drainCallers(gateway, callerServer, stop))
   }
   if (control !== undefined) steps.push(leaveControl(control, closeInterfaces))
   for (const step of await Promise.allSettled(steps)) {
     if (step.status === 'rejected') log(node.logs, 'daemon', 'error', 'A step of the stop failed.', { error: getErrorMessage(step.reason) })
   }
   if (control !== undefined) endWatches(control)
-  const leftMs = startedAt + node.cfg.times.stopMs + deliveryMs - getCurrentTime()
+  const leftMs = stop.deliversUntil - getCurrentTime()
   const unanswered = await closeAllGracefully(internalServers, Math.max(minInternalCloseMs, Math.min(maxInternalCloseMs, leftMs)))
   if (gateway !== undefined) await deliverLastAnswers(gateway, getCurrentTime() + minInternalCloseMs)
-  log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0, unanswered, afterMs: Math.round(getCurrentTime() - startedAt) })
+  log(node.logs, 'daemon', 'info', 'Left.', { open: gateway?.open ?? 0, unanswered, afterMs: Math.round(getCurrentTime() - stop.startedAt) })
 }
 
 /** Returns the earliest time at which the signal to stop can have arrived: a VM without processor time reads it late. */
--- a/packages/daemon/src/core/fleet/stateWatch.ts
+++ b/packages/daemon/src/core/fleet/stateWatch.ts
@@ -139,7 +139,8 @@
   // A control VM that has just started knows no plans yet; the previous plans of this VM stay valid until it does.
   const plans = reply.news.plans.length > 0 ? reply.news.plans : node.loadUpdate.plans
   node.loadUpdate = { ...reply.news, plans, ...(weights === undefined ? {} : { weights }) }
-  recordGivenShares(node.membership, reply.newsAgeMs, askedAt)
+  // Control VMs of earlier versions don't say the age, and give the fraction of a silent VM away.
+  recordGivenShares(node.membership, reply.newsAgeMs === undefined ? 0 : reply.newsAgeMs, askedAt)
   for (const listener of node.onLoadUpdate) listener()
   applyEntryList(node, { names: reply.entries, ageMs: reply.entriesAgeMs }, askedAt, now)
   const isStale = reply.ageMs === null || reply.ageMs > node.cfg.times.staleMs
--- a/packages/daemon/src/core/gateway/callerDrain.ts
+++ b/packages/daemon/src/core/gateway/callerDrain.ts
@@ -13,14 +13,12 @@
 const pollIntervalMs: Millis = 20
 /** Limit on the time that accepting the waiting connections takes before the listener is closed. */
 const maxAcceptDrainMs: Millis = 500
-/** Time after the end of a stop's schedule for the delivery of answers. */
-export const deliveryMs: Millis = 250
 /** Longest time for which a VM that stops waits for its callers' closes: some keep their half of a connection open for long. */
 const maxLingerWaitMs: Millis = 1000
 
 /** Answers the callers' requests until none is open or the schedule has ended, then delivers the last answers. */
 export async function drainCallers (gateway: Gateway, server: Server, stop: StopSchedule): Promise<void> {
-  const { startedAt, acceptsUntil, endsAt } = stop
+  const { startedAt, acceptsUntil, endsAt, deliversUntil } = stop
   gateway.stop = stop
   await delay(acceptsUntil - getCurrentTime())
   await drainAcceptQueue(gateway)
@@ -31,7 +29,7 @@
   // A connection may get its first request from now on, which this VM can't answer any more.
   gateway.stop = { ...stop, endsAt: getCurrentTime() }
   giveUpRequests(gateway.openRequests)
-  await deliverLastAnswers(gateway, endsAt + deliveryMs)
+  await deliverLastAnswers(gateway, deliversUntil)
   reportIncomplete(gateway, startedAt, getCurrentTime())
 }
 
--- a/packages/placement/__tests__/stopAdmission.test.ts
+++ b/packages/placement/__tests__/stopAdmission.test.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check'
 import { createStopSchedule, fitsStop } from '@lynxcourse/placement'
 
-const schedule = createStopSchedule(1000, 5000)
+const schedule = createStopSchedule(1000, 1000, 5000)
 const [first, last] = [1000, 6000]
 
 test('a VM that stops takes requests for half of the time, then those that have their whole time', () => {
@@ -27,3 +27,9 @@
     assert.equal(isTaken, now < schedule.acceptsUntil || now + limitMs <= schedule.endsAt)
   }))
 })
+
+// Guards against requests that are given up early, since the signal may have waited for a busy event loop.
+test('a signal that was read late shortens the delivery of answers, and the stop by a little', () => {
+  assert.deepEqual(createStopSchedule(1000, 1100, 5000), { startedAt: 1000, acceptsUntil: 3500, endsAt: 6000, deliversUntil: 6250 })
+  assert.deepEqual(createStopSchedule(1000, 1900, 5000), { startedAt: 1750, acceptsUntil: 4250, endsAt: 6750, deliversUntil: 6800 })
+})
--- a/packages/placement/src/core/admission/stopAdmission.ts
+++ b/packages/placement/src/core/admission/stopAdmission.ts
@@ -11,6 +11,8 @@
   readonly acceptsUntil: Millis
   /** When the requests that are still at servers are given up. */
   readonly endsAt: Millis
+  /** Until when their answers may be delivered. */
+  readonly deliversUntil: Millis
 }
 
 /** A request that a VM that stops has read. */
@@ -23,14 +25,23 @@
 
 /** Fraction of a stop during which connections are accepted. */
 const acceptFraction = 0.5
+/** A stop gives up requests at most this much earlier than its whole time after its signal was read. */
+const maxShortenedMs: Millis = 150
+/** Longest and shortest time for the delivery of answers after requests were given up. */
+const maxDeliveryMs: Millis = 250
+const minDeliveryMs: Millis = 50
 
 /**
- * Plans a stop.
+ * Plans a stop. Requests were taken with its whole time in view, so a signal that was read late shortens the delivery of answers first.
  *
+ * @param signalAt earliest time at which the signal can have arrived
+ * @param readAt when it was read
  * @param stopMs time after which answers are given up
  */
-export function createStopSchedule (startedAt: Millis, stopMs: Millis): StopSchedule {
-  return { startedAt, acceptsUntil: startedAt + stopMs * acceptFraction, endsAt: startedAt + stopMs }
+export function createStopSchedule (signalAt: Millis, readAt: Millis, stopMs: Millis): StopSchedule {
+  const startedAt = Math.max(signalAt, readAt - maxShortenedMs)
+  const endsAt = startedAt + stopMs
+  return { startedAt, acceptsUntil: startedAt + stopMs * acceptFraction, endsAt, deliversUntil: Math.max(endsAt + minDeliveryMs, signalAt + stopMs + maxDeliveryMs) }
 }
 
 /**
