--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -50,10 +50,10 @@
 
 /** When to give up one server while the caller still waits. */
 export interface SendTimeouts {
-  /** When to call `mayFailOver`, once; undefined for never. */
+  /** When to call `reserveFailover`, once; undefined for never. */
   readonly failoverAt: Millis | undefined
-  /** Returns whether another server may take over the request; otherwise the request stays at its server. */
-  readonly mayFailOver: () => boolean
+  /** Reserves another server for the request; returns false if the request stays at its server. */
+  readonly reserveFailover: () => boolean
   /** Time from which `isUnresponsive` is called periodically. */
   readonly overdueAt: Millis
   readonly isUnresponsive: () => boolean
@@ -210,7 +210,7 @@
  * Ends a send when its time is over, when the caller disconnects, or when another server should take over. Timers run before
  * sockets are read, so a timer's decision waits for a poll: the answer may already be in the kernel.
  */
-function watchSend ({ loop: { polls: looks } }: Gateway, call: Call, timeouts: SendTimeouts, now: Millis, abort: () => void): SendWatch {
+function watchSend ({ loop: { polls } }: Gateway, call: Call, timeouts: SendTimeouts, now: Millis, abort: () => void): SendWatch {
   let reason: LostReason = 'failed'
   let hasEnded = false
   let isPinned = false
@@ -223,16 +223,16 @@
   call.open.giveUp = () => stop('deadline')
   call.gone.on('abort', onGone)
   if (call.gone.aborted) onGone()
-  const giveUp = afterPoll(looks, () => {
+  const giveUp = afterPoll(polls, () => {
     const leftMs = call.giveUpAt - getCurrentTime()
     // Timers count from the start of their event loop iteration, so that they run early.
     if (leftMs > 0 && !hasEnded) giveUpTimer = setTimeout(giveUp, Math.ceil(leftMs))
     else stop('deadline')
   })
   let giveUpTimer = setTimeout(giveUp, Math.max(1, call.giveUpAt - now))
-  const tryFailover = afterPoll(looks, () => { if (!hasEnded && !isPinned && timeouts.mayFailOver()) stop('slow') })
+  const tryFailover = afterPoll(polls, () => { if (!hasEnded && !isPinned && timeouts.reserveFailover()) stop('slow') })
   const failoverTimer = timeouts.failoverAt === undefined ? undefined : setTimeout(tryFailover, Math.max(1, timeouts.failoverAt - now))
-  const checkUnresponsive = afterPoll(looks, () => {
+  const checkUnresponsive = afterPoll(polls, () => {
     if (hasEnded || isPinned) return
     if (timeouts.isUnresponsive()) stop('stranded')
     else unresponsiveTimer = setTimeout(checkUnresponsive, unresponsiveCheckMs)
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -1,7 +1,7 @@
 /** Serves one request: carries out the steps that placement decides on, until there is a final answer. */
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { beginSend, endSend, isServerError, isServerUnresponsive, isUnusedTrial, mayFailOver, decideNextStep, recordPoll, recordTrialAnswer, releaseRetry, updateWaitingCount, startRequest } from '@lynxcourse/placement'
+import { beginSend, endSend, isServerError, isServerUnresponsive, isUnusedTrial, reserveFailover, decideNextStep, recordPoll, recordTrialAnswer, releaseRetry, updateWaitingCount, startRequest } from '@lynxcourse/placement'
 import type { DecisionConditions, InFlightSend, Placement, PlacementRequest, Refusal, RequestState, RequestStep } from '@lynxcourse/placement'
 import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
@@ -152,7 +152,7 @@
   const { startedAt, failoverAt, overdueAt } = sending
   const timeouts: SendTimeouts = {
     failoverAt,
-    mayFailOver: () => mayUseState(gateway, readClocks()) && maySendAgain(gateway, holder, getCurrentTime()) && mayFailOver(gateway, state, getConditions(gateway, call), getCurrentTime()),
+    reserveFailover: () => mayUseState(gateway, readClocks()) && maySendAgain(gateway, holder, getCurrentTime()) && reserveFailover(gateway, state, getConditions(gateway, call), getCurrentTime()),
     overdueAt,
     isUnresponsive: () => isServerUnresponsive(gateway, sending, getConditions(gateway, call), getCurrentTime())
   }
--- a/packages/placement/__tests__/closedServers.test.ts
+++ b/packages/placement/__tests__/closedServers.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { noStatements, recordStatements } from '@lynxcourse/limits'
-import { beginSend, computeSlotShare, createCallerLiveness, createLoadObservations, decideNextStep, endSend, mayFailOver, placeRequest, recordPoll, startRequest, updateWaitingCount } from '@lynxcourse/placement'
+import { beginSend, computeSlotShare, createCallerLiveness, createLoadObservations, decideNextStep, endSend, reserveFailover, placeRequest, recordPoll, startRequest, updateWaitingCount } from '@lynxcourse/placement'
 import type { DecisionConditions, EntryState, FleetServer, RequestState, RequestStep, SendOutcome } from '@lynxcourse/placement'
 import { createRoute, createTestFleet, desk, getTargetOrReason, kochi, mumbai, request, server } from './support/fleet.js'
 
@@ -70,10 +70,10 @@
     const refusing = sendOnce(entry, state, { type: 'notRun', reason: 'full' }, start)
     const others = servers.filter(({ facts }) => facts.id !== refusing)
     close(others[0] as FleetServer)
-    assert.ok(mayFailOver(entry, state, conditions, start + 100))
+    assert.ok(reserveFailover(entry, state, conditions, start + 100))
     assert.equal(sendOnce(entry, state, { type: 'notRun', reason: 'full' }, start + 100), others[1]?.facts.id)
     close(others[1] as FleetServer)
-    assert.ok(!mayFailOver(entry, begin(entry, start + 100), conditions, start + 100) || getTargetOrReason(entry.fleet, request(), start + 100) === refusing)
+    assert.ok(!reserveFailover(entry, begin(entry, start + 100), conditions, start + 100) || getTargetOrReason(entry.fleet, request(), start + 100) === refusing)
   }
 })
 
--- a/packages/placement/__tests__/requestSteps.test.ts
+++ b/packages/placement/__tests__/requestSteps.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import fc from 'fast-check'
-import { beginSend, getConcurrency, createCallerLiveness, createLoadObservations, endSend, isServerUnresponsive, decideNextStep, mayFailOver, recordPoll, releaseRetry, startRequest } from '@lynxcourse/placement'
+import { beginSend, getConcurrency, createCallerLiveness, createLoadObservations, endSend, isServerUnresponsive, decideNextStep, reserveFailover, recordPoll, releaseRetry, startRequest } from '@lynxcourse/placement'
 import type { CallerLiveness, EntryState, DecisionConditions, RequestState, RequestStep, SendOutcome } from '@lynxcourse/placement'
 import { desk, createTestFleet, request, createRoute, server } from './support/fleet.js'
 
@@ -163,17 +163,17 @@
   const oneRetry: DecisionConditions = { ...conditions, retryBudget: { ratio: 0, windowMs: 10_000, slack: 2 } }
   const entry = createEntry()
   const [first, second, third] = [startSend(entry, oneRetry), startSend(entry, oneRetry), startSend(entry, oneRetry)]
-  assert.equal(mayFailOver(entry, first, oneRetry, startedAt + 100), true)
-  assert.equal(mayFailOver(entry, second, oneRetry, startedAt + 100), false)
+  assert.equal(reserveFailover(entry, first, oneRetry, startedAt + 100), true)
+  assert.equal(reserveFailover(entry, second, oneRetry, startedAt + 100), false)
   releaseRetry(entry, first)
-  assert.equal(mayFailOver(entry, third, oneRetry, startedAt + 100), true)
+  assert.equal(reserveFailover(entry, third, oneRetry, startedAt + 100), true)
 })
 
 /** Guards against a fail-over whose next send may not happen, since servers ended under the request meanwhile. */
 test('a restricted request does not fail over', () => {
   const entry = createEntry()
   const run = startSend(entry, conditions)
-  assert.equal(mayFailOver(entry, run, { ...conditions, restriction: { type: 'trialOnly' } }, startedAt + 100), false)
+  assert.equal(reserveFailover(entry, run, { ...conditions, restriction: { type: 'trialOnly' } }, startedAt + 100), false)
 })
 
 /** Guards against a server at work that is given up, and a failure in place of its answer, since its slowness lowers the limit of its service. */
@@ -184,7 +184,7 @@
   const first = decideNextStep(entry, run, conditions, startedAt)
   assert.ok(first.type === 'send')
   const sending = beginSend(entry, run, first.placement, startedAt)
-  assert.ok(mayFailOver(entry, run, conditions, startedAt + 100))
+  assert.ok(reserveFailover(entry, run, conditions, startedAt + 100))
   endSend(entry, run, sending, { type: 'lost', reason: 'slow' }, startedAt + 100)
   const concurrency = getConcurrency(entry.fleet, desk)
   concurrency.limit = 0
--- a/packages/placement/__tests__/rollouts.test.ts
+++ b/packages/placement/__tests__/rollouts.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { isTargetObject } from '@lynxcourse/rollouts'
-import { beginSend, computeSlotShare, endSend, flushLoadReport, isClosedByVersion, listRolloutReports, mayFailOver, takeUseChanges } from '@lynxcourse/placement'
+import { beginSend, computeSlotShare, endSend, flushLoadReport, isClosedByVersion, listRolloutReports, reserveFailover, takeUseChanges } from '@lynxcourse/placement'
 import type { EntryState } from '@lynxcourse/placement'
 import { desk, request, getTargetOrReason } from './support/fleet.js'
 import { answered, applyRollout, begin, createEntry, createRollout, decide, failed, sendObject, sendOnce, v1, v2, v3, versioned } from './support/rollouts.js'
@@ -35,7 +35,7 @@
   assert.ok(listTargets(entry).every(id => id === 'a1'))
   const state = begin(entry, start, targetObject)
   assert.equal(sendOnce(entry, state, () => failed, start), 'a1')
-  assert.ok(!mayFailOver(entry, state, retryConditions, start))
+  assert.ok(!reserveFailover(entry, state, retryConditions, start))
   assert.equal(decide(entry, state, start).type, 'answer', 'the failure is returned, since no other server may take the request')
   const waiting = createEntry(versioned('a1', v1), versioned('c1', v3))
   applyRollout(waiting, undefined, start)
--- a/packages/placement/src/core/request/requestSteps.ts
+++ b/packages/placement/src/core/request/requestSteps.ts
@@ -101,7 +101,7 @@
   readonly startedAt: Millis
   /** Whether this is the only send of a restricted request in the fleet. */
   readonly isTrial: boolean
-  /** When to check `mayFailOver`; undefined if the request must stay at its server until the deadline. */
+  /** When to check `reserveFailover`; undefined if the request must stay at its server until the deadline. */
   readonly failoverAt: Millis | undefined
   /** Time from which the expected work no longer explains the duration of the send. */
   readonly overdueAt: Millis
@@ -192,11 +192,11 @@
 }
 
 /**
- * Returns whether a request may fail over to another server now, and reserves the server and the retry of the budget that its next send needs. If no
- * server may take it, or no retry is left, failing over would replace a late answer by a failure. A VM that is stopping must not abort
- * requests in flight.
+ * Reserves the server and the retry of the budget with which a request can fail over now. Returns false if it must stay at its server: without
+ * another server or a retry, failing over would replace a late answer by a failure, and a VM that is stopping must not abort requests in
+ * flight.
  */
-export function mayFailOver (entry: EntryState, state: RequestState, conditions: DecisionConditions, now: Millis): boolean {
+export function reserveFailover (entry: EntryState, state: RequestState, conditions: DecisionConditions, now: Millis): boolean {
   if (conditions.isStopping || conditions.restriction !== undefined) return false
   const placement = placeRequest(entry.fleet, state.request, now)
   if (placement.type !== 'send' || !spendRetry(entry, state, 'slow', conditions, now)) return false
--- a/packages/replay/src/core/vmModel.ts
+++ b/packages/replay/src/core/vmModel.ts
@@ -2,7 +2,7 @@
 import { LynxError } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { scheduleAfter } from '@lynxcourse/base/timeline'
-import { beginSend, createCallerLiveness, endSend, mayFailOver, decideNextStep, recordAnswerStatements, recordPoll, recordReply, updateWaitingCount, startRequest, applyLoadUpdate } from '@lynxcourse/placement'
+import { beginSend, createCallerLiveness, endSend, reserveFailover, decideNextStep, recordAnswerStatements, recordPoll, recordReply, updateWaitingCount, startRequest, applyLoadUpdate } from '@lynxcourse/placement'
 import { noStatements } from '@lynxcourse/limits'
 import type { ServerStatements } from '@lynxcourse/limits'
 import type { EntryState, DecisionConditions, Placement, RequestState, SendOutcome, InFlightSend } from '@lynxcourse/placement'
@@ -138,7 +138,7 @@
 function scheduleFailover (world: World, { entry, run }: ActiveRequest, { failoverAt }: InFlightSend, abandon: () => void): void {
   const { timeline } = world
   if (failoverAt === undefined) return
-  scheduleAfter(timeline, failoverAt - timeline.now, () => { if (mayFailOver(entry, run, conditions, timeline.now)) abandon() })
+  scheduleAfter(timeline, failoverAt - timeline.now, () => { if (reserveFailover(entry, run, conditions, timeline.now)) abandon() })
 }
 
 function drawRejection ({ shedPart, pausePart }: Backend, random: () => number): Rejection | undefined {
