Test of large changes: ends after a failure; listed as red beside load

Its announcing timer kept the process alive after a failed assertion, until the limit of the test runner.

--- a/packages/daemon/__tests__/staleState.test.ts
+++ b/packages/daemon/__tests__/staleState.test.ts
@@ -67,11 +67,20 @@
 
 /** Guards against a change whose size keeps VMs from serving, or from the change itself. */
 test('changes of many routes in quick succession under load are in force in time, and no request fails', async () => {
-  const routeCount = 1400
   await using fixture = await startFleetFixture(2)
   await using server = await startTestServer('s1', (_req, res) => res.end('ok'))
   await publishRoutes(fixture, [server], [createRouteToDesk('read')])
   const announcing = keepAnnouncing(fixture, [server])
+  try {
+    await changeUnderLoad(fixture)
+  } finally {
+    // Its timer would keep the process alive after a failure.
+    announcing[Symbol.dispose]()
+  }
+})
+
+async function changeUnderLoad (fixture: FleetFixture): Promise<void> {
+  const routeCount = 1400
   const load = sendSteadily(async () => await sendRequest(fixture, '/read/1'), 50, 6000)
   let version = 1
   for (const prefix of ['a', 'b', 'c']) {
@@ -85,8 +94,7 @@
   assert.ok(tookMs < applyMs, `in force after ${tookMs} ms`)
   for (const { callers } of fixture.settings.slice(3)) assert.equal((await sendRequestTo(callers ?? '', '/a-1/1')).status, 404)
   assert.deepEqual((await load).filter(({ status }) => status !== 200), [])
-  announcing[Symbol.dispose]()
-})
+}
 
 /** Guards against callers that are refused by a VM that reaches no control VM. */
 test('an entry VM that is cut off from the control VMs serves on by the configuration that it has', async () => {
