--- a/packages/agreement/src/core/entryParts.ts
+++ b/packages/agreement/src/core/entryParts.ts
@@ -12,12 +12,10 @@
 import type { EntryTransfer } from '../types/transfer.js'
 import { entryAt } from './replica.js'
 import type { Progress, Replica } from './replica.js'
-import { getEntrySize, growMessages, maxMessageSize, shrinkMessages } from './sendWindow.js'
+import { getEntrySize, growMessages, lostElectionTimeouts, maxMessageSize, shrinkMessages } from './sendWindow.js'
 
 /** How much larger each part makes the next one, in characters; less than each message does, since a lost part leaves the link idle. */
 const partSizeStep = 4096
-/** Time after which a part counts as lost although no failure was reported, in election timeouts. */
-const lostElectionTimeouts = 3
 
 /** Returns the transfer of the next entry of a member; undefined unless the entry has to be sent in parts. */
 export function getEntryTransfer (replica: Replica, progress: Progress): EntryTransfer | undefined {
