--- a/packages/daemon/__tests__/openRequests.test.ts
+++ b/packages/daemon/__tests__/openRequests.test.ts
@@ -1,47 +1,20 @@
 /** The steps of open requests, and what a VM that stops reports of them. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { connect } from 'node:net'
-import type { Socket } from 'node:net'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { Writable } from 'node:stream'
 import { brandId } from '@lynxcourse/base'
 import type { ServerId } from '@lynxcourse/base'
-import { addOpenRequest, countSteps, createOpenRequests, createSilentLogs, defaultFleetTimes, enterServer, enterStep, enterWriting, getOpenStatus, leaveFleet, leaveServer, recordFinish, removeOpenRequest, reportSignal } from '@lynxcourse/daemon'
-import type { FleetDaemon, Logs } from '@lynxcourse/daemon'
+import { addOpenRequest, countSteps, createOpenRequests, defaultFleetTimes, enterServer, enterStep, enterWriting, getOpenStatus, leaveFleet, leaveServer, recordFinish, removeOpenRequest, reportSignal } from '@lynxcourse/daemon'
+import type { FleetDaemon } from '@lynxcourse/daemon'
 import { publishRoutes, createRouteToDesk, startFleetFixture, startTestServer, waitUntil } from './support/fleetFixture.js'
-import type { FleetFixture } from './support/fleetFixture.js'
-
-type LogLine = Record<string, unknown>
-
-/** Logs that keep the fields of all lines from `info` on. */
-function createKeptLogs (): { logs: Logs, lines: LogLine[] } {
-  const lines: LogLine[] = []
-  const stream = new Writable({ decodeStrings: false, write: (_line, _encoding, done) => done() })
-  const format = { transform: (info: LogLine) => { lines.push(info); return false }, options: {} } as unknown as Logs['format']
-  return { logs: { ...createSilentLogs(), stream, format, level: 'info' }, lines }
-}
-
-function connectCaller (fixture: FleetFixture): Socket {
-  const [host, port] = (fixture.settings.at(-1)?.callers ?? '').split(':')
-  return connect({ host: host ?? '', port: Number(port) }).on('error', () => undefined)
-}
-
-function buildGet (id: string): string {
-  return `GET /read/${id} HTTP/1.1\r\nHost: a.example\r\nIdempotency-Key: ${id}\r\n\r\n`
-}
+import { createKeptLogs, findLine } from './support/keptLogs.js'
+import { asDisposable, buildGet, connectCaller } from './support/rawCaller.js'
 
 /** Holds requests whose path ends with `held`, and answers all others at once. */
 function holdSome (req: IncomingMessage, res: ServerResponse): void {
   if (req.url?.endsWith('held') !== true) res.end('whole')
 }
 
-function findLine (lines: readonly LogLine[], message: string, id?: string): LogLine {
-  const line = lines.find(line => line.message === message && (id === undefined || line.id === id))
-  assert.ok(line !== undefined, `${message} ${id ?? ''}: ${JSON.stringify(lines.map(line => line.message))}`)
-  return line
-}
-
 async function readMetric (entry: FleetDaemon, name: string): Promise<string[]> {
   const text = await entry.node.metrics.registry.getSingleMetricAsString(name)
   return text.split('\n').filter(line => line !== '' && !line.startsWith('#'))
@@ -125,28 +98,6 @@
   assert.equal(findLine(lines, 'Left.').open, 1)
 })
 
-/** Guards against an answer that is cut off when the listener closes, since its server has sent all of it. */
-test('an answer that its caller reads slowly while the listener closes arrives whole', async () => {
-  const { logs, lines } = createKeptLogs()
-  const bytes = 14_000_000
-  await using fixture = await startFleetFixture(1, { fields: { times: { ...defaultFleetTimes, stopMs: 5000 } }, logs })
-  await using server = await startTestServer('s1', (_req, res) => res.end(Buffer.alloc(bytes)))
-  await publishRoutes(fixture, [server], [createRouteToDesk('read', { timeoutMs: 10_000 })])
-  using caller = asDisposable(connectCaller(fixture))
-  caller.socket.pause()
-  caller.socket.write(buildGet('large'))
-  const entry = fixture.daemons.at(-1) as FleetDaemon
-  await waitUntil(() => [...entry.gateway?.openRequests.all ?? []][0]?.step === 'writing')
-  const leaving = leaveFleet(entry)
-  await waitUntil(() => entry.callerServer?.listening === false)
-  let received = 0
-  caller.socket.on('data', chunk => { received += chunk.length })
-  caller.socket.resume()
-  await leaving
-  assert.ok(received > bytes, `received ${received} bytes`)
-  assert.equal(lines.some(line => line.message === 'The answer is incomplete.'), false)
-})
-
 /** Guards against an answer that is cut at the exit and counts as sent. */
 test('an answer that its caller has not read by the end of a stop is reported with its unsent bytes', async () => {
   const { logs, lines } = createKeptLogs()
@@ -213,79 +164,6 @@
   assert.deepEqual(await readMetric(entry, 'lynxcourse_caller_connections_closed_total'), ['lynxcourse_caller_connections_closed_total{reason="announcedLater"} 1'])
 })
 
-/** Guards against a request that is sent to a server while the process ends, on a connection that had none before. */
-test('a request that comes after the last answer of a stop is refused', async () => {
-  const { logs, lines } = createKeptLogs()
-  await using fixture = await startFleetFixture(1, { fields: { times: { ...defaultFleetTimes, stopMs: 2000 } }, logs })
-  await using server = await startTestServer('s1', (_req, res) => { setTimeout(() => res.end('whole'), 400) })
-  await publishRoutes(fixture, [server], [createRouteToDesk('read', { timeoutMs: 500 })])
-  const entry = fixture.daemons.at(-1) as FleetDaemon
-  using caller = asDisposable(connectCaller(fixture))
-  let text = ''
-  caller.socket.on('data', chunk => { text += chunk.toString() })
-  await waitUntil(() => entry.gateway?.connections.size === 1)
-  const leaving = leaveFleet(entry)
-  await waitUntil(() => lines.some(line => line.message === 'No request is open.'))
-  caller.socket.write(buildGet('late'))
-  await leaving
-  await waitUntil(() => text !== '')
-  assert.match(text, /^HTTP\/1\.1 503 /)
-  assert.match(text, /\r\nconnection: close\r\n/i)
-  assert.equal(server.requests.length, 0)
-})
-
-/** Guards against the rest of an answer that is lost since its caller sends another request behind the announced close. */
-test('a request that crosses an announced close does not reset the connection', async () => {
-  const bytes = 1_000_000
-  await using fixture = await startFleetFixture(1)
-  await using server = await startTestServer('s1', (_req, res) => res.end(Buffer.alloc(bytes)))
-  await publishRoutes(fixture, [server], [createRouteToDesk('read', { timeoutMs: 10_000 })])
-  const entry = fixture.daemons.at(-1) as FleetDaemon
-  using caller = asDisposable(connectCaller(fixture))
-  caller.socket.pause()
-  await waitUntil(() => entry.gateway?.connections.size === 1)
-  const leaving = leaveFleet(entry)
-  caller.socket.write(buildGet('large'))
-  await waitUntil(() => server.requests.length === 1 && entry.gateway?.open === 0)
-  const { received, error } = await readAfterWriting(caller.socket, buildGet('crossing'))
-  assert.equal(error, undefined)
-  assert.ok(received > bytes, `received ${received} bytes`)
-  await leaving
-})
-
-/** Writes to a connection, then reads until it ends. */
-async function readAfterWriting (socket: Socket, text: string): Promise<{ received: number, error: Error | undefined }> {
-  let received = 0
-  let error: Error | undefined
-  socket.on('error', err => { error = err })
-  socket.on('data', chunk => { received += chunk.length })
-  socket.pause()
-  await new Promise<void>(resolve => socket.write(text, () => resolve()))
-  socket.resume()
-  await new Promise<void>(resolve => socket.once('close', () => resolve()))
-  return { received, error }
-}
-
-/** Guards against the rest of an answer that is lost since its caller sends a request to a connection that was closed as idle. */
-test('a request that crosses the close of an idle connection does not reset it', async () => {
-  const { logs, lines } = createKeptLogs()
-  const bytes = 1_000_000
-  await using fixture = await startFleetFixture(1, { fields: { times: { ...defaultFleetTimes, stopMs: 800 } }, logs })
-  await using server = await startTestServer('s1', (_req, res) => res.end(Buffer.alloc(bytes)))
-  await publishRoutes(fixture, [server], [createRouteToDesk('read', { timeoutMs: 10_000 })])
-  const entry = fixture.daemons.at(-1) as FleetDaemon
-  using caller = asDisposable(connectCaller(fixture))
-  caller.socket.pause()
-  caller.socket.write(buildGet('large'))
-  await waitUntil(() => server.requests.length === 1 && entry.gateway?.open === 0)
-  await leaveFleet(entry)
-  assert.equal(findLine(lines, 'Listener closed.').closedIdle, 1)
-  const { received, error } = await readAfterWriting(caller.socket, buildGet('crossing'))
-  assert.equal(error, undefined)
-  assert.ok(received > bytes, `received ${received} bytes`)
-  assert.equal(server.requests.length, 1)
-})
-
 /** Guards against a second signal that ends the process without a trace of the requests that it cuts. */
 test('a second signal is logged with the open requests', async () => {
   const { logs, lines } = createKeptLogs()
@@ -303,7 +181,3 @@
   assert.deepEqual(signals.map(({ level, signal, afterMs, open }) => [level, signal, afterMs, open]), [['info', 'SIGTERM', undefined, 1], ['warn', 'SIGTERM', 250, 1]])
   assert.equal(findLine(lines, 'The answer is incomplete.', 'held').step, 'server')
 })
-
-function asDisposable (socket: Socket): Disposable & { readonly socket: Socket } {
-  return { socket, [Symbol.dispose]: () => { socket.destroy() } }
-}
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { LynxError, getErrorMessage } from '@lynxcourse/base'
+import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis, ServiceId } from '@lynxcourse/base'
 import { createCallerLiveness, fitsIterationBudget, fitsStop, getCopyAge, getGiveUpTime, recordPoll, invalidateLiveness, getIterationTime } from '@lynxcourse/placement'
 import type { RoutedService, IterationTime } from '@lynxcourse/placement'
@@ -17,20 +17,20 @@
 import { recordRequestRead, recordAcceptedConnection, recordCloseRead } from '../../utils/loopMonitor.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
 import { createLazyFingerprint } from '../crashes/requestFingerprint.js'
-import { createRefusal, createTextAnswer, unconfirmedStateRetryMs } from './answers.js'
 import { createAnswerStream } from './answerStream.js'
 import type { AnswerStream } from './answerStream.js'
 import { authenticateCaller } from './authentication.js'
 import type { Call, CallAnswer, CallerTeam } from './call.js'
 import { startReadingBody } from './callBody.js'
-import type { BodyResult, CallBody } from './callBody.js'
+import type { CallBody } from './callBody.js'
 import { markClose, trackConnection } from './callerConnections.js'
+import { answerBodyFailure, answerNoRoute, refuseOverloaded, refuseStopping, refuseUnconfirmed } from './callerRefusals.js'
 import type { Gateway } from './gateway.js'
 import { addOpenRequest, enterStep, enterWriting, recordFinish } from './openRequests.js'
 import type { OpenRequest } from './openRequests.js'
 import { isBehindOthers, joinPipeline, leavePipeline, tryMarkClosing, waitForEarlierAnswers } from './pipeline.js'
 import type { PipelinedRequest } from './pipeline.js'
-import { logRefusal, getStateFields, getTimeFields } from './requestLog.js'
+import { getTimeFields } from './requestLog.js'
 import type { RefusedCall } from './requestLog.js'
 import { serveCall } from './serving.js'
 import { endOpenRequest } from './stopReport.js'
@@ -43,15 +43,6 @@
  * still finds its connection open.
  */
 const idleSlackMs: Millis = 2000
-/**
- * Shortest retry time for callers of an overloaded VM. Retry times are spread between this and twice this: other VMs
- * have capacity now, but not for all callers at the same moment.
- */
-const overloadedRetryMs: Millis = 150
-/** Retry time for callers of a VM that stops: other VMs can serve them at once, and lookups name only those. */
-const stoppingRetryMs: Millis = 20
-/** Retry time for callers of a VM that has no memory left for their bodies. */
-const tooManyBodiesRetryMs: Millis = 500
 
 /** Creates the server; it does not listen yet. */
 export function createCallerServer (gateway: Gateway): Server {
@@ -84,9 +75,8 @@
   const { arrivedAt } = arrival
   const { metrics } = gateway.node
   metrics.unreadSeconds.observe((arrival.readAt - arrivedAt) / 1000)
-  gateway.open += 1
-  metrics.inFlight.set(gateway.open)
   const open = addOpenRequest(gateway.openRequests, req, arrivedAt, arrival.readAt)
+  metrics.inFlight.set(gateway.open)
   const body = startReadingBody(gateway, req)
   const pipelined = await joinPipeline(gateway.pipelines, req.socket)
   const { gone } = pipelined
@@ -107,7 +97,6 @@
     afterAnswerSent(res, () => {
       if (res.writableFinished) recordFinish(open)
       endOpenRequest(gateway, open, getCurrentTime())
-      gateway.open -= 1
       metrics.inFlight.set(gateway.open)
     })
   }
@@ -252,54 +241,11 @@
   }
 }
 
-/**
- * Refuses a request for lack of processor time and closes its connection, which would otherwise bring the caller's next
- * requests to this VM as well.
- */
-function refuseOverloaded (gateway: Gateway, req: IncomingMessage, call: RefusedCall): CallAnswer {
-  req.resume()
-  const retryAfterMs = overloadedRetryMs * (1 + gateway.node.random())
-  logRefusal(gateway, call, undefined, { type: 'refuse', reason: 'overloaded', retryAfterMs })
-  // Closing a connection before its request was read completely resets the connection, and the answer is lost.
-  return { ...createRefusal(gateway.callers, 'this VM is overloaded', retryAfterMs), endsConnection: req.complete }
-}
-
 /** Whether this VM runs for long enough to take a request. */
 function mayTake ({ stop }: Gateway, pipelined: PipelinedRequest, giveUpAt: Millis): boolean {
   return stop === undefined || fitsStop(stop, { giveUpAt, isBehindOthers: isBehindOthers(pipelined) }, getCurrentTime())
 }
 
-/** Refuses a request that this VM might not answer before it ends. */
-function refuseStopping (gateway: Gateway, req: IncomingMessage, call: RefusedCall): CallAnswer {
-  req.resume()
-  logRefusal(gateway, call, undefined, { type: 'refuse', reason: 'stopping', retryAfterMs: stoppingRetryMs })
-  return createRefusal(gateway.callers, 'this VM is stopping', stoppingRetryMs)
-}
-
-/** Refuses a request that this VM can't route: its copy of the state may lack a change, or it has none yet. */
-function refuseUnconfirmed (gateway: Gateway, req: IncomingMessage): CallAnswer {
-  req.resume()
-  gateway.node.metrics.refusals.inc({ reason: 'unconfirmedState' })
-  log(gateway.node.logs, 'route', 'info', 'Refused before routing.', { path: req.url, reason: 'unconfirmedState', ...getStateFields(gateway) })
-  return createRefusal(gateway.callers, 'the state is not confirmed', unconfirmedStateRetryMs)
-}
-
-function answerNoRoute (gateway: Gateway, req: IncomingMessage): CallAnswer {
-  req.resume()
-  log(gateway.node.logs, 'route', 'info', 'No route.', { host: req.headers.host, path: req.url, ...getStateFields(gateway) })
-  return createTextAnswer(404, 'no route')
-}
-
-/** Returns the answer to a request whose body can't be read or buffered; undefined if the caller has disconnected. */
-function answerBodyFailure (gateway: Gateway, end: Exclude<BodyResult, { type: 'whole' }>): CallAnswer | undefined {
-  switch (end.type) {
-    case 'tooMany': return createRefusal(gateway.callers, 'too many bodies are held', tooManyBodiesRetryMs)
-    case 'tooLarge': return createTextAnswer(413, `body over ${gateway.limits.maxBodyBytes} bytes`)
-    case 'failed': throw new LynxError('badRequest', getErrorMessage(end.err), { step: 'read body', cause: end.err })
-    case 'gone': return undefined
-  }
-}
-
 /** Returns the headers for the server. Credentials are left out if they are keys of teams, which servers must not see. */
 function getForwardedHeaders (gateway: Gateway, req: IncomingMessage): HeaderMap {
   const connectionHeaders = new Set(String(req.headers.connection ?? '').toLowerCase().split(',').map(name => name.trim()))
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -49,7 +49,7 @@
   /** The times of the stop; undefined unless this VM stops. */
   stop: StopSchedule | undefined
   /** Number of requests in progress in this VM. */
-  open: number
+  readonly open: number
   /** The requests in progress with their steps. */
   readonly openRequests: OpenRequests
   /** Open connections from callers. */
@@ -77,6 +77,7 @@
   fleet.mayUseReducedShare = () => mayUseReducedShare(node.membership, readClocks())
   fleet.knowsOthers = () => hasCompleteList(node.membership)
   fleet.rollouts.isStateConfirmed = () => getCopyAge(node.freshness, readClocks()) <= node.cfg.times.maxStateAgeMs
+  const openRequests = createOpenRequests()
   return {
     node,
     callers,
@@ -97,8 +98,8 @@
     link: createLinkPacer(node),
     pipelines: new WeakMap(),
     stop: undefined,
-    open: 0,
-    openRequests: createOpenRequests(),
+    get open () { return openRequests.all.size },
+    openRequests,
     connections: new Set(),
     lingering: new Set(),
     waitingForCapacity: new Map(),
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -2,7 +2,6 @@
 /** Command line program of the daemon. Exit codes: 0 stopped by a signal, 1 failed, 2 invalid settings or arguments. */
 import { Command } from 'commander'
 import { LynxError, isLynxError, getErrorMessage } from '@lynxcourse/base'
-import type { Millis } from '@lynxcourse/base'
 import { buildBlockTable } from '@lynxcourse/routing'
 import { startDaemon, stopDaemon } from './core/daemon.js'
 import { startFleetDaemon } from './core/fleet/fleetDaemon.js'
@@ -10,12 +9,12 @@
 import { reloadFleetSettings } from './core/fleet/fleetNode.js'
 import { leaveFleet, reportSignal } from './core/fleet/leaveFleet.js'
 import { DefaultCallerDialect, DefaultServerDialect } from './core/gateway/dialects.js'
+import { runUntilStopped } from './core/runUntilStopped.js'
+import type { RunningVm } from './core/runUntilStopped.js'
 import { getCurrentTime } from './utils/clock.js'
 import { log } from './utils/logging.js'
-import type { Logs } from './utils/logging.js'
 import { readAnySettings, readCallerBlocks } from './utils/readSettings.js'
 import { listenForReload } from './utils/reloadSignal.js'
-import { listenForStop } from './utils/stopSignal.js'
 
 const exitFailed = 1
 const exitBadInput = 2
@@ -45,16 +44,8 @@
   process.stdout.write(`${file}: ok (VM ${cfg.vm}, ${cfg.roles.join('+')}, ${blocks.length} caller blocks)\n`)
 }
 
-/** A running VM, either service-addressed or of a fleet. */
-interface RunningVm extends AsyncDisposable {
-  readonly logs: Logs
-  /** Stops the VM gracefully: requests in progress are finished. */
-  readonly leave: () => Promise<void>
-  /** Logs a signal to stop; `firstAt` is the time of the first one, undefined for the first itself. */
-  readonly reportSignal: (signal: string, firstAt: Millis | undefined) => void
-}
-
-async function start (file: string): Promise<RunningVm> {
+/** Starts a VM, either service-addressed or of a fleet. */
+async function start (file: string): Promise<RunningVm & AsyncDisposable> {
   const settings = readAnySettings(file)
   if (settings.kind === 'fleet') {
     const reloadSignal = listenForReload()
@@ -80,18 +71,8 @@
 }
 
 async function run (file: string): Promise<void> {
-  const state: { vm?: RunningVm, stoppedAt?: Millis } = {}
-  const stopSignal = listenForStop(() => {
-    state.vm?.reportSignal('SIGINT', state.stoppedAt)
-    process.exit(exitFailed)
-  })
-  const running = state.vm = await start(file)
-  stopSignal.onRepeat = signal => log(running.logs, 'daemon', 'info', 'Signal ignored: the VM is stopping already.', { signal })
-  const signal = await stopSignal.received
-  running.reportSignal(signal, undefined)
-  state.stoppedAt = getCurrentTime()
-  await running.leave().catch((err: unknown) => log(running.logs, 'daemon', 'error', 'The stop failed.', { error: getErrorMessage(err) }))
-  await running[Symbol.asyncDispose]()
+  const vm = await runUntilStopped(async () => await start(file), exitFailed)
+  await vm[Symbol.asyncDispose]()
   process.exit(0)
 }
 
--- a/packages/daemon/src/utils/gracefulServer.ts
+++ b/packages/daemon/src/utils/gracefulServer.ts
@@ -8,24 +8,25 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http'
 import { Server as NetServer } from 'node:net'
 import type { Socket } from 'node:net'
-import { setImmediate as checkPhase, setTimeout as delay } from 'node:timers/promises'
+import { setTimeout as delay } from 'node:timers/promises'
 import type { Millis } from '@lynxcourse/base'
 import { getCurrentTime } from './clock.js'
-import { halfClose } from './lingeringClose.js'
+import { closeLingering } from './lingeringClose.js'
+import type { LingeringSockets } from './lingeringClose.js'
+import { createPollTracker, waitForPoll } from './pollPhase.js'
+import type { PollTracker } from './pollPhase.js'
 
-interface Connection {
-  /** Responses to the requests that were read, in their order, until each of them is sent. */
-  readonly open: Set<ServerResponse>
-  isEnding: boolean
-}
+/** Responses to the requests that were read from a connection, in their order, until each of them is sent. */
+type OpenResponses = Set<ServerResponse>
 
 /** The connections of a server and the calls in progress on them. */
 export interface ConnectionTracker {
   readonly server: Server
-  readonly connections: Map<Socket, Connection>
+  readonly connections: Map<Socket, OpenResponses>
+  readonly lingering: LingeringSockets
+  readonly polls: PollTracker
   /** Whether answers close their connections. */
   isLeaving: boolean
-  acceptCount: number
   /** Called when the last connection has closed. */
   onEmpty: () => void
 }
@@ -37,12 +38,10 @@
  * learned of the close is still answered.
  */
 const idleGraceMs: Millis = 100
-/** Limit on the wait until the accept queue is empty. */
-const maxAcceptDrainMs: Millis = 150
 
 /** Starts tracking the connections of a server, which has accepted none yet. Takes over its listeners for requests. */
 export function trackConnections (server: Server): ConnectionTracker {
-  const tracker: ConnectionTracker = { server, connections: new Map(), isLeaving: false, acceptCount: 0, onEmpty: () => undefined }
+  const tracker: ConnectionTracker = { server, connections: new Map(), lingering: new Set(), polls: createPollTracker(), isLeaving: false, onEmpty: () => undefined }
   // A check by class would load the module of TLS, which a VM without TLS does not need.
   const isTls = 'setSecureContext' in server
   server.on(isTls ? 'secureConnection' : 'connection', (socket: Socket) => addConnection(tracker, socket))
@@ -58,14 +57,14 @@
 /** Returns the number of calls that were read and whose answers are not sent yet. */
 export function countOpenCalls ({ connections }: ConnectionTracker): number {
   let count = 0
-  for (const { open } of connections.values()) count += open.size
+  for (const open of connections.values()) count += open.size
   return count
 }
 
 function addConnection (tracker: ConnectionTracker, socket: Socket): void {
   const { connections } = tracker
-  connections.set(socket, { open: new Set(), isEnding: false })
-  tracker.acceptCount += 1
+  connections.set(socket, new Set())
+  tracker.polls.acceptCount += 1
   if (tracker.isLeaving) endAfterLastAnswer(tracker, socket)
   socket.once('close', () => {
     connections.delete(socket)
@@ -75,17 +74,17 @@
 
 /** Records a call. Returns false if it can't be answered, because an answer before it closes the connection. */
 function admitCall (tracker: ConnectionTracker, socket: Socket, res: ServerResponse): boolean {
-  const connection = tracker.connections.get(socket)
-  if (connection === undefined) return true
-  const previous = [...connection.open].at(-1)
+  const open = tracker.connections.get(socket)
+  if (open === undefined) return true
+  const previous = [...open].at(-1)
   if (tracker.isLeaving) {
-    if (connection.isEnding || (previous !== undefined && isClosing(previous))) return false
+    if (tracker.lingering.has(socket) || (previous !== undefined && isClosing(previous))) return false
     markLast(res, previous)
   }
-  connection.open.add(res)
+  open.add(res)
   res.once('close', () => {
-    connection.open.delete(res)
-    if (tracker.isLeaving && connection.open.size === 0) endConnection(connection, socket)
+    open.delete(res)
+    if (tracker.isLeaving && open.size === 0) endConnection(tracker, socket)
   })
   return true
 }
@@ -103,17 +102,12 @@
 
 /** Replaces the way in which Node closes the connection after an answer with `connection: close`. */
 function endAfterLastAnswer (tracker: ConnectionTracker, socket: Socket): void {
-  socket.destroySoon = () => {
-    const connection = tracker.connections.get(socket)
-    if (connection !== undefined) endConnection(connection, socket)
-  }
+  socket.destroySoon = () => endConnection(tracker, socket)
 }
 
 /** Half-closes a connection and discards what still arrives, until the peer closes or the limit has passed. */
-function endConnection (connection: Connection, socket: Socket): void {
-  if (connection.isEnding || socket.destroyed) return
-  connection.isEnding = true
-  halfClose(socket, lingerMs)
+function endConnection ({ lingering }: ConnectionTracker, socket: Socket): void {
+  closeLingering(lingering, socket, lingerMs)
 }
 
 /**
@@ -123,7 +117,7 @@
 export function announceClose (tracker: ConnectionTracker): void {
   if (tracker.isLeaving) return
   tracker.isLeaving = true
-  for (const [socket, { open }] of tracker.connections) {
+  for (const [socket, open] of tracker.connections) {
     endAfterLastAnswer(tracker, socket)
     const last = [...open].at(-1)
     if (last !== undefined) markLast(last, undefined)
@@ -137,16 +131,17 @@
  * @returns the number of calls whose answers were not sent by the deadline
  */
 export async function closeGracefully (tracker: ConnectionTracker, deadline: Millis): Promise<number> {
-  const { server, connections } = tracker
+  const { server, connections, polls } = tracker
   announceClose(tracker)
-  await drainAcceptQueue(tracker)
+  // Closing the listener would reset the connections in the accept queue.
+  await waitForPoll(polls)
   // The method of the HTTP server would destroy connections, see above.
   if (server.listening) NetServer.prototype.close.call(server)
   if (connections.size > 0) await delay(Math.max(0, Math.min(idleGraceMs, deadline - getCurrentTime())))
   // A timer may run before requests are read that arrived earlier.
-  await waitForNextPoll()
-  for (const [socket, connection] of connections) {
-    if (connection.open.size === 0) endConnection(connection, socket)
+  await waitForPoll(polls)
+  for (const [socket, open] of connections) {
+    if (open.size === 0) endConnection(tracker, socket)
   }
   await waitUntilEmpty(tracker, deadline)
   const lostCount = countOpenCalls(tracker)
@@ -166,22 +161,6 @@
   return lostCounts.reduce((sum, count) => sum + count, 0)
 }
 
-/** Accepts the connections that are waiting and reads what has arrived on them: closing the listener would reset them. */
-async function drainAcceptQueue (tracker: ConnectionTracker): Promise<void> {
-  const deadline = getCurrentTime() + maxAcceptDrainMs
-  let countBefore: number
-  do {
-    countBefore = tracker.acceptCount
-    await waitForNextPoll()
-  } while (tracker.acceptCount !== countBefore && getCurrentTime() < deadline)
-}
-
-/** Waits until the event loop has polled its sockets once more. The first immediate may run before that. */
-async function waitForNextPoll (): Promise<void> {
-  await checkPhase()
-  await checkPhase()
-}
-
 async function waitUntilEmpty (tracker: ConnectionTracker, deadline: Millis): Promise<void> {
   if (tracker.connections.size === 0) return
   await new Promise<void>(resolve => {
--- a/packages/daemon/src/utils/lingeringClose.ts
+++ b/packages/daemon/src/utils/lingeringClose.ts
@@ -19,20 +19,16 @@
   socket.destroySoon = () => closeLingering(lingering, socket)
 }
 
-/** Half-closes a connection and keeps it in the set until it has closed. */
-export function closeLingering (lingering: LingeringSockets, socket: Socket): void {
-  if (lingering.has(socket) || socket.destroyed) return
-  lingering.add(socket)
-  socket.once('close', () => lingering.delete(socket))
-  halfClose(socket, lingerMs)
-}
-
 /**
- * Half-closes a connection once everything that was written is sent, and discards what arrives until the peer closes.
+ * Half-closes a connection once everything that was written is sent, and discards what arrives until the peer closes. Keeps it in the set
+ * until it has closed.
  *
  * @param waitMs longest wait for the peer's close
  */
-export function halfClose (socket: Socket, waitMs: Millis): void {
+export function closeLingering (lingering: LingeringSockets, socket: Socket, waitMs = lingerMs): void {
+  if (lingering.has(socket) || socket.destroyed) return
+  lingering.add(socket)
+  socket.once('close', () => lingering.delete(socket))
   // Nothing of it can be answered any more, so it must not reach the HTTP parser.
   socket.removeAllListeners('data')
   socket.on('data', () => undefined)
--- a/scripts/shutdown/vms.ts
+++ b/scripts/shutdown/vms.ts
@@ -1,22 +1,17 @@
 /** VMs of the shutdown rig: real daemons in separate processes, whose signals and exits are recorded. */
-import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { openSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
-import { fileURLToPath } from 'node:url'
 import { brandId } from '@lynxcourse/base'
 import type { FailureDomainId, RegionId } from '@lynxcourse/base'
 import type { FleetFileInput } from '@lynxcourse/daemon'
 import { request } from 'undici'
-import { stringify } from 'yaml'
+import { domains, getVmIp, regions, spawnDaemon } from '../support/fleetProcesses.js'
 import { kill, sleep, waitForExit, waitUntil } from '../support/processes.js'
 import type { ObservedSignal } from './types.js'
 
-const daemonScript = fileURLToPath(import.meta.resolve('@lynxcourse/daemon').replace('daemon.js', 'main.js'))
+/** Second octet of the first network that VMs of the rig use. */
+const firstNet = 160
 const readyIntervalMs = 200
-/** Failure domains of each region. */
-const regions: Record<string, string[]> = { kochi: ['kochi-a', 'kochi-b'], chennai: ['chennai-a', 'chennai-b'], mumbai: ['mumbai-a', 'mumbai-b'] }
-export const domains = Object.values(regions).flat().map(name => brandId<FailureDomainId>(name))
 /** A VM passes large answers on in pieces only if it knows its link. */
 const capacity = { cores: 1, linkMbps: 400 }
 /** Heap of a VM that is not short of memory. */
@@ -71,19 +66,11 @@
 
 /** Returns the RPC address of the VM with the given index. */
 export function getRpcAddress (index: number): string {
-  return `${getVmIp(index)}:7100`
-}
-
-/**
- * Returns a separate loopback address for each VM. On a shared address, an outgoing connection could take the port of a
- * VM that is down, and the VM could not start again.
- */
-function getVmIp (index: number): string {
-  return `127.${160 + process.pid % 64}.${(process.pid >> 6) % 256}.${index + 1}`
+  return `${getVmIp(firstNet, index)}:7100`
 }
 
 function createSettings ({ index, role, folder, seeds, stopMs }: VmProperties): FleetFileInput {
-  const ip = getVmIp(index)
+  const ip = getVmIp(firstNet, index)
   const [rpc, callers, metrics] = [getRpcAddress(index), `${ip}:7000`, `${ip}:7200`]
   const domain = domains[index % domains.length] as FailureDomainId
   const name = `${role}-${index}`
@@ -103,25 +90,15 @@
   }
 }
 
-/** Running daemon processes, which are killed when the rig is interrupted. */
-const children = new Set<ChildProcess>()
-process.on('exit', () => { for (const child of children) child.kill('SIGKILL') })
-for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1))
-
 /** Writes the VM's settings and starts its process; throws an error if it runs already. */
 export function startVm (vm: RigVm): void {
   if (isRunning(vm)) throw new Error(`${vm.name} runs already`)
-  const file = join(vm.folder, `${vm.name}.yaml`)
-  writeFileSync(file, stringify({ fleet: vm.settings }))
-  const out = openSync(join(vm.folder, `${vm.name}.log`), 'a')
   vm.signals.push({ vm: vm.name, type: 'start', at: performance.now() })
-  const child = spawn(process.execPath, [`--max-old-space-size=${vm.memoryMb}`, daemonScript, '--config', file], { stdio: ['ignore', out, out] })
+  const child = spawnDaemon(vm.settings, vm.folder, vm.memoryMb)
   vm.child = child
   vm.hasBeenReady = false
-  children.add(child)
   child.once('exit', (code, signal) => {
     vm.signals.push({ vm: vm.name, type: 'exit', at: performance.now(), code: code ?? signal ?? undefined })
-    children.delete(child)
   })
 }
 
--- a/scripts/soak/callers.ts
+++ b/scripts/soak/callers.ts
@@ -1,7 +1,7 @@
 /** Creates the simulated callers of a run: several per entry VM, spread over all regions. */
 import { createRandom } from '@lynxcourse/base'
+import { regions } from '../support/fleetProcesses.js'
 import type { Caller, EntryVm } from './caller.js'
-import { regions } from './soakSystem.js'
 import type { SoakSystem } from './soakSystem.js'
 
 const callersPerEntry = 3
--- a/scripts/soak/soakSystem.ts
+++ b/scripts/soak/soakSystem.ts
@@ -5,6 +5,7 @@
 import type { FailureDomainId, RegionId, ServiceId } from '@lynxcourse/base'
 import { addResource } from '@lynxcourse/daemon'
 import type { FleetFileInput, ResourceStack } from '@lynxcourse/daemon'
+import { domains, getVmIp, regions } from '../support/fleetProcesses.js'
 import { createControlClient } from './controlClient.js'
 import type { ControlClient } from './controlClient.js'
 import type { SoakSize } from './faultPlan.js'
@@ -31,9 +32,6 @@
 }
 
 const services = ['desk', 'ledger'].map(name => brandId<ServiceId>(name))
-/** Failure domains of each region. */
-export const regions: Record<string, string[]> = { kochi: ['kochi-a', 'kochi-b'], chennai: ['chennai-a', 'chennai-b'], mumbai: ['mumbai-a', 'mumbai-b'] }
-const domains = Object.values(regions).flat().map(name => brandId<FailureDomainId>(name))
 
 /** Creates a system whose VMs are not started yet; the stack owns the resources that it opens. */
 export async function createSoakSystem (seed: number, size: SoakSize, folder: string, stack: ResourceStack): Promise<SoakSystem> {
@@ -55,17 +53,12 @@
   return { size, history, vms, seeds, servers, domains, services, client, operator: createOperator(client, history, services) }
 }
 
-/**
- * Returns a separate loopback address for each VM. On a shared address, an outgoing connection could take the port of a
- * VM that is down, and the VM could not start again.
- */
-function getVmIp (index: number): string {
-  return `127.${64 + process.pid % 64}.${(process.pid >> 6) % 256}.${index + 1}`
-}
+/** Second octet of the first network that VMs of a soak use. */
+const firstNet = 64
 
 function createVmSettings (index: number, size: SoakSize, folder: string): FleetFileInput {
   const isControl = index < size.controls
-  const ip = getVmIp(index)
+  const ip = getVmIp(firstNet, index)
   const [rpc, callers, metrics] = [`${ip}:7100`, `${ip}:7000`, `${ip}:7200`]
   const domain = domains[index % domains.length] as FailureDomainId
   const region = brandId<RegionId>(domain.slice(0, -2))
--- a/scripts/soak/vmProcess.ts
+++ b/scripts/soak/vmProcess.ts
@@ -1,18 +1,14 @@
 /** One VM of a soak: the real daemon in a separate process, reached through proxies that can inject link faults. */
-import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
-import { appendFileSync, openSync, rmSync, writeFileSync } from 'node:fs'
+import { appendFileSync, rmSync } from 'node:fs'
 import { join } from 'node:path'
-import { fileURLToPath } from 'node:url'
 import type { FleetFileInput } from '@lynxcourse/daemon'
-import { stringify } from 'yaml'
+import { spawnDaemon } from '../support/fleetProcesses.js'
 import { waitForExit, kill, sleep } from '../support/processes.js'
 import { startFaultProxy } from './faultProxy.js'
 import type { FaultProxy } from './faultProxy.js'
 import type { SoakHistory } from './history.js'
 
-const daemonScript = fileURLToPath(import.meta.resolve('@lynxcourse/daemon').replace('daemon.js', 'main.js'))
-
 /** A planned stop that takes longer than this is a violation; the value exceeds the daemon's own limit. */
 const stopTimeoutMs = 8000
 
@@ -54,22 +50,14 @@
   return vm
 }
 
-/** Running daemon processes, which are killed when the soak is interrupted. */
-const children = new Set<ChildProcess>()
-process.on('exit', () => { for (const child of children) child.kill('SIGKILL') })
-for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1))
+const heapMb = 150
 
 /** Writes the VM's settings and starts its daemon process. */
 export function startVm (vm: SoakVm, seeds: readonly string[], isFirstStart: boolean): void {
-  const file = join(vm.folder, `${vm.name}.yaml`)
-  writeFileSync(file, stringify({ fleet: { ...vm.settings, advertisedRpc: vm.rpc.address, seeds, isFirstStart } }))
-  const out = openSync(join(vm.folder, `${vm.name}.log`), 'a')
-  const child = spawn(process.execPath, ['--max-old-space-size=150', daemonScript, '--config', file], { stdio: ['ignore', out, out] })
+  const child = spawnDaemon({ ...vm.settings, advertisedRpc: vm.rpc.address, seeds: [...seeds], isFirstStart }, vm.folder, heapMb)
   vm.child = child
   vm.isEnding = false
-  children.add(child)
   child.once('exit', (code, signal) => {
-    children.delete(child)
     if (!vm.isEnding) vm.history.recordedViolations.push(`ended: ${vm.name} exited by itself with ${code ?? signal}`)
   })
 }
