Logs and metrics: the build that runs, what a control VM reads at a start, and memory before it runs out

Cause: the users' report of ended control VMs names no version, and holds no line that tells a full heap from another end; a process that runs out of memory logs nothing itself.

Measured: memoryWatch.test.ts. No decision changes.

--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -30,7 +30,9 @@
 
 /** Opens the data folder and starts the replica stored there; an empty folder starts none. */
 export async function openControl (env: ControlEnv): Promise<ControlHost> {
+  const startedAt = getCurrentTime()
   const { storage, stored } = await openStorage(env.folder)
+  if (stored !== undefined) log(env.logs, 'agree', 'info', 'Log read.', { logBytes: storage.logBytes, entries: stored.entries.length, snapshotBytes: stored.snapshot.data.length, tookMs: Math.round(getCurrentTime() - startedAt) })
   const identity = await readIdentity(env.folder)
   const incarnation = (identity?.incarnation ?? env.firstIncarnation ?? randomUUID().slice(0, 8)) as Incarnation
   const charts = { claim: loadChart('claim'), crashingRequest: loadChart('crashingRequest'), drain: loadChart('drain'), rollout: loadChart('rollout'), shift: loadChart('shift') }
@@ -191,6 +193,7 @@
     host.env.metrics.diskSyncs.inc()
     host.env.metrics.logEntries.set(replica.entries.length)
     host.env.metrics.logBytes.set(host.storage.logBytes)
+    host.env.metrics.snapshotBytes.set(replica.snapshot.data.length)
   }
   logMemberChanges(host, output)
   sendMessages(host, output.messages)
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -6,6 +6,7 @@
 import type { BackendAnnouncement, ChangeAnswer, CrashCommand, KnownVersions, RolloutCommand, RouteCommand } from '@lynxcourse/state'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
+import type { LogFields } from '../../utils/logging.js'
 import { openControl } from '../control/controlHost.js'
 import { findLeader, isLeading } from '../control/hostState.js'
 import type { ControlEnv, ControlHost } from '../control/hostState.js'
@@ -285,6 +286,11 @@
   return replica === undefined ? Infinity : now - appliedUpToDateAt
 }
 
+/** Returns the sizes of what this VM holds, for the log. */
+export function describeHeldBytes ({ host, changes }: FleetControl): LogFields {
+  return { logBytes: host.storage.logBytes, logEntries: host.replica?.entries.length, snapshotBytes: host.replica?.snapshot.data.length, changeBytes: changes.bytes, proposals: host.proposals.length + host.appendedProposals.size }
+}
+
 /** Whether a call that failed with this error may succeed at another VM. */
 export function isRetryableElsewhere (err: unknown): boolean {
   return isLynxError(err, 'notLeader') || isLynxError(err, 'noQuorum') || isLynxError(err, 'peerFailed') || isLynxError(err, 'overCapacity') || isLynxError(err, 'diskFailed')
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -9,7 +9,10 @@
 import type { ConnectionTracker } from '../../utils/gracefulServer.js'
 import { closeServer, listen } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
+import { watchMemory } from '../node/memoryWatch.js'
+import type { MemoryUse } from '../node/memoryWatch.js'
 import { createMetricsServer } from '../../utils/metricsServer.js'
+import { programBuild } from '../../utils/programBuild.js'
 import { createResourceStack, moveResources, addResource } from '../../utils/resourceStack.js'
 import type { ResourceStack } from '../../utils/resourceStack.js'
 import { countTraffic } from '../../utils/trafficMeter.js'
@@ -30,7 +33,7 @@
 import { repeat } from '../node/timers.js'
 import { createRpcServer, listenRpc } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
-import { openFleetControl, getStateAge } from './fleetControl.js'
+import { describeHeldBytes, openFleetControl, getStateAge } from './fleetControl.js'
 import type { FleetControl } from './fleetControl.js'
 import { addFleetMethods } from './fleetMethods.js'
 import { createFleetNode, isReadyForCallers } from './fleetNode.js'
@@ -75,6 +78,7 @@
   const rpc = createRpcServer({ maxBytes: maxRpcBytes, perSecond: rpcPerSecond }, node.metrics, undefined, node.loop)
   const control = cfg.roles.includes('control') ? await startControl(stack, node, rpc) : undefined
   const gateway = cfg.roles.includes('entry') ? openGateway(stack, node, dialects) : undefined
+  addResource(stack, watchMemory(node.metrics, use => logShortMemory(node, control, use)))
   if (gateway !== undefined) addNoticeMethod(rpc, gateway)
   const metricsServer = createMetricsServer(node.metrics, () => isServing(node, control))
   const internalServers = [rpc.server, metricsServer].map(server => trackConnections(server))
@@ -83,11 +87,17 @@
   await listen(metricsServer, cfg.metrics)
   const callerServer = gateway === undefined ? undefined : await startCallerServer(stack, gateway)
   const stateWatch = gateway === undefined ? undefined : startWatch(stack, node)
-  log(node.logs, 'daemon', 'info', 'Started.', { vm: cfg.name, region: cfg.region, failureDomain: cfg.failureDomain, roles: cfg.roles.join(), rpc: cfg.rpc, callers: cfg.callers, firstStart: cfg.isFirstStart })
+  log(node.logs, 'daemon', 'info', 'Started.', { vm: cfg.name, region: cfg.region, failureDomain: cfg.failureDomain, roles: cfg.roles.join(), rpc: cfg.rpc, callers: cfg.callers, firstStart: cfg.isFirstStart, build: programBuild })
   const owned = moveResources(stack)
   return { node, control, gateway, stateWatch, callerServer, internalServers, [Symbol.asyncDispose]: async () => await owned[Symbol.asyncDispose]() }
 }
 
+/** Logs what may hold the memory. A process that runs out of it ends without a line of its own. */
+function logShortMemory (node: FleetNode, control: FleetControl | undefined, { heapBytes, heapLimitBytes, residentBytes }: MemoryUse): void {
+  const held = control === undefined ? {} : describeHeldBytes(control)
+  log(node.logs, 'daemon', 'warn', 'Memory is short.', { heapBytes, heapLimitBytes, residentBytes, ...held })
+}
+
 /** Starts to follow the state, and to confirm it while the watch is late. */
 function startWatch (stack: ResourceStack, node: FleetNode): StateWatch {
   const watch = addResource(stack, startStateWatch(node, () => describeSelf(node)))
