The bodies of changes count as in progress from their first byte on

What callers saw: a control VM that gets the bodies of many changes at once, whole or in part, holds all of them in memory, up to 2 MiB for each connection, and ends once it is over its limit.

Cause: a change was admitted after its body had been read. The number of bodies that are being read had no bound, and a sender that stops in the middle of one held its part for five minutes.

Change: the bytes of a body are counted as they arrive; over 2 MiB together the change is refused at once with 503, and a small one still goes on.

Why it holds: nothing of a body is kept that isn't counted.

--- a/packages/daemon/__tests__/changesInProgress.test.ts
+++ b/packages/daemon/__tests__/changesInProgress.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test'
 import { lastIndex } from '@lynxcourse/agreement'
 import { isLynxError } from '@lynxcourse/base'
-import { admitChange, isLeading, submitFleetCommand } from '@lynxcourse/daemon'
+import { admitChange, createChangesInProgress, isLeading, submitFleetCommand } from '@lynxcourse/daemon'
 import type { FleetControl } from '@lynxcourse/daemon'
 import { createReplaceRoutesCommand, createRouteToDesk, getControl, startFleetFixture, submitCommand } from './support/fleetFixture.js'
 
@@ -24,7 +24,7 @@
 
 // Guards against control VMs that run out of memory because several large changes are decoded at once.
 test('a large change waits elsewhere while others are in progress, and the space is free again after a failure', async () => {
-  const changes = { bytes: 0, proposed: new Map() }
+  const changes = createChangesInProgress()
   let finish: () => void = () => undefined
   const first = admitChange(changes, 2_000_000, async () => await new Promise<void>(resolve => { finish = resolve }))
   await assert.rejects(admitChange(changes, 1_000_000, async () => undefined), err => isLynxError(err, 'overCapacity'))
--- a/packages/daemon/src/core/fleet/changesInProgress.ts
+++ b/packages/daemon/src/core/fleet/changesInProgress.ts
@@ -4,16 +4,20 @@
  * An operator who gets no answer in time sends a change again. A large one takes longer than a call waits; if each repetition were another entry of the
  * log, the leader would fall further behind with each of them. Several large ones at once would not fit into a control VM's memory.
  */
-import { LynxError } from '@lynxcourse/base'
+import type { IncomingMessage } from 'node:http'
 import type { Millis } from '@lynxcourse/base'
 import { getRoutesVersion } from '@lynxcourse/state'
 import type { ChangeAnswer, ReplaceRoutesCommand, RouteChangeId, UpdateRoutesCommand } from '@lynxcourse/state'
+import { openTakenBytes } from '../../utils/byteBudget.js'
+import type { ByteBudget } from '../../utils/byteBudget.js'
+import { readBody } from '../../utils/httpServer.js'
 import { createNoQuorumError } from '../control/hostState.js'
 import type { ControlHost } from '../control/hostState.js'
 import { confirmRead, proposeChange } from '../control/proposals.js'
 
 /** Maximum size of the changes that are decoded at once, in bytes of their bodies. A larger one is decoded alone. */
 const maxBytesInProgress = 2_097_152
+const admitStep = 'admit change'
 /** Time after which a change that was proposed is proposed again if it is sent again. */
 const proposedMs: Millis = 10_000
 
@@ -22,15 +26,14 @@
   readonly answer: Promise<ChangeAnswer>
 }
 
-/** The changes in progress at one control VM. */
-export interface ChangesInProgress {
-  bytes: number
+/** The changes in progress at one control VM, with the bytes of their bodies. */
+export interface ChangesInProgress extends ByteBudget {
   /** At the leader: changes that were proposed and have no result yet. */
   readonly proposed: Map<RouteChangeId, ProposedChange>
 }
 
 export function createChangesInProgress (): ChangesInProgress {
-  return { bytes: 0, proposed: new Map() }
+  return { maxBytes: maxBytesInProgress, bytes: 0, proposed: new Map() }
 }
 
 /**
@@ -39,15 +42,20 @@
  * @throws LynxError `overCapacity` if the changes in progress are too large already
  */
 export async function admitChange<Result> (changes: ChangesInProgress, bytes: number, work: () => Promise<Result>): Promise<Result> {
-  if (changes.bytes > 0 && changes.bytes + bytes > maxBytesInProgress) {
-    throw new LynxError('overCapacity', `changes of ${changes.bytes} bytes are in progress`, { step: 'admit change' })
-  }
-  changes.bytes += bytes
-  try {
-    return await work()
-  } finally {
-    changes.bytes -= bytes
-  }
+  using taken = openTakenBytes(changes, admitStep)
+  taken.take(bytes)
+  return await work()
+}
+
+/**
+ * Reads the body of a change and processes it. The body counts as in progress from its first byte on: senders that stop in the middle of
+ * a body would otherwise fill the memory.
+ *
+ * @throws LynxError `tooLarge` if the body is larger than `maxBytes`, `overCapacity` if the changes in progress are too large already
+ */
+export async function admitChangeBody<Result> (changes: ChangesInProgress, req: IncomingMessage, maxBytes: number, work: (body: Buffer) => Promise<Result>): Promise<Result> {
+  using taken = openTakenBytes(changes, admitStep)
+  return await work(await readBody(req, maxBytes, taken))
 }
 
 /**
--- a/packages/daemon/src/utils/httpServer.ts
+++ b/packages/daemon/src/utils/httpServer.ts
@@ -1,6 +1,7 @@
 /** Helpers for Node's HTTP server. */
 import type { IncomingMessage, Server } from 'node:http'
 import { LynxError, getErrorMessage } from '@lynxcourse/base'
+import type { TakenBytes } from './byteBudget.js'
 
 /** Splits `IP:port` into host and port. */
 export function parseAddress (address: string): { host: string, port: number } {
@@ -43,15 +44,17 @@
 /**
  * Reads a whole request body.
  *
- * @throws LynxError `tooLarge` if the body is larger than `maxBytes`
+ * @param taken counts the bytes as they arrive; without it, only `maxBytes` bounds them
+ * @throws LynxError `tooLarge` if the body is larger than `maxBytes`, or as `taken` does
  */
-export async function readBody (req: IncomingMessage, maxBytes: number): Promise<Buffer> {
+export async function readBody (req: IncomingMessage, maxBytes: number, taken?: TakenBytes): Promise<Buffer> {
   const chunks: Buffer[] = []
   let size = 0
   // An error must not destroy the request: that would close the connection before the response is sent.
   for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
     size += chunk.length
     if (size > maxBytes) throw new LynxError('tooLarge', `body over ${maxBytes} bytes`, { step: 'read body', field: 'body' })
+    taken?.take(chunk.length)
     chunks.push(chunk)
   }
   return Buffer.concat(chunks)
