Large messages between VMs, and changes without a result, are bounded by bytes

What callers saw: an operator's large changes, sent at once through several control VMs, were all answered 503, and no change was accepted while that went on.

Cause: each control VM admits 2 MiB of changes, and the leader gets those of all of them. It unpacks, parses and checks all of them, is blocked for longer than an election timeout, and loses its leadership before it has proposed one. The next leader gets the same calls. A proposed change is held for 10 s, its sender waits for 0.8 s.

Change: an RPC server takes 4 MiB of large messages at once, in bytes of their text, or a larger one alone; the others are refused before they are unpacked. Answers that their callers don't take are bounded by 16 MiB, changes without a result at the leader by 8 MiB.

Why it holds: what is refused costs the leader a read of the compressed message.

--- a/packages/daemon/src/core/fleet/changesInProgress.ts
+++ b/packages/daemon/src/core/fleet/changesInProgress.ts
@@ -5,10 +5,11 @@
  * log, the leader would fall further behind with each of them. Several large ones at once would not fit into a control VM's memory.
  */
 import type { IncomingMessage } from 'node:http'
+import { LynxError } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
-import { getRoutesVersion } from '@lynxcourse/state'
+import { getRoutesVersion, measureRouteChange } from '@lynxcourse/state'
 import type { ChangeAnswer, ReplaceRoutesCommand, RouteChangeId, UpdateRoutesCommand } from '@lynxcourse/state'
-import { openTakenBytes } from '../../utils/byteBudget.js'
+import { createByteBudget, openTakenBytes, returnBytes, tryTakeBytes } from '../../utils/byteBudget.js'
 import type { ByteBudget } from '../../utils/byteBudget.js'
 import { readBody } from '../../utils/httpServer.js'
 import { createNoQuorumError } from '../control/hostState.js'
@@ -17,6 +18,8 @@
 
 /** Maximum size of the changes that are decoded at once, in bytes of their bodies. A larger one is decoded alone. */
 const maxBytesInProgress = 2_097_152
+/** Maximum size of the changes without a result at the leader, as `measureRouteChange` measures them. */
+const maxProposedBytes = 8_388_608
 const admitStep = 'admit change'
 /** Time after which a change that was proposed is proposed again if it is sent again. */
 const proposedMs: Millis = 10_000
@@ -30,10 +33,12 @@
 export interface ChangesInProgress extends ByteBudget {
   /** At the leader: changes that were proposed and have no result yet. */
   readonly proposed: Map<RouteChangeId, ProposedChange>
+  /** At the leader: the sizes of these changes; they are held for longer than their senders wait. */
+  readonly proposedBytes: ByteBudget
 }
 
 export function createChangesInProgress (): ChangesInProgress {
-  return { maxBytes: maxBytesInProgress, bytes: 0, proposed: new Map() }
+  return { maxBytes: maxBytesInProgress, bytes: 0, proposed: new Map(), proposedBytes: createByteBudget(maxProposedBytes) }
 }
 
 /**
@@ -72,7 +77,9 @@
   const term = host.replica?.term ?? 0
   const known = changes.proposed.get(command.order)
   if (known?.term === term) return await waitForAnswer(known.answer, host.env.times.rpcTimeoutMs)
-  const answer = proposeChange(host, command, 'submit', proposedMs)
+  const bytes = measureRouteChange(command)
+  takeProposedBytes(changes, bytes)
+  const answer = proposeChange(host, command, 'submit', proposedMs).finally(() => returnBytes(changes.proposedBytes, bytes))
   const proposed: ProposedChange = { term, answer }
   changes.proposed.set(command.order, proposed)
   const forget = (): void => { if (changes.proposed.get(command.order) === proposed) changes.proposed.delete(command.order) }
@@ -81,6 +88,11 @@
   return await waitForAnswer(answer, host.env.times.rpcTimeoutMs)
 }
 
+function takeProposedBytes ({ proposedBytes }: ChangesInProgress, bytes: number): void {
+  if (tryTakeBytes(proposedBytes, bytes)) return
+  throw new LynxError('overCapacity', `changes of ${proposedBytes.bytes} bytes have no result yet`, { step: 'propose' })
+}
+
 async function waitForAnswer (answer: Promise<ChangeAnswer>, timeoutMs: Millis): Promise<ChangeAnswer> {
   let timer: NodeJS.Timeout | undefined
   const timeout = new Promise<never>((_resolve, reject) => {
--- a/packages/daemon/src/core/rpc/compression.ts
+++ b/packages/daemon/src/core/rpc/compression.ts
@@ -25,6 +25,14 @@
   return gzipSync(text, gzipOptions)
 }
 
+/** Size of the fields at the end of gzip data; the last one is the length of the uncompressed data. */
+const gzipTrailerBytes = 8
+
+/** Returns the length of a body once it is decompressed, as the body itself says. */
+export function getUnpackedSize (body: Buffer, encoding: string | undefined): number {
+  return encoding === supportedEncoding && body.length >= gzipTrailerBytes ? body.readUInt32LE(body.length - 4) : body.length
+}
+
 /**
  * Decompresses the body of a message.
  *
--- a/packages/daemon/src/core/rpc/rpcServer.ts
+++ b/packages/daemon/src/core/rpc/rpcServer.ts
@@ -6,6 +6,8 @@
 import { JSONRPCErrorCode, JSONRPCServer, createJSONRPCErrorResponse } from 'json-rpc-2.0'
 import { LynxError, isLynxError, getErrorMessage } from '@lynxcourse/base'
 import type { z } from 'zod'
+import { createByteBudget, openTakenBytes } from '../../utils/byteBudget.js'
+import type { ByteBudget } from '../../utils/byteBudget.js'
 import type { Metrics } from '../../utils/metrics.js'
 import { CancelSignal } from '../../utils/cancelSignal.js'
 import { getCurrentTime } from '../../utils/clock.js'
@@ -15,7 +17,7 @@
 import type { RateLimit } from '../../utils/rateLimit.js'
 import { checkSenderConnected } from '../../utils/senderCheck.js'
 import type { TlsFiles } from '../../plugins/tlsFiles.js'
-import { shouldCompress, compressText, decompressText, supportedEncoding } from './compression.js'
+import { shouldCompress, compressText, decompressText, getUnpackedSize, supportedEncoding } from './compression.js'
 
 /**
  * The sender of a call, identified by the common name of its certificate: `vm:NAME`, `operator:NAME` or `server:NAME`.
@@ -36,6 +38,8 @@
    * @throws LynxError `cancelled` if the caller closed the connection
    */
   readonly ensureConnected: () => Promise<void>
+  /** Length of the uncompressed message. */
+  readonly size: number
   /** Aborted when the connection closes or the response has been sent. */
   readonly gone: CancelSignal
 }
@@ -46,12 +50,28 @@
   readonly server: Server
   readonly methods: JSONRPCServer<RpcCall>
   readonly metrics: Metrics
+  readonly limits: RpcLimits
+  readonly rateLimit: RateLimit
+  readonly loop: LoopMonitor
+  /** Large messages that are being received or processed. */
+  readonly received: ByteBudget
+  /** Large answers that are not sent yet. */
+  readonly sent: ByteBudget
 }
 
 /** JSON-RPC error code of all LynxErrors; `data` has the details. */
 const applicationErrorCode = -32000
 const maxHeaderBytes = 16_384
 const wireCountIntervalMs = 1000
+/** Messages and answers up to this size are not counted. */
+const smallMessageBytes = 16_384
+/**
+ * Maximum size of the large messages in progress, in bytes of their text. The objects of a message take several times as much. A larger
+ * message is processed while there is no other.
+ */
+const maxReceivedBytes = 4_194_304
+/** Maximum size of the large answers that are not sent yet. */
+const maxSentBytes = 16_777_216
 
 /** Limits on incoming messages. */
 export interface RpcLimits {
@@ -68,9 +88,8 @@
     const code = data === undefined ? JSONRPCErrorCode.InternalError : applicationErrorCode
     return createJSONRPCErrorResponse(id, code, getErrorMessage(err), data)
   }
-  const rateLimit = createRateLimit(limits.perSecond)
   const listener: RequestListener = (req, res) => {
-    handleRequest(methods, limits.maxBytes, rateLimit, loop, req, res).catch((err: unknown) => sendError(res, metrics, err))
+    handleRequest(rpc, req, res).catch((err: unknown) => sendError(res, metrics, err))
   }
   const options = { maxHeaderSize: maxHeaderBytes, requestTimeout: 30_000, headersTimeout: 10_000 }
   const server = tls === undefined
@@ -78,7 +97,8 @@
     : createTlsServer({ ...options, ...tls.current, requestCert: true, rejectUnauthorized: true }, listener)
   if (tls !== undefined) tls.onChange(files => (server as unknown as { setSecureContext: (o: object) => void }).setSecureContext(files))
   countWireBytes(server, metrics)
-  return { server, methods, metrics }
+  const rpc: RpcServer = { server, methods, metrics, limits, rateLimit: createRateLimit(limits.perSecond), loop, received: createByteBudget(maxReceivedBytes), sent: createByteBudget(maxSentBytes) }
+  return rpc
 }
 
 function sendError (res: ServerResponse, metrics: Metrics, err: unknown): void {
@@ -92,25 +112,40 @@
   res.writeHead(status, { 'content-type': 'application/json', connection: 'close' }).end(JSON.stringify(body))
 }
 
-async function handleRequest (methods: JSONRPCServer<RpcCall>, maxBytes: number, rateLimit: RateLimit, loop: LoopMonitor, req: IncomingMessage, res: ServerResponse): Promise<void> {
+async function handleRequest (rpc: RpcServer, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  const { methods, limits: { maxBytes }, rateLimit, loop } = rpc
   if (req.method !== 'POST' || req.url !== '/rpc') throw new LynxError('badRpc', 'expected POST /rpc', { step: 'receive' })
   const caller = identifyCaller(req)
   if (!takeToken(rateLimit, caller.address, getCurrentTime())) {
     throw new LynxError('overCapacity', `more than ${rateLimit.perSecond} messages per second`, { step: 'receive', peer: caller.address })
   }
-  const body = await readBody(req, maxBytes)
+  using taken = openTakenBytes(rpc.received, 'receive', smallMessageBytes)
+  const body = await readBody(req, maxBytes, taken)
+  const encoding = req.headers['content-encoding']
+  const size = Math.min(maxBytes, getUnpackedSize(body, encoding))
+  taken.take(Math.max(0, size - body.length))
   const ensureConnected = async (): Promise<void> => await checkSenderConnected(loop.polls, req.socket, 'receive')
   const gone = new CancelSignal()
   res.once('close', () => gone.abort())
-  const message = decompressText(body, req.headers['content-encoding'], maxBytes)
-  const answer = await methods.receiveJSON(message, { ...caller, ensureConnected, gone })
+  const message = decompressText(body, encoding, Math.max(1, size))
+  const answer = await methods.receiveJSON(message, { ...caller, ensureConnected, gone, size })
   const text = JSON.stringify(answer ?? null)
   const type = { 'content-type': 'application/json', 'accept-encoding': supportedEncoding }
-  if (shouldCompress(req.headers['accept-encoding']?.toString(), text.length)) {
-    res.writeHead(200, { ...type, 'content-encoding': supportedEncoding }).end(compressText(text))
-    return
-  }
-  res.writeHead(200, type).end(text)
+  const isPacked = shouldCompress(req.headers['accept-encoding']?.toString(), text.length)
+  const answerBody = isPacked ? compressText(text) : text
+  countUntilSent(rpc, res, answerBody.length)
+  res.writeHead(200, isPacked ? { ...type, 'content-encoding': supportedEncoding } : type).end(answerBody)
+}
+
+/**
+ * Counts a large answer until its caller has taken it.
+ *
+ * @throws LynxError `overCapacity` if the answers that are not sent yet are too large already
+ */
+function countUntilSent ({ sent }: RpcServer, res: ServerResponse, bytes: number): void {
+  const taken = openTakenBytes(sent, 'answer', smallMessageBytes)
+  taken.take(bytes)
+  res.once('close', () => taken[Symbol.dispose]())
 }
 
 /** Counts the bytes of each connection periodically and when it closes. */
--- a/packages/daemon/src/utils/byteBudget.ts
+++ b/packages/daemon/src/utils/byteBudget.ts
@@ -41,17 +41,21 @@
  * Takes bytes for one piece of work.
  *
  * @param step name of the operation, for errors
- * @param freeBytes number of bytes that are available in any case, so that small work goes on beside large work
+ * @param freeBytes work of at most this many bytes is not counted, so that small work goes on beside large work
  */
 export function openTakenBytes (budget: ByteBudget, step: string, freeBytes = 0): TakenBytes {
-  let ownBytes = 0
+  let size = 0
+  let countedBytes = 0
   return {
     take: bytes => {
-      const isSmall = ownBytes + bytes <= freeBytes
-      if (isSmall) budget.bytes += bytes
-      else if (!tryTakeBytes(budget, bytes, ownBytes)) throw new LynxError('overCapacity', `${budget.bytes} of ${budget.maxBytes} bytes are held`, { step })
-      ownBytes += bytes
+      const total = size + bytes
+      const isCounted = total > freeBytes
+      if (isCounted && !tryTakeBytes(budget, total - countedBytes, countedBytes)) {
+        throw new LynxError('overCapacity', `${budget.bytes} of ${budget.maxBytes} bytes are held`, { step })
+      }
+      size = total
+      if (isCounted) countedBytes = total
     },
-    [Symbol.dispose]: () => returnBytes(budget, ownBytes)
+    [Symbol.dispose]: () => returnBytes(budget, countedBytes)
   }
 }
