Entries that wait for a stalled disk are bounded by bytes

What callers would see: a control VM that ends while its disk stalls, if its leader's entries are large.

Cause: a message of the log is confirmed once it is queued. A leader without an answer sends entries again after three election timeouts, and the queue of a copy whose disk stalls kept each repetition.

Change: 4 MiB of messages with data wait at most; the next one is refused, which the leader counts as not delivered: it gets smaller and is sent again. Heartbeats are never refused.

Test: memoryBounds.test.ts (the function is new, so that the test doesn't build on the code before).

--- a/packages/daemon/__tests__/memoryBounds.test.ts
+++ b/packages/daemon/__tests__/memoryBounds.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
 import { isLynxError } from '@lynxcourse/base'
-import { createByteBudget, isLeading, openTakenBytes, submitFleetCommand } from '@lynxcourse/daemon'
+import { createByteBudget, enqueueMessage, isLeading, openTakenBytes, submitFleetCommand } from '@lynxcourse/daemon'
 import type { FleetControl } from '@lynxcourse/daemon'
 import type { RouteCommand } from '@lynxcourse/state'
 import { createReplaceRoutesCommand, createRouteToDesk, getControl, startFleetFixture, submitCommand, waitUntil } from './support/fleetFixture.js'
@@ -52,3 +52,20 @@
   assert.equal(findLeader(fixture), leader)
   assert.equal(leader.host.replica?.term, term)
 })
+
+/** Guards against a control VM whose memory fills with entries that its leader sends again and again while its disk stalls. */
+test('entries that wait for a stalled disk hold bounded memory', async () => {
+  await using fixture = await startFleetFixture(0)
+  await submitCommand(fixture, createReplaceRoutesCommand('first', 0, 1, [createRouteToDesk('read')]))
+  const { host } = findLeader(fixture)
+  const { replica } = host
+  assert.ok(replica !== undefined)
+  const entry = { index: 10_000, term: 0, at: 0, body: { type: 'noop' as const } }
+  const envelope = { cluster: replica.cluster, from: host.id, to: host.id, message: { type: 'append' as const, term: 0, prevIndex: 9999, prevTerm: 0, entries: [entry], commit: 0, round: 0, answeredAt: null, confirmedAgeMs: null } }
+  host.busy = new Promise(() => undefined)
+  for (let message = 0; message < 4; message++) enqueueMessage(host, envelope, 1_000_000)
+  assert.throws(() => enqueueMessage(host, envelope, 1_000_000), err => isLynxError(err, 'overCapacity'))
+  enqueueMessage(host, { ...envelope, message: { ...envelope.message, entries: [] } }, 1_000_000)
+  assert.equal(host.queuedBytes.bytes, 4_000_000)
+  host.busy = undefined
+})
--- a/packages/daemon/src/core/control/controlHost.ts
+++ b/packages/daemon/src/core/control/controlHost.ts
@@ -10,6 +10,7 @@
 import { applyEntry, createStateMachine, deserializeStateMachine, serializeStateMachine } from '@lynxcourse/state'
 import { randomUUID } from 'node:crypto'
 import { openStorage, probeDisk, readIdentity, rewriteLog, saveOutput, writeIdentity } from '../../plugins/logStorage.js'
+import { createByteBudget, returnBytes, tryTakeBytes } from '../../utils/byteBudget.js'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { packState, unpackState } from './snapshotText.js'
@@ -28,6 +29,9 @@
 /** A snapshot on its way to another copy delays the next one until the log is this many times as large as otherwise. */
 const maxCompactionDelay = 4
 
+/** Maximum size of the messages with entries or parts in the queue, in bytes of their text. */
+const maxQueuedBytes = 4_194_304
+
 /** Opens the data folder and starts the replica stored there; an empty folder starts none. */
 export async function openControl (env: ControlEnv): Promise<ControlHost> {
   const startedAt = getCurrentTime()
@@ -49,6 +53,7 @@
     roleChangedAt: -Infinity,
     heardLeader: undefined,
     events: [],
+    queuedBytes: createByteBudget(maxQueuedBytes),
     proposals: [],
     appendedProposals: new Map(),
     pendingReads: new Map(),
@@ -76,13 +81,42 @@
 }
 
 /** Queues an event for the replica; drops it if no replica is running. */
-export function enqueueEvent (host: ControlHost, event: ReplicaEvent): void {
+export function enqueueEvent (host: ControlHost, event: ReplicaEvent, bytes = 0): void {
   if (event.type === 'receive') recordHeardLeader(host, event.envelope, getCurrentTime())
-  if (host.replica === undefined || host.failed !== undefined) return
-  host.events.push(event)
+  if (host.replica === undefined || host.failed !== undefined) {
+    returnBytes(host.queuedBytes, bytes)
+    return
+  }
+  host.events.push({ event, bytes })
   startProcessing(host)
 }
 
+/**
+ * Queues a message of another control VM. While this VM's disk stalls, its leader sends what counts as lost again and again.
+ *
+ * @param size length of the message's text
+ * @throws LynxError `overCapacity` if the messages in the queue are too large already
+ */
+export function enqueueMessage (host: ControlHost, envelope: Envelope, size: number): void {
+  const bytes = hasData(envelope.message) ? size : 0
+  if (!tryTakeBytes(host.queuedBytes, bytes)) {
+    throw new LynxError('overCapacity', `messages of ${host.queuedBytes.bytes} bytes are in the queue`, { step: 'log.message' })
+  }
+  enqueueEvent(host, { type: 'receive', envelope }, bytes)
+}
+
+/** Removes and returns the first queued event. */
+function takeEvent (host: ControlHost): ReplicaEvent | undefined {
+  const first = host.events.shift()
+  if (first !== undefined) returnBytes(host.queuedBytes, first.bytes)
+  return first?.event
+}
+
+function dropEvents (host: ControlHost): void {
+  for (const { bytes } of host.events) returnBytes(host.queuedBytes, bytes)
+  host.events = []
+}
+
 /** Starts to process the queued events and proposals, unless a run is already in progress. */
 export function startProcessing (host: ControlHost): void {
   if (host.busy !== undefined) return
@@ -109,7 +143,7 @@
   if (host.replica !== undefined) handOverLeadership(host, host.replica)
   host.failed = isLynxError(err) ? err : new LynxError('diskFailed', getErrorMessage(err), { step: 'save', cause: err })
   host.replica = undefined
-  host.events = []
+  dropEvents(host)
   const level = isFirstFailure ? 'error' : 'debug'
   log(host.env.logs, 'agree', level, 'Replica stopped.', { error: host.failed.message, step: host.failed.step })
   rejectAll(host, host.failed)
@@ -156,7 +190,7 @@
 
 async function processQueues (host: ControlHost): Promise<void> {
   while (hasWork(host)) {
-    const event = host.events.shift()
+    const event = takeEvent(host)
     if (event !== undefined) await processEvent(host, host.replica, event)
     else await processProposals(host, host.replica)
   }
--- a/packages/daemon/src/core/control/hostState.ts
+++ b/packages/daemon/src/core/control/hostState.ts
@@ -6,6 +6,7 @@
 import type { CommandAnswer, Command, StateMachine, StateMachineCharts } from '@lynxcourse/state'
 import type { LogStorage } from '../../plugins/logStorage.js'
 import { getCurrentTime } from '../../utils/clock.js'
+import type { ByteBudget } from '../../utils/byteBudget.js'
 import type { Logs } from '../../utils/logging.js'
 import type { Metrics } from '../../utils/metrics.js'
 import type { RpcClient } from '../rpc/rpcClient.js'
@@ -35,6 +36,12 @@
   readonly reject: (err: LynxError) => void
 }
 
+/** An event that the replica has not processed yet, and the size of its message if that is counted. */
+export interface QueuedEvent {
+  readonly event: ReplicaEvent
+  readonly bytes: number
+}
+
 /** A proposal whose entry is in the leader's log but not yet applied. */
 interface AppendedProposal extends PendingProposal {
   readonly term: number
@@ -68,7 +75,9 @@
   roleChangedAt: Millis
   /** The last leader whose entries or heartbeats arrived here, whether or not the replica has processed them. */
   heardLeader: HeardLeader | undefined
-  events: ReplicaEvent[]
+  events: QueuedEvent[]
+  /** Sizes of the large messages in `events`. */
+  readonly queuedBytes: ByteBudget
   proposals: PendingProposal[]
   /** By the index of their entries. */
   appendedProposals: Map<number, AppendedProposal>
--- a/packages/daemon/src/core/control/joining.ts
+++ b/packages/daemon/src/core/control/joining.ts
@@ -9,7 +9,7 @@
 import { addMethod } from '../rpc/rpcServer.js'
 import type { RpcServer } from '../rpc/rpcServer.js'
 import { initCluster, isBlank, joinCluster } from './membership.js'
-import { enqueueEvent } from './controlHost.js'
+import { enqueueEvent, enqueueMessage } from './controlHost.js'
 import { isLeading } from './hostState.js'
 import type { ControlEnv, ControlHost } from './hostState.js'
 
@@ -41,7 +41,7 @@
     if (caller.role === 'vm' && caller.name !== getHolderVm(envelope.from)) {
       throw new LynxError('notAllowed', `vm:${caller.name} sends as ${envelope.from}`, { step: 'log.message', field: 'from' })
     }
-    enqueueEvent(host, { type: 'receive', envelope: envelope as Envelope })
+    enqueueMessage(host, envelope as Envelope, caller.size)
     return {}
   })
 }
