Long ids of servers are refused, and long names of services don't break reports between VMs

What callers saw: after an announcement of one server with an id of 201 characters, its control VM refuses the announcements of all servers ('no recent exchange with the leader'), and they count as lost. With a service name of 201 characters, each watch of an entry VM that carries a load report is refused.

Cause: announcements and configurations allow names up to 4096 characters, the reports between VMs ids and names up to 200. A report with one longer name is refused as a whole, again and again.

Change: an announcement whose id is longer than 200 characters is refused with an error that names the field, as are invalid fields of announcements over HTTP; reports allow the names that configurations allow.

Why it holds: a name that was accepted is valid in each report. Tests: both fail on (the id is not refused, and, with that assertion left out, another server's announcement fails with 'no recent exchange with the leader'; a watch is refused for load.busy.0.0).

--- a/packages/daemon/__tests__/memoryBounds.test.ts
+++ b/packages/daemon/__tests__/memoryBounds.test.ts
@@ -1,12 +1,19 @@
 /** What control VMs hold of large messages and changes has a bound in bytes. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
-import { isLynxError } from '@lynxcourse/base'
-import { createByteBudget, enqueueMessage, isLeading, openTakenBytes, submitFleetCommand } from '@lynxcourse/daemon'
-import type { FleetControl } from '@lynxcourse/daemon'
-import type { RouteCommand } from '@lynxcourse/state'
-import { createReplaceRoutesCommand, createRouteToDesk, getControl, startFleetFixture, submitCommand, waitUntil } from './support/fleetFixture.js'
+import { request } from 'undici'
+import { brandId, isLynxError } from '@lynxcourse/base'
+import type { ServerId, ServiceId } from '@lynxcourse/base'
+import { createByteBudget, delay, enqueueMessage, getCurrentTime, handleAnnouncement, isLeading, openTakenBytes, submitFleetCommand } from '@lynxcourse/daemon'
+import type { FleetControl, FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
+import { findItem, getRoutesVersion } from '@lynxcourse/state'
+import type { ReplaceRoutesCommand, RouteCommand } from '@lynxcourse/state'
+import { createReplaceRoutesCommand, createRouteToDesk, getControl, startFleetFixture, startTestServer, submitCommand, waitUntil } from './support/fleetFixture.js'
 import type { FleetFixture } from './support/fleetFixture.js'
+import { createKeptLogs } from './support/keptLogs.js'
+
+/** Longer than a control VM may be out of touch with the leader and confirm announcements. */
+const presenceLossMs = 2500
 
 function createLargeChange (order: string, routeCount: number): RouteCommand {
   return createReplaceRoutesCommand(order, 1, 2, Array.from({ length: routeCount }, (_, index) => createRouteToDesk(`${order}-${index}`, { pathPrefix: `/${order}-${index}/` })))
@@ -69,3 +76,42 @@
   assert.equal(host.queuedBytes.bytes, 4_000_000)
   host.busy = undefined
 })
+
+/** Guards against servers that count as lost because the reports of their control VM are refused for the long id of another server. */
+test('a server whose id is too long is refused, and other servers stay', async () => {
+  await using fixture = await startFleetFixture(0)
+  await submitCommand(fixture, createReplaceRoutesCommand('first', 0, 1, [createRouteToDesk('read')]))
+  const follower = fixture.daemons.map((_, index) => getControl(fixture, index)).find(({ host }) => !isLeading(host)) as FleetControl
+  await using server = await startTestServer('s1', (_req, res) => res.end('whole'))
+  const announceServer = async (id: string): Promise<void> => await handleAnnouncement(follower, { ...server.facts, id: brandId<ServerId>(id) }, getCurrentTime())
+  await waitUntil(async () => await announceServer('s1').then(() => true, () => false))
+  await assert.rejects(announceServer('i'.repeat(201)), err => isLynxError(err, 'badRequest') && err.field === 'id')
+  await delay(presenceLossMs)
+  await announceServer('s1')
+})
+
+/** Guards against entry VMs whose watches of the state and load reports are refused for the long name of a service. */
+test('the load reports of entry VMs are accepted when the name of a service is long', async () => {
+  const { logs, lines } = createKeptLogs()
+  await using fixture = await startFleetFixture(1, { logs })
+  await using server = await startTestServer('s1', (_req, res) => res.end('whole'))
+  const service = brandId<ServiceId>('desk'.repeat(100))
+  const createChange = (version: number): ReplaceRoutesCommand => {
+    const command = createReplaceRoutesCommand(`change-${version}`, version - 1, version, [createRouteToDesk('read', { service, timeoutMs: 1000 + version })]) as ReplaceRoutesCommand
+    return { ...command, set: { ...command.set, upstreams: command.set.upstreams.map(upstream => ({ ...upstream, name: service })) } }
+  }
+  const entry = fixture.daemons.at(-1) as FleetDaemon
+  await submitCommand(fixture, createChange(1))
+  await waitUntil(async () => await handleAnnouncement(getControl(fixture, 0), { ...server.facts, service }, getCurrentTime()).then(() => true, () => false))
+  await waitUntil(() => findItem(entry.node.config, 'backend', server.facts.id) !== undefined)
+  const { callers } = fixture.settings.at(-1) as FleetSettings
+  for (let sent = 0; sent < 5; sent++) {
+    const res = await request(`http://${callers}/read/${sent}`, { headers: { host: 'a.example' } })
+    assert.equal(res.statusCode, 200)
+    await res.body.dump()
+    await delay(200)
+  }
+  await submitCommand(fixture, createChange(2))
+  await waitUntil(() => getRoutesVersion(entry.node.config) === 2)
+  assert.deepEqual(lines.filter(({ message, error }) => message === 'Watch at a control VM failed.' && String(error).includes('not valid')), [])
+})
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -6,6 +6,8 @@
 import type { BackendAnnouncement, ChangeAnswer, CrashCommand, KnownVersions, RolloutCommand, RouteCommand } from '@lynxcourse/state'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
+import { validateValue } from '../../utils/validation.js'
+import { announcementSchema } from '../../types/fleetCommands.js'
 import type { LogFields } from '../../utils/logging.js'
 import { openControl } from '../control/controlHost.js'
 import { findLeader, isLeading } from '../control/hostState.js'
@@ -243,12 +245,13 @@
  * requests. So an unchanged announcement is confirmed only after a recent exchange with the leader, and not while this
  * VM's disk fails, since its copy of the state is old then.
  *
- * @throws LynxError if the leader can't be reached, or if the failure domain is unknown
+ * @throws LynxError if the leader can't be reached, or `badRequest` if the failure domain is unknown or a field is invalid
  */
 export async function handleAnnouncement (control: FleetControl, facts: BackendAnnouncement, now: Millis): Promise<void> {
   if (!control.node.cfg.regions.has(facts.failureDomain)) {
     throw new LynxError('badRequest', `failureDomain: '${facts.failureDomain}' is not known`, { step: 'announce', field: 'failureDomain' })
   }
+  validateValue(announcementSchema, facts, 'announce', '')
   const { config } = control.host.machine
   const hasChanged = hasBackendChanged(config, facts)
   const isConfirmed = control.host.replica !== undefined && hasRecentExchange(control.presence, control.node.cfg.times.presenceMs, now)
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -9,7 +9,7 @@
 import type { CancelSignal } from '../../utils/cancelSignal.js'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
-import { announcementSchema, fleetCommandSchema, serverEndFields, textSchema, trialFields } from '../../types/fleetCommands.js'
+import { announcementSchema, fleetCommandSchema, nameSchema, serverEndFields, textSchema, trialFields } from '../../types/fleetCommands.js'
 import { rolloutReportsByVmSchema, rolloutReportsSchema } from '../../types/rolloutReports.js'
 import { addressSchema } from '../../types/settings.js'
 import { addMethod } from '../rpc/rpcServer.js'
@@ -70,13 +70,13 @@
   resources: z.strictObject({ cores: resourceSchema, linkMbps: resourceSchema, cpuUse: resourceSchema, linkUse: resourceSchema }).optional()
 })
 const loadAmountSchema = z.number().min(0).max(1e9)
-const serverLoadsSchema = z.array(z.tuple([textSchema, loadAmountSchema])).max(100_000)
-const serverLimitsSchema = z.array(z.tuple([textSchema, z.number().min(0).nullable()])).max(100_000)
-const vmLoadsSchema = z.array(z.tuple([textSchema, textSchema, loadAmountSchema])).max(100_000)
+const serverLoadsSchema = z.array(z.tuple([nameSchema, loadAmountSchema])).max(100_000)
+const serverLimitsSchema = z.array(z.tuple([nameSchema, z.number().min(0).nullable()])).max(100_000)
+const vmLoadsSchema = z.array(z.tuple([textSchema, nameSchema, loadAmountSchema])).max(100_000)
 const loadSchema = z.strictObject({
   servers: serverLoadsSchema,
-  busy: z.array(z.tuple([textSchema, loadAmountSchema])).max(10_000),
-  failed: z.array(textSchema).max(100_000),
+  busy: z.array(z.tuple([nameSchema, loadAmountSchema])).max(10_000),
+  failed: z.array(nameSchema).max(100_000),
   limits: serverLimitsSchema.optional(),
   limitDemand: serverLoadsSchema.optional(),
   rollouts: rolloutReportsSchema.optional()
@@ -85,14 +85,14 @@
 const reportSchema = z.strictObject({
   from: z.strictObject({ rpc: addressSchema, region: textSchema }),
   entries: z.array(z.strictObject({ presence: presenceSchema, ageMs: z.number().min(0) })).max(10_000),
-  heard: z.array(textSchema).max(100_000),
+  heard: z.array(nameSchema).max(100_000),
   load: z.strictObject({ servers: serverLoadsSchema, busy: vmLoadsSchema, failed: serverLoadsSchema, limits: serverLimitsSchema.optional(), limitDemand: vmLoadsSchema.optional(), rollouts: rolloutReportsByVmSchema.optional() }),
   weights: z.number().int()
 })
 const submitSchema = z.strictObject({ command: fleetCommandSchema })
 
 const announceSchema = z.strictObject({ facts: announcementSchema })
-const dismissSchema = z.strictObject({ server: textSchema, bornAt: z.number().int().min(0).optional() })
+const dismissSchema = z.strictObject({ server: nameSchema, bornAt: z.number().int().min(0).optional() })
 const endsSchema = z.strictObject(serverEndFields)
 const trialSchema = z.strictObject({ ...trialFields, isRelayed: z.boolean() })
 const permitRequestSchema = z.strictObject({ team: z.string().min(1), wanted: z.number().int().min(1).max(100_000) })
--- a/packages/daemon/src/types/fleetCommands.ts
+++ b/packages/daemon/src/types/fleetCommands.ts
@@ -17,14 +17,17 @@
 
 /** Schema of a name or id that this system's VMs choose. */
 export const textSchema = z.string().min(1).max(200)
-const name = z.string().min(1).max(maxNameLength)
+/** Schema of a name that operators or servers choose. */
+export const nameSchema = z.string().min(1).max(maxNameLength)
+const name = nameSchema
 const names = z.array(name).max(maxListLength)
 const count = z.number().min(0)
 const annotations = z.record(z.string(), z.unknown())
 
 /** Schema of the data that a backend server announces. */
 export const announcementSchema = z.looseObject({
-  id: name,
+  // The reports of all VMs contain the ids of servers.
+  id: textSchema,
   service: name,
   address: addressSchema,
   failureDomain: name,
