Configurations and servers that fell silent are bounded by bytes and number

What callers would see: control VMs that run out of memory after changes, each of which is small enough, or after servers that crash again and again.

Cause: a change was bounded by its body, all changes together by 40,000 routes of any length, and nothing bounded services and teams. A server that falls silent stays in the state as lost until another one has its address; one that comes back with another id and address adds one.

Change: a configuration of more than 16 MiB (estimated JSON text) is refused with 400 and both sizes; 40,000 routes with usual names fit. Of the lost servers, the 4000 most recent are kept. Servers that fall silent together are set by one step.

Why it holds: each of these items passes one of the two bounds. An older lost server that comes back is accepted as a new one.

--- a/packages/state/__tests__/routes.test.ts
+++ b/packages/state/__tests__/routes.test.ts
@@ -4,7 +4,7 @@
 import { brandId, loadChart } from '@lynxcourse/base'
 import type { FailureDomainId, ServerId, ServiceId } from '@lynxcourse/base'
 import {
-  applyEntry, createConfig, createStateMachine, getDeltaSince, findItem, hasBackendChanged, listItems, listPresentBackends, deserializeStateMachine, findRouteSet, getRoutesVersion, maxRoutes,
+  applyEntry, createConfig, createStateMachine, getDeltaSince, findItem, hasBackendChanged, listItems, listPresentBackends, deserializeStateMachine, findRouteSet, getRoutesVersion, maxLostServers, maxRoutes, maxRouteSetBytes, measureRouteSet,
   applyDelta, serializeStateMachine
 } from '@lynxcourse/state'
 import type { BackendAnnouncement, ChangeAnswer, StateMachine, RouteChangeId, Route, RouteCommand, RouteSet, Upstream } from '@lynxcourse/state'
@@ -242,3 +242,41 @@
   assert.match(answer.ok ? '' : answer.detail, /40001 routes, at most 40000/)
   assert.equal(getRoutesVersion(machine.config), 1)
 })
+
+/** Guards against control VMs whose memory fills with servers that crash and come back with other ids. */
+test('of the servers that fell silent only the most recent are kept, and an older one that comes back is used again', () => {
+  const machine = createTestMachine()
+  apply(machine, createReplaceCommand('one', 0, 1, createRouteSet(createRoute('read'))))
+  const total = maxLostServers + 1000
+  for (let index = 0; index < total; index++) apply(machine, { type: 'announce', facts: createFacts(`s${index}`, { address: `10.0.${index >> 8}.${index & 255}:80` }) })
+  apply(machine, { type: 'miss', ids: Array.from({ length: total }, (_, index) => brandId<ServerId>(`s${index}`)) })
+  assert.equal(listItems(machine.config, 'backend').length, maxLostServers)
+  const [dropped, kept] = [brandId<ServerId>('s0'), brandId<ServerId>(`s${total - 1}`)]
+  assert.equal(findItem(machine.config, 'backend', dropped), undefined)
+  assert.equal(findItem(machine.config, 'backend', kept)?.state, 'lost')
+  const facts = createFacts('s0', { address: '10.0.0.0:80' })
+  assert.ok(hasBackendChanged(machine.config, facts))
+  apply(machine, { type: 'announce', facts })
+  assert.equal(findItem(machine.config, 'backend', dropped)?.state, 'serving')
+})
+
+/** Guards against control VMs whose memory fills with a configuration that grows by updates, each of which is small enough. */
+test('a configuration is refused once its texts are too long, with the size that is possible, and nothing of it is in force', () => {
+  const machine = createTestMachine()
+  apply(machine, createReplaceCommand('one', 0, 1, createRouteSet(createRoute('read'))))
+  const pathPrefix = `/${'p'.repeat(100_000)}/`
+  const createUpdate = (version: number): RouteCommand => ({ type: 'updateRoutes', order: `order-${version}` as RouteChangeId, baseVersion: version - 1, routesVersion: version, putRoutes: Array.from({ length: 15 }, (_, index) => createRoute(`r-${version}-${index}`, { pathPrefix, host: `h-${version}-${index}.example` })), putUpstreams: [], removeRoutes: [], removeUpstreams: [], limits: undefined })
+  let version = 2
+  let answer = apply(machine, createUpdate(version))
+  while (answer.ok && version < 100) answer = apply(machine, createUpdate(++version))
+  assert.ok(!answer.ok && answer.code === 'badRequest' && answer.detail.includes(`at most ${maxRouteSetBytes}`))
+  assert.equal(getRoutesVersion(machine.config), version - 1)
+  const set = findRouteSet(machine.config)
+  assert.ok(set !== undefined && measureRouteSet(set) <= maxRouteSetBytes && JSON.stringify(set).length < maxRouteSetBytes * 1.5)
+})
+
+test('as many routes as are possible by their number fit into the size of a configuration', () => {
+  const routes = Array.from({ length: maxRoutes }, (_, index) => createRoute(`route-${index}`, { pathPrefix: `/prefix-${index}/`, split: [{ service: desk, weight: 90 }, { service: ledger, weight: 10 }] }))
+  const size = measureRouteSet(createRouteSet(...routes))
+  assert.ok(size < maxRouteSetBytes, `${size} bytes`)
+})
--- a/packages/state/src/core/config.ts
+++ b/packages/state/src/core/config.ts
@@ -13,6 +13,11 @@
  * revive that server and end the one that now has its address. A release replaces some hundred servers in a minute.
  */
 export const maxEndedServers = 4000
+/**
+ * Maximum number of servers kept that fell silent without a word that they end. A server that announces itself after it was dropped is
+ * like a new one.
+ */
+export const maxLostServers = 4000
 /** Maximum number of removed routes kept. A change may remove thousands, and without them each VM would need the whole state. */
 export const maxRemovedRoutes = 4000
 
@@ -39,14 +44,22 @@
 /** Sets items of one change at a new version, in this order. */
 export function setItems (config: Config, version: number, items: readonly ConfigItem[]): void {
   const finishedKinds = new Set<ConfigItem['kind']>()
+  let hasLostServers = false
   for (const item of items) {
     const key = createItemKey(item.kind, item.key)
     config.items.delete(key)
     config.items.set(key, { version, item })
     config.version = version
     if (isFinished(item)) finishedKinds.add(item.kind)
+    else if (isLostServer(item)) hasLostServers = true
   }
-  for (const kind of finishedKinds) pruneFinished(config, kind)
+  for (const kind of finishedKinds) pruneItems(config, item => item.kind === kind && isFinished(item), getMaxKept(kind))
+  if (hasLostServers) pruneItems(config, isLostServer, maxLostServers)
+}
+
+/** Whether an item is a server that fell silent, and is used again if it announces itself. */
+function isLostServer (item: ConfigItem): boolean {
+  return item.kind === 'backend' && item.state === 'lost'
 }
 
 function isFinished (item: ConfigItem): boolean {
@@ -64,10 +77,11 @@
   }
 }
 
-function pruneFinished (config: Config, kind: ConfigItem['kind']): void {
-  const finishedKeys: string[] = []
-  for (const [key, { item }] of config.items) if (item.kind === kind && isFinished(item)) finishedKeys.push(key)
-  for (const key of finishedKeys.slice(0, -getMaxKept(kind))) deleteEntry(config, key)
+/** Deletes all but the most recent of the items that a predicate accepts. */
+function pruneItems (config: Config, isPruned: (item: ConfigItem) => boolean, maxKept: number): void {
+  const keys: string[] = []
+  for (const [key, { item }] of config.items) if (isPruned(item)) keys.push(key)
+  for (const key of keys.slice(0, -maxKept)) deleteEntry(config, key)
 }
 
 function getMaxKept (kind: ConfigItem['kind']): number {
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -9,6 +9,7 @@
 } from '../types/routes.js'
 import { dropOldest } from '../utils/dropOldest.js'
 import { findItem, listItems, setItem, setItems, getItemVersion } from './config.js'
+import { measureRouteSet } from './routeSize.js'
 import type { Config } from './config.js'
 import { computeKeyDigest, findTeamProblem } from './teams.js'
 
@@ -18,6 +19,9 @@
 /** Maximum number of routes; each change of more of them would take a control VM longer than an election timeout. */
 export const maxRoutes = 40_000
 
+/** Maximum estimated size of a configuration, in bytes of JSON text; the objects take several times as much memory. */
+export const maxRouteSetBytes = 16_777_216
+
 /** Maximum number of accepted route changes that are kept: two days at 9,800 changes a day. */
 export const maxAcceptedRouteChanges = 20_000
 
@@ -116,6 +120,8 @@
 /** Returns a description of the first invalid route or team, with its name and field; undefined if all are valid. */
 export function findRouteSetProblem (set: RouteSet): string | undefined {
   if (set.routes.length > maxRoutes) return `routes: ${set.routes.length} routes, at most ${maxRoutes} are possible`
+  const bytes = measureRouteSet(set)
+  if (bytes > maxRouteSetBytes) return `configuration: about ${bytes} bytes, at most ${maxRouteSetBytes} are possible`
   const services = new Set(set.upstreams.map(upstream => upstream.name))
   const usedMatches = new Set<string>()
   const usedNames = new Set<string>()
@@ -259,14 +265,16 @@
 }
 
 function setBackendStates (config: Config, command: DismissCommand | MissCommand, state: BackendState, version: number): ChangeAnswer {
-  for (const id of command.ids) {
+  const changed: BackendItem[] = []
+  for (const id of new Set(command.ids)) {
     const current = findItem(config, 'backend', id)
     if (current === undefined || current.state === 'gone' || current.state === state) continue
     // The end of an earlier incarnation, possibly reported late, doesn't end the current one.
     if (command.type === 'dismiss' && command.bornAt !== undefined && command.bornAt < current.facts.bornAt) continue
-    if (state === 'lost' && current.state === 'draining') setBackendState(config, current, 'gone', version)
-    else setBackendState(config, current, state, version)
+    const isEndOfDrain = state === 'lost' && current.state === 'draining'
+    changed.push({ ...current, state: isEndOfDrain ? 'gone' : state })
   }
+  setItems(config, version, changed)
   return accept(config)
 }
 
