Messages of the log don't wait for connections behind calls that wait for a commit

What callers saw: reads of the configuration at control VMs that don't lead, or changes relayed by them, are all answered 503 as soon as two of three control VMs have sixteen of them open; the leader loses its leadership each time.

Cause: a control VM has sixteen connections to another one for all calls. Reads and changes that it relays hold them until the leader's quorum has answered; the answers to the leader's messages are calls of the same control VM, and wait for a connection behind them.

Change: messages of the log use connections of their own.

Why it holds: no call on them waits for another one.

--- a/packages/daemon/src/core/rpc/rpcClient.ts
+++ b/packages/daemon/src/core/rpc/rpcClient.ts
@@ -23,6 +23,7 @@
 
 export interface RpcClient extends AsyncDisposable {
   readonly cfg: RpcClientCfg
+  /** By the address of the peer, and whether they are those of `prioritizedMethods`. */
   readonly pools: Map<string, Pool>
   /** Content codings that each peer has said it accepts; a peer of an earlier version says nothing. */
   readonly acceptedEncodings: WeakMap<Pool, string>
@@ -31,7 +32,12 @@
 /** Each HTTP request carries one call, so that all calls may have the same id. */
 const requestId = 1
 const maxConnectionsPerPeer = 16
-const maxPeers = 256
+const maxPools = 256
+/**
+ * Methods whose calls use connections of their own. Other calls may wait for a commit; the messages by which an entry is committed must not
+ * wait behind them for a connection.
+ */
+const prioritizedMethods = new Set(['log.message'])
 /** Maximum size of a decompressed response; more than the whole state at the target size (docs/CAPACITY.md). */
 const maxResponseBytes = 67_108_864
 
@@ -44,8 +50,9 @@
   await Promise.all([...client.pools.values()].map(async pool => await pool.destroy()))
 }
 
-function getPool (client: RpcClient, address: string): Pool {
-  const existing = client.pools.get(address)
+function getPool (client: RpcClient, address: string, method: string): Pool {
+  const key = `${address} ${prioritizedMethods.has(method) ? 'prioritized' : 'other'}`
+  const existing = client.pools.get(key)
   if (existing !== undefined) return existing
   dropOldestPool(client)
   const tls = client.cfg.tls()
@@ -59,7 +66,7 @@
     headersTimeout: 0,
     bodyTimeout: 0
   })
-  client.pools.set(address, pool)
+  client.pools.set(key, pool)
   return pool
 }
 
@@ -75,7 +82,7 @@
 }
 
 function dropOldestPool (client: RpcClient): void {
-  if (client.pools.size < maxPeers) return
+  if (client.pools.size < maxPools) return
   const [oldest] = client.pools
   if (oldest === undefined) return
   client.pools.delete(oldest[0])
@@ -97,7 +104,7 @@
  */
 export async function callPeer<Result> (client: RpcClient, address: string, method: string, params: object, timeoutMs?: Millis): Promise<Result> {
   client.cfg.metrics?.rpc.inc({ method, side: 'out' })
-  const pool = getPool(client, address)
+  const pool = getPool(client, address, method)
   try {
     const body = JSON.stringify(createJSONRPCRequest(requestId, method, params))
     client.cfg.metrics?.rpcBytes.inc({ direction: 'out' }, body.length)
