Reads at control VMs that don't lead return their own copy, and reads at once share a round of messages

Cause: a control VM that doesn't lead asked the leader for the whole configuration, for each read. The leader encoded, compressed and sent it each time, and the reader decoded it and encoded it again. Each read was also a round of messages to all members.

Reads that arrive while others wait share the next round.

Why it holds: the version includes all changes confirmed before the read, and a round that confirms a read begins after it. A control VM of an earlier version that leads doesn't know the question; reads elsewhere get 503 until it is replaced.

--- a/packages/agreement/src/core/leaderReplication.ts
+++ b/packages/agreement/src/core/leaderReplication.ts
@@ -189,4 +189,6 @@
   if (confirmedReads.length === 0) return
   out.confirmedReads.push(...confirmedReads.map(read => read.token))
   replica.pendingReads = replica.pendingReads.filter(read => read.round > replica.confirmedRound)
+  const hasUnsentReads = replica.pendingReads.some(read => read.round > replica.round)
+  if (hasUnsentReads) replica.nextHeartbeatAt = -Infinity
 }
--- a/packages/agreement/src/core/step.ts
+++ b/packages/agreement/src/core/step.ts
@@ -113,8 +113,10 @@
     out.failedReads.push(token)
     return
   }
+  const isWaiting = replica.pendingReads.length > 0
   replica.pendingReads.push({ token, round: replica.round + 1 })
-  broadcast(replica, now, out)
+  // Reads that arrive while others wait share the next round; a round for each of them would flood all members.
+  if (!isWaiting) broadcast(replica, now, out)
 }
 
 function compact (replica: Replica, index: number, data: string, out: ReplicaOutput): void {
--- a/packages/daemon/__tests__/memoryBounds.test.ts
+++ b/packages/daemon/__tests__/memoryBounds.test.ts
@@ -4,7 +4,7 @@
 import { request } from 'undici'
 import { brandId, isLynxError } from '@lynxcourse/base'
 import type { ServerId, ServiceId } from '@lynxcourse/base'
-import { createByteBudget, delay, enqueueMessage, getCurrentTime, handleAnnouncement, isLeading, openTakenBytes, submitFleetCommand } from '@lynxcourse/daemon'
+import { createByteBudget, delay, enqueueMessage, getCurrentTime, handleAnnouncement, isLeading, openTakenBytes, readRoutes, submitFleetCommand } from '@lynxcourse/daemon'
 import type { FleetControl, FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
 import { findItem, getRoutesVersion } from '@lynxcourse/state'
 import type { ReplaceRoutesCommand, RouteCommand } from '@lynxcourse/state'
@@ -12,6 +12,8 @@
 import type { FleetFixture } from './support/fleetFixture.js'
 import { createKeptLogs } from './support/keptLogs.js'
 
+/** Time after a large change after which the control VMs have nothing left to do for it. */
+const settleMs = 1000
 /** Longer than a control VM may be out of touch with the leader and confirm announcements. */
 const presenceLossMs = 2500
 
@@ -115,3 +117,18 @@
   await waitUntil(() => getRoutesVersion(entry.node.config) === 2)
   assert.deepEqual(lines.filter(({ message, error }) => message === 'Watch at a control VM failed.' && String(error).includes('not valid')), [])
 })
+
+/** Guards against a leader that loses its leadership to reads of a large configuration at other control VMs. */
+test('many reads of a large configuration at once are answered by each control VM, and the leader stays', async () => {
+  await using fixture = await startFleetFixture(0)
+  await submitCommand(fixture, createReplaceRoutesCommand('first', 0, 1, [createRouteToDesk('read')]))
+  await submitCommand(fixture, createLargeChange('large', 3000))
+  const controls = fixture.daemons.map((_, index) => getControl(fixture, index))
+  await waitUntil(() => controls.every(({ host }) => getRoutesVersion(host.machine.config) === 2))
+  await delay(settleMs)
+  const leader = findLeader(fixture)
+  const term = leader.host.replica?.term
+  const readers = controls.flatMap(control => Array.from({ length: 20 }, async () => await readRoutes(control)))
+  for (const { routesVersion, set } of await Promise.all(readers)) assert.deepEqual([routesVersion, set?.routes.length], [2, 3000])
+  assert.equal(leader.host.replica?.term, term)
+})
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -16,7 +16,7 @@
 import type { RpcCall, RpcServer } from '../rpc/rpcServer.js'
 import { claimTrial, dismissServer, cancelFleetTrial, getStateAge, submitFleetCommand, handleAnnouncement, takePermits } from './fleetControl.js'
 import type { FleetCommand, FleetControl } from './fleetControl.js'
-import { readRollouts, readRoutes, summarizeTeams } from './fleetReads.js'
+import { confirmReadPosition, readRollouts, readRoutes, summarizeTeams } from './fleetReads.js'
 import { isLeading } from '../control/hostState.js'
 import { delay } from '../node/timers.js'
 import type { PermitRequest } from '../control/permitIssuing.js'
@@ -132,6 +132,7 @@
   })
   addMethod(rpc, 'fleet.readRollouts', ['vm', 'operator'], z.strictObject({}), async (_params, call) => {
     await ensureCallerConnected(control, 'fleet.readRollouts', call)
+  addMethod(rpc, 'fleet.confirmRead', ['vm'], z.strictObject({}), async () => await confirmReadPosition(control))
     return await readRollouts(control, true)
   })
   addMethod(rpc, 'fleet.presence', ['vm'], reportSchema, params => handlePresence(control, params as unknown as PresenceReport))
--- a/packages/daemon/src/core/fleet/fleetReads.ts
+++ b/packages/daemon/src/core/fleet/fleetReads.ts
@@ -2,6 +2,7 @@
 import { findRouteSet, getRoutesVersion, isRestricted, listItems } from '@lynxcourse/state'
 import type { CrashingRequestItem, RolloutItem, RouteSet, Team } from '@lynxcourse/state'
 import type { LimitUpdate } from '@lynxcourse/placement'
+import { waitUntilApplied } from '../control/appliedVersion.js'
 import { isLeading } from '../control/hostState.js'
 import { confirmRead } from '../control/proposals.js'
 import { relayToLeader } from './fleetControl.js'
@@ -54,12 +55,34 @@
  */
 export async function readRoutes (control: FleetControl, isRelayed = false): Promise<FleetReadResult> {
   const { host, board } = control
-  if (isLeading(host)) {
-    await confirmRead(host)
-    const { config } = host.machine
-    return { routesVersion: getRoutesVersion(config), set: findRouteSet(config), restricted: listItems(config, 'crashingRequest').filter(isRestricted), limits: board.news.limits ?? [] }
-  }
-  return await relayToLeader<FleetReadResult>(control, { step: 'read', method: 'fleet.relayRead', params: {}, isRelayed })
+  if (isLeading(host)) await confirmRead(host)
+  else await confirmReadAtLeader(control, isRelayed)
+  const { config } = host.machine
+  return { routesVersion: getRoutesVersion(config), set: findRouteSet(config), restricted: listItems(config, 'crashingRequest').filter(isRestricted), limits: board.news.limits ?? [] }
+}
+
+/** The version of the state that a read has to include. */
+export interface ReadPosition {
+  readonly version: number
+}
+
+/**
+ * Returns the version of the state that includes all changes confirmed before this call.
+ *
+ * @throws LynxError if this VM does not lead, or if no quorum confirms that it does
+ */
+export async function confirmReadPosition ({ host }: FleetControl): Promise<ReadPosition> {
+  await confirmRead(host)
+  return { version: host.machine.config.version }
+}
+
+/**
+ * Asks the leader which version is the latest, and waits until this VM has it. A leader that returned the whole state to several VMs at once
+ * would be blocked for longer than an election timeout.
+ */
+async function confirmReadAtLeader (control: FleetControl, isRelayed: boolean): Promise<void> {
+  const { version } = await relayToLeader<ReadPosition>(control, { step: 'read', method: 'fleet.confirmRead', params: {}, isRelayed })
+  await waitUntilApplied(control.host, version, control.node.cfg.times.rpcTimeoutMs)
 }
 
 /**
