Entry VMs that lack the same changes are sent the same bytes

What callers would see: a control VM is blocked while it answers the watches of many entry VMs after a large change, one after the other, and holds each answer until a slow link has taken it.

Cause: for each watch, the changes since the VM's version were encoded and compressed anew.

Only the others count for the bound on answers that are not sent yet.

Why it holds: VMs that follow the state lack the same changes. Test: memoryBounds.test.ts; the decompressed answer equals the one before.

--- a/packages/daemon/__tests__/memoryBounds.test.ts
+++ b/packages/daemon/__tests__/memoryBounds.test.ts
@@ -1,12 +1,13 @@
 /** What control VMs hold of large messages and changes has a bound in bytes. */
 import assert from 'node:assert/strict'
 import { test } from 'node:test'
+import { gunzipSync } from 'node:zlib'
 import { request } from 'undici'
 import { brandId, isLynxError } from '@lynxcourse/base'
 import type { ServerId, ServiceId } from '@lynxcourse/base'
-import { createByteBudget, delay, enqueueMessage, getCurrentTime, handleAnnouncement, isLeading, openTakenBytes, readRoutes, submitFleetCommand } from '@lynxcourse/daemon'
+import { SharedResult, createByteBudget, delay, encodeSharedResult, enqueueMessage, getCurrentTime, getSharedDelta, handleAnnouncement, isLeading, openTakenBytes, readRoutes, submitFleetCommand } from '@lynxcourse/daemon'
 import type { FleetControl, FleetDaemon, FleetSettings } from '@lynxcourse/daemon'
-import { findItem, getRoutesVersion } from '@lynxcourse/state'
+import { findItem, getDeltaSince, getRoutesVersion } from '@lynxcourse/state'
 import type { ReplaceRoutesCommand, RouteCommand } from '@lynxcourse/state'
 import { createReplaceRoutesCommand, createRouteToDesk, getControl, startFleetFixture, startTestServer, submitCommand, waitUntil } from './support/fleetFixture.js'
 import type { FleetFixture } from './support/fleetFixture.js'
@@ -132,3 +133,25 @@
   for (const { routesVersion, set } of await Promise.all(readers)) assert.deepEqual([routesVersion, set?.routes.length], [2, 3000])
   assert.equal(leader.host.replica?.term, term)
 })
+
+/** Guards against control VMs that encode and hold the whole state once for each of the entry VMs that start together. */
+test('entry VMs that lack the same changes are sent the same bytes', async () => {
+  await using fixture = await startFleetFixture(0)
+  await submitCommand(fixture, createReplaceRoutesCommand('first', 0, 1, [createRouteToDesk('read')]))
+  await submitCommand(fixture, createLargeChange('large', 1000))
+  const { host, deltas } = getControl(fixture, 0)
+  await waitUntil(() => getRoutesVersion(host.machine.config) === 2)
+  const { config } = host.machine
+  const whole = getSharedDelta(deltas, config, 0)
+  assert.equal(getSharedDelta(deltas, config, 0), whole)
+  for (const accepted of ['gzip', undefined]) {
+    const { parts, isPacked } = encodeSharedResult(7, new SharedResult({ ageMs: 3 }, 'delta', whole), accepted)
+    const body = Buffer.concat(parts)
+    const response = JSON.parse((isPacked ? gunzipSync(body) : body).toString()) as { readonly id: number, readonly result: { readonly delta: object, readonly ageMs: number } }
+    assert.deepEqual([response.id, response.result.ageMs, isPacked], [7, 3, accepted === 'gzip'])
+    assert.deepEqual(response.result.delta, JSON.parse(JSON.stringify(getDeltaSince(config, 0))))
+  }
+  await submitCommand(fixture, createReplaceRoutesCommand('next', 2, 3, [createRouteToDesk('read')]))
+  await waitUntil(() => getRoutesVersion(config) === 3)
+  assert.notEqual(getSharedDelta(deltas, config, 0), whole)
+})
--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -30,6 +30,8 @@
 import type { Presence } from './presence.js'
 import { createRolloutLeader } from './rolloutLeader.js'
 import type { RolloutLeader } from './rolloutLeader.js'
+import { createSharedDeltas } from './sharedDeltas.js'
+import type { SharedDeltas } from './sharedDeltas.js'
 
 /** State of a control VM. */
 export interface FleetControl {
@@ -43,6 +45,8 @@
   readonly announcementQueue: AnnouncementQueue
   readonly permits: ControlIssuer
   readonly changes: ChangesInProgress
+  /** Changes of the state as entry VMs are sent them. */
+  readonly deltas: SharedDeltas
   /** At the leader: trials of restricted requests. */
   readonly trials: Trials
   /** At the leader: running rollouts. */
@@ -81,7 +85,7 @@
   }
   recordProgress()
   host.progressListeners.push(recordProgress)
-  return { node, host, knownVersions, presence: createPresence(), loadAggregate: createLoadAggregate(), board: createLoadBoard(), announcementQueue: createAnnouncementQueue(), changes: createChangesInProgress(), permits, trials: new Map(), rollouts: createRolloutLeader(), hasEndedWatches: false }
+  return { node, host, knownVersions, presence: createPresence(), loadAggregate: createLoadAggregate(), board: createLoadBoard(), announcementQueue: createAnnouncementQueue(), changes: createChangesInProgress(), deltas: createSharedDeltas(), permits, trials: new Map(), rollouts: createRolloutLeader(), hasEndedWatches: false }
 }
 
 function createControlEnv (node: FleetNode, isFounder: boolean): ControlEnv {
--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -1,5 +1,5 @@
 /** The RPC methods of a fleet's control VMs. */
-import { getDeltaSince, hasRestrictionSince, hideKeys } from '@lynxcourse/state'
+import { hasRestrictionSince } from '@lynxcourse/state'
 import type { BackendAnnouncement, ChangeAnswer, ConfigDelta, ReportServerEndsCommand } from '@lynxcourse/state'
 import { LynxError, brandId, getErrorMessage } from '@lynxcourse/base'
 import type { Millis, RegionId, RequestFingerprint, ServerId } from '@lynxcourse/base'
@@ -14,6 +14,7 @@
 import { addressSchema } from '../../types/settings.js'
 import { addMethod } from '../rpc/rpcServer.js'
 import type { RpcCall, RpcServer } from '../rpc/rpcServer.js'
+import { SharedResult } from '../rpc/sharedResult.js'
 import { claimTrial, dismissServer, cancelFleetTrial, getStateAge, submitFleetCommand, handleAnnouncement, takePermits } from './fleetControl.js'
 import type { FleetCommand, FleetControl } from './fleetControl.js'
 import { confirmReadPosition, readRollouts, readRoutes, summarizeTeams } from './fleetReads.js'
@@ -26,6 +27,7 @@
 import { confirmEntriesAsLeader } from './presenceExchange.js'
 import type { PresenceExchange } from './presenceExchange.js'
 import { recordRolloutReports } from './rolloutLeader.js'
+import { getSharedDelta } from './sharedDeltas.js'
 
 /** A request of an entry VM for changes after a version; the call stays open until there is one. */
 export interface WatchRequest {
@@ -130,9 +132,9 @@
     await ensureCallerConnected(control, 'fleet.relayRead', call)
     return await readRoutes(control, true)
   })
+  addMethod(rpc, 'fleet.confirmRead', ['vm'], z.strictObject({}), async () => await confirmReadPosition(control))
   addMethod(rpc, 'fleet.readRollouts', ['vm', 'operator'], z.strictObject({}), async (_params, call) => {
     await ensureCallerConnected(control, 'fleet.readRollouts', call)
-  addMethod(rpc, 'fleet.confirmRead', ['vm'], z.strictObject({}), async () => await confirmReadPosition(control))
     return await readRollouts(control, true)
   })
   addMethod(rpc, 'fleet.presence', ['vm'], reportSchema, params => handlePresence(control, params as unknown as PresenceReport))
@@ -201,7 +203,7 @@
   return await submitFleetCommand(control, command, true)
 }
 
-async function handleWatch (control: FleetControl, exchange: PresenceExchange, request: WatchRequest, call: RpcCall): Promise<WatchReply> {
+async function handleWatch (control: FleetControl, exchange: PresenceExchange, request: WatchRequest, call: RpcCall): Promise<WatchReply | SharedResult> {
   const isChanged = recordWatchingEntry(control.presence, request.self, getCurrentTime())
   if (isChanged) exchange.exchangeSoon()
   if (request.load !== undefined) addLoadReport(control.loadAggregate, request.self.name, request.self.region, request.load, getCurrentTime())
@@ -215,8 +217,7 @@
   if (control.hasEndedWatches) throw new LynxError('peerFailed', 'this VM is stopping', { step: 'fleet.watch' })
   if (request.version > 0 && control.host.machine.config.version > request.version) await waitForFurtherChanges(control, request.version, call.gone)
   const { config } = control.host.machine
-  return {
-    delta: config.version > request.version ? hideKeys(getDeltaSince(config, request.version)) : undefined,
+  const fields: Omit<WatchReply, 'delta'> = {
     ageMs: getFiniteStateAge(control),
     controls: control.node.controls,
     entries: [...control.presence.entries.keys()],
@@ -225,6 +226,8 @@
     newsAgeMs: getNewsAge(control, getCurrentTime()),
     heldMs: getCurrentTime() - startedAt
   }
+  if (config.version <= request.version) return { delta: undefined, ...fields }
+  return new SharedResult(fields, 'delta', getSharedDelta(control.deltas, config, request.version))
 }
 
 /** Longest time for which a question is held while this VM does not have the current state. */
--- a/packages/daemon/src/core/rpc/compression.ts
+++ b/packages/daemon/src/core/rpc/compression.ts
@@ -12,7 +12,7 @@
 /** The supported content coding, under its HTTP name. */
 export const supportedEncoding = 'gzip'
 /** Shorter messages fit into a few packets, so compressing them costs more than it saves. */
-const minCompressedBytes = 4096
+export const minCompressedBytes = 4096
 /** The fastest level takes 0.35 ms for 89 KB; level 6 takes twice the time for output that is a seventh smaller. */
 const gzipOptions = { level: constants.Z_BEST_SPEED }
 
--- a/packages/daemon/src/core/rpc/rpcServer.ts
+++ b/packages/daemon/src/core/rpc/rpcServer.ts
@@ -4,6 +4,7 @@
 import { createServer as createTlsServer } from 'node:https'
 import type { TLSSocket } from 'node:tls'
 import { JSONRPCErrorCode, JSONRPCServer, createJSONRPCErrorResponse } from 'json-rpc-2.0'
+import type { JSONRPCResponse } from 'json-rpc-2.0'
 import { LynxError, isLynxError, getErrorMessage } from '@lynxcourse/base'
 import type { z } from 'zod'
 import { createByteBudget, openTakenBytes } from '../../utils/byteBudget.js'
@@ -17,7 +18,9 @@
 import type { RateLimit } from '../../utils/rateLimit.js'
 import { checkSenderConnected } from '../../utils/senderCheck.js'
 import type { TlsFiles } from '../../plugins/tlsFiles.js'
-import { shouldCompress, compressText, decompressText, getUnpackedSize, supportedEncoding } from './compression.js'
+import { decompressText, getUnpackedSize, supportedEncoding } from './compression.js'
+import { SharedResult, encodeSharedResult, encodeText } from './sharedResult.js'
+import type { MessageParts } from './sharedResult.js'
 
 /**
  * The sender of a call, identified by the common name of its certificate: `vm:NAME`, `operator:NAME` or `server:NAME`.
@@ -129,12 +132,18 @@
   res.once('close', () => gone.abort())
   const message = decompressText(body, encoding, Math.max(1, size))
   const answer = await methods.receiveJSON(message, { ...caller, ensureConnected, gone, size })
-  const text = JSON.stringify(answer ?? null)
-  const type = { 'content-type': 'application/json', 'accept-encoding': supportedEncoding }
-  const isPacked = shouldCompress(req.headers['accept-encoding']?.toString(), text.length)
-  const answerBody = isPacked ? compressText(text) : text
-  countUntilSent(rpc, res, answerBody.length)
-  res.writeHead(200, isPacked ? { ...type, 'content-encoding': supportedEncoding } : type).end(answerBody)
+  const { parts, isPacked, ownBytes } = encodeAnswer(answer, req.headers['accept-encoding']?.toString())
+  countUntilSent(rpc, res, ownBytes)
+  const contentLength = parts.reduce((sum, part) => sum + part.length, 0)
+  res.writeHead(200, { 'content-type': 'application/json', 'accept-encoding': supportedEncoding, 'content-length': contentLength, ...(isPacked ? { 'content-encoding': supportedEncoding } : {}) })
+  for (const part of parts) res.write(part)
+  res.end()
+}
+
+function encodeAnswer (answer: JSONRPCResponse | JSONRPCResponse[] | null, acceptedEncodings: string | undefined): MessageParts {
+  const result: unknown = Array.isArray(answer) ? undefined : answer?.result
+  if (result instanceof SharedResult) return encodeSharedResult((answer as JSONRPCResponse).id, result, acceptedEncodings)
+  return encodeText(JSON.stringify(answer ?? null), acceptedEncodings)
 }
 
 /**
