--- a/packages/daemon/__tests__/support/slowForwarder.ts
+++ b/packages/daemon/__tests__/support/slowForwarder.ts
@@ -22,9 +22,10 @@
 /** One direction of the link: each chunk leaves once the chunks before it, of all connections, have been sent. */
 interface Direction { freeAt: number, bytes: number }
 
-/** Starts a forwarder to `IP:port`. */
-export async function startSlowForwarder (target: string, cfg: SlowLinkCfg): Promise<SlowForwarder> {
+/** Starts a forwarder to `IP:port`, by default on a free port. */
+export async function startSlowForwarder (target: string, cfg: SlowLinkCfg, listenAddress = '127.0.0.1:0'): Promise<SlowForwarder> {
   const [host, port] = target.split(':')
+  const [listenHost, listenPort] = listenAddress.split(':')
   const sockets = new Set<Socket>()
   const towards: Direction = { freeAt: 0, bytes: 0 }
   const back: Direction = { freeAt: 0, bytes: 0 }
@@ -37,10 +38,10 @@
     }
     forward(near, far, towards, cfg)
     forward(far, near, back, cfg)
-  }).listen(0, '127.0.0.1')
+  }).listen(Number(listenPort), listenHost)
   await once(server, 'listening')
   return {
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    address: `${listenHost}:${(server.address() as AddressInfo).port}`,
     forwarded: () => towards.bytes,
     [Symbol.asyncDispose]: async () => {
       for (const socket of sockets) socket.destroy()
