Reads at a control VM whose copy is behind are relayed to the leader

What callers saw: a control VM with a full disk answered no read, and one that is being restored none within the operator's second.

Cause: since reads return a VM's own copy, a VM whose copy can't catch up waited for it in vain.

Change: a VM without a running copy, or one that lacks the version after 300 ms, relays the read.

--- a/packages/daemon/src/core/fleet/fleetReads.ts
+++ b/packages/daemon/src/core/fleet/fleetReads.ts
@@ -1,5 +1,6 @@
 /** Reads of a fleet's routes, teams and restricted requests, which are linearizable, and of the limits that servers name. */
 import { findRouteSet, getRoutesVersion, isRestricted, listItems } from '@lynxcourse/state'
+import type { Millis } from '@lynxcourse/base'
 import type { CrashingRequestItem, RolloutItem, RouteSet, Team } from '@lynxcourse/state'
 import type { LimitUpdate } from '@lynxcourse/placement'
 import { waitUntilApplied } from '../control/appliedVersion.js'
@@ -56,7 +57,7 @@
 export async function readRoutes (control: FleetControl, isRelayed = false): Promise<FleetReadResult> {
   const { host, board } = control
   if (isLeading(host)) await confirmRead(host)
-  else await confirmReadAtLeader(control, isRelayed)
+  else if (!await isOwnCopyLatest(control, isRelayed)) return await relayToLeader<FleetReadResult>(control, { step: 'read', method: 'fleet.relayRead', params: {}, isRelayed })
   const { config } = host.machine
   return { routesVersion: getRoutesVersion(config), set: findRouteSet(config), restricted: listItems(config, 'crashingRequest').filter(isRestricted), limits: board.news.limits ?? [] }
 }
@@ -76,13 +77,17 @@
   return { version: host.machine.config.version }
 }
 
+/** Longest time for which a read waits for this VM's copy. A copy that is behind for longer has a failed disk, or is being restored. */
+const copyWaitMs: Millis = 300
+
 /**
- * Asks the leader which version is the latest, and waits until this VM has it. A leader that returned the whole state to several VMs at once
- * would be blocked for longer than an election timeout.
+ * Asks the leader which version is the latest, and waits for a short time until this VM has it. A leader that returned the whole state to several
+ * VMs at once would be blocked for longer than an election timeout.
  */
-async function confirmReadAtLeader (control: FleetControl, isRelayed: boolean): Promise<void> {
+async function isOwnCopyLatest (control: FleetControl, isRelayed: boolean): Promise<boolean> {
+  if (control.host.replica === undefined) return false
   const { version } = await relayToLeader<ReadPosition>(control, { step: 'read', method: 'fleet.confirmRead', params: {}, isRelayed })
-  await waitUntilApplied(control.host, version, control.node.cfg.times.rpcTimeoutMs)
+  return await waitUntilApplied(control.host, version, copyWaitMs)
 }
 
 /**
