--- a/packages/daemon/src/core/rpc/rpcServer.ts
+++ b/packages/daemon/src/core/rpc/rpcServer.ts
@@ -66,8 +66,8 @@
 const applicationErrorCode = -32000
 const maxHeaderBytes = 16_384
 const wireCountIntervalMs = 1000
-/** Messages and answers up to this size are not counted. */
-const smallMessageBytes = 16_384
+/** Messages and answers up to this size are not counted: reports of the presence of VMs and servers must not be refused. */
+const smallMessageBytes = 65_536
 /**
  * Maximum size of the large messages in progress, in bytes of their text. The objects of a message take several times as much. A larger
  * message is processed while there is no other.
