--- a/packages/daemon/__tests__/endlessAnswers.test.ts
+++ b/packages/daemon/__tests__/endlessAnswers.test.ts
@@ -110,7 +110,7 @@
   endless.pauseMs = 40
   endless.pieceBytes = Infinity
   let mostHeld = 0
-  const sampling = setInterval(() => { mostHeld = Math.max(mostHeld, gateway.answerBudget.heldBytes) }, 1)
+  const sampling = setInterval(() => { mostHeld = Math.max(mostHeld, gateway.answerBudget.heldBytes) }, 1).unref()
   for (const kind of ['a body without a length', 'a chunked body'] as const) {
     endless.kind = kind
     const sends = Array.from({ length: 300 }, async (_, index) => ({ path: index % 2 === 0 ? '/read/1' : '/write/1', response: await send(fixture, index % 2 === 0 ? '/read/1' : '/write/1') }))
