One wait for the progress of a copy

Cause: the read that waits for its copy repeated the wait of the entry VMs' watches, with the same listener, timer and clean-up.

Change: both call waitForProgress, beside the control host. Behaviour is the same.

--- a/packages/daemon/src/core/fleet/fleetMethods.ts
+++ b/packages/daemon/src/core/fleet/fleetMethods.ts
@@ -19,6 +19,7 @@
 import type { FleetCommand, FleetControl } from './fleetControl.js'
 import { confirmReadPosition, readRollouts, readRoutes, summarizeTeams } from './fleetReads.js'
 import { isLeading } from '../control/hostState.js'
+import { waitForProgress } from '../control/progressWait.js'
 import { delay } from '../node/timers.js'
 import type { PermitRequest } from '../control/permitIssuing.js'
 import type { ControlEndpoint } from './fleetNode.js'
@@ -264,7 +265,7 @@
   const { host } = control
   // A restriction follows from counted ends. Without any, which is nearly always, the items need not be searched.
   const isUrgent = (): boolean => host.machine.crashes.size > 0 && hasRestrictionSince(host.machine.config, version)
-  if (!isUrgent()) await waitForProgress(control, changeDelayMs, signal, isUrgent)
+  if (!isUrgent()) await waitUnlessStopping(control, changeDelayMs, signal, isUrgent)
 }
 
 /** Returns what an entry VM needs of the load update: without the weights that it has, and with its own shares of limits only. */
@@ -275,7 +276,7 @@
 
 async function waitForNewVersion (control: FleetControl, request: WatchRequest, signal: CancelSignal): Promise<void> {
   const knownVersion = Math.max(request.version, control.host.machine.config.version)
-  await waitForProgress(control, request.waitMs, signal, () => control.host.machine.config.version > knownVersion)
+  await waitUnlessStopping(control, request.waitMs, signal, () => control.host.machine.config.version > knownVersion)
 }
 
 /**
@@ -290,24 +291,11 @@
   const isCurrent = (): boolean => getStateAge(control, getCurrentTime()) < control.node.cfg.times.staleMs
   // A VM with an empty disk first receives the state from the leader, which takes seconds; another VM can answer
   // sooner.
-  if (control.host.replica !== undefined && !isCurrent()) await waitForProgress(control, waitMs, signal, isCurrent)
+  if (control.host.replica !== undefined && !isCurrent()) await waitUnlessStopping(control, waitMs, signal, isCurrent)
 }
 
-/** Waits until the copy reaches a condition, the time is over, or the caller disconnects. */
-async function waitForProgress (control: FleetControl, waitMs: Millis, signal: CancelSignal, isReached: () => boolean): Promise<void> {
+/** Waits until the copy reaches a condition, the time is over, the caller disconnects or this VM stops. */
+async function waitUnlessStopping (control: FleetControl, waitMs: Millis, signal: CancelSignal, isReached: () => boolean): Promise<void> {
   if (signal.aborted || control.hasEndedWatches) return
-  const { progressListeners } = control.host
-  await new Promise<void>(resolve => {
-    const finish = (): void => {
-      clearTimeout(timer)
-      signal.off('abort', finish)
-      const index = progressListeners.indexOf(check)
-      if (index >= 0) progressListeners.splice(index, 1)
-      resolve()
-    }
-    const check = (): void => { if (control.hasEndedWatches || isReached()) queueMicrotask(finish) }
-    const timer = setTimeout(finish, waitMs)
-    progressListeners.push(check)
-    signal.once('abort', finish)
-  })
+  await waitForProgress(control.host, waitMs, signal, () => control.hasEndedWatches || isReached())
 }
--- a/packages/daemon/src/core/fleet/fleetReads.ts
+++ b/packages/daemon/src/core/fleet/fleetReads.ts
@@ -3,7 +3,7 @@
 import type { Millis } from '@lynxcourse/base'
 import type { CrashingRequestItem, RolloutItem, RouteSet, Team } from '@lynxcourse/state'
 import type { LimitUpdate } from '@lynxcourse/placement'
-import { waitUntilApplied } from '../control/appliedVersion.js'
+import { waitUntilApplied } from '../control/progressWait.js'
 import { isLeading } from '../control/hostState.js'
 import { confirmRead } from '../control/proposals.js'
 import { relayToLeader } from './fleetControl.js'
