Repeated announcements are not validated again

Cause: each announcement of each server was validated by the product's schema, after its interface had done so, also where it only repeats what is known; and whether it is accepted was computed twice.

Change: an announcement that is accepted and changes nothing is not validated a second time; all others are, as before.

--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -255,14 +255,16 @@
   if (!control.node.cfg.regions.has(facts.failureDomain)) {
     throw new LynxError('badRequest', `failureDomain: '${facts.failureDomain}' is not known`, { step: 'announce', field: 'failureDomain' })
   }
-  validateValue(announcementSchema, facts, 'announce', '')
   const { config } = control.host.machine
+  const isAccepted = acceptsAnnouncement(config, facts)
   const hasChanged = hasBackendChanged(config, facts)
+  // What repeats a known announcement was valid before.
+  if (!isAccepted || hasChanged) validateValue(announcementSchema, facts, 'announce', '')
   const isConfirmed = control.host.replica !== undefined && hasRecentExchange(control.presence, control.node.cfg.times.presenceMs, now)
   if (!hasChanged && !isConfirmed) {
     throw new LynxError('notLeader', 'no recent exchange with the leader', { step: 'announce' })
   }
-  if (acceptsAnnouncement(config, facts)) control.presence.heard.add(facts.id)
+  if (isAccepted) control.presence.heard.add(facts.id)
   if (!hasChanged) return
   await enqueueAnnouncement(control.announcementQueue, () => control.host.machine.config, facts, async servers => await submitFleetCommand(control, { type: 'announceAll', servers }))
 }
