Resident memory is read when it is asked for

Cause: each VM read its resident memory once a second, which opens a file, for a metric that is fetched now and then.

Change: the metric reads it at each fetch, and the line about short memory when it is written; only the heap is sampled.

Measured: the metric has a value; memoryWatch.test.ts and seven other files pass.

--- a/packages/daemon/__tests__/memoryWatch.test.ts
+++ b/packages/daemon/__tests__/memoryWatch.test.ts
@@ -5,7 +5,7 @@
 import { startFleetFixture, startVm } from './support/fleetFixture.js'
 import { createKeptLogs, findLine } from './support/keptLogs.js'
 
-const use = (heapBytes: number): Parameters<typeof isMemoryShort>[0] => ({ heapBytes, heapLimitBytes: 1000, residentBytes: 2000 })
+const use = (heapBytes: number): Parameters<typeof isMemoryShort>[0] => ({ heapBytes, heapLimitBytes: 1000 })
 
 test('memory is short from three quarters of the heap limit on, until clearly less is in use', () => {
   assert.equal(isMemoryShort(use(740), false), false)
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -10,7 +10,7 @@
 import { closeServer, listen } from '../../utils/httpServer.js'
 import { log } from '../../utils/logging.js'
 import { watchMemory } from '../node/memoryWatch.js'
-import type { MemoryUse } from '../node/memoryWatch.js'
+import type { HeapUse } from '../node/memoryWatch.js'
 import { createMetricsServer } from '../../utils/metricsServer.js'
 import { programBuild } from '../../utils/programBuild.js'
 import { createResourceStack, moveResources, addResource } from '../../utils/resourceStack.js'
@@ -93,9 +93,9 @@
 }
 
 /** Logs what may hold the memory. A process that runs out of it ends without a line of its own. */
-function logShortMemory (node: FleetNode, control: FleetControl | undefined, { heapBytes, heapLimitBytes, residentBytes }: MemoryUse): void {
+function logShortMemory (node: FleetNode, control: FleetControl | undefined, { heapBytes, heapLimitBytes }: HeapUse): void {
   const held = control === undefined ? {} : describeHeldBytes(control)
-  log(node.logs, 'daemon', 'warn', 'Memory is short.', { heapBytes, heapLimitBytes, residentBytes, ...held })
+  log(node.logs, 'daemon', 'warn', 'Memory is short.', { heapBytes, heapLimitBytes, residentBytes: process.memoryUsage.rss(), ...held })
 }
 
 /** Starts to follow the state, and to confirm it while the watch is late. */
--- a/packages/daemon/src/core/node/memoryWatch.ts
+++ b/packages/daemon/src/core/node/memoryWatch.ts
@@ -4,11 +4,10 @@
 import { repeat } from './timers.js'
 import type { Metrics } from '../../utils/metrics.js'
 
-/** Memory of this process, in bytes. */
-export interface MemoryUse {
+/** The heap of this process, in bytes. */
+export interface HeapUse {
   readonly heapBytes: number
   readonly heapLimitBytes: number
-  readonly residentBytes: number
 }
 
 /** Fraction of the heap limit from which memory counts as short, and below which it counts as sufficient again. */
@@ -16,13 +15,13 @@
 const sufficientFraction = 0.6
 
 /** Whether memory counts as short, given whether it did before. */
-export function isMemoryShort ({ heapBytes, heapLimitBytes }: MemoryUse, wasShort: boolean): boolean {
+export function isMemoryShort ({ heapBytes, heapLimitBytes }: HeapUse, wasShort: boolean): boolean {
   return heapBytes >= heapLimitBytes * (wasShort ? sufficientFraction : shortFraction)
 }
 
-function readMemoryUse (): MemoryUse {
+function readHeapUse (): HeapUse {
   const { used_heap_size: heapBytes, heap_size_limit: heapLimitBytes } = getHeapStatistics()
-  return { heapBytes, heapLimitBytes, residentBytes: process.memoryUsage.rss() }
+  return { heapBytes, heapLimitBytes }
 }
 
 const sampleIntervalMs: Millis = 1000
@@ -32,12 +31,11 @@
  *
  * @param onShort called when memory becomes short
  */
-export function watchMemory (metrics: Metrics, onShort: (use: MemoryUse) => void): AsyncDisposable {
+export function watchMemory (metrics: Metrics, onShort: (use: HeapUse) => void): AsyncDisposable {
   let isShort = false
   return repeat(sampleIntervalMs, () => {
-    const use = readMemoryUse()
+    const use = readHeapUse()
     metrics.heapBytes.set(use.heapBytes)
-    metrics.residentBytes.set(use.residentBytes)
     const wasShort = isShort
     isShort = isMemoryShort(use, wasShort)
     if (isShort && !wasShort) onShort(use)
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -88,7 +88,7 @@
     logBytes: new Gauge({ name: 'lynxcourse_log_bytes', help: 'Size of the log file, without the snapshot.', registers }),
     snapshotBytes: new Gauge({ name: 'lynxcourse_snapshot_bytes', help: 'Length of the compressed state in the snapshot of the log, in characters.', registers }),
     heapBytes: new Gauge({ name: 'nodejs_heap_size_used_bytes', help: 'Heap in use by this process.', registers }),
-    residentBytes: new Gauge({ name: 'process_resident_memory_bytes', help: 'Resident memory of this process.', registers }),
+    residentBytes: new Gauge({ name: 'process_resident_memory_bytes', help: 'Resident memory of this process.', registers, collect () { this.set(process.memoryUsage.rss()) } }),
     rolloutSteps: new Counter({ name: 'lynxcourse_rollout_steps_total', help: 'Steps of rollouts that this VM submitted as the leader, by event.', labelNames: ['event'], registers }),
     largeAnswerBytes: new Counter({ name: 'lynxcourse_large_answer_bytes_total', help: 'Bytes of large answers written to callers while they were received.', registers }),
     largeAnswers: new Gauge({ name: 'lynxcourse_large_answers', help: 'Large answers that are being forwarded, written or waiting for the link.', registers }),
