Sends log whose id an answer bears, and how many requests its connection carried

Change: the line "Sent." has `echo` and `earlierRequests`; bytes on an idle connection have a line and the metric lynxcourse_unsolicited_answers_total. Measured: build and lint pass; no decision is changed.

--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -18,6 +18,8 @@
   readonly address: string
   /** Whether the connection carried a request before the present one. */
   isReused: boolean
+  /** Number of requests before the present one. */
+  earlierRequests: number
   /** How long the connection was idle before the present request. */
   restedMs: Millis
   /** Whether the peer reset the connection: `undici` takes a reset for the end of a body without a length. */
@@ -39,6 +41,8 @@
   readonly polls: PollTracker
   /** Called when a connection is open, with the time at which it was requested. */
   onConnect: ((address: string, requestedAt: Millis, socket: Socket) => void) | undefined
+  /** Called when a server sent bytes over an idle connection, which was closed then. */
+  onUnsolicited: ((address: string) => void) | undefined
   /** Connections by server address, in the order in which they were opened. */
   readonly byAddress: Map<string, Connection[]>
   /** Resets and missing answers on reused connections; they limit the idle time for requests that must not repeat. */
@@ -51,6 +55,9 @@
  */
 const closeBeforeServerMs: Millis = 1000
 
+/** The error of the HTTP client for bytes that arrive while no request is in flight. */
+const unsolicitedMessage = 'bad response'
+
 export function createConnectionPool (cfg: ConnectionCfg, chart: Chart, connectTimeoutMs: Millis, polls: PollTracker): ConnectionPool {
   const pool: ConnectionPool = {
     cfg,
@@ -58,6 +65,7 @@
     connectTimeoutMs,
     polls,
     onConnect: undefined,
+    onUnsolicited: undefined,
     byAddress: new Map(),
     idleHistory: createIdleConnectionHistory(),
     [Symbol.asyncDispose]: async () => {
@@ -85,6 +93,7 @@
     connection.restedMs = idleMs
     applyConnectionEvent(pool.chart, connection.state, 'take')
     connection.isReused = true
+    connection.earlierRequests += 1
     return connection
   }
   const connection = openConnection(pool, address, now)
@@ -105,9 +114,12 @@
     keepAliveTimeoutThreshold: closeBeforeServerMs
   })
   client.on('connectionError', () => undefined)
+  client.on('disconnect', (_origin, _targets, err) => {
+    if (connection.state.state === 'idle' && err.message === unsolicitedMessage) pool.onUnsolicited?.(address)
+  })
   const state = createConnectionState(pool.chart, now)
   applyConnectionEvent(pool.chart, state, 'take')
-  const connection: Connection = { client, state, address, isReused: false, restedMs: 0, wasReset: false, onOpen: undefined, socket: undefined, onReadable: undefined }
+  const connection: Connection = { client, state, address, isReused: false, earlierRequests: 0, restedMs: 0, wasReset: false, onOpen: undefined, socket: undefined, onReadable: undefined }
   return connection
 }
 
--- a/packages/daemon/src/core/fleet/fleetDaemon.ts
+++ b/packages/daemon/src/core/fleet/fleetDaemon.ts
@@ -142,6 +142,10 @@
     logTargetUse(gateway)
     return reports
   }
+  gateway.pool.onUnsolicited = address => {
+    node.metrics.unsolicitedAnswers.inc()
+    log(node.logs, 'route', 'warn', 'Server sent bytes that belong to no request.', { address })
+  }
   gateway.pool.onConnect = (address, startedAt, socket) => {
     recordConnectTime(gateway, address, getCurrentTime() - startedAt)
     if (node.cfg.capacity !== undefined) countTraffic(node.usage.traffic, socket)
--- a/packages/daemon/src/core/gateway/dialects.ts
+++ b/packages/daemon/src/core/gateway/dialects.ts
@@ -65,8 +65,14 @@
  */
 export type AnswerKind = 'answered' | 'notRun' | 'elsewhere' | 'spoiled'
 
+/** Whose request id an answer bears. */
+export type EchoedId = 'own' | 'other' | 'none'
+
 /** Headers between this system and backend servers. */
 export abstract class ServerDialect {
+  /** Returns whether an answer bears the id of a request, another id or none. */
+  abstract parseEchoedId (call: CallFacts, headers: HeaderMap): EchoedId
+
   /**
    * Returns the headers to add to a request for a server.
    *
@@ -118,11 +124,20 @@
     return parseServerStatements(status, headers)
   }
 
+  override parseEchoedId (call: CallFacts, headers: HeaderMap): EchoedId {
+    return compareEchoedId(call, headers[requestIdHeader])
+  }
+
   override classifyAnswer (call: CallFacts, status: number, headers: HeaderMap): AnswerKind {
-    const echoedId = headers[requestIdHeader]
     // A server may send an answer twice or late; the next request on the connection then receives it.
-    if (echoedId !== undefined && echoedId !== call.id) return 'spoiled'
+    if (this.parseEchoedId(call, headers) === 'other') return 'spoiled'
     if (status === statusMisdirected) return 'elsewhere'
     return headers[notStartedHeader] === undefined ? 'answered' : 'notRun'
   }
 }
+
+/** Compares the id that an answer bears with that of a request. Several ids count as another one. */
+export function compareEchoedId (call: CallFacts, echoed: string | string[] | undefined): EchoedId {
+  if (echoed === undefined) return 'none'
+  return echoed === call.id ? 'own' : 'other'
+}
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -25,7 +25,7 @@
 
 /** Logs a send with the values that its placement was based on, and its outcome. */
 export function logSend (gateway: Gateway, call: Call, state: RequestState, placement: Placement, report: SendReport, startedAt: Millis, now: Millis): void {
-  const { result, writtenAt, restedMs } = report
+  const { result, writtenAt, restedMs, earlierRequests, echo } = report
   const { facts, reportedAt } = placement.server
   const reportAgeMs = now - reportedAt
   const outcome = result.type === 'answered' ? String(result.status) : result.reason
@@ -60,6 +60,8 @@
     tookMs: Math.round(now - startedAt),
     writtenAfterMs: writtenAt === undefined ? undefined : Math.round(writtenAt - startedAt),
     restedMs: restedMs === undefined ? undefined : Math.round(restedMs),
+    earlierRequests,
+    echo,
     ...getStreamFields(call),
     ...getTimeFields(call),
     ...getCloseFields(call)
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -15,6 +15,7 @@
 import type { Connection } from '../entry/connectionPool.js'
 import { acceptAnswer, deliverRest, dropAnswer, isHeldBack, receivePart } from './answerStream.js'
 import type { Call } from './call.js'
+import type { EchoedId } from './dialects.js'
 import { canBePaused, startExchange } from './exchange.js'
 import type { BodyReceiver, ExcessiveAnswer, Exchange, ReceivedAnswer } from './exchange.js'
 import type { Gateway } from './gateway.js'
@@ -34,6 +35,10 @@
   readonly writtenAt: Millis | undefined
   /** Idle time of the connection before the request; undefined for a new connection. */
   readonly restedMs: Millis | undefined
+  /** Number of requests that the connection carried before. */
+  readonly earlierRequests: number
+  /** Whose request id the answer bears; undefined without a final answer. */
+  readonly echo: EchoedId | undefined
 }
 
 /**
@@ -87,7 +92,10 @@
     isWithdrawn = isClosedToRequests(placement.server.notice, at) || isClosedByVersion(gateway.fleet.rollouts, placement.server, at) || isClosedByState(gateway.fleet, placement.server) || !mayUseState(gateway, readClocks())
     return !isWithdrawn && at <= writeDeadline
   }
+  const { earlierRequests } = connection
+  let echo: EchoedId | undefined
   const exchange = startExchange(connection.client, options, mayWrite, head => {
+    echo = gateway.servers.parseEchoedId(call.facts, head.headers)
     recordIteration(gateway.loop)
     recordConnectionProgress(gateway.pool, connection, getCurrentTime())
     observeStatements(gateway, call, placement.server, head)
@@ -95,7 +103,7 @@
   connection.onReadable = exchange.checkReceived
   const watch = watchSend(gateway, call, timeouts, now, exchange.abort)
   const result = await awaitResult(gateway, call, placement, { connection, exchange, startedAt: now, watch, wasWithdrawn: () => isWithdrawn })
-  return { result, writtenAt: exchange.startedAt, restedMs }
+  return { result, writtenAt: exchange.startedAt, restedMs, earlierRequests, echo }
 }
 
 /**
--- a/packages/daemon/src/utils/metrics.ts
+++ b/packages/daemon/src/utils/metrics.ts
@@ -18,6 +18,7 @@
   readonly targetSends: Counter
   readonly serverPauses: Counter
   readonly serverDepartures: Counter
+  readonly unsolicitedAnswers: Counter
   readonly lookups: Counter<'result'>
   readonly claims: Counter<'result'>
   readonly claimSeconds: Histogram
@@ -67,6 +68,7 @@
     targetSends: new Counter({ name: 'lynxcourse_target_sends_total', help: 'Requests that this VM sent to the target version of a running rollout.', registers }),
     serverPauses: new Counter({ name: 'lynxcourse_server_pauses_total', help: 'Times for which backend servers wanted no requests from this VM.', registers }),
     serverDepartures: new Counter({ name: 'lynxcourse_server_departures_total', help: 'Backend servers that said in an answer to this VM that they leave.', registers }),
+    unsolicitedAnswers: new Counter({ name: 'lynxcourse_unsolicited_answers_total', help: 'Idle connections over which a backend server sent bytes that belong to no request.', registers }),
     lookups: new Counter({ name: 'lynxcourse_lookups_total', help: 'Look-ups by result.', labelNames: ['result'], registers }),
     claims: new Counter({ name: 'lynxcourse_claims_total', help: 'Claims by result.', labelNames: ['result'], registers }),
     claimSeconds: new Histogram({ name: 'lynxcourse_claim_duration_seconds', help: 'Time to an answer from the register.', buckets: latencyBuckets, registers }),
