--- a/packages/daemon/__tests__/support/fleetFixture.ts
+++ b/packages/daemon/__tests__/support/fleetFixture.ts
@@ -11,7 +11,7 @@
 import {
   DefaultCallerDialect, DefaultServerDialect, defaultFleetTimes, delay, isFleetReady, getCurrentTime, createSilentLogs, startFleetDaemon, submitFleetCommand, handleAnnouncement
 } from '@lynxcourse/daemon'
-import type { FleetCommand, FleetControl, FleetDaemon, FleetSettings, Logs } from '@lynxcourse/daemon'
+import type { Dialects, FleetCommand, FleetControl, FleetDaemon, FleetSettings, Logs } from '@lynxcourse/daemon'
 import type { BackendAnnouncement, ChangeAnswer, RouteChangeId, Route, RouteCommand } from '@lynxcourse/state'
 import { createRoute } from '@lynxcourse/state/testing'
 import { findFreePorts } from './freePorts.js'
@@ -45,10 +45,12 @@
   readonly slowLinks?: SlowLinkCfg
   /** The log of all VMs; by default nothing is logged. */
   readonly logs?: Logs
+  /** The headers of callers and servers; by default this system's own. */
+  readonly dialects?: Dialects
 }
 
 /** Starts the control VMs, which form the initial group, and then the entry VMs; `fields` replace settings of all VMs. */
-export async function startFleetFixture (entryCount: number, { fields = {}, controlCount = 3, hasControlLinks = false, slowLinks, logs }: FixtureOptions = {}): Promise<FleetFixture> {
+export async function startFleetFixture (entryCount: number, { fields = {}, controlCount = 3, hasControlLinks = false, slowLinks, logs, dialects }: FixtureOptions = {}): Promise<FleetFixture> {
   const ports = await findFreePorts((controlCount + entryCount) * 3)
   const folder = await mkdtemp(join(tmpdir(), 'lynx-fleet-'))
   const getAddress = (portIndex: number): string => `127.0.0.1:${ports[portIndex]}`
@@ -89,7 +91,7 @@
     }
   }
   try {
-    for (const cfg of settings) fixture.daemons.push(await startVm(cfg, logs))
+    for (const cfg of settings) fixture.daemons.push(await startVm(cfg, logs, dialects))
   } catch (err) {
     // A daemon fails to start if another process takes its port first. The other daemons would keep the test process running.
     await fixture[Symbol.asyncDispose]()
@@ -99,8 +101,8 @@
 }
 
 /** Starts one VM, by default without logs. */
-export async function startVm (cfg: FleetSettings, logs = createSilentLogs()): Promise<FleetDaemon> {
-  return await startFleetDaemon(cfg, { callers: new DefaultCallerDialect(), servers: new DefaultServerDialect() }, { logs })
+export async function startVm (cfg: FleetSettings, logs = createSilentLogs(), dialects: Dialects = { callers: new DefaultCallerDialect(), servers: new DefaultServerDialect() }): Promise<FleetDaemon> {
+  return await startFleetDaemon(cfg, dialects, { logs })
 }
 
 /** Returns the control role of a VM. */
@@ -170,9 +172,8 @@
   })
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
-  const facts: BackendAnnouncement = { id: brandId<ServerId>(id), service: desk, address, failureDomain: domain, slots: 3, software: 'v1', isDraining: false, bornAt: 0, seq: 1, coldMs: 0 }
   return {
-    facts,
+    facts: createAnnouncement(id, address),
     requests,
     server,
     [Symbol.asyncDispose]: async () => {
@@ -182,8 +183,13 @@
   }
 }
 
+/** Creates the announcement of a backend server of the service `desk`. */
+export function createAnnouncement (id: string, address: string): BackendAnnouncement {
+  return { id: brandId<ServerId>(id), service: desk, address, failureDomain: domain, slots: 3, software: 'v1', isDraining: false, bornAt: 0, seq: 1, coldMs: 0 }
+}
+
 /** Publishes routes and announces servers, then waits until the last VM, an entry VM, has both. */
-export async function publishRoutes (fixture: FleetFixture, servers: readonly TestServer[], routes: readonly Route[]): Promise<void> {
+export async function publishRoutes (fixture: FleetFixture, servers: ReadonlyArray<Pick<TestServer, 'facts'>>, routes: readonly Route[]): Promise<void> {
   await submitCommand(fixture, createReplaceRoutesCommand('first', 0, 1, routes))
   for (const { facts } of servers) await waitUntil(async () => await handleAnnouncement(getControl(fixture, 0), facts, getCurrentTime()).then(() => true, () => false))
   const entry = fixture.daemons.at(-1) as FleetDaemon
@@ -191,12 +197,12 @@
 }
 
 /** Announces servers periodically until disposal: a server that is not announced again counts as lost after some seconds. */
-export function keepAnnouncing (fixture: FleetFixture, servers: readonly TestServer[]): Disposable {
+export function keepAnnouncing (fixture: FleetFixture, servers: ReadonlyArray<Pick<TestServer, 'facts'>>): Disposable {
   const timer = setInterval(() => { for (const server of servers) announce(fixture, server) }, announceMs)
   return { [Symbol.dispose]: () => clearInterval(timer) }
 }
 
-function announce (fixture: FleetFixture, { facts }: TestServer): void {
+function announce (fixture: FleetFixture, { facts }: Pick<TestServer, 'facts'>): void {
   for (const daemon of fixture.daemons) {
     // A control VM that is stopping or has no leader does not answer; the others do.
     if (daemon?.control !== undefined) handleAnnouncement(daemon.control, facts, getCurrentTime()).catch(() => undefined)
--- a/packages/daemon/__tests__/support/testing.ts
+++ b/packages/daemon/__tests__/support/testing.ts
@@ -2,3 +2,6 @@
 export * from './freePorts.js'
 export * from './workerCaller.js'
 export * from './slowForwarder.js'
+export * from './fleetFixture.js'
+export * from './scriptedCaller.js'
+export * from './scriptedServer.js'
