No answer promises that a request has not run unless that is proved

Callers saw 408, 429 or 503 for requests that had run. Cause: a server's own status was passed on as it stood, though by these statuses a VM promises that the request has not run and never will. Any place could build a refusal, and each judged by itself whether the request might have run. Change: a ledger for each request holds what proves that it has not run; only answers.ts creates answers, a refusal needs the proof, and without one the answer is 502. A send needs it as well, unless the request may repeat. Measured: 'a status that promises no run is not passed on from a server that may have run the request' was red before (408 for a request that ran), passes now.

--- a/packages/daemon/src/core/gateway/authentication.ts
+++ b/packages/daemon/src/core/gateway/authentication.ts
@@ -1,5 +1,4 @@
 /** Identifies the team of a caller by the key in its request, and rejects requests without a known key. */
-import type { IncomingMessage } from 'node:http'
 import { getCopyAge } from '@lynxcourse/placement'
 import type { ClockReading } from '@lynxcourse/placement'
 import { applyTeam, identifyCaller, isKeyOfTeam } from '@lynxcourse/routing'
@@ -9,6 +8,8 @@
 import { createRefusal, createTextAnswer, unconfirmedStateRetryMs } from './answers.js'
 import type { CallAnswer, CallerTeam } from './call.js'
 import type { Gateway } from './gateway.js'
+import type { OpenRequest } from './openRequests.js'
+import type { RunLedger } from './runLedger.js'
 
 /** Why a caller is not served. */
 type RejectReason = 'unknownKey' | 'unconfirmedState' | 'noCommonRegion'
@@ -19,17 +20,17 @@
   | { readonly rejection: CallAnswer }
 
 /** Authenticates the caller of a request. */
-export function authenticateCaller (gateway: Gateway, req: IncomingMessage, route: Route, now: ClockReading): AuthenticatedCaller {
+export function authenticateCaller (gateway: Gateway, open: OpenRequest, route: Route, now: ClockReading): AuthenticatedCaller {
   const { teams, callers } = gateway
   if (!teams.isRequired) return { caller: undefined, route }
-  const key = callers.parseKey(req.headersDistinct)
+  const key = callers.parseKey(open.req.headersDistinct)
   const identity = identifyCaller(teams, route, key === undefined ? undefined : computeKeyDigest(key))
   switch (identity.type) {
     case 'anyone': return { caller: undefined, route }
-    case 'unknown': return { rejection: rejectUnknownKey(gateway, req, route, key !== undefined, now) }
+    case 'unknown': return { rejection: rejectUnknownKey(gateway, open, route, key !== undefined, now) }
     case 'team': {
       const teamRoute = applyTeam(teams, route, identity.team)
-      if (teamRoute === undefined) return { rejection: reject(gateway, req, route, 'noCommonRegion') }
+      if (teamRoute === undefined) return { rejection: reject(gateway, open, route, 'noCommonRegion') }
       return { caller: { name: identity.team.name, digest: identity.digest }, route: teamRoute }
     }
   }
@@ -40,27 +41,27 @@
   return caller === undefined || !teams.isRequired || isKeyOfTeam(teams, caller.digest, caller.name)
 }
 
-function rejectUnknownKey (gateway: Gateway, req: IncomingMessage, route: Route, hasKey: boolean, now: ClockReading): CallAnswer {
+function rejectUnknownKey (gateway: Gateway, open: OpenRequest, route: Route, hasKey: boolean, now: ClockReading): CallAnswer {
   const { freshness, cfg } = gateway.node
   // A VM that is cut off may have missed that a key was added.
   const isConfirmed = getCopyAge(freshness, now) <= cfg.times.maxStateAgeMs
-  return reject(gateway, req, route, hasKey && !isConfirmed ? 'unconfirmedState' : 'unknownKey')
+  return reject(gateway, open, route, hasKey && !isConfirmed ? 'unconfirmedState' : 'unknownKey')
 }
 
-function reject (gateway: Gateway, req: IncomingMessage, route: Route, reason: RejectReason): CallAnswer {
+function reject (gateway: Gateway, { req, ledger }: OpenRequest, route: Route, reason: RejectReason): CallAnswer {
   req.resume()
   const { node } = gateway
   node.metrics.refusals.inc({ reason })
   log(node.logs, 'access', 'info', 'Caller rejected.', { id: gateway.callers.parseCallFacts(req.headers).id, route: route.name, reason, stateVersion: node.config.version })
-  return createRejection(gateway, reason)
+  return createRejection(gateway, ledger, reason)
 }
 
-function createRejection (gateway: Gateway, reason: RejectReason): CallAnswer {
+function createRejection (gateway: Gateway, ledger: RunLedger, reason: RejectReason): CallAnswer {
   const { callers } = gateway
   switch (reason) {
     case 'unknownKey': return answerUnknownKey(gateway)
-    case 'unconfirmedState': return createRefusal(callers, 'the key is not known, and the configuration may be out of date', unconfirmedStateRetryMs)
-    case 'noCommonRegion': return createRefusal(callers, "no region is allowed by both the route and the caller's team", undefined)
+    case 'unconfirmedState': return createRefusal(callers, ledger, 'the key is not known, and the configuration may be out of date', unconfirmedStateRetryMs)
+    case 'noCommonRegion': return createRefusal(callers, ledger, "no region is allowed by both the route and the caller's team", undefined)
   }
 }
 
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -135,11 +135,11 @@
     return { service: 'none', answer: undefined }
   }
   const now = readClocks()
-  if (!mayUseState(gateway, now)) return { service: 'none', answer: refuseUnconfirmed(gateway, req) }
+  if (!mayUseState(gateway, now)) return { service: 'none', answer: refuseUnconfirmed(gateway, open) }
   gateway.node.metrics.stateAgeSeconds.observe(getCopyAge(gateway.node.freshness, now) / 1000)
   const target = selectTarget(gateway, req)
   if (target === undefined) return { service: 'none', answer: answerNoRoute(gateway, req) }
-  const authenticated = authenticateCaller(gateway, req, target.route, now)
+  const authenticated = authenticateCaller(gateway, open, target.route, now)
   if ('rejection' in authenticated) return { service: target.service, answer: authenticated.rejection }
   const routed = { route: authenticated.route, service: target.service, caller: authenticated.caller }
   return { service: target.service, answer: await serveRoutedCall(gateway, { ...incoming, arrival }, routed) }
@@ -198,17 +198,18 @@
   const deadline = arrivedAt + Math.min(facts.remainingMs ?? Infinity, route.timeoutMs)
   const giveUpAt = getGiveUpTime(deadline, arrivedAt, readAt)
   const refusedCall: RefusedCall = { facts, caller, route, service, arrivedAt, readAt, deadline }
-  if (!mayTake(gateway, pipelined, giveUpAt)) return refuseStopping(gateway, req, refusedCall)
-  if (!fitsIterationBudget(readIteration, route.rank)) return refuseOverloaded(gateway, req, refusedCall)
+  if (!mayTake(gateway, pipelined, giveUpAt)) return refuseStopping(gateway, open, refusedCall)
+  if (!fitsIterationBudget(readIteration, route.rank)) return refuseOverloaded(gateway, open, refusedCall)
   enterStep(open, 'body', getCurrentTime())
   const end = await callBody.end
   enterStep(open, 'decision', getCurrentTime())
-  if (end.type !== 'whole') return answerBodyFailure(gateway, end)
+  if (end.type !== 'whole') return answerBodyFailure(gateway, open, end)
   if (end.at > liveness.polledAt) invalidateLiveness(liveness)
-  if (!mayTake(gateway, pipelined, giveUpAt)) return refuseStopping(gateway, req, refusedCall)
+  if (!mayTake(gateway, pipelined, giveUpAt)) return refuseStopping(gateway, open, refusedCall)
   // Checked immediately before the work, so that later requests of this iteration include the time of that work.
   const elapsedMs = getCurrentTime() - Math.max(workStartedAt, end.at)
-  if (!fitsIterationBudget({ ...readIteration, elapsedMs }, route.rank)) return refuseOverloaded(gateway, req, refusedCall)
+  if (!fitsIterationBudget({ ...readIteration, elapsedMs }, route.rank)) return refuseOverloaded(gateway, open, refusedCall)
+  open.ledger.isIdempotent = route.isIdempotent
   const body = end.body.length === 0 ? null : end.body
   const method = req.method ?? 'GET'
   const path = req.url ?? '/'
@@ -232,6 +233,7 @@
     liveness,
     stream: createStream(gateway, incoming, route),
     open,
+    ledger: open.ledger,
     closeUnreadMs: () => gateway.loop.closeReadDelays.get(req.socket)
   }
   try {
--- a/packages/daemon/src/core/gateway/openRequests.ts
+++ b/packages/daemon/src/core/gateway/openRequests.ts
@@ -5,6 +5,8 @@
 import type { IncomingMessage } from 'node:http'
 import type { Millis, ServerId } from '@lynxcourse/base'
 import type { CancelSignal } from '../../utils/cancelSignal.js'
+import { createRunLedger } from './runLedger.js'
+import type { RunLedger } from './runLedger.js'
 
 /** The steps of an open request, mostly in this order. */
 export const openSteps = ['start', 'body', 'state', 'decision', 'capacity', 'server', 'earlierAnswers', 'writing'] as const
@@ -24,6 +26,8 @@
   stepSince: Millis
   /** The server that works on the request; undefined while none does. */
   server: ServerId | undefined
+  /** What is proved about its runs. */
+  readonly ledger: RunLedger
   /** Number of sends to servers so far. */
   sends: number
   /** Bytes written to the connection before this answer; undefined before the answer begins. */
@@ -65,7 +69,7 @@
 
 /** Adds a request whose head was read. */
 export function addOpenRequest ({ all }: OpenRequests, req: IncomingMessage, arrivedAt: Millis, now: Millis): OpenRequest {
-  const request: OpenRequest = { req, arrivedAt, step: 'start', stepSince: now, server: undefined, sends: 0, bytesBefore: undefined, isSent: false, gone: undefined, giveUp: undefined }
+  const request: OpenRequest = { req, arrivedAt, step: 'start', stepSince: now, server: undefined, ledger: createRunLedger(), sends: 0, bytesBefore: undefined, isSent: false, gone: undefined, giveUp: undefined }
   all.add(request)
   return request
 }
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -19,13 +19,14 @@
 import { canBePaused, startExchange } from './exchange.js'
 import type { BodyReceiver, ExcessiveAnswer, Exchange, ReceivedAnswer } from './exchange.js'
 import type { Gateway } from './gateway.js'
+import type { SendProof } from './runLedger.js'
 import { observeStatements } from './serverNotices.js'
 import { mayUseState } from './stateWait.js'
 
 /** The outcome of a send, with the answer or the details of the failure. */
 export type SendResult =
   | Extract<SendOutcome, { type: 'answered' }> & { readonly headers: HeaderMap, readonly body: Buffer }
-  | Extract<SendOutcome, { type: 'notRun' }> & { readonly status: number | undefined }
+  | Extract<SendOutcome, { type: 'notRun' }> & { readonly status: number | undefined, readonly proof: SendProof | undefined }
   | Extract<SendOutcome, { type: 'lost' }> & { readonly detail: string }
 
 /** The result of a send, with the time of writing and the idle time of the connection for the log. */
@@ -99,7 +100,7 @@
     recordIteration(gateway.loop)
     recordConnectionProgress(gateway.pool, connection, getCurrentTime())
     observeStatements(gateway, call, placement.server, head)
-  }, createReceiver(gateway, call, () => watch.pin()), { budget: gateway.answerBudget, getBytesRead: () => connection.socket?.bytesRead ?? 0 })
+  }, createReceiver(gateway, call, earlierRequests === 0, () => watch.pin()), { budget: gateway.answerBudget, getBytesRead: () => connection.socket?.bytesRead ?? 0 })
   connection.onReadable = exchange.checkReceived
   const watch = watchSend(gateway, call, timeouts, now, exchange.abort)
   const result = await awaitResult(gateway, call, placement, { connection, exchange, startedAt: now, watch, wasWithdrawn: () => isWithdrawn })
@@ -110,14 +111,15 @@
  * Creates the receiver of large answers of a call; undefined if the call's answers are read whole. Only answers of the
  * server itself with a status of success are forwarded before they are complete.
  *
+ * @param isFirst whether the answer is the first on its connection
  * @param onAccept called when an answer is accepted: no other server may replace it from then on
  */
-function createReceiver ({ servers }: Gateway, { stream, facts }: Call, onAccept: () => void): BodyReceiver | undefined {
+function createReceiver ({ servers }: Gateway, { stream, facts }: Call, isFirst: boolean, onAccept: () => void): BodyReceiver | undefined {
   if (stream === undefined) return undefined
   return {
     minBytes: minStreamedBytes,
     accept: (head, flow) => {
-      if (head.status >= firstRedirectStatus || servers.classifyAnswer(facts, head.status, head.headers) !== 'answered' || !canBePaused(head.headers)) return false
+      if (head.status >= firstRedirectStatus || servers.classifyAnswer(facts, head.status, head.headers, isFirst) !== 'answered' || !canBePaused(head.headers)) return false
       onAccept()
       acceptAnswer(stream, head, flow)
       return true
@@ -155,7 +157,7 @@
     // A server that had to wait for the caller or the link is not late.
     if (watch.reason() === 'gone' || (watch.reason() === 'deadline' && wasHeldBack)) return { type: 'lost', reason: 'gone', detail: getErrorMessage(err) }
     // A request that was never written can't have run.
-    if (exchange.startedAt === undefined) return { type: 'notRun', reason: wasWithdrawn() ? 'withdrawn' : 'unreached', status: undefined }
+    if (exchange.startedAt === undefined) return { type: 'notRun', reason: wasWithdrawn() ? 'withdrawn' : 'unreached', status: undefined, proof: 'unwritten' }
     return { type: 'lost', reason: watch.reason(), detail: getErrorMessage(err) }
   } finally {
     watch.end()
@@ -183,9 +185,13 @@
     return { type: 'lost', reason: 'spoiled', detail: received.detail }
   }
   const { status, headers: rawHeaders, body } = received
-  const kind = gateway.servers.classifyAnswer(call.facts, status, rawHeaders)
+  const isFirst = connection.earlierRequests === 0
+  const kind = gateway.servers.classifyAnswer(call.facts, status, rawHeaders, isFirst)
+  // On a connection that carried requests before, a rejection may be a second or late answer to one of them.
+  const proof: SendProof | undefined = isFirst ? 'rejected' : undefined
+  const isUnproved = kind !== 'answered' && proof === undefined && !call.route.isIdempotent
   const isTruncated = connection.wasReset && !hasBodyFraming(rawHeaders)
-  if (isTruncated || kind === 'spoiled') {
+  if (isTruncated || isUnproved || kind === 'spoiled') {
     // The answer is incomplete, belongs to another request or is not the server's own, so the rest of this connection
     // can't be trusted.
     closeConnection(gateway.pool, connection, 'close')
@@ -193,9 +199,9 @@
   }
   releaseConnection(gateway.pool, connection, getCurrentTime())
   // Another server sent this answer, so it doesn't show that the intended server is alive.
-  if (kind === 'elsewhere') return { type: 'notRun', reason: 'elsewhere', status }
+  if (kind === 'elsewhere') return { type: 'notRun', reason: 'elsewhere', status, proof }
   recordReply(gateway, placement.server, gateway.servers.parseQueueDepth(rawHeaders), getCurrentTime())
-  if (kind === 'notRun') return { type: 'notRun', reason: 'full', status }
+  if (kind === 'notRun') return { type: 'notRun', reason: 'full', status, proof }
   return { type: 'answered', status, headers: removeHopByHopHeaders(rawHeaders), body, connectMs }
 }
 
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -9,7 +9,8 @@
 import { cancelTrial, claimTrial, findRestriction, inspectFailedSend, reportAnswered } from '../crashes/crashWatch.js'
 import type { WatchedRequest } from '../crashes/crashWatch.js'
 import { delay } from '../node/timers.js'
-import { createRateRefusal, createRefusal, createTextAnswer, unconfirmedStateRetryMs } from './answers.js'
+import { createRateRefusal, createRefusal, createServerAnswer, createStreamedAnswer, createTextAnswer, unconfirmedStateRetryMs } from './answers.js'
+import type { OwnStatus } from './answers.js'
 import { hasBegun } from './answerStream.js'
 import type { AnswerStream } from './answerStream.js'
 import { answerUnknownKey, isStillAuthorized } from './authentication.js'
@@ -24,6 +25,7 @@
 import { getRetryFields } from './retryReport.js'
 import { logRefusal, logSend, getTimeFields } from './requestLog.js'
 import type { VmRefusal } from './requestLog.js'
+import { maySend, recordSendEnd, recordSendStart } from './runLedger.js'
 import { sendOnce } from './sending.js'
 import { mayUseState, waitForState } from './stateWait.js'
 import type { SendTimeouts, SendResult } from './sending.js'
@@ -31,7 +33,7 @@
 type FailureReason = Extract<RequestStep, { type: 'fail' }>['reason']
 
 /** Answers to requests that some server may have run. */
-const failureAnswers: Record<FailureReason, { readonly status: number, readonly detail: string }> = {
+const failureAnswers: Record<FailureReason, { readonly status: OwnStatus, readonly detail: string }> = {
   deadline: { status: 504, detail: 'deadline passed' },
   unanswered: { status: 504, detail: 'no answer before the deadline' },
   serverFailed: { status: 502, detail: 'the server failed' }
@@ -72,6 +74,7 @@
     const step = decideNextStep(gateway, state, { ...getConditions(gateway, call), needsPermit: needsPermit(gateway, holder, now) }, now)
     switch (step.type) {
       case 'send':
+        if (!maySend(call.ledger)) return fail(gateway, call, state, 'serverFailed')
         lastResult = await sendToServer(gateway, call, state, step.placement, holder)
         if (lastResult.type !== 'notRun') consumePermit(holder)
         if (call.stream !== undefined && hasBegun(call.stream)) return describeStreamed(call.stream)
@@ -90,7 +93,7 @@
       case 'wait':
         await waitForCapacity(gateway, call, state, step.pauseMs)
         break
-      case 'answer': return buildAnswer(lastResult)
+      case 'answer': return buildAnswer(call, lastResult)
       case 'refuse': return refuse(gateway, call, state, step.refused)
       case 'fail': return fail(gateway, call, state, step.reason)
       // A large answer may have been dropped for a caller that is still connected. Without an answer, later ones of its connection would wait for good.
@@ -101,13 +104,13 @@
 
 /** Returns the answer of which the caller has got all or a part. */
 function describeStreamed ({ status, state }: AnswerStream): CallAnswer {
-  return { status, headers: {}, body: Buffer.alloc(0), streamed: state === 'complete' ? 'complete' : 'broken' }
+  return createStreamedAnswer(status, state === 'complete' ? 'complete' : 'broken')
 }
 
 /** Answers a request that can't be sent any more by its sends so far; returns undefined if no server may have run it. */
 function answerFromSends (gateway: Gateway, call: Call, state: RequestState, lastResult: SendResult | undefined): CallAnswer | undefined {
   if (state.possibleRuns === 0) return undefined
-  return buildAnswer(lastResult) ?? fail(gateway, call, state, 'serverFailed')
+  return buildAnswer(call, lastResult) ?? fail(gateway, call, state, 'serverFailed')
 }
 
 /** Answers a request that did not run and whose key was taken away while it waited. */
@@ -157,8 +160,11 @@
     isUnresponsive: () => isServerUnresponsive(gateway, sending, getConditions(gateway, call), getCurrentTime())
   }
   enterServer(call.open, placement.server.facts.id, startedAt)
+  const provedBefore = call.ledger.by
+  recordSendStart(call.ledger)
   const report = await sendOnce(gateway, call, placement, timeouts, sending.charge !== undefined)
   const { result } = report
+  recordSendEnd(call.ledger, provedBefore, result.type === 'notRun' ? result.proof : undefined)
   const now = getCurrentTime()
   leaveServer(call.open)
   enterStep(call.open, 'decision', now)
@@ -179,14 +185,14 @@
   if (result.type === 'answered' && !isServerError(result.status)) await reportAnswered(crashes, call)
 }
 
-function buildAnswer (lastResult: SendResult | undefined): CallAnswer | undefined {
-  return lastResult?.type === 'answered' ? { status: lastResult.status, headers: lastResult.headers, body: lastResult.body } : undefined
+function buildAnswer ({ ledger }: Call, lastResult: SendResult | undefined): CallAnswer | undefined {
+  return lastResult?.type === 'answered' ? createServerAnswer(ledger, lastResult.status, lastResult.headers, lastResult.body) : undefined
 }
 
 function refuse (gateway: Gateway, call: Call, state: RequestState, refusal: Refusal | VmRefusal | PermitRefusal): CallAnswer {
   logRefusal(gateway, call, state, refusal)
   const { reason, retryAfterMs } = refusal
-  return reason === 'overRate' ? createRateRefusal(gateway.callers, reason, retryAfterMs) : createRefusal(gateway.callers, reason, retryAfterMs)
+  return reason === 'overRate' ? createRateRefusal(gateway.callers, call.ledger, reason, retryAfterMs) : createRefusal(gateway.callers, call.ledger, reason, retryAfterMs)
 }
 
 function fail (gateway: Gateway, call: Call, state: RequestState, reason: FailureReason): CallAnswer {
