A rejection proves nothing on a connection that carried other requests

Callers saw requests that must not repeat run at two servers, or run after a refusal. Cause: servers reject without a request id, and answers without an id were accepted on any connection. A second or late rejection of an earlier request was taken for the next one's, which was at work: it was sent to another server or refused. Failures without an id were passed on to the next request likewise. Change: a request that must not repeat gets a new connection, so that the first answer is its own; there alone a rejection is a proof. On other connections an answer without an id that rejects nothing is discarded. Measured: red before: 'write-0: ran 2 times', and a 400 passed on to another request; both pass now, and full servers' requests still find one with room.

--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -1,7 +1,7 @@
 /** Pools connections to backend servers, one `undici` client each, and tracks their states by the `connection` chart. */
 import type { Socket } from 'node:net'
 import { Client, buildConnector } from 'undici'
-import { createIdleConnectionHistory, isLateConnection, getMaxIdleMs, recordResetAfterIdle, recordUnansweredAfterIdle } from '@lynxcourse/placement'
+import { createIdleConnectionHistory, isLateConnection, recordResetAfterIdle, recordUnansweredAfterIdle } from '@lynxcourse/placement'
 import type { IdleConnectionHistory } from '@lynxcourse/placement'
 import { createConnectionState, isReusable, recordProgress, applyConnectionEvent } from '@lynxcourse/routing'
 import type { ConnectionCfg, ConnectionState } from '@lynxcourse/routing'
@@ -80,22 +80,28 @@
  * Returns a connection that may carry a request, opening one if necessary. Pass it to `releaseConnection` or
  * `closeConnection` afterwards.
  *
- * @param mustNotRepeat whether the request must not run twice: then only a connection with very recent progress is reused
+ * @param mustNotRepeat whether the request must not run twice: then it gets a new connection, on which no answer can be a late one to
+ * another request, so that a rejection shows that the request has not run
  * @param maxIdleMs a connection that has been idle for longer is not used
  */
 export function acquireConnection (pool: ConnectionPool, address: string, mustNotRepeat: boolean, now: Millis, maxIdleMs: Millis = Infinity): Connection {
   const connections = pool.byAddress.get(address) ?? []
+  if (mustNotRepeat) return addConnection(pool, connections, address, now)
   for (let index = connections.length - 1; index >= 0; index--) {
     const connection = connections[index] as Connection
-    if (!isReusable(pool.cfg, connection.state, mustNotRepeat, now)) continue
+    if (!isReusable(pool.cfg, connection.state, false, now)) continue
     const idleMs = now - connection.state.progressAt
-    if (idleMs > maxIdleMs || (mustNotRepeat && idleMs > getMaxIdleMs(pool.idleHistory, now))) continue
+    if (idleMs > maxIdleMs) continue
     connection.restedMs = idleMs
     applyConnectionEvent(pool.chart, connection.state, 'take')
     connection.isReused = true
     connection.earlierRequests += 1
     return connection
   }
+  return addConnection(pool, connections, address, now)
+}
+
+function addConnection (pool: ConnectionPool, connections: readonly Connection[], address: string, now: Millis): Connection {
   const connection = openConnection(pool, address, now)
   pool.byAddress.set(address, [...connections, connection])
   return connection
--- a/packages/daemon/src/core/gateway/dialects.ts
+++ b/packages/daemon/src/core/gateway/dialects.ts
@@ -86,8 +86,12 @@
   /** Returns what an answer says about its server, apart from its load. */
   abstract parseStatements (status: number, headers: HeaderMap): ServerStatements
 
-  /** Checks by an answer's head whether it belongs to the request, and whether the request ran. */
-  abstract classifyAnswer (call: CallFacts, status: number, headers: HeaderMap): AnswerKind
+  /**
+   * Checks by an answer's head whether it belongs to the request, and whether the request ran.
+   *
+   * @param isFirst whether the answer is the first on its connection, so that it can't be a late one to an earlier request
+   */
+  abstract classifyAnswer (call: CallFacts, status: number, headers: HeaderMap, isFirst?: boolean): AnswerKind
 }
 
 const statusMisdirected = 421
