An error of the HTTP server for later bytes is answered after the requests before them

Callers got a 408, 400 or 431 in place of the answer to a request that was at work, and took it by the 408 for one that has not run. Cause: Node's HTTP server answers malformed, too large and late heads by itself, at once, and destroys the connection with what is at work on it. Change: these answers take their place behind the earlier requests; the rest of a request that has its answer already gets none. Late heads are looked for each second, not each half minute.

--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -25,6 +25,7 @@
 import type { CallBody } from './callBody.js'
 import { markClose, trackConnection } from './callerConnections.js'
 import { answerBodyFailure, answerNoRoute, refuseOverloaded, refuseStopping, refuseUnconfirmed } from './callerRefusals.js'
+import { endInvalidConnection } from './connectionErrors.js'
 import type { Gateway } from './gateway.js'
 import { addOpenRequest, enterStep, enterWriting, recordFinish } from './openRequests.js'
 import type { OpenRequest } from './openRequests.js'
@@ -43,15 +44,23 @@
  * still finds its connection open.
  */
 const idleSlackMs: Millis = 2000
+/** Interval of the checks whether the head of a request is late. */
+const limitCheckMs: Millis = 1000
 
 /** Creates the server; it does not listen yet. */
 export function createCallerServer (gateway: Gateway): Server {
-  const server = createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0 }, (req, res) => {
+  const server = createServer({ maxHeaderSize: maxHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: limitCheckMs }, (req, res) => {
     answerCall(gateway, req, res).catch((err: unknown) => {
       log(gateway.node.logs, 'route', 'error', 'Serving a request failed.', { error: getErrorMessage(err) })
       res.destroy()
     })
   })
+  server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+    endInvalidConnection(gateway, err, socket as Socket).catch((reason: unknown) => {
+      log(gateway.node.logs, 'route', 'error', 'Ending an invalid connection failed.', { error: getErrorMessage(reason) })
+      socket.destroy()
+    })
+  })
   server.on('connection', (socket: Socket) => {
     trackConnection(gateway, socket)
     lingerAfterLastAnswer(gateway.lingering, socket)
@@ -78,7 +87,7 @@
   const open = addOpenRequest(gateway.openRequests, req, arrivedAt, arrival.readAt)
   metrics.inFlight.set(gateway.open)
   const body = startReadingBody(gateway, req)
-  const pipelined = await joinPipeline(gateway.pipelines, req.socket)
+  const pipelined = await joinPipeline(gateway.pipelines, req)
   const { gone } = pipelined
   open.gone = gone
   try {
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -56,6 +56,8 @@
   readonly connections: Set<Socket>
   /** Connections from callers that are half-closed after their last answer. */
   readonly lingering: LingeringSockets
+  /** Connections from callers that sent bytes that are no request. */
+  readonly invalid: WeakSet<Socket>
   /** Writes large answers. */
   readonly link: LinkPacer
   /** Unanswered requests by caller connection. */
@@ -102,6 +104,7 @@
     openRequests,
     connections: new Set(),
     lingering: new Set(),
+    invalid: new WeakSet(),
     waitingForCapacity: new Map(),
     waitingForState: 0,
     bufferedBodyBytes: 0,
--- a/packages/daemon/src/core/gateway/pipeline.ts
+++ b/packages/daemon/src/core/gateway/pipeline.ts
@@ -8,6 +8,7 @@
  * requests makes the VM buffer all later answers. The symptoms are requests that end with a closed connection
  * while a VM stops, unneeded work at servers, and a VM that runs out of memory.
  */
+import type { IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { CancelSignal } from '../../utils/cancelSignal.js'
 import type { CloseReason } from './closeReason.js'
@@ -24,6 +25,8 @@
   readonly gone: CancelSignal
   /** Size of its answer while the answer is buffered behind earlier ones; otherwise 0. */
   bufferedAnswerBytes: number
+  /** Whether its answer is complete in this VM, and is written or about to be. */
+  isAnswering: boolean
   /** Checks again the condition that the request waits for. */
   wake: () => void
 }
@@ -32,6 +35,8 @@
 export interface Pipeline {
   readonly socket: Socket
   requests: PipelinedRequest[]
+  /** The request that was read last, which may be answered while its body is being read. */
+  last: { readonly req: IncomingMessage, readonly pipelined: PipelinedRequest } | undefined
   /** Whether an answer will close the connection; later requests on it count as not received. */
   isClosing: boolean
   /** Requests that arrived after the announcement of the close. */
@@ -48,7 +53,7 @@
 function getOrCreatePipeline (pipelines: Pipelines, socket: Socket): Pipeline {
   const known = pipelines.get(socket)
   if (known !== undefined) return known
-  const pipeline: Pipeline = { socket, requests: [], isClosing: false, discardedRequests: 0, closeReason: undefined, answeredBytesRead: undefined }
+  const pipeline: Pipeline = { socket, requests: [], last: undefined, isClosing: false, discardedRequests: 0, closeReason: undefined, answeredBytesRead: undefined }
   pipelines.set(socket, pipeline)
   const cancelAll = (): void => { for (const request of pipeline.requests) cancel(request) }
   // The end of the caller's data is read one event loop iteration before the socket emits `close`.
@@ -58,13 +63,33 @@
 }
 
 /** Adds a request to the pipeline of its connection, and waits until the request may start or is cancelled. */
-export async function joinPipeline (pipelines: Pipelines, socket: Socket): Promise<PipelinedRequest> {
+export async function joinPipeline (pipelines: Pipelines, req: IncomingMessage): Promise<PipelinedRequest> {
+  const pipelined = addToPipeline(getOrCreatePipeline(pipelines, req.socket))
+  pipelined.pipeline.last = { req, pipelined }
+  await waitUntil(pipelined, mayStart)
+  return pipelined
+}
+
+/**
+ * Adds bytes that are no request to the end of a pipeline. If they are the rest of a request that has no answer yet, they take its
+ * place; `isAnswered` tells whether that request has been answered already, so that nothing may be written.
+ */
+export function joinAsLast (pipelines: Pipelines, socket: Socket): PipelinedRequest & { readonly isAnswered: boolean } {
   const pipeline = getOrCreatePipeline(pipelines, socket)
-  const request: PipelinedRequest = { pipeline, gone: new CancelSignal(), bufferedAnswerBytes: 0, wake: () => undefined }
+  const unfinished = pipeline.last?.req.complete === false ? pipeline.last.pipelined : undefined
+  const isAnswered = unfinished !== undefined && (unfinished.isAnswering || !pipeline.requests.includes(unfinished))
+  if (unfinished !== undefined && !isAnswered) {
+    cancel(unfinished)
+    leavePipeline(unfinished)
+  }
+  return Object.assign(addToPipeline(pipeline), { isAnswered })
+}
+
+function addToPipeline (pipeline: Pipeline): PipelinedRequest {
+  const request: PipelinedRequest = { pipeline, gone: new CancelSignal(), bufferedAnswerBytes: 0, isAnswering: false, wake: () => undefined }
   pipeline.requests.push(request)
   if (pipeline.isClosing) pipeline.discardedRequests += 1
-  if (socket.destroyed || pipeline.isClosing) cancel(request)
-  await waitUntil(request, mayStart)
+  if (pipeline.socket.destroyed || pipeline.isClosing) cancel(request)
   return request
 }
 
@@ -75,6 +100,7 @@
  * would then not notice that the caller closes the connection.
  */
 export async function waitForEarlierAnswers (request: PipelinedRequest, answerBytes: number): Promise<boolean> {
+  request.isAnswering = true
   request.bufferedAnswerBytes = answerBytes
   await waitUntil(request, isFirst)
   request.bufferedAnswerBytes = 0
