Invalid bytes of a caller that has gone leave the pipeline

Cause: their place stayed in the pipeline of a connection that closes. Change: it is given up as well when no answer is written.

--- a/packages/daemon/src/core/gateway/connectionErrors.ts
+++ b/packages/daemon/src/core/gateway/connectionErrors.ts
@@ -38,7 +38,10 @@
   const status = statusByCode[code] ?? statusBadRequest
   const last = joinAsLast(gateway.pipelines, socket)
   log(gateway.node.logs, 'route', 'info', 'Bytes of a caller are no request.', { status, code, error: getErrorMessage(err), address: socket.remoteAddress, earlier: last.pipeline.requests.length - 1, isAnswered: last.isAnswered })
-  if (!await waitForEarlierAnswers(last, 0)) return
+  if (!await waitForEarlierAnswers(last, 0)) {
+    leavePipeline(last)
+    return
+  }
   if (!last.isAnswered) socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   markClose(gateway, socket, 'invalid')
   leavePipeline(last)
