One check whether a request may be sent again, and state that was derivable

Cause: the read of the change found two predicates of the ledger that are the same question, with a proof object that nothing read; a value handed out of the ledger and back into it; the ledger in a call and in its open request; whether a connection is reused beside its number of requests; and a copy of what a lingering close does with further input. An invalid connection whose body was not consumed now reads on as well, as a lingering close does. No test was changed.

--- a/packages/daemon/src/core/entry/attempts.ts
+++ b/packages/daemon/src/core/entry/attempts.ts
@@ -11,7 +11,7 @@
 import { removeHopByHopHeaders } from '../../utils/headers.js'
 import { deadlineHeader, loadHeader, notStartedHeader, requestIdHeader } from '../../types/answers.js'
 import type { HeaderMap } from '../../types/answers.js'
-import { closeConnection, closeSilentConnection, isConnectError, recordConnectionProgress, releaseConnection, acquireConnection } from './connectionPool.js'
+import { closeConnection, closeSilentConnection, isConnectError, isReused, recordConnectionProgress, releaseConnection, acquireConnection } from './connectionPool.js'
 import type { Connection } from './connectionPool.js'
 import type { EntryState } from './entry.js'
 import { observeStatements } from './serviceNotices.js'
@@ -45,7 +45,7 @@
   const connection = acquireConnection(entry.pool, slot.observed.backend.address, !request.isIdempotent, now)
   const watch = watchAttempt(entry, request, connection, signal, now)
   // Only a new connection shows by opening that nothing was written yet.
-  connection.onOpen = connection.isReused ? undefined : () => { if (isClosedToRequests(slot.observed.notice, getCurrentTime())) watch.withdraw() }
+  connection.onOpen = isReused(connection) ? undefined : () => { if (isClosedToRequests(slot.observed.notice, getCurrentTime())) watch.withdraw() }
   try {
     const res = await connection.client.request({ ...buildRequestOptions(request, now), signal: watch.signal })
     watch.onHeaders()
@@ -115,7 +115,7 @@
   const deadlineTimer = setTimeout(afterPoll(entry.loop.polls, abortWith('deadline')), Math.max(1, request.deadline - now))
   // A middlebox can lose track only of a connection that carried requests before. A new connection without an answer
   // means that the server is slow, and a second attempt would only add to its load.
-  const detectsSilence = connection.isReused && request.isIdempotent
+  const detectsSilence = isReused(connection) && request.isIdempotent
   const abortAsSilent = abortWith('silent')
   const checkSilence = (): void => { if (isSilent(entry.pool.cfg, connection.state, getCurrentTime())) abortAsSilent() }
   const silenceTimer = detectsSilence ? setTimeout(afterPoll(entry.loop.polls, checkSilence), entry.pool.cfg.silentMs + 1) : undefined
--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -16,8 +16,6 @@
   readonly client: Client
   readonly state: ConnectionState
   readonly address: string
-  /** Whether the connection carried a request before the present one. */
-  isReused: boolean
   /** Number of requests before the present one. */
   earlierRequests: number
   /** How long the connection was idle before the present request. */
@@ -94,7 +92,6 @@
     if (idleMs > maxIdleMs) continue
     connection.restedMs = idleMs
     applyConnectionEvent(pool.chart, connection.state, 'take')
-    connection.isReused = true
     connection.earlierRequests += 1
     return connection
   }
@@ -125,7 +122,7 @@
   })
   const state = createConnectionState(pool.chart, now)
   applyConnectionEvent(pool.chart, state, 'take')
-  const connection: Connection = { client, state, address, isReused: false, earlierRequests: 0, restedMs: 0, wasReset: false, onOpen: undefined, socket: undefined, onReadable: undefined }
+  const connection: Connection = { client, state, address, earlierRequests: 0, restedMs: 0, wasReset: false, onOpen: undefined, socket: undefined, onReadable: undefined }
   return connection
 }
 
@@ -177,6 +174,11 @@
   return Object.assign(new Error('the server closed the connection before it was used'), { code: 'ECONNRESET', syscall: 'connect' })
 }
 
+/** Whether a connection carried a request before the present one. */
+export function isReused ({ earlierRequests }: Connection): boolean {
+  return earlierRequests > 0
+}
+
 /** Records that bytes arrived on a connection. */
 export function recordConnectionProgress (pool: ConnectionPool, connection: Connection, now: Millis): void {
   if (connection.state.state === 'busy') recordProgress(pool.chart, connection.state, now)
@@ -215,7 +217,7 @@
 
 /** Records that the server reset a connection before any byte of an answer arrived. */
 export function recordUnansweredReset (pool: ConnectionPool, connection: Connection, now: Millis): void {
-  if (connection.isReused) recordResetAfterIdle(pool.idleHistory, connection.address, connection.restedMs, now)
+  if (isReused(connection)) recordResetAfterIdle(pool.idleHistory, connection.address, connection.restedMs, now)
 }
 
 /** Closes connections that have been idle for too long. */
--- a/packages/daemon/src/core/gateway/answers.ts
+++ b/packages/daemon/src/core/gateway/answers.ts
@@ -3,7 +3,7 @@
 import type { HeaderMap } from '../../types/answers.js'
 import type { CallAnswer } from './call.js'
 import type { CallerDialect } from './dialects.js'
-import { getNotRunProof } from './runLedger.js'
+import { maySend } from './runLedger.js'
 import type { RunLedger } from './runLedger.js'
 
 /** Retry time for callers of a VM that may not use its state: other VMs are likely to be able to serve them. */
@@ -34,7 +34,7 @@
 }
 
 function refuseWith (status: number, callers: CallerDialect, ledger: RunLedger, detail: string, retryAfterMs: Millis | undefined): CallAnswer {
-  if (getNotRunProof(ledger) === undefined) return createTextAnswer(statusBadGateway, `may have run: ${detail}`)
+  if (!maySend(ledger)) return createTextAnswer(statusBadGateway, `may have run: ${detail}`)
   const headers = retryAfterMs === undefined ? {} : callers.buildRefusalHeaders(retryAfterMs)
   return createLines(status, `not run: ${detail}`, headers)
 }
--- a/packages/daemon/src/core/gateway/call.ts
+++ b/packages/daemon/src/core/gateway/call.ts
@@ -7,7 +7,6 @@
 import type { AnswerStream } from './answerStream.js'
 import type { CallFacts } from './dialects.js'
 import type { OpenRequest } from './openRequests.js'
-import type { RunLedger } from './runLedger.js'
 
 /** A caller's team, and the key that proves it. */
 export interface CallerTeam {
@@ -51,7 +50,6 @@
   readonly stream: AnswerStream | undefined
   /** The step of the request. */
   readonly open: OpenRequest
-  readonly ledger: RunLedger
   /** Returns the upper bound of the read delay of the caller's close; undefined until the close is read. */
   readonly closeUnreadMs: () => Millis | undefined
 }
--- a/packages/daemon/src/core/gateway/callerServer.ts
+++ b/packages/daemon/src/core/gateway/callerServer.ts
@@ -242,7 +242,6 @@
     liveness,
     stream: createStream(gateway, incoming, route),
     open,
-    ledger: open.ledger,
     closeUnreadMs: () => gateway.loop.closeReadDelays.get(req.socket)
   }
   try {
--- a/packages/daemon/src/core/gateway/connectionErrors.ts
+++ b/packages/daemon/src/core/gateway/connectionErrors.ts
@@ -7,7 +7,7 @@
 import { STATUS_CODES } from 'node:http'
 import type { Socket } from 'node:net'
 import { getErrorMessage } from '@lynxcourse/base'
-import { closeLingering } from '../../utils/lingeringClose.js'
+import { closeLingering, discardInput } from '../../utils/lingeringClose.js'
 import { log } from '../../utils/logging.js'
 import { markClose } from './callerConnections.js'
 import type { Gateway } from './gateway.js'
@@ -47,10 +47,3 @@
   leavePipeline(last)
   closeLingering(gateway.lingering, socket)
 }
-
-/** Keeps reading, so that the caller's close is noticed, and keeps what arrives from the HTTP parser. */
-function discardInput (socket: Socket): void {
-  socket.removeAllListeners('data')
-  socket.on('data', () => undefined)
-  socket.resume()
-}
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -11,7 +11,7 @@
 import { log } from '../../utils/logging.js'
 import { recordIteration } from '../../utils/loopMonitor.js'
 import { afterPoll } from '../../utils/pollPhase.js'
-import { closeConnection, closeSilentConnection, recordUnansweredReset, recordConnectionProgress, releaseConnection, acquireConnection } from '../entry/connectionPool.js'
+import { closeConnection, closeSilentConnection, isReused, recordUnansweredReset, recordConnectionProgress, releaseConnection, acquireConnection } from '../entry/connectionPool.js'
 import type { Connection } from '../entry/connectionPool.js'
 import { acceptAnswer, deliverRest, dropAnswer, isHeldBack, receivePart } from './answerStream.js'
 import type { Call } from './call.js'
@@ -83,7 +83,7 @@
   const now = getCurrentTime()
   const { facts } = placement.server
   const connection = acquireConnection(gateway.pool, facts.address, !call.route.isIdempotent, now, isRetry ? maxRetryIdleMs : Infinity)
-  const restedMs = connection.isReused ? connection.restedMs : undefined
+  const restedMs = isReused(connection) ? connection.restedMs : undefined
   const remainingMs = Math.max(1, Math.floor(call.deadline - now))
   const headers = { ...call.headers, ...gateway.servers.buildRequestHeaders(call.facts, facts.id, remainingMs, call.caller?.name) }
   const options: Dispatcher.DispatchOptions = { method: call.method as Dispatcher.HttpMethod, path: call.path, headers, body: call.body }
@@ -100,7 +100,7 @@
     recordIteration(gateway.loop)
     recordConnectionProgress(gateway.pool, connection, getCurrentTime())
     observeStatements(gateway, call, placement.server, head)
-  }, createReceiver(gateway, call, earlierRequests === 0, () => watch.pin()), { budget: gateway.answerBudget, getBytesRead: () => connection.socket?.bytesRead ?? 0 })
+  }, createReceiver(gateway, call, !isReused(connection), () => watch.pin()), { budget: gateway.answerBudget, getBytesRead: () => connection.socket?.bytesRead ?? 0 })
   connection.onReadable = exchange.checkReceived
   const watch = watchSend(gateway, call, timeouts, now, exchange.abort)
   const result = await awaitResult(gateway, call, placement, { connection, exchange, startedAt: now, watch, wasWithdrawn: () => isWithdrawn })
@@ -149,7 +149,7 @@
     const now = getCurrentTime()
     const wasHeldBack = call.stream !== undefined && isHeldBack(call.stream, now)
     if (call.stream !== undefined) dropAnswer(call.stream)
-    const wasSilent = connection.isReused && silentReasons.has(watch.reason())
+    const wasSilent = isReused(connection) && silentReasons.has(watch.reason())
     if (wasSilent) closeSilentConnection(gateway.pool, connection, startedAt, now)
     else closeConnection(gateway.pool, connection, 'close')
     const isPrompt = now - startedAt < promptResetMs + estimateRoundTrip(gateway.fleet, facts.region)
@@ -185,7 +185,7 @@
     return { type: 'lost', reason: 'spoiled', detail: received.detail }
   }
   const { status, headers: rawHeaders, body } = received
-  const isFirst = connection.earlierRequests === 0
+  const isFirst = !isReused(connection)
   const kind = gateway.servers.classifyAnswer(call.facts, status, rawHeaders, isFirst)
   // On a connection that carried requests before, a rejection may be a second or late answer to one of them.
   const proof: SendProof | undefined = isFirst ? 'rejected' : undefined
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -74,7 +74,7 @@
     const step = decideNextStep(gateway, state, { ...getConditions(gateway, call), needsPermit: needsPermit(gateway, holder, now) }, now)
     switch (step.type) {
       case 'send':
-        if (!maySend(call.ledger)) return fail(gateway, call, state, 'serverFailed')
+        if (!maySend(call.open.ledger)) return fail(gateway, call, state, 'serverFailed')
         lastResult = await sendToServer(gateway, call, state, step.placement, holder)
         if (lastResult.type !== 'notRun') consumePermit(holder)
         if (call.stream !== undefined && hasBegun(call.stream)) return describeStreamed(call.stream)
@@ -160,11 +160,10 @@
     isUnresponsive: () => isServerUnresponsive(gateway, sending, getConditions(gateway, call), getCurrentTime())
   }
   enterServer(call.open, placement.server.facts.id, startedAt)
-  const provedBefore = call.ledger.by
-  recordSendStart(call.ledger)
+  recordSendStart(call.open.ledger)
   const report = await sendOnce(gateway, call, placement, timeouts, sending.charge !== undefined)
   const { result } = report
-  recordSendEnd(call.ledger, provedBefore, result.type === 'notRun' ? result.proof : undefined)
+  recordSendEnd(call.open.ledger, result.type === 'notRun' ? result.proof : undefined)
   const now = getCurrentTime()
   leaveServer(call.open)
   enterStep(call.open, 'decision', now)
@@ -185,14 +184,15 @@
   if (result.type === 'answered' && !isServerError(result.status)) await reportAnswered(crashes, call)
 }
 
-function buildAnswer ({ ledger }: Call, lastResult: SendResult | undefined): CallAnswer | undefined {
+function buildAnswer ({ open: { ledger } }: Call, lastResult: SendResult | undefined): CallAnswer | undefined {
   return lastResult?.type === 'answered' ? createServerAnswer(ledger, lastResult.status, lastResult.headers, lastResult.body) : undefined
 }
 
 function refuse (gateway: Gateway, call: Call, state: RequestState, refusal: Refusal | VmRefusal | PermitRefusal): CallAnswer {
   logRefusal(gateway, call, state, refusal)
   const { reason, retryAfterMs } = refusal
-  return reason === 'overRate' ? createRateRefusal(gateway.callers, call.ledger, reason, retryAfterMs) : createRefusal(gateway.callers, call.ledger, reason, retryAfterMs)
+  const { ledger } = call.open
+  return reason === 'overRate' ? createRateRefusal(gateway.callers, ledger, reason, retryAfterMs) : createRefusal(gateway.callers, ledger, reason, retryAfterMs)
 }
 
 function fail (gateway: Gateway, call: Call, state: RequestState, reason: FailureReason): CallAnswer {
--- a/packages/daemon/src/utils/lingeringClose.ts
+++ b/packages/daemon/src/utils/lingeringClose.ts
@@ -29,12 +29,17 @@
   if (lingering.has(socket) || socket.destroyed) return
   lingering.add(socket)
   socket.once('close', () => lingering.delete(socket))
-  // Nothing of it can be answered any more, so it must not reach the HTTP parser.
+  // Nothing of what arrives can be answered any more.
+  discardInput(socket)
+  socket.once('finish', () => setTimeout(() => socket.destroy(), waitMs).unref())
+  socket.end()
+}
+
+/** Keeps what arrives from the HTTP parser, and reads on, so that the peer's close is noticed. */
+export function discardInput (socket: Socket): void {
   socket.removeAllListeners('data')
   socket.on('data', () => undefined)
   // Node stopped reading if the body of a request was not consumed; an empty push lets the stream start to read again.
   socket.push('')
   socket.resume()
-  socket.once('finish', () => setTimeout(() => socket.destroy(), waitMs).unref())
-  socket.end()
 }
