--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -49,10 +49,11 @@
     deployment.signal(entry, 'SIGKILL')
   }, 20)
   const lost = []
+  const state = { isOver: false }
   const work = async () => {
     const client = new KeptClient(address)
     await client.send({ path: '/list/1' })
-    while (!client.isClosed && !isOver) {
+    while (!client.isClosed && !state.isOver) {
       const { id, status, error, wasKept } = await client.send({ method: 'POST', path: '/offer/1', body: Buffer.from('x') })
       const runs = deployment.servers.flatMap(server => server.runs).filter(run => run.id === id).length
       deployment.note(`client: offer ${id}: ${status} ${error ?? ''}, runs at servers: ${runs}`)
@@ -60,7 +61,6 @@
     }
     client.close()
   }
-  let isOver = false
   const working = Array.from({ length: clients }, work)
   let answered = 0
   const body = Buffer.alloc(bodyBytes, 'x')
@@ -70,7 +70,7 @@
     deployment.note(`client: upload of ${bodyBytes} B: ${status} ${error ?? ''}; edge-1 uses ${entry.ended === undefined ? readMemory(entry.child.pid).toFixed(0) : '-'} MB`)
     await sleep(pauseMs)
   }
-  isOver = true
+  state.isOver = true
   await Promise.all(working)
   clearInterval(watch)
   return { isBroken: lost.length > 3, verdict: `${answered} uploads of ${bodyBytes} B answered one after the other, at most ${peakMb.toFixed(0)} MB of ${memoryMb} used; ${lost.length} requests that sound servers ran were cut off on kept connections (LOST allows 3)` }
