--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -39,7 +39,7 @@
     await deployment.addServer({
       service: 'prijava',
       handle: async (request, socket) => {
-        if (request.method === 'POST') await sleep(1000)
+        if (request.method === 'POST') await sleep(3000)
         answer(socket, request)
       }
     })
