Pooled connections forget their last request

Cause: a connection that goes back to the pool keeps the callbacks of its last exchange. Through them it keeps the request's body and the answer, for up to 9 s of idle time.

Change: releaseConnection and closeConnection drop both callbacks. They are set again by the next send.

--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -186,13 +186,21 @@
 
 /** Returns a connection to the pool after the answer was read completely. */
 export function releaseConnection (pool: ConnectionPool, connection: Connection, now: Millis): void {
+  forgetRequest(connection)
   if (connection.state.state !== 'busy') return
   recordProgress(pool.chart, connection.state, now)
   applyConnectionEvent(pool.chart, connection.state, 'release')
 }
 
+/** Removes the callbacks of a request, which keep its body and its answer in memory. */
+function forgetRequest (connection: Connection): void {
+  connection.onOpen = undefined
+  connection.onReadable = undefined
+}
+
 /** Closes a connection and removes it from the pool: it failed, went silent, or its answer was not read completely. */
 export function closeConnection (pool: ConnectionPool, connection: Connection, event: 'silent' | 'close' | 'quiet'): void {
+  forgetRequest(connection)
   if (connection.state.state === 'closed') return
   applyConnectionEvent(pool.chart, connection.state, event)
   const remaining = (pool.byAddress.get(connection.address) ?? []).filter(other => other !== connection)
