Requests that are answered release their body before the next poll

What callers saw: many large answers at once make an entry process exceed its memory.

Cause: timers of a send wait for a poll of the sockets before they act. In an event loop iteration that is long, because many answers are read in it, they fire although their sends have ended, and keep the whole answer until the iteration ends; so does the state of the request, which kept the last outcome with its body.

Change: a send that ends drops its timers' callbacks, also those that wait. The state gets the outcome without the body.

--- a/packages/daemon/src/core/entry/attempts.ts
+++ b/packages/daemon/src/core/entry/attempts.ts
@@ -112,13 +112,13 @@
   const abortAsGone = abortWith('gone')
   outerSignal.on('abort', abortAsGone)
   if (outerSignal.aborted) abortAsGone()
-  const deadlineTimer = setTimeout(afterPoll(entry.loop.polls, abortWith('deadline')), Math.max(1, request.deadline - now))
+  const deadlineTimer = setTimeout(afterPoll(entry.loop.polls, abortWith('deadline')).run, Math.max(1, request.deadline - now))
   // A middlebox can lose track only of a connection that carried requests before. A new connection without an answer
   // means that the server is slow, and a second attempt would only add to its load.
   const detectsSilence = isReused(connection) && request.isIdempotent
   const abortAsSilent = abortWith('silent')
   const checkSilence = (): void => { if (isSilent(entry.pool.cfg, connection.state, getCurrentTime())) abortAsSilent() }
-  const silenceTimer = detectsSilence ? setTimeout(afterPoll(entry.loop.polls, checkSilence), entry.pool.cfg.silentMs + 1) : undefined
+  const silenceTimer = detectsSilence ? setTimeout(afterPoll(entry.loop.polls, checkSilence).run, entry.pool.cfg.silentMs + 1) : undefined
   return {
     signal: attemptSignal,
     onHeaders: () => clearTimeout(silenceTimer),
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -240,18 +240,18 @@
   const giveUp = afterPoll(polls, () => {
     const leftMs = call.giveUpAt - getCurrentTime()
     // Timers count from the start of their event loop iteration, so that they run early.
-    if (leftMs > 0 && !hasEnded) giveUpTimer = setTimeout(giveUp, Math.ceil(leftMs))
+    if (leftMs > 0 && !hasEnded) giveUpTimer = setTimeout(giveUp.run, Math.ceil(leftMs))
     else stop('deadline')
   })
-  let giveUpTimer = setTimeout(giveUp, Math.max(1, call.giveUpAt - now))
+  let giveUpTimer = setTimeout(giveUp.run, Math.max(1, call.giveUpAt - now))
   const tryFailover = afterPoll(polls, () => { if (!hasEnded && !isPinned && timeouts.reserveFailover()) stop('slow') })
-  const failoverTimer = timeouts.failoverAt === undefined ? undefined : setTimeout(tryFailover, Math.max(1, timeouts.failoverAt - now))
+  const failoverTimer = timeouts.failoverAt === undefined ? undefined : setTimeout(tryFailover.run, Math.max(1, timeouts.failoverAt - now))
   const checkUnresponsive = afterPoll(polls, () => {
     if (hasEnded || isPinned) return
     if (timeouts.isUnresponsive()) stop('stranded')
-    else unresponsiveTimer = setTimeout(checkUnresponsive, unresponsiveCheckMs)
+    else unresponsiveTimer = setTimeout(checkUnresponsive.run, unresponsiveCheckMs)
   })
-  let unresponsiveTimer = setTimeout(checkUnresponsive, Math.max(1, timeouts.overdueAt - now))
+  let unresponsiveTimer = setTimeout(checkUnresponsive.run, Math.max(1, timeouts.overdueAt - now))
   return {
     reason: () => reason,
     pin: () => {
@@ -262,6 +262,7 @@
     end: () => {
       hasEnded = true
       call.open.giveUp = undefined
+      for (const callback of [giveUp, tryFailover, checkUnresponsive]) callback.clear()
       clearTimeout(giveUpTimer)
       clearTimeout(failoverTimer)
       clearTimeout(unresponsiveTimer)
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -2,7 +2,7 @@
 import { getErrorMessage } from '@lynxcourse/base'
 import type { Millis } from '@lynxcourse/base'
 import { beginSend, endSend, isServerError, isServerUnresponsive, isUnusedTrial, reserveFailover, decideNextStep, recordPoll, recordTrialAnswer, releaseRetry, updateWaitingCount, startRequest } from '@lynxcourse/placement'
-import type { DecisionConditions, InFlightSend, Placement, PlacementRequest, Refusal, RequestState, RequestStep } from '@lynxcourse/placement'
+import type { DecisionConditions, InFlightSend, Placement, PlacementRequest, Refusal, RequestState, RequestStep, SendOutcome } from '@lynxcourse/placement'
 import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
@@ -167,12 +167,17 @@
   const now = getCurrentTime()
   leaveServer(call.open)
   enterStep(call.open, 'decision', now)
-  endSend(gateway, state, sending, result, now)
+  endSend(gateway, state, sending, describeOutcome(result), now)
   logSend(gateway, call, state, placement, report, startedAt, now)
   learnOfEnds(gateway, call, sending, result).catch(logFailure(gateway, call))
   return result
 }
 
+/** Returns an outcome without the body of the answer, which the state of a request would keep in memory. */
+function describeOutcome (result: SendResult): SendOutcome {
+  return result.type === 'answered' ? { type: 'answered', status: result.status, connectMs: result.connectMs } : result
+}
+
 /** Returns a handler for errors of work that the answer does not wait for. */
 function logFailure (gateway: Gateway, call: Call): (err: unknown) => void {
   return err => log(gateway.node.logs, 'route', 'error', 'Reporting a send failed.', { id: call.facts.id, error: getErrorMessage(err) })
--- a/packages/daemon/src/core/gateway/stateWait.ts
+++ b/packages/daemon/src/core/gateway/stateWait.ts
@@ -53,7 +53,7 @@
       resolve()
     }
     const check = (): void => { if (mayUseState(gateway, readClocks())) finish() }
-    const timer = setTimeout(afterPoll(gateway.loop.polls, finish), Math.max(0, Math.min(maxWaitMs, leftMs)))
+    const timer = setTimeout(afterPoll(gateway.loop.polls, finish).run, Math.max(0, Math.min(maxWaitMs, leftMs)))
     gone.on('abort', finish)
     onStateUse.push(check)
   })
--- a/packages/daemon/src/utils/pollPhase.ts
+++ b/packages/daemon/src/utils/pollPhase.ts
@@ -43,11 +43,22 @@
   return await polls.next
 }
 
+/** A timer's callback that runs after a poll phase. */
+export interface PolledCallback {
+  readonly run: () => Promise<void>
+  /** Drops the callback with everything that it refers to, also while it waits for the poll phase. */
+  readonly clear: () => void
+}
+
 /** Wraps a timer's callback so that it runs after a poll phase: input that affects its decision may be unread. */
-export function afterPoll (polls: PollTracker, callback: () => void): () => Promise<void> {
-  return async () => {
-    await waitForPoll(polls)
-    callback()
+export function afterPoll (polls: PollTracker, callback: () => void): PolledCallback {
+  const held: { callback: (() => void) | undefined } = { callback }
+  return {
+    run: async () => {
+      await waitForPoll(polls)
+      held.callback?.()
+    },
+    clear: () => { held.callback = undefined }
   }
 }
 
