Log lines cut long texts

Cause: paths, hosts and errors of clients go into lines whole, up to 64 KB each and 200 lines a second. Change: texts over 500 characters are cut; the other fields stay. Evidence: the new test fails without the change.

--- a/packages/daemon/__tests__/logLine.test.ts
+++ b/packages/daemon/__tests__/logLine.test.ts
@@ -17,3 +17,14 @@
   assert.deepEqual(others, { level: 'info', part: 'route', message: 'Sent.', id: 'r"1\n', cold: false, waitMs: 0.5, place: 'primary' })
   assert.match(String(timestamp), /^\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z$/)
 })
+
+/** Guards against this failure: clients that send long paths fill the log and its memory. */
+test('a long text is cut, and the rest of its line is whole', () => {
+  const lines: string[] = []
+  const stream = new Writable({ decodeStrings: false, write: (line: string, _, done) => { lines.push(line); done() } })
+  const logs = { ...openLogs({ format: 'json', level: 'info', parts: {} }), stream }
+  log(logs, 'route', 'info', 'No route.', { path: `/${'p'.repeat(60_000)}`, id: 'r1' })
+  const { path, id } = JSON.parse(lines[0] ?? '') as Record<string, string>
+  assert.equal(path, `/${'p'.repeat(499)}...`)
+  assert.equal(id, 'r1')
+})
--- a/packages/daemon/src/utils/logging.ts
+++ b/packages/daemon/src/utils/logging.ts
@@ -7,7 +7,7 @@
 import { openLogStream } from './logStream.js'
 
 /** Parts of the program that log; the name is the prefix of their lines. */
-export type LogPart = 'access' | 'agree' | 'announce' | 'claim' | 'daemon' | 'drain' | 'limit' | 'lookup' | 'member' | 'notice' | 'retry' | 'rollout' | 'route' | 'rpc' | 'shift' | 'sync'
+export type LogPart = 'access' | 'agree' | 'announce' | 'claim' | 'client' | 'daemon' | 'drain' | 'limit' | 'lookup' | 'member' | 'notice' | 'retry' | 'rollout' | 'route' | 'rpc' | 'shift' | 'sync'
 
 export type LogLevel = 'error' | 'warn' | 'info' | 'debug'
 
@@ -54,6 +54,16 @@
   return info
 })
 
+/** Longer texts are cut: clients choose some of them, such as paths. */
+const maxTextLength = 500
+
+/** Returns fields whose texts are short enough for a line. */
+function cutTexts (fields: LogFields): LogFields {
+  const isLong = (value: LogFields[string]): value is string => typeof value === 'string' && value.length > maxTextLength
+  if (!Object.values(fields).some(isLong)) return fields
+  return Object.fromEntries(Object.entries(fields).map(([key, value]) => [key, isLong(value) ? `${value.slice(0, maxTextLength)}...` : value]))
+}
+
 /** Opens a log that writes to standard output. */
 export function openLogs (cfg: LogSettings): Logs {
   const { combine, timestamp, printf } = winston.format
@@ -80,7 +90,8 @@
   if (!isLogged(logs, part, level)) return
   const skipped = takeLineToken(logs.budget, `${part} ${level}`, getCurrentTime())
   if (skipped === undefined) return
-  const allFields = skipped === 0 ? fields : { ...fields, skipped }
+  const cutFields = cutTexts(fields)
+  const allFields = skipped === 0 ? cutFields : { ...cutFields, skipped }
   const info = logs.format.transform({ level, message, part, ...allFields, [levelKey]: level }, logs.format.options)
   if (typeof info === 'object') logs.stream.write(`${String(info[lineKey])}\n`)
 }
