One large body is read beside small ones

Cause: a body larger than the bound was admitted only while no other was in memory at all.

Change: one body at a time may exceed the bound; all others together stay within it.

--- a/packages/daemon/src/core/gateway/callBody.ts
+++ b/packages/daemon/src/core/gateway/callBody.ts
@@ -8,9 +8,10 @@
 import type { Millis } from '@lynxcourse/base'
 import { getCurrentTime } from '../../utils/clock.js'
 import { recordBufferUse } from '../../utils/bufferMemory.js'
-import { returnBytes, tryTakeBytes } from '../../utils/byteBudget.js'
 import { collectBytes, createByteCollector, takeBytes, takeParts } from '../../utils/byteCollector.js'
 import type { ByteCollector } from '../../utils/byteCollector.js'
+import { releaseBody, tryHoldPart } from './bodyMemory.js'
+import type { HeldBody } from './bodyMemory.js'
 import type { Gateway } from './gateway.js'
 
 /** How reading a body ended. */
@@ -32,7 +33,7 @@
   readonly req: IncomingMessage
   readonly limitsConfirmed: Promise<void>
   readonly collector: ByteCollector
-  bufferedBytes: number
+  readonly held: HeldBody
   isReleased: boolean
 }
 
@@ -43,12 +44,11 @@
 export function startReadingBody (gateway: Gateway, req: IncomingMessage): CallBody {
   let confirmLimits = (): void => undefined
   const limitsConfirmed = new Promise<void>(resolve => { confirmLimits = resolve })
-  const reader: BodyReader = { gateway, req, limitsConfirmed, collector: createByteCollector(), bufferedBytes: 0, isReleased: false }
+  const reader: BodyReader = { gateway, req, limitsConfirmed, collector: createByteCollector(), held: { bytes: 0 }, isReleased: false }
   const release = (): void => {
     reader.isReleased = true
-    returnBytes(gateway.bodies, reader.bufferedBytes)
+    releaseBody(gateway.bodies, reader.held)
     takeParts(reader.collector)
-    reader.bufferedBytes = 0
   }
   return { end: readToEnd(reader), confirmLimits, release }
 }
@@ -68,27 +68,19 @@
 }
 
 async function readChunks (reader: BodyReader): Promise<BodyResult> {
-  const { req, collector } = reader
+  const { gateway, req, collector } = reader
   // Destroying the request on an early return would destroy its connection, and the answer with it.
   for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
     if (exceedsLimit(reader, chunk)) await reader.limitsConfirmed
     if (exceedsLimit(reader, chunk)) return { type: 'tooLarge' }
     if (reader.isReleased) return { type: 'gone' }
-    if (!tryCountBytes(reader, chunk)) return { type: 'tooMany' }
+    if (!tryHoldPart(gateway.bodies, reader.held, chunk.length)) return { type: 'tooMany' }
+    recordBufferUse(gateway.node.bufferMemory, chunk.length)
     collectBytes(collector, chunk)
   }
   return { type: 'whole', body: takeBytes(collector), at: getCurrentTime() }
 }
 
-function exceedsLimit ({ gateway, bufferedBytes }: BodyReader, chunk: Buffer): boolean {
-  return bufferedBytes + chunk.length > gateway.limits.maxBodyBytes
-}
-
-/** Counts bytes, if the bodies in memory leave room for them. */
-function tryCountBytes (reader: BodyReader, { length }: Buffer): boolean {
-  const { gateway } = reader
-  if (!tryTakeBytes(gateway.bodies, length, reader.bufferedBytes)) return false
-  recordBufferUse(gateway.node.bufferMemory, length)
-  reader.bufferedBytes += length
-  return true
+function exceedsLimit ({ gateway, held }: BodyReader, chunk: Buffer): boolean {
+  return held.bytes + chunk.length > gateway.limits.maxBodyBytes
 }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -10,8 +10,6 @@
 import type { LingeringSockets } from '../../utils/lingeringClose.js'
 import type { LoopMonitor } from '../../utils/loopMonitor.js'
 import { recordBufferUse } from '../../utils/bufferMemory.js'
-import { createByteBudget } from '../../utils/byteBudget.js'
-import type { ByteBudget } from '../../utils/byteBudget.js'
 import { readClocks } from '../../utils/clock.js'
 import { createCrashWatch } from '../crashes/crashWatch.js'
 import type { CrashWatch } from '../crashes/crashWatch.js'
@@ -19,6 +17,8 @@
 import type { FleetNode } from '../fleet/fleetNode.js'
 import { createConnectionPool } from '../entry/connectionPool.js'
 import type { ConnectionPool } from '../entry/connectionPool.js'
+import { createBodyMemory } from './bodyMemory.js'
+import type { BodyMemory } from './bodyMemory.js'
 import type { CallerDialect, ServerDialect } from './dialects.js'
 import { createLinkPacer } from './linkPacer.js'
 import type { LinkPacer } from './linkPacer.js'
@@ -68,7 +68,7 @@
   /** Number of requests that wait until the VM may use its state. */
   waitingForState: number
   /** Memory of the bodies of callers' requests. */
-  readonly bodies: ByteBudget
+  readonly bodies: BodyMemory
   /** Memory of the answers that are being received from servers. */
   readonly answerBudget: AnswerBudget
 }
@@ -110,7 +110,7 @@
     invalid: new WeakSet(),
     waitingForCapacity: new Map(),
     waitingForState: 0,
-    bodies: createByteBudget(node.guard.limits.bodyBytes),
+    bodies: createBodyMemory(node.guard.limits.bodyBytes),
     answerBudget: createAnswerBudget(node.guard.limits.answerBytes, bytes => recordBufferUse(node.bufferMemory, bytes))
   }
 }
