A server that breaks off a paused answer doesn't end the process

Cause: the HTTP client asserts that no answer is paused when it takes the end of a connection for the end of an answer. It does so after HTTP/1.0, a transfer encoding other than chunked, and Proxy-Connection: close, which the check before a pause didn't know.

Change: when a connection ends, its pause is ended before the client handles the end; a reset within a pause is handed to the client as another error. A transfer encoding other than chunked doesn't count as framing: such an answer that is reset was taken for whole.

--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -28,6 +28,8 @@
   socket: Socket | undefined
   /** Called when bytes have arrived, before they are parsed. */
   onReadable: (() => void) | undefined
+  /** Called when the connection ends or fails, before the HTTP client handles it. */
+  onEnd: ((err?: NodeJS.ErrnoException) => void) | undefined
 }
 
 /** Connections to backend servers. Disposing the pool closes all of them. */
@@ -122,7 +124,7 @@
   })
   const state = createConnectionState(pool.chart, now)
   applyConnectionEvent(pool.chart, state, 'take')
-  const connection: Connection = { client, state, address, earlierRequests: 0, restedMs: 0, wasReset: false, onOpen: undefined, socket: undefined, onReadable: undefined }
+  const connection: Connection = { client, state, address, earlierRequests: 0, restedMs: 0, wasReset: false, onOpen: undefined, socket: undefined, onReadable: undefined, onEnd: undefined }
   return connection
 }
 
@@ -146,11 +148,15 @@
       pool.onConnect?.(getConnection().address, requestedAt, socket)
       getConnection().socket = socket
       socket.on('readable', () => getConnection().onReadable?.())
+      socket.once('end', () => getConnection().onEnd?.())
       // If data and a reset arrive together, libuv reports an ordinary end. The socket still shows the difference: it has
       // a remote address after a close, and none after a reset.
       socket.once('end', () => { if (socket.remoteAddress === undefined) getConnection().wasReset = true })
       resetIfUnanswered(socket)
-      socket.on('error', error => { if ((error as NodeJS.ErrnoException).code === 'ECONNRESET') getConnection().wasReset = true })
+      socket.on('error', (error: NodeJS.ErrnoException) => {
+        if (error.code === 'ECONNRESET') getConnection().wasReset = true
+        getConnection().onEnd?.(error)
+      })
     }
     if (err !== null || !isLateConnection(requestedAt, getCurrentTime())) handOver(...result)
     else handOverAfterPoll(pool.polls, socket, handOver).catch(error => callback(error as Error, null))
@@ -196,6 +202,7 @@
 function forgetRequest (connection: Connection): void {
   connection.onOpen = undefined
   connection.onReadable = undefined
+  connection.onEnd = undefined
 }
 
 /** Closes a connection and removes it from the pool: it failed, went silent, or its answer was not read completely. */
--- a/packages/daemon/src/core/gateway/exchange.ts
+++ b/packages/daemon/src/core/gateway/exchange.ts
@@ -12,6 +12,8 @@
 import type { AnswerBudget, AnswerMeter } from './answerLimits.js'
 
 const firstFinalStatus = 200
+/** Code of the error of a connection that broke off within a paused answer. */
+const brokenOffCode = 'ERR_BROKEN_OFF'
 
 /** The head of a server's final answer. */
 export interface AnswerHead {
@@ -56,6 +58,13 @@
   startedAt: Millis | undefined
   /** Checks what the connection has received, before it is parsed. */
   readonly checkReceived: () => void
+  /**
+   * Ends a pause of the answer, and prevents further ones. The HTTP client ends the process if a connection ends while an answer on it is
+   * paused.
+   *
+   * @param err why the connection failed; undefined if it ended in the normal way
+   */
+  readonly endPause: (err?: NodeJS.ErrnoException) => void
   /** Ends the exchange at once; a request that is not being written yet is never written. */
   readonly abort: () => void
 }
@@ -77,6 +86,20 @@
  */
 export function startExchange (client: Client, options: Dispatcher.DispatchOptions, mayWrite: (now: Millis) => boolean, onHead: (head: AnswerHead) => void, receiver?: BodyReceiver, receiving: ReceiveCfg = { budget: createAnswerBudget(), getBytesRead: () => 0 }): Exchange {
   let controller: Dispatcher.DispatchController | undefined
+  let isPaused = false
+  let mayPause = true
+  const flow: BodyFlow = {
+    pause: () => {
+      if (!mayPause) return
+      isPaused = true
+      controller?.pause()
+    },
+    resume: () => {
+      if (!isPaused) return
+      isPaused = false
+      controller?.resume()
+    }
+  }
   let meter: AnswerMeter | undefined
   let isAborted = false
   let resolveAnswer: (received: ReceivedAnswer | ExcessiveAnswer) => void = () => undefined
@@ -95,7 +118,7 @@
         exchange.startedAt = now
         meter = createAnswerMeter(receiving.budget, receiving.getBytesRead())
       },
-      ...createAnswerCollector(resolve, onHead, () => meter, receiver),
+      ...createAnswerCollector(resolve, onHead, () => meter, flow, receiver),
       onResponseError: (_controller, err) => reject(err)
     })
   })
@@ -107,6 +130,13 @@
       resolveAnswer({ type: 'excessive', detail: `${receiving.getBytesRead() - meter.readBefore} bytes with ${meter.bodyBytes} bytes of a body are no answer` })
       controller?.abort(createCancelledError())
     },
+    endPause: err => {
+      mayPause = false
+      if (!isPaused) return
+      // By this code the client takes a reset for the end of an answer whose connection does not stay open, and asserts that none is paused.
+      if (err !== undefined) err.code = brokenOffCode
+      else flow.resume()
+    },
     abort: () => {
       isAborted = true
       controller?.abort(createCancelledError())
@@ -122,7 +152,7 @@
 
 type AnswerCollector = Pick<Dispatcher.DispatchHandler, 'onResponseStart' | 'onResponseData' | 'onResponseEnd'>
 
-function createAnswerCollector (resolve: (received: ReceivedAnswer | ExcessiveAnswer) => void, onHead: (head: AnswerHead) => void, getMeter: () => AnswerMeter | undefined, receiver: BodyReceiver | undefined): AnswerCollector {
+function createAnswerCollector (resolve: (received: ReceivedAnswer | ExcessiveAnswer) => void, onHead: (head: AnswerHead) => void, getMeter: () => AnswerMeter | undefined, flow: BodyFlow, receiver: BodyReceiver | undefined): AnswerCollector {
   const collector = createByteCollector()
   let head: AnswerHead | undefined
   let size = 0
@@ -138,7 +168,7 @@
       if (head === undefined) return
       size += chunk.length
       if (receiver !== undefined && isPassedOn === undefined && Math.max(size, parseLength(head.headers) ?? 0) > receiver.minBytes) {
-        isPassedOn = receiver.accept(head, { pause: () => controller.pause(), resume: () => controller.resume() })
+        isPassedOn = receiver.accept(head, flow)
         if (isPassedOn) for (const earlier of takeParts(collector)) receiver.receive(earlier)
       }
       const meter = getMeter()
@@ -157,13 +187,15 @@
   }
 }
 
-/**
- * Whether a server's connection can be paused within an answer: the connection stays open after it, and its end is told by a length or by
- * chunks. The HTTP client ends the process if a connection closes while it is paused in any other answer.
- */
+/** Whether a head tells where its body ends, by a length or by chunks; otherwise the end of the connection ends the body. */
+export function hasBodyFraming (headers: HeaderMap): boolean {
+  return headers['content-length'] !== undefined || /(^|,)\s*chunked\s*$/i.test(String(headers['transfer-encoding'] ?? ''))
+}
+
+/** Whether a server's connection can be paused within an answer: the connection stays open after it, and its head tells where it ends. */
 export function canBePaused (headers: HeaderMap): boolean {
   const isKept = !/(^|,)\s*close\s*(,|$)/i.test(String(headers.connection ?? ''))
-  return isKept && (parseLength(headers) !== undefined || headers['transfer-encoding'] !== undefined)
+  return isKept && hasBodyFraming(headers)
 }
 
 /** Returns the length of the body that a server announced; undefined if it announced none. */
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -16,7 +16,7 @@
 import { acceptAnswer, deliverRest, dropAnswer, isHeldBack, receivePart } from './answerStream.js'
 import type { Call } from './call.js'
 import type { EchoedId } from './dialects.js'
-import { canBePaused, startExchange } from './exchange.js'
+import { canBePaused, hasBodyFraming, startExchange } from './exchange.js'
 import type { BodyReceiver, ExcessiveAnswer, Exchange, ReceivedAnswer } from './exchange.js'
 import type { Gateway } from './gateway.js'
 import type { SendProof } from './runLedger.js'
@@ -102,6 +102,7 @@
     observeStatements(gateway, call, placement.server, head)
   }, createReceiver(gateway, call, !isReused(connection), () => watch.pin()), { budget: gateway.answerBudget, getBytesRead: () => connection.socket?.bytesRead ?? 0 })
   connection.onReadable = exchange.checkReceived
+  connection.onEnd = exchange.endPause
   const watch = watchSend(gateway, call, timeouts, now, exchange.abort)
   const result = await awaitResult(gateway, call, placement, { connection, exchange, startedAt: now, watch, wasWithdrawn: () => isWithdrawn })
   return { result, writtenAt: exchange.startedAt, restedMs, earlierRequests, echo }
@@ -205,11 +206,6 @@
   return { type: 'answered', status, headers: removeHopByHopHeaders(rawHeaders), body, connectMs }
 }
 
-/** Returns whether the head defines where the body ends; otherwise the end of the connection ends the body. */
-function hasBodyFraming (headers: HeaderMap): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
-
 /** Reasons for ending a send to which the server has sent no answer. */
 const silentReasons = new Set<LostReason>(['slow', 'stranded', 'deadline'])
 
