A drain isn't confirmed while another incarnation counts as serving

Cause: the announcement of an earlier start time isn't applied while the known incarnation isn't lost, which the answers of the new one prevent. It was confirmed all the same.

Change: such a drain gets an error that names the start time; the server may ask again or go. That the server still gets requests meanwhile is left as it was: the announcement can't be told from a late one of a server that has ended.

--- a/packages/daemon/src/core/fleet/fleetControl.ts
+++ b/packages/daemon/src/core/fleet/fleetControl.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path'
 import { LynxError, brandId, hashText, createHolderId, isLynxError, getHolderVm } from '@lynxcourse/base'
 import type { HolderId, Incarnation, Millis, RequestFingerprint, ServerId, VmId } from '@lynxcourse/base'
-import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, recordKnownVersion, getKnownVersionAt } from '@lynxcourse/state'
+import { createKnownVersions, findItem, acceptsAnnouncement, hasBackendChanged, isUnconfirmableDrain, recordKnownVersion, getKnownVersionAt } from '@lynxcourse/state'
 import type { BackendAnnouncement, ChangeAnswer, CrashCommand, KnownVersions, RolloutCommand, RouteCommand } from '@lynxcourse/state'
 import { getCurrentTime } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
@@ -260,6 +260,9 @@
   const hasChanged = hasBackendChanged(config, facts)
   // What repeats a known announcement was valid before.
   if (!isAccepted || hasChanged) validateValue(announcementSchema, facts, 'announce', '')
+  if (isUnconfirmableDrain(config, facts)) {
+    throw new LynxError('notLeader', `another incarnation of '${facts.id}' serves, so that its drain can't be confirmed`, { step: 'announce', field: 'bornAt' })
+  }
   const isConfirmed = control.host.replica !== undefined && hasRecentExchange(control.presence, control.node.cfg.times.presenceMs, now)
   if (!hasChanged && !isConfirmed) {
     throw new LynxError('notLeader', 'no recent exchange with the leader', { step: 'announce' })
--- a/packages/state/src/core/routeChanges.ts
+++ b/packages/state/src/core/routeChanges.ts
@@ -285,6 +285,15 @@
   return accept(config)
 }
 
+/**
+ * Whether an announcement says that a server drains, by a start time before that of the incarnation that is known to serve under its id. It
+ * is late, or comes from a later incarnation whose clock was set back: requests may go on to the server, so that its drain can't be confirmed.
+ */
+export function isUnconfirmableDrain (config: Config, facts: BackendAnnouncement): boolean {
+  const current = findItem(config, 'backend', facts.id)
+  return facts.isDraining && current?.state === 'serving' && isEarlierIncarnation(facts, current) && !acceptsAnnouncement(config, facts, current)
+}
+
 /** Whether an announcement changes the configuration by more than its sequence number and remaining cold time. */
 export function hasBackendChanged (config: Config, facts: BackendAnnouncement): boolean {
   const current = findItem(config, 'backend', facts.id)
