Answers that merge with an earlier one are not passed on

Cause: a second answer that breaks off within the value of a header merges with the answer after it on the connection: the status line of that becomes the end of the header, and the status of the second answer counts.

Change: on a connection that carried requests before, an answer with a status line in a header is spoiled, and the connection is closed.

--- a/packages/daemon/src/core/gateway/exchange.ts
+++ b/packages/daemon/src/core/gateway/exchange.ts
@@ -12,6 +12,7 @@
 import type { AnswerBudget, AnswerMeter } from './answerLimits.js'
 
 const firstFinalStatus = 200
+const statusLinePattern = /HTTP\/\d\.\d \d{3}( |$)/
 /** Code of the error of a connection that broke off within a paused answer. */
 const brokenOffCode = 'ERR_BROKEN_OFF'
 
@@ -198,6 +199,14 @@
   return isKept && hasBodyFraming(headers)
 }
 
+/**
+ * Whether a head holds the status line of another answer. An answer that breaks off within the value of a header merges with the answer after
+ * it, and its status is taken for that of the other.
+ */
+export function hasMergedHead (headers: HeaderMap): boolean {
+  return Object.values(headers).some(value => statusLinePattern.test(String(value)))
+}
+
 /** Returns the length of the body that a server announced; undefined if it announced none. */
 export function parseLength ({ 'content-length': length }: HeaderMap): number | undefined {
   return typeof length === 'string' && /^\d{1,15}$/.test(length) ? Number(length) : undefined
--- a/packages/daemon/src/core/gateway/sending.ts
+++ b/packages/daemon/src/core/gateway/sending.ts
@@ -16,7 +16,7 @@
 import { acceptAnswer, deliverRest, dropAnswer, isHeldBack, receivePart } from './answerStream.js'
 import type { Call } from './call.js'
 import type { EchoedId } from './dialects.js'
-import { canBePaused, hasBodyFraming, startExchange } from './exchange.js'
+import { canBePaused, hasBodyFraming, hasMergedHead, startExchange } from './exchange.js'
 import type { BodyReceiver, ExcessiveAnswer, Exchange, ReceivedAnswer } from './exchange.js'
 import type { Gateway } from './gateway.js'
 import type { SendProof } from './runLedger.js'
@@ -120,7 +120,7 @@
   return {
     minBytes: minStreamedBytes,
     accept: (head, flow) => {
-      if (head.status >= firstRedirectStatus || servers.classifyAnswer(facts, head.status, head.headers, isFirst) !== 'answered' || !canBePaused(head.headers)) return false
+      if (head.status >= firstRedirectStatus || (!isFirst && hasMergedHead(head.headers)) || servers.classifyAnswer(facts, head.status, head.headers, isFirst) !== 'answered' || !canBePaused(head.headers)) return false
       onAccept()
       acceptAnswer(stream, head, flow)
       return true
@@ -191,8 +191,9 @@
   // On a connection that carried requests before, a rejection may be a second or late answer to one of them.
   const proof: SendProof | undefined = isFirst ? 'rejected' : undefined
   const isUnproved = kind !== 'answered' && proof === undefined && !call.route.isIdempotent
+  const isMerged = !isFirst && hasMergedHead(rawHeaders)
   const isTruncated = connection.wasReset && !hasBodyFraming(rawHeaders)
-  if (isTruncated || isUnproved || kind === 'spoiled') {
+  if (isTruncated || isMerged || isUnproved || kind === 'spoiled') {
     // The answer is incomplete, belongs to another request or is not the server's own, so the rest of this connection
     // can't be trusted.
     closeConnection(gateway.pool, connection, 'close')
