Requests on their way are not denied while their team is renamed

What callers saw: 401, after which nobody sends again, for requests whose body was on its way while their team got another name and kept its key.

Cause: a request whose key belongs to another team than at its arrival counted as one whose key was taken away.

Change: it is refused as not run, with a retry time of 20 ms; sent again it is served as one of that team.

--- a/packages/daemon/__tests__/teams.test.ts
+++ b/packages/daemon/__tests__/teams.test.ts
@@ -140,6 +140,32 @@
   clearInterval(release)
 })
 
+/** Guards against a final rejection of requests on their way while their team gets another name and keeps its key. */
+test('a waiting request whose key was given to another team is refused as not run, and served when it comes again', async () => {
+  const held: Array<() => void> = []
+  await using server = await startTestServer('s1', (_req, res) => { held.push(() => res.end('ok')) })
+  await using fixture = await startFleetFixture(1)
+  await publishRoutes(fixture, [server], [createRouteToDesk('read', { timeoutMs: 20_000, aimMs: 10_000, maxAttempts: 1 })])
+  assert.ok((await submitCommand(fixture, createTeamsUpdate(1, [createTeam('a', ['k1']), createTeam('b', ['k2'])]))).ok)
+  await waitUntil(() => getEntry(fixture).gateway?.teams.isRequired === true)
+  const countWaiting = (): number => getEntry(fixture).gateway?.waitingForCapacity.get(brandId<ServiceId>('desk')) ?? 0
+  const running: Array<Promise<number>> = []
+  while (countWaiting() === 0) {
+    running.push(getStatus(fixture, '/read/1', { authorization: 'Bearer k2' }))
+    await waitUntil(() => countWaiting() > 0 || held.length === running.length)
+  }
+  const waiting = sendRequest(fixture, '/read/1', 'GET', { authorization: 'Bearer k1' })
+  await waitUntil(() => countWaiting() > 1)
+  assert.ok((await submitCommand(fixture, createTeamsUpdate(2, [createTeam('a', []), createTeam('c', ['k1'])]))).ok)
+  const { status, headers } = await waiting
+  assert.deepEqual([status, headers['retry-after']], [503, '0.020'])
+  const release = setInterval(() => { for (const answer of held.splice(0)) answer() }, 10)
+  await waitUntil(async () => await getStatus(fixture, '/read/1', { authorization: 'Bearer k1' }) === 200)
+  await Promise.all(running)
+  clearInterval(release)
+  assert.equal(server.requests.at(-1)?.headers['lynx-team'], 'c')
+})
+
 /** Guards against a caller that is told that its key is unknown by a VM that can't know it yet. */
 test('a VM whose state is not confirmed refuses unknown keys as not run, and serves known ones', async () => {
   await using fleet = await startFleet([createTeam('a', ['k1'])])
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -3,6 +3,7 @@
 import type { Millis } from '@lynxcourse/base'
 import { beginSend, endSend, isServerError, isServerUnresponsive, isUnusedTrial, reserveFailover, decideNextStep, recordPoll, recordTrialAnswer, releaseRetry, updateWaitingCount, startRequest } from '@lynxcourse/placement'
 import type { DecisionConditions, InFlightSend, Placement, PlacementRequest, Refusal, RequestState, RequestStep, SendOutcome } from '@lynxcourse/placement'
+import { isKnownKey } from '@lynxcourse/routing'
 import { getCurrentTime, readClocks } from '../../utils/clock.js'
 import { log } from '../../utils/logging.js'
 import { waitForPoll } from '../../utils/pollPhase.js'
@@ -30,6 +31,9 @@
 import { mayUseState, waitForState } from './stateWait.js'
 import type { SendTimeouts, SendResult } from './sending.js'
 
+/** Retry time for callers whose key was given to another team: it can be used at once. */
+const teamChangeRetryMs: Millis = 20
+
 type FailureReason = Extract<RequestStep, { type: 'fail' }>['reason']
 
 /** Answers to requests that some server may have run. */
@@ -113,9 +117,12 @@
   return buildAnswer(call, lastResult) ?? fail(gateway, call, state, 'serverFailed')
 }
 
-/** Answers a request that did not run and whose key was taken away while it waited. */
+/** Answers a request that did not run and whose key was taken away, or given to another team, while it waited. */
 function rejectRevoked (gateway: Gateway, call: Call): CallAnswer {
-  log(gateway.node.logs, 'route', 'info', 'Key was taken away before the request was sent.', { id: call.facts.id, route: call.route.name, team: call.caller?.name, stateVersion: gateway.node.config.version, ...getTimeFields(call) })
+  const isKnown = call.caller !== undefined && isKnownKey(gateway.teams, call.caller.digest)
+  log(gateway.node.logs, 'route', 'info', isKnown ? 'Key belongs to another team since the request arrived.' : 'Key was taken away before the request was sent.', { id: call.facts.id, route: call.route.name, team: call.caller?.name, stateVersion: gateway.node.config.version, ...getTimeFields(call) })
+  // Sent again, the request is served as one of that team.
+  if (isKnown) return createRefusal(gateway.callers, call.open.ledger, 'the key belongs to another team now', teamChangeRetryMs)
   return answerUnknownKey(gateway)
 }
 
--- a/packages/routing/src/core/teamTable.ts
+++ b/packages/routing/src/core/teamTable.ts
@@ -47,6 +47,11 @@
   return byDigest.get(digest)?.name === name
 }
 
+/** Whether a key belongs to any team. */
+export function isKnownKey ({ byDigest }: TeamTable, digest: KeyDigest): boolean {
+  return byDigest.has(digest)
+}
+
 /** Returns the route with the priority and the regions that apply to a team; undefined if no region may serve both. */
 export function applyTeam ({ routes }: TeamTable, route: Route, team: Team): Route | undefined {
   const known = routes.get(team) ?? new Map<Route, Route | undefined>()
