Callers that pipeline deeply are read as before, also at a stop

Cause: from 16 open requests on, further ones were held, and a stop refuses only what was parsed.

Change: 64 open requests of a connection; of one read 16 are parsed at once and the others in turns. The end of a chunked body doesn't count as a part of a head.

--- a/packages/daemon/src/utils/connections/inputGate.ts
+++ b/packages/daemon/src/utils/connections/inputGate.ts
@@ -14,6 +14,8 @@
 const noBytes = Buffer.alloc(0)
 /** Connections whose held input is parsed in one iteration of the event loop. */
 const connectionsPerTurn = 8
+/** Pieces of one connection that are parsed when they are read. */
+const piecesPerRead = 16
 /** Pieces of one connection that are parsed in its turn. */
 const piecesPerTurn = 4
 /** Largest piece of a chunked body, which may consist of very many chunks, and the number of other pieces that it counts as. */
@@ -59,7 +61,7 @@
   if (connection.isDiscarding) return
   if (connection.held.length > 0) holdInput(connection, Buffer.concat([connection.held, chunk]))
   else {
-    const rest = parseInput(connection, chunk, connectionBounds.openRequests)
+    const rest = parseInput(connection, chunk, piecesPerRead)
     if (rest.length > 0) holdInput(connection, rest)
   }
 }
@@ -81,10 +83,11 @@
 
 function parsePiece (connection: GuardedConnection, piece: Buffer): void {
   const { listener: { guard }, lastRequest } = connection
+  const isInBody = lastRequest?.complete === false
   connection.headBytes += piece.length
   connection.parse(piece)
-  // What follows the head of a request is its body until the request is complete.
-  if (connection.lastRequest?.complete === false || connection.lastRequest !== lastRequest) connection.headBytes = 0
+  // A piece that ends a body or a head holds little of the next head.
+  if (isInBody || connection.lastRequest !== lastRequest) connection.headBytes = 0
   if (connection.headBytes > 0) guard.receiving.add(connection)
   else guard.receiving.delete(connection)
   updateInput(connection)
--- a/packages/limits/src/core/connections/connectionLimits.ts
+++ b/packages/limits/src/core/connections/connectionLimits.ts
@@ -30,7 +30,7 @@
 /** Bounds for one connection. */
 export const connectionBounds = {
   /** Requests that are not answered yet. */
-  openRequests: 16,
+  openRequests: 64,
   /** Bytes of answers that the client has not read; beyond these, no further request is read. */
   unsentBytes: 65_536,
   /** Bytes that are read from the connection and not parsed; beyond these, the connection is not read from. */
