Input behind unread answers waits until the HTTP server has resumed its parser

What callers saw: an entry process ended by an assertion of the HTTP server, once in 91 kinds of the crowd tests (requests with trailers at the metrics address).

Cause: the server pauses its parser at the first request behind unread answers. While the guard itself had paused the socket, it couldn't tell, and passed on the request's body.

Change: the guard asks for the server's own flag.

Evidence: the new test in inputGate.test.ts ends its process by this assertion without the change, and passes with it.

--- a/packages/daemon/__tests__/inputGate.test.ts
+++ b/packages/daemon/__tests__/inputGate.test.ts
@@ -67,3 +67,35 @@
     await closeServer(server)
   }
 })
+
+// Guards against an assertion of the HTTP server, which ends the process, when a request whose body follows is parsed behind unread answers.
+test('requests with bodies that are sent ahead behind unread answers are all answered once the client reads', async () => {
+  const limits = deriveConnectionLimits({ memoryBytes: 200_000_000, descriptors: 4096, heapBytes: 200_000_000 })
+  await using guard = createConnectionGuard(limits, () => undefined)
+  const text = 'a'.repeat(20_000)
+  const server = createServer({ ServerResponse: GuardedResponse }, (req, res) => {
+    readBody(req, 1000).then(() => res.end(text)).catch(() => res.destroy())
+  })
+  guardServer(guard, server, 'callers')
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const count = 2000
+  const socket = connect({ port: (server.address() as AddressInfo).port, host: '127.0.0.1' })
+  try {
+    socket.on('error', () => undefined).pause()
+    socket.write(formatRequest({ framing: 'chunks', body: 'xyz', chunkBytes: 1 }, 1).repeat(count))
+    // The client reads only once the server is blocked by its unread answers.
+    let openBefore = -1
+    while (guard.unsentBytes === 0 || guard.openRequests !== openBefore) {
+      openBefore = guard.openRequests
+      await delay(100)
+    }
+    let receivedBytes = 0
+    socket.on('data', (part: Buffer) => { receivedBytes += part.length }).resume()
+    const deadline = Date.now() + waitMs * 4
+    while (receivedBytes < count * text.length && Date.now() < deadline) await delay(5)
+    assert.ok(receivedBytes >= count * text.length, `${receivedBytes} bytes`)
+  } finally {
+    socket.destroy()
+    await closeServer(server)
+  }
+})
--- a/packages/daemon/src/utils/connections/inputGate.ts
+++ b/packages/daemon/src/utils/connections/inputGate.ts
@@ -40,17 +40,22 @@
   return lf < 0 ? end : lf + 2
 }
 
+/** Whether the HTTP server has paused a socket for its unread answers; its parser must not get input then. */
+function isPausedByServer (socket: Socket): boolean {
+  return (socket as Socket & { readonly _paused?: boolean })._paused === true
+}
+
 /** Whether the parser may get more of a connection's input. */
 function mayParse (connection: GuardedConnection): boolean {
   const { socket, openRequests, lastRequest, listener: { guard } } = connection
-  if (socket.destroyed || (socket.isPaused() && !connection.isHalted)) return false
+  if (socket.destroyed || isPausedByServer(socket) || (socket.isPaused() && !connection.isHalted)) return false
   if (lastRequest?.complete === false) return lastRequest.readableLength < lastRequest.readableHighWaterMark
   if (openRequests === 0) return true
   if (openRequests >= connectionBounds.openRequests || (openRequests > 1 && hasUnreadAnswers(connection))) return false
   return guard.openRequests < guard.limits.openRequests && guard.inputBytes < guard.limits.inputBytes
 }
 
-/** Whether so much of a connection's answers is unread that the HTTP server pauses its parser, which must not get input then. */
+/** Whether so much of a connection's answers is unread that the HTTP server pauses its parser. */
 function hasUnreadAnswers (connection: GuardedConnection): boolean {
   const { socket, unsentBytes, reservedBytes } = connection
   return socket.writableNeedDrain || measureQueuedOutput(connection) >= socket.writableHighWaterMark || unsentBytes - reservedBytes >= connectionBounds.unsentBytes
