What a guarded connection holds is counted once

Open requests are the size of the set of responses, and the heads of open requests are a running sum instead of one over all of them for each piece of input. The limits of a read and of a turn are costs, not counts, and are named so. No change of behaviour: inputGate.test.ts and connections.test.ts pass.

--- a/packages/daemon/src/utils/connections/connectionGuard.ts
+++ b/packages/daemon/src/utils/connections/connectionGuard.ts
@@ -61,7 +61,7 @@
     parse: bytes => { parse.call(socket, bytes) },
     responses: new Map(),
     hadRequest: false,
-    openRequests: 0,
+    get openRequests () { return this.responses.size },
     get isReceiving () { return this.lastRequest?.complete === false },
     progressAt: now,
     unsentBytes: 0,
@@ -70,6 +70,7 @@
     lastRequest: undefined,
     held: Buffer.alloc(0),
     headBytes: 0,
+    openHeadBytes: 0,
     inputBytes: 0,
     isHalted: false,
     isDiscarding: false,
@@ -97,9 +98,9 @@
   guard.receiving.delete(connection)
   guard.openRequests -= responses.size
   responses.clear()
-  connection.openRequests = 0
   connection.held = Buffer.alloc(0)
   connection.headBytes = 0
+  connection.openHeadBytes = 0
   updateInput(connection)
   setUnsent(connection, 0)
   guard.closingBytes -= connection.closingBytes
--- a/packages/daemon/src/utils/connections/guardedConnection.ts
+++ b/packages/daemon/src/utils/connections/guardedConnection.ts
@@ -46,7 +46,6 @@
   /** Responses that are not sent yet, with the size of the heads of their requests. */
   readonly responses: Map<ServerResponse, number>
   hadRequest: boolean
-  openRequests: number
   progressAt: Millis
   unsentBytes: number
   /** Bytes that its close gives back. */
@@ -58,6 +57,8 @@
   held: Buffer
   /** Bytes of a head that is not complete. */
   headBytes: number
+  /** Size of the heads of all `responses`. */
+  openHeadBytes: number
   /** Bytes that count as input of the process. */
   inputBytes: number
   /** Whether reading from the socket was stopped because too much input is held. */
--- a/packages/daemon/src/utils/connections/guardedResponse.ts
+++ b/packages/daemon/src/utils/connections/guardedResponse.ts
@@ -28,19 +28,22 @@
 
 function addResponse (connection: GuardedConnection, res: ServerResponse): void {
   const { listener: { guard }, responses } = connection
-  responses.set(res, connection.headBytes * headCopies)
+  const headBytes = connection.headBytes * headCopies
+  responses.set(res, headBytes)
+  connection.openHeadBytes += headBytes
   connection.headBytes = 0
   connection.lastRequest = res.req
   connection.hadRequest = true
   connection.progressAt = getCurrentTime()
-  connection.openRequests += 1
   guard.openRequests += 1
   res.once('close', () => removeResponse(connection, res))
 }
 
 function removeResponse (connection: GuardedConnection, res: ServerResponse): void {
-  if (!connection.responses.delete(res)) return
-  connection.openRequests -= 1
+  const headBytes = connection.responses.get(res)
+  if (headBytes === undefined) return
+  connection.responses.delete(res)
+  connection.openHeadBytes -= headBytes
   connection.listener.guard.openRequests -= 1
   updateInput(connection)
   updateUnsent(connection, getCurrentTime())
--- a/packages/daemon/src/utils/connections/inputGate.ts
+++ b/packages/daemon/src/utils/connections/inputGate.ts
@@ -14,11 +14,11 @@
 const noBytes = Buffer.alloc(0)
 /** Connections whose held input is parsed in one iteration of the event loop. */
 const connectionsPerTurn = 8
-/** Pieces of one connection that are parsed when they are read. */
-const piecesPerRead = 16
-/** Pieces of one connection that are parsed in its turn. */
-const piecesPerTurn = 4
-/** Largest piece of a chunked body, which may consist of very many chunks, and the number of other pieces that it counts as. */
+/** Cost of the pieces of one connection that are parsed when they are read; one piece costs 1. */
+const costPerRead = 16
+/** Cost of the pieces of one connection that are parsed in its turn. */
+const costPerTurn = 4
+/** Largest piece of a chunked body, which may consist of very many chunks, and its cost. */
 const chunkedPieceBytes = 4096
 const chunkedPieceCost = 8
 /** When input of the process exceeds its limit, connections that hold more than this are closed. */
@@ -66,16 +66,16 @@
   if (connection.isDiscarding) return
   if (connection.held.length > 0) holdInput(connection, Buffer.concat([connection.held, chunk]))
   else {
-    const rest = parseInput(connection, chunk, piecesPerRead)
+    const rest = parseInput(connection, chunk, costPerRead)
     if (rest.length > 0) holdInput(connection, rest)
   }
 }
 
-/** Parses up to `maxPieces` pieces, but at least one; returns what is left. */
-function parseInput (connection: GuardedConnection, input: Buffer, maxPieces: number): Buffer {
+/** Parses pieces until their cost has reached `maxCost`, but at least one; returns what is left. */
+function parseInput (connection: GuardedConnection, input: Buffer, maxCost: number): Buffer {
   let rest = input
   let cost = 0
-  while (cost < maxPieces && rest.length > 0 && mayParse(connection)) {
+  while (cost < maxCost && rest.length > 0 && mayParse(connection)) {
     const isChunked = isInChunks(connection)
     const length = Math.min(getPieceLength(rest), isChunked ? chunkedPieceBytes : Infinity)
     cost += isChunked ? chunkedPieceCost : 1
@@ -149,7 +149,7 @@
 function continueInput (connection: GuardedConnection): void {
   const { socket, held } = connection
   connection.held = noBytes
-  const rest = parseInput(connection, held, piecesPerTurn)
+  const rest = parseInput(connection, held, costPerTurn)
   if (connection.isDiscarding || socket.destroyed) return
   connection.held = rest
   updateInput(connection)
@@ -163,8 +163,7 @@
 /** Counts what a connection holds of its client's input. */
 export function updateInput (connection: GuardedConnection): void {
   const { guard } = connection.listener
-  let bytes = connection.held.length + connection.headBytes
-  for (const headBytes of connection.responses.values()) bytes += headBytes
+  const bytes = connection.held.length + connection.headBytes + connection.openHeadBytes
   guard.inputBytes += bytes - connection.inputBytes
   connection.inputBytes = bytes
   if (guard.inputBytes > guard.limits.inputBytes && connection.headBytes > smallInputBytes) closeUnfinishedHead(guard)
