The connections to backend servers are bounded

Over the limit, nothing can be accepted or opened any more.

Cause: only the connections of clients were bounded. Each request at a server takes a descriptor too, and each request that must not repeat leaves an idle connection for some seconds.

Change: a quarter of the sockets is for connections to servers. If all of these are at work, a further request is refused at once as not run, with a retry time; otherwise the connection that is idle for longest makes room.

--- a/packages/daemon/src/core/entry/connectionPool.ts
+++ b/packages/daemon/src/core/entry/connectionPool.ts
@@ -32,11 +32,15 @@
   onEnd: ((err?: NodeJS.ErrnoException) => void) | undefined
 }
 
-/** Connections to backend servers. Disposing the pool closes all of them. */
+/**
+ * Connections to backend servers. Disposing the pool closes all of them. More than `maxConnections` are open only if connections are
+ * acquired while `hasRoom` is false.
+ */
 export interface ConnectionPool extends AsyncDisposable {
   readonly cfg: ConnectionCfg
   readonly chart: Chart
   readonly connectTimeoutMs: Millis
+  readonly maxConnections: number
   /** Poll phases of the event loop that reads the sockets. */
   readonly polls: PollTracker
   /** Called when a connection is open, with the time at which it was requested. */
@@ -45,6 +49,8 @@
   onUnsolicited: ((address: string) => void) | undefined
   /** Connections by server address, in the order in which they were opened. */
   readonly byAddress: Map<string, Connection[]>
+  /** Number of connections in `byAddress`. */
+  count: number
   /** Resets and missing answers on reused connections; they limit the idle time for requests that must not repeat. */
   readonly idleHistory: IdleConnectionHistory
 }
@@ -58,15 +64,17 @@
 /** The error of the HTTP client for bytes that arrive while no request is in flight. */
 const unsolicitedMessage = 'bad response'
 
-export function createConnectionPool (cfg: ConnectionCfg, chart: Chart, connectTimeoutMs: Millis, polls: PollTracker): ConnectionPool {
+export function createConnectionPool (cfg: ConnectionCfg, chart: Chart, connectTimeoutMs: Millis, polls: PollTracker, maxConnections = Infinity): ConnectionPool {
   const pool: ConnectionPool = {
     cfg,
     chart,
     connectTimeoutMs,
+    maxConnections,
     polls,
     onConnect: undefined,
     onUnsolicited: undefined,
     byAddress: new Map(),
+    count: 0,
     idleHistory: createIdleConnectionHistory(),
     [Symbol.asyncDispose]: async () => {
       const connections = [...pool.byAddress.values()].flat()
@@ -76,6 +84,21 @@
   return pool
 }
 
+/** Whether the pool can open a connection, for which it may have to close an idle one. */
+export function hasRoom (pool: ConnectionPool): boolean {
+  return pool.count < pool.maxConnections || findLongestIdle(pool) !== undefined
+}
+
+function findLongestIdle ({ byAddress }: ConnectionPool): Connection | undefined {
+  let longest: Connection | undefined
+  for (const connections of byAddress.values()) {
+    for (const connection of connections) {
+      if (connection.state.state === 'idle' && connection.state.progressAt < (longest?.state.progressAt ?? Infinity)) longest = connection
+    }
+  }
+  return longest
+}
+
 /**
  * Returns a connection that may carry a request, opening one if necessary. Pass it to `releaseConnection` or
  * `closeConnection` afterwards.
@@ -86,7 +109,7 @@
  */
 export function acquireConnection (pool: ConnectionPool, address: string, mustNotRepeat: boolean, now: Millis, maxIdleMs: Millis = Infinity): Connection {
   const connections = pool.byAddress.get(address) ?? []
-  if (mustNotRepeat) return addConnection(pool, connections, address, now)
+  if (mustNotRepeat) return addConnection(pool, address, now)
   for (let index = connections.length - 1; index >= 0; index--) {
     const connection = connections[index] as Connection
     if (!isReusable(pool.cfg, connection.state, false, now)) continue
@@ -97,12 +120,16 @@
     connection.earlierRequests += 1
     return connection
   }
-  return addConnection(pool, connections, address, now)
+  return addConnection(pool, address, now)
 }
 
-function addConnection (pool: ConnectionPool, connections: readonly Connection[], address: string, now: Millis): Connection {
+/** Opens a connection. If the pool is full, the one that is idle for longest is closed. */
+function addConnection (pool: ConnectionPool, address: string, now: Millis): Connection {
+  const replaced = pool.count < pool.maxConnections ? undefined : findLongestIdle(pool)
+  if (replaced !== undefined) closeConnection(pool, replaced, 'close')
   const connection = openConnection(pool, address, now)
-  pool.byAddress.set(address, [...connections, connection])
+  pool.byAddress.set(address, [...pool.byAddress.get(address) ?? [], connection])
+  pool.count += 1
   return connection
 }
 
@@ -210,6 +237,7 @@
   forgetRequest(connection)
   if (connection.state.state === 'closed') return
   applyConnectionEvent(pool.chart, connection.state, event)
+  pool.count -= 1
   const remaining = (pool.byAddress.get(connection.address) ?? []).filter(other => other !== connection)
   if (remaining.length === 0) pool.byAddress.delete(connection.address)
   else pool.byAddress.set(connection.address, remaining)
--- a/packages/daemon/src/core/entry/entry.ts
+++ b/packages/daemon/src/core/entry/entry.ts
@@ -83,7 +83,7 @@
     node,
     router,
     callerBlockTable: buildBlockTable(callerBlocks),
-    pool: createConnectionPool({ staleMs: times.staleConnectionMs, silentMs: times.silentConnectionMs }, loadChart('connection'), times.connectTimeoutMs, loop.polls),
+    pool: createConnectionPool({ staleMs: times.staleConnectionMs, silentMs: times.silentConnectionMs }, loadChart('connection'), times.connectTimeoutMs, loop.polls, node.guard.limits.serverConnections),
     loop,
     attemptChart: loadChart('attempt'),
     claiming,
--- a/packages/daemon/src/core/entry/forwarding.ts
+++ b/packages/daemon/src/core/entry/forwarding.ts
@@ -14,6 +14,7 @@
 import type { FinalAnswer } from '../../types/answers.js'
 import { cancelTrial, claimTrial, findRestriction } from '../crashes/crashWatch.js'
 import { getCallerInfo, getCandidateRegions } from './callerRegions.js'
+import { hasRoom } from './connectionPool.js'
 import { refreshRoutingState } from './entry.js'
 import type { EntryState } from './entry.js'
 import { createAnswer, createRefusal, writeAnswer } from './finalAnswers.js'
@@ -32,7 +33,7 @@
 export async function forwardRequest (entry: EntryState, req: IncomingMessage, res: ServerResponse): Promise<void> {
   const startedAt = recordRequestRead(entry.loop, req.socket, getCurrentTime())
   const { node } = entry
-  if (entry.open >= node.cfg.limits.maxRequests) {
+  if (entry.open >= node.cfg.limits.maxRequests || !hasRoom(entry.pool)) {
     await writeAnswer(node, res, createAnswer('refused', 'this VM is full; nothing was tried', fullRetryMs, 503))
     return
   }
--- a/packages/daemon/src/core/gateway/gateway.ts
+++ b/packages/daemon/src/core/gateway/gateway.ts
@@ -87,7 +87,7 @@
     node,
     callers,
     servers,
-    pool: createConnectionPool({ staleMs: staleConnectionMs, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop.polls),
+    pool: createConnectionPool({ staleMs: staleConnectionMs, silentMs: Infinity }, loadChart('connection'), connectTimeoutMs, loop.polls, node.guard.limits.serverConnections),
     fleet,
     load: node.load,
     splits: new Map(),
--- a/packages/daemon/src/core/gateway/requestLog.ts
+++ b/packages/daemon/src/core/gateway/requestLog.ts
@@ -16,10 +16,13 @@
 /** The members of a request that the log line of a refusal needs; the body of the request may not have been read. */
 export type RefusedCall = Pick<Call, 'facts' | 'caller' | 'route' | 'service' | 'arrivedAt' | 'readAt' | 'deadline'>
 
-/** A refusal for the state of this VM, not of the servers: it lacks processor time, it stops, or its copy of the state may be out of date. */
+/**
+ * A refusal for the state of this VM, not of the servers: it lacks processor time or connections to servers, it stops, or its copy of
+ * the state may be out of date.
+ */
 export interface VmRefusal {
   readonly type: 'refuse'
-  readonly reason: 'overloaded' | 'stopping' | 'unconfirmedState'
+  readonly reason: 'overloaded' | 'noConnections' | 'stopping' | 'unconfirmedState'
   readonly retryAfterMs: Millis
 }
 
--- a/packages/daemon/src/core/gateway/serving.ts
+++ b/packages/daemon/src/core/gateway/serving.ts
@@ -9,6 +9,7 @@
 import { waitForPoll } from '../../utils/pollPhase.js'
 import { cancelTrial, claimTrial, findRestriction, inspectFailedSend, reportAnswered } from '../crashes/crashWatch.js'
 import type { WatchedRequest } from '../crashes/crashWatch.js'
+import { hasRoom } from '../entry/connectionPool.js'
 import { delay } from '../node/timers.js'
 import { createRateRefusal, createRefusal, createServerAnswer, createStreamedAnswer, createTextAnswer, unconfirmedStateRetryMs } from './answers.js'
 import type { OwnStatus } from './answers.js'
@@ -31,6 +32,8 @@
 import { mayUseState, waitForState } from './stateWait.js'
 import type { SendTimeouts, SendResult } from './sending.js'
 
+/** Shortest retry time for callers of a VM that has no connections to servers left; other VMs may have some now. */
+const noConnectionsRetryMs: Millis = 150
 /** Retry time for callers whose key was given to another team: it can be used at once. */
 const teamChangeRetryMs: Millis = 20
 
@@ -46,6 +49,11 @@
 /** Refusal of a request that waited in vain for a state by which this VM may decide. */
 const stateRefusal: VmRefusal = { type: 'refuse', reason: 'unconfirmedState', retryAfterMs: unconfirmedStateRetryMs }
 
+/** Refuses a request for which this VM has no connection to a server. Retry times are spread, so that callers don't return at the same moment. */
+function createConnectionRefusal ({ node }: Gateway): VmRefusal {
+  return { type: 'refuse', reason: 'noConnections', retryAfterMs: noConnectionsRetryMs * (1 + node.random()) }
+}
+
 /** Serves a request until its final answer; returns undefined if the caller disconnects. */
 export async function serveCall (gateway: Gateway, call: Call): Promise<CallAnswer | undefined> {
   const state = startRequest(gateway, buildPlacementRequest(call), call.liveness, getConditions(gateway, call), getCurrentTime())
@@ -79,6 +87,7 @@
     switch (step.type) {
       case 'send':
         if (!maySend(call.open.ledger)) return fail(gateway, call, state, 'serverFailed')
+        if (!hasRoom(gateway.pool)) return answerFromSends(gateway, call, state, lastResult) ?? refuse(gateway, call, state, createConnectionRefusal(gateway))
         lastResult = await sendToServer(gateway, call, state, step.placement, holder)
         if (lastResult.type !== 'notRun') consumePermit(holder)
         if (call.stream !== undefined && hasBegun(call.stream)) return describeStreamed(call.stream)
--- a/packages/limits/src/core/connections/connectionLimits.ts
+++ b/packages/limits/src/core/connections/connectionLimits.ts
@@ -15,6 +15,8 @@
 export interface ConnectionLimits {
   /** Open sockets of all listeners and to other processes. */
   readonly sockets: number
+  /** Connections to backend servers. */
+  readonly serverConnections: number
   /** Requests that are not answered yet. Beyond these, a connection gets one at a time. */
   readonly openRequests: number
   /** Bytes of requests' heads and of input that is not parsed yet. */
@@ -42,6 +44,8 @@
 const minSockets = 64
 /** Heap of one open request with what belongs to it. */
 const heapBytesPerRequest = 51_200
+/** Fraction of the sockets. The parts of the listeners leave as many. */
+const serverFraction = 1 / 4
 /** Fractions of the memory; what the program needs by itself takes the rest. */
 const inputFraction = 1 / 16
 const unsentFraction = 1 / 12
@@ -52,8 +56,10 @@
 export const defaultResources: Omit<ProcessResources, 'heapBytes'> = { memoryBytes: 469_762_048, descriptors: 4096 }
 
 export function deriveConnectionLimits ({ memoryBytes, descriptors, heapBytes }: ProcessResources): ConnectionLimits {
+  const sockets = Math.max(minSockets, descriptors - reservedDescriptors)
   return {
-    sockets: Math.max(minSockets, descriptors - reservedDescriptors),
+    sockets,
+    serverConnections: Math.floor(sockets * serverFraction),
     openRequests: Math.ceil(heapBytes / heapBytesPerRequest),
     inputBytes: Math.ceil(memoryBytes * inputFraction),
     unsentBytes: Math.ceil(memoryBytes * unsentFraction),
