A caller that ends its connection within a body leaves nothing behind

What callers saw: uploads are refused with 503 for good, once some callers have left in the middle of theirs. At a VM of 250 MB, 46 such connections held all of the 35 MB for bodies until the process ended.

Cause: the HTTP server reports the end of a connection within a request as an invalid one and leaves its close to the listener of that error. The same end cancels all requests of the connection, the place in the order of answers included, so the listener returned without closing.

Change: it closes the connection if the caller has ended its side.

Evidence: the new test of connectionErrors.test.ts fails before and passes here. The crowd tests check now that no request stays open: before, 30 stayed after 'bodies in chunks of one byte with extensions' and 16 more after 'large bodies that never end'; all 19 kinds at the callers' listener pass here.

--- a/packages/daemon/src/core/gateway/connectionErrors.ts
+++ b/packages/daemon/src/core/gateway/connectionErrors.ts
@@ -40,6 +40,8 @@
   log(gateway.node.logs, 'route', 'info', 'Bytes of a caller are no request.', { status, code, error: getErrorMessage(err), address: socket.remoteAddress, earlier: last.pipeline.requests.length - 1, isAnswered: last.isAnswered })
   if (!await waitForEarlierAnswers(last, 0)) {
     leavePipeline(last)
+    // The caller has ended its side within a request, so the HTTP server doesn't end the other one.
+    if (socket.readableEnded) socket.destroy()
     return
   }
   if (!last.isAnswered) socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
